Names, ids and units, and the check that runs on every change

Cause: an empty repository; every later part speaks of accounts, targets and requests and needs one set of types for them. Ruled out: plain strings for ids (a target passed for an account compiles); ids without the owner in them (a second submit could not find who dispatched). Before: nothing. Conclusion: request ids carry their owner's incarnation and a keyed digest.

--- /dev/null
+++ b/core/yuccaid/request_test.go
@@ -0,0 +1,54 @@
+package yuccaid_test
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"yuccacleat/core/yuccaid"
+)
+
+var (
+	fleetKey = yuccaid.Key("fleet key for tests")
+	owner    = yuccaid.NewIncarnation("vm-1", [16]byte{1, 2, 3})
+	issued   = time.UnixMilli(1_700_000_000_123)
+)
+
+var _ = Describe("a request id", func() {
+	id := yuccaid.Request{Owner: owner, Counter: 42, Issued: issued}
+
+	It("survives its text form", func() {
+		back, err := id.Text(fleetKey).Parse(fleetKey)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(back.Owner).To(Equal(id.Owner))
+		Expect(back.Counter).To(Equal(id.Counter))
+		Expect(back.Issued.Equal(id.Issued)).To(BeTrue())
+	})
+
+	DescribeTable("is refused when it was not issued here",
+		func(change func(string) string) {
+			text := yuccaid.RequestText(change(string(id.Text(fleetKey))))
+			_, err := text.Parse(fleetKey)
+			Expect(err).To(MatchError(yuccaid.ErrForged))
+		},
+		Entry("empty", func(string) string { return "" }),
+		Entry("another VM", func(s string) string { return strings.Replace(s, "vm-1", "vm-2", 1) }),
+		Entry("another counter", func(s string) string { return strings.Replace(s, ".2a.", ".2b.", 1) }),
+		Entry("no signature", func(s string) string { return s[:strings.LastIndex(s, ".")+1] }),
+		Entry("another fleet's key", func(string) string { return string(id.Text(yuccaid.Key("other"))) }),
+	)
+})
+
+func FuzzRequestText(f *testing.F) {
+	f.Add(string(yuccaid.Request{Owner: owner, Counter: 1, Issued: issued}.Text(fleetKey)))
+	f.Add("a.b.c.d.e")
+	f.Fuzz(func(t *testing.T, s string) {
+		id, err := yuccaid.RequestText(s).Parse(fleetKey)
+		if err == nil && string(id.Text(fleetKey)) != s {
+			t.Fatalf("%q was accepted but is written %q", s, id.Text(fleetKey))
+		}
+	})
+}
--- /dev/null
+++ b/core/yuccaid/unit.go
@@ -0,0 +1,20 @@
+package yuccaid
+
+import "time"
+
+// Tokens counts tokens of a prompt or an answer.
+type Tokens int64
+
+// Bytes counts bytes.
+type Bytes int64
+
+// Rate is in tokens per second.
+type Rate float64
+
+// Time returns how long n tokens take at the rate, and zero for a rate of zero.
+func (r Rate) Time(n Tokens) time.Duration {
+	if r <= 0 {
+		return 0
+	}
+	return time.Duration(float64(n) / float64(r) * float64(time.Second))
+}
