Frames, connections between daemons and membership: the whole interface

Cause: the other packages integrate against these three, so their names come first. yuccawire reads and writes msgpack frames and proves the fleet's key both ways; yuccalink keeps control connections up and opens traffic connections; yuccapeer decides who is live, who leads a pool and who connects to whom.

Ruled out: dropping one of two connections at either end's choice, since both ends may choose differently and close both; only the end with the smaller name does. Taking members from the platform's list, since it lags differently on each daemon.

Silence, replacement, floods and partitions are coded and not tested yet.

--- /dev/null
+++ b/core/yuccapeer/example_test.go
@@ -0,0 +1,36 @@
+package yuccapeer_test
+
+import (
+	"fmt"
+	"time"
+
+	"yuccacleat/core/yuccaid"
+	"yuccacleat/core/yuccapeer"
+)
+
+func Example() {
+	now := time.Unix(0, 0)
+	padova := yuccapeer.Member{
+		VM: "vm-1", Centre: "padova", Address: "10.0.0.1:7400",
+		Incarnation: yuccaid.NewIncarnation("vm-1", [16]byte{1}),
+	}
+	peers := yuccapeer.New(padova)
+	peers.Tick(now)
+	peers.Listed(now, []yuccapeer.Listing{{VM: "vm-2", Centre: "padova", Address: "10.0.0.2:7400"}})
+	fmt.Println("dial", peers.Dial())
+
+	change := peers.Heard(now, yuccapeer.Heartbeat{
+		Incarnation: yuccaid.NewIncarnation("vm-2", [16]byte{2}),
+		Centre:      "padova",
+		Address:     "10.0.0.2:7400",
+		Sequence:    1,
+	})
+	fmt.Println("joined", change.Joined[0].VM)
+
+	_, settled := peers.Leader("drafts")
+	fmt.Println("settled", settled)
+	// Output:
+	// dial [10.0.0.2:7400]
+	// joined vm-2
+	// settled false
+}
--- /dev/null
+++ b/core/yuccapeer/peers.go
@@ -0,0 +1,265 @@
+package yuccapeer
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"yuccacleat/core/yuccaid"
+)
+
+// Peers is one daemon's view of the others.
+type Peers struct {
+	self     Heartbeat
+	timing   Timing
+	gateways int
+	seeds    []string
+
+	listed  map[yuccaid.VM]Listing
+	told    map[yuccaid.VM]Listing
+	peers   map[yuccaid.VM]*peer
+	gone    map[yuccaid.Incarnation]time.Time
+	linked  map[yuccaid.Incarnation]Member
+	wishes  map[yuccaid.Centre]*wish
+	ticked  time.Time
+	settled time.Time
+	beaten  time.Time
+}
+
+// peer is the present incarnation on one VM.
+type peer struct {
+	member   Member
+	source   Source
+	sequence uint64
+	version  uint64
+	// known says that the peer is in the view: a whole heartbeat has come, and
+	// neither silence nor a pause of our own has ended it since. The rest stays
+	// when it ends, so that a late heartbeat is still seen to be late.
+	known bool
+	// expires is when the peer goes out of the view unless it is heard again.
+	expires time.Time
+}
+
+// New returns a view that holds only this daemon.
+func New(self Member, options ...Option) *Peers {
+	peers := &Peers{
+		self: Heartbeat{
+			Incarnation: self.Incarnation,
+			Centre:      self.Centre,
+			Address:     self.Address,
+			Leaving:     self.Leaving,
+			Version:     1,
+		},
+		timing:   DefaultTiming(),
+		gateways: DefaultGateways,
+		listed:   make(map[yuccaid.VM]Listing),
+		told:     make(map[yuccaid.VM]Listing),
+		peers:    make(map[yuccaid.VM]*peer),
+		gone:     make(map[yuccaid.Incarnation]time.Time),
+		linked:   make(map[yuccaid.Incarnation]Member),
+		wishes:   make(map[yuccaid.Centre]*wish),
+	}
+	for _, option := range options {
+		option(peers)
+	}
+	return peers
+}
+
+// Self returns this daemon as the others see it.
+func (peers *Peers) Self() Member { return peers.self.member() }
+
+// Heartbeat returns what this daemon tells the others now.
+func (peers *Peers) Heartbeat() Heartbeat { return peers.self }
+
+// Accepted notes the configuration that this daemon has accepted and returns the
+// heartbeats that tell the others.
+func (peers *Peers) Accepted(now time.Time, number yuccaid.Number, digest yuccaid.Digest) Change {
+	if peers.self.Number == number && peers.self.Digest == digest {
+		return Change{}
+	}
+	peers.self.Number = number
+	peers.self.Digest = digest
+	return Change{Beats: peers.announce(now), Behind: peers.behind()}
+}
+
+// Leave notes that this daemon is leaving and returns the heartbeats that tell the
+// others.
+func (peers *Peers) Leave(now time.Time) Change {
+	if peers.self.Leaving {
+		return Change{}
+	}
+	peers.self.Leaving = true
+	return Change{Beats: peers.announce(now)}
+}
+
+// Linked notes that a connection to the member is up and returns the heartbeat that
+// greets it. The member joins the view with its own first heartbeat.
+func (peers *Peers) Linked(_ time.Time, member Member) Change {
+	if _, gone := peers.gone[member.Incarnation]; gone {
+		return Change{}
+	}
+	peers.linked[member.Incarnation] = member
+	return Change{Beats: []Beat{peers.whole(member.Incarnation)}}
+}
+
+// Lost notes that the last connection to an incarnation is gone. The member stays in
+// the view for LostGrace, for a broken connection alone is no death.
+func (peers *Peers) Lost(now time.Time, inc yuccaid.Incarnation) {
+	delete(peers.linked, inc)
+	other := peers.peers[inc.VM]
+	if other == nil || other.member.Incarnation != inc {
+		return
+	}
+	if grace := now.Add(peers.timing.LostGrace); grace.Before(other.expires) {
+		other.expires = grace
+	}
+}
+
+// Listed replaces what the platform's list says. The list only names candidates: it
+// lags, by a different time on each daemon, so a view that took members from it would
+// differ from the others' for as long.
+func (peers *Peers) Listed(_ time.Time, listings []Listing) {
+	clear(peers.listed)
+	for _, listing := range listings {
+		peers.listed[listing.VM] = listing
+	}
+}
+
+// ListedLeaving reports whether the platform says that this daemon's own VM is leaving.
+// The daemon that calls Leave then tells the others itself, so that all agree on it.
+func (peers *Peers) ListedLeaving() bool {
+	return peers.listed[peers.self.Incarnation.VM].Leaving
+}
+
+// Told adds candidates that a peer knows, for a daemon that can't read the platform's
+// list.
+func (peers *Peers) Told(_ time.Time, listings []Listing) {
+	for _, listing := range listings {
+		peers.told[listing.VM] = listing
+	}
+}
+
+// Roster returns every candidate this daemon knows, itself included, for a peer that
+// can't read the platform's list.
+func (peers *Peers) Roster() []Listing {
+	all := peers.candidates()
+	return slices.SortedFunc(maps.Values(all), compareListings)
+}
+
+// Heard takes a whole heartbeat.
+func (peers *Peers) Heard(now time.Time, beat Heartbeat) Change {
+	var change Change
+	other := peers.admit(now, beat.Incarnation, beat.Sequence, &change)
+	if other == nil {
+		return change
+	}
+	if other.known && other.version > beat.Version {
+		return change
+	}
+	peers.update(other, beat, &change)
+	change.Behind = peers.behind()
+	if beat.Number == peers.self.Number && beat.Digest != peers.self.Digest {
+		change.Diverged = append(change.Diverged, other.source)
+	}
+	return change
+}
+
+// Pulsed takes a pulse that came from an incarnation. If the version it names was
+// never heard whole, the change holds a pulse that asks for it.
+func (peers *Peers) Pulsed(now time.Time, from yuccaid.Incarnation, pulse Pulse) Change {
+	var change Change
+	other := peers.admit(now, from, pulse.Sequence, &change)
+	if pulse.Ask && peers.isLinked(from) {
+		change.Beats = append(change.Beats, peers.whole(from))
+	}
+	if other == nil {
+		return change
+	}
+	if !other.known || other.version != pulse.Version {
+		change.Beats = append(change.Beats, peers.pulse(from, true))
+	}
+	return change
+}
+
+// Tick expires who fell silent, returns the heartbeats that are due, and notices by
+// the gap since the last tick that this process was paused.
+//
+// A paused process would take the whole world for silent, or, having missed its own
+// end, go on as the leader that it was. So its view expires before anything else and
+// it listens again before it names a leader.
+func (peers *Peers) Tick(now time.Time) Change {
+	if peers.ticked.IsZero() {
+		peers.settled = now.Add(peers.timing.SettleFor)
+	}
+	gap := now.Sub(peers.ticked)
+	paused := !peers.ticked.IsZero() && gap > peers.timing.PauseLimit
+	peers.ticked = now
+	var change Change
+	if paused {
+		change = peers.wake(now, gap)
+	}
+	peers.expire(now, &change)
+	peers.forget(now)
+	peers.reconsider(now)
+	if now.Sub(peers.beaten) >= peers.timing.HeartbeatEvery {
+		change.Beats = append(change.Beats, peers.pulses(now)...)
+	}
+	change.Behind = peers.behind()
+	return change
+}
+
+// Elapsed compares how far the monotonic and the wall clock have gone since the last
+// call. A VM that was suspended has a wall clock that ran ahead, while the monotonic
+// clock, and every gap that Tick can see, may have stood still.
+func (peers *Peers) Elapsed(now time.Time, monotonic, wall time.Duration) Change {
+	if ahead := wall - monotonic; ahead > peers.timing.PauseLimit {
+		return peers.wake(now, ahead)
+	}
+	return Change{}
+}
+
+// Live returns the members of a data centre that are live and not leaving, this
+// daemon included, in the order of their names. Of other data centres these are the
+// few that this daemon holds connections to.
+func (peers *Peers) Live(centre yuccaid.Centre) []Member {
+	return peers.members(func(member Member) bool {
+		return member.Centre == centre && !member.Leaving
+	})
+}
+
+// Find returns the live member on a VM, else the VM's candidate, without incarnation.
+func (peers *Peers) Find(vm yuccaid.VM) (Member, bool) {
+	if vm == peers.self.Incarnation.VM {
+		return peers.Self(), true
+	}
+	if other := peers.peers[vm]; other != nil && other.known {
+		return other.member, true
+	}
+	listing, ok := peers.candidates()[vm]
+	return listing.member(), ok
+}
+
+// Settled reports whether this daemon has listened long enough to name leaders.
+func (peers *Peers) Settled() bool {
+	return !peers.ticked.IsZero() && !peers.ticked.Before(peers.settled)
+}
+
+func (peers *Peers) isLinked(inc yuccaid.Incarnation) bool {
+	_, ok := peers.linked[inc]
+	return ok
+}
+
+// members returns the live ones that the filter takes, this daemon among them.
+func (peers *Peers) members(take func(Member) bool) []Member {
+	var all []Member
+	if self := peers.Self(); take(self) {
+		all = append(all, self)
+	}
+	for _, other := range peers.peers {
+		if other.known && take(other.member) {
+			all = append(all, other.member)
+		}
+	}
+	slices.SortFunc(all, compareMembers)
+	return all
+}
--- /dev/null
+++ b/io/yuccalink/doc.go
@@ -0,0 +1,11 @@
+// Package yuccalink is the transport between daemons: control connections that are kept
+// up and carry messages in order, and traffic connections that carry one stream each.
+//
+// Any connection may go silent for good while a new one to the same address works, for
+// instance when something between the two ends has forgotten it. TCP notices that after
+// many minutes. Here both ends send something at least every KeepAliveEvery, and an end
+// that has heard nothing for SilenceLimit closes the connection and dials again.
+//
+// A message that was queued when its connection broke may be lost, and the sender is
+// not told: OnDown says that this may have happened, and who needs an answer asks again.
+package yuccalink
