Tests of connections that go silent, are replaced, hang or belong to strangers

Cause: the hub's answer to each of these was written and not shown. A relay in the tests forgets connections in either direction while new ones through it work.

A write that a peer doesn't take now has an error of its own beside silence.

--- a/io/yuccalink/conn.go
+++ b/io/yuccalink/conn.go
@@ -5,7 +5,6 @@
 	"errors"
 	"io"
 	"net"
-	"os"
 	"sync"
 	"time"
 
@@ -51,7 +50,7 @@
 func (conn *Conn) Peer() yuccapeer.Member { return conn.peer }
 
 // Send writes one message and waits until the system has taken it, but no longer than
-// the write limit. After an error the connection is closed.
+// the write limit: then it fails with *StuckError. A failed write closes the connection.
 func (conn *Conn) Send(kind yuccawire.Kind, body any) error {
 	raw, err := yuccawire.Encode(kind, body)
 	if err != nil {
@@ -116,13 +115,10 @@
 	default:
 	}
 	conn.end()
-	if errors.Is(cause, os.ErrDeadlineExceeded) {
-		return &SilentError{Address: conn.peer.Address, Limit: conn.hub.limits.Silence}
-	}
 	if errors.Is(cause, io.EOF) {
 		return ErrCut
 	}
-	return cause
+	return explain(cause, conn.peer.Address, conn.hub.limits)
 }
 
 func (conn *Conn) end() {
--- a/io/yuccalink/error.go
+++ b/io/yuccalink/error.go
@@ -3,6 +3,8 @@
 import (
 	"errors"
 	"fmt"
+	"net"
+	"os"
 	"time"
 
 	"yuccacleat/core/yuccaid"
@@ -30,6 +32,29 @@
 	return fmt.Sprintf("nothing came from %s for %s: dial a new connection", err.Address, err.Limit)
 }
 
+// StuckError says that a peer takes nothing off a connection.
+type StuckError struct {
+	Address string
+	Limit   time.Duration
+}
+
+// Error names the peer, the limit and the remedy.
+func (err *StuckError) Error() string {
+	return fmt.Sprintf("%s took nothing for %s: dial a new connection", err.Address, err.Limit)
+}
+
+// explain returns the typed error for a deadline that passed, else the cause itself.
+func explain(cause error, address string, limits Limits) error {
+	var failed *net.OpError
+	if !errors.Is(cause, os.ErrDeadlineExceeded) || !errors.As(cause, &failed) {
+		return cause
+	}
+	if failed.Op == "write" {
+		return &StuckError{Address: address, Limit: limits.Write}
+	}
+	return &SilentError{Address: address, Limit: limits.Silence}
+}
+
 // SelfError says that an address leads back to this daemon.
 type SelfError struct {
 	Address string
--- a/io/yuccalink/hub.go
+++ b/io/yuccalink/hub.go
@@ -139,6 +139,17 @@
 	return members
 }
 
+// Links returns how many control connections there are, of all peers together.
+func (hub *Hub) Links() int {
+	hub.mu.Lock()
+	defer hub.mu.Unlock()
+	sum := 0
+	for _, other := range hub.peers {
+		sum += len(other.links)
+	}
+	return sum
+}
+
 // HalfOpen returns how many accepted connections are in their handshake.
 func (hub *Hub) HalfOpen() int { return hub.gate.size() }
 
--- a/io/yuccalink/hub_test.go
+++ b/io/yuccalink/hub_test.go
@@ -1,11 +1,17 @@
 package yuccalink_test
 
 import (
+	"context"
+	"io"
+	"net"
+	"strings"
 	"sync"
+	"syscall"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"github.com/onsi/gomega/types"
 	"github.com/rotisserie/eris"
 
 	"yuccacleat/core/yuccaid"
@@ -84,12 +90,44 @@
 	return hub, jrn
 }
 
-var _ = Describe("two hubs", func() {
-	It("carry messages in the order of one connection, both ways", func() {
-		one, two := member("vm-1", listen()), member("vm-2", listen())
+// quick has limits short enough that a spec can wait for them.
+func quick() yuccalink.Limits {
+	limits := yuccalink.DefaultLimits()
+	limits.Silence = time.Second
+	limits.KeepAliveEvery = 100 * time.Millisecond
+	limits.Write = time.Second
+	limits.Handshake = time.Second
+	limits.FirstBackoff = 10 * time.Millisecond
+	limits.LastBackoff = 100 * time.Millisecond
+	limits.Linger = 50 * time.Millisecond
+	return limits
+}
+
+// count returns what a hub counted of a kind.
+func count(hub *yuccalink.Hub, kind yuccawire.Kind) yuccalink.Count {
+	for _, found := range hub.Counts() {
+		if found.Kind == kind {
+			return found
+		}
+	}
+	return yuccalink.Count{}
+}
+
+func beType(err error) types.GomegaMatcher { return ContainElement(BeAssignableToTypeOf(err)) }
+
+// sends makes an assertion's value of a send that may not work yet.
+func sends(hub *yuccalink.Hub, to place, text string) func() error {
+	return func() error { return hub.Send(to.Incarnation, kindTest, text) }
+}
+
+var _ = Describe("control connections", func() {
+	var one, two place
+	BeforeEach(func() { one, two = member("vm-1", listen()), member("vm-2", listen()) })
+
+	It("carry messages in order both ways, counted by kind", func() {
 		first, heardFirst := open(one, key)
 		second, heardSecond := open(two, key)
-		first.Connect([]string{two.Address})
+		first.Connect([]string{one.Address, two.Address})
 		Eventually(heardFirst.all, soon).Should(Equal([]string{"up " + two.Incarnation.String()}))
 		Eventually(heardSecond.all, soon).Should(Equal([]string{"up " + one.Incarnation.String()}))
 		for _, text := range []string{"a", "b", "c"} {
@@ -98,18 +136,216 @@
 		}
 		Eventually(heardFirst.frames, soon).Should(Equal([]string{"a", "b", "c"}))
 		Eventually(heardSecond.frames, soon).Should(Equal([]string{"a", "b", "c"}))
+		Expect(count(first, kindTest)).To(Equal(yuccalink.Count{
+			Kind: kindTest, MessagesSent: 3, MessagesReceived: 3, BytesSent: 24, BytesReceived: 24,
+		}))
+		Expect(first.Linked()).To(Equal([]yuccapeer.Member{two.Member}))
 	})
 
-	It("stay apart when their keys differ, and say which settings to look at", func() {
-		one, two := member("vm-1", listen()), member("vm-2", listen())
+	// The key file of another fleet is put on a VM. Without a refusal its daemon would
+	// join, and answers would go to strangers.
+	It("don't come up when the keys differ, and both ends say why", func() {
 		first, heardFirst := open(one, key)
 		_, heardSecond := open(two, yuccaid.Key("another fleet's"))
 		first.Connect([]string{two.Address})
-		isKeyError := ContainElement(BeAssignableToTypeOf(&yuccawire.KeyError{}))
-		Eventually(heardFirst.causes, soon).Should(isKeyError)
-		Eventually(heardSecond.causes, soon).Should(isKeyError)
-		Expect(heardFirst.all()).To(BeEmpty())
-		Expect(heardSecond.all()).To(BeEmpty())
+		Eventually(heardFirst.causes, soon).Should(beType(&yuccawire.KeyError{}))
+		Eventually(heardSecond.causes, soon).Should(beType(&yuccawire.KeyError{}))
+		Expect(append(heardFirst.all(), heardSecond.all()...)).To(BeEmpty())
 		Expect(first.Send(two.Incarnation, kindTest, "a")).To(MatchError(yuccalink.ErrNoLink))
 	})
+
+	// A firewall between two daemons restarts and forgets its connections. Neither end
+	// gets an error. A user would wait for a grant that was sent and never arrives.
+	DescribeTable("are replaced when they go silent while new ones work",
+		func(near, far bool) {
+			rel := newRelay(two.Address)
+			first, heardFirst := open(one, key, yuccalink.WithLimits(quick()))
+			_, heardSecond := open(two, key, yuccalink.WithLimits(quick()))
+			first.Connect([]string{rel.address()})
+			Eventually(sends(first, two, "before"), soon).Should(Succeed())
+			Eventually(heardSecond.frames, soon).Should(ContainElement("before"))
+			rel.forget(near, far)
+			first.Send(two.Incarnation, kindTest, "into the void")
+			up := "up " + two.Incarnation.String()
+			Eventually(heardFirst.all, soon).Should(HaveExactElements(up, "down "+two.Incarnation.String(), up))
+			Eventually(func() []string {
+				first.Send(two.Incarnation, kindTest, "after")
+				return heardSecond.frames()
+			}, soon).Should(ContainElement("after"))
+			causes := append(heardFirst.causes(), heardSecond.causes()...)
+			Expect(causes).To(beType(&yuccalink.SilentError{}))
+		},
+		Entry("both ways", true, true),
+		Entry("from the dialler", true, false),
+		Entry("towards the dialler", false, true),
+	)
+
+	It("stay up while nobody has anything to say", func() {
+		limits := quick()
+		limits.Silence = 3 * time.Second
+		limits.KeepAliveEvery = 20 * time.Millisecond
+		first, heardFirst := open(one, key, yuccalink.WithLimits(limits))
+		open(two, key, yuccalink.WithLimits(limits))
+		first.Connect([]string{two.Address})
+		Eventually(func() uint64 {
+			return count(first, yuccawire.KindKeepAlive).MessagesReceived
+		}, soon).Should(BeNumerically(">", 200))
+		Expect(heardFirst.all()).To(HaveLen(1))
+	})
+
+	// Two daemons start together and dial each other. With both connections kept, each
+	// heartbeat's cost would double; closed by each end's own choice, both would go.
+	It("come down to one when both ends dialled", func() {
+		first, heardFirst := open(one, key, yuccalink.WithLimits(quick()))
+		second, heardSecond := open(two, key, yuccalink.WithLimits(quick()))
+		first.Connect([]string{newRelay(two.Address).address()})
+		second.Connect([]string{newRelay(one.Address).address()})
+		Eventually(func() int {
+			first.Send(two.Incarnation, kindTest, "a")
+			second.Send(one.Incarnation, kindTest, "b")
+			return first.Links() + second.Links()
+		}, soon).Should(Equal(2))
+		Expect(heardFirst.all()).To(HaveLen(1))
+		Expect(heardSecond.all()).To(HaveLen(1))
+	})
+
+	It("come back after a cut and after the peer's restart at its address", func() {
+		rel := newRelay(two.Address)
+		first, heard := open(one, key, yuccalink.WithLimits(quick()))
+		second, _ := open(two, key, yuccalink.WithLimits(quick()))
+		first.Connect([]string{rel.address()})
+		Eventually(heard.all, soon).Should(HaveLen(1))
+		rel.cut()
+		Eventually(heard.all, soon).Should(HaveLen(3))
+		second.Close()
+		listener, err := net.Listen("tcp", two.Address)
+		Expect(err).NotTo(HaveOccurred())
+		again := member("vm-2", listener)
+		open(again, key, yuccalink.WithLimits(quick()))
+		Eventually(heard.all, soon).Should(HaveExactElements(
+			"up "+two.Incarnation.String(), "down "+two.Incarnation.String(),
+			"up "+two.Incarnation.String(), "down "+two.Incarnation.String(),
+			"up "+again.Incarnation.String(),
+		))
+	})
+
+	// A VM is replaced while its old process is paused. When that wakes up it dials the
+	// others as if nothing had happened. Taken back, it would lead pools again with the
+	// queue of long ago.
+	It("of a replaced daemon end, and it isn't let back in", func() {
+		first, heard := open(one, key, yuccalink.WithLimits(quick()))
+		old, _ := open(two, key, yuccalink.WithLimits(quick()))
+		old.Connect([]string{one.Address})
+		Eventually(heard.all, soon).Should(HaveLen(1))
+		successor := member("vm-2", listen())
+		successor.Address = two.Address
+		fresh, _ := open(successor, key, yuccalink.WithLimits(quick()))
+		fresh.Connect([]string{one.Address})
+		Eventually(heard.all, soon).Should(HaveLen(3))
+		Eventually(heard.causes, soon).Should(beType(&yuccalink.ReplacedError{}))
+		Expect(heard.all()).To(Equal([]string{
+			"up " + two.Incarnation.String(), "down " + two.Incarnation.String(), "up " + successor.Incarnation.String(),
+		}))
+		Expect(first.Linked()).To(Equal([]yuccapeer.Member{successor.Member}))
+	})
+
+	It("that were dialled close when they are no longer wished for", func() {
+		first, heardFirst := open(one, key)
+		_, heardSecond := open(two, key)
+		first.Connect([]string{two.Address})
+		Eventually(heardFirst.all, soon).Should(HaveLen(1))
+		first.Connect(nil)
+		Eventually(heardFirst.all, soon).Should(HaveLen(2))
+		Eventually(heardSecond.all, soon).Should(HaveLen(2))
+		Expect(append(heardFirst.causes(), heardSecond.causes()...)).To(BeEmpty())
+	})
+
+	// A daemon shuts down right after it handed over its pools. If what it had queued
+	// went down with it, its successor would have to wait for timeouts instead.
+	It("send what is queued before a graceful close", func() {
+		first, heardFirst := open(one, key)
+		_, heardSecond := open(two, key)
+		first.Connect([]string{two.Address})
+		Eventually(heardFirst.all, soon).Should(HaveLen(1))
+		for range 1000 {
+			Expect(first.Send(two.Incarnation, kindTest, "bye")).To(Succeed())
+		}
+		first.Close()
+		Eventually(heardSecond.all, soon).Should(HaveLen(2))
+		Expect(heardSecond.frames()).To(HaveLen(1000))
+		Expect(heardFirst.all()).To(HaveLen(2))
+		_, err := first.Dial(context.Background(), two.Address)
+		Expect(err).To(HaveOccurred())
+	})
+
+	// A peer's process hangs with its connections open. Its queue must neither grow
+	// without end nor hold up what goes to the others.
+	It("refuse more for a peer that doesn't read, and others still get theirs", func() {
+		hung := member("vm-3", listen())
+		go hang(hung)
+		DeferCleanup(hung.listener.Close)
+		first, heard := open(one, key, yuccalink.WithLimits(quick()))
+		open(two, key, yuccalink.WithLimits(quick()))
+		first.Connect([]string{two.Address, hung.Address})
+		Eventually(first.Linked, soon).Should(HaveLen(2))
+		large := strings.Repeat("x", 1<<20)
+		Eventually(sends(first, hung, large), soon, "1ns").Should(MatchError(yuccalink.ErrBacklog))
+		Expect(first.Send(two.Incarnation, kindTest, "a")).To(Succeed())
+		Eventually(heard.causes, soon).Should(Or(beType(&yuccalink.StuckError{}), beType(&yuccalink.SilentError{})))
+	})
+
+	// Somebody without the key scans the network, or opens connections and says nothing.
+	// If they took up every place, a restarted daemon could reach nobody.
+	It("come up while strangers hold every handshake", func() {
+		limits := quick()
+		limits.HalfOpen = 4
+		limits.Handshake = time.Hour
+		first, heard := open(one, key, yuccalink.WithLimits(limits))
+		var strangers []net.Conn
+		for range 20 {
+			conn, err := net.Dial("tcp", one.Address)
+			Expect(err).NotTo(HaveOccurred())
+			DeferCleanup(conn.Close)
+			strangers = append(strangers, conn)
+		}
+		noise, err := net.Dial("tcp", one.Address)
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(noise.Close)
+		noise.Write([]byte("GET / HTTP/1.1\r\n\r\n"))
+		_, err = io.ReadAll(strangers[0])
+		Expect(err).To(Or(Not(HaveOccurred()), MatchError(syscall.ECONNRESET)))
+		second, _ := open(two, key, yuccalink.WithLimits(quick()))
+		second.Connect([]string{one.Address})
+		Eventually(heard.all, soon).Should(HaveLen(1))
+		Expect(first.HalfOpen()).To(BeNumerically("<=", 4))
+		Eventually(heard.causes, soon).Should(beType(&yuccawire.OversizedError{}))
+	})
+
+	It("lead nowhere when the address is the daemon's own", func() {
+		first, heard := open(one, key)
+		first.Connect([]string{newRelay(one.Address).address()})
+		Eventually(heard.causes, soon).Should(beType(&yuccalink.SelfError{}))
+		Expect(first.Linked()).To(BeEmpty())
+	})
 })
+
+// hang accepts as a daemon would and then reads nothing. It holds on to what it has
+// accepted, or the garbage collector would close it.
+func hang(at place) {
+	var held []net.Conn
+	defer func() {
+		for _, conn := range held {
+			conn.Close()
+		}
+	}()
+	for {
+		conn, err := at.listener.Accept()
+		if err != nil {
+			return
+		}
+		held = append(held, conn)
+		yuccawire.HandshakeAccept(conn, key, yuccawire.Hello{
+			Incarnation: at.Incarnation.String(), Centre: at.Centre, Address: at.Address,
+		})
+	}
+}
--- a/io/yuccalink/link.go
+++ b/io/yuccalink/link.go
@@ -5,7 +5,6 @@
 	"errors"
 	"io"
 	"net"
-	"os"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -21,9 +20,11 @@
 	wished string
 	born   time.Time
 
-	mu      sync.Mutex
-	queue   [][]byte
-	bytes   int
+	mu    sync.Mutex
+	queue [][]byte
+	// frames and bytes count what is queued or being written.
+	frames, bytes int
+
 	wake    chan struct{}
 	retired atomic.Bool
 
@@ -58,11 +59,12 @@
 	if lk.retired.Load() {
 		return ErrNoLink
 	}
-	full := len(lk.queue) >= lk.hub.limits.QueueFrames
+	full := lk.frames >= lk.hub.limits.QueueFrames
 	if full || lk.bytes+len(raw) > lk.hub.limits.QueueBytes {
 		return ErrBacklog
 	}
 	lk.queue = append(lk.queue, raw)
+	lk.frames++
 	lk.bytes += len(raw)
 	lk.hub.sent[kind].add(len(raw))
 	lk.rouse()
@@ -82,10 +84,20 @@
 	lk.mu.Lock()
 	defer lk.mu.Unlock()
 	queue := lk.queue
-	lk.queue, lk.bytes = nil, 0
+	lk.queue = nil
 	return queue
 }
 
+// wrote makes room for as much as has been written.
+func (lk *link) wrote(queue [][]byte) {
+	lk.mu.Lock()
+	defer lk.mu.Unlock()
+	lk.frames -= len(queue)
+	for _, raw := range queue {
+		lk.bytes -= len(raw)
+	}
+}
+
 // retire ends the connection gracefully: nothing new is queued on it, what waits goes
 // out with a goodbye, and the peer closes.
 //
@@ -104,18 +116,12 @@
 		close(lk.done)
 		lk.str.Close()
 		if !errors.Is(cause, io.EOF) && !errors.Is(cause, ErrClosed) {
-			lk.hub.onFault(lk.peer.member.Address, lk.explain(cause))
+			address := lk.peer.member.Address
+			lk.hub.onFault(address, explain(cause, address, lk.hub.limits))
 		}
 	})
 }
 
-func (lk *link) explain(cause error) error {
-	if errors.Is(cause, os.ErrDeadlineExceeded) {
-		return &SilentError{Address: lk.peer.member.Address, Limit: lk.hub.limits.Silence}
-	}
-	return cause
-}
-
 // readAll hands on frames until the connection ends.
 func (lk *link) readAll() {
 	defer lk.hub.unlink(lk)
@@ -179,15 +185,16 @@
 
 func (lk *link) flush(out *bufio.Writer, last bool) error {
 	queue := lk.take()
-	if last {
-		queue = append(queue, bye)
-		lk.hub.sent[yuccawire.KindBye].add(len(bye))
-	}
 	for _, raw := range queue {
 		if _, err := out.Write(raw); err != nil {
 			return err
 		}
 	}
+	if last {
+		out.Write(bye)
+		lk.hub.sent[yuccawire.KindBye].add(len(bye))
+	}
+	defer lk.wrote(queue)
 	return out.Flush()
 }
 
--- a/io/yuccalink/option.go
+++ b/io/yuccalink/option.go
@@ -10,8 +10,10 @@
 // they may call Send and Connect but must not wait for other peers, nor call Close.
 type Option func(*Hub)
 
-// OnFrame sets who takes control frames. It is called in order for each peer, for
-// several peers at once, always after the peer's OnUp and before its OnDown.
+// OnFrame sets who takes control frames. It is called for one frame of a peer at a time,
+// in the order of the connection they came on, for several peers at once, and always
+// after the peer's OnUp and before its OnDown. While a pair changes to another
+// connection, a frame of the new one may overtake one of the old.
 func OnFrame(take func(from yuccaid.Incarnation, frame yuccawire.Frame)) Option {
 	return func(hub *Hub) { hub.onFrame = take }
 }
