Members whose VM was replaced while they were paused

Cause: the world of the tests killed every predecessor.

Found by it and mended: two successors that each took the other's predecessor for the member never dialled each other; a successor took its own predecessor into its view; a successor known by a pulse alone was sent away for good when its predecessor turned up. The platform's list now decides between two that are both connected.

--- a/core/yuccapeer/dial.go
+++ b/core/yuccapeer/dial.go
@@ -22,9 +22,12 @@
 func (peers *Peers) Dial() []string {
 	candidates := peers.candidates()
 	addresses := make(map[string]bool)
-	for _, listing := range candidates {
+	for vm, listing := range candidates {
 		if listing.Centre == peers.self.Centre {
 			addresses[listing.Address] = true
+			// Where the list names another address, a replaced process may have been
+			// heard at the one we know, and its successor waits at the other.
+			addresses[peers.listed[vm].Address] = true
 		}
 	}
 	for _, wanted := range peers.wishes {
--- a/core/yuccapeer/peers.go
+++ b/core/yuccapeer/peers.go
@@ -99,9 +99,11 @@
 }
 
 // Linked notes that a connection to the member is up and returns the heartbeat that
-// greets it. The member joins the view with its own first heartbeat.
+// greets it. The member joins the view with its own first heartbeat. One that names
+// this daemon's own VM is its predecessor, or its successor, and counts for nothing.
 func (peers *Peers) Linked(_ time.Time, member Member) Change {
-	if _, gone := peers.gone[member.Incarnation]; gone {
+	_, gone := peers.gone[member.Incarnation]
+	if gone || member.VM == peers.self.Incarnation.VM {
 		return Change{}
 	}
 	peers.linked[member.Incarnation] = member
--- a/core/yuccapeer/view.go
+++ b/core/yuccapeer/view.go
@@ -11,23 +11,23 @@
 // for one that is late, doubled, our own, of an incarnation that left or of one that
 // has no connection to us.
 //
-// Two incarnations of one VM may both be heard for a moment, for the old one's
-// connections may outlast it. The one that holds a connection stays: if the last one
-// heard won, a single late message of the old would send the new one away for good.
+// Two incarnations of one VM may both be heard: the old one was paused while its VM was
+// replaced and wakes up with its connections and its address. If the last one heard won,
+// they would take turns; so the one that holds a connection stays, unless the platform's
+// list names the other's address.
 func (peers *Peers) admit(now time.Time, inc yuccaid.Incarnation, sequence uint64, change *Change) *peer {
 	if _, gone := peers.gone[inc]; gone || !peers.isLinked(inc) {
 		return nil
 	}
 	other := peers.peers[inc.VM]
 	if other != nil && other.member.Incarnation != inc {
-		if peers.isLinked(other.member.Incarnation) {
+		if !peers.yields(now, other, peers.linked[inc], change) {
 			return nil
 		}
-		peers.retire(now, other, change)
 		other = nil
 	}
 	if other == nil {
-		other = &peer{member: Member{VM: inc.VM, Incarnation: inc}}
+		other = &peer{member: peers.linked[inc]}
 		peers.peers[inc.VM] = other
 	}
 	if other.sequence >= sequence && other.sequence > 0 {
@@ -56,13 +56,24 @@
 	peers.stale = true
 }
 
-// retire takes an incarnation out for good, because its VM runs another now.
-func (peers *Peers) retire(now time.Time, other *peer, change *Change) {
+// yields takes an incarnation out if the newcomer has the better claim to the VM. It is
+// out for good, unless the list speaks for it: then it may only have been cut off while
+// its predecessor turned up.
+func (peers *Peers) yields(now time.Time, other *peer, newcomer Member, change *Change) bool {
 	inc := other.member.Incarnation
-	peers.gone[inc] = now.Add(peers.timing.Remember)
-	delete(peers.linked, inc)
+	listed := peers.listed[inc.VM].Address
+	stays := listed == other.member.Address && listed != newcomer.Address
+	comes := listed == newcomer.Address && listed != other.member.Address
+	if peers.isLinked(inc) && !comes {
+		return false
+	}
+	if !stays {
+		peers.gone[inc] = now.Add(peers.timing.Remember)
+		delete(peers.linked, inc)
+	}
 	delete(peers.peers, inc.VM)
 	peers.drop(other, change)
+	return true
 }
 
 // drop takes a peer out of the view until it is heard whole again.
