An address that two daemons claim is dialled to see whose it is

Cause: the last to connect took an address over, so a predecessor that wakes up from a pause and dials would have pushed its successor out for good.

Run: go test -race -count=1 ./io/yuccalink, four times, three of them on two processors: 22 specs pass each time; go test ./core/yuccapeer: pass.

--- a/core/yuccapeer/peers_test.go
+++ b/core/yuccapeer/peers_test.go
@@ -225,6 +225,13 @@
 		Expect(first.peers.Tick(wld.now.Add(1100 * time.Millisecond)).Left).To(ConsistOf(second.Member))
 	})
 
+	It("takes nothing that came on no connection of its sender", func() {
+		first.peers.Lost(wld.now, second.Incarnation)
+		wld.now = wld.now.Add(time.Second)
+		Expect(first.peers.Pulsed(wld.now, second.Incarnation, yuccapeer.Pulse{Sequence: 1e6, Version: 1})).To(BeZero())
+		Expect(first.peers.Tick(wld.now).Left).To(ConsistOf(second.Member))
+	})
+
 	It("has leaving members lead only when nobody else is left", func() {
 		for _, one := range wld.runs[:2] {
 			wld.apply(one, one.peers.Leave(wld.now))
--- a/io/yuccalink/dialer.go
+++ b/io/yuccalink/dialer.go
@@ -57,7 +57,7 @@
 	dial.wait = min(2*dial.wait, dial.hub.limits.LastBackoff)
 	raw, member, err := dial.hub.open(ctx, dial.address, yuccawire.PurposeControl)
 	if err == nil {
-		_, err = dial.hub.install(raw, member, dial.address)
+		err = dial.hub.join(raw, member, dial.address)
 	}
 	if err != nil && ctx.Err() == nil {
 		dial.hub.onFault(dial.address, err)
--- a/io/yuccalink/error.go
+++ b/io/yuccalink/error.go
@@ -21,6 +21,9 @@
 	ErrCut = errors.New("connection ended without a goodbye: dial again and ask the peer what it received")
 )
 
+// errContested says inside the hub that an address has to be dialled to see whose it is.
+var errContested = errors.New("another daemon is connected under that address: see who answers there")
+
 // SilentError says that a connection brought nothing for longer than its limit.
 type SilentError struct {
 	Address string
--- a/io/yuccalink/handshake.go
+++ b/io/yuccalink/handshake.go
@@ -58,8 +58,7 @@
 		return err
 	}
 	if theirs.Purpose == yuccawire.PurposeControl {
-		_, err := hub.install(raw, member, "")
-		return err
+		return hub.join(raw, member, "")
 	}
 	conn, err := hub.startTraffic(raw, member)
 	if err == nil {
--- a/io/yuccalink/hub_test.go
+++ b/io/yuccalink/hub_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -231,23 +232,36 @@
 
 	// A VM is replaced while its old process is paused. When that wakes up it dials the
 	// others as if nothing had happened. Taken back, it would lead pools again with the
-	// queue of long ago.
-	It("of a replaced daemon end, and it isn't let back in", func() {
-		first, heard := open(one, key, yuccalink.WithLimits(quick()))
-		old, _ := open(two, key, yuccalink.WithLimits(quick()))
-		old.Connect([]string{one.Address})
-		Eventually(heard.all, soon).Should(HaveLen(1))
-		successor := member("vm-2", listen())
-		successor.Address = two.Address
-		fresh, _ := open(successor, key, yuccalink.WithLimits(quick()))
-		fresh.Connect([]string{one.Address})
-		Eventually(heard.all, soon).Should(HaveLen(3))
-		Eventually(heard.causes, soon).Should(beType(&yuccalink.ReplacedError{}))
-		Expect(heard.all()).To(Equal([]string{
-			"up " + two.Incarnation.String(), "down " + two.Incarnation.String(), "up " + successor.Incarnation.String(),
-		}))
-		Expect(first.Linked()).To(Equal([]yuccapeer.Member{successor.Member}))
-	})
+	// queue of long ago; taken for the successor, it would push that out for good.
+	DescribeTable("of a replaced daemon end, and it isn't let back in",
+		func(oldFirst bool) {
+			first, heard := open(one, key, yuccalink.WithLimits(quick()))
+			successor := member("vm-2", listen())
+			rel := newRelay(two.listener.Addr().String())
+			two.Address, successor.Address = rel.address(), rel.address()
+			old, _ := open(two, key, yuccalink.WithLimits(quick()))
+			fresh, _ := open(successor, key, yuccalink.WithLimits(quick()))
+			if oldFirst {
+				old.Connect([]string{one.Address})
+				Eventually(heard.all, soon).Should(HaveLen(1))
+			}
+			rel.turnTo(successor.listener.Addr().String())
+			fresh.Connect([]string{one.Address})
+			Eventually(first.Linked, soon).Should(Equal([]yuccapeer.Member{successor.Member}))
+			before := heard.all()
+			old.Connect([]string{one.Address})
+			Eventually(func() int {
+				refused := slices.DeleteFunc(heard.causes(), func(err error) bool {
+					return !eris.As(err, new(*yuccalink.ReplacedError))
+				})
+				return len(refused)
+			}, soon).Should(BeNumerically(">=", 3))
+			Expect(heard.all()).To(Equal(before))
+			Expect(first.Linked()).To(Equal([]yuccapeer.Member{successor.Member}))
+		},
+		Entry("that was known", true),
+		Entry("that comes only after its successor", false),
+	)
 
 	It("that were dialled close when they are no longer wished for", func() {
 		first, heardFirst := open(one, key)
--- a/io/yuccalink/peer.go
+++ b/io/yuccalink/peer.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"errors"
 	"net"
 	"slices"
 	"sync"
@@ -73,19 +74,23 @@
 	hub.onDown(other.member)
 }
 
-// install adds a control connection, and the peer if it is new. A new incarnation at
-// the address of an old one takes its place: the old one's process has ended, and its
-// connections may not have noticed.
-func (hub *Hub) install(raw net.Conn, member yuccapeer.Member, wished string) (*link, error) {
+// install adds a control connection, and the peer if it is new.
+//
+// A new incarnation at the address of another takes its place: the old one's process has
+// ended, and its connections may not have noticed. But an old process may also wake up
+// from a pause and dial. So only one that answered when its own address was dialled
+// takes a place; install refuses any other with errContested.
+func (hub *Hub) install(raw net.Conn, member yuccapeer.Member, wished string) error {
 	hub.turn.Lock()
 	defer hub.turn.Unlock()
 	hub.mu.Lock()
-	if err := hub.admits(member); err != nil {
+	old := hub.holder(member)
+	if err := hub.admits(member, old, wished); err != nil {
 		hub.mu.Unlock()
 		raw.Close()
-		return nil, err
+		return err
 	}
-	old := hub.supersede(member)
+	hub.supersede(old)
 	other := hub.peers[member.Incarnation]
 	fresh := other == nil
 	if fresh {
@@ -93,8 +98,7 @@
 		other.calls.Lock()
 		hub.peers[member.Incarnation] = other
 	}
-	lk := newLink(hub, other, raw, wished)
-	other.add(lk)
+	other.add(newLink(hub, other, raw, wished))
 	crowd := len(other.links) - hub.limits.LinksPerPeer
 	for i := range crowd {
 		other.links[i].retire()
@@ -108,37 +112,68 @@
 		hub.onUp(member)
 		other.calls.Unlock()
 	}
-	return lk, nil
+	return nil
+}
+
+// join installs a connection, and dials the address itself when two claim it.
+func (hub *Hub) join(raw net.Conn, member yuccapeer.Member, wished string) error {
+	err := hub.install(raw, member, wished)
+	if !errors.Is(err, errContested) {
+		return err
+	}
+	proven, answering, err := hub.open(hub.ctx, member.Address, yuccawire.PurposeControl)
+	if err != nil {
+		return err
+	}
+	if err := hub.install(proven, answering, member.Address); err != nil {
+		return err
+	}
+	if answering.Incarnation == member.Incarnation {
+		return nil
+	}
+	hub.mu.Lock()
+	defer hub.mu.Unlock()
+	hub.replaced.add(member.Incarnation)
+	return &ReplacedError{Incarnation: member.Incarnation}
 }
 
 // admits is called with mu held.
-func (hub *Hub) admits(member yuccapeer.Member) error {
+func (hub *Hub) admits(member yuccapeer.Member, old *peer, wished string) error {
 	if hub.closed {
 		return ErrClosed
 	}
 	if hub.replaced.holds(member.Incarnation) {
 		return &ReplacedError{Incarnation: member.Incarnation}
 	}
+	if old != nil && wished != member.Address {
+		return errContested
+	}
 	return nil
 }
 
-// supersede takes out the old incarnation at a member's address. It is called with mu
-// held.
-func (hub *Hub) supersede(member yuccapeer.Member) *peer {
+// holder returns another incarnation at a member's address. It is called with mu held.
+func (hub *Hub) holder(member yuccapeer.Member) *peer {
 	for inc, old := range hub.peers {
-		if inc == member.Incarnation || old.member.Address != member.Address {
-			continue
-		}
-		delete(hub.peers, inc)
-		hub.replaced.add(inc)
-		for _, lk := range old.links {
-			lk.close(&ReplacedError{Incarnation: inc})
+		if inc != member.Incarnation && old.member.Address == member.Address {
+			return old
 		}
-		return old
 	}
 	return nil
 }
 
+// supersede takes out the old incarnation at an address. It is called with mu held.
+func (hub *Hub) supersede(old *peer) {
+	if old == nil {
+		return
+	}
+	inc := old.member.Incarnation
+	delete(hub.peers, inc)
+	hub.replaced.add(inc)
+	for _, lk := range old.links {
+		lk.close(&ReplacedError{Incarnation: inc})
+	}
+}
+
 // unlink removes a connection that ended, and the peer with its last one.
 func (hub *Hub) unlink(lk *link) {
 	hub.turn.Lock()
@@ -195,6 +230,9 @@
 	if mem.known == nil {
 		mem.known = make(map[yuccaid.Incarnation]struct{})
 	}
+	if mem.holds(inc) {
+		return
+	}
 	if len(mem.order) == replacedMax {
 		delete(mem.known, mem.order[0])
 		mem.order = mem.order[1:]
--- a/io/yuccalink/relay_test.go
+++ b/io/yuccalink/relay_test.go
@@ -36,13 +36,23 @@
 
 func (rel *relay) address() string { return rel.listener.Addr().String() }
 
+// turnTo leads new connections to another address.
+func (rel *relay) turnTo(target string) {
+	rel.mu.Lock()
+	defer rel.mu.Unlock()
+	rel.target = target
+}
+
 func (rel *relay) acceptAll() {
 	for {
 		near, err := rel.listener.Accept()
 		if err != nil {
 			return
 		}
-		far, err := net.Dial("tcp", rel.target)
+		rel.mu.Lock()
+		target := rel.target
+		rel.mu.Unlock()
+		far, err := net.Dial("tcp", target)
 		if err != nil {
 			near.Close()
 			continue
