--- a/core/yuccapeer/cost_test.go
+++ b/core/yuccapeer/cost_test.go
@@ -2,8 +2,6 @@
 
 import (
 	"fmt"
-	"maps"
-	"slices"
 	"testing"
 	"time"
 
@@ -20,7 +18,7 @@
 	headers = 20 + 32
 )
 
-// cost is what a second of membership takes of the most loaded daemon.
+// cost is what a second of membership takes.
 type cost struct {
 	frames, sent, received float64
 	links, outside         int
@@ -29,7 +27,7 @@
 // fleet runs daemons and counts the frames that they encode.
 type fleet struct {
 	*world
-	frames, sent, received map[*run]int
+	costs map[*run]*cost
 }
 
 // newFleet starts daemons and waits until they are connected.
@@ -38,32 +36,36 @@
 	flt.advance(20)
 	flt.world.sent = func(from, to *run, beat yuccapeer.Beat) {
 		size := frameSize(tb, beat)
-		flt.frames[from] += size
-		flt.sent[from] += size + headers
-		flt.received[to] += size + headers
+		flt.costs[from].frames += size
+		flt.costs[from].sent += size + headers
+		flt.costs[to].received += size + headers
 		// Acknowledgements go the other way.
-		flt.sent[to] += headers
-		flt.received[from] += headers
+		flt.costs[to].sent += headers
+		flt.costs[from].received += headers
 	}
 	return flt
 }
 
-// measure lets some seconds pass, with so many release notes, and returns what they cost.
+// measure lets some seconds pass, with so many release notes, and returns what they cost
+// the daemon that pays most for each.
 func (flt *fleet) measure(seconds, notes int) cost {
-	flt.frames, flt.sent, flt.received = make(map[*run]int), make(map[*run]int), make(map[*run]int)
+	flt.costs = make(map[*run]*cost)
+	for _, one := range flt.runs {
+		flt.costs[one] = &cost{links: len(one.bonds), outside: outside(one)}
+	}
 	for range notes {
 		flt.accept()
 	}
 	flt.advance(int(time.Duration(seconds) * time.Second / flt.step))
-	worst := func(sums map[*run]int) float64 {
-		return float64(slices.Max(slices.Collect(maps.Values(sums)))) / float64(seconds)
-	}
-	found := cost{frames: worst(flt.frames), sent: worst(flt.sent), received: worst(flt.received)}
-	for _, one := range flt.runs {
-		found.links = max(found.links, len(one.bonds))
-		found.outside = max(found.outside, outside(one))
+	var worst cost
+	for _, own := range flt.costs {
+		worst.frames = max(worst.frames, own.frames/float64(seconds))
+		worst.sent = max(worst.sent, own.sent/float64(seconds))
+		worst.received = max(worst.received, own.received/float64(seconds))
+		worst.links = max(worst.links, own.links)
+		worst.outside = max(worst.outside, own.outside)
 	}
-	return found
+	return worst
 }
 
 // accept has every daemon accept one release note.
@@ -75,7 +77,7 @@
 	}
 }
 
-func frameSize(tb testing.TB, beat yuccapeer.Beat) int {
+func frameSize(tb testing.TB, beat yuccapeer.Beat) float64 {
 	kind, body := yuccawire.KindPulse, any(beat.Pulse)
 	if beat.Heartbeat != nil {
 		kind, body = yuccawire.KindHeartbeat, *beat.Heartbeat
@@ -84,7 +86,7 @@
 	if err != nil {
 		tb.Fatal(err)
 	}
-	return len(raw)
+	return float64(len(raw))
 }
 
 // outside counts a process's connections to other data centres.
--- a/core/yuccapeer/peers_test.go
+++ b/core/yuccapeer/peers_test.go
@@ -288,6 +288,10 @@
 		Expect(first.peers.Candidates("milano")).To(HaveLen(1))
 		_, ok = first.peers.Find("nowhere")
 		Expect(ok).To(BeFalse())
+		Expect(first.peers.Status()).To(Equal(yuccapeer.Status{Settled: true, Centres: []yuccapeer.CentreStatus{
+			{Centre: first.Centre, Candidates: 3, Live: 3},
+			{Centre: "milano", Candidates: 1},
+		}}))
 	})
 })
 
--- a/io/yuccalink/hub_test.go
+++ b/io/yuccalink/hub_test.go
@@ -25,66 +25,48 @@
 
 var key = yuccaid.Key("fleet key for tests")
 
-// journal notes what a hub called, in order.
-type journal struct {
+// notes collects what a hub's goroutines report.
+type notes[T any] struct {
 	mu    sync.Mutex
-	lines []string
-	texts []string
-	fails []error
-}
-
-func (jrn *journal) line(text string) {
-	jrn.mu.Lock()
-	defer jrn.mu.Unlock()
-	jrn.lines = append(jrn.lines, text)
+	items []T
 }
 
-func (jrn *journal) all() []string {
-	jrn.mu.Lock()
-	defer jrn.mu.Unlock()
-	return append([]string{}, jrn.lines...)
+func (nts *notes[T]) add(item T) {
+	nts.mu.Lock()
+	defer nts.mu.Unlock()
+	nts.items = append(nts.items, item)
 }
 
-func (jrn *journal) frames() []string {
-	jrn.mu.Lock()
-	defer jrn.mu.Unlock()
-	return append([]string{}, jrn.texts...)
+func (nts *notes[T]) all() []T {
+	nts.mu.Lock()
+	defer nts.mu.Unlock()
+	return append([]T{}, nts.items...)
 }
 
-// causes returns the innermost errors of what went wrong.
-func (jrn *journal) causes() []error {
-	jrn.mu.Lock()
-	defer jrn.mu.Unlock()
-	var causes []error
-	for _, err := range jrn.fails {
-		causes = append(causes, eris.Cause(err))
-	}
-	return causes
+// journal notes what a hub called.
+type journal struct {
+	lines, texts notes[string]
+	faults       notes[error]
 }
 
-func (jrn *journal) take(from yuccaid.Incarnation, frame yuccawire.Frame) {
-	var text string
-	err := frame.Decode(&text)
-	jrn.mu.Lock()
-	defer jrn.mu.Unlock()
-	if err != nil {
-		text = err.Error()
-	}
-	jrn.texts = append(jrn.texts, text)
-}
+func (jrn *journal) all() []string    { return jrn.lines.all() }
+func (jrn *journal) frames() []string { return jrn.texts.all() }
+func (jrn *journal) causes() []error  { return jrn.faults.all() }
 
 // open starts a hub that is closed with the spec.
 func open(at place, with yuccaid.Key, options ...yuccalink.Option) (*yuccalink.Hub, *journal) {
 	jrn := &journal{}
 	own := []yuccalink.Option{
-		yuccalink.OnFrame(jrn.take),
-		yuccalink.OnUp(func(up yuccapeer.Member) { jrn.line("up " + up.Incarnation.String()) }),
-		yuccalink.OnDown(func(down yuccapeer.Member) { jrn.line("down " + down.Incarnation.String()) }),
-		yuccalink.OnFault(func(_ string, err error) {
-			jrn.mu.Lock()
-			defer jrn.mu.Unlock()
-			jrn.fails = append(jrn.fails, err)
+		yuccalink.OnFrame(func(_ yuccaid.Incarnation, frame yuccawire.Frame) {
+			var text string
+			if err := frame.Decode(&text); err != nil {
+				text = err.Error()
+			}
+			jrn.texts.add(text)
 		}),
+		yuccalink.OnUp(func(up yuccapeer.Member) { jrn.lines.add("up " + up.Incarnation.String()) }),
+		yuccalink.OnDown(func(down yuccapeer.Member) { jrn.lines.add("down " + down.Incarnation.String()) }),
+		yuccalink.OnFault(func(_ string, err error) { jrn.faults.add(eris.Cause(err)) }),
 	}
 	hub := yuccalink.New(at.Member, with, at.listener, append(own, options...)...)
 	DeferCleanup(hub.Close)
