The spec of a graceful close has much left to send

Cause: a trial that dropped the last batch before the goodbye passed, since small messages had long gone out. The spec now queues 7 MB and gives it the time it takes.

Ruled out: a loss in the hub itself; unchanged, all 1,000 messages arrive.

A trial in which both ends close the older of two connections still passes unnoticed: no test shows that harm.

--- a/io/yuccalink/hub_test.go
+++ b/io/yuccalink/hub_test.go
@@ -259,12 +259,16 @@
 	// A daemon shuts down right after it handed over its pools. If what it had queued
 	// went down with it, its successor would have to wait for timeouts instead.
 	It("send what is queued before a graceful close", func() {
-		first, heardFirst := open(one, key)
-		_, heardSecond := open(two, key)
+		limits := yuccalink.DefaultLimits()
+		limits.Farewell = soon
+		first, heardFirst := open(one, key, yuccalink.WithLimits(limits))
+		_, heardSecond := open(two, key, yuccalink.WithLimits(limits))
 		first.Connect([]string{two.Address})
 		Eventually(heardFirst.all, soon).Should(HaveLen(1))
+		// More than the system's buffers take at once, so that much still waits.
+		large := strings.Repeat("x", 7<<10)
 		for range 1000 {
-			Expect(first.Send(two.Incarnation, kindTest, "bye")).To(Succeed())
+			Expect(first.Send(two.Incarnation, kindTest, large)).To(Succeed())
 		}
 		first.Close()
 		Eventually(heardSecond.all, soon).Should(HaveLen(2))
