--- a/core/yuccaonce/clock.go
+++ b/core/yuccaonce/clock.go
@@ -4,12 +4,13 @@
 
 // clock turns the times that an owner is given into one that never goes back.
 //
-// The wall clock of a VM can be set back. An id that was refused as expired would
-// then be accepted again after its outcome was forgotten, and run twice; the
-// target's log would show it. The clock adds up forward steps only, so an id once
-// expired stays expired. Nor does it wait for the wall clock to catch up, since ids
-// would pile up until it did. A jump forward expires ids early, which refuses
-// requests but runs none twice.
+// The wall clock of a VM can be set back or jump ahead. If ids were stamped with it,
+// a newer id could expire before an older one, and after a step back nothing would
+// expire until the wall clock had caught up; the counts in status would show ids
+// piling up to their limit. The clock adds up forward steps only, so an expired id
+// stays expired and the order of issue is the order of expiry. A jump ahead expires
+// ids early. That refuses requests and runs none twice, since an id that is not held
+// is never admitted.
 type clock struct {
 	last    time.Time
 	reading time.Time
--- /dev/null
+++ b/core/yuccaonce/cost_test.go
@@ -0,0 +1,106 @@
+package yuccaonce_test
+
+import (
+	"fmt"
+	"runtime"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"yuccacleat/core/yuccaid"
+	"yuccacleat/core/yuccaonce"
+)
+
+// bytesBound and allocsBound are a fifth above what was measured when they were set.
+const (
+	bytesBound  = 270
+	allocsBound = 61
+)
+
+var hash = strings.Repeat("0", 64)
+
+// serve takes one request from open to its outcome.
+func serve(own *yuccaonce.Owner, now time.Time) {
+	id, _ := own.Open(now, ticket.Account)
+	own.Submit(now, id, ticket)
+	own.Dispatch(now, id, "t1")
+	own.Finish(now, id, yuccaonce.Result{Run: yuccaonce.Ran, Pieces: 9, Hash: strings.Clone(hash)})
+}
+
+// heldBytes returns the heap that each remembered id takes.
+func heldBytes(own *yuccaonce.Owner, ids int) float64 {
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	for range ids {
+		serve(own, start)
+	}
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	runtime.KeepAlive(own)
+	return float64(after.HeapAlloc-before.HeapAlloc) / float64(ids)
+}
+
+var _ = Describe("the cost of a request", func() {
+	roomy := yuccaonce.WithLimits(yuccaonce.Limits{Total: 1 << 20, PerAccount: 1 << 20})
+
+	It("keeps each ended id in few bytes", func() {
+		Expect(heldBytes(yuccaonce.New(here, fleetKey, roomy), 20_000)).To(BeNumerically("<", bytesBound))
+	})
+
+	It("allocates the same however many ids are held and expire", func() {
+		own := yuccaonce.New(here, fleetKey, roomy, yuccaonce.WithLifetime(12*time.Second))
+		now := start
+		cycle := func() { now = now.Add(time.Millisecond); serve(own, now) }
+		few := testing.AllocsPerRun(100, cycle)
+		for range 14_000 {
+			cycle()
+		}
+		Expect(testing.AllocsPerRun(1000, cycle)).To(BeNumerically("<=", few+1))
+		Expect(few).To(BeNumerically("<", allocsBound))
+		Expect(own.Counts().Closed).To(Equal(12_000))
+	})
+})
+
+func BenchmarkServe(b *testing.B) {
+	for _, held := range []int{100, 10_000, 200_000} {
+		b.Run(fmt.Sprint("held=", held), func(b *testing.B) {
+			own := yuccaonce.New(here, fleetKey, yuccaonce.WithLifetime(time.Duration(held)*time.Millisecond),
+				yuccaonce.WithLimits(yuccaonce.Limits{Total: 2 * held, PerAccount: 2 * held}))
+			now := start
+			for range held {
+				now = now.Add(time.Millisecond)
+				serve(own, now)
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				now = now.Add(time.Millisecond)
+				serve(own, now)
+			}
+		})
+	}
+}
+
+func BenchmarkHeldBytes(b *testing.B) {
+	for b.Loop() {
+		own := yuccaonce.New(here, fleetKey)
+		b.ReportMetric(heldBytes(own, 20_000), "bytes/id")
+	}
+}
+
+func ExampleOwner() {
+	own := yuccaonce.New(here, yuccaid.Key("the fleet's key"))
+	id, _ := own.Open(start, "hotline")
+	claim := yuccaonce.Claim{Account: "hotline", Pool: "tickets", Operation: "file", Body: "b0d1"}
+	step, _ := own.Submit(start, id, claim)
+	again, _ := own.Submit(start, id, claim)
+	own.GiveUp(start, id, yuccaonce.ReasonOverload, 2*time.Second)
+	fmt.Println(step.Kind, again.Kind)
+	fmt.Println(own.Dispatch(start, id, "t1") != nil)
+	// Output:
+	// admit join
+	// true
+}
--- a/core/yuccaonce/expiry.go
+++ b/core/yuccaonce/expiry.go
@@ -66,13 +66,18 @@
 func (own *Owner) limitError(reading time.Time, acc yuccaid.Account, limit string, value int, oldest uint64) error {
 	back := own.lifetime
 	if rec := own.held.find(oldest); rec != nil {
-		back = rec.issued.Add(own.lifetime).Sub(reading)
+		back = own.expiry(rec.issued).Sub(reading)
 	}
 	return &LimitError{Account: acc, Limit: limit, Value: value, Back: back}
 }
 
-func (own *Owner) expired(reading, issued time.Time) bool {
-	return !reading.Before(issued.Add(own.lifetime))
+// expiry compares milliseconds as the id carries them: record and id expire at once.
+func (own *Owner) expiry(issued int64) time.Time {
+	return time.UnixMilli(issued).Add(own.lifetime)
+}
+
+func (own *Owner) expired(reading time.Time, issued int64) bool {
+	return !reading.Before(own.expiry(issued))
 }
 
 // advance reads the clock and forgets what has expired. Every call begins with it:
--- a/core/yuccaonce/find.go
+++ b/core/yuccaonce/find.go
@@ -54,7 +54,7 @@
 // unknown depends on the id's text and the time only, so that it tells nothing of
 // what is held.
 func (own *Owner) unknown(req yuccaid.Request, text yuccaid.RequestText) error {
-	if own.expired(own.clock.reading, req.Issued) {
+	if own.expired(own.clock.reading, req.Issued.UnixMilli()) {
 		return &ExpiredError{ID: text, Lifetime: own.lifetime}
 	}
 	return &NotYoursError{ID: text}
--- a/core/yuccaonce/owner.go
+++ b/core/yuccaonce/owner.go
@@ -44,12 +44,10 @@
 	if err := own.checkLimits(reading, acc); err != nil {
 		return "", err
 	}
-	// An id carries milliseconds. The record must expire at the same instant as the id.
-	issued := reading.Truncate(time.Millisecond)
-	counter := own.held.add(record{account: acc, issued: issued})
+	counter := own.held.add(record{account: acc, issued: reading.UnixMilli()})
 	own.stages[opened]++
 	own.ledger(acc).add(own, counter)
-	return yuccaid.Request{Owner: own.inc, Counter: counter, Issued: issued}.Text(own.key), nil
+	return yuccaid.Request{Owner: own.inc, Counter: counter, Issued: reading}.Text(own.key), nil
 }
 
 // StepKind says what the daemon has to do with a submit.
--- a/core/yuccaonce/owner_test.go
+++ b/core/yuccaonce/owner_test.go
@@ -1,6 +1,7 @@
 package yuccaonce_test
 
 import (
+	"errors"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -24,7 +25,8 @@
 	var id yuccaid.RequestText
 
 	BeforeEach(func() {
-		own = yuccaonce.New(here, fleetKey, yuccaonce.WithLifetime(lifetime))
+		own = yuccaonce.New(here, fleetKey, yuccaonce.WithLifetime(lifetime),
+			yuccaonce.WithLimits(yuccaonce.Limits{Total: 4, PerAccount: 3, Unsubmitted: 2}))
 		id, _ = own.Open(start, ticket.Account)
 	})
 
@@ -32,11 +34,13 @@
 		step, err := own.Submit(now, id, claim)
 		return step.Kind, err
 	}
-
-	It("admits once, joins while it runs and passes on the outcome", func() {
+	run := func() {
 		Expect(submit(start, ticket)).To(Equal(yuccaonce.StepAdmit))
-		Expect(submit(start, ticket)).To(Equal(yuccaonce.StepJoin))
 		Expect(own.Dispatch(start, id, "t1")).To(Succeed())
+	}
+
+	It("admits once, joins while it runs and passes on the outcome", func() {
+		run()
 		Expect(submit(start, ticket)).To(Equal(yuccaonce.StepJoin))
 		out, err := own.Finish(start, id, yuccaonce.Result{Run: yuccaonce.Ran, Pieces: 2, Hash: "aa"})
 		Expect(err).NotTo(HaveOccurred())
@@ -44,4 +48,162 @@
 		Expect(submit(start, ticket)).To(Equal(yuccaonce.StepClosed))
 		Expect(own.Outcome(start, id, ticket.Account)).To(Equal(out))
 	})
+
+	DescribeTable("refuses a second submit that differs",
+		func(change func(*yuccaonce.Claim)) {
+			run()
+			other := ticket
+			change(&other)
+			_, err := submit(start, other)
+			Expect(err).To(BeAssignableToTypeOf(&yuccaonce.ConflictError{}))
+		},
+		Entry("in its body", func(c *yuccaonce.Claim) { c.Body = "0000" }),
+		Entry("in its pool", func(c *yuccaonce.Claim) { c.Pool = "letters" }),
+		Entry("in its operation", func(c *yuccaonce.Claim) { c.Operation = "look" }),
+	)
+
+	// Somebody who holds another account's id tries it in each state. If the answers
+	// differed, an outsider would learn which requests exist and when they end.
+	It("answers other accounts the same whatever it holds", func() {
+		outsider := ticket
+		outsider.Account = "outsider"
+		ask := func(now time.Time) []string {
+			_, first := own.Submit(now, id, outsider)
+			_, second := own.Outcome(now, id, outsider.Account)
+			return []string{first.Error(), second.Error()}
+		}
+		opened := ask(start)
+		run()
+		Expect(ask(start)).To(Equal(opened))
+		overdue := ask(start.Add(lifetime))
+		_, err := own.Finish(start.Add(lifetime), id, yuccaonce.Result{Run: yuccaonce.Ran})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(ask(start.Add(lifetime))).To(Equal(overdue))
+		Expect(ask(start.Add(time.Hour))).To(Equal(overdue))
+	})
+
+	// A caller gives up on an id that it opened and asks what became of it, while its
+	// own submit still travels. Told that nothing ran, it files a new ticket.
+	It("closes an unsubmitted id when its outcome is asked for", func() {
+		out, err := own.Outcome(start, id, ticket.Account)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(out).To(Equal(yuccaonce.Outcome{Run: yuccaonce.NotRun, Reason: yuccaonce.ReasonNeverSubmitted}))
+		Expect(submit(start, ticket)).To(Equal(yuccaonce.StepClosed))
+	})
+
+	// A grant and a displacement cross on their way. Whichever comes second must lose,
+	// or a caller is told that its ticket was not filed although it was.
+	It("decides grant and displacement in one step", func() {
+		Expect(submit(start, ticket)).To(Equal(yuccaonce.StepAdmit))
+		out, done := own.GiveUp(start, id, yuccaonce.ReasonDisplaced, time.Second)
+		Expect(done).To(BeTrue())
+		Expect(out).To(Equal(yuccaonce.Outcome{Run: yuccaonce.NotRun, Reason: yuccaonce.ReasonDisplaced, Back: time.Second}))
+		Expect(own.Dispatch(start, id, "t1")).To(BeAssignableToTypeOf(&yuccaonce.ClosedError{}))
+
+		id, _ = own.Open(start, ticket.Account)
+		run()
+		_, done = own.GiveUp(start, id, yuccaonce.ReasonDisplaced, 0)
+		Expect(done).To(BeFalse())
+		Expect(own.Dispatch(start, id, "t2")).To(BeAssignableToTypeOf(&yuccaonce.DispatchedError{}))
+	})
+
+	DescribeTable("claims of a dispatched request only what is proved",
+		func(result yuccaonce.Result, run yuccaonce.Run, partial bool) {
+			Expect(submit(start, ticket)).To(Equal(yuccaonce.StepAdmit))
+			Expect(own.Dispatch(start, id, "t1")).To(Succeed())
+			out, err := own.Finish(start, id, result)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(out.Run).To(Equal(run))
+			Expect(out.Partial).To(Equal(partial))
+		},
+		Entry("whole", yuccaonce.Result{Run: yuccaonce.Ran}, yuccaonce.Ran, false),
+		Entry("refused by contract", yuccaonce.Result{Run: yuccaonce.NotRun, Reason: yuccaonce.ReasonRefusedByTarget}, yuccaonce.NotRun, false),
+		Entry("no byte left", yuccaonce.Result{Run: yuccaonce.NotRun, Reason: yuccaonce.ReasonUnsent}, yuccaonce.NotRun, false),
+		Entry("refused after a piece", yuccaonce.Result{Run: yuccaonce.NotRun, Reason: yuccaonce.ReasonRefusedByTarget, Pieces: 1}, yuccaonce.Ran, true),
+		Entry("cancelled", yuccaonce.Result{Run: yuccaonce.NotRun, Reason: yuccaonce.ReasonCancelled}, yuccaonce.Ran, true),
+		Entry("preempted", yuccaonce.Result{Run: yuccaonce.Ran, Reason: yuccaonce.ReasonPreempted}, yuccaonce.Ran, true),
+		Entry("claimed without proof", yuccaonce.Result{Run: yuccaonce.NotRun, Reason: yuccaonce.ReasonOverload}, yuccaonce.Unknown, false),
+		Entry("target lost", yuccaonce.Result{Run: yuccaonce.Unknown, Reason: yuccaonce.ReasonTargetLost}, yuccaonce.Unknown, false),
+	)
+
+	It("names the remedy for steps out of order and ids of others", func() {
+		Expect(own.Dispatch(start, id, "t1")).To(BeAssignableToTypeOf(&yuccaonce.StageError{}))
+		_, err := own.Finish(start, id, yuccaonce.Result{})
+		Expect(err).To(BeAssignableToTypeOf(&yuccaonce.StageError{}))
+		other := yuccaonce.New(yuccaid.NewIncarnation("vm-1", [16]byte{2}), fleetKey)
+		_, err = other.Submit(start, id, ticket)
+		Expect(err).To(Equal(&yuccaonce.ForeignError{Owner: here}))
+		_, err = own.Submit(start, id+"0", ticket)
+		Expect(err).To(MatchError(yuccaid.ErrForged))
+	})
+
+	It("bounds what it remembers and says when room comes back", func() {
+		limit := func(now time.Time, acc yuccaid.Account) *yuccaonce.LimitError {
+			_, err := own.Open(now, acc)
+			var full *yuccaonce.LimitError
+			Expect(errors.As(err, &full)).To(BeTrue())
+			return full
+		}
+		next := func(now time.Time, acc yuccaid.Account) {
+			id, _ = own.Open(now, acc)
+			Expect(own.Submit(now, id, yuccaonce.Claim{Account: acc})).NotTo(BeZero())
+		}
+		next(start.Add(time.Second), ticket.Account)
+		_, err := own.Open(start.Add(time.Second), ticket.Account)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(limit(start.Add(time.Second), ticket.Account)).To(Equal(
+			&yuccaonce.LimitError{Account: ticket.Account, Limit: "perAccount", Value: 3, Back: lifetime - time.Second}))
+		next(start.Add(time.Second), "desk")
+		Expect(limit(start.Add(2*time.Second), "desk").Limit).To(Equal("total"))
+		Expect(own.Tick(start.Add(lifetime))).To(Equal(1))
+		_, err = own.Open(start.Add(lifetime), "desk")
+		Expect(err).NotTo(HaveOccurred())
+	})
+
+	It("bounds the ids that an account opens and does not use", func() {
+		_, err := own.Open(start, ticket.Account)
+		Expect(err).NotTo(HaveOccurred())
+		_, err = own.Open(start, ticket.Account)
+		Expect(err).To(HaveField("Limit", "unsubmitted"))
+		Expect(submit(start, ticket)).To(Equal(yuccaonce.StepAdmit))
+		_, err = own.Open(start, ticket.Account)
+		Expect(err).NotTo(HaveOccurred())
+	})
+
+	// The VM's clock is set back after an id has expired, or jumps ahead while a request
+	// runs. The old id must stay refused, and the running one must still tell its end.
+	It("keeps its decisions when the clock jumps", func() {
+		run()
+		late, _ := own.Open(start.Add(time.Second), ticket.Account)
+		Expect(own.Tick(start.Add(time.Hour))).To(Equal(1))
+		Expect(own.Counts()).To(Equal(yuccaonce.Counts{Dispatched: 1, Overdue: 1}))
+		_, err := own.Submit(start, late, ticket)
+		Expect(err).To(BeAssignableToTypeOf(&yuccaonce.ExpiredError{}))
+		Expect(submit(start, ticket)).To(Equal(yuccaonce.StepJoin))
+		out, err := own.Finish(start, id, yuccaonce.Result{Run: yuccaonce.Ran})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(own.Outcome(start, id, ticket.Account)).To(Equal(out))
+		Expect(own.Tick(start.Add(lifetime))).To(Equal(1))
+		Expect(own.Counts()).To(BeZero())
+	})
+})
+
+var _ = Describe("an answer buffer", func() {
+	It("keeps whole answers by age and bytes, and never a part", func() {
+		buf := yuccaonce.NewAnswerBuffer(80, time.Second)
+		Expect(buf.Put(start, "big", make([]byte, 11))).To(BeFalse())
+		for _, id := range []yuccaid.RequestText{"0", "1", "2", "3", "4", "5", "6", "7", "8"} {
+			Expect(buf.Put(start, id, []byte("0123456789"))).To(BeTrue())
+		}
+		_, found := buf.Get(start, "0")
+		Expect(found).To(BeFalse())
+		answers, bytes := buf.Size()
+		Expect(answers).To(Equal(8))
+		Expect(bytes).To(Equal(yuccaid.Bytes(80)))
+		data, _ := buf.Get(start, "8")
+		Expect(data).To(HaveLen(10))
+		buf.Tick(start.Add(time.Second))
+		answers, bytes = buf.Size()
+		Expect(answers + int(bytes)).To(BeZero())
+	})
 })
--- a/core/yuccaonce/record.go
+++ b/core/yuccaonce/record.go
@@ -2,7 +2,6 @@
 
 import (
 	"crypto/sha256"
-	"time"
 
 	"yuccacleat/core/yuccaid"
 )
@@ -23,7 +22,7 @@
 // record is what the owner keeps of one request.
 type record struct {
 	account yuccaid.Account
-	issued  time.Time
+	issued  int64  // Unix milliseconds on the owner's clock
 	counter uint64 // set once the record is overdue
 	next    uint64 // the same account's following record
 	claim   fingerprint
