--- /dev/null
+++ b/core/yuccapool/view.go
@@ -0,0 +1,43 @@
+package yuccapool
+
+import (
+	"time"
+
+	"yuccacleat/core/yuccaid"
+	"yuccacleat/core/yuccaplace"
+)
+
+// Target is what the configuration says of one target.
+type Target = yuccaplace.Target
+
+// Policy weighs goodput against wasted prefill.
+type Policy = yuccaplace.Policy
+
+// Limits bounds one client account at this pool; a zero field sets no limit.
+type Limits struct {
+	RequestsPerSecond float64
+	Running           int
+	TokensPerSecond   yuccaid.Rate
+}
+
+// AccountView is what the leader has to know of a client account.
+//
+// Targets lists what it may use; none listed means every target of the pool.
+type AccountView struct {
+	Weight  int
+	Limits  Limits
+	Targets []yuccaid.Target
+}
+
+// View is the part of the configuration that concerns one pool in one data centre.
+//
+// Plain marks a plain service: slots, no tokens, nothing cancelled. LongestRun bounds
+// how long a run of a lost owner keeps its slot.
+type View struct {
+	Number     yuccaid.Number
+	Targets    []Target
+	Accounts   map[yuccaid.Account]AccountView
+	Policy     Policy
+	Plain      bool
+	LongestRun time.Duration
+}
--- /dev/null
+++ b/core/yuccaqueue/ask.go
@@ -0,0 +1,40 @@
+package yuccaqueue
+
+import (
+	"time"
+
+	"yuccacleat/core/yuccaid"
+)
+
+// BlockTokens is the length of prompt that one prefix hash covers.
+//
+// Engines cache in blocks of 16 to 64 tokens. A coarser grain loses at most one
+// block of 256 for each shared prefix, a few per cent of a rulebook, and keeps an
+// ask for a prompt of 30,000 tokens near one kilobyte on the wire.
+const BlockTokens yuccaid.Tokens = 256
+
+// Ask is what a pool's leader knows of a waiting request.
+//
+// Remaining is the time left until the deadline: clocks of different VMs are never
+// compared. Prompt and Answer are the owner's estimates. Prefixes[i] is the hash of
+// the first (i+1)*BlockTokens tokens of the prompt.
+type Ask struct {
+	ID         yuccaid.RequestText `msgpack:"id"`
+	Owner      yuccaid.Incarnation `msgpack:"owner"`
+	Account    yuccaid.Account     `msgpack:"account"`
+	Tier       yuccaid.Tier        `msgpack:"tier"`
+	Rank       int                 `msgpack:"rank"`
+	Pool       yuccaid.Pool        `msgpack:"pool"`
+	Operation  yuccaid.Operation   `msgpack:"operation"`
+	Idempotent bool                `msgpack:"idempotent"`
+	Remaining  time.Duration       `msgpack:"remaining"`
+	Prompt     yuccaid.Tokens      `msgpack:"prompt"`
+	Answer     yuccaid.Tokens      `msgpack:"answer"`
+	Prefixes   []uint64            `msgpack:"prefixes"`
+	Centre     yuccaid.Centre      `msgpack:"centre"`
+}
+
+// Tokens returns the ask's length, prompt and answer together.
+func (ask *Ask) Tokens() yuccaid.Tokens {
+	return ask.Prompt + ask.Answer
+}
