--- /dev/null
+++ b/core/yuccastate/chain.go
@@ -0,0 +1,270 @@
+package yuccastate
+
+import (
+	"crypto/sha256"
+	"maps"
+	"slices"
+	"time"
+
+	"yuccacleat/core/yuccaid"
+)
+
+const (
+	// heldNotes and heldBytes bound notes that wait for an earlier one. A watch
+	// delivers some dozens out of order at worst; beyond that a snapshot is cheaper.
+	heldNotes                = 64
+	heldBytes  yuccaid.Bytes = 4 * NoteLimit
+	keptNotes                = 64
+	keptBytes  yuccaid.Bytes = 4 * NoteLimit
+	keptProofs               = 4096
+	// reportedLimit bounds what is remembered in order not to repeat audit entries.
+	reportedLimit = 1024
+)
+
+// VerdictKind says what became of an offer.
+type VerdictKind string
+
+const (
+	// VerdictAccepted says that the configuration moved on.
+	VerdictAccepted VerdictKind = "accepted"
+	// VerdictRepeated says that the same content had been accepted before.
+	VerdictRepeated VerdictKind = "repeated"
+	// VerdictHeld says that an earlier note is missing.
+	VerdictHeld VerdictKind = "held"
+	// VerdictRefused says that nothing changed and why is in the error.
+	VerdictRefused VerdictKind = "refused"
+	// VerdictOld says that the number is passed and its content no longer known.
+	VerdictOld VerdictKind = "old"
+	// VerdictAlarm says that history was rewritten; nothing was taken of it.
+	VerdictAlarm VerdictKind = "alarm"
+)
+
+// Verdict is what became of an offer, with the entries for the audit trail. One offer
+// may make several: an accepted note releases those that waited for it.
+type Verdict struct {
+	Kind    VerdictKind
+	Number  yuccaid.Number
+	Entries []Entry
+}
+
+// Chain is what one daemon has accepted. Its number only ever grows, whatever the
+// platform's service or a peer says later, and it is used by one goroutine.
+//
+// Two contents of one number. When an operator overwrites a key while data centres
+// are cut off, some daemons may have accepted the first content and some the second.
+// Neither is more right, and taking the other's would revert an accepted
+// configuration. So each keeps what it accepted and raises an alarm. The operators
+// settle it forward: the next note builds on one of the two, the daemons of the other
+// refuse it for its base, and adopt the higher configuration as a snapshot.
+type Chain struct {
+	state    *State
+	digest   yuccaid.Digest
+	accepted map[yuccaid.Number]link
+	held     map[yuccaid.Number]offer
+	asked    yuccaid.Number // the next note, once Plan asked for it
+	barred   yuccaid.Number // the next note, once it came as asked for and was refused
+	reported map[report]bool
+}
+
+// link is what remains of an accepted note: its text while peers may ask for it, and
+// digests to recognise another content by.
+type link struct {
+	raw     []byte
+	meaning yuccaid.Digest
+	after   yuccaid.Digest
+}
+
+type offer struct {
+	key string
+	raw []byte
+}
+
+// report identifies what was told already. A service that shows the same wrong note
+// at every poll must not fill the audit trail.
+type report struct {
+	reason  string
+	number  yuccaid.Number
+	content sum
+	at      yuccaid.Number
+}
+
+// NewChain starts at the empty configuration.
+func NewChain() *Chain {
+	empty := Empty()
+	return &Chain{
+		state:    empty,
+		digest:   empty.Digest(),
+		accepted: map[yuccaid.Number]link{},
+		held:     map[yuccaid.Number]offer{},
+		reported: map[report]bool{},
+	}
+}
+
+// State returns the configuration in force.
+func (chain *Chain) State() *State {
+	return chain.state
+}
+
+// Number returns the number of the configuration in force.
+func (chain *Chain) Number() yuccaid.Number {
+	return chain.state.Number
+}
+
+// Digest returns the digest of the configuration in force.
+func (chain *Chain) Digest() yuccaid.Digest {
+	return chain.digest
+}
+
+// Note returns the text of an accepted note while it is kept, for a peer that lacks
+// it; a peer that asks too late needs a snapshot.
+func (chain *Chain) Note(number yuccaid.Number) ([]byte, bool) {
+	kept := chain.accepted[number]
+	return kept.raw, kept.raw != nil
+}
+
+// Offer takes a note from the platform or a peer, under the platform's key. It may
+// come late, twice or out of order. The error says why the note was not accepted.
+func (chain *Chain) Offer(now time.Time, key string, raw []byte) (Verdict, error) {
+	number, err := ParseNoteKey(key)
+	switch {
+	case err != nil:
+		return chain.refused(now, 0, "", raw, err)
+	case number <= chain.Number():
+		return chain.past(now, number, raw)
+	case number > chain.Number()+1:
+		chain.hold(number, offer{key: key, raw: raw})
+		return Verdict{Kind: VerdictHeld, Number: number}, nil
+	}
+	verdict, err := chain.next(now, number, raw)
+	if err == nil {
+		verdict.Entries = append(verdict.Entries, chain.release(now)...)
+	}
+	return verdict, err
+}
+
+// next judges the note that follows the accepted one.
+func (chain *Chain) next(now time.Time, number yuccaid.Number, raw []byte) (Verdict, error) {
+	note, err := ParseNote(raw)
+	if err != nil {
+		return chain.refused(now, number, note.By, raw, err)
+	}
+	if note.Number != number {
+		err := refuse(number, ErrKey, "number", "publish it as "+NoteKey(note.Number), "is %d under %s", note.Number, NoteKey(number))
+		return chain.refused(now, number, note.By, raw, err)
+	}
+	after, err := chain.state.Apply(note)
+	if err != nil {
+		return chain.refused(now, number, note.By, raw, err)
+	}
+	entry := chain.move(now, EntryAccepted, note.By, after)
+	chain.accepted[number] = link{raw: slices.Clone(raw), meaning: note.Digest(), after: chain.digest}
+	chain.forget()
+	return Verdict{Kind: VerdictAccepted, Number: number, Entries: []Entry{entry}}, nil
+}
+
+// past judges a note whose number is accepted already. Another layout of the same
+// meaning is harmless. Another meaning is an alarm: daemons that start now would read
+// it in place of what the fleet runs on.
+func (chain *Chain) past(now time.Time, number yuccaid.Number, raw []byte) (Verdict, error) {
+	kept, known := chain.accepted[number]
+	if !known || kept.meaning == "" {
+		return Verdict{Kind: VerdictOld, Number: number}, nil
+	}
+	note, err := ParseNote(raw)
+	if err == nil && note.Digest() == kept.meaning {
+		return Verdict{Kind: VerdictRepeated, Number: number}, nil
+	}
+	alarm := refuse(number, ErrContentChanged, NoteKey(number), "publish the accepted content again and the change as a new note", "holds another note than the accepted one")
+	entries := chain.told(now, EntryAlarm, number, note.By, sha256.Sum256(raw), alarm)
+	return Verdict{Kind: VerdictAlarm, Number: number, Entries: entries}, alarm
+}
+
+func (chain *Chain) refused(now time.Time, number yuccaid.Number, by string, raw []byte, err error) (Verdict, error) {
+	if number > 0 && number == chain.asked {
+		chain.barred = number
+	}
+	entries := chain.told(now, EntryRefused, number, by, sha256.Sum256(raw), err)
+	return Verdict{Kind: VerdictRefused, Number: number, Entries: entries}, err
+}
+
+// release judges the notes that waited, as long as the next one is there.
+func (chain *Chain) release(now time.Time) []Entry {
+	var entries []Entry
+	for {
+		number := chain.Number() + 1
+		waiting, found := chain.held[number]
+		maps.DeleteFunc(chain.held, func(held yuccaid.Number, _ offer) bool { return held <= number })
+		if !found {
+			return entries
+		}
+		verdict, err := chain.next(now, number, waiting.raw)
+		entries = append(entries, verdict.Entries...)
+		if err != nil {
+			return entries
+		}
+	}
+}
+
+// hold keeps a note for later, the lowest numbers first if there is not room for all.
+// What is dropped can be fetched again: Plan asks for it.
+func (chain *Chain) hold(number yuccaid.Number, late offer) {
+	late.raw = slices.Clone(late.raw)
+	chain.held[number] = late
+	for len(chain.held) > heldNotes || chain.heldSize() > heldBytes {
+		delete(chain.held, slices.Max(slices.Collect(maps.Keys(chain.held))))
+	}
+}
+
+func (chain *Chain) heldSize() yuccaid.Bytes {
+	size := yuccaid.Bytes(0)
+	for _, late := range chain.held {
+		size += yuccaid.Bytes(len(late.raw))
+	}
+	return size
+}
+
+// move puts a higher configuration in force.
+func (chain *Chain) move(now time.Time, kind EntryKind, by string, after *State) Entry {
+	before := chain.digest
+	chain.state = after
+	chain.digest = after.Digest()
+	return Entry{At: now, Kind: kind, By: by, Number: after.Number, Before: before, After: chain.digest}
+}
+
+// told makes an audit entry for what changed nothing, once.
+func (chain *Chain) told(now time.Time, kind EntryKind, number yuccaid.Number, by string, content sum, err error) []Entry {
+	key := report{reason: Reason(err), number: number, content: content}
+	if kind == EntryRefused {
+		key.at = chain.Number()
+	}
+	if chain.reported[key] {
+		return nil
+	}
+	if len(chain.reported) >= reportedLimit {
+		clear(chain.reported)
+	}
+	chain.reported[key] = true
+	return []Entry{{
+		At: now, Kind: kind, By: by, Number: number, Before: chain.digest, After: chain.digest,
+		Reason: key.reason, Detail: err.Error(),
+	}}
+}
+
+// forget drops the texts and later the digests of old notes, so that a daemon that
+// runs for years doesn't grow with every note.
+func (chain *Chain) forget() {
+	size := yuccaid.Bytes(0)
+	numbers := slices.Sorted(maps.Keys(chain.accepted))
+	slices.Reverse(numbers)
+	for i, number := range numbers {
+		kept := chain.accepted[number]
+		size += yuccaid.Bytes(len(kept.raw))
+		if i >= keptNotes || size > keptBytes {
+			kept.raw = nil
+			chain.accepted[number] = kept
+		}
+		if i >= keptProofs {
+			delete(chain.accepted, number)
+		}
+	}
+}
--- /dev/null
+++ b/core/yuccastate/digest.go
@@ -0,0 +1,124 @@
+package yuccastate
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"maps"
+	"slices"
+
+	"yuccacleat/core/yuccaid"
+)
+
+// digestForm is hashed first, so that a later form of the digest can't agree with
+// this one by accident.
+const digestForm = "yuccacleat configuration 1"
+
+type sum [sha256.Size]byte
+
+// kindSum is the digest over all objects of a kind, with the digest of each. A note
+// touches a few objects out of thousands: only those are written out and hashed
+// again, the others' digests are carried over.
+type kindSum struct {
+	objects map[string]sum
+	all     sum
+}
+
+type sums struct {
+	centres, links, tiers, pools, targets, accounts kindSum
+}
+
+// touched lists the objects that a note adds, changes or withdraws.
+type touched struct {
+	centres  []yuccaid.Centre
+	links    []yuccaid.Region
+	tiers    []yuccaid.Tier
+	pools    []yuccaid.Pool
+	targets  []yuccaid.Target
+	accounts []yuccaid.Account
+}
+
+func sumAll(s *State) *sums {
+	return &sums{
+		centres:  sumKind(s.Centres, nil, kindSum{}),
+		links:    sumKind(s.Links, nil, kindSum{}),
+		tiers:    sumKind(s.Tiers, nil, kindSum{}),
+		pools:    sumKind(s.Pools, nil, kindSum{}),
+		targets:  sumKind(s.Targets, nil, kindSum{}),
+		accounts: sumKind(s.Accounts, nil, kindSum{}),
+	}
+}
+
+func sumTouched(before, now *State, names touched) *sums {
+	old := before.sums
+	if old == nil {
+		old = sumAll(before)
+	}
+	return &sums{
+		centres:  sumKind(now.Centres, names.centres, old.centres),
+		links:    sumKind(now.Links, names.links, old.links),
+		tiers:    sumKind(now.Tiers, names.tiers, old.tiers),
+		pools:    sumKind(now.Pools, names.pools, old.pools),
+		targets:  sumKind(now.Targets, names.targets, old.targets),
+		accounts: sumKind(now.Accounts, names.accounts, old.accounts),
+	}
+}
+
+// sumKind hashes the objects in touched, and takes the others' digests from before;
+// with an empty before it hashes them all.
+func sumKind[K ~string, V any](objects map[K]V, touched []K, before kindSum) kindSum {
+	if before.objects != nil && len(touched) == 0 {
+		return before
+	}
+	now := kindSum{objects: maps.Clone(before.objects)}
+	if before.objects == nil {
+		now.objects = make(map[string]sum, len(objects))
+		touched = slices.Collect(maps.Keys(objects))
+	}
+	for _, name := range touched {
+		delete(now.objects, string(name))
+		if object, exists := objects[name]; exists {
+			now.objects[string(name)] = sha256.Sum256(canonical(object))
+		}
+	}
+	now.all = sumObjects(now.objects)
+	return now
+}
+
+func sumObjects(objects map[string]sum) sum {
+	text := make([]byte, 0, len(objects)*2*sha256.Size)
+	for _, name := range slices.Sorted(maps.Keys(objects)) {
+		one := objects[name]
+		text = append(text, name...)
+		text = append(text, 0)
+		text = append(text, one[:]...)
+	}
+	return sha256.Sum256(text)
+}
+
+// canonical writes an object in one form only: JSON with the fields in the order of
+// their struct and maps sorted by key.
+func canonical(object any) []byte {
+	text, err := json.Marshal(object)
+	if err != nil {
+		// Only a float that is not finite can't be written, and the fold lets none in.
+		panic(fmt.Sprintf("yuccastate: %v", err))
+	}
+	return text
+}
+
+// Digest returns the digest over the number and everything configured; two states
+// have the same if and only if they are equal, in whatever order they were built.
+func (s *State) Digest() yuccaid.Digest {
+	parts := s.sums
+	if parts == nil {
+		parts = sumAll(s)
+	}
+	hash := sha256.New()
+	fmt.Fprintf(hash, "%s\n%d\n%s\n", digestForm, s.Number, canonical(s.Policy))
+	for _, kind := range []kindSum{parts.centres, parts.links, parts.tiers, parts.pools, parts.targets, parts.accounts} {
+		hash.Write(kind.all[:])
+	}
+	return yuccaid.Digest(hex.EncodeToString(hash.Sum(nil)))
+}
--- /dev/null
+++ b/core/yuccastate/note.go
@@ -0,0 +1,83 @@
+package yuccastate
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"strconv"
+
+	"yuccacleat/core/yuccaid"
+	"yuccacleat/core/yuccastate/yuccayaml"
+)
+
+// NoteLimit is the largest note: the platform's service holds values of that size.
+const NoteLimit yuccaid.Bytes = 1 << 20
+
+// Note is a release note: what it adds, changes and withdraws, and the digest of the
+// configuration that it was written against. A changed object is given whole.
+type Note struct {
+	Number    yuccaid.Number `json:"number"`
+	Base      yuccaid.Digest `json:"base"`
+	By        string         `json:"by"`
+	Added     Objects        `json:"added"`
+	Changed   Objects        `json:"changed"`
+	Withdrawn Names          `json:"withdrawn"`
+
+	lines yuccayaml.Lines
+}
+
+// ParseNote reads a note's YAML and refuses unknown keys and values of the wrong
+// form; whether the note fits a configuration is for Apply to say.
+func ParseNote(raw []byte) (Note, error) {
+	if yuccaid.Bytes(len(raw)) > NoteLimit {
+		return Note{}, refuse(0, yuccayaml.ErrValue, "", "split it into several notes", "has %d bytes, more than %d", len(raw), NoteLimit)
+	}
+	var note Note
+	lines, err := yuccayaml.Decode(raw, &note)
+	note.lines = lines
+	if problems, found := err.(yuccayaml.Problems); found {
+		return Note{}, &Refusal{Number: note.Number, Problems: problems}
+	}
+	note.locateWithdrawn()
+	return note, err
+}
+
+// locateWithdrawn makes the lines of withdrawn objects known by name; the reader of
+// YAML knows an item of a list by its position only.
+func (note Note) locateWithdrawn() {
+	names := note.Withdrawn
+	locate(note.lines, KindCentre, names.Centres)
+	locate(note.lines, KindLink, names.Links)
+	locate(note.lines, KindTier, names.Tiers)
+	locate(note.lines, KindPool, names.Pools)
+	locate(note.lines, KindTarget, names.Targets)
+	locate(note.lines, KindAccount, names.Accounts)
+}
+
+func locate[K ~string](lines yuccayaml.Lines, kind Kind, names []K) {
+	for i, name := range names {
+		line := lines.Of(path(sectionWithdrawn, kind, strconv.Itoa(i)))
+		defer func() { lines[path(sectionWithdrawn, kind, string(name))] = line }()
+	}
+}
+
+// Canonical writes the note in the one form that its meaning has; comments, order
+// and layout are gone from it.
+func (note Note) Canonical() []byte {
+	note.Added = note.Added.clean()
+	note.Changed = note.Changed.clean()
+	note.Withdrawn = note.Withdrawn.clean()
+	return yuccayaml.Encode(note)
+}
+
+// Digest returns the digest of the canonical form: two notes that mean the same have
+// the same.
+func (note Note) Digest() yuccaid.Digest {
+	sum := sha256.Sum256(note.Canonical())
+	return yuccaid.Digest(hex.EncodeToString(sum[:]))
+}
+
+// String names the note in logs.
+func (note Note) String() string {
+	return fmt.Sprintf("note %d by %s", note.Number, note.By)
+}
--- /dev/null
+++ b/core/yuccastate/suite_test.go
@@ -0,0 +1,68 @@
+package yuccastate_test
+
+import (
+	"flag"
+	"os"
+	"path/filepath"
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"yuccacleat/core/yuccastate"
+)
+
+var update = flag.Bool("update", false, "rewrite the golden files")
+
+func TestYuccastate(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "yuccastate")
+}
+
+// expectGolden compares with a file under testdata, or writes it with -update.
+func expectGolden(name, text string) {
+	GinkgoHelper()
+	path := filepath.Join("testdata", name)
+	if *update {
+		Expect(os.WriteFile(path, []byte(text), 0o644)).To(Succeed())
+	}
+	want, err := os.ReadFile(path)
+	Expect(err).NotTo(HaveOccurred())
+	Expect(text).To(Equal(string(want)))
+}
+
+func read(name string) []byte {
+	raw, err := os.ReadFile(filepath.Join("testdata", name))
+	if err != nil {
+		panic(err)
+	}
+	return raw
+}
+
+// parsed returns a note that is written against a configuration.
+func parsed(on *yuccastate.State, text string) yuccastate.Note {
+	note, err := yuccastate.ParseNote([]byte(text))
+	if err != nil {
+		panic(err)
+	}
+	note.Number, note.Base = on.Number+1, on.Digest()
+	if note.By == "" {
+		note.By = "anna"
+	}
+	return note
+}
+
+// founded returns the configuration after the first note of testdata.
+func founded() *yuccastate.State {
+	state, err := yuccastate.Empty().Apply(parsed(yuccastate.Empty(), string(read("first.yaml"))))
+	if err != nil {
+		panic(err)
+	}
+	return state
+}
+
+// published returns a note as an operator publishes it.
+func published(on *yuccastate.State, text string) (string, []byte) {
+	note := parsed(on, text)
+	return yuccastate.NoteKey(note.Number), note.Canonical()
+}
--- /dev/null
+++ b/core/yuccastate/yuccayaml/decode.go
@@ -0,0 +1,276 @@
+package yuccayaml
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	"math"
+	"reflect"
+	"regexp"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"go.yaml.in/yaml/v3"
+
+	"yuccacleat/core/yuccaid"
+)
+
+const (
+	nullTag = "!!null"
+	boolTag = "!!bool"
+	intTag  = "!!int"
+	fltTag  = "!!float"
+)
+
+var (
+	durationType = reflect.TypeFor[time.Duration]()
+	bytesType    = reflect.TypeFor[yuccaid.Bytes]()
+)
+
+// syntaxLine finds the line in a message of the YAML library.
+var syntaxLine = regexp.MustCompile(`^yaml: line (\d+): `)
+
+// Decode fills the struct that into points to, and returns the line of each key.
+// The error is a Problems with everything that is wrong, not just the first.
+func Decode(raw []byte, into any) (Lines, error) {
+	root, err := parse(raw)
+	if err != nil {
+		return nil, err
+	}
+	dec := &decoder{lines: Lines{}}
+	if root != nil {
+		dec.value(root, reflect.ValueOf(into).Elem(), "")
+	}
+	return dec.lines, dec.problems.Err()
+}
+
+func parse(raw []byte) (*yaml.Node, error) {
+	reader := yaml.NewDecoder(bytes.NewReader(raw))
+	var doc yaml.Node
+	err := reader.Decode(&doc)
+	if errors.Is(err, io.EOF) {
+		return nil, nil
+	}
+	if err != nil {
+		return nil, syntaxProblem(err)
+	}
+	var second yaml.Node
+	if err := reader.Decode(&second); !errors.Is(err, io.EOF) {
+		prob := &Problem{Kind: ErrSyntax, Line: second.Line, Detail: "a second document follows", Remedy: "keep one document in a file"}
+		return nil, Problems{prob}
+	}
+	return doc.Content[0], nil
+}
+
+func syntaxProblem(err error) Problems {
+	text := err.Error()
+	prob := &Problem{Kind: ErrSyntax, Remedy: "write plain YAML, with spaces for indentation"}
+	if match := syntaxLine.FindStringSubmatch(text); match != nil {
+		prob.Line, _ = strconv.Atoi(match[1])
+		text = text[len(match[0]):]
+	}
+	prob.Detail = strings.TrimPrefix(text, "yaml: ")
+	return Problems{prob}
+}
+
+type decoder struct {
+	lines    Lines
+	problems Problems
+}
+
+func (dec *decoder) add(kind error, node *yaml.Node, key, remedy, detail string, args ...any) {
+	prob := &Problem{Kind: kind, Line: node.Line, Key: key, Detail: fmt.Sprintf(detail, args...), Remedy: remedy}
+	dec.problems = append(dec.problems, prob)
+}
+
+func (dec *decoder) value(node *yaml.Node, into reflect.Value, key string) {
+	if node.Kind == yaml.AliasNode {
+		dec.add(ErrSyntax, node, key, "write the value out", "an alias stands in place of a value")
+		return
+	}
+	switch into.Kind() {
+	case reflect.Pointer:
+		into.Set(reflect.New(into.Type().Elem()))
+		dec.value(node, into.Elem(), key)
+	case reflect.Struct:
+		dec.object(node, into, key)
+	case reflect.Map:
+		dec.table(node, into, key)
+	case reflect.Slice:
+		dec.list(node, into, key)
+	default:
+		dec.scalar(node, into, key)
+	}
+}
+
+// pairs calls each for the mapping's keys and reports what is not a mapping, keys
+// that are not plain text and keys that stand twice: of two equal keys a lenient
+// reader takes the last, and the operator who wrote the first never learns of it.
+func (dec *decoder) pairs(node *yaml.Node, key string, each func(name, value *yaml.Node, key string)) {
+	if empty(node) {
+		return
+	}
+	if node.Kind != yaml.MappingNode {
+		dec.add(ErrValue, node, key, "write keys and values under it", "holds no keys")
+		return
+	}
+	seen := map[string]int{}
+	for i := 0; i+1 < len(node.Content); i += 2 {
+		name, value := node.Content[i], node.Content[i+1]
+		if name.Kind != yaml.ScalarNode || name.Value == "" {
+			dec.add(ErrSyntax, name, key, "use plain words as keys", "a key is not plain text")
+			continue
+		}
+		path := join(key, name.Value)
+		if first, twice := seen[name.Value]; twice {
+			dec.add(ErrTwice, name, path, "keep one of the two", "stands on line %d already", first)
+			continue
+		}
+		seen[name.Value] = name.Line
+		dec.lines[path] = name.Line
+		each(name, value, path)
+	}
+}
+
+func (dec *decoder) object(node *yaml.Node, into reflect.Value, key string) {
+	fields := fieldsOf(into.Type())
+	dec.pairs(node, key, func(name, value *yaml.Node, path string) {
+		at := slices.Index(fields, name.Value)
+		if at < 0 {
+			dec.add(ErrUnknownKey, name, path, "use one of "+strings.Join(known(fields), ", "), "no such key")
+			return
+		}
+		dec.value(value, into.Field(at), path)
+	})
+}
+
+func (dec *decoder) table(node *yaml.Node, into reflect.Value, key string) {
+	if empty(node) {
+		return
+	}
+	into.Set(reflect.MakeMap(into.Type()))
+	dec.pairs(node, key, func(name, value *yaml.Node, path string) {
+		item := reflect.New(into.Type().Elem()).Elem()
+		dec.value(value, item, path)
+		into.SetMapIndex(reflect.ValueOf(name.Value).Convert(into.Type().Key()), item)
+	})
+}
+
+func (dec *decoder) list(node *yaml.Node, into reflect.Value, key string) {
+	if empty(node) {
+		return
+	}
+	if node.Kind != yaml.SequenceNode {
+		dec.add(ErrValue, node, key, "write [one, two] or one item a line after a hyphen", "is not a list")
+		return
+	}
+	into.Set(reflect.MakeSlice(into.Type(), len(node.Content), len(node.Content)))
+	for i, item := range node.Content {
+		path := join(key, strconv.Itoa(i))
+		dec.lines[path] = item.Line
+		dec.value(item, into.Index(i), path)
+	}
+}
+
+func (dec *decoder) scalar(node *yaml.Node, into reflect.Value, key string) {
+	if node.Kind != yaml.ScalarNode || node.Tag == nullTag {
+		dec.add(ErrValue, node, key, "write a single value", "has no value")
+		return
+	}
+	if into.Type() == durationType {
+		dec.duration(node, into, key)
+		return
+	}
+	if into.Type() == bytesType {
+		dec.bytes(node, into, key)
+		return
+	}
+	bits := 0
+	if into.CanInt() || into.CanUint() || into.CanFloat() {
+		bits = into.Type().Bits()
+	}
+	switch {
+	case into.Kind() == reflect.String:
+		into.SetString(node.Value)
+	case into.Kind() == reflect.Bool:
+		into.SetBool(node.Value == "true")
+		if node.Tag != boolTag || node.Value != "true" && node.Value != "false" {
+			dec.add(ErrValue, node, key, "write true or false", "%q is neither true nor false", node.Value)
+		}
+	case into.CanInt():
+		number, err := strconv.ParseInt(node.Value, 10, bits)
+		into.SetInt(number)
+		dec.number(node, key, err, "a whole number", intTag)
+	case into.CanUint():
+		number, err := strconv.ParseUint(node.Value, 10, bits)
+		into.SetUint(number)
+		dec.number(node, key, err, "a whole number, not negative", intTag)
+	default:
+		number, err := strconv.ParseFloat(node.Value, bits)
+		if math.IsNaN(number) || math.IsInf(number, 0) {
+			number, err = 0, strconv.ErrRange
+		}
+		into.SetFloat(number)
+		dec.number(node, key, err, "a number", intTag, fltTag)
+	}
+}
+
+func (dec *decoder) number(node *yaml.Node, key string, err error, want string, tags ...string) {
+	if err == nil && slices.Contains(tags, node.Tag) {
+		return
+	}
+	if strings.ContainsAny(node.Value, "0123456789") && !strings.HasPrefix(node.Value, "-") && node.Tag == "!!str" {
+		dec.add(ErrUnit, node, key, "write "+want+" without unit or quotes", "%q is not a bare number", node.Value)
+		return
+	}
+	dec.add(ErrValue, node, key, "write "+want, "%q does not fit", node.Value)
+}
+
+func (dec *decoder) duration(node *yaml.Node, into reflect.Value, key string) {
+	span, err := time.ParseDuration(node.Value)
+	if err == nil && (span != 0 || node.Tag != intTag) {
+		into.SetInt(int64(span))
+		return
+	}
+	remedy := "write a duration such as 30s or 2m"
+	if _, err := strconv.ParseFloat(node.Value, 64); err == nil {
+		dec.add(ErrUnit, node, key, remedy, "%s has no unit", node.Value)
+		return
+	}
+	dec.add(ErrUnit, node, key, remedy, "%q is not a duration", node.Value)
+}
+
+func (dec *decoder) bytes(node *yaml.Node, into reflect.Value, key string) {
+	size, err := parseBytes(node.Value)
+	if err != nil {
+		dec.add(ErrUnit, node, key, "write a size such as 512B, 64KiB or 4MiB", "%q is not a size", node.Value)
+	}
+	into.SetInt(int64(size))
+}
+
+func empty(node *yaml.Node) bool {
+	return node.Kind == yaml.ScalarNode && node.Tag == nullTag
+}
+
+func join(key, name string) string {
+	if key == "" {
+		return name
+	}
+	return key + "." + name
+}
+
+// fieldsOf returns the keys of a struct's fields, in the order of the fields.
+func fieldsOf(of reflect.Type) []string {
+	names := make([]string, of.NumField())
+	for i := range names {
+		names[i], _, _ = strings.Cut(of.Field(i).Tag.Get("json"), ",")
+	}
+	return names
+}
+
+func known(fields []string) []string {
+	return slices.DeleteFunc(slices.Clone(fields), func(name string) bool { return name == "" })
+}
