yuccatrial: a trial of policies in virtual time

Cause: the decisions under load had nothing to be judged by. Ruled out: counting inside the leader (it would judge itself).

--- /dev/null
+++ b/core/yuccatrial/design.go
@@ -0,0 +1,318 @@
+package yuccatrial
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"yuccacleat/core/yuccaid"
+	"yuccacleat/core/yuccapool"
+	"yuccacleat/core/yuccaqueue"
+)
+
+const (
+	// detectAfter is how long daemons take to see that a leader is gone.
+	detectAfter = 3 * time.Second
+	// gatherFor is how long a new leader gathers before it grants: one heartbeat.
+	gatherFor = time.Second
+)
+
+// Leaders has one leader for each pool of a data centre, as the daemons do it. An ask
+// that its own data centre refuses for load is offered to the others once.
+func Leaders(seed uint64) Policy {
+	return Policy{Name: "leader", Start: func(pools []*Pool) []Hooks { return startSeats(seed, pools, true) }}
+}
+
+// LeadersAtHome is Leaders without asking other data centres.
+func LeadersAtHome(seed uint64) Policy {
+	return Policy{Name: "leader, own centre", Start: func(pools []*Pool) []Hooks { return startSeats(seed, pools, false) }}
+}
+
+func startSeats(seed uint64, pools []*Pool, spill bool) []Hooks {
+	seats := map[*Pool]*seat{}
+	hooks := make([]Hooks, len(pools))
+	for i, pool := range pools {
+		st := newSeat(pool, pool.Engines, pool.daemons[0], rand.New(rand.NewPCG(seed, uint64(i))))
+		st.seats = seats
+		st.spill = spill
+		seats[pool] = st
+		hooks[i] = st.hooks()
+	}
+	return hooks
+}
+
+// NoLeader has each daemon lead for itself over its own share of the targets, as it
+// does when it reaches no leader.
+func NoLeader(seed uint64) Policy {
+	return Policy{Name: "no leader", Start: each(func(pool *Pool) Hooks {
+		alone := make([]*seat, len(pool.daemons))
+		for i, inc := range pool.daemons {
+			rng := rand.New(rand.NewPCG(seed, uint64(i)))
+			alone[i] = newSeat(pool, share(pool.Engines, i, len(pool.daemons)), inc, rng)
+		}
+		forward := func(to func(st *seat, req *Request)) func(*Request) {
+			return func(req *Request) { to(alone[req.Daemon], req) }
+		}
+		return Hooks{
+			Readers:    len(alone),
+			Arrive:     forward((*seat).arrive),
+			FirstToken: forward((*seat).firstToken),
+			Progress:   forward((*seat).progress),
+			Ended:      forward((*seat).ended),
+			Gone:       forward((*seat).gone),
+			Report: func(report yuccapool.Report) {
+				for _, st := range alone {
+					st.report(report)
+				}
+			},
+			Cache: func(event yuccapool.CacheEvent) {
+				for _, st := range alone {
+					st.cache(event)
+				}
+			},
+			Tick: func() {
+				for _, st := range alone {
+					st.tick()
+				}
+			},
+		}
+	})}
+}
+
+// share deals targets out to daemons; with fewer targets than daemons some share one.
+func share(engines []*Engine, daemon, of int) []*Engine {
+	if len(engines) < of {
+		return engines[daemon%len(engines):][:1]
+	}
+	var mine []*Engine
+	for i, eng := range engines {
+		if i%of == daemon {
+			mine = append(mine, eng)
+		}
+	}
+	return mine
+}
+
+// seat is a leader in its place between owners and targets.
+type seat struct {
+	pool    *Pool
+	engines []*Engine
+	self    yuccaid.Incarnation
+	rng     *rand.Rand
+	lead    *yuccapool.Leader // nil while nobody leads
+	live    []*Request        // asked here and, when last looked through, not ended
+	looked  int               // length of live after that
+	seats   map[*Pool]*seat
+	spill   bool
+}
+
+func newSeat(pool *Pool, engines []*Engine, self yuccaid.Incarnation, rng *rand.Rand) *seat {
+	st := &seat{pool: pool, engines: engines, self: self, rng: rng}
+	st.elect()
+	return st
+}
+
+func (st *seat) hooks() Hooks {
+	return Hooks{
+		Readers: 1, Arrive: st.arrive, FirstToken: st.firstToken, Progress: st.progress, Ended: st.ended,
+		Gone: st.gone, Report: st.report, Cache: st.cache, Tick: st.tick, Lose: st.lose,
+	}
+}
+
+func (st *seat) elect() {
+	st.lead = yuccapool.New(st.pool.Name, st.self, st.rng)
+	view := yuccapool.View{
+		Number: 1, Plain: st.pool.Plain, LongestRun: 5 * time.Minute,
+		Accounts: map[yuccaid.Account]yuccapool.AccountView{},
+	}
+	for _, eng := range st.engines {
+		view.Targets = append(view.Targets, yuccapool.Target{
+			Name: eng.Name, Slots: eng.Slots, Prefill: eng.Prefill, Decode: eng.Decode, Cache: eng.Cache,
+		})
+	}
+	for _, acc := range st.pool.trial.scenario.Deployment.Accounts {
+		view.Accounts[acc.Name] = yuccapool.AccountView{Weight: acc.Weight}
+	}
+	st.apply(st.lead.Configure(st.pool.Now(), view))
+}
+
+// lose drops the leader's memory. Once daemons have seen that it is gone, a new one
+// gathers what they hold.
+func (st *seat) lose() {
+	st.lead = nil
+	st.pool.After(detectAfter, func() {
+		st.elect()
+		now := st.pool.Now()
+		st.lead.BeginGather(now, now.Add(gatherFor))
+		st.prune()
+		for _, req := range st.live {
+			if req.waiting() {
+				st.offer(req)
+				continue
+			}
+			held := yuccapool.Running{Ask: req.ask(now), Target: req.engine.Name, Answered: req.Answered()}
+			st.tell(req, &held, func(lead *yuccapool.Leader, now time.Time) yuccapool.Decisions {
+				lead.Hold(now, held)
+				return yuccapool.Decisions{}
+			})
+		}
+	})
+}
+
+// remember lists a request, and drops those that ended once the list has doubled.
+func (st *seat) remember(req *Request) {
+	if len(st.live) > 2*st.looked+100 {
+		st.prune()
+	}
+	st.live = append(st.live, req)
+}
+
+func (st *seat) prune() {
+	st.live = slices.DeleteFunc(st.live, func(req *Request) bool { return req.fate != pending })
+	st.looked = len(st.live)
+}
+
+// tell sends a message from the request's owner to the leader; nobody gets it while
+// nobody leads.
+func (st *seat) tell(req *Request, message any, do func(lead *yuccapool.Leader, now time.Time) yuccapool.Decisions) {
+	req.home.sendTo(st.pool, message, func() {
+		if st.lead != nil {
+			st.apply(do(st.lead, st.pool.Now()))
+		}
+	})
+}
+
+func (st *seat) arrive(req *Request) {
+	st.offer(req)
+}
+
+func (st *seat) offer(req *Request) {
+	if req.asked != st {
+		st.remember(req)
+	}
+	req.asked = st
+	ask := req.ask(st.pool.Now())
+	st.tell(req, &ask, func(lead *yuccapool.Leader, now time.Time) yuccapool.Decisions {
+		if req.fate != pending {
+			return yuccapool.Decisions{}
+		}
+		return lead.Offer(now, ask)
+	})
+}
+
+func (st *seat) gone(req *Request) {
+	if req.asked != st && req.asked != nil {
+		req.asked.gone(req)
+		return
+	}
+	st.tell(req, req.ID, func(lead *yuccapool.Leader, now time.Time) yuccapool.Decisions {
+		return lead.Withdraw(now, req.ID)
+	})
+}
+
+func (st *seat) firstToken(req *Request) {
+	st.tellProgress(req, yuccapool.Progress{ID: req.ID, FirstToken: true, Answered: 1})
+}
+
+func (st *seat) progress(req *Request) {
+	st.tellProgress(req, yuccapool.Progress{ID: req.ID, Answered: req.Answered()})
+}
+
+func (st *seat) tellProgress(req *Request, prg yuccapool.Progress) {
+	req.asked.tell(req, &prg, func(lead *yuccapool.Leader, now time.Time) yuccapool.Decisions {
+		return lead.Progress(now, prg)
+	})
+}
+
+func (st *seat) ended(req *Request) {
+	fin := yuccapool.Finished{ID: req.ID, Target: req.engine.Name, Ran: req.job != nil}
+	if job := req.job; job != nil {
+		fin.Prompt, fin.Cached, fin.Answer = req.Prompt, job.cached, req.Answer
+		if job.decoding {
+			fin.Prefill = job.first.Sub(job.began)
+			fin.Decode = req.ended.Sub(job.first)
+		}
+		if req.fate != served && req.fate != late {
+			fin.Answer = req.Answered()
+		}
+	}
+	req.asked.tellFinished(req, fin)
+}
+
+func (st *seat) tellFinished(req *Request, fin yuccapool.Finished) {
+	st.tell(req, &fin, func(lead *yuccapool.Leader, now time.Time) yuccapool.Decisions {
+		return lead.Finished(now, fin)
+	})
+}
+
+func (st *seat) report(report yuccapool.Report) {
+	if st.lead != nil {
+		st.apply(st.lead.Report(st.pool.Now(), report))
+	}
+}
+
+func (st *seat) cache(event yuccapool.CacheEvent) {
+	if st.lead != nil {
+		st.lead.CacheEvent(st.pool.Now(), event)
+	}
+}
+
+func (st *seat) tick() {
+	if st.lead != nil {
+		st.apply(st.lead.Tick(st.pool.Now()))
+	}
+}
+
+// apply carries decisions to the owners.
+func (st *seat) apply(dec yuccapool.Decisions) {
+	for _, cancel := range dec.Cancels {
+		st.reply(cancel.ID, &cancel, func(req *Request) { st.pool.Preempt(req) })
+	}
+	for _, refusal := range dec.Refusals {
+		st.reply(refusal.ID, &refusal, func(req *Request) { st.refuse(req, refusal) })
+	}
+	for _, grant := range dec.Grants {
+		sent := st.pool.Now()
+		st.reply(grant.ID, &grant, func(req *Request) { st.use(req, grant, sent) })
+	}
+}
+
+func (st *seat) reply(id yuccaid.RequestText, message any, do func(req *Request)) {
+	req := st.pool.trial.byID[id]
+	st.pool.sendTo(req.home, message, func() { do(req) })
+}
+
+// refuse passes a refusal on, or asks another data centre if one may have room.
+func (st *seat) refuse(req *Request, refusal yuccapool.Refusal) {
+	if !req.waiting() || req.asked != st {
+		return
+	}
+	load := refusal.Reason == yuccaqueue.ReasonOverload || refusal.Reason == yuccaqueue.ReasonDisplaced ||
+		refusal.Reason == yuccaqueue.ReasonDeadline
+	for st.spill && load && req.tried < len(req.home.peers) {
+		peer := req.home.peers[req.tried]
+		req.tried++
+		if !peer.cut && !req.home.cut {
+			st.seats[peer].offer(req)
+			return
+		}
+	}
+	st.pool.Refuse(req, refusal.Back)
+}
+
+// use dispatches on a grant, unless it comes too late.
+func (st *seat) use(req *Request, grant yuccapool.Grant, sent time.Time) {
+	eng := st.engine(grant.Target)
+	if st.pool.Now().Sub(sent) < grant.Expires && req.asked == st && st.pool.Dispatch(req, eng) {
+		st.tellProgress(req, yuccapool.Progress{ID: req.ID})
+		return
+	}
+	if req.engine != eng {
+		st.tellFinished(req, yuccapool.Finished{ID: req.ID, Target: grant.Target})
+	}
+}
+
+func (st *seat) engine(name yuccaid.Target) *Engine {
+	at := slices.IndexFunc(st.engines, func(eng *Engine) bool { return eng.Name == name })
+	return st.engines[at]
+}
