--- /dev/null
+++ b/core/yuccaplace/fleet.go
@@ -0,0 +1,266 @@
+package yuccaplace
+
+import (
+	"math"
+	"time"
+
+	"yuccacleat/core/yuccaid"
+)
+
+// Option changes a fleet at its construction.
+type Option func(*Fleet)
+
+// WithDepth sets how much prefill may wait in a target before it gets another request.
+func WithDepth(depth time.Duration) Option {
+	return func(fleet *Fleet) { fleet.depth = depth }
+}
+
+// WithSpare sets how many requests beyond its slots a target may hold.
+func WithSpare(spare int) Option {
+	return func(fleet *Fleet) { fleet.spare = spare }
+}
+
+// Fleet is the set of targets of one pool in one data centre.
+type Fleet struct {
+	policy    Policy
+	plain     bool
+	depth     time.Duration
+	spare     int
+	nodes     []*Node
+	byName    map[yuccaid.Target]*Node
+	prefixes  prefixes
+	stamp     uint64
+	shortWork float64
+	allWork   float64
+}
+
+// New returns a fleet without targets.
+func New(options ...Option) *Fleet {
+	fleet := &Fleet{
+		policy:   Policy{GoodputWeight: 1, WasteWeight: 1},
+		depth:    defaultDepth,
+		spare:    defaultSpare,
+		byName:   map[yuccaid.Target]*Node{},
+		prefixes: prefixes{holders: map[uint64][]*Node{}},
+	}
+	for _, option := range options {
+		option(fleet)
+	}
+	return fleet
+}
+
+// Configure takes over the targets; what was learned of those that stay is kept.
+func (fleet *Fleet) Configure(policy Policy, plain bool, targets []Target) {
+	fleet.plain = plain
+	fleet.policy = Policy{
+		GoodputWeight: orElse(policy.GoodputWeight, 1),
+		WasteWeight:   orElse(policy.WasteWeight, 1),
+	}
+	before := fleet.byName
+	fleet.byName = make(map[yuccaid.Target]*Node, len(targets))
+	fleet.nodes = fleet.nodes[:0]
+	for _, tgt := range targets {
+		node, found := before[tgt.Name]
+		if !found {
+			node = newNode(tgt)
+		}
+		fleet.update(node, tgt)
+		fleet.nodes = append(fleet.nodes, node)
+		fleet.byName[tgt.Name] = node
+		delete(before, tgt.Name)
+	}
+	for _, node := range before {
+		node.leaving = true
+		fleet.prefixes.clear(node)
+	}
+}
+
+func (fleet *Fleet) update(node *Node, tgt Target) {
+	if tgt.Prefill != node.Target.Prefill || tgt.Decode != node.Target.Decode {
+		node.guess(tgt)
+	}
+	resized := tgt.Cache != node.Target.Cache
+	node.Target = tgt
+	if resized {
+		fleet.prefixes.clear(node)
+	}
+}
+
+// Nodes returns the targets in the order of the configuration.
+func (fleet *Fleet) Nodes() []*Node {
+	return fleet.nodes
+}
+
+// Node returns a target by its name.
+func (fleet *Fleet) Node(name yuccaid.Target) (*Node, bool) {
+	node, found := fleet.byName[name]
+	return node, found
+}
+
+// Leave notes a target's word, age ago, on whether it takes new work. An old report
+// that says it does can't undo a younger word that it leaves.
+func (fleet *Fleet) Leave(now time.Time, name yuccaid.Target, leaving bool, age time.Duration) {
+	node, found := fleet.byName[name]
+	at := now.Add(-age)
+	if !found || at.Before(node.leftAt) {
+		return
+	}
+	node.leaving = leaving
+	node.leftAt = at
+}
+
+// Begin counts a run on a target and records its prompt as cached there.
+func (fleet *Fleet) Begin(now time.Time, node *Node, run *Run, hashes []uint64) {
+	node.begin(now, run)
+	fleet.prefixes.sent(node, hashes)
+}
+
+// First notes the end of a run's prefill.
+func (fleet *Fleet) First(now time.Time, run *Run) {
+	if !run.Prefilling() {
+		return
+	}
+	run.node.prefilled(now, run)
+	run.First = now
+}
+
+// End gives back what a run held.
+func (fleet *Fleet) End(now time.Time, run *Run) {
+	run.node.end(now, run)
+}
+
+// Observed is what an owner measured of a finished run.
+type Observed struct {
+	Prompt, Cached, Answer yuccaid.Tokens
+	Prefill, Decode        time.Duration
+}
+
+// Learn takes a finished run's speeds into the target's rates.
+func (fleet *Fleet) Learn(now time.Time, run *Run, seen Observed) {
+	node := run.node
+	node.newsAt = now
+	weight := recentWeight
+	if node.probing {
+		weight = probeWeight
+	}
+	if fleet.plain {
+		node.call.observe(1/max(now.Sub(run.Began).Seconds(), 0.001), weight)
+		node.judge(now)
+		return
+	}
+	if work := seen.Prompt - seen.Cached; work >= minimalSample && seen.Prefill > 0 {
+		node.prefill.observe(float64(work)/seen.Prefill.Seconds(), weight)
+	}
+	if seen.Answer > 1 && seen.Decode > 0 {
+		node.decode.observe(float64(seen.Answer)/seen.Decode.Seconds(), weight)
+	}
+	if run.Cached > 0 {
+		hit := min(float64(seen.Cached)/float64(run.Cached), 1)
+		node.trust += trustWeight * (hit - node.trust)
+	}
+	node.judge(now)
+}
+
+// judge decides from the rates whether the target goes on, is left to probes, or is
+// taken back.
+func (node *Node) judge(now time.Time) {
+	slow := node.prefill.slow() || node.decode.slow() || node.call.slow()
+	switch {
+	case slow:
+		node.startProbing(now)
+	case node.probing:
+		node.probing = false
+	}
+}
+
+// Tick looks for targets that show no progress, and lets old news fade.
+func (fleet *Fleet) Tick(now time.Time) {
+	for _, node := range fleet.nodes {
+		ratio := node.overdue(now, fleet.plain)
+		if ratio == 0 {
+			node.fade(now)
+			continue
+		}
+		node.newsAt = now
+		node.startProbing(now)
+		if fleet.plain {
+			node.call.atMost(node.call.usual / ratio)
+		} else {
+			node.prefill.atMost(node.prefill.usual / ratio)
+		}
+	}
+}
+
+// fade forgets old news of a target in ordinary use; one left to probes stays there
+// until a probe shows that it is well.
+func (node *Node) fade(now time.Time) {
+	idle := now.Sub(node.newsAt)
+	if node.probing || idle < fadePause {
+		return
+	}
+	part := 1 - math.Exp2(-float64(fadePause)/float64(forgetHalf))
+	node.newsAt = now
+	node.prefill.forget(part)
+	node.decode.forget(part)
+	node.call.forget(part)
+}
+
+// Load is a target's own report.
+type Load struct {
+	Age     time.Duration
+	Waiting int
+	Running int
+}
+
+// Report takes a load report. What it shows beyond the most that was granted around
+// its time is the work of others and occupies slots until the report is too old.
+func (fleet *Fleet) Report(now time.Time, name yuccaid.Target, load Load) {
+	node, found := fleet.byName[name]
+	if !found || load.Age >= foreignLife {
+		return
+	}
+	node.peak.note(now, len(node.runs))
+	node.foreign = max(load.Running+load.Waiting-node.peak.value(), 0)
+	node.foreignTil = now.Add(foreignLife - load.Age)
+}
+
+// CacheEvent corrects the record of a target's prefix cache.
+//
+// After a gap nobody knows what was evicted. Dropping the record would send every
+// prompt through a full prefill again; keeping it whole would hold prompts back for a
+// cache that is gone. So the record stays and counts for less until hits confirm it.
+func (fleet *Fleet) CacheEvent(name yuccaid.Target, stored, evicted []uint64, gap bool) {
+	node, found := fleet.byName[name]
+	if !found {
+		return
+	}
+	if gap {
+		node.trust *= gapTrust
+	}
+	fleet.prefixes.evicted(node, evicted)
+	fleet.prefixes.sent(node, stored)
+}
+
+// Demand notes an arrival's work, from which the room kept for short requests follows.
+func (fleet *Fleet) Demand(long bool, work time.Duration) {
+	fleet.allWork += demandWeight * (work.Seconds() - fleet.allWork)
+	short := work.Seconds()
+	if long {
+		short = 0
+	}
+	fleet.shortWork += demandWeight * (short - fleet.shortWork)
+}
+
+// reserve is how many of n targets are kept free of long prompts.
+//
+// A short lookup that arrives while every target works on a rulebook waits for
+// seconds, longer than its deadline. The room follows the share of short work in the
+// demand, so that it doesn't idle when there is little of it, and is never more than
+// half, so that long prompts aren't starved by it.
+func (fleet *Fleet) reserve(n int) int {
+	if n < 2 || fleet.shortWork <= 0 {
+		return 0
+	}
+	part := int(math.Ceil(fleet.shortWork / fleet.allWork * float64(n)))
+	return min(part, int(longestReserve*float64(n)))
+}
--- /dev/null
+++ b/core/yuccaplace/reach.go
@@ -0,0 +1,123 @@
+package yuccaplace
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"yuccacleat/core/yuccaid"
+)
+
+// Reach is a set of targets that some accounts may use, with the best rates in it.
+type Reach struct {
+	nodes   []*Node
+	prefill float64
+	decode  float64
+	call    float64
+	mean    float64
+	slowest rates
+	slots   int
+	usable  int
+}
+
+type rates struct {
+	prefill, decode float64
+}
+
+// NewReach returns the set of the named targets, or of all when none is named.
+func (fleet *Fleet) NewReach(names []yuccaid.Target) *Reach {
+	reach := &Reach{}
+	for _, node := range fleet.nodes {
+		if len(names) == 0 || slices.Contains(names, node.Target.Name) {
+			reach.nodes = append(reach.nodes, node)
+		}
+	}
+	reach.Refresh()
+	return reach
+}
+
+// Has reports whether the set holds a target.
+func (reach *Reach) Has(node *Node) bool {
+	return slices.Contains(reach.nodes, node)
+}
+
+// Usable returns how many targets of the set take ordinary work.
+func (reach *Reach) Usable() int {
+	return reach.usable
+}
+
+// Any reports whether a target of the set may ever take work.
+func (reach *Reach) Any() bool {
+	return slices.ContainsFunc(reach.nodes, func(node *Node) bool { return !node.Gone() })
+}
+
+// Refresh takes the learned rates into the set's best and mean ones.
+func (reach *Reach) Refresh() {
+	reach.prefill, reach.decode, reach.call, reach.mean = 0, 0, 0, 0
+	reach.slots, reach.usable = 0, 0
+	reach.slowest = rates{prefill: math.Inf(1), decode: math.Inf(1)}
+	for _, node := range reach.nodes {
+		if node.Gone() || node.probing {
+			continue
+		}
+		reach.usable++
+		reach.slots += node.Target.Slots
+		reach.prefill = max(reach.prefill, node.prefill.best)
+		reach.decode = max(reach.decode, node.decode.best)
+		reach.call = max(reach.call, node.call.recent)
+		reach.mean += node.prefill.recent
+		reach.slowest.prefill = min(reach.slowest.prefill, node.prefill.recent)
+		reach.slowest.decode = min(reach.slowest.decode, node.decode.recent)
+	}
+	reach.mean /= float64(max(reach.usable, 1))
+}
+
+// Shape is what the estimates need of a request.
+type Shape struct {
+	Prompt   yuccaid.Tokens
+	Answer   yuccaid.Tokens
+	Prefixes []uint64
+	Rank     int
+	Long     bool
+	// Urgent says that this is the last moment: room kept for others doesn't count.
+	Urgent   bool
+	Deadline time.Time
+}
+
+// Quickest returns the shortest time in which an idle set could serve the request,
+// with the best rates and the deepest cached prefix, though no single target may
+// have all of them: a request is refused as hopeless only when it is.
+func (fleet *Fleet) Quickest(reach *Reach, shape *Shape) time.Duration {
+	if reach.usable == 0 || fleet.plain {
+		return 0
+	}
+	cached := min(fleet.prefixes.deepest(shape.Prefixes), shape.Prompt)
+	prefill := float64(shape.Prompt-cached) / reach.prefill
+	return seconds(prefill + float64(shape.Answer)/reach.decode)
+}
+
+// Slowest returns how long the slowest target in ordinary use would take, idle and
+// without a cached prefix.
+func (fleet *Fleet) Slowest(reach *Reach, shape *Shape) time.Duration {
+	if reach.usable == 0 || fleet.plain {
+		return 0
+	}
+	prefill := float64(shape.Prompt) / reach.slowest.prefill
+	return seconds(prefill + float64(shape.Answer)/reach.slowest.decode)
+}
+
+// Work returns the time that a request takes of one target of the set: its prefill,
+// and of its decoding the part of one slot, since answers are decoded side by side.
+func (fleet *Fleet) Work(reach *Reach, shape *Shape) (work time.Duration, long bool) {
+	if reach.usable == 0 {
+		return 0, false
+	}
+	perTarget := float64(max(reach.slots, 1)) / float64(reach.usable)
+	if fleet.plain {
+		return seconds(1 / reach.call / perTarget), false
+	}
+	cached := min(fleet.prefixes.deepest(shape.Prefixes), shape.Prompt)
+	prefill := float64(shape.Prompt-cached) / reach.mean
+	decode := float64(shape.Answer) / reach.decode / perTarget
+	return seconds(prefill + decode), seconds(prefill) >= longPrefill
+}
--- /dev/null
+++ b/core/yuccapool/decide.go
@@ -0,0 +1,316 @@
+package yuccapool
+
+import (
+	"slices"
+	"time"
+
+	"yuccacleat/core/yuccaid"
+	"yuccacleat/core/yuccaplace"
+	"yuccacleat/core/yuccaqueue"
+)
+
+// Offer queues an ask, or refuses it at once.
+//
+// An ask that is already known is not counted again: an owner that lost its link
+// offers everything anew.
+func (lead *Leader) Offer(now time.Time, ask Ask) Decisions {
+	var dec Decisions
+	if lead.known(&ask, &dec) {
+		return dec
+	}
+	acc := lead.account(ask.Account)
+	if !lead.admit(now, acc, &ask, &dec) {
+		return dec
+	}
+	shape := shapeOf(&ask, now.Add(ask.Remaining))
+	terms := lead.terms(now, acc, &shape)
+	lead.fleet.Demand(terms.Long, terms.Work)
+	lead.push(now, ask, terms, &dec)
+	lead.serve(now, &dec)
+	return dec
+}
+
+func (lead *Leader) known(ask *Ask, dec *Decisions) bool {
+	if _, waits := lead.queue.Get(ask.ID); waits {
+		return true
+	}
+	one, runs := lead.runs[ask.ID]
+	if runs && !one.used {
+		lead.grant(one, dec)
+	}
+	return runs
+}
+
+// admit applies what can be known at once: the account's limits, its targets, and
+// whether even an idle pool could meet the deadline. A caller who hears this at once
+// can turn elsewhere while there is time.
+func (lead *Leader) admit(now time.Time, acc *account, ask *Ask, dec *Decisions) bool {
+	if lead.gathering(now) {
+		return true
+	}
+	reach := lead.reaches[acc.reach]
+	if !reach.Any() {
+		lead.refuse(dec, ask, yuccaqueue.ReasonNoTarget, 0)
+		return false
+	}
+	if back := acc.refusal(now); back > 0 {
+		lead.refuse(dec, ask, yuccaqueue.ReasonLimit, back)
+		return false
+	}
+	shape := shapeOf(ask, now.Add(ask.Remaining))
+	if lead.fleet.Quickest(reach, &shape) > ask.Remaining || ask.Remaining <= 0 {
+		lead.refuse(dec, ask, yuccaqueue.ReasonDeadline, 0)
+		return false
+	}
+	acc.take(ask)
+	return true
+}
+
+func shapeOf(ask *Ask, deadline time.Time) yuccaplace.Shape {
+	return yuccaplace.Shape{
+		Prompt:   ask.Prompt,
+		Answer:   ask.Answer,
+		Prefixes: ask.Prefixes,
+		Rank:     ask.Rank,
+		Deadline: deadline,
+	}
+}
+
+// terms works out how a request waits: its deadline orders it, and it is due for a
+// look when the slowest target could no longer take it, the first moment at which
+// room may have to be made.
+func (lead *Leader) terms(_ time.Time, acc *account, shape *yuccaplace.Shape) yuccaqueue.Terms {
+	reach := lead.reaches[acc.reach]
+	work, long := lead.fleet.Work(reach, shape)
+	return yuccaqueue.Terms{
+		Reach:  yuccaqueue.Reach(acc.reach),
+		Long:   long,
+		Key:    shape.Deadline,
+		Latest: shape.Deadline.Add(-lead.fleet.Quickest(reach, shape)),
+		Due:    shape.Deadline.Add(-lead.fleet.Slowest(reach, shape) - evictLead),
+		Work:   work,
+	}
+}
+
+// push queues an ask. When the queue is full of its own tier and higher ones, a run of
+// a lower tier is cancelled before the ask is refused.
+func (lead *Leader) push(now time.Time, ask Ask, terms yuccaqueue.Terms, dec *Decisions) {
+	displaced, reason := lead.queue.Push(now, ask, terms)
+	if reason == yuccaqueue.ReasonOverload && lead.relieve(now, &ask, dec) {
+		displaced, reason = lead.queue.Push(now, ask, terms)
+	}
+	if reason == yuccaqueue.ReasonOverload && lead.bypass(now, ask, dec) {
+		return
+	}
+	if reason != "" {
+		lead.account(ask.Account).giveBack(&ask)
+		lead.refuse(dec, &ask, reason, lead.back(now, &ask))
+		return
+	}
+	lead.displace(now, displaced, dec)
+}
+
+// relieve makes room in a full queue by cancelling a run of a lower tier in favour of
+// a waiting request of the ask's tier or above.
+func (lead *Leader) relieve(now time.Time, ask *Ask, dec *Decisions) bool {
+	if lead.gathering(now) {
+		return false
+	}
+	item := lead.queue.First(ask.Rank)
+	if item == nil || !lead.evict(now, &item.Ask, item.Deadline, dec) {
+		return false
+	}
+	lead.queue.Take(item)
+	return true
+}
+
+// bypass grants an ask that the full queue can't take the place of a run of a lower
+// tier, when no waiting request could use that place.
+func (lead *Leader) bypass(now time.Time, ask Ask, dec *Decisions) bool {
+	return !lead.gathering(now) && lead.evict(now, &ask, now.Add(ask.Remaining), dec)
+}
+
+// serve grants what finds room and then looks at the requests that are due.
+func (lead *Leader) serve(now time.Time, dec *Decisions) {
+	if lead.gathering(now) {
+		return
+	}
+	try := func(item *yuccaqueue.Item) yuccaqueue.Answer { return lead.try(now, item, dec) }
+	lead.queue.Serve(now, try)
+	for item := lead.queue.Due(now); item != nil; item = lead.queue.Due(now) {
+		lead.due(now, item, dec)
+		lead.queue.Serve(now, try)
+	}
+}
+
+func (lead *Leader) try(now time.Time, item *yuccaqueue.Item, dec *Decisions) yuccaqueue.Answer {
+	shape := shapeOf(&item.Ask, item.Deadline)
+	shape.Long = item.Terms.Long
+	reach := lead.reaches[item.Terms.Reach]
+	choice, verdict := lead.fleet.Choose(now, reach, &shape)
+	switch verdict {
+	case yuccaplace.NoRoom:
+		return yuccaqueue.NoRoom
+	case yuccaplace.TooLate:
+		return yuccaqueue.NotHere
+	default:
+		lead.grant(lead.start(now, item.Ask, choice, item.Deadline), dec)
+		return yuccaqueue.Taken
+	}
+}
+
+// due looks at a request that is about to miss its deadline.
+//
+// First the room kept for others is opened to it, unless a higher tier waits for that
+// room; then a run of a lower tier is cancelled; and when nothing helps any more, the
+// request is refused at once instead of being served late, which would take the
+// target from requests that can still be met.
+func (lead *Leader) due(now time.Time, item *yuccaqueue.Item, dec *Decisions) {
+	if !now.After(item.Terms.Latest) && lead.rescue(now, item, dec) {
+		return
+	}
+	if item.Terms.Due.After(now) {
+		return
+	}
+	if !now.Before(item.Terms.Latest) {
+		lead.queue.Remove(item)
+		lead.refuse(dec, &item.Ask, yuccaqueue.ReasonDeadline, lead.back(now, &item.Ask))
+		return
+	}
+	lead.queue.Defer(item, lead.again(now, item))
+}
+
+// again is when a request that nothing helped yet is looked at next. One held up by
+// its own account's limit may go as soon as another of the account has ended.
+func (lead *Leader) again(now time.Time, item *yuccaqueue.Item) time.Time {
+	soon := now.Add(evictLead)
+	if lead.account(item.Ask.Account).full() && soon.Before(item.Terms.Latest) {
+		return soon
+	}
+	return item.Terms.Latest
+}
+
+func (lead *Leader) rescue(now time.Time, item *yuccaqueue.Item, dec *Decisions) bool {
+	if lead.queue.Above(item.Ask.Rank) == 0 && lead.squeeze(now, item, dec) {
+		return true
+	}
+	return lead.evictLate(now, item, dec)
+}
+
+// evictLate cancels for a waiting request, but not before the last moment that helps:
+// until then a run may end by itself.
+func (lead *Leader) evictLate(now time.Time, item *yuccaqueue.Item, dec *Decisions) bool {
+	eviction, found := lead.eviction(now, &item.Ask, item.Deadline)
+	if !found {
+		return false
+	}
+	if eviction.Slack > evictLead {
+		lead.queue.Defer(item, now.Add(eviction.Slack-evictLead))
+		return false
+	}
+	lead.queue.Take(item)
+	return lead.carryOut(now, &item.Ask, item.Deadline, eviction, dec)
+}
+
+func (lead *Leader) squeeze(now time.Time, item *yuccaqueue.Item, dec *Decisions) bool {
+	if lead.account(item.Ask.Account).full() {
+		return false
+	}
+	shape := shapeOf(&item.Ask, item.Deadline)
+	shape.Urgent = true
+	choice, verdict := lead.fleet.Choose(now, lead.reaches[item.Terms.Reach], &shape)
+	if verdict != yuccaplace.Found {
+		return false
+	}
+	lead.queue.Take(item)
+	lead.grant(lead.start(now, item.Ask, choice, item.Deadline), dec)
+	return true
+}
+
+// evict cancels runs of lower tiers for a request and grants it their place, if that
+// lets it meet its deadline.
+func (lead *Leader) evict(now time.Time, ask *Ask, deadline time.Time, dec *Decisions) bool {
+	eviction, found := lead.eviction(now, ask, deadline)
+	return found && lead.carryOut(now, ask, deadline, eviction, dec)
+}
+
+func (lead *Leader) carryOut(now time.Time, ask *Ask, deadline time.Time, eviction yuccaplace.Eviction, dec *Decisions) bool {
+	for _, victim := range eviction.Runs {
+		lead.cancel(now, lead.runs[victim.ID], dec)
+	}
+	lead.grant(lead.start(now, *ask, eviction.Choice, deadline), dec)
+	return true
+}
+
+func (lead *Leader) eviction(now time.Time, ask *Ask, deadline time.Time) (yuccaplace.Eviction, bool) {
+	acc := lead.account(ask.Account)
+	if !lead.preempts || acc.full() {
+		return yuccaplace.Eviction{}, false
+	}
+	shape := shapeOf(ask, deadline)
+	return lead.fleet.Evict(now, lead.reaches[acc.reach], &shape)
+}
+
+// cancel takes a run's place away. A grant that this very decision made hasn't left
+// yet: it is taken back and its request waits on.
+func (lead *Leader) cancel(now time.Time, one *run, dec *Decisions) {
+	lead.end(now, one)
+	unsent := slices.IndexFunc(dec.Grants, func(grant Grant) bool { return grant.ID == one.ask.ID })
+	if unsent >= 0 {
+		dec.Grants = slices.Delete(dec.Grants, unsent, unsent+1)
+		lead.requeue(now, one, dec)
+		return
+	}
+	dec.Cancels = append(dec.Cancels, Cancel{
+		ID: one.ask.ID, Owner: one.ask.Owner, Target: one.Target(),
+		Reason: yuccaqueue.ReasonPreempted, Back: lead.back(now, &one.ask),
+	})
+}
+
+func (lead *Leader) requeue(now time.Time, one *run, dec *Decisions) {
+	lead.onRequeue(one.Target())
+	one.ask.Remaining = one.deadline.Sub(now)
+	shape := shapeOf(&one.ask, one.deadline)
+	terms := lead.terms(now, lead.account(one.ask.Account), &shape)
+	displaced, reason := lead.queue.Push(now, one.ask, terms)
+	if reason != "" {
+		lead.refuse(dec, &one.ask, yuccaqueue.ReasonDisplaced, lead.back(now, &one.ask))
+	}
+	lead.displace(now, displaced, dec)
+}
+
+func (lead *Leader) displace(now time.Time, displaced []yuccaqueue.Displaced, dec *Decisions) {
+	for _, gone := range displaced {
+		lead.refuse(dec, &gone.Ask, gone.Reason, lead.back(now, &gone.Ask))
+	}
+}
+
+func (lead *Leader) grant(one *run, dec *Decisions) {
+	dec.Grants = append(dec.Grants, Grant{
+		ID: one.ask.ID, Owner: one.ask.Owner, Target: one.Target(), Expires: grantLife,
+		Number: lead.view.Number, Leader: lead.self,
+	})
+}
+
+func (lead *Leader) refuse(dec *Decisions, ask *Ask, reason yuccaqueue.Reason, back time.Duration) {
+	dec.Refusals = append(dec.Refusals, Refusal{ID: ask.ID, Owner: ask.Owner, Reason: reason, Back: back})
+}
+
+// back returns when a refused request of this length would find the work gone that
+// stands before it now, spread so that the refused don't all return together.
+func (lead *Leader) back(now time.Time, ask *Ask) time.Duration {
+	reach := lead.reach(ask.Account)
+	ahead := lead.queue.Ahead(now, ask.Rank, now.Add(ask.Remaining))
+	drain := max(ahead/time.Duration(max(reach.Usable(), 1)), shortestBack)
+	return drain + time.Duration(lead.rng.Float64()*backSpread*float64(drain))
+}
+
+// Withdraw forgets a waiting ask. A grant that is already out comes back by Finished.
+func (lead *Leader) Withdraw(now time.Time, id yuccaid.RequestText) Decisions {
+	var dec Decisions
+	if item, waits := lead.queue.Get(id); waits {
+		lead.queue.Remove(item)
+	}
+	lead.serve(now, &dec)
+	return dec
+}
--- a/core/yuccapool/leader.go
+++ b/core/yuccapool/leader.go
@@ -1,169 +1,304 @@
 package yuccapool
 
 import (
-	"cmp"
 	"math/rand/v2"
-	"slices"
 	"time"
 
 	"yuccacleat/core/yuccaid"
+	"yuccacleat/core/yuccaplace"
 	"yuccacleat/core/yuccaqueue"
 )
 
-// grantLife is how long an owner may take to use a grant.
-const grantLife = 2 * time.Second
-
 // Option changes a leader at its construction.
 type Option func(*Leader)
 
-type waiting struct {
-	ask      Ask
-	deadline time.Time
+// WithQueue passes options to the leader's queue.
+func WithQueue(options ...yuccaqueue.Option) Option {
+	return func(lead *Leader) { lead.queue = yuccaqueue.New(options...) }
+}
+
+// WithFleet passes options to the leader's fleet.
+func WithFleet(options ...yuccaplace.Option) Option {
+	return func(lead *Leader) { lead.fleet = yuccaplace.New(options...) }
 }
 
+// run is a grant that hasn't been given back.
 type run struct {
-	ask    Ask
-	target yuccaid.Target
+	yuccaplace.Run
+	ask      Ask
+	used     bool
+	lost     bool
+	deadline time.Time
 }
 
 // Leader decides for one pool in one data centre.
+//
+// It isn't safe for concurrent use: the daemon's control goroutine owns it.
 type Leader struct {
-	pool    yuccaid.Pool
-	self    yuccaid.Incarnation
-	rng     *rand.Rand
-	view    View
-	until   time.Time
-	waiting []waiting
-	runs    map[yuccaid.RequestText]run
-	leaving map[yuccaid.Target]bool
+	pool     yuccaid.Pool
+	self     yuccaid.Incarnation
+	rng      *rand.Rand
+	view     View
+	until    time.Time
+	preempts bool
+	fleet    *yuccaplace.Fleet
+	queue    *yuccaqueue.Queue
+	reaches  []*yuccaplace.Reach
+	accounts map[yuccaid.Account]*account
+	runs     map[yuccaid.RequestText]*run
+	swept    time.Time
+	// onRequeue hears of grants that were taken back before they were sent.
+	onRequeue func(yuccaid.Target)
 }
 
 // New returns a leader without targets; Configure gives it some.
 func New(pool yuccaid.Pool, leader yuccaid.Incarnation, rng *rand.Rand, options ...Option) *Leader {
 	lead := &Leader{
-		pool:    pool,
-		self:    leader,
-		rng:     rng,
-		runs:    map[yuccaid.RequestText]run{},
-		leaving: map[yuccaid.Target]bool{},
+		pool:     pool,
+		self:     leader,
+		rng:      rng,
+		preempts: true,
+		fleet:    yuccaplace.New(),
+		queue:    yuccaqueue.New(),
+		accounts: map[yuccaid.Account]*account{},
+		runs:     map[yuccaid.RequestText]*run{},
+
+		onRequeue: func(yuccaid.Target) {},
 	}
 	for _, option := range options {
 		option(lead)
 	}
+	lead.reaches = []*yuccaplace.Reach{lead.fleet.NewReach(nil)}
 	return lead
 }
 
-// Configure takes over a configuration.
-func (lead *Leader) Configure(now time.Time, view View) Decisions {
-	lead.view = view
-	return lead.serve(now)
-}
-
-// BeginGather holds all grants back until the given time.
+// BeginGather holds all grants back until the given time, while the daemons tell the
+// new leader what they have waiting and running.
+//
+// A leader that grants before it knows what runs would fill every target a second
+// time, and the urgent requests would wait behind the surplus in the engines.
 func (lead *Leader) BeginGather(_, until time.Time) {
 	lead.until = until
 }
 
-// Hold counts a run that an owner reports while the leader gathers.
-func (lead *Leader) Hold(_ time.Time, running Running) {
-	lead.runs[running.Ask.ID] = run{ask: running.Ask, target: running.Target}
-}
-
-// Offer queues an ask.
-func (lead *Leader) Offer(now time.Time, ask Ask) Decisions {
-	lead.waiting = append(lead.waiting, waiting{ask: ask, deadline: now.Add(ask.Remaining)})
-	return lead.serve(now)
+func (lead *Leader) gathering(now time.Time) bool {
+	return now.Before(lead.until)
 }
 
-// Withdraw forgets a waiting ask.
-func (lead *Leader) Withdraw(now time.Time, id yuccaid.RequestText) Decisions {
-	lead.waiting = slices.DeleteFunc(lead.waiting, func(wait waiting) bool { return wait.ask.ID == id })
-	return lead.serve(now)
+// Hold counts a run that an owner reports while the leader gathers.
+func (lead *Leader) Hold(now time.Time, running Running) {
+	node, found := lead.fleet.Node(running.Target)
+	if _, known := lead.runs[running.Ask.ID]; known || !found {
+		return
+	}
+	if item, waits := lead.queue.Get(running.Ask.ID); waits {
+		lead.queue.Remove(item)
+	}
+	one := lead.start(now, running.Ask, yuccaplace.Choice{Node: node}, now.Add(running.Ask.Remaining))
+	one.used = true
+	if running.Answered > 0 {
+		lead.fleet.First(now, &one.Run)
+		one.Answered = running.Answered
+	}
 }
 
 // Progress notes how far a run has come.
-func (lead *Leader) Progress(now time.Time, _ Progress) Decisions {
-	return lead.serve(now)
+func (lead *Leader) Progress(now time.Time, progress Progress) Decisions {
+	var dec Decisions
+	one, found := lead.runs[progress.ID]
+	if !found {
+		return dec
+	}
+	one.used = true
+	one.Answered = max(one.Answered, progress.Answered)
+	if (progress.FirstToken || progress.Answered > 0) && one.Prefilling() {
+		lead.fleet.First(now, &one.Run)
+		lead.wakeNode(one.Target())
+		lead.serve(now, &dec)
+	}
+	return dec
 }
 
-// Finished frees what a grant held.
+// Finished frees what a grant held and learns from how the run went.
 func (lead *Leader) Finished(now time.Time, done Finished) Decisions {
-	delete(lead.runs, done.ID)
-	return lead.serve(now)
+	var dec Decisions
+	if done.Leaving {
+		lead.fleet.Leave(now, done.Target, true, 0)
+		lead.refresh()
+	}
+	one, found := lead.runs[done.ID]
+	if !found {
+		return dec
+	}
+	lead.end(now, one)
+	if done.Ran {
+		lead.fleet.Learn(now, &one.Run, yuccaplace.Observed{
+			Prompt: done.Prompt, Cached: done.Cached, Answer: done.Answer,
+			Prefill: done.Prefill, Decode: done.Decode,
+		})
+	} else {
+		lead.account(one.ask.Account).giveBack(&one.ask)
+	}
+	lead.serve(now, &dec)
+	return dec
 }
 
-// OwnerGone forgets what a lost daemon had waiting.
+// OwnerGone drops what a lost daemon had waiting. What it had running still occupies
+// its target until the target's report or the longest run says otherwise: the engine
+// doesn't know that nobody waits for the answer.
 func (lead *Leader) OwnerGone(now time.Time, inc yuccaid.Incarnation) Decisions {
-	lead.waiting = slices.DeleteFunc(lead.waiting, func(wait waiting) bool { return wait.ask.Owner == inc })
-	return lead.serve(now)
+	var dec Decisions
+	var gone []*yuccaqueue.Item
+	lead.queue.All(func(item *yuccaqueue.Item) {
+		if item.Ask.Owner == inc {
+			gone = append(gone, item)
+		}
+	})
+	for _, item := range gone {
+		lead.queue.Remove(item)
+	}
+	for _, one := range lead.runs {
+		if one.ask.Owner == inc {
+			one.lost = true
+			one.Cancellable = false
+		}
+	}
+	lead.serve(now, &dec)
+	return dec
 }
 
 // Report takes a target's own word on its load.
 func (lead *Leader) Report(now time.Time, report Report) Decisions {
-	lead.leaving[report.Target] = report.Leaving
-	return lead.serve(now)
+	var dec Decisions
+	lead.fleet.Leave(now, report.Target, report.Leaving, report.Age)
+	lead.release(now, &report)
+	lead.fleet.Report(now, report.Target, yuccaplace.Load{
+		Age: report.Age, Waiting: report.Waiting, Running: report.Running,
+	})
+	lead.wakeNode(report.Target)
+	lead.serve(now, &dec)
+	return dec
+}
+
+// release ends runs of lost owners that the target's report no longer shows. Only
+// runs that began before the report was made are compared with it.
+func (lead *Leader) release(now time.Time, report *Report) {
+	made := now.Add(-report.Age)
+	var lost []*run
+	counted := 0
+	for _, one := range lead.runs {
+		if one.Target() != report.Target || one.Began.After(made) {
+			continue
+		}
+		counted++
+		if one.lost {
+			lost = append(lost, one)
+		}
+	}
+	surplus := counted - report.Running - report.Waiting
+	for _, one := range lost[:max(0, min(surplus, len(lost)))] {
+		lead.end(now, one)
+	}
 }
 
 // CacheEvent takes a target's word on its prefix cache.
-func (lead *Leader) CacheEvent(time.Time, CacheEvent) {}
+func (lead *Leader) CacheEvent(_ time.Time, event CacheEvent) {
+	lead.fleet.CacheEvent(event.Target, event.Stored, event.Evicted, event.Gap)
+}
 
-// Tick decides what the passing of time has changed.
+// Tick decides what the passing of time has changed. Call it at least every 100
+// milliseconds, or when Next says so.
 func (lead *Leader) Tick(now time.Time) Decisions {
-	return lead.serve(now)
+	var dec Decisions
+	lead.fleet.Tick(now)
+	lead.refresh()
+	lead.sweep(now)
+	lead.queue.Wake(func(yuccaqueue.Reach) bool { return true })
+	lead.serve(now, &dec)
+	return dec
 }
 
-// Status returns what the leader believes.
-func (lead *Leader) Status(now time.Time) Status {
-	return Status{Pool: lead.pool, Number: lead.view.Number, Gathering: now.Before(lead.until)}
+// Next returns when a waiting request has to be looked at again.
+func (lead *Leader) Next(now time.Time) (time.Time, bool) {
+	due, found := lead.queue.NextDue()
+	if found && lead.gathering(now) && due.Before(lead.until) {
+		return lead.until, true
+	}
+	return due, found
 }
 
-func (lead *Leader) serve(now time.Time) Decisions {
-	var dec Decisions
-	if now.Before(lead.until) {
-		return dec
+// sweep ends runs that have outlived the longest run, such as those of lost owners on
+// targets that report nothing.
+func (lead *Leader) sweep(now time.Time) {
+	if now.Sub(lead.swept) < sweepPause {
+		return
 	}
-	slices.SortStableFunc(lead.waiting, func(a, b waiting) int {
-		return cmp.Or(cmp.Compare(a.ask.Rank, b.ask.Rank), a.deadline.Compare(b.deadline))
-	})
-	kept := lead.waiting[:0]
-	for _, wait := range lead.waiting {
-		if !now.Before(wait.deadline) {
-			refusal := Refusal{ID: wait.ask.ID, Owner: wait.ask.Owner, Reason: yuccaqueue.ReasonDeadline}
-			dec.Refusals = append(dec.Refusals, refusal)
-			continue
-		}
-		target, found := lead.choose(&wait.ask)
-		if !found {
-			kept = append(kept, wait)
-			continue
+	lead.swept = now
+	longest := lead.view.LongestRun
+	if longest <= 0 {
+		longest = defaultLongest
+	}
+	for _, one := range lead.runs {
+		if now.Sub(one.Began) > longest+grantLife {
+			lead.end(now, one)
 		}
-		lead.runs[wait.ask.ID] = run{ask: wait.ask, target: target}
-		dec.Grants = append(dec.Grants, Grant{
-			ID: wait.ask.ID, Owner: wait.ask.Owner, Target: target, Expires: grantLife,
-			Number: lead.view.Number, Leader: lead.self,
-		})
 	}
-	lead.waiting = kept
-	return dec
 }
 
-func (lead *Leader) choose(ask *Ask) (yuccaid.Target, bool) {
-	var best yuccaid.Target
-	bestLoad := 1.0
-	allowed := lead.view.Accounts[ask.Account].Targets
-	for _, tgt := range lead.view.Targets {
-		if tgt.Leaving || lead.leaving[tgt.Name] || len(allowed) > 0 && !slices.Contains(allowed, tgt.Name) {
-			continue
-		}
-		busy := 0
-		for _, one := range lead.runs {
-			if one.target == tgt.Name {
-				busy++
-			}
-		}
-		if load := float64(busy) / float64(max(tgt.Slots, 1)); load < bestLoad {
-			best, bestLoad = tgt.Name, load
-		}
+func (lead *Leader) start(now time.Time, ask Ask, choice yuccaplace.Choice, deadline time.Time) *run {
+	one := &run{ask: ask, deadline: deadline}
+	one.Run = yuccaplace.Run{
+		ID:          ask.ID,
+		Rank:        ask.Rank,
+		Cancellable: ask.Idempotent && !lead.view.Plain,
+		Prompt:      ask.Prompt,
+		Cached:      choice.Cached,
+		Answer:      ask.Answer,
+	}
+	shape := shapeOf(&ask, deadline)
+	_, one.Long = lead.fleet.Work(lead.reach(ask.Account), &shape)
+	lead.runs[ask.ID] = one
+	lead.fleet.Begin(now, choice.Node, &one.Run, ask.Prefixes)
+	acc := lead.account(ask.Account)
+	acc.running++
+	lead.queue.SetBlocked(ask.Account, acc.full())
+	return one
+}
+
+func (lead *Leader) end(now time.Time, one *run) {
+	delete(lead.runs, one.ask.ID)
+	lead.fleet.End(now, &one.Run)
+	acc := lead.account(one.ask.Account)
+	acc.running--
+	lead.queue.SetBlocked(one.ask.Account, acc.full())
+	lead.wakeNode(one.Target())
+}
+
+func (lead *Leader) wakeNode(name yuccaid.Target) {
+	node, found := lead.fleet.Node(name)
+	if !found {
+		return
+	}
+	lead.queue.Wake(func(at yuccaqueue.Reach) bool { return lead.reaches[at].Has(node) })
+}
+
+func (lead *Leader) refresh() {
+	for _, reach := range lead.reaches {
+		reach.Refresh()
+	}
+}
+
+func (lead *Leader) reach(name yuccaid.Account) *yuccaplace.Reach {
+	return lead.reaches[lead.account(name).reach]
+}
+
+// account returns a client account, also one that the configuration doesn't know: its
+// owner may have a newer configuration, and refuses what isn't allowed by itself.
+func (lead *Leader) account(name yuccaid.Account) *account {
+	acc, found := lead.accounts[name]
+	if !found {
+		acc = &account{}
+		lead.accounts[name] = acc
 	}
-	return best, bestLoad < 1
+	return acc
 }
--- a/core/yuccapool/message.go
+++ b/core/yuccapool/message.go
@@ -51,7 +51,7 @@
 }
 
 // Empty reports whether there is nothing to send.
-func (dec *Decisions) Empty() bool {
+func (dec Decisions) Empty() bool {
 	return len(dec.Grants)+len(dec.Refusals)+len(dec.Cancels) == 0
 }
 
--- a/core/yuccapool/status.go
+++ b/core/yuccapool/status.go
@@ -35,3 +35,31 @@
 	Tiers     []TierStatus   `msgpack:"tiers"`
 	Targets   []TargetStatus `msgpack:"targets"`
 }
+
+// Status returns what the leader believes.
+func (lead *Leader) Status(now time.Time) Status {
+	status := Status{Pool: lead.pool, Number: lead.view.Number, Gathering: lead.gathering(now)}
+	for _, tr := range lead.queue.Tiers() {
+		status.Tiers = append(status.Tiers, TierStatus{
+			Tier: tr.Tier, Rank: tr.Rank, Waiting: tr.Requests, Queued: tr.Tokens, Running: lead.runningAt(tr.Rank),
+		})
+	}
+	for _, node := range lead.fleet.Nodes() {
+		status.Targets = append(status.Targets, TargetStatus{
+			Target: node.Target.Name, Running: node.Running(), Slots: node.Target.Slots,
+			Backlog: node.Backlog(now), Prefill: node.Prefill(), Decode: node.Decode(),
+			Health: string(node.Health()), Leaving: node.Gone(),
+		})
+	}
+	return status
+}
+
+func (lead *Leader) runningAt(rank int) int {
+	count := 0
+	for _, one := range lead.runs {
+		if one.Rank == rank {
+			count++
+		}
+	}
+	return count
+}
--- /dev/null
+++ b/core/yuccaqueue/queue.go
@@ -0,0 +1,480 @@
+package yuccaqueue
+
+import (
+	"slices"
+	"time"
+
+	"yuccacleat/core/yuccaid"
+)
+
+// Answer is what the caller of Serve says of the request it was shown.
+type Answer int
+
+// The answers to Serve.
+const (
+	// Taken says that the request got its target and leaves the queue.
+	Taken Answer = iota
+	// NoRoom says that no request of this reach and length finds room now.
+	NoRoom
+	// NotHere says that the room there is now doesn't suit this request.
+	NotHere
+)
+
+// Option changes a queue at its construction.
+type Option func(*Queue)
+
+// WithBounds sets what may wait.
+func WithBounds(bounds Bounds) Option {
+	return func(q *Queue) { q.bounds = bounds }
+}
+
+// WithFairWindow sets how many seconds of service an account may be ahead of the one
+// served least before deadlines stop speaking for it.
+func WithFairWindow(seconds float64) Option {
+	return func(q *Queue) { q.window = seconds }
+}
+
+// WithoutDisplacement makes a full queue refuse every arrival; it exists to show that
+// the tier rule needs displacement.
+func WithoutDisplacement() Option {
+	return func(q *Queue) { q.displaces = false }
+}
+
+// WithoutRecheck leaves classes that found no room aside until Wake; it exists to show
+// that the tier rule needs the second look.
+func WithoutRecheck() Option {
+	return func(q *Queue) { q.rechecks = false }
+}
+
+// Queue holds one pool's waiting requests: strict tiers, and within a tier deadline
+// order between accounts that are within a window of their fair share.
+type Queue struct {
+	bounds    Bounds
+	window    float64
+	displaces bool
+	rechecks  bool
+	items     map[yuccaid.RequestText]*Item
+	accounts  map[yuccaid.Account]*account
+	tiers     []*tier
+	due       heap[*Item]
+	load      load
+}
+
+// New returns an empty queue.
+func New(options ...Option) *Queue {
+	q := &Queue{
+		bounds:    DefaultBounds(),
+		window:    fairWindow,
+		displaces: true,
+		rechecks:  true,
+		items:     map[yuccaid.RequestText]*Item{},
+		accounts:  map[yuccaid.Account]*account{},
+		due: heap[*Item]{
+			less:  func(a, b *Item) bool { return a.Terms.Due.Before(b.Terms.Due) },
+			place: func(item *Item) *int { return &item.inDue },
+		},
+	}
+	for _, option := range options {
+		option(q)
+	}
+	return q
+}
+
+// Len returns how many requests wait.
+func (q *Queue) Len() int {
+	return len(q.items)
+}
+
+// Get returns a waiting request.
+func (q *Queue) Get(id yuccaid.RequestText) (*Item, bool) {
+	item, found := q.items[id]
+	return item, found
+}
+
+// SetWeight sets an account's share of a tier's service; one below 1 counts as 1.
+func (q *Queue) SetWeight(name yuccaid.Account, weight int) {
+	q.account(name).weight = float64(max(weight, 1))
+}
+
+// SetBlocked keeps an account's requests waiting whatever room there is, or lets them
+// go on; it is for an account at its own limit of running requests.
+func (q *Queue) SetBlocked(name yuccaid.Account, blocked bool) {
+	acc := q.account(name)
+	if acc.blocked == blocked {
+		return
+	}
+	acc.blocked = blocked
+	for _, sh := range acc.shares {
+		sh.seat()
+	}
+}
+
+// Displaced is a request that had to leave the queue, and why.
+type Displaced struct {
+	*Item
+	Reason Reason
+}
+
+// displacedFor is what the displaced is told, by what the arrival would have been.
+var displacedFor = map[Reason]Reason{ReasonOverload: ReasonDisplaced, ReasonLimit: ReasonLimit}
+
+// Push queues an ask, or returns why it can't.
+//
+// When the queue is full, an arrival takes the place of the newest request of the
+// lowest tier, if that tier is below its own: the newest has waited least, and its
+// caller loses least. An account at its own bound displaces its own only. The
+// displaced have left the queue and are the caller's to refuse. An arrival is refused
+// for load only when nothing of a lower tier waits.
+func (q *Queue) Push(now time.Time, ask Ask, terms Terms) ([]Displaced, Reason) {
+	acc := q.account(ask.Account)
+	tr := q.tier(ask.Tier, ask.Rank)
+	var displaced []Displaced
+	for {
+		reason := q.full(acc, tr.rank)
+		if reason == "" {
+			break
+		}
+		victim := q.victim(acc, tr.rank, reason)
+		if victim == nil && len(displaced) == 0 {
+			return nil, reason
+		}
+		if victim == nil {
+			break
+		}
+		q.Remove(victim)
+		displaced = append(displaced, Displaced{Item: victim, Reason: displacedFor[reason]})
+	}
+	q.add(now, acc, tr, ask, terms)
+	return displaced, ""
+}
+
+func (q *Queue) full(acc *account, rank int) Reason {
+	if q.bounds.accountFull(acc.load) {
+		return ReasonLimit
+	}
+	if q.bounds.poolFull(q.load) || rank > 0 && q.bounds.lowerFull(q.lowerLoad()) {
+		return ReasonOverload
+	}
+	return ""
+}
+
+func (q *Queue) lowerLoad() load {
+	sum := q.load
+	if len(q.tiers) > 0 && q.tiers[0].rank == 0 {
+		sum.requests -= q.tiers[0].load.requests
+		sum.tokens -= q.tiers[0].load.tokens
+	}
+	return sum
+}
+
+// victim returns the newest waiting request of the lowest tier below the given rank:
+// of the account itself when its own bound is reached, else of the whole pool.
+func (q *Queue) victim(acc *account, rank int, reason Reason) *Item {
+	if !q.displaces {
+		return nil
+	}
+	if reason == ReasonLimit {
+		return acc.newestBelow(rank)
+	}
+	for _, tr := range slices.Backward(q.tiers) {
+		if tr.rank <= rank {
+			return nil
+		}
+		if tr.chain.newest != nil {
+			return tr.chain.newest
+		}
+	}
+	return nil
+}
+
+func (acc *account) newestBelow(rank int) *Item {
+	var lowest *share
+	for _, sh := range acc.shares {
+		if sh.tier.rank > rank && sh.waiting() && (lowest == nil || sh.tier.rank > lowest.tier.rank) {
+			lowest = sh
+		}
+	}
+	if lowest == nil {
+		return nil
+	}
+	return lowest.chain.newest
+}
+
+func (q *Queue) add(now time.Time, acc *account, tr *tier, ask Ask, terms Terms) {
+	item := &Item{Ask: ask, Terms: terms, Arrived: now, Deadline: now.Add(ask.Remaining)}
+	sh := q.share(acc, tr)
+	cls := tr.classOf(&terms, q.window)
+	if !sh.waiting() {
+		sh.virtual = max(sh.virtual, tr.floor)
+	}
+	item.flow = sh.flowIn(cls)
+	item.flow.items.push(item)
+	cls.seat(item.flow)
+	q.items[ask.ID] = item
+	q.due.push(item)
+	tr.chain.add(item)
+	sh.chain.add(item)
+	tr.work.add(item)
+	tr.load.add(item)
+	acc.load.add(item)
+	q.load.add(item)
+}
+
+// Remove takes a waiting request out.
+func (q *Queue) Remove(item *Item) {
+	if q.items[item.Ask.ID] != item {
+		return
+	}
+	fl := item.flow
+	tr := fl.share.tier
+	if item.held {
+		fl.class.release(item)
+	} else {
+		fl.items.drop(item)
+		fl.class.seat(fl)
+	}
+	delete(q.items, item.Ask.ID)
+	q.due.drop(item)
+	tr.chain.drop(item)
+	fl.share.chain.drop(item)
+	tr.work.drop(item)
+	tr.load.drop(item)
+	fl.share.account.load.drop(item)
+	q.load.drop(item)
+}
+
+// Take removes a request that was given a target outside Serve and counts its work as
+// its account's.
+func (q *Queue) Take(item *Item) {
+	q.Remove(item)
+	item.flow.share.charge(item.Terms.Work.Seconds())
+}
+
+// Serve shows the waiting requests in the order of service, the highest tier first,
+// until nothing more finds room.
+//
+// A class that found no room isn't asked again before Wake, so an arrival behind a
+// full pool costs no scan of the targets. Room can come up by the mere passing of
+// time, though, so before a tier is served, the classes above it that were set aside
+// at an earlier time are asked once more: else a lower tier could take their place.
+func (q *Queue) Serve(now time.Time, try func(*Item) Answer) {
+	for at := 0; at < len(q.tiers); at++ {
+		fl := q.tiers[at].next()
+		if fl == nil {
+			continue
+		}
+		if q.wakeAbove(now, at) {
+			at = -1
+			continue
+		}
+		for ; fl != nil; fl = q.tiers[at].next() {
+			q.serveOne(now, fl, try)
+		}
+	}
+}
+
+func (q *Queue) serveOne(now time.Time, fl *flow, try func(*Item) Answer) {
+	item := fl.items.top()
+	switch try(item) {
+	case Taken:
+		q.Take(item)
+	case NoRoom:
+		fl.class.park(now)
+	case NotHere:
+		fl.class.hold(now, item)
+	}
+}
+
+// wakeAbove wakes the classes of higher tiers that were set aside before now and
+// reports whether there were any.
+func (q *Queue) wakeAbove(now time.Time, at int) bool {
+	woken := false
+	if !q.rechecks {
+		return false
+	}
+	for _, tr := range q.tiers[:at] {
+		for _, cls := range tr.classes {
+			if cls.aside() && cls.since.Before(now) {
+				cls.wake()
+				woken = true
+			}
+		}
+	}
+	return woken
+}
+
+// Wake lets the classes of the matching reaches be served again.
+func (q *Queue) Wake(match func(Reach) bool) {
+	for _, tr := range q.tiers {
+		for _, cls := range tr.classes {
+			if cls.aside() && match(cls.reach) {
+				cls.wake()
+			}
+		}
+	}
+}
+
+// Due returns the request whose time to be looked at has come first, or nil.
+func (q *Queue) Due(now time.Time) *Item {
+	if q.due.len() == 0 || q.due.top().Terms.Due.After(now) {
+		return nil
+	}
+	return q.due.top()
+}
+
+// NextDue returns when Due has something to return.
+func (q *Queue) NextDue() (time.Time, bool) {
+	if q.due.len() == 0 {
+		return time.Time{}, false
+	}
+	return q.due.top().Terms.Due, true
+}
+
+// Defer sets when a request is to be looked at again.
+func (q *Queue) Defer(item *Item, due time.Time) {
+	item.Terms.Due = due
+	q.due.fix(item)
+}
+
+// Ahead sums the work that would be served before a request of the rank and deadline
+// that arrives now: all of the higher tiers and the earlier deadlines of its own.
+func (q *Queue) Ahead(now time.Time, rank int, deadline time.Time) time.Duration {
+	var sum time.Duration
+	for _, tr := range q.tiers {
+		if tr.rank < rank {
+			sum += tr.work.total
+		}
+		if tr.rank == rank {
+			sum += tr.work.before(now, deadline)
+		}
+	}
+	return sum
+}
+
+// TierLoad is what waits at one rank.
+type TierLoad struct {
+	Tier     yuccaid.Tier
+	Rank     int
+	Requests int
+	Tokens   yuccaid.Tokens
+	Work     time.Duration
+}
+
+// Tiers returns what waits, the highest tier first.
+func (q *Queue) Tiers() []TierLoad {
+	list := make([]TierLoad, 0, len(q.tiers))
+	for _, tr := range q.tiers {
+		list = append(list, TierLoad{
+			Tier: tr.name, Rank: tr.rank, Requests: tr.load.requests, Tokens: tr.load.tokens, Work: tr.work.total,
+		})
+	}
+	return list
+}
+
+// All calls visit for each waiting request; it is for a change of configuration and
+// for tests, not for the steady state.
+func (q *Queue) All(visit func(*Item)) {
+	for _, item := range q.items {
+		visit(item)
+	}
+}
+
+// Reclass gives a waiting request other terms, as after a change of configuration.
+func (q *Queue) Reclass(item *Item, terms Terms) {
+	sh := item.flow.share
+	if item.held {
+		item.flow.class.release(item)
+	} else {
+		item.flow.items.drop(item)
+		item.flow.class.seat(item.flow)
+	}
+	sh.tier.work.drop(item)
+	item.Terms = terms
+	sh.tier.work.add(item)
+	item.flow = sh.flowIn(sh.tier.classOf(&terms, q.window))
+	item.flow.items.push(item)
+	item.flow.class.seat(item.flow)
+	q.due.fix(item)
+}
+
+// Prune forgets classes that nothing waits in, after reaches were renumbered.
+func (q *Queue) Prune() {
+	empty := func(cls *class) bool { return cls.all.len() == 0 && len(cls.held) == 0 }
+	for _, acc := range q.accounts {
+		for _, sh := range acc.shares {
+			sh.flows = slices.DeleteFunc(sh.flows, func(fl *flow) bool { return fl.items.len() == 0 && empty(fl.class) })
+		}
+	}
+	for _, tr := range q.tiers {
+		tr.classes = slices.DeleteFunc(tr.classes, func(cls *class) bool {
+			return empty(cls) && !q.used(cls)
+		})
+	}
+}
+
+func (q *Queue) used(cls *class) bool {
+	for _, acc := range q.accounts {
+		for _, sh := range acc.shares {
+			for _, fl := range sh.flows {
+				if fl.class == cls {
+					return true
+				}
+			}
+		}
+	}
+	return false
+}
+
+func (q *Queue) account(name yuccaid.Account) *account {
+	acc, found := q.accounts[name]
+	if !found {
+		acc = &account{name: name, weight: 1}
+		q.accounts[name] = acc
+	}
+	return acc
+}
+
+func (q *Queue) tier(name yuccaid.Tier, rank int) *tier {
+	at, found := slices.BinarySearchFunc(q.tiers, rank, func(tr *tier, rank int) int { return tr.rank - rank })
+	if !found {
+		fresh := &tier{name: name, rank: rank, chain: chain{kind: chainTier}}
+		q.tiers = slices.Insert(q.tiers, at, fresh)
+	}
+	return q.tiers[at]
+}
+
+func (q *Queue) share(acc *account, tr *tier) *share {
+	for _, sh := range acc.shares {
+		if sh.tier == tr {
+			return sh
+		}
+	}
+	sh := &share{account: acc, tier: tr, chain: chain{kind: chainShare}}
+	acc.shares = append(acc.shares, sh)
+	return sh
+}
+
+// First returns the request that is served first at the rank or above, whether there
+// is room for it or not, or nil.
+func (q *Queue) First(rank int) *Item {
+	for _, tr := range q.tiers {
+		if tr.rank > rank {
+			return nil
+		}
+		if item := tr.first(); item != nil {
+			return item
+		}
+	}
+	return nil
+}
+
+// Above returns how many requests of higher tiers wait.
+func (q *Queue) Above(rank int) int {
+	sum := 0
+	for _, tr := range q.tiers {
+		if tr.rank < rank {
+			sum += tr.load.requests
+		}
+	}
+	return sum
+}
