yuccatrial: ask other data centres in time, and a tighter bound

Cause: asking elsewhere only on refusal came after 70 to 88 per cent of a request's time and helped nothing; the bound let every request decode in a full batch, also where that misses its deadline. Ruled out: asking all data centres at once (three times the messages).

--- a/core/yuccatrial/request.go
+++ b/core/yuccatrial/request.go
@@ -41,9 +41,10 @@
 	job      *job
 	fate     fate
 	ended    time.Time
-	back     time.Duration
-	comeback bool // sent again after a refusal; not counted as offered
-	asked    *seat
+	back     time.Duration // the least that any refusal said
+	comeback bool          // sent again after a refusal; not counted as offered
+	asked    []*seat       // leaders that have not refused
+	granted  *seat
 	tried    int // other data centres that were asked
 }
 
--- a/core/yuccatrial/scenario.go
+++ b/core/yuccatrial/scenario.go
@@ -153,7 +153,7 @@
 const sample = 4000
 
 // rate returns the arrivals a second at which the drafting targets are busy to the
-// scenario's load, if every shared prefix is cached and every batch is full.
+// scenario's load, if most shared prefixes are cached and every batch is full.
 func (src *source) rate() float64 {
 	probe := *src
 	probe.rng = rand.New(rand.NewPCG(7, 7))
@@ -173,9 +173,15 @@
 	return src.scn.Load * capacity / (work / sample)
 }
 
-// work is the least time of the engine that the request takes, at its real speed.
+// hitShare is the part of shared prefixes that counts as cached for the load. All of
+// it would call a load usual that no cache of this size can bear.
+const hitShare = 0.7
+
+// work is the time of the engine that the request takes in a full batch, at its real
+// speed.
 func (eng *Engine) work(req *Request) float64 {
-	prefill := eng.Prefill.Time(req.Prompt - req.Shared).Seconds()
+	cached := yuccaid.Tokens(hitShare * float64(req.Shared))
+	prefill := eng.Prefill.Time(req.Prompt - cached).Seconds()
 	decode := float64(req.Answer) / eng.throughput()
 	return (prefill + decode) / eng.speed
 }
