--- a/core/yuccatrial/catalog.go
+++ b/core/yuccatrial/catalog.go
@@ -11,19 +11,22 @@
 	slowFactor = 1.0 / 8
 )
 
-// usual is a deployment at its everyday load.
-func usual(dep Deployment) Scenario {
-	span := usualSpan
-	if len(dep.Centres) == 1 {
+// usual is a deployment at its everyday load; a span of zero means the default.
+func usual(dep Deployment, span time.Duration) Scenario {
+	if span == 0 && len(dep.Centres) == 1 {
 		span = aimedSpan
 	}
+	if span == 0 {
+		span = usualSpan
+	}
 	return Scenario{Name: dep.Name + " usual", Deployment: dep, Load: usualLoad, Duration: span, ReportLag: usualLag}
 }
 
-// Scenarios returns every scenario of a deployment. Faults come at a third of the run
-// and last another third.
-func Scenarios(dep Deployment) []Scenario {
-	base := usual(dep)
+// Scenarios returns every scenario of a deployment, each as long as the span or, if
+// that is zero, as the default. Faults come at a third of the run and last another
+// third.
+func Scenarios(dep Deployment, span time.Duration) []Scenario {
+	base := usual(dep, span)
 	third := base.Duration / 3
 	vary := func(name string, change func(scn *Scenario)) Scenario {
 		scn := base
@@ -32,7 +35,7 @@
 		return scn
 	}
 	burst := func(scn *Scenario) {
-		scn.Burst = Window{From: third, To: third + 20*time.Second}
+		scn.Burst = Window{From: third, To: third + min(third, 20*time.Second)}
 		scn.BurstFactor = 4
 	}
 	list := []Scenario{
--- a/core/yuccatrial/measure_test.go
+++ b/core/yuccatrial/measure_test.go
@@ -26,7 +26,7 @@
 	for _, dep := range deployments() {
 		if dep.Name == *measure {
 			var results []yuccatrial.Result
-			for _, scn := range yuccatrial.Scenarios(dep) {
+			for _, scn := range yuccatrial.Scenarios(dep, 0) {
 				if strings.Contains(scn.Name, *scenario) {
 					results = append(results, yuccatrial.Compare(*seed, scn)...)
 				}
--- a/core/yuccatrial/plot.go
+++ b/core/yuccatrial/plot.go
@@ -19,7 +19,7 @@
 func Curve(seed uint64, dep Deployment, loads []float64) []Result {
 	var results []Result
 	for _, load := range loads {
-		scn := usual(dep)
+		scn := usual(dep, 0)
 		scn.Load = load
 		for _, res := range Compare(seed, scn) {
 			res.Load = load
--- a/core/yuccatrial/scenario.go
+++ b/core/yuccatrial/scenario.go
@@ -138,7 +138,7 @@
 	var requests []*Request
 	for at := time.Duration(0); ; {
 		factor := 1.0
-		if src.scn.Burst.holds(epoch.Add(at)) {
+		if src.scn.BurstFactor > 0 && src.scn.Burst.holds(epoch.Add(at)) {
 			factor = src.scn.BurstFactor
 		}
 		at += time.Duration(src.rng.ExpFloat64() / (rate * factor) * float64(time.Second))
