--- /dev/null
+++ b/cmd/yuccacleat/fleet_test.go
@@ -0,0 +1,343 @@
+package main_test
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"yuccacleat/core/yuccaid"
+	"yuccacleat/core/yuccastate"
+	"yuccacleat/io/yuccacaller"
+	"yuccacleat/io/yuccadaemon"
+	"yuccacleat/io/yuccaserve"
+	"yuccacleat/io/yuccastand"
+)
+
+const (
+	// patience is for events that must come; verdicts never depend on how soon.
+	patience = 60 * time.Second
+	pollEach = 50 * time.Millisecond
+	secret   = "hotline secret"
+)
+
+// process is one child of the test.
+type process struct {
+	cmd  *exec.Cmd
+	line []byte
+	logs *logBuffer
+}
+
+// logBuffer keeps a child's standard error for the report of a failed test.
+type logBuffer struct {
+	mu  sync.Mutex
+	buf bytes.Buffer
+}
+
+func (lb *logBuffer) Write(p []byte) (int, error) {
+	lb.mu.Lock()
+	defer lb.mu.Unlock()
+	return lb.buf.Write(p)
+}
+
+func (lb *logBuffer) String() string {
+	lb.mu.Lock()
+	defer lb.mu.Unlock()
+	return lb.buf.String()
+}
+
+// spawn starts a program and reads the line in which it tells its addresses.
+func spawn(program string, args ...string) *process {
+	GinkgoHelper()
+	proc := &process{cmd: exec.Command(program, args...), logs: &logBuffer{}}
+	proc.cmd.Stderr = proc.logs
+	out, err := proc.cmd.StdoutPipe()
+	Expect(err).NotTo(HaveOccurred())
+	Expect(proc.cmd.Start()).To(Succeed())
+	DeferCleanup(proc.kill)
+	reader := bufio.NewReader(out)
+	proc.line, err = reader.ReadBytes('\n')
+	Expect(err).NotTo(HaveOccurred(), "%s %v said: %s", program, args, proc.logs)
+	return proc
+}
+
+func (proc *process) kill() {
+	if proc.cmd.ProcessState == nil {
+		_ = proc.cmd.Process.Kill()
+		_ = proc.cmd.Wait()
+	}
+}
+
+func (proc *process) signal(sig syscall.Signal) {
+	GinkgoHelper()
+	Expect(proc.cmd.Process.Signal(sig)).To(Succeed())
+}
+
+// exit waits for the process and returns its exit code.
+func (proc *process) exit() int {
+	_ = proc.cmd.Wait()
+	return proc.cmd.ProcessState.ExitCode()
+}
+
+// fleet is one data centre of daemons, targets and a platform, all processes.
+type fleet struct {
+	dir      string
+	platform string
+	daemons  []*daemon
+	engines  []string
+	plain    string
+	caller   *yuccacaller.Client
+	state    *yuccastate.State
+}
+
+// daemon is one daemon's process.
+type daemon struct {
+	*process
+	name      yuccaid.VM
+	addresses yuccaserve.Addresses
+}
+
+// newFleet starts everything and waits until each daemon is ready with all peers.
+func newFleet(daemons int, engines ...[]string) *fleet {
+	GinkgoHelper()
+	fl := &fleet{dir: GinkgoT().TempDir(), caller: yuccacaller.New(secret), state: yuccastate.Empty()}
+	DeferCleanup(fl.caller.Close)
+	Expect(os.WriteFile(filepath.Join(fl.dir, "key"), []byte("a fleet key of enough length for tests\n"), 0o600)).To(Succeed())
+	fl.platform = fl.stand("platform")
+	for _, args := range engines {
+		fl.engines = append(fl.engines, fl.stand(append([]string{"engine"}, args...)...))
+	}
+	fl.plain = fl.stand("plain")
+	for i := range daemons {
+		fl.start(yuccaid.VM(fmt.Sprintf("entry-%d", i+1)))
+	}
+	fl.list()
+	fl.publish(fl.firstNote())
+	fl.settle()
+	return fl
+}
+
+func (fl *fleet) stand(args ...string) string {
+	GinkgoHelper()
+	proc := spawn(yuccastandPath, append(args, "--listen", "127.0.0.1:0")...)
+	var told struct {
+		Listening string `json:"listening"`
+	}
+	Expect(json.Unmarshal(proc.line, &told)).To(Succeed())
+	return told.Listening
+}
+
+// start runs one more daemon; the list must be published for others to find it.
+func (fl *fleet) start(name yuccaid.VM) *daemon {
+	GinkgoHelper()
+	settings := fmt.Sprintf(`vm: %s
+centre: odessa-1
+listen:
+  caller: 127.0.0.1:0
+  peer: 127.0.0.1:0
+  operator: 127.0.0.1:0
+platform: http://%s
+fleetKeyFile: %s
+longestDrain: 60s
+`, name, fl.platform, filepath.Join(fl.dir, "key"))
+	path := filepath.Join(fl.dir, string(name)+".yaml")
+	Expect(os.WriteFile(path, []byte(settings), 0o600)).To(Succeed())
+	dm := &daemon{process: spawn(yuccacleatPath, "serve", "--settings", path), name: name}
+	Expect(json.Unmarshal(dm.line, &dm.addresses)).To(Succeed())
+	fl.daemons = append(fl.daemons, dm)
+	return dm
+}
+
+// list publishes which VMs are live, as the platform would.
+func (fl *fleet) list() {
+	GinkgoHelper()
+	type vm struct {
+		VM      yuccaid.VM     `json:"vm"`
+		Centre  yuccaid.Centre `json:"centre"`
+		Address string         `json:"address"`
+		Kind    string         `json:"kind"`
+		State   string         `json:"state"`
+	}
+	var list struct {
+		VMs []vm `json:"vms"`
+	}
+	for _, dm := range fl.daemons {
+		list.VMs = append(list.VMs, vm{VM: dm.name, Centre: "odessa-1", Address: dm.addresses.Peer, Kind: "entry", State: "live"})
+	}
+	raw, err := json.Marshal(list)
+	Expect(err).NotTo(HaveOccurred())
+	put(fl.platform, "/control/vms", raw)
+}
+
+func (fl *fleet) firstNote() yuccastate.Note {
+	note := yuccastate.Note{By: "test operator"}
+	note.Added.Centres = map[yuccaid.Centre]yuccastate.Centre{"odessa-1": {Region: "permian"}}
+	note.Added.Tiers = map[yuccaid.Tier]yuccastate.Tier{"urgent": {Rank: 0}, "normal": {Rank: 1}, "bulk": {Rank: 2}}
+	note.Added.Pools = map[yuccaid.Pool]yuccastate.Pool{
+		"draft": {Kind: yuccastate.PoolModel, LongestRun: time.Minute, Operations: yuccastate.Operations{"generate": {Idempotent: true}}},
+		"desk":  {Kind: yuccastate.PoolService, LongestRun: time.Minute, Operations: yuccastate.Operations{"lookup": {Idempotent: true}, "file-ticket": {}}},
+	}
+	note.Added.Accounts = map[yuccaid.Account]yuccastate.Account{
+		"hotline": {
+			Credential: yuccastate.CredentialDigest(secret), Weight: 1,
+			Tiers: []yuccaid.Tier{"urgent", "normal", "bulk"}, Pools: []yuccaid.Pool{"draft", "desk"},
+		},
+		"stranger": {
+			Credential: yuccastate.CredentialDigest("another secret"), Weight: 1,
+			Tiers: []yuccaid.Tier{"bulk"}, Pools: []yuccaid.Pool{"draft"},
+		},
+	}
+	note.Added.Targets = map[yuccaid.Target]yuccastate.Target{
+		"desk-1": {Pool: "desk", Centre: "odessa-1", VM: "vm-desk-1", Address: fl.plain, Slots: 4},
+	}
+	for i, address := range fl.engines {
+		note.Added.Targets[yuccaid.Target(fmt.Sprintf("engine-%d", i+1))] = yuccastate.Target{
+			Pool: "draft", Centre: "odessa-1", VM: yuccaid.VM(fmt.Sprintf("vm-engine-%d", i+1)), Address: address,
+			Slots: 8, Prefill: 4000, Decode: 50, Cache: 200_000, ChecksFence: true,
+		}
+	}
+	return note
+}
+
+// publish completes a note against the newest configuration and puts it up.
+func (fl *fleet) publish(note yuccastate.Note) {
+	GinkgoHelper()
+	note.Number = fl.state.Number + 1
+	note.Base = fl.state.Digest()
+	next, err := fl.state.Apply(note)
+	Expect(err).NotTo(HaveOccurred())
+	fl.state = next
+	put(fl.platform, "/control/keys/"+yuccastate.NoteKey(note.Number), note.Canonical())
+}
+
+// settle waits until every daemon has the newest configuration and sees all others.
+func (fl *fleet) settle() {
+	GinkgoHelper()
+	for _, dm := range fl.daemons {
+		Eventually(func(g Gomega) {
+			status := dm.status(g)
+			g.Expect(status.Ready).To(BeTrue())
+			g.Expect(status.Digest).To(Equal(fl.state.Digest()))
+			g.Expect(status.Peers).To(HaveLen(len(fl.daemons)))
+		}).WithTimeout(patience).WithPolling(pollEach).Should(Succeed(), func() string { return dm.logs.String() })
+	}
+}
+
+func (dm *daemon) status(g Gomega) yuccadaemon.Status {
+	var status yuccadaemon.Status
+	fetch(g, dm.addresses.Operator, "/v1/status", &status)
+	return status
+}
+
+// leads reports whether the daemon leads a pool.
+func (dm *daemon) leads(pool yuccaid.Pool) bool {
+	status := dm.status(Default)
+	_, leads := status.Leads[pool]
+	return leads
+}
+
+// leader returns the daemon that leads a pool, and the others.
+func (fl *fleet) leader(pool yuccaid.Pool) (*daemon, []*daemon) {
+	GinkgoHelper()
+	var leader *daemon
+	var others []*daemon
+	Eventually(func() *daemon {
+		leader, others = fl.split(pool)
+		return leader
+	}).WithTimeout(patience).WithPolling(pollEach).ShouldNot(BeNil())
+	return leader, others
+}
+
+func (fl *fleet) split(pool yuccaid.Pool) (leader *daemon, others []*daemon) {
+	for _, dm := range fl.daemons {
+		if leader == nil && dm.leads(pool) {
+			leader = dm
+			continue
+		}
+		others = append(others, dm)
+	}
+	return leader, others
+}
+
+// runs returns what a target really ran.
+func runs(address string) []yuccastand.Run {
+	GinkgoHelper()
+	var list []yuccastand.Run
+	fetch(Default, address, "/control/runs", &list)
+	return list
+}
+
+// runsOf counts how often targets ran a request.
+func (fl *fleet) runsOf(id yuccaid.RequestText) int {
+	GinkgoHelper()
+	count := 0
+	for _, address := range append([]string{fl.plain}, fl.engines...) {
+		for _, run := range runs(address) {
+			if run.ID == string(id) {
+				count++
+			}
+		}
+	}
+	return count
+}
+
+func fetch(g Gomega, address, path string, into any) {
+	reply, err := http.Get("http://" + address + path)
+	g.Expect(err).NotTo(HaveOccurred())
+	defer reply.Body.Close()
+	g.Expect(reply.StatusCode).To(Equal(http.StatusOK))
+	g.Expect(json.NewDecoder(reply.Body).Decode(into)).To(Succeed())
+}
+
+func put(address, path string, body []byte) {
+	GinkgoHelper()
+	call, err := http.NewRequest(http.MethodPut, "http://"+address+path, bytes.NewReader(body))
+	Expect(err).NotTo(HaveOccurred())
+	call.Header.Set("Content-Type", "application/json")
+	reply, err := http.DefaultClient.Do(call)
+	Expect(err).NotTo(HaveOccurred())
+	defer reply.Body.Close()
+	Expect(reply.StatusCode).To(BeNumerically("<", http.StatusBadRequest))
+}
+
+// faults sets a stand-in's switches.
+func faults(address string, set yuccastand.Faults) {
+	GinkgoHelper()
+	raw, err := json.Marshal(set)
+	Expect(err).NotTo(HaveOccurred())
+	reply, err := http.Post("http://"+address+"/control/faults", "application/json", bytes.NewReader(raw))
+	Expect(err).NotTo(HaveOccurred())
+	defer reply.Body.Close()
+	Expect(reply.StatusCode).To(BeNumerically("<", http.StatusBadRequest))
+}
+
+// draft is a request for a generated answer.
+func draft(tier yuccaid.Tier, prompt string, tokens yuccaid.Tokens) yuccadaemon.Request {
+	return yuccadaemon.Request{
+		Pool: "draft", Operation: "generate", Tier: tier, DeadlineMillis: patience.Milliseconds(),
+		Prompt: prompt, AnswerTokens: tokens,
+	}
+}
+
+// desk is a call of the plain service.
+func desk(operation yuccaid.Operation, body string) yuccadaemon.Request {
+	return yuccadaemon.Request{
+		Pool: "desk", Operation: operation, Tier: "urgent", DeadlineMillis: patience.Milliseconds(), Prompt: body,
+	}
+}
+
+// words makes a prompt of about so many tokens.
+func words(tokens int) string {
+	return strings.Repeat("gas ", tokens)
+}
--- /dev/null
+++ b/cmd/yuccacleat/process_test.go
@@ -0,0 +1,98 @@
+package main_test
+
+import (
+	"context"
+	"errors"
+	"syscall"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"yuccacleat/core/yuccaid"
+	"yuccacleat/core/yuccaonce"
+	"yuccacleat/io/yuccacaller"
+	"yuccacleat/io/yuccadaemon"
+	"yuccacleat/io/yuccastand"
+)
+
+var unlike = [][]string{
+	{"--prefill", "8000", "--decode", "400", "--slots", "8"},
+	{"--prefill", "2000", "--decode", "100", "--slots", "4"},
+}
+
+var _ = Describe("the whole path over processes", func() {
+	It("opens at one daemon, submits through another, is placed by a third and runs once", func(ctx SpecContext) {
+		fl := newFleet(3, unlike...)
+		for _, request := range []yuccadaemon.Request{
+			draft("urgent", words(200), 40),
+			desk("lookup", "plate 77"),
+			desk("file-ticket", "smell at Elm and 3rd"),
+		} {
+			leader, others := fl.leader(request.Pool)
+			Expect(others).To(HaveLen(2))
+			id, err := fl.caller.Open(ctx, others[0].addresses.Caller)
+			Expect(err).NotTo(HaveOccurred())
+			answer, err := fl.caller.Submit(ctx, others[1].addresses.Caller, id, request)
+			Expect(err).NotTo(HaveOccurred(), "leader %s: %s", leader.name, others[0].logs)
+			Expect(answer.End.Run).To(Equal(yuccaonce.Ran))
+			Expect(answer.End.Partial).To(BeFalse())
+			Expect(string(answer.Data)).To(Equal(yuccastand.Answer(string(id), answer.End.Pieces)))
+			Expect(fl.runsOf(id)).To(Equal(1))
+			Expect(outcome(ctx, fl, leader, id)).To(Equal(yuccaonce.Ran))
+		}
+	})
+})
+
+func outcome(ctx context.Context, fl *fleet, dm *daemon, id yuccaid.RequestText) yuccaonce.Run {
+	GinkgoHelper()
+	end, err := fl.caller.Outcome(ctx, dm.addresses.Caller, id)
+	Expect(err).NotTo(HaveOccurred())
+	return end.Run
+}
+
+var _ = Describe("a graceful shutdown", func() {
+	// A VM is replaced while callers read long answers from the daemon on it. A
+	// daemon that left at once would cut the answers off, and callers would have to
+	// ask again for work that the engines had nearly done.
+	It("finishes every answer of the daemon that leaves", func(ctx SpecContext) {
+		fl := newFleet(3, unlike...)
+		leader, others := fl.leader("draft")
+		for _, leaving := range []*daemon{leader, others[0]} {
+			answers := make(chan error, 4)
+			for range cap(answers) {
+				go func() {
+					answer, err := fl.caller.Run(ctx, leaving.addresses.Caller, draft("normal", words(50), 400))
+					if err == nil && answer.End.Partial {
+						err = &yuccacaller.BrokenError{Detail: "partial"}
+					}
+					answers <- err
+				}()
+			}
+			Eventually(func(g Gomega) int { return leaving.status(g).Running["normal"] }).WithTimeout(patience).Should(Equal(cap(answers)))
+			leaving.signal(syscall.SIGTERM)
+			for range cap(answers) {
+				Expect(<-answers).NotTo(HaveOccurred())
+			}
+			Expect(leaving.exit()).To(Equal(0), leaving.logs.String())
+		}
+	})
+})
+
+var _ = Describe("a target that takes a request and falls silent", func() {
+	// The engine took the request, and then nothing more came from it. The caller must
+	// hear that nobody knows, since a second run could do harm, and the request must
+	// not be sent anywhere else.
+	It("leaves the request unknown and unrepeated", func(ctx SpecContext) {
+		fl := newFleet(3, unlike...)
+		faults(fl.plain, yuccastand.Faults{Status: 502})
+		id, err := fl.caller.Open(ctx, fl.daemons[0].addresses.Caller)
+		Expect(err).NotTo(HaveOccurred())
+		for _, dm := range fl.daemons {
+			_, err = fl.caller.Submit(ctx, dm.addresses.Caller, id, desk("file-ticket", "smell"))
+			var refused *yuccacaller.RefusedError
+			Expect(errors.As(err, &refused)).To(BeTrue())
+			Expect(refused.Run).To(Equal(yuccaonce.Unknown))
+		}
+		Expect(fl.runsOf(id)).To(Equal(1))
+	})
+})
--- a/io/yuccaconf/check.go
+++ b/io/yuccaconf/check.go
@@ -78,8 +78,8 @@
 		{"listen.operator", settings.Listen.Operator},
 	}
 	for _, listen := range addresses {
-		address, valid := check.address(listen.key, listen.value)
-		if !valid {
+		address, valid := check.address(listen.key, listen.value, anyPort)
+		if !valid || address.Port() == 0 {
 			continue
 		}
 		if other, twice := overlaps(used, address); twice {
@@ -87,7 +87,16 @@
 		}
 		used[address] = listen.key
 	}
-	address, valid := check.address("advertise", settings.Advertise)
+	check.advertise(settings)
+}
+
+// advertise may be left out where the peers' listener has an address to dial.
+func (check *checker) advertise(settings *Settings) {
+	peer, err := netip.ParseAddrPort(settings.Listen.Peer)
+	if settings.Advertise == "" && err == nil && !peer.Addr().IsUnspecified() {
+		return
+	}
+	address, valid := check.address("advertise", settings.Advertise, fixedPort)
 	if valid && address.Addr().IsUnspecified() {
 		check.report(ErrAddress, "advertise", "write the address at which other daemons reach listen.peer", "%s is no address to dial", address)
 	}
@@ -104,12 +113,20 @@
 	return "", false
 }
 
-func (check *checker) address(key, value string) (netip.AddrPort, bool) {
+// portRule says whether port 0, which stands for any free one, is an answer.
+type portRule bool
+
+const (
+	fixedPort portRule = false
+	anyPort   portRule = true
+)
+
+func (check *checker) address(key, value string, rule portRule) (netip.AddrPort, bool) {
 	if !check.present(key, value, addressRemedy) {
 		return netip.AddrPort{}, false
 	}
 	address, err := netip.ParseAddrPort(value)
-	if err != nil || address.Port() == 0 {
+	if err != nil || (address.Port() == 0 && rule == fixedPort) {
 		check.report(ErrAddress, key, addressRemedy, "%q is no address", value)
 		return netip.AddrPort{}, false
 	}
@@ -133,7 +150,7 @@
 	first := map[netip.AddrPort]int{}
 	for i, seed := range seeds {
 		key := fmt.Sprintf("seeds.%d", i)
-		address, valid := check.address(key, seed)
+		address, valid := check.address(key, seed, fixedPort)
 		if !valid {
 			continue
 		}
--- /dev/null
+++ b/io/yuccadaemon/config.go
@@ -0,0 +1,188 @@
+package yuccadaemon
+
+import (
+	"context"
+	"time"
+
+	"yuccacleat/core/yuccaid"
+	"yuccacleat/core/yuccapeer"
+	"yuccacleat/core/yuccastate"
+	"yuccacleat/io/yuccaplat"
+	"yuccacleat/io/yuccawire"
+)
+
+const (
+	notesPrefix = "notes/"
+	// listEvery spaces the reading of the VM list, which lags by more than this. At
+	// 400 daemons it makes 80 reads a second of the 2,000 that the platform allows.
+	listEvery = 5 * time.Second
+	// pullEvery keeps a daemon from asking again before a peer can answer.
+	pullEvery = 500 * time.Millisecond
+	// notesBytes keeps an answer with notes within one frame.
+	notesBytes = 900_000
+	// snapshotPart keeps a part of a whole configuration within one frame.
+	snapshotPart = 512 << 10
+)
+
+// State returns the accepted configuration.
+func (d *Daemon) State() *yuccastate.State {
+	return d.state.Load()
+}
+
+// watchNotes follows the platform's release notes for as long as the daemon runs.
+func (d *Daemon) watchNotes(ctx context.Context) {
+	_ = d.platform.Follow(ctx, notesPrefix, func(page yuccaplat.Page) {
+		d.metrics.platformHeard.Store(time.Now().UnixNano())
+		d.control.post(func(now time.Time) {
+			for _, entry := range page.Entries {
+				d.takeNote(now, entry.Key, entry.Value, "platform")
+			}
+			if !page.More {
+				d.heardOf()
+			}
+		})
+	})
+}
+
+// watchList reads the platform's list of VMs.
+func (d *Daemon) watchList(ctx context.Context) {
+	_ = d.platform.FollowVMs(ctx, listEvery, func(vms []yuccaplat.VM) {
+		d.control.post(func(now time.Time) { d.onList(now, vms) })
+	})
+}
+
+// takeNote offers a published note to the chain and puts an accepted one in force.
+func (d *Daemon) takeNote(now time.Time, key string, raw []byte, source string) {
+	before := d.chain.State()
+	verdict, _ := d.chain.Offer(now, key, raw)
+	d.auditChain(verdict.Entries, source)
+	d.adopt(now, before)
+}
+
+// adopt puts a newer configuration in force for every role of this daemon.
+func (d *Daemon) adopt(now time.Time, before *yuccastate.State) {
+	after := d.chain.State()
+	if after == before {
+		return
+	}
+	d.state.Store(after)
+	d.metrics.configChanged.Store(now.UnixNano())
+	d.onChange(now, d.peers.Accepted(now, after.Number, after.Digest()))
+	d.refreshLeads(now)
+}
+
+// auditChain puts what the chain did on the audit trail.
+func (d *Daemon) auditChain(entries []yuccastate.Entry, source string) {
+	for _, entry := range entries {
+		d.metrics.chain(entry.Kind)
+		d.audit.add(entry.At, AuditEntry{
+			Kind: AuditKind(entry.Kind), Who: entry.By, What: "configuration from " + source, Number: entry.Number,
+			Before: entry.Before, After: entry.After, Detail: entry.Detail,
+		})
+	}
+}
+
+// heardOf lets a new process serve once the platform or a peer has told it what is
+// in force: one that served before would act on an empty configuration.
+func (d *Daemon) heardOf() {
+	if d.State().Number > 0 {
+		d.ready.Store(true)
+	}
+}
+
+// pull asks a peer with a higher number for what this daemon lacks.
+func (d *Daemon) pull(now time.Time, source yuccapeer.Source) {
+	if now.Sub(d.pulled) < pullEvery {
+		return
+	}
+	d.pulled = now
+	plan := d.chain.Plan(source.Number)
+	if len(plan.Notes) == 0 && !plan.Snapshot {
+		return
+	}
+	_ = d.send(source.Peer, yuccawire.KindNotePull, yuccawire.NotePull{Numbers: plan.Notes, Snapshot: plan.Snapshot})
+}
+
+// onNotePull answers with notes, or with the whole state where a text is gone.
+func (d *Daemon) onNotePull(from yuccaid.Incarnation, pull yuccawire.NotePull) {
+	if pull.Snapshot {
+		d.sendSnapshot(from)
+		return
+	}
+	var notes yuccawire.Notes
+	size := 0
+	for _, number := range pull.Numbers {
+		raw, held := d.chain.Note(number)
+		if !held {
+			d.sendSnapshot(from)
+			return
+		}
+		size += len(raw)
+		if size > notesBytes && len(notes.Notes) > 0 {
+			break
+		}
+		notes.Notes = append(notes.Notes, yuccawire.RawNote{Number: number, Raw: raw})
+	}
+	_ = d.send(from, yuccawire.KindNotes, notes)
+}
+
+func (d *Daemon) onNotes(now time.Time, notes yuccawire.Notes) {
+	for _, note := range notes.Notes {
+		d.takeNote(now, yuccastate.NoteKey(note.Number), note.Raw, "peer")
+	}
+	d.heardOf()
+}
+
+func (d *Daemon) sendSnapshot(to yuccaid.Incarnation) {
+	state := d.State()
+	raw, err := yuccastate.EncodeState(state)
+	if err != nil {
+		d.log.problem("encode configuration", err)
+		return
+	}
+	parts := (len(raw) + snapshotPart - 1) / snapshotPart
+	for part := range parts {
+		end := min(len(raw), (part+1)*snapshotPart)
+		_ = d.send(to, yuccawire.KindSnapshot, yuccawire.Snapshot{
+			Number: state.Number, Digest: state.Digest(), Part: part, Parts: parts, Raw: raw[part*snapshotPart : end],
+		})
+	}
+}
+
+// snapshot collects the parts of a peer's configuration.
+type snapshot struct {
+	number yuccaid.Number
+	digest yuccaid.Digest
+	raw    []byte
+	next   int
+}
+
+func (d *Daemon) onSnapshot(now time.Time, message yuccawire.Snapshot) {
+	if message.Part == 0 {
+		d.snapshot = snapshot{number: message.Number, digest: message.Digest}
+	}
+	if message.Part != d.snapshot.next || message.Digest != d.snapshot.digest {
+		return
+	}
+	d.snapshot.raw = append(d.snapshot.raw, message.Raw...)
+	d.snapshot.next++
+	if d.snapshot.next < message.Parts {
+		return
+	}
+	d.takeSnapshot(now)
+}
+
+func (d *Daemon) takeSnapshot(now time.Time) {
+	taken := d.snapshot
+	d.snapshot = snapshot{}
+	state, err := yuccastate.DecodeState(taken.raw)
+	if err != nil {
+		d.log.problem("configuration from a peer", err)
+		return
+	}
+	before := d.chain.State()
+	verdict, _ := d.chain.Adopt(now, "peer", state, taken.digest)
+	d.auditChain(verdict.Entries, "peer")
+	d.adopt(now, before)
+	d.heardOf()
+}
--- /dev/null
+++ b/io/yuccadaemon/daemon.go
@@ -0,0 +1,196 @@
+package yuccadaemon
+
+import (
+	"context"
+	"crypto/rand"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-kit/log"
+
+	"yuccacleat/core/yuccaid"
+	"yuccacleat/core/yuccaonce"
+	"yuccacleat/core/yuccapeer"
+	"yuccacleat/core/yuccastate"
+	"yuccacleat/io/yuccaconf"
+	"yuccacleat/io/yuccalink"
+	"yuccacleat/io/yuccaplat"
+	"yuccacleat/io/yuccatarget"
+	"yuccacleat/io/yuccawire"
+)
+
+// Daemon is one running process of the scheduler.
+type Daemon struct {
+	settings *yuccaconf.Settings
+	key      yuccaid.Key
+	self     yuccapeer.Member
+	caller   string
+	log      logger
+	metrics  *metrics
+	audit    *audit
+
+	platform *yuccaplat.Reader
+	targets  *yuccatarget.Client
+	hub      *yuccalink.Hub
+	control  *control
+
+	// traffic ends when the daemon closes; everything that relays hangs on it.
+	traffic     context.Context
+	stopTraffic context.CancelFunc
+	workers     sync.WaitGroup
+
+	state    atomic.Pointer[yuccastate.State]
+	ready    atomic.Bool
+	settled  atomic.Bool
+	leavingD atomic.Bool
+
+	// The fields below belong to the control goroutine.
+	owner    *yuccaonce.Owner
+	runs     map[yuccaid.RequestText]*run
+	kept     *keptAnswers
+	held     yuccaid.Bytes
+	peers    *yuccapeer.Peers
+	leads    map[yuccaid.Pool]*lead
+	leaving  map[yuccaid.Target]bool
+	chain    *yuccastate.Chain
+	pulled   time.Time
+	snapshot snapshot
+	looked   time.Time
+}
+
+// WithCallerAddress tells callers of a leaving daemon where others answer.
+func WithCallerAddress(address string) Option {
+	return func(d *Daemon) { d.caller = address }
+}
+
+// Option changes how a daemon is built.
+type Option func(*Daemon)
+
+// WithLog sends the daemon's JSON lines to a logger.
+func WithLog(target log.Logger) Option {
+	return func(d *Daemon) { d.log = logger{target: target} }
+}
+
+// New starts a daemon that takes peers' connections on the listener.
+func New(settings *yuccaconf.Settings, key yuccaid.Key, peers net.Listener, options ...Option) (*Daemon, error) {
+	var nonce [16]byte
+	if _, err := rand.Read(nonce[:]); err != nil {
+		return nil, err
+	}
+	inc := yuccaid.NewIncarnation(settings.VM, nonce)
+	d := &Daemon{
+		settings: settings,
+		key:      key,
+		self:     yuccapeer.Member{VM: settings.VM, Centre: settings.Centre, Address: advertised(settings, peers), Incarnation: inc},
+		log:      logger{target: log.NewNopLogger()},
+		metrics:  newMetrics(),
+		platform: yuccaplat.New(settings.Platform),
+		targets:  yuccatarget.New(),
+		owner:    yuccaonce.New(inc, key),
+		runs:     make(map[yuccaid.RequestText]*run),
+		kept:     newKeptAnswers(),
+		leads:    make(map[yuccaid.Pool]*lead),
+		leaving:  make(map[yuccaid.Target]bool),
+		chain:    yuccastate.NewChain(),
+	}
+	d.traffic, d.stopTraffic = context.WithCancel(context.Background())
+	for _, option := range options {
+		option(d)
+	}
+	d.audit = newAudit(d.log.entry)
+	d.state.Store(d.chain.State())
+	d.peers = yuccapeer.New(d.self, yuccapeer.WithSeeds(settings.Seeds...))
+	d.looked = time.Now()
+	ready := make(chan struct{})
+	d.control = newControl(ready, d.tick)
+	d.hub = yuccalink.New(d.self, key, peers,
+		yuccalink.OnFrame(d.onFrame),
+		yuccalink.OnUp(d.onUp),
+		yuccalink.OnDown(d.onDown),
+		yuccalink.OnTraffic(d.serveTraffic),
+		yuccalink.OnFault(d.onFault),
+	)
+	close(ready)
+	d.start(d.watchNotes)
+	d.start(d.watchList)
+	return d, nil
+}
+
+// Self returns the daemon's own identity.
+func (d *Daemon) Self() yuccapeer.Member {
+	return d.self
+}
+
+// Ready reports whether callers may be sent here.
+func (d *Daemon) Ready() bool {
+	return d.ready.Load() && d.settled.Load() && !d.leavingD.Load()
+}
+
+// Close ends everything at once; Drain comes first where answers are to be finished.
+func (d *Daemon) Close() {
+	d.stopTraffic()
+	d.control.close()
+	d.hub.Close()
+	d.workers.Wait()
+}
+
+func (d *Daemon) start(work func(context.Context)) {
+	d.workers.Add(1)
+	go func() {
+		defer d.workers.Done()
+		work(d.traffic)
+	}()
+}
+
+// refuses says why nothing new is taken now, if so.
+func (d *Daemon) refuses() *Problem {
+	if d.leavingD.Load() {
+		return &Problem{Kind: KindLeaving, Run: yuccaonce.NotRun, Address: d.elsewhere()}
+	}
+	if !d.Ready() {
+		return &Problem{Kind: KindNotReady, Run: yuccaonce.NotRun, Back: time.Second}
+	}
+	return nil
+}
+
+func (d *Daemon) send(to yuccaid.Incarnation, kind yuccawire.Kind, body any) error {
+	return d.hub.Send(to, kind, body)
+}
+
+func advertised(settings *yuccaconf.Settings, listener net.Listener) string {
+	if settings.Advertise != "" {
+		return settings.Advertise
+	}
+	return listener.Addr().String()
+}
+
+// tick runs on the control goroutine every tickEvery, and first after a pause.
+func (d *Daemon) tick(now time.Time) {
+	d.onChange(now, d.peers.Tick(now))
+	d.onChange(now, d.peers.Elapsed(now, now.Sub(d.looked), wallSince(now, d.looked)))
+	d.looked = now
+	d.settle(now)
+	d.tickLeader(now)
+	d.tickOwner(now)
+}
+
+// settle takes up leadership once this daemon has listened long enough to name
+// leaders, which no single event marks.
+func (d *Daemon) settle(now time.Time) {
+	if settled := d.peers.Settled(); settled != d.settled.Load() {
+		d.settled.Store(settled)
+		d.refreshLeads(now)
+		d.tellLeaders(now)
+	}
+}
+
+// wallSince reads the wall clock only, which runs on while a VM is suspended.
+func wallSince(now, then time.Time) time.Duration {
+	return now.Round(0).Sub(then.Round(0))
+}
+
+func (d *Daemon) onFault(address string, err error) {
+	d.log.problem("connection with "+address, err)
+}
--- /dev/null
+++ b/io/yuccadaemon/leader.go
@@ -0,0 +1,210 @@
+package yuccadaemon
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"yuccacleat/core/yuccaid"
+	"yuccacleat/core/yuccapool"
+	"yuccacleat/core/yuccaqueue"
+	"yuccacleat/core/yuccastate"
+	"yuccacleat/io/yuccawire"
+)
+
+const (
+	// gatherFor is how long a new leader listens before it grants. Owners notice a
+	// change of leader within one heartbeat and tell what they hold in the same tick;
+	// granting before that would fill targets that are already full.
+	gatherFor = 1200 * time.Millisecond
+	// reportEvery spaces the reading of load reports; engines renew theirs no faster.
+	reportEvery = time.Second
+	// reportTimeout bounds one reading, so that a dead target is noticed in time.
+	reportTimeout = 2 * time.Second
+)
+
+// lead is one pool that this daemon leads.
+type lead struct {
+	pool   yuccaid.Pool
+	leader *yuccapool.Leader
+	stop   context.CancelFunc
+}
+
+// refreshLeads takes up and lays down leadership after the view or the
+// configuration changed.
+func (d *Daemon) refreshLeads(now time.Time) {
+	state := d.State()
+	for pool := range state.Pools {
+		leader, found := d.peers.Leader(pool)
+		mine := found && leader.Incarnation == d.self.Incarnation
+		led, leads := d.leads[pool]
+		switch {
+		case mine && !leads:
+			d.takeUp(now, pool)
+		case !mine && leads:
+			d.layDown(now, led)
+		case mine && leads:
+			d.apply(now, pool, led.leader.Configure(now, d.view(state, pool)))
+		}
+	}
+	for pool, led := range d.leads {
+		if _, known := state.Pools[pool]; !known {
+			d.layDown(now, led)
+		}
+	}
+}
+
+func (d *Daemon) takeUp(now time.Time, pool yuccaid.Pool) {
+	seed := rand.Uint64()
+	led := &lead{pool: pool, leader: yuccapool.New(pool, d.self.Incarnation, rand.New(rand.NewPCG(seed, uint64(now.UnixNano()))))}
+	d.leads[pool] = led
+	led.leader.BeginGather(now, now.Add(gatherFor))
+	d.apply(now, pool, led.leader.Configure(now, d.view(d.State(), pool)))
+	ctx, stop := context.WithCancel(d.traffic)
+	led.stop = stop
+	d.workers.Add(1)
+	go func() {
+		defer d.workers.Done()
+		d.pollTargets(ctx, pool)
+	}()
+	d.audit.add(now, AuditEntry{Kind: AuditLeading, What: string(pool), Number: d.State().Number})
+}
+
+// layDown drops what a leader knew: its successor gathers it from the owners, and
+// two books on the same targets would only drift apart.
+func (d *Daemon) layDown(now time.Time, led *lead) {
+	led.stop()
+	delete(d.leads, led.pool)
+	d.audit.add(now, AuditEntry{Kind: AuditLeft, What: string(led.pool), Number: d.State().Number})
+}
+
+// view is what a pool's decisions need to know of the configuration.
+func (d *Daemon) view(state *yuccastate.State, pool yuccaid.Pool) yuccapool.View {
+	view := yuccapool.View{
+		Number:     state.Number,
+		Plain:      state.Pools[pool].Kind == yuccastate.PoolService,
+		LongestRun: state.Pools[pool].LongestRun,
+		Policy:     yuccapool.Policy{GoodputWeight: state.Policy.GoodputWeight, WasteWeight: state.Policy.WasteWeight},
+		Accounts:   make(map[yuccaid.Account]yuccapool.AccountView, len(state.Accounts)),
+	}
+	for name, target := range state.Targets {
+		if target.Pool != pool || target.Centre != d.self.Centre {
+			continue
+		}
+		view.Targets = append(view.Targets, yuccapool.Target{
+			Name: name, Slots: target.Slots, Prefill: target.Prefill, Decode: target.Decode,
+			Cache: target.Cache, Leaving: d.leaving[name],
+		})
+	}
+	for name, account := range state.Accounts {
+		view.Accounts[name] = yuccapool.AccountView{
+			Weight:  account.Weight,
+			Limits:  yuccapool.Limits(account.Limits),
+			Targets: account.Targets,
+		}
+	}
+	return view
+}
+
+// apply sends out what a leader decided.
+func (d *Daemon) apply(now time.Time, pool yuccaid.Pool, decisions yuccapool.Decisions) {
+	for _, grant := range decisions.Grants {
+		d.metrics.grants.Inc()
+		if grant.Owner == d.self.Incarnation {
+			d.onGrant(now, pool, grant)
+			continue
+		}
+		_ = d.send(grant.Owner, yuccawire.KindGrant, yuccawire.PoolGrant{Pool: pool, Grant: grant})
+	}
+	for _, refusal := range decisions.Refusals {
+		if refusal.Owner == d.self.Incarnation {
+			d.onRefusal(now, refusal)
+			continue
+		}
+		_ = d.send(refusal.Owner, yuccawire.KindRefusal, yuccawire.PoolRefusal{Pool: pool, Refusal: refusal})
+	}
+	for _, cancel := range decisions.Cancels {
+		if cancel.Owner == d.self.Incarnation {
+			d.onCancel(now, cancel)
+			continue
+		}
+		_ = d.send(cancel.Owner, yuccawire.KindCancel, yuccawire.PoolCancel{Pool: pool, Cancel: cancel})
+	}
+}
+
+func (d *Daemon) onOffer(now time.Time, from yuccaid.Incarnation, ask yuccaqueue.Ask) {
+	led, leads := d.leads[ask.Pool]
+	if !leads {
+		if from != d.self.Incarnation {
+			_ = d.send(from, yuccawire.KindNotLeader, yuccawire.NotLeader{Pool: ask.Pool, ID: ask.ID})
+			return
+		}
+		d.onNotLeader(now, yuccawire.NotLeader{Pool: ask.Pool, ID: ask.ID})
+		return
+	}
+	d.apply(now, ask.Pool, led.leader.Offer(now, ask))
+}
+
+// onNotLeader makes the next tick look for the leader again.
+func (d *Daemon) onNotLeader(_ time.Time, message yuccawire.NotLeader) {
+	if r, open := d.runs[message.ID]; open && !r.running {
+		r.leader = yuccaid.Incarnation{}
+	}
+}
+
+func (d *Daemon) onWithdraw(now time.Time, message yuccawire.Withdrawal) {
+	if led, leads := d.leads[message.Pool]; leads {
+		d.apply(now, message.Pool, led.leader.Withdraw(now, message.ID))
+	}
+}
+
+func (d *Daemon) onProgress(now time.Time, message yuccawire.Progress) {
+	if led, leads := d.leads[message.Pool]; leads {
+		d.apply(now, message.Pool, led.leader.Progress(now, message.Progress))
+	}
+}
+
+func (d *Daemon) onFinished(now time.Time, message yuccawire.Finished) {
+	if led, leads := d.leads[message.Pool]; leads {
+		d.apply(now, message.Pool, led.leader.Finished(now, message.Finished))
+	}
+}
+
+func (d *Daemon) onHold(now time.Time, message yuccawire.Hold) {
+	if led, leads := d.leads[message.Pool]; leads {
+		led.leader.Hold(now, message.Running)
+	}
+}
+
+func (d *Daemon) tickLeader(now time.Time) {
+	for pool, led := range d.leads {
+		d.apply(now, pool, led.leader.Tick(now))
+	}
+}
+
+// ownerGone takes back what was promised to a daemon that has left.
+func (d *Daemon) ownerGone(now time.Time, inc yuccaid.Incarnation) {
+	for pool, led := range d.leads {
+		d.apply(now, pool, led.leader.OwnerGone(now, inc))
+	}
+}
+
+// pollTargets reads the load of the pool's targets while this daemon leads it.
+func (d *Daemon) pollTargets(ctx context.Context, pool yuccaid.Pool) {
+	ticker := time.NewTicker(reportEvery)
+	defer ticker.Stop()
+	cursors := make(map[yuccaid.Target]uint64)
+	for {
+		state := d.State()
+		for name, target := range state.Targets {
+			if target.Pool == pool && target.Centre == d.self.Centre {
+				d.pollTarget(ctx, pool, name, target, cursors)
+			}
+		}
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
--- /dev/null
+++ b/io/yuccadaemon/member.go
@@ -0,0 +1,201 @@
+package yuccadaemon
+
+import (
+	"time"
+
+	"yuccacleat/core/yuccaid"
+	"yuccacleat/core/yuccapeer"
+	"yuccacleat/core/yuccapool"
+	"yuccacleat/core/yuccastate"
+	"yuccacleat/io/yuccaplat"
+	"yuccacleat/io/yuccawire"
+)
+
+// onUp greets a peer and repeats what it may have missed while no connection was up.
+func (d *Daemon) onUp(member yuccapeer.Member) {
+	d.control.post(func(now time.Time) {
+		d.onChange(now, d.peers.Linked(now, member))
+		_ = d.send(member.Incarnation, yuccawire.KindRoster, roster{Listings: d.peers.Roster()})
+		d.resync(now, member.Incarnation)
+	})
+}
+
+func (d *Daemon) onDown(member yuccapeer.Member) {
+	d.control.post(func(now time.Time) { d.peers.Lost(now, member.Incarnation) })
+}
+
+// roster tells a peer that can't read the platform's list where daemons are.
+type roster struct {
+	Listings []yuccapeer.Listing `msgpack:"listings"`
+}
+
+func (d *Daemon) onRoster(now time.Time, message roster) {
+	d.peers.Told(now, message.Listings)
+	d.hub.Connect(d.peers.Dial())
+}
+
+func (d *Daemon) onHeartbeat(now time.Time, from yuccaid.Incarnation, beat yuccapeer.Heartbeat) {
+	if beat.Incarnation != from {
+		return
+	}
+	d.onChange(now, d.peers.Heard(now, beat))
+	standing, entries := d.chain.Hear(now, from.String(), beat.Number, beat.Digest)
+	d.auditChain(entries, "peer "+from.String())
+	if standing == yuccastate.StandingSame {
+		d.heardOf()
+	}
+}
+
+func (d *Daemon) onPulse(now time.Time, from yuccaid.Incarnation, pulse yuccapeer.Pulse) {
+	d.onChange(now, d.peers.Pulsed(now, from, pulse))
+}
+
+// onChange follows the view: connections, leadership, and what departed peers held.
+func (d *Daemon) onChange(now time.Time, change yuccapeer.Change) {
+	if change.Woken {
+		d.woken(now, change.Slept)
+	}
+	for _, beat := range change.Beats {
+		d.sendBeat(beat)
+	}
+	if !change.Behind.Peer.IsZero() {
+		d.pull(now, change.Behind)
+	}
+	for _, left := range change.Left {
+		d.ownerGone(now, left.Incarnation)
+	}
+	if len(change.Joined) == 0 && len(change.Left) == 0 && !change.Woken {
+		return
+	}
+	d.hub.Connect(d.peers.Dial())
+	d.refreshLeads(now)
+	d.tellLeaders(now)
+}
+
+// woken drops what a frozen process believed: others have taken its leadership and
+// its peers may be gone, so it starts again as if it had just joined.
+func (d *Daemon) woken(now time.Time, slept time.Duration) {
+	for _, led := range d.leads {
+		d.layDown(now, led)
+	}
+	for _, r := range d.runs {
+		if !r.running {
+			r.leader = yuccaid.Incarnation{}
+		}
+	}
+	d.audit.add(now, AuditEntry{Kind: AuditWoken, Number: d.State().Number, Detail: "for " + slept.String()})
+}
+
+// tellLeaders brings what this daemon holds to each pool's present leader.
+func (d *Daemon) tellLeaders(now time.Time) {
+	for _, r := range d.runs {
+		leader, found := d.peers.Leader(r.claim.Pool)
+		if !found || leader.Incarnation == r.leader {
+			continue
+		}
+		d.tell(now, r, leader)
+	}
+}
+
+// resync repeats to a leader what it may have missed while a connection was down.
+func (d *Daemon) resync(now time.Time, peer yuccaid.Incarnation) {
+	for _, r := range d.runs {
+		leader, found := d.peers.Leader(r.claim.Pool)
+		if found && leader.Incarnation == peer {
+			d.tell(now, r, leader)
+		}
+	}
+}
+
+func (d *Daemon) tell(now time.Time, r *run, leader yuccapeer.Member) {
+	if !r.running {
+		d.offer(now, r)
+		return
+	}
+	r.leader = leader.Incarnation
+	ask := r.ask
+	ask.Remaining = r.remaining(now)
+	message := yuccawire.Hold{Pool: r.claim.Pool, Running: yuccapool.Running{Ask: ask, Target: r.target}}
+	if leader.Incarnation == d.self.Incarnation {
+		d.onHold(now, message)
+		return
+	}
+	_ = d.send(leader.Incarnation, yuccawire.KindHold, message)
+}
+
+func (d *Daemon) sendBeat(beat yuccapeer.Beat) {
+	if beat.Heartbeat != nil {
+		_ = d.send(beat.To, yuccawire.KindHeartbeat, *beat.Heartbeat)
+		return
+	}
+	_ = d.send(beat.To, yuccawire.KindPulse, beat.Pulse)
+}
+
+// onList takes the platform's list of VMs. It lags, so it only names candidates and
+// marks what leaves; who is live is known from heartbeats.
+func (d *Daemon) onList(now time.Time, entries []yuccaplat.VM) {
+	var listings []yuccapeer.Listing
+	for _, entry := range entries {
+		if entry.Kind == yuccaplat.VMEntry {
+			listings = append(listings, yuccapeer.Listing{
+				VM: entry.Name, Centre: entry.Centre, Address: entry.Address, Leaving: entry.State == yuccaplat.VMLeaving,
+			})
+		}
+	}
+	d.peers.Listed(now, listings)
+	d.markLeaving(now, entries)
+	d.hub.Connect(d.peers.Dial())
+}
+
+// markLeaving notes the targets whose VMs the platform is about to take away. A
+// target that a note withdraws or that says so itself is handled where that is heard.
+func (d *Daemon) markLeaving(now time.Time, entries []yuccaplat.VM) {
+	gone := make(map[yuccaid.VM]bool)
+	for _, entry := range entries {
+		if entry.Kind == yuccaplat.VMTarget && entry.State == yuccaplat.VMLeaving {
+			gone[entry.Name] = true
+		}
+	}
+	for name, target := range d.State().Targets {
+		if gone[target.VM] {
+			d.targetLeaves(now, name)
+		}
+	}
+}
+
+// targetLeaves stops new work for a target everywhere this daemon decides.
+func (d *Daemon) targetLeaves(now time.Time, name yuccaid.Target) {
+	if d.leaving[name] {
+		return
+	}
+	d.leaving[name] = true
+	d.audit.add(now, AuditEntry{Kind: AuditTargetLeaving, What: string(name), Number: d.State().Number})
+	target := d.State().Targets[name]
+	if led, leads := d.leads[target.Pool]; leads {
+		d.apply(now, target.Pool, led.leader.Configure(now, d.view(d.State(), target.Pool)))
+	}
+}
+
+// addressOf finds the daemon that runs as an incarnation; a successor at the same VM
+// is a stranger to the predecessor's requests.
+func (d *Daemon) addressOf(inc yuccaid.Incarnation) (string, bool) {
+	var member yuccapeer.Member
+	var found bool
+	d.control.call(func(time.Time) { member, found = d.peers.Find(inc.VM) })
+	gone := !member.Incarnation.IsZero() && member.Incarnation != inc
+	return member.Address, found && member.Address != "" && !gone
+}
+
+// elsewhere names another daemon's address for callers that come to a leaving one.
+func (d *Daemon) elsewhere() string {
+	var address string
+	d.control.call(func(time.Time) {
+		for _, member := range d.peers.Live(d.self.Centre) {
+			if member.Incarnation != d.self.Incarnation && !member.Leaving {
+				address = member.Address
+				return
+			}
+		}
+	})
+	return address
+}
--- /dev/null
+++ b/io/yuccadaemon/owner.go
@@ -0,0 +1,470 @@
+package yuccadaemon
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"yuccacleat/core/yuccaid"
+	"yuccacleat/core/yuccaonce"
+	"yuccacleat/core/yuccapool"
+	"yuccacleat/core/yuccaqueue"
+	"yuccacleat/io/yuccatarget"
+	"yuccacleat/io/yuccawire"
+)
+
+const (
+	// abandonAfter is how long an answer without readers goes on: a caller whose
+	// connection broke has the time to come back, and a caller who left for good
+	// doesn't hold an engine for a whole answer.
+	abandonAfter = 5 * time.Second
+	// progressEvery spaces the progress messages of one run; the leader only needs to
+	// tell a slow target from a stalled one.
+	progressEvery = 2 * time.Second
+	// cancelTimeout bounds a cancel; a target that doesn't take it ends the run itself
+	// at the latest after its longest run.
+	cancelTimeout = 2 * time.Second
+)
+
+// run is one request that this daemon owns and has not closed.
+type run struct {
+	id       yuccaid.RequestText
+	request  Request
+	claim    yuccaonce.Claim
+	ask      yuccaqueue.Ask
+	answer   *Answer
+	accepted time.Time
+	deadline time.Time
+
+	leader    yuccaid.Incarnation
+	target    yuccaid.Target
+	running   bool
+	preempted yuccaonce.Reason
+	stop      context.CancelFunc
+	abandoned time.Time
+}
+
+// remaining is the time to the deadline, which is all that other daemons are told.
+func (r *run) remaining(now time.Time) time.Duration {
+	return r.deadline.Sub(now)
+}
+
+// Open draws an id for an account; it has no other effect.
+func (d *Daemon) Open(acc yuccaid.Account) (yuccaid.RequestText, error) {
+	if prob := d.refuses(); prob != nil {
+		return "", prob
+	}
+	var id yuccaid.RequestText
+	var err error
+	if !d.control.call(func(now time.Time) { id, err = d.owner.Open(now, acc) }) {
+		return "", notRun(KindLeaving, "")
+	}
+	if err != nil {
+		return "", &Problem{Kind: KindBusy, Detail: err.Error(), Run: yuccaonce.NotRun, Back: time.Second}
+	}
+	return id, nil
+}
+
+// submitOwn takes a request that this daemon opened.
+func (d *Daemon) submitOwn(id yuccaid.RequestText, acc yuccaid.Account, req Request) (*Answer, error) {
+	state := d.State()
+	if prob := req.check(state, acc); prob != nil {
+		return nil, prob
+	}
+	claim := req.claim(state, acc)
+	ask := req.ask(state, claim)
+	var answer *Answer
+	var err error
+	called := d.control.call(func(now time.Time) { answer, err = d.admit(now, id, req, claim, ask) })
+	if !called {
+		return nil, &Problem{Kind: KindUnknownState, Run: yuccaonce.Unknown}
+	}
+	return answer, err
+}
+
+// admit joins a second submit to the first, or starts the request.
+func (d *Daemon) admit(now time.Time, id yuccaid.RequestText, req Request, claim yuccaonce.Claim, ask yuccaqueue.Ask) (*Answer, error) {
+	step, err := d.owner.Submit(now, id, claim)
+	if err != nil {
+		return nil, problemOf(err)
+	}
+	if step.Kind == yuccaonce.StepJoin {
+		return d.joined(now, id)
+	}
+	if step.Kind == yuccaonce.StepClosed {
+		return d.closedAnswer(now, id, step.Outcome), nil
+	}
+	r := &run{id: id, request: req, claim: claim, ask: ask, accepted: now, deadline: now.Add(req.deadline())}
+	r.ask.ID = id
+	r.ask.Owner = d.self.Incarnation
+	r.ask.Centre = d.self.Centre
+	r.answer = newAnswer(id, d.readerLeft)
+	d.runs[id] = r
+	d.held += req.size()
+	d.metrics.accepted(claim.Tier)
+	d.log.request(r, "accepted")
+	d.offer(now, r)
+	return r.answer, nil
+}
+
+func (d *Daemon) joined(now time.Time, id yuccaid.RequestText) (*Answer, error) {
+	if r, open := d.runs[id]; open {
+		r.abandoned = time.Time{}
+		return r.answer, nil
+	}
+	return d.closedAnswer(now, id, yuccaonce.Outcome{Run: yuccaonce.Unknown}), nil
+}
+
+// closedAnswer returns the kept answer, or one that holds only the outcome.
+func (d *Daemon) closedAnswer(_ time.Time, id yuccaid.RequestText, outcome yuccaonce.Outcome) *Answer {
+	if kept, found := d.kept.get(id); found {
+		return kept
+	}
+	answer := newAnswer(id, nil)
+	answer.end(outcome)
+	return answer
+}
+
+// offer brings a waiting request to its pool's leader, or notes that there is none.
+func (d *Daemon) offer(now time.Time, r *run) {
+	leader, found := d.peers.Leader(r.claim.Pool)
+	if !found {
+		r.leader = yuccaid.Incarnation{}
+		return
+	}
+	r.ask.Remaining = r.remaining(now)
+	if leader.Incarnation == d.self.Incarnation {
+		r.leader = leader.Incarnation
+		d.onOffer(now, d.self.Incarnation, r.ask)
+		return
+	}
+	if err := d.send(leader.Incarnation, yuccawire.KindOffer, r.ask); err != nil {
+		r.leader = yuccaid.Incarnation{}
+		return
+	}
+	r.leader = leader.Incarnation
+}
+
+// onGrant dispatches a request unless something has overtaken the grant.
+func (d *Daemon) onGrant(now time.Time, pool yuccaid.Pool, grant yuccapool.Grant) {
+	r, open := d.runs[grant.ID]
+	if !open || r.running {
+		d.giveBack(now, pool, grant)
+		return
+	}
+	tgt, valid := d.usable(now, r, grant)
+	if !valid {
+		d.giveBack(now, pool, grant)
+		d.offer(now, r)
+		return
+	}
+	if err := d.owner.Dispatch(now, r.id, grant.Target); err != nil {
+		d.giveBack(now, pool, grant)
+		return
+	}
+	r.running = true
+	r.target = grant.Target
+	r.leader = grant.Leader
+	expires := now.Add(grant.Expires)
+	ctx, stop := context.WithCancel(d.traffic)
+	r.stop = stop
+	call, err := d.call(r, tgt.Address, grant)
+	if err != nil {
+		d.finish(now, r, yuccaonce.Result{Run: yuccaonce.NotRun, Reason: yuccaonce.ReasonBroken}, yuccatarget.End{})
+		return
+	}
+	d.log.request(r, "dispatching")
+	d.workers.Add(1)
+	go func() {
+		defer d.workers.Done()
+		defer stop()
+		d.dispatch(ctx, r, call, expires)
+	}()
+}
+
+func (d *Daemon) call(r *run, address string, grant yuccapool.Grant) (yuccatarget.Call, error) {
+	body, err := r.request.body(r.ask)
+	return yuccatarget.Call{
+		ID:         r.id,
+		Target:     grant.Target,
+		Address:    address,
+		Pool:       r.claim.Pool,
+		Operation:  r.claim.Operation,
+		Plain:      d.State().Pools[r.claim.Pool].Kind == "service",
+		Idempotent: r.claim.Idempotent,
+		Body:       body,
+		Fence:      grant.Number,
+	}, err
+}
+
+// dispatch runs on a goroutine of its own: it sends the request once and relays.
+func (d *Daemon) dispatch(ctx context.Context, r *run, call yuccatarget.Call, expires time.Time) {
+	// A process that was frozen after control decided wakes up here. Nothing has
+	// left yet, so the late request can still truthfully be told that it did not run.
+	if !time.Now().Before(expires) {
+		d.control.post(func(now time.Time) {
+			d.finish(now, r, yuccaonce.Result{Run: yuccaonce.NotRun, Reason: yuccaonce.ReasonDeadline}, yuccatarget.End{})
+		})
+		return
+	}
+	relay := relay{daemon: d, run: r}
+	end, err := d.targets.Run(ctx, call, relay.piece)
+	d.control.post(func(now time.Time) { d.finish(now, r, resultOf(r, end, err, relay.pieces), end) })
+	if ctx.Err() != nil {
+		d.cancelAt(call)
+	}
+}
+
+// cancelAt ends a run at its target, which would otherwise go on for nobody.
+func (d *Daemon) cancelAt(call yuccatarget.Call) {
+	ctx, stop := context.WithTimeout(context.Background(), cancelTimeout)
+	defer stop()
+	_ = d.targets.Cancel(ctx, call.Address, call.ID)
+}
+
+// relay hands pieces of one answer to its readers and reports progress.
+type relay struct {
+	daemon *Daemon
+	run    *run
+	pieces int
+	tokens yuccaid.Tokens
+	told   time.Time
+}
+
+func (rel *relay) piece(piece yuccatarget.Piece) error {
+	rel.run.answer.add(piece.Data)
+	rel.pieces++
+	rel.tokens += yuccaid.Tokens(piece.Tokens)
+	now := time.Now()
+	first := rel.pieces == 1
+	if !first && now.Sub(rel.told) < progressEvery {
+		return nil
+	}
+	rel.told = now
+	progress := yuccapool.Progress{ID: rel.run.id, FirstToken: first, Answered: rel.tokens}
+	rel.daemon.control.offer(func(now time.Time) { rel.daemon.progress(now, rel.run, progress) })
+	return nil
+}
+
+func (d *Daemon) progress(now time.Time, r *run, progress yuccapool.Progress) {
+	if progress.FirstToken {
+		d.metrics.firstToken(r.claim.Tier, now.Sub(r.accepted))
+	}
+	message := yuccawire.Progress{Pool: r.claim.Pool, Progress: progress}
+	if r.leader == d.self.Incarnation {
+		d.onProgress(now, message)
+		return
+	}
+	_ = d.send(r.leader, yuccawire.KindProgress, message)
+}
+
+// resultOf turns what is known after a call into what may be said of it.
+func resultOf(r *run, end yuccatarget.End, err error, pieces int) yuccaonce.Result {
+	if err == nil {
+		return yuccaonce.Result{Run: yuccaonce.Ran, Pieces: end.Pieces, Hash: end.Hash}
+	}
+	var unsent *yuccatarget.UnsentError
+	var refused *yuccatarget.RefusedError
+	var leaving *yuccatarget.LeavingError
+	var broken *yuccatarget.BrokenError
+	var cancelled *yuccatarget.CancelledError
+	switch {
+	case errors.As(err, &unsent):
+		return yuccaonce.Result{Run: yuccaonce.NotRun, Reason: yuccaonce.ReasonTargetLost, Back: time.Second}
+	case errors.As(err, &refused):
+		return yuccaonce.Result{Run: yuccaonce.NotRun, Reason: yuccaonce.ReasonRefusedByTarget, Back: refused.Back}
+	case errors.As(err, &leaving):
+		return yuccaonce.Result{Run: yuccaonce.NotRun, Reason: yuccaonce.ReasonRefusedByTarget, Back: time.Second}
+	case r.preempted != "":
+		return yuccaonce.Result{Run: yuccaonce.Ran, Reason: r.preempted, Pieces: pieces, Partial: true, Back: preemptedBack}
+	case errors.As(err, &cancelled):
+		return yuccaonce.Result{Run: yuccaonce.Ran, Reason: yuccaonce.ReasonCancelled, Pieces: pieces, Partial: true, Back: preemptedBack}
+	case errors.As(err, &broken):
+		return yuccaonce.Result{Run: yuccaonce.Ran, Reason: yuccaonce.ReasonBroken, Pieces: pieces, Partial: true}
+	}
+	return yuccaonce.Result{Run: yuccaonce.Unknown, Reason: yuccaonce.ReasonTargetLost, Pieces: pieces, Partial: pieces > 0}
+}
+
+// preemptedBack is when the caller of a cancelled run is told to come back: about
+// one answer's length, after which the urgent work that took its place has moved on.
+const preemptedBack = 10 * time.Second
+
+// finish closes a dispatched request and tells its leader.
+func (d *Daemon) finish(now time.Time, r *run, result yuccaonce.Result, end yuccatarget.End) {
+	outcome, err := d.owner.Finish(now, r.id, result)
+	if err != nil {
+		d.log.problem("finish", err)
+		outcome = yuccaonce.Outcome{Run: yuccaonce.Unknown, Reason: yuccaonce.ReasonBroken}
+	}
+	if outcome.Partial {
+		d.metrics.wasted(outcome.Reason, r.ask.Prompt-end.Cached)
+	}
+	d.tellFinished(now, r, result, end)
+	d.close(now, r, outcome)
+}
+
+func (d *Daemon) tellFinished(now time.Time, r *run, result yuccaonce.Result, end yuccatarget.End) {
+	finished := yuccapool.Finished{
+		ID: r.id, Target: r.target, Ran: result.Run == yuccaonce.Ran && !result.Partial,
+		Prompt: end.Prompt, Cached: end.Cached, Answer: end.Answer, Prefill: end.Prefill, Decode: end.Decode,
+	}
+	message := yuccawire.Finished{Pool: r.claim.Pool, Finished: finished}
+	if r.leader == d.self.Incarnation {
+		d.onFinished(now, message)
+		return
+	}
+	_ = d.send(r.leader, yuccawire.KindFinished, message)
+}
+
+// close gives the readers the outcome in the step that decided it.
+func (d *Daemon) close(now time.Time, r *run, outcome yuccaonce.Outcome) {
+	delete(d.runs, r.id)
+	d.held -= r.request.size()
+	r.answer.end(outcome)
+	d.kept.add(now, r.answer)
+	d.metrics.closed(r, outcome, now)
+	d.log.outcome(r, outcome)
+}
+
+// giveUp refuses a waiting request; it changes nothing once a byte may have left.
+func (d *Daemon) giveUp(now time.Time, r *run, reason yuccaonce.Reason, back time.Duration) {
+	outcome, closed := d.owner.GiveUp(now, r.id, reason, back)
+	if !closed {
+		return
+	}
+	d.metrics.refused(r.claim.Tier, reason)
+	d.close(now, r, outcome)
+}
+
+// giveBack tells the leader that a grant was not used, so that the target's room is
+// free again without waiting for the grant's expiry.
+func (d *Daemon) giveBack(now time.Time, pool yuccaid.Pool, grant yuccapool.Grant) {
+	message := yuccawire.Finished{Pool: pool, Finished: yuccapool.Finished{ID: grant.ID, Target: grant.Target}}
+	if grant.Leader == d.self.Incarnation {
+		d.onFinished(now, message)
+		return
+	}
+	_ = d.send(grant.Leader, yuccawire.KindFinished, message)
+}
+
+// tickOwner looks after every open request: its deadline, leader and readers.
+func (d *Daemon) tickOwner(now time.Time) {
+	for _, r := range d.runs {
+		if r.running {
+			d.tickRunning(now, r)
+			continue
+		}
+		d.tickWaiting(now, r)
+	}
+	d.owner.Tick(now)
+	d.kept.expire(now)
+}
+
+func (d *Daemon) tickWaiting(now time.Time, r *run) {
+	if !now.Before(r.deadline) {
+		d.withdraw(now, r)
+		d.giveUp(now, r, yuccaonce.ReasonDeadline, time.Second)
+		return
+	}
+	if d.leftAlone(now, r) {
+		d.withdraw(now, r)
+		d.giveUp(now, r, yuccaonce.ReasonCancelled, 0)
+		return
+	}
+	leader, found := d.peers.Leader(r.claim.Pool)
+	if !found || leader.Incarnation != r.leader || r.leader.IsZero() {
+		d.offer(now, r)
+	}
+}
+
+func (d *Daemon) tickRunning(now time.Time, r *run) {
+	if !d.leftAlone(now, r) || !r.claim.Idempotent {
+		return
+	}
+	r.preempted = yuccaonce.ReasonCancelled
+	r.stop()
+}
+
+// leftAlone reports whether the caller has been gone for too long.
+func (d *Daemon) leftAlone(now time.Time, r *run) bool {
+	if !r.answer.abandoned() {
+		r.abandoned = time.Time{}
+		return false
+	}
+	if r.abandoned.IsZero() {
+		r.abandoned = now
+	}
+	return now.Sub(r.abandoned) > abandonAfter
+}
+
+func (d *Daemon) withdraw(now time.Time, r *run) {
+	if r.leader.IsZero() {
+		return
+	}
+	message := yuccawire.Withdrawal{Pool: r.claim.Pool, ID: r.id}
+	if r.leader == d.self.Incarnation {
+		d.onWithdraw(now, message)
+		return
+	}
+	_ = d.send(r.leader, yuccawire.KindWithdraw, message)
+}
+
+// readerLeft is called on traffic goroutines; the next tick sees what it means.
+func (d *Daemon) readerLeft(*Answer) {}
+
+// onRefusal gives a waiting request its final answer at once.
+func (d *Daemon) onRefusal(now time.Time, refusal yuccapool.Refusal) {
+	r, open := d.runs[refusal.ID]
+	if !open || r.running {
+		return
+	}
+	d.giveUp(now, r, yuccaonce.Reason(refusal.Reason), refusal.Back)
+}
+
+// onCancel ends a running generation that gives way to more urgent work.
+func (d *Daemon) onCancel(_ time.Time, cancel yuccapool.Cancel) {
+	r, open := d.runs[cancel.ID]
+	if !open || !r.running || !r.claim.Idempotent {
+		return
+	}
+	r.preempted = yuccaonce.ReasonDisplaced
+	r.stop()
+}
+
+// abort ends a request because its caller says so.
+func (d *Daemon) abort(now time.Time, id yuccaid.RequestText, acc yuccaid.Account) (yuccaonce.Outcome, error) {
+	outcome, err := d.owner.Outcome(now, id, acc)
+	if err != nil {
+		return outcome, problemOf(err)
+	}
+	r, open := d.runs[id]
+	if !open {
+		return outcome, nil
+	}
+	if !r.running {
+		d.withdraw(now, r)
+		d.giveUp(now, r, yuccaonce.ReasonCancelled, 0)
+		return d.owner.Outcome(now, id, acc)
+	}
+	if r.claim.Idempotent {
+		r.preempted = yuccaonce.ReasonCancelled
+		r.stop()
+	}
+	return outcome, nil
+}
+
+// problemOf maps the owner's refusals to what callers are told.
+func problemOf(err error) *Problem {
+	var foreign *yuccaonce.ForeignError
+	var conflict *yuccaonce.ConflictError
+	var expired *yuccaonce.ExpiredError
+	switch {
+	case errors.As(err, &conflict):
+		return &Problem{Kind: KindConflict, Run: yuccaonce.Unknown}
+	case errors.As(err, &expired):
+		return &Problem{Kind: KindExpired, Run: yuccaonce.Unknown}
+	case errors.As(err, &foreign):
+		return &Problem{Kind: KindOwnerLost, Run: yuccaonce.Unknown}
+	}
+	return &Problem{Kind: KindUnknownID, Run: yuccaonce.Unknown}
+}
--- /dev/null
+++ b/io/yuccaweb/caller.go
@@ -0,0 +1,236 @@
+package yuccaweb
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+
+	"github.com/labstack/echo/v4"
+
+	"yuccacleat/core/yuccaid"
+	"yuccacleat/core/yuccaonce"
+	"yuccacleat/io/yuccadaemon"
+)
+
+const (
+	// bodyLimit holds a whole rulebook or transcript, some 250,000 tokens.
+	bodyLimit = 1 << 20
+	// HeaderRequest carries the id of a request that the one-call form opened.
+	HeaderRequest = "X-Request-Id"
+	contentLines  = "application/x-ndjson"
+)
+
+// Caller serves those who have requests.
+type Caller struct {
+	daemon *yuccadaemon.Daemon
+	echo   *echo.Echo
+}
+
+// NewCaller returns the callers' routes for a daemon.
+func NewCaller(daemon *yuccadaemon.Daemon) *Caller {
+	web := &Caller{daemon: daemon, echo: newEcho()}
+	web.echo.POST("/v1/requests", web.open)
+	web.echo.POST("/v1/requests/:id", web.submit)
+	web.echo.GET("/v1/requests/:id", web.outcome)
+	web.echo.GET("/v1/requests/:id/answer", web.answer)
+	web.echo.DELETE("/v1/requests/:id", web.abort)
+	web.echo.POST("/v1/run", web.run)
+	return web
+}
+
+// Handler returns the routes for an HTTP server.
+func (web *Caller) Handler() http.Handler {
+	return web.echo
+}
+
+// Opened is what opening a request returns.
+type Opened struct {
+	ID yuccaid.RequestText `json:"id"`
+}
+
+func (web *Caller) open(c echo.Context) error {
+	acc, err := web.account(c)
+	if err != nil {
+		return err
+	}
+	id, err := web.daemon.Open(acc)
+	if err != nil {
+		return err
+	}
+	return c.JSON(http.StatusCreated, Opened{ID: id})
+}
+
+func (web *Caller) submit(c echo.Context) error {
+	acc, err := web.account(c)
+	if err != nil {
+		return err
+	}
+	req, err := readRequest(c)
+	if err != nil {
+		return err
+	}
+	answer, err := web.daemon.Submit(c.Request().Context(), web.id(c), acc, req)
+	if err != nil {
+		return err
+	}
+	return stream(c, answer, 0)
+}
+
+func (web *Caller) run(c echo.Context) error {
+	acc, err := web.account(c)
+	if err != nil {
+		return err
+	}
+	req, err := readRequest(c)
+	if err != nil {
+		return err
+	}
+	id, err := web.daemon.Open(acc)
+	if err != nil {
+		return err
+	}
+	c.Response().Header().Set(HeaderRequest, string(id))
+	answer, err := web.daemon.Submit(c.Request().Context(), id, acc, req)
+	if err != nil {
+		return err
+	}
+	return stream(c, answer, 0)
+}
+
+func (web *Caller) answer(c echo.Context) error {
+	acc, err := web.account(c)
+	if err != nil {
+		return err
+	}
+	from, err := position(c)
+	if err != nil {
+		return err
+	}
+	answer, err := web.daemon.Follow(c.Request().Context(), web.id(c), acc, from)
+	if err != nil {
+		return err
+	}
+	return stream(c, answer, from)
+}
+
+func (web *Caller) outcome(c echo.Context) error {
+	acc, err := web.account(c)
+	if err != nil {
+		return err
+	}
+	outcome, err := web.daemon.Outcome(c.Request().Context(), web.id(c), acc)
+	if err != nil {
+		return err
+	}
+	return c.JSON(http.StatusOK, endOf(web.id(c), outcome))
+}
+
+func (web *Caller) abort(c echo.Context) error {
+	acc, err := web.account(c)
+	if err != nil {
+		return err
+	}
+	outcome, err := web.daemon.Abort(c.Request().Context(), web.id(c), acc)
+	if err != nil {
+		return err
+	}
+	return c.JSON(http.StatusOK, endOf(web.id(c), outcome))
+}
+
+func (web *Caller) id(c echo.Context) yuccaid.RequestText {
+	return yuccaid.RequestText(c.Param("id"))
+}
+
+// account finds who calls by the secret; only its digest stands in the configuration.
+func (web *Caller) account(c echo.Context) (yuccaid.Account, error) {
+	secret, bearer := strings.CutPrefix(c.Request().Header.Get(echo.HeaderAuthorization), "Bearer ")
+	if !bearer {
+		return "", &yuccadaemon.Problem{Kind: yuccadaemon.KindCredential, Run: yuccaonce.NotRun}
+	}
+	acc, known := web.daemon.State().AccountOf(secret)
+	if !known && !web.daemon.Ready() {
+		return "", &yuccadaemon.Problem{Kind: yuccadaemon.KindNotReady, Run: yuccaonce.NotRun}
+	}
+	if !known {
+		return "", &yuccadaemon.Problem{Kind: yuccadaemon.KindCredential, Run: yuccaonce.NotRun}
+	}
+	return acc, nil
+}
+
+// readRequest refuses what is not exactly one request; nothing has run by then.
+func readRequest(c echo.Context) (yuccadaemon.Request, error) {
+	var req yuccadaemon.Request
+	decoder := json.NewDecoder(http.MaxBytesReader(c.Response(), c.Request().Body, bodyLimit))
+	decoder.DisallowUnknownFields()
+	err := decoder.Decode(&req)
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return req, &yuccadaemon.Problem{Kind: yuccadaemon.KindTooLarge, Run: yuccaonce.NotRun}
+	}
+	if err != nil {
+		return req, &yuccadaemon.Problem{Kind: yuccadaemon.KindMalformed, Detail: err.Error(), Run: yuccaonce.NotRun}
+	}
+	if _, err := decoder.Token(); !errors.Is(err, io.EOF) {
+		return req, &yuccadaemon.Problem{Kind: yuccadaemon.KindMalformed, Detail: "more than one value", Run: yuccaonce.NotRun}
+	}
+	return req, nil
+}
+
+func position(c echo.Context) (int, error) {
+	text := c.QueryParam("from")
+	if text == "" {
+		return 0, nil
+	}
+	from, err := strconv.Atoi(text)
+	if err != nil || from < 0 {
+		return 0, &yuccadaemon.Problem{Kind: yuccadaemon.KindMalformed, Detail: "from is not a position", Run: yuccaonce.Unknown}
+	}
+	return from, nil
+}
+
+// stream writes the answer's pieces as they come and marks the end. A request that
+// ended without a piece is answered as an error, with a status a program can test.
+func stream(c echo.Context, answer *yuccadaemon.Answer, from int) error {
+	answer.Join()
+	told := false
+	defer func() { answer.Leave(told) }()
+	ctx := c.Request().Context()
+	pieces, outcome, err := answer.Next(ctx, from)
+	if err != nil {
+		return nil
+	}
+	c.Response().Header().Set(HeaderRequest, string(answer.ID()))
+	if outcome != nil && outcome.Run != yuccaonce.Ran {
+		told = true
+		return refusalOf(*outcome)
+	}
+	c.Response().Header().Set(echo.HeaderContentType, contentLines)
+	c.Response().WriteHeader(http.StatusOK)
+	told = copyLines(ctx, c, answer, from, pieces, outcome)
+	return nil
+}
+
+func copyLines(ctx context.Context, c echo.Context, answer *yuccadaemon.Answer, from int, pieces []yuccadaemon.Piece, outcome *yuccaonce.Outcome) bool {
+	encoder := json.NewEncoder(c.Response())
+	for {
+		for _, piece := range pieces {
+			if encoder.Encode(Line{ID: answer.ID(), Position: piece.Position, Data: string(piece.Data)}) != nil {
+				return false
+			}
+		}
+		from += len(pieces)
+		if outcome != nil {
+			return encoder.Encode(endOf(answer.ID(), *outcome)) == nil
+		}
+		c.Response().Flush()
+		var err error
+		pieces, outcome, err = answer.Next(ctx, from)
+		if err != nil {
+			return false
+		}
+	}
+}
