--- a/io/yuccastand/engine.go
+++ b/io/yuccastand/engine.go
@@ -99,7 +99,7 @@
 		defer eng.serving.Done()
 		eng.advance()
 	}()
-	eng.start(listener)
+	eng.start()
 	return eng
 }
 
--- a/io/yuccastand/host.go
+++ b/io/yuccastand/host.go
@@ -33,10 +33,11 @@
 
 func newHost(listener net.Listener) *host {
 	h := &host{
-		router:  echo.New(),
-		address: listener.Addr().String(),
-		done:    make(chan struct{}),
-		conns:   make(map[net.Conn]struct{}),
+		router:   echo.New(),
+		address:  listener.Addr().String(),
+		done:     make(chan struct{}),
+		listener: listener,
+		conns:    make(map[net.Conn]struct{}),
 	}
 	h.router.HideBanner = true
 	h.server = &http.Server{
@@ -49,11 +50,17 @@
 	return h
 }
 
-// start serves once the routes are set.
-func (h *host) start(listener net.Listener) {
+// start serves once the routes are set, unless the port was shut before.
+func (h *host) start() {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.listener = listener
+	if h.listener != nil {
+		h.serve(h.listener)
+	}
+}
+
+// serve answers on a listener until it is closed; the caller holds the mutex.
+func (h *host) serve(listener net.Listener) {
 	h.serving.Add(1)
 	go func() {
 		defer h.serving.Done()
@@ -119,27 +126,33 @@
 
 // reopen takes the port back.
 func (h *host) reopen() {
-	for {
-		h.mu.Lock()
-		open := h.listener != nil || h.closed
-		h.mu.Unlock()
-		if open {
-			return
-		}
-		listener, err := net.Listen("tcp", h.address)
-		if err == nil {
-			h.start(listener)
-			return
-		}
+	for !h.tryReopen() {
 		time.Sleep(reopenPause)
 	}
 }
 
+// tryReopen reports whether there is nothing more to do.
+func (h *host) tryReopen() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.listener != nil || h.closed {
+		return true
+	}
+	listener, err := net.Listen("tcp", h.address)
+	if err != nil {
+		return false
+	}
+	h.listener = listener
+	h.serve(listener)
+	return true
+}
+
 // hangUp ends the request's connection without an answer.
 func hangUp(c echo.Context) error {
 	conn, _, err := c.Response().Hijack()
 	if err != nil {
 		return eris.Wrap(err, "hijack")
 	}
-	return conn.Close()
+	_ = conn.Close()
+	return nil
 }
--- a/io/yuccastand/plain.go
+++ b/io/yuccastand/plain.go
@@ -55,7 +55,7 @@
 	data := plain.router.Group("", plain.gate)
 	data.POST(yuccatarget.CallPath+"/:operation", plain.serveCall)
 	data.GET(yuccatarget.LoadPath, plain.serveLoad)
-	plain.start(listener)
+	plain.start()
 	return plain
 }
 
--- a/io/yuccastand/platform.go
+++ b/io/yuccastand/platform.go
@@ -110,7 +110,7 @@
 		option(plat)
 	}
 	plat.routes()
-	plat.start(listener)
+	plat.start()
 	return plat
 }
 
--- a/io/yuccastand/stream.go
+++ b/io/yuccastand/stream.go
@@ -11,8 +11,12 @@
 	"yuccacleat/io/yuccatarget"
 )
 
-// foreignID is the request that pieces of a foreign answer belong to.
-const foreignID = "somebody-else"
+// foreignID is the request that pieces of a foreign answer belong to, and otherID one
+// whose hash fits neither.
+const (
+	foreignID = "somebody-else"
+	otherID   = "nobody"
+)
 
 // errStreamOver says that a fault has ended the stream; the handler has nothing to add.
 var errStreamOver = errors.New("stream ended by a fault: clear it with POST /control/faults")
@@ -100,7 +104,7 @@
 	line.End = true
 	line.Hash = AnswerHash(out.id, line.Pieces)
 	if faults.WrongHash {
-		line.Hash = AnswerHash(foreignID, line.Pieces)
+		line.Hash = AnswerHash(otherID, line.Pieces)
 	}
 	if err := out.lines.Encode(line); err != nil {
 		return err
--- a/io/yuccatarget/client.go
+++ b/io/yuccatarget/client.go
@@ -23,14 +23,17 @@
 	// DefaultDialTimeout is longer than two lost packets on a link between regions.
 	DefaultDialTimeout = 3 * time.Second
 
-	reportTimeout = 3 * time.Second
-	idleTimeout   = 30 * time.Second
-	firstBackoff  = 50 * time.Millisecond
-	headLimit     = 64 << 10
-	refusalLimit  = 64 << 10
-	reportLimit   = 4 << 20
-	lineLimit     = 1 << 20
-	answerLimit   = 64 << 20
+	// DefaultReportTimeout is how long a report may take; a later one is of no use for
+	// placing.
+	DefaultReportTimeout = 3 * time.Second
+
+	idleTimeout  = 30 * time.Second
+	firstBackoff = 50 * time.Millisecond
+	headLimit    = 64 << 10
+	refusalLimit = 64 << 10
+	reportLimit  = 4 << 20
+	lineLimit    = 1 << 20
+	answerLimit  = 64 << 20
 )
 
 // Option changes a client before its first use.
@@ -56,6 +59,11 @@
 	return func(cl *Client) { cl.dialTimeout = limit }
 }
 
+// WithReportTimeout sets how long a report may take.
+func WithReportTimeout(limit time.Duration) Option {
+	return func(cl *Client) { cl.reportTimeout = limit }
+}
+
 // WithDial replaces how connections are made.
 func WithDial(dial func(ctx context.Context, network, address string) (net.Conn, error)) Option {
 	return func(cl *Client) { cl.dialer = dial }
@@ -66,27 +74,29 @@
 // Requests, cancels and orders go out on a connection of their own through wire.
 // Reports are read over kept connections, because they have no effect and are frequent.
 type Client struct {
-	progress    time.Duration
-	silence     time.Duration
-	attempts    int
-	dialTimeout time.Duration
-	dialer      func(ctx context.Context, network, address string) (net.Conn, error)
-	reports     *http.Client
+	progress      time.Duration
+	silence       time.Duration
+	attempts      int
+	dialTimeout   time.Duration
+	reportTimeout time.Duration
+	dialer        func(ctx context.Context, network, address string) (net.Conn, error)
+	reports       *http.Client
 }
 
 // New returns a client.
 func New(options ...Option) *Client {
 	cl := &Client{
-		progress:    DefaultProgress,
-		silence:     DefaultSilence,
-		attempts:    DefaultAttempts,
-		dialTimeout: DefaultDialTimeout,
-		dialer:      (&net.Dialer{}).DialContext,
+		progress:      DefaultProgress,
+		silence:       DefaultSilence,
+		attempts:      DefaultAttempts,
+		dialTimeout:   DefaultDialTimeout,
+		reportTimeout: DefaultReportTimeout,
+		dialer:        (&net.Dialer{}).DialContext,
 	}
 	for _, option := range options {
 		option(cl)
 	}
-	cl.reports = newReports(cl.dial)
+	cl.reports = newReports(cl.dial, cl.reportTimeout)
 	return cl
 }
 
--- a/io/yuccatarget/report.go
+++ b/io/yuccatarget/report.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"time"
 
 	"github.com/rotisserie/eris"
 )
@@ -13,9 +14,9 @@
 // newReports returns a client for reports. It keeps one connection to each target; a
 // kept connection that has gone silent runs into the timeout, is closed by it, and the
 // next report dials anew.
-func newReports(dial func(ctx context.Context, network, address string) (net.Conn, error)) *http.Client {
+func newReports(dial func(ctx context.Context, network, address string) (net.Conn, error), limit time.Duration) *http.Client {
 	return &http.Client{
-		Timeout: reportTimeout,
+		Timeout: limit,
 		Transport: &http.Transport{
 			DialContext:            dial,
 			MaxIdleConnsPerHost:    1,
--- a/io/yuccatarget/run.go
+++ b/io/yuccatarget/run.go
@@ -121,7 +121,7 @@
 // nothing ran: a bare status can come from something between, which gave up waiting
 // while the target works on.
 func (rx *receiver) refusal(resp *http.Response) error {
-	unproven := rx.lost(&StatusError{Status: resp.StatusCode})
+	unproven := &StatusError{Status: resp.StatusCode}
 	if resp.StatusCode != http.StatusServiceUnavailable {
 		return unproven
 	}
--- a/io/yuccatarget/run_test.go
+++ b/io/yuccatarget/run_test.go
@@ -10,7 +10,7 @@
 var _ = Describe("a call", func() {
 	It("brings the whole answer of an engine", func() {
 		eng := startEngine()
-		var ans answer
+		var ans answerText
 		end, err := newClient().Run(testContext(), generation("a", eng.Address(), 20), ans.add)
 		Expect(err).NotTo(HaveOccurred())
 		Expect(ans.text).To(Equal(yuccastand.Answer("a", 20)))
@@ -23,7 +23,7 @@
 
 	It("brings the whole answer of a plain service", func() {
 		plain := startPlain()
-		var ans answer
+		var ans answerText
 		_, err := newClient().Run(testContext(), ticket("t", plain.Address()), ans.add)
 		Expect(err).NotTo(HaveOccurred())
 		Expect(ans.text).To(Equal(yuccastand.Answer("t", 1)))
--- a/io/yuccatarget/suite_test.go
+++ b/io/yuccatarget/suite_test.go
@@ -62,8 +62,7 @@
 }
 
 func body(prompt yuccatarget.Prompt) []byte {
-	raw, err := json.Marshal(prompt)
-	Expect(err).NotTo(HaveOccurred())
+	raw, _ := json.Marshal(prompt)
 	return raw
 }
 
@@ -81,12 +80,12 @@
 	}
 }
 
-// answer collects the pieces of one run.
-type answer struct {
+// answerText collects the pieces of one run.
+type answerText struct {
 	text string
 }
 
-func (ans *answer) add(piece yuccatarget.Piece) error {
+func (ans *answerText) add(piece yuccatarget.Piece) error {
 	ans.text += string(piece.Data)
 	return nil
 }
