--- a/io/yuccastand/engineweb.go
+++ b/io/yuccastand/engineweb.go
@@ -59,7 +59,7 @@
 	if err != nil || from < 0 || from > gen.pieces {
 		return c.NoContent(http.StatusBadRequest)
 	}
-	return eng.tell(c, gen, from)
+	return eng.tell(c, gen, max(from+eng.Faults().ResumeShift, 0))
 }
 
 // tell writes the answer from a position on, as it comes. The run goes on when the
--- a/io/yuccastand/fault.go
+++ b/io/yuccastand/fault.go
@@ -36,6 +36,9 @@
 	SilentOnce        bool `json:"silentOnce"`
 	// CutAfterPieces closes the first connection of each run after so many pieces.
 	CutAfterPieces int `json:"cutAfterPieces"`
+	// ResumeShift makes a resumed answer begin so many pieces behind the one asked for,
+	// or before it if negative.
+	ResumeShift int `json:"resumeShift"`
 	// Unfinished ends the answer without its last line, on every connection.
 	Unfinished bool  `json:"unfinished"`
 	Dead       Death `json:"dead"`
--- a/io/yuccatarget/client.go
+++ b/io/yuccatarget/client.go
@@ -128,6 +128,8 @@
 	Idempotent bool
 	Body       []byte
 	Fence      yuccaid.Number
+	// Longest is how long the call may go without a piece; 0 means the client's limit.
+	Longest time.Duration
 }
 
 // Piece is one part of an answer.
--- a/io/yuccatarget/once_test.go
+++ b/io/yuccatarget/once_test.go
@@ -116,6 +116,25 @@
 	Expect(err).To(BeAssignableToTypeOf(&yuccatarget.RefusedError{}))
 })
 
+// A target that is out of memory sends a byte now and then. The connection looks alive,
+// and a caller without a deadline would wait for good.
+var _ = DescribeTable("a target that trickles is given up",
+	func(plain bool) {
+		mid := startMiddle(true, func(conn net.Conn) {
+			_, err := io.WriteString(conn, "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n{")
+			for err == nil {
+				time.Sleep(10 * time.Millisecond)
+				_, err = io.WriteString(conn, " ")
+			}
+		})
+		call, _ := callFor(plain, "a", mid.listener.Addr().String())
+		_, err := newHastyClient().Run(testContext(), call, (&answerText{}).add)
+		Expect(err).To(beLost())
+	},
+	Entry("engine", false),
+	Entry("plain", true),
+)
+
 // A caller gives up before its call has left, or while the target works on it.
 var _ = Describe("a caller that gives up", func() {
 	It("is told that nothing was sent", func() {
--- a/io/yuccatarget/order.go
+++ b/io/yuccatarget/order.go
@@ -81,7 +81,8 @@
 // once makes one exchange on a connection of its own; body is asked for right before
 // the first byte leaves.
 func (cl *Client) once(ctx context.Context, method, address, path string, body func() ([]byte, error)) (*http.Response, func(), error) {
-	w, err := cl.connect(ctx, address, cl.progress)
+	end := time.Now().Add(cl.silence)
+	w, err := cl.connect(ctx, address, cl.progress, func() time.Time { return end })
 	if err != nil {
 		return nil, nil, &UnsentError{Address: address, Cause: causeOf(ctx, err)}
 	}
--- a/io/yuccatarget/receiver.go
+++ b/io/yuccatarget/receiver.go
@@ -12,16 +12,25 @@
 // receiver checks one answer across all the connections that it comes over, and hands
 // on its pieces in order.
 type receiver struct {
-	call  Call
-	piece func(Piece) error
-	next  int
-	size  int
-	sum   hash.Hash
-	moved time.Time
+	call    Call
+	piece   func(Piece) error
+	next    int
+	size    int
+	sum     hash.Hash
+	moved   time.Time
+	silence time.Duration
 }
 
-func newReceiver(call Call, piece func(Piece) error, now time.Time) *receiver {
-	return &receiver{call: call, piece: piece, sum: sha256.New(), moved: now}
+func newReceiver(call Call, piece func(Piece) error, silence time.Duration) *receiver {
+	if call.Longest > 0 {
+		silence = call.Longest
+	}
+	return &receiver{call: call, piece: piece, sum: sha256.New(), moved: time.Now(), silence: silence}
+}
+
+// latest returns when the next piece has to be there at the latest.
+func (rx *receiver) latest() time.Time {
+	return rx.moved.Add(rx.silence)
 }
 
 // stoppedError says that whoever takes the pieces wants no more.
--- a/io/yuccatarget/run.go
+++ b/io/yuccatarget/run.go
@@ -29,7 +29,7 @@
 // by sending the call again. Errors are *UnsentError, *RefusedError and *LeavingError if
 // the call did not run; *LostError, *BrokenError and *CancelledError if it may have.
 func (cl *Client) Run(ctx context.Context, call Call, piece func(Piece) error) (End, error) {
-	rx := newReceiver(call, piece, time.Now())
+	rx := newReceiver(call, piece, cl.silence)
 	end, err := cl.dispatch(ctx, rx)
 	if err == nil || final(err) {
 		return end, err
@@ -58,9 +58,9 @@
 	}
 	limit := cl.progress
 	if call.Plain {
-		limit = cl.silence
+		limit = rx.silence
 	}
-	w, err := cl.connect(ctx, call.Address, limit)
+	w, err := cl.connect(ctx, call.Address, limit, rx.latest)
 	if err != nil {
 		return End{}, &UnsentError{Address: call.Address, Cause: err}
 	}
@@ -153,7 +153,7 @@
 	failed := 0
 	patience := cl.progress
 	for ctx.Err() == nil {
-		if time.Since(rx.moved) > cl.silence {
+		if time.Since(rx.moved) > rx.silence {
 			return End{}, rx.lost(fmt.Errorf("%w (%w)", errSilent, cause))
 		}
 		before := rx.next
@@ -170,7 +170,7 @@
 			// The target holds the run and has nothing new: it waits or prefills. Looking
 			// less and less often spares it connections.
 			failed = 0
-			patience = min(2*patience, cl.silence)
+			patience = min(2*patience, rx.silence)
 		default:
 			failed++
 			if failed >= cl.attempts {
@@ -191,7 +191,7 @@
 	if err != nil {
 		return End{}, false, err
 	}
-	w, err := cl.connect(ctx, rx.call.Address, limit)
+	w, err := cl.connect(ctx, rx.call.Address, limit, rx.latest)
 	if err != nil {
 		return End{}, false, err
 	}
--- a/io/yuccatarget/wire.go
+++ b/io/yuccatarget/wire.go
@@ -26,19 +26,21 @@
 	conn     net.Conn
 	in       *bufio.Reader
 	limit    time.Duration
+	latest   func() time.Time
 	readable int64
 	sent     bool
 	release  func() bool
 }
 
 // connect dials a fresh connection, which ends with the context. No read or write on it
-// may take longer than the limit.
-func (cl *Client) connect(ctx context.Context, address string, limit time.Duration) (*wire, error) {
+// may take longer than the limit, nor end after latest: a peer that sends a byte now and
+// then would keep a caller waiting for good if only single reads were bounded.
+func (cl *Client) connect(ctx context.Context, address string, limit time.Duration, latest func() time.Time) (*wire, error) {
 	conn, err := cl.dial(ctx, "tcp", address)
 	if err != nil {
 		return nil, err
 	}
-	w := &wire{conn: conn, limit: limit, readable: headLimit}
+	w := &wire{conn: conn, limit: limit, latest: latest, readable: headLimit}
 	w.in = bufio.NewReader(readFunc(w.read))
 	w.release = context.AfterFunc(ctx, func() { _ = conn.Close() })
 	return w, nil
@@ -53,7 +55,7 @@
 	if w.readable <= 0 {
 		return 0, errOversized
 	}
-	if err := w.conn.SetReadDeadline(time.Now().Add(w.limit)); err != nil {
+	if err := w.conn.SetReadDeadline(w.deadline()); err != nil {
 		return 0, err
 	}
 	n, err := w.conn.Read(p[:min(int64(len(p)), w.readable)])
@@ -61,11 +63,20 @@
 	return n, err
 }
 
+// deadline returns when the next read or write has to be through.
+func (w *wire) deadline() time.Time {
+	soon, latest := time.Now().Add(w.limit), w.latest()
+	if latest.Before(soon) {
+		return latest
+	}
+	return soon
+}
+
 // Write fails once the peer has taken nothing for the limit.
 func (w *wire) Write(p []byte) (int, error) {
 	written := 0
 	for len(p) > 0 {
-		if err := w.conn.SetWriteDeadline(time.Now().Add(w.limit)); err != nil {
+		if err := w.conn.SetWriteDeadline(w.deadline()); err != nil {
 			return written, err
 		}
 		w.sent = true
