--- a/io/yuccastand/engine.go
+++ b/io/yuccastand/engine.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"yuccacleat/core/yuccaid"
+	"yuccacleat/core/yuccaqueue"
 	"yuccacleat/io/yuccatarget"
 )
 
@@ -18,7 +19,7 @@
 	DefaultDecode  yuccaid.Rate   = 50
 	DefaultSlots                  = 8
 	DefaultCache   yuccaid.Tokens = 200_000
-	DefaultBlock   yuccaid.Tokens = 64
+	DefaultBlock   yuccaid.Tokens = yuccaqueue.BlockTokens
 )
 
 // EngineOption changes an engine before it starts.
@@ -99,7 +100,7 @@
 		defer eng.serving.Done()
 		eng.advance()
 	}()
-	eng.start(listener)
+	eng.start()
 	return eng
 }
 
--- a/io/yuccatarget/run.go
+++ b/io/yuccatarget/run.go
@@ -29,7 +29,7 @@
 // by sending the call again. Errors are *UnsentError, *RefusedError and *LeavingError if
 // the call did not run; *LostError, *BrokenError and *CancelledError if it may have.
 func (cl *Client) Run(ctx context.Context, call Call, piece func(Piece) error) (End, error) {
-	rx := newReceiver(call, piece, time.Now())
+	rx := newReceiver(call, piece, cl.silence)
 	end, err := cl.dispatch(ctx, rx)
 	if err == nil || final(err) {
 		return end, err
@@ -58,9 +58,9 @@
 	}
 	limit := cl.progress
 	if call.Plain {
-		limit = cl.silence
+		limit = rx.silence
 	}
-	w, err := cl.connect(ctx, call.Address, limit)
+	w, err := cl.connect(ctx, call.Address, limit, rx.latest)
 	if err != nil {
 		return End{}, &UnsentError{Address: call.Address, Cause: err}
 	}
@@ -121,7 +121,7 @@
 // nothing ran: a bare status can come from something between, which gave up waiting
 // while the target works on.
 func (rx *receiver) refusal(resp *http.Response) error {
-	unproven := rx.lost(&StatusError{Status: resp.StatusCode})
+	unproven := &StatusError{Status: resp.StatusCode}
 	if resp.StatusCode != http.StatusServiceUnavailable {
 		return unproven
 	}
@@ -153,7 +153,7 @@
 	failed := 0
 	patience := cl.progress
 	for ctx.Err() == nil {
-		if time.Since(rx.moved) > cl.silence {
+		if time.Since(rx.moved) > rx.silence {
 			return End{}, rx.lost(fmt.Errorf("%w (%w)", errSilent, cause))
 		}
 		before := rx.next
@@ -170,7 +170,7 @@
 			// The target holds the run and has nothing new: it waits or prefills. Looking
 			// less and less often spares it connections.
 			failed = 0
-			patience = min(2*patience, cl.silence)
+			patience = min(2*patience, rx.silence)
 		default:
 			failed++
 			if failed >= cl.attempts {
@@ -191,7 +191,7 @@
 	if err != nil {
 		return End{}, false, err
 	}
-	w, err := cl.connect(ctx, rx.call.Address, limit)
+	w, err := cl.connect(ctx, rx.call.Address, limit, rx.latest)
 	if err != nil {
 		return End{}, false, err
 	}
@@ -219,7 +219,7 @@
 // backoff doubles with each failure, and is jittered so that the streams of a target
 // that stumbled don't all come back at once.
 func backoff(failed int) time.Duration {
-	longest := firstBackoff << failed
+	longest := min(firstBackoff<<min(failed, maxDoublings), longestBackoff)
 	return longest/2 + rand.N(longest/2)
 }
 
