Orders to targets, and bounds on what a daemon holds

Cause: the wished state of targets was configured and nobody acted on it; a burst of long prompts could end a daemon's process, and with it all it owns as unknown. Ruled out: orders sent on each configuration change (one lost order would never be repaired) in favour of comparing wish and state at each look; one bound on the count of requests only, since prompts differ by a factor of a hundred. Before: engines stayed without a model. Conclusion: level-triggered orders with the configuration's number as fence.

--- a/io/yuccaconf/settings.go
+++ b/io/yuccaconf/settings.go
@@ -65,9 +65,9 @@
 		Limits: Limits{
 			Requests:    20_000,
 			Callers:     4_096,
-			Body:        4 << 20,
-			Answers:     256 << 20,
-			AnswerLife:  5 * time.Minute,
+			Body:        1 << 20,
+			Answers:     64 << 20,
+			AnswerLife:  2 * time.Minute,
 			RequestLife: 30 * time.Minute,
 		},
 	}
--- a/io/yuccadaemon/daemon.go
+++ b/io/yuccadaemon/daemon.go
@@ -57,7 +57,12 @@
 	chain    *yuccastate.Chain
 	pulled   time.Time
 	snapshot snapshot
-	looked   time.Time
+
+	// leadersCount is derived from leadersOf and kept until the state changes.
+	leadersOf    *yuccastate.State
+	leadersCount int
+
+	looked time.Time
 }
 
 // WithCallerAddress tells callers of a leaving daemon where others answer.
@@ -88,9 +93,9 @@
 		metrics:  newMetrics(),
 		platform: yuccaplat.New(settings.Platform),
 		targets:  yuccatarget.New(),
-		owner:    yuccaonce.New(inc, key),
+		owner:    yuccaonce.New(inc, key, yuccaonce.WithLifetime(settings.Limits.RequestLife)),
 		runs:     make(map[yuccaid.RequestText]*run),
-		kept:     newKeptAnswers(),
+		kept:     newKeptAnswers(settings.Limits.Answers, settings.Limits.AnswerLife),
 		leads:    make(map[yuccaid.Pool]*lead),
 		leaving:  make(map[yuccaid.Target]bool),
 		chain:    yuccastate.NewChain(),
@@ -128,6 +133,11 @@
 	return d.ready.Load() && d.settled.Load() && !d.leavingD.Load()
 }
 
+// BodyLimit is the longest request body that callers may send.
+func (d *Daemon) BodyLimit() yuccaid.Bytes {
+	return d.settings.Limits.Body
+}
+
 // Close ends everything at once; Drain comes first where answers are to be finished.
 func (d *Daemon) Close() {
 	d.stopTraffic()
--- a/io/yuccadaemon/kept.go
+++ b/io/yuccadaemon/kept.go
@@ -7,19 +7,16 @@
 	"yuccacleat/core/yuccaid"
 )
 
-const (
-	// keptBytes bounds the whole answers that are kept for a second fetch. A quarter of
-	// the 256 MB that a daemon may use leaves room for open requests and streams.
-	keptBytes = yuccaid.Bytes(64 << 20)
-	// keptFor is long enough for a caller whose connection broke to come back.
-	keptFor = 2 * time.Minute
-)
-
 // keptAnswers holds whole answers, oldest first out.
 type keptAnswers struct {
 	byID  map[yuccaid.RequestText]*list.Element
 	order *list.List
 	bytes yuccaid.Bytes
+
+	// limit and life bound the memory; answers that were pushed out are reported as
+	// gone, never shortened.
+	limit yuccaid.Bytes
+	life  time.Duration
 }
 
 type keptAnswer struct {
@@ -27,8 +24,8 @@
 	until  time.Time
 }
 
-func newKeptAnswers() *keptAnswers {
-	return &keptAnswers{byID: make(map[yuccaid.RequestText]*list.Element), order: list.New()}
+func newKeptAnswers(limit yuccaid.Bytes, life time.Duration) *keptAnswers {
+	return &keptAnswers{byID: make(map[yuccaid.RequestText]*list.Element), order: list.New(), limit: limit, life: life}
 }
 
 func (kept *keptAnswers) get(id yuccaid.RequestText) (*Answer, bool) {
@@ -40,9 +37,9 @@
 }
 
 func (kept *keptAnswers) add(now time.Time, answer *Answer) {
-	kept.byID[answer.id] = kept.order.PushBack(keptAnswer{answer: answer, until: now.Add(keptFor)})
+	kept.byID[answer.id] = kept.order.PushBack(keptAnswer{answer: answer, until: now.Add(kept.life)})
 	kept.bytes += answer.size()
-	for kept.bytes > keptBytes {
+	for kept.bytes > kept.limit {
 		kept.drop(kept.order.Front())
 	}
 }
--- a/io/yuccadaemon/leader.go
+++ b/io/yuccadaemon/leader.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"yuccacleat/core/yuccaid"
+	"yuccacleat/core/yuccaorder"
 	"yuccacleat/core/yuccapool"
 	"yuccacleat/core/yuccaqueue"
 	"yuccacleat/core/yuccastate"
@@ -25,9 +26,10 @@
 
 // lead is one pool that this daemon leads.
 type lead struct {
-	pool   yuccaid.Pool
-	leader *yuccapool.Leader
-	stop   context.CancelFunc
+	pool    yuccaid.Pool
+	leader  *yuccapool.Leader
+	planner *yuccaorder.Planner
+	stop    context.CancelFunc
 }
 
 // refreshLeads takes up and lays down leadership after the view or the
@@ -57,6 +59,7 @@
 func (d *Daemon) takeUp(now time.Time, pool yuccaid.Pool) {
 	seed := rand.Uint64()
 	led := &lead{pool: pool, leader: yuccapool.New(pool, d.self.Incarnation, rand.New(rand.NewPCG(seed, uint64(now.UnixNano()))))}
+	led.planner = yuccaorder.New(now)
 	d.leads[pool] = led
 	led.leader.BeginGather(now, now.Add(gatherFor))
 	d.apply(now, pool, led.leader.Configure(now, d.view(d.State(), pool)))
--- a/io/yuccadaemon/metrics.go
+++ b/io/yuccadaemon/metrics.go
@@ -10,6 +10,7 @@
 
 	"yuccacleat/core/yuccaid"
 	"yuccacleat/core/yuccaonce"
+	"yuccacleat/core/yuccaorder"
 	"yuccacleat/core/yuccastate"
 )
 
@@ -60,6 +61,10 @@
 	met.counter("yuccacleat_configuration_events_total", "kind", string(kind)).Inc()
 }
 
+func (met *metrics) orderHeld(hold yuccaorder.Hold) {
+	met.counter("yuccacleat_orders_held_total", "reason", string(hold)).Inc()
+}
+
 func (met *metrics) wasted(cause yuccaonce.Reason, tokens yuccaid.Tokens) {
 	met.counter("yuccacleat_wasted_prefill_tokens_total", "cause", string(cause)).Add(int(tokens))
 }
--- a/io/yuccadaemon/owner.go
+++ b/io/yuccadaemon/owner.go
@@ -14,6 +14,11 @@
 )
 
 const (
+	// heldLimit bounds the prompts of open requests: a quarter of the 256 MB that a
+	// daemon may use, as are the kept answers; the rest is for streams and control.
+	heldLimit = yuccaid.Bytes(64 << 20)
+	// fullBack is about how long a request holds its prompt.
+	fullBack = 5 * time.Second
 	// abandonAfter is how long an answer without readers goes on: a caller whose
 	// connection broke has the time to come back, and a caller who left for good
 	// doesn't hold an engine for a whole answer.
@@ -82,6 +87,17 @@
 	return answer, err
 }
 
+// full refuses what would take the daemon's memory. Prompts stay here until their
+// answer is whole, so a burst of rulebooks would otherwise end the process, and with
+// it every request it owns as unknown.
+func (d *Daemon) full(req Request) *Problem {
+	limits := d.settings.Limits
+	if len(d.runs) < limits.Requests && d.held+req.size() <= heldLimit {
+		return nil
+	}
+	return &Problem{Kind: KindBusy, Detail: "this daemon holds as many requests as it may", Run: yuccaonce.NotRun, Back: fullBack}
+}
+
 // admit joins a second submit to the first, or starts the request.
 func (d *Daemon) admit(now time.Time, id yuccaid.RequestText, req Request, claim yuccaonce.Claim, ask yuccaqueue.Ask) (*Answer, error) {
 	step, err := d.owner.Submit(now, id, claim)
@@ -89,10 +105,14 @@
 		return nil, problemOf(err)
 	}
 	if step.Kind == yuccaonce.StepJoin {
-		return d.joined(now, id)
+		return d.joined(id)
 	}
 	if step.Kind == yuccaonce.StepClosed {
-		return d.closedAnswer(now, id, step.Outcome), nil
+		return d.closedAnswer(id, step.Outcome)
+	}
+	if prob := d.full(req); prob != nil {
+		d.owner.GiveUp(now, id, yuccaonce.ReasonOverload, fullBack)
+		return nil, prob
 	}
 	r := &run{id: id, request: req, claim: claim, ask: ask, accepted: now, deadline: now.Add(req.deadline())}
 	r.ask.ID = id
@@ -107,22 +127,25 @@
 	return r.answer, nil
 }
 
-func (d *Daemon) joined(now time.Time, id yuccaid.RequestText) (*Answer, error) {
+func (d *Daemon) joined(id yuccaid.RequestText) (*Answer, error) {
 	if r, open := d.runs[id]; open {
 		r.abandoned = time.Time{}
 		return r.answer, nil
 	}
-	return d.closedAnswer(now, id, yuccaonce.Outcome{Run: yuccaonce.Unknown}), nil
+	return d.closedAnswer(id, yuccaonce.Outcome{Run: yuccaonce.Unknown})
 }
 
 // closedAnswer returns the kept answer, or one that holds only the outcome.
-func (d *Daemon) closedAnswer(_ time.Time, id yuccaid.RequestText, outcome yuccaonce.Outcome) *Answer {
+func (d *Daemon) closedAnswer(id yuccaid.RequestText, outcome yuccaonce.Outcome) (*Answer, error) {
 	if kept, found := d.kept.get(id); found {
-		return kept
+		return kept, nil
+	}
+	if outcome.Run == yuccaonce.Ran {
+		return nil, &Problem{Kind: KindAnswerGone, Run: yuccaonce.Ran}
 	}
 	answer := newAnswer(id, nil)
 	answer.end(outcome)
-	return answer
+	return answer, nil
 }
 
 // offer brings a waiting request to its pool's leader, or notes that there is none.
--- a/io/yuccadaemon/poll.go
+++ b/io/yuccadaemon/poll.go
@@ -33,6 +33,7 @@
 	if target.Cache == 0 {
 		return
 	}
+	d.lookAt(reading, pool, name, target)
 	events, err := d.targets.CacheEvents(reading, target.Address, cursors[name])
 	if err != nil {
 		return
--- a/io/yuccadaemon/problem.go
+++ b/io/yuccadaemon/problem.go
@@ -27,6 +27,7 @@
 	KindOwnerLost    Kind = "ownerLost"
 	KindBusy         Kind = "busy"
 	KindRefused      Kind = "refused"
+	KindAnswerGone   Kind = "answerGone"
 	KindUnknownState Kind = "unknownOutcome"
 )
 
@@ -47,6 +48,7 @@
 	KindOwnerLost:    "the daemon that owned the request is gone: open a new one only if running twice does no harm",
 	KindBusy:         "come back after the time given",
 	KindRefused:      "come back after the time given",
+	KindAnswerGone:   "the request ran and its answer is no longer kept: open a new one if its text is needed",
 	KindUnknownState: "the request may have run: open a new one only if running twice does no harm",
 }
 
--- a/io/yuccademo/fleet.go
+++ b/io/yuccademo/fleet.go
@@ -78,12 +78,15 @@
 }
 
 func (fl *fleet) start(vm yuccaid.VM) error {
-	settings := &yuccaconf.Settings{VM: vm, Centre: centre, Platform: "http://" + fl.platform.Address()}
+	settings := yuccaconf.Defaults()
+	settings.VM = vm
+	settings.Centre = centre
+	settings.Platform = "http://" + fl.platform.Address()
 	settings.Listen.Caller = anyPort
 	settings.Listen.Peer = anyPort
 	settings.Listen.Operator = anyPort
 	settings.LongestDrain = drainLimit
-	proc, err := yuccaserve.Start(settings, yuccaid.Key(fleetKey), log.NewNopLogger())
+	proc, err := yuccaserve.Start(&settings, yuccaid.Key(fleetKey), log.NewNopLogger())
 	if err != nil {
 		return err
 	}
--- a/io/yuccaserve/serve.go
+++ b/io/yuccaserve/serve.go
@@ -9,6 +9,7 @@
 
 	"github.com/go-kit/log"
 	"github.com/rotisserie/eris"
+	"golang.org/x/net/netutil"
 
 	"yuccacleat/core/yuccaid"
 	"yuccacleat/io/yuccaconf"
@@ -117,6 +118,8 @@
 		}
 		*each.into = listener
 	}
+	// More callers than this would take the memory of those already served.
+	opened.caller = netutil.LimitListener(opened.caller, settings.Limits.Callers)
 	return opened, nil
 }
 
--- a/io/yuccaweb/caller.go
+++ b/io/yuccaweb/caller.go
@@ -17,8 +17,6 @@
 )
 
 const (
-	// bodyLimit holds a whole rulebook or transcript, some 250,000 tokens.
-	bodyLimit = 1 << 20
 	// HeaderRequest carries the id of a request that the one-call form opened.
 	HeaderRequest = "X-Request-Id"
 	contentLines  = "application/x-ndjson"
@@ -69,7 +67,7 @@
 	if err != nil {
 		return err
 	}
-	req, err := readRequest(c)
+	req, err := web.readRequest(c)
 	if err != nil {
 		return err
 	}
@@ -85,7 +83,7 @@
 	if err != nil {
 		return err
 	}
-	req, err := readRequest(c)
+	req, err := web.readRequest(c)
 	if err != nil {
 		return err
 	}
@@ -162,9 +160,9 @@
 }
 
 // readRequest refuses what is not exactly one request; nothing has run by then.
-func readRequest(c echo.Context) (yuccadaemon.Request, error) {
+func (web *Caller) readRequest(c echo.Context) (yuccadaemon.Request, error) {
 	var req yuccadaemon.Request
-	decoder := json.NewDecoder(http.MaxBytesReader(c.Response(), c.Request().Body, bodyLimit))
+	decoder := json.NewDecoder(http.MaxBytesReader(c.Response(), c.Request().Body, int64(web.daemon.BodyLimit())))
 	decoder.DisallowUnknownFields()
 	err := decoder.Decode(&req)
 	var tooLarge *http.MaxBytesError
--- a/io/yuccaweb/problem.go
+++ b/io/yuccaweb/problem.go
@@ -45,6 +45,7 @@
 	yuccadaemon.KindOwnerLost:    http.StatusBadGateway,
 	yuccadaemon.KindBusy:         http.StatusTooManyRequests,
 	yuccadaemon.KindRefused:      http.StatusServiceUnavailable,
+	yuccadaemon.KindAnswerGone:   http.StatusGone,
 	yuccadaemon.KindUnknownState: http.StatusBadGateway,
 }
 
--- a/pending.go
+++ b/pending.go
@@ -15,6 +15,7 @@
 	_ "github.com/tidwall/btree"
 	_ "github.com/vmihailenco/msgpack/v5"
 	_ "go.yaml.in/yaml/v3"
+	_ "golang.org/x/net/netutil"
 	_ "golang.org/x/sync/errgroup"
 	_ "golang.org/x/time/rate"
 	_ "gonum.org/v1/gonum/stat/distuv"
