Baselines at start, and links that are cut or go silent under real processes

Cause: a new process whose first notes were pruned waited for ever where no peer was left; nothing had shown what daemons do on the two sides of a cut. Ruled out: a second waiting watch on baselines, which doubles the reads at the platform; the parts are read only while a needed note is missing. Before: no such tests. After: with every link made silent, a request is served over new ones and runs once; with the leader cut off, both sides serve, an id of the other side is answered unknown and runs once after the cut heals. Conclusion: ownership by incarnation needs no agreement across the cut.

--- a/cmd/yuccacleat/fleet_test.go
+++ b/cmd/yuccacleat/fleet_test.go
@@ -106,6 +106,7 @@
 	*process
 	name      yuccaid.VM
 	addresses yuccaserve.Addresses
+	relay     *relay
 }
 
 // newFleet starts everything and waits until each daemon is ready with all peers.
@@ -141,20 +142,23 @@
 // start runs one more daemon; the list must be published for others to find it.
 func (fl *fleet) start(name yuccaid.VM) *daemon {
 	GinkgoHelper()
+	rel := newRelay(name)
 	settings := fmt.Sprintf(`vm: %s
 centre: odessa-1
 listen:
   caller: 127.0.0.1:0
   peer: 127.0.0.1:0
   operator: 127.0.0.1:0
+advertise: %s
 platform: http://%s
 fleetKeyFile: %s
 longestDrain: 60s
-`, name, fl.platform, filepath.Join(fl.dir, "key"))
+`, name, rel.address(), fl.platform, filepath.Join(fl.dir, "key"))
 	path := filepath.Join(fl.dir, string(name)+".yaml")
 	Expect(os.WriteFile(path, []byte(settings), 0o600)).To(Succeed())
-	dm := &daemon{process: spawn(yuccacleatPath, "serve", "--settings", path), name: name}
+	dm := &daemon{process: spawn(yuccacleatPath, "serve", "--settings", path), name: name, relay: rel}
 	Expect(json.Unmarshal(dm.line, &dm.addresses)).To(Succeed())
+	rel.point(dm.addresses.Peer)
 	fl.daemons = append(fl.daemons, dm)
 	return dm
 }
@@ -173,7 +177,7 @@
 		VMs []vm `json:"vms"`
 	}
 	for _, dm := range fl.daemons {
-		list.VMs = append(list.VMs, vm{VM: dm.name, Centre: "odessa-1", Address: dm.addresses.Peer, Kind: "entry", State: "live"})
+		list.VMs = append(list.VMs, vm{VM: dm.name, Centre: "odessa-1", Address: dm.relay.address(), Kind: "entry", State: "live"})
 	}
 	raw, err := json.Marshal(list)
 	Expect(err).NotTo(HaveOccurred())
@@ -221,6 +225,16 @@
 	put(fl.platform, "/control/keys/"+yuccastate.NoteKey(note.Number), note.Canonical())
 }
 
+// cut parts daemons from each other until the next call; nil joins them again.
+func (fl *fleet) cut(apart func(from, to yuccaid.VM) bool) {
+	if apart == nil {
+		apart = func(yuccaid.VM, yuccaid.VM) bool { return false }
+	}
+	for _, dm := range fl.daemons {
+		dm.relay.cut(apart)
+	}
+}
+
 // settle waits until every daemon has the newest configuration and sees all others.
 func (fl *fleet) settle() {
 	GinkgoHelper()
--- a/cmd/yuccacleat/process_test.go
+++ b/cmd/yuccacleat/process_test.go
@@ -96,3 +96,47 @@
 		Expect(fl.runsOf(id)).To(Equal(1))
 	})
 })
+
+var _ = Describe("connections between daemons that go silent", func() {
+	// Something between two VMs loses track of their connections: what is sent on them
+	// vanishes, while new ones work. Requests would wait for a leader that is there.
+	It("are replaced by new ones, and requests are served", func(ctx SpecContext) {
+		fl := newFleet(3, unlike...)
+		for _, dm := range fl.daemons {
+			dm.relay.hush()
+		}
+		_, others := fl.leader("draft")
+		answer, err := fl.caller.Run(ctx, others[0].addresses.Caller, draft("urgent", words(50), 20))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(answer.End.Run).To(Equal(yuccaonce.Ran))
+		Expect(fl.runsOf(answer.ID)).To(Equal(1))
+	})
+})
+
+var _ = Describe("a cut inside a data centre", func() {
+	// A switch fails and one daemon, the pool's leader, sees nobody else. Callers reach
+	// both sides and must be served on both, each request once; an id opened on one
+	// side and submitted on the other must not run on the wrong side.
+	It("leaves both sides serving and runs nothing twice", func(ctx SpecContext) {
+		fl := newFleet(3, unlike...)
+		leader, others := fl.leader("draft")
+		id, err := fl.caller.Open(ctx, leader.addresses.Caller)
+		Expect(err).NotTo(HaveOccurred())
+		fl.cut(func(from, to yuccaid.VM) bool { return (from == leader.name) != (to == leader.name) })
+		for _, dm := range []*daemon{leader, others[0]} {
+			answer, err := fl.caller.Run(ctx, dm.addresses.Caller, draft("urgent", words(20), 10))
+			Expect(err).NotTo(HaveOccurred(), dm.logs.String())
+			Expect(fl.runsOf(answer.ID)).To(Equal(1))
+		}
+		_, err = fl.caller.Submit(ctx, others[1].addresses.Caller, id, draft("urgent", words(20), 10))
+		var refused *yuccacaller.RefusedError
+		Expect(errors.As(err, &refused)).To(BeTrue())
+		Expect(refused.Run).To(Equal(yuccaonce.Unknown))
+		fl.cut(nil)
+		fl.settle()
+		answer, err := fl.caller.Submit(ctx, others[1].addresses.Caller, id, draft("urgent", words(20), 10))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(answer.End.Run).To(Equal(yuccaonce.Ran))
+		Expect(fl.runsOf(id)).To(Equal(1))
+	})
+})
--- a/core/yuccastate/key.go
+++ b/core/yuccastate/key.go
@@ -35,3 +35,14 @@
 	}
 	return yuccaid.Number(number), nil
 }
+
+// ParsePartKey returns the number and the index in a baseline part's key.
+func ParsePartKey(key string) (yuccaid.Number, int, error) {
+	text, tail, _ := strings.Cut(strings.TrimPrefix(key, BaselinePrefix), "/")
+	number, numberErr := strconv.ParseUint(text, 10, 64)
+	index, indexErr := strconv.Atoi(tail)
+	if numberErr != nil || indexErr != nil || key != PartKey(yuccaid.Number(number), index) {
+		return 0, 0, refuse(0, ErrKey, key, "publish parts as "+PartKey(1, 0), "is no part's key")
+	}
+	return yuccaid.Number(number), index, nil
+}
--- a/io/yuccadaemon/config.go
+++ b/io/yuccadaemon/config.go
@@ -12,7 +12,6 @@
 )
 
 const (
-	notesPrefix = "notes/"
 	// listEvery spaces the reading of the VM list, which lags by more than this. At
 	// 400 daemons it makes 80 reads a second of the 2,000 that the platform allows.
 	listEvery = 5 * time.Second
@@ -31,7 +30,7 @@
 
 // watchNotes follows the platform's release notes for as long as the daemon runs.
 func (d *Daemon) watchNotes(ctx context.Context) {
-	_ = d.platform.Follow(ctx, notesPrefix, func(page yuccaplat.Page) {
+	_ = d.platform.Follow(ctx, yuccastate.NotePrefix, func(page yuccaplat.Page) {
 		d.metrics.platformHeard.Store(time.Now().UnixNano())
 		d.control.post(func(now time.Time) {
 			for _, entry := range page.Entries {
@@ -180,9 +179,14 @@
 		d.log.problem("configuration from a peer", err)
 		return
 	}
+	d.takeState(now, state, taken.digest, "peer")
+}
+
+// takeState puts a whole configuration in force if it is higher than the accepted one.
+func (d *Daemon) takeState(now time.Time, state *yuccastate.State, digest yuccaid.Digest, source string) {
 	before := d.chain.State()
-	verdict, _ := d.chain.Adopt(now, "peer", state, taken.digest)
-	d.auditChain(verdict.Entries, "peer")
+	verdict, _ := d.chain.Adopt(now, source, state, digest)
+	d.auditChain(verdict.Entries, source)
 	d.adopt(now, before)
 	d.heardOf()
 }
--- a/io/yuccadaemon/daemon.go
+++ b/io/yuccadaemon/daemon.go
@@ -120,6 +120,7 @@
 	close(ready)
 	d.start(d.watchNotes)
 	d.start(d.watchList)
+	d.start(d.watchBaseline)
 	return d, nil
 }
 
