A smaller side of a cut uses its share of the targets; targets are polled side by side

Cause: in a cut inside a data centre each side's leader filled every target, so engines held twice the work that keeps urgent requests from waiting in them; and one dead target delayed the load reports of all others by its timeout. Ruled out: refusing on the smaller side (callers there would get nothing); shares for both sides always (the larger side would idle targets of daemons that died). Before: two whole shares. Conclusion: more than half of the candidates uses all; a smaller side its part, and all when its part of a pool is empty.

--- /dev/null
+++ b/core/yuccapeer/share_test.go
@@ -0,0 +1,52 @@
+package yuccapeer_test
+
+import (
+	"fmt"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"yuccacleat/core/yuccaid"
+	"yuccacleat/core/yuccapeer"
+)
+
+var _ = Describe("the share of targets in a cut", func() {
+	// A switch fails and parts the daemons of a data centre. With both sides filling
+	// every target, engines would queue twice the work and urgent requests would wait.
+	DescribeTable("is whole on one side at most, and the parts of smaller sides are disjoint",
+		func(daemons int, side func(i int) int) {
+			now := time.Unix(1_700_000_000, 0)
+			var listings []yuccapeer.Listing
+			var all []*yuccapeer.Peers
+			for i := range daemons {
+				inc := yuccaid.NewIncarnation(yuccaid.VM(fmt.Sprintf("entry-%d", i)), [16]byte{byte(i + 1)})
+				address := fmt.Sprintf("10.0.0.%d:7000", i+1)
+				listings = append(listings, yuccapeer.Listing{VM: inc.VM, Centre: "odessa-1", Address: address})
+				all = append(all, yuccapeer.New(yuccapeer.Member{VM: inc.VM, Centre: "odessa-1", Address: address, Incarnation: inc}))
+			}
+			for i, peers := range all {
+				peers.Listed(now, listings)
+				for j, other := range all {
+					if i != j && side(i) == side(j) {
+						peers.Heard(now, other.Heartbeat())
+					}
+				}
+			}
+			for t := range 200 {
+				target := yuccaid.Target(fmt.Sprintf("engine-%d", t))
+				users := make(map[int]bool)
+				for i, peers := range all {
+					if share := peers.Share(); !share.Whole() && share.Has(target) {
+						users[side(i)] = true
+					}
+				}
+				Expect(len(users)).To(BeNumerically("<=", 1), "%s is used by several smaller sides", target)
+			}
+		},
+		Entry("one daemon of seven is cut off", 7, func(i int) int { return min(i, 1) }),
+		Entry("three and four", 7, func(i int) int { return i / 4 }),
+		Entry("halves", 4, func(i int) int { return i % 2 }),
+		Entry("everybody alone", 5, func(i int) int { return i }),
+	)
+})
--- a/io/yuccadaemon/leader.go
+++ b/io/yuccadaemon/leader.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"yuccacleat/core/yuccaid"
@@ -18,10 +19,6 @@
 	// change of leader within one heartbeat and tell what they hold in the same tick;
 	// granting before that would fill targets that are already full.
 	gatherFor = 1200 * time.Millisecond
-	// reportEvery spaces the reading of load reports; engines renew theirs no faster.
-	reportEvery = time.Second
-	// reportTimeout bounds one reading, so that a dead target is noticed in time.
-	reportTimeout = 2 * time.Second
 )
 
 // lead is one pool that this daemon leads.
@@ -68,7 +65,7 @@
 	d.workers.Add(1)
 	go func() {
 		defer d.workers.Done()
-		d.pollTargets(ctx, pool)
+		newPoller(d, pool).run(ctx)
 	}()
 	d.audit.add(now, AuditEntry{Kind: AuditLeading, What: string(pool), Number: d.State().Number})
 }
@@ -90,13 +87,13 @@
 		Policy:     yuccapool.Policy{GoodputWeight: state.Policy.GoodputWeight, WasteWeight: state.Policy.WasteWeight},
 		Accounts:   make(map[yuccaid.Account]yuccapool.AccountView, len(state.Accounts)),
 	}
-	for name, target := range state.Targets {
-		if target.Pool != pool || target.Centre != d.self.Centre {
-			continue
-		}
+	names := d.targetsOf(state, pool)
+	used := d.peers.Share().Of(names)
+	for _, name := range names {
+		target := state.Targets[name]
 		view.Targets = append(view.Targets, yuccapool.Target{
 			Name: name, Slots: target.Slots, Prefill: target.Prefill, Decode: target.Decode,
-			Cache: target.Cache, Leaving: d.leaving[name],
+			Cache: target.Cache, Leaving: d.leaving[name] || !slices.Contains(used, name),
 		})
 	}
 	for name, account := range state.Accounts {
@@ -109,6 +106,18 @@
 	return view
 }
 
+// targetsOf returns the pool's targets in this data centre, in the order of names.
+func (d *Daemon) targetsOf(state *yuccastate.State, pool yuccaid.Pool) []yuccaid.Target {
+	var names []yuccaid.Target
+	for name, target := range state.Targets {
+		if target.Pool == pool && target.Centre == d.self.Centre {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
 // apply sends out what a leader decided.
 func (d *Daemon) apply(now time.Time, pool yuccaid.Pool, decisions yuccapool.Decisions) {
 	for _, grant := range decisions.Grants {
@@ -191,23 +200,3 @@
 		d.apply(now, pool, led.leader.OwnerGone(now, inc))
 	}
 }
-
-// pollTargets reads the load of the pool's targets while this daemon leads it.
-func (d *Daemon) pollTargets(ctx context.Context, pool yuccaid.Pool) {
-	ticker := time.NewTicker(reportEvery)
-	defer ticker.Stop()
-	cursors := make(map[yuccaid.Target]uint64)
-	for {
-		state := d.State()
-		for name, target := range state.Targets {
-			if target.Pool == pool && target.Centre == d.self.Centre {
-				d.pollTarget(ctx, pool, name, target, cursors)
-			}
-		}
-		select {
-		case <-ticker.C:
-		case <-ctx.Done():
-			return
-		}
-	}
-}
--- a/io/yuccadaemon/member.go
+++ b/io/yuccadaemon/member.go
@@ -142,8 +142,12 @@
 			})
 		}
 	}
+	whole := d.peers.Share().Whole()
 	d.peers.Listed(now, listings)
 	d.markLeaving(now, entries)
+	if d.peers.Share().Whole() != whole {
+		d.refreshLeads(now)
+	}
 	d.hub.Connect(d.peers.Dial())
 }
 
--- a/io/yuccadaemon/metrics.go
+++ b/io/yuccadaemon/metrics.go
@@ -83,6 +83,8 @@
 	for tier, count := range status.Running {
 		fmt.Fprintf(w, "yuccacleat_running{tier=%q} %d\n", tier, count)
 	}
+	fmt.Fprintf(w, "yuccacleat_minority %d\n", gauge(status.Minority))
+	fmt.Fprintf(w, "yuccacleat_ready %d\n", gauge(status.Ready))
 	fmt.Fprintf(w, "yuccacleat_configuration_number %d\n", status.Number)
 	fmt.Fprintf(w, "yuccacleat_configuration_age_seconds %.3f\n", ageOf(d.metrics.configChanged.Load()))
 	fmt.Fprintf(w, "yuccacleat_platform_heard_age_seconds %.3f\n", ageOf(d.metrics.platformHeard.Load()))
@@ -106,3 +108,10 @@
 		fmt.Fprintf(w, "yuccacleat_link_bytes_total{kind=%q,direction=\"received\"} %d\n", count.Kind, count.BytesReceived)
 	}
 }
+
+func gauge(on bool) int {
+	if on {
+		return 1
+	}
+	return 0
+}
--- a/io/yuccadaemon/owner.go
+++ b/io/yuccadaemon/owner.go
@@ -7,8 +7,10 @@
 
 	"yuccacleat/core/yuccaid"
 	"yuccacleat/core/yuccaonce"
+	"yuccacleat/core/yuccapeer"
 	"yuccacleat/core/yuccapool"
 	"yuccacleat/core/yuccaqueue"
+	"yuccacleat/core/yuccastate"
 	"yuccacleat/io/yuccatarget"
 	"yuccacleat/io/yuccawire"
 )
@@ -205,6 +207,24 @@
 	}()
 }
 
+// usable checks a grant against what this daemon knows, right before it dispatches.
+//
+// The leader may have decided under an older configuration or before a target began
+// to leave; the owner is the last to look before the first byte.
+func (d *Daemon) usable(now time.Time, r *run, grant yuccapool.Grant) (yuccastate.Target, bool) {
+	state := d.State()
+	target, known := state.Targets[grant.Target]
+	if !known || d.leaving[grant.Target] || !state.Allowed(r.claim.Account, grant.Target) {
+		return target, false
+	}
+	if grant.Number > state.Number {
+		// The leader knows of notes that this daemon lacks, so catch up first.
+		d.pull(now, yuccapeer.Source{Peer: grant.Leader, Number: grant.Number})
+		return target, false
+	}
+	return target, grant.Expires > 0 && now.Before(r.deadline)
+}
+
 func (d *Daemon) call(r *run, address string, grant yuccapool.Grant) (yuccatarget.Call, error) {
 	body, err := r.request.body(r.ask)
 	return yuccatarget.Call{
--- a/io/yuccadaemon/poll.go
+++ b/io/yuccadaemon/poll.go
@@ -4,68 +4,120 @@
 	"context"
 	"time"
 
+	"golang.org/x/sync/errgroup"
+
 	"yuccacleat/core/yuccaid"
-	"yuccacleat/core/yuccapeer"
 	"yuccacleat/core/yuccapool"
 	"yuccacleat/core/yuccastate"
+	"yuccacleat/io/yuccatarget"
+)
+
+const (
+	// reportEvery spaces the reading of load reports; engines renew theirs no faster.
+	reportEvery = time.Second
+	// lookEvery spaces the looks at what a target has loaded. Loads take minutes, and
+	// every look costs a call for each target of the pool.
+	lookEvery = 3 * time.Second
+	// reportTimeout bounds one reading.
+	reportTimeout = 2 * time.Second
+	// pollsAtOnce keeps one dead target from delaying the reports of the others.
+	pollsAtOnce = 16
 )
 
-// pollTarget reads one target's load and cache events for its pool's leader. A
-// target that doesn't answer is left to its runs' progress to judge.
-func (d *Daemon) pollTarget(ctx context.Context, pool yuccaid.Pool, name yuccaid.Target, target yuccastate.Target, cursors map[yuccaid.Target]uint64) {
+// poller reads the targets of one pool while this daemon leads it.
+type poller struct {
+	daemon  *Daemon
+	pool    yuccaid.Pool
+	targets map[yuccaid.Target]*polled
+}
+
+// polled is how far one target was read.
+type polled struct {
+	cursor uint64
+	looked time.Time
+}
+
+func newPoller(d *Daemon, pool yuccaid.Pool) *poller {
+	return &poller{daemon: d, pool: pool, targets: make(map[yuccaid.Target]*polled)}
+}
+
+func (poll *poller) run(ctx context.Context) {
+	ticker := time.NewTicker(reportEvery)
+	defer ticker.Stop()
+	for {
+		poll.round(ctx)
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (poll *poller) round(ctx context.Context) {
+	state := poll.daemon.State()
+	var group errgroup.Group
+	group.SetLimit(pollsAtOnce)
+	for _, name := range poll.daemon.targetsOf(state, poll.pool) {
+		far, known := poll.targets[name]
+		if !known {
+			far = &polled{}
+			poll.targets[name] = far
+		}
+		group.Go(func() error {
+			poll.read(ctx, name, state.Targets[name], far)
+			return nil
+		})
+	}
+	_ = group.Wait()
+}
+
+// read asks one target for its load, its cache events and what it has loaded. A
+// target that doesn't answer is left to the progress of its runs to judge.
+func (poll *poller) read(ctx context.Context, name yuccaid.Target, target yuccastate.Target, far *polled) {
 	reading, stop := context.WithTimeout(ctx, reportTimeout)
 	defer stop()
+	d := poll.daemon
 	load, err := d.targets.Load(reading, target.Address)
 	if err != nil {
 		d.metrics.reportErrors.Inc()
 		return
 	}
-	d.control.offer(func(now time.Time) {
-		if load.Leaving {
-			d.targetLeaves(now, name)
-		}
-		if led, leads := d.leads[pool]; leads {
-			d.apply(now, pool, led.leader.Report(now, yuccapool.Report{
-				Target: name, Age: load.Age(), Waiting: load.Waiting, Running: load.Running, Queued: load.Queued, Leaving: load.Leaving,
-			}))
-		}
-	})
+	d.control.offer(func(now time.Time) { d.onLoad(now, poll.pool, name, load) })
 	if target.Cache == 0 {
 		return
 	}
-	d.lookAt(reading, pool, name, target)
-	events, err := d.targets.CacheEvents(reading, target.Address, cursors[name])
-	if err != nil {
+	if time.Since(far.looked) >= lookEvery {
+		far.looked = time.Now()
+		d.lookAt(reading, poll.pool, name, target)
+	}
+	events, err := d.targets.CacheEvents(reading, target.Address, far.cursor)
+	if err != nil || len(events.Events) == 0 {
 		return
 	}
-	after := cursors[name]
-	cursors[name] = events.Last(after)
-	d.control.offer(func(now time.Time) {
-		led, leads := d.leads[pool]
-		if !leads {
-			return
-		}
-		for _, event := range events.Events {
-			led.leader.CacheEvent(now, yuccapool.CacheEvent{Target: name, Stored: event.Stored, Evicted: event.Evicted, Gap: event.Sequence > after+1})
-			after = event.Sequence
-		}
-	})
+	far.cursor = events.Last(far.cursor)
+	d.control.offer(func(now time.Time) { d.onCache(now, poll.pool, name, events) })
 }
 
-// usable checks a grant against what this daemon knows, right before it dispatches.
-//
-// The leader may have decided under an older configuration or before a target began
-// to leave; the owner is the last to look before the first byte.
-func (d *Daemon) usable(now time.Time, r *run, grant yuccapool.Grant) (yuccastate.Target, bool) {
-	state := d.State()
-	target, known := state.Targets[grant.Target]
-	if !known || d.leaving[grant.Target] || !state.Allowed(r.claim.Account, grant.Target) {
-		return target, false
+func (d *Daemon) onLoad(now time.Time, pool yuccaid.Pool, name yuccaid.Target, load yuccatarget.Load) {
+	if load.Leaving {
+		d.targetLeaves(now, name)
+	}
+	if led, leads := d.leads[pool]; leads {
+		d.apply(now, pool, led.leader.Report(now, yuccapool.Report{
+			Target: name, Age: load.Age(), Waiting: load.Waiting, Running: load.Running, Queued: load.Queued, Leaving: load.Leaving,
+		}))
+	}
+}
+
+func (d *Daemon) onCache(now time.Time, pool yuccaid.Pool, name yuccaid.Target, events yuccatarget.CacheEvents) {
+	led, leads := d.leads[pool]
+	if !leads {
+		return
 	}
-	if grant.Number > state.Number {
-		// The leader knows of notes that this daemon lacks, so catch up first.
-		d.pull(now, yuccapeer.Source{Peer: grant.Leader, Number: grant.Number})
-		return target, false
+	gap := events.Gap
+	for _, event := range events.Events {
+		led.leader.CacheEvent(now, yuccapool.CacheEvent{Target: name, Stored: event.Stored, Evicted: event.Evicted, Gap: gap})
+		gap = false
 	}
-	return target, grant.Expires > 0 && now.Before(r.deadline)
 }
--- a/io/yuccadaemon/status.go
+++ b/io/yuccadaemon/status.go
@@ -21,7 +21,10 @@
 	Leads       map[yuccaid.Pool]yuccapool.Status `json:"leads"`
 	Waiting     map[yuccaid.Tier]int              `json:"waiting"`
 	Running     map[yuccaid.Tier]int              `json:"running"`
-	Undelivered int                               `json:"undelivered"`
+	// Minority says that this daemon sees at most half of its data centre's daemons and
+	// uses only its share of the targets.
+	Minority    bool `json:"minority"`
+	Undelivered int  `json:"undelivered"`
 }
 
 // Status returns a picture of the daemon's roles at one moment.
@@ -40,6 +43,7 @@
 
 func (d *Daemon) fill(now time.Time, status *Status) {
 	status.Peers = d.peers.Live(d.self.Centre)
+	status.Minority = !d.peers.Share().Whole()
 	status.Undelivered = d.kept.undelivered()
 	for pool, led := range d.leads {
 		status.Leads[pool] = led.leader.Status(now)
