Requests that a data centre refuses are offered to another one by price

Cause: a data centre without room or targets refused callers beside idle engines of other data centres. Ruled out: handing the request over (the other side would own it, and a second submit could run it twice); load summaries between all data centres (paid traffic for requests that need no shift); the control links, which cross regions at a few gateways only. Before: a pool whose targets all stand elsewhere was refused at its deadline. After: the process test with two data centres runs a draft and a ticket in the other one, once each; the table test gives the order by price, the limits on tries, price and remaining time, and the pause after a refusal. Conclusion: the owner asks the other side's leader over a connection of the request's own and dispatches by itself.

--- a/io/yuccadaemon/daemon.go
+++ b/io/yuccadaemon/daemon.go
@@ -13,6 +13,7 @@
 	"yuccacleat/core/yuccaid"
 	"yuccacleat/core/yuccaonce"
 	"yuccacleat/core/yuccapeer"
+	"yuccacleat/core/yuccashift"
 	"yuccacleat/core/yuccastate"
 	"yuccacleat/io/yuccaconf"
 	"yuccacleat/io/yuccalink"
@@ -26,7 +27,6 @@
 	settings *yuccaconf.Settings
 	key      yuccaid.Key
 	self     yuccapeer.Member
-	caller   string
 	log      logger
 	metrics  *metrics
 	audit    *audit
@@ -53,6 +53,8 @@
 	held     yuccaid.Bytes
 	peers    *yuccapeer.Peers
 	leads    map[yuccaid.Pool]*lead
+	guests   map[yuccaid.RequestText]*guest
+	shifts   *yuccashift.Planner
 	leaving  map[yuccaid.Target]bool
 	chain    *yuccastate.Chain
 	pulled   time.Time
@@ -65,11 +67,6 @@
 	looked time.Time
 }
 
-// WithCallerAddress tells callers of a leaving daemon where others answer.
-func WithCallerAddress(address string) Option {
-	return func(d *Daemon) { d.caller = address }
-}
-
 // Option changes how a daemon is built.
 type Option func(*Daemon)
 
@@ -97,6 +94,8 @@
 		runs:     make(map[yuccaid.RequestText]*run),
 		kept:     newKeptAnswers(settings.Limits.Answers, settings.Limits.AnswerLife),
 		leads:    make(map[yuccaid.Pool]*lead),
+		guests:   make(map[yuccaid.RequestText]*guest),
+		shifts:   yuccashift.New(),
 		leaving:  make(map[yuccaid.Target]bool),
 		chain:    yuccastate.NewChain(),
 	}
@@ -158,7 +157,7 @@
 // refuses says why nothing new is taken now, if so.
 func (d *Daemon) refuses() *Problem {
 	if d.leavingD.Load() {
-		return &Problem{Kind: KindLeaving, Run: yuccaonce.NotRun, Address: d.elsewhere()}
+		return &Problem{Kind: KindLeaving, Run: yuccaonce.NotRun}
 	}
 	if !d.Ready() {
 		return &Problem{Kind: KindNotReady, Run: yuccaonce.NotRun, Back: time.Second}
--- a/io/yuccadaemon/forward.go
+++ b/io/yuccadaemon/forward.go
@@ -236,6 +236,10 @@
 	}
 	ctx, stop := context.WithCancel(d.traffic)
 	defer stop()
+	if frame.Kind == yuccawire.KindOffer {
+		d.serveGuest(ctx, conn, frame)
+		return
+	}
 	go func() {
 		defer stop()
 		untilClosed(conn)
--- a/io/yuccadaemon/leader.go
+++ b/io/yuccadaemon/leader.go
@@ -126,21 +126,21 @@
 			d.onGrant(now, pool, grant)
 			continue
 		}
-		_ = d.send(grant.Owner, yuccawire.KindGrant, yuccawire.PoolGrant{Pool: pool, Grant: grant})
+		d.tellOwner(grant.Owner, grant.ID, yuccawire.KindGrant, yuccawire.PoolGrant{Pool: pool, Grant: grant})
 	}
 	for _, refusal := range decisions.Refusals {
 		if refusal.Owner == d.self.Incarnation {
 			d.onRefusal(now, refusal)
 			continue
 		}
-		_ = d.send(refusal.Owner, yuccawire.KindRefusal, yuccawire.PoolRefusal{Pool: pool, Refusal: refusal})
+		d.tellOwner(refusal.Owner, refusal.ID, yuccawire.KindRefusal, yuccawire.PoolRefusal{Pool: pool, Refusal: refusal})
 	}
 	for _, cancel := range decisions.Cancels {
 		if cancel.Owner == d.self.Incarnation {
 			d.onCancel(now, cancel)
 			continue
 		}
-		_ = d.send(cancel.Owner, yuccawire.KindCancel, yuccawire.PoolCancel{Pool: pool, Cancel: cancel})
+		d.tellOwner(cancel.Owner, cancel.ID, yuccawire.KindCancel, yuccawire.PoolCancel{Pool: pool, Cancel: cancel})
 	}
 }
 
@@ -157,6 +157,20 @@
 	d.apply(now, ask.Pool, led.leader.Offer(now, ask))
 }
 
+// fromOwner takes what an owner tells a leader.
+func (d *Daemon) fromOwner(now time.Time, body any) {
+	switch message := body.(type) {
+	case yuccawire.Withdrawal:
+		d.onWithdraw(now, message)
+	case yuccawire.Progress:
+		d.onProgress(now, message)
+	case yuccawire.Finished:
+		d.onFinished(now, message)
+	case yuccawire.Hold:
+		d.onHold(now, message)
+	}
+}
+
 // onNotLeader makes the next tick look for the leader again.
 func (d *Daemon) onNotLeader(_ time.Time, message yuccawire.NotLeader) {
 	if r, open := d.runs[message.ID]; open && !r.running {
--- a/io/yuccadaemon/member.go
+++ b/io/yuccadaemon/member.go
@@ -90,7 +90,7 @@
 func (d *Daemon) tellLeaders(now time.Time) {
 	for _, r := range d.runs {
 		leader, found := d.peers.Leader(r.claim.Pool)
-		if !found || leader.Incarnation == r.leader {
+		if !found || leader.Incarnation == r.leader || r.away != nil {
 			continue
 		}
 		d.tell(now, r, leader)
@@ -101,7 +101,7 @@
 func (d *Daemon) resync(now time.Time, peer yuccaid.Incarnation) {
 	for _, r := range d.runs {
 		leader, found := d.peers.Leader(r.claim.Pool)
-		if found && leader.Incarnation == peer {
+		if found && leader.Incarnation == peer && r.away == nil {
 			d.tell(now, r, leader)
 		}
 	}
@@ -116,11 +116,7 @@
 	ask := r.ask
 	ask.Remaining = r.remaining(now)
 	message := yuccawire.Hold{Pool: r.claim.Pool, Running: yuccapool.Running{Ask: ask, Target: r.target}}
-	if leader.Incarnation == d.self.Incarnation {
-		d.onHold(now, message)
-		return
-	}
-	_ = d.send(leader.Incarnation, yuccawire.KindHold, message)
+	d.tellLeader(now, r, yuccawire.KindHold, message)
 }
 
 func (d *Daemon) sendBeat(beat yuccapeer.Beat) {
@@ -189,17 +185,3 @@
 	gone := !member.Incarnation.IsZero() && member.Incarnation != inc
 	return member.Address, found && member.Address != "" && !gone
 }
-
-// elsewhere names another daemon's address for callers that come to a leaving one.
-func (d *Daemon) elsewhere() string {
-	var address string
-	d.control.call(func(time.Time) {
-		for _, member := range d.peers.Live(d.self.Centre) {
-			if member.Incarnation != d.self.Incarnation && !member.Leaving {
-				address = member.Address
-				return
-			}
-		}
-	})
-	return address
-}
--- a/io/yuccadaemon/metrics.go
+++ b/io/yuccadaemon/metrics.go
@@ -65,6 +65,10 @@
 	met.counter("yuccacleat_orders_held_total", "reason", string(hold)).Inc()
 }
 
+func (met *metrics) shifted(centre yuccaid.Centre) {
+	met.counter("yuccacleat_shifted_total", "centre", string(centre)).Inc()
+}
+
 func (met *metrics) wasted(cause yuccaonce.Reason, tokens yuccaid.Tokens) {
 	met.counter("yuccacleat_wasted_prefill_tokens_total", "cause", string(cause)).Add(int(tokens))
 }
--- a/io/yuccadaemon/owner.go
+++ b/io/yuccadaemon/owner.go
@@ -44,6 +44,9 @@
 	deadline time.Time
 
 	leader    yuccaid.Incarnation
+	away      *away
+	tried     []yuccaid.Centre
+	refusal   yuccapool.Refusal
 	target    yuccaid.Target
 	running   bool
 	preempted yuccaonce.Reason
@@ -152,6 +155,10 @@
 
 // offer brings a waiting request to its pool's leader, or notes that there is none.
 func (d *Daemon) offer(now time.Time, r *run) {
+	if len(d.targetsOf(d.State(), r.claim.Pool)) == 0 {
+		d.onRefusal(now, yuccapool.Refusal{ID: r.id, Reason: yuccaqueue.ReasonNoTarget, Back: fullBack})
+		return
+	}
 	leader, found := d.peers.Leader(r.claim.Pool)
 	if !found {
 		r.leader = yuccaid.Incarnation{}
@@ -170,6 +177,16 @@
 	r.leader = leader.Incarnation
 }
 
+// offerAgain brings a request back into the queue after a grant that can't be used. One
+// that was shifted is refused instead: its leader elsewhere is not asked twice.
+func (d *Daemon) offerAgain(now time.Time, r *run) {
+	if r.away != nil {
+		d.onRefusal(now, r.refusal)
+		return
+	}
+	d.offer(now, r)
+}
+
 // onGrant dispatches a request unless something has overtaken the grant.
 func (d *Daemon) onGrant(now time.Time, pool yuccaid.Pool, grant yuccapool.Grant) {
 	r, open := d.runs[grant.ID]
@@ -180,7 +197,7 @@
 	tgt, valid := d.usable(now, r, grant)
 	if !valid {
 		d.giveBack(now, pool, grant)
-		d.offer(now, r)
+		d.offerAgain(now, r)
 		return
 	}
 	if err := d.owner.Dispatch(now, r.id, grant.Target); err != nil {
@@ -294,11 +311,7 @@
 		d.metrics.firstToken(r.claim.Tier, now.Sub(r.accepted))
 	}
 	message := yuccawire.Progress{Pool: r.claim.Pool, Progress: progress}
-	if r.leader == d.self.Incarnation {
-		d.onProgress(now, message)
-		return
-	}
-	_ = d.send(r.leader, yuccawire.KindProgress, message)
+	d.tellLeader(now, r, yuccawire.KindProgress, message)
 }
 
 // resultOf turns what is known after a call into what may be said of it.
@@ -352,17 +365,28 @@
 		Prompt: end.Prompt, Cached: end.Cached, Answer: end.Answer, Prefill: end.Prefill, Decode: end.Decode,
 	}
 	message := yuccawire.Finished{Pool: r.claim.Pool, Finished: finished}
-	if r.leader == d.self.Incarnation {
-		d.onFinished(now, message)
-		return
+	d.tellLeader(now, r, yuccawire.KindFinished, message)
+}
+
+// tellLeader tells the leader that a request waits at or was granted by.
+func (d *Daemon) tellLeader(now time.Time, r *run, kind yuccawire.Kind, body any) {
+	switch {
+	case r.away != nil:
+		_ = r.away.send(kind, body)
+	case r.leader == d.self.Incarnation:
+		d.fromOwner(now, body)
+	case !r.leader.IsZero():
+		_ = d.send(r.leader, kind, body)
 	}
-	_ = d.send(r.leader, yuccawire.KindFinished, message)
 }
 
 // close gives the readers the outcome in the step that decided it.
 func (d *Daemon) close(now time.Time, r *run, outcome yuccaonce.Outcome) {
 	delete(d.runs, r.id)
 	d.held -= r.request.size()
+	if r.away != nil {
+		r.away.finish()
+	}
 	r.answer.end(outcome)
 	d.kept.add(now, r.answer)
 	d.metrics.closed(r, outcome, now)
@@ -387,6 +411,10 @@
 		d.onFinished(now, message)
 		return
 	}
+	if r, open := d.runs[grant.ID]; open && r.away != nil && !r.running {
+		_ = r.away.send(yuccawire.KindFinished, message)
+		return
+	}
 	_ = d.send(grant.Leader, yuccawire.KindFinished, message)
 }
 
@@ -414,6 +442,9 @@
 		d.giveUp(now, r, yuccaonce.ReasonCancelled, 0)
 		return
 	}
+	if r.away != nil {
+		return
+	}
 	leader, found := d.peers.Leader(r.claim.Pool)
 	if !found || leader.Incarnation != r.leader || r.leader.IsZero() {
 		d.offer(now, r)
@@ -441,15 +472,7 @@
 }
 
 func (d *Daemon) withdraw(now time.Time, r *run) {
-	if r.leader.IsZero() {
-		return
-	}
-	message := yuccawire.Withdrawal{Pool: r.claim.Pool, ID: r.id}
-	if r.leader == d.self.Incarnation {
-		d.onWithdraw(now, message)
-		return
-	}
-	_ = d.send(r.leader, yuccawire.KindWithdraw, message)
+	d.tellLeader(now, r, yuccawire.KindWithdraw, yuccawire.Withdrawal{Pool: r.claim.Pool, ID: r.id})
 }
 
 // readerLeft is called on traffic goroutines; the next tick sees what it means.
@@ -458,7 +481,7 @@
 // onRefusal gives a waiting request its final answer at once.
 func (d *Daemon) onRefusal(now time.Time, refusal yuccapool.Refusal) {
 	r, open := d.runs[refusal.ID]
-	if !open || r.running {
+	if !open || r.running || d.shift(now, r, refusal) {
 		return
 	}
 	d.giveUp(now, r, yuccaonce.Reason(refusal.Reason), refusal.Back)
--- a/io/yuccadaemon/problem.go
+++ b/io/yuccadaemon/problem.go
@@ -58,8 +58,6 @@
 	Detail string
 	Run    yuccaonce.Run
 	Back   time.Duration
-	// Address is where another daemon answers, when the caller should go there.
-	Address string
 }
 
 // Error names the problem and its remedy.
--- a/io/yuccaserve/serve.go
+++ b/io/yuccaserve/serve.go
@@ -45,7 +45,7 @@
 	if err != nil {
 		return nil, err
 	}
-	daemon, err := yuccadaemon.New(settings, key, listeners.peer, yuccadaemon.WithLog(logger), yuccadaemon.WithCallerAddress(listeners.caller.Addr().String()))
+	daemon, err := yuccadaemon.New(settings, key, listeners.peer, yuccadaemon.WithLog(logger))
 	if err != nil {
 		listeners.close()
 		return nil, err
--- a/io/yuccaweb/problem.go
+++ b/io/yuccaweb/problem.go
@@ -26,7 +26,6 @@
 	Run              yuccaonce.Run    `json:"run"`
 	Reason           yuccaonce.Reason `json:"reason,omitempty"`
 	RetryAfterMillis int64            `json:"retryAfterMillis,omitempty"`
-	Address          string           `json:"address,omitempty"`
 }
 
 var statuses = map[yuccadaemon.Kind]int{
@@ -92,7 +91,7 @@
 	case errors.As(err, &prob):
 		return statuses[prob.Kind], Detail{
 			Kind: prob.Kind, Message: prob.Error(), Remedy: prob.Remedy(), Run: prob.Run,
-			RetryAfterMillis: prob.Back.Milliseconds(), Address: prob.Address,
+			RetryAfterMillis: prob.Back.Milliseconds(),
 		}
 	case errors.As(err, &ref):
 		return describeOutcome(ref.outcome)
--- a/io/yuccawire/message.go
+++ b/io/yuccawire/message.go
@@ -91,6 +91,8 @@
 type NotLeader struct {
 	Pool yuccaid.Pool        `msgpack:"pool"`
 	ID   yuccaid.RequestText `msgpack:"id"`
+	// Address is where the leader answers, as far as the sender knows.
+	Address string `msgpack:"address"`
 }
 
 // NotePull asks a peer for accepted release notes, or for its whole configuration.
