--- a/core/yuccastate/check.go
+++ b/core/yuccastate/check.go
@@ -1,7 +1,6 @@
 package yuccastate
 
 import (
-	"cmp"
 	"fmt"
 	"maps"
 	"math"
@@ -218,11 +217,3 @@
 func printable(text string) bool {
 	return utf8.ValidString(text) && strings.IndexFunc(text, func(r rune) bool { return !unicode.IsPrint(r) }) < 0
 }
-
-// sortProblems orders by key, so that the same refusal reads the same on every daemon
-// whatever the order in which its maps were walked.
-func sortProblems(problems yuccayaml.Problems) {
-	slices.SortFunc(problems, func(a, b *yuccayaml.Problem) int {
-		return cmp.Or(cmp.Compare(a.Key, b.Key), cmp.Compare(a.Detail, b.Detail), cmp.Compare(a.Remedy, b.Remedy))
-	})
-}
--- a/core/yuccastate/codec.go
+++ b/core/yuccastate/codec.go
@@ -67,7 +67,7 @@
 	note := Note{Number: snap.Number, Added: objs, Changed: Objects{Policy: &snap.Policy}}
 	state, problems := Empty().fold(note)
 	if len(problems) > 0 {
-		sortProblems(problems)
+		problems.Sort()
 		return nil, &Refusal{Number: snap.Number, Problems: problems}
 	}
 	if digest := state.Digest(); digest != snap.Digest {
--- a/core/yuccastate/diff.go
+++ b/core/yuccastate/diff.go
@@ -1,11 +1,12 @@
 package yuccastate
 
 import (
-	"encoding/json"
 	"fmt"
 	"maps"
 	"slices"
 	"strings"
+
+	"yuccacleat/core/yuccastate/yuccayaml"
 )
 
 // Diff lists what differs from a to b, one object or field a line, in a stable order:
@@ -41,7 +42,7 @@
 		after, has := b[name]
 		switch {
 		case !had:
-			fmt.Fprintf(text, "+ %s.%s %s\n", kind, name, canonical(after))
+			fmt.Fprintf(text, "+ %s.%s: %s\n", kind, name, line(after))
 		case !has:
 			fmt.Fprintf(text, "- %s.%s\n", kind, name)
 		case string(canonical(before)) != string(canonical(after)):
@@ -52,32 +53,33 @@
 }
 
 func diffFields(text *strings.Builder, before, after any) {
-	was, is := fields(before), fields(after)
-	names := slices.Collect(maps.Keys(was))
-	for name := range is {
-		if _, both := was[name]; !both {
-			names = append(names, name)
-		}
+	was, is := yuccayaml.Fields(before), yuccayaml.Fields(after)
+	keys := []string{}
+	for _, field := range slices.Concat(was, is) {
+		keys = append(keys, field.Key)
 	}
-	slices.Sort(names)
-	for _, name := range names {
-		if string(was[name]) != string(is[name]) {
-			fmt.Fprintf(text, "    %s: %s -> %s\n", name, shown(was[name]), shown(is[name]))
+	slices.Sort(keys)
+	for _, key := range slices.Compact(keys) {
+		if from, to := shown(was, key), shown(is, key); from != to {
+			fmt.Fprintf(text, "    %s: %s -> %s\n", key, from, to)
 		}
 	}
 }
 
-func fields(object any) map[string]json.RawMessage {
-	var all map[string]json.RawMessage
-	if err := json.Unmarshal(canonical(object), &all); err != nil {
-		panic(fmt.Sprintf("yuccastate: %v", err))
+// shown returns a field's value, or "none" for a field that is not written.
+func shown(fields []yuccayaml.Field, key string) string {
+	for _, field := range fields {
+		if field.Key == key {
+			return field.Value
+		}
 	}
-	return all
+	return "none"
 }
 
-func shown(value json.RawMessage) string {
-	if value == nil {
-		return "(none)"
+func line(object any) string {
+	var texts []string
+	for _, field := range yuccayaml.Fields(object) {
+		texts = append(texts, field.Key+": "+field.Value)
 	}
-	return string(value)
+	return strings.Join(texts, ", ")
 }
--- a/core/yuccastate/fold.go
+++ b/core/yuccastate/fold.go
@@ -23,24 +23,20 @@
 func (s *State) Apply(note Note) (*State, error) {
 	if note.Number != s.Number+1 {
 		remedy := fmt.Sprintf("number it %d", s.Number+1)
-		return nil, refuse(note.Number, ErrNumber, "number", remedy, "is %d after %d", note.Number, s.Number)
+		return nil, note.locate(refuse(note.Number, ErrNumber, "number", remedy, "is %d after %d", note.Number, s.Number))
 	}
 	if base := s.Digest(); note.Base != base {
 		remedy := fmt.Sprintf("read configuration %d again and write the note against %s", s.Number, base)
-		return nil, refuse(note.Number, ErrBase, "base", remedy, "is %q", note.Base)
+		return nil, note.locate(refuse(note.Number, ErrBase, "base", remedy, "is %q", note.Base))
 	}
 	next, problems := s.fold(note)
 	if !validBy(note.By) {
 		problems = append(problems, badValue("by", "say who publishes, in up to 100 printable characters", "is %q", note.By))
 	}
-	if len(problems) == 0 {
-		return next, nil
+	if len(problems) > 0 {
+		return nil, note.locate(&Refusal{Number: note.Number, Problems: problems})
 	}
-	for _, prob := range problems {
-		prob.Line = note.lines.Of(prob.Key)
-	}
-	sortProblems(problems)
-	return nil, &Refusal{Number: note.Number, Problems: problems}
+	return next, nil
 }
 
 // fold is one run of Apply: the configuration under construction and what is wrong
--- a/core/yuccastate/note.go
+++ b/core/yuccastate/note.go
@@ -19,9 +19,9 @@
 	Number    yuccaid.Number `json:"number"`
 	Base      yuccaid.Digest `json:"base"`
 	By        string         `json:"by"`
-	Added     Objects        `json:"added"`
-	Changed   Objects        `json:"changed"`
-	Withdrawn Names          `json:"withdrawn"`
+	Added     Objects        `json:"added,omitzero"`
+	Changed   Objects        `json:"changed,omitzero"`
+	Withdrawn Names          `json:"withdrawn,omitzero"`
 
 	lines yuccayaml.Lines
 }
@@ -42,19 +42,28 @@
 	return note, err
 }
 
+// locate gives each problem the line of its key and puts them in order.
+func (note Note) locate(ref *Refusal) *Refusal {
+	for _, prob := range ref.Problems {
+		prob.Line = note.lines.Of(prob.Key)
+	}
+	ref.Problems.Sort()
+	return ref
+}
+
 // locateWithdrawn makes the lines of withdrawn objects known by name; the reader of
 // YAML knows an item of a list by its position only.
 func (note Note) locateWithdrawn() {
 	names := note.Withdrawn
-	locate(note.lines, KindCentre, names.Centres)
-	locate(note.lines, KindLink, names.Links)
-	locate(note.lines, KindTier, names.Tiers)
-	locate(note.lines, KindPool, names.Pools)
-	locate(note.lines, KindTarget, names.Targets)
-	locate(note.lines, KindAccount, names.Accounts)
+	locateNames(note.lines, KindCentre, names.Centres)
+	locateNames(note.lines, KindLink, names.Links)
+	locateNames(note.lines, KindTier, names.Tiers)
+	locateNames(note.lines, KindPool, names.Pools)
+	locateNames(note.lines, KindTarget, names.Targets)
+	locateNames(note.lines, KindAccount, names.Accounts)
 }
 
-func locate[K ~string](lines yuccayaml.Lines, kind Kind, names []K) {
+func locateNames[K ~string](lines yuccayaml.Lines, kind Kind, names []K) {
 	for i, name := range names {
 		line := lines.Of(path(sectionWithdrawn, kind, strconv.Itoa(i)))
 		defer func() { lines[path(sectionWithdrawn, kind, string(name))] = line }()
--- a/core/yuccastate/object.go
+++ b/core/yuccastate/object.go
@@ -43,12 +43,12 @@
 
 // Tier is a priority tier; rank 0 is the most urgent and no two tiers share a rank.
 type Tier struct {
-	Rank int `json:"rank,omitempty"`
+	Rank int `json:"rank"`
 }
 
 // Operation is a kind of request that a pool serves.
 type Operation struct {
-	Idempotent bool `json:"idempotent,omitempty"`
+	Idempotent bool `json:"idempotent"`
 }
 
 // Operations is the kinds of request that a pool serves.
--- a/core/yuccastate/yuccayaml/encode.go
+++ b/core/yuccastate/yuccayaml/encode.go
@@ -16,13 +16,36 @@
 const indent = 2
 
 // Encode writes a struct in a stable form: fields in their order, maps sorted by
-// key, and no key whose value is the zero value.
+// key, and no key that may be omitted and whose value is the zero value.
 func Encode(from any) []byte {
+	return write(nodeOf(reflect.ValueOf(from)))
+}
+
+// Field is one key of a struct and its value on one line.
+type Field struct {
+	Key   string
+	Value string
+}
+
+// Fields writes a struct's fields one by one, as Encode would.
+func Fields(from any) []Field {
+	node := nodeOf(reflect.ValueOf(from))
+	fields := make([]Field, 0, len(node.Content)/2)
+	for i := 0; i+1 < len(node.Content); i += 2 {
+		value := node.Content[i+1]
+		value.Style |= yaml.FlowStyle
+		text := strings.TrimSuffix(string(write(value)), "\n")
+		fields = append(fields, Field{Key: node.Content[i].Value, Value: text})
+	}
+	return fields
+}
+
+func write(node *yaml.Node) []byte {
 	var out bytes.Buffer
 	writer := yaml.NewEncoder(&out)
 	writer.SetIndent(indent)
-	if err := writer.Encode(nodeOf(reflect.ValueOf(from))); err != nil {
-		// The nodes are built right above, so only a mistake in nodeOf gets here.
+	if err := writer.Encode(node); err != nil {
+		// The nodes are built in this file, so only a mistake here gets there.
 		panic(fmt.Sprintf("yuccayaml: %v", err))
 	}
 	return out.Bytes()
@@ -55,7 +78,8 @@
 	node := &yaml.Node{Kind: yaml.MappingNode}
 	for i, name := range fieldsOf(from.Type()) {
 		field := from.Field(i)
-		if name == "" || blank(field) {
+		_, options, _ := strings.Cut(from.Type().Field(i).Tag.Get("json"), ",")
+		if name == "" || options != "" && blank(field) {
 			continue
 		}
 		node.Content = append(node.Content, textNode("!!str", name), nodeOf(field))
--- a/core/yuccastate/yuccayaml/problem.go
+++ b/core/yuccastate/yuccayaml/problem.go
@@ -23,7 +23,7 @@
 
 // shownProblems bounds an error's text; a file of another kind altogether would
 // otherwise fill the log with one line for each of its keys.
-const shownProblems = 20
+const shownProblems = 50
 
 // Problem is one mistake in a file, with the place and the remedy.
 type Problem struct {
@@ -79,14 +79,25 @@
 	return all
 }
 
-// Err returns the problems in a stable order as an error, or nil if there are none.
+// Sort orders the problems by place, so that the same mistakes read the same on every
+// daemon whatever the order in which its maps were walked.
+func (probs Problems) Sort() {
+	slices.SortFunc(probs, func(a, b *Problem) int {
+		return cmp.Or(
+			cmp.Compare(a.Line, b.Line),
+			cmp.Compare(a.Key, b.Key),
+			cmp.Compare(a.Detail, b.Detail),
+			cmp.Compare(a.Remedy, b.Remedy),
+		)
+	})
+}
+
+// Err returns the problems in order as an error, or nil if there are none.
 func (probs Problems) Err() error {
 	if len(probs) == 0 {
 		return nil
 	}
-	slices.SortStableFunc(probs, func(a, b *Problem) int {
-		return cmp.Or(cmp.Compare(a.Line, b.Line), cmp.Compare(a.Key, b.Key), cmp.Compare(a.Detail, b.Detail))
-	})
+	probs.Sort()
 	return probs
 }
 
