--- a/core/yuccastate/adopt.go
+++ b/core/yuccastate/adopt.go
@@ -73,7 +73,7 @@
 
 func (chain *Chain) missingUpTo(highest yuccaid.Number) []yuccaid.Number {
 	var missing []yuccaid.Number
-	for number := chain.Number() + 1; number <= highest && len(missing) < keptNotes; number++ {
+	for number := chain.Number() + 1; number <= highest && len(missing) < int(keptNotes); number++ {
 		if _, held := chain.held[number]; !held {
 			missing = append(missing, number)
 		}
@@ -117,6 +117,7 @@
 	}
 	verdict.Kind = VerdictAccepted
 	verdict.Entries = []Entry{chain.move(now, EntryAdopted, from, state)}
+	maps.DeleteFunc(chain.accepted, func(earlier yuccaid.Number, _ link) bool { return earlier+keptProofs <= number })
 	for earlier, kept := range chain.accepted {
 		chain.accepted[earlier] = link{meaning: kept.meaning}
 	}
--- a/core/yuccastate/chain.go
+++ b/core/yuccastate/chain.go
@@ -12,11 +12,14 @@
 const (
 	// heldNotes and heldBytes bound notes that wait for an earlier one. A watch
 	// delivers some dozens out of order at worst; beyond that a snapshot is cheaper.
-	heldNotes                = 64
-	heldBytes  yuccaid.Bytes = 4 * NoteLimit
-	keptNotes                = 64
-	keptBytes  yuccaid.Bytes = 4 * NoteLimit
-	keptProofs               = 4096
+	heldNotes               = 64
+	heldBytes yuccaid.Bytes = 4 * NoteLimit
+	// keptNotes and keptBytes bound the texts kept for peers that were cut off for a
+	// while; one that lacks more fetches a snapshot.
+	keptNotes yuccaid.Number = 64
+	keptBytes yuccaid.Bytes  = 4 * NoteLimit
+	// keptProofs bounds by how many notes a changed key is still recognised.
+	keptProofs yuccaid.Number = 4096
 	// reportedLimit bounds what is remembered in order not to repeat audit entries.
 	reportedLimit = 1024
 )
@@ -251,20 +254,20 @@
 }
 
 // forget drops the texts and later the digests of old notes, so that a daemon that
-// runs for years doesn't grow with every note.
+// runs for years doesn't grow with every note. It looks at the numbers that may have
+// come to their limit, not at all of them.
 func (chain *Chain) forget() {
+	newest := chain.Number()
 	size := yuccaid.Bytes(0)
-	numbers := slices.Sorted(maps.Keys(chain.accepted))
-	slices.Reverse(numbers)
-	for i, number := range numbers {
-		kept := chain.accepted[number]
+	for age := range min(keptNotes+1, newest) {
+		kept := chain.accepted[newest-age]
 		size += yuccaid.Bytes(len(kept.raw))
-		if i >= keptNotes || size > keptBytes {
+		if kept.raw != nil && (age == keptNotes || size > keptBytes) {
 			kept.raw = nil
-			chain.accepted[number] = kept
-		}
-		if i >= keptProofs {
-			delete(chain.accepted, number)
+			chain.accepted[newest-age] = kept
 		}
 	}
+	if newest > keptProofs {
+		delete(chain.accepted, newest-keptProofs)
+	}
 }
--- a/core/yuccastate/check.go
+++ b/core/yuccastate/check.go
@@ -153,14 +153,16 @@
 // leave the order of two tiers open, addresses would count one back end's slots
 // twice, and a credential would answer for two client accounts.
 func (run *fold) checkUnique() {
-	add, change, next := run.note.Added, run.note.Changed, run.next
-	unique(run, KindTier, "rank", next.Tiers, add.Tiers, change.Tiers, func(tier Tier) int { return tier.Rank })
-	unique(run, KindTarget, "address", next.Targets, add.Targets, change.Targets, func(tgt Target) string { return tgt.Address })
-	unchanged := len(add.Accounts)+len(change.Accounts)+len(run.note.Withdrawn.Accounts) == 0
-	if unchanged && run.before.credentials != nil {
-		return
+	add, change, drop, next := run.note.Added, run.note.Changed, run.note.Withdrawn, run.next
+	if len(add.Tiers)+len(change.Tiers) > 0 {
+		unique(run, KindTier, "rank", next.Tiers, add.Tiers, change.Tiers, func(tier Tier) int { return tier.Rank })
+	}
+	if len(add.Targets)+len(change.Targets) > 0 {
+		unique(run, KindTarget, "address", next.Targets, add.Targets, change.Targets, func(tgt Target) string { return tgt.Address })
+	}
+	if len(add.Accounts)+len(change.Accounts)+len(drop.Accounts) > 0 || next.credentials == nil {
+		next.credentials = unique(run, KindAccount, "credential", next.Accounts, add.Accounts, change.Accounts, func(acc Account) yuccaid.Digest { return acc.Credential })
 	}
-	next.credentials = unique(run, KindAccount, "credential", next.Accounts, add.Accounts, change.Accounts, func(acc Account) yuccaid.Digest { return acc.Credential })
 }
 
 // unique returns which object holds which value. Untouched objects come first, so
--- /dev/null
+++ b/core/yuccastate/codec_test.go
@@ -0,0 +1,131 @@
+package yuccastate_test
+
+import (
+	"bytes"
+	"math/rand/v2"
+	"reflect"
+	"slices"
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"yuccacleat/core/yuccaid"
+	"yuccacleat/core/yuccastate"
+)
+
+const partLimit yuccaid.Bytes = 1 << 20
+
+var _ = Describe("a snapshot", func() {
+	It("survives the wire, always in the same bytes", func() {
+		state := largeState()
+		raw, err := yuccastate.EncodeState(state)
+		Expect(err).NotTo(HaveOccurred())
+		back, err := yuccastate.DecodeState(raw)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(yuccastate.Diff(state, back)).To(BeEmpty())
+		Expect(back.Digest()).To(Equal(state.Digest()))
+		again, err := yuccastate.EncodeState(back)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(bytes.Equal(again, raw)).To(BeTrue())
+	})
+
+	It("is refused when a single byte differs", func() {
+		// A snapshot that was cut off or damaged would put a fleet's worth of wrong
+		// addresses and credentials in force at once.
+		raw, err := yuccastate.EncodeState(founded())
+		Expect(err).NotTo(HaveOccurred())
+		for at := range raw {
+			damaged := slices.Clone(raw)
+			damaged[at] ^= 1
+			back, err := yuccastate.DecodeState(damaged)
+			if err == nil {
+				Expect(back.Digest()).To(Equal(founded().Digest()), "byte %d", at)
+			} else {
+				Expect(yuccastate.Reason(err)).NotTo(BeEmpty())
+			}
+			_, err = yuccastate.DecodeState(raw[:at])
+			Expect(err).To(MatchError(yuccastate.ErrGarbled))
+		}
+		_, err = yuccastate.DecodeState(append(raw, 0))
+		Expect(err).To(MatchError(yuccastate.ErrGarbled))
+	})
+})
+
+var _ = Describe("a baseline", func() {
+	It("of the largest fleet fits into the platform's values and joins in any order", func() {
+		state := largeState()
+		raw, err := yuccastate.EncodeState(state)
+		Expect(err).NotTo(HaveOccurred())
+		limit := yuccaid.Bytes(len(raw) / 5)
+		parts := yuccastate.Baseline(state, limit)
+		Expect(len(parts)).To(BeNumerically(">=", 5))
+		for i, part := range parts {
+			Expect(yuccaid.Bytes(len(part.Value))).To(BeNumerically("<=", limit))
+			Expect(part.Key()).To(Equal(yuccastate.PartKey(state.Number, i)))
+		}
+		for _, part := range yuccastate.Baseline(state, partLimit) {
+			Expect(yuccaid.Bytes(len(part.Value))).To(BeNumerically("<=", partLimit))
+		}
+		rand.New(rand.NewPCG(1, 2)).Shuffle(len(parts), func(i, j int) { parts[i], parts[j] = parts[j], parts[i] })
+		back, err := yuccastate.JoinParts(parts)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(back.Digest()).To(Equal(state.Digest()))
+	})
+
+	// The keys of a baseline are published one by one, and a reader may come in
+	// between: it would start with half of the accounts unknown.
+	first, second := founded(), grown(1).State()
+	parts := yuccastate.Baseline(first, 1000)
+	other := yuccastate.Baseline(second, 1000)
+	garbled := slices.Clone(parts)
+	garbled[0].Value = []byte("?")
+	DescribeTable("is refused unless it is whole",
+		func(parts []yuccastate.Part, want error) {
+			_, err := yuccastate.JoinParts(parts)
+			Expect(err).To(MatchError(want))
+		},
+		Entry("none", nil, yuccastate.ErrParts),
+		Entry("first missing", parts[1:], yuccastate.ErrParts),
+		Entry("last missing", parts[:len(parts)-1], yuccastate.ErrParts),
+		Entry("one twice", append(slices.Clone(parts), parts[0]), yuccastate.ErrParts),
+		Entry("one of another", append(slices.Clone(parts[:1]), other[1:]...), yuccastate.ErrParts),
+		Entry("garbled", garbled, yuccastate.ErrGarbled),
+	)
+})
+
+var _ = Describe("a fold", func() {
+	It("shares what the note leaves alone and never writes what it builds on", func() {
+		before := largeState()
+		digest := before.Digest()
+		after, err := before.Apply(parsed(before, "withdrawn: {targets: [target-7]}"))
+		Expect(err).NotTo(HaveOccurred())
+		pointer := func(of any) uintptr { return reflect.ValueOf(of).Pointer() }
+		Expect(pointer(after.Accounts)).To(Equal(pointer(before.Accounts)))
+		Expect(pointer(after.Pools)).To(Equal(pointer(before.Pools)))
+		Expect(pointer(after.Targets)).NotTo(Equal(pointer(before.Targets)))
+		Expect(before.Targets).To(HaveKey(yuccaid.Target("target-7")))
+		Expect(before.Digest()).To(Equal(digest))
+	})
+})
+
+// FuzzDecodeState looks for bytes from a peer that end the process, and for accepted
+// ones that don't survive being sent on.
+func FuzzDecodeState(f *testing.F) {
+	raw, _ := yuccastate.EncodeState(founded())
+	f.Add(raw)
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		state, err := yuccastate.DecodeState(raw)
+		if err != nil {
+			return
+		}
+		again, err := yuccastate.EncodeState(state)
+		if err != nil {
+			t.Fatal(err)
+		}
+		back, err := yuccastate.DecodeState(again)
+		if err != nil || back.Digest() != state.Digest() {
+			t.Fatalf("%v: %s", err, yuccastate.Diff(state, back))
+		}
+	})
+}
--- a/core/yuccastate/machine_test.go
+++ b/core/yuccastate/machine_test.go
@@ -17,7 +17,8 @@
 	name     string
 	chain    *yuccastate.Chain
 	promised map[yuccaid.Number]yuccaid.Digest
-	alarms   map[string]bool
+	alarms   map[yuccaid.Number]bool
+	meanings map[yuccaid.Number]yuccaid.Digest
 }
 
 // fleet is several daemons and a platform's service that shows any version of a key
@@ -34,7 +35,7 @@
 	for i := range size {
 		fleet.daemons = append(fleet.daemons, &daemon{
 			name: fmt.Sprint("daemon-", i), chain: yuccastate.NewChain(),
-			promised: map[yuccaid.Number]yuccaid.Digest{}, alarms: map[string]bool{},
+			promised: map[yuccaid.Number]yuccaid.Digest{}, alarms: map[yuccaid.Number]bool{}, meanings: map[yuccaid.Number]yuccaid.Digest{},
 		})
 	}
 	return fleet
@@ -46,7 +47,7 @@
 		moved := entry.Kind == yuccastate.EntryAccepted || entry.Kind == yuccastate.EntryAdopted
 		switch {
 		case entry.Kind == yuccastate.EntryAlarm:
-			dmn.alarms[fmt.Sprint(entry.Number)] = true
+			dmn.alarms[entry.Number] = true
 		case moved && (dmn.promised[entry.Number] != "" || entry.By == ""):
 			t.Fatalf("%s moved to %d twice or by nobody", dmn.name, entry.Number)
 		case moved:
@@ -66,11 +67,16 @@
 	if parseErr != nil {
 		t.Fatalf("published notes parse: %v", parseErr)
 	}
+	if accepted {
+		dmn.meanings[number] = note.Digest()
+	}
 	if number == before+1 {
 		want := note.Base == state.Digest() && oracle(state, note)
 		if accepted != want || (err == nil) != want {
 			t.Fatalf("accepted %v, the oracle says %v: %v\n%s", accepted, want, err, raw)
 		}
+	} else if kept := dmn.meanings[number]; kept != "" && (kept != note.Digest()) != (verdict.Kind == yuccastate.VerdictAlarm) {
+		t.Fatalf("another content of note %d gives %s", number, verdict.Kind)
 	} else if accepted || dmn.chain.Number() != before {
 		t.Fatalf("note %d was taken at %d", number, before)
 	}
@@ -82,7 +88,7 @@
 	standing, entries := dmn.chain.Hear(noon, peer.name, number, digest)
 	dmn.audit(t, entries)
 	if number == dmn.chain.Number() && digest != dmn.chain.Digest() {
-		if standing != yuccastate.StandingForked || !dmn.alarms[fmt.Sprint(number)] {
+		if standing != yuccastate.StandingForked || !dmn.alarms[number] {
 			t.Fatalf("%s and %s differ at %d without alarm", dmn.name, peer.name, number)
 		}
 		if !fleet.contested {
@@ -177,10 +183,11 @@
 				note := drawNote(t, on)
 				note.Number = number
 				fleet.publish(number, note)
+				pick("to").offer(t, fleet, number, note.Canonical())
 			},
 			"deliver": func(t *rapid.T) {
 				number := rapid.SampledFrom(slices.Sorted(maps.Keys(fleet.versions))).Draw(t, "number")
-				pick("to").offer(t, fleet, number, rapid.SampledFrom(fleet.versions[number]).Draw(t, "version"))
+				pick("to").offer(t, fleet, number, fleet.versions[number][rapid.IntRange(0, len(fleet.versions[number])-1).Draw(t, "version")])
 			},
 			"exchange": func(t *rapid.T) { fleet.exchange(t, pick("daemon"), pick("peer")) },
 			"snapshot": func(t *rapid.T) { fleet.adopt(t, pick("daemon"), pick("peer")) },
--- /dev/null
+++ b/core/yuccastate/note_test.go
@@ -0,0 +1,64 @@
+package yuccastate_test
+
+import (
+	"bytes"
+	"os"
+	"path/filepath"
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"yuccacleat/core/yuccastate"
+)
+
+var _ = Describe("a note's canonical form", func() {
+	It("is one for all layouts of a meaning", func() {
+		note := parsed(founded(), string(read("second.yaml")))
+		expectGolden("canonical.golden", string(note.Canonical()))
+		back, err := yuccastate.ParseNote(note.Canonical())
+		Expect(err).NotTo(HaveOccurred())
+		Expect(back.Digest()).To(Equal(note.Digest()))
+		other := parsed(founded(), string(read("second.yaml"))+"# another layout\n")
+		Expect(other.Digest()).To(Equal(note.Digest()))
+		other.By = "carla"
+		Expect(other.Digest()).NotTo(Equal(note.Digest()))
+	})
+
+	It("has a size that the platform's service can hold", func() {
+		_, err := yuccastate.ParseNote(bytes.Repeat([]byte("#"), int(yuccastate.NoteLimit)+1))
+		Expect(err).To(MatchError(ContainSubstring("split it")))
+	})
+})
+
+// FuzzParseNote looks for texts that end the process, and for accepted ones whose
+// canonical form means something else.
+func FuzzParseNote(f *testing.F) {
+	files, _ := filepath.Glob("testdata/refused/*.yaml")
+	for _, file := range append(files, "testdata/first.yaml", "testdata/second.yaml") {
+		raw, err := os.ReadFile(file)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(raw)
+	}
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		note, err := yuccastate.ParseNote(raw)
+		if err != nil {
+			if yuccastate.Reason(err) == "" {
+				t.Fatalf("no reason: %v", err)
+			}
+			return
+		}
+		back, err := yuccastate.ParseNote(note.Canonical())
+		if err != nil || !bytes.Equal(back.Canonical(), note.Canonical()) {
+			t.Fatalf("%v\n%s\nbecomes\n%s", err, note.Canonical(), back.Canonical())
+		}
+		note.Base, note.Number = yuccastate.Empty().Digest(), 1
+		if after, err := yuccastate.Empty().Apply(note); err == nil {
+			after.Digest()
+		} else if yuccastate.Reason(err) == "" {
+			t.Fatalf("no reason: %v", err)
+		}
+	})
+}
--- a/core/yuccastate/oracle_test.go
+++ b/core/yuccastate/oracle_test.go
@@ -18,24 +18,27 @@
 	note.Added.Targets, note.Changed.Targets = map[yuccaid.Target]yuccastate.Target{}, map[yuccaid.Target]yuccastate.Target{}
 	note.Added.Accounts, note.Changed.Accounts = map[yuccaid.Account]yuccastate.Account{}, map[yuccaid.Account]yuccastate.Account{}
 	for range rapid.IntRange(1, 3).Draw(t, "edits") {
-		section := rapid.SampledFrom([]string{"add", "add", "change", "drop"}).Draw(t, "section")
 		switch rapid.SampledFrom([]string{"pool", "target", "target", "account"}).Draw(t, "kind") {
 		case "pool":
-			edit(section, drawNames[yuccaid.Pool](t, "pool", 1)[0], drawPool(t), note.Added.Pools, note.Changed.Pools, &note.Withdrawn.Pools)
+			edit(t, "pool", on.Pools, drawPool(t), note.Added.Pools, note.Changed.Pools, &note.Withdrawn.Pools)
 		case "target":
-			edit(section, drawNames[yuccaid.Target](t, "target", 1)[0], drawTarget(t), note.Added.Targets, note.Changed.Targets, &note.Withdrawn.Targets)
+			edit(t, "target", on.Targets, drawTarget(t), note.Added.Targets, note.Changed.Targets, &note.Withdrawn.Targets)
 		case "account":
-			edit(section, drawNames[yuccaid.Account](t, "account", 1)[0], drawAccount(t), note.Added.Accounts, note.Changed.Accounts, &note.Withdrawn.Accounts)
+			edit(t, "account", on.Accounts, drawAccount(t), note.Added.Accounts, note.Changed.Accounts, &note.Withdrawn.Accounts)
 		}
 	}
 	return note
 }
 
-func edit[K ~string, V any](section string, name K, object V, added, changed map[K]V, dropped *[]K) {
-	switch section {
-	case "add":
+// edit mostly adds what is absent and changes or drops what is there.
+func edit[K ~string, V any](t *rapid.T, kind string, old map[K]V, object V, added, changed map[K]V, dropped *[]K) {
+	name := drawNames[K](t, kind, 1)[0]
+	_, exists := old[name]
+	wrong := rapid.IntRange(0, 9).Draw(t, "wrong") == 9
+	switch {
+	case exists == wrong:
 		added[name] = object
-	case "change":
+	case rapid.Bool().Draw(t, "change"):
 		changed[name] = object
 	default:
 		*dropped = append(*dropped, name)
@@ -82,16 +85,23 @@
 	pools := plainly(s.Pools, note.Added.Pools, note.Changed.Pools, note.Withdrawn.Pools, &ok)
 	targets := plainly(s.Targets, note.Added.Targets, note.Changed.Targets, note.Withdrawn.Targets, &ok)
 	accounts := plainly(s.Accounts, note.Added.Accounts, note.Changed.Accounts, note.Withdrawn.Accounts, &ok)
+	centres := plainly(s.Centres, note.Added.Centres, nil, nil, &ok)
+	tiers := plainly(s.Tiers, note.Added.Tiers, nil, nil, &ok)
 	addresses, credentials := map[string]bool{}, map[yuccaid.Digest]bool{}
 	for _, tgt := range targets {
 		pool, known := pools[tgt.Pool]
+		_, placed := centres[tgt.Centre]
 		rated := tgt.Prefill > 0 && tgt.Decode > 0
-		ok = ok && known && !addresses[tgt.Address] && (rated || pool.Kind != yuccastate.PoolModel)
+		ok = ok && known && placed && !addresses[tgt.Address] && (rated || pool.Kind != yuccastate.PoolModel)
 		addresses[tgt.Address] = true
 	}
 	for _, acc := range accounts {
 		ok = ok && !credentials[acc.Credential]
 		credentials[acc.Credential] = true
+		for _, tier := range acc.Tiers {
+			_, known := tiers[tier]
+			ok = ok && known
+		}
 		for _, pool := range acc.Pools {
 			_, known := pools[pool]
 			ok = ok && known
