A target that can't be reached draws one request, not all of them

Cause: a dead target fails each request at once, so it always looked idle and drew the next one; callers were refused in a row beside engines that work. Ruled out: a count of failures before it is left alone (each costs a caller a request); sending the failed request elsewhere (a second dispatch). A repeated grant after a broken link no longer frees the room of the run that uses it, and a VM that is back on the platform's list gets work again.

--- a/core/yuccapool/leader.go
+++ b/core/yuccapool/leader.go
@@ -126,6 +126,9 @@
 		lead.fleet.Leave(now, done.Target, true, 0)
 		lead.refresh()
 	}
+	if done.Failed || done.Refused {
+		lead.fleet.Failed(now, done.Target)
+	}
 	one, found := lead.runs[done.ID]
 	if !found {
 		return dec
--- a/core/yuccapool/load_test.go
+++ b/core/yuccapool/load_test.go
@@ -1,6 +1,8 @@
 package yuccapool_test
 
 import (
+	"fmt"
+	"math/rand/v2"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -307,3 +309,30 @@
 		Expect(w.count(refused, limited)).To(BeNumerically(">", 400))
 	})
 })
+
+var _ = Describe("a target that can't be reached", func() {
+	// An engine's process has died. Each request that goes there fails at once, so the
+	// engine looks idle, draws the next request too, and callers are refused in a row
+	// beside an engine that works.
+	It("draws one request and then no more", func() {
+		lead := yuccapool.New("draft", yuccaid.Incarnation{VM: "entry-1"}, rand.New(rand.NewPCG(1, 2)))
+		now := time.Unix(1_700_000_000, 0)
+		lead.Configure(now, plainFleet(2))
+		failed := make(map[yuccaid.Target]int)
+		for i := range 20 {
+			now = now.Add(100 * time.Millisecond)
+			ask := triage()
+			ask.ID = yuccaid.RequestText(fmt.Sprint("r", i))
+			for _, grant := range lead.Offer(now, ask).Grants {
+				dead := grant.Target == plainFleet(2).Targets[0].Name
+				if dead {
+					failed[grant.Target]++
+				}
+				lead.Finished(now, yuccapool.Finished{ID: grant.ID, Target: grant.Target, Ran: !dead, Failed: dead})
+			}
+		}
+		for _, times := range failed {
+			Expect(times).To(Equal(1))
+		}
+	})
+})
--- a/core/yuccapool/message.go
+++ b/core/yuccapool/message.go
@@ -82,11 +82,13 @@
 	Ran     bool                `msgpack:"ran"`
 	Refused bool                `msgpack:"refused"`
 	Leaving bool                `msgpack:"leaving"`
-	Prompt  yuccaid.Tokens      `msgpack:"prompt"`
-	Cached  yuccaid.Tokens      `msgpack:"cached"`
-	Answer  yuccaid.Tokens      `msgpack:"answer"`
-	Prefill time.Duration       `msgpack:"prefill"`
-	Decode  time.Duration       `msgpack:"decode"`
+	// Failed says that the target could not be reached or broke off.
+	Failed  bool           `msgpack:"failed"`
+	Prompt  yuccaid.Tokens `msgpack:"prompt"`
+	Cached  yuccaid.Tokens `msgpack:"cached"`
+	Answer  yuccaid.Tokens `msgpack:"answer"`
+	Prefill time.Duration  `msgpack:"prefill"`
+	Decode  time.Duration  `msgpack:"decode"`
 }
 
 // Report is a target's own word on its load, Age ago.
--- a/io/yuccadaemon/member.go
+++ b/io/yuccadaemon/member.go
@@ -1,6 +1,7 @@
 package yuccadaemon
 
 import (
+	"maps"
 	"time"
 
 	"yuccacleat/core/yuccaid"
@@ -147,8 +148,8 @@
 	d.hub.Connect(d.peers.Dial())
 }
 
-// markLeaving notes the targets whose VMs the platform is about to take away. A
-// target that a note withdraws or that says so itself is handled where that is heard.
+// markLeaving notes the targets whose VMs the platform is about to take away, and
+// those that it no longer says so of, as after a VM was replaced.
 func (d *Daemon) markLeaving(now time.Time, entries []yuccaplat.VM) {
 	gone := make(map[yuccaid.VM]bool)
 	for _, entry := range entries {
@@ -156,24 +157,22 @@
 			gone[entry.Name] = true
 		}
 	}
+	listed := make(map[yuccaid.Target]bool)
 	for name, target := range d.State().Targets {
 		if gone[target.VM] {
-			d.targetLeaves(now, name)
+			listed[name] = true
 		}
 	}
-}
-
-// targetLeaves stops new work for a target everywhere this daemon decides.
-func (d *Daemon) targetLeaves(now time.Time, name yuccaid.Target) {
-	if d.leaving[name] {
+	if maps.Equal(listed, d.leaving) {
 		return
 	}
-	d.leaving[name] = true
-	d.audit.add(now, AuditEntry{Kind: AuditTargetLeaving, What: string(name), Number: d.State().Number})
-	target := d.State().Targets[name]
-	if led, leads := d.leads[target.Pool]; leads {
-		d.apply(now, target.Pool, led.leader.Configure(now, d.view(d.State(), target.Pool)))
+	for name := range listed {
+		if !d.leaving[name] {
+			d.audit.add(now, AuditEntry{Kind: AuditTargetLeaving, What: string(name), Number: d.State().Number})
+		}
 	}
+	d.leaving = listed
+	d.refreshLeads(now)
 }
 
 // addressOf finds the daemon that runs as an incarnation; a successor at the same VM
--- a/io/yuccadaemon/owner.go
+++ b/io/yuccadaemon/owner.go
@@ -50,6 +50,7 @@
 	target    yuccaid.Target
 	running   bool
 	preempted yuccaonce.Reason
+	back      time.Duration
 	stop      context.CancelFunc
 	abandoned time.Time
 }
@@ -190,6 +191,11 @@
 // onGrant dispatches a request unless something has overtaken the grant.
 func (d *Daemon) onGrant(now time.Time, pool yuccaid.Pool, grant yuccapool.Grant) {
 	r, open := d.runs[grant.ID]
+	if open && r.running && r.leader == grant.Leader && r.target == grant.Target {
+		// The leader repeats a grant to an owner that offered again after its link broke;
+		// giving it back would free the room of the run that is under way.
+		return
+	}
 	if !open || r.running {
 		d.giveBack(now, pool, grant)
 		return
@@ -326,25 +332,21 @@
 	var cancelled *yuccatarget.CancelledError
 	switch {
 	case errors.As(err, &unsent):
-		return yuccaonce.Result{Run: yuccaonce.NotRun, Reason: yuccaonce.ReasonTargetLost, Back: time.Second}
+		return yuccaonce.Result{Run: yuccaonce.NotRun, Reason: yuccaonce.ReasonUnsent, Back: time.Second}
 	case errors.As(err, &refused):
 		return yuccaonce.Result{Run: yuccaonce.NotRun, Reason: yuccaonce.ReasonRefusedByTarget, Back: refused.Back}
 	case errors.As(err, &leaving):
-		return yuccaonce.Result{Run: yuccaonce.NotRun, Reason: yuccaonce.ReasonRefusedByTarget, Back: time.Second}
+		return yuccaonce.Result{Run: yuccaonce.NotRun, Reason: yuccaonce.ReasonTargetLeaving, Back: time.Second}
 	case r.preempted != "":
-		return yuccaonce.Result{Run: yuccaonce.Ran, Reason: r.preempted, Pieces: pieces, Partial: true, Back: preemptedBack}
+		return yuccaonce.Result{Run: yuccaonce.Ran, Reason: r.preempted, Pieces: pieces, Partial: true, Back: r.back}
 	case errors.As(err, &cancelled):
-		return yuccaonce.Result{Run: yuccaonce.Ran, Reason: yuccaonce.ReasonCancelled, Pieces: pieces, Partial: true, Back: preemptedBack}
+		return yuccaonce.Result{Run: yuccaonce.Ran, Reason: yuccaonce.ReasonCancelled, Pieces: pieces, Partial: true}
 	case errors.As(err, &broken):
 		return yuccaonce.Result{Run: yuccaonce.Ran, Reason: yuccaonce.ReasonBroken, Pieces: pieces, Partial: true}
 	}
 	return yuccaonce.Result{Run: yuccaonce.Unknown, Reason: yuccaonce.ReasonTargetLost, Pieces: pieces, Partial: pieces > 0}
 }
 
-// preemptedBack is when the caller of a cancelled run is told to come back: about
-// one answer's length, after which the urgent work that took its place has moved on.
-const preemptedBack = 10 * time.Second
-
 // finish closes a dispatched request and tells its leader.
 func (d *Daemon) finish(now time.Time, r *run, result yuccaonce.Result, end yuccatarget.End) {
 	outcome, err := d.owner.Finish(now, r.id, result)
@@ -362,10 +364,12 @@
 func (d *Daemon) tellFinished(now time.Time, r *run, result yuccaonce.Result, end yuccatarget.End) {
 	finished := yuccapool.Finished{
 		ID: r.id, Target: r.target, Ran: result.Run == yuccaonce.Ran && !result.Partial,
-		Prompt: end.Prompt, Cached: end.Cached, Answer: end.Answer, Prefill: end.Prefill, Decode: end.Decode,
+		Refused: result.Reason == yuccaonce.ReasonRefusedByTarget,
+		Leaving: result.Reason == yuccaonce.ReasonTargetLeaving,
+		Failed:  result.Reason == yuccaonce.ReasonTargetLost || result.Reason == yuccaonce.ReasonUnsent,
+		Prompt:  end.Prompt, Cached: end.Cached, Answer: end.Answer, Prefill: end.Prefill, Decode: end.Decode,
 	}
-	message := yuccawire.Finished{Pool: r.claim.Pool, Finished: finished}
-	d.tellLeader(now, r, yuccawire.KindFinished, message)
+	d.tellLeader(now, r, yuccawire.KindFinished, yuccawire.Finished{Pool: r.claim.Pool, Finished: finished})
 }
 
 // tellLeader tells the leader that a request waits at or was granted by.
@@ -493,7 +497,8 @@
 	if !open || !r.running || !r.claim.Idempotent {
 		return
 	}
-	r.preempted = yuccaonce.ReasonDisplaced
+	r.preempted = yuccaonce.Reason(cancel.Reason)
+	r.back = cancel.Back
 	r.stop()
 }
 
--- a/io/yuccadaemon/poll.go
+++ b/io/yuccadaemon/poll.go
@@ -100,9 +100,6 @@
 }
 
 func (d *Daemon) onLoad(now time.Time, pool yuccaid.Pool, name yuccaid.Target, load yuccatarget.Load) {
-	if load.Leaving {
-		d.targetLeaves(now, name)
-	}
 	if led, leads := d.leads[pool]; leads {
 		d.apply(now, pool, led.leader.Report(now, yuccapool.Report{
 			Target: name, Age: load.Age(), Waiting: load.Waiting, Running: load.Running, Queued: load.Queued, Leaving: load.Leaving,
