--- a/core/yuccastate/yuccayaml/decode.go
+++ b/core/yuccastate/yuccayaml/decode.go
@@ -19,6 +19,7 @@
 )
 
 const (
+	strTag  = "!!str"
 	nullTag = "!!null"
 	boolTag = "!!bool"
 	intTag  = "!!int"
@@ -222,7 +223,8 @@
 	if err == nil && slices.Contains(tags, node.Tag) {
 		return
 	}
-	if strings.ContainsAny(node.Value, "0123456789") && !strings.HasPrefix(node.Value, "-") && node.Tag == "!!str" {
+	united := node.Tag == strTag && strings.ContainsAny(node.Value, "0123456789")
+	if united && !errors.Is(err, strconv.ErrRange) {
 		dec.add(ErrUnit, node, key, "write "+want+" without unit or quotes", "%q is not a bare number", node.Value)
 		return
 	}
--- a/core/yuccastate/yuccayaml/encode.go
+++ b/core/yuccastate/yuccayaml/encode.go
@@ -68,7 +68,7 @@
 	case reflect.Slice:
 		return listNode(from)
 	case reflect.String:
-		return textNode("!!str", from.String())
+		return textNode(strTag, from.String())
 	default:
 		return textNode("", fmt.Sprint(from.Interface()))
 	}
@@ -82,7 +82,7 @@
 		if name == "" || options != "" && blank(field) {
 			continue
 		}
-		node.Content = append(node.Content, textNode("!!str", name), nodeOf(field))
+		node.Content = append(node.Content, textNode(strTag, name), nodeOf(field))
 	}
 	return node
 }
@@ -92,7 +92,7 @@
 	keys := from.MapKeys()
 	slices.SortFunc(keys, func(a, b reflect.Value) int { return strings.Compare(a.String(), b.String()) })
 	for _, key := range keys {
-		node.Content = append(node.Content, textNode("!!str", key.String()), nodeOf(from.MapIndex(key)))
+		node.Content = append(node.Content, textNode(strTag, key.String()), nodeOf(from.MapIndex(key)))
 	}
 	return node
 }
--- a/io/yuccaconf/load.go
+++ b/io/yuccaconf/load.go
@@ -63,7 +63,7 @@
 		check.report(ErrKeyFile, key, "put the fleet's key there, readable by the daemon", "%v", err)
 		return nil
 	}
-	raw = bytes.TrimRight(raw, "\r\n")
+	raw = bytes.TrimSuffix(bytes.TrimSuffix(raw, []byte("\n")), []byte("\r"))
 	if len(raw) < keyBytes {
 		check.report(ErrKeyFile, key, "put at least 32 random bytes there, the same for the whole fleet", "%s holds %d bytes", path, len(raw))
 		return nil
