Notes can be read away from the chain, and known content is told by its hash

Cause: reading a note of half a megabyte took 130 ms on the busy machine, on the goroutine that decides for the whole daemon; a service that went back shows every accepted note again, and each was read again. Ruled out: a lower limit for notes, since the first notes of a large fleet are of that size. Conclusion: ReadNote and Take beside Offer; Offer works as before.

--- a/core/yuccastate/adopt.go
+++ b/core/yuccastate/adopt.go
@@ -119,7 +119,7 @@
 	verdict.Entries = []Entry{chain.move(now, EntryAdopted, from, state)}
 	maps.DeleteFunc(chain.accepted, func(earlier yuccaid.Number, _ link) bool { return earlier+keptProofs <= number })
 	for earlier, kept := range chain.accepted {
-		chain.accepted[earlier] = link{meaning: kept.meaning}
+		chain.accepted[earlier] = link{content: kept.content, meaning: kept.meaning}
 	}
 	chain.accepted[number] = link{after: found}
 	chain.forget()
--- a/core/yuccastate/chain.go
+++ b/core/yuccastate/chain.go
@@ -1,7 +1,6 @@
 package yuccastate
 
 import (
-	"crypto/sha256"
 	"maps"
 	"slices"
 	"time"
@@ -13,7 +12,7 @@
 	// heldNotes and heldBytes bound notes that wait for an earlier one. A watch
 	// delivers some dozens out of order at worst; beyond that a snapshot is cheaper.
 	heldNotes               = 64
-	heldBytes yuccaid.Bytes = 4 * NoteLimit
+	heldBytes yuccaid.Bytes = 2 * NoteLimit
 	// keptNotes and keptBytes bound the texts kept for peers that were cut off for a
 	// while; one that lacks more fetches a snapshot.
 	keptNotes yuccaid.Number = 64
@@ -63,7 +62,7 @@
 	state    *State
 	digest   yuccaid.Digest
 	accepted map[yuccaid.Number]link
-	held     map[yuccaid.Number]offer
+	held     map[yuccaid.Number]Published
 	asked    yuccaid.Number // the next note, once Plan asked for it
 	barred   yuccaid.Number // the next note, once it came as asked for and was refused
 	reported map[report]bool
@@ -73,15 +72,11 @@
 // digests to recognise another content by.
 type link struct {
 	raw     []byte
+	content sum
 	meaning yuccaid.Digest
 	after   yuccaid.Digest
 }
 
-type offer struct {
-	key string
-	raw []byte
-}
-
 // report identifies what was told already. A service that shows the same wrong note
 // at every poll must not fill the audit trail.
 type report struct {
@@ -98,7 +93,7 @@
 		state:    empty,
 		digest:   empty.Digest(),
 		accepted: map[yuccaid.Number]link{},
-		held:     map[yuccaid.Number]offer{},
+		held:     map[yuccaid.Number]Published{},
 		reported: map[report]bool{},
 	}
 }
@@ -128,17 +123,21 @@
 // Offer takes a note from the platform or a peer, under the platform's key. It may
 // come late, twice or out of order. The error says why the note was not accepted.
 func (chain *Chain) Offer(now time.Time, key string, raw []byte) (Verdict, error) {
-	number, err := ParseNoteKey(key)
+	return chain.Take(now, ReadNote(key, raw))
+}
+
+// Take is Offer for a note that was read before.
+func (chain *Chain) Take(now time.Time, pub Published) (Verdict, error) {
 	switch {
-	case err != nil:
-		return chain.refused(now, 0, "", raw, err)
-	case number <= chain.Number():
-		return chain.past(now, number, raw)
-	case number > chain.Number()+1:
-		chain.hold(number, offer{key: key, raw: raw})
-		return Verdict{Kind: VerdictHeld, Number: number}, nil
+	case pub.number == 0:
+		return chain.refused(now, pub, pub.err)
+	case pub.number <= chain.Number():
+		return chain.past(now, pub)
+	case pub.number > chain.Number()+1:
+		chain.hold(pub)
+		return Verdict{Kind: VerdictHeld, Number: pub.number}, nil
 	}
-	verdict, err := chain.next(now, number, raw)
+	verdict, err := chain.next(now, pub)
 	if err == nil {
 		verdict.Entries = append(verdict.Entries, chain.release(now)...)
 	}
@@ -146,48 +145,43 @@
 }
 
 // next judges the note that follows the accepted one.
-func (chain *Chain) next(now time.Time, number yuccaid.Number, raw []byte) (Verdict, error) {
-	note, err := ParseNote(raw)
-	if err != nil {
-		return chain.refused(now, number, note.By, raw, err)
-	}
-	if note.Number != number {
-		err := refuse(number, ErrKey, "number", "publish it as "+NoteKey(note.Number), "is %d under %s", note.Number, NoteKey(number))
-		return chain.refused(now, number, note.By, raw, err)
+func (chain *Chain) next(now time.Time, pub Published) (Verdict, error) {
+	if pub.err != nil {
+		return chain.refused(now, pub, pub.err)
 	}
-	after, err := chain.state.Apply(note)
+	after, err := chain.state.Apply(pub.note)
 	if err != nil {
-		return chain.refused(now, number, note.By, raw, err)
+		return chain.refused(now, pub, err)
 	}
-	entry := chain.move(now, EntryAccepted, note.By, after)
-	chain.accepted[number] = link{raw: slices.Clone(raw), meaning: note.Digest(), after: chain.digest}
+	entry := chain.move(now, EntryAccepted, pub.note.By, after)
+	chain.accepted[pub.number] = link{raw: pub.raw, content: pub.content, meaning: pub.meaning, after: chain.digest}
 	chain.forget()
-	return Verdict{Kind: VerdictAccepted, Number: number, Entries: []Entry{entry}}, nil
+	return Verdict{Kind: VerdictAccepted, Number: pub.number, Entries: []Entry{entry}}, nil
 }
 
 // past judges a note whose number is accepted already. Another layout of the same
 // meaning is harmless. Another meaning is an alarm: daemons that start now would read
 // it in place of what the fleet runs on.
-func (chain *Chain) past(now time.Time, number yuccaid.Number, raw []byte) (Verdict, error) {
-	kept, known := chain.accepted[number]
-	if !known || kept.meaning == "" {
-		return Verdict{Kind: VerdictOld, Number: number}, nil
+func (chain *Chain) past(now time.Time, pub Published) (Verdict, error) {
+	kept := chain.accepted[pub.number]
+	if kept.meaning == "" {
+		return Verdict{Kind: VerdictOld, Number: pub.number}, nil
 	}
-	note, err := ParseNote(raw)
-	if err == nil && note.Digest() == kept.meaning {
-		return Verdict{Kind: VerdictRepeated, Number: number}, nil
+	if pub.content == kept.content || pub.meaning == kept.meaning {
+		return Verdict{Kind: VerdictRepeated, Number: pub.number}, nil
 	}
-	alarm := refuse(number, ErrContentChanged, NoteKey(number), "publish the accepted content again and the change as a new note", "holds another note than the accepted one")
-	entries := chain.told(now, EntryAlarm, number, note.By, sha256.Sum256(raw), alarm)
-	return Verdict{Kind: VerdictAlarm, Number: number, Entries: entries}, alarm
+	remedy := "publish the accepted content again and the change as a new note"
+	alarm := refuse(pub.number, ErrContentChanged, NoteKey(pub.number), remedy, "holds another note than the accepted one")
+	entries := chain.told(now, EntryAlarm, pub.number, pub.note.By, pub.content, alarm)
+	return Verdict{Kind: VerdictAlarm, Number: pub.number, Entries: entries}, alarm
 }
 
-func (chain *Chain) refused(now time.Time, number yuccaid.Number, by string, raw []byte, err error) (Verdict, error) {
-	if number > 0 && number == chain.asked {
-		chain.barred = number
+func (chain *Chain) refused(now time.Time, pub Published, err error) (Verdict, error) {
+	if pub.number > 0 && pub.number == chain.asked {
+		chain.barred = pub.number
 	}
-	entries := chain.told(now, EntryRefused, number, by, sha256.Sum256(raw), err)
-	return Verdict{Kind: VerdictRefused, Number: number, Entries: entries}, err
+	entries := chain.told(now, EntryRefused, pub.number, pub.note.By, pub.content, err)
+	return Verdict{Kind: VerdictRefused, Number: pub.number, Entries: entries}, err
 }
 
 // release judges the notes that waited, as long as the next one is there.
@@ -196,11 +190,11 @@
 	for {
 		number := chain.Number() + 1
 		waiting, found := chain.held[number]
-		maps.DeleteFunc(chain.held, func(held yuccaid.Number, _ offer) bool { return held <= number })
+		maps.DeleteFunc(chain.held, func(held yuccaid.Number, _ Published) bool { return held <= number })
 		if !found {
 			return entries
 		}
-		verdict, err := chain.next(now, number, waiting.raw)
+		verdict, err := chain.next(now, waiting)
 		entries = append(entries, verdict.Entries...)
 		if err != nil {
 			return entries
@@ -210,9 +204,8 @@
 
 // hold keeps a note for later, the lowest numbers first if there is not room for all.
 // What is dropped can be fetched again: Plan asks for it.
-func (chain *Chain) hold(number yuccaid.Number, late offer) {
-	late.raw = slices.Clone(late.raw)
-	chain.held[number] = late
+func (chain *Chain) hold(pub Published) {
+	chain.held[pub.number] = pub
 	for len(chain.held) > heldNotes || chain.heldSize() > heldBytes {
 		delete(chain.held, slices.Max(slices.Collect(maps.Keys(chain.held))))
 	}
@@ -220,8 +213,8 @@
 
 func (chain *Chain) heldSize() yuccaid.Bytes {
 	size := yuccaid.Bytes(0)
-	for _, late := range chain.held {
-		size += yuccaid.Bytes(len(late.raw))
+	for _, pub := range chain.held {
+		size += yuccaid.Bytes(len(pub.raw))
 	}
 	return size
 }
--- a/core/yuccastate/fold_test.go
+++ b/core/yuccastate/fold_test.go
@@ -27,3 +27,14 @@
 		Expect(yuccastate.Empty().Digest()).To(Equal(yuccaid.Digest("888b91929a3a2fd964f4a7ab728f27a65ddbc8f4e170f0b9ed33262dfd8032a9")))
 	})
 })
+
+var _ = Describe("Diff", func() {
+	It("lists what a note does, and what undoing it would do", func() {
+		first := founded()
+		second, err := first.Apply(parsed(first, string(read("second.yaml"))))
+		Expect(err).NotTo(HaveOccurred())
+		expectGolden("diff.golden", yuccastate.Diff(yuccastate.Empty(), first)+"\n"+
+			yuccastate.Diff(first, second)+"\n"+yuccastate.Diff(second, first))
+		Expect(yuccastate.Diff(second, second)).To(BeEmpty())
+	})
+})
--- a/core/yuccastate/key.go
+++ b/core/yuccastate/key.go
@@ -30,7 +30,7 @@
 // ParseNoteKey returns the number in a note's key.
 func ParseNoteKey(key string) (yuccaid.Number, error) {
 	number, err := strconv.ParseUint(strings.TrimPrefix(key, NotePrefix), 10, 64)
-	if err != nil || key != NoteKey(yuccaid.Number(number)) {
+	if err != nil || number == 0 || key != NoteKey(yuccaid.Number(number)) {
 		return 0, refuse(0, ErrKey, key, "publish notes as "+NoteKey(1), "is no note's key")
 	}
 	return yuccaid.Number(number), nil
--- a/core/yuccastate/note.go
+++ b/core/yuccastate/note.go
@@ -3,6 +3,7 @@
 import (
 	"crypto/sha256"
 	"encoding/hex"
+	"errors"
 	"fmt"
 	"strconv"
 
@@ -29,17 +30,28 @@
 // ParseNote reads a note's YAML and refuses unknown keys and values of the wrong
 // form; whether the note fits a configuration is for Apply to say.
 func ParseNote(raw []byte) (Note, error) {
+	note, err := readNote(raw)
+	if err != nil {
+		return Note{}, err
+	}
+	return note, nil
+}
+
+// readNote returns with an error what could be read, so that a refusal can name its
+// author.
+func readNote(raw []byte) (Note, error) {
 	if yuccaid.Bytes(len(raw)) > NoteLimit {
 		return Note{}, refuse(0, yuccayaml.ErrValue, "", "split it into several notes", "has %d bytes, more than %d", len(raw), NoteLimit)
 	}
 	var note Note
 	lines, err := yuccayaml.Decode(raw, &note)
 	note.lines = lines
-	if problems, found := err.(yuccayaml.Problems); found {
-		return Note{}, &Refusal{Number: note.Number, Problems: problems}
+	var problems yuccayaml.Problems
+	if errors.As(err, &problems) {
+		return note, &Refusal{Number: note.Number, Problems: problems}
 	}
 	note.locateWithdrawn()
-	return note, err
+	return note, nil
 }
 
 // locate gives each problem the line of its key and puts them in order.
