Tests of the target client: connections closed, resumes refused, callers that leave

Ruled out: keeping the client's own check of an order's life before sending: the context ends at the same moment, so no test could tell the two apart; it is gone.

--- a/io/yuccatarget/fault_test.go
+++ b/io/yuccatarget/fault_test.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"net"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -92,6 +94,30 @@
 	}, Equal(flaw))
 }
 
+// counted lowers the count when its connection is closed for the first time.
+type counted struct {
+	net.Conn
+	once *sync.Once
+	open *atomic.Int64
+}
+
+func (conn counted) Close() error {
+	conn.once.Do(func() { conn.open.Add(-1) })
+	return conn.Conn.Close()
+}
+
+// countConns counts the connections that are open.
+func countConns(open *atomic.Int64) yuccatarget.Option {
+	return yuccatarget.WithDial(func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := (&net.Dialer{}).DialContext(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		open.Add(1)
+		return counted{Conn: conn, once: &sync.Once{}, open: open}, nil
+	})
+}
+
 // Targets and the connections to them fail in each of these ways. A user who is told
 // "not run" opens the request anew, so saying it of something that ran files a ticket
 // twice; a user who is handed a shortened or foreign answer acts on it.
@@ -100,9 +126,10 @@
 		before := gleak.Goroutines()
 		tgt, err := newTarget(plain, faults)
 		Expect(err).NotTo(HaveOccurred())
-		cl := newClient()
+		var open atomic.Int64
+		cl := newClient(countConns(&open))
 		if neverCame == outcome {
-			cl = newHastyClient()
+			cl = newHastyClient(countConns(&open))
 		}
 		call, whole := callFor(plain, "a", tgt.Address())
 		var ans answerText
@@ -115,6 +142,7 @@
 		}
 		Expect(tgt.Close()).To(Succeed())
 		cl.Close()
+		Expect(open.Load()).To(BeZero())
 		Eventually(gleak.Goroutines).WithTimeout(limit).ShouldNot(gleak.HaveLeaked(before))
 	},
 	Entry("engine: none", false, yuccastand.Faults{}, 1, BeNil()),
--- a/io/yuccatarget/once_test.go
+++ b/io/yuccatarget/once_test.go
@@ -28,7 +28,7 @@
 
 // startMiddle reads each request's head, and its body if told so, and hands the
 // connection to answer.
-func startMiddle(readBody bool, answer func(net.Conn)) *middle {
+func startMiddle(readBody bool, answer func(conn net.Conn, method string)) *middle {
 	mid := &middle{listener: listen(), seen: make(map[string]int)}
 	mid.serving.Go(func() {
 		for {
@@ -51,7 +51,7 @@
 	return mid
 }
 
-func (mid *middle) handle(conn net.Conn, readBody bool, answer func(net.Conn)) {
+func (mid *middle) handle(conn net.Conn, readBody bool, answer func(conn net.Conn, method string)) {
 	mid.mu.Lock()
 	mid.conns = append(mid.conns, conn)
 	mid.mu.Unlock()
@@ -65,7 +65,7 @@
 	if readBody {
 		_, _ = io.Copy(io.Discard, req.Body)
 	}
-	answer(conn)
+	answer(conn, req.Method)
 }
 
 func (mid *middle) count(method string) int {
@@ -79,7 +79,7 @@
 // connection and sends the request again, and the caller's fee is charged twice.
 var _ = DescribeTable("a call is sent once",
 	func(idempotent, plain bool, answer string) {
-		mid := startMiddle(true, func(conn net.Conn) {
+		mid := startMiddle(true, func(conn net.Conn, _ string) {
 			_, _ = io.WriteString(conn, answer)
 			_ = conn.Close()
 		})
@@ -90,6 +90,7 @@
 			_, err := cl.Run(testContext(), call, (&answerText{}).add)
 			Expect(err).To(beLost())
 			Expect(mid.count(http.MethodPost)).To(Equal(id))
+			Expect(mid.count(http.MethodGet) > 0).To(Equal(!plain))
 		}
 	},
 	Entry("plain, closed without an answer", false, true, ""),
@@ -107,7 +108,7 @@
 // A target refuses a long prompt before it has read all of it. The rest can't be sent
 // any more, but the refusal is there, and the caller may try elsewhere at once.
 var _ = It("takes a refusal that comes before the whole call was sent", func() {
-	mid := startMiddle(false, func(conn net.Conn) {
+	mid := startMiddle(false, func(conn net.Conn, _ string) {
 		_, _ = io.WriteString(conn, "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 33\r\n\r\n"+`{"kind":"refused","ran":"notRun"}`)
 	})
 	call, _ := callFor(false, "a", mid.listener.Addr().String())
@@ -116,11 +117,27 @@
 	Expect(err).To(BeAssignableToTypeOf(&yuccatarget.RefusedError{}))
 })
 
+// A target that starts to leave refuses to go on with an answer that it began. Its words
+// are those of a refusal, but they are about the resume: the call itself ran.
+var _ = It("does not take the refusal of a resume for one of the call", func() {
+	mid := startMiddle(true, func(conn net.Conn, method string) {
+		answer := "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n"
+		if method == http.MethodGet {
+			answer = "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 33\r\n\r\n" + `{"kind":"leaving","ran":"notRun"}`
+		}
+		_, _ = io.WriteString(conn, answer)
+		_ = conn.Close()
+	})
+	_, err := newHastyClient().Run(testContext(), generation("a", mid.listener.Addr().String(), 5), (&answerText{}).add)
+	Expect(err).To(beLost())
+	Expect(mid.count(http.MethodGet)).To(BeNumerically(">", 0))
+})
+
 // A target that is out of memory sends a byte now and then. The connection looks alive,
 // and a caller without a deadline would wait for good.
 var _ = DescribeTable("a target that trickles is given up",
 	func(plain bool) {
-		mid := startMiddle(true, func(conn net.Conn) {
+		mid := startMiddle(true, func(conn net.Conn, _ string) {
 			_, err := io.WriteString(conn, "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n{")
 			for err == nil {
 				time.Sleep(10 * time.Millisecond)
@@ -128,8 +145,10 @@
 			}
 		})
 		call, _ := callFor(plain, "a", mid.listener.Addr().String())
-		_, err := newHastyClient().Run(testContext(), call, (&answerText{}).add)
+		ctx := testContext()
+		_, err := newHastyClient().Run(ctx, call, (&answerText{}).add)
 		Expect(err).To(beLost())
+		Expect(ctx.Err()).NotTo(HaveOccurred())
 	},
 	Entry("engine", false),
 	Entry("plain", true),
@@ -156,7 +175,13 @@
 				time.Sleep(time.Millisecond)
 			}
 		}()
-		_, err := newClient().Run(ctx, generation("a", eng.Address(), 50), (&answerText{}).add)
+		ended := make(chan error, 1)
+		go func() {
+			_, err := newClient(yuccatarget.WithProgress(2*limit)).Run(ctx, generation("a", eng.Address(), 50), (&answerText{}).add)
+			ended <- err
+		}()
+		var err error
+		Eventually(ended).WithTimeout(limit).Should(Receive(&err))
 		Expect(err).To(beLost())
 		Expect(err).To(MatchError(context.Canceled))
 	})
--- a/io/yuccatarget/order.go
+++ b/io/yuccatarget/order.go
@@ -36,9 +36,6 @@
 	defer cancel()
 	resp, done, err := cl.once(ctx, http.MethodPost, address, OrdersPath, func() ([]byte, error) {
 		order.ExpiresMillis = time.Until(deadline).Milliseconds()
-		if order.ExpiresMillis <= 0 {
-			return nil, &ExpiredError{}
-		}
 		return json.Marshal(order)
 	})
 	if err != nil {
--- a/io/yuccatarget/order_test.go
+++ b/io/yuccatarget/order_test.go
@@ -154,7 +154,7 @@
 	// the connection were kept, all later ones would be too, and the target would look
 	// overloaded for as long as the daemon lives.
 	It("comes again after a kept connection has gone silent", func() {
-		mid := startMiddle(false, func(conn net.Conn) {
+		mid := startMiddle(false, func(conn net.Conn, _ string) {
 			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 13\r\n\r\n"+`{"waiting":3}`)
 		})
 		cl := newClient(yuccatarget.WithReportTimeout(2 * time.Second))
--- a/io/yuccatarget/suite_test.go
+++ b/io/yuccatarget/suite_test.go
@@ -56,8 +56,9 @@
 }
 
 // newHastyClient gives up soon, for answers that never come.
-func newHastyClient() *yuccatarget.Client {
-	return newClient(yuccatarget.WithSilence(500*time.Millisecond), yuccatarget.WithAttempts(2))
+func newHastyClient(options ...yuccatarget.Option) *yuccatarget.Client {
+	hasty := []yuccatarget.Option{yuccatarget.WithSilence(500 * time.Millisecond), yuccatarget.WithAttempts(2)}
+	return newClient(append(hasty, options...)...)
 }
 
 func testContext() context.Context {
