--- a/io/yuccastand/engine.go
+++ b/io/yuccastand/engine.go
@@ -74,7 +74,7 @@
 	waiting []*generation
 	batch   []*generation
 	latest  map[string]*generation
-	state   yuccatarget.State
+	state   orderState
 	load    yuccatarget.Load
 	loaded  time.Time
 }
--- a/io/yuccastand/engineweb.go
+++ b/io/yuccastand/engineweb.go
@@ -3,7 +3,6 @@
 import (
 	"errors"
 	"net/http"
-	"slices"
 	"strconv"
 	"time"
 
@@ -165,52 +164,22 @@
 	case time.Since(arrived) >= remaining:
 		refusal.Kind = yuccatarget.RefusalExpired
 		return c.JSON(http.StatusConflict, refusal)
-	case eng.checksFence && order.Fence < eng.state.Fence:
+	case eng.checksFence && order.Fence < eng.state.wished.Fence:
 		refusal.Kind = yuccatarget.RefusalFenced
-		refusal.Fence = eng.state.Fence
+		refusal.Fence = eng.state.wished.Fence
 		return c.JSON(http.StatusConflict, refusal)
 	}
-	if !eng.obey(order) {
+	takes := time.Duration(eng.Faults().LoadMillis) * time.Millisecond
+	if !eng.state.obey(order, time.Now(), takes) {
 		return c.NoContent(http.StatusBadRequest)
 	}
-	return c.JSON(http.StatusOK, eng.reported())
-}
-
-// obey changes the state; it reports false for a kind that it doesn't know.
-func (eng *Engine) obey(order yuccatarget.Order) bool {
-	switch order.Kind {
-	case yuccatarget.OrderLoad:
-		eng.state.Model = order.Model
-		eng.state.Version = order.Version
-	case yuccatarget.OrderUnload:
-		eng.state.Model = ""
-		eng.state.Version = ""
-		eng.state.Adapters = nil
-	case yuccatarget.OrderVersion:
-		eng.state.Version = order.Version
-	case yuccatarget.OrderAdapter:
-		if !slices.Contains(eng.state.Adapters, order.Adapter) {
-			eng.state.Adapters = append(slices.Clone(eng.state.Adapters), order.Adapter)
-		}
-	case yuccatarget.OrderRole:
-		eng.state.Role = order.Role
-	default:
-		return false
-	}
-	eng.state.Fence = max(eng.state.Fence, order.Fence)
 	eng.runs.order(order)
-	return true
-}
-
-func (eng *Engine) reported() yuccatarget.State {
-	state := eng.state
-	state.Leaving = eng.Faults().Leaving
-	return state
+	return c.JSON(http.StatusOK, eng.state.at(time.Now(), eng.Faults().Leaving))
 }
 
 func (eng *Engine) serveState(c echo.Context) error {
 	eng.mu.Lock()
-	state := eng.reported()
+	state := eng.state.at(time.Now(), eng.Faults().Leaving)
 	eng.mu.Unlock()
 	return c.JSON(http.StatusOK, state)
 }
--- a/io/yuccastand/fault.go
+++ b/io/yuccastand/fault.go
@@ -66,6 +66,8 @@
 	WrongText bool `json:"wrongText"`
 	// Garble writes a line that isn't JSON.
 	Garble bool `json:"garble"`
+	// LoadMillis is how long an order takes until it is in effect.
+	LoadMillis int64 `json:"loadMillis"`
 	// CacheLagMillis holds cache events back; CacheGapEvery drops each n-th.
 	CacheLagMillis int64 `json:"cacheLagMillis"`
 	CacheGapEvery  int   `json:"cacheGapEvery"`
--- a/io/yuccatarget/client.go
+++ b/io/yuccatarget/client.go
@@ -128,10 +128,21 @@
 	Idempotent bool
 	Body       []byte
 	Fence      yuccaid.Number
+	// Ready, if given, is called once the connection stands, right before the first byte.
+	// Its error keeps the call from being sent. A dial takes up to seconds, in which the
+	// deadline passes or the target is withdrawn.
+	Ready func() error
 	// Longest is how long the call may go without a piece; 0 means the client's limit.
 	Longest time.Duration
 }
 
+func (call Call) ready() error {
+	if call.Ready == nil {
+		return nil
+	}
+	return call.Ready()
+}
+
 // Piece is one part of an answer.
 type Piece struct {
 	Position int
--- a/io/yuccatarget/message.go
+++ b/io/yuccatarget/message.go
@@ -116,7 +116,7 @@
 	OrderRole    OrderKind = "role"
 )
 
-// Order tells a target to load or unload a model, or to change version, adapter or
+// Order tells a target to load or unload a model or an adapter, or to change version or
 // role.
 type Order struct {
 	Kind    OrderKind      `json:"kind"`
@@ -139,4 +139,6 @@
 	Role     string          `json:"role,omitempty"`
 	Fence    yuccaid.Number  `json:"fence"`
 	Leaving  bool            `json:"leaving"`
+	// Loading says that an order was taken and is not in effect yet.
+	Loading bool `json:"loading"`
 }
--- a/io/yuccatarget/order_test.go
+++ b/io/yuccatarget/order_test.go
@@ -55,6 +55,8 @@
 			{Kind: yuccatarget.OrderLoad, Model: "base", Version: "1", Fence: 1, Expires: limit},
 			{Kind: yuccatarget.OrderVersion, Version: "2", Fence: 2, Expires: limit},
 			{Kind: yuccatarget.OrderAdapter, Adapter: "notes", Fence: 3, Expires: limit},
+			{Kind: yuccatarget.OrderAdapter, Adapter: "letters", Fence: 3, Expires: limit},
+			{Kind: yuccatarget.OrderUnload, Adapter: "letters", Fence: 3, Expires: limit},
 			roleOrder("prefill", 4, limit),
 		} {
 			_, err := cl.Order(testContext(), eng.Address(), order)
@@ -68,6 +70,13 @@
 		Expect(state).To(Equal(yuccatarget.State{Role: "prefill", Fence: 5}))
 	})
 
+	It("is not in effect before it is loaded", func() {
+		eng := startEngine(yuccastand.WithEngineFaults(yuccastand.Faults{LoadMillis: limit.Milliseconds()}))
+		state, err := newClient().Order(testContext(), eng.Address(), roleOrder("decode", 3, limit))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(state).To(Equal(yuccatarget.State{Fence: 3, Loading: true}))
+	})
+
 	// A leader that was paused wakes up and gives an order of an older configuration.
 	// Where the target checks, the order has no effect; where it does not, the state read
 	// afterwards shows what has to be repaired.
--- a/io/yuccatarget/relay_test.go
+++ b/io/yuccatarget/relay_test.go
@@ -28,17 +28,17 @@
 func (scripted) SetWriteDeadline(t time.Time) error { return nil }
 
 // script renders the answer to a request as a target sends it, line by line.
-func script(id string) (head string, lines []string) {
-	for position := range relayed {
+func script(id string, pieces int) (head string, lines []string) {
+	for position := range pieces {
 		lines = append(lines, fmt.Sprintf(`{"id":%q,"position":%d,"tokens":1,"data":%q}`+"\n", id, position, yuccastand.AnswerPiece(id, position)))
 	}
-	end := fmt.Sprintf(`{"id":%q,"end":true,"pieces":%d,"hash":%q}`+"\n", id, relayed, yuccastand.AnswerHash(id, relayed))
+	end := fmt.Sprintf(`{"id":%q,"end":true,"pieces":%d,"hash":%q}`+"\n", id, pieces, yuccastand.AnswerHash(id, pieces))
 	return "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n", append(lines, end)
 }
 
 // relay returns a function that relays one scripted answer through a client.
 func relay() func() error {
-	head, lines := script("a")
+	head, lines := script("a", relayed)
 	whole := []byte(head)
 	for _, line := range lines {
 		whole = append(whole, line...)
@@ -79,12 +79,22 @@
 // BenchmarkRelayLoopback adds a socket and a write of its own for each piece, as engines
 // send them; it counts both ends.
 func BenchmarkRelayLoopback(b *testing.B) {
+	benchmarkLoopback(b, relayed)
+}
+
+// BenchmarkCallLoopback is the cost of a call with one piece, most of which is its
+// connection; it counts both ends.
+func BenchmarkCallLoopback(b *testing.B) {
+	benchmarkLoopback(b, 1)
+}
+
+func benchmarkLoopback(b *testing.B, pieces int) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		b.Fatal(err)
 	}
 	defer func() { _ = listener.Close() }()
-	head, lines := script("a")
+	head, lines := script("a", pieces)
 	go func() {
 		for {
 			conn, err := listener.Accept()
--- a/io/yuccatarget/run.go
+++ b/io/yuccatarget/run.go
@@ -65,6 +65,9 @@
 		return End{}, &UnsentError{Address: call.Address, Cause: err}
 	}
 	defer w.close()
+	if err := call.ready(); err != nil {
+		return End{}, &UnsentError{Address: call.Address, Cause: err}
+	}
 	resp, err := w.exchange(req)
 	if err != nil && !w.sent {
 		return End{}, &UnsentError{Address: call.Address, Cause: err}
--- a/io/yuccatarget/run_test.go
+++ b/io/yuccatarget/run_test.go
@@ -1,6 +1,8 @@
 package yuccatarget_test
 
 import (
+	"context"
+
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
@@ -21,6 +23,33 @@
 		Expect(eng.Runs()[0].Fence).To(BeEquivalentTo(7))
 	})
 
+	// Dialling takes seconds on a bad day. Meanwhile the deadline passes or the target is
+	// withdrawn, and a call that is sent all the same works for nobody.
+	It("is not sent if it is no longer wanted once the connection stands", func() {
+		eng := startEngine(yuccastand.WithEngineFaults(yuccastand.Faults{CutAfterPieces: 2}))
+		asked := 0
+		call := generation("a", eng.Address(), 5)
+		call.Ready = func() error {
+			asked++
+			return context.DeadlineExceeded
+		}
+		_, err := newClient().Run(testContext(), call, (&answerText{}).add)
+		Expect(err).To(beUnsent())
+		Expect(err).To(MatchError(context.DeadlineExceeded))
+		Expect(eng.Runs()).To(BeEmpty())
+		call.Ready = func() error {
+			asked++
+			return nil
+		}
+		_, err = newClient().Run(testContext(), call, (&answerText{}).add)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(asked).To(Equal(2))
+		call.Address = "127.0.0.1:1"
+		_, err = newClient().Run(testContext(), call, (&answerText{}).add)
+		Expect(err).To(beUnsent())
+		Expect(asked).To(Equal(2))
+	})
+
 	It("brings the whole answer of a plain service", func() {
 		plain := startPlain()
 		var ans answerText
