Stand-ins: calls and watches that are swallowed on their way

Cause: open connections go silent for good while new ones work; until now only answers could be silenced, not the call itself or a waiting watch. Ruled out: silencing by firewall rules (not ours to set). Idle engines no longer tick.

--- a/io/yuccastand/engine.go
+++ b/io/yuccastand/engine.go
@@ -95,34 +95,37 @@
 		option(eng)
 	}
 	eng.routes()
-	eng.serving.Add(1)
-	go func() {
-		defer eng.serving.Done()
-		eng.advance()
-	}()
+	eng.serving.Go(func() {
+		for eng.awaitWork() {
+			eng.advance()
+		}
+	})
 	eng.start()
 	return eng
 }
 
-// advance moves the batch on until the engine closes, and sleeps while it is empty.
+// awaitWork reports false once the engine closes.
+func (eng *Engine) awaitWork() bool {
+	select {
+	case <-eng.wake:
+		return true
+	case <-eng.done:
+		return false
+	}
+}
+
+// advance moves the batch on until it is empty or the engine closes.
 func (eng *Engine) advance() {
 	ticker := time.NewTicker(step)
 	defer ticker.Stop()
-	for {
+	last := time.Now()
+	for eng.busy() {
 		select {
 		case <-eng.done:
 			return
-		case <-eng.wake:
-		}
-		last := time.Now()
-		for eng.busy() {
-			select {
-			case <-eng.done:
-				return
-			case now := <-ticker.C:
-				eng.step(now.Sub(last))
-				last = now
-			}
+		case now := <-ticker.C:
+			eng.step(now.Sub(last))
+			last = now
 		}
 	}
 }
--- a/io/yuccastand/fault.go
+++ b/io/yuccastand/fault.go
@@ -1,6 +1,7 @@
 package yuccastand
 
 import (
+	"io"
 	"net"
 	"net/http"
 	"sync"
@@ -42,6 +43,9 @@
 	// Unfinished ends the answer without its last line, on every connection.
 	Unfinished bool  `json:"unfinished"`
 	Dead       Death `json:"dead"`
+	// Swallow takes calls and orders, never answers them and never runs them, while reads
+	// work, as when something between has lost track of the connection.
+	Swallow bool `json:"swallow"`
 	// DeadMillis opens a closed port again; 0 leaves it closed until SetFaults.
 	DeadMillis int64 `json:"deadMillis"`
 	// Leaving refuses new work as a target that leaves.
@@ -140,10 +144,19 @@
 	}
 	back.shut(spare)
 	if faults.DeadMillis > 0 {
-		time.AfterFunc(time.Duration(faults.DeadMillis)*time.Millisecond, back.reopen)
+		time.AfterFunc(time.Duration(faults.DeadMillis)*time.Millisecond, func() { back.revive(faults) })
 	}
 }
 
+// revive opens the port again, unless the switches have been set anew meanwhile.
+func (back *backend) revive(faults Faults) {
+	if back.Faults() != faults {
+		return
+	}
+	faults.Dead = ""
+	back.SetFaults(faults)
+}
+
 func (back *backend) serveFaults(c echo.Context) error {
 	var faults Faults
 	if err := c.Bind(&faults); err != nil {
@@ -178,15 +191,6 @@
 	}
 }
 
-// silence keeps the connection open and writes nothing more.
-func (back *backend) silence(c echo.Context) error {
-	select {
-	case <-c.Request().Context().Done():
-	case <-back.done:
-	}
-	return nil
-}
-
 // gate wraps the handlers of the data side, which a mute stand-in never answers.
 func (back *backend) gate(next echo.HandlerFunc) echo.HandlerFunc {
 	return func(c echo.Context) error {
@@ -194,6 +198,10 @@
 		if !back.muted(c) {
 			return hangUp(c)
 		}
+		if back.Faults().Swallow && c.Request().Method == http.MethodPost {
+			_, _ = io.Copy(io.Discard, c.Request().Body)
+			return back.silence(c)
+		}
 		return next(c)
 	}
 }
--- a/io/yuccastand/host.go
+++ b/io/yuccastand/host.go
@@ -61,11 +61,7 @@
 
 // serve answers on a listener until it is closed; the caller holds the mutex.
 func (h *host) serve(listener net.Listener) {
-	h.serving.Add(1)
-	go func() {
-		defer h.serving.Done()
-		_ = h.server.Serve(listener)
-	}()
+	h.serving.Go(func() { _ = h.server.Serve(listener) })
 }
 
 // Address returns the "ip:port" that the stand-in listens on.
@@ -156,3 +152,12 @@
 	_ = conn.Close()
 	return nil
 }
+
+// silence keeps the connection open and writes nothing more.
+func (h *host) silence(c echo.Context) error {
+	select {
+	case <-c.Request().Context().Done():
+	case <-h.done:
+	}
+	return nil
+}
--- a/io/yuccastand/platform.go
+++ b/io/yuccastand/platform.go
@@ -41,6 +41,8 @@
 type PlatformFaults struct {
 	// Down hangs up on every call, waiting ones too.
 	Down bool `json:"down"`
+	// Mute takes calls and never answers them; waiting ones stay silent too, for good.
+	Mute bool `json:"mute"`
 	// StaleRevision serves the keys as of that revision, so the service goes backwards
 	// if callers have seen a later one; 0 serves the present.
 	StaleRevision int64 `json:"staleRevision"`
@@ -57,6 +59,8 @@
 	// Limited counts calls answered with 429, Down those that were hung up on.
 	Limited int64 `json:"limited"`
 	Down    int64 `json:"down"`
+	// Silent counts calls that a mute service has left unanswered.
+	Silent int64 `json:"silent"`
 	// Waiting is how many watches wait now.
 	Waiting int64 `json:"waiting"`
 }
--- a/io/yuccastand/platform_test.go
+++ b/io/yuccastand/platform_test.go
@@ -122,6 +122,24 @@
 		Expect(plat.Counts().Down).To(BeEquivalentTo(1))
 	})
 
+	// Something between has lost track of a waiting watch. It never hears of a change that
+	// happens, while a new watch does.
+	It("leaves a waiting watch silent while new ones work", func() {
+		plat, url := startPlatform()
+		answered := make(chan error, 1)
+		go func() {
+			_, _, err := ask(http.MethodGet, url+"/v1/keys?prefix=notes/&waitMillis=60000", nil)
+			answered <- err
+		}()
+		Eventually(func() int64 { return plat.Counts().Waiting }).WithTimeout(limit).Should(BeEquivalentTo(1))
+		plat.SetFaults(yuccastand.PlatformFaults{Mute: true})
+		Eventually(func() int64 { return plat.Counts().Silent }).WithTimeout(limit).Should(BeEquivalentTo(1))
+		plat.SetFaults(yuccastand.PlatformFaults{})
+		put(plat, "notes/1", "a")
+		Expect(watch(url, 0, 60_000).Entries).To(HaveLen(1))
+		Expect(answered).NotTo(Receive())
+	})
+
 	It("answers calls over its rate with 429", func() {
 		plat, url := startPlatform(yuccastand.WithReadRate(0, 2))
 		for _, want := range []int{http.StatusOK, http.StatusOK, http.StatusTooManyRequests} {
--- a/io/yuccastand/platformweb.go
+++ b/io/yuccastand/platformweb.go
@@ -43,8 +43,8 @@
 			plat.mu.Lock()
 			plat.counts.Calls++
 			count(&plat.counts)
-			down := plat.faults.Down
-			limited := !down && !plat.limiter.Allow()
+			down, mute := plat.faults.Down, plat.faults.Mute
+			limited := !down && !mute && !plat.limiter.Allow()
 			if down {
 				plat.counts.Down++
 			}
@@ -57,12 +57,22 @@
 				return hangUp(c)
 			case limited:
 				return c.NoContent(http.StatusTooManyRequests)
+			case mute:
+				return plat.mute(c)
 			}
 			return next(c)
 		}
 	}
 }
 
+// mute counts a call that stays without an answer.
+func (plat *Platform) mute(c echo.Context) error {
+	plat.mu.Lock()
+	plat.counts.Silent++
+	plat.mu.Unlock()
+	return plat.silence(c)
+}
+
 func (plat *Platform) serveWatch(c echo.Context) error {
 	prefix := c.QueryParam("prefix")
 	after := number(c.QueryParam("after"))
@@ -78,10 +88,12 @@
 		plat.mu.Unlock()
 	}()
 	for over := wait <= 0; ; {
-		found, changed, down := plat.read(prefix, after)
+		found, changed, faults := plat.read(prefix, after)
 		switch {
-		case down:
+		case faults.Down:
 			return hangUp(c)
+		case faults.Mute:
+			return plat.mute(c)
 		case over || len(found.Entries) > 0:
 			return c.JSON(http.StatusOK, found)
 		}
@@ -98,12 +110,12 @@
 }
 
 // read returns the page after a revision and what tells of the next change.
-func (plat *Platform) read(prefix string, after int64) (found Page, changed <-chan struct{}, down bool) {
+func (plat *Platform) read(prefix string, after int64) (found Page, changed <-chan struct{}, faults PlatformFaults) {
 	plat.mu.Lock()
 	defer plat.mu.Unlock()
 	revision := plat.served()
 	entries, more := page(plat.store.asOf(revision, prefix), after, MaxValue)
-	return Page{Revision: revision, Entries: entries, More: more}, plat.changed, plat.faults.Down
+	return Page{Revision: revision, Entries: entries, More: more}, plat.changed, plat.faults
 }
 
 func (plat *Platform) serveGet(c echo.Context) error {
