A slow caller is not a silent target

Cause: the time that a caller took for a piece counted as the target's silence, so a caller slower than the limit lost its answer after the piece it took. Ruled out: a test whose pieces all came in one read: it passed with the fault. Before: the new spec red (answer lost after 2 pieces). After: green, 67 specs under the race detector. Conclusion: silence is counted from when the caller has taken a piece.

--- a/io/yuccatarget/receiver.go
+++ b/io/yuccatarget/receiver.go
@@ -75,10 +75,11 @@
 	data := []byte(line.Data)
 	rx.sum.Write(data)
 	rx.next++
-	rx.moved = time.Now()
 	if err := rx.piece(Piece{Position: line.Position, Tokens: line.Tokens, Data: data}); err != nil {
 		return &stoppedError{cause: err}
 	}
+	// The time that a slow caller takes is not the target's silence.
+	rx.moved = time.Now()
 	return nil
 }
 
--- a/io/yuccatarget/run_test.go
+++ b/io/yuccatarget/run_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
 	"yuccacleat/io/yuccastand"
+	"yuccacleat/io/yuccatarget"
 )
 
 var _ = Describe("a call", func() {
@@ -50,6 +52,21 @@
 		Expect(asked).To(Equal(2))
 	})
 
+	// A caller on a slow link takes a piece only after longer than a target may be silent.
+	// If that counted against the target, every such caller would lose its answer.
+	It("waits for a slow caller", func() {
+		eng := startEngine(yuccastand.WithRates(200_000, 100))
+		var ans answerText
+		_, err := newHastyClient().Run(testContext(), generation("a", eng.Address(), 10), func(piece yuccatarget.Piece) error {
+			if piece.Position == 1 {
+				time.Sleep(time.Second)
+			}
+			return ans.add(piece)
+		})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(ans.text).To(Equal(yuccastand.Answer("a", 10)))
+	})
+
 	It("brings the whole answer of a plain service", func() {
 		plain := startPlain()
 		var ans answerText
