Messages of placing carry a reference, not the request's whole id

Cause: offers, grants, progress and endings were maps with keys that carried the signed id, owner and leader as text, several times for each request. Ruled out: compressing the links (a compressor's window for each of 27 peers costs more memory than the control budget); a table of ids at the leader, which a lost message would leave behind. The owner is known from the connection and the id is signed again on arrival.

--- a/io/yuccadaemon/away.go
+++ b/io/yuccadaemon/away.go
@@ -124,7 +124,7 @@
 		<-talking.Done()
 		_ = conn.Close()
 	}()
-	if err := conn.Send(yuccawire.KindOffer, offer); err != nil {
+	if err := conn.Send(yuccawire.KindOffer, d.wireOffer(offer)); err != nil {
 		return "", err
 	}
 	go func() {
@@ -163,23 +163,23 @@
 			err := frame.Decode(&message)
 			return message.Address, err
 		}
-		d.control.post(func(now time.Time) { d.heardAway(now, r, aw, frame) })
+		d.control.post(func(now time.Time) { d.heardAway(now, r, aw, conn.Peer().Incarnation, frame) })
 	}
 }
 
 // heardAway acts on one answer unless the request has moved on since.
-func (d *Daemon) heardAway(now time.Time, r *run, aw *away, frame yuccawire.Frame) {
+func (d *Daemon) heardAway(now time.Time, r *run, aw *away, leader yuccaid.Incarnation, frame yuccawire.Frame) {
 	if r.away != aw {
 		return
 	}
 	var err error
 	switch frame.Kind {
 	case yuccawire.KindGrant:
-		err = decoded(frame, func(message yuccawire.PoolGrant) { d.onGrant(now, message.Pool, message.Grant) })
+		err = decoded(frame, func(message yuccawire.Grant) { d.onGrant(now, message.Pool, d.grant(leader, message)) })
 	case yuccawire.KindRefusal:
-		err = decoded(frame, func(message yuccawire.PoolRefusal) { d.onRefusal(now, message.Refusal) })
+		err = decoded(frame, func(message yuccawire.Refusal) { d.onRefusal(now, d.refusal(message)) })
 	case yuccawire.KindCancel:
-		err = decoded(frame, func(message yuccawire.PoolCancel) { d.onCancel(now, message.Cancel) })
+		err = decoded(frame, func(message yuccawire.Cancel) { d.onCancel(now, d.cancel(message)) })
 	}
 	if err != nil {
 		d.log.problem("message from "+string(aw.place.Centre), err)
--- a/io/yuccadaemon/daemon.go
+++ b/io/yuccadaemon/daemon.go
@@ -54,6 +54,7 @@
 	peers    *yuccapeer.Peers
 	leads    map[yuccaid.Pool]*lead
 	guests   map[yuccaid.RequestText]*guest
+	steps    map[progressTo][]yuccawire.RunProgress
 	shifts   *yuccashift.Planner
 	leaving  map[yuccaid.Target]bool
 	chain    *yuccastate.Chain
@@ -95,6 +96,7 @@
 		kept:     newKeptAnswers(settings.Limits.Answers, settings.Limits.AnswerLife),
 		leads:    make(map[yuccaid.Pool]*lead),
 		guests:   make(map[yuccaid.RequestText]*guest),
+		steps:    make(map[progressTo][]yuccawire.RunProgress),
 		shifts:   yuccashift.New(),
 		leaving:  make(map[yuccaid.Target]bool),
 		chain:    yuccastate.NewChain(),
@@ -184,6 +186,7 @@
 	d.settle(now)
 	d.tickLeader(now)
 	d.tickOwner(now)
+	d.flushProgress()
 }
 
 // settle takes up leadership once this daemon has listened long enough to name
--- a/io/yuccadaemon/frames.go
+++ b/io/yuccadaemon/frames.go
@@ -5,7 +5,7 @@
 
 	"yuccacleat/core/yuccaid"
 	"yuccacleat/core/yuccapeer"
-	"yuccacleat/core/yuccaqueue"
+	"yuccacleat/core/yuccapool"
 	"yuccacleat/io/yuccawire"
 )
 
@@ -28,23 +28,26 @@
 	case yuccawire.KindRoster:
 		return decoded(frame, func(message roster) { d.onRoster(now, message) })
 	case yuccawire.KindOffer:
-		return decoded(frame, func(ask yuccaqueue.Ask) { d.onOffer(now, from, ask) })
+		return decoded(frame, func(offer yuccawire.Offer) { d.onOffer(now, from, d.ask(from, offer)) })
 	case yuccawire.KindWithdraw:
-		return decoded(frame, func(message yuccawire.Withdrawal) { d.onWithdraw(now, message) })
+		return decoded(frame, func(message yuccawire.Withdrawal) { d.onWithdraw(now, message.Pool, d.unref(from, message.Ref)) })
 	case yuccawire.KindProgress:
-		return decoded(frame, func(message yuccawire.Progress) { d.onProgress(now, message) })
+		return decoded(frame, func(message yuccawire.Progress) { d.onRunProgress(now, from, message) })
 	case yuccawire.KindFinished:
-		return decoded(frame, func(message yuccawire.Finished) { d.onFinished(now, message) })
+		return decoded(frame, func(message yuccawire.Finished) { d.onFinished(now, message.Pool, d.finished(from, message)) })
 	case yuccawire.KindHold:
-		return decoded(frame, func(message yuccawire.Hold) { d.onHold(now, message) })
+		return decoded(frame, func(message yuccawire.Hold) {
+			running := yuccapool.Running{Ask: d.ask(from, message.Offer), Target: message.Target, Answered: message.Answered}
+			d.onHold(now, message.Offer.Pool, running)
+		})
 	case yuccawire.KindGrant:
-		return decoded(frame, func(message yuccawire.PoolGrant) { d.onGrant(now, message.Pool, message.Grant) })
+		return decoded(frame, func(message yuccawire.Grant) { d.onGrant(now, message.Pool, d.grant(from, message)) })
 	case yuccawire.KindRefusal:
-		return decoded(frame, func(message yuccawire.PoolRefusal) { d.onRefusal(now, message.Refusal) })
+		return decoded(frame, func(message yuccawire.Refusal) { d.onRefusal(now, d.refusal(message)) })
 	case yuccawire.KindCancel:
-		return decoded(frame, func(message yuccawire.PoolCancel) { d.onCancel(now, message.Cancel) })
+		return decoded(frame, func(message yuccawire.Cancel) { d.onCancel(now, d.cancel(message)) })
 	case yuccawire.KindNotLeader:
-		return decoded(frame, func(message yuccawire.NotLeader) { d.onNotLeader(now, message) })
+		return decoded(frame, func(message yuccawire.NotLeader) { d.onNotLeader(now, d.unref(d.self.Incarnation, message.Ref)) })
 	case yuccawire.KindNotePull:
 		return decoded(frame, func(message yuccawire.NotePull) { d.onNotePull(from, message) })
 	case yuccawire.KindNotes:
--- a/io/yuccadaemon/guest.go
+++ b/io/yuccadaemon/guest.go
@@ -17,14 +17,15 @@
 
 // serveGuest answers one offer from another data centre for as long as it lasts.
 func (d *Daemon) serveGuest(ctx context.Context, conn *yuccalink.Conn, frame yuccawire.Frame) {
-	var ask yuccaqueue.Ask
-	if frame.Decode(&ask) != nil {
+	var offer yuccawire.Offer
+	if frame.Decode(&offer) != nil {
 		return
 	}
+	ask := d.ask(conn.Peer().Incarnation, offer)
 	visitor := &guest{words: make(chan word, awayQueue)}
 	leader, leads := d.admitGuest(ask, visitor)
 	if !leads {
-		_ = conn.Send(yuccawire.KindNotLeader, yuccawire.NotLeader{Pool: ask.Pool, ID: ask.ID, Address: leader})
+		_ = conn.Send(yuccawire.KindNotLeader, yuccawire.NotLeader{Pool: ask.Pool, Ref: offer.Ref, Address: leader})
 		return
 	}
 	defer d.control.post(func(now time.Time) { d.guestLeft(now, ask, visitor) })
@@ -67,7 +68,7 @@
 		return
 	}
 	delete(d.guests, ask.ID)
-	d.onWithdraw(now, yuccawire.Withdrawal{Pool: ask.Pool, ID: ask.ID})
+	d.onWithdraw(now, ask.Pool, ask.ID)
 }
 
 // tellOwner sends a leader's decision to the request's owner, by the guest's own
--- a/io/yuccadaemon/leader.go
+++ b/io/yuccadaemon/leader.go
@@ -126,21 +126,27 @@
 			d.onGrant(now, pool, grant)
 			continue
 		}
-		d.tellOwner(grant.Owner, grant.ID, yuccawire.KindGrant, yuccawire.PoolGrant{Pool: pool, Grant: grant})
+		d.tellOwner(grant.Owner, grant.ID, yuccawire.KindGrant, yuccawire.Grant{
+			Pool: pool, Ref: d.ref(grant.ID), Target: grant.Target, ExpiresMillis: grant.Expires.Milliseconds(), Number: grant.Number,
+		})
 	}
 	for _, refusal := range decisions.Refusals {
 		if refusal.Owner == d.self.Incarnation {
 			d.onRefusal(now, refusal)
 			continue
 		}
-		d.tellOwner(refusal.Owner, refusal.ID, yuccawire.KindRefusal, yuccawire.PoolRefusal{Pool: pool, Refusal: refusal})
+		d.tellOwner(refusal.Owner, refusal.ID, yuccawire.KindRefusal, yuccawire.Refusal{
+			Pool: pool, Ref: d.ref(refusal.ID), Reason: string(refusal.Reason), BackMillis: refusal.Back.Milliseconds(),
+		})
 	}
 	for _, cancel := range decisions.Cancels {
 		if cancel.Owner == d.self.Incarnation {
 			d.onCancel(now, cancel)
 			continue
 		}
-		d.tellOwner(cancel.Owner, cancel.ID, yuccawire.KindCancel, yuccawire.PoolCancel{Pool: pool, Cancel: cancel})
+		d.tellOwner(cancel.Owner, cancel.ID, yuccawire.KindCancel, yuccawire.Cancel{
+			Pool: pool, Ref: d.ref(cancel.ID), Target: cancel.Target, Reason: string(cancel.Reason), BackMillis: cancel.Back.Milliseconds(),
+		})
 	}
 }
 
@@ -148,57 +154,43 @@
 	led, leads := d.leads[ask.Pool]
 	if !leads {
 		if from != d.self.Incarnation {
-			_ = d.send(from, yuccawire.KindNotLeader, yuccawire.NotLeader{Pool: ask.Pool, ID: ask.ID})
+			_ = d.send(from, yuccawire.KindNotLeader, yuccawire.NotLeader{Pool: ask.Pool, Ref: d.ref(ask.ID)})
 			return
 		}
-		d.onNotLeader(now, yuccawire.NotLeader{Pool: ask.Pool, ID: ask.ID})
+		d.onNotLeader(now, ask.ID)
 		return
 	}
 	d.apply(now, ask.Pool, led.leader.Offer(now, ask))
 }
 
-// fromOwner takes what an owner tells a leader.
-func (d *Daemon) fromOwner(now time.Time, body any) {
-	switch message := body.(type) {
-	case yuccawire.Withdrawal:
-		d.onWithdraw(now, message)
-	case yuccawire.Progress:
-		d.onProgress(now, message)
-	case yuccawire.Finished:
-		d.onFinished(now, message)
-	case yuccawire.Hold:
-		d.onHold(now, message)
-	}
-}
-
 // onNotLeader makes the next tick look for the leader again.
-func (d *Daemon) onNotLeader(_ time.Time, message yuccawire.NotLeader) {
-	if r, open := d.runs[message.ID]; open && !r.running {
+func (d *Daemon) onNotLeader(_ time.Time, id yuccaid.RequestText) {
+	if r, open := d.runs[id]; open && !r.running {
 		r.leader = yuccaid.Incarnation{}
 	}
 }
 
-func (d *Daemon) onWithdraw(now time.Time, message yuccawire.Withdrawal) {
-	if led, leads := d.leads[message.Pool]; leads {
-		d.apply(now, message.Pool, led.leader.Withdraw(now, message.ID))
+func (d *Daemon) onWithdraw(now time.Time, pool yuccaid.Pool, id yuccaid.RequestText) {
+	if led, leads := d.leads[pool]; leads {
+		d.apply(now, pool, led.leader.Withdraw(now, id))
 	}
 }
 
-func (d *Daemon) onProgress(now time.Time, message yuccawire.Progress) {
-	if led, leads := d.leads[message.Pool]; leads {
-		d.apply(now, message.Pool, led.leader.Progress(now, message.Progress))
+func (d *Daemon) onProgress(now time.Time, pool yuccaid.Pool, progress yuccapool.Progress) {
+	if led, leads := d.leads[pool]; leads {
+		d.apply(now, pool, led.leader.Progress(now, progress))
 	}
 }
 
-func (d *Daemon) onFinished(now time.Time, message yuccawire.Finished) {
-	if led, leads := d.leads[message.Pool]; leads {
-		d.apply(now, message.Pool, led.leader.Finished(now, message.Finished))
+func (d *Daemon) onFinished(now time.Time, pool yuccaid.Pool, finished yuccapool.Finished) {
+	if led, leads := d.leads[pool]; leads {
+		d.apply(now, pool, led.leader.Finished(now, finished))
 	}
 }
 
-func (d *Daemon) onHold(now time.Time, message yuccawire.Hold) {
-	if led, leads := d.leads[message.Pool]; leads {
-		led.leader.Hold(now, message.Running)
+func (d *Daemon) onHold(now time.Time, pool yuccaid.Pool, running yuccapool.Running) {
+	if led, leads := d.leads[pool]; leads {
+		led.leader.Hold(now, running)
 	}
 }
 
--- a/io/yuccadaemon/member.go
+++ b/io/yuccadaemon/member.go
@@ -116,8 +116,11 @@
 	r.leader = leader.Incarnation
 	ask := r.ask
 	ask.Remaining = r.remaining(now)
-	message := yuccawire.Hold{Pool: r.claim.Pool, Running: yuccapool.Running{Ask: ask, Target: r.target}}
-	d.tellLeader(now, r, yuccawire.KindHold, message)
+	if leader.Incarnation == d.self.Incarnation {
+		d.onHold(now, r.claim.Pool, yuccapool.Running{Ask: ask, Target: r.target, Answered: r.answered})
+		return
+	}
+	_ = d.send(leader.Incarnation, yuccawire.KindHold, yuccawire.Hold{Offer: d.wireOffer(ask), Target: r.target, Answered: r.answered})
 }
 
 func (d *Daemon) sendBeat(beat yuccapeer.Beat) {
--- a/io/yuccadaemon/owner.go
+++ b/io/yuccadaemon/owner.go
@@ -27,7 +27,7 @@
 	abandonAfter = 5 * time.Second
 	// progressEvery spaces the progress messages of one run; the leader only needs to
 	// tell a slow target from a stalled one.
-	progressEvery = 2 * time.Second
+	progressEvery = 4 * time.Second
 	// cancelTimeout bounds a cancel; a target that doesn't take it ends the run itself
 	// at the latest after its longest run.
 	cancelTimeout = 2 * time.Second
@@ -53,6 +53,7 @@
 	back      time.Duration
 	stop      context.CancelFunc
 	abandoned time.Time
+	answered  yuccaid.Tokens
 }
 
 // remaining is the time to the deadline, which is all that other daemons are told.
@@ -171,7 +172,7 @@
 		d.onOffer(now, d.self.Incarnation, r.ask)
 		return
 	}
-	if err := d.send(leader.Incarnation, yuccawire.KindOffer, r.ask); err != nil {
+	if err := d.send(leader.Incarnation, yuccawire.KindOffer, d.wireOffer(r.ask)); err != nil {
 		r.leader = yuccaid.Incarnation{}
 		return
 	}
@@ -312,14 +313,6 @@
 	return nil
 }
 
-func (d *Daemon) progress(now time.Time, r *run, progress yuccapool.Progress) {
-	if progress.FirstToken {
-		d.metrics.firstToken(r.claim.Tier, now.Sub(r.accepted))
-	}
-	message := yuccawire.Progress{Pool: r.claim.Pool, Progress: progress}
-	d.tellLeader(now, r, yuccawire.KindProgress, message)
-}
-
 // resultOf turns what is known after a call into what may be said of it.
 func resultOf(r *run, end yuccatarget.End, err error, pieces int) yuccaonce.Result {
 	if err == nil {
@@ -369,16 +362,23 @@
 		Failed:  result.Reason == yuccaonce.ReasonTargetLost || result.Reason == yuccaonce.ReasonUnsent,
 		Prompt:  end.Prompt, Cached: end.Cached, Answer: end.Answer, Prefill: end.Prefill, Decode: end.Decode,
 	}
-	d.tellLeader(now, r, yuccawire.KindFinished, yuccawire.Finished{Pool: r.claim.Pool, Finished: finished})
+	if r.leads(d) {
+		d.onFinished(now, r.claim.Pool, finished)
+		return
+	}
+	d.tellLeader(r, yuccawire.KindFinished, d.wireFinished(r.claim.Pool, finished))
 }
 
-// tellLeader tells the leader that a request waits at or was granted by.
-func (d *Daemon) tellLeader(now time.Time, r *run, kind yuccawire.Kind, body any) {
+// leads reports whether this daemon itself is the leader that granted the request.
+func (r *run) leads(d *Daemon) bool {
+	return r.away == nil && r.leader == d.self.Incarnation
+}
+
+// tellLeader tells the leader elsewhere that a request waits at or was granted by.
+func (d *Daemon) tellLeader(r *run, kind yuccawire.Kind, body any) {
 	switch {
 	case r.away != nil:
 		_ = r.away.send(kind, body)
-	case r.leader == d.self.Incarnation:
-		d.fromOwner(now, body)
 	case !r.leader.IsZero():
 		_ = d.send(r.leader, kind, body)
 	}
@@ -410,11 +410,12 @@
 // giveBack tells the leader that a grant was not used, so that the target's room is
 // free again without waiting for the grant's expiry.
 func (d *Daemon) giveBack(now time.Time, pool yuccaid.Pool, grant yuccapool.Grant) {
-	message := yuccawire.Finished{Pool: pool, Finished: yuccapool.Finished{ID: grant.ID, Target: grant.Target}}
+	unused := yuccapool.Finished{ID: grant.ID, Target: grant.Target}
 	if grant.Leader == d.self.Incarnation {
-		d.onFinished(now, message)
+		d.onFinished(now, pool, unused)
 		return
 	}
+	message := d.wireFinished(pool, unused)
 	if r, open := d.runs[grant.ID]; open && r.away != nil && !r.running {
 		_ = r.away.send(yuccawire.KindFinished, message)
 		return
@@ -476,7 +477,11 @@
 }
 
 func (d *Daemon) withdraw(now time.Time, r *run) {
-	d.tellLeader(now, r, yuccawire.KindWithdraw, yuccawire.Withdrawal{Pool: r.claim.Pool, ID: r.id})
+	if r.leads(d) {
+		d.onWithdraw(now, r.claim.Pool, r.id)
+		return
+	}
+	d.tellLeader(r, yuccawire.KindWithdraw, yuccawire.Withdrawal{Pool: r.claim.Pool, Ref: d.ref(r.id)})
 }
 
 // readerLeft is called on traffic goroutines; the next tick sees what it means.
--- a/io/yuccawire/frame.go
+++ b/io/yuccawire/frame.go
@@ -42,7 +42,7 @@
 		buf.WriteByte(kindCode)
 	}
 	buf.WriteByte(byte(kind))
-	if err := encodeBody(&buf, body); err != nil {
+	if err := encodeBody(&buf, kind, body); err != nil {
 		return nil, &GarbledError{Kind: kind, Cause: err}
 	}
 	raw := buf.Bytes()
@@ -56,12 +56,16 @@
 
 // encodeBody keeps integers short and maps in order, so that equal messages have
 // equal bytes. Encoders are reused: a daemon encodes thousands of messages a second.
-func encodeBody(buf *bytes.Buffer, body any) error {
+//
+// The messages of placing go several times for each request, and their keys would be
+// most of their bytes, so they are arrays in the order of their fields.
+func encodeBody(buf *bytes.Buffer, kind Kind, body any) error {
 	enc := msgpack.GetEncoder()
 	defer msgpack.PutEncoder(enc)
 	enc.Reset(buf)
 	enc.UseCompactInts(true)
 	enc.SetSortMapKeys(true)
+	enc.UseArrayEncodedStructs(kind >= firstPlacing && kind <= lastPlacing)
 	return enc.Encode(body)
 }
 
--- a/io/yuccawire/message.go
+++ b/io/yuccawire/message.go
@@ -3,13 +3,11 @@
 import (
 	"yuccacleat/core/yuccaid"
 	"yuccacleat/core/yuccaonce"
-	"yuccacleat/core/yuccapool"
-	"yuccacleat/core/yuccaqueue"
 )
 
 // The messages between daemons, by role.
 const (
-	// KindOffer carries a yuccaqueue.Ask from an owner to a pool's leader.
+	// KindOffer carries an Offer from an owner to a pool's leader.
 	KindOffer Kind = iota + 16
 	// KindWithdraw carries a Withdrawal from an owner to a pool's leader.
 	KindWithdraw
@@ -19,11 +17,11 @@
 	KindFinished
 	// KindHold carries a Hold from an owner to a new leader.
 	KindHold
-	// KindGrant carries a PoolGrant from a leader to an owner.
+	// KindGrant carries a Grant from a leader to an owner.
 	KindGrant
-	// KindRefusal carries a PoolRefusal from a leader to an owner.
+	// KindRefusal carries a Refusal from a leader to an owner.
 	KindRefusal
-	// KindCancel carries a PoolCancel from a leader to an owner.
+	// KindCancel carries a Cancel from a leader to an owner.
 	KindCancel
 	// KindNotLeader carries a NotLeader from a daemon that was taken for a leader.
 	KindNotLeader
@@ -45,56 +43,6 @@
 	KindAbort
 )
 
-// Withdrawal takes a waiting request back.
-type Withdrawal struct {
-	Pool yuccaid.Pool        `msgpack:"pool"`
-	ID   yuccaid.RequestText `msgpack:"id"`
-}
-
-// Progress tells a leader how far a run has come.
-type Progress struct {
-	Pool     yuccaid.Pool       `msgpack:"pool"`
-	Progress yuccapool.Progress `msgpack:"progress"`
-}
-
-// Finished tells a leader that a grant was used or given back.
-type Finished struct {
-	Pool     yuccaid.Pool       `msgpack:"pool"`
-	Finished yuccapool.Finished `msgpack:"finished"`
-}
-
-// Hold tells a new leader of a run that is under way.
-type Hold struct {
-	Pool    yuccaid.Pool      `msgpack:"pool"`
-	Running yuccapool.Running `msgpack:"running"`
-}
-
-// PoolGrant is a leader's grant with the pool it is for.
-type PoolGrant struct {
-	Pool  yuccaid.Pool    `msgpack:"pool"`
-	Grant yuccapool.Grant `msgpack:"grant"`
-}
-
-// PoolRefusal is a leader's refusal with the pool it is for.
-type PoolRefusal struct {
-	Pool    yuccaid.Pool      `msgpack:"pool"`
-	Refusal yuccapool.Refusal `msgpack:"refusal"`
-}
-
-// PoolCancel is a leader's order to end a run, with the pool it is for.
-type PoolCancel struct {
-	Pool   yuccaid.Pool     `msgpack:"pool"`
-	Cancel yuccapool.Cancel `msgpack:"cancel"`
-}
-
-// NotLeader tells an owner that the sender doesn't lead the pool.
-type NotLeader struct {
-	Pool yuccaid.Pool        `msgpack:"pool"`
-	ID   yuccaid.RequestText `msgpack:"id"`
-	// Address is where the leader answers, as far as the sender knows.
-	Address string `msgpack:"address"`
-}
-
 // NotePull asks a peer for accepted release notes, or for its whole configuration.
 type NotePull struct {
 	Numbers  []yuccaid.Number `msgpack:"numbers"`
@@ -161,6 +109,3 @@
 	Problem string              `msgpack:"problem"`
 	Detail  string              `msgpack:"detail"`
 }
-
-// Offer names the message that carries a waiting request to its leader.
-type Offer = yuccaqueue.Ask
