--- a/io/yuccaweb/caller.go
+++ b/io/yuccaweb/caller.go
@@ -161,10 +161,8 @@
 
 // readRequest refuses what is not exactly one request; nothing has run by then.
 func (web *Caller) readRequest(c echo.Context) (yuccadaemon.Request, error) {
-	var req yuccadaemon.Request
-	decoder := json.NewDecoder(http.MaxBytesReader(c.Response(), c.Request().Body, int64(web.daemon.BodyLimit())))
-	decoder.DisallowUnknownFields()
-	err := decoder.Decode(&req)
+	limited := http.MaxBytesReader(c.Response(), c.Request().Body, int64(web.daemon.BodyLimit()))
+	req, err := decodeRequest(limited)
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
 		return req, &yuccadaemon.Problem{Kind: yuccadaemon.KindTooLarge, Run: yuccaonce.NotRun}
@@ -172,8 +170,21 @@
 	if err != nil {
 		return req, &yuccadaemon.Problem{Kind: yuccadaemon.KindMalformed, Detail: err.Error(), Run: yuccaonce.NotRun}
 	}
+	return req, nil
+}
+
+// errTrailing says that a body goes on after its request.
+var errTrailing = errors.New("more than one value")
+
+func decodeRequest(body io.Reader) (yuccadaemon.Request, error) {
+	var req yuccadaemon.Request
+	decoder := json.NewDecoder(body)
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(&req); err != nil {
+		return req, err
+	}
 	if _, err := decoder.Token(); !errors.Is(err, io.EOF) {
-		return req, &yuccadaemon.Problem{Kind: yuccadaemon.KindMalformed, Detail: "more than one value", Run: yuccaonce.NotRun}
+		return req, errTrailing
 	}
 	return req, nil
 }
