--- a/cmd/yuccacleat/main.go
+++ b/cmd/yuccacleat/main.go
@@ -36,17 +36,20 @@
 	os.Exit(run(root()))
 }
 
+// run executes the command line. What fails before a command begins, such as an
+// unknown command or a missing argument, is input to be mended.
 func run(command *cobra.Command) int {
+	began := false
+	command.PersistentPreRun = func(*cobra.Command, []string) { began = true }
 	err := command.Execute()
-	var invalid *invalidError
-	switch {
-	case err == nil:
+	if err == nil {
 		return exitOK
-	case errors.As(err, &invalid):
-		fmt.Fprintln(os.Stderr, "yuccacleat:", err)
-		return exitInvalid
 	}
 	fmt.Fprintln(os.Stderr, "yuccacleat:", err)
+	var invalid *invalidError
+	if !began || errors.As(err, &invalid) {
+		return exitInvalid
+	}
 	return exitFailed
 }
 
@@ -61,7 +64,6 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	command.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return &invalidError{cause: err} })
 	command.AddCommand(serveCommand(), checkCommand(), noteCommand(), statusCommand(), auditCommand(), requestCommand(), demoCommand(), versionCommand())
 	return command
 }
