--- a/cmd/yuccacleat/serve.go
+++ b/cmd/yuccacleat/serve.go
@@ -7,6 +7,7 @@
 	"io"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 
 	"github.com/go-kit/log"
@@ -17,6 +18,10 @@
 	"yuccacleat/io/yuccaserve"
 )
 
+// memoryLimit makes the garbage collector work harder before a daemon outgrows the
+// 256 MB that it is meant to fit; the bounds in the settings keep live memory below.
+const memoryLimit = 240 << 20
+
 func serveCommand() *cobra.Command {
 	var path string
 	command := &cobra.Command{
@@ -41,6 +46,9 @@
 	if err != nil {
 		return &invalidError{cause: err}
 	}
+	if os.Getenv("GOMEMLIMIT") == "" {
+		debug.SetMemoryLimit(memoryLimit)
+	}
 	logger := newLogger(logs, settings)
 	proc, err := yuccaserve.Start(settings, settings.FleetKey, logger)
 	if err != nil {
--- a/io/yuccacaller/client.go
+++ b/io/yuccacaller/client.go
@@ -139,6 +139,9 @@
 	lines.Buffer(make([]byte, 0, 4096), lineLimit)
 	next := 0
 	for lines.Scan() {
+		if len(lines.Bytes()) == 0 {
+			continue
+		}
 		var ln line
 		if err := json.Unmarshal(lines.Bytes(), &ln); err != nil {
 			return answer, &BrokenError{Detail: "a line is not JSON"}
--- a/io/yuccaweb/caller.go
+++ b/io/yuccaweb/caller.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"time"
 
 	"github.com/labstack/echo/v4"
 
@@ -20,6 +21,8 @@
 	// HeaderRequest carries the id of a request that the one-call form opened.
 	HeaderRequest = "X-Request-Id"
 	contentLines  = "application/x-ndjson"
+	// bodyTimeout lets a megabyte through on a slow line.
+	bodyTimeout = 30 * time.Second
 )
 
 // Caller serves those who have requests.
@@ -161,6 +164,8 @@
 
 // readRequest refuses what is not exactly one request; nothing has run by then.
 func (web *Caller) readRequest(c echo.Context) (yuccadaemon.Request, error) {
+	// A caller that stops in the middle of its body would hold a connection for ever.
+	_ = http.NewResponseController(c.Response()).SetReadDeadline(time.Now().Add(bodyTimeout))
 	limited := http.MaxBytesReader(c.Response(), c.Request().Body, int64(web.daemon.BodyLimit()))
 	req, err := decodeRequest(limited)
 	var tooLarge *http.MaxBytesError
@@ -170,6 +175,7 @@
 	if err != nil {
 		return req, &yuccadaemon.Problem{Kind: yuccadaemon.KindMalformed, Detail: err.Error(), Run: yuccaonce.NotRun}
 	}
+	_ = http.NewResponseController(c.Response()).SetReadDeadline(time.Time{})
 	return req, nil
 }
 
@@ -223,23 +229,39 @@
 	return nil
 }
 
+// copyLines follows an answer to its end and reports whether the caller got the end.
 func copyLines(ctx context.Context, c echo.Context, answer *yuccadaemon.Answer, from int, pieces []yuccadaemon.Piece, outcome *yuccaonce.Outcome) bool {
-	encoder := json.NewEncoder(c.Response())
+	lines := newLineWriter(c)
 	for {
 		for _, piece := range pieces {
-			if encoder.Encode(Line{ID: answer.ID(), Position: piece.Position, Data: string(piece.Data)}) != nil {
+			if lines.write(Line{ID: answer.ID(), Position: piece.Position, Data: string(piece.Data)}) != nil {
 				return false
 			}
 		}
 		from += len(pieces)
 		if outcome != nil {
-			return encoder.Encode(endOf(answer.ID(), *outcome)) == nil
+			return lines.write(endOf(answer.ID(), *outcome)) == nil
 		}
 		c.Response().Flush()
 		var err error
-		pieces, outcome, err = answer.Next(ctx, from)
+		pieces, outcome, err = nextOrKeepAlive(ctx, lines, answer, from)
 		if err != nil {
 			return false
 		}
 	}
 }
+
+// nextOrKeepAlive waits for more of an answer and meanwhile writes empty lines.
+func nextOrKeepAlive(ctx context.Context, lines *lineWriter, answer *yuccadaemon.Answer, from int) ([]yuccadaemon.Piece, *yuccaonce.Outcome, error) {
+	for {
+		waiting, stop := context.WithTimeout(ctx, keepAliveEvery)
+		pieces, outcome, err := answer.Next(waiting, from)
+		stop()
+		if err == nil || ctx.Err() != nil {
+			return pieces, outcome, err
+		}
+		if err := lines.keepAlive(); err != nil {
+			return nil, nil, err
+		}
+	}
+}
--- a/io/yuccaweb/line.go
+++ b/io/yuccaweb/line.go
@@ -1,6 +1,12 @@
 package yuccaweb
 
 import (
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"github.com/labstack/echo/v4"
+
 	"yuccacleat/core/yuccaid"
 	"yuccacleat/core/yuccaonce"
 )
@@ -35,3 +41,38 @@
 		Pieces: outcome.Pieces, Hash: outcome.Hash, RetryAfterMillis: outcome.Back.Milliseconds(),
 	}
 }
+
+const (
+	// keepAliveEvery spaces empty lines while an answer pauses. What stands between the
+	// two ends forgets connections that are idle for a minute or so.
+	keepAliveEvery = 10 * time.Second
+	// writeTimeout ends the connection of a caller that has gone silent: its answer
+	// would hold memory, and its run an engine, for as long as the connection stands.
+	writeTimeout = 30 * time.Second
+)
+
+// lineWriter writes JSON lines, each within the write timeout.
+type lineWriter struct {
+	response *echo.Response
+	control  *http.ResponseController
+	encoder  *json.Encoder
+}
+
+func newLineWriter(c echo.Context) *lineWriter {
+	response := c.Response()
+	return &lineWriter{response: response, control: http.NewResponseController(response), encoder: json.NewEncoder(response)}
+}
+
+func (lines *lineWriter) write(line any) error {
+	_ = lines.control.SetWriteDeadline(time.Now().Add(writeTimeout))
+	return lines.encoder.Encode(line)
+}
+
+// keepAlive writes an empty line, which callers pass over.
+func (lines *lineWriter) keepAlive() error {
+	_ = lines.control.SetWriteDeadline(time.Now().Add(writeTimeout))
+	if _, err := lines.response.Write([]byte("\n")); err != nil {
+		return err
+	}
+	return lines.control.Flush()
+}
