yuccameasure: what daemons cost, from fleets of processes on loopback

Cause: the capacity of the aimed fleet has to be worked out from slopes, and nothing measured control traffic, processor time or memory of daemons as processes.

Ruled out: reading the times inside the daemons (they would measure themselves), and counting what both ends of a link saw (each message twice).

--- /dev/null
+++ b/cmd/yuccameasure/doc.go
@@ -0,0 +1,2 @@
+// Command yuccameasure measures what daemons cost, with stand-ins on loopback.
+package main
--- /dev/null
+++ b/cmd/yuccameasure/main.go
@@ -0,0 +1,180 @@
+package main
+
+import (
+	"context"
+	"os"
+	"os/exec"
+	"os/signal"
+	"path/filepath"
+	"syscall"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/spf13/cobra"
+
+	"yuccacleat/core/yuccaid"
+	"yuccacleat/io/yuccameasure"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	err := newCommand().ExecuteContext(ctx)
+	stop()
+	if err != nil {
+		os.Exit(1)
+	}
+}
+
+// common are the flags of every measurement.
+type common struct {
+	programs string
+	lines    string
+	limit    time.Duration
+}
+
+func newCommand() *cobra.Command {
+	flags := &common{}
+	root := &cobra.Command{
+		Use:   "yuccameasure",
+		Short: "Measure what daemons cost, with stand-ins on loopback",
+		Long: `yuccameasure starts daemons and stand-ins as processes of its own on loopback, measures
+them, and ends them. It prints tables and, with --lines, adds each row to a file of
+JSON lines.`,
+		SilenceUsage: true,
+	}
+	root.PersistentFlags().StringVar(&flags.programs, "programs", "", "directory with yuccacleat and yuccastand; built by go when empty")
+	root.PersistentFlags().StringVar(&flags.lines, "lines", "", "file to which JSON lines are added")
+	root.PersistentFlags().DurationVar(&flags.limit, "limit", 10*time.Minute, "longest time that the measurement may take")
+	root.AddCommand(relayCommand(flags), membersCommand(flags), configCommand(flags), stateCommand(flags))
+	return root
+}
+
+// measurement runs with the programs' paths and writes its tables.
+type measurement func(ctx context.Context, programs yuccameasure.Programs, lines *os.File) error
+
+// run finds the programs, opens the file of lines and bounds the time.
+func (flags *common) run(cmd *cobra.Command, measure measurement) error {
+	ctx, stop := context.WithTimeout(cmd.Context(), flags.limit)
+	defer stop()
+	dir, remove, err := flags.build(ctx)
+	if err != nil {
+		return err
+	}
+	defer remove()
+	programs := yuccameasure.Programs{Daemon: filepath.Join(dir, "yuccacleat"), Stand: filepath.Join(dir, "yuccastand")}
+	return flags.alone(func(lines *os.File) error { return measure(ctx, programs, lines) })
+}
+
+// alone runs a measurement that starts no processes.
+func (flags *common) alone(measure func(lines *os.File) error) error {
+	path := flags.lines
+	if path == "" {
+		path = os.DevNull
+	}
+	lines, err := os.OpenFile(path, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
+	if err != nil {
+		return eris.Wrap(err, "opening the file of lines: name another one with --lines")
+	}
+	defer lines.Close()
+	return measure(lines)
+}
+
+// build compiles the measured programs unless a directory with them was named.
+func (flags *common) build(ctx context.Context) (dir string, remove func(), err error) {
+	if flags.programs != "" {
+		return flags.programs, func() {}, nil
+	}
+	dir, err = os.MkdirTemp("", "yuccameasure-programs")
+	if err != nil {
+		return "", nil, eris.Wrap(err, "making a directory for programs")
+	}
+	remove = func() { _ = os.RemoveAll(dir) }
+	building := exec.CommandContext(ctx, "go", "build", "-o", dir+"/", "yuccacleat/cmd/yuccacleat", "yuccacleat/cmd/yuccastand")
+	building.Stderr = os.Stderr
+	if err := building.Run(); err != nil {
+		remove()
+		return "", nil, eris.Wrap(err, "building the programs: run this inside the module or name --programs")
+	}
+	return dir, remove, nil
+}
+
+func membersCommand(flags *common) *cobra.Command {
+	var plan yuccameasure.MembersPlan
+	cmd := &cobra.Command{
+		Use:     "members",
+		Short:   "Measure control traffic, processor time and memory against the number of daemons",
+		Example: "  yuccameasure members --sizes 3,7,14",
+		Args:    cobra.NoArgs,
+	}
+	cmd.Flags().IntVar(&plan.Centres, "centres", 1, "data centres")
+	cmd.Flags().IntSliceVar(&plan.Sizes, "sizes", []int{3, 7, 14, 28, 56}, "daemons of each data centre, one fleet after the other")
+	cmd.Flags().DurationVar(&plan.Quiet, "quiet", 20*time.Second, "time without requests")
+	cmd.Flags().DurationVar(&plan.Load, "load", 10*time.Second, "time with requests")
+	cmd.Flags().Float64Var(&plan.Rate, "rate", 3, "requests a second for each daemon")
+	cmd.RunE = func(cmd *cobra.Command, _ []string) error {
+		return flags.run(cmd, func(ctx context.Context, programs yuccameasure.Programs, lines *os.File) error {
+			return yuccameasure.Members(ctx, programs, plan, cmd.OutOrStdout(), lines)
+		})
+	}
+	return cmd
+}
+
+func relayCommand(flags *common) *cobra.Command {
+	var plan yuccameasure.RelayPlan
+	var answer, tokens int64
+	cmd := &cobra.Command{
+		Use:     "relay",
+		Short:   "Measure added time, processor time for relayed tokens and memory with streams open",
+		Example: "  yuccameasure relay --requests 100",
+		Args:    cobra.NoArgs,
+	}
+	cmd.Flags().IntVar(&plan.Requests, "requests", 400, "requests timed on each way")
+	cmd.Flags().Int64Var(&answer, "answer", 64, "tokens of a timed answer")
+	cmd.Flags().IntSliceVar(&plan.Streams, "streams", []int{0, 125, 250, 375, 500}, "streams held open at once")
+	cmd.Flags().IntVar(&plan.Busy, "busy", 32, "streams at once for the processor time")
+	cmd.Flags().Int64Var(&tokens, "tokens", 64_000, "tokens relayed for each length of answer")
+	cmd.RunE = func(cmd *cobra.Command, _ []string) error {
+		plan.Answer, plan.Tokens = yuccaid.Tokens(answer), yuccaid.Tokens(tokens)
+		return flags.run(cmd, func(ctx context.Context, programs yuccameasure.Programs, lines *os.File) error {
+			return yuccameasure.Relay(ctx, programs, plan, cmd.OutOrStdout(), lines)
+		})
+	}
+	return cmd
+}
+
+func configCommand(flags *common) *cobra.Command {
+	var plan yuccameasure.ConfigPlan
+	cmd := &cobra.Command{
+		Use:     "config",
+		Short:   "Measure how fast release notes take hold and what daemons read of the platform",
+		Example: "  yuccameasure config --sizes 7 --notes 20",
+		Args:    cobra.NoArgs,
+	}
+	cmd.Flags().IntSliceVar(&plan.Sizes, "sizes", []int{7, 28}, "daemons, one fleet after the other")
+	cmd.Flags().IntVar(&plan.Notes, "notes", 100, "release notes published one by one")
+	cmd.Flags().DurationVar(&plan.Quiet, "quiet", 70*time.Second, "time without notes; watches last up to a minute")
+	cmd.Flags().DurationVar(&plan.Outage, "outage", 20*time.Second, "time that the platform's service is away")
+	cmd.RunE = func(cmd *cobra.Command, _ []string) error {
+		return flags.run(cmd, func(ctx context.Context, programs yuccameasure.Programs, lines *os.File) error {
+			return yuccameasure.Config(ctx, programs, plan, cmd.OutOrStdout(), lines)
+		})
+	}
+	return cmd
+}
+
+func stateCommand(flags *common) *cobra.Command {
+	var plan yuccameasure.StatePlan
+	cmd := &cobra.Command{
+		Use:     "state",
+		Short:   "Measure, in this process, what configuration, pool leaders and owners take",
+		Example: "  yuccameasure state --repeat 3",
+		Args:    cobra.NoArgs,
+	}
+	cmd.Flags().IntVar(&plan.Repeat, "repeat", 9, "times that each step is timed; the median counts")
+	cmd.RunE = func(cmd *cobra.Command, _ []string) error {
+		return flags.alone(func(lines *os.File) error {
+			return yuccameasure.State(plan, cmd.OutOrStdout(), lines)
+		})
+	}
+	return cmd
+}
