yuccameasure: answers of any length, the whole digest and the heap of a configuration

Cause: the heap came out too small, since the first copy could be collected while the second was made; and a folded state's digest is carried over, so a whole one was never timed.

--- a/cmd/yuccameasure/main.go
+++ b/cmd/yuccameasure/main.go
@@ -100,6 +100,8 @@
 
 func membersCommand(flags *common) *cobra.Command {
 	var plan yuccameasure.MembersPlan
+	var answer int64
+	var decode float64
 	cmd := &cobra.Command{
 		Use:     "members",
 		Short:   "Measure control traffic, processor time and memory against the number of daemons",
@@ -111,7 +113,10 @@
 	cmd.Flags().DurationVar(&plan.Quiet, "quiet", 20*time.Second, "time without requests")
 	cmd.Flags().DurationVar(&plan.Load, "load", 10*time.Second, "time with requests")
 	cmd.Flags().Float64Var(&plan.Rate, "rate", 3, "requests a second for each daemon")
+	cmd.Flags().Int64Var(&answer, "answer", 32, "tokens of an answer")
+	cmd.Flags().Float64Var(&decode, "decode", 400, "tokens per second of each answer")
 	cmd.RunE = func(cmd *cobra.Command, _ []string) error {
+		plan.Answer, plan.Decode = yuccaid.Tokens(answer), yuccaid.Rate(decode)
 		return flags.run(cmd, func(ctx context.Context, programs yuccameasure.Programs, lines *os.File) error {
 			return yuccameasure.Members(ctx, programs, plan, cmd.OutOrStdout(), lines)
 		})
--- a/io/yuccameasure/members.go
+++ b/io/yuccameasure/members.go
@@ -22,6 +22,10 @@
 	Load  time.Duration
 	// Rate is the load in requests a second for each daemon.
 	Rate float64
+	// Answer is an answer's length and Decode the engines' rate: owners tell leaders of
+	// a run's progress every two seconds, so long runs cost more messages.
+	Answer yuccaid.Tokens
+	Decode yuccaid.Rate
 }
 
 // MembersRow is what a daemon of one fleet costs.
@@ -41,6 +45,8 @@
 	Requests        int64   `json:"requests"`
 	Failed          int64   `json:"failed"`
 	RequestRate     float64 `json:"requestsPerSecond"`
+	AnswerTokens    float64 `json:"answerTokens"`
+	RunSeconds      float64 `json:"runSeconds"`
 	RequestBytes    float64 `json:"controlBytesPerRequest"`
 	RequestMessages float64 `json:"controlMessagesPerRequest"`
 	RequestMillis   float64 `json:"processorMillisPerRequest"`
@@ -57,10 +63,6 @@
 	Bytes    float64 `json:"bytes"`
 }
 
-// loadAnswer is an answer's length under a steady load; the count of control messages
-// hardly depends on it.
-const loadAnswer yuccaid.Tokens = 32
-
 // Members measures fleets one after the other: first quiet, then under a steady load.
 func Members(ctx context.Context, programs Programs, plan MembersPlan, text, lines io.Writer) error {
 	var rows []MembersRow
@@ -83,13 +85,16 @@
 }
 
 func members(ctx context.Context, programs Programs, plan MembersPlan, size int) (MembersRow, []KindRow, error) {
-	shp := shape{centres: plan.Centres, daemons: size, engines: enginesFor(plan, size), slots: 64, decode: 400}
+	shp := shape{centres: plan.Centres, daemons: size, engines: enginesFor(plan, size), slots: 256, decode: plan.Decode}
 	flt, err := startFleet(ctx, programs, shp)
 	if err != nil {
 		return MembersRow{}, nil, err
 	}
 	defer flt.close()
-	row := MembersRow{Centres: plan.Centres, Daemons: len(flt.daemons), StartSeconds: time.Since(flt.began).Seconds()}
+	row := MembersRow{
+		Centres: plan.Centres, Daemons: len(flt.daemons), StartSeconds: time.Since(flt.began).Seconds(),
+		AnswerTokens: float64(plan.Answer), RunSeconds: float64(plan.Answer) / float64(plan.Decode),
+	}
 	// Leaders gather and connections settle before the quiet span is counted.
 	rest(ctx, 5*time.Second)
 	row.LoadAverage = LoadAverage()
@@ -152,7 +157,7 @@
 	if err != nil {
 		return nil, err
 	}
-	count := flt.steady(ctx, plan.Rate*float64(len(flt.daemons)), plan.Load, loadAnswer)
+	count := flt.steady(ctx, plan.Rate*float64(len(flt.daemons)), plan.Load, plan.Answer)
 	after, err := flt.take(ctx)
 	if err != nil {
 		return nil, err
@@ -203,6 +208,7 @@
 		{"start s", func(row MembersRow) string { return tenth(row.StartSeconds) }},
 		{"req", func(row MembersRow) string { return fmt.Sprint(row.Requests) }},
 		{"failed", func(row MembersRow) string { return fmt.Sprint(row.Failed) }},
+		{"run s", func(row MembersRow) string { return tenth(row.RunSeconds) }},
 		{"req/s", func(row MembersRow) string { return tenth(row.RequestRate) }},
 		{"B/req", func(row MembersRow) string { return whole(row.RequestBytes) }},
 		{"msg/req", func(row MembersRow) string { return fine(row.RequestMessages) }},
--- a/io/yuccameasure/state.go
+++ b/io/yuccameasure/state.go
@@ -127,17 +127,16 @@
 	if err != nil {
 		return eris.Wrap(err, "joining a baseline")
 	}
-	// A state keeps its digest, so each timing takes one that has not been asked yet.
-	fresh := make([]*yuccastate.State, 0, plan.Repeat)
-	for range max(1, plan.Repeat) {
-		one, err := whole.Apply(smallNote(whole, 0))
-		if err != nil {
-			return eris.Wrap(err, "folding a note")
-		}
-		fresh = append(fresh, one)
+	// A folded state carries the digests of its objects; this one hashes them all, as a
+	// check of what a peer sent does.
+	bare := &yuccastate.State{
+		Number: whole.Number, Centres: whole.Centres, Links: whole.Links, Tiers: whole.Tiers,
+		Pools: whole.Pools, Targets: whole.Targets, Accounts: whole.Accounts, Policy: whole.Policy,
 	}
-	at := 0
-	row.DigestMillis, _ = timed(plan.Repeat, func() { fresh[at].Digest(); at++ })
+	if bare.Digest() != whole.Digest() {
+		return eris.New("the digests of one configuration differ")
+	}
+	row.DigestMillis, _ = timed(plan.Repeat, func() { bare.Digest() })
 	const lookups = 1000
 	span, _ := timed(plan.Repeat, func() {
 		for index := range lookups {
@@ -284,7 +283,9 @@
 		return 0, whole
 	}
 	size := liveHeap() - before
+	// Without these the first copy could be collected in between and hide the second.
 	runtime.KeepAlive(raw)
+	runtime.KeepAlive(whole)
 	return size, copied
 }
 
