One bound on the length of an answer, at the client of targets

Cause: the daemon's new bound stood beside one that the client had, at 64 MB. Ruled out: two bounds in two places. Before: 8 MB in the daemon, 64 MB in the client. After: 8 MB in the client, whose typed error ends the answer as partial and has the run cancelled at its target. Conclusion: the client already checks every line, so the bound belongs there.

--- a/io/yuccadaemon/owner.go
+++ b/io/yuccadaemon/owner.go
@@ -19,9 +19,6 @@
 	// heldLimit bounds the prompts of open requests: a quarter of the 256 MB that a
 	// daemon may use, as are the kept answers; the rest is for streams and control.
 	heldLimit = yuccaid.Bytes(64 << 20)
-	// answerLimit is many times the longest answer. An engine that never ends one would
-	// take the daemon's memory.
-	answerLimit = yuccaid.Bytes(8 << 20)
 	// fullBack is about how long a request holds its prompt.
 	fullBack = 5 * time.Second
 	// abandonAfter is how long an answer without readers goes on: a caller whose
@@ -280,14 +277,12 @@
 	relay := relay{daemon: d, run: r}
 	end, err := d.targets.Run(ctx, call, relay.piece)
 	d.control.post(func(now time.Time) { d.finish(now, r, resultOf(r, end, err, relay.pieces), end) })
-	if ctx.Err() != nil || errors.Is(err, errEndless) {
+	var broken *yuccatarget.BrokenError
+	if ctx.Err() != nil || errors.As(err, &broken) {
 		d.cancelAt(call)
 	}
 }
 
-// errEndless ends an answer that is longer than any that is asked for.
-var errEndless = errors.New("answer is longer than a daemon holds: ask for a shorter one")
-
 // cancelAt ends a run at its target, which would otherwise go on for nobody.
 func (d *Daemon) cancelAt(call yuccatarget.Call) {
 	ctx, stop := context.WithTimeout(context.Background(), cancelTimeout)
@@ -305,9 +300,6 @@
 }
 
 func (rel *relay) piece(piece yuccatarget.Piece) error {
-	if rel.run.answer.size() > answerLimit {
-		return errEndless
-	}
 	rel.run.answer.add(piece.Data)
 	rel.pieces++
 	rel.tokens += yuccaid.Tokens(piece.Tokens)
@@ -341,8 +333,6 @@
 		return yuccaonce.Result{Run: yuccaonce.NotRun, Reason: yuccaonce.ReasonTargetLeaving, Back: time.Second}
 	case r.preempted != "":
 		return yuccaonce.Result{Run: yuccaonce.Ran, Reason: r.preempted, Pieces: pieces, Partial: true, Back: r.back}
-	case errors.Is(err, errEndless):
-		return yuccaonce.Result{Run: yuccaonce.Ran, Reason: yuccaonce.ReasonBroken, Pieces: pieces, Partial: true}
 	case errors.As(err, &cancelled):
 		return yuccaonce.Result{Run: yuccaonce.Ran, Reason: yuccaonce.ReasonCancelled, Pieces: pieces, Partial: true}
 	case errors.As(err, &broken):
--- a/io/yuccatarget/client.go
+++ b/io/yuccatarget/client.go
@@ -37,7 +37,7 @@
 	refusalLimit = 64 << 10
 	reportLimit  = 4 << 20
 	lineLimit    = 1 << 20
-	answerLimit  = 64 << 20
+	answerLimit  = 8 << 20
 )
 
 // Option changes a client before its first use.
