The dispatch is recorded when the connection stands; what was not sent is placed anew

Cause: the dispatch was recorded before dialling, so a dead engine cost its caller a refusal although no byte had left, and a daemon frozen while dialling sent late. Ruled out: a second dispatch after a failed one (it may have run); pinging targets before each grant. Before: with one of two engines dead the first urgent request was refused as unsent (HTTP 503). After: all six run on the other engine. Conclusion: the point of no return is the first byte, not the intention to send.

--- a/cmd/yuccacleat/process_test.go
+++ b/cmd/yuccacleat/process_test.go
@@ -140,3 +140,18 @@
 		Expect(fl.runsOf(id)).To(Equal(1))
 	})
 })
+
+var _ = Describe("a target whose process has died", func() {
+	// An engine is gone and nobody has told the daemons. No byte of a request can have
+	// reached it, so callers must be served by the other engine, not refused.
+	It("costs callers nothing while another works", func(ctx SpecContext) {
+		fl := newFleet(3, unlike...)
+		faults(fl.engines[0], yuccastand.Faults{Dead: yuccastand.DeathRefuse, DeadMillis: patience.Milliseconds()})
+		for range 6 {
+			answer, err := fl.caller.Run(ctx, fl.daemons[0].addresses.Caller, draft("urgent", words(20), 10))
+			Expect(err).NotTo(HaveOccurred(), fl.daemons[0].logs.String())
+			Expect(answer.End.Run).To(Equal(yuccaonce.Ran))
+		}
+		Expect(runs(fl.engines[1])).To(HaveLen(6))
+	})
+})
--- a/io/yuccadaemon/owner.go
+++ b/io/yuccadaemon/owner.go
@@ -7,11 +7,8 @@
 
 	"yuccacleat/core/yuccaid"
 	"yuccacleat/core/yuccaonce"
-	"yuccacleat/core/yuccapeer"
 	"yuccacleat/core/yuccapool"
 	"yuccacleat/core/yuccaqueue"
-	"yuccacleat/core/yuccastate"
-	"yuccacleat/io/yuccatarget"
 	"yuccacleat/io/yuccawire"
 )
 
@@ -25,12 +22,6 @@
 	// connection broke has the time to come back, and a caller who left for good
 	// doesn't hold an engine for a whole answer.
 	abandonAfter = 5 * time.Second
-	// progressEvery spaces the progress messages of one run; the leader only needs to
-	// tell a slow target from a stalled one.
-	progressEvery = 4 * time.Second
-	// cancelTimeout bounds a cancel; a target that doesn't take it ends the run itself
-	// at the latest after its longest run.
-	cancelTimeout = 2 * time.Second
 )
 
 // run is one request that this daemon owns and has not closed.
@@ -43,12 +34,15 @@
 	accepted time.Time
 	deadline time.Time
 
-	leader    yuccaid.Incarnation
-	away      *away
-	tried     []yuccaid.Centre
-	refusal   yuccapool.Refusal
-	target    yuccaid.Target
+	leader  yuccaid.Incarnation
+	away    *away
+	tried   []yuccaid.Centre
+	refusal yuccapool.Refusal
+	target  yuccaid.Target
+	// running says that a grant is in use, and sent that the dispatch is recorded.
 	running   bool
+	sent      bool
+	connects  int
 	preempted yuccaonce.Reason
 	back      time.Duration
 	stop      context.CancelFunc
@@ -179,212 +173,6 @@
 	r.leader = leader.Incarnation
 }
 
-// offerAgain brings a request back into the queue after a grant that can't be used. One
-// that was shifted is refused instead: its leader elsewhere is not asked twice.
-func (d *Daemon) offerAgain(now time.Time, r *run) {
-	if r.away != nil {
-		d.onRefusal(now, r.refusal)
-		return
-	}
-	d.offer(now, r)
-}
-
-// onGrant dispatches a request unless something has overtaken the grant.
-func (d *Daemon) onGrant(now time.Time, pool yuccaid.Pool, grant yuccapool.Grant) {
-	r, open := d.runs[grant.ID]
-	if open && r.running && r.leader == grant.Leader && r.target == grant.Target {
-		// The leader repeats a grant to an owner that offered again after its link broke;
-		// giving it back would free the room of the run that is under way.
-		return
-	}
-	if !open || r.running {
-		d.giveBack(now, pool, grant)
-		return
-	}
-	tgt, valid := d.usable(now, r, grant)
-	if !valid {
-		d.giveBack(now, pool, grant)
-		d.offerAgain(now, r)
-		return
-	}
-	if err := d.owner.Dispatch(now, r.id, grant.Target); err != nil {
-		d.giveBack(now, pool, grant)
-		return
-	}
-	r.running = true
-	r.target = grant.Target
-	r.leader = grant.Leader
-	expires := now.Add(grant.Expires)
-	ctx, stop := context.WithCancel(d.traffic)
-	r.stop = stop
-	call, err := d.call(r, tgt.Address, grant)
-	if err != nil {
-		d.finish(now, r, yuccaonce.Result{Run: yuccaonce.NotRun, Reason: yuccaonce.ReasonBroken}, yuccatarget.End{})
-		return
-	}
-	d.log.request(r, "dispatching")
-	d.workers.Add(1)
-	go func() {
-		defer d.workers.Done()
-		defer stop()
-		d.dispatch(ctx, r, call, expires)
-	}()
-}
-
-// usable checks a grant against what this daemon knows, right before it dispatches.
-//
-// The leader may have decided under an older configuration or before a target began
-// to leave; the owner is the last to look before the first byte.
-func (d *Daemon) usable(now time.Time, r *run, grant yuccapool.Grant) (yuccastate.Target, bool) {
-	state := d.State()
-	target, known := state.Targets[grant.Target]
-	if !known || d.leaving[grant.Target] || !state.Allowed(r.claim.Account, grant.Target) {
-		return target, false
-	}
-	if grant.Number > state.Number {
-		// The leader knows of notes that this daemon lacks, so catch up first.
-		d.pull(now, yuccapeer.Source{Peer: grant.Leader, Number: grant.Number})
-		return target, false
-	}
-	return target, grant.Expires > 0 && now.Before(r.deadline)
-}
-
-func (d *Daemon) call(r *run, address string, grant yuccapool.Grant) (yuccatarget.Call, error) {
-	body, err := r.request.body(r.ask)
-	return yuccatarget.Call{
-		ID:         r.id,
-		Target:     grant.Target,
-		Address:    address,
-		Pool:       r.claim.Pool,
-		Operation:  r.claim.Operation,
-		Plain:      d.State().Pools[r.claim.Pool].Kind == "service",
-		Idempotent: r.claim.Idempotent,
-		Body:       body,
-		Fence:      grant.Number,
-	}, err
-}
-
-// dispatch runs on a goroutine of its own: it sends the request once and relays.
-func (d *Daemon) dispatch(ctx context.Context, r *run, call yuccatarget.Call, expires time.Time) {
-	// A process that was frozen after control decided wakes up here. Nothing has
-	// left yet, so the late request can still truthfully be told that it did not run.
-	if !time.Now().Before(expires) {
-		d.control.post(func(now time.Time) {
-			d.finish(now, r, yuccaonce.Result{Run: yuccaonce.NotRun, Reason: yuccaonce.ReasonDeadline}, yuccatarget.End{})
-		})
-		return
-	}
-	relay := relay{daemon: d, run: r}
-	end, err := d.targets.Run(ctx, call, relay.piece)
-	d.control.post(func(now time.Time) { d.finish(now, r, resultOf(r, end, err, relay.pieces), end) })
-	var broken *yuccatarget.BrokenError
-	if ctx.Err() != nil || errors.As(err, &broken) {
-		d.cancelAt(call)
-	}
-}
-
-// cancelAt ends a run at its target, which would otherwise go on for nobody.
-func (d *Daemon) cancelAt(call yuccatarget.Call) {
-	ctx, stop := context.WithTimeout(context.Background(), cancelTimeout)
-	defer stop()
-	_ = d.targets.Cancel(ctx, call.Address, call.ID)
-}
-
-// relay hands pieces of one answer to its readers and reports progress.
-type relay struct {
-	daemon *Daemon
-	run    *run
-	pieces int
-	tokens yuccaid.Tokens
-	told   time.Time
-}
-
-func (rel *relay) piece(piece yuccatarget.Piece) error {
-	rel.run.answer.add(piece.Data)
-	rel.pieces++
-	rel.tokens += yuccaid.Tokens(piece.Tokens)
-	now := time.Now()
-	first := rel.pieces == 1
-	if !first && now.Sub(rel.told) < progressEvery {
-		return nil
-	}
-	rel.told = now
-	progress := yuccapool.Progress{ID: rel.run.id, FirstToken: first, Answered: rel.tokens}
-	rel.daemon.control.offer(func(now time.Time) { rel.daemon.progress(now, rel.run, progress) })
-	return nil
-}
-
-// resultOf turns what is known after a call into what may be said of it.
-func resultOf(r *run, end yuccatarget.End, err error, pieces int) yuccaonce.Result {
-	if err == nil {
-		return yuccaonce.Result{Run: yuccaonce.Ran, Pieces: end.Pieces, Hash: end.Hash}
-	}
-	var unsent *yuccatarget.UnsentError
-	var refused *yuccatarget.RefusedError
-	var leaving *yuccatarget.LeavingError
-	var broken *yuccatarget.BrokenError
-	var cancelled *yuccatarget.CancelledError
-	switch {
-	case errors.As(err, &unsent):
-		return yuccaonce.Result{Run: yuccaonce.NotRun, Reason: yuccaonce.ReasonUnsent, Back: time.Second}
-	case errors.As(err, &refused):
-		return yuccaonce.Result{Run: yuccaonce.NotRun, Reason: yuccaonce.ReasonRefusedByTarget, Back: refused.Back}
-	case errors.As(err, &leaving):
-		return yuccaonce.Result{Run: yuccaonce.NotRun, Reason: yuccaonce.ReasonTargetLeaving, Back: time.Second}
-	case r.preempted != "":
-		return yuccaonce.Result{Run: yuccaonce.Ran, Reason: r.preempted, Pieces: pieces, Partial: true, Back: r.back}
-	case errors.As(err, &cancelled):
-		return yuccaonce.Result{Run: yuccaonce.Ran, Reason: yuccaonce.ReasonCancelled, Pieces: pieces, Partial: true}
-	case errors.As(err, &broken):
-		return yuccaonce.Result{Run: yuccaonce.Ran, Reason: yuccaonce.ReasonBroken, Pieces: pieces, Partial: true}
-	}
-	return yuccaonce.Result{Run: yuccaonce.Unknown, Reason: yuccaonce.ReasonTargetLost, Pieces: pieces, Partial: pieces > 0}
-}
-
-// finish closes a dispatched request and tells its leader.
-func (d *Daemon) finish(now time.Time, r *run, result yuccaonce.Result, end yuccatarget.End) {
-	outcome, err := d.owner.Finish(now, r.id, result)
-	if err != nil {
-		d.log.problem("finish", err)
-		outcome = yuccaonce.Outcome{Run: yuccaonce.Unknown, Reason: yuccaonce.ReasonBroken}
-	}
-	if outcome.Partial {
-		d.metrics.wasted(outcome.Reason, r.ask.Prompt-end.Cached)
-	}
-	d.tellFinished(now, r, result, end)
-	d.close(now, r, outcome)
-}
-
-func (d *Daemon) tellFinished(now time.Time, r *run, result yuccaonce.Result, end yuccatarget.End) {
-	finished := yuccapool.Finished{
-		ID: r.id, Target: r.target, Ran: result.Run == yuccaonce.Ran && !result.Partial,
-		Refused: result.Reason == yuccaonce.ReasonRefusedByTarget,
-		Leaving: result.Reason == yuccaonce.ReasonTargetLeaving,
-		Failed:  result.Reason == yuccaonce.ReasonTargetLost || result.Reason == yuccaonce.ReasonUnsent,
-		Prompt:  end.Prompt, Cached: end.Cached, Answer: end.Answer, Prefill: end.Prefill, Decode: end.Decode,
-	}
-	if r.leads(d) {
-		d.onFinished(now, r.claim.Pool, finished)
-		return
-	}
-	d.tellLeader(r, yuccawire.KindFinished, d.wireFinished(r.claim.Pool, finished))
-}
-
-// leads reports whether this daemon itself is the leader that granted the request.
-func (r *run) leads(d *Daemon) bool {
-	return r.away == nil && r.leader == d.self.Incarnation
-}
-
-// tellLeader tells the leader elsewhere that a request waits at or was granted by.
-func (d *Daemon) tellLeader(r *run, kind yuccawire.Kind, body any) {
-	switch {
-	case r.away != nil:
-		_ = r.away.send(kind, body)
-	case !r.leader.IsZero():
-		_ = d.send(r.leader, kind, body)
-	}
-}
-
 // close gives the readers the outcome in the step that decided it.
 func (d *Daemon) close(now time.Time, r *run, outcome yuccaonce.Outcome) {
 	delete(d.runs, r.id)
