One spelling for each target's address, and tests for what survived faults

Cause: an IPv6 number spelled in two ways passed the check that no two targets share an address, so one engine's slots could count twice; addresses nobody can dial (0.0.0.0, ::) passed too.

--- a/core/yuccastate/address.go
+++ b/core/yuccastate/address.go
@@ -6,18 +6,20 @@
 )
 
 const (
-	octets       = 4
-	octetLimit   = 255
-	portLimit    = 65535
-	groups       = 8
-	groupDigits  = 4
-	hexDigits    = "0123456789abcdef"
-	decimalDigit = "0123456789"
+	octets     = 4
+	octetLimit = 255
+	portLimit  = 65535
+	groups     = 8
+	groupBits  = 16
+	hexBase    = 16
+	// mapped is the group that marks an IPv4 number written as IPv6.
+	mapped = 0xffff
 )
 
-// ValidAddress reports whether an address is an IP number and a port, such as
-// 10.0.0.1:8000 or [fd00::1]:8000. Names are refused: looking them up takes time in
-// which the present configuration would have no address.
+// ValidAddress reports whether an address is an IP number that can be dialled and a
+// port, such as 10.0.0.1:8000 or [fd00::1]:8000. Names are refused: looking them up
+// takes time in which the target would have no address. Each address has one accepted
+// spelling, so that one back end can't be listed twice with its slots counted double.
 func ValidAddress(address string) bool {
 	at := strings.LastIndexByte(address, ':')
 	if at < 0 || !validDecimal(address[at+1:], portLimit) || address[at+1:] == "0" {
@@ -33,7 +35,7 @@
 
 func validIP4(host string) bool {
 	parts := strings.Split(host, ".")
-	if len(parts) != octets {
+	if len(parts) != octets || host == "0.0.0.0" {
 		return false
 	}
 	for _, part := range parts {
@@ -44,33 +46,79 @@
 	return true
 }
 
-// validIP6 accepts lower case without leading zeros only, so that one address has
-// hardly more than one spelling.
 func validIP6(host string) bool {
+	number, ok := parseIP6(host)
+	if !ok || number == [groups]uint16{} {
+		return false
+	}
+	if [groups]uint16{5: number[5], 6: number[6], 7: number[7]} == number && number[5] == mapped {
+		return false
+	}
+	return formatIP6(number) == host
+}
+
+func parseIP6(host string) (number [groups]uint16, ok bool) {
 	left, right, short := strings.Cut(host, "::")
-	if !short {
-		return validGroups(host) == groups
+	before, leftOK := parseGroups(left)
+	after, rightOK := parseGroups(right)
+	count := len(before) + len(after)
+	if !leftOK || !rightOK || count > groups || !short && count < groups {
+		return number, false
 	}
-	before, after := validGroups(left), validGroups(right)
-	return before >= 0 && after >= 0 && before+after < groups
+	copy(number[:], before)
+	copy(number[groups-len(after):], after)
+	return number, true
 }
 
-// validGroups counts groups of hex digits, -1 if one is wrong.
-func validGroups(text string) int {
+func parseGroups(text string) ([]uint16, bool) {
 	if text == "" {
-		return 0
+		return nil, true
 	}
-	parts := strings.Split(text, ":")
-	for _, part := range parts {
-		zero := strings.HasPrefix(part, "0") && part != "0"
-		if part == "" || len(part) > groupDigits || zero || strings.Trim(part, hexDigits) != "" {
-			return -1
+	var parsed []uint16
+	for part := range strings.SplitSeq(text, ":") {
+		group, err := strconv.ParseUint(part, hexBase, groupBits)
+		if err != nil {
+			return nil, false
+		}
+		parsed = append(parsed, uint16(group))
+	}
+	return parsed, true
+}
+
+// formatIP6 writes the standard form: lower case, no leading zeros, and the first of
+// the longest runs of two or more zeros left out.
+func formatIP6(number [groups]uint16) string {
+	from, to := longestZeros(number)
+	var text strings.Builder
+	for i := 0; i < groups; i++ {
+		if i == from {
+			text.WriteString("::")
+			i = to - 1
+			continue
+		}
+		if i > 0 && i != to {
+			text.WriteByte(':')
+		}
+		text.WriteString(strconv.FormatUint(uint64(number[i]), hexBase))
+	}
+	return text.String()
+}
+
+func longestZeros(number [groups]uint16) (from, to int) {
+	from, to = -1, -1
+	for i := range groups {
+		end := i
+		for end < groups && number[end] == 0 {
+			end++
+		}
+		if end-i > max(to-from, 1) {
+			from, to = i, end
 		}
 	}
-	return len(parts)
+	return from, to
 }
 
 func validDecimal(text string, limit int) bool {
 	number, err := strconv.Atoi(text)
-	return err == nil && number <= limit && text == strconv.Itoa(number) && strings.Trim(text, decimalDigit) == ""
+	return err == nil && number >= 0 && number <= limit && text == strconv.Itoa(number)
 }
--- /dev/null
+++ b/core/yuccastate/address_test.go
@@ -0,0 +1,32 @@
+package yuccastate_test
+
+import (
+	"net/netip"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"yuccacleat/core/yuccastate"
+)
+
+// The standard library, which the core does not import, is the oracle: an address is
+// valid if it is read there, is written back the same and can be dialled.
+func TestValidAddress(t *testing.T) {
+	hosts := rapid.OneOf(
+		rapid.StringMatching(`(0|1|9|10|25[0-9]|01|300)(\.(0|1|127|255|256|00)){3,4}`),
+		rapid.StringMatching(`\[(::)?((0|1|fd00|ffff|0a|A|12345):){0,7}:?((0|1|ff|10):){0,7}(::|0|1|ffff|1\.2\.3\.4)?(%eth0)?\]`),
+		rapid.Map(rapid.SliceOfN(rapid.SampledFrom([]byte{0, 0, 0, 1, 0xff}), 16, 16), func(raw []byte) string {
+			return "[" + netip.AddrFrom16([16]byte(raw)).String() + "]"
+		}),
+		rapid.SampledFrom([]string{"", "localhost", "[::]", "[::1]", "::1", "[", "]", "[[::1]]", "[::ffff:102:304]"}),
+	)
+	rapid.Check(t, func(t *rapid.T) {
+		address := hosts.Draw(t, "host") + rapid.SampledFrom([]string{":80", ":80", ":0", ":65536", ":08", "", ":"}).Draw(t, "port")
+		read, err := netip.ParseAddrPort(address)
+		ip := read.Addr()
+		want := err == nil && read.String() == address && read.Port() > 0 && !ip.IsUnspecified() && !ip.Is4In6() && ip.Zone() == ""
+		if yuccastate.ValidAddress(address) != want {
+			t.Fatalf("%q: want %v", address, want)
+		}
+	})
+}
--- a/core/yuccastate/bound.go
+++ b/core/yuccastate/bound.go
@@ -81,9 +81,6 @@
 }
 
 func skipAll(raw []byte, count uint64, depth int) ([]byte, error) {
-	if count > uint64(len(raw)) {
-		return nil, errLength
-	}
 	var err error
 	for range count {
 		if raw, err = skip(raw, depth-1); err != nil {
--- a/core/yuccastate/chain.go
+++ b/core/yuccastate/chain.go
@@ -113,6 +113,11 @@
 	return chain.digest
 }
 
+// Held returns how many notes wait for an earlier one.
+func (chain *Chain) Held() int {
+	return len(chain.held)
+}
+
 // Note returns the text of an accepted note while it is kept, for a peer that lacks
 // it; a peer that asks too late needs a snapshot.
 func (chain *Chain) Note(number yuccaid.Number) ([]byte, bool) {
--- a/core/yuccastate/fold_test.go
+++ b/core/yuccastate/fold_test.go
@@ -15,6 +15,10 @@
 		acc, known := state.AccountOf("desk secret")
 		Expect(known).To(BeTrue())
 		Expect(acc).To(Equal(yuccaid.Account("desk")))
+		literal := &yuccastate.State{Accounts: state.Accounts}
+		acc, known = literal.AccountOf("desk secret")
+		Expect(known).To(BeTrue())
+		Expect(acc).To(Equal(yuccaid.Account("desk")), "also in a state that was not folded")
 		_, known = state.AccountOf("other secret")
 		Expect(known).To(BeFalse())
 		Expect(state.Allowed("desk", "drafts-1")).To(BeTrue())
