--- a/core/yuccapeer/view.go
+++ b/core/yuccapeer/view.go
@@ -8,18 +8,26 @@
 )
 
 // admit returns the peer that a message with the sequence number comes from, or nil
-// for one that is late, doubled, our own or of an incarnation that left.
+// for one that is late, doubled, our own, of an incarnation that left or of one that
+// has no connection to us.
+//
+// Two incarnations of one VM may both be heard: the old one was paused while its VM was
+// replaced and wakes up with its connections and its address. If the last one heard won,
+// they would take turns; so the one that holds a connection stays, unless the platform's
+// list names the other's address.
 func (peers *Peers) admit(now time.Time, inc yuccaid.Incarnation, sequence uint64, change *Change) *peer {
-	if _, gone := peers.gone[inc]; gone || inc == peers.self.Incarnation {
+	if _, gone := peers.gone[inc]; gone || !peers.isLinked(inc) {
 		return nil
 	}
 	other := peers.peers[inc.VM]
 	if other != nil && other.member.Incarnation != inc {
-		peers.retire(now, other, change)
+		if !peers.yields(now, other, peers.linked[inc], change) {
+			return nil
+		}
 		other = nil
 	}
 	if other == nil {
-		other = &peer{member: Member{VM: inc.VM, Incarnation: inc}}
+		other = &peer{member: peers.linked[inc]}
 		peers.peers[inc.VM] = other
 	}
 	if other.sequence >= sequence && other.sequence > 0 {
@@ -45,37 +53,46 @@
 		change.Left = append(change.Left, before)
 	}
 	change.Joined = append(change.Joined, after)
+	peers.stale = true
 }
 
-// retire takes an incarnation out for good.
-func (peers *Peers) retire(now time.Time, other *peer, change *Change) {
+// yields takes an incarnation out if the newcomer has the better claim to the VM. It is
+// out for good, unless the list speaks for it: then it may only have been cut off while
+// its predecessor turned up.
+func (peers *Peers) yields(now time.Time, other *peer, newcomer Member, change *Change) bool {
 	inc := other.member.Incarnation
-	peers.gone[inc] = now.Add(peers.timing.Remember)
-	delete(peers.linked, inc)
+	listed := peers.listed[inc.VM].Address
+	stays := listed == other.member.Address && listed != newcomer.Address
+	comes := listed == newcomer.Address && listed != other.member.Address
+	if peers.isLinked(inc) && !comes {
+		return false
+	}
+	if !stays {
+		peers.gone[inc] = now.Add(peers.timing.Remember)
+		delete(peers.linked, inc)
+	}
 	delete(peers.peers, inc.VM)
-	other.drop(change)
+	peers.drop(other, change)
+	return true
 }
 
 // drop takes a peer out of the view until it is heard whole again.
-func (other *peer) drop(change *Change) {
+func (peers *Peers) drop(other *peer, change *Change) {
 	if other.known {
 		change.Left = append(change.Left, other.member)
+		peers.stale = true
 	}
 	other.known = false
 }
 
-// expire drops the silent. One that had said it was leaving is gone for good; any
-// other may only have been cut off and comes back with its next heartbeat.
+// expire drops the silent. Silence ends nobody for good, not even one that is leaving:
+// it may have been cut off and still be finishing its work, and if some took it for
+// gone while it counts them as live, it would ask the wrong leader from then on.
 func (peers *Peers) expire(now time.Time, change *Change) {
 	for _, other := range peers.peers {
-		if now.Before(other.expires) {
-			continue
+		if !now.Before(other.expires) {
+			peers.drop(other, change)
 		}
-		if other.member.Leaving {
-			peers.retire(now, other, change)
-			continue
-		}
-		other.drop(change)
 	}
 	slices.SortFunc(change.Left, compareMembers)
 }
@@ -84,7 +101,7 @@
 func (peers *Peers) wake(now time.Time, slept time.Duration) Change {
 	change := Change{Woken: true, Slept: slept}
 	for _, other := range peers.peers {
-		other.drop(&change)
+		peers.drop(other, &change)
 	}
 	slices.SortFunc(change.Left, compareMembers)
 	peers.settled = now.Add(peers.timing.SettleFor)
@@ -99,6 +116,12 @@
 			delete(peers.peers, vm)
 		}
 	}
+	for vm, heard := range peers.told {
+		if !now.Before(heard.until) {
+			delete(peers.told, vm)
+			peers.stale = true
+		}
+	}
 	for inc, until := range peers.gone {
 		if !now.Before(until) {
 			delete(peers.gone, inc)
@@ -106,9 +129,9 @@
 	}
 }
 
-// behind returns the peer with the highest configuration above our own, the first by
+// Behind returns the peer with the highest configuration above our own, the first by
 // name among equals so that the choice is the same each time.
-func (peers *Peers) behind() Source {
+func (peers *Peers) Behind() Source {
 	best := Source{Number: peers.self.Number}
 	for _, other := range peers.peers {
 		source := other.source
--- a/io/yuccadaemon/owner.go
+++ b/io/yuccadaemon/owner.go
@@ -27,7 +27,7 @@
 	abandonAfter = 5 * time.Second
 	// progressEvery spaces the progress messages of one run; the leader only needs to
 	// tell a slow target from a stalled one.
-	progressEvery = 2 * time.Second
+	progressEvery = 4 * time.Second
 	// cancelTimeout bounds a cancel; a target that doesn't take it ends the run itself
 	// at the latest after its longest run.
 	cancelTimeout = 2 * time.Second
@@ -50,8 +50,10 @@
 	target    yuccaid.Target
 	running   bool
 	preempted yuccaonce.Reason
+	back      time.Duration
 	stop      context.CancelFunc
 	abandoned time.Time
+	answered  yuccaid.Tokens
 }
 
 // remaining is the time to the deadline, which is all that other daemons are told.
@@ -170,7 +172,7 @@
 		d.onOffer(now, d.self.Incarnation, r.ask)
 		return
 	}
-	if err := d.send(leader.Incarnation, yuccawire.KindOffer, r.ask); err != nil {
+	if err := d.send(leader.Incarnation, yuccawire.KindOffer, d.wireOffer(r.ask)); err != nil {
 		r.leader = yuccaid.Incarnation{}
 		return
 	}
@@ -190,6 +192,11 @@
 // onGrant dispatches a request unless something has overtaken the grant.
 func (d *Daemon) onGrant(now time.Time, pool yuccaid.Pool, grant yuccapool.Grant) {
 	r, open := d.runs[grant.ID]
+	if open && r.running && r.leader == grant.Leader && r.target == grant.Target {
+		// The leader repeats a grant to an owner that offered again after its link broke;
+		// giving it back would free the room of the run that is under way.
+		return
+	}
 	if !open || r.running {
 		d.giveBack(now, pool, grant)
 		return
@@ -270,7 +277,8 @@
 	relay := relay{daemon: d, run: r}
 	end, err := d.targets.Run(ctx, call, relay.piece)
 	d.control.post(func(now time.Time) { d.finish(now, r, resultOf(r, end, err, relay.pieces), end) })
-	if ctx.Err() != nil {
+	var broken *yuccatarget.BrokenError
+	if ctx.Err() != nil || errors.As(err, &broken) {
 		d.cancelAt(call)
 	}
 }
@@ -306,14 +314,6 @@
 	return nil
 }
 
-func (d *Daemon) progress(now time.Time, r *run, progress yuccapool.Progress) {
-	if progress.FirstToken {
-		d.metrics.firstToken(r.claim.Tier, now.Sub(r.accepted))
-	}
-	message := yuccawire.Progress{Pool: r.claim.Pool, Progress: progress}
-	d.tellLeader(now, r, yuccawire.KindProgress, message)
-}
-
 // resultOf turns what is known after a call into what may be said of it.
 func resultOf(r *run, end yuccatarget.End, err error, pieces int) yuccaonce.Result {
 	if err == nil {
@@ -326,25 +326,21 @@
 	var cancelled *yuccatarget.CancelledError
 	switch {
 	case errors.As(err, &unsent):
-		return yuccaonce.Result{Run: yuccaonce.NotRun, Reason: yuccaonce.ReasonTargetLost, Back: time.Second}
+		return yuccaonce.Result{Run: yuccaonce.NotRun, Reason: yuccaonce.ReasonUnsent, Back: time.Second}
 	case errors.As(err, &refused):
 		return yuccaonce.Result{Run: yuccaonce.NotRun, Reason: yuccaonce.ReasonRefusedByTarget, Back: refused.Back}
 	case errors.As(err, &leaving):
-		return yuccaonce.Result{Run: yuccaonce.NotRun, Reason: yuccaonce.ReasonRefusedByTarget, Back: time.Second}
+		return yuccaonce.Result{Run: yuccaonce.NotRun, Reason: yuccaonce.ReasonTargetLeaving, Back: time.Second}
 	case r.preempted != "":
-		return yuccaonce.Result{Run: yuccaonce.Ran, Reason: r.preempted, Pieces: pieces, Partial: true, Back: preemptedBack}
+		return yuccaonce.Result{Run: yuccaonce.Ran, Reason: r.preempted, Pieces: pieces, Partial: true, Back: r.back}
 	case errors.As(err, &cancelled):
-		return yuccaonce.Result{Run: yuccaonce.Ran, Reason: yuccaonce.ReasonCancelled, Pieces: pieces, Partial: true, Back: preemptedBack}
+		return yuccaonce.Result{Run: yuccaonce.Ran, Reason: yuccaonce.ReasonCancelled, Pieces: pieces, Partial: true}
 	case errors.As(err, &broken):
 		return yuccaonce.Result{Run: yuccaonce.Ran, Reason: yuccaonce.ReasonBroken, Pieces: pieces, Partial: true}
 	}
 	return yuccaonce.Result{Run: yuccaonce.Unknown, Reason: yuccaonce.ReasonTargetLost, Pieces: pieces, Partial: pieces > 0}
 }
 
-// preemptedBack is when the caller of a cancelled run is told to come back: about
-// one answer's length, after which the urgent work that took its place has moved on.
-const preemptedBack = 10 * time.Second
-
 // finish closes a dispatched request and tells its leader.
 func (d *Daemon) finish(now time.Time, r *run, result yuccaonce.Result, end yuccatarget.End) {
 	outcome, err := d.owner.Finish(now, r.id, result)
@@ -362,19 +358,28 @@
 func (d *Daemon) tellFinished(now time.Time, r *run, result yuccaonce.Result, end yuccatarget.End) {
 	finished := yuccapool.Finished{
 		ID: r.id, Target: r.target, Ran: result.Run == yuccaonce.Ran && !result.Partial,
-		Prompt: end.Prompt, Cached: end.Cached, Answer: end.Answer, Prefill: end.Prefill, Decode: end.Decode,
+		Refused: result.Reason == yuccaonce.ReasonRefusedByTarget,
+		Leaving: result.Reason == yuccaonce.ReasonTargetLeaving,
+		Failed:  result.Reason == yuccaonce.ReasonTargetLost || result.Reason == yuccaonce.ReasonUnsent,
+		Prompt:  end.Prompt, Cached: end.Cached, Answer: end.Answer, Prefill: end.Prefill, Decode: end.Decode,
 	}
-	message := yuccawire.Finished{Pool: r.claim.Pool, Finished: finished}
-	d.tellLeader(now, r, yuccawire.KindFinished, message)
+	if r.leads(d) {
+		d.onFinished(now, r.claim.Pool, finished)
+		return
+	}
+	d.tellLeader(r, yuccawire.KindFinished, d.wireFinished(r.claim.Pool, finished))
+}
+
+// leads reports whether this daemon itself is the leader that granted the request.
+func (r *run) leads(d *Daemon) bool {
+	return r.away == nil && r.leader == d.self.Incarnation
 }
 
-// tellLeader tells the leader that a request waits at or was granted by.
-func (d *Daemon) tellLeader(now time.Time, r *run, kind yuccawire.Kind, body any) {
+// tellLeader tells the leader elsewhere that a request waits at or was granted by.
+func (d *Daemon) tellLeader(r *run, kind yuccawire.Kind, body any) {
 	switch {
 	case r.away != nil:
 		_ = r.away.send(kind, body)
-	case r.leader == d.self.Incarnation:
-		d.fromOwner(now, body)
 	case !r.leader.IsZero():
 		_ = d.send(r.leader, kind, body)
 	}
@@ -406,11 +411,12 @@
 // giveBack tells the leader that a grant was not used, so that the target's room is
 // free again without waiting for the grant's expiry.
 func (d *Daemon) giveBack(now time.Time, pool yuccaid.Pool, grant yuccapool.Grant) {
-	message := yuccawire.Finished{Pool: pool, Finished: yuccapool.Finished{ID: grant.ID, Target: grant.Target}}
+	unused := yuccapool.Finished{ID: grant.ID, Target: grant.Target}
 	if grant.Leader == d.self.Incarnation {
-		d.onFinished(now, message)
+		d.onFinished(now, pool, unused)
 		return
 	}
+	message := d.wireFinished(pool, unused)
 	if r, open := d.runs[grant.ID]; open && r.away != nil && !r.running {
 		_ = r.away.send(yuccawire.KindFinished, message)
 		return
@@ -472,7 +478,11 @@
 }
 
 func (d *Daemon) withdraw(now time.Time, r *run) {
-	d.tellLeader(now, r, yuccawire.KindWithdraw, yuccawire.Withdrawal{Pool: r.claim.Pool, ID: r.id})
+	if r.leads(d) {
+		d.onWithdraw(now, r.claim.Pool, r.id)
+		return
+	}
+	d.tellLeader(r, yuccawire.KindWithdraw, yuccawire.Withdrawal{Pool: r.claim.Pool, Ref: d.ref(r.id)})
 }
 
 // readerLeft is called on traffic goroutines; the next tick sees what it means.
@@ -493,7 +503,8 @@
 	if !open || !r.running || !r.claim.Idempotent {
 		return
 	}
-	r.preempted = yuccaonce.ReasonDisplaced
+	r.preempted = yuccaonce.Reason(cancel.Reason)
+	r.back = cancel.Back
 	r.stop()
 }
 
--- a/io/yuccatarget/fault_test.go
+++ b/io/yuccatarget/fault_test.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"net"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -92,6 +94,30 @@
 	}, Equal(flaw))
 }
 
+// counted lowers the count when its connection is closed for the first time.
+type counted struct {
+	net.Conn
+	once *sync.Once
+	open *atomic.Int64
+}
+
+func (conn counted) Close() error {
+	conn.once.Do(func() { conn.open.Add(-1) })
+	return conn.Conn.Close()
+}
+
+// countConns counts the connections that are open.
+func countConns(open *atomic.Int64) yuccatarget.Option {
+	return yuccatarget.WithDial(func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := (&net.Dialer{}).DialContext(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		open.Add(1)
+		return counted{Conn: conn, once: &sync.Once{}, open: open}, nil
+	})
+}
+
 // Targets and the connections to them fail in each of these ways. A user who is told
 // "not run" opens the request anew, so saying it of something that ran files a ticket
 // twice; a user who is handed a shortened or foreign answer acts on it.
@@ -100,9 +126,10 @@
 		before := gleak.Goroutines()
 		tgt, err := newTarget(plain, faults)
 		Expect(err).NotTo(HaveOccurred())
-		cl := newClient()
+		var open atomic.Int64
+		cl := newClient(countConns(&open))
 		if neverCame == outcome {
-			cl = newHastyClient()
+			cl = newHastyClient(countConns(&open))
 		}
 		call, whole := callFor(plain, "a", tgt.Address())
 		var ans answerText
@@ -115,6 +142,7 @@
 		}
 		Expect(tgt.Close()).To(Succeed())
 		cl.Close()
+		Expect(open.Load()).To(BeZero())
 		Eventually(gleak.Goroutines).WithTimeout(limit).ShouldNot(gleak.HaveLeaked(before))
 	},
 	Entry("engine: none", false, yuccastand.Faults{}, 1, BeNil()),
@@ -128,6 +156,7 @@
 	Entry("engine: answer without an end", false, yuccastand.Faults{Unfinished: true}, 1, neverCame),
 	Entry("engine: port closed", false, yuccastand.Faults{Dead: yuccastand.DeathRefuse}, 0, beUnsent()),
 	Entry("engine: mute", false, yuccastand.Faults{Dead: yuccastand.DeathMute}, 0, neverCame),
+	Entry("engine: call swallowed on its way", false, yuccastand.Faults{Swallow: true}, 0, neverCame),
 	Entry("engine: leaving", false, yuccastand.Faults{Leaving: true}, 0, beLeaving()),
 	Entry("engine: refuses", false, yuccastand.Faults{Refuse: true, BackMillis: 40}, 0, beRefused()),
 	Entry("engine: 503 from something between", false, yuccastand.Faults{Status: 503}, 1, BeNil()),
@@ -144,6 +173,7 @@
 	Entry("plain: answer without an end", true, yuccastand.Faults{Unfinished: true}, 1, neverCame),
 	Entry("plain: port closed", true, yuccastand.Faults{Dead: yuccastand.DeathRefuse}, 0, beUnsent()),
 	Entry("plain: mute", true, yuccastand.Faults{Dead: yuccastand.DeathMute}, 0, neverCame),
+	Entry("plain: call swallowed on its way", true, yuccastand.Faults{Swallow: true}, 0, neverCame),
 	Entry("plain: leaving", true, yuccastand.Faults{Leaving: true}, 0, beLeaving()),
 	Entry("plain: 503 from something between", true, yuccastand.Faults{Status: 503}, 1, neverCame),
 	Entry("plain: 500 after the work", true, yuccastand.Faults{Status: 500}, 1, neverCame),
@@ -198,6 +228,7 @@
 		Dead:              rapid.SampledFrom([]yuccastand.Death{"", "", "", yuccastand.DeathMute, yuccastand.DeathRefuse}).Draw(rt, name+"Dead"),
 		ResumeShift:       rapid.SampledFrom([]int{0, 0, 0, -1, 1}).Draw(rt, name+"Shift"),
 		Status:            rapid.SampledFrom([]int{0, 0, 0, 0, 503}).Draw(rt, name+"Status"),
+		Swallow:           sometimes("Swallow"),
 		Leaving:           sometimes("Leaving"),
 		Refuse:            sometimes("Refuse"),
 		Unfinished:        sometimes("Unfinished"),
