--- a/cmd/yuccacleat/fleet_test.go
+++ b/cmd/yuccacleat/fleet_test.go
@@ -5,10 +5,14 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"regexp"
+	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -65,9 +69,11 @@
 	out, err := proc.cmd.StdoutPipe()
 	Expect(err).NotTo(HaveOccurred())
 	Expect(proc.cmd.Start()).To(Succeed())
-	DeferCleanup(proc.kill)
 	reader := bufio.NewReader(out)
 	proc.line, err = reader.ReadBytes('\n')
+	if err != nil {
+		proc.kill()
+	}
 	Expect(err).NotTo(HaveOccurred(), "%s %v said: %s", program, args, proc.logs)
 	return proc
 }
@@ -99,6 +105,11 @@
 	plain    string
 	caller   *yuccacaller.Client
 	state    *yuccastate.State
+	witness  witness
+	// children and relays end with the fleet, not with the spec that started them.
+	children []*process
+	relays   []*relay
+	gates    []*gate
 }
 
 // daemon is one daemon's process.
@@ -107,13 +118,14 @@
 	name      yuccaid.VM
 	addresses yuccaserve.Addresses
 	relay     *relay
+	gate      *gate
 }
 
 // newFleet starts everything and waits until each daemon is ready with all peers.
 func newFleet(daemons int, engines ...[]string) *fleet {
 	GinkgoHelper()
 	fl := &fleet{dir: GinkgoT().TempDir(), caller: yuccacaller.New(secret), state: yuccastate.Empty()}
-	DeferCleanup(fl.caller.Close)
+	DeferCleanup(fl.close)
 	Expect(os.WriteFile(filepath.Join(fl.dir, "key"), []byte("a fleet key of enough length for tests\n"), 0o600)).To(Succeed())
 	fl.platform = fl.stand("platform")
 	for _, args := range engines {
@@ -129,9 +141,23 @@
 	return fl
 }
 
+func (fl *fleet) close() {
+	fl.caller.Close()
+	for _, proc := range fl.children {
+		proc.kill()
+	}
+	for _, rel := range fl.relays {
+		rel.close()
+	}
+	for _, way := range fl.gates {
+		way.close()
+	}
+}
+
 func (fl *fleet) stand(args ...string) string {
 	GinkgoHelper()
 	proc := spawn(yuccastandPath, append(args, "--listen", "127.0.0.1:0")...)
+	fl.children = append(fl.children, proc)
 	var told struct {
 		Listening string `json:"listening"`
 	}
@@ -142,7 +168,25 @@
 // start runs one more daemon; the list must be published for others to find it.
 func (fl *fleet) start(name yuccaid.VM) *daemon {
 	GinkgoHelper()
-	rel := newRelay(name)
+	rel, way := newRelay(name), newGate(fl.platform)
+	fl.relays = append(fl.relays, rel)
+	fl.gates = append(fl.gates, way)
+	dm := fl.serve(name, rel, way)
+	fl.daemons = append(fl.daemons, dm)
+	return dm
+}
+
+// replace kills a daemon and runs a new process at the same VM and address.
+func (fl *fleet) replace(old *daemon) *daemon {
+	GinkgoHelper()
+	old.kill()
+	dm := fl.serve(old.name, old.relay, old.gate)
+	fl.daemons[slices.Index(fl.daemons, old)] = dm
+	return dm
+}
+
+func (fl *fleet) serve(name yuccaid.VM, rel *relay, way *gate) *daemon {
+	GinkgoHelper()
 	settings := fmt.Sprintf(`vm: %s
 centre: odessa-1
 listen:
@@ -153,18 +197,18 @@
 platform: http://%s
 fleetKeyFile: %s
 longestDrain: 60s
-`, name, rel.address(), fl.platform, filepath.Join(fl.dir, "key"))
+`, name, rel.address(), way.address(), filepath.Join(fl.dir, "key"))
 	path := filepath.Join(fl.dir, string(name)+".yaml")
 	Expect(os.WriteFile(path, []byte(settings), 0o600)).To(Succeed())
-	dm := &daemon{process: spawn(yuccacleatPath, "serve", "--settings", path), name: name, relay: rel}
+	dm := &daemon{process: spawn(yuccacleatPath, "serve", "--settings", path), name: name, relay: rel, gate: way}
+	fl.children = append(fl.children, dm.process)
 	Expect(json.Unmarshal(dm.line, &dm.addresses)).To(Succeed())
 	rel.point(dm.addresses.Peer)
-	fl.daemons = append(fl.daemons, dm)
 	return dm
 }
 
-// list publishes which VMs are live, as the platform would.
-func (fl *fleet) list() {
+// list publishes which VMs are live, and which targets' VMs leave, as the platform would.
+func (fl *fleet) list(leaving ...yuccaid.VM) {
 	GinkgoHelper()
 	type vm struct {
 		VM      yuccaid.VM     `json:"vm"`
@@ -179,6 +223,9 @@
 	for _, dm := range fl.daemons {
 		list.VMs = append(list.VMs, vm{VM: dm.name, Centre: "odessa-1", Address: dm.relay.address(), Kind: "entry", State: "live"})
 	}
+	for _, name := range leaving {
+		list.VMs = append(list.VMs, vm{VM: name, Centre: "odessa-1", Address: "127.0.0.1:1", Kind: "target", State: "leaving"})
+	}
 	raw, err := json.Marshal(list)
 	Expect(err).NotTo(HaveOccurred())
 	put(fl.platform, "/control/vms", raw)
@@ -235,6 +282,15 @@
 	}
 }
 
+// inForce waits until every daemon has the newest configuration.
+func (fl *fleet) inForce() {
+	GinkgoHelper()
+	for _, dm := range fl.daemons {
+		Eventually(func(g Gomega) { g.Expect(dm.status(g).Digest).To(Equal(fl.state.Digest())) }).
+			WithTimeout(patience).WithPolling(pollEach).Should(Succeed(), dm.logs.String)
+	}
+}
+
 // settle waits until every daemon has the newest configuration and sees all others.
 func (fl *fleet) settle() {
 	GinkgoHelper()
@@ -248,6 +304,26 @@
 	}
 }
 
+func (dm *daemon) audit(g Gomega) []yuccadaemon.AuditEntry {
+	var entries []yuccadaemon.AuditEntry
+	fetch(g, dm.addresses.Operator, "/v1/audit", &entries)
+	return entries
+}
+
+// grants is how many grants the daemon has given as a leader.
+func (dm *daemon) grants(g Gomega) int {
+	reply, err := http.Get("http://" + dm.addresses.Operator + "/metrics")
+	g.Expect(err).NotTo(HaveOccurred())
+	defer reply.Body.Close()
+	raw, err := io.ReadAll(reply.Body)
+	g.Expect(err).NotTo(HaveOccurred())
+	found := regexp.MustCompile(`yuccacleat_grants_total (\d+)`).FindSubmatch(raw)
+	g.Expect(found).To(HaveLen(2))
+	count, err := strconv.Atoi(string(found[1]))
+	g.Expect(err).NotTo(HaveOccurred())
+	return count
+}
+
 func (dm *daemon) status(g Gomega) yuccadaemon.Status {
 	var status yuccadaemon.Status
 	fetch(g, dm.addresses.Operator, "/v1/status", &status)
@@ -325,8 +401,8 @@
 	Expect(reply.StatusCode).To(BeNumerically("<", http.StatusBadRequest))
 }
 
-// faults sets a stand-in's switches.
-func faults(address string, set yuccastand.Faults) {
+// faults sets a stand-in's switches: yuccastand.Faults or PlatformFaults.
+func faults(address string, set any) {
 	GinkgoHelper()
 	raw, err := json.Marshal(set)
 	Expect(err).NotTo(HaveOccurred())
--- /dev/null
+++ b/cmd/yuccacleat/gate_test.go
@@ -0,0 +1,74 @@
+package main_test
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+)
+
+// gate stands between one daemon and the platform, so that a test can cut just this
+// daemon off.
+type gate struct {
+	server   *httptest.Server
+	platform string
+
+	mu   sync.Mutex
+	open context.Context
+	shut context.CancelFunc
+}
+
+func newGate(platform string) *gate {
+	way := &gate{platform: platform}
+	way.let()
+	way.server = httptest.NewServer(way)
+	return way
+}
+
+func (way *gate) address() string {
+	return strings.TrimPrefix(way.server.URL, "http://")
+}
+
+// let opens the gate, and cut shuts it, for calls that wait as well.
+func (way *gate) let() {
+	way.mu.Lock()
+	defer way.mu.Unlock()
+	way.open, way.shut = context.WithCancel(context.Background())
+}
+
+func (way *gate) cut() {
+	way.mu.Lock()
+	defer way.mu.Unlock()
+	way.shut()
+}
+
+func (way *gate) close() {
+	way.cut()
+	way.server.Close()
+}
+
+// ServeHTTP passes a call on while the gate is open and hangs up otherwise.
+func (way *gate) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	way.mu.Lock()
+	open := way.open
+	way.mu.Unlock()
+	ctx, stop := context.WithCancel(r.Context())
+	defer stop()
+	defer context.AfterFunc(open, stop)()
+	call := r.Clone(ctx)
+	call.URL.Scheme, call.URL.Host = "http", way.platform
+	reply, err := http.DefaultTransport.RoundTrip(call)
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	defer reply.Body.Close()
+	for key, values := range reply.Header {
+		w.Header()[key] = values
+	}
+	w.WriteHeader(reply.StatusCode)
+	if _, err := io.Copy(w, reply.Body); err != nil {
+		panic(http.ErrAbortHandler)
+	}
+}
--- /dev/null
+++ b/cmd/yuccacleat/leaving_test.go
@@ -0,0 +1,89 @@
+package main_test
+
+import (
+	"syscall"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"yuccacleat/core/yuccaid"
+	"yuccacleat/core/yuccaonce"
+	"yuccacleat/core/yuccastate"
+	"yuccacleat/io/yuccastand"
+)
+
+// quietAfter is how many requests elsewhere show that a target gets no more: with an
+// even share it would have had more than a tenth of them.
+const quietAfter = 100
+
+// leavingSpecs are about targets that are about to go; those of one spec stay gone.
+func leavingSpecs(the func() *fleet) {
+	// A target's VM is to be taken away. Work that is still sent there dies with it, and
+	// its callers wait for an answer that never comes.
+	DescribeTable("gives no new work to a target that leaves",
+		func(ctx SpecContext, engine int, leave func(fl *fleet)) {
+			fl := the()
+			count := func() int { return len(runs(fl.engines[engine])) + fl.refusedByTargets() }
+			ld := fl.load(ctx, 5, 6, 0)
+			before := count()
+			Eventually(count).WithTimeout(patience).Should(BeNumerically(">", before+3))
+			leave(fl)
+			began := time.Now()
+			last, seen := began, count()
+			quiet := ld.served.Load()
+			Eventually(func() bool {
+				now, served := count(), ld.served.Load()
+				if now > seen {
+					last, seen, quiet = time.Now(), now, served
+				}
+				return served >= quiet+quietAfter
+			}).WithTimeout(patience).WithPolling(pollEach).Should(BeTrue())
+			measured("leaving to last new work", last.Sub(began))
+			ld.end()
+		},
+		Entry("by the platform's list", 0, func(fl *fleet) { fl.list("vm-engine-1") }),
+		Entry("by its own answer", 1, func(fl *fleet) { faults(fl.engines[1], yuccastand.Faults{Leaving: true}) }),
+		Entry("by a note", 2, func(fl *fleet) {
+			fl.publish(yuccastate.Note{By: "test operator", Withdrawn: yuccastate.Names{Targets: []yuccaid.Target{"engine-3"}}})
+		}),
+	)
+}
+
+// refusedByTargets counts the requests that a leaving target had to turn away.
+func (fl *fleet) refusedByTargets() int {
+	count := 0
+	for _, tell := range fl.witness.heard() {
+		if tell.reason == yuccaonce.ReasonRefusedByTarget {
+			count++
+		}
+	}
+	return count
+}
+
+// shutdownSpecs end the fleet.
+func shutdownSpecs(the func() *fleet) {
+	// A release is rolled out: every VM is told to stop, one after another, while
+	// callers go on. A daemon that left too early would cut answers off, or make
+	// requests that it owned unknown.
+	It("shuts down one daemon after another and cuts off no request", func(ctx SpecContext) {
+		fl := the()
+		heard := len(fl.witness.heard())
+		ld := fl.load(ctx, 6, 10, 0)
+		for i, dm := range fl.daemons {
+			served := ld.served.Load()
+			Eventually(ld.served.Load).WithTimeout(patience).Should(BeNumerically(">", served+20))
+			if i == len(fl.daemons)-1 {
+				ld.end()
+			}
+			dm.signal(syscall.SIGTERM)
+			if i < len(fl.daemons)-1 {
+				ld.use(fl.daemons[i+1:])
+			}
+			Expect(dm.exit()).To(BeZero(), dm.logs.String())
+		}
+		for _, tell := range fl.witness.heard()[heard:] {
+			Expect(tell.whole()).To(BeTrue(), "%+v", tell)
+		}
+	})
+}
--- a/cmd/yuccacleat/relay_test.go
+++ b/cmd/yuccacleat/relay_test.go
@@ -39,7 +39,6 @@
 	Expect(err).NotTo(HaveOccurred())
 	rel := &relay{listener: listener, to: to, conns: make(map[*relayed]bool), apart: func(yuccaid.VM, yuccaid.VM) bool { return false }}
 	go rel.accept()
-	DeferCleanup(rel.close)
 	return rel
 }
 
