An owner that was paused uses no grant from before

Cause: a grant's life counts from its arrival at the owner, so one that waited in the socket of a frozen process was as good as new when it woke, and put work on a target that a note had withdrawn meanwhile. After a pause the owner has offered its requests to nobody, so no grant can be meant for it.

Ruled out: the check between control and dispatch, which only sees a pause that falls between the two.

'uses no grant from before a pause': 4 of 4 red before, 2 of 2 green after.

--- a/io/yuccadaemon/owner.go
+++ b/io/yuccadaemon/owner.go
@@ -212,6 +212,11 @@
 // The leader may have decided under an older configuration or before a target began
 // to leave; the owner is the last to look before the first byte.
 func (d *Daemon) usable(now time.Time, r *run, grant yuccapool.Grant) (yuccastate.Target, bool) {
+	if r.leader.IsZero() {
+		// This process was paused and has offered the request to nobody since. The
+		// grant waited in its socket, and the life that it names would start anew.
+		return yuccastate.Target{}, false
+	}
 	state := d.State()
 	target, known := state.Targets[grant.Target]
 	if !known || d.leaving[grant.Target] || !state.Allowed(r.claim.Account, grant.Target) {
