--- a/cmd/yuccacleat/fleet_test.go
+++ b/cmd/yuccacleat/fleet_test.go
@@ -116,6 +116,7 @@
 type daemon struct {
 	*process
 	name      yuccaid.VM
+	centre    yuccaid.Centre
 	addresses yuccaserve.Addresses
 	relay     *relay
 	gate      *gate
@@ -167,11 +168,16 @@
 
 // start runs one more daemon; the list must be published for others to find it.
 func (fl *fleet) start(name yuccaid.VM) *daemon {
+	GinkgoHelper()
+	return fl.startIn("odessa-1", name)
+}
+
+func (fl *fleet) startIn(centre yuccaid.Centre, name yuccaid.VM) *daemon {
 	GinkgoHelper()
 	rel, way := newRelay(name), newGate(fl.platform)
 	fl.relays = append(fl.relays, rel)
 	fl.gates = append(fl.gates, way)
-	dm := fl.serve(name, rel, way)
+	dm := fl.serve(centre, name, rel, way)
 	fl.daemons = append(fl.daemons, dm)
 	return dm
 }
@@ -180,15 +186,15 @@
 func (fl *fleet) replace(old *daemon) *daemon {
 	GinkgoHelper()
 	old.kill()
-	dm := fl.serve(old.name, old.relay, old.gate)
+	dm := fl.serve(old.centre, old.name, old.relay, old.gate)
 	fl.daemons[slices.Index(fl.daemons, old)] = dm
 	return dm
 }
 
-func (fl *fleet) serve(name yuccaid.VM, rel *relay, way *gate) *daemon {
+func (fl *fleet) serve(centre yuccaid.Centre, name yuccaid.VM, rel *relay, way *gate) *daemon {
 	GinkgoHelper()
 	settings := fmt.Sprintf(`vm: %s
-centre: odessa-1
+centre: %s
 listen:
   caller: 127.0.0.1:0
   peer: 127.0.0.1:0
@@ -197,10 +203,10 @@
 platform: http://%s
 fleetKeyFile: %s
 longestDrain: 60s
-`, name, rel.address(), way.address(), filepath.Join(fl.dir, "key"))
+`, name, centre, rel.address(), way.address(), filepath.Join(fl.dir, "key"))
 	path := filepath.Join(fl.dir, string(name)+".yaml")
 	Expect(os.WriteFile(path, []byte(settings), 0o600)).To(Succeed())
-	dm := &daemon{process: spawn(yuccacleatPath, "serve", "--settings", path), name: name, relay: rel, gate: way}
+	dm := &daemon{process: spawn(yuccacleatPath, "serve", "--settings", path), name: name, centre: centre, relay: rel, gate: way}
 	fl.children = append(fl.children, dm.process)
 	Expect(json.Unmarshal(dm.line, &dm.addresses)).To(Succeed())
 	rel.point(dm.addresses.Peer)
@@ -221,7 +227,7 @@
 		VMs []vm `json:"vms"`
 	}
 	for _, dm := range fl.daemons {
-		list.VMs = append(list.VMs, vm{VM: dm.name, Centre: "odessa-1", Address: dm.relay.address(), Kind: "entry", State: "live"})
+		list.VMs = append(list.VMs, vm{VM: dm.name, Centre: dm.centre, Address: dm.relay.address(), Kind: "entry", State: "live"})
 	}
 	for _, name := range leaving {
 		list.VMs = append(list.VMs, vm{VM: name, Centre: "odessa-1", Address: "127.0.0.1:1", Kind: "target", State: "leaving"})
@@ -299,7 +305,7 @@
 			status := dm.status(g)
 			g.Expect(status.Ready).To(BeTrue())
 			g.Expect(status.Digest).To(Equal(fl.state.Digest()))
-			g.Expect(status.Peers).To(HaveLen(len(fl.daemons)))
+			g.Expect(status.Peers).To(HaveLen(fl.countIn(dm.centre)))
 		}).WithTimeout(patience).WithPolling(pollEach).Should(Succeed(), func() string { return dm.logs.String() })
 	}
 }
@@ -324,6 +330,16 @@
 	return count
 }
 
+func (fl *fleet) countIn(centre yuccaid.Centre) int {
+	count := 0
+	for _, dm := range fl.daemons {
+		if dm.centre == centre {
+			count++
+		}
+	}
+	return count
+}
+
 func (dm *daemon) status(g Gomega) yuccadaemon.Status {
 	var status yuccadaemon.Status
 	fetch(g, dm.addresses.Operator, "/v1/status", &status)
--- a/cmd/yuccacleat/witness_test.go
+++ b/cmd/yuccacleat/witness_test.go
@@ -119,8 +119,13 @@
 
 // submit sends a request through a daemon and remembers what its caller is told.
 func (fl *fleet) submit(ctx context.Context, dm *daemon, id yuccaid.RequestText, req yuccadaemon.Request) telling {
+	return fl.witness.hear(fl.unheard(ctx, dm, id, req))
+}
+
+// unheard sends a request whose answer the witness can't judge.
+func (fl *fleet) unheard(ctx context.Context, dm *daemon, id yuccaid.RequestText, req yuccadaemon.Request) telling {
 	answer, err := fl.caller.Submit(ctx, dm.addresses.Caller, id, req)
-	return fl.witness.hear(told(id, dm.name, answer, err))
+	return told(id, dm.name, answer, err)
 }
 
 // run opens and submits at one daemon.
--- a/core/yuccapool/message.go
+++ b/core/yuccapool/message.go
@@ -51,7 +51,7 @@
 }
 
 // Empty reports whether there is nothing to send.
-func (dec *Decisions) Empty() bool {
+func (dec Decisions) Empty() bool {
 	return len(dec.Grants)+len(dec.Refusals)+len(dec.Cancels) == 0
 }
 
@@ -82,11 +82,13 @@
 	Ran     bool                `msgpack:"ran"`
 	Refused bool                `msgpack:"refused"`
 	Leaving bool                `msgpack:"leaving"`
-	Prompt  yuccaid.Tokens      `msgpack:"prompt"`
-	Cached  yuccaid.Tokens      `msgpack:"cached"`
-	Answer  yuccaid.Tokens      `msgpack:"answer"`
-	Prefill time.Duration       `msgpack:"prefill"`
-	Decode  time.Duration       `msgpack:"decode"`
+	// Failed says that the target could not be reached or broke off.
+	Failed  bool           `msgpack:"failed"`
+	Prompt  yuccaid.Tokens `msgpack:"prompt"`
+	Cached  yuccaid.Tokens `msgpack:"cached"`
+	Answer  yuccaid.Tokens `msgpack:"answer"`
+	Prefill time.Duration  `msgpack:"prefill"`
+	Decode  time.Duration  `msgpack:"decode"`
 }
 
 // Report is a target's own word on its load, Age ago.
--- a/core/yuccastate/check.go
+++ b/core/yuccastate/check.go
@@ -1,7 +1,6 @@
 package yuccastate
 
 import (
-	"cmp"
 	"fmt"
 	"maps"
 	"math"
@@ -154,14 +153,16 @@
 // leave the order of two tiers open, addresses would count one back end's slots
 // twice, and a credential would answer for two client accounts.
 func (run *fold) checkUnique() {
-	add, change, next := run.note.Added, run.note.Changed, run.next
-	unique(run, KindTier, "rank", next.Tiers, add.Tiers, change.Tiers, func(tier Tier) int { return tier.Rank })
-	unique(run, KindTarget, "address", next.Targets, add.Targets, change.Targets, func(tgt Target) string { return tgt.Address })
-	unchanged := len(add.Accounts)+len(change.Accounts)+len(run.note.Withdrawn.Accounts) == 0
-	if unchanged && run.before.credentials != nil {
-		return
+	add, change, drop, next := run.note.Added, run.note.Changed, run.note.Withdrawn, run.next
+	if len(add.Tiers)+len(change.Tiers) > 0 {
+		unique(run, KindTier, "rank", next.Tiers, add.Tiers, change.Tiers, func(tier Tier) int { return tier.Rank })
+	}
+	if len(add.Targets)+len(change.Targets) > 0 {
+		unique(run, KindTarget, "address", next.Targets, add.Targets, change.Targets, func(tgt Target) string { return tgt.Address })
+	}
+	if len(add.Accounts)+len(change.Accounts)+len(drop.Accounts) > 0 || next.credentials == nil {
+		next.credentials = unique(run, KindAccount, "credential", next.Accounts, add.Accounts, change.Accounts, func(acc Account) yuccaid.Digest { return acc.Credential })
 	}
-	next.credentials = unique(run, KindAccount, "credential", next.Accounts, add.Accounts, change.Accounts, func(acc Account) yuccaid.Digest { return acc.Credential })
 }
 
 // unique returns which object holds which value. Untouched objects come first, so
@@ -218,11 +219,3 @@
 func printable(text string) bool {
 	return utf8.ValidString(text) && strings.IndexFunc(text, func(r rune) bool { return !unicode.IsPrint(r) }) < 0
 }
-
-// sortProblems orders by key, so that the same refusal reads the same on every daemon
-// whatever the order in which its maps were walked.
-func sortProblems(problems yuccayaml.Problems) {
-	slices.SortFunc(problems, func(a, b *yuccayaml.Problem) int {
-		return cmp.Or(cmp.Compare(a.Key, b.Key), cmp.Compare(a.Detail, b.Detail), cmp.Compare(a.Remedy, b.Remedy))
-	})
-}
--- a/core/yuccastate/codec.go
+++ b/core/yuccastate/codec.go
@@ -67,7 +67,7 @@
 	note := Note{Number: snap.Number, Added: objs, Changed: Objects{Policy: &snap.Policy}}
 	state, problems := Empty().fold(note)
 	if len(problems) > 0 {
-		sortProblems(problems)
+		problems.Sort()
 		return nil, &Refusal{Number: snap.Number, Problems: problems}
 	}
 	if digest := state.Digest(); digest != snap.Digest {
@@ -168,15 +168,11 @@
 // decode refuses trailing bytes and unknown fields: both mean that the sender wrote
 // something that would be lost here in silence.
 func decode(raw []byte, into any) error {
-	in := bytes.NewReader(raw)
-	dec := msgpack.NewDecoder(in)
-	dec.SetCustomStructTag("json")
-	dec.DisallowUnknownFields(true)
-	if err := dec.Decode(into); err != nil {
+	if err := bounded(raw); err != nil {
 		return err
 	}
-	if in.Len() > 0 {
-		return fmt.Errorf("%d bytes follow", in.Len())
-	}
-	return nil
+	dec := msgpack.NewDecoder(bytes.NewReader(raw))
+	dec.SetCustomStructTag("json")
+	dec.DisallowUnknownFields(true)
+	return dec.Decode(into)
 }
--- a/core/yuccastate/note.go
+++ b/core/yuccastate/note.go
@@ -3,6 +3,7 @@
 import (
 	"crypto/sha256"
 	"encoding/hex"
+	"errors"
 	"fmt"
 	"strconv"
 
@@ -19,9 +20,9 @@
 	Number    yuccaid.Number `json:"number"`
 	Base      yuccaid.Digest `json:"base"`
 	By        string         `json:"by"`
-	Added     Objects        `json:"added"`
-	Changed   Objects        `json:"changed"`
-	Withdrawn Names          `json:"withdrawn"`
+	Added     Objects        `json:"added,omitzero"`
+	Changed   Objects        `json:"changed,omitzero"`
+	Withdrawn Names          `json:"withdrawn,omitzero"`
 
 	lines yuccayaml.Lines
 }
@@ -29,32 +30,52 @@
 // ParseNote reads a note's YAML and refuses unknown keys and values of the wrong
 // form; whether the note fits a configuration is for Apply to say.
 func ParseNote(raw []byte) (Note, error) {
+	note, err := readNote(raw)
+	if err != nil {
+		return Note{}, err
+	}
+	return note, nil
+}
+
+// readNote returns with an error what could be read, so that a refusal can name its
+// author.
+func readNote(raw []byte) (Note, error) {
 	if yuccaid.Bytes(len(raw)) > NoteLimit {
 		return Note{}, refuse(0, yuccayaml.ErrValue, "", "split it into several notes", "has %d bytes, more than %d", len(raw), NoteLimit)
 	}
 	var note Note
 	lines, err := yuccayaml.Decode(raw, &note)
 	note.lines = lines
-	if problems, found := err.(yuccayaml.Problems); found {
-		return Note{}, &Refusal{Number: note.Number, Problems: problems}
+	var problems yuccayaml.Problems
+	if errors.As(err, &problems) {
+		return note, &Refusal{Number: note.Number, Problems: problems}
 	}
 	note.locateWithdrawn()
-	return note, err
+	return note, nil
+}
+
+// locate gives each problem the line of its key and puts them in order.
+func (note Note) locate(ref *Refusal) *Refusal {
+	for _, prob := range ref.Problems {
+		prob.Line = note.lines.Of(prob.Key)
+	}
+	ref.Problems.Sort()
+	return ref
 }
 
 // locateWithdrawn makes the lines of withdrawn objects known by name; the reader of
 // YAML knows an item of a list by its position only.
 func (note Note) locateWithdrawn() {
 	names := note.Withdrawn
-	locate(note.lines, KindCentre, names.Centres)
-	locate(note.lines, KindLink, names.Links)
-	locate(note.lines, KindTier, names.Tiers)
-	locate(note.lines, KindPool, names.Pools)
-	locate(note.lines, KindTarget, names.Targets)
-	locate(note.lines, KindAccount, names.Accounts)
+	locateNames(note.lines, KindCentre, names.Centres)
+	locateNames(note.lines, KindLink, names.Links)
+	locateNames(note.lines, KindTier, names.Tiers)
+	locateNames(note.lines, KindPool, names.Pools)
+	locateNames(note.lines, KindTarget, names.Targets)
+	locateNames(note.lines, KindAccount, names.Accounts)
 }
 
-func locate[K ~string](lines yuccayaml.Lines, kind Kind, names []K) {
+func locateNames[K ~string](lines yuccayaml.Lines, kind Kind, names []K) {
 	for i, name := range names {
 		line := lines.Of(path(sectionWithdrawn, kind, strconv.Itoa(i)))
 		defer func() { lines[path(sectionWithdrawn, kind, string(name))] = line }()
--- a/io/yuccadaemon/member.go
+++ b/io/yuccadaemon/member.go
@@ -1,6 +1,7 @@
 package yuccadaemon
 
 import (
+	"maps"
 	"time"
 
 	"yuccacleat/core/yuccaid"
@@ -79,8 +80,13 @@
 		d.layDown(now, led)
 	}
 	for _, r := range d.runs {
-		if !r.running {
-			r.leader = yuccaid.Incarnation{}
+		if r.running {
+			continue
+		}
+		r.leader = yuccaid.Incarnation{}
+		if r.away != nil {
+			r.away.cancel()
+			r.away = nil
 		}
 	}
 	d.audit.add(now, AuditEntry{Kind: AuditWoken, Number: d.State().Number, Detail: "for " + slept.String()})
@@ -90,7 +96,7 @@
 func (d *Daemon) tellLeaders(now time.Time) {
 	for _, r := range d.runs {
 		leader, found := d.peers.Leader(r.claim.Pool)
-		if !found || leader.Incarnation == r.leader {
+		if !found || leader.Incarnation == r.leader || r.away != nil {
 			continue
 		}
 		d.tell(now, r, leader)
@@ -101,7 +107,7 @@
 func (d *Daemon) resync(now time.Time, peer yuccaid.Incarnation) {
 	for _, r := range d.runs {
 		leader, found := d.peers.Leader(r.claim.Pool)
-		if found && leader.Incarnation == peer {
+		if found && leader.Incarnation == peer && r.away == nil {
 			d.tell(now, r, leader)
 		}
 	}
@@ -115,12 +121,11 @@
 	r.leader = leader.Incarnation
 	ask := r.ask
 	ask.Remaining = r.remaining(now)
-	message := yuccawire.Hold{Pool: r.claim.Pool, Running: yuccapool.Running{Ask: ask, Target: r.target}}
 	if leader.Incarnation == d.self.Incarnation {
-		d.onHold(now, message)
+		d.onHold(now, r.claim.Pool, yuccapool.Running{Ask: ask, Target: r.target, Answered: r.answered})
 		return
 	}
-	_ = d.send(leader.Incarnation, yuccawire.KindHold, message)
+	_ = d.send(leader.Incarnation, yuccawire.KindHold, yuccawire.Hold{Offer: d.wireOffer(ask), Target: r.target, Answered: r.answered})
 }
 
 func (d *Daemon) sendBeat(beat yuccapeer.Beat) {
@@ -151,8 +156,8 @@
 	d.hub.Connect(d.peers.Dial())
 }
 
-// markLeaving notes the targets whose VMs the platform is about to take away. A
-// target that a note withdraws or that says so itself is handled where that is heard.
+// markLeaving notes the targets whose VMs the platform is about to take away, and
+// those that it no longer says so of, as after a VM was replaced.
 func (d *Daemon) markLeaving(now time.Time, entries []yuccaplat.VM) {
 	gone := make(map[yuccaid.VM]bool)
 	for _, entry := range entries {
@@ -160,24 +165,22 @@
 			gone[entry.Name] = true
 		}
 	}
+	listed := make(map[yuccaid.Target]bool)
 	for name, target := range d.State().Targets {
 		if gone[target.VM] {
-			d.targetLeaves(now, name)
+			listed[name] = true
 		}
 	}
-}
-
-// targetLeaves stops new work for a target everywhere this daemon decides.
-func (d *Daemon) targetLeaves(now time.Time, name yuccaid.Target) {
-	if d.leaving[name] {
+	if maps.Equal(listed, d.leaving) {
 		return
 	}
-	d.leaving[name] = true
-	d.audit.add(now, AuditEntry{Kind: AuditTargetLeaving, What: string(name), Number: d.State().Number})
-	target := d.State().Targets[name]
-	if led, leads := d.leads[target.Pool]; leads {
-		d.apply(now, target.Pool, led.leader.Configure(now, d.view(d.State(), target.Pool)))
+	for name := range listed {
+		if !d.leaving[name] {
+			d.audit.add(now, AuditEntry{Kind: AuditTargetLeaving, What: string(name), Number: d.State().Number})
+		}
 	}
+	d.leaving = listed
+	d.refreshLeads(now)
 }
 
 // addressOf finds the daemon that runs as an incarnation; a successor at the same VM
@@ -189,17 +192,3 @@
 	gone := !member.Incarnation.IsZero() && member.Incarnation != inc
 	return member.Address, found && member.Address != "" && !gone
 }
-
-// elsewhere names another daemon's address for callers that come to a leaving one.
-func (d *Daemon) elsewhere() string {
-	var address string
-	d.control.call(func(time.Time) {
-		for _, member := range d.peers.Live(d.self.Centre) {
-			if member.Incarnation != d.self.Incarnation && !member.Leaving {
-				address = member.Address
-				return
-			}
-		}
-	})
-	return address
-}
--- a/io/yuccadaemon/owner.go
+++ b/io/yuccadaemon/owner.go
@@ -27,7 +27,7 @@
 	abandonAfter = 5 * time.Second
 	// progressEvery spaces the progress messages of one run; the leader only needs to
 	// tell a slow target from a stalled one.
-	progressEvery = 2 * time.Second
+	progressEvery = 4 * time.Second
 	// cancelTimeout bounds a cancel; a target that doesn't take it ends the run itself
 	// at the latest after its longest run.
 	cancelTimeout = 2 * time.Second
@@ -44,11 +44,16 @@
 	deadline time.Time
 
 	leader    yuccaid.Incarnation
+	away      *away
+	tried     []yuccaid.Centre
+	refusal   yuccapool.Refusal
 	target    yuccaid.Target
 	running   bool
 	preempted yuccaonce.Reason
+	back      time.Duration
 	stop      context.CancelFunc
 	abandoned time.Time
+	answered  yuccaid.Tokens
 }
 
 // remaining is the time to the deadline, which is all that other daemons are told.
@@ -152,6 +157,10 @@
 
 // offer brings a waiting request to its pool's leader, or notes that there is none.
 func (d *Daemon) offer(now time.Time, r *run) {
+	if len(d.targetsOf(d.State(), r.claim.Pool)) == 0 {
+		d.onRefusal(now, yuccapool.Refusal{ID: r.id, Reason: yuccaqueue.ReasonNoTarget, Back: fullBack})
+		return
+	}
 	leader, found := d.peers.Leader(r.claim.Pool)
 	if !found {
 		r.leader = yuccaid.Incarnation{}
@@ -163,16 +172,31 @@
 		d.onOffer(now, d.self.Incarnation, r.ask)
 		return
 	}
-	if err := d.send(leader.Incarnation, yuccawire.KindOffer, r.ask); err != nil {
+	if err := d.send(leader.Incarnation, yuccawire.KindOffer, d.wireOffer(r.ask)); err != nil {
 		r.leader = yuccaid.Incarnation{}
 		return
 	}
 	r.leader = leader.Incarnation
 }
 
+// offerAgain brings a request back into the queue after a grant that can't be used. One
+// that was shifted is refused instead: its leader elsewhere is not asked twice.
+func (d *Daemon) offerAgain(now time.Time, r *run) {
+	if r.away != nil {
+		d.onRefusal(now, r.refusal)
+		return
+	}
+	d.offer(now, r)
+}
+
 // onGrant dispatches a request unless something has overtaken the grant.
 func (d *Daemon) onGrant(now time.Time, pool yuccaid.Pool, grant yuccapool.Grant) {
 	r, open := d.runs[grant.ID]
+	if open && r.running && r.leader == grant.Leader && r.target == grant.Target {
+		// The leader repeats a grant to an owner that offered again after its link broke;
+		// giving it back would free the room of the run that is under way.
+		return
+	}
 	if !open || r.running {
 		d.giveBack(now, pool, grant)
 		return
@@ -180,7 +204,7 @@
 	tgt, valid := d.usable(now, r, grant)
 	if !valid {
 		d.giveBack(now, pool, grant)
-		d.offer(now, r)
+		d.offerAgain(now, r)
 		return
 	}
 	if err := d.owner.Dispatch(now, r.id, grant.Target); err != nil {
@@ -212,7 +236,7 @@
 // The leader may have decided under an older configuration or before a target began
 // to leave; the owner is the last to look before the first byte.
 func (d *Daemon) usable(now time.Time, r *run, grant yuccapool.Grant) (yuccastate.Target, bool) {
-	if r.leader.IsZero() {
+	if r.leader.IsZero() && r.away == nil {
 		// This process was paused and has offered the request to nobody since. The
 		// grant waited in its socket, and the life that it names would start anew.
 		return yuccastate.Target{}, false
@@ -258,7 +282,8 @@
 	relay := relay{daemon: d, run: r}
 	end, err := d.targets.Run(ctx, call, relay.piece)
 	d.control.post(func(now time.Time) { d.finish(now, r, resultOf(r, end, err, relay.pieces), end) })
-	if ctx.Err() != nil {
+	var broken *yuccatarget.BrokenError
+	if ctx.Err() != nil || errors.As(err, &broken) {
 		d.cancelAt(call)
 	}
 }
@@ -294,18 +319,6 @@
 	return nil
 }
 
-func (d *Daemon) progress(now time.Time, r *run, progress yuccapool.Progress) {
-	if progress.FirstToken {
-		d.metrics.firstToken(r.claim.Tier, now.Sub(r.accepted))
-	}
-	message := yuccawire.Progress{Pool: r.claim.Pool, Progress: progress}
-	if r.leader == d.self.Incarnation {
-		d.onProgress(now, message)
-		return
-	}
-	_ = d.send(r.leader, yuccawire.KindProgress, message)
-}
-
 // resultOf turns what is known after a call into what may be said of it.
 func resultOf(r *run, end yuccatarget.End, err error, pieces int) yuccaonce.Result {
 	if err == nil {
@@ -318,25 +331,21 @@
 	var cancelled *yuccatarget.CancelledError
 	switch {
 	case errors.As(err, &unsent):
-		return yuccaonce.Result{Run: yuccaonce.NotRun, Reason: yuccaonce.ReasonTargetLost, Back: time.Second}
+		return yuccaonce.Result{Run: yuccaonce.NotRun, Reason: yuccaonce.ReasonUnsent, Back: time.Second}
 	case errors.As(err, &refused):
 		return yuccaonce.Result{Run: yuccaonce.NotRun, Reason: yuccaonce.ReasonRefusedByTarget, Back: refused.Back}
 	case errors.As(err, &leaving):
-		return yuccaonce.Result{Run: yuccaonce.NotRun, Reason: yuccaonce.ReasonRefusedByTarget, Back: time.Second}
+		return yuccaonce.Result{Run: yuccaonce.NotRun, Reason: yuccaonce.ReasonTargetLeaving, Back: time.Second}
 	case r.preempted != "":
-		return yuccaonce.Result{Run: yuccaonce.Ran, Reason: r.preempted, Pieces: pieces, Partial: true, Back: preemptedBack}
+		return yuccaonce.Result{Run: yuccaonce.Ran, Reason: r.preempted, Pieces: pieces, Partial: true, Back: r.back}
 	case errors.As(err, &cancelled):
-		return yuccaonce.Result{Run: yuccaonce.Ran, Reason: yuccaonce.ReasonCancelled, Pieces: pieces, Partial: true, Back: preemptedBack}
+		return yuccaonce.Result{Run: yuccaonce.Ran, Reason: yuccaonce.ReasonCancelled, Pieces: pieces, Partial: true}
 	case errors.As(err, &broken):
 		return yuccaonce.Result{Run: yuccaonce.Ran, Reason: yuccaonce.ReasonBroken, Pieces: pieces, Partial: true}
 	}
 	return yuccaonce.Result{Run: yuccaonce.Unknown, Reason: yuccaonce.ReasonTargetLost, Pieces: pieces, Partial: pieces > 0}
 }
 
-// preemptedBack is when the caller of a cancelled run is told to come back: about
-// one answer's length, after which the urgent work that took its place has moved on.
-const preemptedBack = 10 * time.Second
-
 // finish closes a dispatched request and tells its leader.
 func (d *Daemon) finish(now time.Time, r *run, result yuccaonce.Result, end yuccatarget.End) {
 	outcome, err := d.owner.Finish(now, r.id, result)
@@ -354,20 +363,40 @@
 func (d *Daemon) tellFinished(now time.Time, r *run, result yuccaonce.Result, end yuccatarget.End) {
 	finished := yuccapool.Finished{
 		ID: r.id, Target: r.target, Ran: result.Run == yuccaonce.Ran && !result.Partial,
-		Prompt: end.Prompt, Cached: end.Cached, Answer: end.Answer, Prefill: end.Prefill, Decode: end.Decode,
+		Refused: result.Reason == yuccaonce.ReasonRefusedByTarget,
+		Leaving: result.Reason == yuccaonce.ReasonTargetLeaving,
+		Failed:  result.Reason == yuccaonce.ReasonTargetLost || result.Reason == yuccaonce.ReasonUnsent,
+		Prompt:  end.Prompt, Cached: end.Cached, Answer: end.Answer, Prefill: end.Prefill, Decode: end.Decode,
 	}
-	message := yuccawire.Finished{Pool: r.claim.Pool, Finished: finished}
-	if r.leader == d.self.Incarnation {
-		d.onFinished(now, message)
+	if r.leads(d) {
+		d.onFinished(now, r.claim.Pool, finished)
 		return
 	}
-	_ = d.send(r.leader, yuccawire.KindFinished, message)
+	d.tellLeader(r, yuccawire.KindFinished, d.wireFinished(r.claim.Pool, finished))
+}
+
+// leads reports whether this daemon itself is the leader that granted the request.
+func (r *run) leads(d *Daemon) bool {
+	return r.away == nil && r.leader == d.self.Incarnation
+}
+
+// tellLeader tells the leader elsewhere that a request waits at or was granted by.
+func (d *Daemon) tellLeader(r *run, kind yuccawire.Kind, body any) {
+	switch {
+	case r.away != nil:
+		_ = r.away.send(kind, body)
+	case !r.leader.IsZero():
+		_ = d.send(r.leader, kind, body)
+	}
 }
 
 // close gives the readers the outcome in the step that decided it.
 func (d *Daemon) close(now time.Time, r *run, outcome yuccaonce.Outcome) {
 	delete(d.runs, r.id)
 	d.held -= r.request.size()
+	if r.away != nil {
+		r.away.finish()
+	}
 	r.answer.end(outcome)
 	d.kept.add(now, r.answer)
 	d.metrics.closed(r, outcome, now)
@@ -387,9 +416,14 @@
 // giveBack tells the leader that a grant was not used, so that the target's room is
 // free again without waiting for the grant's expiry.
 func (d *Daemon) giveBack(now time.Time, pool yuccaid.Pool, grant yuccapool.Grant) {
-	message := yuccawire.Finished{Pool: pool, Finished: yuccapool.Finished{ID: grant.ID, Target: grant.Target}}
+	unused := yuccapool.Finished{ID: grant.ID, Target: grant.Target}
 	if grant.Leader == d.self.Incarnation {
-		d.onFinished(now, message)
+		d.onFinished(now, pool, unused)
+		return
+	}
+	message := d.wireFinished(pool, unused)
+	if r, open := d.runs[grant.ID]; open && r.away != nil && !r.running {
+		_ = r.away.send(yuccawire.KindFinished, message)
 		return
 	}
 	_ = d.send(grant.Leader, yuccawire.KindFinished, message)
@@ -419,6 +453,9 @@
 		d.giveUp(now, r, yuccaonce.ReasonCancelled, 0)
 		return
 	}
+	if r.away != nil {
+		return
+	}
 	leader, found := d.peers.Leader(r.claim.Pool)
 	if !found || leader.Incarnation != r.leader || r.leader.IsZero() {
 		d.offer(now, r)
@@ -446,15 +483,11 @@
 }
 
 func (d *Daemon) withdraw(now time.Time, r *run) {
-	if r.leader.IsZero() {
+	if r.leads(d) {
+		d.onWithdraw(now, r.claim.Pool, r.id)
 		return
 	}
-	message := yuccawire.Withdrawal{Pool: r.claim.Pool, ID: r.id}
-	if r.leader == d.self.Incarnation {
-		d.onWithdraw(now, message)
-		return
-	}
-	_ = d.send(r.leader, yuccawire.KindWithdraw, message)
+	d.tellLeader(r, yuccawire.KindWithdraw, yuccawire.Withdrawal{Pool: r.claim.Pool, Ref: d.ref(r.id)})
 }
 
 // readerLeft is called on traffic goroutines; the next tick sees what it means.
@@ -463,7 +496,7 @@
 // onRefusal gives a waiting request its final answer at once.
 func (d *Daemon) onRefusal(now time.Time, refusal yuccapool.Refusal) {
 	r, open := d.runs[refusal.ID]
-	if !open || r.running {
+	if !open || r.running || d.shift(now, r, refusal) {
 		return
 	}
 	d.giveUp(now, r, yuccaonce.Reason(refusal.Reason), refusal.Back)
@@ -475,7 +508,8 @@
 	if !open || !r.running || !r.claim.Idempotent {
 		return
 	}
-	r.preempted = yuccaonce.ReasonDisplaced
+	r.preempted = yuccaonce.Reason(cancel.Reason)
+	r.back = cancel.Back
 	r.stop()
 }
 
