--- a/cmd/yuccacleat/process_test.go
+++ b/cmd/yuccacleat/process_test.go
@@ -186,9 +186,22 @@
 		Entry("with a wrong text", yuccastand.Faults{WrongText: true}, yuccaonce.Ran, false),
 		Entry("that is not JSON", yuccastand.Faults{Garble: true}, yuccaonce.Ran, false),
 		Entry("refused", yuccastand.Faults{Refuse: true}, yuccaonce.NotRun, false),
-		Entry("from a closed port", yuccastand.Faults{Dead: yuccastand.DeathRefuse, DeadMillis: 3000}, yuccaonce.NotRun, false),
 	)
 
+	// An engine is gone and nobody has told the daemons. No byte of a request can have
+	// reached it, so callers must be served by the other engine, not refused.
+	It("cost callers nothing while another target works", func(ctx SpecContext) {
+		fl := the()
+		faults(fl.engines[0], yuccastand.Faults{Dead: yuccastand.DeathRefuse, DeadMillis: 5000})
+		for range 6 {
+			answer := fl.run(ctx, fl.daemons[0], draft("urgent", words(20), 10))
+			Expect(answer.whole()).To(BeTrue(), "%+v: %s", answer, fl.daemons[0].logs)
+		}
+		Eventually(func(g Gomega) { fetch(g, fl.engines[0], "/control/faults", new(yuccastand.Faults)) }).
+			WithTimeout(patience).Should(Succeed())
+		faults(fl.engines[0], yuccastand.Faults{})
+	})
+
 	// A caller hangs up in the middle of a long answer. Its engine would go on for
 	// nobody, and those who still wait would wait longer.
 	It("end the run of a caller who has left", func(ctx SpecContext) {
