--- a/io/yuccadaemon/member.go
+++ b/io/yuccadaemon/member.go
@@ -80,8 +80,13 @@
 		d.layDown(now, led)
 	}
 	for _, r := range d.runs {
-		if !r.running {
-			r.leader = yuccaid.Incarnation{}
+		if r.running {
+			continue
+		}
+		r.leader = yuccaid.Incarnation{}
+		if r.away != nil {
+			r.away.cancel()
+			r.away = nil
 		}
 	}
 	d.audit.add(now, AuditEntry{Kind: AuditWoken, Number: d.State().Number, Detail: "for " + slept.String()})
