--- a/io/yuccatarget/order.go
+++ b/io/yuccatarget/order.go
@@ -36,9 +36,6 @@
 	defer cancel()
 	resp, done, err := cl.once(ctx, http.MethodPost, address, OrdersPath, func() ([]byte, error) {
 		order.ExpiresMillis = time.Until(deadline).Milliseconds()
-		if order.ExpiresMillis <= 0 {
-			return nil, &ExpiredError{}
-		}
 		return json.Marshal(order)
 	})
 	if err != nil {
@@ -81,7 +78,8 @@
 // once makes one exchange on a connection of its own; body is asked for right before
 // the first byte leaves.
 func (cl *Client) once(ctx context.Context, method, address, path string, body func() ([]byte, error)) (*http.Response, func(), error) {
-	w, err := cl.connect(ctx, address, cl.progress)
+	end := time.Now().Add(cl.silence)
+	w, err := cl.connect(ctx, address, cl.progress, func() time.Time { return end })
 	if err != nil {
 		return nil, nil, &UnsentError{Address: address, Cause: causeOf(ctx, err)}
 	}
