Placing by shared engine time, room for the next urgent request, waiting for a cached prefix

What changed: speeds are learned net of what else ran (a full target no longer passes for a slow one, an idle one's speed decides what is hopeless); how much requests slow each other is learned; nine-in-ten answer length per operation; no grant that makes a run of the same or a higher tier late; a lower tier leaves a target that a typical higher request could use; waiting for a target that holds the prefix; cancelling only when a long answer fits too.

--- a/core/yuccaplace/cache.go
+++ b/core/yuccaplace/cache.go
@@ -23,6 +23,25 @@
 	free   []int32
 	newest int32
 	oldest int32
+	// hits and stored count blocks that were found and blocks that were new, both
+	// fading with each prompt.
+	hits   float64
+	stored float64
+}
+
+// note counts what a prompt found and what it stored.
+func (rec *record) note(hits, stored int) {
+	rec.hits += valueWeight * (float64(hits) - rec.hits)
+	rec.stored += valueWeight * (float64(stored) - rec.stored)
+}
+
+// worth is how many blocks were found lately for each that was stored: what pushing a
+// block out of a full cache is likely to cost later.
+func (rec *record) worth() float64 {
+	if len(rec.places) < rec.limit || rec.stored <= 0 {
+		return 0
+	}
+	return min(rec.hits/rec.stored, mostWorth)
 }
 
 const none = -1
--- a/core/yuccaplace/choose.go
+++ b/core/yuccaplace/choose.go
@@ -18,6 +18,8 @@
 	NoRoom
 	// TooLate says that those with room can't meet the deadline.
 	TooLate
+	// Better says that a target without room now is worth waiting for.
+	Better
 )
 
 // Choice is a target for a request and what is expected there.
@@ -26,6 +28,7 @@
 	Cached yuccaid.Tokens
 	Wait   time.Duration
 	Finish time.Duration
+	high   time.Duration
 	cost   float64
 }
 
@@ -40,6 +43,7 @@
 	fleet.stamp++
 	deepest := min(fleet.prefixes.mark(fleet.stamp, shape.Prefixes), shape.Prompt)
 	best := Choice{cost: math.Inf(1)}
+	patient := Choice{cost: math.Inf(1)}
 	verdict := NoRoom
 	keep := fleet.longRoom(shape)
 	for _, node := range reach.nodes {
@@ -47,6 +51,9 @@
 			continue
 		}
 		if !fleet.room(now, node, shape) {
+			if other, ok := fleet.later(now, node, shape, deepest); ok && other.cost < patient.cost {
+				patient = other
+			}
 			continue
 		}
 		if node.probing {
@@ -55,21 +62,64 @@
 			}
 			continue
 		}
-		choice := fleet.estimate(now, node, shape, deepest)
+		choice := fleet.estimate(now, node, shape, deepest, node.company(now))
 		if now.Add(choice.Finish).After(shape.Deadline) {
 			if verdict == NoRoom {
 				verdict = TooLate
 			}
 			continue
 		}
-		verdict = Found
-		if choice.cost < best.cost {
-			best = choice
+		if choice.cost >= best.cost || fleet.spoils(now, node, shape, &choice) {
+			continue
 		}
+		verdict = Found
+		best = choice
+	}
+	if verdict == Found && patient.cost < best.cost && patient.Cached > best.Cached {
+		return patient, Better
 	}
 	return best, verdict
 }
 
+// spoils reports whether the request would take from others on the target what they
+// need more. At its last moment a request is let in unless it makes a run late.
+func (fleet *Fleet) spoils(now time.Time, node *Node, shape *Shape, choice *Choice) bool {
+	if fleet.plain {
+		return false
+	}
+	return node.harms(now, shape, choice) || !shape.Urgent && fleet.crowdsOut(now, node, shape, choice)
+}
+
+// later estimates a target that has no room now but holds more of the prompt than
+// nothing. Waiting for it is worth while as long as it costs less than computing the
+// prefix again somewhere else, which would also push out what is cached there.
+func (fleet *Fleet) later(now time.Time, node *Node, shape *Shape, deepest yuccaid.Tokens) (Choice, bool) {
+	if fleet.plain || shape.Urgent || node.stamp != fleet.stamp || node.Gone() || node.probing {
+		return Choice{}, false
+	}
+	with := node.company(now)
+	if node.busy(now) >= node.Target.Slots+fleet.spare {
+		with.wait += node.slotWait(now)
+	}
+	choice := fleet.estimate(now, node, shape, deepest, with)
+	spare := shape.Deadline.Sub(now) - choice.Finish
+	return choice, spare > time.Duration(patienceSlack*float64(choice.Finish))
+}
+
+// slotWait is how long until the first of the target's runs is likely to end.
+func (node *Node) slotWait(now time.Time) time.Duration {
+	least := time.Duration(math.MaxInt64)
+	for _, run := range node.runs {
+		if !run.Prefilling() {
+			least = min(least, node.decodeTime(run.left(now), float64(len(node.runs)-1)))
+		}
+	}
+	if least == math.MaxInt64 {
+		return node.prefillWait(now)
+	}
+	return least
+}
+
 // longRoom reports whether a long prompt may only join targets that already work on
 // one, because the others are kept for short requests. It counts over the whole fleet:
 // counted over each set of targets, a long prompt of a lower tier could find room in
@@ -100,7 +150,17 @@
 	if node.Gone() || node.busy(now) >= node.Target.Slots+fleet.spare {
 		return false
 	}
-	return fleet.plain || shape.Urgent || node.prefillWait(now) <= fleet.depth
+	return fleet.plain || shape.Urgent || node.prefillWait(now) <= fleet.depth+fleet.saved(node, shape)
+}
+
+// saved is how long computing the cached part of the prompt would take. So much longer
+// may a request wait inside the target: there it costs others only what isn't cached,
+// while elsewhere it would compute the prefix again and push another one out.
+func (fleet *Fleet) saved(node *Node, shape *Shape) time.Duration {
+	if node.stamp != fleet.stamp {
+		return 0
+	}
+	return node.prefillTime(min(node.hit, shape.Prompt))
 }
 
 // mayProbe lets a single request find out whether a target is well again. It goes if
@@ -124,24 +184,67 @@
 	return seconds(float64(shape.Prompt)/node.prefill.usual + float64(shape.Answer)/node.decode.usual)
 }
 
-func (fleet *Fleet) service(node *Node, shape *Shape, cached yuccaid.Tokens) time.Duration {
-	if fleet.plain {
-		return seconds(1 / node.call.recent)
+// company is what a request would find on a target, perhaps after others have gone.
+type company struct {
+	wait     time.Duration
+	running  float64
+	decoding float64
+	prompts  float64
+}
+
+func (node *Node) company(now time.Time) company {
+	return company{
+		wait:     node.prefillWait(now),
+		running:  float64(len(node.runs)),
+		decoding: float64(node.decoding()),
+		prompts:  node.meter.promptsTo(meterRanks),
 	}
-	return node.prefillTime(shape.Prompt-cached) + node.decodeTime(shape.Answer)
 }
 
-func (fleet *Fleet) estimate(now time.Time, node *Node, shape *Shape, deepest yuccaid.Tokens) Choice {
+func (fleet *Fleet) estimate(now time.Time, node *Node, shape *Shape, deepest yuccaid.Tokens, with company) Choice {
+	if fleet.plain {
+		finish := seconds(1 / node.call.recent)
+		return Choice{Node: node, Finish: finish, cost: finish.Seconds()}
+	}
 	var cached yuccaid.Tokens
 	if node.stamp == fleet.stamp {
 		cached = yuccaid.Tokens(float64(min(node.hit, shape.Prompt)) * node.trust)
 	}
-	choice := Choice{Node: node, Cached: cached}
-	if !fleet.plain {
-		choice.Wait = node.prefillWait(now)
-	}
-	choice.Finish = choice.Wait + fleet.service(node, shape, cached)
+	start := with.wait + node.prefillBeside(shape.Prompt-cached, with.decoding)
+	choice := Choice{Node: node, Cached: cached, Wait: with.wait}
+	choice.Finish = start + node.decodeBeside(float64(shape.Answer)*surety, with.running, with.prompts)
+	high := start + node.decodeBeside(float64(max(shape.High, shape.Answer)), with.running, with.prompts)
 	again := node.prefillTime(deepest - cached).Seconds()
-	choice.cost = fleet.policy.GoodputWeight*choice.Finish.Seconds() + fleet.policy.WasteWeight*again
+	again += node.prefillTime(shape.Prompt-cached).Seconds() * node.cache.worth()
+	choice.high = high
+	choice.cost = fleet.policy.GoodputWeight*lateness(choice.Finish, high, shape.Deadline.Sub(now)) +
+		fleet.policy.WasteWeight*recompute*again
 	return choice
 }
+
+// lateness weighs a finishing time by how much of the request's time it takes, and
+// what goes beyond the deadline much more. A letter that has minutes doesn't compete
+// for the fastest target with a note that has seconds.
+func lateness(finish, high, slack time.Duration) float64 {
+	tight := float64(high) / float64(max(slack, time.Millisecond))
+	return finish.Seconds()*min(tight, 1) + overrun*max(high-slack, 0).Seconds()
+}
+
+// harms reports whether the request would make a run of its tier or a higher one late
+// that is in time without it: its prompt takes the target's time from the answers, and
+// one answer more slows all of them.
+func (node *Node) harms(now time.Time, shape *Shape, choice *Choice) bool {
+	prompt := seconds(node.sharing.prompts * float64(shape.Prompt-choice.Cached) / node.prefill.recent)
+	before := float64(len(node.runs) - 1)
+	for _, run := range node.runs {
+		if run.Rank > shape.Rank || run.Prefilling() {
+			continue
+		}
+		slack := run.Deadline.Sub(now)
+		left := run.left(now)
+		if node.decodeTime(left, before) <= slack && node.decodeTime(left, before+1)+prompt > slack {
+			return true
+		}
+	}
+	return false
+}
--- a/core/yuccaplace/data.go
+++ b/core/yuccaplace/data.go
@@ -42,6 +42,47 @@
 	patience = 1
 	// fadePause is the grain in which old news fades.
 	fadePause = time.Second
+	// crowdingGuess and promptsGuess are what sharing starts from: in a full batch a token
+	// takes twice as long, and prompts and answers share the time equally.
+	crowdingGuess = 1.0
+	promptsGuess  = 1.0
+	// sharingStep is how far one answer moves the model: a hundred answers under changing
+	// load make a new one. mostSharing and mostLost bound it.
+	sharingStep = 0.05
+	mostSharing = 4.0
+	mostLost    = 0.95
+	// meterSpan is the span over which a target's share of prompt work is averaged.
+	meterSpan = 20 * time.Second
+	// meterRanks is how many tiers are told apart in it.
+	meterRanks = 4
+	// lengthWeight is the weight of one answer in the mean length of its operation, and
+	// highStep the step of the value that highPart of the answers stay below.
+	lengthWeight = 0.02
+	highStep     = 0.05
+	highPart     = 0.9
+	// firstHigh is that value before any answer was seen.
+	firstHigh = 1.3
+	// longestRatio bounds what one odd answer can do to the mean.
+	longestRatio = 5
+	// overrun is how many seconds of a later answer a second beyond the deadline weighs.
+	overrun = 4.0
+	// recompute is how many seconds of a later answer a second of prefill weighs that
+	// another target's cache would have saved.
+	recompute = 10.0
+	// patienceSlack is how much of its expected time a request must have to spare before
+	// it waits for a target that holds its prefix.
+	patienceSlack = 0.3
+	// valueWeight is the weight of one prompt in what a target's cache is worth, and
+	// mostWorth the most that a block may count for.
+	valueWeight = 0.03
+	mostWorth   = 2.0
+	// surety is how much longer than expected an answer is taken to be when its deadline
+	// is checked. A request that ends late has cost its whole prefill and answer.
+	surety = 1.0
+	// typicalWeight is the weight of one arrival in the picture of its tier, and
+	// guardSpan how long after the last arrival targets are kept open for the next.
+	typicalWeight = 0.05
+	guardSpan     = 30 * time.Second
 	// minimalSample is the shortest prefill that says something about the rate; below
 	// it fixed costs dominate.
 	minimalSample = 64
--- a/core/yuccaplace/fleet.go
+++ b/core/yuccaplace/fleet.go
@@ -30,6 +30,9 @@
 	byName    map[yuccaid.Target]*Node
 	prefixes  prefixes
 	stamp     uint64
+	sharing   *sharing
+	lengths   map[yuccaid.Operation]*length
+	typical   [meterRanks]typical
 	shortWork float64
 	allWork   float64
 }
@@ -41,6 +44,8 @@
 		depth:    defaultDepth,
 		spare:    defaultSpare,
 		byName:   map[yuccaid.Target]*Node{},
+		sharing:  &sharing{crowding: crowdingGuess, prompts: promptsGuess},
+		lengths:  map[yuccaid.Operation]*length{},
 		prefixes: prefixes{holders: map[uint64][]*Node{}},
 	}
 	for _, option := range options {
@@ -62,7 +67,7 @@
 	for _, tgt := range targets {
 		node, found := before[tgt.Name]
 		if !found {
-			node = newNode(tgt)
+			node = newNode(tgt, fleet.sharing)
 		}
 		fleet.update(node, tgt)
 		fleet.nodes = append(fleet.nodes, node)
@@ -133,6 +138,8 @@
 type Observed struct {
 	Prompt, Cached, Answer yuccaid.Tokens
 	Prefill, Decode        time.Duration
+	// Whole says that the answer came to its end.
+	Whole bool
 }
 
 // Learn takes a finished run's speeds into the target's rates.
@@ -148,11 +155,23 @@
 		node.judge(now)
 		return
 	}
+	node.meter.advance(now, node)
 	if work := seen.Prompt - seen.Cached; work >= minimalSample && seen.Prefill > 0 {
-		node.prefill.observe(float64(work)/seen.Prefill.Seconds(), weight)
+		company, _ := run.atFirst.since(run.atBegin)
+		rate := float64(work) / seen.Prefill.Seconds()
+		node.prefill.observe(rate/node.promptPart(company), weight)
+	}
+	if run.Answer > 0 && seen.Whole {
+		fleet.length(run.Operation).observe(float64(seen.Answer) / float64(run.Answer))
 	}
 	if seen.Answer > 1 && seen.Decode > 0 {
-		node.decode.observe(float64(seen.Answer)/seen.Decode.Seconds(), weight)
+		company, prompts := node.meter.since(run.atFirst)
+		company = max(company-1, 0)
+		rate := float64(seen.Answer) / seen.Decode.Seconds()
+		if !node.probing {
+			fleet.sharing.learn(node.decode.usual/rate, company/node.slots(), node.lost(company, prompts))
+		}
+		node.decode.observe(rate*node.crowding(company)/node.answerPart(company, prompts), weight)
 	}
 	if run.Cached > 0 {
 		hit := min(float64(seen.Cached)/float64(run.Cached), 1)
@@ -238,11 +257,14 @@
 		node.trust *= gapTrust
 	}
 	fleet.prefixes.evicted(node, evicted)
-	fleet.prefixes.sent(node, stored)
+	fleet.prefixes.stored(node, stored)
 }
 
-// Demand notes an arrival's work, from which the room kept for short requests follows.
-func (fleet *Fleet) Demand(long bool, work time.Duration) {
+// Demand notes an arrival, from which the room kept for short requests and for higher
+// tiers follows.
+func (fleet *Fleet) Demand(now time.Time, shape *Shape, long bool, work time.Duration) {
+	cached := min(fleet.prefixes.deepest(shape.Prefixes), shape.Prompt)
+	fleet.arrived(now, shape, float64(shape.Prompt-cached))
 	fleet.allWork += demandWeight * (work.Seconds() - fleet.allWork)
 	short := work.Seconds()
 	if long {
--- a/core/yuccaplace/node.go
+++ b/core/yuccaplace/node.go
@@ -11,6 +11,7 @@
 type Node struct {
 	Target Target
 
+	sharing    *sharing
 	runs       []*Run
 	prefilling []*Run
 	backlog    yuccaid.Tokens
@@ -30,13 +31,14 @@
 	foreign    int
 	foreignTil time.Time
 	peak       peak
+	meter      meter
 
 	stamp uint64
 	hit   yuccaid.Tokens
 }
 
-func newNode(tgt Target) *Node {
-	node := &Node{Target: tgt, cache: newRecord(tgt.Cache), trust: 1}
+func newNode(tgt Target, shr *sharing) *Node {
+	node := &Node{Target: tgt, sharing: shr, cache: newRecord(tgt.Cache), trust: 1}
 	node.guess(tgt)
 	return node
 }
@@ -83,12 +85,56 @@
 	return max(left, 0) + node.prefillTime(node.backlog-head)
 }
 
+// prefillTime is how long a prompt takes beside the answers that are decoded now.
+//
+// Made for engines that batch continuously: their time is shared between one prompt
+// and all answers, so a prompt gets S/(S+n) of it while n of S slots decode.
 func (node *Node) prefillTime(tokens yuccaid.Tokens) time.Duration {
-	return seconds(float64(tokens) / node.prefill.recent)
+	return node.prefillBeside(tokens, float64(node.decoding()))
+}
+
+func (node *Node) prefillBeside(tokens yuccaid.Tokens, answers float64) time.Duration {
+	return seconds(float64(tokens) / (node.prefill.recent * node.promptPart(answers)))
+}
+
+// decodeTime is how long an answer takes in the company of others, if prompts keep the
+// target as busy as they did lately.
+func (node *Node) decodeTime(tokens, company float64) time.Duration {
+	return node.decodeBeside(tokens, company, node.meter.promptsTo(meterRanks))
+}
+
+// decodeBeside is decodeTime where prompts take a part of the time.
+func (node *Node) decodeBeside(tokens, company, prompts float64) time.Duration {
+	rate := node.decode.recent * node.answerPart(company, prompts) / node.crowding(company)
+	return seconds(tokens / rate)
+}
+
+func (node *Node) decoding() int {
+	return len(node.runs) - len(node.prefilling)
+}
+
+func (node *Node) slots() float64 {
+	return float64(max(node.Target.Slots, 1))
+}
+
+// promptPart is the part of the target's time that a prompt gets beside n answers.
+func (node *Node) promptPart(n float64) float64 {
+	return node.slots() / (node.slots() + n*node.sharing.prompts)
+}
+
+// answerPart is the part that answers get when a prompt is there for a part of the time.
+func (node *Node) answerPart(n, prompts float64) float64 {
+	return 1 - min(node.sharing.prompts*node.lost(n, prompts), mostLost)
+}
+
+// lost is the part of the time that prompts would take at equal shares.
+func (node *Node) lost(n, prompts float64) float64 {
+	return min(prompts, 1) * node.slots() / (node.slots() + n)
 }
 
-func (node *Node) decodeTime(tokens yuccaid.Tokens) time.Duration {
-	return seconds(float64(tokens) / node.decode.recent)
+// crowding is how many times longer a token takes with n other answers than alone.
+func (node *Node) crowding(n float64) float64 {
+	return 1 + node.sharing.crowding*n/node.slots()
 }
 
 func seconds(sec float64) time.Duration {
@@ -96,6 +142,8 @@
 }
 
 func (node *Node) begin(now time.Time, run *Run) {
+	node.meter.advance(now, node)
+	run.atBegin = node.meter.reading
 	run.node = node
 	run.Began = now
 	node.runs = append(node.runs, run)
@@ -116,6 +164,8 @@
 	if at < 0 {
 		return
 	}
+	node.meter.advance(now, node)
+	run.atFirst = node.meter.reading
 	node.prefilling = slices.Delete(node.prefilling, at, at+1)
 	node.backlog -= run.uncached()
 	if at == 0 {
@@ -132,6 +182,7 @@
 	if at < 0 {
 		return
 	}
+	node.meter.advance(now, node)
 	last := len(node.runs) - 1
 	node.runs[at] = node.runs[last]
 	node.runs[last] = nil
--- a/core/yuccaplace/preempt.go
+++ b/core/yuccaplace/preempt.go
@@ -21,7 +21,9 @@
 // Evict returns the runs of lower tiers to cancel so that the request meets its
 // deadline, with the least prefill thrown away, or false when no cancelling helps.
 //
-// It is for a request that would be refused otherwise. On each target the lowest tier
+// It is for a request that would be refused otherwise. The deadline has to hold for a
+// long answer too: cancelling for a request that then ends late loses both, and under
+// overload it takes the whole fleet's time. On each target the lowest tier
 // goes first and within it the run that has the least prefill behind it; no more runs
 // are taken than needed.
 func (fleet *Fleet) Evict(now time.Time, reach *Reach, shape *Shape) (Eviction, bool) {
@@ -52,50 +54,48 @@
 	if len(victims) == 0 {
 		return Eviction{}, false
 	}
-	choice := fleet.estimate(now, node, shape, deepest)
+	without := func(runs []*Run) (Choice, bool) {
+		choice := fleet.estimate(now, node, shape, deepest, node.without(now, runs))
+		slots := node.busy(now)-len(runs) < node.Target.Slots+fleet.spare
+		return choice, slots && !now.Add(choice.high).After(shape.Deadline)
+	}
 	enough := 1
-	for enough < len(victims) && !fleet.suffices(now, node, shape, choice, victims[:enough]) {
+	choice, ok := without(victims[:enough])
+	for !ok && enough < len(victims) {
 		enough++
+		choice, ok = without(victims[:enough])
 	}
-	victims = victims[:enough]
-	if !fleet.suffices(now, node, shape, choice, victims) {
+	if !ok {
 		return Eviction{}, false
 	}
-	victims = fleet.needed(now, node, shape, choice, victims)
-	one := Eviction{Choice: choice, Runs: victims}
-	one.Choice.Finish = fleet.finishWithout(now, node, choice, victims)
-	one.Slack = shape.Deadline.Sub(now.Add(one.Choice.Finish))
-	for _, run := range victims {
-		one.Waste += node.waste(now, run)
-	}
-	return one, true
-}
-
-// needed drops the runs whose cancelling turned out not to help: one that was taken
-// first because it wastes little may free nothing that the request lacks.
-func (fleet *Fleet) needed(now time.Time, node *Node, shape *Shape, choice Choice, victims []*Run) []*Run {
+	victims = victims[:enough]
+	// One that was taken first because it wastes little may free nothing that the
+	// request lacks.
 	for at := len(victims) - 2; at >= 0; at-- {
 		fewer := slices.Concat(victims[:at], victims[at+1:])
-		if fleet.suffices(now, node, shape, choice, fewer) {
-			victims = fewer
+		if other, enough := without(fewer); enough {
+			victims, choice = fewer, other
 		}
 	}
-	return victims
-}
-
-func (fleet *Fleet) suffices(now time.Time, node *Node, shape *Shape, choice Choice, victims []*Run) bool {
-	if node.busy(now)-len(victims) >= node.Target.Slots+fleet.spare {
-		return false
+	one := Eviction{Choice: choice, Runs: victims, Slack: shape.Deadline.Sub(now.Add(choice.high))}
+	for _, run := range victims {
+		one.Waste += node.waste(now, run)
 	}
-	return !now.Add(fleet.finishWithout(now, node, choice, victims)).After(shape.Deadline)
+	return one, true
 }
 
-func (fleet *Fleet) finishWithout(now time.Time, node *Node, choice Choice, victims []*Run) time.Duration {
-	freed := time.Duration(0)
-	for _, run := range victims {
-		freed += node.left(now, run)
+// without is the company on the target once the runs are cancelled.
+func (node *Node) without(now time.Time, runs []*Run) company {
+	with := node.company(now)
+	for _, run := range runs {
+		with.running--
+		if !run.Prefilling() {
+			with.decoding--
+		}
+		with.wait -= node.left(now, run)
 	}
-	return choice.Finish - min(freed, choice.Wait)
+	with.wait = max(with.wait, 0)
+	return with
 }
 
 // below returns the runs that a request of the rank may have cancelled.
--- a/core/yuccaplace/prefix.go
+++ b/core/yuccaplace/prefix.go
@@ -41,13 +41,33 @@
 // engines, and holding a block implies holding those before it.
 func (pre *prefixes) sent(node *Node, hashes []uint64) {
 	hashes = hashes[:min(len(hashes), maxPrefixes, node.cache.limit)]
+	stored := 0
 	for _, hash := range slices.Backward(hashes) {
-		evicted, gone, fresh := node.cache.touch(hash)
-		if gone {
-			pre.drop(evicted, node)
+		if pre.touch(node, hash) {
+			stored++
 		}
-		if fresh {
-			pre.add(hash, node)
+	}
+	node.cache.note(len(hashes)-stored, stored)
+}
+
+// touch records the use of a block and reports whether it is new there.
+func (pre *prefixes) touch(node *Node, hash uint64) bool {
+	evicted, gone, fresh := node.cache.touch(hash)
+	if gone {
+		pre.drop(evicted, node)
+	}
+	if fresh {
+		pre.add(hash, node)
+	}
+	return fresh
+}
+
+// stored adds blocks that a target says it has. Those already recorded keep their
+// place: the events come late and say nothing about the order of use.
+func (pre *prefixes) stored(node *Node, hashes []uint64) {
+	for _, hash := range hashes {
+		if _, found := node.cache.places[hash]; !found && node.cache.limit > 0 {
+			pre.touch(node, hash)
 		}
 	}
 }
--- a/core/yuccaplace/reach.go
+++ b/core/yuccaplace/reach.go
@@ -74,8 +74,10 @@
 
 // Shape is what the estimates need of a request.
 type Shape struct {
-	Prompt   yuccaid.Tokens
-	Answer   yuccaid.Tokens
+	Prompt yuccaid.Tokens
+	Answer yuccaid.Tokens
+	// High is what the answer may well get to; Expect fills it in.
+	High     yuccaid.Tokens
 	Prefixes []uint64
 	Rank     int
 	Long     bool
@@ -97,13 +99,13 @@
 }
 
 // Slowest returns how long the slowest target in ordinary use would take, idle and
-// without a cached prefix.
+// without a cached prefix, for a long answer.
 func (fleet *Fleet) Slowest(reach *Reach, shape *Shape) time.Duration {
 	if reach.usable == 0 || fleet.plain {
 		return 0
 	}
 	prefill := float64(shape.Prompt) / reach.slowest.prefill
-	return seconds(prefill + float64(shape.Answer)/reach.slowest.decode)
+	return seconds(prefill + float64(max(shape.High, shape.Answer))/reach.slowest.decode)
 }
 
 // Work returns the time that a request takes of one target of the set: its prefill,
--- a/core/yuccaplace/run.go
+++ b/core/yuccaplace/run.go
@@ -6,9 +6,10 @@
 	"yuccacleat/core/yuccaid"
 )
 
-// Run is one granted request on its target.
+// Run is one granted request on its target. High is how long its answer may well get.
 type Run struct {
 	ID          yuccaid.RequestText
+	Operation   yuccaid.Operation
 	Rank        int
 	Cancellable bool
 	Long        bool
@@ -16,10 +17,14 @@
 	Cached      yuccaid.Tokens
 	Answer      yuccaid.Tokens
 	Answered    yuccaid.Tokens
+	High        yuccaid.Tokens
+	Deadline    time.Time
 	Began       time.Time
 	First       time.Time
 
-	node *Node
+	node    *Node
+	atBegin reading
+	atFirst reading
 }
 
 // Target returns where the run is.
@@ -35,3 +40,18 @@
 func (run *Run) uncached() yuccaid.Tokens {
 	return max(run.Prompt-run.Cached, 1)
 }
+
+// left is how many tokens of the answer may still have to come, at least one.
+func (run *Run) left(now time.Time) float64 {
+	done := float64(run.Answered)
+	if !run.Prefilling() {
+		done = max(done, float64(run.Answer)*min(run.pace(now), 1))
+	}
+	return max(float64(run.High)-done, 1)
+}
+
+// pace is the part of the expected decoding time that has passed.
+func (run *Run) pace(now time.Time) float64 {
+	expected := run.node.decodeTime(float64(run.Answer), float64(len(run.node.runs)-1))
+	return float64(now.Sub(run.First)) / float64(max(expected, time.Millisecond))
+}
--- a/core/yuccapool/configure.go
+++ b/core/yuccapool/configure.go
@@ -72,7 +72,7 @@
 			lead.refuse(dec, &item.Ask, yuccaqueue.ReasonNoTarget, 0)
 			continue
 		}
-		shape := shapeOf(&item.Ask, item.Deadline)
+		shape := lead.shape(&item.Ask, item.Deadline)
 		lead.queue.Reclass(item, lead.terms(now, acc, &shape))
 	}
 	lead.queue.Prune()
--- a/core/yuccapool/decide.go
+++ b/core/yuccapool/decide.go
@@ -22,9 +22,9 @@
 	if !lead.admit(now, acc, &ask, &dec) {
 		return dec
 	}
-	shape := shapeOf(&ask, now.Add(ask.Remaining))
+	shape := lead.shape(&ask, now.Add(ask.Remaining))
 	terms := lead.terms(now, acc, &shape)
-	lead.fleet.Demand(terms.Long, terms.Work)
+	lead.fleet.Demand(now, &shape, terms.Long, terms.Work)
 	lead.push(now, ask, terms, &dec)
 	lead.serve(now, &dec)
 	return dec
@@ -57,7 +57,7 @@
 		lead.refuse(dec, ask, yuccaqueue.ReasonLimit, back)
 		return false
 	}
-	shape := shapeOf(ask, now.Add(ask.Remaining))
+	shape := lead.shape(ask, now.Add(ask.Remaining))
 	if lead.fleet.Quickest(reach, &shape) > ask.Remaining || ask.Remaining <= 0 {
 		lead.refuse(dec, ask, yuccaqueue.ReasonDeadline, 0)
 		return false
@@ -66,14 +66,16 @@
 	return true
 }
 
-func shapeOf(ask *Ask, deadline time.Time) yuccaplace.Shape {
-	return yuccaplace.Shape{
+func (lead *Leader) shape(ask *Ask, deadline time.Time) yuccaplace.Shape {
+	shape := yuccaplace.Shape{
 		Prompt:   ask.Prompt,
 		Answer:   ask.Answer,
 		Prefixes: ask.Prefixes,
 		Rank:     ask.Rank,
 		Deadline: deadline,
 	}
+	lead.fleet.Expect(ask.Operation, &shape)
+	return shape
 }
 
 // terms works out how a request waits: its deadline orders it, and it is due for a
@@ -136,22 +138,22 @@
 		return
 	}
 	try := func(item *yuccaqueue.Item) yuccaqueue.Answer { return lead.try(now, item, dec) }
-	lead.queue.Serve(now, try)
+	lead.queue.Serve(try)
 	for item := lead.queue.Due(now); item != nil; item = lead.queue.Due(now) {
 		lead.due(now, item, dec)
-		lead.queue.Serve(now, try)
+		lead.queue.Serve(try)
 	}
 }
 
 func (lead *Leader) try(now time.Time, item *yuccaqueue.Item, dec *Decisions) yuccaqueue.Answer {
-	shape := shapeOf(&item.Ask, item.Deadline)
+	shape := lead.shape(&item.Ask, item.Deadline)
 	shape.Long = item.Terms.Long
 	reach := lead.reaches[item.Terms.Reach]
 	choice, verdict := lead.fleet.Choose(now, reach, &shape)
 	switch verdict {
 	case yuccaplace.NoRoom:
 		return yuccaqueue.NoRoom
-	case yuccaplace.TooLate:
+	case yuccaplace.TooLate, yuccaplace.Better:
 		return yuccaqueue.NotHere
 	default:
 		lead.grant(lead.start(now, item.Ask, choice, item.Deadline), dec)
@@ -216,7 +218,7 @@
 	if lead.account(item.Ask.Account).full() {
 		return false
 	}
-	shape := shapeOf(&item.Ask, item.Deadline)
+	shape := lead.shape(&item.Ask, item.Deadline)
 	shape.Urgent = true
 	choice, verdict := lead.fleet.Choose(now, lead.reaches[item.Terms.Reach], &shape)
 	if verdict != yuccaplace.Found {
@@ -247,7 +249,7 @@
 	if !lead.preempts || acc.full() {
 		return yuccaplace.Eviction{}, false
 	}
-	shape := shapeOf(ask, deadline)
+	shape := lead.shape(ask, deadline)
 	return lead.fleet.Evict(now, lead.reaches[acc.reach], &shape)
 }
 
@@ -270,7 +272,7 @@
 func (lead *Leader) requeue(now time.Time, one *run, dec *Decisions) {
 	lead.onRequeue(one.Target())
 	one.ask.Remaining = one.deadline.Sub(now)
-	shape := shapeOf(&one.ask, one.deadline)
+	shape := lead.shape(&one.ask, one.deadline)
 	terms := lead.terms(now, lead.account(one.ask.Account), &shape)
 	displaced, reason := lead.queue.Push(now, one.ask, terms)
 	if reason != "" {
--- a/core/yuccapool/leader.go
+++ b/core/yuccapool/leader.go
@@ -134,7 +134,7 @@
 	if done.Ran {
 		lead.fleet.Learn(now, &one.Run, yuccaplace.Observed{
 			Prompt: done.Prompt, Cached: done.Cached, Answer: done.Answer,
-			Prefill: done.Prefill, Decode: done.Decode,
+			Prefill: done.Prefill, Decode: done.Decode, Whole: !done.Partial,
 		})
 	} else {
 		lead.account(one.ask.Account).giveBack(&one.ask)
@@ -249,13 +249,15 @@
 	one := &run{ask: ask, deadline: deadline}
 	one.Run = yuccaplace.Run{
 		ID:          ask.ID,
+		Operation:   ask.Operation,
 		Rank:        ask.Rank,
 		Cancellable: ask.Idempotent && !lead.view.Plain,
 		Prompt:      ask.Prompt,
 		Cached:      choice.Cached,
 		Answer:      ask.Answer,
 	}
-	shape := shapeOf(&ask, deadline)
+	shape := lead.shape(&ask, deadline)
+	one.High, one.Deadline = shape.High, deadline
 	_, one.Long = lead.fleet.Work(lead.reach(ask.Account), &shape)
 	lead.runs[ask.ID] = one
 	lead.fleet.Begin(now, choice.Node, &one.Run, ask.Prefixes)
--- a/core/yuccapool/message.go
+++ b/core/yuccapool/message.go
@@ -74,12 +74,14 @@
 
 // Finished gives back a grant: the run has ended, or never began.
 //
+// Partial says that the answer was cut short, so that its length says nothing.
 // Ran is false for a grant that was not used and for a refusal by the target
 // (Refused), which says Leaving when it takes no more work at all.
 type Finished struct {
 	ID      yuccaid.RequestText `msgpack:"id"`
 	Target  yuccaid.Target      `msgpack:"target"`
 	Ran     bool                `msgpack:"ran"`
+	Partial bool                `msgpack:"partial"`
 	Refused bool                `msgpack:"refused"`
 	Leaving bool                `msgpack:"leaving"`
 	Prompt  yuccaid.Tokens      `msgpack:"prompt"`
--- a/core/yuccaqueue/class.go
+++ b/core/yuccaqueue/class.go
@@ -1,7 +1,5 @@
 package yuccaqueue
 
-import "time"
-
 // flow is what one account has waiting in one class.
 type flow struct {
 	share *share
@@ -33,7 +31,7 @@
 	window   float64
 	floor    float64
 	parked   bool
-	since    time.Time
+	since    uint64
 	held     []*Item
 	all      heap[*flow]
 	eligible heap[*flow]
@@ -100,14 +98,14 @@
 	return cls.parked || len(cls.held) > 0
 }
 
-func (cls *class) park(now time.Time) {
+func (cls *class) park(turn uint64) {
 	cls.parked = true
-	cls.since = now
+	cls.since = turn
 }
 
 // hold sets an item aside until other room comes up.
-func (cls *class) hold(now time.Time, item *Item) {
-	cls.since = now
+func (cls *class) hold(turn uint64, item *Item) {
+	cls.since = turn
 	item.held = true
 	item.flow.items.drop(item)
 	cls.held = append(cls.held, item)
--- a/core/yuccaqueue/queue.go
+++ b/core/yuccaqueue/queue.go
@@ -57,6 +57,7 @@
 	accounts  map[yuccaid.Account]*account
 	tiers     []*tier
 	due       heap[*Item]
+	turn      uint64
 	load      load
 }
 
@@ -256,45 +257,46 @@
 // A class that found no room isn't asked again before Wake, so an arrival behind a
 // full pool costs no scan of the targets. Room can come up by the mere passing of
 // time, though, so before a tier is served, the classes above it that were set aside
-// at an earlier time are asked once more: else a lower tier could take their place.
-func (q *Queue) Serve(now time.Time, try func(*Item) Answer) {
+// in an earlier turn are asked once more: else a lower tier could take their place.
+func (q *Queue) Serve(try func(*Item) Answer) {
+	q.turn++
 	for at := 0; at < len(q.tiers); at++ {
 		fl := q.tiers[at].next()
 		if fl == nil {
 			continue
 		}
-		if q.wakeAbove(now, at) {
+		if q.wakeAbove(at) {
 			at = -1
 			continue
 		}
 		for ; fl != nil; fl = q.tiers[at].next() {
-			q.serveOne(now, fl, try)
+			q.serveOne(fl, try)
 		}
 	}
 }
 
-func (q *Queue) serveOne(now time.Time, fl *flow, try func(*Item) Answer) {
+func (q *Queue) serveOne(fl *flow, try func(*Item) Answer) {
 	item := fl.items.top()
 	switch try(item) {
 	case Taken:
 		q.Take(item)
 	case NoRoom:
-		fl.class.park(now)
+		fl.class.park(q.turn)
 	case NotHere:
-		fl.class.hold(now, item)
+		fl.class.hold(q.turn, item)
 	}
 }
 
-// wakeAbove wakes the classes of higher tiers that were set aside before now and
+// wakeAbove wakes the classes of higher tiers that were set aside in earlier turns and
 // reports whether there were any.
-func (q *Queue) wakeAbove(now time.Time, at int) bool {
+func (q *Queue) wakeAbove(at int) bool {
 	woken := false
 	if !q.rechecks {
 		return false
 	}
 	for _, tr := range q.tiers[:at] {
 		for _, cls := range tr.classes {
-			if cls.aside() && cls.since.Before(now) {
+			if cls.aside() && cls.since < q.turn {
 				cls.wake()
 				woken = true
 			}
