--- a/io/yuccameasure/load.go
+++ b/io/yuccameasure/load.go
@@ -68,6 +68,9 @@
 // loadPrompt is a prompt's length under a steady load: four prefix hashes.
 const loadPrompt = 1100
 
+// shortPrompt keeps the engine's prefill from bounding what is relayed.
+const shortPrompt = 100
+
 // streamed is how one answer came.
 type streamed struct {
 	first, whole time.Duration
--- a/io/yuccameasure/members.go
+++ b/io/yuccameasure/members.go
@@ -51,6 +51,7 @@
 	RequestMessages float64 `json:"controlMessagesPerRequest"`
 	RequestMillis   float64 `json:"processorMillisPerRequest"`
 	LeaderShare     float64 `json:"coreShareMaxUnderLoad"`
+	ResidentLoaded  float64 `json:"residentBytesMaxAfterLoad"`
 }
 
 // KindRow is the part of one kind of message.
@@ -177,6 +178,7 @@
 		used := after.usage[index].Processor - before.usage[index].Processor
 		busy += used
 		row.LeaderShare = max(row.LeaderShare, used.Seconds()/seconds)
+		row.ResidentLoaded = max(row.ResidentLoaded, float64(after.usage[index].Resident))
 	}
 	idle := row.CoreMean * seconds * float64(len(flt.daemons))
 	row.RequestMillis = (busy.Seconds() - idle) * 1000 / requests
@@ -214,6 +216,7 @@
 		{"msg/req", func(row MembersRow) string { return fine(row.RequestMessages) }},
 		{"ms/req", func(row MembersRow) string { return fine(row.RequestMillis) }},
 		{"core % max loaded", func(row MembersRow) string { return fine(100 * row.LeaderShare) }},
+		{"MB max loaded", func(row MembersRow) string { return tenth(row.ResidentLoaded / 1e6) }},
 	}}
 }
 
--- a/io/yuccameasure/relay.go
+++ b/io/yuccameasure/relay.go
@@ -252,7 +252,7 @@
 	for range streams {
 		open.Go(func() {
 			for number := range numbers {
-				reply, err := caller.Run(ctx, flt.daemons[0].addresses.Caller, request(number, loadPrompt, answer))
+				reply, err := caller.Run(ctx, flt.daemons[0].addresses.Caller, request(number, shortPrompt, answer))
 				if err == nil && reply.End.Run != "ran" {
 					err = eris.Errorf("a request ended as %s, %s", reply.End.Run, reply.End.Reason)
 				}
