--- a/cmd/yuccameasure/main.go
+++ b/cmd/yuccameasure/main.go
@@ -45,7 +45,7 @@
 	root.PersistentFlags().StringVar(&flags.programs, "programs", "", "directory with yuccacleat and yuccastand; built by go when empty")
 	root.PersistentFlags().StringVar(&flags.lines, "lines", "", "file to which JSON lines are added")
 	root.PersistentFlags().DurationVar(&flags.limit, "limit", 10*time.Minute, "longest time that the measurement may take")
-	root.AddCommand(relayCommand(flags), membersCommand(flags), pollsCommand(flags), configCommand(flags), stateCommand(flags))
+	root.AddCommand(relayCommand(flags), membersCommand(flags), pollsCommand(flags), configCommand(flags), fullCommand(flags), stateCommand(flags))
 	return root
 }
 
@@ -185,6 +185,25 @@
 	return cmd
 }
 
+func fullCommand(flags *common) *cobra.Command {
+	var plan yuccameasure.FullPlan
+	cmd := &cobra.Command{
+		Use:     "full",
+		Short:   "Measure a fleet whose configuration has the aimed size, and daemons that join it",
+		Example: "  yuccameasure full --daemons 3 --notes 5",
+		Args:    cobra.NoArgs,
+	}
+	cmd.Flags().IntVar(&plan.Daemons, "daemons", 7, "daemons of the fleet")
+	cmd.Flags().IntVar(&plan.Notes, "notes", 10, "release notes published one by one")
+	cmd.Flags().IntVar(&plan.Newcomers, "newcomers", 3, "daemons that join, one after the other")
+	cmd.RunE = func(cmd *cobra.Command, _ []string) error {
+		return flags.run(cmd, func(ctx context.Context, programs yuccameasure.Programs, lines *os.File) error {
+			return yuccameasure.Full(ctx, programs, plan, cmd.OutOrStdout(), lines)
+		})
+	}
+	return cmd
+}
+
 func stateCommand(flags *common) *cobra.Command {
 	var plan yuccameasure.StatePlan
 	cmd := &cobra.Command{
--- a/io/yuccameasure/fleet.go
+++ b/io/yuccameasure/fleet.go
@@ -28,6 +28,8 @@
 	engines int
 	slots   int
 	decode  yuccaid.Rate
+	// rest is the part of the configuration that concerns other data centres.
+	rest scale
 }
 
 func (shp shape) processes() int {
@@ -86,8 +88,10 @@
 	if err := flt.startStands(); err != nil {
 		return err
 	}
-	if err := flt.publish(flt.firstNote()); err != nil {
-		return err
+	for _, note := range append([]yuccastate.Note{flt.firstNote()}, restNotes(flt.shape)...) {
+		if err := flt.publish(note); err != nil {
+			return err
+		}
 	}
 	if err := flt.startDaemons(); err != nil {
 		return err
@@ -130,7 +134,7 @@
 	for centre := range flt.shape.centres {
 		for index := range flt.shape.daemons {
 			name := yuccaid.VM(fmt.Sprintf("entry-%d-%d", centre+1, index+1))
-			if err := flt.startDaemon(centreName(centre), name); err != nil {
+			if _, err := flt.startDaemon(centreName(centre), name); err != nil {
 				return err
 			}
 		}
@@ -138,7 +142,8 @@
 	return flt.list()
 }
 
-func (flt *fleet) startDaemon(centre yuccaid.Centre, name yuccaid.VM) error {
+// startDaemon starts one daemon that asks the seeds while it can't read the platform.
+func (flt *fleet) startDaemon(centre yuccaid.Centre, name yuccaid.VM, seeds ...string) (*daemon, error) {
 	settings := fmt.Sprintf(`vm: %s
 centre: %s
 listen:
@@ -149,18 +154,24 @@
 fleetKeyFile: %s
 longestDrain: 2s
 `, name, centre, flt.platform, flt.keyFile())
+	for index, seed := range seeds {
+		if index == 0 {
+			settings += "seeds:\n"
+		}
+		settings += "  - " + seed + "\n"
+	}
 	path := filepath.Join(flt.dir, string(name)+".yaml")
 	if err := os.WriteFile(path, []byte(settings), 0o600); err != nil {
-		return eris.Wrap(err, "writing a daemon's settings")
+		return nil, eris.Wrap(err, "writing a daemon's settings")
 	}
 	chd, err := startChild(flt.programs.Daemon, "serve", "--settings", path)
 	if err != nil {
-		return err
+		return nil, err
 	}
 	flt.children = append(flt.children, chd)
 	dmn := &daemon{child: chd, name: name, centre: centre}
 	flt.daemons = append(flt.daemons, dmn)
-	return chd.told(&dmn.addresses)
+	return dmn, chd.told(&dmn.addresses)
 }
 
 // list publishes which VMs are live, as the platform would.
@@ -197,7 +208,7 @@
 	}}
 	note.Added.Targets = make(map[yuccaid.Target]yuccastate.Target)
 	for index, eng := range flt.engines {
-		note.Added.Targets[yuccaid.Target(fmt.Sprintf("engine-%d", index+1))] = yuccastate.Target{
+		note.Added.Targets[yuccaid.Target(fmt.Sprintf("stand-%d", index+1))] = yuccastate.Target{
 			Pool: draftPool, Centre: eng.centre, VM: yuccaid.VM(fmt.Sprintf("vm-engine-%d", index+1)), Address: eng.address,
 			Slots: flt.shape.slots, Prefill: enginePrefill, Decode: flt.shape.decode, Cache: 200_000,
 		}
