--- a/io/yuccadaemon/problem.go
+++ b/io/yuccadaemon/problem.go
@@ -43,7 +43,7 @@
 	KindDeadline:     "give a deadline in the future, in milliseconds from now",
 	KindConflict:     "submit an id only with the body, pool and operation it was first submitted with",
 	KindExpired:      "open a new request, this id's lifetime is over",
-	KindNotReady:     "ask another daemon, this one has no configuration yet",
+	KindNotReady:     "ask another daemon, this one has just started or was paused and does not serve yet",
 	KindLeaving:      "ask another daemon, this one is shutting down",
 	KindOwnerLost:    "the daemon that owned the request is gone: open a new one only if running twice does no harm",
 	KindBusy:         "come back after the time given",
