--- /dev/null
+++ b/core/yuccaplace/preempt.go
@@ -0,0 +1,121 @@
+package yuccaplace
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"yuccacleat/core/yuccaid"
+)
+
+// Eviction is a set of runs of one target whose cancelling makes room.
+//
+// Slack is the time left until no eviction in the set of targets would help any more.
+type Eviction struct {
+	Choice Choice
+	Runs   []*Run
+	Waste  yuccaid.Tokens
+	Slack  time.Duration
+}
+
+// Evict returns the runs of lower tiers to cancel so that the request meets its
+// deadline, with the least prefill thrown away, or false when no cancelling helps.
+//
+// It is for a request that would be refused otherwise. The deadline has to hold for a
+// long answer too: cancelling for a request that then ends late loses both, and under
+// overload it takes the whole fleet's time. On each target the lowest tier
+// goes first and within it the run that has the least prefill behind it; no more runs
+// are taken than needed.
+func (fleet *Fleet) Evict(now time.Time, reach *Reach, shape *Shape) (Eviction, bool) {
+	fleet.stamp++
+	deepest := min(fleet.prefixes.mark(fleet.stamp, shape.Prefixes), shape.Prompt)
+	var best Eviction
+	found := false
+	slack := time.Duration(0)
+	for _, node := range reach.nodes {
+		if node.Gone() || node.probing {
+			continue
+		}
+		one, ok := fleet.evictOn(now, node, shape, deepest)
+		if !ok {
+			continue
+		}
+		slack = max(slack, one.Slack)
+		if !found || one.Waste < best.Waste {
+			best, found = one, true
+		}
+	}
+	best.Slack = slack
+	return best, found
+}
+
+func (fleet *Fleet) evictOn(now time.Time, node *Node, shape *Shape, deepest yuccaid.Tokens) (Eviction, bool) {
+	victims := node.below(now, shape.Rank)
+	if len(victims) == 0 {
+		return Eviction{}, false
+	}
+	without := func(runs []*Run) (Choice, bool) {
+		choice := fleet.estimate(now, node, shape, deepest, node.without(now, runs))
+		slots := node.busy(now)-len(runs) < node.Target.Slots+fleet.spare
+		return choice, slots && !now.Add(choice.high).After(shape.Deadline)
+	}
+	enough := 1
+	choice, ok := without(victims[:enough])
+	for !ok && enough < len(victims) {
+		enough++
+		choice, ok = without(victims[:enough])
+	}
+	if !ok {
+		return Eviction{}, false
+	}
+	victims = victims[:enough]
+	// One that was taken first because it wastes little may free nothing that the
+	// request lacks.
+	for at := len(victims) - 2; at >= 0; at-- {
+		fewer := slices.Concat(victims[:at], victims[at+1:])
+		if other, enough := without(fewer); enough {
+			victims, choice = fewer, other
+		}
+	}
+	one := Eviction{Choice: choice, Runs: victims, Slack: shape.Deadline.Sub(now.Add(choice.high))}
+	for _, run := range victims {
+		one.Waste += node.waste(now, run)
+	}
+	return one, true
+}
+
+// without is the company on the target once the runs are cancelled.
+func (node *Node) without(now time.Time, runs []*Run) company {
+	with := node.company(now)
+	for _, run := range runs {
+		with.running--
+		if !run.Prefilling() {
+			with.decoding--
+		}
+		with.wait -= node.left(now, run)
+	}
+	with.wait = max(with.wait, 0)
+	return with
+}
+
+// below returns the runs that a request of the rank may have cancelled.
+func (node *Node) below(now time.Time, rank int) []*Run {
+	var list []*Run
+	for _, run := range node.runs {
+		if run.Cancellable && run.Rank > rank {
+			list = append(list, run)
+		}
+	}
+	slices.SortStableFunc(list, func(a, b *Run) int {
+		return cmp.Or(cmp.Compare(b.Rank, a.Rank), cmp.Compare(node.waste(now, a), node.waste(now, b)))
+	})
+	return list
+}
+
+// left is the prefill time that cancelling a run saves.
+func (node *Node) left(now time.Time, run *Run) time.Duration {
+	if !run.Prefilling() {
+		return 0
+	}
+	return node.prefillTime(run.uncached() - node.waste(now, run))
+}
--- /dev/null
+++ b/core/yuccastate/oracle_test.go
@@ -0,0 +1,132 @@
+package yuccastate_test
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+
+	"pgregory.net/rapid"
+
+	"yuccacleat/core/yuccaid"
+	"yuccacleat/core/yuccastate"
+)
+
+// drawNote returns a note of a few edits to a small world, many of them wrong.
+func drawNote(t *rapid.T, on *yuccastate.State) yuccastate.Note {
+	note := yuccastate.Note{Number: on.Number + 1, Base: on.Digest(), By: rapid.SampledFrom([]string{"anna", "bruno"}).Draw(t, "by")}
+	note.Added.Pools, note.Changed.Pools = map[yuccaid.Pool]yuccastate.Pool{}, map[yuccaid.Pool]yuccastate.Pool{}
+	note.Added.Targets, note.Changed.Targets = map[yuccaid.Target]yuccastate.Target{}, map[yuccaid.Target]yuccastate.Target{}
+	note.Added.Accounts, note.Changed.Accounts = map[yuccaid.Account]yuccastate.Account{}, map[yuccaid.Account]yuccastate.Account{}
+	for range rapid.IntRange(1, 3).Draw(t, "edits") {
+		switch rapid.SampledFrom([]string{"pool", "target", "target", "account"}).Draw(t, "kind") {
+		case "pool":
+			edit(t, "pool", on.Pools, drawPool(t), note.Added.Pools, note.Changed.Pools, &note.Withdrawn.Pools)
+		case "target":
+			edit(t, "target", on.Targets, drawTarget(t), note.Added.Targets, note.Changed.Targets, &note.Withdrawn.Targets)
+		case "account":
+			edit(t, "account", on.Accounts, drawAccount(t), note.Added.Accounts, note.Changed.Accounts, &note.Withdrawn.Accounts)
+		}
+	}
+	return note
+}
+
+// edit mostly adds what is absent and changes or drops what is there.
+func edit[K ~string, V any](t *rapid.T, kind string, old map[K]V, object V, added, changed map[K]V, dropped *[]K) {
+	name := drawNames[K](t, kind, 1)[0]
+	_, exists := old[name]
+	wrong := rapid.IntRange(0, 9).Draw(t, "wrong") == 9
+	switch {
+	case exists == wrong:
+		added[name] = object
+	case rapid.Bool().Draw(t, "change"):
+		changed[name] = object
+	default:
+		*dropped = append(*dropped, name)
+	}
+}
+
+func drawNames[K ~string](t *rapid.T, kind string, least int) []K {
+	indexes := rapid.SliceOfNDistinct(rapid.IntRange(0, 2), least, 2, rapid.ID[int]).Draw(t, kind)
+	names := make([]K, len(indexes))
+	for i, index := range indexes {
+		names[i] = K(fmt.Sprint(kind, "-", index))
+	}
+	return names
+}
+
+func drawPool(t *rapid.T) yuccastate.Pool {
+	kind := rapid.SampledFrom([]yuccastate.PoolKind{yuccastate.PoolModel, yuccastate.PoolService}).Draw(t, "poolKind")
+	return yuccastate.Pool{Kind: kind, Operations: yuccastate.Operations{"run": {}}, LongestRun: 1}
+}
+
+func drawTarget(t *rapid.T) yuccastate.Target {
+	pool := drawNames[yuccaid.Pool](t, "pool", 1)[0]
+	address := fmt.Sprint("10.9.9.9:", rapid.IntRange(1, 4).Draw(t, "port"))
+	prefill := yuccaid.Rate(rapid.IntRange(0, 2).Draw(t, "prefill"))
+	return yuccastate.Target{Pool: pool, Centre: "east", Slots: 1, Address: address, Prefill: prefill, Decode: 1}
+}
+
+func drawAccount(t *rapid.T) yuccastate.Account {
+	credential := yuccastate.CredentialDigest(fmt.Sprint(rapid.IntRange(1, 4).Draw(t, "secret")))
+	pools, targets := drawNames[yuccaid.Pool](t, "pool", 1), drawNames[yuccaid.Target](t, "target", 0)
+	return yuccastate.Account{Credential: credential, Tiers: []yuccaid.Tier{"urgent"}, Weight: 1, Pools: pools, Targets: targets}
+}
+
+// oracle says in the plainest way whether a note of drawNote fits: it edits copies of
+// the maps and looks at everything.
+func oracle(s *yuccastate.State, note yuccastate.Note) bool {
+	ok := true
+	pools := plainly(s.Pools, note.Added.Pools, note.Changed.Pools, note.Withdrawn.Pools, &ok)
+	targets := plainly(s.Targets, note.Added.Targets, note.Changed.Targets, note.Withdrawn.Targets, &ok)
+	accounts := plainly(s.Accounts, note.Added.Accounts, note.Changed.Accounts, note.Withdrawn.Accounts, &ok)
+	centres := plainly(s.Centres, note.Added.Centres, nil, nil, &ok)
+	tiers := plainly(s.Tiers, note.Added.Tiers, nil, nil, &ok)
+	addresses, credentials := map[string]bool{}, map[yuccaid.Digest]bool{}
+	for _, tgt := range targets {
+		pool, known := pools[tgt.Pool]
+		_, placed := centres[tgt.Centre]
+		rated := tgt.Prefill > 0 && tgt.Decode > 0
+		ok = ok && known && placed && !addresses[tgt.Address] && (rated || pool.Kind != yuccastate.PoolModel)
+		addresses[tgt.Address] = true
+	}
+	for _, acc := range accounts {
+		ok = ok && !credentials[acc.Credential]
+		credentials[acc.Credential] = true
+		for _, tier := range acc.Tiers {
+			_, known := tiers[tier]
+			ok = ok && known
+		}
+		for _, pool := range acc.Pools {
+			_, known := pools[pool]
+			ok = ok && known
+		}
+		for _, name := range acc.Targets {
+			tgt, known := targets[name]
+			ok = ok && known && slices.Contains(acc.Pools, tgt.Pool)
+		}
+	}
+	return ok
+}
+
+func plainly[K ~string, V any](old, added, changed map[K]V, dropped []K, ok *bool) map[K]V {
+	now, mentions := map[K]V{}, map[K]int{}
+	maps.Copy(now, old)
+	mention := func(name K, must bool) {
+		_, exists := old[name]
+		mentions[name]++
+		*ok = *ok && exists == must && mentions[name] == 1
+	}
+	for _, name := range dropped {
+		mention(name, true)
+		delete(now, name)
+	}
+	for name, object := range added {
+		mention(name, false)
+		now[name] = object
+	}
+	for name, object := range changed {
+		mention(name, true)
+		now[name] = object
+	}
+	return now
+}
