Only the outer error says whether a request ran; lengths are checked before decoding

Cause: errors.As looked into the cause of a lost answer, where an unsent or refused resume may stand, and called it not run; and a frame of a few bytes from a stranger could announce billions of elements and end the daemon. Ruled out: unwrapping less in the client (the cause is wanted in logs); a smaller frame limit (the harm is in the announced length, not in the frame's). Conclusion: notRun is said by type, once, at one place.

--- a/core/yuccaid/incarnation.go
+++ b/core/yuccaid/incarnation.go
@@ -43,3 +43,22 @@
 	}
 	return Incarnation{VM: VM(vm), Nonce: nonce}, nil
 }
+
+// MarshalText writes the form of String, also as the value in JSON and msgpack.
+func (inc Incarnation) MarshalText() ([]byte, error) {
+	if inc.IsZero() {
+		return nil, nil
+	}
+	return []byte(inc.String()), nil
+}
+
+// UnmarshalText reads what MarshalText writes.
+func (inc *Incarnation) UnmarshalText(text []byte) error {
+	if len(text) == 0 {
+		*inc = Incarnation{}
+		return nil
+	}
+	parsed, err := ParseIncarnation(string(text))
+	*inc = parsed
+	return err
+}
--- a/core/yuccastate/bound.go
+++ b/core/yuccapack/bound.go
@@ -1,4 +1,4 @@
-package yuccastate
+package yuccapack
 
 import (
 	"encoding/binary"
@@ -7,19 +7,20 @@
 	"github.com/vmihailenco/msgpack/v5/msgpcode"
 )
 
-// deepest is more than any snapshot nests.
+// deepest is more than any message nests.
 const deepest = 16
 
-var errLength = errors.New("a length exceeds what follows")
+// ErrLength says that a value announces more than follows it.
+var ErrLength = errors.New("a length exceeds what follows: send the value again")
 
-// bounded checks that msgpack's lengths fit into the bytes that follow. The decoder
-// makes room for what a length announces before it reads on: a damaged snapshot of a
-// few bytes would announce billions of keys and end the process for lack of memory,
-// with every request that it holds.
-func bounded(raw []byte) error {
+// ErrTrailing says that bytes follow a value.
+var ErrTrailing = errors.New("bytes follow the value: send one value only")
+
+// Check reports whether raw is one msgpack value whose lengths fit into its bytes.
+func Check(raw []byte) error {
 	rest, err := skip(raw, deepest)
 	if err == nil && len(rest) > 0 {
-		return errors.New("bytes follow")
+		return ErrTrailing
 	}
 	return err
 }
@@ -27,7 +28,7 @@
 // skip returns what follows one value.
 func skip(raw []byte, depth int) ([]byte, error) {
 	if len(raw) == 0 || depth == 0 {
-		return nil, errLength
+		return nil, ErrLength
 	}
 	code, rest := raw[0], raw[1:]
 	switch {
@@ -57,7 +58,7 @@
 	}
 	width, known := lengthWidths[code]
 	if !known || len(raw) < width {
-		return nil, errLength
+		return nil, ErrLength
 	}
 	var padded [8]byte
 	copy(padded[8-width:], raw)
@@ -92,7 +93,7 @@
 
 func cut(raw []byte, length uint64) ([]byte, error) {
 	if length > uint64(len(raw)) {
-		return nil, errLength
+		return nil, ErrLength
 	}
 	return raw[length:], nil
 }
--- /dev/null
+++ b/core/yuccapack/bound_test.go
@@ -0,0 +1,38 @@
+package yuccapack_test
+
+import (
+	"errors"
+	"testing"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"yuccacleat/core/yuccapack"
+)
+
+// Damaged bytes reach a decoder. What passes the check must never announce more than
+// is there, or a few bytes end a process for lack of memory.
+func FuzzCheck(f *testing.F) {
+	for _, value := range []any{1, "text", []int{1, 2}, map[string]int{"a": 1}, nil, 2.5, []byte("x")} {
+		raw, err := msgpack.Marshal(value)
+		if err != nil {
+			f.Fatal(err)
+		}
+		if err := yuccapack.Check(raw); err != nil {
+			f.Fatalf("%v: %v", value, err)
+		}
+		f.Add(raw)
+	}
+	for _, hostile := range [][]byte{{0xdd, 0xff, 0xff, 0xff, 0xff}, {0xdf, 0xff, 0xff, 0xff, 0xff}, {0xc6, 0xff, 0xff, 0xff, 0xff}, {}} {
+		if !errors.Is(yuccapack.Check(hostile), yuccapack.ErrLength) {
+			f.Fatalf("% x was let through", hostile)
+		}
+		f.Add(hostile)
+	}
+	f.Fuzz(func(_ *testing.T, raw []byte) {
+		if yuccapack.Check(raw) != nil {
+			return
+		}
+		var value any
+		_ = msgpack.Unmarshal(raw, &value)
+	})
+}
--- a/core/yuccastate/codec.go
+++ b/core/yuccastate/codec.go
@@ -9,6 +9,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"yuccacleat/core/yuccaid"
+	"yuccacleat/core/yuccapack"
 )
 
 // snapshotForm is raised whenever the encoding changes, so that a daemon of another
@@ -168,7 +169,7 @@
 // decode refuses trailing bytes and unknown fields: both mean that the sender wrote
 // something that would be lost here in silence.
 func decode(raw []byte, into any) error {
-	if err := bounded(raw); err != nil {
+	if err := yuccapack.Check(raw); err != nil {
 		return err
 	}
 	dec := msgpack.NewDecoder(bytes.NewReader(raw))
--- a/io/yuccadaemon/dispatch.go
+++ b/io/yuccadaemon/dispatch.go
@@ -145,9 +145,9 @@
 	relay := relay{daemon: d, run: r}
 	end, err := d.targets.Run(ctx, call, relay.piece)
 	d.control.post(func(now time.Time) { d.returnedFrom(now, r, end, err, relay.pieces) })
-	var broken *yuccatarget.BrokenError
-	var unsent *yuccatarget.UnsentError
-	if errors.As(err, &broken) || (ctx.Err() != nil && !errors.As(err, &unsent)) {
+	_, broken := err.(*yuccatarget.BrokenError)
+	_, unsent := err.(*yuccatarget.UnsentError)
+	if broken || (ctx.Err() != nil && !unsent) {
 		d.cancelAt(call)
 	}
 }
@@ -213,29 +213,33 @@
 }
 
 // resultOf turns what is known after a call into what may be said of it.
+//
+// Only the outer error counts: an answer that was lost may have an unsent resume as
+// its cause, and calling that "not run" would have its caller run it a second time.
 func resultOf(r *run, end yuccatarget.End, err error, pieces int) yuccaonce.Result {
-	if err == nil {
+	switch failed := err.(type) {
+	case nil:
 		return yuccaonce.Result{Run: yuccaonce.Ran, Pieces: end.Pieces, Hash: end.Hash}
-	}
-	var unsent *yuccatarget.UnsentError
-	var refused *yuccatarget.RefusedError
-	var leaving *yuccatarget.LeavingError
-	var broken *yuccatarget.BrokenError
-	var cancelled *yuccatarget.CancelledError
-	switch {
-	case errors.As(err, &unsent):
+	case *yuccatarget.UnsentError:
 		return yuccaonce.Result{Run: yuccaonce.NotRun, Reason: yuccaonce.ReasonUnsent, Back: time.Second}
-	case errors.As(err, &refused):
-		return yuccaonce.Result{Run: yuccaonce.NotRun, Reason: yuccaonce.ReasonRefusedByTarget, Back: refused.Back}
-	case errors.As(err, &leaving):
+	case *yuccatarget.RefusedError:
+		return yuccaonce.Result{Run: yuccaonce.NotRun, Reason: yuccaonce.ReasonRefusedByTarget, Back: failed.Back}
+	case *yuccatarget.LeavingError:
 		return yuccaonce.Result{Run: yuccaonce.NotRun, Reason: yuccaonce.ReasonTargetLeaving, Back: time.Second}
-	case r.preempted != "":
+	}
+	if r.preempted != "" && pieces > 0 {
 		return yuccaonce.Result{Run: yuccaonce.Ran, Reason: r.preempted, Pieces: pieces, Partial: true, Back: r.back}
-	case errors.As(err, &cancelled):
+	}
+	switch err.(type) {
+	case *yuccatarget.CancelledError:
 		return yuccaonce.Result{Run: yuccaonce.Ran, Reason: yuccaonce.ReasonCancelled, Pieces: pieces, Partial: true}
-	case errors.As(err, &broken):
+	case *yuccatarget.BrokenError:
 		return yuccaonce.Result{Run: yuccaonce.Ran, Reason: yuccaonce.ReasonBroken, Pieces: pieces, Partial: true}
 	}
+	if r.preempted != "" {
+		// Cancelled before the first piece: the target may not even have begun.
+		return yuccaonce.Result{Run: yuccaonce.Unknown, Reason: r.preempted, Back: r.back}
+	}
 	return yuccaonce.Result{Run: yuccaonce.Unknown, Reason: yuccaonce.ReasonTargetLost, Pieces: pieces, Partial: pieces > 0}
 }
 
--- a/io/yuccadaemon/member.go
+++ b/io/yuccadaemon/member.go
@@ -16,7 +16,6 @@
 func (d *Daemon) onUp(member yuccapeer.Member) {
 	d.control.post(func(now time.Time) {
 		d.onChange(now, d.peers.Linked(now, member))
-		_ = d.send(member.Incarnation, yuccawire.KindRoster, roster{Listings: d.peers.Roster()})
 		d.resync(now, member.Incarnation)
 	})
 }
@@ -59,6 +58,9 @@
 	for _, beat := range change.Beats {
 		d.sendBeat(beat)
 	}
+	for _, peer := range change.Rosters {
+		_ = d.send(peer, yuccawire.KindRoster, roster{Listings: d.peers.Roster()})
+	}
 	if !change.Behind.Peer.IsZero() {
 		d.pull(now, change.Behind)
 	}
--- a/io/yuccawire/frame.go
+++ b/io/yuccawire/frame.go
@@ -8,6 +8,8 @@
 	"math"
 
 	"github.com/vmihailenco/msgpack/v5"
+
+	"yuccacleat/core/yuccapack"
 )
 
 const (
@@ -72,6 +74,9 @@
 // Decode reads the frame's body into a message. Fields that the message doesn't know
 // are passed over, so that a newer peer may add some.
 func (frame Frame) Decode(into any) error {
+	if err := yuccapack.Check(frame.Body); err != nil {
+		return &GarbledError{Kind: frame.Kind, Cause: err}
+	}
 	dec := msgpack.GetDecoder()
 	defer msgpack.PutDecoder(dec)
 	in := bytes.NewReader(frame.Body)
