A wrong second submit never calls not run what has run

Cause: a submit that names an unknown tier, a body too large, a missing secret or a daemon without configuration was answered notRun before the owner had looked at the id. A caller who came back with an id that had run was told that it hadn't, and would have opened a new request.

The owner now tells what became of the id, and closes one that was never submitted; before it was asked, a call that names an id is told unknown. The witness takes an error that says 'ran' for what it is, no answer.

--- a/cmd/yuccacleat/witness_test.go
+++ b/cmd/yuccacleat/witness_test.go
@@ -24,17 +24,18 @@
 	run     yuccaonce.Run
 	reason  yuccaonce.Reason
 	partial bool
-	// read says that the text was read, and broken that the caller could see that it
-	// is not whole.
-	read   bool
-	broken bool
-	pieces int
-	data   string
+	// read says that the text was read, broken that the caller could see that it is
+	// not whole, and refused that an error came in its place.
+	read    bool
+	broken  bool
+	refused bool
+	pieces  int
+	data    string
 }
 
 // whole reports whether the caller holds the answer for good.
 func (tell telling) whole() bool {
-	return tell.run == yuccaonce.Ran && !tell.partial && !tell.broken
+	return tell.run == yuccaonce.Ran && !tell.partial && !tell.broken && !tell.refused
 }
 
 // told turns what the client returned into what its caller knows by it.
@@ -42,7 +43,7 @@
 	tell := telling{id: id, by: by}
 	var refused *yuccacaller.RefusedError
 	if errors.As(err, &refused) {
-		tell.run, tell.reason = refused.Run, refused.Reason
+		tell.refused, tell.run, tell.reason = true, refused.Run, refused.Reason
 		return tell
 	}
 	tell.broken = err != nil
--- a/io/yuccadaemon/owner.go
+++ b/io/yuccadaemon/owner.go
@@ -75,7 +75,7 @@
 func (d *Daemon) submitOwn(id yuccaid.RequestText, acc yuccaid.Account, req Request) (*Answer, error) {
 	state := d.State()
 	if prob := req.check(state, acc); prob != nil {
-		return nil, prob
+		return nil, d.wrong(id, acc, prob)
 	}
 	claim := req.claim(state, acc)
 	ask := req.ask(state, claim)
@@ -88,6 +88,19 @@
 	return answer, err
 }
 
+// wrong says of a refused submit what became of its id, which an earlier submit may
+// have run: its caller would otherwise open a new request and run it twice. An id that
+// was never submitted is closed with it.
+func (d *Daemon) wrong(id yuccaid.RequestText, acc yuccaid.Account, prob *Problem) *Problem {
+	prob.Run = yuccaonce.Unknown
+	d.control.call(func(now time.Time) {
+		if outcome, err := d.owner.Outcome(now, id, acc); err == nil {
+			prob.Run = outcome.Run
+		}
+	})
+	return prob
+}
+
 // full refuses what would take the daemon's memory. Prompts stay here until their
 // answer is whole, so a burst of rulebooks would otherwise end the process, and with
 // it every request it owns as unknown.
--- a/io/yuccaweb/caller.go
+++ b/io/yuccaweb/caller.go
@@ -146,18 +146,27 @@
 	return yuccaid.RequestText(c.Param("id"))
 }
 
+// unseen is what may be said of a call before its request's owner has seen it. One that
+// names an id may be about a request that has run, and then not run would be a lie.
+func unseen(c echo.Context) yuccaonce.Run {
+	if c.Param("id") != "" {
+		return yuccaonce.Unknown
+	}
+	return yuccaonce.NotRun
+}
+
 // account finds who calls by the secret; only its digest stands in the configuration.
 func (web *Caller) account(c echo.Context) (yuccaid.Account, error) {
 	secret, bearer := strings.CutPrefix(c.Request().Header.Get(echo.HeaderAuthorization), "Bearer ")
 	if !bearer {
-		return "", &yuccadaemon.Problem{Kind: yuccadaemon.KindCredential, Run: yuccaonce.NotRun}
+		return "", &yuccadaemon.Problem{Kind: yuccadaemon.KindCredential, Run: unseen(c)}
 	}
 	acc, known := web.daemon.State().AccountOf(secret)
 	if !known && !web.daemon.Ready() {
-		return "", &yuccadaemon.Problem{Kind: yuccadaemon.KindNotReady, Run: yuccaonce.NotRun}
+		return "", &yuccadaemon.Problem{Kind: yuccadaemon.KindNotReady, Run: unseen(c)}
 	}
 	if !known {
-		return "", &yuccadaemon.Problem{Kind: yuccadaemon.KindCredential, Run: yuccaonce.NotRun}
+		return "", &yuccadaemon.Problem{Kind: yuccadaemon.KindCredential, Run: unseen(c)}
 	}
 	return acc, nil
 }
@@ -170,10 +179,10 @@
 	req, err := decodeRequest(limited)
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
-		return req, &yuccadaemon.Problem{Kind: yuccadaemon.KindTooLarge, Run: yuccaonce.NotRun}
+		return req, &yuccadaemon.Problem{Kind: yuccadaemon.KindTooLarge, Run: unseen(c)}
 	}
 	if err != nil {
-		return req, &yuccadaemon.Problem{Kind: yuccadaemon.KindMalformed, Detail: err.Error(), Run: yuccaonce.NotRun}
+		return req, &yuccadaemon.Problem{Kind: yuccadaemon.KindMalformed, Detail: err.Error(), Run: unseen(c)}
 	}
 	_ = http.NewResponseController(c.Response()).SetReadDeadline(time.Time{})
 	return req, nil
