--- a/core/yuccatrial/deployment.go
+++ b/core/yuccatrial/deployment.go
@@ -102,6 +102,11 @@
 	}
 )
 
+// Deployments returns all of them, by growing size.
+func Deployments() []Deployment {
+	return []Deployment{Hotline(), Desk(), Aimed()}
+}
+
 // Hotline has short urgent notes on transcripts, long handovers and bulk letters: 12
 // drafting replicas and 3 ticket services in three regions.
 func Hotline() Deployment {
--- a/core/yuccatrial/table.go
+++ b/core/yuccatrial/table.go
@@ -41,6 +41,44 @@
 	return text.String()
 }
 
+// figure is a measure of which more is better, with its name.
+type figure struct {
+	name string
+	of   func(res *Result) float64
+}
+
+// judged are the figures that the leaders are to be better in than every baseline.
+var judged = []figure{
+	{"urgent goodput", func(res *Result) float64 { return res.TierGoodput(0) }},
+	{"goodput", (*Result).Goodput},
+	{"waste", func(res *Result) float64 { return -res.WasteShare() }},
+}
+
+// Losses names, a line each, the figures in which a policy of another kind is better
+// than the leaders by more than the tolerance, a part of the whole.
+func Losses(results []Result, tolerance float64) string {
+	var text strings.Builder
+	for i := range results {
+		lead := &results[i]
+		if lead.Policy != leadersName {
+			continue
+		}
+		for j := range results {
+			other := &results[j]
+			if other.Scenario != lead.Scenario || other.Seed != lead.Seed || other.Policy == BoundName {
+				continue
+			}
+			for _, fig := range judged {
+				if behind := fig.of(other) - fig.of(lead); behind > tolerance {
+					fmt.Fprintf(&text, "%s, seed %d: %s of %s is better by %s\n",
+						lead.Scenario, lead.Seed, fig.name, other.Policy, percent(behind))
+				}
+			}
+		}
+	}
+	return text.String()
+}
+
 func boundOf(results []Result, scenario string) *Result {
 	for i := range results {
 		if results[i].Scenario == scenario && results[i].Policy == BoundName {
