yuccatrial: messages behind a cut are lost for good, and owners there are given up

What an owner behind the cut had been granted was never given back, so the far leader counted its targets as full for the longest run. Change: three seconds into a cut each leader drops the owners behind it and they count their asks there as refused; answers wait behind the cut as well. Conclusion: a daemon has to do the same when a link goes down.

--- a/core/yuccatrial/catalog.go
+++ b/core/yuccatrial/catalog.go
@@ -89,4 +89,7 @@
 			pool.cut = cut
 		}
 	}
+	for _, pool := range tri.pools {
+		call(pool.hooks.Cut)
+	}
 }
--- a/core/yuccatrial/design.go
+++ b/core/yuccatrial/design.go
@@ -123,7 +123,7 @@
 func (st *seat) hooks() Hooks {
 	return Hooks{
 		Readers: 1, Arrive: st.arrive, FirstToken: st.firstToken, Progress: st.progress, Ended: st.ended,
-		Gone: st.gone, Report: st.report, Cache: st.cache, Tick: st.tick, Lose: st.lose,
+		Gone: st.gone, Report: st.report, Cache: st.cache, Tick: st.tick, Lose: st.lose, Cut: st.severed,
 	}
 }
 
@@ -167,6 +167,33 @@
 	})
 }
 
+// severed gives up on owners behind a cut once it is seen. Their messages are lost for
+// good, so what they had granted would fill the targets here, in the leader's view,
+// for the longest run; and they would wait for grants that can't arrive.
+func (st *seat) severed() {
+	st.pool.After(detectAfter, func() {
+		for _, peer := range st.pool.peers {
+			if st.pool.severed(peer) {
+				st.dropOwners(peer)
+			}
+		}
+		st.prune()
+		for _, req := range slices.Clone(st.live) {
+			if st.pool.severed(req.home) {
+				st.refuse(req, yuccapool.Refusal{ID: req.ID})
+			}
+		}
+	})
+}
+
+func (st *seat) dropOwners(peer *Pool) {
+	for _, inc := range peer.daemons {
+		if st.lead != nil {
+			st.apply(st.lead.OwnerGone(st.pool.Now(), inc))
+		}
+	}
+}
+
 // remember lists a request, and drops those that ended once the list has doubled.
 func (st *seat) remember(req *Request) {
 	if len(st.live) > 2*st.looked+100 {
@@ -227,7 +254,7 @@
 	for st.spill && req.tried < len(req.home.peers) {
 		peer := req.home.peers[req.tried]
 		req.tried++
-		if !peer.cut && !req.home.cut {
+		if !peer.severed(req.home) {
 			st.seats[peer].offer(req)
 			return true
 		}
--- a/core/yuccatrial/policy.go
+++ b/core/yuccatrial/policy.go
@@ -27,6 +27,7 @@
 	Cache      func(event yuccapool.CacheEvent)
 	Tick       func()
 	Lose       func() // the process that leads the pool dies
+	Cut        func() // the data centre, or another one, was cut off
 }
 
 // Pool is the targets of one model or plain service in one data centre, and the
@@ -75,10 +76,14 @@
 func (pool *Pool) sendTo(peer *Pool, message any, do func()) {
 	pool.trial.count(message, 1)
 	delay := pool.delayTo(peer)
-	if peer != pool && (pool.cut || peer.cut) {
-		return
+	if !pool.severed(peer) {
+		pool.agenda.after(delay, do)
 	}
-	pool.agenda.after(delay, do)
+}
+
+// severed reports whether nothing passes between two data centres.
+func (pool *Pool) severed(peer *Pool) bool {
+	return peer != pool && (pool.cut || peer.cut)
 }
 
 func (pool *Pool) delayTo(peer *Pool) time.Duration {
@@ -124,7 +129,14 @@
 	pool.trial.stop(req, preempted)
 }
 
+// resumeEvery is how often an owner tries to fetch an answer from behind a cut.
+const resumeEvery = time.Second
+
 func (pool *Pool) finished(req *Request) {
+	if pool.severed(req.home) {
+		pool.agenda.after(resumeEvery, func() { pool.finished(req) })
+		return
+	}
 	pool.agenda.after(req.home.delayTo(pool), func() {
 		if req.fate != pending {
 			return
--- a/core/yuccatrial/trial.go
+++ b/core/yuccatrial/trial.go
@@ -119,7 +119,7 @@
 func (tri *trial) stop(req *Request, why fate) {
 	tri.end(req, why)
 	tri.agenda.after(nearDelay, func() {
-		if req.job != nil {
+		if req.job != nil && !req.home.severed(req.engine.pool) {
 			req.engine.cancel(req)
 		}
 		req.home.ended(req)
