--- a/io/yuccadaemon/config.go
+++ b/io/yuccadaemon/config.go
@@ -32,9 +32,13 @@
 func (d *Daemon) watchNotes(ctx context.Context) {
 	_ = d.platform.Follow(ctx, yuccastate.NotePrefix, func(page yuccaplat.Page) {
 		d.metrics.platformHeard.Store(time.Now().UnixNano())
+		notes := make([]yuccastate.Published, 0, len(page.Entries))
+		for _, entry := range page.Entries {
+			notes = append(notes, yuccastate.ReadNote(entry.Key, entry.Value))
+		}
 		d.control.post(func(now time.Time) {
-			for _, entry := range page.Entries {
-				d.takeNote(now, entry.Key, entry.Value, "platform")
+			for _, note := range notes {
+				d.takeNote(now, note, "platform")
 			}
 			if !page.More {
 				d.heardOf()
@@ -51,9 +55,9 @@
 }
 
 // takeNote offers a published note to the chain and puts an accepted one in force.
-func (d *Daemon) takeNote(now time.Time, key string, raw []byte, source string) {
+func (d *Daemon) takeNote(now time.Time, note yuccastate.Published, source string) {
 	before := d.chain.State()
-	verdict, _ := d.chain.Offer(now, key, raw)
+	verdict, _ := d.chain.Take(now, note)
 	d.auditChain(verdict.Entries, source)
 	d.adopt(now, before)
 }
@@ -125,11 +129,19 @@
 	_ = d.send(from, yuccawire.KindNotes, notes)
 }
 
-func (d *Daemon) onNotes(now time.Time, notes yuccawire.Notes) {
-	for _, note := range notes.Notes {
-		d.takeNote(now, yuccastate.NoteKey(note.Number), note.Raw, "peer")
+// readNotes reads a peer's notes on the connection's goroutine: a note of a megabyte
+// takes long enough to hold up every decision of control.
+func (d *Daemon) readNotes(message yuccawire.Notes) {
+	notes := make([]yuccastate.Published, 0, len(message.Notes))
+	for _, note := range message.Notes {
+		notes = append(notes, yuccastate.ReadNote(yuccastate.NoteKey(note.Number), note.Raw))
 	}
-	d.heardOf()
+	d.control.post(func(now time.Time) {
+		for _, note := range notes {
+			d.takeNote(now, note, "peer")
+		}
+		d.heardOf()
+	})
 }
 
 func (d *Daemon) sendSnapshot(to yuccaid.Incarnation) {
@@ -156,7 +168,7 @@
 	next   int
 }
 
-func (d *Daemon) onSnapshot(now time.Time, message yuccawire.Snapshot) {
+func (d *Daemon) onSnapshot(message yuccawire.Snapshot) {
 	if message.Part == 0 {
 		d.snapshot = snapshot{number: message.Number, digest: message.Digest}
 	}
@@ -168,18 +180,23 @@
 	if d.snapshot.next < message.Parts {
 		return
 	}
-	d.takeSnapshot(now)
-}
-
-func (d *Daemon) takeSnapshot(now time.Time) {
 	taken := d.snapshot
 	d.snapshot = snapshot{}
+	d.workers.Add(1)
+	go func() {
+		defer d.workers.Done()
+		d.readSnapshot(taken)
+	}()
+}
+
+// readSnapshot decodes a whole configuration beside control, which it would hold up.
+func (d *Daemon) readSnapshot(taken snapshot) {
 	state, err := yuccastate.DecodeState(taken.raw)
 	if err != nil {
 		d.log.problem("configuration from a peer", err)
 		return
 	}
-	d.takeState(now, state, taken.digest, "peer")
+	d.control.post(func(now time.Time) { d.takeState(now, state, taken.digest, "peer") })
 }
 
 // takeState puts a whole configuration in force if it is higher than the accepted one.
--- a/io/yuccadaemon/frames.go
+++ b/io/yuccadaemon/frames.go
@@ -12,6 +12,12 @@
 // onFrame takes one control message from a proven peer; the work waits its turn on
 // the control goroutine, so messages of one peer keep their order.
 func (d *Daemon) onFrame(from yuccaid.Incarnation, frame yuccawire.Frame) {
+	if frame.Kind == yuccawire.KindNotes {
+		if err := decoded(frame, d.readNotes); err != nil {
+			d.log.problem("message from "+from.String(), err)
+		}
+		return
+	}
 	d.control.post(func(now time.Time) {
 		if err := d.handle(now, from, frame); err != nil {
 			d.log.problem("message from "+from.String(), err)
@@ -50,10 +56,8 @@
 		return decoded(frame, func(message yuccawire.NotLeader) { d.onNotLeader(now, d.unref(d.self.Incarnation, message.Ref)) })
 	case yuccawire.KindNotePull:
 		return decoded(frame, func(message yuccawire.NotePull) { d.onNotePull(from, message) })
-	case yuccawire.KindNotes:
-		return decoded(frame, func(message yuccawire.Notes) { d.onNotes(now, message) })
 	case yuccawire.KindSnapshot:
-		return decoded(frame, func(message yuccawire.Snapshot) { d.onSnapshot(now, message) })
+		return decoded(frame, func(message yuccawire.Snapshot) { d.onSnapshot(message) })
 	}
 	return nil
 }
