--- a/core/yuccatrial/plot.go
+++ b/core/yuccatrial/plot.go
@@ -40,7 +40,7 @@
 	return []Measure{
 		{Name: "goodput, all tiers", Of: (*Result).Goodput},
 		{Name: "goodput, urgent", Of: func(res *Result) float64 { return res.TierGoodput(0) }},
-		{Name: "wasted prefill by needed", Of: (*Result).WasteShare},
+		{Name: "wasted prefill by offered", Of: (*Result).WasteShare},
 	}
 }
 
--- a/core/yuccatrial/result.go
+++ b/core/yuccatrial/result.go
@@ -36,7 +36,7 @@
 	Back      Comeback
 
 	Waste      Waste
-	Needed     yuccaid.Tokens // prompt tokens computed that were no waste
+	Own        yuccaid.Tokens // prompt tokens of all offered requests that no other shares
 	Messages   int
 	Bytes      yuccaid.Bytes
 	CrossBytes yuccaid.Bytes
@@ -69,9 +69,11 @@
 	return 0
 }
 
-// WasteShare is the wasted prompt tokens as a share of the needed ones.
+// WasteShare is the wasted prompt tokens by the prompt tokens that were offered and no
+// other request shares. The latter are the same for every policy. By the tokens that a
+// policy needed itself, one that serves long prompts only would seem thrifty.
 func (res *Result) WasteShare() float64 {
-	return ratio(res.Waste.Total(), res.Needed)
+	return ratio(res.Waste.Total(), res.Own)
 }
 
 func ratio[T int | yuccaid.Tokens](part, whole T) float64 {
@@ -86,6 +88,7 @@
 	for _, req := range requests {
 		if !req.comeback {
 			res.tier(req).Offered++
+			res.Own += req.Prompt - req.Shared
 		}
 	}
 	slices.SortFunc(res.Tiers, func(a, b TierResult) int { return cmp.Compare(a.Rank, b.Rank) })
@@ -147,7 +150,6 @@
 	case served:
 		res.Waste.Evicted += req.job.again.evicted
 		res.Waste.Elsewhere += req.job.again.elsewhere
-		res.Needed += req.job.computed - req.job.again.evicted - req.job.again.elsewhere
 	case preempted:
 		res.Waste.Cancelled += req.job.computed
 	default:
--- a/core/yuccatrial/table.go
+++ b/core/yuccatrial/table.go
@@ -27,7 +27,7 @@
 
 // Table sets results out as text. Shares are in per cent: told is the share of the
 // not served that were told before the deadline, at the part of their time that had
-// passed then, waste is of the needed prompt tokens, back is the share of those who
+// passed then, waste is of the offered prompt tokens that no other shares, back is the share of those who
 // came back when told to that were served. Causes of waste are in thousands of tokens,
 // messages and bytes are control traffic for each request, cross is in megabytes.
 func Table(results []Result) string {
