Room even for a long answer, until the last moment

Cause: urgent and normal requests were granted where only a short answer would be in time, and ended late with their prefill and answer lost.

--- a/core/yuccaplace/choose.go
+++ b/core/yuccaplace/choose.go
@@ -16,8 +16,9 @@
 	Found Verdict = iota
 	// NoRoom says that no target of the set has room.
 	NoRoom
-	// TooLate says that those with room can't meet the deadline.
-	TooLate
+	// Unsuited says that those with room can't meet the deadline, or not without harm to
+	// others; another request may still use that room.
+	Unsuited
 	// Better says that a target without room now is worth waiting for.
 	Better
 )
@@ -63,13 +64,10 @@
 			continue
 		}
 		choice := fleet.estimate(now, node, shape, deepest, node.company(now))
-		if now.Add(choice.Finish).After(shape.Deadline) {
-			if verdict == NoRoom {
-				verdict = TooLate
-			}
-			continue
+		if verdict == NoRoom {
+			verdict = Unsuited
 		}
-		if choice.cost >= best.cost || fleet.spoils(now, node, shape, &choice) {
+		if choice.late(now, shape) || choice.cost >= best.cost || fleet.spoils(now, node, shape, &choice) {
 			continue
 		}
 		verdict = Found
@@ -120,6 +118,17 @@
 	return least
 }
 
+// late reports whether the request is likely to miss its deadline. Until its last
+// moment it wants room even for a long answer: what ends late has cost the target its
+// prefill and its answer, and nobody gets anything for it.
+func (choice *Choice) late(now time.Time, shape *Shape) bool {
+	finish := choice.Finish
+	if !shape.Urgent {
+		finish = max(finish, choice.high)
+	}
+	return now.Add(finish).After(shape.Deadline)
+}
+
 // longRoom reports whether a long prompt may only join targets that already work on
 // one, because the others are kept for short requests. It counts over the whole fleet:
 // counted over each set of targets, a long prompt of a lower tier could find room in
--- a/core/yuccapool/decide.go
+++ b/core/yuccapool/decide.go
@@ -153,7 +153,7 @@
 	switch verdict {
 	case yuccaplace.NoRoom:
 		return yuccaqueue.NoRoom
-	case yuccaplace.TooLate, yuccaplace.Better:
+	case yuccaplace.Unsuited, yuccaplace.Better:
 		return yuccaqueue.NotHere
 	default:
 		lead.grant(lead.start(now, item.Ask, choice, item.Deadline), dec)
