--- a/core/yuccatrial/trial_test.go
+++ b/core/yuccatrial/trial_test.go
@@ -14,39 +14,73 @@
 	Expect(yuccatrial.Run(4, scn, yuccatrial.Leaders(4))).NotTo(Equal(first))
 })
 
-// shedPart allows for requests that are given up while the cancel of a lower one is on
-// its way.
-const shedPart = 30
+// seeds are several, since one minute of one seed says little: a change of policy
+// moves it by three points either way.
+const seeds = 3
 
-// The bounds lie three points below, and for waste six above, what was measured when
-// they were set. The load rises or a target fails, and some requests can't be served in time. Callers
-// of the urgent tier see it first if the order is wrong.
+// mean is what a policy reached over all seeds.
+type mean struct{ urgent, all, waste, shed float64 }
+
+func meanOf(scn yuccatrial.Scenario, bounds []yuccatrial.Result, policy func(seed uint64) yuccatrial.Policy) mean {
+	var sum mean
+	for i, bound := range bounds {
+		seed := uint64(i)
+		res := yuccatrial.Run(seed, scn, policy(seed))
+		Expect(res.TierGoodput(0)).To(BeNumerically("<=", bound.TierGoodput(0)), res.Policy)
+		Expect(res.Goodput()).To(BeNumerically("<=", bound.Goodput()), res.Policy)
+		sum.urgent += res.TierGoodput(0) / seeds
+		sum.all += res.Goodput() / seeds
+		sum.waste += res.WasteShare() / seeds
+		sum.shed += float64(res.Shed) / float64(res.Offered()) / seeds
+	}
+	return sum
+}
+
+func boundsOf(scn yuccatrial.Scenario) []yuccatrial.Result {
+	var bounds []yuccatrial.Result
+	for seed := range uint64(seeds) {
+		bounds = append(bounds, yuccatrial.Bound(seed, scn))
+	}
+	return bounds
+}
+
+// shedShare allows for requests that are given up while the cancel of a lower one is
+// on its way.
+const shedShare = 0.01
+
+// The load rises or a target fails, and some requests can't be served in time. Callers
+// of the urgent tier see it first if the order is wrong. The bounds lie three points
+// from what was measured when they were set, in per cent, and for waste a tenth more.
 var _ = DescribeTable("the leaders against the bound and the baselines",
 	func(dep yuccatrial.Deployment, name string, urgent, all, waste float64) {
 		scn := short(dep, name)
-		bound := yuccatrial.Bound(1, scn)
-		res := yuccatrial.Run(1, scn, yuccatrial.Leaders(1))
-		Expect(res.TierGoodput(0)).To(BeNumerically(">=", urgent))
-		Expect(res.Goodput()).To(BeNumerically(">=", all))
-		Expect(res.WasteShare()).To(BeNumerically("<=", waste))
-		Expect(res.Shed).To(BeNumerically("<=", res.Offered()/shedPart))
-		for _, other := range append(baselines(scn)[:3], res) {
-			Expect(other.TierGoodput(0)).To(BeNumerically("<=", bound.TierGoodput(0)), other.Policy)
-			Expect(other.Goodput()).To(BeNumerically("<=", bound.Goodput()), other.Policy)
-			Expect(res.TierGoodput(0)).To(BeNumerically(">=", other.TierGoodput(0)), other.Policy)
-			Expect(res.Goodput()).To(BeNumerically(">=", other.Goodput()), other.Policy)
+		bounds := boundsOf(scn)
+		lead := meanOf(scn, bounds, yuccatrial.Leaders)
+		Expect(100 * lead.urgent).To(BeNumerically(">=", urgent))
+		Expect(100 * lead.all).To(BeNumerically(">=", all))
+		Expect(100 * lead.waste).To(BeNumerically("<=", waste))
+		Expect(lead.shed).To(BeNumerically("<=", shedShare))
+		for _, policy := range []func(uint64) yuccatrial.Policy{
+			func(uint64) yuccatrial.Policy { return yuccatrial.RoundRobin() },
+			func(uint64) yuccatrial.Policy { return yuccatrial.LeastOutstanding() },
+			yuccatrial.PowerOfTwo,
+		} {
+			other := meanOf(scn, bounds, policy)
+			Expect(lead.urgent).To(BeNumerically(">=", other.urgent))
+			Expect(lead.all).To(BeNumerically(">=", other.all))
+			Expect(lead.waste).To(BeNumerically("<=", other.waste))
 		}
 	},
-	Entry("hotline, usual", yuccatrial.Hotline(), "usual", 0.96, 0.96, 0.08),
-	Entry("hotline, burst", yuccatrial.Hotline(), "hotline burst", 0.84, 0.88, 0.25),
-	Entry("hotline, slow target", yuccatrial.Hotline(), "slow target", 0.92, 0.95, 0.10),
-	Entry("hotline, stalled target", yuccatrial.Hotline(), "stalled target", 0.92, 0.95, 0.12),
-	Entry("hotline, saturation", yuccatrial.Hotline(), "saturation", 0.83, 0.80, 0.43),
-	Entry("hotline, leader lost", yuccatrial.Hotline(), "leader lost in burst", 0.80, 0.85, 0.24),
-	Entry("hotline, skewed centre", yuccatrial.Hotline(), "skewed centre", 0.92, 0.93, 0.11),
-	Entry("desk, usual", yuccatrial.Desk(), "usual", 0.86, 0.87, 0.33),
-	Entry("desk, skewed account", yuccatrial.Desk(), "skewed account", 0.83, 0.84, 0.42),
-	Entry("desk, long and short", yuccatrial.Desk(), "long and short", 0.87, 0.88, 0.28),
-	Entry("desk, saturation", yuccatrial.Desk(), "saturation", 0.80, 0.76, 0.66),
-	Entry("desk, centre cut off", yuccatrial.Desk(), "cut off", 0.85, 0.92, 0.24),
+	Entry("hotline, usual", yuccatrial.Hotline(), "usual", 91.8, 94.8, 8.4),
+	Entry("hotline, burst", yuccatrial.Hotline(), "hotline burst", 81.2, 80.9, 27.6),
+	Entry("hotline, slow target", yuccatrial.Hotline(), "slow target", 89.7, 93.7, 9.4),
+	Entry("hotline, stalled target", yuccatrial.Hotline(), "stalled target", 88.7, 92.9, 9.8),
+	Entry("hotline, saturation", yuccatrial.Hotline(), "saturation", 82.3, 76.8, 31.5),
+	Entry("hotline, leader lost", yuccatrial.Hotline(), "leader lost in burst", 78.8, 82.9, 25.6),
+	Entry("hotline, skewed centre", yuccatrial.Hotline(), "skewed centre", 87.6, 92.3, 9.6),
+	Entry("desk, usual", yuccatrial.Desk(), "usual", 88.1, 91.1, 51.9),
+	Entry("desk, skewed account", yuccatrial.Desk(), "skewed account", 79.6, 82.1, 72.7),
+	Entry("desk, long and short", yuccatrial.Desk(), "long and short", 83.3, 88.8, 44.1),
+	Entry("desk, saturation", yuccatrial.Desk(), "saturation", 76.8, 73.3, 81.8),
+	Entry("desk, centre cut off", yuccatrial.Desk(), "cut off", 84.9, 91.6, 52.9),
 )
