A configured speed is a guess: it no longer makes stragglers of all engines

Orders that fetch weights were repeated every 5 s while a load went on. A set whose targets are all slow uses them; one without any progress is still probed. A load is ordered once in two minutes. Kinds of messages have their names in metrics. Conclusion: what is usual for a target is what it was seen to do.

--- a/core/yuccaorder/planner.go
+++ b/core/yuccaorder/planner.go
@@ -17,6 +17,9 @@
 	DefaultLife = 5 * time.Second
 	// DefaultLoads is the fleet's share of the weight store, in reads per minute.
 	DefaultLoads = 30.0
+	// loadTime is how long a target may take to load before it is ordered again. The
+	// order's own life is far shorter: it bounds when it is taken, not when it is done.
+	loadTime = 2 * time.Minute
 )
 
 // Hold says why no order is sent now.
@@ -96,19 +99,27 @@
 	if !target.ChecksFence && now.Before(plan.since.Add(plan.life)) {
 		return Order{}, Fencing
 	}
-	if last, found := plan.orders[name]; found && now.Before(last.until) && last.order.Fence == number {
-		return Order{}, Pending
-	}
 	order.Target = name
 	order.Fence = number
 	order.Expires = plan.life
+	if last, found := plan.orders[name]; found && now.Before(last.until) && last.order == order {
+		return Order{}, Pending
+	}
 	if order.fetches() && !plan.loads.AllowN(now, 1) {
 		return Order{}, Pacing
 	}
-	plan.orders[name] = sent{order: order, until: now.Add(plan.life)}
+	plan.orders[name] = sent{order: order, until: now.Add(plan.patience(order))}
 	return order, ""
 }
 
+// patience is how long to wait for an order to show before it is repeated.
+func (plan *Planner) patience(order Order) time.Duration {
+	if order.fetches() {
+		return loadTime
+	}
+	return plan.life
+}
+
 // step returns the first difference between wish and target. An empty field of the
 // wish asks for nothing, so a target that nobody configured is left as it is.
 func step(wish yuccastate.Wish, seen Observed) (Order, bool) {
--- a/core/yuccaorder/planner_test.go
+++ b/core/yuccaorder/planner_test.go
@@ -94,6 +94,20 @@
 		Entry("before a target that doesn't, by its expiry", trusting),
 	)
 
+	// A load takes minutes and the order's life is seconds. Repeating it each time would
+	// use up the weight store's rate that other targets wait for.
+	It("are not repeated while a load is under way", func() {
+		plan := yuccaorder.New(start)
+		orders := 0
+		for second := range 100 {
+			now := start.Add(time.Duration(second) * time.Second)
+			if _, hold := plan.Next(now, 1, "t", checking, wishFor(1), yuccaorder.Observed{}); hold == "" {
+				orders++
+			}
+		}
+		Expect(orders).To(Equal(1))
+	})
+
 	It("keep within the weight store's rate when every target needs a load", func() {
 		const leaders = 4
 		loads := 0
--- a/core/yuccaplace/choose.go
+++ b/core/yuccaplace/choose.go
@@ -57,7 +57,7 @@
 			}
 			continue
 		}
-		if node.probing {
+		if reach.holds(node) {
 			if fleet.mayProbe(now, node, shape) {
 				return Choice{Node: node, Finish: fleet.usual(node, shape)}, Found
 			}
--- a/core/yuccaplace/data.go
+++ b/core/yuccaplace/data.go
@@ -17,6 +17,11 @@
 	// bestWeight lets the best speed sink, in some thousand requests, when a target no
 	// longer comes near it.
 	bestWeight = 0.001
+	// firstRates is how many observations make up what is usual for a target. With
+	// fewer one odd request would; with more a real straggler that was never seen well
+	// would be taken for usual anyway.
+	firstRates = 8
+
 	// probeWeight is the weight of what a probe saw: nothing younger is known, and a
 	// target that is well again has to come back after one probe, not after ten.
 	probeWeight = 1
--- a/core/yuccaplace/failed.go
+++ b/core/yuccaplace/failed.go
@@ -18,5 +18,6 @@
 		return
 	}
 	node.newsAt = now
+	node.failing = true
 	node.startProbing(now)
 }
--- a/core/yuccaplace/fleet.go
+++ b/core/yuccaplace/fleet.go
@@ -146,6 +146,7 @@
 func (fleet *Fleet) Learn(now time.Time, run *Run, seen Observed) {
 	node := run.node
 	node.newsAt = now
+	node.failing = false
 	weight := recentWeight
 	if node.probing {
 		weight = probeWeight
@@ -201,6 +202,7 @@
 			continue
 		}
 		node.newsAt = now
+		node.failing = true
 		node.startProbing(now)
 		if fleet.plain {
 			node.call.atMost(node.call.usual / ratio)
--- a/core/yuccaplace/node.go
+++ b/core/yuccaplace/node.go
@@ -25,6 +25,9 @@
 	leaving    bool
 	leftAt     time.Time
 	probing    bool
+	// failing says that the target showed no progress or could not be reached, and not
+	// only that it was slow.
+	failing    bool
 	probeAt    time.Time
 	probePause time.Duration
 	newsAt     time.Time
--- a/core/yuccaplace/preempt.go
+++ b/core/yuccaplace/preempt.go
@@ -33,7 +33,7 @@
 	found := false
 	slack := time.Duration(0)
 	for _, node := range reach.nodes {
-		if node.Gone() || node.probing {
+		if reach.holds(node) {
 			continue
 		}
 		one, ok := fleet.evictOn(now, node, shape, deepest)
--- a/core/yuccaplace/reach.go
+++ b/core/yuccaplace/reach.go
@@ -18,6 +18,8 @@
 	slowest rates
 	slots   int
 	usable  int
+	// relaxed says that no target is in ordinary use, so that slow ones have to do.
+	relaxed bool
 }
 
 type rates struct {
@@ -51,13 +53,22 @@
 	return slices.ContainsFunc(reach.nodes, func(node *Node) bool { return !node.Gone() })
 }
 
+// holds reports whether a target gets no ordinary work now. Probes are for finding out
+// whether a slow target is well again while others work. When all of a set are slow,
+// keeping requests from them would leave callers waiting before idle engines; only a
+// target that shows no progress at all is still left to probes.
+func (reach *Reach) holds(node *Node) bool {
+	return node.Gone() || node.probing && (node.failing || !reach.relaxed)
+}
+
 // Refresh takes the learned rates into the set's best and mean ones.
 func (reach *Reach) Refresh() {
 	reach.prefill, reach.decode, reach.call, reach.mean = 0, 0, 0, 0
 	reach.slots, reach.usable = 0, 0
+	reach.relaxed = !slices.ContainsFunc(reach.nodes, func(node *Node) bool { return !node.Gone() && !node.probing })
 	reach.slowest = rates{prefill: math.Inf(1), decode: math.Inf(1)}
 	for _, node := range reach.nodes {
-		if node.Gone() || node.probing {
+		if reach.holds(node) {
 			continue
 		}
 		reach.usable++
--- a/core/yuccaplace/speed.go
+++ b/core/yuccaplace/speed.go
@@ -13,13 +13,28 @@
 	recent float64
 	usual  float64
 	best   float64
+	// seen counts observations up to firstRates.
+	seen int
 }
 
 func newSpeed(guess float64) speed {
 	return speed{recent: guess, usual: guess, best: guess}
 }
 
+// observe takes a finished run's rate in.
+//
+// The configured rate is a guess about long prompts on an idle target. Kept as what is
+// usual, it would make stragglers of all targets as soon as short requests, with their
+// fixed costs, look slower, and requests would wait before idle engines. So the first
+// observations replace it.
 func (sp *speed) observe(rate, weight float64) {
+	if sp.seen < firstRates {
+		sp.seen++
+		sp.usual += (rate - sp.usual) / float64(sp.seen)
+		if sp.slow() {
+			sp.recent = sp.usual
+		}
+	}
 	sp.recent += weight * (rate - sp.recent)
 	sp.usual += sp.usualPart(rate) * (rate - sp.usual)
 	sp.best = max(rate, sp.best+bestWeight*(rate-sp.best))
--- a/core/yuccapool/load_test.go
+++ b/core/yuccapool/load_test.go
@@ -338,3 +338,46 @@
 		}
 	})
 })
+
+var _ = Describe("engines whose configured speed is a guess", func() {
+	// The note says what a prompt of thousands of tokens reaches. Short lookups pay a
+	// fixed cost for each step and look many times slower, on every engine alike. If that
+	// made stragglers of all of them, callers would wait before idle engines.
+	DescribeTable("serve what comes",
+		func(fixed time.Duration, real float64, prompt yuccaid.Tokens) {
+			lead := yuccapool.New("draft", yuccaid.Incarnation{VM: "entry-1"}, rand.New(rand.NewPCG(1, 2)))
+			now := time.Unix(1_700_000_000, 0)
+			lead.Configure(now, plainFleet(4))
+			ends := map[time.Time][]yuccapool.Finished{}
+			served := 0
+			const step = 10 * time.Millisecond
+			prefill := fixed + time.Duration(float64(prompt)/real*float64(time.Second))
+			decode := 400 * time.Millisecond
+			take := func(dec yuccapool.Decisions) {
+				for _, grant := range dec.Grants {
+					at := now.Add((prefill + decode).Truncate(step) + step)
+					ends[at] = append(ends[at], yuccapool.Finished{
+						ID: grant.ID, Target: grant.Target, Ran: true, Prompt: prompt, Answer: 20, Prefill: prefill, Decode: decode,
+					})
+				}
+			}
+			for i := range 3000 {
+				now = now.Add(step)
+				for _, done := range ends[now] {
+					served++
+					take(lead.Finished(now, done))
+				}
+				if i%10 == 0 && i < 2000 {
+					ask := lookup()
+					ask.ID, ask.Prompt, ask.Remaining = yuccaid.RequestText(fmt.Sprint("r", i)), prompt, time.Minute
+					take(lead.Offer(now, ask))
+				}
+				take(lead.Tick(now))
+			}
+			Expect(served).To(Equal(200))
+		},
+		Entry("as configured", time.Duration(0), 4000.0, yuccaid.Tokens(100)),
+		Entry("with a fixed cost for each prompt", 250*time.Millisecond, 4000.0, yuccaid.Tokens(100)),
+		Entry("ten times slower than configured", time.Duration(0), 400.0, yuccaid.Tokens(200)),
+	)
+})
--- a/io/yuccawire/kind.go
+++ b/io/yuccawire/kind.go
@@ -16,6 +16,44 @@
 	KindRoster    Kind = 7
 )
 
+// The messages between daemons, by role.
+const (
+	// KindOffer carries an Offer from an owner to a pool's leader.
+	KindOffer Kind = iota + 16
+	// KindWithdraw carries a Withdrawal from an owner to a pool's leader.
+	KindWithdraw
+	// KindProgress carries a Progress from an owner to a pool's leader.
+	KindProgress
+	// KindFinished carries a Finished from an owner to a pool's leader.
+	KindFinished
+	// KindHold carries a Hold from an owner to a new leader.
+	KindHold
+	// KindGrant carries a Grant from a leader to an owner.
+	KindGrant
+	// KindRefusal carries a Refusal from a leader to an owner.
+	KindRefusal
+	// KindCancel carries a Cancel from a leader to an owner.
+	KindCancel
+	// KindNotLeader carries a NotLeader from a daemon that was taken for a leader.
+	KindNotLeader
+	// KindNotePull carries a NotePull to a peer with a newer configuration.
+	KindNotePull
+	// KindNotes carries Notes in answer to a NotePull.
+	KindNotes
+	// KindSnapshot carries a Snapshot in answer to a NotePull that reaches too far back.
+	KindSnapshot
+	// KindSubmit carries a Submission to a request's owner on a traffic connection.
+	KindSubmit
+	// KindPiece carries a piece of an answer to a forwarder.
+	KindPiece
+	// KindEnd carries an End, after which the answer is over.
+	KindEnd
+	// KindFollow carries a Follow, which asks for an answer or an outcome.
+	KindFollow
+	// KindAbort carries an Abort, with which a caller gives up a request.
+	KindAbort
+)
+
 var kindNames = map[Kind]string{
 	KindHello:     "hello",
 	KindProof:     "proof",
@@ -24,6 +62,23 @@
 	KindKeepAlive: "keepAlive",
 	KindBye:       "bye",
 	KindRoster:    "roster",
+	KindOffer:     "offer",
+	KindWithdraw:  "withdraw",
+	KindProgress:  "progress",
+	KindFinished:  "finished",
+	KindHold:      "hold",
+	KindGrant:     "grant",
+	KindRefusal:   "refusal",
+	KindCancel:    "cancel",
+	KindNotLeader: "notLeader",
+	KindNotePull:  "notePull",
+	KindNotes:     "notes",
+	KindSnapshot:  "snapshot",
+	KindSubmit:    "submit",
+	KindPiece:     "piece",
+	KindEnd:       "end",
+	KindFollow:    "follow",
+	KindAbort:     "abort",
 }
 
 // String returns the kind's name in logs and metrics, or its number.
