--- a/cmd/yuccacleat/leaving_test.go
+++ b/cmd/yuccacleat/leaving_test.go
@@ -1,6 +1,8 @@
 package main_test
 
 import (
+	"fmt"
+	"strings"
 	"syscall"
 	"time"
 
@@ -21,14 +23,16 @@
 func leavingSpecs(the func() *fleet) {
 	// A target's VM is to be taken away. Work that is still sent there dies with it, and
 	// its callers wait for an answer that never comes.
+	gone := make(map[int]bool)
 	DescribeTable("gives no new work to a target that leaves",
-		func(ctx SpecContext, engine int, leave func(fl *fleet)) {
+		func(ctx SpecContext, leave func(fl *fleet, index int)) {
 			fl := the()
-			count := func() int { return len(runs(fl.engines[engine])) + fl.refusedByTargets() }
 			ld := fl.load(ctx, 5, 6, 0)
-			before := count()
-			Eventually(count).WithTimeout(patience).Should(BeNumerically(">", before+3))
-			leave(fl)
+			index := fl.inUse(gone)
+			gone[index] = true
+			count := func() int { return len(runs(fl.engines[index])) + fl.refusedByTargets() }
+			turned := fl.refusedByTargets()
+			leave(fl, index)
 			began := time.Now()
 			last, seen := began, count()
 			quiet := ld.served.Load()
@@ -41,15 +45,36 @@
 			}).WithTimeout(patience).WithPolling(pollEach).Should(BeTrue())
 			measured("leaving to last new work", last.Sub(began))
 			ld.end()
+			GinkgoWriter.Printf("%d requests turned away by the target\n", fl.refusedByTargets()-turned)
 		},
-		Entry("by the platform's list", 0, func(fl *fleet) { fl.list("vm-engine-1") }),
-		Entry("by its own answer", 1, func(fl *fleet) { faults(fl.engines[1], yuccastand.Faults{Leaving: true}) }),
-		Entry("by a note", 2, func(fl *fleet) {
-			fl.publish(yuccastate.Note{By: "test operator", Withdrawn: yuccastate.Names{Targets: []yuccaid.Target{"engine-3"}}})
+		Entry("by the platform's list", func(fl *fleet, index int) { fl.list(yuccaid.VM(fmt.Sprintf("vm-engine-%d", index+1))) }),
+		Entry("by its own answer", func(fl *fleet, index int) { faults(fl.engines[index], yuccastand.Faults{Leaving: true}) }),
+		Entry("by a note", func(fl *fleet, index int) {
+			target := yuccaid.Target(fmt.Sprintf("engine-%d", index+1))
+			fl.publish(yuccastate.Note{By: "test operator", Withdrawn: yuccastate.Names{Targets: []yuccaid.Target{target}}})
 		}),
 	)
 }
 
+// inUse waits for a target that gets work under the present load.
+func (fl *fleet) inUse(gone map[int]bool) int {
+	GinkgoHelper()
+	before := make([]int, len(fl.engines))
+	for i, address := range fl.engines {
+		before[i] = len(runs(address))
+	}
+	found := -1
+	Eventually(func() int {
+		for i, address := range fl.engines {
+			if !gone[i] && len(runs(address)) > before[i]+3 {
+				found = i
+			}
+		}
+		return found
+	}).WithTimeout(patience).WithPolling(pollEach).Should(BeNumerically(">=", 0))
+	return found
+}
+
 // refusedByTargets counts the requests that a leaving target had to turn away.
 func (fl *fleet) refusedByTargets() int {
 	count := 0
@@ -83,7 +108,20 @@
 			Expect(dm.exit()).To(BeZero(), dm.logs.String())
 		}
 		for _, tell := range fl.witness.heard()[heard:] {
-			Expect(tell.whole()).To(BeTrue(), "%+v", tell)
+			Expect(tell.whole()).To(BeTrue(), "%+v: %s", tell, fl.tracesOf(tell.id))
 		}
 	})
 }
+
+// tracesOf returns what the daemons logged of a request, and of their roles.
+func (fl *fleet) tracesOf(id yuccaid.RequestText) string {
+	var found strings.Builder
+	for _, dm := range fl.daemons {
+		for line := range strings.Lines(dm.logs.String()) {
+			if strings.Contains(line, string(id)) || strings.Contains(line, "ead") {
+				found.WriteString(line)
+			}
+		}
+	}
+	return found.String()
+}
--- a/cmd/yuccacleat/load_test.go
+++ b/cmd/yuccacleat/load_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -92,7 +93,7 @@
 		return desk([]yuccaid.Operation{"lookup", "file-ticket"}[rng.IntN(2)], "smell at Elm and 3rd")
 	}
 	tier := []yuccaid.Tier{"urgent", "normal", "bulk"}[rng.IntN(3)]
-	req := draft(tier, words(1+rng.IntN(60)), yuccaid.Tokens(1+rng.IntN(60)))
+	req := draft(tier, strconv.Itoa(rng.IntN(1000))+words(1+rng.IntN(60)), yuccaid.Tokens(1+rng.IntN(60)))
 	req.DeadlineMillis /= 2
 	return req
 }
