A daemon that begins to drain keeps its place in its leaders' queues

Cause: a member that changes is reported as left and joined, and the daemon took that for the end of an owner. A leader dropped what the draining owner had waiting, and the owner, whose leader had not changed, had no reason to offer it again: requests waited to their deadline and the shutdown took its longest.

Ruled out: the smaller share of targets of a minority; targets had room and the leader's queue was empty while the owner had two requests waiting.

--- a/io/yuccadaemon/member.go
+++ b/io/yuccadaemon/member.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"time"
 
 	"yuccacleat/core/yuccaid"
@@ -63,7 +64,9 @@
 		d.pull(now, change.Behind)
 	}
 	for _, left := range change.Left {
-		d.ownerGone(now, left.Incarnation)
+		if !joins(change, left.Incarnation) {
+			d.ownerGone(now, left.Incarnation)
+		}
 	}
 	if len(change.Joined) == 0 && len(change.Left) == 0 && !change.Woken {
 		return
@@ -73,6 +76,13 @@
 	d.tellLeaders(now)
 }
 
+// joins reports whether a member that left the view came back into it changed, as one
+// does that begins to drain. It still owns what it has waiting: dropping that here
+// would let it wait to its deadline, since its owner sees no reason to offer it again.
+func joins(change yuccapeer.Change, inc yuccaid.Incarnation) bool {
+	return slices.ContainsFunc(change.Joined, func(member yuccapeer.Member) bool { return member.Incarnation == inc })
+}
+
 // woken drops what a frozen process believed: others have taken its leadership and
 // its peers may be gone, so it starts again as if it had just joined.
 func (d *Daemon) woken(now time.Time, slept time.Duration) {
