yuccameasure relay: each way sends prompts of its own

Cause: the first run showed negative added times, since the prompts of one way were found in the engine's prefix cache by the next.

--- a/io/yuccameasure/relay.go
+++ b/io/yuccameasure/relay.go
@@ -80,8 +80,9 @@
 	load := LoadAverage()
 	// The ways take turns, so that a busy moment of the machine meets all of them.
 	for number := range plan.Requests {
-		for _, each := range ways {
-			came, err := each.call(number)
+		for index, each := range ways {
+			// A prompt that another way has sent would be found in the prefix cache.
+			came, err := each.call(number*len(ways) + index)
 			if err != nil {
 				return eris.Wrap(err, each.name)
 			}
