--- a/io/yuccameasure/relay.go
+++ b/io/yuccameasure/relay.go
@@ -276,6 +276,9 @@
 	Resident    float64 `json:"residentBytes"`
 }
 
+// openEvery lets the engine prefill one prompt before the next comes.
+const openEvery = 40 * time.Millisecond
+
 // relayMemory opens streams in steps, and reads the memory when all of a step run.
 func relayMemory(ctx context.Context, programs Programs, plan RelayPlan, text, lines io.Writer) error {
 	flt, err := startFleet(ctx, programs, shape{centres: 1, daemons: 1, engines: 1, slots: 600, decode: 2})
@@ -297,6 +300,7 @@
 			open.Go(func() {
 				_, _ = caller.Run(streaming, flt.daemons[0].addresses.Caller, request(number, loadPrompt, 1000))
 			})
+			rest(ctx, openEvery)
 		}
 		if err := flt.running(ctx, streams); err != nil {
 			return err
