--- a/core/yuccaplace/choose.go
+++ b/core/yuccaplace/choose.go
@@ -44,7 +44,6 @@
 	fleet.stamp++
 	deepest := min(fleet.prefixes.mark(fleet.stamp, shape.Prefixes), shape.Prompt)
 	best := Choice{cost: math.Inf(1)}
-	patient := Choice{cost: math.Inf(1)}
 	verdict := NoRoom
 	keep := fleet.longRoom(shape)
 	for _, node := range reach.nodes {
@@ -52,9 +51,6 @@
 			continue
 		}
 		if !fleet.room(now, node, shape) {
-			if other, ok := fleet.later(now, node, shape, deepest); ok && other.cost < patient.cost {
-				patient = other
-			}
 			continue
 		}
 		if node.probing {
@@ -73,12 +69,30 @@
 		verdict = Found
 		best = choice
 	}
-	if verdict == Found && patient.cost < best.cost && patient.Cached > best.Cached {
-		return patient, Better
+	if verdict == Found && fleet.worthWaiting(now, reach, shape, deepest, &best) {
+		return best, Better
 	}
 	return best, verdict
 }
 
+// worthWaiting reports whether a target without room now, which holds more of the
+// prompt than the best with room, is the better choice even with the wait. It looks
+// only when what the cache saves is more than the depth, so not for short requests.
+func (fleet *Fleet) worthWaiting(now time.Time, reach *Reach, shape *Shape, deepest yuccaid.Tokens, best *Choice) bool {
+	if fleet.plain || shape.Urgent || best.Node.prefillTime(deepest-best.Cached) <= fleet.depth {
+		return false
+	}
+	for _, node := range reach.nodes {
+		if node.stamp != fleet.stamp || node.hit <= best.Cached || fleet.room(now, node, shape) {
+			continue
+		}
+		if other, ok := fleet.later(now, node, shape, deepest); ok && other.cost < best.cost {
+			return true
+		}
+	}
+	return false
+}
+
 // spoils reports whether the request would take from others on the target what they
 // need more. At its last moment a request is let in unless it makes a run late.
 func (fleet *Fleet) spoils(now time.Time, node *Node, shape *Shape, choice *Choice) bool {
@@ -92,7 +106,7 @@
 // nothing. Waiting for it is worth while as long as it costs less than computing the
 // prefix again somewhere else, which would also push out what is cached there.
 func (fleet *Fleet) later(now time.Time, node *Node, shape *Shape, deepest yuccaid.Tokens) (Choice, bool) {
-	if fleet.plain || shape.Urgent || node.stamp != fleet.stamp || node.Gone() || node.probing {
+	if node.Gone() || node.probing {
 		return Choice{}, false
 	}
 	with := node.company(now)
--- /dev/null
+++ b/core/yuccapool/bench_test.go
@@ -0,0 +1,133 @@
+package yuccapool_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"yuccacleat/core/yuccaid"
+	"yuccacleat/core/yuccapool"
+	"yuccacleat/core/yuccaqueue"
+)
+
+// bench is a leader whose targets are full and whose queue holds a steady number of
+// requests: each step ends one run, which grants another, and offers a new request.
+type bench struct {
+	lead     *yuccapool.Leader
+	now      time.Time
+	accounts int
+	next     int
+	granted  []yuccapool.Grant
+	running  []yuccapool.Grant
+}
+
+func newBench(waiting, targets, accounts int) *bench {
+	view := yuccapool.View{Targets: fleet(targets), Accounts: map[yuccaid.Account]yuccapool.AccountView{}}
+	for at := range accounts {
+		view.Accounts[benchAccount(at)] = yuccapool.AccountView{Weight: 1 + at%3}
+	}
+	bounds := yuccaqueue.BoundsFor(10*waiting+1000, 1<<50)
+	bounds.AccountRequests = bounds.Requests
+	queue := yuccapool.WithQueue(yuccaqueue.WithBounds(bounds))
+	bn := &bench{
+		lead:     yuccapool.New("drafts", self, rand.New(rand.NewPCG(1, 2)), queue, ownShares),
+		now:      epoch,
+		accounts: accounts,
+	}
+	bn.lead.Configure(bn.now, view)
+	for range 10 * targets {
+		bn.now = bn.now.Add(time.Millisecond)
+		bn.offer()
+		bn.first()
+	}
+	for range waiting {
+		bn.offer()
+	}
+	return bn
+}
+
+func benchAccount(at int) yuccaid.Account {
+	return yuccaid.Account(fmt.Sprintf("account-%d", at))
+}
+
+func (bn *bench) take(dec yuccapool.Decisions) { bn.granted = append(bn.granted, dec.Grants...) }
+
+func (bn *bench) offer() {
+	bn.next++
+	ask := yuccapool.Ask{
+		ID: yuccaid.RequestText(fmt.Sprintf("r%d", bn.next)), Owner: self, Tier: "tier", Rank: bn.next % 3,
+		Account: benchAccount(bn.next % bn.accounts), Idempotent: true, Remaining: time.Hour,
+		Prompt: 500, Answer: 100, Prefixes: []uint64{uint64(bn.next % 50)},
+	}
+	bn.take(bn.lead.Offer(bn.now, ask))
+}
+
+// first brings every granted run to its first token.
+func (bn *bench) first() {
+	for len(bn.granted) > 0 {
+		grant := bn.granted[0]
+		bn.granted = append(bn.granted[:0], bn.granted[1:]...)
+		bn.running = append(bn.running, grant)
+		bn.take(bn.lead.Progress(bn.now, yuccapool.Progress{ID: grant.ID, FirstToken: true}))
+	}
+}
+
+// step is three decisions: a finish, a first token and an offer.
+func (bn *bench) step() {
+	bn.now = bn.now.Add(time.Millisecond)
+	at := bn.next % len(bn.running)
+	done := bn.running[at]
+	bn.running[at] = bn.running[len(bn.running)-1]
+	bn.running = bn.running[:len(bn.running)-1]
+	bn.take(bn.lead.Finished(bn.now, yuccapool.Finished{
+		ID: done.ID, Target: done.Target, Ran: true, Prompt: 500, Cached: 256, Answer: 100,
+		Prefill: 50 * time.Millisecond, Decode: 2 * time.Second,
+	}))
+	bn.first()
+	bn.offer()
+	bn.first()
+}
+
+const stepDecisions = 3
+
+func BenchmarkDecisions(b *testing.B) {
+	for _, size := range [][3]int{
+		{100, 128, 100},
+		{2000, 128, 100},
+		{10_000, 128, 100},
+		{100_000, 128, 100},
+		{2000, 4, 100},
+		{2000, 1800, 100},
+		{2000, 128, 5},
+		{2000, 128, 1600},
+	} {
+		b.Run(fmt.Sprintf("waiting=%d/targets=%d/accounts=%d", size[0], size[1], size[2]), func(b *testing.B) {
+			bn := newBench(size[0], size[1], size[2])
+			b.ReportAllocs()
+			for b.Loop() {
+				bn.step()
+			}
+			b.ReportMetric(float64(stepDecisions*b.N)/b.Elapsed().Seconds(), "decisions/s")
+		})
+	}
+}
+
+var _ = Describe("the cost of a decision", func() {
+	// The queue grows a thousandfold in a long outage of the targets. If what a decision
+	// allocates grew with it, the leader would fall behind just then.
+	It("allocates no more with many waiting, targets or accounts than with few", func() {
+		cost := func(waiting, targets, accounts int) float64 {
+			bn := newBench(waiting, targets, accounts)
+			return testing.AllocsPerRun(200, bn.step) / stepDecisions
+		}
+		few := cost(100, 4, 5)
+		Expect(few).To(BeNumerically("<=", 8))
+		Expect(cost(20_000, 4, 5)).To(BeNumerically("<=", few+2))
+		Expect(cost(100, 200, 5)).To(BeNumerically("<=", few+2))
+		Expect(cost(2000, 4, 1600)).To(BeNumerically("<=", few+2))
+	})
+})
