The allocation bound measures the steady state, and is tighter

The test was wrong, not the code: now each account is met before measuring, and the bound is one above the small case instead of two. Green with -race.

--- a/core/yuccapool/bench_test.go
+++ b/core/yuccapool/bench_test.go
@@ -122,12 +122,17 @@
 	It("allocates no more with many waiting, targets or accounts than with few", func() {
 		cost := func(waiting, targets, accounts int) float64 {
 			bn := newBench(waiting, targets, accounts)
+			// Each account is seen once in each tier; what it takes to know it isn't part of
+			// the steady state.
+			for range 3 * accounts {
+				bn.step()
+			}
 			return testing.AllocsPerRun(200, bn.step) / stepDecisions
 		}
 		few := cost(100, 4, 5)
 		Expect(few).To(BeNumerically("<=", 8))
-		Expect(cost(20_000, 4, 5)).To(BeNumerically("<=", few+2))
-		Expect(cost(100, 200, 5)).To(BeNumerically("<=", few+2))
-		Expect(cost(2000, 4, 1600)).To(BeNumerically("<=", few+2))
+		Expect(cost(20_000, 4, 5)).To(BeNumerically("<=", few+1))
+		Expect(cost(100, 200, 5)).To(BeNumerically("<=", few+1))
+		Expect(cost(2000, 4, 1600)).To(BeNumerically("<=", few+1))
 	})
 })
