A daemon that starts while the platform is away dials its seeds

Cause: connections were asked for only when a list, a roster or a change of the view came.

Ruled out: the seed's side, which had no connection from it at all.

--- a/io/yuccadaemon/daemon.go
+++ b/io/yuccadaemon/daemon.go
@@ -119,6 +119,8 @@
 		yuccalink.OnFault(d.onFault),
 	)
 	close(ready)
+	// While the platform is away no list comes, and only the seeds lead to the others.
+	d.control.post(func(time.Time) { d.hub.Connect(d.peers.Dial()) })
 	d.start(d.watchNotes)
 	d.start(d.watchList)
 	d.start(d.watchBaseline)
