--- a/core/yuccaplace/speed.go
+++ b/core/yuccaplace/speed.go
@@ -30,10 +30,11 @@
 func (sp *speed) observe(rate, weight float64) {
 	if sp.seen < firstRates {
 		sp.seen++
-		sp.usual += (rate - sp.usual) / float64(sp.seen)
-		if sp.slow() {
-			sp.recent = sp.usual
-		}
+		part := 1 / float64(sp.seen+1)
+		sp.usual += part * (rate - sp.usual)
+		sp.recent += max(part, weight) * (rate - sp.recent)
+		sp.best = max(rate, sp.best+bestWeight*(rate-sp.best))
+		return
 	}
 	sp.recent += weight * (rate - sp.recent)
 	sp.usual += sp.usualPart(rate) * (rate - sp.usual)
