Kept answers and accounts are each handled at one place

Cause: the daemon had a buffer of answers beside the library's, and every caller's route began with the same five lines. Ruled out: dropping the library's buffer, which others can embed; it now holds any form of answer and counts a given size.

--- a/core/yuccaonce/answers.go
+++ b/core/yuccaonce/answers.go
@@ -22,72 +22,82 @@
 // AnswerBuffer keeps whole answers for a second fetch, bounded by bytes and for a
 // shorter time than outcomes. An answer that was pushed out is reported as gone,
 // never shortened.
-type AnswerBuffer struct {
+//
+// A is how the daemon holds an answer; the buffer only needs its size.
+type AnswerBuffer[A any] struct {
 	limit    yuccaid.Bytes
 	lifetime time.Duration
 	clock    clock
 
-	answers map[yuccaid.RequestText]*answer
-	order   []*answer // by time of adding
+	answers map[yuccaid.RequestText]*kept[A]
+	order   []*kept[A] // by time of adding
 	bytes   yuccaid.Bytes
 }
 
-type answer struct {
-	id    yuccaid.RequestText
-	data  []byte
-	added time.Time
+type kept[A any] struct {
+	id     yuccaid.RequestText
+	answer A
+	size   yuccaid.Bytes
+	added  time.Time
 }
 
 // NewAnswerBuffer returns an empty buffer; a zero limit or lifetime means the default.
-func NewAnswerBuffer(limit yuccaid.Bytes, lifetime time.Duration) *AnswerBuffer {
+func NewAnswerBuffer[A any](limit yuccaid.Bytes, lifetime time.Duration) *AnswerBuffer[A] {
 	if limit == 0 {
 		limit = defaultAnswerBytes
 	}
 	if lifetime == 0 {
 		lifetime = defaultAnswerLifetime
 	}
-	return &AnswerBuffer{limit: limit, lifetime: lifetime, answers: make(map[yuccaid.RequestText]*answer)}
+	return &AnswerBuffer[A]{limit: limit, lifetime: lifetime, answers: make(map[yuccaid.RequestText]*kept[A])}
 }
 
-// Put keeps a whole answer, pushing out the oldest ones, and reports false if it is
-// too large to be kept. The buffer keeps data itself, not a copy.
-func (buf *AnswerBuffer) Put(now time.Time, text yuccaid.RequestText, data []byte) bool {
+// Put keeps a whole answer of the given size, pushing out the oldest ones, and reports
+// false if it is too large to be kept.
+func (buf *AnswerBuffer[A]) Put(now time.Time, text yuccaid.RequestText, answer A, size yuccaid.Bytes) bool {
 	reading := buf.advance(now)
-	size := yuccaid.Bytes(len(data))
 	if buf.answers[text] != nil || size > buf.limit/answerShare {
 		return false
 	}
 	for buf.bytes+size > buf.limit {
 		buf.drop()
 	}
-	kept := &answer{id: text, data: data, added: reading}
-	buf.answers[text] = kept
-	buf.order = append(buf.order, kept)
+	one := &kept[A]{id: text, answer: answer, size: size, added: reading}
+	buf.answers[text] = one
+	buf.order = append(buf.order, one)
 	buf.bytes += size
 	return true
 }
 
+// All calls each with every kept answer, oldest first.
+func (buf *AnswerBuffer[A]) All(each func(answer A)) {
+	for _, one := range buf.order {
+		each(one.answer)
+	}
+}
+
 // Get returns the whole answer while it is kept.
-func (buf *AnswerBuffer) Get(now time.Time, text yuccaid.RequestText) ([]byte, bool) {
+func (buf *AnswerBuffer[A]) Get(now time.Time, text yuccaid.RequestText) (A, bool) {
 	buf.advance(now)
-	kept := buf.answers[text]
-	if kept == nil {
-		return nil, false
+	one := buf.answers[text]
+	if one == nil {
+		var none A
+		return none, false
 	}
-	return kept.data, true
+	return one.answer, true
 }
 
 // Tick drops answers past their lifetime.
-func (buf *AnswerBuffer) Tick(now time.Time) {
+func (buf *AnswerBuffer[A]) Tick(now time.Time) {
 	buf.advance(now)
 }
 
 // Size tells how many answers and bytes are kept.
-func (buf *AnswerBuffer) Size() (answers int, bytes yuccaid.Bytes) {
+func (buf *AnswerBuffer[A]) Size() (answers int, bytes yuccaid.Bytes) {
 	return len(buf.answers), buf.bytes
 }
 
-func (buf *AnswerBuffer) advance(now time.Time) time.Time {
+func (buf *AnswerBuffer[A]) advance(now time.Time) time.Time {
 	reading := buf.clock.read(now)
 	for len(buf.order) > 0 && !reading.Before(buf.order[0].added.Add(buf.lifetime)) {
 		buf.drop()
@@ -96,10 +106,10 @@
 }
 
 // drop removes the oldest answer.
-func (buf *AnswerBuffer) drop() {
+func (buf *AnswerBuffer[A]) drop() {
 	oldest := buf.order[0]
 	buf.order[0] = nil
 	buf.order = buf.order[1:]
 	delete(buf.answers, oldest.id)
-	buf.bytes -= yuccaid.Bytes(len(oldest.data))
+	buf.bytes -= oldest.size
 }
--- a/core/yuccaonce/owner_test.go
+++ b/core/yuccaonce/owner_test.go
@@ -190,10 +190,10 @@
 
 var _ = Describe("an answer buffer", func() {
 	It("keeps whole answers by age and bytes, and never a part", func() {
-		buf := yuccaonce.NewAnswerBuffer(80, time.Second)
-		Expect(buf.Put(start, "big", make([]byte, 11))).To(BeFalse())
+		buf := yuccaonce.NewAnswerBuffer[string](80, time.Second)
+		Expect(buf.Put(start, "big", "01234567890", 11)).To(BeFalse())
 		for _, id := range []yuccaid.RequestText{"0", "1", "2", "3", "4", "5", "6", "7", "8"} {
-			Expect(buf.Put(start, id, []byte("0123456789"))).To(BeTrue())
+			Expect(buf.Put(start, id, "0123456789", 10)).To(BeTrue())
 		}
 		_, found := buf.Get(start, "0")
 		Expect(found).To(BeFalse())
--- a/io/yuccadaemon/daemon.go
+++ b/io/yuccadaemon/daemon.go
@@ -49,7 +49,7 @@
 	// The fields below belong to the control goroutine.
 	owner    *yuccaonce.Owner
 	runs     map[yuccaid.RequestText]*run
-	kept     *keptAnswers
+	kept     *yuccaonce.AnswerBuffer[*Answer]
 	held     yuccaid.Bytes
 	peers    *yuccapeer.Peers
 	leads    map[yuccaid.Pool]*lead
@@ -93,7 +93,7 @@
 		targets:  yuccatarget.New(),
 		owner:    yuccaonce.New(inc, key, yuccaonce.WithLifetime(settings.Limits.RequestLife)),
 		runs:     make(map[yuccaid.RequestText]*run),
-		kept:     newKeptAnswers(settings.Limits.Answers, settings.Limits.AnswerLife),
+		kept:     yuccaonce.NewAnswerBuffer[*Answer](settings.Limits.Answers, settings.Limits.AnswerLife),
 		leads:    make(map[yuccaid.Pool]*lead),
 		guests:   make(map[yuccaid.RequestText]*guest),
 		steps:    make(map[progressTo][]yuccawire.RunProgress),
--- a/io/yuccadaemon/drain.go
+++ b/io/yuccadaemon/drain.go
@@ -53,7 +53,7 @@
 func (d *Daemon) left() Drained {
 	var left Drained
 	d.control.call(func(time.Time) {
-		left = Drained{CutOff: len(d.runs), Undelivered: d.kept.undelivered()}
+		left = Drained{CutOff: len(d.runs), Undelivered: d.undelivered()}
 	})
 	return left
 }
--- a/io/yuccadaemon/forward.go
+++ b/io/yuccadaemon/forward.go
@@ -112,7 +112,7 @@
 		r.abandoned = time.Time{}
 		return r.answer, nil
 	}
-	return d.closedAnswer(follow.ID, outcome)
+	return d.closedAnswer(now, follow.ID, outcome)
 }
 
 // forward asks the owner over a connection of its own and relays what it answers.
--- a/io/yuccadaemon/owner.go
+++ b/io/yuccadaemon/owner.go
@@ -119,10 +119,10 @@
 		return nil, problemOf(err)
 	}
 	if step.Kind == yuccaonce.StepJoin {
-		return d.joined(id)
+		return d.joined(now, id)
 	}
 	if step.Kind == yuccaonce.StepClosed {
-		return d.closedAnswer(id, step.Outcome)
+		return d.closedAnswer(now, id, step.Outcome)
 	}
 	if prob := d.full(req); prob != nil {
 		d.owner.GiveUp(now, id, yuccaonce.ReasonOverload, fullBack)
@@ -141,17 +141,17 @@
 	return r.answer, nil
 }
 
-func (d *Daemon) joined(id yuccaid.RequestText) (*Answer, error) {
+func (d *Daemon) joined(now time.Time, id yuccaid.RequestText) (*Answer, error) {
 	if r, open := d.runs[id]; open {
 		r.abandoned = time.Time{}
 		return r.answer, nil
 	}
-	return d.closedAnswer(id, yuccaonce.Outcome{Run: yuccaonce.Unknown})
+	return d.closedAnswer(now, id, yuccaonce.Outcome{Run: yuccaonce.Unknown})
 }
 
 // closedAnswer returns the kept answer, or one that holds only the outcome.
-func (d *Daemon) closedAnswer(id yuccaid.RequestText, outcome yuccaonce.Outcome) (*Answer, error) {
-	if kept, found := d.kept.get(id); found {
+func (d *Daemon) closedAnswer(now time.Time, id yuccaid.RequestText, outcome yuccaonce.Outcome) (*Answer, error) {
+	if kept, found := d.kept.Get(now, id); found {
 		return kept, nil
 	}
 	if outcome.Run == yuccaonce.Ran {
@@ -194,7 +194,7 @@
 		r.away.finish()
 	}
 	r.answer.end(outcome)
-	d.kept.add(now, r.answer)
+	d.keep(now, r.answer)
 	d.metrics.closed(r, outcome, now)
 	d.log.outcome(r, outcome)
 }
@@ -235,7 +235,7 @@
 		d.tickWaiting(now, r)
 	}
 	d.owner.Tick(now)
-	d.kept.expire(now)
+	d.kept.Tick(now)
 }
 
 func (d *Daemon) tickWaiting(now time.Time, r *run) {
--- a/io/yuccadaemon/status.go
+++ b/io/yuccadaemon/status.go
@@ -44,7 +44,7 @@
 func (d *Daemon) fill(now time.Time, status *Status) {
 	status.Peers = d.peers.Live(d.self.Centre)
 	status.Minority = !d.peers.Share().Whole()
-	status.Undelivered = d.kept.undelivered()
+	status.Undelivered = d.undelivered()
 	for pool, led := range d.leads {
 		status.Leads[pool] = led.leader.Status(now)
 	}
--- a/io/yuccaweb/caller.go
+++ b/io/yuccaweb/caller.go
@@ -34,12 +34,12 @@
 // NewCaller returns the callers' routes for a daemon.
 func NewCaller(daemon *yuccadaemon.Daemon) *Caller {
 	web := &Caller{daemon: daemon, echo: newEcho()}
-	web.echo.POST("/v1/requests", web.open)
-	web.echo.POST("/v1/requests/:id", web.submit)
-	web.echo.GET("/v1/requests/:id", web.outcome)
-	web.echo.GET("/v1/requests/:id/answer", web.answer)
-	web.echo.DELETE("/v1/requests/:id", web.abort)
-	web.echo.POST("/v1/run", web.run)
+	web.echo.POST("/v1/requests", web.with(web.open))
+	web.echo.POST("/v1/requests/:id", web.with(web.submit))
+	web.echo.GET("/v1/requests/:id", web.with(web.outcome))
+	web.echo.GET("/v1/requests/:id/answer", web.with(web.answer))
+	web.echo.DELETE("/v1/requests/:id", web.with(web.abort))
+	web.echo.POST("/v1/run", web.with(web.run))
 	return web
 }
 
@@ -48,16 +48,23 @@
 	return web.echo
 }
 
+// with finds the account before a route is served.
+func (web *Caller) with(serve func(c echo.Context, acc yuccaid.Account) error) echo.HandlerFunc {
+	return func(c echo.Context) error {
+		acc, err := web.account(c)
+		if err != nil {
+			return err
+		}
+		return serve(c, acc)
+	}
+}
+
 // Opened is what opening a request returns.
 type Opened struct {
 	ID yuccaid.RequestText `json:"id"`
 }
 
-func (web *Caller) open(c echo.Context) error {
-	acc, err := web.account(c)
-	if err != nil {
-		return err
-	}
+func (web *Caller) open(c echo.Context, acc yuccaid.Account) error {
 	id, err := web.daemon.Open(acc)
 	if err != nil {
 		return err
@@ -65,11 +72,7 @@
 	return c.JSON(http.StatusCreated, Opened{ID: id})
 }
 
-func (web *Caller) submit(c echo.Context) error {
-	acc, err := web.account(c)
-	if err != nil {
-		return err
-	}
+func (web *Caller) submit(c echo.Context, acc yuccaid.Account) error {
 	req, err := web.readRequest(c)
 	if err != nil {
 		return err
@@ -81,11 +84,7 @@
 	return stream(c, answer, 0)
 }
 
-func (web *Caller) run(c echo.Context) error {
-	acc, err := web.account(c)
-	if err != nil {
-		return err
-	}
+func (web *Caller) run(c echo.Context, acc yuccaid.Account) error {
 	req, err := web.readRequest(c)
 	if err != nil {
 		return err
@@ -102,11 +101,7 @@
 	return stream(c, answer, 0)
 }
 
-func (web *Caller) answer(c echo.Context) error {
-	acc, err := web.account(c)
-	if err != nil {
-		return err
-	}
+func (web *Caller) answer(c echo.Context, acc yuccaid.Account) error {
 	from, err := position(c)
 	if err != nil {
 		return err
@@ -118,11 +113,7 @@
 	return stream(c, answer, from)
 }
 
-func (web *Caller) outcome(c echo.Context) error {
-	acc, err := web.account(c)
-	if err != nil {
-		return err
-	}
+func (web *Caller) outcome(c echo.Context, acc yuccaid.Account) error {
 	outcome, err := web.daemon.Outcome(c.Request().Context(), web.id(c), acc)
 	if err != nil {
 		return err
@@ -130,11 +121,7 @@
 	return c.JSON(http.StatusOK, endOf(web.id(c), outcome))
 }
 
-func (web *Caller) abort(c echo.Context) error {
-	acc, err := web.account(c)
-	if err != nil {
-		return err
-	}
+func (web *Caller) abort(c echo.Context, acc yuccaid.Account) error {
 	outcome, err := web.daemon.Abort(c.Request().Context(), web.id(c), acc)
 	if err != nil {
 		return err
