--- a/io/yuccadaemon/member.go
+++ b/io/yuccadaemon/member.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"time"
 
 	"yuccacleat/core/yuccaid"
@@ -16,7 +17,6 @@
 func (d *Daemon) onUp(member yuccapeer.Member) {
 	d.control.post(func(now time.Time) {
 		d.onChange(now, d.peers.Linked(now, member))
-		_ = d.send(member.Incarnation, yuccawire.KindRoster, roster{Listings: d.peers.Roster()})
 		d.resync(now, member.Incarnation)
 	})
 }
@@ -59,11 +59,16 @@
 	for _, beat := range change.Beats {
 		d.sendBeat(beat)
 	}
+	for _, peer := range change.Rosters {
+		_ = d.send(peer, yuccawire.KindRoster, roster{Listings: d.peers.Roster()})
+	}
 	if !change.Behind.Peer.IsZero() {
 		d.pull(now, change.Behind)
 	}
 	for _, left := range change.Left {
-		d.ownerGone(now, left.Incarnation)
+		if !joins(change, left.Incarnation) {
+			d.ownerGone(now, left.Incarnation)
+		}
 	}
 	if len(change.Joined) == 0 && len(change.Left) == 0 && !change.Woken {
 		return
@@ -73,6 +78,13 @@
 	d.tellLeaders(now)
 }
 
+// joins reports whether a member that left the view came back into it changed, as one
+// does that begins to drain. It still owns what it has waiting: dropping that here
+// would let it wait to its deadline, since its owner sees no reason to offer it again.
+func joins(change yuccapeer.Change, inc yuccaid.Incarnation) bool {
+	return slices.ContainsFunc(change.Joined, func(member yuccapeer.Member) bool { return member.Incarnation == inc })
+}
+
 // woken drops what a frozen process believed: others have taken its leadership and
 // its peers may be gone, so it starts again as if it had just joined.
 func (d *Daemon) woken(now time.Time, slept time.Duration) {
