--- a/cmd/yuccacleat/config_test.go
+++ b/cmd/yuccacleat/config_test.go
@@ -53,6 +53,8 @@
 	// by them, withdrawn targets and accounts would be back.
 	It("never goes back when the platform does and a VM is replaced", func() {
 		fl := the()
+		fl.publish(fl.reweigh(8))
+		fl.inForce()
 		faults(fl.platform, yuccastand.PlatformFaults{StaleRevision: 1})
 		fresh := fl.replace(fl.daemons[6])
 		Eventually(func(g Gomega) bool {
