--- a/io/yuccadaemon/answer.go
+++ b/io/yuccadaemon/answer.go
@@ -27,12 +27,12 @@
 	changed chan struct{}
 	readers int
 	seen    bool
-	leave   func(*Answer)
+	// leave, if set, is called each time the last reader goes.
+	leave func()
 }
 
-// newAnswer returns an answer that calls leave each time its last reader goes.
-func newAnswer(id yuccaid.RequestText, leave func(*Answer)) *Answer {
-	return &Answer{id: id, changed: make(chan struct{}), leave: leave}
+func newAnswer(id yuccaid.RequestText) *Answer {
+	return &Answer{id: id, changed: make(chan struct{})}
 }
 
 // ID returns the request that is answered.
@@ -73,7 +73,7 @@
 	last := ans.readers == 0
 	ans.mu.Unlock()
 	if last && ans.leave != nil {
-		ans.leave(ans)
+		ans.leave()
 	}
 }
 
--- a/io/yuccadaemon/away.go
+++ b/io/yuccadaemon/away.go
@@ -67,7 +67,7 @@
 		r.away.cancel()
 		r.away = nil
 	}
-	if !shiftable[yuccaonce.Reason(refusal.Reason)] || d.leavingD.Load() {
+	if !shiftable[yuccaonce.Reason(refusal.Reason)] || d.draining.Load() {
 		return false
 	}
 	r.ask.Remaining = r.remaining(now)
--- a/io/yuccadaemon/daemon.go
+++ b/io/yuccadaemon/daemon.go
@@ -44,7 +44,7 @@
 	state    atomic.Pointer[yuccastate.State]
 	ready    atomic.Bool
 	settled  atomic.Bool
-	leavingD atomic.Bool
+	draining atomic.Bool
 
 	// The fields below belong to the control goroutine.
 	owner    *yuccaonce.Owner
@@ -134,7 +134,7 @@
 
 // Ready reports whether callers may be sent here.
 func (d *Daemon) Ready() bool {
-	return d.ready.Load() && d.settled.Load() && !d.leavingD.Load()
+	return d.ready.Load() && d.settled.Load() && !d.draining.Load()
 }
 
 // BodyLimit is the longest request body that callers may send.
@@ -160,7 +160,7 @@
 
 // refuses says why nothing new is taken now, if so.
 func (d *Daemon) refuses() *Problem {
-	if d.leavingD.Load() {
+	if d.draining.Load() {
 		return &Problem{Kind: KindLeaving, Run: yuccaonce.NotRun}
 	}
 	if !d.Ready() {
--- a/io/yuccadaemon/drain.go
+++ b/io/yuccadaemon/drain.go
@@ -24,7 +24,7 @@
 // what waits is granted or refused, and every running answer is finished. Only the
 // context ends it sooner, and what that cut off is reported.
 func (d *Daemon) Drain(ctx context.Context) Drained {
-	d.leavingD.Store(true)
+	d.draining.Store(true)
 	d.control.call(func(now time.Time) {
 		d.audit.add(now, AuditEntry{Kind: AuditDraining, Number: d.State().Number})
 		d.onChange(now, d.peers.Leave(now))
--- a/io/yuccadaemon/owner.go
+++ b/io/yuccadaemon/owner.go
@@ -132,7 +132,7 @@
 	r.ask.ID = id
 	r.ask.Owner = d.self.Incarnation
 	r.ask.Centre = d.self.Centre
-	r.answer = newAnswer(id, d.readerLeft)
+	r.answer = newAnswer(id)
 	d.runs[id] = r
 	d.held += req.size()
 	d.metrics.accepted(claim.Tier)
@@ -157,7 +157,7 @@
 	if outcome.Run == yuccaonce.Ran {
 		return nil, &Problem{Kind: KindAnswerGone, Run: yuccaonce.Ran}
 	}
-	answer := newAnswer(id, nil)
+	answer := newAnswer(id)
 	answer.end(outcome)
 	return answer, nil
 }
@@ -286,9 +286,6 @@
 	d.tellLeader(r, yuccawire.KindWithdraw, yuccawire.Withdrawal{Pool: r.claim.Pool, Ref: d.ref(r.id)})
 }
 
-// readerLeft is called on traffic goroutines; the next tick sees what it means.
-func (d *Daemon) readerLeft(*Answer) {}
-
 // onRefusal gives a waiting request its final answer at once.
 func (d *Daemon) onRefusal(now time.Time, refusal yuccapool.Refusal) {
 	r, open := d.runs[refusal.ID]
--- a/io/yuccadaemon/request.go
+++ b/io/yuccadaemon/request.go
@@ -34,8 +34,6 @@
 	DeadlineMillis int64          `msgpack:"deadlineMillis" json:"deadlineMillis"`
 	Prompt         string         `msgpack:"prompt" json:"prompt"`
 	AnswerTokens   yuccaid.Tokens `msgpack:"answerTokens" json:"answerTokens"`
-	// Leaves says that the work is worthless once the caller has gone.
-	Leaves bool `msgpack:"leaves" json:"-"`
 }
 
 // check refuses what the configuration doesn't know or allow; nothing has run.
--- a/io/yuccadaemon/status.go
+++ b/io/yuccadaemon/status.go
@@ -32,7 +32,7 @@
 	state := d.State()
 	status := Status{
 		VM: d.self.VM, Centre: d.self.Centre, Incarnation: d.self.Incarnation.String(),
-		Ready: d.Ready(), Leaving: d.leavingD.Load(), Number: state.Number, Digest: state.Digest(),
+		Ready: d.Ready(), Leaving: d.draining.Load(), Number: state.Number, Digest: state.Digest(),
 		Leads:   make(map[yuccaid.Pool]yuccapool.Status),
 		Waiting: make(map[yuccaid.Tier]int),
 		Running: make(map[yuccaid.Tier]int),
