The rule of tiers holds for a daemon's own bounds

Cause: a daemon at its bound of requests or prompts refused whatever came next, also an urgent request while letters waited at it. Ruled out: room kept for each tier, which idles memory; the leader can't decide this, since it doesn't hold the prompts. Before: the new spec refused the first urgent request. After: the newest waiting letter gives way, and only a daemon full of urgent requests refuses one. Conclusion: every place that refuses for load has to ask what lower tier waits there.

--- a/io/yuccadaemon/owner.go
+++ b/io/yuccadaemon/owner.go
@@ -101,15 +101,41 @@
 	return prob
 }
 
-// full refuses what would take the daemon's memory. Prompts stay here until their
-// answer is whole, so a burst of rulebooks would otherwise end the process, and with
-// it every request it owns as unknown.
-func (d *Daemon) full(req Request) *Problem {
-	limits := d.settings.Limits
-	if len(d.runs) < limits.Requests && d.held+req.size() <= heldLimit {
-		return nil
-	}
-	return &Problem{Kind: KindBusy, Detail: "this daemon holds as many requests as it may", Run: yuccaonce.NotRun, Back: fullBack}
+// makeRoom keeps what this daemon holds within its bounds, and refuses a request for
+// which there is no room.
+//
+// Prompts stay here until their answer is whole, so a burst of rulebooks would
+// otherwise end the process, and with it every request it owns as unknown. The rule
+// of tiers holds for this bound as well: a waiting request of a lower tier, the newest
+// of the lowest one, gives way before one of a higher tier is refused.
+func (d *Daemon) makeRoom(now time.Time, req Request, rank int) *Problem {
+	for d.full(req) {
+		victim := d.lowest(rank)
+		if victim == nil {
+			return &Problem{Kind: KindBusy, Detail: "this daemon holds as many requests as it may", Run: yuccaonce.NotRun, Back: fullBack}
+		}
+		d.withdraw(now, victim)
+		d.giveUp(now, victim, yuccaonce.ReasonDisplaced, fullBack)
+	}
+	return nil
+}
+
+func (d *Daemon) full(req Request) bool {
+	return len(d.runs) >= d.settings.Limits.Requests || d.held+req.size() > heldLimit
+}
+
+// lowest returns the newest waiting request of the lowest tier below a rank.
+func (d *Daemon) lowest(rank int) *run {
+	var victim *run
+	for _, r := range d.runs {
+		if r.running || r.ask.Rank <= rank {
+			continue
+		}
+		if victim == nil || r.ask.Rank > victim.ask.Rank || r.ask.Rank == victim.ask.Rank && r.accepted.After(victim.accepted) {
+			victim = r
+		}
+	}
+	return victim
 }
 
 // admit joins a second submit to the first, or starts the request.
@@ -124,7 +150,7 @@
 	if step.Kind == yuccaonce.StepClosed {
 		return d.closedAnswer(now, id, step.Outcome)
 	}
-	if prob := d.full(req); prob != nil {
+	if prob := d.makeRoom(now, req, ask.Rank); prob != nil {
 		d.owner.GiveUp(now, id, yuccaonce.ReasonOverload, fullBack)
 		return nil, prob
 	}
