--- a/core/yuccapool/decide.go
+++ b/core/yuccapool/decide.go
@@ -260,7 +260,7 @@
 	unsent := slices.IndexFunc(dec.Grants, func(grant Grant) bool { return grant.ID == one.ask.ID })
 	if unsent >= 0 {
 		dec.Grants = slices.Delete(dec.Grants, unsent, unsent+1)
-		lead.requeue(now, one, dec)
+		lead.requeue(now, one)
 		return
 	}
 	dec.Cancels = append(dec.Cancels, Cancel{
@@ -269,16 +269,12 @@
 	})
 }
 
-func (lead *Leader) requeue(now time.Time, one *run, dec *Decisions) {
+func (lead *Leader) requeue(now time.Time, one *run) {
 	lead.onRequeue(one.Target())
 	one.ask.Remaining = one.deadline.Sub(now)
 	shape := lead.shape(&one.ask, one.deadline)
 	terms := lead.terms(now, lead.account(one.ask.Account), &shape)
-	displaced, reason := lead.queue.Push(now, one.ask, terms)
-	if reason != "" {
-		lead.refuse(dec, &one.ask, yuccaqueue.ReasonDisplaced, lead.back(now, &one.ask))
-	}
-	lead.displace(now, displaced, dec)
+	lead.queue.Restore(now, one.ask, terms)
 }
 
 func (lead *Leader) displace(now time.Time, displaced []yuccaqueue.Displaced, dec *Decisions) {
--- a/core/yuccaqueue/queue.go
+++ b/core/yuccaqueue/queue.go
@@ -149,6 +149,13 @@
 	return displaced, ""
 }
 
+// Restore queues again a request that was taken and can't be served after all. Its
+// place in the queue was granted to it, so no bound is asked: the bound on tokens may
+// be overrun by the last arrival, and the request would be refused for that.
+func (q *Queue) Restore(now time.Time, ask Ask, terms Terms) {
+	q.add(now, q.account(ask.Account), q.tier(ask.Tier, ask.Rank), ask, terms)
+}
+
 func (q *Queue) full(acc *account, rank int) Reason {
 	if q.bounds.accountFull(acc.load) {
 		return ReasonLimit
