yuccatrial: a loss to the baselines that stands alone, and shorter runs

All other comparisons stay where they were and pass. Change besides: a run ends with its last request and the probe of the load draws no ids, so the suite is shorter (messages of the golden table fall with it). Ruled out: a tolerance.

--- a/core/yuccatrial/scenario.go
+++ b/core/yuccatrial/scenario.go
@@ -145,7 +145,7 @@
 		if at >= src.scn.Duration {
 			return requests
 		}
-		requests = append(requests, src.request(epoch.Add(at)))
+		requests = append(requests, src.named(src.request(epoch.Add(at))))
 	}
 }
 
@@ -208,14 +208,19 @@
 		acc = dep.Accounts[0]
 	}
 	home := src.home(mix)
-	src.count++
 	req := &Request{
 		Account: acc.Name, Tier: mix.Tier.Name, Rank: mix.Tier.Rank, Operation: mix.Operation,
 		Idempotent: !home.Plain, Arrived: at, Deadline: at.Add(mix.Deadline),
 		Daemon: src.rng.IntN(len(home.daemons)), home: home,
 	}
 	src.lengths(req, mix)
-	issuer := yuccaid.Request{Owner: home.daemons[req.Daemon], Counter: src.count, Issued: at}
+	return req
+}
+
+// named gives a request an id as its owner would, of the real length.
+func (src *source) named(req *Request) *Request {
+	src.count++
+	issuer := yuccaid.Request{Owner: req.home.daemons[req.Daemon], Counter: src.count, Issued: req.Arrived}
 	req.ID = issuer.Text(src.key)
 	return req
 }
--- a/core/yuccatrial/trial.go
+++ b/core/yuccatrial/trial.go
@@ -20,7 +20,7 @@
 	// comebackShare of the refused come back when they were told to. More would make
 	// the load differ between policies too much to compare them.
 	comebackShare = 0.1
-	// settle is how long a run goes on after the last arrival.
+	// settle is how long a run goes on at most after the last arrival.
 	settle = 3 * time.Minute
 )
 
@@ -33,6 +33,7 @@
 	byID     map[yuccaid.RequestText]*Request
 	rng      *rand.Rand
 	result   Result
+	open     int // requests that have not ended
 	gaps     map[yuccaid.Target]bool
 }
 
@@ -44,11 +45,20 @@
 		tri.pools[i].hooks = hooks
 	}
 	tri.start()
-	tri.agenda.run(epoch.Add(scenario.Duration + settle))
+	tri.play()
 	tri.result.measure(tri)
 	return tri.result
 }
 
+// play runs the agenda until every request has ended, since reports and ticks go on
+// for ever.
+func (tri *trial) play() {
+	end := epoch.Add(tri.scenario.Duration + settle)
+	for tri.open > 0 && tri.agenda.now.Before(end) {
+		tri.agenda.run(tri.agenda.now.Add(time.Second))
+	}
+}
+
 func newTrial(seed uint64, scenario Scenario) *trial {
 	tri := &trial{
 		agenda:   &agenda{now: epoch},
@@ -97,6 +107,7 @@
 
 func (tri *trial) arrive(req *Request) {
 	tri.byID[req.ID] = req
+	tri.open++
 	tri.agenda.at(req.Arrived, func() { req.home.hooks.Arrive(req) })
 	tri.agenda.at(req.Deadline, func() { tri.expire(req) })
 }
@@ -128,6 +139,7 @@
 
 func (tri *trial) end(req *Request, how fate) {
 	req.fate = how
+	tri.open--
 	req.ended = tri.agenda.now
 }
 
--- a/core/yuccatrial/trial_test.go
+++ b/core/yuccatrial/trial_test.go
@@ -1,6 +1,8 @@
 package yuccatrial_test
 
 import (
+	"testing"
+
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
@@ -48,6 +50,28 @@
 // on its way.
 const shedShare = 0.01
 
+var simple = []func(uint64) yuccatrial.Policy{
+	func(uint64) yuccatrial.Policy { return yuccatrial.RoundRobin() },
+	func(uint64) yuccatrial.Policy { return yuccatrial.LeastOutstanding() },
+	yuccatrial.PowerOfTwo,
+}
+
+// wasteApart names the scenario whose waste TestHotlineSaturationWaste compares with
+// the baselines, so that its verdict stands alone.
+func wasteApart(scn yuccatrial.Scenario) bool { return scn.Name == "hotline saturation" }
+
+// For minutes there is half as much work again as the targets can do. Letters are begun
+// and cancelled for notes, or run out; their prompts cost power and slow the notes.
+func TestHotlineSaturationWaste(t *testing.T) {
+	RegisterTestingT(t)
+	scn := short(yuccatrial.Hotline(), "saturation")
+	bounds := boundsOf(scn)
+	lead := meanOf(scn, bounds, yuccatrial.Leaders)
+	for _, policy := range simple {
+		Expect(lead.waste).To(BeNumerically("<=", meanOf(scn, bounds, policy).waste))
+	}
+}
+
 // The load rises or a target fails, and some requests can't be served in time. Callers
 // of the urgent tier see it first if the order is wrong. The bounds lie three points
 // from what was measured when they were set, in per cent, and for waste a tenth more.
@@ -60,15 +84,13 @@
 		Expect(100 * lead.all).To(BeNumerically(">=", all))
 		Expect(100 * lead.waste).To(BeNumerically("<=", waste))
 		Expect(lead.shed).To(BeNumerically("<=", shedShare))
-		for _, policy := range []func(uint64) yuccatrial.Policy{
-			func(uint64) yuccatrial.Policy { return yuccatrial.RoundRobin() },
-			func(uint64) yuccatrial.Policy { return yuccatrial.LeastOutstanding() },
-			yuccatrial.PowerOfTwo,
-		} {
+		for _, policy := range simple {
 			other := meanOf(scn, bounds, policy)
 			Expect(lead.urgent).To(BeNumerically(">=", other.urgent))
 			Expect(lead.all).To(BeNumerically(">=", other.all))
-			Expect(lead.waste).To(BeNumerically("<=", other.waste))
+			if !wasteApart(scn) {
+				Expect(lead.waste).To(BeNumerically("<=", other.waste))
+			}
 		}
 	},
 	Entry("hotline, usual", yuccatrial.Hotline(), "usual", 91.8, 94.8, 8.4),
