--- /dev/null
+++ b/cmd/yuccacleat/race_off_test.go
@@ -0,0 +1,5 @@
+//go:build !race
+
+package main_test
+
+var raceFlags []string
--- a/cmd/yuccacleat/suite_test.go
+++ b/cmd/yuccacleat/suite_test.go
@@ -18,7 +18,7 @@
 
 var _ = BeforeSuite(func() {
 	var err error
-	yuccacleatPath, err = gexec.Build("yuccacleat/cmd/yuccacleat")
+	yuccacleatPath, err = gexec.Build("yuccacleat/cmd/yuccacleat", raceFlags...)
 	Expect(err).NotTo(HaveOccurred())
 	yuccastandPath, err = gexec.Build("yuccacleat/cmd/yuccastand")
 	Expect(err).NotTo(HaveOccurred())
--- a/cmd/yuccacleat/witness_test.go
+++ b/cmd/yuccacleat/witness_test.go
@@ -160,6 +160,9 @@
 	GinkgoHelper()
 	heard := fl.witness.heard()
 	Expect(violations(fl.allRuns(), heard)).To(BeEmpty())
+	for _, proc := range fl.children {
+		Expect(proc.logs.String()).NotTo(ContainSubstring("DATA RACE"))
+	}
 	counts := make(map[string]int)
 	for _, tell := range heard {
 		counts[string(tell.run)]++
