--- a/cmd/yuccacleat/process_test.go
+++ b/cmd/yuccacleat/process_test.go
@@ -248,6 +248,7 @@
 		gone := make(chan telling, 1)
 		fl.soleTargets(fl.stand("engine", "--decode", "50"))
 		long := in("apart", draft("normal", words(20), 2500))
+		long.DeadlineMillis = longDeadline.Milliseconds()
 		go func() { gone <- fl.submit(calling, others[1], id, long) }()
 		others[0].running("normal", 1)
 		leave()
--- a/core/yuccaplace/reach.go
+++ b/core/yuccaplace/reach.go
@@ -18,6 +18,8 @@
 	slowest rates
 	slots   int
 	usable  int
+	// relaxed says that no target is in ordinary use, so that slow ones have to do.
+	relaxed bool
 }
 
 type rates struct {
@@ -51,13 +53,22 @@
 	return slices.ContainsFunc(reach.nodes, func(node *Node) bool { return !node.Gone() })
 }
 
+// holds reports whether a target gets no ordinary work now. Probes are for finding out
+// whether a slow target is well again while others work. When all of a set are slow,
+// keeping requests from them would leave callers waiting before idle engines; only a
+// target that shows no progress at all is still left to probes.
+func (reach *Reach) holds(node *Node) bool {
+	return node.Gone() || node.probing && (node.failing || !reach.relaxed)
+}
+
 // Refresh takes the learned rates into the set's best and mean ones.
 func (reach *Reach) Refresh() {
 	reach.prefill, reach.decode, reach.call, reach.mean = 0, 0, 0, 0
 	reach.slots, reach.usable = 0, 0
+	reach.relaxed = !slices.ContainsFunc(reach.nodes, func(node *Node) bool { return !node.Gone() && !node.probing })
 	reach.slowest = rates{prefill: math.Inf(1), decode: math.Inf(1)}
 	for _, node := range reach.nodes {
-		if node.Gone() || node.probing {
+		if reach.holds(node) {
 			continue
 		}
 		reach.usable++
@@ -74,8 +85,10 @@
 
 // Shape is what the estimates need of a request.
 type Shape struct {
-	Prompt   yuccaid.Tokens
-	Answer   yuccaid.Tokens
+	Prompt yuccaid.Tokens
+	Answer yuccaid.Tokens
+	// High is what the answer may well get to; Expect fills it in.
+	High     yuccaid.Tokens
 	Prefixes []uint64
 	Rank     int
 	Long     bool
@@ -97,13 +110,13 @@
 }
 
 // Slowest returns how long the slowest target in ordinary use would take, idle and
-// without a cached prefix.
+// without a cached prefix, for a long answer.
 func (fleet *Fleet) Slowest(reach *Reach, shape *Shape) time.Duration {
 	if reach.usable == 0 || fleet.plain {
 		return 0
 	}
 	prefill := float64(shape.Prompt) / reach.slowest.prefill
-	return seconds(prefill + float64(shape.Answer)/reach.slowest.decode)
+	return seconds(prefill + float64(max(shape.High, shape.Answer))/reach.slowest.decode)
 }
 
 // Work returns the time that a request takes of one target of the set: its prefill,
