Leaders hear of the dispatch and of answers that were cut short

Cause: the leader's estimates take the dispatch as the start of a prefill and a cut answer's length as no length; owners told neither. Ruled out: a message for each dispatch; it goes with the steps of the same tick. Before: prefill times held the dial. After: a step without tokens at the dispatch, a mark for partial answers; daemon and pool specs green.

--- a/io/yuccadaemon/dispatch.go
+++ b/io/yuccadaemon/dispatch.go
@@ -110,6 +110,8 @@
 		}
 		if err = d.owner.Dispatch(now, r.id, grant.Target); err == nil {
 			r.sent = true
+			// The leader tells a slow connection from a slow target by this.
+			d.tellProgress(now, r, yuccapool.Progress{ID: r.id})
 			d.log.request(r, "dispatching")
 		}
 	})
@@ -262,6 +264,7 @@
 		ID: r.id, Target: r.target, Ran: result.Run == yuccaonce.Ran && !result.Partial,
 		Refused: result.Reason == yuccaonce.ReasonRefusedByTarget,
 		Leaving: result.Reason == yuccaonce.ReasonTargetLeaving,
+		Partial: result.Partial,
 		Failed:  result.Reason == yuccaonce.ReasonTargetLost || result.Reason == yuccaonce.ReasonUnsent,
 		Prompt:  end.Prompt, Cached: end.Cached, Answer: end.Answer, Prefill: end.Prefill, Decode: end.Decode,
 	}
--- a/io/yuccadaemon/placing.go
+++ b/io/yuccadaemon/placing.go
@@ -64,6 +64,7 @@
 		{finished.Refused, yuccawire.EndingRefused},
 		{finished.Leaving, yuccawire.EndingLeaving},
 		{finished.Failed, yuccawire.EndingFailed},
+		{finished.Partial, yuccawire.EndingPartial},
 	} {
 		if mark.set {
 			ending |= mark.value
@@ -79,6 +80,7 @@
 		Refused: message.Ending&yuccawire.EndingRefused != 0,
 		Leaving: message.Ending&yuccawire.EndingLeaving != 0,
 		Failed:  message.Ending&yuccawire.EndingFailed != 0,
+		Partial: message.Ending&yuccawire.EndingPartial != 0,
 		Prompt:  message.Prompt, Cached: message.Cached, Answer: message.Answer,
 		Prefill: time.Duration(message.PrefillMillis) * time.Millisecond,
 		Decode:  time.Duration(message.DecodeMillis) * time.Millisecond,
--- a/io/yuccadaemon/progress.go
+++ b/io/yuccadaemon/progress.go
@@ -22,6 +22,10 @@
 		d.metrics.firstToken(r.claim.Tier, now.Sub(r.accepted))
 	}
 	r.answered = progress.Answered
+	d.tellProgress(now, r, progress)
+}
+
+func (d *Daemon) tellProgress(now time.Time, r *run, progress yuccapool.Progress) {
 	step := yuccawire.RunProgress{Ref: d.ref(r.id), FirstToken: progress.FirstToken, Answered: progress.Answered}
 	switch {
 	case r.leads(d):
--- a/io/yuccawire/placing.go
+++ b/io/yuccawire/placing.go
@@ -70,6 +70,7 @@
 	EndingRefused
 	EndingLeaving
 	EndingFailed
+	EndingPartial
 )
 
 // Hold tells a new leader of a run that is under way.
