--- a/cmd/yuccacleat/fleet_test.go
+++ b/cmd/yuccacleat/fleet_test.go
@@ -36,7 +36,7 @@
 	// longDeadline is for answers that only have to be under way: engines that were
 	// slowed by a busy machine have learned rates at which patience would not do.
 	longDeadline = 20 * time.Minute
-	secret   = "hotline secret"
+	secret       = "hotline secret"
 )
 
 // process is one child of the test.
