A newcomer's seeds are tested, and what a question gets while a daemon closes

Ruled out: testing with a replaced VM, whose peers dial it anyway. Conclusion: seeds work where no list does.

--- a/cmd/yuccacleat/fleet_test.go
+++ b/cmd/yuccacleat/fleet_test.go
@@ -108,6 +108,7 @@
 	plain    string
 	caller   *yuccacaller.Client
 	state    *yuccastate.State
+	seeds    []string
 	witness  witness
 	// children and relays end with the fleet, not with the spec that started them.
 	children []*process
@@ -206,7 +207,8 @@
 platform: http://%s
 fleetKeyFile: %s
 longestDrain: 60s
-`, name, centre, rel.address(), way.address(), filepath.Join(fl.dir, "key"))
+seeds: [%s]
+`, name, centre, rel.address(), way.address(), filepath.Join(fl.dir, "key"), strings.Join(fl.seeds, ", "))
 	path := filepath.Join(fl.dir, string(name)+".yaml")
 	Expect(os.WriteFile(path, []byte(settings), 0o600)).To(Succeed())
 	dm := &daemon{process: spawn(yuccacleatPath, "serve", "--settings", path), name: name, centre: centre, relay: rel, gate: way}
--- a/core/yuccapeer/member.go
+++ b/core/yuccapeer/member.go
@@ -12,11 +12,11 @@
 
 // Member is one daemon as others know it.
 type Member struct {
-	VM          yuccaid.VM
-	Centre      yuccaid.Centre
-	Address     string
-	Incarnation yuccaid.Incarnation
-	Leaving     bool
+	VM          yuccaid.VM          `json:"vm"`
+	Centre      yuccaid.Centre      `json:"centre"`
+	Address     string              `json:"address"`
+	Incarnation yuccaid.Incarnation `json:"incarnation"`
+	Leaving     bool                `json:"leaving"`
 }
 
 // Listing is one VM of the platform's list. VM and Centre are empty for an address
--- a/core/yuccapool/status.go
+++ b/core/yuccapool/status.go
@@ -8,32 +8,32 @@
 
 // TierStatus counts one tier's requests at the leader.
 type TierStatus struct {
-	Tier    yuccaid.Tier   `msgpack:"tier"`
-	Rank    int            `msgpack:"rank"`
-	Waiting int            `msgpack:"waiting"`
-	Queued  yuccaid.Tokens `msgpack:"queued"`
-	Running int            `msgpack:"running"`
+	Tier    yuccaid.Tier   `msgpack:"tier" json:"tier"`
+	Rank    int            `msgpack:"rank" json:"rank"`
+	Waiting int            `msgpack:"waiting" json:"waiting"`
+	Queued  yuccaid.Tokens `msgpack:"queued" json:"queued"`
+	Running int            `msgpack:"running" json:"running"`
 }
 
 // TargetStatus is what the leader believes of one target.
 type TargetStatus struct {
-	Target  yuccaid.Target `msgpack:"target"`
-	Running int            `msgpack:"running"`
-	Slots   int            `msgpack:"slots"`
-	Backlog time.Duration  `msgpack:"backlog"`
-	Prefill yuccaid.Rate   `msgpack:"prefill"`
-	Decode  yuccaid.Rate   `msgpack:"decode"`
-	Health  string         `msgpack:"health"`
-	Leaving bool           `msgpack:"leaving"`
+	Target  yuccaid.Target `msgpack:"target" json:"target"`
+	Running int            `msgpack:"running" json:"running"`
+	Slots   int            `msgpack:"slots" json:"slots"`
+	Backlog time.Duration  `msgpack:"backlog" json:"backlog"`
+	Prefill yuccaid.Rate   `msgpack:"prefill" json:"prefill"`
+	Decode  yuccaid.Rate   `msgpack:"decode" json:"decode"`
+	Health  string         `msgpack:"health" json:"health"`
+	Leaving bool           `msgpack:"leaving" json:"leaving"`
 }
 
 // Status is the leader's state for operators and metrics.
 type Status struct {
-	Pool      yuccaid.Pool   `msgpack:"pool"`
-	Number    yuccaid.Number `msgpack:"number"`
-	Gathering bool           `msgpack:"gathering"`
-	Tiers     []TierStatus   `msgpack:"tiers"`
-	Targets   []TargetStatus `msgpack:"targets"`
+	Pool      yuccaid.Pool   `msgpack:"pool" json:"pool"`
+	Number    yuccaid.Number `msgpack:"number" json:"number"`
+	Gathering bool           `msgpack:"gathering" json:"gathering"`
+	Tiers     []TierStatus   `msgpack:"tiers" json:"tiers"`
+	Targets   []TargetStatus `msgpack:"targets" json:"targets"`
 }
 
 // Status returns what the leader believes.
--- a/io/yuccaconf/settings.go
+++ b/io/yuccaconf/settings.go
@@ -63,7 +63,7 @@
 		LongestDrain: 10 * time.Minute,
 		Log:          Log{Level: LevelInfo},
 		Limits: Limits{
-			Requests:    20_000,
+			Requests: 20_000,
 			// An open stream costs some 99 KB, so these stay within 256 MB beside full buffers.
 			Callers:     600,
 			Body:        1 << 20,
--- a/io/yuccadaemon/forward.go
+++ b/io/yuccadaemon/forward.go
@@ -62,10 +62,15 @@
 func (d *Daemon) abortOwn(id yuccaid.RequestText, acc yuccaid.Account) (yuccaonce.Outcome, error) {
 	var outcome yuccaonce.Outcome
 	var err error
-	d.control.call(func(now time.Time) { outcome, err = d.abort(now, id, acc) })
+	if !d.control.call(func(now time.Time) { outcome, err = d.abort(now, id, acc) }) {
+		return outcome, errClosing
+	}
 	return outcome, err
 }
 
+// errClosing is what a caller is told whose question comes when control has ended.
+var errClosing = &Problem{Kind: KindLeaving, Run: yuccaonce.Unknown}
+
 func drain(ctx context.Context, answer *Answer) (yuccaonce.Outcome, error) {
 	from := 0
 	for {
@@ -94,7 +99,9 @@
 func (d *Daemon) followOwn(follow yuccawire.Follow) (*Answer, error) {
 	var answer *Answer
 	var err error
-	d.control.call(func(now time.Time) { answer, err = d.lookUp(now, follow) })
+	if !d.control.call(func(now time.Time) { answer, err = d.lookUp(now, follow) }) {
+		return nil, errClosing
+	}
 	return answer, err
 }
 
--- a/io/yuccaweb/problem.go
+++ b/io/yuccaweb/problem.go
@@ -96,7 +96,7 @@
 	case errors.As(err, &ref):
 		return describeOutcome(ref.outcome)
 	case errors.As(err, &plain):
-		return plain.Code, Detail{Kind: yuccadaemon.KindMalformed, Message: http.StatusText(plain.Code), Remedy: "use a route that the README names", Run: yuccaonce.NotRun}
+		return plain.Code, Detail{Kind: yuccadaemon.KindMalformed, Message: http.StatusText(plain.Code), Remedy: "use a route that the README names", Run: yuccaonce.Unknown}
 	}
 	return http.StatusInternalServerError, Detail{Kind: yuccadaemon.KindUnknownState, Message: err.Error(), Remedy: "ask for the request's outcome", Run: yuccaonce.Unknown}
 }
