A lower run gives way to a request whose ordinary answer would be in time

Ruled out: cancelling without any margin from the start, which would cancel more than needed; the wish for a long answer's room stays first. Conclusion: the rule of tiers goes before the measure.

--- a/core/yuccaplace/choose.go
+++ b/core/yuccaplace/choose.go
@@ -136,11 +136,14 @@
 // moment it wants room even for a long answer: what ends late has cost the target its
 // prefill and its answer, and nobody gets anything for it.
 func (choice *Choice) late(now time.Time, shape *Shape) bool {
-	finish := choice.Finish
-	if !shape.Urgent {
-		finish = max(finish, choice.high)
+	return now.Add(choice.needs(shape)).After(shape.Deadline)
+}
+
+func (choice *Choice) needs(shape *Shape) time.Duration {
+	if shape.Urgent {
+		return choice.Finish
 	}
-	return now.Add(finish).After(shape.Deadline)
+	return max(choice.Finish, choice.high)
 }
 
 // longRoom reports whether a long prompt may only join targets that already work on
--- a/core/yuccaplace/preempt.go
+++ b/core/yuccaplace/preempt.go
@@ -57,7 +57,7 @@
 	without := func(runs []*Run) (Choice, bool) {
 		choice := fleet.estimate(now, node, shape, deepest, node.without(now, runs))
 		slots := node.busy(now)-len(runs) < node.Target.Slots+fleet.spare
-		return choice, slots && !now.Add(choice.high).After(shape.Deadline)
+		return choice, slots && !choice.late(now, shape)
 	}
 	enough := 1
 	choice, ok := without(victims[:enough])
@@ -77,7 +77,7 @@
 			victims, choice = fewer, other
 		}
 	}
-	one := Eviction{Choice: choice, Runs: victims, Slack: shape.Deadline.Sub(now.Add(choice.high))}
+	one := Eviction{Choice: choice, Runs: victims, Slack: shape.Deadline.Sub(now.Add(choice.needs(shape)))}
 	for _, run := range victims {
 		one.Waste += node.waste(now, run)
 	}
--- a/core/yuccapool/decide.go
+++ b/core/yuccapool/decide.go
@@ -250,6 +250,13 @@
 		return yuccaplace.Eviction{}, false
 	}
 	shape := lead.shape(ask, deadline)
+	eviction, found := lead.fleet.Evict(now, lead.reaches[acc.reach], &shape)
+	if found {
+		return eviction, true
+	}
+	// There is no room left for a long answer, but an ordinary one would be in time. A
+	// run of a lower tier is worth less than even that chance.
+	shape.Urgent = true
 	return lead.fleet.Evict(now, lead.reaches[acc.reach], &shape)
 }
 
