The plots' legend stands where no line runs

Cause: looked at, the legend covered the lines at high load and was cut off. Ruled out: below the axis, which gonum's plot doesn't offer. Before: covered from 1.6 times the capacity on. After: right of the lines.

--- a/core/yuccatrial/plot.go
+++ b/core/yuccatrial/plot.go
@@ -47,6 +47,11 @@
 const (
 	plotWidth  = 6 * vg.Inch
 	plotHeight = 4 * vg.Inch
+
+	// The legend stands right of the highest load, where no line runs.
+	legendFrom  = 2.0
+	legendRoom  = 1.0
+	legendInset = 8 * vg.Millimeter
 )
 
 // Draw returns a measure against load as SVG, with a line for each policy.
@@ -55,7 +60,9 @@
 	plt.Title.Text = measure.Name
 	plt.X.Label.Text = "load, as a part of the capacity"
 	plt.Y.Min = 0
+	plt.X.Max = legendFrom + legendRoom
 	plt.Legend.Top = true
+	plt.Legend.XOffs = -legendInset
 	for i, name := range policyNames(results) {
 		line, err := plotter.NewLine(points(results, name, measure))
 		if err != nil {
