One walk over msgpack's lengths, before a frame is handed on

Cause: the check of lengths stood twice: frames had one of their own when they were read, and a second, recursive one was put before their decoder. Ruled out: keeping the recursive one, which the other replaces without recursion. Conclusion: behaviour as before; one place to mend.

--- a/io/yuccawire/check.go
+++ b/core/yuccapack/check.go
@@ -1,4 +1,4 @@
-package yuccawire
+package yuccapack
 
 import (
 	"encoding/binary"
@@ -6,23 +6,24 @@
 )
 
 // maxDepth bounds how deep arrays and maps stand in one another. The messages need
-// four; a frame of nothing but opened arrays would have a recursive decoder take
+// four; a value of nothing but opened arrays would have a recursive decoder take
 // hundreds of megabytes of stack.
 const maxDepth = 32
 
 var (
-	errNoPair   = errors.New("it is not an array of kind and body")
-	errNoKind   = errors.New("its kind is not a small number")
-	errDeep     = errors.New("its body is nested too deep")
-	errShort    = errors.New("its body ends too early")
-	errTrailing = errors.New("bytes follow its body")
-	errCode     = errors.New("its body has a byte that msgpack never uses")
+	// ErrLength says that a value announces more than follows it.
+	ErrLength = errors.New("a length exceeds what follows: send the value again")
+	// ErrTrailing says that bytes follow a value.
+	ErrTrailing = errors.New("bytes follow the value: send one value only")
+	// ErrDeep says that arrays and maps stand too deep in one another.
+	ErrDeep = errors.New("the value is nested too deep: send a flatter one")
+	// ErrCode says that a byte is none that msgpack uses.
+	ErrCode = errors.New("a byte is no msgpack: send the value again")
 )
 
-// checkBody walks over one msgpack value without recursion and without allocating:
-// it refuses what is cut short, has bytes left over or is nested too deep before a
+// Check walks over one msgpack value without recursion and without allocating: it refuses what is cut short, has bytes left over or is nested too deep before a
 // decoder allocates anything on the word of a length inside.
-func checkBody(body []byte) error {
+func Check(body []byte) error {
 	var open [maxDepth]uint64
 	depth := 0
 	open[0] = 1
@@ -43,7 +44,7 @@
 			continue
 		}
 		if depth+1 == maxDepth {
-			return errDeep
+			return ErrDeep
 		}
 		depth++
 		open[depth] = items
@@ -52,7 +53,7 @@
 
 func checkEnd(rest []byte) error {
 	if len(rest) > 0 {
-		return errTrailing
+		return ErrTrailing
 	}
 	return nil
 }
@@ -117,7 +118,7 @@
 // inside it.
 func head(body []byte) (size int, items uint64, err error) {
 	if len(body) == 0 {
-		return 0, 0, errShort
+		return 0, 0, ErrLength
 	}
 	code := body[0]
 	switch {
@@ -130,7 +131,7 @@
 	case code < firstShape:
 		return within(body, 1+uint64(code&lettersMask), 0)
 	case code == unusedCode:
-		return 0, 0, errCode
+		return 0, 0, ErrCode
 	}
 	return shaped(body, shapes[code-firstShape])
 }
@@ -138,7 +139,7 @@
 func shaped(body []byte, form shape) (size int, items uint64, err error) {
 	own := 1 + uint64(form.lengthBytes)
 	if uint64(len(body)) < own {
-		return 0, 0, errShort
+		return 0, 0, ErrLength
 	}
 	count := number(body[1:own])
 	if form.perItem == 0 {
@@ -151,7 +152,7 @@
 // byte at least.
 func within(body []byte, size, items uint64) (int, uint64, error) {
 	if size+items > uint64(len(body)) {
-		return 0, 0, errShort
+		return 0, 0, ErrLength
 	}
 	return int(size), items, nil
 }
--- a/io/yuccawire/frame.go
+++ b/io/yuccawire/frame.go
@@ -12,6 +12,11 @@
 	"yuccacleat/core/yuccapack"
 )
 
+var (
+	errNoPair = errors.New("it is not an array of kind and body")
+	errNoKind = errors.New("its kind is not a small number")
+)
+
 const (
 	headerBytes = 4
 	// pairCode starts a msgpack array of two: the kind and the body.
@@ -74,9 +79,6 @@
 // Decode reads the frame's body into a message. Fields that the message doesn't know
 // are passed over, so that a newer peer may add some.
 func (frame Frame) Decode(into any) error {
-	if err := yuccapack.Check(frame.Body); err != nil {
-		return &GarbledError{Kind: frame.Kind, Cause: err}
-	}
 	dec := msgpack.GetDecoder()
 	defer msgpack.PutDecoder(dec)
 	in := bytes.NewReader(frame.Body)
@@ -144,7 +146,7 @@
 	if err != nil {
 		return Frame{}, &GarbledError{Cause: err}
 	}
-	if err := checkBody(body); err != nil {
+	if err := yuccapack.Check(body); err != nil {
 		return Frame{}, &GarbledError{Kind: kind, Cause: err}
 	}
 	return Frame{Kind: kind, Body: body}, nil
