--- /dev/null
+++ b/core/yuccagrant/ask.go
@@ -0,0 +1,142 @@
+package yuccagrant
+
+import (
+	"time"
+
+	"yuccacleat/core/yuccaid"
+)
+
+// ID names a request by the daemon that holds its caller's connection.
+type ID struct {
+	Owner  yuccaid.Incarnation
+	Number uint64
+}
+
+// Ask is a request that waits for a target.
+type Ask struct {
+	ID      ID
+	Account yuccaid.Account
+	// Rank orders requests under load; 0 is the most urgent.
+	Rank   int
+	Prompt yuccaid.Tokens
+	Answer yuccaid.Tokens
+	// Aim is until when the first event is on time, and Until is when the caller leaves.
+	Aim   time.Time
+	Until time.Time
+	// Gap is the longest pause between two events that counts as on time.
+	Gap time.Duration
+	// Tried are the targets that failed this request before.
+	Tried []yuccaid.Target
+}
+
+// Grant sends a request to a target.
+type Grant struct {
+	ID     ID
+	Target yuccaid.Target
+}
+
+// Reason says why a request is refused.
+type Reason string
+
+// The reasons of refusals.
+const (
+	// ReasonNoTarget says that the pool has no target at all.
+	ReasonNoTarget Reason = "noTarget"
+	// ReasonLate says that the answer would begin too late to be of use.
+	ReasonLate Reason = "late"
+	// ReasonFull says that too many wait.
+	ReasonFull Reason = "full"
+)
+
+// Refusal is the final answer to an ask; Back is when coming back makes sense.
+type Refusal struct {
+	ID     ID
+	Reason Reason
+	Back   time.Duration
+	// Waiting and Free are how many waited before the request and how many places were
+	// free, for the log.
+	Waiting int
+	Free    int
+}
+
+// Decisions is what one event led to.
+type Decisions struct {
+	Grants   []Grant
+	Refusals []Refusal
+}
+
+// Outcome says how a run ended.
+type Outcome uint8
+
+// The outcomes of runs.
+const (
+	// Served says that the target answered as it should.
+	Served Outcome = iota
+	// Failed says that the target answered with a failure of its own.
+	Failed
+	// Rejected says that the target was full and didn't run the request.
+	Rejected
+	// Misdirected says that another target has the address.
+	Misdirected
+	// Unreachable says that no connection could be opened.
+	Unreachable
+	// Lost says that the request was sent and no answer came.
+	Lost
+	// Broken says that the answer broke off.
+	Broken
+	// Dropped says that the caller left, or that the grant was not used.
+	Dropped
+)
+
+var outcomeNames = [...]string{"served", "failed", "rejected", "misdirected", "unreachable", "lost", "broken", "dropped"}
+
+// String returns the outcome's name in logs and metrics.
+func (out Outcome) String() string {
+	if int(out) < len(outcomeNames) {
+		return outcomeNames[out]
+	}
+	return "unknown"
+}
+
+// Ended gives a target's place back and tells how the run went.
+type Ended struct {
+	ID      ID
+	Outcome Outcome
+	// First is the time from sending to the first event, zero if there was none.
+	First time.Duration
+	// Events counts the events, Span is the time from the first to the last, and Pause the
+	// longest between two.
+	Events int
+	Span   time.Duration
+	Pause  time.Duration
+	// Load is the target's own word on its load, if it gave one.
+	Load Load
+}
+
+// Load is what a target says runs and waits there.
+type Load struct {
+	Known   bool
+	Running int
+	Waiting int
+}
+
+// Running is a run that an owner tells a new leader of.
+type Running struct {
+	Ask    Ask
+	Target yuccaid.Target
+	Sent   time.Time
+	// Begun says that the first event has come.
+	Begun bool
+}
+
+// Target is what is known of one target without having used it.
+type Target struct {
+	Name  yuccaid.Target
+	Slots int
+	// Born tells a restarted target from its predecessor.
+	Born int64
+	// Way is the time that a message takes there and back.
+	Way time.Duration
+	// Away says that the way is paid by volume.
+	Away bool
+}
--- /dev/null
+++ b/core/yuccagrant/choose.go
@@ -0,0 +1,77 @@
+package yuccagrant
+
+import (
+	"math"
+	"time"
+)
+
+// choice is a target for a request and when its first event is expected.
+type choice struct {
+	node  *node
+	first time.Duration
+	cost  time.Duration
+	suits bool
+}
+
+// choose returns the best target with a free place, one that suits before one that
+// doesn't, or a choice without a target.
+//
+// Made for targets of unlike pace in several data centres. The cost is the time to the
+// first event, and what it adds that the target is crowded, that its answers pause or
+// fail, and that the way there is paid for.
+func (lead *Leader) choose(now time.Time, ask *Ask) choice {
+	best := choice{cost: math.MaxInt64}
+	for _, nd := range lead.nodes {
+		if nd.free(now) == 0 || nd.resting(now) || nd.tried(ask) {
+			continue
+		}
+		one := lead.estimate(now, nd, ask)
+		if one.suits && !best.suits || one.suits == best.suits && one.cost < best.cost {
+			best = one
+		}
+	}
+	return best
+}
+
+func (lead *Leader) estimate(now time.Time, nd *node, ask *Ask) choice {
+	work := time.Duration(nd.pace * float64(lead.model.first(ask.Prompt)))
+	crowd := crowdCost * float64(nd.busy(now)) / float64(max(nd.Slots, 1))
+	one := choice{node: nd, first: work + nd.Way}
+	one.cost = one.first + time.Duration(crowd*float64(work)) +
+		time.Duration(nd.late*float64(lateCost)) + time.Duration(nd.failed*float64(failCost))
+	if nd.Away {
+		one.cost += awayCost
+	}
+	left := ask.Aim.Sub(now)
+	one.suits = one.first <= time.Duration(margin*float64(left)) && !lead.pauses(nd, ask)
+	return one
+}
+
+// pauses reports whether the events of a target follow one another too slowly even when
+// nothing disturbs it.
+func (lead *Leader) pauses(nd *node, ask *Ask) bool {
+	return ask.Gap > 0 && seconds(nd.pace*lead.model.gap()) > ask.Gap/2
+}
+
+// free returns how many places are free on targets that get work.
+func (lead *Leader) free(now time.Time) int {
+	sum := 0
+	for _, nd := range lead.nodes {
+		if !nd.resting(now) {
+			sum += nd.free(now)
+		}
+	}
+	return sum
+}
+
+// places returns how many places the targets that get work have, a slower target's
+// counting for less.
+func (lead *Leader) places(now time.Time) float64 {
+	sum := 0.0
+	for _, nd := range lead.nodes {
+		if !nd.resting(now) {
+			sum += float64(nd.Slots) / nd.pace
+		}
+	}
+	return sum
+}
--- /dev/null
+++ b/core/yuccagrant/leader.go
@@ -0,0 +1,392 @@
+package yuccagrant
+
+import (
+	"cmp"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"yuccacleat/core/yuccaid"
+)
+
+// Leader decides for one pool. It isn't safe for concurrent use.
+type Leader struct {
+	rng   *rand.Rand
+	nodes []*node
+	runs  map[ID]*run
+	queue queue
+	model model
+}
+
+// New returns a leader without targets; Configure gives it some.
+func New(rng *rand.Rand) *Leader {
+	return &Leader{rng: rng, runs: make(map[ID]*run), queue: newQueue()}
+}
+
+// Configure sets the targets. What is known of one stays as long as it is the same
+// process; what runs on one that takes no more work goes on.
+func (lead *Leader) Configure(now time.Time, targets []Target) Decisions {
+	old := make(map[yuccaid.Target]*node, len(lead.nodes))
+	for _, nd := range lead.nodes {
+		old[nd.Name] = nd
+	}
+	lead.nodes = lead.nodes[:0:0]
+	for _, target := range targets {
+		nd := old[target.Name]
+		if nd == nil || nd.Born != target.Born {
+			nd = newNode(target)
+			nd.pace = lead.usualPace()
+		}
+		nd.Target = target
+		lead.nodes = append(lead.nodes, nd)
+	}
+	slices.SortFunc(lead.nodes, func(a, b *node) int { return cmp.Compare(a.Name, b.Name) })
+	var dec Decisions
+	lead.serve(now, &dec)
+	return dec
+}
+
+// usualPace is what an unknown target is taken for: the middle of those that are known.
+func (lead *Leader) usualPace() float64 {
+	var known []float64
+	for _, nd := range lead.nodes {
+		if nd.paced > 0 {
+			known = append(known, nd.pace)
+		}
+	}
+	if len(known) == 0 {
+		return 1
+	}
+	slices.Sort(known)
+	return known[len(known)/2]
+}
+
+// Ask takes a request: it is granted, refused or left waiting.
+func (lead *Leader) Ask(now time.Time, ask Ask) Decisions {
+	var dec Decisions
+	if _, runs := lead.runs[ask.ID]; runs {
+		return dec
+	}
+	if _, waits := lead.queue.byID[ask.ID]; waits {
+		return dec
+	}
+	if len(lead.nodes) == 0 {
+		lead.refuse(now, &ask, ReasonNoTarget, &dec)
+		return dec
+	}
+	if lead.queue.len() >= mostWaiting {
+		lead.refuse(now, &ask, ReasonFull, &dec)
+		return dec
+	}
+	lead.queue.push(&waiting{Ask: ask, asked: now})
+	lead.serve(now, &dec)
+	if _, waits := lead.queue.byID[ask.ID]; waits && lead.hopeless(now, &ask) {
+		lead.queue.remove(ask.ID)
+		lead.refuse(now, &ask, ReasonLate, &dec)
+	}
+	return dec
+}
+
+// Withdraw takes a waiting request out; its caller left.
+func (lead *Leader) Withdraw(now time.Time, id ID) Decisions {
+	var dec Decisions
+	if lead.queue.remove(id) == nil {
+		return dec
+	}
+	lead.serve(now, &dec)
+	return dec
+}
+
+// Begun notes a run's first event.
+func (lead *Leader) Begun(now time.Time, id ID, took time.Duration) Decisions {
+	var dec Decisions
+	one, runs := lead.runs[id]
+	if !runs || one.begun {
+		return dec
+	}
+	one.begun = true
+	lead.learnFirst(one, took)
+	lead.serve(now, &dec)
+	return dec
+}
+
+// Ended frees a place and learns from how the run went.
+func (lead *Leader) Ended(now time.Time, end Ended) Decisions {
+	var dec Decisions
+	one, runs := lead.runs[end.ID]
+	if !runs {
+		return dec
+	}
+	if end.First > 0 && !one.begun {
+		lead.learnFirst(one, end.First)
+	}
+	lead.finish(one)
+	one.node.reported(now, end.Load)
+	lead.judge(now, one, end)
+	lead.serve(now, &dec)
+	return dec
+}
+
+// Hold counts a run that was granted by another leader.
+func (lead *Leader) Hold(now time.Time, running Running) {
+	if _, runs := lead.runs[running.Ask.ID]; runs {
+		return
+	}
+	lead.queue.remove(running.Ask.ID)
+	for _, nd := range lead.nodes {
+		if nd.Name == running.Target {
+			one := lead.start(now, nd, running.Ask)
+			one.sent = running.Sent
+			one.begun = running.Begun
+		}
+	}
+}
+
+// OwnerGone drops what a lost daemon had waiting and running. Targets drop a request whose
+// connection closes.
+func (lead *Leader) OwnerGone(now time.Time, owner yuccaid.Incarnation) Decisions {
+	var dec Decisions
+	for id, item := range lead.queue.byID {
+		if item.ID.Owner == owner {
+			lead.queue.remove(id)
+		}
+	}
+	for id, one := range lead.runs {
+		if id.Owner == owner {
+			lead.finish(one)
+		}
+	}
+	lead.serve(now, &dec)
+	return dec
+}
+
+// Tick decides what the passing of time has changed; call it every few tens of
+// milliseconds while something waits.
+func (lead *Leader) Tick(now time.Time) Decisions {
+	var dec Decisions
+	for _, one := range lead.runs {
+		if now.Sub(one.sent) > lostFor {
+			lead.finish(one)
+		}
+	}
+	lead.normalise()
+	lead.serve(now, &dec)
+	lead.expire(now, &dec)
+	return dec
+}
+
+// Waiting returns how many requests wait.
+func (lead *Leader) Waiting() int { return lead.queue.len() }
+
+// Targets returns how the targets look to the leader.
+func (lead *Leader) Targets(now time.Time) []Status {
+	list := make([]Status, 0, len(lead.nodes))
+	for _, nd := range lead.nodes {
+		list = append(list, Status{
+			Target: nd.Name, Busy: nd.busy(now), Slots: nd.Slots, Pace: nd.pace, Late: nd.late, Failed: nd.failed, Resting: nd.resting(now),
+		})
+	}
+	return list
+}
+
+// serve grants places in the order of ranks and, within a rank, of aims. A request whose
+// aim has passed goes after those of its rank that can still be on time.
+func (lead *Leader) serve(now time.Time, dec *Decisions) {
+	for _, ln := range lead.queue.lines {
+		for _, late := range []bool{false, true} {
+			lead.serveLine(now, ln, late, dec)
+		}
+	}
+}
+
+func (lead *Leader) serveLine(now time.Time, ln *line, late bool, dec *Decisions) {
+	missed := 0
+	for at := 0; at < len(ln.items) && missed < looks; {
+		item := ln.items[at]
+		if item.Aim.Before(now) != late || !lead.place(now, item, late, dec) {
+			if item.Aim.Before(now) == late {
+				missed++
+			}
+			at++
+			continue
+		}
+	}
+}
+
+// place grants a request its best target. One that can still be on time waits rather than
+// take a target where it would be late, while a better one may become free in time.
+func (lead *Leader) place(now time.Time, item *waiting, late bool, dec *Decisions) bool {
+	best := lead.choose(now, &item.Ask)
+	if best.node == nil {
+		return false
+	}
+	if !best.suits && !late && lead.worthWaiting(now, &item.Ask) {
+		return false
+	}
+	lead.queue.remove(item.ID)
+	lead.start(now, best.node, item.Ask)
+	dec.Grants = append(dec.Grants, Grant{ID: item.ID, Target: best.node.Name})
+	return true
+}
+
+// worthWaiting reports whether a target that would suit the request is full now and
+// likely to have a place while the request can still be on time.
+func (lead *Leader) worthWaiting(now time.Time, ask *Ask) bool {
+	wait := lead.nextPlace(now)
+	for _, nd := range lead.nodes {
+		if nd.resting(now) || nd.tried(ask) {
+			continue
+		}
+		one := lead.estimate(now, nd, ask)
+		if one.suits && one.first+wait <= time.Duration(margin*float64(ask.Aim.Sub(now))) {
+			return true
+		}
+	}
+	return false
+}
+
+// nextPlace is the mean time until some place becomes free.
+func (lead *Leader) nextPlace(now time.Time) time.Duration {
+	return lead.wait(now, 1)
+}
+
+// wait is how long it takes until so many places have become free.
+func (lead *Leader) wait(now time.Time, places int) time.Duration {
+	return seconds(float64(places) * lead.model.held() / max(lead.places(now), 0.5))
+}
+
+// hopeless reports whether a request that found no place had better be told so at once.
+//
+// Under overload a queue that takes everything makes everybody late. A caller who hears at
+// once when to come back loses nothing by it. But while requests of lower ranks run, their
+// places will come free, and a higher rank is not sent away before them.
+func (lead *Leader) hopeless(now time.Time, ask *Ask) bool {
+	wait := lead.wait(now, lead.queue.ahead(ask.Rank, ask.Aim))
+	begin := wait + lead.model.first(ask.Prompt)
+	if begin <= ask.Aim.Sub(now)+soon {
+		return false
+	}
+	if lead.lowerRuns(ask.Rank) {
+		return begin > time.Duration(patience*float64(ask.Until.Sub(now)))
+	}
+	return true
+}
+
+func (lead *Leader) lowerRuns(rank int) bool {
+	for _, one := range lead.runs {
+		if one.ask.Rank > rank {
+			return true
+		}
+	}
+	return false
+}
+
+// expire refuses what waited in vain.
+func (lead *Leader) expire(now time.Time, dec *Decisions) {
+	var gone []*waiting
+	for _, item := range lead.queue.byID {
+		if item.Aim.Before(now) && lead.hopeless(now, &item.Ask) || !now.Before(item.Until) {
+			gone = append(gone, item)
+		}
+	}
+	slices.SortFunc(gone, func(a, b *waiting) int { return cmp.Compare(a.ID.Number, b.ID.Number) })
+	for _, item := range gone {
+		lead.queue.remove(item.ID)
+		lead.refuse(now, &item.Ask, ReasonLate, dec)
+	}
+}
+
+func (lead *Leader) refuse(now time.Time, ask *Ask, reason Reason, dec *Decisions) {
+	dec.Refusals = append(dec.Refusals, Refusal{
+		ID: ask.ID, Reason: reason, Back: lead.back(now, ask),
+		Waiting: lead.queue.len(), Free: lead.free(now),
+	})
+}
+
+// back is when a refused caller should come again: when what waits of its rank and above
+// has been served. Those refused together are spread, or they would come as one burst.
+func (lead *Leader) back(now time.Time, ask *Ask) time.Duration {
+	wait := lead.wait(now, lead.queue.ahead(ask.Rank, now.Add(math.MaxInt32*time.Second))+1)
+	wait = min(max(wait, leastBack), mostBack)
+	return wait + time.Duration(lead.rng.Float64()*backSpread*float64(wait))
+}
+
+func (lead *Leader) start(now time.Time, nd *node, ask Ask) *run {
+	one := &run{ask: ask, node: nd, sent: now, expect: lead.estimate(now, nd, &ask).first}
+	lead.runs[ask.ID] = one
+	nd.runs[ask.ID] = one
+	return one
+}
+
+func (lead *Leader) finish(one *run) {
+	delete(lead.runs, one.ask.ID)
+	delete(one.node.runs, one.ask.ID)
+}
+
+// learnFirst takes a first event into the pool's model and the target's pace.
+func (lead *Leader) learnFirst(one *run, took time.Duration) {
+	net := max(took-one.node.Way, time.Millisecond).Seconds()
+	expected := max(lead.model.first(one.ask.Prompt), time.Millisecond).Seconds()
+	lead.model.learnFirst(one.ask.Prompt, net/one.node.pace)
+	if lead.model.seen > 1 && one.ask.Gap == 0 {
+		one.node.learnPace(net / expected)
+	}
+}
+
+// judge learns from how a run ended.
+func (lead *Leader) judge(now time.Time, one *run, end Ended) {
+	nd := one.node
+	switch end.Outcome {
+	case Served:
+		lead.learnServed(now, one, end)
+	case Failed:
+		nd.strikes = 0
+		nd.outcome(true)
+	case Rejected:
+		nd.outcome(true)
+		nd.rest = now.Add(restFirst / 2)
+	case Broken:
+		nd.outcome(true)
+	case Unreachable, Lost, Misdirected:
+		nd.outcome(true)
+		nd.strike(now)
+	case Dropped:
+	}
+}
+
+func (lead *Leader) learnServed(now time.Time, one *run, end Ended) {
+	nd := one.node
+	nd.strikes = 0
+	nd.outcome(false)
+	lead.model.learnHold(now.Sub(one.sent).Seconds() / nd.pace)
+	if end.Events > eventsForPace && end.Span > 0 {
+		gap := end.Span.Seconds() / float64(end.Events-1)
+		expected := lead.model.gap()
+		lead.model.learnEvent(gap / nd.pace)
+		if lead.model.events > 1 {
+			nd.learnPace(gap / expected)
+		}
+	}
+	if one.ask.Gap > 0 {
+		nd.learnPause(end.Pause > one.ask.Gap)
+	}
+}
+
+// normalise keeps the quickest known target at a pace of one, so that the model and the
+// paces don't drift apart together.
+func (lead *Leader) normalise() {
+	best := math.Inf(1)
+	for _, nd := range lead.nodes {
+		if nd.paced >= 3 {
+			best = min(best, nd.pace)
+		}
+	}
+	if math.IsInf(best, 1) || math.Abs(best-1) < 0.02 {
+		return
+	}
+	for _, nd := range lead.nodes {
+		nd.pace /= best
+	}
+	lead.model.scale(best)
+}
--- /dev/null
+++ b/core/yuccagrant/node.go
@@ -0,0 +1,129 @@
+package yuccagrant
+
+import (
+	"time"
+
+	"yuccacleat/core/yuccaid"
+)
+
+// node is one target as a leader sees it.
+type node struct {
+	Target
+	runs map[ID]*run
+	// pace is how many times longer than on the quickest target things take.
+	pace   float64
+	paced  int
+	late   float64
+	failed float64
+	// rest is until when the target gets nothing, and strikes counts the failures in a row.
+	rest    time.Time
+	strikes int
+	// foreign are runs that the target reported beyond ours, until they are out of date.
+	foreign      int
+	foreignUntil time.Time
+	// others are the runs that other leaders told of.
+	others int
+}
+
+// run is one request on a target.
+type run struct {
+	ask    Ask
+	node   *node
+	sent   time.Time
+	begun  bool
+	expect time.Duration
+}
+
+func newNode(target Target) *node {
+	return &node{Target: target, runs: make(map[ID]*run), pace: 1}
+}
+
+// busy returns how many places of the target are taken, as far as is known.
+func (nd *node) busy(now time.Time) int {
+	sum := len(nd.runs) + nd.others
+	if now.Before(nd.foreignUntil) {
+		sum += nd.foreign
+	}
+	return sum
+}
+
+func (nd *node) free(now time.Time) int {
+	return max(nd.Slots-nd.busy(now), 0)
+}
+
+// reported takes the target's own word on its load, which is as old as its answer's way.
+func (nd *node) reported(now time.Time, load Load) {
+	if !load.Known {
+		return
+	}
+	nd.foreign = max(load.Running+load.Waiting-len(nd.runs)-nd.others, 0)
+	nd.foreignUntil = now.Add(foreignFor)
+}
+
+// resting reports whether the target gets nothing now.
+//
+// A target that hangs or drops what it gets fails each request after a long time, and one
+// that refuses connections fails it at once and so always looks idle. Either would draw
+// request after request. One failure gives it a short rest, failures in a row longer ones,
+// and a run that is overdue keeps others away until it shows something.
+func (nd *node) resting(now time.Time) bool {
+	return now.Before(nd.rest) || nd.overdue(now)
+}
+
+func (nd *node) overdue(now time.Time) bool {
+	for _, one := range nd.runs {
+		if !one.begun && now.Sub(one.sent) > time.Duration(overdueRatio*float64(one.expect))+overdueSlack {
+			return true
+		}
+	}
+	return false
+}
+
+// strike notes a failure after which the target had better be left alone for a while.
+func (nd *node) strike(now time.Time) {
+	pause := min(restFirst<<min(nd.strikes, 8), restLast)
+	nd.strikes++
+	nd.rest = now.Add(pause)
+}
+
+func (nd *node) outcome(failed bool) {
+	sample := 0.0
+	if failed {
+		sample = 1
+	}
+	nd.failed += failWeight * (sample - nd.failed)
+}
+
+func (nd *node) learnPace(ratio float64) {
+	ratio = min(max(ratio, 1/mostPace), mostPace)
+	nd.paced++
+	nd.pace += max(paceWeight, 1/float64(nd.paced)) * (ratio - nd.pace)
+}
+
+func (nd *node) learnPause(late bool) {
+	sample := 0.0
+	if late {
+		sample = 1
+	}
+	nd.late += lateWeight * (sample - nd.late)
+}
+
+func (nd *node) tried(ask *Ask) bool {
+	for _, name := range ask.Tried {
+		if name == nd.Name {
+			return true
+		}
+	}
+	return false
+}
+
+// Status is one target as the leader sees it, for operators.
+type Status struct {
+	Target  yuccaid.Target `json:"target"`
+	Busy    int            `json:"busy"`
+	Slots   int            `json:"slots"`
+	Pace    float64        `json:"pace"`
+	Late    float64        `json:"late"`
+	Failed  float64        `json:"failed"`
+	Resting bool           `json:"resting"`
+}
--- /dev/null
+++ b/core/yuccaroute/table_test.go
@@ -0,0 +1,106 @@
+package yuccaroute_test
+
+import (
+	"errors"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"yuccacleat/core/yuccaid"
+	"yuccacleat/core/yuccaroute"
+)
+
+func route(name, host, prefix string, pool yuccaid.Pool) yuccaroute.Route {
+	return yuccaroute.Route{Name: name, Host: host, Prefix: prefix, Pools: []yuccaroute.Share{{Pool: pool, Weight: 1}}}
+}
+
+func table(number yuccaid.Number, routes ...yuccaroute.Route) *yuccaroute.Table {
+	tab, err := yuccaroute.NewTable(number, yuccaroute.Config{
+		Routes:   routes,
+		Pools:    []yuccaroute.Pool{{Name: "draft"}, {Name: "desk"}},
+		Accounts: []yuccaroute.Account{{Name: "rally", Keys: []string{"k1", "k2"}}},
+	})
+	Expect(err).NotTo(HaveOccurred())
+	return tab
+}
+
+var _ = Describe("a table", func() {
+	tab := func() *yuccaroute.Table {
+		return table(3,
+			route("all", "desk.example", "/", "draft"),
+			route("notes", "desk.example", "/notes/", "draft"),
+			route("old notes", "desk.example", "/notes/old/", "desk"),
+			route("other", "other.example", "/notes/", "desk"),
+		)
+	}
+
+	DescribeTable("finds the route with the longest prefix",
+		func(host, path, name string) {
+			found, ok := tab().Route(host, path)
+			Expect(ok).To(Equal(name != ""))
+			if ok {
+				Expect(found.Name).To(Equal(name))
+			}
+		},
+		Entry("the longest of three", "desk.example", "/notes/old/7", "old notes"),
+		Entry("the one between", "desk.example", "/notes/7", "notes"),
+		Entry("a prefix that ends within a word doesn't count", "desk.example", "/notesolder", "all"),
+		Entry("another host", "other.example", "/notes/7", "other"),
+		Entry("hosts have no case", "DESK.Example", "/notes/7", "notes"),
+		Entry("nor a port", "desk.example:8221", "/notes/7", "notes"),
+		Entry("an unknown host", "none.example", "/notes/7", ""),
+		Entry("no prefix", "other.example", "/letters/7", ""),
+	)
+
+	It("knows an account by each of its keys", func() {
+		for _, key := range []string{"k1", "k2"} {
+			account, known := tab().Account(key)
+			Expect(known).To(BeTrue())
+			Expect(account.Name).To(Equal(yuccaid.Account("rally")))
+		}
+		_, known := tab().Account("")
+		Expect(known).To(BeFalse())
+	})
+
+	DescribeTable("refuses a route that can't be used",
+		func(bad yuccaroute.Route, problem string) {
+			_, err := yuccaroute.NewTable(1, yuccaroute.Config{Routes: []yuccaroute.Route{bad}})
+			var wrong *yuccaroute.ConfigError
+			Expect(errors.As(err, &wrong)).To(BeTrue())
+			Expect(err.Error()).To(ContainSubstring(problem))
+		},
+		Entry("a prefix without slash", route("r", "h", "/notes", "draft"), "begin and end it with a slash"),
+		Entry("an unknown pool", route("r", "h", "/notes/", "draft"), "add it or name another"),
+		Entry("no pool", yuccaroute.Route{Name: "r", Prefix: "/"}, "no pool: name one"),
+	)
+})
+
+var _ = Describe("picking a pool", func() {
+	It("follows the weights", func() {
+		split := yuccaroute.Route{Pools: []yuccaroute.Share{{Pool: "draft", Weight: 90}, {Pool: "desk", Weight: 10}}}
+		Expect(split.Pick(0)).To(Equal(yuccaid.Pool("draft")))
+		Expect(split.Pick(0.899)).To(Equal(yuccaid.Pool("draft")))
+		Expect(split.Pick(0.9)).To(Equal(yuccaid.Pool("desk")))
+		Expect(split.Pick(0.999)).To(Equal(yuccaid.Pool("desk")))
+	})
+
+	It("uses the first pool when no weight is set", func() {
+		split := yuccaroute.Route{Pools: []yuccaroute.Share{{Pool: "draft"}, {Pool: "desk"}}}
+		Expect(split.Pick(0.7)).To(Equal(yuccaid.Pool("draft")))
+	})
+})
+
+var _ = Describe("a holder", func() {
+	// The platform's service is restored from an old copy, or a peer wakes up from a pause
+	// and offers what it knew. A key that was taken away would work again.
+	It("never goes back to a lower number", func() {
+		var hold yuccaroute.Holder
+		Expect(hold.Load()).To(BeNil())
+		Expect(hold.Offer(table(5))).To(BeTrue())
+		Expect(hold.Offer(table(4))).To(BeFalse())
+		Expect(hold.Offer(table(5))).To(BeFalse())
+		Expect(hold.Load().Number()).To(Equal(yuccaid.Number(5)))
+		Expect(hold.Offer(table(9))).To(BeTrue())
+		Expect(hold.Load().Number()).To(Equal(yuccaid.Number(9)))
+	})
+})
--- a/io/yuccadaemon/away.go
+++ b/io/yuccadaemon/away.go
@@ -107,7 +107,7 @@
 		}
 		address = next
 	}
-	d.control.post(func(now time.Time) { d.returned(now, r, aw) })
+	d.control.Post(func(now time.Time) { d.returned(now, r, aw) })
 }
 
 // converse returns the address of the leader that the daemon there names instead.
@@ -163,7 +163,7 @@
 			err := frame.Decode(&message)
 			return message.Address, err
 		}
-		d.control.post(func(now time.Time) { d.heardAway(now, r, aw, conn.Peer().Incarnation, frame) })
+		d.control.Post(func(now time.Time) { d.heardAway(now, r, aw, conn.Peer().Incarnation, frame) })
 	}
 }
 
--- a/io/yuccadaemon/baseline.go
+++ b/io/yuccadaemon/baseline.go
@@ -33,7 +33,7 @@
 
 func (d *Daemon) readBaselineIfCut(ctx context.Context) {
 	var cut bool
-	d.control.call(func(time.Time) { cut = len(d.chain.Missing()) > 0 })
+	d.control.Call(func(time.Time) { cut = len(d.chain.Missing()) > 0 })
 	if !cut {
 		return
 	}
@@ -46,7 +46,7 @@
 		d.log.problem("baseline", err)
 		return
 	}
-	d.control.post(func(now time.Time) { d.takeState(now, state, "", "baseline") })
+	d.control.Post(func(now time.Time) { d.takeState(now, state, "", "baseline") })
 }
 
 // baselineParts reads every part that is published, page by page.
--- a/io/yuccadaemon/config.go
+++ b/io/yuccadaemon/config.go
@@ -36,7 +36,7 @@
 		for _, entry := range page.Entries {
 			notes = append(notes, yuccastate.ReadNote(entry.Key, entry.Value))
 		}
-		d.control.post(func(now time.Time) {
+		d.control.Post(func(now time.Time) {
 			for _, note := range notes {
 				d.takeNote(now, note, "platform")
 			}
@@ -50,7 +50,7 @@
 // watchList reads the platform's list of VMs.
 func (d *Daemon) watchList(ctx context.Context) {
 	_ = d.platform.FollowVMs(ctx, listEvery, func(vms []yuccaplat.VM) {
-		d.control.post(func(now time.Time) { d.onList(now, vms) })
+		d.control.Post(func(now time.Time) { d.onList(now, vms) })
 	})
 }
 
@@ -136,7 +136,7 @@
 	for _, note := range message.Notes {
 		notes = append(notes, yuccastate.ReadNote(yuccastate.NoteKey(note.Number), note.Raw))
 	}
-	d.control.post(func(now time.Time) {
+	d.control.Post(func(now time.Time) {
 		for _, note := range notes {
 			d.takeNote(now, note, "peer")
 		}
@@ -196,7 +196,7 @@
 		d.log.problem("configuration from a peer", err)
 		return
 	}
-	d.control.post(func(now time.Time) { d.takeState(now, state, taken.digest, "peer") })
+	d.control.Post(func(now time.Time) { d.takeState(now, state, taken.digest, "peer") })
 }
 
 // takeState puts a whole configuration in force if it is higher than the accepted one.
--- a/io/yuccadaemon/daemon.go
+++ b/io/yuccadaemon/daemon.go
@@ -17,11 +17,15 @@
 	"yuccacleat/core/yuccastate"
 	"yuccacleat/io/yuccaconf"
 	"yuccacleat/io/yuccalink"
+	"yuccacleat/io/yuccaloop"
 	"yuccacleat/io/yuccaplat"
 	"yuccacleat/io/yuccatarget"
 	"yuccacleat/io/yuccawire"
 )
 
+// tickEvery is how often deadlines, heartbeats and leadership are looked at.
+const tickEvery = 50 * time.Millisecond
+
 // Daemon is one running process of the scheduler.
 type Daemon struct {
 	settings *yuccaconf.Settings
@@ -34,7 +38,7 @@
 	platform *yuccaplat.Reader
 	targets  *yuccatarget.Client
 	hub      *yuccalink.Hub
-	control  *control
+	control  *yuccaloop.Loop
 
 	// traffic ends when the daemon closes; everything that relays hangs on it.
 	traffic     context.Context
@@ -110,7 +114,7 @@
 	d.peers = yuccapeer.New(d.self, yuccapeer.WithSeeds(settings.Seeds...))
 	d.looked = time.Now()
 	ready := make(chan struct{})
-	d.control = newControl(ready, d.tick)
+	d.control = yuccaloop.New(ready, tickEvery, d.tick)
 	d.hub = yuccalink.New(d.self, key, peers,
 		yuccalink.OnFrame(d.onFrame),
 		yuccalink.OnUp(d.onUp),
@@ -120,7 +124,7 @@
 	)
 	close(ready)
 	// While the platform is away no list comes, and only the seeds lead to the others.
-	d.control.post(func(time.Time) { d.hub.Connect(d.peers.Dial()) })
+	d.control.Post(func(time.Time) { d.hub.Connect(d.peers.Dial()) })
 	d.start(d.watchNotes)
 	d.start(d.watchList)
 	d.start(d.watchBaseline)
@@ -145,7 +149,7 @@
 // Close ends everything at once; Drain comes first where answers are to be finished.
 func (d *Daemon) Close() {
 	d.stopTraffic()
-	d.control.close()
+	d.control.Close()
 	d.hub.Close()
 	d.workers.Wait()
 }
--- a/io/yuccadaemon/dispatch.go
+++ b/io/yuccadaemon/dispatch.go
@@ -103,7 +103,7 @@
 // step of control. From here on the request is never sent again.
 func (d *Daemon) readyToSend(r *run, grant yuccapool.Grant, expires time.Time) error {
 	err := errOvertaken
-	d.control.call(func(now time.Time) {
+	d.control.Call(func(now time.Time) {
 		_, valid := d.usable(now, r, grant)
 		if _, open := d.runs[r.id]; !open || !valid || !now.Before(expires) {
 			return
@@ -146,7 +146,7 @@
 func (d *Daemon) dispatch(ctx context.Context, r *run, call yuccatarget.Call) {
 	relay := relay{daemon: d, run: r}
 	end, err := d.targets.Run(ctx, call, relay.piece)
-	d.control.post(func(now time.Time) { d.returnedFrom(now, r, end, err, relay.pieces) })
+	d.control.Post(func(now time.Time) { d.returnedFrom(now, r, end, err, relay.pieces) })
 	_, broken := err.(*yuccatarget.BrokenError)
 	_, unsent := err.(*yuccatarget.UnsentError)
 	if broken || (ctx.Err() != nil && !unsent) {
@@ -210,7 +210,7 @@
 	}
 	rel.told = now
 	progress := yuccapool.Progress{ID: rel.run.id, FirstToken: first, Answered: rel.tokens}
-	rel.daemon.control.offer(func(now time.Time) { rel.daemon.progress(now, rel.run, progress) })
+	rel.daemon.control.Offer(func(now time.Time) { rel.daemon.progress(now, rel.run, progress) })
 	return nil
 }
 
--- a/io/yuccadaemon/drain.go
+++ b/io/yuccadaemon/drain.go
@@ -25,7 +25,7 @@
 // context ends it sooner, and what that cut off is reported.
 func (d *Daemon) Drain(ctx context.Context) Drained {
 	d.draining.Store(true)
-	d.control.call(func(now time.Time) {
+	d.control.Call(func(now time.Time) {
 		d.audit.add(now, AuditEntry{Kind: AuditDraining, Number: d.State().Number})
 		d.onChange(now, d.peers.Leave(now))
 		d.refreshLeads(now)
@@ -52,7 +52,7 @@
 
 func (d *Daemon) left() Drained {
 	var left Drained
-	d.control.call(func(time.Time) {
+	d.control.Call(func(time.Time) {
 		left = Drained{CutOff: len(d.runs), Undelivered: d.undelivered()}
 	})
 	return left
--- a/io/yuccadaemon/forward.go
+++ b/io/yuccadaemon/forward.go
@@ -62,7 +62,7 @@
 func (d *Daemon) abortOwn(id yuccaid.RequestText, acc yuccaid.Account) (yuccaonce.Outcome, error) {
 	var outcome yuccaonce.Outcome
 	var err error
-	if !d.control.call(func(now time.Time) { outcome, err = d.abort(now, id, acc) }) {
+	if !d.control.Call(func(now time.Time) { outcome, err = d.abort(now, id, acc) }) {
 		return outcome, errClosing
 	}
 	return outcome, err
@@ -99,7 +99,7 @@
 func (d *Daemon) followOwn(follow yuccawire.Follow) (*Answer, error) {
 	var answer *Answer
 	var err error
-	if !d.control.call(func(now time.Time) { answer, err = d.lookUp(now, follow) }) {
+	if !d.control.Call(func(now time.Time) { answer, err = d.lookUp(now, follow) }) {
 		return nil, errClosing
 	}
 	return answer, err
--- a/io/yuccadaemon/frames.go
+++ b/io/yuccadaemon/frames.go
@@ -18,7 +18,7 @@
 		}
 		return
 	}
-	d.control.post(func(now time.Time) {
+	d.control.Post(func(now time.Time) {
 		if err := d.handle(now, from, frame); err != nil {
 			d.log.problem("message from "+from.String(), err)
 		}
--- a/io/yuccadaemon/guest.go
+++ b/io/yuccadaemon/guest.go
@@ -28,7 +28,7 @@
 		_ = conn.Send(yuccawire.KindNotLeader, yuccawire.NotLeader{Pool: ask.Pool, Ref: offer.Ref, Address: leader})
 		return
 	}
-	defer d.control.post(func(now time.Time) { d.guestLeft(now, ask, visitor) })
+	defer d.control.Post(func(now time.Time) { d.guestLeft(now, ask, visitor) })
 	talking, stop := context.WithCancel(ctx)
 	defer stop()
 	d.workers.Add(1)
@@ -48,7 +48,7 @@
 
 // admitGuest offers the request to the pool's leader here, or names the leader.
 func (d *Daemon) admitGuest(ask yuccaqueue.Ask, visitor *guest) (leader string, leads bool) {
-	d.control.call(func(now time.Time) {
+	d.control.Call(func(now time.Time) {
 		if _, leads = d.leads[ask.Pool]; !leads {
 			member, _ := d.peers.Leader(ask.Pool)
 			leader = member.Address
--- a/io/yuccadaemon/member.go
+++ b/io/yuccadaemon/member.go
@@ -15,14 +15,14 @@
 
 // onUp greets a peer and repeats what it may have missed while no connection was up.
 func (d *Daemon) onUp(member yuccapeer.Member) {
-	d.control.post(func(now time.Time) {
+	d.control.Post(func(now time.Time) {
 		d.onChange(now, d.peers.Linked(now, member))
 		d.resync(now, member.Incarnation)
 	})
 }
 
 func (d *Daemon) onDown(member yuccapeer.Member) {
-	d.control.post(func(now time.Time) { d.peers.Lost(now, member.Incarnation) })
+	d.control.Post(func(now time.Time) { d.peers.Lost(now, member.Incarnation) })
 }
 
 // roster tells a peer that can't read the platform's list where daemons are.
@@ -200,7 +200,7 @@
 func (d *Daemon) addressOf(inc yuccaid.Incarnation) (string, bool) {
 	var member yuccapeer.Member
 	var found bool
-	d.control.call(func(time.Time) { member, found = d.peers.Find(inc.VM) })
+	d.control.Call(func(time.Time) { member, found = d.peers.Find(inc.VM) })
 	gone := !member.Incarnation.IsZero() && member.Incarnation != inc
 	return member.Address, found && member.Address != "" && !gone
 }
--- a/io/yuccadaemon/metrics.go
+++ b/io/yuccadaemon/metrics.go
@@ -92,8 +92,8 @@
 	fmt.Fprintf(w, "yuccacleat_configuration_number %d\n", status.Number)
 	fmt.Fprintf(w, "yuccacleat_configuration_age_seconds %.3f\n", ageOf(d.metrics.configChanged.Load()))
 	fmt.Fprintf(w, "yuccacleat_platform_heard_age_seconds %.3f\n", ageOf(d.metrics.platformHeard.Load()))
-	fmt.Fprintf(w, "yuccacleat_control_oldest_event_seconds %.6f\n", time.Duration(d.control.oldest.Load()).Seconds())
-	fmt.Fprintf(w, "yuccacleat_control_events_dropped_total %d\n", d.control.dropped.Load())
+	fmt.Fprintf(w, "yuccacleat_control_oldest_event_seconds %.6f\n", d.control.Oldest().Seconds())
+	fmt.Fprintf(w, "yuccacleat_control_events_dropped_total %d\n", d.control.Dropped())
 	d.writeLinkCounts(w)
 }
 
--- a/io/yuccadaemon/order.go
+++ b/io/yuccadaemon/order.go
@@ -29,7 +29,7 @@
 	if err != nil {
 		return
 	}
-	d.control.offer(func(now time.Time) { d.compare(now, pool, name, seen) })
+	d.control.Offer(func(now time.Time) { d.compare(now, pool, name, seen) })
 }
 
 func (d *Daemon) compare(now time.Time, pool yuccaid.Pool, name yuccaid.Target, seen yuccatarget.State) {
--- a/io/yuccadaemon/owner.go
+++ b/io/yuccadaemon/owner.go
@@ -62,7 +62,7 @@
 	}
 	var id yuccaid.RequestText
 	var err error
-	if !d.control.call(func(now time.Time) { id, err = d.owner.Open(now, acc) }) {
+	if !d.control.Call(func(now time.Time) { id, err = d.owner.Open(now, acc) }) {
 		return "", notRun(KindLeaving, "")
 	}
 	if err != nil {
@@ -81,7 +81,7 @@
 	ask := req.ask(state, claim)
 	var answer *Answer
 	var err error
-	called := d.control.call(func(now time.Time) { answer, err = d.admit(now, id, req, claim, ask) })
+	called := d.control.Call(func(now time.Time) { answer, err = d.admit(now, id, req, claim, ask) })
 	if !called {
 		return nil, &Problem{Kind: KindUnknownState, Run: yuccaonce.Unknown}
 	}
@@ -93,7 +93,7 @@
 // was never submitted is closed with it.
 func (d *Daemon) wrong(id yuccaid.RequestText, acc yuccaid.Account, prob *Problem) *Problem {
 	prob.Run = yuccaonce.Unknown
-	d.control.call(func(now time.Time) {
+	d.control.Call(func(now time.Time) {
 		if outcome, err := d.owner.Outcome(now, id, acc); err == nil {
 			prob.Run = outcome.Run
 		}
--- a/io/yuccadaemon/poll.go
+++ b/io/yuccadaemon/poll.go
@@ -83,7 +83,7 @@
 		d.metrics.reportErrors.Inc()
 		return
 	}
-	d.control.offer(func(now time.Time) { d.onLoad(now, poll.pool, name, load) })
+	d.control.Offer(func(now time.Time) { d.onLoad(now, poll.pool, name, load) })
 	if target.Cache == 0 {
 		return
 	}
@@ -96,7 +96,7 @@
 		return
 	}
 	far.cursor = events.Last(far.cursor)
-	d.control.offer(func(now time.Time) { d.onCache(now, poll.pool, name, events) })
+	d.control.Offer(func(now time.Time) { d.onCache(now, poll.pool, name, events) })
 }
 
 func (d *Daemon) onLoad(now time.Time, pool yuccaid.Pool, name yuccaid.Target, load yuccatarget.Load) {
--- a/io/yuccadaemon/status.go
+++ b/io/yuccadaemon/status.go
@@ -37,7 +37,7 @@
 		Waiting: make(map[yuccaid.Tier]int),
 		Running: make(map[yuccaid.Tier]int),
 	}
-	d.control.call(func(now time.Time) { d.fill(now, &status) })
+	d.control.Call(func(now time.Time) { d.fill(now, &status) })
 	return status
 }
 
--- /dev/null
+++ b/io/yuccagate/problem.go
@@ -0,0 +1,88 @@
+package yuccagate
+
+import (
+	"fmt"
+	"net/http"
+	"strconv"
+	"time"
+)
+
+// Kind names why the gateway itself answers a request.
+type Kind string
+
+// The kinds of problems. Those up to KindLeaving promise that the request has not run and
+// will not run.
+const (
+	KindMalformed Kind = "malformed"
+	KindNoRoute   Kind = "noRoute"
+	KindKey       Kind = "unknownKey"
+	KindTooLarge  Kind = "tooLarge"
+	KindSlowBody  Kind = "slowBody"
+	KindQuota     Kind = "quota"
+	KindNotReady  Kind = "notReady"
+	KindBusy      Kind = "busy"
+	KindLate      Kind = "late"
+	KindNoTarget  Kind = "noTarget"
+	KindRejected  Kind = "rejected"
+	KindLeaving   Kind = "leaving"
+	KindLost      Kind = "lost"
+	KindTimeout   Kind = "timeout"
+)
+
+// nature is what a kind means to a caller.
+type nature struct {
+	status int
+	remedy string
+}
+
+var natures = map[Kind]nature{
+	KindMalformed: {http.StatusBadRequest, "send a well-formed request"},
+	KindNoRoute:   {http.StatusNotFound, "use a host and path that the configuration routes"},
+	KindKey:       {http.StatusUnauthorized, "send a key that the configuration holds"},
+	KindTooLarge:  {http.StatusRequestEntityTooLarge, "send a shorter body"},
+	KindSlowBody:  {http.StatusRequestTimeout, "send the body sooner"},
+	KindQuota:     {http.StatusTooManyRequests, "come back when the account's quota has room"},
+	KindNotReady:  {http.StatusServiceUnavailable, "come back when this daemon knows its configuration"},
+	KindBusy:      {http.StatusServiceUnavailable, "come back when this daemon holds less"},
+	KindLate:      {http.StatusServiceUnavailable, "come back when the targets are less busy"},
+	KindNoTarget:  {http.StatusServiceUnavailable, "come back when the pool has targets"},
+	KindRejected:  {http.StatusServiceUnavailable, "come back when the targets are less busy"},
+	KindLeaving:   {http.StatusServiceUnavailable, "come back at another daemon"},
+	KindLost:      {http.StatusBadGateway, "it may have run: repeat it only if that does no harm"},
+	KindTimeout:   {http.StatusGatewayTimeout, "it may have run: repeat it only if that does no harm"},
+}
+
+// Problem is an answer of the gateway's own.
+type Problem struct {
+	Kind   Kind
+	Detail string
+	// Back is when coming back makes sense, zero if it is not said.
+	Back time.Duration
+}
+
+// Error names the kind and the remedy.
+func (prob *Problem) Error() string {
+	text := string(prob.Kind)
+	if prob.Detail != "" {
+		text += ": " + prob.Detail
+	}
+	return text + ": " + natures[prob.Kind].remedy
+}
+
+// Status returns the status that tells callers of the problem.
+func (prob *Problem) Status() int {
+	return natures[prob.Kind].status
+}
+
+// write answers a request whose answer has not begun.
+func (prob *Problem) write(w http.ResponseWriter) {
+	header := w.Header()
+	header.Set("Content-Type", "text/plain; charset=utf-8")
+	if prob.Back > 0 {
+		header.Set("Retry-After", strconv.FormatFloat(prob.Back.Seconds(), 'f', 2, 64))
+	}
+	text := prob.Error() + "\n"
+	header.Set("Content-Length", strconv.Itoa(len(text)))
+	w.WriteHeader(prob.Status())
+	fmt.Fprint(w, text)
+}
--- /dev/null
+++ b/io/yuccagate/request.go
@@ -0,0 +1,232 @@
+package yuccagate
+
+import (
+	"context"
+	"errors"
+	"io"
+	mathrand "math/rand/v2"
+	"net/http"
+	"strings"
+	"time"
+
+	"yuccacleat/core/yuccagrant"
+	"yuccacleat/core/yuccaid"
+	"yuccacleat/core/yuccaroute"
+	"yuccacleat/io/yuccahop"
+)
+
+const (
+	// longestWait bounds a request whose caller and route name no time.
+	longestWait = time.Minute
+	// notReadyBack is when a caller should come back to a daemon that has just started.
+	notReadyBack = 500 * time.Millisecond
+	// leavingBack is when a caller should come back to whoever takes over.
+	leavingBack = 300 * time.Millisecond
+)
+
+var errTimeout = errors.New("the request's time is up")
+
+// request is one caller's request on its way.
+type request struct {
+	gate    *Gate
+	w       http.ResponseWriter
+	caller  Caller
+	table   *yuccaroute.Table
+	route   *yuccaroute.Route
+	account *yuccaroute.Account
+	pool    yuccaid.Pool
+	arrived time.Time
+	until   time.Time
+	out     yuccahop.Outgoing
+	header  http.Header
+
+	sends int
+	tried []yuccaid.Target
+	// runs counts the targets that ran the request or may have.
+	runs int
+}
+
+// ServeHTTP takes one request from its caller.
+func (gate *Gate) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	gate.open.Add(1)
+	defer gate.open.Add(-1)
+	req := &request{gate: gate, w: w, arrived: time.Now()}
+	if gate.draining() {
+		w.Header().Set("Connection", "close")
+	}
+	if prob := req.admit(r); prob != nil {
+		req.refuse(prob)
+		return
+	}
+	ctx, cancel := context.WithDeadlineCause(r.Context(), req.until, errTimeout)
+	defer cancel()
+	if prob := req.run(ctx); prob != nil {
+		req.refuse(prob)
+	}
+}
+
+func (req *request) refuse(prob *Problem) {
+	req.gate.metrics.problem(prob.Kind)
+	req.gate.log.request(req.caller.ID, "refused", "kind", prob.Kind, "detail", prob.Detail,
+		"afterMillis", time.Since(req.arrived).Milliseconds(), "backMillis", prob.Back.Milliseconds(), "sends", req.sends)
+	prob.write(req.w)
+}
+
+// admit finds out what is asked, by whom, and whether the configuration allows it.
+func (req *request) admit(r *http.Request) *Problem {
+	if req.gate.sendsAway(req.arrived) {
+		return &Problem{Kind: KindLeaving, Back: leavingBack}
+	}
+	req.table = req.gate.tables.Load()
+	if req.table == nil {
+		return &Problem{Kind: KindNotReady, Back: notReadyBack}
+	}
+	route, found := req.table.Route(r.Host, r.URL.Path)
+	if !found {
+		return &Problem{Kind: KindNoRoute}
+	}
+	req.route = route
+	caller, err := req.gate.dialect.Read(r, route)
+	if err != nil {
+		return &Problem{Kind: KindMalformed, Detail: err.Error()}
+	}
+	req.caller = caller
+	if prob := req.identify(); prob != nil {
+		return prob
+	}
+	req.pool = route.Pick(mathrand.Float64())
+	req.until = req.arrived.Add(req.patience())
+	return req.read(r)
+}
+
+// identify finds the account that holds the request's key.
+func (req *request) identify() *Problem {
+	if !req.table.Keyed() || req.route.Open {
+		return nil
+	}
+	account, known := req.table.Account(req.caller.Key)
+	if !known {
+		return &Problem{Kind: KindKey}
+	}
+	req.account = account
+	return nil
+}
+
+// patience is how long the request may be kept: as long as the caller waits and the route
+// allows.
+func (req *request) patience() time.Duration {
+	wait := longestWait
+	if req.caller.Remaining > 0 {
+		wait = req.caller.Remaining
+	}
+	if req.route.Timeout > 0 {
+		wait = min(wait, req.route.Timeout)
+	}
+	return wait
+}
+
+// read takes the body. It is read whole before a target is asked for: a caller who sends
+// slowly must not hold a target's place, and a target that rejects the request must not
+// cost the caller a second upload.
+func (req *request) read(r *http.Request) *Problem {
+	limit := req.table.Config().Limits.Body
+	if limit > 0 && r.ContentLength > int64(limit) {
+		return &Problem{Kind: KindTooLarge}
+	}
+	body := io.Reader(r.Body)
+	if limit > 0 {
+		body = io.LimitReader(r.Body, int64(limit)+1)
+	}
+	raw, err := readAll(body, r.ContentLength)
+	if err != nil {
+		return &Problem{Kind: KindMalformed, Detail: "the body broke off"}
+	}
+	if limit > 0 && len(raw) > int(limit) {
+		return &Problem{Kind: KindTooLarge}
+	}
+	req.header = onwardHeader(r.Header)
+	req.out = yuccahop.Outgoing{Method: r.Method, URI: r.RequestURI, Host: r.Host, Body: raw}
+	if r.ContentLength == 0 && len(r.TransferEncoding) == 0 && r.Header.Get("Content-Length") == "" {
+		req.out.Body = nil
+	}
+	return nil
+}
+
+func readAll(from io.Reader, length int64) ([]byte, error) {
+	const trusted = 1 << 20
+	raw := make([]byte, 0, min(max(length, 0), trusted))
+	for {
+		if len(raw) == cap(raw) {
+			if int64(len(raw)) == length {
+				var more [1]byte
+				got, err := from.Read(more[:])
+				if got == 0 && err == io.EOF {
+					return raw, nil
+				}
+				raw = append(raw, more[:got]...)
+			} else {
+				raw = append(raw, 0)[:len(raw)]
+			}
+		}
+		got, err := from.Read(raw[len(raw):cap(raw)])
+		raw = raw[:len(raw)+got]
+		if err == io.EOF {
+			return raw, nil
+		}
+		if err != nil {
+			return nil, err
+		}
+	}
+}
+
+// connectionFields concern one connection and end with it.
+var connectionFields = []string{
+	"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization",
+	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length",
+}
+
+// onwardHeader copies the fields that concern more than one connection.
+func onwardHeader(from http.Header) http.Header {
+	header := from.Clone()
+	for _, value := range from["Connection"] {
+		for name := range strings.SplitSeq(value, ",") {
+			header.Del(strings.TrimSpace(name))
+		}
+	}
+	for _, name := range connectionFields {
+		header.Del(name)
+	}
+	return header
+}
+
+// ask describes the request to those who decide.
+func (req *request) ask() yuccagrant.Ask {
+	ask := yuccagrant.Ask{
+		Rank: req.route.Rank, Prompt: req.caller.Prompt, Answer: req.caller.Answer,
+		Aim: req.arrived.Add(req.route.Aim), Until: req.until, Tried: req.tried,
+	}
+	if req.route.Aim <= 0 {
+		ask.Aim = req.until
+	}
+	if req.route.Kind == yuccaroute.Stream {
+		ask.Gap = req.route.Gap
+	}
+	if req.caller.Patience > 0 && req.arrived.Add(req.caller.Patience).Before(ask.Until) {
+		ask.Until = req.arrived.Add(req.caller.Patience)
+	}
+	if req.account != nil {
+		ask.Account = req.account.Name
+	}
+	return ask
+}
+
+// onward is what the target is told of the request.
+func (req *request) onward(now time.Time, target yuccaid.Target, position string) http.Header {
+	header := req.header.Clone()
+	onward := Onward{Target: target, Remaining: req.until.Sub(now), Position: position}
+	if req.account != nil {
+		onward.Account = req.account.Name
+	}
+	req.gate.dialect.Write(header, onward)
+	return header
+}
--- /dev/null
+++ b/io/yuccahop/limits.go
@@ -0,0 +1,49 @@
+package yuccahop
+
+import "time"
+
+// Limits bounds what connections to targets may cost.
+type Limits struct {
+	// Dial bounds the wait for a connection. Within a region it stands in 60 ms; a target
+	// that doesn't answer for so long is better replaced by another.
+	Dial time.Duration
+	// Unacknowledged is how long sent bytes may stay unacknowledged before the connection
+	// counts as dead. A path that forgot the connection gives no other sign.
+	Unacknowledged time.Duration
+	// KeepAlive is the interval of probes on a connection that shows nothing; three that
+	// stay unanswered end it.
+	KeepAlive time.Duration
+	// Idle is how long an unused connection is kept when the target names no time.
+	Idle time.Duration
+	// IdleMargin is how much sooner than the target's own limit a connection is given up,
+	// so that a request doesn't cross the target's close.
+	IdleMargin time.Duration
+	// IdlePerTarget bounds the unused connections that are kept to one target.
+	IdlePerTarget int
+	// Foreign is how many answers to other requests are skipped on one connection.
+	Foreign int
+}
+
+// DefaultLimits returns the limits of a client that was given none.
+func DefaultLimits() Limits {
+	return Limits{
+		Dial:           400 * time.Millisecond,
+		Unacknowledged: 1200 * time.Millisecond,
+		KeepAlive:      time.Second,
+		Idle:           4 * time.Second,
+		IdleMargin:     600 * time.Millisecond,
+		IdlePerTarget:  8,
+		Foreign:        2,
+	}
+}
+
+const (
+	// keepAliveProbes is how many probes may stay unanswered.
+	keepAliveProbes = 3
+	// eagerBody is the size up to which a request's body is written before the answer is
+	// looked for. Longer ones are written beside reading: a target may answer before it
+	// has read all, and one that stops reading would hold up a writer for ever.
+	eagerBody = 8 << 10
+	// readBuffer holds a target's head and the first events.
+	readBuffer = 4 << 10
+)
