--- /dev/null
+++ b/core/yuccabudget/budget_test.go
@@ -0,0 +1,71 @@
+package yuccabudget_test
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"yuccacleat/core/yuccabudget"
+)
+
+var bounds = yuccabudget.Bounds{Window: 10 * time.Second, Ratio: 0.2, Allowance: 54}
+
+var _ = Describe("the budget of resends", func() {
+	// Every target of a pool fails each request, and each daemon would send each request
+	// once more. The targets would get twice the load that they already can't bear.
+	It("holds over all daemons and every window", func() {
+		const daemons, perSecond = 7, 5
+		now := time.Unix(1_700_000_000, 0)
+		var resent []time.Time
+		var all []*yuccabudget.Budget
+		for range daemons {
+			all = append(all, yuccabudget.New(bounds))
+		}
+		for range 40 * perSecond {
+			now = now.Add(time.Second / perSecond)
+			for _, bud := range all {
+				bud.Request(now, "desk")
+				for bud.Resend(now, "desk", daemons) {
+					resent = append(resent, now)
+				}
+			}
+		}
+		for from := range resent {
+			count := 0
+			for _, at := range resent[from:] {
+				if at.Sub(resent[from]) < bounds.Window {
+					count++
+				}
+			}
+			allowed := bounds.Ratio*daemons*perSecond*bounds.Window.Seconds() + bounds.Allowance
+			Expect(float64(count)).To(BeNumerically("<=", allowed))
+		}
+		Expect(resent).NotTo(BeEmpty())
+	})
+
+	It("allows few when there is no traffic, and again after a quiet time", func() {
+		bud := yuccabudget.New(bounds)
+		now := time.Unix(1_700_000_000, 0)
+		count := func() int {
+			sent := 0
+			for bud.Resend(now, "desk", 7) {
+				sent++
+			}
+			return sent
+		}
+		Expect(count()).To(Equal(6))
+		now = now.Add(5 * time.Second)
+		Expect(count()).To(Equal(0))
+		now = now.Add(time.Minute)
+		Expect(count()).To(Equal(6))
+	})
+
+	It("counts each pool by itself", func() {
+		bud := yuccabudget.New(bounds)
+		now := time.Unix(1_700_000_000, 0)
+		for bud.Resend(now, "desk", 7) {
+		}
+		Expect(bud.Resend(now, "draft", 7)).To(BeTrue())
+	})
+})
--- a/core/yuccagrant/ask.go
+++ b/core/yuccagrant/ask.go
@@ -14,8 +14,7 @@
 
 // Ask is a request that waits for a target.
 type Ask struct {
-	ID      ID
-	Account yuccaid.Account
+	ID ID
 	// Rank orders requests under load; 0 is the most urgent.
 	Rank   int
 	Prompt yuccaid.Tokens
--- a/core/yuccagrant/leader.go
+++ b/core/yuccagrant/leader.go
@@ -161,6 +161,54 @@
 	return dec
 }
 
+// Keep drops what other owners than one have waiting and running, when leadership has gone
+// to another daemon.
+func (lead *Leader) Keep(owner yuccaid.Incarnation) {
+	for id := range lead.queue.byID {
+		if id.Owner != owner {
+			lead.queue.remove(id)
+		}
+	}
+	for id, one := range lead.runs {
+		if id.Owner != owner {
+			lead.finish(one)
+		}
+	}
+}
+
+// SetOthers sets how many runs the leaders of other data centres have on each target.
+func (lead *Leader) SetOthers(now time.Time, runs map[yuccaid.Target]int) Decisions {
+	var dec Decisions
+	for _, nd := range lead.nodes {
+		nd.others = runs[nd.Name]
+	}
+	lead.serve(now, &dec)
+	return dec
+}
+
+// TargetRuns is how many runs a leader has on one target.
+type TargetRuns struct {
+	Target yuccaid.Target
+	Runs   int
+}
+
+// Runs returns the targets that have runs, in the order of their names.
+func (lead *Leader) Runs() []TargetRuns {
+	var list []TargetRuns
+	for _, nd := range lead.nodes {
+		if len(nd.runs) > 0 {
+			list = append(list, TargetRuns{Target: nd.Name, Runs: len(nd.runs)})
+		}
+	}
+	return list
+}
+
+// Waits reports whether a request waits.
+func (lead *Leader) Waits(id ID) bool {
+	_, waits := lead.queue.byID[id]
+	return waits
+}
+
 // Tick decides what the passing of time has changed; call it every few tens of
 // milliseconds while something waits.
 func (lead *Leader) Tick(now time.Time) Decisions {
--- a/core/yuccaroster/roster.go
+++ b/core/yuccaroster/roster.go
@@ -135,6 +135,19 @@
 	return list
 }
 
+// Removals returns the registrations that ended lately, for a daemon that may still hold
+// them.
+func (ros *Roster) Removals() []Removal {
+	var list []Removal
+	for name, rec := range ros.held {
+		if rec.gone {
+			list = append(list, Removal{Target: name, Revision: rec.revision})
+		}
+	}
+	slices.SortFunc(list, func(a, b Removal) int { return cmp.Compare(a.Target, b.Target) })
+	return list
+}
+
 // Usable returns a pool's targets that take new work, in the order of their names.
 func (ros *Roster) Usable(pool yuccaid.Pool) []Entry {
 	var list []Entry
--- a/io/yuccagate/beliefs.go
+++ b/io/yuccagate/beliefs.go
@@ -3,15 +3,14 @@
 import (
 	"time"
 
-	"yuccacleat/core/yuccagrant"
 	"yuccacleat/core/yuccaid"
-	"yuccacleat/core/yuccaroster"
+	"yuccacleat/core/yuccapeer"
 	"yuccacleat/core/yuccaroute"
+	"yuccacleat/io/yuccawire"
 )
 
-// betweenRegions is how long a message to another region and its answer take. It only
-// orders targets of equal pace; the learned times hold what the way really takes.
-const betweenRegions = 60 * time.Millisecond
+// pullEvery keeps a daemon from asking for a configuration again before a peer can answer.
+const pullEvery = 300 * time.Millisecond
 
 // OfferRaw takes the text of a configuration from a source. One that can't be read changes
 // nothing.
@@ -20,15 +19,20 @@
 	if err != nil {
 		return err
 	}
-	gate.control.Post(func(now time.Time) { gate.adopt(now, table, source) })
+	gate.control.Post(func(now time.Time) { gate.adopt(now, table, raw, source) })
 	return nil
 }
 
-func (gate *Gate) adopt(_ time.Time, table *yuccaroute.Table, source string) {
+// adopt puts a newer configuration in force and tells the peers of its number.
+func (gate *Gate) adopt(now time.Time, table *yuccaroute.Table, raw []byte, source string) {
 	before := gate.number()
-	if gate.tables.Offer(table) {
-		gate.log.belief("configuration", "number", table.Number(), "before", before, "source", source)
+	if !gate.tables.Offer(table) {
+		return
 	}
+	gate.tableText = raw
+	gate.log.belief("configuration", "number", table.Number(), "before", before, "source", source)
+	gate.ledger.Configure(now, table.Config().Accounts)
+	gate.onChange(now, gate.peers.Accepted(now, table.Number(), ""))
 }
 
 func (gate *Gate) number() yuccaid.Number {
@@ -38,35 +42,25 @@
 	return 0
 }
 
-// OfferTargets takes what a source read of the targets' registrations.
-func (gate *Gate) OfferTargets(take func(now time.Time, ros *yuccaroster.Roster)) {
-	gate.control.Post(func(now time.Time) {
-		take(now, gate.roster)
-		gate.refreshTargets(now)
-	})
-}
-
-// refreshTargets tells the desks of targets that came, went or are leaving.
-func (gate *Gate) refreshTargets(now time.Time) {
-	if gate.roster.Version() == gate.rosterVersion {
+// pullTable asks a peer with a higher number for its configuration.
+func (gate *Gate) pullTable(now time.Time, source yuccapeer.Source) {
+	if now.Sub(gate.pulled) < pullEvery {
 		return
 	}
-	gate.rosterVersion = gate.roster.Version()
-	for pool, dsk := range gate.desks {
-		gate.apply(now, pool, dsk.own.Configure(now, gate.targets(pool)))
+	gate.pulled = now
+	gate.send(source.Peer, yuccawire.KindTablePull, yuccawire.TablePull{Have: gate.number()})
+}
+
+func (gate *Gate) onTablePull(from yuccaid.Incarnation, pull yuccawire.TablePull) {
+	if gate.number() > pull.Have {
+		gate.send(from, yuccawire.KindTable, yuccawire.Table{Raw: gate.tableText})
 	}
 }
 
-// targets returns a pool's targets as they look from this data centre.
-func (gate *Gate) targets(pool yuccaid.Pool) []yuccagrant.Target {
-	var list []yuccagrant.Target
-	for _, entry := range gate.roster.Usable(pool) {
-		target := yuccagrant.Target{Name: entry.Target, Slots: max(entry.Slots, 1), Born: entry.Born}
-		if gate.settings.Regions[entry.Centre] != gate.settings.Regions[gate.settings.Centre] {
-			target.Away = true
-			target.Way = betweenRegions
-		}
-		list = append(list, target)
+// readTable reads a peer's configuration on the connection's goroutine: one of a megabyte
+// takes long enough to hold up every decision of control.
+func (gate *Gate) readTable(message yuccawire.Table) {
+	if err := gate.OfferRaw(message.Raw, "peer"); err != nil {
+		gate.log.belief("configuration refused", "source", "peer", "error", err)
 	}
-	return list
 }
--- /dev/null
+++ b/io/yuccagate/cast.go
@@ -0,0 +1,94 @@
+package yuccagate
+
+import (
+	"time"
+
+	"yuccacleat/core/yuccaid"
+	"yuccacleat/io/yuccawire"
+)
+
+const (
+	// centreFresh is how long another data centre's last word counts as news of it.
+	centreFresh = 1500 * time.Millisecond
+	// centreKnown is how long a data centre that fell silent is expected back.
+	centreKnown = time.Minute
+	// castEvery and castLatest bound how often this data centre tells the others what it
+	// let in: when there is news, and to show that it is there.
+	castEvery  = 100 * time.Millisecond
+	castLatest = 500 * time.Millisecond
+)
+
+// castKey names a series of casts, in which later ones replace earlier ones.
+type castKey struct {
+	origin string
+	topic  yuccawire.Topic
+	pool   yuccaid.Pool
+}
+
+// centre is what is known of another data centre.
+type centre struct {
+	daemons int
+	heard   time.Time
+}
+
+// cast sends a message to the daemons of all other data centres: over the connections that
+// this daemon has to some, and by those of its own data centre that have others.
+func (gate *Gate) cast(message yuccawire.Cast) {
+	gate.sequence++
+	message.Origin = gate.inc.String()
+	message.Centre = gate.settings.Centre
+	message.Sequence = gate.sequence
+	gate.across(message)
+	gate.nearby(yuccawire.KindCast, message)
+}
+
+// across sends a cast over the connections to other data centres.
+func (gate *Gate) across(message yuccawire.Cast) {
+	for _, member := range gate.hub.Linked() {
+		if member.Centre != gate.settings.Centre {
+			gate.send(member.Incarnation, yuccawire.KindCast, message)
+		}
+	}
+}
+
+// onCast passes a cast on where that is this daemon's part, and takes one from elsewhere.
+// Two connections lead to each other data centre, so most casts come twice.
+func (gate *Gate) onCast(now time.Time, from yuccaid.Incarnation, message yuccawire.Cast) {
+	key := castKey{origin: message.Origin, topic: message.Topic, pool: message.Pool}
+	if gate.casts[key] >= message.Sequence {
+		return
+	}
+	gate.casts[key] = message.Sequence
+	if message.Centre == gate.settings.Centre {
+		gate.across(message)
+		return
+	}
+	if peer, found := gate.peers.Find(from.VM); found && peer.Centre != gate.settings.Centre {
+		gate.nearby(yuccawire.KindCast, message)
+	}
+	switch message.Topic {
+	case yuccawire.TopicUse:
+		gate.onCentreUse(now, message)
+	case yuccawire.TopicLoad:
+		gate.onCentreLoad(now, message)
+	}
+}
+
+// fleet returns how many daemons there seem to be, and from how many of them there is
+// fresh news. Seeds count at least, for a daemon that has reached nobody yet.
+func (gate *Gate) fleet(now time.Time) (visible, total int) {
+	visible = len(gate.peers.Live(gate.settings.Centre))
+	total = max(len(gate.peers.Candidates(gate.settings.Centre)), visible)
+	for name, other := range gate.centres {
+		age := now.Sub(other.heard)
+		if age > centreKnown {
+			delete(gate.centres, name)
+			continue
+		}
+		total += other.daemons
+		if age < centreFresh {
+			visible += other.daemons
+		}
+	}
+	return visible, max(total, len(gate.settings.Seeds))
+}
--- /dev/null
+++ b/io/yuccagate/desk.go
@@ -0,0 +1,287 @@
+package yuccagate
+
+import (
+	mathrand "math/rand/v2"
+	"time"
+
+	"yuccacleat/core/yuccagrant"
+	"yuccacleat/core/yuccaid"
+	"yuccacleat/io/yuccawire"
+)
+
+const (
+	// leaderSilence is how long a leader may leave an ask without a word. In one data
+	// centre the answer takes a millisecond; a busy small VM may take some tens.
+	leaderSilence = 60 * time.Millisecond
+	// waitingSilence is how long a leader's word that an ask waits is believed before the
+	// leader is asked again.
+	waitingSilence = 400 * time.Millisecond
+	// doubtFor is how long a leader that left an ask without a word is not asked.
+	doubtFor = 500 * time.Millisecond
+	// loadEvery and loadLatest bound how often a leader tells the other data centres what
+	// it has on which target, when that has changed and when it hasn't.
+	loadEvery  = 100 * time.Millisecond
+	loadLatest = time.Second
+)
+
+// desk decides for one pool: for the whole data centre where this daemon leads the pool, and
+// else for this daemon's own requests when the leader can't be heard.
+type desk struct {
+	pool   yuccaid.Pool
+	own    *yuccagrant.Leader
+	leads  bool
+	leader yuccaid.Incarnation
+	// doubted is until when the leader is not asked.
+	doubted time.Time
+	// away is what the leaders of other data centres have running.
+	away     map[yuccaid.Centre]centreLoad
+	loadCast time.Time
+	loadSum  uint64
+}
+
+// centreLoad is what another data centre has running on a pool's targets.
+type centreLoad struct {
+	runs  []yuccawire.TargetLoad
+	heard time.Time
+}
+
+func (gate *Gate) desk(now time.Time, pool yuccaid.Pool) *desk {
+	dsk := gate.desks[pool]
+	if dsk == nil {
+		seed := mathrand.NewPCG(mathrand.Uint64(), uint64(now.UnixNano()))
+		dsk = &desk{pool: pool, own: yuccagrant.New(mathrand.New(seed)), away: make(map[yuccaid.Centre]centreLoad)}
+		gate.desks[pool] = dsk
+		gate.followLeader(now, dsk)
+		gate.configure(now, dsk)
+	}
+	return dsk
+}
+
+func (gate *Gate) configure(now time.Time, dsk *desk) {
+	gate.apply(now, dsk, dsk.own.Configure(now, gate.targets(dsk)))
+}
+
+// tickDesks looks at what waits.
+func (gate *Gate) tickDesks(now time.Time) {
+	for _, dsk := range gate.desks {
+		gate.apply(now, dsk, dsk.own.Tick(now))
+		if dsk.leads {
+			gate.castLoad(now, dsk)
+		}
+	}
+	gate.tickTickets(now)
+}
+
+// followLeaders takes up and lays down leadership after the view has changed.
+func (gate *Gate) followLeaders(now time.Time) {
+	for _, dsk := range gate.desks {
+		gate.followLeader(now, dsk)
+		// The share of a daemon that decides alone follows the number of daemons.
+		gate.configure(now, dsk)
+	}
+}
+
+func (gate *Gate) followLeader(now time.Time, dsk *desk) {
+	leader, found := gate.peers.Leader(dsk.pool)
+	inc := leader.Incarnation
+	if !found {
+		inc = yuccaid.Incarnation{}
+	}
+	if inc == dsk.leader {
+		return
+	}
+	dsk.leader = inc
+	dsk.doubted = time.Time{}
+	led := dsk.leads
+	dsk.leads = inc == gate.inc
+	gate.log.belief("leader", "pool", dsk.pool, "leader", leader.VM, "leads", dsk.leads)
+	if led && !dsk.leads {
+		dsk.own.Keep(gate.inc)
+		gate.apply(now, dsk, dsk.own.SetOthers(now, nil))
+	}
+	gate.configure(now, dsk)
+	for _, tkt := range gate.tickets {
+		if tkt.pool == dsk.pool {
+			gate.tell(now, dsk, tkt)
+		}
+	}
+}
+
+// resync repeats to a leader what it may have missed while no connection was up.
+func (gate *Gate) resync(now time.Time, peer yuccaid.Incarnation) {
+	for _, tkt := range gate.tickets {
+		if dsk := gate.desks[tkt.pool]; dsk != nil && dsk.leader == peer {
+			gate.tell(now, dsk, tkt)
+		}
+	}
+}
+
+// tell brings one of this daemon's requests to the pool's leader, whether it waits or runs.
+func (gate *Gate) tell(now time.Time, dsk *desk, tkt *ticket) {
+	if !tkt.running {
+		gate.ask(now, dsk, tkt)
+		return
+	}
+	if dsk.leads || dsk.leader.IsZero() {
+		return
+	}
+	gate.send(dsk.leader, yuccawire.KindHolding, yuccawire.Holding{
+		Ask: wireAsk(now, tkt), Target: tkt.target, AgeMillis: now.Sub(tkt.sent).Milliseconds(), Begun: tkt.begun,
+	})
+}
+
+// ask brings a waiting request to those who decide on it: the leader of the pool, or this
+// daemon itself if it is that, or if the leader can't be heard.
+func (gate *Gate) ask(now time.Time, dsk *desk, tkt *ticket) {
+	tkt.asked = now
+	tkt.word = time.Time{}
+	if dsk.leads || dsk.leader.IsZero() || now.Before(dsk.doubted) {
+		tkt.alone = true
+		gate.apply(now, dsk, dsk.own.Ask(now, tkt.ask))
+		return
+	}
+	tkt.alone = false
+	if err := gate.hub.Send(dsk.leader, yuccawire.KindAsk, wireAsk(now, tkt)); err != nil {
+		gate.doubt(now, dsk, tkt)
+	}
+}
+
+// doubt has this daemon decide on a request whose leader gave no word.
+func (gate *Gate) doubt(now time.Time, dsk *desk, tkt *ticket) {
+	if now.After(dsk.doubted) {
+		gate.log.belief("leader doubted", "pool", dsk.pool, "leader", dsk.leader.VM, "request", tkt.name)
+	}
+	dsk.doubted = now.Add(doubtFor)
+	gate.send(dsk.leader, yuccawire.KindWithdrawn, yuccawire.Withdrawn{Pool: dsk.pool, Number: tkt.ask.ID.Number})
+	gate.ask(now, dsk, tkt)
+}
+
+// tickTickets finds requests whose leader gave no word.
+func (gate *Gate) tickTickets(now time.Time) {
+	for _, tkt := range gate.tickets {
+		if tkt.running {
+			continue
+		}
+		dsk := gate.desks[tkt.pool]
+		switch {
+		case tkt.alone && (dsk.leads || dsk.leader.IsZero() || now.Before(dsk.doubted)):
+		case tkt.alone:
+			gate.withdraw(now, dsk, tkt)
+			gate.ask(now, dsk, tkt)
+		case tkt.word.IsZero() && now.Sub(tkt.asked) > leaderSilence:
+			gate.doubt(now, dsk, tkt)
+		case !tkt.word.IsZero() && now.Sub(tkt.word) > waitingSilence:
+			gate.ask(now, dsk, tkt)
+		}
+	}
+}
+
+// apply hands on what a desk decided, to this daemon's requests and to those of others.
+func (gate *Gate) apply(now time.Time, dsk *desk, dec yuccagrant.Decisions) {
+	for _, grant := range dec.Grants {
+		if grant.ID.Owner != gate.inc {
+			gate.send(grant.ID.Owner, yuccawire.KindPlaced, yuccawire.Placed{Pool: dsk.pool, Number: grant.ID.Number, Target: grant.Target})
+			continue
+		}
+		gate.grant(now, dsk, grant.ID.Number, grant.Target)
+	}
+	for _, refusal := range dec.Refusals {
+		if refusal.ID.Owner != gate.inc {
+			gate.send(refusal.ID.Owner, yuccawire.KindPlaced, yuccawire.Placed{
+				Pool: dsk.pool, Number: refusal.ID.Number, Reason: string(refusal.Reason), BackMillis: refusal.Back.Milliseconds(),
+				Waiting: refusal.Waiting, Free: refusal.Free,
+			})
+			continue
+		}
+		gate.refuse(refusal)
+	}
+}
+
+// grant sends one of this daemon's requests to its target. What was decided with an older
+// roster than this daemon's is checked once more: a target that is leaving gets nothing.
+func (gate *Gate) grant(now time.Time, dsk *desk, number uint64, target yuccaid.Target) {
+	tkt := gate.tickets[number]
+	if tkt == nil || tkt.running {
+		return
+	}
+	entry, found := gate.roster.Find(target)
+	if !found || entry.Leaving {
+		gate.log.request(tkt.name, "declined", "target", target, "known", found)
+		tkt.ask.Tried = append(tkt.ask.Tried, target)
+		gate.giveBack(now, dsk, yuccagrant.Ended{ID: tkt.ask.ID, Outcome: yuccagrant.Dropped})
+		gate.ask(now, dsk, tkt)
+		return
+	}
+	tkt.running = true
+	tkt.target = target
+	tkt.sent = now
+	if !tkt.alone {
+		dsk.own.Hold(now, yuccagrant.Running{Ask: tkt.ask, Target: target, Sent: now})
+	} else {
+		gate.tell(now, dsk, tkt)
+	}
+	tkt.placed <- placed{target: target, address: entry.Address, alone: tkt.alone && !dsk.leads}
+}
+
+func (gate *Gate) refuse(refusal yuccagrant.Refusal) {
+	if tkt := gate.tickets[refusal.ID.Number]; tkt != nil && !tkt.running {
+		delete(gate.tickets, refusal.ID.Number)
+		tkt.placed <- placed{refusal: &refusal}
+	}
+}
+
+// giveBack tells those who decide that a run has ended.
+func (gate *Gate) giveBack(now time.Time, dsk *desk, end yuccagrant.Ended) {
+	gate.apply(now, dsk, dsk.own.Ended(now, end))
+	if !dsk.leads && !dsk.leader.IsZero() {
+		gate.send(dsk.leader, yuccawire.KindEnded, wireEnded(dsk.pool, end))
+	}
+}
+
+// ownerGone drops what a lost daemon had waiting and running.
+func (gate *Gate) ownerGone(now time.Time, owner yuccaid.Incarnation) {
+	for _, dsk := range gate.desks {
+		gate.apply(now, dsk, dsk.own.OwnerGone(now, owner))
+	}
+}
+
+// castLoad tells the other data centres what this one has on which target.
+func (gate *Gate) castLoad(now time.Time, dsk *desk) {
+	if now.Sub(dsk.loadCast) < loadEvery {
+		return
+	}
+	var runs []yuccawire.TargetLoad
+	sum := uint64(0)
+	for at, count := range dsk.own.Runs() {
+		runs = append(runs, yuccawire.TargetLoad{Target: count.Target, Runs: count.Runs})
+		sum = sum*31 + uint64(at+1)*uint64(count.Runs)
+	}
+	if sum == dsk.loadSum && now.Sub(dsk.loadCast) < loadLatest {
+		return
+	}
+	dsk.loadCast, dsk.loadSum = now, sum
+	gate.cast(yuccawire.Cast{Topic: yuccawire.TopicLoad, Pool: dsk.pool, Load: runs})
+}
+
+func (gate *Gate) onCentreLoad(now time.Time, message yuccawire.Cast) {
+	dsk := gate.desk(now, message.Pool)
+	dsk.away[message.Centre] = centreLoad{runs: message.Load, heard: now}
+	if dsk.leads {
+		gate.apply(now, dsk, dsk.own.SetOthers(now, dsk.others(now)))
+	}
+}
+
+// others sums what the leaders of other data centres have on each target.
+func (dsk *desk) others(now time.Time) map[yuccaid.Target]int {
+	others := make(map[yuccaid.Target]int)
+	for name, load := range dsk.away {
+		if now.Sub(load.heard) > centreFresh {
+			delete(dsk.away, name)
+			continue
+		}
+		for _, each := range load.runs {
+			others[each.Target] += each.Runs
+		}
+	}
+	return others
+}
--- a/io/yuccagate/gate.go
+++ b/io/yuccagate/gate.go
@@ -3,7 +3,7 @@
 import (
 	"context"
 	"crypto/rand"
-	mathrand "math/rand/v2"
+	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -11,11 +11,14 @@
 
 	"github.com/go-kit/log"
 
-	"yuccacleat/core/yuccagrant"
+	"yuccacleat/core/yuccabudget"
 	"yuccacleat/core/yuccaid"
+	"yuccacleat/core/yuccapeer"
+	"yuccacleat/core/yuccaquota"
 	"yuccacleat/core/yuccaroster"
 	"yuccacleat/core/yuccaroute"
 	"yuccacleat/io/yuccahop"
+	"yuccacleat/io/yuccalink"
 	"yuccacleat/io/yuccaloop"
 )
 
@@ -34,20 +37,45 @@
 	control  *yuccaloop.Loop
 	tables   yuccaroute.Holder
 	// leaving is when the daemon was told to end, in Unix nanoseconds, or zero.
-	leaving  atomic.Int64
-	open     atomic.Int64
-	numbers  atomic.Uint64
+	leaving atomic.Int64
+	open    atomic.Int64
+	numbers atomic.Uint64
 
 	traffic     context.Context
 	stopTraffic context.CancelFunc
 	workers     sync.WaitGroup
 
+	hub *yuccalink.Hub
+	// rests says that another daemon reads the platform for this one.
+	rests atomic.Bool
+
 	// The fields below belong to the control goroutine.
+	peers     *yuccapeer.Peers
+	settled   bool
+	looked    time.Time
+	began     time.Time
+	sequence  uint64
+	casts     map[castKey]uint64
+	centres   map[yuccaid.Centre]*centre
+	tableText []byte
+	pulled    time.Time
+
 	roster        *yuccaroster.Roster
 	rosterVersion uint64
-	desks         map[yuccaid.Pool]*desk
-	tickets       map[uint64]*ticket
-	swept         time.Time
+	targetsPulled time.Time
+	platformHeard time.Time
+	platformAt    yuccaroster.Revision
+	fresh         map[yuccaid.Incarnation]fresh
+	freshTold     time.Time
+
+	ledger  *yuccaquota.Ledger
+	useTold time.Time
+	useCast time.Time
+	budget  *yuccabudget.Budget
+
+	desks   map[yuccaid.Pool]*desk
+	tickets map[uint64]*ticket
+	swept   time.Time
 }
 
 // Option changes how a gateway is built.
@@ -58,8 +86,9 @@
 	return func(gate *Gate) { gate.log = logger{target: target} }
 }
 
-// New starts a gateway; decode reads the text of a configuration.
-func New(settings Settings, dialect Dialect, decode func([]byte) (*yuccaroute.Table, error), options ...Option) (*Gate, error) {
+// New starts a gateway that takes peers' connections on the listener; decode reads the text
+// of a configuration.
+func New(settings Settings, dialect Dialect, decode func([]byte) (*yuccaroute.Table, error), peers net.Listener, options ...Option) (*Gate, error) {
 	var nonce [16]byte
 	if _, err := rand.Read(nonce[:]); err != nil {
 		return nil, err
@@ -72,17 +101,36 @@
 		log:      logger{target: log.NewNopLogger()},
 		metrics:  newMetrics(),
 		hop:      yuccahop.New(),
+		casts:    make(map[castKey]uint64),
+		centres:  make(map[yuccaid.Centre]*centre),
 		roster:   yuccaroster.New(),
-		desks:    make(map[yuccaid.Pool]*desk),
-		tickets:  make(map[uint64]*ticket),
+		fresh:    make(map[yuccaid.Incarnation]fresh),
+		ledger:   yuccaquota.New(),
+		budget: yuccabudget.New(yuccabudget.Bounds{
+			Window: settings.Bounds.ResendWindow, Ratio: settings.Bounds.ResendRatio, Allowance: settings.Bounds.ResendAllowance,
+		}),
+		desks:   make(map[yuccaid.Pool]*desk),
+		tickets: make(map[uint64]*ticket),
 	}
 	for _, option := range options {
 		option(gate)
 	}
 	gate.traffic, gate.stopTraffic = context.WithCancel(context.Background())
+	self := yuccapeer.Member{VM: settings.VM, Centre: settings.Centre, Address: settings.Address, Incarnation: gate.inc}
+	gate.peers = yuccapeer.New(self, yuccapeer.WithSeeds(settings.Seeds...), yuccapeer.WithTiming(peerTiming()))
+	gate.began = time.Now()
+	gate.looked = gate.began
 	ready := make(chan struct{})
 	gate.control = yuccaloop.New(ready, tickEvery, gate.tick)
+	gate.hub = yuccalink.New(self, settings.Key, peers,
+		yuccalink.WithLimits(linkLimits()),
+		yuccalink.OnFrame(gate.onFrame),
+		yuccalink.OnUp(gate.onUp),
+		yuccalink.OnDown(gate.onDown),
+		yuccalink.OnFault(gate.onFault),
+	)
 	close(ready)
+	gate.control.Post(func(time.Time) { gate.hub.Connect(gate.peers.Dial()) })
 	return gate, nil
 }
 
@@ -95,6 +143,7 @@
 func (gate *Gate) Close() {
 	gate.stopTraffic()
 	gate.control.Close()
+	gate.hub.Close()
 	gate.hop.Close()
 	gate.workers.Wait()
 }
@@ -110,31 +159,16 @@
 
 // tick runs on the control goroutine every tickEvery, and first after a pause.
 func (gate *Gate) tick(now time.Time) {
+	gate.tickPeers(now)
 	if gone := gate.roster.Tick(now); len(gone) > 0 {
 		gate.log.belief("targets gone", "targets", gone)
 	}
 	gate.refreshTargets(now)
-	for pool, dsk := range gate.desks {
-		gate.apply(now, pool, dsk.own.Tick(now))
-	}
+	gate.tickReader(now)
+	gate.tickUse(now)
+	gate.tickDesks(now)
 	if now.Sub(gate.swept) > time.Second {
 		gate.swept = now
 		gate.hop.Sweep(now)
 	}
 }
-
-// desk decides for one pool.
-type desk struct {
-	own *yuccagrant.Leader
-}
-
-func (gate *Gate) desk(now time.Time, pool yuccaid.Pool) *desk {
-	dsk := gate.desks[pool]
-	if dsk == nil {
-		seed := mathrand.NewPCG(mathrand.Uint64(), uint64(now.UnixNano()))
-		dsk = &desk{own: yuccagrant.New(mathrand.New(seed))}
-		gate.desks[pool] = dsk
-		dsk.own.Configure(now, gate.targets(pool))
-	}
-	return dsk
-}
--- /dev/null
+++ b/io/yuccagate/peers.go
@@ -0,0 +1,205 @@
+package yuccagate
+
+import (
+	"time"
+
+	"yuccacleat/core/yuccaid"
+	"yuccacleat/core/yuccapeer"
+	"yuccacleat/io/yuccalink"
+	"yuccacleat/io/yuccawire"
+)
+
+// peerTiming makes a dead leader known within a second and a half, and one whose process
+// ended within a third of a second: requests decide alone meanwhile, with less knowledge.
+func peerTiming() yuccapeer.Timing {
+	timing := yuccapeer.DefaultTiming()
+	timing.HeartbeatEvery = 400 * time.Millisecond
+	timing.ExpireAfter = 1500 * time.Millisecond
+	timing.LostGrace = 300 * time.Millisecond
+	timing.PauseLimit = 700 * time.Millisecond
+	timing.SettleFor = 600 * time.Millisecond
+	timing.Remember = time.Minute
+	timing.Patience = 2 * time.Second
+	return timing
+}
+
+// linkLimits fit the timing: a connection that has gone silent is dialled anew before its
+// peer counts as dead.
+func linkLimits() yuccalink.Limits {
+	limits := yuccalink.DefaultLimits()
+	limits.Silence = 1100 * time.Millisecond
+	limits.KeepAliveEvery = 500 * time.Millisecond
+	limits.Write = 1100 * time.Millisecond
+	limits.Handshake = time.Second
+	limits.Dial = time.Second
+	limits.FirstBackoff = 50 * time.Millisecond
+	limits.LastBackoff = 800 * time.Millisecond
+	limits.Linger = 300 * time.Millisecond
+	limits.Farewell = 200 * time.Millisecond
+	return limits
+}
+
+// roster tells a peer where daemons are.
+type roster struct {
+	Listings []yuccapeer.Listing `msgpack:"listings"`
+}
+
+// onUp greets a peer and tells it what it may have missed while no connection was up.
+func (gate *Gate) onUp(member yuccapeer.Member) {
+	gate.control.Post(func(now time.Time) {
+		gate.log.belief("peer reached", "peer", member.VM, "centre", member.Centre)
+		gate.onChange(now, gate.peers.Linked(now, member))
+		gate.send(member.Incarnation, yuccawire.KindUse, yuccawire.Use{Levels: true, Spent: gate.ledger.Levels(now)})
+		gate.resync(now, member.Incarnation)
+	})
+}
+
+func (gate *Gate) onDown(member yuccapeer.Member) {
+	gate.control.Post(func(now time.Time) {
+		gate.log.belief("peer lost", "peer", member.VM, "centre", member.Centre)
+		gate.peers.Lost(now, member.Incarnation)
+		delete(gate.fresh, member.Incarnation)
+	})
+}
+
+func (gate *Gate) onFault(address string, err error) {
+	gate.log.belief("connection to peer failed", "address", address, "error", err)
+}
+
+// tickPeers looks at heartbeats and pauses.
+func (gate *Gate) tickPeers(now time.Time) {
+	gate.onChange(now, gate.peers.Tick(now))
+	gate.onChange(now, gate.peers.Elapsed(now, now.Sub(gate.looked), wallSince(now, gate.looked)))
+	gate.looked = now
+	if settled := gate.peers.Settled(); settled != gate.settled {
+		gate.settled = settled
+		gate.followLeaders(now)
+	}
+}
+
+// wallSince reads the wall clock only, which runs on while a VM is suspended.
+func wallSince(now, then time.Time) time.Duration {
+	return now.Round(0).Sub(then.Round(0))
+}
+
+// onChange follows the view of the other daemons.
+func (gate *Gate) onChange(now time.Time, change yuccapeer.Change) {
+	if change.Woken {
+		gate.log.belief("woken from a pause", "pauseMillis", change.Slept.Milliseconds())
+		clear(gate.fresh)
+		clear(gate.centres)
+	}
+	for _, beat := range change.Beats {
+		gate.sendBeat(beat)
+	}
+	for _, peer := range change.Rosters {
+		gate.send(peer, yuccawire.KindRoster, roster{Listings: gate.peers.Roster()})
+	}
+	if !change.Behind.Peer.IsZero() {
+		gate.pullTable(now, change.Behind)
+	}
+	for _, left := range change.Left {
+		gate.log.belief("peer gone", "peer", left.VM, "centre", left.Centre)
+		gate.ownerGone(now, left.Incarnation)
+	}
+	if len(change.Joined) == 0 && len(change.Left) == 0 && !change.Woken {
+		return
+	}
+	gate.hub.Connect(gate.peers.Dial())
+	gate.followLeaders(now)
+}
+
+func (gate *Gate) sendBeat(beat yuccapeer.Beat) {
+	if beat.Heartbeat != nil {
+		gate.send(beat.To, yuccawire.KindHeartbeat, *beat.Heartbeat)
+		return
+	}
+	gate.send(beat.To, yuccawire.KindPulse, beat.Pulse)
+}
+
+// send queues a message for a peer. One that can't be queued is lost like one on a
+// connection that breaks: whoever needs an answer asks again.
+func (gate *Gate) send(to yuccaid.Incarnation, kind yuccawire.Kind, body any) {
+	if err := gate.hub.Send(to, kind, body); err != nil {
+		gate.metrics.unsent(kind)
+	}
+}
+
+// nearby sends a message to all daemons of this data centre.
+func (gate *Gate) nearby(kind yuccawire.Kind, body any) {
+	for _, member := range gate.peers.Live(gate.settings.Centre) {
+		if member.Incarnation != gate.inc {
+			gate.send(member.Incarnation, kind, body)
+		}
+	}
+}
+
+func (gate *Gate) onRoster(_ time.Time, message roster) {
+	gate.peers.Told(time.Now(), message.Listings)
+	gate.hub.Connect(gate.peers.Dial())
+}
+
+// onFrame takes one message from a proven peer; the work waits its turn on the control
+// goroutine, so messages of one peer keep their order.
+func (gate *Gate) onFrame(from yuccaid.Incarnation, frame yuccawire.Frame) {
+	if frame.Kind == yuccawire.KindTable {
+		if err := decoded(frame, gate.readTable); err != nil {
+			gate.log.belief("message refused", "peer", from.VM, "kind", frame.Kind, "error", err)
+		}
+		return
+	}
+	gate.control.Post(func(now time.Time) {
+		if err := gate.handle(now, from, frame); err != nil {
+			gate.log.belief("message refused", "peer", from.VM, "kind", frame.Kind, "error", err)
+		}
+	})
+}
+
+func (gate *Gate) handle(now time.Time, from yuccaid.Incarnation, frame yuccawire.Frame) error {
+	switch frame.Kind {
+	case yuccawire.KindHeartbeat:
+		return decoded(frame, func(beat yuccapeer.Heartbeat) {
+			if beat.Incarnation == from {
+				gate.onChange(now, gate.peers.Heard(now, beat))
+			}
+		})
+	case yuccawire.KindPulse:
+		return decoded(frame, func(pulse yuccapeer.Pulse) { gate.onChange(now, gate.peers.Pulsed(now, from, pulse)) })
+	case yuccawire.KindRoster:
+		return decoded(frame, func(message roster) { gate.onRoster(now, message) })
+	case yuccawire.KindTablePull:
+		return decoded(frame, func(pull yuccawire.TablePull) { gate.onTablePull(from, pull) })
+	case yuccawire.KindTargetsPull:
+		gate.onTargetsPull(now, from)
+	case yuccawire.KindTargets:
+		return decoded(frame, func(message yuccawire.Targets) { gate.onTargets(now, message) })
+	case yuccawire.KindFresh:
+		return decoded(frame, func(message yuccawire.Fresh) { gate.onFresh(now, from, message) })
+	case yuccawire.KindUse:
+		return decoded(frame, func(message yuccawire.Use) { gate.onUse(now, message) })
+	case yuccawire.KindCast:
+		return decoded(frame, func(message yuccawire.Cast) { gate.onCast(now, from, message) })
+	case yuccawire.KindAsk:
+		return decoded(frame, func(message yuccawire.Ask) { gate.onAsk(now, from, message) })
+	case yuccawire.KindWithdrawn:
+		return decoded(frame, func(message yuccawire.Withdrawn) { gate.onWithdrawn(now, from, message) })
+	case yuccawire.KindPlaced:
+		return decoded(frame, func(message yuccawire.Placed) { gate.onPlaced(now, from, message) })
+	case yuccawire.KindBegun:
+		return decoded(frame, func(message yuccawire.Begun) { gate.onBegun(now, from, message) })
+	case yuccawire.KindEnded:
+		return decoded(frame, func(message yuccawire.Ended) { gate.onEnded(now, from, message) })
+	case yuccawire.KindHolding:
+		return decoded(frame, func(message yuccawire.Holding) { gate.onHolding(now, from, message) })
+	}
+	return nil
+}
+
+func decoded[T any](frame yuccawire.Frame, use func(T)) error {
+	var body T
+	if err := frame.Decode(&body); err != nil {
+		return err
+	}
+	use(body)
+	return nil
+}
--- a/io/yuccagate/request.go
+++ b/io/yuccagate/request.go
@@ -42,8 +42,14 @@
 
 	sends int
 	tried []yuccaid.Target
-	// runs counts the targets that ran the request or may have.
-	runs int
+	// arrivals counts the targets that the request reached or may have, and runs those that
+	// ran it or may have.
+	arrivals int
+	runs     int
+	// entered says that the request was counted against its quota or refused for it, counted
+	// that it was let in.
+	entered bool
+	counted bool
 }
 
 // ServeHTTP takes one request from its caller.
@@ -61,6 +67,9 @@
 	ctx, cancel := context.WithDeadlineCause(r.Context(), req.until, errTimeout)
 	defer cancel()
 	if prob := req.run(ctx); prob != nil {
+		if req.counted && req.runs == 0 {
+			gate.notRun(req)
+		}
 		req.refuse(prob)
 	}
 }
@@ -202,7 +211,7 @@
 // ask describes the request to those who decide.
 func (req *request) ask() yuccagrant.Ask {
 	ask := yuccagrant.Ask{
-		Rank: req.route.Rank, Prompt: req.caller.Prompt, Answer: req.caller.Answer,
+		Rank: req.rank(), Prompt: req.caller.Prompt, Answer: req.caller.Answer,
 		Aim: req.arrived.Add(req.route.Aim), Until: req.until, Tried: req.tried,
 	}
 	if req.route.Aim <= 0 {
@@ -214,12 +223,21 @@
 	if req.caller.Patience > 0 && req.arrived.Add(req.caller.Patience).Before(ask.Until) {
 		ask.Until = req.arrived.Add(req.caller.Patience)
 	}
-	if req.account != nil {
-		ask.Account = req.account.Name
-	}
 	return ask
 }
 
+// routeRanks is more than the ranks that routes have.
+const routeRanks = 1000
+
+// rank orders requests by their account's rank, and those of equal accounts by the route's.
+func (req *request) rank() int {
+	rank := min(max(req.route.Rank, 0), routeRanks-1)
+	if req.account != nil && req.account.Ranked {
+		rank += routeRanks * req.account.Rank
+	}
+	return rank
+}
+
 // onward is what the target is told of the request.
 func (req *request) onward(now time.Time, target yuccaid.Target, position string) http.Header {
 	header := req.header.Clone()
--- a/io/yuccagate/run.go
+++ b/io/yuccagate/run.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"yuccacleat/core/yuccagrant"
+	"yuccacleat/core/yuccaid"
 	"yuccacleat/core/yuccaroute"
 	"yuccacleat/io/yuccahop"
 )
@@ -31,10 +32,13 @@
 // it or it may be repeated, and hands the answer back.
 func (req *request) run(ctx context.Context) *Problem {
 	for {
-		tkt, place, err := req.gate.acquire(ctx, req.pool, req.ask())
+		tkt, place, err := req.gate.acquire(ctx, req)
 		if err != nil {
 			return req.gaveUp(err)
 		}
+		if place.problem != nil {
+			return place.problem
+		}
 		if place.refusal != nil {
 			return refused(place.refusal)
 		}
@@ -61,9 +65,9 @@
 func (req *request) again(outcome yuccagrant.Outcome) bool {
 	switch outcome {
 	case yuccagrant.Rejected, yuccagrant.Misdirected, yuccagrant.Unreachable:
-		return req.sends < mostSends
+		return req.sends < mostSends && req.gate.mayResend(req)
 	default:
-		return req.route.Kind == yuccaroute.Idempotent && req.runs < max(req.route.Attempts, 1)
+		return req.route.Kind == yuccaroute.Idempotent && req.runs < max(req.route.Attempts, 1) && req.gate.mayResend(req)
 	}
 }
 
@@ -107,19 +111,21 @@
 	out.Header = req.onward(att.sent, place.target, req.caller.Position)
 	own := func(header http.Header) bool { return req.gate.dialect.Own(header, req.caller.ID) }
 	answer, err := req.gate.hop.Send(ctx, place.address, &out, own)
-	req.gate.log.request(req.caller.ID, "sent", "target", place.target, "account", tkt.ask.Account, "route", req.route.Name,
-		"waitedMillis", att.sent.Sub(req.arrived).Milliseconds(), "number", req.table.Number(), "error", text(err))
+	req.gate.log.request(req.caller.ID, "sent", "target", place.target, "account", req.accountName(), "route", req.route.Name,
+		"waitedMillis", att.sent.Sub(req.arrived).Milliseconds(), "alone", place.alone, "number", req.table.Number(), "error", text(err))
 	if err != nil {
 		var unsent *yuccahop.UnsentError
 		if errors.As(err, &unsent) {
 			return att, yuccagrant.Unreachable
 		}
+		req.arrivals++
 		req.runs++
 		if ctx.Err() != nil && !errors.Is(context.Cause(ctx), errTimeout) {
 			return att, yuccagrant.Dropped
 		}
 		return att, yuccagrant.Lost
 	}
+	req.arrivals++
 	att.answer = answer
 	att.word = req.gate.dialect.Word(answer.Status, answer.Header)
 	switch {
@@ -134,6 +140,13 @@
 	return att, yuccagrant.Served
 }
 
+func (req *request) accountName() yuccaid.Account {
+	if req.account == nil {
+		return ""
+	}
+	return req.account.Name
+}
+
 func text(err error) string {
 	if err == nil {
 		return ""
--- /dev/null
+++ b/io/yuccagate/targets.go
@@ -0,0 +1,153 @@
+package yuccagate
+
+import (
+	"time"
+
+	"yuccacleat/core/yuccagrant"
+	"yuccacleat/core/yuccaid"
+	"yuccacleat/core/yuccaroster"
+	"yuccacleat/io/yuccawire"
+)
+
+const (
+	// betweenRegions is how long a message to another region and its answer take. It only
+	// orders targets of equal pace; the learned times hold what the way really takes.
+	betweenRegions = 60 * time.Millisecond
+	// freshEvery is how often a reader tells its peers how old its news is.
+	freshEvery = 300 * time.Millisecond
+	// readerRole names the choice of the daemon that reads the platform for its data centre.
+	readerRole = yuccaid.Pool("reader of the platform")
+	// staleAfter is the age of the reader's news at which every daemon reads for itself: a
+	// little more than the reader's calls take when nothing changes.
+	staleAfter = 1700 * time.Millisecond
+	// firstReads is how long a daemon that has just started reads for itself, whoever else
+	// does: it knows nothing yet.
+	firstReads = 1500 * time.Millisecond
+)
+
+// fresh is a peer's word on its news of the platform.
+type fresh struct {
+	at    yuccaroster.Revision
+	age   time.Duration
+	heard time.Time
+}
+
+// OfferTargets takes what the platform says of registrations. It is passed on to the other
+// daemons of the data centre, which need not read it themselves.
+func (gate *Gate) OfferTargets(entries []yuccaroster.Entry, removals []yuccaroster.Removal, whole bool, at yuccaroster.Revision, sure bool) {
+	message := yuccawire.Targets{Entries: entries, Removals: removals, Whole: whole, At: at, Sure: sure}
+	gate.control.Post(func(now time.Time) {
+		gate.onTargets(now, message)
+		if gate.reads(now) {
+			gate.nearby(yuccawire.KindTargets, message)
+		}
+	})
+}
+
+// HeardOf notes that the platform has answered and up to which revision it was heard.
+func (gate *Gate) HeardOf(at yuccaroster.Revision) {
+	gate.control.Post(func(now time.Time) {
+		gate.platformHeard = now
+		gate.platformAt = max(gate.platformAt, at)
+	})
+}
+
+// MayRest reports whether this daemon need not read the platform, because another one of
+// its data centre does and tells it.
+func (gate *Gate) MayRest() bool { return gate.rests.Load() }
+
+// reads reports whether this daemon reads the platform for its data centre.
+func (gate *Gate) reads(_ time.Time) bool {
+	reader, found := gate.peers.Leader(readerRole)
+	return found && reader.Incarnation == gate.inc
+}
+
+// tickReader tells the peers how old this daemon's news is if it is the reader, and decides
+// whether it may rest if it isn't.
+//
+// Every call to the platform counts against a rate of the whole fleet, and is paid for. A
+// reader that dies, freezes or is cut off from the platform must not blind the others: its
+// word grows old, and then all read for themselves.
+func (gate *Gate) tickReader(now time.Time) {
+	reads := gate.reads(now)
+	if reads && now.Sub(gate.freshTold) >= freshEvery && !gate.platformHeard.IsZero() {
+		gate.freshTold = now
+		gate.nearby(yuccawire.KindFresh, yuccawire.Fresh{AgeMillis: now.Sub(gate.platformHeard).Milliseconds(), At: gate.platformAt})
+	}
+	rests := !reads && gate.tables.Load() != nil && now.Sub(gate.began) > firstReads && gate.informed(now)
+	if rests != gate.rests.Load() {
+		gate.rests.Store(rests)
+		gate.log.belief("reading the platform", "rests", rests, "reader", reads)
+	}
+}
+
+// informed reports whether a peer's news of the platform is fresh.
+func (gate *Gate) informed(now time.Time) bool {
+	for _, word := range gate.fresh {
+		if now.Sub(word.heard)+word.age < staleAfter {
+			return true
+		}
+	}
+	return false
+}
+
+func (gate *Gate) onFresh(now time.Time, from yuccaid.Incarnation, message yuccawire.Fresh) {
+	gate.fresh[from] = fresh{at: message.At, age: time.Duration(message.AgeMillis) * time.Millisecond, heard: now}
+	if message.At > gate.platformAt && now.Sub(gate.targetsPulled) > pullEvery {
+		gate.targetsPulled = now
+		gate.send(from, yuccawire.KindTargetsPull, yuccawire.TargetsPull{})
+	}
+}
+
+func (gate *Gate) onTargetsPull(_ time.Time, from yuccaid.Incarnation) {
+	gate.send(from, yuccawire.KindTargets, yuccawire.Targets{
+		Entries: gate.roster.Entries(), Removals: gate.roster.Removals(), At: gate.platformAt, Sure: true,
+	})
+}
+
+func (gate *Gate) onTargets(now time.Time, message yuccawire.Targets) {
+	gate.platformAt = max(gate.platformAt, message.At)
+	if message.Whole {
+		gate.roster.Read(now, message.Entries, message.At, message.Sure)
+	} else {
+		for _, entry := range message.Entries {
+			gate.roster.Put(now, entry)
+		}
+		for _, removal := range message.Removals {
+			gate.roster.Remove(now, removal, message.Sure)
+		}
+	}
+	gate.refreshTargets(now)
+}
+
+// refreshTargets tells the desks of targets that came, went or are leaving.
+func (gate *Gate) refreshTargets(now time.Time) {
+	if gate.roster.Version() == gate.rosterVersion {
+		return
+	}
+	gate.rosterVersion = gate.roster.Version()
+	for _, dsk := range gate.desks {
+		gate.configure(now, dsk)
+	}
+}
+
+// targets returns a pool's targets as they look from this data centre, with a part of their
+// places where this daemon decides without the others.
+func (gate *Gate) targets(dsk *desk) []yuccagrant.Target {
+	sharers := 1
+	if !dsk.leads {
+		sharers = max(len(gate.peers.Live(gate.settings.Centre)), 1)
+	}
+	var list []yuccagrant.Target
+	for _, entry := range gate.roster.Usable(dsk.pool) {
+		target := yuccagrant.Target{
+			Name: entry.Target, Slots: (max(entry.Slots, 1) + sharers - 1) / sharers, Born: entry.Born,
+		}
+		if gate.settings.Regions[entry.Centre] != gate.settings.Regions[gate.settings.Centre] {
+			target.Away = true
+			target.Way = betweenRegions
+		}
+		list = append(list, target)
+	}
+	return list
+}
--- a/io/yuccagate/ticket.go
+++ b/io/yuccagate/ticket.go
@@ -8,29 +8,43 @@
 	"yuccacleat/core/yuccaid"
 )
 
-// ticket is a request that waits for a target or runs on one.
+// ticket is a request that waits for a target or runs on one. But for placed, it belongs to
+// the control goroutine.
 type ticket struct {
+	// name is the request's id in logs.
+	name string
 	pool yuccaid.Pool
 	ask  yuccagrant.Ask
 	// placed gets the one decision on the ask.
 	placed chan placed
+
+	// asked is when the pool's leader was asked, and word when it last said that the
+	// request waits; alone says that this daemon decides instead.
+	asked time.Time
+	word  time.Time
+	alone bool
+
+	running bool
+	begun   bool
+	target  yuccaid.Target
+	sent    time.Time
 }
 
 // placed is a decision on a waiting request: a target, or a refusal.
 type placed struct {
 	target  yuccaid.Target
 	address string
+	// alone says that this daemon decided without the pool's leader.
+	alone   bool
 	refusal *yuccagrant.Refusal
+	problem *Problem
 }
 
 // acquire waits for a target. When the caller leaves meanwhile, the request is taken back.
-func (gate *Gate) acquire(ctx context.Context, pool yuccaid.Pool, ask yuccagrant.Ask) (*ticket, placed, error) {
-	tkt := &ticket{pool: pool, ask: ask, placed: make(chan placed, 1)}
+func (gate *Gate) acquire(ctx context.Context, req *request) (*ticket, placed, error) {
+	tkt := &ticket{name: req.caller.ID, pool: req.pool, ask: req.ask(), placed: make(chan placed, 1)}
 	tkt.ask.ID = yuccagrant.ID{Owner: gate.inc, Number: gate.numbers.Add(1)}
-	gate.control.Post(func(now time.Time) {
-		gate.tickets[tkt.ask.ID.Number] = tkt
-		gate.apply(now, pool, gate.desk(now, pool).own.Ask(now, tkt.ask))
-	})
+	gate.control.Post(func(now time.Time) { gate.enter(now, req, tkt) })
 	select {
 	case one := <-tkt.placed:
 		return tkt, one, nil
@@ -40,16 +54,40 @@
 	}
 }
 
+// enter counts a request against its account's quota, once, and asks for a target.
+func (gate *Gate) enter(now time.Time, req *request, tkt *ticket) {
+	if !req.entered {
+		req.entered = true
+		if prob := gate.admitted(now, req); prob != nil {
+			tkt.placed <- placed{problem: prob}
+			return
+		}
+		req.counted = true
+		gate.budget.Request(now, req.pool)
+	}
+	gate.tickets[tkt.ask.ID.Number] = tkt
+	gate.ask(now, gate.desk(now, tkt.pool), tkt)
+}
+
 // abandon takes back a request whose caller left before it was sent.
 func (gate *Gate) abandon(now time.Time, tkt *ticket) {
-	gate.apply(now, tkt.pool, gate.desk(now, tkt.pool).own.Withdraw(now, tkt.ask.ID))
+	if gate.tickets[tkt.ask.ID.Number] != tkt {
+		return
+	}
+	dsk := gate.desk(now, tkt.pool)
+	if !tkt.running {
+		gate.withdraw(now, dsk, tkt)
+	}
 	gate.end(now, tkt, yuccagrant.Ended{Outcome: yuccagrant.Dropped})
 }
 
 // begun tells of a run's first event.
 func (gate *Gate) begun(tkt *ticket, took time.Duration) {
 	gate.control.Post(func(now time.Time) {
-		gate.apply(now, tkt.pool, gate.desk(now, tkt.pool).own.Begun(now, tkt.ask.ID, took))
+		tkt.begun = true
+		dsk := gate.desk(now, tkt.pool)
+		gate.apply(now, dsk, dsk.own.Begun(now, tkt.ask.ID, took))
+		gate.tellBegun(dsk, tkt, took)
 	})
 }
 
@@ -61,26 +99,16 @@
 func (gate *Gate) end(now time.Time, tkt *ticket, end yuccagrant.Ended) {
 	delete(gate.tickets, tkt.ask.ID.Number)
 	end.ID = tkt.ask.ID
-	gate.apply(now, tkt.pool, gate.desk(now, tkt.pool).own.Ended(now, end))
+	gate.giveBack(now, gate.desk(now, tkt.pool), end)
 }
 
-// apply hands decisions to the requests that wait for them.
-func (gate *Gate) apply(now time.Time, pool yuccaid.Pool, dec yuccagrant.Decisions) {
-	for _, grant := range dec.Grants {
-		tkt := gate.tickets[grant.ID.Number]
-		if tkt == nil {
-			continue
-		}
-		entry, found := gate.roster.Find(grant.Target)
-		if !found {
-			gate.log.belief("grant without target", "target", grant.Target)
-		}
-		tkt.placed <- placed{target: grant.Target, address: entry.Address}
-	}
-	for _, refusal := range dec.Refusals {
-		if tkt := gate.tickets[refusal.ID.Number]; tkt != nil {
-			delete(gate.tickets, refusal.ID.Number)
-			tkt.placed <- placed{refusal: &refusal}
-		}
-	}
+// mayResend reports whether the request may be sent to a further target, and counts it. A
+// sending that never arrived anywhere is none.
+func (gate *Gate) mayResend(req *request) bool {
+	allowed := false
+	gate.control.Call(func(now time.Time) {
+		_, daemons := gate.fleet(now)
+		allowed = req.arrivals == 0 || gate.budget.Resend(now, req.pool, daemons)
+	})
+	return allowed
 }
--- /dev/null
+++ b/io/yuccagate/use.go
@@ -0,0 +1,104 @@
+package yuccagate
+
+import (
+	"time"
+
+	"yuccacleat/core/yuccaid"
+	"yuccacleat/io/yuccawire"
+)
+
+const (
+	// useRole names the choice of the daemon that speaks for its data centre. No pool has
+	// the name, since names have no spaces.
+	useRole = yuccaid.Pool("use of quotas")
+	// useForPeer spaces the reports of use by how many peers get them: each report goes to
+	// all, so their number would else grow with the square of the daemons.
+	useForPeer = 10 * time.Millisecond
+	// firstPart is the part of quotas that a daemon uses before it has heard from others.
+	// A fleet of a dozen that starts at once keeps within the quotas with it, and a daemon
+	// seldom gets more than that part of an account's requests.
+	firstPart = 1.0 / 16
+)
+
+// admitted counts a request against its account's quota.
+func (gate *Gate) admitted(now time.Time, req *request) *Problem {
+	if req.account == nil {
+		return nil
+	}
+	cost := req.account.Quota.Cost(req.caller.Charged)
+	back, taken := gate.ledger.Take(now, req.account.Name, cost)
+	if !taken {
+		return &Problem{Kind: KindQuota, Back: back}
+	}
+	return nil
+}
+
+// notRun gives back what a request counted that ran nowhere.
+func (gate *Gate) notRun(req *request) {
+	if req.account == nil {
+		return
+	}
+	gate.control.Post(func(now time.Time) {
+		gate.ledger.Return(now, req.account.Name, req.account.Quota.Cost(req.caller.Charged))
+	})
+}
+
+// tickUse reports what accounts were let in for, and sets the part of the quotas that this
+// daemon may use.
+//
+// Cut off from the others, a daemon can't know what they let in. If all used the whole
+// quota, an account would get a multiple of it; so only the side that hears from more than
+// half of the daemons does.
+func (gate *Gate) tickUse(now time.Time) {
+	part := firstPart
+	if gate.settled || len(gate.settings.Seeds) == 0 {
+		visible, total := gate.fleet(now)
+		part = 1
+		if 2*visible <= total {
+			part = float64(visible) / float64(total)
+		}
+	}
+	if part != gate.ledger.Part() {
+		gate.log.belief("part of the quotas", "part", part, "before", gate.ledger.Part())
+		gate.ledger.SetPart(now, part)
+	}
+	peers := len(gate.peers.Live(gate.settings.Centre)) - 1
+	if now.Sub(gate.useTold) < time.Duration(peers)*useForPeer {
+		return
+	}
+	gate.useTold = now
+	if spent := gate.ledger.Report(); len(spent) > 0 {
+		gate.nearby(yuccawire.KindUse, yuccawire.Use{Spent: spent})
+	}
+	gate.castUse(now)
+}
+
+// castUse tells the other data centres, if it is this daemon that speaks for its own.
+func (gate *Gate) castUse(now time.Time) {
+	if now.Sub(gate.useCast) < castEvery {
+		return
+	}
+	speaker, found := gate.peers.Leader(useRole)
+	spent := gate.ledger.ReportAway()
+	if !found || speaker.Incarnation != gate.inc {
+		return
+	}
+	if len(spent) == 0 && now.Sub(gate.useCast) < castLatest {
+		return
+	}
+	gate.useCast = now
+	gate.cast(yuccawire.Cast{Topic: yuccawire.TopicUse, Use: spent, Daemons: len(gate.peers.Live(gate.settings.Centre))})
+}
+
+func (gate *Gate) onUse(now time.Time, message yuccawire.Use) {
+	if message.Levels {
+		gate.ledger.Lower(now, message.Spent)
+		return
+	}
+	gate.ledger.Heard(now, message.Spent)
+}
+
+func (gate *Gate) onCentreUse(now time.Time, message yuccawire.Cast) {
+	gate.centres[message.Centre] = &centre{daemons: message.Daemons, heard: now}
+	gate.ledger.HeardAway(now, message.Use)
+}
--- a/io/yuccawire/frame.go
+++ b/io/yuccawire/frame.go
@@ -72,7 +72,7 @@
 	enc.Reset(buf)
 	enc.UseCompactInts(true)
 	enc.SetSortMapKeys(true)
-	enc.UseArrayEncodedStructs(kind >= firstPlacing && kind <= lastPlacing)
+	enc.UseArrayEncodedStructs(kind.frequent())
 	return enc.Encode(body)
 }
 
--- /dev/null
+++ b/io/yuccawire/gate.go
@@ -0,0 +1,135 @@
+package yuccawire
+
+import (
+	"yuccacleat/core/yuccaid"
+	"yuccacleat/core/yuccaquota"
+	"yuccacleat/core/yuccaroster"
+)
+
+// TablePull asks a peer for its configuration.
+type TablePull struct {
+	Have yuccaid.Number `msgpack:"have"`
+}
+
+// Table is a configuration as its operators wrote it.
+type Table struct {
+	Raw []byte `msgpack:"raw"`
+}
+
+// TargetsPull asks a peer for all registrations that it knows.
+type TargetsPull struct{}
+
+// Targets are registrations of targets and their ends: all of them, or what has changed.
+type Targets struct {
+	Entries  []yuccaroster.Entry   `msgpack:"entries"`
+	Removals []yuccaroster.Removal `msgpack:"removals"`
+	Whole    bool                  `msgpack:"whole"`
+	At       yuccaroster.Revision  `msgpack:"at"`
+	// Sure says that the platform's service has answered for a while.
+	Sure bool `msgpack:"sure"`
+}
+
+// Fresh says how old a daemon's news of the platform is, and up to which revision it has
+// heard.
+type Fresh struct {
+	AgeMillis int64
+	At        yuccaroster.Revision
+}
+
+// Use tells what accounts were let in for since the last one, or how full their buckets
+// are, for a daemon that has just come.
+type Use struct {
+	Levels bool
+	Spent  []yuccaquota.Spent
+}
+
+// Topic says what a Cast carries.
+type Topic uint8
+
+// The topics of casts.
+const (
+	// TopicUse tells what a data centre's accounts were let in for, and how many daemons
+	// the data centre has.
+	TopicUse Topic = iota + 1
+	// TopicLoad tells how many runs the leader of a pool has on each target.
+	TopicLoad
+)
+
+// Cast is a message from one daemon to all daemons of the other data centres. Those that
+// hold a connection between two data centres pass it on; Sequence tells a copy.
+type Cast struct {
+	Origin   string
+	Centre   yuccaid.Centre
+	Topic    Topic
+	Pool     yuccaid.Pool
+	Sequence uint64
+	Use      []yuccaquota.Spent
+	Load     []TargetLoad
+	// Daemons is how many daemons the origin's data centre has.
+	Daemons int
+}
+
+// TargetLoad is how many runs a data centre has on one target.
+type TargetLoad struct {
+	Target yuccaid.Target
+	Runs   int
+}
+
+// Ask brings a waiting request to its pool's leader.
+type Ask struct {
+	Pool        yuccaid.Pool
+	Number      uint64
+	Rank        int
+	Prompt      yuccaid.Tokens
+	Answer      yuccaid.Tokens
+	AimMillis   int64
+	UntilMillis int64
+	GapMillis   int64
+	Tried       []yuccaid.Target
+}
+
+// Withdrawn takes an ask back.
+type Withdrawn struct {
+	Pool   yuccaid.Pool
+	Number uint64
+}
+
+// Placed is a leader's word on an ask: a target, a refusal with a reason, or neither while
+// it waits.
+type Placed struct {
+	Pool       yuccaid.Pool
+	Number     uint64
+	Target     yuccaid.Target
+	Reason     string
+	BackMillis int64
+	Waiting    int
+	Free       int
+}
+
+// Begun tells a leader that a run's first event came.
+type Begun struct {
+	Pool      yuccaid.Pool
+	Number    uint64
+	TookMicro int64
+}
+
+// Ended gives a target's place back and tells how the run went.
+type Ended struct {
+	Pool       yuccaid.Pool
+	Number     uint64
+	Outcome    uint8
+	FirstMicro int64
+	Events     int
+	SpanMicro  int64
+	PauseMicro int64
+	// Load is the target's own word on its load, running and waiting, or empty.
+	Load []int
+}
+
+// Holding tells a leader of a run that another one granted.
+type Holding struct {
+	Ask       Ask
+	Target    yuccaid.Target
+	AgeMillis int64
+	Begun     bool
+}
--- a/io/yuccawire/kind.go
+++ b/io/yuccawire/kind.go
@@ -54,6 +54,36 @@
 	KindAbort
 )
 
+// The messages between gateways, by role.
+const (
+	// KindTablePull carries a TablePull to a peer with a newer configuration.
+	KindTablePull Kind = iota + 64
+	// KindTable carries a Table in answer to a TablePull.
+	KindTable
+	// KindTargetsPull carries a TargetsPull to a peer that follows the platform.
+	KindTargetsPull
+	// KindTargets carries Targets, whole in answer to a TargetsPull or what has changed.
+	KindTargets
+	// KindFresh carries a Fresh from a daemon that follows the platform for others.
+	KindFresh
+	// KindUse carries a Use, what accounts were let in for.
+	KindUse
+	// KindCast carries a Cast from one data centre to the daemons of the others.
+	KindCast
+	// KindAsk carries an Ask from the daemon that holds a request to its pool's leader.
+	KindAsk
+	// KindWithdrawn carries a Withdrawn: the ask's caller left.
+	KindWithdrawn
+	// KindPlaced carries a Placed, a leader's word on an ask.
+	KindPlaced
+	// KindBegun carries a Begun: the first event of a run came.
+	KindBegun
+	// KindEnded carries an Ended, which gives a target's place back.
+	KindEnded
+	// KindHolding carries a Holding, which tells a leader of a run that it didn't grant.
+	KindHolding
+)
+
 var kindNames = map[Kind]string{
 	KindHello:     "hello",
 	KindProof:     "proof",
@@ -79,6 +109,20 @@
 	KindEnd:       "end",
 	KindFollow:    "follow",
 	KindAbort:     "abort",
+
+	KindTablePull:   "tablePull",
+	KindTable:       "table",
+	KindTargetsPull: "targetsPull",
+	KindTargets:     "targets",
+	KindFresh:       "fresh",
+	KindUse:         "use",
+	KindCast:        "cast",
+	KindAsk:         "ask",
+	KindWithdrawn:   "withdrawn",
+	KindPlaced:      "placed",
+	KindBegun:       "begun",
+	KindEnded:       "ended",
+	KindHolding:     "holding",
 }
 
 // String returns the kind's name in logs and metrics, or its number.
--- a/io/yuccawire/placing.go
+++ b/io/yuccawire/placing.go
@@ -5,8 +5,16 @@
 const (
 	firstPlacing = KindOffer
 	lastPlacing  = KindNotLeader
+	firstGate    = KindFresh
+	lastGate     = KindHolding
 )
 
+// frequent reports whether messages of the kind go several times for each request or
+// second, so that they are written as arrays.
+func (kind Kind) frequent() bool {
+	return kind >= firstPlacing && kind <= lastPlacing || kind >= firstGate && kind <= lastGate
+}
+
 // Ref names a request between its owner and a leader. Each message between them is
 // about a request of that owner, so its incarnation and signature need not travel: they
 // would be four fifths of the bytes of a grant.
