Quotas by sliding windows that use most of what operators tolerate

What is refused below the tolerated bound is a loss to callers. A daemon that lost its memory lets in 0.57 of the rate until a peer or a window's time tells it more; the platform's note that a fleet starts for the first time is taken for knowledge.

--- a/core/yuccaquota/ledger.go
+++ b/core/yuccaquota/ledger.go
@@ -10,14 +10,24 @@
 )
 
 const (
-	// deepest is how far below empty a bucket may get, in seconds of the account's rate.
-	// Reports come late, so several daemons may take the last of a bucket at once, and what
-	// was let in too much has to be paid back. With 0.5 s, seven daemons that report each
-	// 400 ms let a pressing account in for 1.7 times its quota; without a bound it would be
-	// refused long after a mistake.
-	deepest = 3.0
-	// leastBack keeps refused callers from coming back in a loop.
+	// slots is into how many parts a window is divided. The oldest leaves as a whole, so up
+	// to a part more than the window is counted.
+	slots = 32
+	// defaultWindow is the window where none is set.
+	defaultWindow = 8 * time.Second
+	// boundUsed is the part of what operators tolerate in a window that is let in. The rest
+	// covers reports that come late, and what is let in after all daemons have lost their
+	// memory at once.
+	boundUsed = 0.8
+	// amnesiaRate and amnesiaBurst bound, as parts of the quota's rate and burst, what is let
+	// in by daemons that have lost their memory: enough for an account that stays within its
+	// quota, and so little that one that doesn't can't fill the window a second time.
+	amnesiaRate  = 0.57
+	amnesiaBurst = 0.3
+	// leastBack keeps refused callers from coming back in a loop, and mostBack bounds what
+	// they are told.
 	leastBack = 200 * time.Millisecond
+	mostBack  = 8 * time.Second
 )
 
 // Spent is what one account was let in for since the last report, in the units of its
@@ -27,17 +37,33 @@
 	Amount  int64
 }
 
+// Tolerance is how far an account may go beyond its quota in any window before that counts
+// as a breach: by a part of what the window allows, and by an amount.
+//
+// A request that is refused although its account was within the quota is lost for nothing,
+// and what was let in elsewhere is known late. So most of the tolerance is used.
+type Tolerance struct {
+	Window    time.Duration
+	Overshoot float64
+	Amount    float64
+}
+
 // Ledger counts what accounts are let in for. It isn't safe for concurrent use.
 type Ledger struct {
-	buckets map[yuccaid.Account]*bucket
-	part    float64
+	windows   map[yuccaid.Account]*window
+	tolerance Tolerance
+	part      float64
+	// forgot is when this daemon began without memory, until it is told or a window passed.
+	forgot  time.Time
+	amnesic bool
 }
 
-// bucket is one account's quota as this daemon knows it.
-type bucket struct {
+// window is what one account was let in for lately, by all daemons as far as is known.
+type window struct {
 	quota yuccaroute.Quota
-	level float64
-	at    time.Time
+	slot  [slots]int64
+	last  int64
+	sum   int64
 	// own is what this daemon let in and hasn't reported to those of its data centre yet,
 	// centre what its data centre let in and hasn't reported to the others yet.
 	own    int64
@@ -45,11 +71,29 @@
 }
 
 // New returns a ledger without quotas.
-func New() *Ledger {
-	return &Ledger{buckets: make(map[yuccaid.Account]*bucket), part: 1}
+func New(tolerance Tolerance) *Ledger {
+	if tolerance.Window <= 0 {
+		tolerance.Window = defaultWindow
+	}
+	return &Ledger{windows: make(map[yuccaid.Account]*window), tolerance: tolerance, part: 1}
 }
 
-// Configure sets the accounts' quotas. A bucket keeps what it holds, at most its new burst.
+// Forgot notes that this daemon's process began anew in a fleet that was there before, so
+// that others may have been let in by processes that are gone.
+func (led *Ledger) Forgot(now time.Time) {
+	led.forgot = now
+	led.amnesic = true
+}
+
+// Amnesic reports whether this daemon still doesn't know what was let in before it began.
+func (led *Ledger) Amnesic(now time.Time) bool {
+	if led.amnesic && now.Sub(led.forgot) >= led.tolerance.Window {
+		led.amnesic = false
+	}
+	return led.amnesic
+}
+
+// Configure sets the accounts' quotas; what was counted stays.
 func (led *Ledger) Configure(now time.Time, accounts []yuccaroute.Account) {
 	known := make(map[yuccaid.Account]bool, len(accounts))
 	for _, account := range accounts {
@@ -57,73 +101,86 @@
 			continue
 		}
 		known[account.Name] = true
-		bkt := led.buckets[account.Name]
-		if bkt == nil {
-			bkt = &bucket{level: account.Quota.Burst * led.part, at: now}
-			led.buckets[account.Name] = bkt
+		win := led.windows[account.Name]
+		if win == nil {
+			win = &window{last: led.slotOf(now)}
+			led.windows[account.Name] = win
 		}
-		led.fill(now, bkt)
-		bkt.quota = account.Quota
-		bkt.level = min(bkt.level, bkt.quota.Burst)
+		win.quota = account.Quota
 	}
-	for name := range led.buckets {
+	for name := range led.windows {
 		if !known[name] {
-			delete(led.buckets, name)
+			delete(led.windows, name)
 		}
 	}
 }
 
 // SetPart sets the part of every quota that this daemon may use: 1 while it hears from most
 // of the others.
-func (led *Ledger) SetPart(now time.Time, part float64) {
-	if part == led.part {
-		return
-	}
-	for _, bkt := range led.buckets {
-		led.fill(now, bkt)
-	}
-	led.part = part
-}
+func (led *Ledger) SetPart(part float64) { led.part = part }
 
 // Part returns the part that was set.
 func (led *Ledger) Part() float64 { return led.part }
 
-// Take lets an account in for a cost if its bucket holds as much, and else returns when it
-// will.
+// Take lets an account in for a cost if its window has room for it, and else returns when
+// it will.
 //
-// A request that costs more than the whole burst is let in by a full bucket: it would
-// never be otherwise.
+// A request that costs more than a whole window is let in by an empty one: it would never
+// be otherwise.
 func (led *Ledger) Take(now time.Time, account yuccaid.Account, cost float64) (back time.Duration, taken bool) {
-	bkt := led.buckets[account]
-	if bkt == nil {
+	win := led.windows[account]
+	if win == nil {
 		return 0, true
 	}
-	led.fill(now, bkt)
-	need := min(cost, bkt.quota.Burst*led.part)
-	if bkt.level < need {
-		wait := (need - bkt.level) / (bkt.quota.Rate * led.part)
-		return max(time.Duration(wait*float64(time.Second)), leastBack), false
+	led.advance(now, win)
+	limit := led.limit(now, win.quota)
+	if win.sum > 0 && float64(win.sum)+cost > limit {
+		return led.back(win, float64(win.sum)+cost-limit), false
 	}
-	led.spend(bkt, int64(cost))
-	bkt.own += int64(cost)
+	led.add(win, int64(cost))
+	win.own += int64(cost)
 	return 0, true
 }
 
+// limit is what a window may hold now.
+func (led *Ledger) limit(now time.Time, quota yuccaroute.Quota) float64 {
+	span := led.tolerance.Window.Seconds()
+	bound := quota.Rate*span + quota.Burst
+	if tolerated := bound*(1+led.tolerance.Overshoot) + led.tolerance.Amount; tolerated > bound {
+		bound = max(bound, boundUsed*tolerated)
+	}
+	if led.Amnesic(now) {
+		bound = min(bound, amnesiaRate*quota.Rate*now.Sub(led.forgot).Seconds()+amnesiaBurst*quota.Burst)
+	}
+	return bound * led.part
+}
+
+// back is when enough of the window has passed.
+func (led *Ledger) back(win *window, over float64) time.Duration {
+	width := led.tolerance.Window / slots
+	wait := width
+	for at := win.last + 1; at < win.last+slots && over > 0; at++ {
+		over -= float64(win.slot[at%slots])
+		wait += width
+	}
+	return min(max(wait, leastBack), mostBack)
+}
+
 // Return gives back what a request was let in for that did not run.
 func (led *Ledger) Return(now time.Time, account yuccaid.Account, cost float64) {
-	if bkt := led.buckets[account]; bkt != nil {
-		led.fill(now, bkt)
-		led.spend(bkt, -int64(cost))
-		bkt.own -= int64(cost)
+	if win := led.windows[account]; win != nil {
+		led.advance(now, win)
+		led.add(win, -int64(cost))
+		win.own -= int64(cost)
 	}
 }
 
 // Heard takes a report of a daemon of this data centre.
 func (led *Ledger) Heard(now time.Time, spent []Spent) {
 	for _, each := range spent {
-		if bkt := led.buckets[each.Account]; bkt != nil {
-			led.fill(now, bkt)
-			led.spend(bkt, each.Amount)
+		if win := led.windows[each.Account]; win != nil {
+			led.advance(now, win)
+			led.add(win, each.Amount)
 		}
 	}
 }
@@ -131,29 +188,29 @@
 // HeardAway takes a report of another data centre.
 func (led *Ledger) HeardAway(now time.Time, spent []Spent) {
 	for _, each := range spent {
-		if bkt := led.buckets[each.Account]; bkt != nil {
-			led.fill(now, bkt)
-			led.spend(bkt, each.Amount)
-			bkt.centre -= each.Amount
+		if win := led.windows[each.Account]; win != nil {
+			led.advance(now, win)
+			led.add(win, each.Amount)
+			win.centre -= each.Amount
 		}
 	}
 }
 
 // Report returns what this daemon let in since the last report.
 func (led *Ledger) Report() []Spent {
-	return led.collect(func(bkt *bucket) *int64 { return &bkt.own })
+	return led.collect(func(win *window) *int64 { return &win.own })
 }
 
 // ReportAway returns what this data centre let in since the last such report, for the one
 // daemon that reports to the others.
 func (led *Ledger) ReportAway() []Spent {
-	return led.collect(func(bkt *bucket) *int64 { return &bkt.centre })
+	return led.collect(func(win *window) *int64 { return &win.centre })
 }
 
-func (led *Ledger) collect(of func(*bucket) *int64) []Spent {
+func (led *Ledger) collect(of func(*window) *int64) []Spent {
 	var list []Spent
-	for name, bkt := range led.buckets {
-		if amount := of(bkt); *amount != 0 {
+	for name, win := range led.windows {
+		if amount := of(win); *amount != 0 {
 			list = append(list, Spent{Account: name, Amount: *amount})
 			*amount = 0
 		}
@@ -162,45 +219,62 @@
 	return list
 }
 
-// Levels returns what the buckets hold that are not full, for a daemon that has just
-// started or was cut off.
-func (led *Ledger) Levels(now time.Time) []Spent {
+// Totals returns what the windows hold, for a daemon that has just started or was cut off.
+func (led *Ledger) Totals(now time.Time) []Spent {
 	var list []Spent
-	for name, bkt := range led.buckets {
-		led.fill(now, bkt)
-		if bkt.level < bkt.quota.Burst*led.part {
-			list = append(list, Spent{Account: name, Amount: int64(bkt.level)})
+	for name, win := range led.windows {
+		led.advance(now, win)
+		if win.sum > 0 {
+			list = append(list, Spent{Account: name, Amount: win.sum})
 		}
 	}
 	slices.SortFunc(list, compareSpent)
 	return list
 }
 
-// Lower takes over another daemon's levels where they are lower. A daemon that has just
-// started knows of nothing that was let in before, and full buckets after each restart
-// would let an account in again and again.
-func (led *Ledger) Lower(now time.Time, levels []Spent) {
-	for _, each := range levels {
-		if bkt := led.buckets[each.Account]; bkt != nil {
-			led.fill(now, bkt)
-			bkt.level = max(min(bkt.level, float64(each.Amount)), -deepest*bkt.quota.Rate)
+// Raise takes over another daemon's totals where they are higher, as if what is missing had
+// been let in half a window ago. Knows says that the other has a memory of its own.
+func (led *Ledger) Raise(now time.Time, totals []Spent, knows bool) {
+	for _, each := range totals {
+		win := led.windows[each.Account]
+		if win == nil {
+			continue
+		}
+		led.advance(now, win)
+		if missing := each.Amount - win.sum; missing > 0 {
+			win.slot[(win.last-slots/2+slots)%slots] += missing
+			win.sum += missing
 		}
 	}
+	if knows {
+		led.amnesic = false
+	}
 }
 
-// fill adds what has come in since the last look.
-func (led *Ledger) fill(now time.Time, bkt *bucket) {
-	span := now.Sub(bkt.at).Seconds()
-	if span <= 0 {
-		return
+func (led *Ledger) slotOf(now time.Time) int64 {
+	return now.UnixNano() / int64(led.tolerance.Window/slots)
+}
+
+// advance drops what has left the window.
+func (led *Ledger) advance(now time.Time, win *window) {
+	slot := led.slotOf(now)
+	if slot-win.last >= slots {
+		win.slot = [slots]int64{}
+		win.sum = 0
+		win.last = slot
+	}
+	for win.last < slot {
+		win.last++
+		win.sum -= win.slot[win.last%slots]
+		win.slot[win.last%slots] = 0
 	}
-	bkt.at = now
-	bkt.level = min(bkt.level+span*bkt.quota.Rate*led.part, bkt.quota.Burst*led.part)
 }
 
-func (led *Ledger) spend(bkt *bucket, amount int64) {
-	bkt.level = min(max(bkt.level-float64(amount), -deepest*bkt.quota.Rate), bkt.quota.Burst*led.part)
-	bkt.centre += amount
+func (led *Ledger) add(win *window, amount int64) {
+	amount = max(amount, -win.sum)
+	win.slot[win.last%slots] += amount
+	win.sum += amount
+	win.centre += amount
 }
 
 func compareSpent(a, b Spent) int {
--- a/io/yuccagate/gate.go
+++ b/io/yuccagate/gate.go
@@ -105,7 +105,9 @@
 		centres:  make(map[yuccaid.Centre]*centre),
 		roster:   yuccaroster.New(),
 		fresh:    make(map[yuccaid.Incarnation]fresh),
-		ledger:   yuccaquota.New(),
+		ledger: yuccaquota.New(yuccaquota.Tolerance{
+			Window: settings.Bounds.QuotaWindow, Overshoot: settings.Bounds.QuotaOvershoot, Amount: settings.Bounds.QuotaAllowance,
+		}),
 		budget: yuccabudget.New(yuccabudget.Bounds{
 			Window: settings.Bounds.ResendWindow, Ratio: settings.Bounds.ResendRatio, Allowance: settings.Bounds.ResendAllowance,
 		}),
@@ -120,6 +122,9 @@
 	gate.peers = yuccapeer.New(self, yuccapeer.WithSeeds(settings.Seeds...), yuccapeer.WithTiming(peerTiming()))
 	gate.began = time.Now()
 	gate.looked = gate.began
+	if !settings.First {
+		gate.ledger.Forgot(gate.began)
+	}
 	ready := make(chan struct{})
 	gate.control = yuccaloop.New(ready, tickEvery, gate.tick)
 	gate.hub = yuccalink.New(self, settings.Key, peers,
--- a/io/yuccagate/peers.go
+++ b/io/yuccagate/peers.go
@@ -49,7 +49,9 @@
 	gate.control.Post(func(now time.Time) {
 		gate.log.belief("peer reached", "peer", member.VM, "centre", member.Centre)
 		gate.onChange(now, gate.peers.Linked(now, member))
-		gate.send(member.Incarnation, yuccawire.KindUse, yuccawire.Use{Levels: true, Spent: gate.ledger.Levels(now)})
+		gate.send(member.Incarnation, yuccawire.KindUse, yuccawire.Use{
+			Totals: true, Spent: gate.ledger.Totals(now), Knows: !gate.ledger.Amnesic(now),
+		})
 		gate.resync(now, member.Incarnation)
 	})
 }
--- a/io/yuccagate/settings.go
+++ b/io/yuccagate/settings.go
@@ -18,6 +18,9 @@
 	// Key is what daemons of one fleet prove to each other.
 	Key    yuccaid.Key
 	Bounds Bounds
+	// First says that the whole fleet starts for the first time, so that nothing was let in
+	// before.
+	First bool
 	// Memory is what the process may use.
 	Memory yuccaid.Bytes
 	// Descriptors is how many files and sockets the process may open.
--- a/io/yuccagate/use.go
+++ b/io/yuccagate/use.go
@@ -60,7 +60,7 @@
 	}
 	if part != gate.ledger.Part() {
 		gate.log.belief("part of the quotas", "part", part, "before", gate.ledger.Part())
-		gate.ledger.SetPart(now, part)
+		gate.ledger.SetPart(part)
 	}
 	peers := len(gate.peers.Live(gate.settings.Centre)) - 1
 	if now.Sub(gate.useTold) < time.Duration(peers)*useForPeer {
@@ -91,8 +91,8 @@
 }
 
 func (gate *Gate) onUse(now time.Time, message yuccawire.Use) {
-	if message.Levels {
-		gate.ledger.Lower(now, message.Spent)
+	if message.Totals {
+		gate.ledger.Raise(now, message.Spent, message.Knows)
 		return
 	}
 	gate.ledger.Heard(now, message.Spent)
--- a/io/yuccawire/gate.go
+++ b/io/yuccawire/gate.go
@@ -36,11 +36,14 @@
 	At        yuccaroster.Revision
 }
 
-// Use tells what accounts were let in for since the last one, or how full their buckets
-// are, for a daemon that has just come.
+// Use tells what accounts were let in for since the last one, or the totals of their
+// windows, for a daemon that has just come.
 type Use struct {
-	Levels bool
+	Totals bool
 	Spent  []yuccaquota.Spent
+	// Knows says that the sender has been there for a whole window or was told by one that
+	// had.
+	Knows bool
 }
 
 // Topic says what a Cast carries.
