Rooms of quotas are shared out for the delay of reports

Ruled out: quicker reports (64 messages a tick and daemon); a lower bound for all (costs the small fleets).

--- a/core/yuccabudget/budget.go
+++ b/core/yuccabudget/budget.go
@@ -4,16 +4,12 @@
 	"time"
 
 	"yuccacleat/core/yuccaid"
+	"yuccacleat/core/yuccawindow"
 )
 
-const (
-	// slots is into how many parts a window is divided. The oldest part leaves as a whole,
-	// so a part more than the window is counted.
-	slots = 10
-	// caution is the part of the bound that is used. Windows slide and are counted
-	// elsewhere, by when requests arrive.
-	caution = 0.8
-)
+// caution is the part of the bound that is used. Windows slide and are counted elsewhere, by
+// when requests arrive.
+const caution = 0.8
 
 // Bounds is the bound over all daemons.
 type Bounds struct {
@@ -28,11 +24,10 @@
 	pools  map[yuccaid.Pool]*window
 }
 
-// window counts the last slots, the newest at last.
+// window counts what one pool had lately.
 type window struct {
-	requests [slots + 1]int
-	resends  [slots + 1]int
-	last     int64
+	requests yuccawindow.Sum
+	resends  yuccawindow.Sum
 }
 
 // New returns a budget with nothing used.
@@ -45,50 +40,30 @@
 
 // Request counts a request of a caller.
 func (bud *Budget) Request(now time.Time, pool yuccaid.Pool) {
-	win := bud.window(now, pool)
-	win.requests[win.place()]++
+	bud.window(now, pool).requests.Add(1)
 }
 
 // Resend counts one more sending of a request and reports whether the bound allows it,
 // where so many daemons share the allowance.
 func (bud *Budget) Resend(now time.Time, pool yuccaid.Pool, daemons int) bool {
 	win := bud.window(now, pool)
-	bound := caution * (bud.bounds.Ratio*float64(sum(win.requests)) + bud.bounds.Allowance/float64(max(daemons, 1)))
-	if float64(sum(win.resends)+1) > bound {
+	bound := caution * (bud.bounds.Ratio*float64(win.requests.Total()) + bud.bounds.Allowance/float64(max(daemons, 1)))
+	if float64(win.resends.Total()+1) > bound {
 		return false
 	}
-	win.resends[win.place()]++
+	win.resends.Add(1)
 	return true
 }
 
 func (bud *Budget) window(now time.Time, pool yuccaid.Pool) *window {
 	win := bud.pools[pool]
-	slot := now.UnixNano() / int64(max(bud.bounds.Window/slots, time.Millisecond))
 	if win == nil {
-		win = &window{last: slot}
+		win = &window{}
 		bud.pools[pool] = win
 	}
-	for win.last < slot && slot-win.last <= slots {
-		win.last++
-		win.clear()
-	}
-	if win.last < slot {
-		*win = window{last: slot}
-	}
+	win.requests.Advance(now, bud.bounds.Window)
+	// A part of a sum leaves sooner than its window ends, and resends arrive later than they
+	// are counted.
+	win.resends.Advance(now, bud.bounds.Window+bud.bounds.Window/8)
 	return win
 }
-
-func (win *window) place() int64 { return win.last % (slots + 1) }
-
-func (win *window) clear() {
-	win.requests[win.place()] = 0
-	win.resends[win.place()] = 0
-}
-
-func sum(counts [slots + 1]int) int {
-	total := 0
-	for _, count := range counts {
-		total += count
-	}
-	return total
-}
--- a/core/yuccaquota/ledger.go
+++ b/core/yuccaquota/ledger.go
@@ -7,18 +7,25 @@
 
 	"yuccacleat/core/yuccaid"
 	"yuccacleat/core/yuccaroute"
+	"yuccacleat/core/yuccawindow"
 )
 
 const (
-	// slots is into how many parts a window is divided. The oldest leaves as a whole, so up
-	// to a part more than the window is counted.
-	slots = 32
 	// defaultWindow is the window where none is set.
 	defaultWindow = 8 * time.Second
 	// boundUsed is the part of what operators tolerate in a window that is let in. The rest
 	// covers reports that come late, and what is let in after all daemons have lost their
 	// memory at once.
 	boundUsed = 0.8
+	// reportDelay is how long it takes until all daemons know what one let in. What an account
+	// has left is shared out for that time: seventy daemons that each see the same room and
+	// fill it let in many times as much.
+	reportDelay = 400 * time.Millisecond
+	// ampleShare widens a daemon's share of that room, since demand shifts; largePart is the
+	// part of the room that one request may take though it is more than the share, so that
+	// long requests aren't always refused in a large fleet.
+	ampleShare = 1.2
+	largePart  = 0.25
 	// amnesiaRate and amnesiaBurst bound, as parts of the quota's rate and burst, what is let
 	// in by daemons that have lost their memory: enough for an account that stays within its
 	// quota, and so little that one that doesn't can't fill the window a second time.
@@ -53,6 +60,7 @@
 	windows   map[yuccaid.Account]*window
 	tolerance Tolerance
 	part      float64
+	daemons   int
 	// forgot is when this daemon began without memory, until it is told or a window passed.
 	forgot  time.Time
 	amnesic bool
@@ -61,9 +69,10 @@
 // window is what one account was let in for lately, by all daemons as far as is known.
 type window struct {
 	quota yuccaroute.Quota
-	slot  [slots]int64
-	last  int64
-	sum   int64
+	all   yuccawindow.Sum
+	// mine is what this daemon let in, over the window and within the delay of reports.
+	mine   yuccawindow.Sum
+	recent yuccawindow.Sum
 	// own is what this daemon let in and hasn't reported to those of its data centre yet,
 	// centre what its data centre let in and hasn't reported to the others yet.
 	own    int64
@@ -75,7 +84,7 @@
 	if tolerance.Window <= 0 {
 		tolerance.Window = defaultWindow
 	}
-	return &Ledger{windows: make(map[yuccaid.Account]*window), tolerance: tolerance, part: 1}
+	return &Ledger{windows: make(map[yuccaid.Account]*window), tolerance: tolerance, part: 1, daemons: 1}
 }
 
 // Forgot notes that this daemon's process began anew in a fleet that was there before, so
@@ -103,9 +112,10 @@
 		known[account.Name] = true
 		win := led.windows[account.Name]
 		if win == nil {
-			win = &window{last: led.slotOf(now)}
+			win = &window{}
 			led.windows[account.Name] = win
 		}
+		led.advance(now, win)
 		win.quota = account.Quota
 	}
 	for name := range led.windows {
@@ -115,9 +125,12 @@
 	}
 }
 
-// SetPart sets the part of every quota that this daemon may use: 1 while it hears from most
-// of the others.
-func (led *Ledger) SetPart(part float64) { led.part = part }
+// SetFleet sets the part of every quota that this daemon may use, 1 while it hears from most
+// of the others, and how many daemons there are.
+func (led *Ledger) SetFleet(part float64, daemons int) {
+	led.part = part
+	led.daemons = max(daemons, 1)
+}
 
 // Part returns the part that was set.
 func (led *Ledger) Part() float64 { return led.part }
@@ -133,15 +146,36 @@
 		return 0, true
 	}
 	led.advance(now, win)
-	limit := led.limit(now, win.quota)
-	if win.sum > 0 && float64(win.sum)+cost > limit {
-		return led.back(win, float64(win.sum)+cost-limit), false
+	sum := float64(win.all.Total())
+	room := led.limit(now, win.quota) - sum
+	if sum > 0 && cost > room {
+		return bounded(win.all.Until(led.tolerance.Window, int64(cost-room))), false
+	}
+	if sum > 0 && !win.fairly(cost, room, led.daemons) {
+		return bounded(reportDelay), false
 	}
 	led.add(win, int64(cost))
 	win.own += int64(cost)
+	win.mine.Add(int64(cost))
+	win.recent.Add(int64(cost))
 	return 0, true
 }
 
+// fairly reports whether a cost keeps to this daemon's share of the room: the share that it
+// had lately of what the account was let in for, and at least that of one daemon.
+func (win *window) fairly(cost, room float64, daemons int) bool {
+	share := max(float64(win.mine.Total())/float64(win.all.Total()), 1/float64(daemons))
+	recent := float64(win.recent.Total())
+	if recent+cost <= min(ampleShare*share, 1)*room {
+		return true
+	}
+	return recent == 0 && cost <= largePart*room
+}
+
+func bounded(back time.Duration) time.Duration {
+	return min(max(back, leastBack), mostBack)
+}
+
 // limit is what a window may hold now.
 func (led *Ledger) limit(now time.Time, quota yuccaroute.Quota) float64 {
 	span := led.tolerance.Window.Seconds()
@@ -155,23 +189,13 @@
 	return bound * led.part
 }
 
-// back is when enough of the window has passed.
-func (led *Ledger) back(win *window, over float64) time.Duration {
-	width := led.tolerance.Window / slots
-	wait := width
-	for at := win.last + 1; at < win.last+slots && over > 0; at++ {
-		over -= float64(win.slot[at%slots])
-		wait += width
-	}
-	return min(max(wait, leastBack), mostBack)
-}
-
 // Return gives back what a request was let in for that did not run.
 func (led *Ledger) Return(now time.Time, account yuccaid.Account, cost float64) {
 	if win := led.windows[account]; win != nil {
 		led.advance(now, win)
 		led.add(win, -int64(cost))
 		win.own -= int64(cost)
+		win.mine.Add(-int64(cost))
 	}
 }
 
@@ -224,8 +248,8 @@
 	var list []Spent
 	for name, win := range led.windows {
 		led.advance(now, win)
-		if win.sum > 0 {
-			list = append(list, Spent{Account: name, Amount: win.sum})
+		if sum := win.all.Total(); sum > 0 {
+			list = append(list, Spent{Account: name, Amount: sum})
 		}
 	}
 	slices.SortFunc(list, compareSpent)
@@ -241,9 +265,8 @@
 			continue
 		}
 		led.advance(now, win)
-		if missing := each.Amount - win.sum; missing > 0 {
-			win.slot[(win.last-slots/2+slots)%slots] += missing
-			win.sum += missing
+		if missing := each.Amount - win.all.Total(); missing > 0 {
+			win.all.AddBefore(missing)
 		}
 	}
 	if knows {
@@ -251,29 +274,15 @@
 	}
 }
 
-func (led *Ledger) slotOf(now time.Time) int64 {
-	return now.UnixNano() / int64(led.tolerance.Window/slots)
-}
-
-// advance drops what has left the window.
+// advance drops what has left the windows.
 func (led *Ledger) advance(now time.Time, win *window) {
-	slot := led.slotOf(now)
-	if slot-win.last >= slots {
-		win.slot = [slots]int64{}
-		win.sum = 0
-		win.last = slot
-	}
-	for win.last < slot {
-		win.last++
-		win.sum -= win.slot[win.last%slots]
-		win.slot[win.last%slots] = 0
-	}
+	win.all.Advance(now, led.tolerance.Window)
+	win.mine.Advance(now, led.tolerance.Window)
+	win.recent.Advance(now, reportDelay)
 }
 
 func (led *Ledger) add(win *window, amount int64) {
-	amount = max(amount, -win.sum)
-	win.slot[win.last%slots] += amount
-	win.sum += amount
+	win.all.Add(amount)
 	win.centre += amount
 }
 
--- a/core/yuccaquota/ledger_test.go
+++ b/core/yuccaquota/ledger_test.go
@@ -62,7 +62,9 @@
 func newFleet(size int, every time.Duration, tolerance yuccaquota.Tolerance) *fleet {
 	flt := &fleet{now: start, every: every, told: start, cut: func(int) bool { return false }}
 	for range size {
-		flt.ledgers = append(flt.ledgers, ledger(flt.now, tolerance))
+		led := ledger(flt.now, tolerance)
+		led.SetFleet(1, size)
+		flt.ledgers = append(flt.ledgers, led)
 	}
 	return flt
 }
@@ -136,6 +138,22 @@
 		Entry("with reports every 400 ms", 400*time.Millisecond, 1.3),
 	)
 
+	// Seventy daemons each see the same room that is left to an account and fill it before
+	// they hear of one another.
+	It("isn't filled many times over by a large fleet", func() {
+		flt := newFleet(70, 300*time.Millisecond, tolerant)
+		flt.press(30*time.Second, 600)
+		Expect(flt.most()).To(BeNumerically("<=", bound))
+		Expect(flt.most()).To(BeNumerically(">=", 0.6*bound))
+	})
+
+	It("lets a large fleet take a long request while there is room", func() {
+		flt := newFleet(70, 300*time.Millisecond, strict)
+		flt.press(10*time.Second, 30)
+		_, taken := flt.ledgers[50].Take(flt.now, "rally", allowed/8)
+		Expect(taken).To(BeTrue())
+	})
+
 	// Operators say how far an account may go beyond its quota before it counts as a breach.
 	// Refusing earlier loses requests that nobody wanted refused.
 	It("uses most of the tolerance and stays within it", func() {
@@ -152,6 +170,7 @@
 		for turn := range 20 {
 			flt.press(time.Second, 600)
 			fresh := ledger(flt.now, tolerant)
+			fresh.SetFleet(1, 4)
 			fresh.Forgot(flt.now)
 			fresh.Raise(flt.now, flt.ledgers[(turn+1)%4].Totals(flt.now), true)
 			flt.ledgers[turn%4] = fresh
@@ -166,6 +185,7 @@
 			flt.press(before, pressure)
 			for at := range flt.ledgers {
 				flt.ledgers[at] = ledger(flt.now, tolerant)
+				flt.ledgers[at].SetFleet(1, 7)
 				flt.ledgers[at].Forgot(flt.now)
 			}
 			flt.press(15*time.Second, pressure)
@@ -192,7 +212,7 @@
 		flt.cut = func(i int) bool { return i >= 4 }
 		for i, led := range flt.ledgers {
 			if i >= 4 {
-				led.SetPart(1.0 / 7)
+				led.SetFleet(1.0/7, 7)
 			}
 		}
 		flt.press(30*time.Second, 600)
--- /dev/null
+++ b/core/yuccawindow/window.go
@@ -0,0 +1,55 @@
+// Package yuccawindow sums what happened within a sliding window of time.
+package yuccawindow
+
+import "time"
+
+// slots is into how many parts a window is divided. The oldest part leaves as a whole, so
+// up to one part more than the window is counted.
+const slots = 32
+
+// Sum is a sum over a window. Its zero value is empty; Advance it before it is read.
+type Sum struct {
+	slot  [slots]int64
+	last  int64
+	total int64
+}
+
+// Advance drops what has left a window of the given span.
+func (sum *Sum) Advance(now time.Time, span time.Duration) {
+	slot := now.UnixNano() / int64(max(span/slots, 1))
+	if slot-sum.last >= slots {
+		*sum = Sum{last: slot}
+	}
+	for sum.last < slot {
+		sum.last++
+		sum.total -= sum.slot[sum.last%slots]
+		sum.slot[sum.last%slots] = 0
+	}
+}
+
+// Add counts an amount now. A negative one takes back what was counted, down to nothing.
+func (sum *Sum) Add(amount int64) {
+	amount = max(amount, -sum.total)
+	sum.slot[sum.last%slots] += amount
+	sum.total += amount
+}
+
+// AddBefore counts an amount as if half a window ago.
+func (sum *Sum) AddBefore(amount int64) {
+	sum.slot[(sum.last-slots/2+slots)%slots] += amount
+	sum.total += amount
+}
+
+// Total returns the sum.
+func (sum *Sum) Total() int64 { return sum.total }
+
+// Until returns how long it takes until an amount has left a window of the given span.
+func (sum *Sum) Until(span time.Duration, amount int64) time.Duration {
+	width := span / slots
+	wait := width
+	for at := sum.last + 1; at < sum.last+slots && amount > 0; at++ {
+		amount -= sum.slot[at%slots]
+		wait += width
+	}
+	return wait
+}
--- a/io/yuccagate/use.go
+++ b/io/yuccagate/use.go
@@ -51,17 +51,17 @@
 // half of the daemons does.
 func (gate *Gate) tickUse(now time.Time) {
 	part := firstPart
+	visible, total := gate.fleet(now)
 	if gate.settled || len(gate.settings.Seeds) == 0 {
-		visible, total := gate.fleet(now)
 		part = 1
 		if 2*visible <= total {
 			part = float64(visible) / float64(total)
 		}
 	}
 	if part != gate.ledger.Part() {
-		gate.log.belief("part of the quotas", "part", part, "before", gate.ledger.Part())
-		gate.ledger.SetPart(part)
+		gate.log.belief("part of the quotas", "part", part, "before", gate.ledger.Part(), "visible", visible, "total", total)
 	}
+	gate.ledger.SetFleet(part, total)
 	peers := len(gate.peers.Live(gate.settings.Centre)) - 1
 	if now.Sub(gate.useTold) < time.Duration(peers)*useForPeer {
 		return
