Data centres find one another; quotas hold over all of them and after amnesia

Ruled out: always dialling all seeds (a connection from every daemon to each); one fixed part of the tolerance for all accounts (0.8 breaks grown fleets after all were killed). After all memory is lost an account that asks for more than its rate is held to half of it until a window has passed, the others aren't. A roster goes once to each connection, not with each heartbeat.

--- a/core/yuccapeer/dial.go
+++ b/core/yuccapeer/dial.go
@@ -33,22 +33,27 @@
 	for _, wanted := range peers.wishes {
 		addresses[candidates[wanted.vm].Address] = true
 	}
-	if peers.isLost() {
-		for _, seed := range peers.seeds {
-			addresses[seed] = true
-		}
+	for _, seed := range peers.unmetSeeds(candidates) {
+		addresses[seed] = true
 	}
 	delete(addresses, peers.self.Address)
 	delete(addresses, "")
 	return slices.Sorted(maps.Keys(addresses))
 }
 
-// isLost reports whether only the seeds can lead to the others: there is no list, and
-// nobody of this data centre is heard. Seeds that were always dialled would end up with
-// a connection from every daemon.
-func (peers *Peers) isLost() bool {
-	alone := len(peers.Live(peers.self.Centre)) <= 1
-	return peers.self.Unlisted && alone
+// unmetSeeds returns the seeds that nobody has named as a daemon's address, as long as there
+// is no list. They lead to the daemons of other data centres too: a data centre whose
+// daemons stopped at the first of their own would never learn that there are others. Seeds
+// that were always dialled would end up with a connection from every daemon.
+func (peers *Peers) unmetSeeds(candidates map[yuccaid.VM]Listing) []string {
+	if !peers.self.Unlisted {
+		return nil
+	}
+	met := make(map[string]bool, len(candidates))
+	for _, listing := range candidates {
+		met[listing.Address] = true
+	}
+	return slices.DeleteFunc(slices.Clone(peers.seeds), func(seed string) bool { return met[seed] })
 }
 
 // reaches reports whether this daemon has a connection to the one on a VM.
--- a/core/yuccapeer/peers.go
+++ b/core/yuccapeer/peers.go
@@ -19,6 +19,9 @@
 	peers  map[yuccaid.VM]*peer
 	gone   map[yuccaid.Incarnation]time.Time
 	linked map[yuccaid.Incarnation]Member
+	// rostered are the peers that got a roster on their present connection. One for each
+	// whole heartbeat would grow with the square of the daemons at every change.
+	rostered map[yuccaid.Incarnation]bool
 	// plan is who to dial in other data centres, stale that it has to be made anew,
 	// plannedSettled whether the view had settled when it was made.
 	plan           map[yuccaid.Centre][]yuccaid.VM
@@ -62,6 +65,7 @@
 		peers:    make(map[yuccaid.VM]*peer),
 		gone:     make(map[yuccaid.Incarnation]time.Time),
 		linked:   make(map[yuccaid.Incarnation]Member),
+		rostered: make(map[yuccaid.Incarnation]bool),
 		wishes:   make(map[yuccaid.Centre]*wish),
 	}
 	for _, option := range options {
@@ -114,6 +118,7 @@
 // the view for LostGrace, for a broken connection alone is no death.
 func (peers *Peers) Lost(now time.Time, inc yuccaid.Incarnation) {
 	delete(peers.linked, inc)
+	delete(peers.rostered, inc)
 	other := peers.peers[inc.VM]
 	if other == nil || other.member.Incarnation != inc {
 		return
@@ -135,7 +140,8 @@
 		return change
 	}
 	peers.update(other, beat, &change)
-	if beat.Unlisted {
+	if beat.Unlisted && !peers.rostered[beat.Incarnation] {
+		peers.rostered[beat.Incarnation] = true
 		change.Rosters = append(change.Rosters, beat.Incarnation)
 	}
 	change.Behind = peers.Behind()
--- a/core/yuccapeer/peers_test.go
+++ b/core/yuccapeer/peers_test.go
@@ -279,6 +279,40 @@
 		Expect(fresh.Dial()).To(Equal([]string{second.Address}))
 	})
 
+	// A fleet without a list starts, and the first seed that a daemon reaches is one of its own
+	// data centre. If it asked no further, data centres would never hear of one another:
+	// accounts would get their quota in each of them.
+	It("asks the seeds of other data centres too, until somebody has named them", func() {
+		far := yuccapeer.Member{VM: "far", Centre: "milano", Address: "10.1.0.1:7400"}
+		far.Incarnation = yuccaid.NewIncarnation("far", [16]byte{7})
+		self := first.Member
+		self.VM, self.Address = "vm-9", "10.0.0.9:7400"
+		self.Incarnation = yuccaid.NewIncarnation("vm-9", [16]byte{9})
+		fresh := yuccapeer.New(self, yuccapeer.WithSeeds(second.Address, far.Address, "10.2.0.1:7400", self.Address))
+		fresh.Tick(wld.now)
+		fresh.Linked(wld.now, second.Member)
+		fresh.Heard(wld.now, second.peers.Heartbeat())
+		Expect(fresh.Dial()).To(Equal([]string{second.Address, far.Address, "10.2.0.1:7400"}))
+		fresh.Told(wld.now, []yuccapeer.Listing{{VM: far.VM, Centre: far.Centre, Address: far.Address}})
+		Expect(fresh.Dial()).To(Equal([]string{second.Address, "10.2.0.1:7400"}))
+	})
+
+	// Without a list, a roster answers every whole heartbeat, and each change of configuration
+	// brings one from every peer: a hundred daemons would send each other ten thousand.
+	It("sends a roster once for each connection", func() {
+		unlisted := second.peers.Heartbeat()
+		unlisted.Unlisted = true
+		unlisted.Sequence += 10
+		Expect(first.peers.Heard(wld.now, unlisted).Rosters).To(HaveLen(1))
+		unlisted.Sequence++
+		unlisted.Version++
+		Expect(first.peers.Heard(wld.now, unlisted).Rosters).To(BeEmpty())
+		first.peers.Lost(wld.now, unlisted.Incarnation)
+		first.peers.Linked(wld.now, second.Member)
+		unlisted.Sequence++
+		Expect(first.peers.Heard(wld.now, unlisted).Rosters).To(HaveLen(1))
+	})
+
 	It("finds daemons of other data centres on the list", func() {
 		wld.listings = append(wld.listings, yuccapeer.Listing{VM: "far", Centre: "milano", Address: "10.1.0.1:7400"})
 		first.peers.Listed(wld.now, wld.listings)
--- a/core/yuccaquota/ledger.go
+++ b/core/yuccaquota/ledger.go
@@ -13,10 +13,13 @@
 const (
 	// defaultWindow is the window where none is set.
 	defaultWindow = 8 * time.Second
-	// boundUsed is the part of what operators tolerate in a window that is let in. The rest
-	// covers reports that come late, and what is let in after all daemons have lost their
-	// memory at once.
-	boundUsed = 0.8
+	// amnesiaLasts is the part of a window for which an account may press on after all
+	// daemons have lost their memory, when it needed the rest to fill the window before: at
+	// three times its quota's rate it does so in that time. lateSpan is what is let in, in
+	// seconds of the rate, before all daemons have heard of it. Both are left free of what
+	// is tolerated.
+	amnesiaLasts = 0.6
+	lateSpan     = 0.4
 	// reportDelay is how long it takes until all daemons know what one let in. What an account
 	// has left is shared out for that time: seventy daemons that each see the same room and
 	// fill it let in many times as much.
@@ -26,11 +29,11 @@
 	// long requests aren't always refused in a large fleet.
 	ampleShare = 1.2
 	largePart  = 0.25
-	// amnesiaRate and amnesiaBurst bound, as parts of the quota's rate and burst, what is let
-	// in by daemons that have lost their memory: enough for an account that stays within its
-	// quota, and so little that one that doesn't can't fill the window a second time.
-	amnesiaRate  = 0.57
-	amnesiaBurst = 0.3
+	// amnesiaRate and amnesiaBurst bound, as parts of the quota's rate and burst, what an
+	// account that presses is let in for by daemons that have lost their memory: so little
+	// that it can't fill the window a second time.
+	amnesiaRate  = 0.5
+	amnesiaBurst = 0.4
 	// leastBack keeps refused callers from coming back in a loop, and mostBack bounds what
 	// they are told.
 	leastBack = 200 * time.Millisecond
@@ -77,6 +80,9 @@
 	// centre what its data centre let in and hasn't reported to the others yet.
 	own    int64
 	centre int64
+	// presses says that the account asked for more than its rate while nobody remembered
+	// what it had before.
+	presses bool
 }
 
 // New returns a ledger without quotas.
@@ -147,11 +153,19 @@
 	}
 	led.advance(now, win)
 	sum := float64(win.all.Total())
-	room := led.limit(now, win.quota) - sum
+	room := led.limit(now, win) - sum
+	amnesic := led.Amnesic(now)
 	if sum > 0 && cost > room {
+		win.presses = win.presses || amnesic && led.part == 1
 		return bounded(win.all.Until(led.tolerance.Window, int64(cost-room))), false
 	}
-	if sum > 0 && !win.fairly(cost, room, led.daemons) {
+	if amnesic {
+		// Nobody knows what others let in before, so a daemon keeps to its share of all that
+		// may be let in since, not of what seems to be left.
+		room, sum = room+sum, float64(win.mine.Total())
+	}
+	if sum > 0 && !win.fairly(cost, room, led.daemons, amnesic) {
+		win.presses = win.presses || amnesic && led.part == 1
 		return bounded(reportDelay), false
 	}
 	led.add(win, int64(cost))
@@ -163,9 +177,12 @@
 
 // fairly reports whether a cost keeps to this daemon's share of the room: the share that it
 // had lately of what the account was let in for, and at least that of one daemon.
-func (win *window) fairly(cost, room float64, daemons int) bool {
-	share := max(float64(win.mine.Total())/float64(win.all.Total()), 1/float64(daemons))
+func (win *window) fairly(cost, room float64, daemons int, amnesic bool) bool {
+	share := max(float64(win.mine.Total())/max(float64(win.all.Total()), 1), 1/float64(daemons))
 	recent := float64(win.recent.Total())
+	if amnesic {
+		recent = float64(win.mine.Total())
+	}
 	if recent+cost <= min(ampleShare*share, 1)*room {
 		return true
 	}
@@ -177,18 +194,29 @@
 }
 
 // limit is what a window may hold now.
-func (led *Ledger) limit(now time.Time, quota yuccaroute.Quota) float64 {
+func (led *Ledger) limit(now time.Time, win *window) float64 {
+	quota := win.quota
 	span := led.tolerance.Window.Seconds()
-	bound := quota.Rate*span + quota.Burst
-	if tolerated := bound*(1+led.tolerance.Overshoot) + led.tolerance.Amount; tolerated > bound {
-		bound = max(bound, boundUsed*tolerated)
-	}
+	plain := quota.Rate*span + quota.Burst
+	kept := quota.Rate*(amnesiaRate*amnesiaLasts*span+lateSpan) + amnesiaBurst*quota.Burst
+	bound := max(plain, plain*(1+led.tolerance.Overshoot)+led.tolerance.Amount-kept)
 	if led.Amnesic(now) {
-		bound = min(bound, amnesiaRate*quota.Rate*now.Sub(led.forgot).Seconds()+amnesiaBurst*quota.Burst)
+		bound = min(bound, win.amnesia(now.Sub(led.forgot)))
 	}
 	return bound * led.part
 }
 
+// amnesia is what an account is let in for so long after the daemons lost their memory. One
+// that asks for more than its rate presses, and most likely did so before; the others are
+// not held up.
+func (win *window) amnesia(since time.Duration) float64 {
+	rate := win.quota.Rate
+	if win.presses {
+		rate *= amnesiaRate
+	}
+	return rate*since.Seconds() + amnesiaBurst*win.quota.Burst
+}
+
 // Return gives back what a request was let in for that did not run.
 func (led *Ledger) Return(now time.Time, account yuccaid.Account, cost float64) {
 	if win := led.windows[account]; win != nil {
--- a/io/yuccagate/cast.go
+++ b/io/yuccagate/cast.go
@@ -12,6 +12,12 @@
 	centreFresh = 1500 * time.Millisecond
 	// centreKnown is how long a data centre that fell silent is expected back.
 	centreKnown = time.Minute
+	// centreAwaited is how long after the start a data centre of the settings is expected to
+	// be heard of: it may have no daemons.
+	centreAwaited = 5 * time.Second
+	// refusedFor is how long a refused connection counts as news: redials are less than a
+	// second apart.
+	refusedFor = 1500 * time.Millisecond
 	// castEvery and castLatest bound how often this data centre tells the others what it
 	// let in: when there is news, and to show that it is there.
 	castEvery  = 100 * time.Millisecond
@@ -74,11 +80,28 @@
 	}
 }
 
+// expected counts the daemons of this data centre that there may be. One whose VM refuses
+// connections has ended, and lets nothing in until it is back.
+func (gate *Gate) expected(now time.Time) int {
+	count := 0
+	for _, listing := range gate.peers.Candidates(gate.settings.Centre) {
+		if now.Sub(gate.refusedAt[listing.Address]) > refusedFor {
+			count++
+		}
+	}
+	return count
+}
+
 // fleet returns how many daemons there seem to be, and from how many of them there is
-// fresh news. Seeds count at least, for a daemon that has reached nobody yet.
+// fresh news. Seeds count at least, for a daemon that has reached nobody yet, and a data
+// centre that hasn't been heard of since the start counts for as many as this one.
 func (gate *Gate) fleet(now time.Time) (visible, total int) {
 	visible = len(gate.peers.Live(gate.settings.Centre))
-	total = max(len(gate.peers.Candidates(gate.settings.Centre)), visible)
+	total = max(gate.expected(now), visible)
+	if now.Sub(gate.began) < centreAwaited {
+		unheard := len(gate.settings.Regions) - 1 - len(gate.centres)
+		total += total * max(unheard, 0)
+	}
 	for name, other := range gate.centres {
 		age := now.Sub(other.heard)
 		if age > centreKnown {
--- a/io/yuccagate/gate.go
+++ b/io/yuccagate/gate.go
@@ -57,6 +57,8 @@
 	sequence  uint64
 	casts     map[castKey]uint64
 	centres   map[yuccaid.Centre]*centre
+	refusedAt map[string]time.Time
+	faults    map[string]time.Time
 	tableText []byte
 	pulled    time.Time
 
@@ -103,8 +105,11 @@
 		hop:      yuccahop.New(),
 		casts:    make(map[castKey]uint64),
 		centres:  make(map[yuccaid.Centre]*centre),
-		roster:   yuccaroster.New(),
-		fresh:    make(map[yuccaid.Incarnation]fresh),
+
+		refusedAt: make(map[string]time.Time),
+		faults:    make(map[string]time.Time),
+		roster:    yuccaroster.New(),
+		fresh:     make(map[yuccaid.Incarnation]fresh),
 		ledger: yuccaquota.New(yuccaquota.Tolerance{
 			Window: settings.Bounds.QuotaWindow, Overshoot: settings.Bounds.QuotaOvershoot, Amount: settings.Bounds.QuotaAllowance,
 		}),
--- a/io/yuccagate/peers.go
+++ b/io/yuccagate/peers.go
@@ -1,6 +1,8 @@
 package yuccagate
 
 import (
+	"errors"
+	"syscall"
 	"time"
 
 	"yuccacleat/core/yuccaid"
@@ -39,6 +41,9 @@
 	return limits
 }
 
+// faultEvery spaces the lines on failed connections to one address.
+const faultEvery = 5 * time.Second
+
 // roster tells a peer where daemons are.
 type roster struct {
 	Listings []yuccapeer.Listing `msgpack:"listings"`
@@ -65,7 +70,15 @@
 }
 
 func (gate *Gate) onFault(address string, err error) {
-	gate.log.belief("connection to peer failed", "address", address, "error", err)
+	gate.control.Post(func(now time.Time) {
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			gate.refusedAt[address] = now
+		}
+		if now.Sub(gate.faults[address]) >= faultEvery {
+			gate.faults[address] = now
+			gate.log.belief("connection to peer failed", "address", address, "error", err)
+		}
+	})
 }
 
 // tickPeers looks at heartbeats and pauses.
--- a/io/yuccagate/run.go
+++ b/io/yuccagate/run.go
@@ -112,7 +112,7 @@
 	own := func(header http.Header) bool { return req.gate.dialect.Own(header, req.caller.ID) }
 	answer, err := req.gate.hop.Send(ctx, place.address, &out, own)
 	req.gate.log.request(req.caller.ID, "sent", "target", place.target, "account", req.accountName(), "route", req.route.Name,
-		"waitedMillis", att.sent.Sub(req.arrived).Milliseconds(), "alone", place.alone, "number", req.table.Number(), "error", text(err))
+		"waitedMillis", att.sent.Sub(req.arrived).Milliseconds(), "alone", place.alone, "charged", req.caller.Charged, "number", req.table.Number(), "error", text(err))
 	if err != nil {
 		var unsent *yuccahop.UnsentError
 		if errors.As(err, &unsent) {
--- a/io/yuccagate/use.go
+++ b/io/yuccagate/use.go
@@ -18,6 +18,8 @@
 	// A fleet of a dozen that starts at once keeps within the quotas with it, and a daemon
 	// seldom gets more than that part of an account's requests.
 	firstPart = 1.0 / 16
+	// silentUsed is the part of the silent daemons' quota that the larger side of a cut uses.
+	silentUsed = 0.6
 )
 
 // admitted counts a request against its account's quota.
@@ -45,18 +47,11 @@
 
 // tickUse reports what accounts were let in for, and sets the part of the quotas that this
 // daemon may use.
-//
-// Cut off from the others, a daemon can't know what they let in. If all used the whole
-// quota, an account would get a multiple of it; so only the side that hears from more than
-// half of the daemons does.
 func (gate *Gate) tickUse(now time.Time) {
 	part := firstPart
 	visible, total := gate.fleet(now)
 	if gate.settled || len(gate.settings.Seeds) == 0 {
-		part = 1
-		if 2*visible <= total {
-			part = float64(visible) / float64(total)
-		}
+		part = partOf(visible, total)
 	}
 	if part != gate.ledger.Part() {
 		gate.log.belief("part of the quotas", "part", part, "before", gate.ledger.Part(), "visible", visible, "total", total)
@@ -73,6 +68,19 @@
 	gate.castUse(now)
 }
 
+// partOf returns the part of the quotas for a daemon that hears from so many of all.
+//
+// Cut off from the others, a daemon can't know what they let in. If both sides of a cut used
+// the whole quota, an account would get twice as much; so a side uses its part. The larger
+// one also uses most of what belongs to the silent ones, since more daemons fall silent
+// because they died than because they were cut off.
+func partOf(visible, total int) float64 {
+	if 2*visible <= total {
+		return float64(visible) / float64(total)
+	}
+	return (float64(visible) + silentUsed*float64(total-visible)) / float64(total)
+}
+
 // castUse tells the other data centres, if it is this daemon that speaks for its own.
 func (gate *Gate) castUse(now time.Time) {
 	if now.Sub(gate.useCast) < castEvery {
