--- /dev/null
+++ b/io/yuccagate/status.go
@@ -0,0 +1,86 @@
+package yuccagate
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"yuccacleat/core/yuccagrant"
+	"yuccacleat/core/yuccaid"
+)
+
+// Status is what one gateway believes, for operators and tests.
+type Status struct {
+	VM      yuccaid.VM     `json:"vm"`
+	Centre  yuccaid.Centre `json:"centre"`
+	Address string         `json:"address"`
+	Ready   bool           `json:"ready"`
+	Leaving bool           `json:"leaving"`
+	Number  yuccaid.Number `json:"number"`
+	// Rests says that another daemon reads the platform for this one, and PlatformMillis how
+	// old this daemon's own last word from it is, or -1.
+	Rests          bool           `json:"rests"`
+	PlatformMillis int64          `json:"platformMillis"`
+	Peers          []PeerStatus   `json:"peers"`
+	QuotaPart      float64        `json:"quotaPart"`
+	Open           int64          `json:"open"`
+	Pools          []PoolStatus   `json:"pools"`
+	Targets        []TargetStatus `json:"targets"`
+}
+
+// PeerStatus is one other daemon that is live.
+type PeerStatus struct {
+	VM      yuccaid.VM     `json:"vm"`
+	Centre  yuccaid.Centre `json:"centre"`
+	Leaving bool           `json:"leaving"`
+}
+
+// PoolStatus is what is decided for one pool here.
+type PoolStatus struct {
+	Pool    yuccaid.Pool        `json:"pool"`
+	Leader  yuccaid.VM          `json:"leader"`
+	Waiting int                 `json:"waiting"`
+	Targets []yuccagrant.Status `json:"targets"`
+}
+
+// TargetStatus is one registered target.
+type TargetStatus struct {
+	Target  yuccaid.Target `json:"target"`
+	Pool    yuccaid.Pool   `json:"pool"`
+	Centre  yuccaid.Centre `json:"centre"`
+	Address string         `json:"address"`
+	Leaving bool           `json:"leaving"`
+}
+
+// Status returns what the gateway believes now.
+func (gate *Gate) Status() Status {
+	var status Status
+	gate.control.Call(func(now time.Time) { status = gate.status(now) })
+	return status
+}
+
+func (gate *Gate) status(now time.Time) Status {
+	status := Status{
+		VM: gate.settings.VM, Centre: gate.settings.Centre, Address: gate.settings.Address, Ready: gate.Ready(), Leaving: gate.draining(),
+		Number: gate.number(), Rests: gate.rests.Load(), PlatformMillis: -1,
+		QuotaPart: gate.ledger.Part(), Open: gate.open.Load(),
+	}
+	if !gate.platformHeard.IsZero() {
+		status.PlatformMillis = now.Sub(gate.platformHeard).Milliseconds()
+	}
+	for _, member := range gate.hub.Linked() {
+		status.Peers = append(status.Peers, PeerStatus{VM: member.VM, Centre: member.Centre, Leaving: member.Leaving})
+	}
+	for _, dsk := range gate.desks {
+		status.Pools = append(status.Pools, PoolStatus{
+			Pool: dsk.pool, Leader: dsk.leader.VM, Waiting: dsk.own.Waiting(), Targets: dsk.own.Targets(now),
+		})
+	}
+	slices.SortFunc(status.Pools, func(a, b PoolStatus) int { return cmp.Compare(a.Pool, b.Pool) })
+	for _, entry := range gate.roster.Entries() {
+		status.Targets = append(status.Targets, TargetStatus{
+			Target: entry.Target, Pool: entry.Pool, Centre: entry.Centre, Address: entry.Address, Leaving: entry.Leaving,
+		})
+	}
+	return status
+}
