--- a/core/yuccaquota/ledger.go
+++ b/core/yuccaquota/ledger.go
@@ -262,6 +262,16 @@
 	return led.collect(func(win *window) *int64 { return &win.centre })
 }
 
+// Reported notes what another daemon reported of this data centre to the others. What it
+// left out, because it ended first, is reported by its successor.
+func (led *Ledger) Reported(spent []Spent) {
+	for _, each := range spent {
+		if win := led.windows[each.Account]; win != nil {
+			win.centre -= each.Amount
+		}
+	}
+}
+
 func (led *Ledger) collect(of func(*window) *int64) []Spent {
 	var list []Spent
 	for name, win := range led.windows {
--- a/core/yuccaquota/ledger_test.go
+++ b/core/yuccaquota/ledger_test.go
@@ -249,6 +249,16 @@
 		Expect(taken).To(BeTrue())
 	})
 
+	// The daemon that speaks for its data centre is killed. What was let in until another one
+	// takes over would never be heard of elsewhere.
+	It("passes on to other data centres what a predecessor left out", func() {
+		led := ledger(start, strict)
+		led.Heard(start, []yuccaquota.Spent{{Account: "rally", Amount: 500}})
+		led.Reported([]yuccaquota.Spent{{Account: "rally", Amount: 300}})
+		led.Take(start, "rally", 40)
+		Expect(led.ReportAway()).To(Equal([]yuccaquota.Spent{{Account: yuccaid.Account("rally"), Amount: 240}}))
+	})
+
 	It("passes on to other data centres what this one let in, and nothing of theirs", func() {
 		led := ledger(start, strict)
 		led.Take(start, "rally", 100)
--- a/io/yuccagate/cast.go
+++ b/io/yuccagate/cast.go
@@ -66,6 +66,9 @@
 	}
 	gate.casts[key] = message.Sequence
 	if message.Centre == gate.settings.Centre {
+		if message.Topic == yuccawire.TopicUse {
+			gate.ledger.Reported(message.Use)
+		}
 		gate.across(message)
 		return
 	}
--- a/io/yuccagate/fleet_test.go
+++ b/io/yuccagate/fleet_test.go
@@ -185,9 +185,13 @@
 	return count
 }
 
-func settings(vm string, peers net.Listener, seeds []string) yuccagate.Settings {
+func settings(vm string, centre yuccaid.Centre, peers net.Listener, seeds []string) yuccagate.Settings {
+	regions := map[yuccaid.Centre]yuccaid.Region{centre: "permian"}
+	if strings.HasPrefix(vm, string(centre)) {
+		regions = map[yuccaid.Centre]yuccaid.Region{"odessa": "permian", "austin": "hills"}
+	}
 	return yuccagate.Settings{
-		VM: yuccaid.VM(vm), Centre: "odessa", Regions: map[yuccaid.Centre]yuccaid.Region{"odessa": "permian"},
+		VM: yuccaid.VM(vm), Centre: centre, Regions: regions,
 		Address: peers.Addr().String(), Seeds: seeds, Key: yuccaid.Key("tests only"), First: true,
 		Bounds: yuccagate.Bounds{Grace: 5 * time.Second, ResendRatio: 0.2, ResendAllowance: 50, ResendWindow: 10 * time.Second},
 	}
@@ -195,10 +199,15 @@
 
 // newGate starts a gateway.
 func newGate(vm string, seeds ...string) *gate {
+	return newGateIn("odessa", vm, seeds...)
+}
+
+// newGateIn starts a gateway in one of two data centres.
+func newGateIn(centre yuccaid.Centre, vm string, seeds ...string) *gate {
 	peers, err := net.Listen("tcp", "127.0.0.1:0")
 	Expect(err).NotTo(HaveOccurred())
 	logged := &lines{}
-	inner, err := yuccagate.New(settings(vm, peers, seeds), dialect, decode, peers, yuccagate.WithLog(logged))
+	inner, err := yuccagate.New(settings(vm, centre, peers, seeds), dialect, decode, peers, yuccagate.WithLog(logged))
 	Expect(err).NotTo(HaveOccurred())
 	callers, err := net.Listen("tcp", "127.0.0.1:0")
 	Expect(err).NotTo(HaveOccurred())
--- a/io/yuccagate/gate.go
+++ b/io/yuccagate/gate.go
@@ -53,6 +53,7 @@
 	peers     *yuccapeer.Peers
 	settled   bool
 	looked    time.Time
+	dialled   time.Time
 	began     time.Time
 	sequence  uint64
 	casts     map[castKey]uint64
--- a/io/yuccagate/gate_test.go
+++ b/io/yuccagate/gate_test.go
@@ -496,6 +496,41 @@
 	})
 })
 
+var _ = Describe("gateways of two data centres", func() {
+	// They meet by a seed, and each has a peer of its own. If their connections were given up
+	// once each data centre has found itself, accounts would get their quotas twice.
+	It("stay connected and count quotas together", func() {
+		eng := newEngine("a", nil)
+		one := newGateIn("odessa", "odessa-1")
+		seed := one.Status().Address
+		all := []*gate{one, newGateIn("odessa", "odessa-2", seed), newGateIn("austin", "austin-1", seed), newGateIn("austin", "austin-2", seed)}
+		for _, gt := range all {
+			gt.know(1, config(), 4, eng)
+		}
+		crossing := func() bool {
+			across := map[bool]int{}
+			for _, gt := range all {
+				for _, peer := range gt.Status().Peers {
+					across[peer.Centre != gt.Status().Centre]++
+				}
+			}
+			return across[true] >= 2 && across[false] == 4
+		}
+		Eventually(crossing, 5*time.Second).Should(BeTrue())
+		time.Sleep(time.Second)
+		Consistently(crossing, 1500*time.Millisecond, 50*time.Millisecond).Should(BeTrue())
+		served := 0
+		for turn := range 60 {
+			got := call{path: "/ticket/", id: fmt.Sprint("r", turn), key: "k2"}.do(all[turn%4])
+			if got.status == http.StatusOK {
+				served++
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+		Expect(served).To(BeNumerically("<=", 23), "the quota lets in twenty")
+	})
+})
+
 var _ = Describe("bytes that are no proper request", func() {
 	// What they want is that the gateway and a target see two different requests in the same
 	// bytes. The second would run with nobody's key checked.
--- a/io/yuccagate/peers.go
+++ b/io/yuccagate/peers.go
@@ -41,6 +41,9 @@
 	return limits
 }
 
+// dialEvery is how often the wished connections are compared with those that there are.
+const dialEvery = 200 * time.Millisecond
+
 // faultEvery spaces the lines on failed connections to one address.
 const faultEvery = 5 * time.Second
 
@@ -90,6 +93,11 @@
 		gate.settled = settled
 		gate.followLeaders(now)
 	}
+	// Whom to dial in other data centres changes with time too, not only with the view.
+	if now.Sub(gate.dialled) >= dialEvery {
+		gate.dialled = now
+		gate.hub.Connect(gate.peers.Dial())
+	}
 }
 
 // wallSince reads the wall clock only, which runs on while a VM is suspended.
--- a/io/yuccagate/use.go
+++ b/io/yuccagate/use.go
@@ -90,10 +90,10 @@
 		return
 	}
 	speaker, found := gate.peers.Leader(useRole)
-	spent := gate.ledger.ReportAway()
 	if !found || speaker.Incarnation != gate.inc {
 		return
 	}
+	spent := gate.ledger.ReportAway()
 	if len(spent) == 0 && now.Sub(gate.useCast) < castLatest {
 		return
 	}
