--- a/core/yuccagrant/data.go
+++ b/core/yuccagrant/data.go
@@ -58,9 +58,9 @@
 	// a first one that found no room seldom find any.
 	looks = 6
 	// holdGuess is the time that a run holds its place before any was seen.
-	holdGuess  = 500 * time.Millisecond
+	holdGuess = 500 * time.Millisecond
 	// fewHolds is how many runs have to be seen before a wait is foretold from them.
-	fewHolds = 4
+	fewHolds   = 4
 	holdWeight = 0.05
 	// patience is the part of the time until its caller leaves that a request may wait
 	// beyond its aim while requests of lower ranks run.
--- a/io/yuccagate/fleet_test.go
+++ b/io/yuccagate/fleet_test.go
@@ -173,18 +173,6 @@
 	return nil
 }
 
-func (ln *lines) with(text string) int {
-	ln.mu.Lock()
-	defer ln.mu.Unlock()
-	count := 0
-	for _, line := range ln.list {
-		if strings.Contains(line, text) {
-			count++
-		}
-	}
-	return count
-}
-
 func settings(vm string, centre yuccaid.Centre, peers net.Listener, seeds []string) yuccagate.Settings {
 	regions := map[yuccaid.Centre]yuccaid.Region{centre: "permian"}
 	if strings.HasPrefix(vm, string(centre)) {
