--- a/core/yuccagrant/choose.go
+++ b/core/yuccagrant/choose.go
@@ -37,7 +37,7 @@
 	work := time.Duration(nd.pace * float64(lead.model.first(ask.Prompt)))
 	crowd := crowdCost * float64(nd.busy(now)) / float64(max(nd.Slots, 1))
 	one := choice{node: nd, first: work + nd.Way}
-	one.cost = one.first + time.Duration(crowd*float64(work)) +
+	one.cost = one.first + time.Duration((crowd+nd.bias)*float64(work)) +
 		time.Duration(nd.late*float64(lateCost)) + time.Duration(nd.failed*float64(failCost))
 	if nd.Away {
 		one.cost += awayCost
--- a/core/yuccagrant/data.go
+++ b/core/yuccagrant/data.go
@@ -30,6 +30,9 @@
 	// crowdCost is the part of the expected first event that a full target adds to its
 	// cost. It spreads work over targets of one pace, since each run slows the others.
 	crowdCost = 0.5
+	// biasPart is the most that equal targets are told apart by, as a part of the expected
+	// first event.
+	biasPart = 0.1
 	// awayCost is what the way to another region counts for beyond its time, since it is
 	// paid by volume.
 	awayCost = 150 * time.Millisecond
--- a/core/yuccagrant/leader.go
+++ b/core/yuccagrant/leader.go
@@ -35,7 +35,7 @@
 	for _, target := range targets {
 		nd := old[target.Name]
 		if nd == nil || nd.Born != target.Born {
-			nd = newNode(target)
+			nd = newNode(target, biasPart*lead.rng.Float64())
 			nd.pace = lead.usualPace()
 		}
 		nd.Target = target
--- a/core/yuccagrant/node.go
+++ b/core/yuccagrant/node.go
@@ -23,6 +23,9 @@
 	foreignUntil time.Time
 	// others are the runs that other leaders told of.
 	others int
+	// bias differs from leader to leader. Without it all that know nothing yet would send
+	// their first requests to the same target.
+	bias float64
 }
 
 // run is one request on a target.
@@ -34,8 +37,8 @@
 	expect time.Duration
 }
 
-func newNode(target Target) *node {
-	return &node{Target: target, runs: make(map[ID]*run), pace: 1}
+func newNode(target Target, bias float64) *node {
+	return &node{Target: target, runs: make(map[ID]*run), pace: 1, bias: bias}
 }
 
 // busy returns how many places of the target are taken, as far as is known.
--- a/core/yuccaquota/ledger.go
+++ b/core/yuccaquota/ledger.go
@@ -186,10 +186,8 @@
 		// What this daemon let in lately was taken from the room that it shares out.
 		room += recent
 	}
-	if recent+cost <= min(ampleShare*share, 1)*room {
-		return true
-	}
-	return recent == 0 && cost <= largePart*room
+	fair := min(ampleShare*share, 1) * room
+	return recent+cost <= fair || recent <= fair && cost <= largePart*room
 }
 
 func bounded(back time.Duration) time.Duration {
--- a/io/yuccagate/peers.go
+++ b/io/yuccagate/peers.go
@@ -19,7 +19,7 @@
 	timing.ExpireAfter = 1500 * time.Millisecond
 	timing.LostGrace = 300 * time.Millisecond
 	timing.PauseLimit = 700 * time.Millisecond
-	timing.SettleFor = 600 * time.Millisecond
+	timing.SettleFor = 450 * time.Millisecond
 	timing.Remember = time.Minute
 	timing.Patience = 2 * time.Second
 	return timing
@@ -34,8 +34,10 @@
 	limits.Write = 1100 * time.Millisecond
 	limits.Handshake = time.Second
 	limits.Dial = time.Second
-	limits.FirstBackoff = 50 * time.Millisecond
-	limits.LastBackoff = 800 * time.Millisecond
+	// After all daemons were killed they start within some tenths of a second. Until they
+	// have met, each decides alone.
+	limits.FirstBackoff = 30 * time.Millisecond
+	limits.LastBackoff = 250 * time.Millisecond
 	limits.Linger = 300 * time.Millisecond
 	limits.Farewell = 200 * time.Millisecond
 	return limits
--- a/io/yuccagate/use.go
+++ b/io/yuccagate/use.go
@@ -14,10 +14,10 @@
 	// useForPeer spaces the reports of use by how many peers get them: each report goes to
 	// all, so their number would else grow with the square of the daemons.
 	useForPeer = 10 * time.Millisecond
-	// firstPart is the part of quotas that a daemon uses before it has heard from others.
-	// A fleet of a dozen that starts at once keeps within the quotas with it, and a daemon
-	// seldom gets more than that part of an account's requests.
-	firstPart = 1.0 / 16
+	// firstPart is the part of quotas that a daemon uses before it has heard from others, for
+	// some tenths of a second. What an account can be let in for meanwhile is bounded by what
+	// it asks for; callers who come back after an outage are refused with a smaller part.
+	firstPart = 1.0 / 4
 	// silentUsed is the part of the silent daemons' quota that the larger side of a cut uses.
 	silentUsed = 0.6
 )
