--- a/core/yuccagrant/data.go
+++ b/core/yuccagrant/data.go
@@ -54,6 +54,8 @@
 	overdueSlack = 300 * time.Millisecond
 	// foreignFor is how long a target's word that it has more runs than we know of counts.
 	foreignFor = 500 * time.Millisecond
+	// foreignSlack is how many runs more than known a target may report without it counting.
+	foreignSlack = 2
 
 	// mostWaiting bounds what waits for one pool; beyond it no wait would end in time.
 	mostWaiting = 2000
--- a/core/yuccagrant/leader.go
+++ b/core/yuccagrant/leader.go
@@ -98,14 +98,15 @@
 	return dec
 }
 
-// Begun notes a run's first event.
-func (lead *Leader) Begun(now time.Time, id ID, took time.Duration) Decisions {
+// Begun notes a run's first event, and what its target said of its load with it.
+func (lead *Leader) Begun(now time.Time, id ID, took time.Duration, load Load) Decisions {
 	var dec Decisions
 	one, runs := lead.runs[id]
 	if !runs || one.begun {
 		return dec
 	}
 	one.begun = true
+	one.node.reported(now, load)
 	lead.learnFirst(one, took)
 	lead.serve(now, &dec)
 	return dec
@@ -121,8 +122,10 @@
 	if end.First > 0 && !one.begun {
 		lead.learnFirst(one, end.First)
 	}
+	if !one.begun {
+		one.node.reported(now, end.Load)
+	}
 	lead.finish(one)
-	one.node.reported(now, end.Load)
 	lead.judge(now, one, end)
 	lead.serve(now, &dec)
 	return dec
--- a/core/yuccagrant/node.go
+++ b/core/yuccagrant/node.go
@@ -54,12 +54,13 @@
 	return max(nd.Slots-nd.busy(now), 0)
 }
 
-// reported takes the target's own word on its load, which is as old as its answer's way.
+// reported takes the target's own word on its load. What the leaders of other data centres
+// told is a moment older, so a difference of a run or two means nothing.
 func (nd *node) reported(now time.Time, load Load) {
 	if !load.Known {
 		return
 	}
-	nd.foreign = max(load.Running+load.Waiting-len(nd.runs)-nd.others, 0)
+	nd.foreign = max(load.Running+load.Waiting-len(nd.runs)-nd.others-foreignSlack, 0)
 	nd.foreignUntil = now.Add(foreignFor)
 }
 
--- a/io/yuccagate/placing.go
+++ b/io/yuccagate/placing.go
@@ -31,20 +31,30 @@
 		Pool: pool, Number: end.ID.Number, Outcome: uint8(end.Outcome), FirstMicro: end.First.Microseconds(),
 		Events: end.Events, SpanMicro: end.Span.Microseconds(), PauseMicro: end.Pause.Microseconds(),
 	}
-	if end.Load.Known {
-		message.Load = []int{end.Load.Running, end.Load.Waiting}
-	}
+	message.Load = wireLoad(end.Load)
 	return message
 }
 
+func wireLoad(load yuccagrant.Load) []int {
+	if !load.Known {
+		return nil
+	}
+	return []int{load.Running, load.Waiting}
+}
+
+func loadOf(message []int) yuccagrant.Load {
+	if len(message) != 2 {
+		return yuccagrant.Load{}
+	}
+	return yuccagrant.Load{Known: true, Running: message[0], Waiting: message[1]}
+}
+
 func endedOf(owner yuccaid.Incarnation, message yuccawire.Ended) yuccagrant.Ended {
 	end := yuccagrant.Ended{
 		ID: yuccagrant.ID{Owner: owner, Number: message.Number}, Outcome: yuccagrant.Outcome(message.Outcome),
 		First: micros(message.FirstMicro), Events: message.Events, Span: micros(message.SpanMicro), Pause: micros(message.PauseMicro),
 	}
-	if len(message.Load) == 2 {
-		end.Load = yuccagrant.Load{Known: true, Running: message.Load[0], Waiting: message.Load[1]}
-	}
+	end.Load = loadOf(message.Load)
 	return end
 }
 
@@ -114,15 +124,17 @@
 	}
 }
 
-func (gate *Gate) tellBegun(dsk *desk, tkt *ticket, took time.Duration) {
+func (gate *Gate) tellBegun(dsk *desk, tkt *ticket, took time.Duration, load yuccagrant.Load) {
 	if !dsk.leads && !dsk.leader.IsZero() {
-		gate.send(dsk.leader, yuccawire.KindBegun, yuccawire.Begun{Pool: dsk.pool, Number: tkt.ask.ID.Number, TookMicro: took.Microseconds()})
+		gate.send(dsk.leader, yuccawire.KindBegun, yuccawire.Begun{
+			Pool: dsk.pool, Number: tkt.ask.ID.Number, TookMicro: took.Microseconds(), Load: wireLoad(load),
+		})
 	}
 }
 
 func (gate *Gate) onBegun(now time.Time, from yuccaid.Incarnation, message yuccawire.Begun) {
 	dsk := gate.desk(now, message.Pool)
-	gate.apply(now, dsk, dsk.own.Begun(now, yuccagrant.ID{Owner: from, Number: message.Number}, micros(message.TookMicro)))
+	gate.apply(now, dsk, dsk.own.Begun(now, yuccagrant.ID{Owner: from, Number: message.Number}, micros(message.TookMicro), loadOf(message.Load)))
 }
 
 func (gate *Gate) onEnded(now time.Time, from yuccaid.Incarnation, message yuccawire.Ended) {
--- a/io/yuccagate/relay.go
+++ b/io/yuccagate/relay.go
@@ -93,7 +93,7 @@
 			first, last = now, now
 			end.First = now.Sub(att.sent)
 			req.w.WriteHeader(att.answer.Status)
-			req.gate.begun(att.tkt, end.First)
+			req.gate.begun(att.tkt, end.First, att.word.Load)
 		}
 		for _, one := range list {
 			if _, failed := req.w.Write(one.raw); failed != nil {
--- a/io/yuccagate/ticket.go
+++ b/io/yuccagate/ticket.go
@@ -82,12 +82,12 @@
 }
 
 // begun tells of a run's first event.
-func (gate *Gate) begun(tkt *ticket, took time.Duration) {
+func (gate *Gate) begun(tkt *ticket, took time.Duration, load yuccagrant.Load) {
 	gate.control.Post(func(now time.Time) {
 		tkt.begun = true
 		dsk := gate.desk(now, tkt.pool)
-		gate.apply(now, dsk, dsk.own.Begun(now, tkt.ask.ID, took))
-		gate.tellBegun(dsk, tkt, took)
+		gate.apply(now, dsk, dsk.own.Begun(now, tkt.ask.ID, took, load))
+		gate.tellBegun(dsk, tkt, took, load)
 	})
 }
 
--- a/io/yuccawire/gate.go
+++ b/io/yuccawire/gate.go
@@ -114,6 +114,8 @@
 	Pool      yuccaid.Pool
 	Number    uint64
 	TookMicro int64
+	// Load is the target's own word on its load, running and waiting, or empty.
+	Load []int
 }
 
 // Ended gives a target's place back and tells how the run went.
