Leaders tell each other's data centres the paces they have learned

Cause: each data centre learned by itself which targets are slow, for a while after each restart; paces of plain services followed the length of single calls (0.2 to 6 times). Ruled out: a pace from the configuration, which says none. Conclusion: kept for what a restart forgets; the gain is small.

--- a/core/yuccagrant/data.go
+++ b/core/yuccagrant/data.go
@@ -16,6 +16,10 @@
 	// paceWeight is the weight of one answer in its target's pace: a target that turns slow
 	// is known after three answers.
 	paceWeight = 0.35
+	// callWeight is the same for a plain service, whose answers differ by themselves.
+	callWeight = 0.1
+	// pacedEnough is how many answers make a pace that is worth telling other leaders.
+	pacedEnough = 3
 	// eventsForPace is how many events make a pace; fewer say more of the batch than of the
 	// target.
 	eventsForPace = 4
--- a/core/yuccagrant/leader.go
+++ b/core/yuccagrant/leader.go
@@ -179,31 +179,39 @@
 	}
 }
 
-// SetOthers sets how many runs the leaders of other data centres have on each target.
-func (lead *Leader) SetOthers(now time.Time, runs map[yuccaid.Target]int) Decisions {
+// SetOthers sets how many runs the leaders of other data centres have on each target, and
+// takes over the paces that they have learned where this leader knows none.
+func (lead *Leader) SetOthers(now time.Time, loads map[yuccaid.Target]TargetLoad) Decisions {
 	var dec Decisions
 	for _, nd := range lead.nodes {
-		nd.others = runs[nd.Name]
+		load := loads[nd.Name]
+		nd.others = load.Runs
+		nd.adopt(load.Pace)
 	}
 	lead.serve(now, &dec)
 	return dec
 }
 
-// TargetRuns is how many runs a leader has on one target.
-type TargetRuns struct {
-	Target yuccaid.Target
-	Runs   int
+// TargetLoad is how many runs a leader has on one target and the pace that it has learned,
+// zero if it knows none.
+type TargetLoad struct {
+	Runs int
+	Pace float64
 }
 
-// Runs returns the targets that have runs, in the order of their names.
-func (lead *Leader) Runs() []TargetRuns {
-	var list []TargetRuns
+// Loads returns the targets that have runs or a pace.
+func (lead *Leader) Loads() map[yuccaid.Target]TargetLoad {
+	loads := make(map[yuccaid.Target]TargetLoad)
 	for _, nd := range lead.nodes {
-		if len(nd.runs) > 0 {
-			list = append(list, TargetRuns{Target: nd.Name, Runs: len(nd.runs)})
+		load := TargetLoad{Runs: len(nd.runs)}
+		if nd.paced >= pacedEnough {
+			load.Pace = nd.pace
+		}
+		if load != (TargetLoad{}) {
+			loads[nd.Name] = load
 		}
 	}
-	return list
+	return loads
 }
 
 // Waits reports whether a request waits.
@@ -385,7 +393,7 @@
 	expected := max(lead.model.first(one.ask.Prompt), time.Millisecond).Seconds()
 	lead.model.learnFirst(one.ask.Prompt, net/one.node.pace)
 	if lead.model.seen > 1 && one.ask.Gap == 0 {
-		one.node.learnPace(net / expected)
+		one.node.learnPace(net/expected, callWeight)
 	}
 }
 
@@ -420,7 +428,7 @@
 		expected := lead.model.gap()
 		lead.model.learnEvent(gap / nd.pace)
 		if lead.model.events > 1 {
-			nd.learnPace(gap / expected)
+			nd.learnPace(gap/expected, paceWeight)
 		}
 	}
 	if one.ask.Gap > 0 {
@@ -433,7 +441,7 @@
 func (lead *Leader) normalise() {
 	best := math.Inf(1)
 	for _, nd := range lead.nodes {
-		if nd.paced >= 3 {
+		if nd.paced >= pacedEnough {
 			best = min(best, nd.pace)
 		}
 	}
--- a/core/yuccagrant/node.go
+++ b/core/yuccagrant/node.go
@@ -98,10 +98,21 @@
 	nd.failed += failWeight * (sample - nd.failed)
 }
 
-func (nd *node) learnPace(ratio float64) {
+// learnPace takes one answer into the target's pace. The time between events says much of a
+// target, the time to a single answer as much of the request.
+func (nd *node) learnPace(ratio, weight float64) {
 	ratio = min(max(ratio, 1/mostPace), mostPace)
 	nd.paced++
-	nd.pace += max(paceWeight, 1/float64(nd.paced)) * (ratio - nd.pace)
+	nd.pace += max(weight, 1/float64(nd.paced)) * (ratio - nd.pace)
+}
+
+// adopt takes over a pace that another leader has learned, as long as this one has seen
+// less.
+func (nd *node) adopt(pace float64) {
+	if nd.paced < pacedEnough && pace > 0 {
+		nd.pace = pace
+		nd.paced = pacedEnough
+	}
 }
 
 func (nd *node) learnPause(late bool) {
--- a/io/yuccagate/desk.go
+++ b/io/yuccagate/desk.go
@@ -1,7 +1,10 @@
 package yuccagate
 
 import (
+	"cmp"
+	"maps"
 	mathrand "math/rand/v2"
+	"slices"
 	"time"
 
 	"yuccacleat/core/yuccagrant"
@@ -36,7 +39,7 @@
 	// away is what the leaders of other data centres have running.
 	away     map[yuccaid.Centre]centreLoad
 	loadCast time.Time
-	loadSum  uint64
+	loadTold map[yuccaid.Target]int
 }
 
 // centreLoad is what another data centre has running on a pool's targets.
@@ -245,22 +248,27 @@
 	}
 }
 
-// castLoad tells the other data centres what this one has on which target.
+// paceGrain is the grain in which paces are told.
+const paceGrain = 100
+
+// castLoad tells the other data centres what this one has on which target. Runs are news,
+// paces travel with them.
 func (gate *Gate) castLoad(now time.Time, dsk *desk) {
 	if now.Sub(dsk.loadCast) < loadEvery {
 		return
 	}
-	var runs []yuccawire.TargetLoad
-	sum := uint64(0)
-	for at, count := range dsk.own.Runs() {
-		runs = append(runs, yuccawire.TargetLoad{Target: count.Target, Runs: count.Runs})
-		sum = sum*31 + uint64(at+1)*uint64(count.Runs)
+	var loads []yuccawire.TargetLoad
+	runs := make(map[yuccaid.Target]int)
+	for target, load := range dsk.own.Loads() {
+		loads = append(loads, yuccawire.TargetLoad{Target: target, Runs: load.Runs, Pace: int(load.Pace * paceGrain)})
+		runs[target] = load.Runs
 	}
-	if sum == dsk.loadSum && now.Sub(dsk.loadCast) < loadLatest {
+	if maps.Equal(runs, dsk.loadTold) && now.Sub(dsk.loadCast) < loadLatest {
 		return
 	}
-	dsk.loadCast, dsk.loadSum = now, sum
-	gate.cast(yuccawire.Cast{Topic: yuccawire.TopicLoad, Pool: dsk.pool, Load: runs})
+	dsk.loadCast, dsk.loadTold = now, runs
+	slices.SortFunc(loads, func(a, b yuccawire.TargetLoad) int { return cmp.Compare(a.Target, b.Target) })
+	gate.cast(yuccawire.Cast{Topic: yuccawire.TopicLoad, Pool: dsk.pool, Load: loads})
 }
 
 func (gate *Gate) onCentreLoad(now time.Time, message yuccawire.Cast) {
@@ -272,15 +280,18 @@
 }
 
 // others sums what the leaders of other data centres have on each target.
-func (dsk *desk) others(now time.Time) map[yuccaid.Target]int {
-	others := make(map[yuccaid.Target]int)
+func (dsk *desk) others(now time.Time) map[yuccaid.Target]yuccagrant.TargetLoad {
+	others := make(map[yuccaid.Target]yuccagrant.TargetLoad)
 	for name, load := range dsk.away {
 		if now.Sub(load.heard) > centreFresh {
 			delete(dsk.away, name)
 			continue
 		}
 		for _, each := range load.runs {
-			others[each.Target] += each.Runs
+			load := others[each.Target]
+			load.Runs += each.Runs
+			load.Pace = max(load.Pace, float64(each.Pace)/paceGrain)
+			others[each.Target] = load
 		}
 	}
 	return others
--- a/io/yuccawire/gate.go
+++ b/io/yuccawire/gate.go
@@ -72,10 +72,12 @@
 	Daemons int
 }
 
-// TargetLoad is how many runs a data centre has on one target.
+// TargetLoad is how many runs a data centre has on one target, and how many hundredths of
+// the quickest one's time the target takes, zero if that isn't known.
 type TargetLoad struct {
 	Target yuccaid.Target
 	Runs   int
+	Pace   int
 }
 
 // Ask brings a waiting request to its pool's leader.
