A few requests wait at targets beyond their places, and their wait is foretold

Cause: a place that comes free is known after the way there and back, 60 ms for another region's, and idles meanwhile, while requests wait. Conclusion: kept, a quarter of the places.

--- a/core/yuccagrant/choose.go
+++ b/core/yuccagrant/choose.go
@@ -22,7 +22,7 @@
 func (lead *Leader) choose(now time.Time, ask *Ask) choice {
 	best := choice{cost: math.MaxInt64}
 	for _, nd := range lead.nodes {
-		if nd.free(now) == 0 || nd.resting(now) || nd.tried(ask) {
+		if nd.room(now) == 0 || nd.resting(now) || nd.tried(ask) {
 			continue
 		}
 		one := lead.estimate(now, nd, ask)
@@ -36,7 +36,8 @@
 func (lead *Leader) estimate(now time.Time, nd *node, ask *Ask) choice {
 	work := time.Duration(nd.pace * float64(lead.model.first(ask.Prompt)))
 	crowd := crowdCost * float64(nd.busy(now)) / float64(max(nd.Slots, 1))
-	one := choice{node: nd, first: work + nd.Way}
+	wait := seconds(float64(nd.queued(now)) * lead.model.held() * nd.pace / float64(max(nd.Slots, 1)))
+	one := choice{node: nd, first: wait + work + nd.Way}
 	one.cost = one.first + time.Duration((crowd+nd.bias)*float64(work)) +
 		time.Duration(nd.late*float64(lateCost)) + time.Duration(nd.failed*float64(failCost))
 	if nd.Away {
--- a/core/yuccagrant/data.go
+++ b/core/yuccagrant/data.go
@@ -61,6 +61,11 @@
 	// foreignSlack is how many runs more than known a target may report without it counting.
 	foreignSlack = 2
 
+	// spareParts is the part of a target's places that may wait there beyond them. Measured
+	// with six places, mean worth over all days of two deployments: none 0.794 and 0.850, one
+	// 0.797 and 0.853, two 0.798 and 0.855, four 0.792 and 0.846.
+	spareParts = 4
+
 	// mostWaiting bounds what waits for one pool; beyond it no wait would end in time.
 	mostWaiting = 2000
 	// looks is how many of one rank are tried before the rank is passed over: those behind
--- a/core/yuccagrant/node.go
+++ b/core/yuccagrant/node.go
@@ -54,6 +54,18 @@
 	return max(nd.Slots-nd.busy(now), 0)
 }
 
+// room returns how many requests more the target may be sent. A few wait there beyond its
+// places, so that a place that comes free doesn't idle while the news of it is on its way;
+// more would wait where no rank counts.
+func (nd *node) room(now time.Time) int {
+	return max(nd.Slots+(nd.Slots+spareParts-1)/spareParts-nd.busy(now), 0)
+}
+
+// queued returns how many requests wait at the target before one that is sent now.
+func (nd *node) queued(now time.Time) int {
+	return max(nd.busy(now)-nd.Slots+1, 0)
+}
+
 // reported takes the target's own word on its load. What the leaders of other data centres
 // told is a moment older, so a difference of a run or two means nothing.
 func (nd *node) reported(now time.Time, load Load) {
