Streams that break off are resumed at another target

Cause: a crash in the middle of an answer lost it, though routes that may be resumed say so. Ruled out: resuming below the event (a half event can't be taken back).

--- a/io/yuccagate/relay.go
+++ b/io/yuccagate/relay.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net/http"
+	"strconv"
 	"strings"
 	"time"
 
@@ -14,9 +16,20 @@
 // pieceBytes is how much of an answer is handed on at a time.
 const pieceBytes = 16 << 10
 
+// callerError says that an answer could not be handed to its caller.
+type callerError struct {
+	cause error
+}
+
+// Error names the cause.
+func (err *callerError) Error() string { return "the caller took no more: " + err.cause.Error() }
+
+// Unwrap returns the network's own error.
+func (err *callerError) Unwrap() error { return err.cause }
+
 // relay hands a target's answer to the caller, byte for byte. Once its head is on the way
-// no other answer can take its place: if it breaks off, the caller's connection is closed,
-// so that a part never passes for the whole.
+// no other answer can take its place: if it breaks off and can't be resumed, the caller's
+// connection is closed, so that a part never passes for the whole.
 func (req *request) relay(ctx context.Context, att *attempt) *Problem {
 	header := req.w.Header()
 	for name, values := range onwardHeader(att.answer.Header) {
@@ -25,19 +38,12 @@
 	if att.answer.Length >= 0 {
 		header["Content-Length"] = att.answer.Header["Content-Length"]
 	}
-	end := yuccagrant.Ended{Load: att.word.Load}
 	var err error
 	if req.streams(att) {
-		err = req.relayEvents(ctx, att, &end)
+		err = req.relayStream(ctx, att)
 	} else {
-		err = req.relayBody(att, &end)
+		err = req.relayBody(ctx, att)
 	}
-	end.Outcome = req.outcome(ctx, att, err)
-	att.answer.Close()
-	req.gate.ended(att.tkt, end)
-	req.gate.log.request(req.caller.ID, "answered", "status", att.answer.Status, "outcome", end.Outcome.String(),
-		"firstMillis", end.First.Milliseconds(), "events", end.Events, "pauseMillis", end.Pause.Milliseconds(),
-		"afterMillis", time.Since(req.arrived).Milliseconds(), "error", text(err))
 	if err != nil {
 		panic(http.ErrAbortHandler)
 	}
@@ -49,9 +55,21 @@
 	return req.route.Kind == yuccaroute.Stream && strings.HasPrefix(kind, "text/event-stream")
 }
 
-func (req *request) outcome(ctx context.Context, att *attempt, err error) yuccagrant.Outcome {
+// finish gives the target's place back and tells how the answer went.
+func (req *request) finish(ctx context.Context, att *attempt, end yuccagrant.Ended, err error) {
+	end.Load = att.word.Load
+	end.Outcome = outcomeOf(ctx, att, err)
+	att.answer.Close()
+	req.gate.ended(att.tkt, end)
+	req.gate.log.request(req.caller.ID, "answered", "target", att.tkt.target, "status", att.answer.Status, "outcome", end.Outcome.String(),
+		"firstMillis", end.First.Milliseconds(), "events", end.Events, "pauseMillis", end.Pause.Milliseconds(),
+		"afterMillis", time.Since(req.arrived).Milliseconds(), "error", text(err))
+}
+
+func outcomeOf(ctx context.Context, att *attempt, err error) yuccagrant.Outcome {
+	var caller *callerError
 	switch {
-	case ctx.Err() != nil:
+	case ctx.Err() != nil || errors.As(err, &caller):
 		return yuccagrant.Dropped
 	case err != nil:
 		return yuccagrant.Broken
@@ -61,15 +79,21 @@
 	return yuccagrant.Served
 }
 
-func (req *request) relayBody(att *attempt, end *yuccagrant.Ended) error {
-	end.First = time.Since(att.sent)
+func (req *request) relayBody(ctx context.Context, att *attempt) error {
+	end := yuccagrant.Ended{First: time.Since(att.sent)}
+	err := req.pumpBody(att)
+	req.finish(ctx, att, end, err)
+	return err
+}
+
+func (req *request) pumpBody(att *attempt) error {
 	req.w.WriteHeader(att.answer.Status)
 	piece := make([]byte, pieceBytes)
 	for {
 		got, err := att.answer.Read(piece)
 		if got > 0 {
 			if _, failed := req.w.Write(piece[:got]); failed != nil {
-				return failed
+				return &callerError{cause: failed}
 			}
 		}
 		if err == io.EOF {
@@ -81,40 +105,146 @@
 	}
 }
 
-// relayEvents hands on a stream, each event as soon as it is whole.
-func (req *request) relayEvents(_ context.Context, att *attempt, end *yuccagrant.Ended) error {
+// relayStream hands on a stream, and goes on with it at another target where the first one
+// breaks off and the route allows it.
+func (req *request) relayStream(ctx context.Context, att *attempt) error {
+	flow := &flow{req: req, position: req.caller.Position}
+	for {
+		err := flow.pump(att)
+		req.finish(ctx, att, flow.end, err)
+		if err == nil {
+			return nil
+		}
+		var caller *callerError
+		if ctx.Err() != nil || errors.As(err, &caller) {
+			return err
+		}
+		next := req.resume(ctx, flow)
+		if next == nil {
+			return err
+		}
+		att = next
+	}
+}
+
+// resume sends the request to another target, which goes on behind the last event that the
+// caller has, or returns nil.
+//
+// A target crashes in the middle of a long answer. Its caller would lose all of it, or come
+// back and have it generated anew; another target only reads the prompt again.
+func (req *request) resume(ctx context.Context, flow *flow) *attempt {
+	req.broke = time.Now()
+	for req.again(yuccagrant.Broken) {
+		tkt, place, err := req.gate.acquire(ctx, req)
+		if err != nil || place.refusal != nil || place.problem != nil {
+			return nil
+		}
+		att, outcome := req.send(ctx, tkt, place, flow.position)
+		if outcome == yuccagrant.Served && att.answer.Status == http.StatusOK && req.streams(att) {
+			req.gate.log.request(req.caller.ID, "resumed", "target", place.target, "position", flow.position)
+			return att
+		}
+		if att.answer != nil {
+			att.answer.Close()
+		}
+		if outcome == yuccagrant.Served {
+			outcome = yuccagrant.Failed
+		}
+		req.gate.ended(tkt, yuccagrant.Ended{Outcome: outcome, Load: att.word.Load})
+		if ctx.Err() != nil {
+			return nil
+		}
+	}
+	return nil
+}
+
+// flow is a stream on its way to its caller, from one target after the other.
+type flow struct {
+	req *request
+	// position is the id of the last event that the caller has.
+	position string
+	begun    bool
+	// last is when the caller got the last event.
+	last time.Time
+	// end is what was seen of the present target.
+	end yuccagrant.Ended
+}
+
+// pump hands on one target's events, each as soon as it is whole, until the stream ends.
+func (fl *flow) pump(att *attempt) error {
+	req := fl.req
 	control := http.NewResponseController(req.w)
 	stream := newEvents(att.answer)
-	var first, last time.Time
+	fl.end = yuccagrant.Ended{}
+	var first time.Time
 	for {
 		list, err := stream.next()
 		now := time.Now()
-		if first.IsZero() {
-			first, last = now, now
-			end.First = now.Sub(att.sent)
-			req.w.WriteHeader(att.answer.Status)
-			req.gate.begun(att.tkt, end.First, att.word.Load)
+		if first.IsZero() && len(list) > 0 {
+			first = now
+			fl.end.First = now.Sub(att.sent)
+			req.gate.begun(att.tkt, fl.end.First, att.word.Load)
+		}
+		if len(list) > 0 || err == io.EOF {
+			fl.begin(att)
 		}
 		for _, one := range list {
+			if fl.had(one.id) {
+				continue
+			}
 			if _, failed := req.w.Write(one.raw); failed != nil {
-				return failed
+				return &callerError{cause: failed}
+			}
+			if one.id != "" {
+				fl.position = one.id
 			}
 		}
 		if len(list) > 0 {
 			if failed := control.Flush(); failed != nil {
-				return failed
+				return &callerError{cause: failed}
 			}
-			end.Events += len(list)
-			end.Pause = max(end.Pause, now.Sub(last))
-			end.Span = now.Sub(first)
-			last = now
+			fl.seen(now, first, len(list))
 		}
 		if err == io.EOF {
-			_, failed := req.w.Write(stream.rest())
-			return failed
+			if _, failed := req.w.Write(stream.rest()); failed != nil {
+				return &callerError{cause: failed}
+			}
+			return nil
 		}
 		if err != nil {
 			return err
 		}
 	}
 }
+
+// had reports whether the caller already has an event. A target that goes on with a stream
+// begins behind the position that it was given; should it begin earlier, nothing comes
+// twice.
+func (fl *flow) had(id string) bool {
+	if id == "" || fl.position == "" {
+		return false
+	}
+	got, err := strconv.ParseInt(id, 10, 64)
+	if err != nil {
+		return false
+	}
+	had, err := strconv.ParseInt(fl.position, 10, 64)
+	return err == nil && got <= had
+}
+
+// begin sends the head of the first target's answer, which a resumed stream keeps.
+func (fl *flow) begin(att *attempt) {
+	if !fl.begun {
+		fl.begun = true
+		fl.req.w.WriteHeader(att.answer.Status)
+	}
+}
+
+func (fl *flow) seen(now, first time.Time, events int) {
+	if fl.end.Events > 0 {
+		fl.end.Pause = max(fl.end.Pause, now.Sub(fl.last))
+	}
+	fl.end.Events += events
+	fl.end.Span = now.Sub(first)
+	fl.last = now
+}
--- a/io/yuccagate/request.go
+++ b/io/yuccagate/request.go
@@ -43,6 +43,8 @@
 
 	sends int
 	tried []yuccaid.Target
+	// broke is when the stream that the caller is getting broke off, zero if it didn't.
+	broke time.Time
 	// arrivals counts the targets that the request reached or may have, and runs those that
 	// ran it or may have.
 	arrivals int
@@ -247,8 +249,14 @@
 	if req.route.Kind == yuccaroute.Stream {
 		ask.Gap = req.route.Gap
 	}
-	if req.caller.Patience > 0 && req.arrived.Add(req.caller.Patience).Before(ask.Until) {
-		ask.Until = req.arrived.Add(req.caller.Patience)
+	heard := req.arrived
+	if !req.broke.IsZero() {
+		// The caller notices a pause, not how long ago it asked.
+		heard = req.broke
+		ask.Aim = req.broke.Add(req.route.Gap)
+	}
+	if req.caller.Patience > 0 && heard.Add(req.caller.Patience).Before(ask.Until) {
+		ask.Until = heard.Add(req.caller.Patience)
 	}
 	return ask
 }
--- a/io/yuccagate/run.go
+++ b/io/yuccagate/run.go
@@ -8,7 +8,6 @@
 
 	"yuccacleat/core/yuccagrant"
 	"yuccacleat/core/yuccaid"
-	"yuccacleat/core/yuccaroute"
 	"yuccacleat/io/yuccahop"
 )
 
@@ -42,7 +41,7 @@
 		if place.refusal != nil {
 			return refused(place.refusal)
 		}
-		att, outcome := req.send(ctx, tkt, place)
+		att, outcome := req.send(ctx, tkt, place, req.caller.Position)
 		switch {
 		case outcome == yuccagrant.Served && att.answer.Status < http.StatusInternalServerError:
 			return req.relay(ctx, att)
@@ -67,7 +66,7 @@
 	case yuccagrant.Rejected, yuccagrant.Misdirected, yuccagrant.Unreachable:
 		return req.sends < mostSends && req.gate.mayResend(req)
 	default:
-		return req.route.Kind == yuccaroute.Idempotent && req.runs < max(req.route.Attempts, 1) && req.gate.mayResend(req)
+		return req.route.Repeatable() && req.runs < max(req.route.Attempts, 1) && req.gate.mayResend(req)
 	}
 }
 
@@ -102,13 +101,13 @@
 	return &Problem{Kind: kind, Detail: string(refusal.Reason), Back: refusal.Back}
 }
 
-// send sends the request to the target that it was granted.
-func (req *request) send(ctx context.Context, tkt *ticket, place placed) (*attempt, yuccagrant.Outcome) {
+// send sends the request to the target that it was granted, to go on behind a position.
+func (req *request) send(ctx context.Context, tkt *ticket, place placed, position string) (*attempt, yuccagrant.Outcome) {
 	att := &attempt{tkt: tkt, sent: time.Now()}
 	req.sends++
 	req.tried = append(req.tried, place.target)
 	out := req.out
-	out.Header = req.onward(att.sent, place.target, req.caller.Position)
+	out.Header = req.onward(att.sent, place.target, position)
 	own := func(header http.Header) bool { return req.gate.dialect.Own(header, req.caller.ID) }
 	answer, err := req.gate.hop.Send(ctx, place.address, &out, own)
 	req.gate.log.request(req.caller.ID, "sent", "target", place.target, "account", req.accountName(), "route", req.route.Name,
