Long prompts are kept off slow targets

Cause: one answer in a hundred paused for over 0.3 s, all on slow targets, where a part of a long prompt takes 0.2 s and more. Ruled out: learning it from the pauses alone (a target's rate of pauses says nothing of which prompt causes them).

--- a/core/yuccagrant/choose.go
+++ b/core/yuccagrant/choose.go
@@ -49,9 +49,16 @@
 }
 
 // pauses reports whether the events of a target follow one another too slowly even when
-// nothing disturbs it.
+// nothing disturbs it, or whether reading the prompt would make the answers beside it pause.
+// An engine reads a long prompt in parts between the tokens of its other answers; on a slow
+// target each part takes as long as several pauses may last.
 func (lead *Leader) pauses(nd *node, ask *Ask) bool {
-	return ask.Gap > 0 && seconds(nd.pace*lead.model.gap()) > ask.Gap/2
+	if ask.Gap <= 0 {
+		return false
+	}
+	_, slope := lead.model.line()
+	read := seconds(nd.pace * slope * float64(ask.Prompt))
+	return seconds(nd.pace*lead.model.gap()) > ask.Gap/2 || nd.pace > slowPace && read > ask.Gap
 }
 
 // free returns how many places are free on targets that get work.
--- a/core/yuccagrant/data.go
+++ b/core/yuccagrant/data.go
@@ -44,6 +44,9 @@
 	// for a target to suit.
 	margin = 0.85
 
+	// slowPace is the pace from which a target counts as slow for long prompts.
+	slowPace = 2.0
+
 	// failWeight is the weight of one outcome in a target's rate of failures.
 	failWeight = 0.15
 	// failCost is what a certain failure counts for.
