Quotas use more of the tolerance, and share what is left by the real delay of reports

Sums over windows counted by the wall clock, and by another number when their span changed. Ruled out: the whole bound (daemons that all forget fill it twice).

--- a/core/yuccaquota/ledger.go
+++ b/core/yuccaquota/ledger.go
@@ -11,29 +11,30 @@
 )
 
 const (
+	// delayGrain is the grain in which the delay of reports is counted.
+	delayGrain = 100 * time.Millisecond
+	// defaultDelay is how long reports take where it isn't set.
+	defaultDelay = 200 * time.Millisecond
 	// defaultWindow is the window where none is set.
 	defaultWindow = 8 * time.Second
-	// amnesiaLasts is the part of a window for which an account may press on after all
-	// daemons have lost their memory, when it needed the rest to fill the window before: at
-	// three times its quota's rate it does so in that time. lateSpan is what is let in, in
-	// seconds of the rate, before all daemons have heard of it. Both are left free of what
-	// is tolerated.
-	amnesiaLasts = 0.6
-	lateSpan     = 0.4
-	// reportDelay is how long it takes until all daemons know what one let in. What an account
-	// has left is shared out for that time: seventy daemons that each see the same room and
-	// fill it let in many times as much.
-	reportDelay = 400 * time.Millisecond
-	// ampleShare widens a daemon's share of that room, since demand shifts; largePart is the
-	// part of the room that one request may take though it is more than the share, so that
-	// long requests aren't always refused in a large fleet.
-	ampleShare = 1.2
+	// lateSpan is what an account may be let in for, in seconds of its rate, before all daemons
+	// have heard of it. It is left free of what is tolerated.
+	lateSpan = 0.6
+	// ampleShare widens a daemon's share of what an account has left, since demand shifts and
+	// most daemons seldom use theirs; largePart is the part of it that one request may take
+	// though it is more than the share, so that long requests aren't always refused in a
+	// large fleet.
+	ampleShare = 2.0
 	largePart  = 0.25
-	// amnesiaRate and amnesiaBurst bound, as parts of the quota's rate and burst, what an
-	// account that presses is let in for by daemons that have lost their memory: so little
-	// that it can't fill the window a second time.
-	amnesiaRate  = 0.5
-	amnesiaBurst = 0.4
+	// amnesiaBurst is the part of its burst that an account is let in for at once by daemons
+	// that have lost their memory, beside its rate. One that asks for more presses, and gets
+	// amnesiaRate of its rate until a window has passed: it may have filled the window before,
+	// and little is left free for it to do so again.
+	amnesiaBurst = 0.8
+	amnesiaRate  = 0.25
+	// amnesiaSpan is the part of a window for which that rate is left free as well: the
+	// rest of it passed while the account filled the window before.
+	amnesiaSpan = 0.4
 	// leastBack keeps refused callers from coming back in a loop, and mostBack bounds what
 	// they are told.
 	leastBack = 200 * time.Millisecond
@@ -64,6 +65,7 @@
 	tolerance Tolerance
 	part      float64
 	daemons   int
+	delay     time.Duration
 	// forgot is when this daemon began without memory, until it is told or a window passed.
 	forgot  time.Time
 	amnesic bool
@@ -90,7 +92,7 @@
 	if tolerance.Window <= 0 {
 		tolerance.Window = defaultWindow
 	}
-	return &Ledger{windows: make(map[yuccaid.Account]*window), tolerance: tolerance, part: 1, daemons: 1}
+	return &Ledger{windows: make(map[yuccaid.Account]*window), tolerance: tolerance, part: 1, daemons: 1, delay: defaultDelay}
 }
 
 // Forgot notes that this daemon's process began anew in a fleet that was there before, so
@@ -132,24 +134,46 @@
 }
 
 // SetFleet sets the part of every quota that this daemon may use, 1 while it hears from most
-// of the others, and how many daemons there are.
-func (led *Ledger) SetFleet(part float64, daemons int) {
+// of the others, how many daemons there are, and how long it takes until all of them know
+// what one let in.
+//
+// What an account has left is shared out for that time: seventy daemons that each see the
+// same room and fill it let in many times as much.
+func (led *Ledger) SetFleet(part float64, daemons int, delay time.Duration) {
 	led.part = part
 	led.daemons = max(daemons, 1)
+	// In grains, since the sums over the delay begin anew when it changes.
+	led.delay = max(delay.Round(delayGrain), delayGrain)
 }
 
 // Part returns the part that was set.
 func (led *Ledger) Part() float64 { return led.part }
 
+// Verdict says whether an account was let in, and if not, why.
+type Verdict string
+
+// The verdicts of Take.
+const (
+	// Taken says that the account was let in.
+	Taken Verdict = "taken"
+	// Full says that the account's window has no room.
+	Full Verdict = "windowFull"
+	// Shared says that this daemon had its share of the room; the rest is for the others.
+	Shared Verdict = "shareUsed"
+	// Held says that the account asks for more than its rate while nobody remembers what it
+	// was let in for before.
+	Held Verdict = "heldAfterRestart"
+)
+
 // Take lets an account in for a cost if its window has room for it, and else returns when
 // it will.
 //
 // A request that costs more than a whole window is let in by an empty one: it would never
 // be otherwise.
-func (led *Ledger) Take(now time.Time, account yuccaid.Account, cost float64) (back time.Duration, taken bool) {
+func (led *Ledger) Take(now time.Time, account yuccaid.Account, cost float64) (back time.Duration, verdict Verdict) {
 	win := led.windows[account]
 	if win == nil {
-		return 0, true
+		return 0, Taken
 	}
 	led.advance(now, win)
 	sum := float64(win.all.Total())
@@ -157,7 +181,7 @@
 	amnesic := led.Amnesic(now)
 	if sum > 0 && cost > room {
 		win.presses = win.presses || amnesic && led.part == 1
-		return bounded(win.all.Until(led.tolerance.Window, int64(cost-room))), false
+		return bounded(win.all.Until(int64(cost-room))), refusal(amnesic, Full)
 	}
 	if amnesic {
 		// Nobody knows what others let in before, so a daemon keeps to its share of all that
@@ -166,13 +190,20 @@
 	}
 	if sum > 0 && !win.fairly(cost, room, led.daemons, amnesic) {
 		win.presses = win.presses || amnesic && led.part == 1
-		return bounded(reportDelay), false
+		return bounded(led.delay), refusal(amnesic, Shared)
 	}
 	led.add(win, int64(cost))
 	win.own += int64(cost)
 	win.mine.Add(int64(cost))
 	win.recent.Add(int64(cost))
-	return 0, true
+	return 0, Taken
+}
+
+func refusal(amnesic bool, verdict Verdict) Verdict {
+	if amnesic {
+		return Held
+	}
+	return verdict
 }
 
 // fairly reports whether a cost keeps to this daemon's share of the room: the share that it
@@ -199,7 +230,7 @@
 	quota := win.quota
 	span := led.tolerance.Window.Seconds()
 	plain := quota.Rate*span + quota.Burst
-	kept := quota.Rate*(amnesiaRate*amnesiaLasts*span+lateSpan) + amnesiaBurst*quota.Burst
+	kept := quota.Rate*(lateSpan+amnesiaRate*amnesiaSpan*span) + amnesiaBurst*quota.Burst
 	bound := max(plain, plain*(1+led.tolerance.Overshoot)+led.tolerance.Amount-kept)
 	if led.Amnesic(now) {
 		bound = min(bound, win.amnesia(now.Sub(led.forgot)))
@@ -317,7 +348,7 @@
 func (led *Ledger) advance(now time.Time, win *window) {
 	win.all.Advance(now, led.tolerance.Window)
 	win.mine.Advance(now, led.tolerance.Window)
-	win.recent.Advance(now, reportDelay)
+	win.recent.Advance(now, led.delay)
 }
 
 func (led *Ledger) add(win *window, amount int64) {
--- a/core/yuccawindow/window.go
+++ b/core/yuccawindow/window.go
@@ -8,17 +8,26 @@
 const slots = 32
 
 // Sum is a sum over a window. Its zero value is empty; Advance it before it is read.
+//
+// Time is counted from the first call, so that a step of the wall clock neither empties a
+// window nor keeps it for ever.
 type Sum struct {
+	began time.Time
+	span  time.Duration
 	slot  [slots]int64
 	last  int64
 	total int64
 }
 
-// Advance drops what has left a window of the given span.
+// Advance drops what has left a window of the given span. Another span than last time
+// empties the sum.
 func (sum *Sum) Advance(now time.Time, span time.Duration) {
-	slot := now.UnixNano() / int64(max(span/slots, 1))
+	if sum.began.IsZero() || sum.span != span {
+		*sum = Sum{began: now, span: span}
+	}
+	slot := int64(now.Sub(sum.began) / max(span/slots, 1))
 	if slot-sum.last >= slots {
-		*sum = Sum{last: slot}
+		sum.slot, sum.last, sum.total = [slots]int64{}, slot, 0
 	}
 	for sum.last < slot {
 		sum.last++
@@ -43,9 +52,9 @@
 // Total returns the sum.
 func (sum *Sum) Total() int64 { return sum.total }
 
-// Until returns how long it takes until an amount has left a window of the given span.
-func (sum *Sum) Until(span time.Duration, amount int64) time.Duration {
-	width := span / slots
+// Until returns how long it takes until an amount has left the window.
+func (sum *Sum) Until(amount int64) time.Duration {
+	width := sum.span / slots
 	wait := width
 	for at := sum.last + 1; at < sum.last+slots && amount > 0; at++ {
 		amount -= sum.slot[at%slots]
--- a/io/yuccagate/use.go
+++ b/io/yuccagate/use.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"yuccacleat/core/yuccaid"
+	"yuccacleat/core/yuccaquota"
 	"yuccacleat/io/yuccawire"
 )
 
@@ -14,12 +15,15 @@
 	// useForPeer spaces the reports of use by how many peers get them: each report goes to
 	// all, so their number would else grow with the square of the daemons.
 	useForPeer = 10 * time.Millisecond
+	// useWay is what the way of a report to the other data centres adds: two ticks, three
+	// hops and the way between regions.
+	useWay = 100 * time.Millisecond
 	// firstPart is the part of quotas that a daemon uses before it has heard from others, for
 	// some tenths of a second. What an account can be let in for meanwhile is bounded by what
 	// it asks for; callers who come back after an outage are refused with a smaller part.
 	firstPart = 1.0 / 4
 	// silentUsed is the part of the silent daemons' quota that the larger side of a cut uses.
-	silentUsed = 0.6
+	silentUsed = 0.4
 )
 
 // admitted counts a request against its account's quota.
@@ -28,9 +32,9 @@
 		return nil
 	}
 	cost := req.account.Quota.Cost(req.caller.Charged)
-	back, taken := gate.ledger.Take(now, req.account.Name, cost)
-	if !taken {
-		return &Problem{Kind: KindQuota, Back: back}
+	back, verdict := gate.ledger.Take(now, req.account.Name, cost)
+	if verdict != yuccaquota.Taken {
+		return &Problem{Kind: KindQuota, Detail: string(verdict), Back: back}
 	}
 	return nil
 }
@@ -59,9 +63,10 @@
 	if part != gate.ledger.Part() {
 		gate.log.belief("part of the quotas", "part", part, "before", gate.ledger.Part(), "visible", visible, "total", total)
 	}
-	gate.ledger.SetFleet(part, total)
 	peers := len(gate.peers.Live(gate.settings.Centre)) - 1
-	if now.Sub(gate.useTold) < time.Duration(peers)*useForPeer {
+	every := time.Duration(peers) * useForPeer
+	gate.ledger.SetFleet(part, total, every+castEvery+useWay)
+	if now.Sub(gate.useTold) < every {
 		return
 	}
 	gate.useTold = now
