The last of a quota is kept for urgent and short requests

Cause: an account at the end of its quota had its urgent notes refused beside its letters, against the rule of tiers. Ruled out: ranking refusals by worth for each token, which the configuration doesn't say.

--- a/core/yuccaquota/ledger.go
+++ b/core/yuccaquota/ledger.go
@@ -20,6 +20,13 @@
 	// lateSpan is what an account may be let in for, in seconds of its rate, before all daemons
 	// have heard of it. It is left free of what is tolerated.
 	lateSpan = 0.6
+	// rankKept is the part of a window that is kept from each rank for the ranks above it, down
+	// to mostRanks below the first. When an account has used most of its quota, its urgent
+	// requests still get in while its letters are told to come back. Requests of up to
+	// smallPart of a window cost the account so little that they aren't kept back.
+	rankKept  = 0.08
+	mostRanks = 3
+	smallPart = 1.0 / 2000
 	// ampleShare widens a daemon's share of what an account has left, since demand shifts and
 	// most daemons seldom use theirs; largePart is the part of it that one request may take
 	// though it is more than the share, so that long requests aren't always refused in a
@@ -169,15 +176,19 @@
 // it will.
 //
 // A request that costs more than a whole window is let in by an empty one: it would never
-// be otherwise.
-func (led *Ledger) Take(now time.Time, account yuccaid.Account, cost float64) (back time.Duration, verdict Verdict) {
+// be otherwise. Rank 0 is the most urgent.
+func (led *Ledger) Take(now time.Time, account yuccaid.Account, cost float64, rank int) (back time.Duration, verdict Verdict) {
 	win := led.windows[account]
 	if win == nil {
 		return 0, Taken
 	}
 	led.advance(now, win)
 	sum := float64(win.all.Total())
-	room := led.limit(now, win) - sum
+	limit := led.limit(now, win)
+	if cost > smallPart*limit {
+		limit *= 1 - rankKept*float64(min(max(rank, 0), mostRanks))
+	}
+	room := limit - sum
 	amnesic := led.Amnesic(now)
 	if sum > 0 && cost > room {
 		win.presses = win.presses || amnesic && led.part == 1
--- a/io/yuccagate/use.go
+++ b/io/yuccagate/use.go
@@ -32,7 +32,7 @@
 		return nil
 	}
 	cost := req.account.Quota.Cost(req.caller.Charged)
-	back, verdict := gate.ledger.Take(now, req.account.Name, cost)
+	back, verdict := gate.ledger.Take(now, req.account.Name, cost, req.route.Rank)
 	if verdict != yuccaquota.Taken {
 		return &Problem{Kind: KindQuota, Detail: string(verdict), Back: back}
 	}
