Daemons that all forgot count what each let in before they met, and judge accounts by what they ask for

After a kill of all 63 daemons each lets an account in for half a second by itself; what it let in was merged by taking the highest total of any daemon instead of their sum, and reports made before two data centres had a connection were lost. First contacts tell what the sender itself let in, a data centre that is heard of anew is told whole sums, windows are counted before the configuration is known, and after amnesia an account is held only if it asks for more than one within its quota could."; logs of 429 name cost, use, limit and share.

--- a/core/yuccaquota/ledger.go
+++ b/core/yuccaquota/ledger.go
@@ -17,9 +17,11 @@
 	defaultDelay = 200 * time.Millisecond
 	// defaultWindow is the window where none is set.
 	defaultWindow = 8 * time.Second
-	// lateSpan is what an account may be let in for, in seconds of its rate, before all daemons
-	// have heard of it. It is left free of what is tolerated.
-	lateSpan = 0.6
+	// keptSpan is what is left free of the tolerance, in seconds of an account's rate beside
+	// keptBurst of its burst: for what it is let in for before all daemons have heard of it,
+	// and for what it is let in for anew when all have forgotten.
+	keptSpan  = 1.6
+	keptBurst = 0.8
 	// rankKept is the part of a window that is kept from each rank for the ranks above it, down
 	// to mostRanks below the first. When an account has used most of its quota, its urgent
 	// requests still get in while its letters are told to come back. Requests of up to
@@ -33,28 +35,24 @@
 	// large fleet.
 	ampleShare = 2.0
 	largePart  = 0.25
-	// amnesiaBurst is the part of its burst that an account is let in for at once by daemons
-	// that have lost their memory, beside its rate. One that asks for more presses, and gets
-	// amnesiaRate of its rate until a window has passed: it may have filled the window before,
-	// and little is left free for it to do so again.
-	amnesiaBurst = 0.8
-	amnesiaRate  = 0.25
-	// amnesiaSpan is the part of a window for which that rate is left free as well: the
-	// rest of it passed while the account filled the window before.
-	amnesiaSpan = 0.4
+	// rushRate and rushSpan bound what an account may ask for while nobody remembers what it
+	// was let in for before: so many times its rate, and as if it had begun so much earlier.
+	// An account within its quota asks for less, even when its callers have waited out an
+	// outage and come back together. One that asks for more most likely did so before, may
+	// have filled the window, and is held until that begins to leave it.
+	rushRate = 1.3
+	rushSpan = 1200 * time.Millisecond
+	// fillPart shortens the time in which such an account is taken to have filled its window:
+	// it may have asked for more before than it does now.
+	fillPart = 0.7
+	// mostUnknown bounds the accounts that are counted before a configuration is known.
+	mostUnknown = 10000
 	// leastBack keeps refused callers from coming back in a loop, and mostBack bounds what
 	// they are told.
 	leastBack = 200 * time.Millisecond
 	mostBack  = 8 * time.Second
 )
 
-// Spent is what one account was let in for since the last report, in the units of its
-// quota. It is negative where requests that had been let in didn't run.
-type Spent struct {
-	Account yuccaid.Account
-	Amount  int64
-}
-
 // Tolerance is how far an account may go beyond its quota in any window before that counts
 // as a breach: by a part of what the window allows, and by an amount.
 //
@@ -73,25 +71,22 @@
 	part      float64
 	daemons   int
 	delay     time.Duration
+	// configured says that the accounts are known.
+	configured bool
 	// forgot is when this daemon began without memory, until it is told or a window passed.
 	forgot  time.Time
 	amnesic bool
 }
 
-// window is what one account was let in for lately, by all daemons as far as is known.
+// window is what is known of one account's last seconds.
 type window struct {
 	quota yuccaroute.Quota
-	all   yuccawindow.Sum
-	// mine is what this daemon let in, over the window and within the delay of reports.
-	mine   yuccawindow.Sum
+	// let is what the account was let in for, and asked what it asked for as long as nobody
+	// remembers what was let in before.
+	let   tally
+	asked tally
+	// recent is what this daemon let in within the delay of reports.
 	recent yuccawindow.Sum
-	// own is what this daemon let in and hasn't reported to those of its data centre yet,
-	// centre what its data centre let in and hasn't reported to the others yet.
-	own    int64
-	centre int64
-	// presses says that the account asked for more than its rate while nobody remembered
-	// what it had before.
-	presses bool
 }
 
 // New returns a ledger without quotas.
@@ -119,6 +114,7 @@
 
 // Configure sets the accounts' quotas; what was counted stays.
 func (led *Ledger) Configure(now time.Time, accounts []yuccaroute.Account) {
+	led.configured = true
 	known := make(map[yuccaid.Account]bool, len(accounts))
 	for _, account := range accounts {
 		if !account.Quota.Limited() {
@@ -156,6 +152,9 @@
 // Part returns the part that was set.
 func (led *Ledger) Part() float64 { return led.part }
 
+// Daemons returns how many daemons share what an account has left.
+func (led *Ledger) Daemons() int { return led.daemons }
+
 // Verdict says whether an account was let in, and if not, why.
 type Verdict string
 
@@ -172,62 +171,72 @@
 	Held Verdict = "heldAfterRestart"
 )
 
-// Take lets an account in for a cost if its window has room for it, and else returns when
-// it will.
+// Answer is a verdict with what led to it.
+type Answer struct {
+	Verdict Verdict
+	// Back is when the account has room again, where it wasn't let in.
+	Back time.Duration
+	// Used is what the account was let in for before, as far as is known, and Limit what it
+	// might have been let in for.
+	Used  int64
+	Limit int64
+	// Mine is the part of Used that this daemon let in.
+	Mine int64
+	// Asked is what the account asked for since all was forgotten, and Rush what an account
+	// within its quota may have; both are zero where its use is remembered.
+	Asked int64
+	Rush  int64
+}
+
+// Take lets an account in for a cost if its window has room for it.
 //
 // A request that costs more than a whole window is let in by an empty one: it would never
 // be otherwise. Rank 0 is the most urgent.
-func (led *Ledger) Take(now time.Time, account yuccaid.Account, cost float64, rank int) (back time.Duration, verdict Verdict) {
+func (led *Ledger) Take(now time.Time, account yuccaid.Account, cost float64, rank int) Answer {
 	win := led.windows[account]
-	if win == nil {
-		return 0, Taken
+	if win == nil || !led.configured {
+		return Answer{Verdict: Taken}
 	}
 	led.advance(now, win)
-	sum := float64(win.all.Total())
-	limit := led.limit(now, win)
+	limit := led.limit(win)
 	if cost > smallPart*limit {
 		limit *= 1 - rankKept*float64(min(max(rank, 0), mostRanks))
 	}
-	room := limit - sum
-	amnesic := led.Amnesic(now)
-	if sum > 0 && cost > room {
-		win.presses = win.presses || amnesic && led.part == 1
-		return bounded(win.all.Until(int64(cost - room))), refusal(amnesic, Full)
+	answer := Answer{Used: win.let.all.Total(), Limit: int64(limit), Mine: win.let.mine.Total()}
+	if led.Amnesic(now) {
+		win.asked.count(int64(cost))
+		answer.Asked, answer.Rush = win.asked.all.Total(), int64(led.rush(now, win))
 	}
-	if amnesic {
-		// Nobody knows what others let in before, so a daemon keeps to its share of all that
-		// may be let in since, not of what seems to be left.
-		room, sum = room+sum, float64(win.mine.Total())
+	answer.Verdict, answer.Back = led.judge(win, cost, limit)
+	if answer.Verdict == Taken && answer.Asked > max(answer.Rush, int64(cost)) {
+		answer.Verdict, answer.Back = led.hold(now, win, cost, limit)
 	}
-	if sum > 0 && !win.fairly(cost, room, led.daemons, amnesic) {
-		win.presses = win.presses || amnesic && led.part == 1
-		return bounded(led.delay), refusal(amnesic, Shared)
+	if answer.Verdict == Taken {
+		win.let.count(int64(cost))
+		win.recent.Add(int64(cost))
 	}
-	led.add(win, int64(cost))
-	win.own += int64(cost)
-	win.mine.Add(int64(cost))
-	win.recent.Add(int64(cost))
-	return 0, Taken
+	return answer
 }
 
-func refusal(amnesic bool, verdict Verdict) Verdict {
-	if amnesic {
-		return Held
+func (led *Ledger) judge(win *window, cost, limit float64) (verdict Verdict, back time.Duration) {
+	sum := float64(win.let.all.Total())
+	room := limit - sum
+	switch {
+	case sum > 0 && cost > room:
+		return Full, bounded(win.let.all.Until(int64(cost - room)))
+	case sum > 0 && !win.fairly(cost, room, led.daemons):
+		return Shared, bounded(led.delay)
 	}
-	return verdict
+	return Taken, 0
 }
 
 // fairly reports whether a cost keeps to this daemon's share of the room: the share that it
 // had lately of what the account was let in for, and at least that of one daemon.
-func (win *window) fairly(cost, room float64, daemons int, amnesic bool) bool {
-	share := max(float64(win.mine.Total())/max(float64(win.all.Total()), 1), 1/float64(daemons))
+func (win *window) fairly(cost, room float64, daemons int) bool {
+	share := max(float64(win.let.mine.Total())/max(float64(win.let.all.Total()), 1), 1/float64(daemons))
 	recent := float64(win.recent.Total())
-	if amnesic {
-		recent = float64(win.mine.Total())
-	} else {
-		// What this daemon let in lately was taken from the room that it shares out.
-		room += recent
-	}
+	// What this daemon let in lately was taken from the room that it shares out.
+	room += recent
 	fair := min(ampleShare*share, 1) * room
 	return recent+cost <= fair || recent <= fair && cost <= largePart*room
 }
@@ -236,137 +245,67 @@
 	return min(max(back, leastBack), mostBack)
 }
 
-// limit is what a window may hold now.
-func (led *Ledger) limit(now time.Time, win *window) float64 {
+// limit is what a window may hold.
+func (led *Ledger) limit(win *window) float64 {
 	quota := win.quota
-	span := led.tolerance.Window.Seconds()
-	plain := quota.Rate*span + quota.Burst
-	kept := quota.Rate*(lateSpan+amnesiaRate*amnesiaSpan*span) + amnesiaBurst*quota.Burst
-	bound := max(plain, plain*(1+led.tolerance.Overshoot)+led.tolerance.Amount-kept)
-	if led.Amnesic(now) {
-		bound = min(bound, win.amnesia(now.Sub(led.forgot)))
-	}
-	return bound * led.part
-}
-
-// amnesia is what an account is let in for so long after the daemons lost their memory. One
-// that asks for more than its rate presses, and most likely did so before; the others are
-// not held up.
-func (win *window) amnesia(since time.Duration) float64 {
-	rate := win.quota.Rate
-	if win.presses {
-		rate *= amnesiaRate
-	}
-	return rate*since.Seconds() + amnesiaBurst*win.quota.Burst
-}
-
-// Return gives back what a request was let in for that did not run.
-func (led *Ledger) Return(now time.Time, account yuccaid.Account, cost float64) {
-	if win := led.windows[account]; win != nil {
-		led.advance(now, win)
-		led.add(win, -int64(cost))
-		win.own -= int64(cost)
-		win.mine.Add(-int64(cost))
-	}
-}
-
-// Heard takes a report of a daemon of this data centre.
-func (led *Ledger) Heard(now time.Time, spent []Spent) {
-	for _, each := range spent {
-		if win := led.windows[each.Account]; win != nil {
-			led.advance(now, win)
-			led.add(win, each.Amount)
-		}
-	}
-}
-
-// HeardAway takes a report of another data centre.
-func (led *Ledger) HeardAway(now time.Time, spent []Spent) {
-	for _, each := range spent {
-		if win := led.windows[each.Account]; win != nil {
-			led.advance(now, win)
-			led.add(win, each.Amount)
-			win.centre -= each.Amount
-		}
-	}
-}
-
-// Report returns what this daemon let in since the last report.
-func (led *Ledger) Report() []Spent {
-	return led.collect(func(win *window) *int64 { return &win.own })
-}
-
-// ReportAway returns what this data centre let in since the last such report, for the one
-// daemon that reports to the others.
-func (led *Ledger) ReportAway() []Spent {
-	return led.collect(func(win *window) *int64 { return &win.centre })
+	plain := quota.Rate*led.tolerance.Window.Seconds() + quota.Burst
+	kept := quota.Rate*keptSpan + quota.Burst*keptBurst
+	return led.part * max(plain, plain*(1+led.tolerance.Overshoot)+led.tolerance.Amount-kept)
 }
 
-// Reported notes what another daemon reported of this data centre to the others. What it
-// left out, because it ended first, is reported by its successor.
-func (led *Ledger) Reported(spent []Spent) {
-	for _, each := range spent {
-		if win := led.windows[each.Account]; win != nil {
-			win.centre -= each.Amount
-		}
+// hold decides on an account that asks for more than its quota while nobody remembers what
+// it was let in for. Had it asked for as much before, it had filled the window within some
+// seconds, of which the first leave the window when the daemons have been back for the rest
+// of its span; from then on it is let in again as quickly as it asks.
+func (led *Ledger) hold(now time.Time, win *window, cost, limit float64) (verdict Verdict, back time.Duration) {
+	since := now.Sub(led.forgot)
+	demand := float64(win.asked.all.Total()) / (since + rushSpan).Seconds()
+	wait := led.tolerance.Window - seconds(fillPart*limit/demand)
+	spare := led.part*rushRate*win.quota.Rate*rushSpan.Seconds() + demand*max(since-wait, 0).Seconds()
+	if float64(win.let.all.Total())+cost <= spare {
+		return Taken, 0
 	}
+	return Held, bounded(wait - since)
 }
 
-func (led *Ledger) collect(of func(*window) *int64) []Spent {
-	var list []Spent
-	for name, win := range led.windows {
-		if amount := of(win); *amount != 0 {
-			list = append(list, Spent{Account: name, Amount: *amount})
-			*amount = 0
-		}
-	}
-	slices.SortFunc(list, compareSpent)
-	return list
+func seconds(value float64) time.Duration {
+	return time.Duration(value * float64(time.Second))
 }
 
-// Totals returns what the windows hold, for a daemon that has just started or was cut off.
-func (led *Ledger) Totals(now time.Time) []Spent {
-	var list []Spent
-	for name, win := range led.windows {
-		led.advance(now, win)
-		if sum := win.all.Total(); sum > 0 {
-			list = append(list, Spent{Account: name, Amount: sum})
-		}
-	}
-	slices.SortFunc(list, compareSpent)
-	return list
+// rush is what an account may have asked for since the daemons lost their memory.
+func (led *Ledger) rush(now time.Time, win *window) float64 {
+	return led.part * rushRate * win.quota.Rate * (now.Sub(led.forgot) + rushSpan).Seconds()
 }
 
-// Raise takes over another daemon's totals where they are higher, as if what is missing had
-// been let in half a window ago. Knows says that the other has a memory of its own.
-func (led *Ledger) Raise(now time.Time, totals []Spent, knows bool) {
-	for _, each := range totals {
-		win := led.windows[each.Account]
-		if win == nil {
-			continue
-		}
+// Return gives back what a request was let in for that did not run.
+func (led *Ledger) Return(now time.Time, account yuccaid.Account, cost float64) {
+	if win := led.windows[account]; win != nil {
 		led.advance(now, win)
-		if missing := each.Amount - win.all.Total(); missing > 0 {
-			win.all.AddBefore(missing)
-		}
-	}
-	if knows {
-		led.amnesic = false
+		win.let.count(-int64(cost))
 	}
 }
 
 // advance drops what has left the windows.
 func (led *Ledger) advance(now time.Time, win *window) {
-	win.all.Advance(now, led.tolerance.Window)
-	win.mine.Advance(now, led.tolerance.Window)
+	win.let.advance(now, led.tolerance.Window)
+	win.asked.advance(now, led.tolerance.Window)
 	win.recent.Advance(now, led.delay)
 }
 
-func (led *Ledger) add(win *window, amount int64) {
-	win.all.Add(amount)
-	win.centre += amount
+// Use is what an account was let in for within its window, and what the window may hold.
+type Use struct {
+	Account yuccaid.Account
+	Used    int64
+	Limit   int64
 }
 
-func compareSpent(a, b Spent) int {
-	return cmp.Compare(a.Account, b.Account)
+// Uses returns how much of its quota each account has used.
+func (led *Ledger) Uses(now time.Time) []Use {
+	var list []Use
+	for name, win := range led.windows {
+		led.advance(now, win)
+		list = append(list, Use{Account: name, Used: win.let.all.Total(), Limit: int64(led.limit(win))})
+	}
+	slices.SortFunc(list, func(a, b Use) int { return cmp.Compare(a.Account, b.Account) })
+	return list
 }
--- a/core/yuccaquota/ledger_test.go
+++ b/core/yuccaquota/ledger_test.go
@@ -88,7 +88,7 @@
 // press sends at each daemon in turn for a while.
 func (flt *fleet) press(span time.Duration, cost float64) {
 	for turn := range int(span / step) {
-		if _, verdict := flt.ledgers[turn%len(flt.ledgers)].Take(flt.now, "rally", cost, 0); verdict == yuccaquota.Taken {
+		if verdict := flt.ledgers[turn%len(flt.ledgers)].Take(flt.now, "rally", cost, 0).Verdict; verdict == yuccaquota.Taken {
 			flt.let = append(flt.let, letIn{at: flt.now, cost: cost})
 		}
 		flt.pass()
@@ -115,7 +115,7 @@
 			flt := newFleet(7, 200*time.Millisecond, strict)
 			for turn := range 3000 {
 				// 90 tokens each 10 ms are nine tenths of the rate.
-				_, verdict := flt.ledgers[pick(turn)].Take(flt.now, "rally", 90, 0)
+				verdict := flt.ledgers[pick(turn)].Take(flt.now, "rally", 90, 0).Verdict
 				Expect(verdict).To(Equal(yuccaquota.Taken), "turn %d", turn)
 				flt.pass()
 			}
@@ -150,7 +150,7 @@
 	It("lets a large fleet take a long request while there is room", func() {
 		flt := newFleet(70, 300*time.Millisecond, strict)
 		flt.press(10*time.Second, 30)
-		_, verdict := flt.ledgers[50].Take(flt.now, "rally", allowed/8, 0)
+		verdict := flt.ledgers[50].Take(flt.now, "rally", allowed/8, 0).Verdict
 		Expect(verdict).To(Equal(yuccaquota.Taken))
 	})
 
@@ -222,21 +222,22 @@
 	It("follows a lowered quota at once and an unlimited one never refuses", func() {
 		led := ledger(start, strict)
 		led.Configure(start, accounts(100, 200))
-		_, verdict := led.Take(start, "rally", 900, 0)
+		verdict := led.Take(start, "rally", 900, 0).Verdict
 		Expect(verdict).To(Equal(yuccaquota.Taken))
-		back, verdict := led.Take(start, "rally", 200, 0)
+		answer := led.Take(start, "rally", 200, 0)
+		back, verdict := answer.Back, answer.Verdict
 		Expect(verdict).NotTo(Equal(yuccaquota.Taken))
 		Expect(back).To(BeNumerically("~", span, span/10))
 		led.Configure(start, nil)
-		_, verdict = led.Take(start, "rally", 1e9, 0)
+		verdict = led.Take(start, "rally", 1e9, 0).Verdict
 		Expect(verdict).To(Equal(yuccaquota.Taken))
 	})
 
 	It("lets in a request larger than a window when that is empty", func() {
 		led := ledger(start, strict)
-		_, verdict := led.Take(start, "rally", 3*allowed, 0)
+		verdict := led.Take(start, "rally", 3*allowed, 0).Verdict
 		Expect(verdict).To(Equal(yuccaquota.Taken))
-		_, verdict = led.Take(start, "rally", 1, 0)
+		verdict = led.Take(start, "rally", 1, 0).Verdict
 		Expect(verdict).NotTo(Equal(yuccaquota.Taken))
 	})
 
@@ -245,14 +246,14 @@
 	It("keeps the last of it for urgent requests and for short ones", func() {
 		led := ledger(start, strict)
 		for verdict := yuccaquota.Taken; verdict == yuccaquota.Taken; {
-			_, verdict = led.Take(start, "rally", 1000, 2)
+			verdict = led.Take(start, "rally", 1000, 2).Verdict
 		}
-		_, letter := led.Take(start, "rally", 1000, 2)
+		letter := led.Take(start, "rally", 1000, 2).Verdict
 		Expect(letter).To(Equal(yuccaquota.Full))
-		_, short := led.Take(start, "rally", allowed/4000, 2)
+		short := led.Take(start, "rally", allowed/4000, 2).Verdict
 		Expect(short).To(Equal(yuccaquota.Taken))
 		for range 10 {
-			_, note := led.Take(start, "rally", 1000, 0)
+			note := led.Take(start, "rally", 1000, 0).Verdict
 			Expect(note).To(Equal(yuccaquota.Taken))
 		}
 	})
@@ -262,7 +263,7 @@
 		led.Take(start, "rally", allowed, 0)
 		led.Return(start, "rally", allowed)
 		Expect(led.Report()).To(BeEmpty())
-		_, verdict := led.Take(start, "rally", allowed, 0)
+		verdict := led.Take(start, "rally", allowed, 0).Verdict
 		Expect(verdict).To(Equal(yuccaquota.Taken))
 	})
 
@@ -280,7 +281,7 @@
 		led := ledger(start, strict)
 		led.Take(start, "rally", 100, 0)
 		led.Heard(start, []yuccaquota.Spent{{Account: "rally", Amount: 50}})
-		led.HeardAway(start, []yuccaquota.Spent{{Account: "rally", Amount: 7000}})
+		led.HeardAway(start, "gulf", []yuccaquota.Spent{{Account: "rally", Amount: 7000}})
 		Expect(led.ReportAway()).To(Equal([]yuccaquota.Spent{{Account: yuccaid.Account("rally"), Amount: 150}}))
 		Expect(led.ReportAway()).To(BeEmpty())
 	})
--- /dev/null
+++ b/core/yuccaquota/sizes_test.go
@@ -0,0 +1,133 @@
+package yuccaquota_test
+
+import (
+	"math"
+	"math/rand/v2"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"yuccacleat/core/yuccaquota"
+)
+
+// rush is an account's requests of very unlike sizes, at random daemons.
+type rush struct {
+	flt *fleet
+	rng *rand.Rand
+	// each is how much is asked for in a second, mean the mean size.
+	each, mean float64
+
+	// due is what is asked for next, less what was asked for too early.
+	due            float64
+	asked, refused int
+}
+
+// size draws a size whose largest are some fifteen times the mean.
+func (rsh *rush) size() float64 {
+	const sigma = 1.1
+	drawn := rsh.mean * math.Exp(sigma*rsh.rng.NormFloat64()-sigma*sigma/2)
+	return min(drawn, 15*rsh.mean)
+}
+
+func (rsh *rush) run(span time.Duration) {
+	flt := rsh.flt
+	for end := flt.now.Add(span); flt.now.Before(end); flt.pass() {
+		rsh.due += rsh.rng.ExpFloat64() * rsh.each * step.Seconds()
+		for rsh.due > 0 {
+			cost := rsh.size()
+			rsh.due -= cost
+			at := rsh.rng.IntN(len(flt.ledgers))
+			rsh.asked++
+			rsh.refused++
+			if verdict := flt.ledgers[at].Take(flt.now, "rally", cost, 1).Verdict; verdict == yuccaquota.Taken {
+				rsh.refused--
+				flt.let = append(flt.let, letIn{at: flt.now, cost: cost})
+			}
+		}
+	}
+}
+
+// kill has all daemons begin anew, which know nothing of one another until they have met.
+func (rsh *rush) kill() {
+	flt := rsh.flt
+	for at := range flt.ledgers {
+		flt.ledgers[at] = ledger(flt.now, tolerant)
+		flt.ledgers[at].SetFleet(0.15, 6, 300*time.Millisecond)
+		flt.ledgers[at].Forgot(flt.now)
+	}
+	flt.cut = func(int) bool { return true }
+	rsh.run(450 * time.Millisecond)
+	flt.cut = func(int) bool { return false }
+	var mine [][]yuccaquota.Spent
+	for _, led := range flt.ledgers {
+		mine = append(mine, led.Mine(flt.now))
+	}
+	for at, led := range flt.ledgers {
+		led.SetFleet(1, len(flt.ledgers), 400*time.Millisecond)
+		for from, spent := range mine {
+			if from != at {
+				led.Heard(flt.now, spent)
+			}
+		}
+	}
+}
+
+var _ = Describe("a quota over a large fleet, with requests of unlike sizes", func() {
+	// Sixty daemons see some room and each lets one more long request in. What each adds is
+	// little, what all add is a third of the quota, again and again.
+	DescribeTable("is kept while an account presses",
+		func(pressure float64) {
+			for seed := range uint64(5) {
+				flt := newFleet(63, 300*time.Millisecond, tolerant)
+				rsh := &rush{flt: flt, rng: rand.New(rand.NewPCG(seed, 1)), each: pressure * rate, mean: 150}
+				rsh.run(30 * time.Second)
+				Expect(flt.most()).To(BeNumerically("<=", 0.97*bound), "seed %d", seed)
+				Expect(flt.most()).To(BeNumerically(">=", 0.7*bound), "seed %d", seed)
+			}
+		},
+		Entry("at three times its rate", 3.0),
+		Entry("at six times its rate", 6.0),
+	)
+
+	// An account presses, and harder as what it had leaves the window; then all daemons are
+	// killed. Those that come back remember nothing.
+	DescribeTable("is kept when all daemons forget in the middle of a rush",
+		func(daemons int, first, second float64) {
+			for seed := range uint64(10) {
+				flt := newFleet(daemons, 300*time.Millisecond, tolerant)
+				rsh := &rush{flt: flt, rng: rand.New(rand.NewPCG(seed, 1)), each: first * rate, mean: 150}
+				rsh.run(8 * time.Second)
+				rsh.each = second * rate
+				rsh.run(4 * time.Second)
+				rsh.kill()
+				rsh.run(10 * time.Second)
+				Expect(flt.most()).To(BeNumerically("<=", bound), "seed %d", seed)
+			}
+		},
+		Entry("which grew, in a large fleet", 63, 3.5, 5.0),
+		Entry("which goes on, in a large fleet", 63, 4.0, 4.0),
+		Entry("which grew, in a small fleet", 7, 3.5, 5.0),
+		Entry("which goes on, in a small fleet", 7, 4.0, 4.0),
+	)
+
+	// Callers who waited out an outage come back together, with twice their usual load for a
+	// second. Their account is within its quota all the same, and nobody may be turned away.
+	DescribeTable("refuses nobody within it after an outage of all daemons",
+		func(daemons int) {
+			for seed := range uint64(10) {
+				flt := newFleet(daemons, 300*time.Millisecond, tolerant)
+				rsh := &rush{flt: flt, rng: rand.New(rand.NewPCG(seed, 1)), each: 0.7 * rate, mean: 150}
+				rsh.run(8 * time.Second)
+				rsh.each = 1.7 * rate
+				rsh.kill()
+				rsh.run(600 * time.Millisecond)
+				rsh.each = 0.7 * rate
+				rsh.run(8 * time.Second)
+				Expect(rsh.refused).To(BeNumerically("<=", rsh.asked/100), "seed %d: of %d", seed, rsh.asked)
+			}
+		},
+		Entry("of a small fleet", 7),
+		Entry("of a large one", 63),
+	)
+})
--- /dev/null
+++ b/core/yuccaquota/tally.go
@@ -0,0 +1,78 @@
+package yuccaquota
+
+import (
+	"time"
+
+	"yuccacleat/core/yuccaid"
+	"yuccacleat/core/yuccawindow"
+)
+
+// tally sums one thing over a window, for all daemons as far as they have reported.
+type tally struct {
+	all yuccawindow.Sum
+	// mine is what this daemon counted, home what those of its data centre did, and away what
+	// those of the others did.
+	mine yuccawindow.Sum
+	home yuccawindow.Sum
+	away map[yuccaid.Centre]*yuccawindow.Sum
+	// own is what this daemon counted and hasn't reported to those of its data centre yet,
+	// centre what its data centre counted and hasn't reported to the others yet.
+	own    int64
+	centre int64
+}
+
+// advance drops what has left the window.
+func (tl *tally) advance(now time.Time, span time.Duration) {
+	tl.all.Advance(now, span)
+	tl.mine.Advance(now, span)
+	tl.home.Advance(now, span)
+}
+
+// count adds what this daemon counts.
+func (tl *tally) count(amount int64) {
+	tl.own += amount
+	tl.mine.Add(amount)
+	tl.near(amount)
+}
+
+// near adds what a daemon of this data centre counts.
+func (tl *tally) near(amount int64) {
+	tl.all.Add(amount)
+	tl.home.Add(amount)
+	tl.centre += amount
+}
+
+// far adds what another data centre counts.
+func (tl *tally) far(now time.Time, span time.Duration, centre yuccaid.Centre, amount int64) {
+	tl.of(now, span, centre).Add(amount)
+	tl.all.Add(amount)
+}
+
+// of returns what is counted of another data centre.
+func (tl *tally) of(now time.Time, span time.Duration, centre yuccaid.Centre) *yuccawindow.Sum {
+	sum := tl.away[centre]
+	if sum == nil {
+		sum = &yuccawindow.Sum{}
+		if tl.away == nil {
+			tl.away = make(map[yuccaid.Centre]*yuccawindow.Sum)
+		}
+		tl.away[centre] = sum
+	}
+	sum.Advance(now, span)
+	return sum
+}
+
+// whole takes all that another data centre counted within the window, and adds what of it
+// hasn't been heard.
+func (tl *tally) whole(now time.Time, span time.Duration, centre yuccaid.Centre, total int64) {
+	if missing := total - tl.of(now, span, centre).Total(); missing > 0 {
+		tl.far(now, span, centre, missing)
+	}
+}
+
+// raise takes over a higher total, as if what is missing had been counted half a window ago.
+func (tl *tally) raise(total int64) {
+	if missing := total - tl.all.Total(); missing > 0 {
+		tl.all.AddBefore(missing)
+	}
+}
--- a/io/yuccagate/fleet_test.go
+++ b/io/yuccagate/fleet_test.go
@@ -70,6 +70,8 @@
 		Accounts: []yuccaroute.Account{
 			{Name: "rally", Keys: []string{"k1"}},
 			{Name: "small", Keys: []string{"k2"}, Quota: yuccaroute.Quota{Rate: 10, Burst: 20, Tokens: true, Default: 5}},
+			// Within the hour that windows last in the tests of quotas, its rate is nothing.
+			{Name: "still", Keys: []string{"k3"}, Quota: yuccaroute.Quota{Rate: 0.001, Burst: 100, Tokens: true, Default: 5}},
 		},
 		Limits: yuccaroute.Limits{Header: 4 << 10, Body: 64 << 10, IdleAfter: 10 * time.Second},
 	}
@@ -192,10 +194,19 @@
 
 // newGateIn starts a gateway in one of two data centres.
 func newGateIn(centre yuccaid.Centre, vm string, seeds ...string) *gate {
-	peers, err := net.Listen("tcp", "127.0.0.1:0")
+	return newGateOf("127.0.0.1:0", centre, vm, nil, seeds...)
+}
+
+// newGateOf starts a gateway at a peers' address, with changed settings.
+func newGateOf(address string, centre yuccaid.Centre, vm string, change func(*yuccagate.Settings), seeds ...string) *gate {
+	peers, err := net.Listen("tcp", address)
 	Expect(err).NotTo(HaveOccurred())
 	logged := &lines{}
-	inner, err := yuccagate.New(settings(vm, centre, peers, seeds), dialect, decode, peers, yuccagate.WithLog(logged))
+	set := settings(vm, centre, peers, seeds)
+	if change != nil {
+		change(&set)
+	}
+	inner, err := yuccagate.New(set, dialect, decode, peers, yuccagate.WithLog(logged))
 	Expect(err).NotTo(HaveOccurred())
 	callers, err := net.Listen("tcp", "127.0.0.1:0")
 	Expect(err).NotTo(HaveOccurred())
@@ -282,3 +293,13 @@
 	}
 	return sum
 }
+
+// used is what an account was let in for, as far as a gateway knows.
+func (gt *gate) used(account yuccaid.Account) int64 {
+	for _, each := range gt.Status().Accounts {
+		if each.Account == account {
+			return each.Used
+		}
+	}
+	return 0
+}
--- a/io/yuccagate/gate.go
+++ b/io/yuccagate/gate.go
@@ -74,7 +74,11 @@
 	ledger  *yuccaquota.Ledger
 	useTold time.Time
 	useCast time.Time
-	budget  *yuccabudget.Budget
+	// counted are the daemons of this data centre whose earlier use is counted, and wholeDue
+	// says that another data centre may lack what this one let in.
+	counted  map[yuccaid.Incarnation]bool
+	wholeDue bool
+	budget   *yuccabudget.Budget
 
 	desks   map[yuccaid.Pool]*desk
 	tickets map[uint64]*ticket
@@ -117,6 +121,7 @@
 		budget: yuccabudget.New(yuccabudget.Bounds{
 			Window: settings.Bounds.ResendWindow, Ratio: settings.Bounds.ResendRatio, Allowance: settings.Bounds.ResendAllowance,
 		}),
+		counted: make(map[yuccaid.Incarnation]bool),
 		desks:   make(map[yuccaid.Pool]*desk),
 		tickets: make(map[uint64]*ticket),
 	}
--- a/io/yuccagate/gate_test.go
+++ b/io/yuccagate/gate_test.go
@@ -15,7 +15,9 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"yuccacleat/core/yuccaid"
 	"yuccacleat/core/yuccaroster"
+	"yuccacleat/io/yuccagate"
 )
 
 func status(code int, fields ...string) http.HandlerFunc {
@@ -575,9 +577,13 @@
 	// once each data centre has found itself, accounts would get their quotas twice.
 	It("stay connected and count quotas together", func() {
 		eng := newEngine("a", nil)
-		one := newGateIn("odessa", "odessa-1")
+		still := func(set *yuccagate.Settings) { set.Bounds.QuotaWindow = time.Hour }
+		one := newGateOf("127.0.0.1:0", "odessa", "odessa-1", still)
 		seed := one.Status().Address
-		all := []*gate{one, newGateIn("odessa", "odessa-2", seed), newGateIn("austin", "austin-1", seed), newGateIn("austin", "austin-2", seed)}
+		all := []*gate{one}
+		for _, each := range []struct{ centre, vm string }{{"odessa", "odessa-2"}, {"austin", "austin-1"}, {"austin", "austin-2"}} {
+			all = append(all, newGateOf("127.0.0.1:0", yuccaid.Centre(each.centre), each.vm, still, seed))
+		}
 		for _, gt := range all {
 			gt.know(1, config(), 4, eng)
 		}
@@ -595,16 +601,47 @@
 		Consistently(crossing, 1500*time.Millisecond, 50*time.Millisecond).Should(BeTrue())
 		served := 0
 		for turn := range 60 {
-			got := call{path: "/ticket/", id: fmt.Sprint("r", turn), key: "k2"}.do(all[turn%4])
-			if got.status == http.StatusOK {
-				served++
+			got := call{path: "/ticket/", id: fmt.Sprint("r", turn), key: "k3"}.do(all[turn%4])
+			if got.status != http.StatusOK {
+				continue
+			}
+			served++
+			for _, gt := range all {
+				Eventually(func() int64 { return gt.used("still") }, 5*time.Second).Should(BeEquivalentTo(5*served), "at %s", gt.Status().VM)
 			}
-			time.Sleep(10 * time.Millisecond)
 		}
-		Expect(served).To(BeNumerically("<=", 23), "the quota lets in twenty")
+		Expect(served).To(BeNumerically("<=", 20), "the quota lets in twenty")
+		Expect(served).To(BeNumerically(">=", 19), "the last one is more than each gateway's share of what is left")
 	})
 })
 
+var _ = Describe("gateways that were all restarted", func() {
+	// Until they meet, each lets accounts in by itself. If what they let in before was never
+	// told, an account that presses would be let in for as much again by everybody.
+	DescribeTable("count what each let in before they met",
+		func(centre yuccaid.Centre, vm string) {
+			eng := newEngine("a", nil)
+			forgot := func(set *yuccagate.Settings) { set.First, set.Bounds.QuotaWindow = false, time.Hour }
+			reserved, err := net.Listen("tcp", "127.0.0.1:0")
+			Expect(err).NotTo(HaveOccurred())
+			address := reserved.Addr().String()
+			reserved.Close()
+			early := newGateOf("127.0.0.1:0", "odessa", "odessa-1", forgot, address)
+			early.know(1, config(), 4, eng)
+			Expect(call{path: "/ticket/", id: "early", key: "k3"}.do(early).status).To(Equal(http.StatusOK))
+			late := newGateOf(address, centre, vm, forgot)
+			late.know(1, config(), 4, eng)
+			Expect(call{path: "/ticket/", id: "late", key: "k3"}.do(late).status).To(Equal(http.StatusOK))
+			for _, gt := range []*gate{early, late} {
+				Eventually(func() int64 { return gt.used("still") }, 5*time.Second).Should(BeEquivalentTo(10), "at %s", gt.Status().VM)
+				Consistently(func() int64 { return gt.used("still") }, time.Second).Should(BeEquivalentTo(10), "at %s", gt.Status().VM)
+			}
+		},
+		Entry("in one data centre", yuccaid.Centre("odessa"), "odessa-2"),
+		Entry("in two", yuccaid.Centre("austin"), "austin-1"),
+	)
+})
+
 var _ = Describe("bytes that are no proper request", func() {
 	// What they want is that the gateway and a target see two different requests in the same
 	// bytes. The second would run with nobody's key checked.
--- a/io/yuccagate/peers.go
+++ b/io/yuccagate/peers.go
@@ -60,7 +60,8 @@
 		gate.log.belief("peer reached", "peer", member.VM, "centre", member.Centre)
 		gate.onChange(now, gate.peers.Linked(now, member))
 		gate.send(member.Incarnation, yuccawire.KindUse, yuccawire.Use{
-			Totals: true, Spent: gate.ledger.Totals(now), Knows: !gate.ledger.Amnesic(now),
+			Totals: true, Spent: gate.ledger.Totals(now), Mine: gate.ledger.Mine(now), Home: gate.ledger.Home(now),
+			Knows: !gate.ledger.Amnesic(now),
 		})
 		gate.resync(now, member.Incarnation)
 	})
@@ -126,6 +127,7 @@
 	for _, left := range change.Left {
 		gate.log.belief("peer gone", "peer", left.VM, "centre", left.Centre)
 		gate.ownerGone(now, left.Incarnation)
+		delete(gate.counted, left.Incarnation)
 	}
 	if len(change.Joined) == 0 && len(change.Left) == 0 && !change.Woken {
 		return
@@ -201,7 +203,7 @@
 	case yuccawire.KindFresh:
 		return decoded(frame, func(message yuccawire.Fresh) { gate.onFresh(now, from, message) })
 	case yuccawire.KindUse:
-		return decoded(frame, func(message yuccawire.Use) { gate.onUse(now, message) })
+		return decoded(frame, func(message yuccawire.Use) { gate.onUse(now, from, message) })
 	case yuccawire.KindCast:
 		return decoded(frame, func(message yuccawire.Cast) { gate.onCast(now, from, message) })
 	case yuccawire.KindAsk:
--- a/io/yuccagate/status.go
+++ b/io/yuccagate/status.go
@@ -26,6 +26,8 @@
 	Open           int64          `json:"open"`
 	Pools          []PoolStatus   `json:"pools"`
 	Targets        []TargetStatus `json:"targets"`
+	// Accounts lists the accounts with a quota.
+	Accounts []AccountStatus `json:"accounts"`
 }
 
 // PeerStatus is one other daemon that is live.
@@ -52,6 +54,14 @@
 	Leaving bool           `json:"leaving"`
 }
 
+// AccountStatus is what an account was let in for within its quota's window by all daemons,
+// as far as this one has heard, and what it may be let in for.
+type AccountStatus struct {
+	Account yuccaid.Account `json:"account"`
+	Used    int64           `json:"used"`
+	Limit   int64           `json:"limit"`
+}
+
 // Status returns what the gateway believes now.
 func (gate *Gate) Status() Status {
 	var status Status
@@ -82,5 +92,8 @@
 			Target: entry.Target, Pool: entry.Pool, Centre: entry.Centre, Address: entry.Address, Leaving: entry.Leaving,
 		})
 	}
+	for _, use := range gate.ledger.Uses(now) {
+		status.Accounts = append(status.Accounts, AccountStatus(use))
+	}
 	return status
 }
--- a/io/yuccagate/use.go
+++ b/io/yuccagate/use.go
@@ -21,7 +21,7 @@
 	// firstPart is the part of quotas that a daemon uses before it has heard from others, for
 	// some tenths of a second. What an account can be let in for meanwhile is bounded by what
 	// it asks for; callers who come back after an outage are refused with a smaller part.
-	firstPart = 1.0 / 4
+	firstPart = 0.15
 	// silentUsed is the part of the silent daemons' quota that the larger side of a cut uses.
 	silentUsed = 0.4
 )
@@ -32,9 +32,11 @@
 		return nil
 	}
 	cost := req.account.Quota.Cost(req.caller.Charged)
-	back, verdict := gate.ledger.Take(now, req.account.Name, cost, req.route.Rank)
-	if verdict != yuccaquota.Taken {
-		return &Problem{Kind: KindQuota, Detail: string(verdict), Back: back}
+	answer := gate.ledger.Take(now, req.account.Name, cost, req.route.Rank)
+	if answer.Verdict != yuccaquota.Taken {
+		gate.log.request(req.caller.ID, "quota", "account", req.account.Name, "verdict", answer.Verdict, "cost", int64(cost),
+			"used", answer.Used, "limit", answer.Limit, "mine", answer.Mine, "asked", answer.Asked, "rush", answer.Rush, "part", gate.ledger.Part(), "daemons", gate.ledger.Daemons())
+		return &Problem{Kind: KindQuota, Detail: string(answer.Verdict), Back: answer.Back}
 	}
 	return nil
 }
@@ -99,22 +101,53 @@
 		return
 	}
 	spent := gate.ledger.ReportAway()
-	if len(spent) == 0 && now.Sub(gate.useCast) < castLatest {
+	quiet := castLatest
+	if now.Sub(gate.began) < centreAwaited {
+		// Data centres that start together find one another by these.
+		quiet = castEvery
+	}
+	if len(spent) == 0 && !gate.wholeDue && now.Sub(gate.useCast) < quiet {
 		return
 	}
 	gate.useCast = now
-	gate.cast(yuccawire.Cast{Topic: yuccawire.TopicUse, Use: spent, Daemons: len(gate.peers.Live(gate.settings.Centre))})
+	message := yuccawire.Cast{Topic: yuccawire.TopicUse, Use: spent, Daemons: len(gate.peers.Live(gate.settings.Centre))}
+	gate.cast(message)
+	if gate.wholeDue {
+		gate.wholeDue = false
+		message.Use, message.Whole = gate.ledger.Home(now), true
+		gate.cast(message)
+	}
 }
 
-func (gate *Gate) onUse(now time.Time, message yuccawire.Use) {
-	if message.Totals {
+// onUse takes a report of one daemon. What one nearby let in before the first connection to
+// it was reported to nobody here; if it has forgotten what was before, that is all it knows.
+// What another data centre lets in comes with casts, unless this one has forgotten it.
+func (gate *Gate) onUse(now time.Time, from yuccaid.Incarnation, message yuccawire.Use) {
+	peer, found := gate.peers.Find(from.VM)
+	away := found && peer.Centre != gate.settings.Centre
+	switch {
+	case !message.Totals:
+		gate.ledger.Heard(now, message.Spent)
+	case away && message.Knows:
+		gate.ledger.RaiseAway(now, peer.Centre, message.Spent, message.Home)
+	case away:
+	case message.Knows || gate.counted[from]:
 		gate.ledger.Raise(now, message.Spent, message.Knows)
-		return
+	default:
+		gate.ledger.Heard(now, message.Mine)
 	}
-	gate.ledger.Heard(now, message.Spent)
+	gate.counted[from] = true
 }
 
 func (gate *Gate) onCentreUse(now time.Time, message yuccawire.Cast) {
+	before := gate.centres[message.Centre]
+	if before == nil || now.Sub(before.heard) > centreFresh {
+		gate.wholeDue = true
+	}
 	gate.centres[message.Centre] = &centre{daemons: message.Daemons, heard: now}
-	gate.ledger.HeardAway(now, message.Use)
+	if message.Whole {
+		gate.ledger.HeardWhole(now, message.Centre, message.Use)
+		return
+	}
+	gate.ledger.HeardAway(now, message.Centre, message.Use)
 }
--- a/io/yuccawire/gate.go
+++ b/io/yuccawire/gate.go
@@ -41,6 +41,10 @@
 type Use struct {
 	Totals bool
 	Spent  []yuccaquota.Spent
+	// Mine is the part of the totals that the sender itself let in, and Home the part of its
+	// data centre.
+	Mine []yuccaquota.Spent
+	Home []yuccaquota.Spent
 	// Knows says that the sender has been there for a whole window or was told by one that
 	// had.
 	Knows bool
@@ -67,7 +71,10 @@
 	Pool     yuccaid.Pool
 	Sequence uint64
 	Use      []yuccaquota.Spent
-	Load     []TargetLoad
+	// Whole says that Use holds all that the data centre let in within the windows, not
+	// what it did since the last cast.
+	Whole bool
+	Load  []TargetLoad
 	// Daemons is how many daemons the origin's data centre has.
 	Daemons int
 }
