--- a/io/yuccagate/fleet_test.go
+++ b/io/yuccagate/fleet_test.go
@@ -194,13 +194,17 @@
 
 // newGateIn starts a gateway in one of two data centres.
 func newGateIn(centre yuccaid.Centre, vm string, seeds ...string) *gate {
-	return newGateOf("127.0.0.1:0", centre, vm, nil, seeds...)
+	return newGateOf(listen(), centre, vm, nil, seeds...)
 }
 
-// newGateOf starts a gateway at a peers' address, with changed settings.
-func newGateOf(address string, centre yuccaid.Centre, vm string, change func(*yuccagate.Settings), seeds ...string) *gate {
-	peers, err := net.Listen("tcp", address)
+func listen() net.Listener {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	Expect(err).NotTo(HaveOccurred())
+	return listener
+}
+
+// newGateOf starts a gateway that peers reach at a listener, with changed settings.
+func newGateOf(peers net.Listener, centre yuccaid.Centre, vm string, change func(*yuccagate.Settings), seeds ...string) *gate {
 	logged := &lines{}
 	set := settings(vm, centre, peers, seeds)
 	if change != nil {
--- a/io/yuccagate/gate_test.go
+++ b/io/yuccagate/gate_test.go
@@ -578,11 +578,11 @@
 	It("stay connected and count quotas together", func() {
 		eng := newEngine("a", nil)
 		still := func(set *yuccagate.Settings) { set.Bounds.QuotaWindow = time.Hour }
-		one := newGateOf("127.0.0.1:0", "odessa", "odessa-1", still)
+		one := newGateOf(listen(), "odessa", "odessa-1", still)
 		seed := one.Status().Address
 		all := []*gate{one}
 		for _, each := range []struct{ centre, vm string }{{"odessa", "odessa-2"}, {"austin", "austin-1"}, {"austin", "austin-2"}} {
-			all = append(all, newGateOf("127.0.0.1:0", yuccaid.Centre(each.centre), each.vm, still, seed))
+			all = append(all, newGateOf(listen(), yuccaid.Centre(each.centre), each.vm, still, seed))
 		}
 		for _, gt := range all {
 			gt.know(1, config(), 4, eng)
@@ -622,14 +622,12 @@
 		func(centre yuccaid.Centre, vm string) {
 			eng := newEngine("a", nil)
 			forgot := func(set *yuccagate.Settings) { set.First, set.Bounds.QuotaWindow = false, time.Hour }
-			reserved, err := net.Listen("tcp", "127.0.0.1:0")
-			Expect(err).NotTo(HaveOccurred())
-			address := reserved.Addr().String()
-			reserved.Close()
-			early := newGateOf("127.0.0.1:0", "odessa", "odessa-1", forgot, address)
+			// Connections to it are taken from its start on.
+			reserved := listen()
+			early := newGateOf(listen(), "odessa", "odessa-1", forgot, reserved.Addr().String())
 			early.know(1, config(), 4, eng)
 			Expect(call{path: "/ticket/", id: "early", key: "k3"}.do(early).status).To(Equal(http.StatusOK))
-			late := newGateOf(address, centre, vm, forgot)
+			late := newGateOf(reserved, centre, vm, forgot)
 			late.know(1, config(), 4, eng)
 			Expect(call{path: "/ticket/", id: "late", key: "k3"}.do(late).status).To(Equal(http.StatusOK))
 			for _, gt := range []*gate{early, late} {
