Decisions log their inputs, metrics are served, settings are read again, and nothing that ran is said not to have

Cause: the logs named outcomes without what they were decided from; metrics were two counters that nobody could fetch; SIGHUP only wrote a line, and a changed file without a signal nothing. Found while writing the lines: a lookup that failed at its target and found no second one was refused with 503, which promises that it never ran. Ruled out: lines at the leader (the owner's line names leader, expected time, load, revision and age of the platform's word, which the leader sends along). Before: two specs written first got 503 and 503; after: the target's own 500, and 502. A changed window of quotas makes a daemon forget and hold accounts as after a restart.

--- a/core/yuccagrant/ask.go
+++ b/core/yuccagrant/ask.go
@@ -32,6 +32,10 @@
 type Grant struct {
 	ID     ID
 	Target yuccaid.Target
+	// Expect is when the first event was expected after the sending, and Busy how many runs
+	// the target had before, for the log.
+	Expect time.Duration
+	Busy   int
 }
 
 // Reason says why a request is refused.
@@ -52,10 +56,11 @@
 	ID     ID
 	Reason Reason
 	Back   time.Duration
-	// Waiting and Free are how many waited before the request and how many places were
-	// free, for the log.
+	// Waiting and Free are how many waited before the request and how many places were free,
+	// and Wait how long it would have waited, for the log.
 	Waiting int
 	Free    int
+	Wait    time.Duration
 }
 
 // Decisions is what one event led to.
--- a/core/yuccagrant/leader.go
+++ b/core/yuccagrant/leader.go
@@ -284,8 +284,9 @@
 		return false
 	}
 	lead.queue.remove(item.ID)
+	busy := best.node.busy(now)
 	lead.start(now, best.node, item.Ask)
-	dec.Grants = append(dec.Grants, Grant{ID: item.ID, Target: best.node.Name})
+	dec.Grants = append(dec.Grants, Grant{ID: item.ID, Target: best.node.Name, Expect: best.first, Busy: busy})
 	return true
 }
 
@@ -363,7 +364,7 @@
 func (lead *Leader) refuse(now time.Time, ask *Ask, reason Reason, dec *Decisions) {
 	dec.Refusals = append(dec.Refusals, Refusal{
 		ID: ask.ID, Reason: reason, Back: lead.back(now, ask),
-		Waiting: lead.queue.len(), Free: lead.free(now),
+		Waiting: lead.queue.len(), Free: lead.free(now), Wait: lead.wait(now, lead.queue.ahead(ask.Rank, ask.Aim)),
 	})
 }
 
--- a/core/yuccapeer/peers.go
+++ b/core/yuccapeer/peers.go
@@ -214,6 +214,9 @@
 	})
 }
 
+// SetSeeds changes where other daemons may be met.
+func (peers *Peers) SetSeeds(addresses []string) { peers.seeds = addresses }
+
 // Find returns the live member on a VM, else the VM's candidate, without incarnation.
 func (peers *Peers) Find(vm yuccaid.VM) (Member, bool) {
 	if vm == peers.self.Incarnation.VM {
--- a/core/yuccaquota/ledger.go
+++ b/core/yuccaquota/ledger.go
@@ -93,10 +93,24 @@
 
 // New returns a ledger without quotas.
 func New(tolerance Tolerance) *Ledger {
-	if tolerance.Window <= 0 {
-		tolerance.Window = defaultWindow
+	return &Ledger{windows: make(map[yuccaid.Account]*window), tolerance: tolerance.orDefault(), part: 1, daemons: 1, delay: defaultDelay}
+}
+
+// SetTolerance changes the tolerance. What was counted stays, unless the window changes: sums
+// over another window can't be told from what was counted.
+func (led *Ledger) SetTolerance(now time.Time, tolerance Tolerance) {
+	tolerance = tolerance.orDefault()
+	if tolerance.Window != led.tolerance.Window {
+		led.Forgot(now)
+	}
+	led.tolerance = tolerance
+}
+
+func (tol Tolerance) orDefault() Tolerance {
+	if tol.Window <= 0 {
+		tol.Window = defaultWindow
 	}
-	return &Ledger{windows: make(map[yuccaid.Account]*window), tolerance: tolerance, part: 1, daemons: 1, delay: defaultDelay}
+	return tol
 }
 
 // Forgot notes that this daemon's process began anew in a fleet that was there before, so
--- a/io/yuccagate/desk.go
+++ b/io/yuccagate/desk.go
@@ -152,7 +152,7 @@
 // doubt has this daemon decide on a request whose leader gave no word.
 func (gate *Gate) doubt(now time.Time, dsk *desk, tkt *ticket) {
 	if now.After(dsk.doubted) {
-		gate.log.belief("leader doubted", "pool", dsk.pool, "leader", dsk.leader.VM, "request", tkt.name)
+		gate.log.belief("leader doubted", "pool", dsk.pool, "leader", dsk.leader.VM, "request", tkt.req.caller.ID, "silentMillis", now.Sub(tkt.asked).Milliseconds())
 	}
 	dsk.doubted = now.Add(doubtFor)
 	gate.send(dsk.leader, yuccawire.KindWithdrawn, yuccawire.Withdrawn{Pool: dsk.pool, Number: tkt.ask.ID.Number})
@@ -183,16 +183,18 @@
 func (gate *Gate) apply(now time.Time, dsk *desk, dec yuccagrant.Decisions) {
 	for _, grant := range dec.Grants {
 		if grant.ID.Owner != gate.inc {
-			gate.send(grant.ID.Owner, yuccawire.KindPlaced, yuccawire.Placed{Pool: dsk.pool, Number: grant.ID.Number, Target: grant.Target})
+			gate.send(grant.ID.Owner, yuccawire.KindPlaced, yuccawire.Placed{
+				Pool: dsk.pool, Number: grant.ID.Number, Target: grant.Target, ExpectMillis: grant.Expect.Milliseconds(), Busy: grant.Busy,
+			})
 			continue
 		}
-		gate.grant(now, dsk, grant.ID.Number, grant.Target)
+		gate.grant(now, dsk, grant)
 	}
 	for _, refusal := range dec.Refusals {
 		if refusal.ID.Owner != gate.inc {
 			gate.send(refusal.ID.Owner, yuccawire.KindPlaced, yuccawire.Placed{
 				Pool: dsk.pool, Number: refusal.ID.Number, Reason: string(refusal.Reason), BackMillis: refusal.Back.Milliseconds(),
-				Waiting: refusal.Waiting, Free: refusal.Free,
+				Waiting: refusal.Waiting, Free: refusal.Free, WaitMillis: refusal.Wait.Milliseconds(),
 			})
 			continue
 		}
@@ -202,14 +204,15 @@
 
 // grant sends one of this daemon's requests to its target. What was decided with an older
 // roster than this daemon's is checked once more: a target that is leaving gets nothing.
-func (gate *Gate) grant(now time.Time, dsk *desk, number uint64, target yuccaid.Target) {
-	tkt := gate.tickets[number]
+func (gate *Gate) grant(now time.Time, dsk *desk, given yuccagrant.Grant) {
+	target := given.Target
+	tkt := gate.tickets[given.ID.Number]
 	if tkt == nil || tkt.running {
 		return
 	}
 	entry, found := gate.roster.Find(target)
 	if !found || entry.Leaving {
-		gate.log.request(tkt.name, "declined", "target", target, "known", found)
+		tkt.req.told("declined", "target", target, "known", found, "leader", dsk.leader.VM, "revision", gate.platformAt)
 		tkt.ask.Tried = append(tkt.ask.Tried, target)
 		gate.giveBack(now, dsk, yuccagrant.Ended{ID: tkt.ask.ID, Outcome: yuccagrant.Dropped})
 		gate.ask(now, dsk, tkt)
@@ -223,16 +226,25 @@
 	} else {
 		gate.tell(now, dsk, tkt)
 	}
-	tkt.placed <- placed{target: target, address: entry.Address, alone: tkt.alone && !dsk.leads}
+	tkt.placed <- placed{
+		target: target, address: entry.Address, alone: tkt.alone && !dsk.leads,
+		inputs: gate.inputs(now, dsk, given.Expect, given.Busy),
+	}
 }
 
 func (gate *Gate) refuse(refusal yuccagrant.Refusal) {
 	if tkt := gate.tickets[refusal.ID.Number]; tkt != nil && !tkt.running {
 		delete(gate.tickets, refusal.ID.Number)
-		tkt.placed <- placed{refusal: &refusal}
+		tkt.placed <- placed{refusal: &refusal, inputs: gate.inputs(time.Now(), gate.desks[tkt.pool], 0, 0)}
 	}
 }
 
+// inputs returns what a decision was made from.
+func (gate *Gate) inputs(now time.Time, dsk *desk, expect time.Duration, busy int) inputs {
+	in := inputs{leader: dsk.leader.VM, expect: expect, busy: busy, revision: gate.platformAt, age: gate.platformAge(now)}
+	return in
+}
+
 // giveBack tells those who decide that a run has ended.
 func (gate *Gate) giveBack(now time.Time, dsk *desk, end yuccagrant.Ended) {
 	gate.apply(now, dsk, dsk.own.Ended(now, end))
--- a/io/yuccagate/gate.go
+++ b/io/yuccagate/gate.go
@@ -115,15 +115,11 @@
 		faults:    make(map[string]time.Time),
 		roster:    yuccaroster.New(),
 		fresh:     make(map[yuccaid.Incarnation]fresh),
-		ledger: yuccaquota.New(yuccaquota.Tolerance{
-			Window: settings.Bounds.QuotaWindow, Overshoot: settings.Bounds.QuotaOvershoot, Amount: settings.Bounds.QuotaAllowance,
-		}),
-		budget: yuccabudget.New(yuccabudget.Bounds{
-			Window: settings.Bounds.ResendWindow, Ratio: settings.Bounds.ResendRatio, Allowance: settings.Bounds.ResendAllowance,
-		}),
-		counted: make(map[yuccaid.Incarnation]bool),
-		desks:   make(map[yuccaid.Pool]*desk),
-		tickets: make(map[uint64]*ticket),
+		ledger:    yuccaquota.New(settings.Bounds.tolerance()),
+		budget:    yuccabudget.New(settings.Bounds.resends()),
+		counted:   make(map[yuccaid.Incarnation]bool),
+		desks:     make(map[yuccaid.Pool]*desk),
+		tickets:   make(map[uint64]*ticket),
 	}
 	for _, option := range options {
 		option(gate)
@@ -173,6 +169,26 @@
 	})
 }
 
+// MetricsHandler serves the metrics.
+func (gate *Gate) MetricsHandler() http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "text/plain; version=0.0.4; charset=utf-8")
+		gate.WriteMetrics(w)
+	})
+}
+
+// Reload takes over changed seeds and bounds. What is counted stays, and nothing that runs
+// notices.
+func (gate *Gate) Reload(settings Settings) {
+	gate.control.Post(func(now time.Time) {
+		gate.settings.Seeds, gate.settings.Bounds = settings.Seeds, settings.Bounds
+		gate.peers.SetSeeds(settings.Seeds)
+		gate.ledger.SetTolerance(now, settings.Bounds.tolerance())
+		gate.budget.SetBounds(settings.Bounds.resends())
+		gate.hub.Connect(gate.peers.Dial())
+	})
+}
+
 // tick runs on the control goroutine every tickEvery, and first after a pause.
 func (gate *Gate) tick(now time.Time) {
 	gate.tickPeers(now)
--- a/io/yuccagate/gate_test.go
+++ b/io/yuccagate/gate_test.go
@@ -409,6 +409,36 @@
 	})
 })
 
+var _ = Describe("a request that ran and failed", func() {
+	// A lookup fails at its target, another one is looked for, and there is none any more. Its
+	// caller must not hear that it didn't run: what it changed at the target is changed.
+	It("is answered with the failure, not with a promise that it never ran", func() {
+		var gt *gate
+		eng := newEngine("a", func(w http.ResponseWriter, r *http.Request) {
+			gt.OfferTargets(nil, []yuccaroster.Removal{{Target: "a", Revision: 9}}, false, 9, true)
+			Eventually(func() int { return len(gt.Status().Targets) }).Should(BeZero())
+			status(http.StatusInternalServerError)(w, r)
+		})
+		gt = newGate("entry-1")
+		gt.know(1, config(), 4, eng)
+		got := call{path: "/lookup/"}.do(gt)
+		Expect(got.status).To(Equal(http.StatusInternalServerError))
+		Expect(got.body).To(Equal("status 500"))
+	})
+
+	It("is answered with what promises nothing if no answer came", func() {
+		var gt *gate
+		eng := newEngine("a", func(w http.ResponseWriter, r *http.Request) {
+			gt.OfferTargets(nil, []yuccaroster.Removal{{Target: "a", Revision: 9}}, false, 9, true)
+			Eventually(func() int { return len(gt.Status().Targets) }).Should(BeZero())
+			hangUp(w, r)
+		})
+		gt = newGate("entry-1")
+		gt.know(1, config(), 4, eng)
+		Expect(call{path: "/lookup/"}.do(gt).status).To(Equal(http.StatusBadGateway))
+	})
+})
+
 var _ = Describe("a gateway that is told to end", func() {
 	It("finishes what runs, closes what is idle and sends late callers away", func() {
 		release := make(chan struct{})
@@ -615,6 +645,25 @@
 	})
 })
 
+var _ = Describe("a gateway whose settings change", func() {
+	It("finds its peers at new seeds, and what runs goes on", func() {
+		release := make(chan struct{})
+		eng := newEngine("a", func(w http.ResponseWriter, _ *http.Request) {
+			<-release
+			fmt.Fprint(w, "whole")
+		})
+		one, other := newGate("entry-1"), newGate("entry-2")
+		other.know(1, config(), 4, eng)
+		got := make(chan answered, 1)
+		go func() { got <- call{path: "/ticket/"}.do(other) }()
+		Eventually(eng.running.Load).Should(BeEquivalentTo(1))
+		other.Reload(yuccagate.Settings{Seeds: []string{one.Status().Address}})
+		Eventually(func() int { return len(other.Status().Peers) }, 5*time.Second).Should(Equal(1))
+		close(release)
+		Eventually(got).Should(Receive(HaveField("body", "whole")))
+	})
+})
+
 var _ = Describe("gateways that were all restarted", func() {
 	// Until they meet, each lets accounts in by itself. If what they let in before was never
 	// told, an account that presses would be let in for as much again by everybody.
--- a/io/yuccagate/metrics.go
+++ b/io/yuccagate/metrics.go
@@ -3,9 +3,13 @@
 import (
 	"fmt"
 	"io"
+	"strconv"
+	"time"
 
 	vm "github.com/VictoriaMetrics/metrics"
 
+	"yuccacleat/core/yuccagrant"
+	"yuccacleat/core/yuccaquota"
 	"yuccacleat/io/yuccawire"
 )
 
@@ -18,8 +22,46 @@
 	return &metrics{set: vm.NewSet()}
 }
 
-func (met *metrics) problem(kind Kind) {
-	met.set.GetOrCreateCounter(fmt.Sprintf("yuccacleat_gate_problems_total{kind=%q}", kind)).Inc()
+// tierLabel names a tier; requests of no route have none.
+func tierLabel(tier int) string {
+	if tier < 0 {
+		return "none"
+	}
+	return strconv.Itoa(tier)
+}
+
+func (met *metrics) problem(tier int, kind Kind, detail string) {
+	if kind != KindQuota && kind != KindLate && kind != KindBusy && kind != KindRejected {
+		// Other details are free text.
+		detail = ""
+	}
+	met.set.GetOrCreateCounter(fmt.Sprintf("yuccacleat_gate_problems_total{tier=%q,kind=%q,reason=%q}", tierLabel(tier), kind, detail)).Inc()
+}
+
+// answered counts an answer of a target, with the time from the request's arrival to the
+// first event and the longest pause after it.
+func (met *metrics) answered(tier int, outcome yuccagrant.Outcome, first, pause time.Duration) {
+	label := tierLabel(tier)
+	met.set.GetOrCreateCounter(fmt.Sprintf("yuccacleat_gate_answers_total{tier=%q,outcome=%q}", label, outcome)).Inc()
+	if outcome != yuccagrant.Served {
+		return
+	}
+	met.set.GetOrCreateHistogram(fmt.Sprintf("yuccacleat_gate_first_event_seconds{tier=%q}", label)).Update(first.Seconds())
+	met.set.GetOrCreateHistogram(fmt.Sprintf("yuccacleat_gate_pause_seconds{tier=%q}", label)).Update(pause.Seconds())
+}
+
+// sent counts a sending to a target, and how long the request had waited by then.
+func (met *metrics) sent(tier int, alone bool, waited time.Duration) {
+	met.set.GetOrCreateCounter(fmt.Sprintf("yuccacleat_gate_sends_total{tier=%q,alone=\"%t\"}", tierLabel(tier), alone)).Inc()
+	met.set.GetOrCreateHistogram(fmt.Sprintf("yuccacleat_gate_wait_seconds{tier=%q}", tierLabel(tier))).Update(waited.Seconds())
+}
+
+func (met *metrics) resend(allowed bool) {
+	met.set.GetOrCreateCounter(fmt.Sprintf("yuccacleat_gate_resends_total{allowed=\"%t\"}", allowed)).Inc()
+}
+
+func (met *metrics) quota(verdict yuccaquota.Verdict) {
+	met.set.GetOrCreateCounter(fmt.Sprintf("yuccacleat_gate_quota_refusals_total{verdict=%q}", verdict)).Inc()
 }
 
 func (met *metrics) unsent(kind yuccawire.Kind) {
@@ -29,4 +71,32 @@
 // WriteMetrics writes the metrics in the text form that scrapers read.
 func (gate *Gate) WriteMetrics(w io.Writer) {
 	gate.metrics.set.WritePrometheus(w)
+	status := gate.Status()
+	vm.WriteGaugeUint64(w, "yuccacleat_gate_configuration_number", uint64(status.Number))
+	vm.WriteGaugeFloat64(w, "yuccacleat_gate_platform_age_seconds", float64(status.PlatformMillis)/1000)
+	vm.WriteGaugeUint64(w, "yuccacleat_gate_peers", uint64(len(status.Peers)))
+	vm.WriteGaugeFloat64(w, "yuccacleat_gate_quota_part", status.QuotaPart)
+	vm.WriteGaugeUint64(w, "yuccacleat_gate_open_requests", uint64(max(status.Open, 0)))
+	vm.WriteGaugeUint64(w, "yuccacleat_gate_ready", truth(status.Ready))
+	vm.WriteGaugeFloat64(w, "yuccacleat_gate_control_lag_seconds", gate.control.Oldest().Seconds())
+	for _, pool := range status.Pools {
+		label := fmt.Sprintf("{pool=%q}", pool.Pool)
+		vm.WriteGaugeUint64(w, "yuccacleat_gate_waiting"+label, uint64(pool.Waiting))
+		vm.WriteGaugeUint64(w, "yuccacleat_gate_targets"+label, uint64(len(pool.Targets)))
+		vm.WriteGaugeUint64(w, "yuccacleat_gate_leads"+label, truth(pool.Leader == status.VM))
+	}
+	for _, count := range gate.hub.Counts() {
+		label := fmt.Sprintf("{kind=%q}", count.Kind)
+		vm.WriteCounterUint64(w, "yuccacleat_gate_messages_sent_total"+label, count.MessagesSent)
+		vm.WriteCounterUint64(w, "yuccacleat_gate_messages_received_total"+label, count.MessagesReceived)
+		vm.WriteCounterUint64(w, "yuccacleat_gate_sent_bytes_total"+label, uint64(count.BytesSent))
+		vm.WriteCounterUint64(w, "yuccacleat_gate_received_bytes_total"+label, uint64(count.BytesReceived))
+	}
+}
+
+func truth(value bool) uint64 {
+	if value {
+		return 1
+	}
+	return 0
 }
--- a/io/yuccagate/placing.go
+++ b/io/yuccagate/placing.go
@@ -96,11 +96,13 @@
 		gate.returnLate(now, from, tkt, message)
 	case !waits:
 	case message.Target != "":
-		gate.grant(now, gate.desks[tkt.pool], message.Number, message.Target)
+		gate.grant(now, gate.desks[tkt.pool], yuccagrant.Grant{
+			ID: tkt.ask.ID, Target: message.Target, Expect: time.Duration(message.ExpectMillis) * time.Millisecond, Busy: message.Busy,
+		})
 	case message.Reason != "":
 		gate.refuse(yuccagrant.Refusal{
 			ID: tkt.ask.ID, Reason: yuccagrant.Reason(message.Reason), Back: time.Duration(message.BackMillis) * time.Millisecond,
-			Waiting: message.Waiting, Free: message.Free,
+			Waiting: message.Waiting, Free: message.Free, Wait: time.Duration(message.WaitMillis) * time.Millisecond,
 		})
 	default:
 		tkt.word = now
--- a/io/yuccagate/problem.go
+++ b/io/yuccagate/problem.go
@@ -60,6 +60,8 @@
 	Detail string
 	// Back is when coming back makes sense, zero if it is not said.
 	Back time.Duration
+	// inputs are fields of the log that tell what was decided from.
+	inputs []any
 }
 
 // Error names the kind and the remedy.
@@ -76,6 +78,15 @@
 	return natures[prob.Kind].status
 }
 
+// promises reports whether the status says that the request has not run and will not run.
+func (prob *Problem) promises() bool {
+	switch prob.Status() {
+	case http.StatusTooManyRequests, http.StatusServiceUnavailable, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
+		return true
+	}
+	return false
+}
+
 // write answers a request whose answer has not begun.
 func (prob *Problem) write(w http.ResponseWriter) {
 	header := w.Header()
--- a/io/yuccagate/relay.go
+++ b/io/yuccagate/relay.go
@@ -61,9 +61,20 @@
 	end.Outcome = outcomeOf(ctx, att, err)
 	att.answer.Close()
 	req.gate.ended(att.tkt, end)
-	req.gate.log.request(req.caller.ID, "answered", "target", att.tkt.target, "status", att.answer.Status, "outcome", end.Outcome.String(),
-		"firstMillis", end.First.Milliseconds(), "events", end.Events, "pauseMillis", end.Pause.Milliseconds(),
-		"afterMillis", time.Since(req.arrived).Milliseconds(), "error", text(err))
+	req.logAnswered(att, end, err)
+}
+
+func (req *request) logAnswered(att *attempt, end yuccagrant.Ended, err error) {
+	req.gate.metrics.answered(req.tier(), end.Outcome, att.sent.Add(end.First).Sub(req.arrived), end.Pause)
+	fields := []any{
+		"target", att.tkt.target, "status", att.answer.Status, "outcome", end.Outcome.String(), "firstMillis", end.First.Milliseconds(),
+		"events", end.Events, "pauseMillis", end.Pause.Milliseconds(), "sends", req.sends, "runs", req.runs,
+	}
+	if err != nil || end.Outcome != yuccagrant.Served {
+		req.told("answered", append(fields, "cause", text(err))...)
+		return
+	}
+	req.went("answered", append(fields, "afterMillis", time.Since(req.arrived).Milliseconds())...)
 }
 
 func outcomeOf(ctx context.Context, att *attempt, err error) yuccagrant.Outcome {
@@ -141,7 +152,7 @@
 		}
 		att, outcome := req.send(ctx, tkt, place, flow.position)
 		if outcome == yuccagrant.Served && att.answer.Status == http.StatusOK && req.streams(att) {
-			req.gate.log.request(req.caller.ID, "resumed", "target", place.target, "position", flow.position)
+			req.told("resumed", "target", place.target, "position", flow.position)
 			return att
 		}
 		if att.answer != nil {
--- a/io/yuccagate/request.go
+++ b/io/yuccagate/request.go
@@ -83,9 +83,17 @@
 }
 
 func (req *request) refuse(prob *Problem) {
-	req.gate.metrics.problem(prob.Kind)
-	req.gate.log.request(req.caller.ID, "refused", "kind", prob.Kind, "detail", prob.Detail,
-		"afterMillis", time.Since(req.arrived).Milliseconds(), "backMillis", prob.Back.Milliseconds(), "sends", req.sends)
+	req.gate.metrics.problem(req.tier(), prob.Kind, prob.Detail)
+	fields := append([]any{
+		"kind", prob.Kind, "status", prob.Status(), "detail", prob.Detail, "backMillis", prob.Back.Milliseconds(),
+		"sends", req.sends, "runs", req.runs, "number", req.number(),
+	}, prob.inputs...)
+	if prob.Kind == KindKey || prob.Kind == KindNoRoute {
+		// Callers without a right to anything may send as many as they like.
+		req.went("refused", fields...)
+	} else {
+		req.told("refused", fields...)
+	}
 	prob.write(req.w)
 }
 
@@ -261,6 +269,25 @@
 	return ask
 }
 
+// tier is the request's tier in metrics: the rank of its route.
+func (req *request) tier() int {
+	if req.route == nil {
+		return -1
+	}
+	return min(max(req.route.Rank, 0), mostTiers)
+}
+
+// number is the configuration that the request is handled by.
+func (req *request) number() yuccaid.Number {
+	if req.table == nil {
+		return 0
+	}
+	return req.table.Number()
+}
+
+// mostTiers bounds the tiers that metrics tell apart.
+const mostTiers = 9
+
 // routeRanks is more than the ranks that routes have.
 const routeRanks = 1000
 
--- a/io/yuccagate/run.go
+++ b/io/yuccagate/run.go
@@ -30,18 +30,22 @@
 // run sends the request to a target, and to another one where the first surely didn't run
 // it or it may be repeated, and hands the answer back.
 func (req *request) run(ctx context.Context) *Problem {
+	// failure is a target's failure that another target may mend.
+	var failure *attempt
 	for {
-		tkt, place, err := req.gate.acquire(ctx, req)
-		if err != nil {
-			return req.gaveUp(err)
+		tkt, place, prob := req.place(ctx)
+		if prob != nil && failure != nil && ctx.Err() == nil {
+			// It ran: to say now that it didn't would be untrue, and the target's own word
+			// says more than one of ours.
+			req.told("kept", "kind", prob.Kind, "detail", prob.Detail, "status", failure.answer.Status, "target", failure.tkt.target)
+			return req.relay(ctx, failure)
 		}
-		if place.problem != nil {
-			return place.problem
-		}
-		if place.refusal != nil {
-			return refused(place.refusal)
+		if prob != nil {
+			return prob
 		}
+		failure.drop()
 		att, outcome := req.send(ctx, tkt, place, req.caller.Position)
+		failure = nil
 		switch {
 		case outcome == yuccagrant.Served && att.answer.Status < http.StatusInternalServerError:
 			return req.relay(ctx, att)
@@ -49,8 +53,8 @@
 			if !req.again(yuccagrant.Failed) {
 				return req.relay(ctx, att)
 			}
-			att.answer.Close()
 			req.gate.ended(tkt, yuccagrant.Ended{Outcome: yuccagrant.Failed, Load: att.word.Load})
+			failure = att
 		default:
 			req.gate.ended(tkt, yuccagrant.Ended{Outcome: outcome, Load: att.word.Load})
 			if ctx.Err() != nil || !req.again(outcome) {
@@ -60,14 +64,51 @@
 	}
 }
 
+// drop gives up an answer that another one takes the place of.
+func (att *attempt) drop() {
+	if att != nil {
+		att.answer.Close()
+	}
+}
+
+// place waits for a target. A request that has run is never said not to have.
+func (req *request) place(ctx context.Context) (*ticket, placed, *Problem) {
+	tkt, place, err := req.gate.acquire(ctx, req)
+	var prob *Problem
+	switch {
+	case err != nil:
+		prob = req.gaveUp(err)
+	case place.problem != nil:
+		prob = place.problem
+	case place.refusal != nil:
+		prob = refused(place)
+	}
+	if prob != nil && req.runs > 0 && prob.promises() {
+		prob = &Problem{Kind: KindLost, Detail: "it ran before: " + string(prob.Kind), inputs: prob.inputs}
+	}
+	return tkt, place, prob
+}
+
 // again reports whether the request may be sent to another target after an outcome.
 func (req *request) again(outcome yuccagrant.Outcome) bool {
+	may, why := req.mayRepeat(outcome)
+	if may && !req.gate.mayResend(req) {
+		may, why = false, "budget of resends"
+	}
+	req.told("again", "outcome", outcome.String(), "may", may, "why", why, "sends", req.sends, "runs", req.runs)
+	return may
+}
+
+// mayRepeat reports whether what the request is allows another sending, and why.
+func (req *request) mayRepeat(outcome yuccagrant.Outcome) (may bool, why string) {
 	switch outcome {
 	case yuccagrant.Rejected, yuccagrant.Misdirected, yuccagrant.Unreachable:
-		return req.sends < mostSends && req.gate.mayResend(req)
-	default:
-		return req.route.Repeatable() && req.runs < max(req.route.Attempts, 1) && req.gate.mayResend(req)
+		return req.sends < mostSends, "not run"
 	}
+	if !req.route.Repeatable() {
+		return false, "may run once"
+	}
+	return req.runs < max(req.route.Attempts, 1), "attempts of the route"
 }
 
 // gaveUp says what becomes of a request that was never sent on this turn.
@@ -90,7 +131,8 @@
 	}
 }
 
-func refused(refusal *yuccagrant.Refusal) *Problem {
+func refused(place placed) *Problem {
+	refusal := place.refusal
 	kind := KindLate
 	switch refusal.Reason {
 	case yuccagrant.ReasonNoTarget:
@@ -98,7 +140,10 @@
 	case yuccagrant.ReasonFull:
 		kind = KindBusy
 	}
-	return &Problem{Kind: kind, Detail: string(refusal.Reason), Back: refusal.Back}
+	return &Problem{Kind: kind, Detail: string(refusal.Reason), Back: refusal.Back, inputs: []any{
+		"leader", place.inputs.leader, "waiting", refusal.Waiting, "free", refusal.Free, "waitMillis", refusal.Wait.Milliseconds(),
+		"revision", place.inputs.revision, "newsAgeMillis", place.inputs.age.Milliseconds(),
+	}}
 }
 
 // send sends the request to the target that it was granted, to go on behind a position.
@@ -110,8 +155,8 @@
 	out.Header = req.onward(att.sent, place.target, position)
 	own := func(header http.Header) bool { return req.gate.dialect.Own(header, req.caller.ID) }
 	answer, err := req.gate.hop.Send(ctx, place.address, &out, own)
-	req.gate.log.request(req.caller.ID, "sent", "target", place.target, "account", req.accountName(), "route", req.route.Name,
-		"waitedMillis", att.sent.Sub(req.arrived).Milliseconds(), "alone", place.alone, "charged", req.caller.Charged, "number", req.table.Number(), "error", text(err))
+	req.gate.metrics.sent(req.tier(), place.alone, att.sent.Sub(req.arrived))
+	req.logSent(att, place, err)
 	if err != nil {
 		var unsent *yuccahop.UnsentError
 		if errors.As(err, &unsent) {
@@ -139,6 +184,21 @@
 	return att, yuccagrant.Served
 }
 
+// logSent tells of a sending and what it was decided from.
+func (req *request) logSent(att *attempt, place placed, err error) {
+	fields := []any{
+		"target", place.target, "send", req.sends, "waitedMillis", att.sent.Sub(req.arrived).Milliseconds(),
+		"leader", place.inputs.leader, "alone", place.alone, "expectMillis", place.inputs.expect.Milliseconds(), "busy", place.inputs.busy,
+		"number", req.table.Number(), "revision", place.inputs.revision, "newsAgeMillis", place.inputs.age.Milliseconds(),
+		"charged", req.caller.Charged,
+	}
+	if err != nil {
+		req.told("sent", append(fields, "error", err)...)
+		return
+	}
+	req.went("sent", append(fields, "account", req.accountName(), "route", req.routeName())...)
+}
+
 func (req *request) accountName() yuccaid.Account {
 	if req.account == nil {
 		return ""
--- a/io/yuccagate/serve.go
+++ b/io/yuccagate/serve.go
@@ -72,9 +72,10 @@
 }
 
 // Drain tells that the daemon is leaving, sends idle callers elsewhere and returns once no
-// request is open, or when the context ends.
-func (srv *Server) Drain(ctx context.Context) {
+// request is open, or when the context ends, with the number of those that are then cut off.
+func (srv *Server) Drain(ctx context.Context) int64 {
 	srv.drain.Do(func() { srv.end(ctx) })
+	return srv.gate.open.Load()
 }
 
 func (srv *Server) end(ctx context.Context) {
--- a/io/yuccagate/settings.go
+++ b/io/yuccagate/settings.go
@@ -3,7 +3,9 @@
 import (
 	"time"
 
+	"yuccacleat/core/yuccabudget"
 	"yuccacleat/core/yuccaid"
+	"yuccacleat/core/yuccaquota"
 )
 
 // Settings is what differs from daemon to daemon, and the bounds that operators set.
@@ -42,3 +44,11 @@
 	QuotaOvershoot float64
 	QuotaAllowance float64
 }
+
+func (bnd *Bounds) tolerance() yuccaquota.Tolerance {
+	return yuccaquota.Tolerance{Window: bnd.QuotaWindow, Overshoot: bnd.QuotaOvershoot, Amount: bnd.QuotaAllowance}
+}
+
+func (bnd *Bounds) resends() yuccabudget.Bounds {
+	return yuccabudget.Bounds{Window: bnd.ResendWindow, Ratio: bnd.ResendRatio, Allowance: bnd.ResendAllowance}
+}
--- a/io/yuccagate/status.go
+++ b/io/yuccagate/status.go
@@ -18,7 +18,7 @@
 	Leaving bool           `json:"leaving"`
 	Number  yuccaid.Number `json:"number"`
 	// Rests says that another daemon reads the platform for this one, and PlatformMillis how
-	// old this daemon's own last word from it is, or -1.
+	// old the last word from it is, or -1.
 	Rests          bool           `json:"rests"`
 	PlatformMillis int64          `json:"platformMillis"`
 	Peers          []PeerStatus   `json:"peers"`
@@ -75,8 +75,8 @@
 		Number: gate.number(), Rests: gate.rests.Load(), PlatformMillis: -1,
 		QuotaPart: gate.ledger.Part(), Open: gate.open.Load(),
 	}
-	if !gate.platformHeard.IsZero() {
-		status.PlatformMillis = now.Sub(gate.platformHeard).Milliseconds()
+	if age := gate.platformAge(now); age >= 0 {
+		status.PlatformMillis = age.Milliseconds()
 	}
 	for _, member := range gate.hub.Linked() {
 		status.Peers = append(status.Peers, PeerStatus{VM: member.VM, Centre: member.Centre, Leaving: member.Leaving})
--- a/io/yuccagate/targets.go
+++ b/io/yuccagate/targets.go
@@ -52,6 +52,21 @@
 	})
 }
 
+// platformAge is how long ago the platform was last heard, by this daemon or by the one that
+// reads for it. It is -1 if that never happened.
+func (gate *Gate) platformAge(now time.Time) time.Duration {
+	age := time.Duration(-1)
+	if !gate.platformHeard.IsZero() {
+		age = now.Sub(gate.platformHeard)
+	}
+	for _, word := range gate.fresh {
+		if told := now.Sub(word.heard) + word.age; age < 0 || told < age {
+			age = told
+		}
+	}
+	return age
+}
+
 // MayRest reports whether this daemon need not read the platform, because another one of
 // its data centre does and tells it.
 func (gate *Gate) MayRest() bool { return gate.rests.Load() }
--- a/io/yuccagate/ticket.go
+++ b/io/yuccagate/ticket.go
@@ -6,13 +6,14 @@
 
 	"yuccacleat/core/yuccagrant"
 	"yuccacleat/core/yuccaid"
+	"yuccacleat/core/yuccaroster"
 )
 
 // ticket is a request that waits for a target or runs on one. But for placed, it belongs to
 // the control goroutine.
 type ticket struct {
-	// name is the request's id in logs.
-	name string
+	// req is the request; only what never changes of it may be read here.
+	req  *request
 	pool yuccaid.Pool
 	ask  yuccagrant.Ask
 	// placed gets the one decision on the ask.
@@ -38,11 +39,22 @@
 	alone   bool
 	refusal *yuccagrant.Refusal
 	problem *Problem
+	inputs  inputs
+}
+
+// inputs is what a decision on a request was made from, for the log.
+type inputs struct {
+	leader yuccaid.VM
+	expect time.Duration
+	busy   int
+	// revision is how far the platform had been heard, and age how long ago it last spoke.
+	revision yuccaroster.Revision
+	age      time.Duration
 }
 
 // acquire waits for a target. When the caller leaves meanwhile, the request is taken back.
 func (gate *Gate) acquire(ctx context.Context, req *request) (*ticket, placed, error) {
-	tkt := &ticket{name: req.caller.ID, pool: req.pool, ask: req.ask(), placed: make(chan placed, 1)}
+	tkt := &ticket{req: req, pool: req.pool, ask: req.ask(), placed: make(chan placed, 1)}
 	tkt.ask.ID = yuccagrant.ID{Owner: gate.inc, Number: gate.numbers.Add(1)}
 	gate.control.Post(func(now time.Time) { gate.enter(now, req, tkt) })
 	select {
@@ -110,5 +122,6 @@
 		_, daemons := gate.fleet(now)
 		allowed = req.arrivals == 0 || gate.budget.Resend(now, req.pool, daemons)
 	})
+	gate.metrics.resend(allowed)
 	return allowed
 }
--- a/io/yuccagate/use.go
+++ b/io/yuccagate/use.go
@@ -34,8 +34,8 @@
 	cost := req.account.Quota.Cost(req.caller.Charged)
 	answer := gate.ledger.Take(now, req.account.Name, cost, req.route.Rank)
 	if answer.Verdict != yuccaquota.Taken {
-		gate.log.request(req.caller.ID, "quota", "account", req.account.Name, "verdict", answer.Verdict, "cost", int64(cost),
-			"used", answer.Used, "limit", answer.Limit, "mine", answer.Mine, "asked", answer.Asked, "rush", answer.Rush, "part", gate.ledger.Part(), "daemons", gate.ledger.Daemons())
+		gate.metrics.quota(answer.Verdict)
+		req.told("quota", "verdict", answer.Verdict, "cost", int64(cost), "used", answer.Used, "limit", answer.Limit, "mine", answer.Mine, "asked", answer.Asked, "rush", answer.Rush, "part", gate.ledger.Part(), "daemons", gate.ledger.Daemons())
 		return &Problem{Kind: KindQuota, Detail: string(answer.Verdict), Back: answer.Back}
 	}
 	return nil
--- a/io/yuccawire/gate.go
+++ b/io/yuccawire/gate.go
@@ -116,6 +116,11 @@
 	BackMillis int64
 	Waiting    int
 	Free       int
+	WaitMillis int64
+	// ExpectMillis is when the first event is expected after the sending, and Busy how many
+	// runs the target has.
+	ExpectMillis int64
+	Busy         int
 }
 
 // Begun tells a leader that a run's first event came.
