--- a/cmd/yuccacleat/fleet_test.go
+++ b/cmd/yuccacleat/fleet_test.go
@@ -44,9 +44,11 @@
 	cmd  *exec.Cmd
 	line []byte
 	logs *logBuffer
+	// read is closed when the child's output has ended.
+	read chan struct{}
 }
 
-// logBuffer keeps a child's standard error for the report of a failed test.
+// logBuffer keeps a child's log and standard error for the report of a failed test.
 type logBuffer struct {
 	mu  sync.Mutex
 	buf bytes.Buffer
@@ -67,7 +69,7 @@
 // spawn starts a program and reads the line in which it tells its addresses.
 func spawn(program string, args ...string) *process {
 	GinkgoHelper()
-	proc := &process{cmd: exec.Command(program, args...), logs: &logBuffer{}}
+	proc := &process{cmd: exec.Command(program, args...), logs: &logBuffer{}, read: make(chan struct{})}
 	proc.cmd.Stderr = proc.logs
 	out, err := proc.cmd.StdoutPipe()
 	Expect(err).NotTo(HaveOccurred())
@@ -78,6 +80,10 @@
 		proc.kill()
 	}
 	Expect(err).NotTo(HaveOccurred(), "%s %v said: %s", program, args, proc.logs)
+	go func() {
+		defer close(proc.read)
+		_, _ = io.Copy(proc.logs, reader)
+	}()
 	return proc
 }
 
@@ -95,6 +101,7 @@
 
 // exit waits for the process and returns its exit code.
 func (proc *process) exit() int {
+	<-proc.read
 	_ = proc.cmd.Wait()
 	return proc.cmd.ProcessState.ExitCode()
 }
--- a/cmd/yuccacleat/serve.go
+++ b/cmd/yuccacleat/serve.go
@@ -15,6 +15,7 @@
 	"github.com/spf13/cobra"
 
 	"yuccacleat/io/yuccaconf"
+	"yuccacleat/io/yuccalog"
 	"yuccacleat/io/yuccaserve"
 )
 
@@ -28,12 +29,12 @@
 		Use:   "serve --settings FILE",
 		Short: "Run a daemon",
 		Long: `serve runs one daemon until SIGTERM or SIGINT, which shuts it down gracefully. A
-second signal ends it at once. The addresses it listens on are printed as one JSON
-line; logs go to standard error as JSON lines.`,
+second signal ends it at once. The first line that it prints are the addresses it
+listens on, in JSON; its log follows, as JSON lines too.`,
 		Example: "  yuccacleat serve --settings daemon.yaml",
 		Args:    cobra.NoArgs,
 		RunE: func(command *cobra.Command, _ []string) error {
-			return serve(command.OutOrStdout(), command.ErrOrStderr(), path)
+			return serve(command.OutOrStdout(), path)
 		},
 	}
 	command.Flags().StringVar(&path, "settings", "", "the daemon's settings, in YAML")
@@ -41,7 +42,7 @@
 	return command
 }
 
-func serve(out, logs io.Writer, path string) error {
+func serve(out io.Writer, path string) error {
 	settings, err := yuccaconf.Load(path)
 	if err != nil {
 		return &invalidError{cause: err}
@@ -49,12 +50,17 @@
 	if os.Getenv("GOMEMLIMIT") == "" {
 		debug.SetMemoryLimit(memoryLimit)
 	}
-	logger := newLogger(logs, settings)
+	addressesTold := make(chan struct{})
+	lines := yuccalog.New(&laterWriter{out: out, from: addressesTold}, yuccalog.WithFields("vm", settings.VM))
+	defer lines.Close()
+	logger := newLogger(lines, settings)
 	proc, err := yuccaserve.Start(settings, settings.FleetKey, logger)
 	if err != nil {
 		return &invalidError{cause: err}
 	}
-	if err := json.NewEncoder(out).Encode(proc.Addresses); err != nil {
+	err = json.NewEncoder(out).Encode(proc.Addresses)
+	close(addressesTold)
+	if err != nil {
 		return err
 	}
 	first, second := signals()
@@ -69,6 +75,19 @@
 	return nil
 }
 
+// laterWriter holds what is written until something else has been, so that scripts find the
+// addresses in the first line. Only the log's own goroutine waits here.
+type laterWriter struct {
+	out  io.Writer
+	from <-chan struct{}
+}
+
+// Write waits and then writes.
+func (wr *laterWriter) Write(line []byte) (int, error) {
+	<-wr.from
+	return wr.out.Write(line)
+}
+
 // signals returns contexts that end with the first and with the second signal.
 func signals() (first, second context.Context) {
 	first, endFirst := context.WithCancel(context.Background())
@@ -84,9 +103,8 @@
 	return first, second
 }
 
-func newLogger(out io.Writer, settings *yuccaconf.Settings) log.Logger {
-	logger := log.NewJSONLogger(log.NewSyncWriter(out))
-	logger = log.With(logger, "at", log.DefaultTimestampUTC, "vm", settings.VM)
+func newLogger(lines *yuccalog.Log, settings *yuccaconf.Settings) log.Logger {
+	logger := log.With(lines, "at", log.DefaultTimestampUTC, "vm", settings.VM)
 	return level.NewFilter(logger, level.Allow(level.ParseDefault(string(settings.Log.Level), level.InfoValue())))
 }
 
--- /dev/null
+++ b/core/yuccastory/story_test.go
@@ -0,0 +1,62 @@
+package yuccastory_test
+
+import (
+	"bytes"
+	"os"
+	"strings"
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"yuccacleat/core/yuccastory"
+)
+
+var _ = Describe("a story", func() {
+	DescribeTable("is told in the order of time, with what was believed before",
+		func(request string) {
+			logs, err := os.ReadFile("testdata/fleet.log")
+			Expect(err).NotTo(HaveOccurred())
+			story, err := yuccastory.Read(bytes.NewReader(logs), request)
+			Expect(err).NotTo(HaveOccurred())
+			golden(request, story.String())
+		},
+		Entry("of a stream that broke off", "note-1"),
+		Entry("of a refusal beside free places", "letter-7"),
+		Entry("of an account that is held after a restart", "letter-8"),
+		Entry("of a request that may have run", "ticket-3"),
+		Entry("of one whose end is missing", "ticket-9"),
+	)
+
+	It("is the same whatever order the logs come in", func() {
+		logs, err := os.ReadFile("testdata/fleet.log")
+		Expect(err).NotTo(HaveOccurred())
+		lines := strings.Split(strings.TrimSpace(string(logs)), "\n")
+		moved := append(append([]string{}, lines[7:]...), lines[:7]...)
+		one, err := yuccastory.Read(bytes.NewReader(logs), "letter-7")
+		Expect(err).NotTo(HaveOccurred())
+		other, err := yuccastory.Read(strings.NewReader(strings.Join(moved, "\n")), "letter-7")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(other.String()).To(Equal(one.String()))
+	})
+
+	It("isn't told of a request that no line names", func() {
+		_, err := yuccastory.Read(strings.NewReader("{}\n"), "r1")
+		Expect(err).To(MatchError(yuccastory.ErrUnknown))
+	})
+})
+
+func FuzzRead(f *testing.F) {
+	logs, err := os.ReadFile("testdata/fleet.log")
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(logs, "note-1")
+	f.Add([]byte(`{"at":"2026-07-21T21:58:20Z","event":"sent","request":"r","busy":{"a":[1]}}`), "r")
+	f.Fuzz(func(t *testing.T, logs []byte, request string) {
+		story, err := yuccastory.Read(bytes.NewReader(logs), request)
+		if err == nil && !strings.Contains(story.String(), "outcome:") {
+			t.Fatal("a story without an outcome")
+		}
+	})
+}
--- a/io/yuccagate/gate_test.go
+++ b/io/yuccagate/gate_test.go
@@ -660,7 +660,9 @@
 		other.Reload(yuccagate.Settings{Seeds: []string{one.Status().Address}})
 		Eventually(func() int { return len(other.Status().Peers) }, 5*time.Second).Should(Equal(1))
 		close(release)
-		Eventually(got).Should(Receive(HaveField("body", "whole")))
+		var whole answered
+		Eventually(got).Should(Receive(&whole))
+		Expect(whole.body).To(Equal("whole"))
 	})
 })
 
--- a/io/yuccagate/log.go
+++ b/io/yuccagate/log.go
@@ -19,15 +19,6 @@
 	_ = level.Warn(lg.target).Log(append([]any{"event", "belief", "what", what}, fields...)...)
 }
 
-// dependency tells that something this daemon needs was lost or is back.
-func (lg logger) dependency(what string, lost bool, fields ...any) {
-	state := "regained"
-	if lost {
-		state = "lost"
-	}
-	_ = level.Warn(lg.target).Log(append([]any{"event", "dependency", "what", what, "state", state}, fields...)...)
-}
-
 // went tells of a step of a request that went well.
 func (req *request) went(event string, fields ...any) {
 	_ = level.Debug(req.gate.log.target).Log(append([]any{"event", event, "request", req.caller.ID}, fields...)...)
--- a/io/yuccagate/run.go
+++ b/io/yuccagate/run.go
@@ -116,7 +116,11 @@
 	if errors.Is(cause, errTimeout) && req.runs > 0 {
 		return &Problem{Kind: KindTimeout}
 	}
-	return &Problem{Kind: KindLate, Back: cutBack}
+	detail := "its caller left"
+	if errors.Is(cause, errTimeout) {
+		detail = "its time is up"
+	}
+	return &Problem{Kind: KindLate, Detail: detail, Back: cutBack}
 }
 
 // failed says what becomes of a request whose last sending failed.
--- a/io/yuccagate/use.go
+++ b/io/yuccagate/use.go
@@ -57,11 +57,8 @@
 // tickUse reports what accounts were let in for, and sets the part of the quotas that this
 // daemon may use.
 func (gate *Gate) tickUse(now time.Time) {
-	part := firstPart
 	visible, total := gate.fleet(now)
-	if gate.settled || len(gate.settings.Seeds) == 0 {
-		part = partOf(visible, total)
-	}
+	part := gate.part(now, visible, total)
 	if part != gate.ledger.Part() {
 		gate.log.belief("part of the quotas", "part", part, "before", gate.ledger.Part(), "visible", visible, "total", total)
 	}
@@ -78,6 +75,19 @@
 	gate.castUse(now)
 }
 
+// part returns the part of the quotas that this daemon uses. One that comes back to a fleet
+// that goes on has been told what the others let in; with a first part it would refuse
+// accounts that have room until it has met everybody.
+func (gate *Gate) part(now time.Time, visible, total int) float64 {
+	switch {
+	case gate.settled || len(gate.settings.Seeds) == 0:
+		return partOf(visible, total)
+	case !gate.settings.First && !gate.ledger.Amnesic(now):
+		return 1
+	}
+	return firstPart
+}
+
 // partOf returns the part of the quotas for a daemon that hears from so many of all.
 //
 // Cut off from the others, a daemon can't know what they let in. If both sides of a cut used
--- a/io/yuccalog/log.go
+++ b/io/yuccalog/log.go
@@ -24,9 +24,10 @@
 
 // Log is a go-kit logger that writes JSON lines from a goroutine of its own.
 type Log struct {
-	now  func() time.Time
-	room [grades]int
-	out  io.Writer
+	now    func() time.Time
+	room   [grades]int
+	out    io.Writer
+	fields []any
 
 	mu      sync.Mutex
 	queue   [][]byte
@@ -48,6 +49,11 @@
 	return func(lg *Log) { lg.now = now }
 }
 
+// WithFields sets fields of the lines that the log itself writes, such as whose log it is.
+func WithFields(fields ...any) Option {
+	return func(lg *Log) { lg.fields = fields }
+}
+
 // New starts a log that writes to a stream.
 func New(out io.Writer, options ...Option) *Log {
 	lg := &Log{
@@ -164,7 +170,7 @@
 		return nil
 	}
 	lg.told = now
-	fields := []any{"at", now.UTC(), "event", "log", "what", "lines left out", "stalled", lg.stalled}
+	fields := append([]any{"at", now.UTC(), "event", "log", "what", "lines left out", "stalled", lg.stalled}, lg.fields...)
 	for grade, count := range lg.left {
 		fields = append(fields, gradeNames[grade], count)
 	}
--- a/io/yuccalog/log_test.go
+++ b/io/yuccalog/log_test.go
@@ -103,7 +103,7 @@
 	It("bounds the lines of each level and keeps the urgent ones", func() {
 		out := newReader()
 		moment := time.Unix(1000, 0)
-		lg := yuccalog.New(out, yuccalog.WithClock(func() time.Time { return moment }))
+		lg := yuccalog.New(out, yuccalog.WithClock(func() time.Time { return moment }), yuccalog.WithFields("vm", "entry-1"))
 		for range 500 {
 			_ = level.Debug(lg).Log("event", "answered")
 			_ = level.Info(lg).Log("event", "resent")
@@ -114,6 +114,7 @@
 		Expect(out.count("event", "resent")).To(Equal(300))
 		Expect(out.count("event", "refused")).To(Equal(500))
 		Expect(out.count("what", "lines left out")).To(BeNumerically(">=", 1))
+		Expect(out.count("vm", "entry-1")).To(Equal(out.count("what", "lines left out")))
 	})
 
 	It("takes lines from many goroutines", func() {
--- a/io/yuccameasure/child.go
+++ b/io/yuccameasure/child.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"encoding/json"
+	"io"
 	"os"
 	"os/exec"
 	"strconv"
@@ -39,6 +40,8 @@
 	lines := bufio.NewReader(out)
 	chd.line, err = lines.ReadBytes('\n')
 	go func() {
+		// Its log isn't needed, but has to be read, or the last lines would hold up its end.
+		_, _ = io.Copy(io.Discard, lines)
 		_ = chd.cmd.Wait()
 		close(chd.done)
 	}()
