Requests that may be repeated leave a target that shows nothing

A stream that broke off before its first event ended with a closed connection instead of an answer. Ruled out: ending sendings without room in the budget (they would lose an answer that may come); requests that may run once.

--- a/io/yuccagate/gate_test.go
+++ b/io/yuccagate/gate_test.go
@@ -10,6 +10,7 @@
 	"regexp"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -645,6 +646,67 @@
 	})
 })
 
+var _ = Describe("a target that shows nothing", func() {
+	// A target takes a request and falls silent: its answer was lost, or it hangs. Callers who
+	// may be served by another target would wait in vain until their time is up.
+	silent := func(gt **gate, quick, slow string) (first, second *engine) {
+		var calls atomic.Int64
+		hang := func(w http.ResponseWriter, r *http.Request) bool {
+			if calls.Add(1) > 1 {
+				return false
+			}
+			<-r.Context().Done()
+			return true
+		}
+		answer := func(w http.ResponseWriter, r *http.Request) {
+			if !hang(w, r) {
+				fmt.Fprint(w, "whole")
+			}
+		}
+		first, second = newEngine(quick, answer), newEngine(slow, answer)
+		*gt = newGate("entry-1")
+		(*gt).know(1, config(), 4, first, second)
+		return first, second
+	}
+
+	It("loses no request that may be repeated", func() {
+		var gt *gate
+		first, second := silent(&gt, "a", "b")
+		got := call{path: "/lookup/"}.do(gt)
+		Expect(got.status).To(Equal(http.StatusOK))
+		Expect(got.body).To(Equal("whole"))
+		Expect(append(first.requests(), second.requests()...)).To(HaveLen(2))
+	})
+
+	It("keeps one that may run once", func() {
+		var gt *gate
+		first, second := silent(&gt, "a", "b")
+		got := call{path: "/ticket/"}.do(gt)
+		Expect(got.status).To(Equal(http.StatusGatewayTimeout))
+		Expect(append(first.requests(), second.requests()...)).To(HaveLen(1))
+	})
+
+	It("is left in the middle of a stream that may be resumed", func() {
+		var calls atomic.Int64
+		events := func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Set("Content-Type", "text/event-stream")
+			if calls.Add(1) == 1 {
+				fmt.Fprint(w, "id: 1\ndata: a\n\n")
+				w.(http.Flusher).Flush()
+				<-r.Context().Done()
+				return
+			}
+			Expect(r.Header.Get("Last-Event-Id")).To(Equal("1"))
+			fmt.Fprint(w, "id: 2\ndata: b\n\n")
+		}
+		gt := newGate("entry-1")
+		gt.know(1, config(), 4, newEngine("a", events), newEngine("b", events))
+		got := call{path: "/resumed/"}.do(gt)
+		Expect(got.err).NotTo(HaveOccurred())
+		Expect(got.body).To(Equal("id: 1\ndata: a\n\nid: 2\ndata: b\n\n"))
+	})
+})
+
 var _ = Describe("a gateway whose settings change", func() {
 	It("finds its peers at new seeds, and what runs goes on", func() {
 		release := make(chan struct{})
--- a/io/yuccagate/relay.go
+++ b/io/yuccagate/relay.go
@@ -31,6 +31,29 @@
 // no other answer can take its place: if it breaks off and can't be resumed, the caller's
 // connection is closed, so that a part never passes for the whole.
 func (req *request) relay(ctx context.Context, att *attempt) *Problem {
+	if !req.streams(att) {
+		if err := req.relayBody(ctx, att); err != nil {
+			panic(http.ErrAbortHandler)
+		}
+		return nil
+	}
+	flow := &flow{req: req, position: req.caller.Position}
+	err := flow.relay(ctx, att)
+	switch {
+	case err == nil:
+		return nil
+	case flow.begun:
+		panic(http.ErrAbortHandler)
+	case errors.Is(context.Cause(ctx), errTimeout):
+		return &Problem{Kind: KindTimeout}
+	}
+	// Nothing has gone to the caller yet, who learns more from an answer than from a closed
+	// connection.
+	return &Problem{Kind: KindLost, Detail: "the stream broke off before its first event"}
+}
+
+// writeHead sends the head of an answer to the caller.
+func (req *request) writeHead(att *attempt) {
 	header := req.w.Header()
 	for name, values := range onwardHeader(att.answer.Header) {
 		header[name] = values
@@ -38,16 +61,7 @@
 	if att.answer.Length >= 0 {
 		header["Content-Length"] = att.answer.Header["Content-Length"]
 	}
-	var err error
-	if req.streams(att) {
-		err = req.relayStream(ctx, att)
-	} else {
-		err = req.relayBody(ctx, att)
-	}
-	if err != nil {
-		panic(http.ErrAbortHandler)
-	}
-	return nil
+	req.w.WriteHeader(att.answer.Status)
 }
 
 func (req *request) streams(att *attempt) bool {
@@ -59,7 +73,7 @@
 func (req *request) finish(ctx context.Context, att *attempt, end yuccagrant.Ended, err error) {
 	end.Load = att.word.Load
 	end.Outcome = outcomeOf(ctx, att, err)
-	att.answer.Close()
+	att.close()
 	req.gate.ended(att.tkt, end)
 	req.logAnswered(att, end, err)
 }
@@ -91,6 +105,7 @@
 }
 
 func (req *request) relayBody(ctx context.Context, att *attempt) error {
+	att.watch.answered()
 	end := yuccagrant.Ended{First: time.Since(att.sent)}
 	err := req.pumpBody(att)
 	req.finish(ctx, att, end, err)
@@ -98,7 +113,7 @@
 }
 
 func (req *request) pumpBody(att *attempt) error {
-	req.w.WriteHeader(att.answer.Status)
+	req.writeHead(att)
 	piece := make([]byte, pieceBytes)
 	for {
 		got, err := att.answer.Read(piece)
@@ -116,48 +131,25 @@
 	}
 }
 
-// relayStream hands on a stream, and goes on with it at another target where the first one
-// breaks off and the route allows it.
-func (req *request) relayStream(ctx context.Context, att *attempt) error {
-	flow := &flow{req: req, position: req.caller.Position}
-	for {
-		err := flow.pump(att)
-		req.finish(ctx, att, flow.end, err)
-		if err == nil {
-			return nil
-		}
-		var caller *callerError
-		if ctx.Err() != nil || errors.As(err, &caller) {
-			return err
-		}
-		next := req.resume(ctx, flow)
-		if next == nil {
-			return err
-		}
-		att = next
-	}
-}
-
 // resume sends the request to another target, which goes on behind the last event that the
 // caller has, or returns nil.
 //
 // A target crashes in the middle of a long answer. Its caller would lose all of it, or come
 // back and have it generated anew; another target only reads the prompt again.
-func (req *request) resume(ctx context.Context, flow *flow) *attempt {
+func (req *request) resume(ctx context.Context, flow *flow, att *attempt) *attempt {
 	req.broke = time.Now()
-	for req.again(yuccagrant.Broken) {
+	for req.again(yuccagrant.Broken, att) {
 		tkt, place, err := req.gate.acquire(ctx, req)
 		if err != nil || place.refusal != nil || place.problem != nil {
 			return nil
 		}
-		att, outcome := req.send(ctx, tkt, place, flow.position)
+		next, outcome := req.send(ctx, tkt, place, flow.position)
+		att = next
 		if outcome == yuccagrant.Served && att.answer.Status == http.StatusOK && req.streams(att) {
 			req.told("resumed", "target", place.target, "position", flow.position)
 			return att
 		}
-		if att.answer != nil {
-			att.answer.Close()
-		}
+		att.close()
 		if outcome == yuccagrant.Served {
 			outcome = yuccagrant.Failed
 		}
@@ -181,6 +173,27 @@
 	end yuccagrant.Ended
 }
 
+// relay hands on a stream, and goes on with it at another target where the first one breaks
+// off and the route allows it.
+func (fl *flow) relay(ctx context.Context, att *attempt) error {
+	for {
+		err := fl.pump(att)
+		fl.req.finish(ctx, att, fl.end, err)
+		if err == nil {
+			return nil
+		}
+		var caller *callerError
+		if ctx.Err() != nil || errors.As(err, &caller) {
+			return err
+		}
+		next := fl.req.resume(ctx, fl, att)
+		if next == nil {
+			return err
+		}
+		att = next
+	}
+}
+
 // pump hands on one target's events, each as soon as it is whole, until the stream ends.
 func (fl *flow) pump(att *attempt) error {
 	req := fl.req
@@ -211,6 +224,7 @@
 			}
 		}
 		if len(list) > 0 {
+			att.watch.showed()
 			if failed := control.Flush(); failed != nil {
 				return &callerError{cause: failed}
 			}
@@ -247,7 +261,7 @@
 func (fl *flow) begin(att *attempt) {
 	if !fl.begun {
 		fl.begun = true
-		fl.req.w.WriteHeader(att.answer.Status)
+		fl.req.writeHead(att)
 	}
 }
 
--- a/io/yuccagate/run.go
+++ b/io/yuccagate/run.go
@@ -25,6 +25,15 @@
 	sent   time.Time
 	answer *yuccahop.Answer
 	word   Word
+	watch  *silence
+}
+
+// close ends the exchange with the target.
+func (att *attempt) close() {
+	if att.answer != nil {
+		att.answer.Close()
+	}
+	att.watch.stop()
 }
 
 // run sends the request to a target, and to another one where the first surely didn't run
@@ -50,14 +59,16 @@
 		case outcome == yuccagrant.Served && att.answer.Status < http.StatusInternalServerError:
 			return req.relay(ctx, att)
 		case outcome == yuccagrant.Served:
-			if !req.again(yuccagrant.Failed) {
+			att.watch.answered()
+			if !req.again(yuccagrant.Failed, att) {
 				return req.relay(ctx, att)
 			}
 			req.gate.ended(tkt, yuccagrant.Ended{Outcome: yuccagrant.Failed, Load: att.word.Load})
 			failure = att
 		default:
+			att.close()
 			req.gate.ended(tkt, yuccagrant.Ended{Outcome: outcome, Load: att.word.Load})
-			if ctx.Err() != nil || !req.again(outcome) {
+			if ctx.Err() != nil || !req.again(outcome, att) {
 				return req.failed(ctx, outcome)
 			}
 		}
@@ -67,7 +78,7 @@
 // drop gives up an answer that another one takes the place of.
 func (att *attempt) drop() {
 	if att != nil {
-		att.answer.Close()
+		att.close()
 	}
 }
 
@@ -90,9 +101,9 @@
 }
 
 // again reports whether the request may be sent to another target after an outcome.
-func (req *request) again(outcome yuccagrant.Outcome) bool {
+func (req *request) again(outcome yuccagrant.Outcome, att *attempt) bool {
 	may, why := req.mayRepeat(outcome)
-	if may && !req.gate.mayResend(req) {
+	if may && !att.watch.paid.Load() && !req.gate.mayResend(req) {
 		may, why = false, "budget of resends"
 	}
 	req.told("again", "outcome", outcome.String(), "may", may, "why", why, "sends", req.sends, "runs", req.runs)
@@ -158,6 +169,7 @@
 	out := req.out
 	out.Header = req.onward(att.sent, place.target, position)
 	own := func(header http.Header) bool { return req.gate.dialect.Own(header, req.caller.ID) }
+	ctx, att.watch = req.watchSilence(ctx, place.inputs.expect)
 	answer, err := req.gate.hop.Send(ctx, place.address, &out, own)
 	req.gate.metrics.sent(req.tier(), place.alone, att.sent.Sub(req.arrived))
 	req.logSent(att, place, err)
@@ -168,7 +180,8 @@
 		}
 		req.arrivals++
 		req.runs++
-		if ctx.Err() != nil && !errors.Is(context.Cause(ctx), errTimeout) {
+		cause := context.Cause(ctx)
+		if cause != nil && !errors.Is(cause, errTimeout) && !errors.Is(cause, errSilent) {
 			return att, yuccagrant.Dropped
 		}
 		return att, yuccagrant.Lost
@@ -178,10 +191,8 @@
 	att.word = req.gate.dialect.Word(answer.Status, answer.Header)
 	switch {
 	case att.word.Misdirected:
-		answer.Close()
 		return att, yuccagrant.Misdirected
 	case att.word.NotRun:
-		answer.Close()
 		return att, yuccagrant.Rejected
 	}
 	req.runs++
--- a/io/yuccagate/ticket.go
+++ b/io/yuccagate/ticket.go
@@ -114,14 +114,20 @@
 	gate.giveBack(now, gate.desk(now, tkt.pool), end)
 }
 
-// mayResend reports whether the request may be sent to a further target, and counts it. A
-// sending that never arrived anywhere is none.
-func (gate *Gate) mayResend(req *request) bool {
+// paysResend counts a resend of a request that has reached a target, and reports whether the
+// budget allows it.
+func (gate *Gate) paysResend(pool yuccaid.Pool) bool {
 	allowed := false
 	gate.control.Call(func(now time.Time) {
 		_, daemons := gate.fleet(now)
-		allowed = req.arrivals == 0 || gate.budget.Resend(now, req.pool, daemons)
+		allowed = gate.budget.Resend(now, pool, daemons)
 	})
 	gate.metrics.resend(allowed)
 	return allowed
 }
+
+// mayResend reports whether the request may be sent to a further target, and counts it. A
+// sending that never arrived anywhere is none.
+func (gate *Gate) mayResend(req *request) bool {
+	return req.arrivals == 0 || gate.paysResend(req.pool)
+}
