Who comes while a daemon starts waits for its first configuration and its first target

Cause: after all daemons were killed the balancer sends callers to those that have just begun; 11 to 95 requests a restart were refused with 503 within 150 ms of being served (data centres 30 ms from the store read for 145 ms), and came back half a second later, after most aims. A pool without targets refused at once too: for a moment after a start, and while registrations that lapsed in an outage were renewed. The specs fail without the change.

--- a/core/yuccagrant/data.go
+++ b/core/yuccagrant/data.go
@@ -89,6 +89,9 @@
 	leastBack  = 300 * time.Millisecond
 	mostBack   = 8 * time.Second
 	backSpread = 0.5
+	// renewal is how long a pool may be without any target before requests for it are refused
+	// at once: targets that live renew their registrations within two seconds.
+	renewal = 2 * time.Second
 	// lostFor is how long a run counts whose owner never told its end.
 	lostFor = 60 * time.Second
 )
--- a/core/yuccagrant/leader.go
+++ b/core/yuccagrant/leader.go
@@ -17,6 +17,8 @@
 	runs  map[ID]*run
 	queue queue
 	model model
+	// empty is since when there is no target, as long as there is none.
+	empty time.Time
 }
 
 // New returns a leader without targets; Configure gives it some.
@@ -42,6 +44,12 @@
 		lead.nodes = append(lead.nodes, nd)
 	}
 	slices.SortFunc(lead.nodes, func(a, b *node) int { return cmp.Compare(a.Name, b.Name) })
+	switch {
+	case len(lead.nodes) > 0:
+		lead.empty = time.Time{}
+	case lead.empty.IsZero():
+		lead.empty = now
+	}
 	var dec Decisions
 	lead.serve(now, &dec)
 	return dec
@@ -71,7 +79,7 @@
 	if _, waits := lead.queue.byID[ask.ID]; waits {
 		return dec
 	}
-	if len(lead.nodes) == 0 {
+	if lead.deserted(now) {
 		lead.refuse(now, &ask, ReasonNoTarget, &dec)
 		return dec
 	}
@@ -88,6 +96,15 @@
 	return dec
 }
 
+// deserted reports whether there is no target and hardly will be one soon.
+//
+// A daemon that has just started learns of its targets a moment after its first requests,
+// and after an outage of the platform all registrations may be missing until the targets
+// renew them. Who comes meanwhile is better served late than sent away.
+func (lead *Leader) deserted(now time.Time) bool {
+	return len(lead.nodes) == 0 && now.Sub(lead.empty) >= renewal
+}
+
 // Withdraw takes a waiting request out; its caller left.
 func (lead *Leader) Withdraw(now time.Time, id ID) Decisions {
 	var dec Decisions
@@ -348,16 +365,35 @@
 
 // expire refuses what waited in vain.
 func (lead *Leader) expire(now time.Time, dec *Decisions) {
+	if len(lead.nodes) == 0 {
+		lead.expireDeserted(now, dec)
+		return
+	}
 	var gone []*waiting
 	for _, item := range lead.queue.byID {
 		if item.Aim.Before(now) && lead.hopeless(now, &item.Ask) || !now.Before(item.Until) {
 			gone = append(gone, item)
 		}
 	}
+	lead.refuseAll(now, gone, ReasonLate, dec)
+}
+
+// expireDeserted refuses what waited in vain for a first target.
+func (lead *Leader) expireDeserted(now time.Time, dec *Decisions) {
+	var gone []*waiting
+	for _, item := range lead.queue.byID {
+		if item.Aim.Before(now) || lead.deserted(now) {
+			gone = append(gone, item)
+		}
+	}
+	lead.refuseAll(now, gone, ReasonNoTarget, dec)
+}
+
+func (lead *Leader) refuseAll(now time.Time, gone []*waiting, reason Reason, dec *Decisions) {
 	slices.SortFunc(gone, func(a, b *waiting) int { return cmp.Compare(a.ID.Number, b.ID.Number) })
 	for _, item := range gone {
 		lead.queue.remove(item.ID)
-		lead.refuse(now, &item.Ask, ReasonLate, dec)
+		lead.refuse(now, &item.Ask, reason, dec)
 	}
 }
 
--- a/io/yuccagate/beliefs.go
+++ b/io/yuccagate/beliefs.go
@@ -25,10 +25,13 @@
 
 // adopt puts a newer configuration in force and tells the peers of its number.
 func (gate *Gate) adopt(now time.Time, table *yuccaroute.Table, raw []byte, source string) {
-	before := gate.number()
+	before, first := gate.number(), gate.tables.Load() == nil
 	if !gate.tables.Offer(table) {
 		return
 	}
+	if first {
+		close(gate.configured)
+	}
 	gate.tableText = raw
 	gate.log.belief("configuration", "number", table.Number(), "before", before, "source", source)
 	gate.ledger.Configure(now, table.Config().Accounts)
--- a/io/yuccagate/gate.go
+++ b/io/yuccagate/gate.go
@@ -36,6 +36,10 @@
 	hop      *yuccahop.Client
 	control  *yuccaloop.Loop
 	tables   yuccaroute.Holder
+	// began is when the gateway started, and configured is closed once it knows a
+	// configuration.
+	began      time.Time
+	configured chan struct{}
 	// leaving is when the daemon was told to end, in Unix nanoseconds, or zero.
 	leaving atomic.Int64
 	open    atomic.Int64
@@ -54,7 +58,6 @@
 	settled   bool
 	looked    time.Time
 	dialled   time.Time
-	began     time.Time
 	sequence  uint64
 	casts     map[castKey]uint64
 	centres   map[yuccaid.Centre]*centre
@@ -108,6 +111,10 @@
 		log:      logger{target: log.NewNopLogger()},
 		metrics:  newMetrics(),
 		hop:      yuccahop.New(),
+		began:    time.Now(),
+
+		configured: make(chan struct{}),
+
 		casts:    make(map[castKey]uint64),
 		centres:  make(map[yuccaid.Centre]*centre),
 
@@ -127,7 +134,6 @@
 	gate.traffic, gate.stopTraffic = context.WithCancel(context.Background())
 	self := yuccapeer.Member{VM: settings.VM, Centre: settings.Centre, Address: settings.Address, Incarnation: gate.inc}
 	gate.peers = yuccapeer.New(self, yuccapeer.WithSeeds(settings.Seeds...), yuccapeer.WithTiming(peerTiming()))
-	gate.began = time.Now()
 	gate.looked = gate.began
 	if !settings.First {
 		gate.ledger.Forgot(gate.began)
--- a/io/yuccagate/gate_test.go
+++ b/io/yuccagate/gate_test.go
@@ -90,6 +90,21 @@
 		Expect(got.header.Get("Retry-After")).NotTo(BeEmpty())
 	})
 
+	// All daemons were killed. They are back and still read their configuration, and the
+	// balancer sends callers to them all the same. A caller who is told to come back later
+	// gets its answer late.
+	It("serves who comes while it reads its first configuration", func() {
+		eng := newEngine("a", nil)
+		gt := newGate("entry-1")
+		got := make(chan answered, 1)
+		go func() { got <- call{path: "/ticket/"}.do(gt) }()
+		Consistently(got, 50*time.Millisecond).ShouldNot(Receive())
+		gt.know(1, config(), 4, eng)
+		var one answered
+		Eventually(got).Should(Receive(&one))
+		Expect(one.status).To(Equal(http.StatusOK), one.body)
+	})
+
 	It("uses a new configuration from the next request on", func() {
 		eng := newEngine("a", nil)
 		gt := newGate("entry-1")
--- a/io/yuccagate/request.go
+++ b/io/yuccagate/request.go
@@ -99,7 +99,7 @@
 
 // admit finds out what is asked, by whom, and whether the configuration allows it.
 func (req *request) admit(r *http.Request) *Problem {
-	req.table = req.gate.tables.Load()
+	req.table = req.gate.awaitTable(r.Context(), req.arrived)
 	if req.table == nil {
 		return &Problem{Kind: KindNotReady, Back: notReadyBack}
 	}
