--- a/io/yuccagate/gate.go
+++ b/io/yuccagate/gate.go
@@ -115,8 +115,8 @@
 
 		configured: make(chan struct{}),
 
-		casts:    make(map[castKey]uint64),
-		centres:  make(map[yuccaid.Centre]*centre),
+		casts:   make(map[castKey]uint64),
+		centres: make(map[yuccaid.Centre]*centre),
 
 		refusedAt: make(map[string]time.Time),
 		faults:    make(map[string]time.Time),
--- a/io/yuccagate/targets.go
+++ b/io/yuccagate/targets.go
@@ -22,7 +22,7 @@
 	staleAfter = 1700 * time.Millisecond
 	// firstReads is how long a daemon that has just started reads for itself, whoever else
 	// does: it knows nothing yet.
-	firstReads = 1500 * time.Millisecond
+	firstReads = 700 * time.Millisecond
 )
 
 // fresh is a peer's word on its news of the platform.
