Quotas are counted by sums since the start, and by windows that hold all of their span

Reports told what was let in since the last one, so those that were lost with a connection were never made up for; a whole window that a data centre told was taken by its own daemons for what had been reported, which made their counters negative, and their next report took it off elsewhere; windows dropped up to one thirty-second too early; and what is kept free went by an account's rate, though what it is let in for too much goes by the size of its requests.

--- a/core/yuccaquota/ledger.go
+++ b/core/yuccaquota/ledger.go
@@ -19,9 +19,12 @@
 	defaultWindow = 8 * time.Second
 	// keptSpan is what is left free of the tolerance, in seconds of an account's rate beside
 	// keptBurst of its burst: for what it is let in for before all daemons have heard of it,
-	// and for what it is let in for anew when all have forgotten.
+	// and for what it is let in for anew when all have forgotten. It is keptPart of the bound
+	// at least: what an account with a small rate is let in for too much goes by the size of
+	// its requests, not by its rate.
 	keptSpan  = 1.6
 	keptBurst = 0.8
+	keptPart  = 0.1
 	// rankKept is the part of a window that is kept from each rank for the ranks above it, down
 	// to mostRanks below the first. When an account has used most of its quota, its urgent
 	// requests still get in while its letters are told to come back. Requests of up to
@@ -69,6 +72,7 @@
 // Ledger counts what accounts are let in for. It isn't safe for concurrent use.
 type Ledger struct {
 	windows   map[yuccaid.Account]*window
+	tellers   map[yuccaid.Incarnation]*teller
 	tolerance Tolerance
 	part      float64
 	daemons   int
@@ -93,7 +97,10 @@
 
 // New returns a ledger without quotas.
 func New(tolerance Tolerance) *Ledger {
-	return &Ledger{windows: make(map[yuccaid.Account]*window), tolerance: tolerance.orDefault(), part: 1, daemons: 1, delay: defaultDelay}
+	return &Ledger{
+		windows: make(map[yuccaid.Account]*window), tellers: make(map[yuccaid.Incarnation]*teller),
+		tolerance: tolerance.orDefault(), part: 1, daemons: 1, delay: defaultDelay,
+	}
 }
 
 // SetTolerance changes the tolerance. What was counted stays, unless the window changes: sums
@@ -147,11 +154,19 @@
 	}
 	for name := range led.windows {
 		if !known[name] {
-			delete(led.windows, name)
+			led.drop(name)
 		}
 	}
 }
 
+// drop forgets an account. Should it come back, all daemons count from nothing.
+func (led *Ledger) drop(name yuccaid.Account) {
+	delete(led.windows, name)
+	for _, tlr := range led.tellers {
+		delete(tlr.ever, name)
+	}
+}
+
 // SetFleet sets the part of every quota that this daemon may use, 1 while it hears from most
 // of the others, how many daemons there are, and how long it takes until all of them know
 // what one let in.
@@ -265,8 +280,9 @@
 func (led *Ledger) limit(win *window) float64 {
 	quota := win.quota
 	plain := quota.Rate*led.tolerance.Window.Seconds() + quota.Burst
-	kept := quota.Rate*keptSpan + quota.Burst*keptBurst
-	return led.part * max(plain, plain*(1+led.tolerance.Overshoot)+led.tolerance.Amount-kept)
+	tolerated := plain*(1+led.tolerance.Overshoot) + led.tolerance.Amount
+	kept := max(quota.Rate*keptSpan+quota.Burst*keptBurst, keptPart*tolerated)
+	return led.part * max(plain, tolerated-kept)
 }
 
 // hold decides on an account that asks for more than its quota while nobody remembers what
@@ -307,11 +323,17 @@
 
 // advance drops what has left the windows.
 func (led *Ledger) advance(now time.Time, win *window) {
-	win.let.advance(now, led.tolerance.Window)
-	win.asked.advance(now, led.tolerance.Window)
+	win.let.advance(now, led.span())
+	win.asked.advance(now, led.span())
 	win.recent.Advance(now, led.delay)
 }
 
+// span is the window in which is counted: one part longer than that in which the tolerance
+// holds, since a sum drops its oldest part as a whole.
+func (led *Ledger) span() time.Duration {
+	return led.tolerance.Window + led.tolerance.Window/yuccawindow.Parts
+}
+
 // Use is what an account was let in for within its window, and what the window may hold.
 type Use struct {
 	Account yuccaid.Account
--- a/core/yuccaquota/ledger_test.go
+++ b/core/yuccaquota/ledger_test.go
@@ -1,6 +1,8 @@
 package yuccaquota_test
 
 import (
+	"fmt"
+	"math/rand/v2"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -44,8 +46,10 @@
 type fleet struct {
 	now     time.Time
 	ledgers []*yuccaquota.Ledger
-	every   time.Duration
-	told    time.Time
+	// starts counts how often each daemon has begun.
+	starts []byte
+	every  time.Duration
+	told   time.Time
 	// cut says which daemons hear from nobody.
 	cut func(i int) bool
 	// let is what was let in, by time.
@@ -57,6 +61,8 @@
 	cost float64
 }
 
+var peer = yuccaid.NewIncarnation("entry-9", [16]byte{1})
+
 const step = 10 * time.Millisecond
 
 func newFleet(size int, every time.Duration, tolerance yuccaquota.Tolerance) *fleet {
@@ -66,9 +72,39 @@
 		led.SetFleet(1, size, every+50*time.Millisecond)
 		flt.ledgers = append(flt.ledgers, led)
 	}
+	flt.starts = make([]byte, size)
+	flt.meetAll()
 	return flt
 }
 
+// name is the present process of a daemon.
+func (flt *fleet) name(at int) yuccaid.Incarnation {
+	return yuccaid.NewIncarnation(yuccaid.VM(fmt.Sprintf("entry-%d", at)), [16]byte{flt.starts[at]})
+}
+
+// restart puts a new process in the place of a daemon.
+func (flt *fleet) restart(at int, led *yuccaquota.Ledger) {
+	flt.ledgers[at] = led
+	flt.starts[at]++
+}
+
+// meet has a daemon and all others learn of each other.
+func (flt *fleet) meet(at int) {
+	led := flt.ledgers[at]
+	for i, other := range flt.ledgers {
+		if i != at {
+			other.Meet(flt.now, flt.name(at), led.Ever(), led.Mine(flt.now))
+			led.Meet(flt.now, flt.name(i), other.Ever(), other.Mine(flt.now))
+		}
+	}
+}
+
+func (flt *fleet) meetAll() {
+	for at := range flt.ledgers {
+		flt.meet(at)
+	}
+}
+
 func (flt *fleet) pass() {
 	flt.now = flt.now.Add(step)
 	if flt.now.Sub(flt.told) < flt.every {
@@ -79,7 +115,7 @@
 		spent := led.Report()
 		for j, other := range flt.ledgers {
 			if i != j && !flt.cut(i) && !flt.cut(j) {
-				other.Heard(flt.now, spent)
+				other.Heard(flt.now, flt.name(i), spent)
 			}
 		}
 	}
@@ -172,8 +208,22 @@
 			fresh := ledger(flt.now, tolerant)
 			fresh.SetFleet(1, 4, 150*time.Millisecond)
 			fresh.Forgot(flt.now)
+			flt.restart(turn%4, fresh)
+			flt.meet(turn % 4)
 			fresh.Raise(flt.now, flt.ledgers[(turn+1)%4].Totals(flt.now), true)
-			flt.ledgers[turn%4] = fresh
+		}
+		Expect(flt.most()).To(BeNumerically("<=", bound))
+	})
+
+	// Connections break and come back while an account presses, and what was reported on them
+	// is lost. Daemons that count only what they hear would believe in less each time.
+	It("is kept though reports are lost", func() {
+		flt := newFleet(6, 100*time.Millisecond, tolerant)
+		rng := rand.New(rand.NewPCG(1, 1))
+		for range 300 {
+			lost := rng.IntN(6)
+			flt.cut = func(i int) bool { return i == lost }
+			flt.press(100*time.Millisecond, 600)
 		}
 		Expect(flt.most()).To(BeNumerically("<=", bound))
 	})
@@ -184,10 +234,11 @@
 			flt := newFleet(7, 100*time.Millisecond, tolerant)
 			flt.press(before, pressure)
 			for at := range flt.ledgers {
-				flt.ledgers[at] = ledger(flt.now, tolerant)
+				flt.restart(at, ledger(flt.now, tolerant))
 				flt.ledgers[at].SetFleet(1, 7, 150*time.Millisecond)
 				flt.ledgers[at].Forgot(flt.now)
 			}
+			flt.meetAll()
 			flt.press(15*time.Second, pressure)
 			Expect(flt.most()).To(BeNumerically("<=", bound))
 		},
@@ -271,16 +322,38 @@
 	// takes over would never be heard of elsewhere.
 	It("passes on to other data centres what a predecessor left out", func() {
 		led := ledger(start, strict)
-		led.Heard(start, []yuccaquota.Spent{{Account: "rally", Amount: 500}})
+		led.Meet(start, peer, nil, nil)
+		led.Heard(start, peer, []yuccaquota.Spent{{Account: "rally", Amount: 500}})
 		led.Reported([]yuccaquota.Spent{{Account: "rally", Amount: 300}})
 		led.Take(start, "rally", 40, 0)
 		Expect(led.ReportAway()).To(Equal([]yuccaquota.Spent{{Account: yuccaid.Account("rally"), Amount: 240}}))
 	})
 
+	// A daemon is restarted. A neighbour tells it what all data centres let in, and then each of
+	// them tells its part again; counted twice, accounts within their quota would be refused.
+	It("counts once what a neighbour and its own data centre both tell", func() {
+		led := ledger(start, strict)
+		led.Forgot(start)
+		spent := func(amount int64) []yuccaquota.Spent {
+			return []yuccaquota.Spent{{Account: "rally", Amount: amount}}
+		}
+		led.Raise(start, spent(9000), true)
+		led.HeardWhole(start, "gulf", spent(4000))
+		led.HeardWhole(start, "austin", spent(3000))
+		Expect(led.Totals(start)).To(Equal(spent(9000)))
+		led.HeardWhole(start, "gulf", spent(4500))
+		Expect(led.Totals(start)).To(Equal(spent(9000)))
+		led.HeardWhole(start, "gulf", spent(8000))
+		Expect(led.Totals(start)).To(Equal(spent(11000)))
+		led.RaiseAway(start, "austin", spent(11000), spent(3000))
+		Expect(led.Totals(start)).To(Equal(spent(11000)))
+	})
+
 	It("passes on to other data centres what this one let in, and nothing of theirs", func() {
 		led := ledger(start, strict)
 		led.Take(start, "rally", 100, 0)
-		led.Heard(start, []yuccaquota.Spent{{Account: "rally", Amount: 50}})
+		led.Meet(start, peer, nil, nil)
+		led.Heard(start, peer, []yuccaquota.Spent{{Account: "rally", Amount: 50}})
 		led.HeardAway(start, "gulf", []yuccaquota.Spent{{Account: "rally", Amount: 7000}})
 		Expect(led.ReportAway()).To(Equal([]yuccaquota.Spent{{Account: yuccaid.Account("rally"), Amount: 150}}))
 		Expect(led.ReportAway()).To(BeEmpty())
--- a/core/yuccaquota/report.go
+++ b/core/yuccaquota/report.go
@@ -8,8 +8,9 @@
 	"yuccacleat/core/yuccaid"
 )
 
-// Spent is what one account was let in for since the last report, in the units of its
-// quota. It is negative where requests that had been let in didn't run.
+// Spent is what one account was let in for, in the units of its quota: by one daemon since
+// it began, or by a data centre since its last report, or within a window. It is negative
+// where requests that had been let in didn't run.
 type Spent struct {
 	Account yuccaid.Account
 	Amount  int64
@@ -32,12 +33,67 @@
 	return win
 }
 
+// heardFor is how long it is remembered what a daemon told last: longer than a cut lasts
+// after which it comes back, and than any window.
+const heardFor = time.Minute
+
+// teller is another daemon of this data centre, and what it last told that it let in since
+// it began.
+type teller struct {
+	ever map[yuccaid.Account]Spent
+	at   time.Time
+}
+
 // Heard takes a report of a daemon of this data centre.
-func (led *Ledger) Heard(now time.Time, spent []Spent) {
+//
+// Reports tell sums since the daemon began, of which what was heard before is taken off. So
+// one that is lost with its connection is made up for by the next.
+func (led *Ledger) Heard(now time.Time, from yuccaid.Incarnation, spent []Spent) {
+	tlr := led.tellers[from]
+	if tlr == nil {
+		// Sums since it began say nothing of a window.
+		led.Meet(now, from, spent, nil)
+		return
+	}
+	tlr.at = now
 	for _, each := range spent {
+		was := tlr.ever[each.Account]
+		tlr.ever[each.Account] = each
+		if win := led.told(now, each.Account); win != nil {
+			win.let.near(each.Amount - was.Amount)
+			win.asked.near(each.Asked - was.Asked)
+		}
+	}
+}
+
+// Met reports whether a daemon of this data centre has been heard of lately.
+func (led *Ledger) Met(from yuccaid.Incarnation) bool { return led.tellers[from] != nil }
+
+// Meet takes what a daemon of this data centre let in since it began, and what of that lies
+// within its windows, when a connection to it comes up. What was missed since it was last
+// heard is counted as if it had been let in now: it can't be told when it was, and too little
+// would let the account in for too much.
+func (led *Ledger) Meet(now time.Time, from yuccaid.Incarnation, ever, within []Spent) {
+	for other, tlr := range led.tellers {
+		if now.Sub(tlr.at) > heardFor {
+			delete(led.tellers, other)
+		}
+	}
+	before := led.tellers[from]
+	met := &teller{ever: make(map[yuccaid.Account]Spent, len(ever)), at: now}
+	for _, each := range ever {
+		met.ever[each.Account] = each
+	}
+	led.tellers[from] = met
+	for _, each := range within {
+		let, asked := each.Amount, each.Asked
+		if before != nil {
+			was, is := before.ever[each.Account], met.ever[each.Account]
+			let, asked = min(let, is.Amount-was.Amount), min(asked, is.Asked-was.Asked)
+		}
 		if win := led.told(now, each.Account); win != nil {
-			win.let.near(each.Amount)
-			win.asked.near(each.Asked)
+			win.let.near(max(let, 0))
+			win.asked.near(max(asked, 0))
 		}
 	}
 }
@@ -46,8 +102,8 @@
 func (led *Ledger) HeardAway(now time.Time, centre yuccaid.Centre, spent []Spent) {
 	for _, each := range spent {
 		if win := led.told(now, each.Account); win != nil {
-			win.let.far(now, led.tolerance.Window, centre, each.Amount)
-			win.asked.far(now, led.tolerance.Window, centre, each.Asked)
+			win.let.far(now, led.span(), centre, each.Amount)
+			win.asked.far(now, led.span(), centre, each.Asked)
 		}
 	}
 }
@@ -60,30 +116,44 @@
 func (led *Ledger) HeardWhole(now time.Time, centre yuccaid.Centre, totals []Spent) {
 	for _, each := range totals {
 		if win := led.told(now, each.Account); win != nil {
-			win.let.whole(now, led.tolerance.Window, centre, each.Amount)
-			win.asked.whole(now, led.tolerance.Window, centre, each.Asked)
+			win.let.whole(now, led.span(), centre, each.Amount)
+			win.asked.whole(now, led.span(), centre, each.Asked)
 		}
 	}
 }
 
-// Report returns what this daemon let in since the last report.
+// Report returns what this daemon let in since it began, of the accounts for which that has
+// changed since the last report.
 func (led *Ledger) Report() []Spent {
-	return led.collect(func(tl *tally) *int64 { return &tl.own })
+	var list []Spent
+	for name, win := range led.windows {
+		if win.let.ever != win.let.reported || win.asked.ever != win.asked.reported {
+			list = append(list, Spent{Account: name, Amount: win.let.ever, Asked: win.asked.ever})
+			win.let.reported, win.asked.reported = win.let.ever, win.asked.ever
+		}
+	}
+	slices.SortFunc(list, compareSpent)
+	return list
+}
+
+// Ever returns what this daemon let in since it began, for one that it meets.
+func (led *Ledger) Ever() []Spent {
+	var list []Spent
+	for name, win := range led.windows {
+		list = append(list, Spent{Account: name, Amount: win.let.ever, Asked: win.asked.ever})
+	}
+	slices.SortFunc(list, compareSpent)
+	return list
 }
 
 // ReportAway returns what this data centre let in since the last such report, for the one
 // daemon that reports to the others.
 func (led *Ledger) ReportAway() []Spent {
-	return led.collect(func(tl *tally) *int64 { return &tl.centre })
-}
-
-func (led *Ledger) collect(of func(*tally) *int64) []Spent {
 	var list []Spent
 	for name, win := range led.windows {
-		let, asked := of(&win.let), of(&win.asked)
-		if *let != 0 || *asked != 0 {
-			list = append(list, Spent{Account: name, Amount: *let, Asked: *asked})
-			*let, *asked = 0, 0
+		if win.let.centre != 0 || win.asked.centre != 0 {
+			list = append(list, Spent{Account: name, Amount: win.let.centre, Asked: win.asked.centre})
+			win.let.centre, win.asked.centre = 0, 0
 		}
 	}
 	slices.SortFunc(list, compareSpent)
@@ -112,10 +182,10 @@
 	return led.sums(now, func(tl *tally) int64 { return tl.home.Total() })
 }
 
-// Mine returns what this daemon let in within the windows and has reported, for a daemon of
-// its data centre that it meets for the first time.
+// Mine returns what this daemon let in within the windows, for a daemon of its data centre
+// that it meets for the first time.
 func (led *Ledger) Mine(now time.Time) []Spent {
-	return led.sums(now, func(tl *tally) int64 { return tl.mine.Total() - tl.own })
+	return led.sums(now, func(tl *tally) int64 { return tl.mine.Total() })
 }
 
 func (led *Ledger) sums(now time.Time, of func(*tally) int64) []Spent {
@@ -150,8 +220,7 @@
 	led.Raise(now, totals, true)
 	for _, each := range home {
 		if win := led.told(now, each.Account); win != nil {
-			sum := win.let.of(now, led.tolerance.Window, centre)
-			sum.Add(max(each.Amount-sum.Total(), 0))
+			win.let.whole(now, led.span(), centre, each.Amount)
 		}
 	}
 }
--- a/core/yuccaquota/sizes_test.go
+++ b/core/yuccaquota/sizes_test.go
@@ -52,25 +52,17 @@
 func (rsh *rush) kill() {
 	flt := rsh.flt
 	for at := range flt.ledgers {
-		flt.ledgers[at] = ledger(flt.now, tolerant)
+		flt.restart(at, ledger(flt.now, tolerant))
 		flt.ledgers[at].SetFleet(0.15, 6, 300*time.Millisecond)
 		flt.ledgers[at].Forgot(flt.now)
 	}
 	flt.cut = func(int) bool { return true }
 	rsh.run(450 * time.Millisecond)
 	flt.cut = func(int) bool { return false }
-	var mine [][]yuccaquota.Spent
 	for _, led := range flt.ledgers {
-		mine = append(mine, led.Mine(flt.now))
-	}
-	for at, led := range flt.ledgers {
 		led.SetFleet(1, len(flt.ledgers), 400*time.Millisecond)
-		for from, spent := range mine {
-			if from != at {
-				led.Heard(flt.now, spent)
-			}
-		}
 	}
+	flt.meetAll()
 }
 
 var _ = Describe("a quota over a large fleet, with requests of unlike sizes", func() {
@@ -90,6 +82,29 @@
 		Entry("at six times its rate", 6.0),
 	)
 
+	// An account has a small rate, and a single request of it is worth two seconds of that.
+	// Nearly all that it may have is what operators tolerate. It presses with twenty-five times
+	// its rate, and each daemon lets in one request more before it hears of the others'.
+	DescribeTable("is kept by an account whose requests are large against its rate",
+		func(daemons int, every time.Duration) {
+			const rate, burst, amount = 2000.0, 4000.0, 190_000.0
+			tolerance := yuccaquota.Tolerance{Window: span, Overshoot: 0.25, Amount: amount}
+			for seed := range uint64(20) {
+				flt := newFleet(daemons, every, tolerance)
+				for _, led := range flt.ledgers {
+					led.Configure(flt.now, accounts(rate, burst))
+				}
+				rsh := &rush{flt: flt, rng: rand.New(rand.NewPCG(seed, 1)), each: 25 * rate, mean: 2500}
+				rsh.run(30 * time.Second)
+				tolerated := (rate*8+burst)*1.25 + amount
+				Expect(flt.most()).To(BeNumerically("<=", tolerated), "seed %d", seed)
+				Expect(flt.most()).To(BeNumerically(">=", 0.75*tolerated), "seed %d", seed)
+			}
+		},
+		Entry("in a small fleet", 5, 200*time.Millisecond),
+		Entry("in a large fleet", 63, 400*time.Millisecond),
+	)
+
 	// An account presses, and harder as what it had leaves the window; then all daemons are
 	// killed. Those that come back remember nothing.
 	DescribeTable("is kept when all daemons forget in the middle of a rush",
--- a/core/yuccaquota/tally.go
+++ b/core/yuccaquota/tally.go
@@ -15,10 +15,15 @@
 	mine yuccawindow.Sum
 	home yuccawindow.Sum
 	away map[yuccaid.Centre]*yuccawindow.Sum
-	// own is what this daemon counted and hasn't reported to those of its data centre yet,
-	// centre what its data centre counted and hasn't reported to the others yet.
-	own    int64
-	centre int64
+	// unplaced is what was taken over from another daemon's total without knowing whose it
+	// is. When a data centre tells all that it counted, that is a part of it.
+	unplaced yuccawindow.Sum
+	// ever is all that this daemon counted since it began, and reported what of that it told
+	// the others of its data centre; centre is what its data centre counted and hasn't
+	// reported to the other ones yet.
+	ever     int64
+	reported int64
+	centre   int64
 }
 
 // advance drops what has left the window.
@@ -26,11 +31,12 @@
 	tl.all.Advance(now, span)
 	tl.mine.Advance(now, span)
 	tl.home.Advance(now, span)
+	tl.unplaced.Advance(now, span)
 }
 
 // count adds what this daemon counts.
 func (tl *tally) count(amount int64) {
-	tl.own += amount
+	tl.ever += amount
 	tl.mine.Add(amount)
 	tl.near(amount)
 }
@@ -65,14 +71,26 @@
 // whole takes all that another data centre counted within the window, and adds what of it
 // hasn't been heard.
 func (tl *tally) whole(now time.Time, span time.Duration, centre yuccaid.Centre, total int64) {
-	if missing := total - tl.of(now, span, centre).Total(); missing > 0 {
-		tl.far(now, span, centre, missing)
+	missing := total - tl.of(now, span, centre).Total()
+	if missing <= 0 {
+		return
 	}
+	tl.of(now, span, centre).Add(missing)
+	tl.all.Add(missing - tl.place(missing))
+}
+
+// place takes an amount whose data centre is now known out of what is unplaced, as far as it
+// goes, and returns how much that was.
+func (tl *tally) place(amount int64) int64 {
+	placed := min(amount, max(tl.unplaced.Total(), 0))
+	tl.unplaced.Add(-placed)
+	return placed
 }
 
 // raise takes over a higher total, as if what is missing had been counted half a window ago.
 func (tl *tally) raise(total int64) {
 	if missing := total - tl.all.Total(); missing > 0 {
 		tl.all.AddBefore(missing)
+		tl.unplaced.AddBefore(missing)
 	}
 }
--- a/core/yuccawindow/window.go
+++ b/core/yuccawindow/window.go
@@ -3,9 +3,11 @@
 
 import "time"
 
-// slots is into how many parts a window is divided. The oldest part leaves as a whole, so
-// up to one part more than the window is counted.
-const slots = 32
+// Parts is into how many parts a window is divided. The oldest part leaves as a whole, so
+// what is counted lies between the window and one part less.
+const Parts = 32
+
+const slots = Parts
 
 // Sum is a sum over a window. Its zero value is empty; Advance it before it is read.
 //
--- a/io/yuccagate/gate.go
+++ b/io/yuccagate/gate.go
@@ -77,12 +77,11 @@
 	ledger  *yuccaquota.Ledger
 	useTold time.Time
 	useCast time.Time
-	// counted are the daemons of this data centre whose earlier use is counted, and wholeDue
-	// says that another data centre may lack what this one let in.
-	counted  map[yuccaid.Incarnation]bool
+	// wholeDue says that another data centre may lack what this one let in.
 	wholeDue bool
 	budget   *yuccabudget.Budget
 
+	wholeAt  time.Time
 	desks   map[yuccaid.Pool]*desk
 	tickets map[uint64]*ticket
 	swept   time.Time
@@ -124,7 +123,6 @@
 		fresh:     make(map[yuccaid.Incarnation]fresh),
 		ledger:    yuccaquota.New(settings.Bounds.tolerance()),
 		budget:    yuccabudget.New(settings.Bounds.resends()),
-		counted:   make(map[yuccaid.Incarnation]bool),
 		desks:     make(map[yuccaid.Pool]*desk),
 		tickets:   make(map[uint64]*ticket),
 	}
--- a/io/yuccagate/peers.go
+++ b/io/yuccagate/peers.go
@@ -60,7 +60,7 @@
 		gate.log.belief("peer reached", "peer", member.VM, "centre", member.Centre)
 		gate.onChange(now, gate.peers.Linked(now, member))
 		gate.send(member.Incarnation, yuccawire.KindUse, yuccawire.Use{
-			Totals: true, Spent: gate.ledger.Totals(now), Mine: gate.ledger.Mine(now), Home: gate.ledger.Home(now),
+			Totals: true, Spent: gate.ledger.Totals(now), Ever: gate.ledger.Ever(), Mine: gate.ledger.Mine(now), Home: gate.ledger.Home(now),
 			Knows: !gate.ledger.Amnesic(now),
 		})
 		gate.resync(now, member.Incarnation)
@@ -127,7 +127,6 @@
 	for _, left := range change.Left {
 		gate.log.belief("peer gone", "peer", left.VM, "centre", left.Centre)
 		gate.ownerGone(now, left.Incarnation)
-		delete(gate.counted, left.Incarnation)
 	}
 	if len(change.Joined) == 0 && len(change.Left) == 0 && !change.Woken {
 		return
--- a/io/yuccagate/use.go
+++ b/io/yuccagate/use.go
@@ -18,6 +18,9 @@
 	// useWay is what the way of a report to the other data centres adds: two ticks, three
 	// hops and the way between regions.
 	useWay = 100 * time.Millisecond
+	// wholeEvery is how often all that a data centre let in within the windows is told: casts
+	// are lost with the connections that break, and a change of speaker loses some.
+	wholeEvery = time.Second
 	// firstPart is the part of quotas that a daemon uses before it has heard from others, for
 	// some tenths of a second. What an account can be let in for meanwhile is bounded by what
 	// it asks for; callers who come back after an outage are refused with a smaller part.
@@ -122,8 +125,8 @@
 	gate.useCast = now
 	message := yuccawire.Cast{Topic: yuccawire.TopicUse, Use: spent, Daemons: len(gate.peers.Live(gate.settings.Centre))}
 	gate.cast(message)
-	if gate.wholeDue {
-		gate.wholeDue = false
+	if gate.wholeDue || len(spent) > 0 && now.Sub(gate.wholeAt) >= wholeEvery {
+		gate.wholeDue, gate.wholeAt = false, now
 		message.Use, message.Whole = gate.ledger.Home(now), true
 		gate.cast(message)
 	}
@@ -137,16 +140,26 @@
 	away := found && peer.Centre != gate.settings.Centre
 	switch {
 	case !message.Totals:
-		gate.ledger.Heard(now, message.Spent)
+		gate.ledger.Heard(now, from, message.Spent)
 	case away && message.Knows:
 		gate.ledger.RaiseAway(now, peer.Centre, message.Spent, message.Home)
 	case away:
-	case message.Knows || gate.counted[from]:
-		gate.ledger.Raise(now, message.Spent, message.Knows)
 	default:
-		gate.ledger.Heard(now, message.Mine)
+		gate.meetUse(now, from, message)
+	}
+}
+
+// meetUse takes what a daemon nearby tells when a connection to it comes up. The totals of
+// one that remembers hold what it let in itself, and so may those that others told.
+func (gate *Gate) meetUse(now time.Time, from yuccaid.Incarnation, message yuccawire.Use) {
+	within := message.Mine
+	if message.Knows && !gate.ledger.Met(from) {
+		within = nil
+	}
+	gate.ledger.Meet(now, from, message.Ever, within)
+	if message.Knows {
+		gate.ledger.Raise(now, message.Spent, true)
 	}
-	gate.counted[from] = true
 }
 
 func (gate *Gate) onCentreUse(now time.Time, message yuccawire.Cast) {
--- a/io/yuccawire/gate.go
+++ b/io/yuccawire/gate.go
@@ -36,13 +36,14 @@
 	At        yuccaroster.Revision
 }
 
-// Use tells what accounts were let in for since the last one, or the totals of their
+// Use tells what the sender let accounts in for since it began, or the totals of their
 // windows, for a daemon that has just come.
 type Use struct {
 	Totals bool
 	Spent  []yuccaquota.Spent
-	// Mine is the part of the totals that the sender itself let in, and Home the part of its
-	// data centre.
+	// Ever is what the sender itself let in since it began, Mine the part of that within the
+	// windows, and Home what its data centre let in within them.
+	Ever []yuccaquota.Spent
 	Mine []yuccaquota.Spent
 	Home []yuccaquota.Spent
 	// Knows says that the sender has been there for a whole window or was told by one that
