Daemons whose data centre can't read the platform ask other data centres for targets

Cause: the configuration passes between data centres, registrations did not. A data centre cut off from the platform alone went on with targets that had gone, and its daemons knew none after a restart and refused everybody. Ruled out: casting every change to all data centres (bytes between regions are paid for, and each centre reads by itself nearly always). A peer answers only if it has heard of a later revision.

--- a/io/yuccagate/peers.go
+++ b/io/yuccagate/peers.go
@@ -196,7 +196,7 @@
 	case yuccawire.KindTablePull:
 		return decoded(frame, func(pull yuccawire.TablePull) { gate.onTablePull(from, pull) })
 	case yuccawire.KindTargetsPull:
-		gate.onTargetsPull(now, from)
+		return decoded(frame, func(pull yuccawire.TargetsPull) { gate.onTargetsPull(from, pull) })
 	case yuccawire.KindTargets:
 		return decoded(frame, func(message yuccawire.Targets) { gate.onTargets(now, message) })
 	case yuccawire.KindFresh:
--- a/io/yuccagate/targets.go
+++ b/io/yuccagate/targets.go
@@ -1,6 +1,7 @@
 package yuccagate
 
 import (
+	mathrand "math/rand/v2"
 	"time"
 
 	"yuccacleat/core/yuccagrant"
@@ -20,6 +21,8 @@
 	// staleAfter is the age of the reader's news at which every daemon reads for itself: a
 	// little more than the reader's calls take when nothing changes.
 	staleAfter = 1700 * time.Millisecond
+	// askAroundEvery is how often a daemon asks a peer for news of targets that it can't read.
+	askAroundEvery = 400 * time.Millisecond
 	// firstReads is how long a daemon that has just started reads for itself, whoever else
 	// does: it knows nothing yet.
 	firstReads = 700 * time.Millisecond
@@ -89,6 +92,7 @@
 		gate.freshTold = now
 		gate.nearby(yuccawire.KindFresh, yuccawire.Fresh{AgeMillis: now.Sub(gate.platformHeard).Milliseconds(), At: gate.platformAt})
 	}
+	gate.askAround(now)
 	rests := !reads && gate.tables.Load() != nil && now.Sub(gate.began) > firstReads && gate.informed(now)
 	if rests != gate.rests.Load() {
 		gate.rests.Store(rests)
@@ -109,12 +113,34 @@
 func (gate *Gate) onFresh(now time.Time, from yuccaid.Incarnation, message yuccawire.Fresh) {
 	gate.fresh[from] = fresh{at: message.At, age: time.Duration(message.AgeMillis) * time.Millisecond, heard: now}
 	if message.At > gate.platformAt && now.Sub(gate.targetsPulled) > pullEvery {
-		gate.targetsPulled = now
-		gate.send(from, yuccawire.KindTargetsPull, yuccawire.TargetsPull{})
+		gate.pullTargets(now, from)
 	}
 }
 
-func (gate *Gate) onTargetsPull(_ time.Time, from yuccaid.Incarnation) {
+func (gate *Gate) pullTargets(now time.Time, from yuccaid.Incarnation) {
+	gate.targetsPulled = now
+	gate.send(from, yuccawire.KindTargetsPull, yuccawire.TargetsPull{Have: gate.platformAt})
+}
+
+// askAround asks any peer for its targets while nobody in this data centre reaches the
+// platform.
+//
+// A data centre may be cut off from the platform and not from the others. Its daemons would
+// send requests to targets that have gone, and those that are restarted would know none.
+func (gate *Gate) askAround(now time.Time) {
+	silent := gate.platformHeard.IsZero() || now.Sub(gate.platformHeard) > staleAfter
+	if !silent || gate.informed(now) || now.Sub(gate.began) < firstReads || now.Sub(gate.targetsPulled) < askAroundEvery {
+		return
+	}
+	if linked := gate.hub.Linked(); len(linked) > 0 {
+		gate.pullTargets(now, linked[mathrand.IntN(len(linked))].Incarnation)
+	}
+}
+
+func (gate *Gate) onTargetsPull(from yuccaid.Incarnation, pull yuccawire.TargetsPull) {
+	if gate.platformAt <= pull.Have {
+		return
+	}
 	gate.send(from, yuccawire.KindTargets, yuccawire.Targets{
 		Entries: gate.roster.Entries(), Removals: gate.roster.Removals(), At: gate.platformAt, Sure: true,
 	})
--- a/io/yuccawire/gate.go
+++ b/io/yuccawire/gate.go
@@ -16,8 +16,11 @@
 	Raw []byte `msgpack:"raw"`
 }
 
-// TargetsPull asks a peer for all registrations that it knows.
-type TargetsPull struct{}
+// TargetsPull asks a peer for all registrations that it knows, if it has heard of a later
+// revision.
+type TargetsPull struct {
+	Have yuccaroster.Revision
+}
 
 // Targets are registrations of targets and their ends: all of them, or what has changed.
 type Targets struct {
