Requests are logged when they are sent, and targets that come, leave and go are named

Ruled out: a line for each registration (renewals change nothing; a fleet's first list is one line that names twenty).

--- a/core/yuccastory/sentence.go
+++ b/core/yuccastory/sentence.go
@@ -17,11 +17,9 @@
 	case "sent":
 		text := fmt.Sprintf("sent to %s (sending %s) after %s ms; %s expected the first event in %s ms, %s runs were there",
 			line.text("target"), line.text("send"), line.text("waitedMillis"), decider(line), line.text("expectMillis"), line.text("busy"))
-		text += fmt.Sprintf("; configuration %s, the platform's word %s ms old", line.text("number"), line.text("newsAgeMillis"))
-		if cause := line.text("error"); cause != "" {
-			text += "; it failed: " + cause
-		}
-		return text
+		return text + fmt.Sprintf("; configuration %s, the platform's word %s ms old", line.text("number"), line.text("newsAgeMillis"))
+	case "unanswered":
+		return fmt.Sprintf("%s gave no answer (sending %s): %s", line.text("target"), line.text("send"), line.text("error"))
 	case "again":
 		may := "may not"
 		if line.text("may") == "true" {
--- a/io/yuccagate/fleet_test.go
+++ b/io/yuccagate/fleet_test.go
@@ -175,6 +175,13 @@
 	return nil
 }
 
+// all returns everything that was logged.
+func (ln *lines) all() string {
+	ln.mu.Lock()
+	defer ln.mu.Unlock()
+	return strings.Join(ln.list, "\n")
+}
+
 func settings(vm string, centre yuccaid.Centre, peers net.Listener, seeds []string) yuccagate.Settings {
 	regions := map[yuccaid.Centre]yuccaid.Region{centre: "permian"}
 	if strings.HasPrefix(vm, string(centre)) {
--- a/io/yuccagate/gate.go
+++ b/io/yuccagate/gate.go
@@ -66,7 +66,9 @@
 	tableText []byte
 	pulled    time.Time
 
-	roster        *yuccaroster.Roster
+	roster *yuccaroster.Roster
+	// told are the targets that the log was last told of.
+	told          map[yuccaid.Target]yuccaroster.Entry
 	rosterVersion uint64
 	targetsPulled time.Time
 	platformHeard time.Time
@@ -79,9 +81,9 @@
 	useCast time.Time
 	// wholeDue says that another data centre may lack what this one let in.
 	wholeDue bool
+	wholeAt  time.Time
 	budget   *yuccabudget.Budget
 
-	wholeAt  time.Time
 	desks   map[yuccaid.Pool]*desk
 	tickets map[uint64]*ticket
 	swept   time.Time
@@ -196,9 +198,7 @@
 // tick runs on the control goroutine every tickEvery, and first after a pause.
 func (gate *Gate) tick(now time.Time) {
 	gate.tickPeers(now)
-	if gone := gate.roster.Tick(now); len(gone) > 0 {
-		gate.log.belief("targets gone", "targets", gone)
-	}
+	gate.roster.Tick(now)
 	gate.refreshTargets(now)
 	gate.tickReader(now)
 	gate.tickUse(now)
--- a/io/yuccagate/gate_test.go
+++ b/io/yuccagate/gate_test.go
@@ -105,6 +105,19 @@
 		Expect(one.status).To(Equal(http.StatusOK), one.body)
 	})
 
+	// A pool has grown small, and whoever looks for the reason has only the logs.
+	It("tells which targets came, are leaving and went", func() {
+		eng, other := newEngine("a", nil), newEngine("b", nil)
+		gt := newGate("entry-1")
+		gt.know(1, config(), 4, eng, other)
+		Eventually(gt.lines.all).Should(ContainSubstring("came[a b]"))
+		entry := yuccaroster.Entry{Target: "a", Pool: "desk", Address: eng.listener.Addr().String(), Centre: "odessa", Slots: 4, Revision: 2, Leaving: true}
+		gt.OfferTargets([]yuccaroster.Entry{entry}, nil, false, 2, true)
+		Eventually(gt.lines.all).Should(ContainSubstring("leaving[a]"))
+		gt.OfferTargets(nil, []yuccaroster.Removal{{Target: "a", Revision: 3}}, false, 3, true)
+		Eventually(gt.lines.all).Should(ContainSubstring("gone[a]"))
+	})
+
 	It("uses a new configuration from the next request on", func() {
 		eng := newEngine("a", nil)
 		gt := newGate("entry-1")
@@ -619,6 +632,19 @@
 })
 
 var _ = Describe("gateways of two data centres", func() {
+	// A data centre is cut off from the platform, and its daemons are restarted. The other one
+	// knows configuration and targets; without asking there, every caller would be told that
+	// there is no target.
+	It("learn from each other what one of them can't read", func() {
+		eng := newEngine("a", nil)
+		reads := newGateIn("odessa", "odessa-1")
+		reads.know(1, config(), 4, eng)
+		cut := newGateIn("austin", "austin-1", reads.Status().Address)
+		Eventually(func() int { return call{path: "/ticket/"}.do(cut).status }, 5*time.Second).Should(Equal(http.StatusOK))
+		reads.OfferTargets(nil, []yuccaroster.Removal{{Target: "a", Revision: 2}}, false, 2, true)
+		Eventually(func() int { return len(cut.Status().Targets) }, 5*time.Second).Should(BeZero())
+	})
+
 	// They meet by a seed, and each has a peer of its own. If their connections were given up
 	// once each data centre has found itself, accounts would get their quotas twice.
 	It("stay connected and count quotas together", func() {
--- a/io/yuccagate/run.go
+++ b/io/yuccagate/run.go
@@ -170,10 +170,11 @@
 	out.Header = req.onward(att.sent, place.target, position)
 	own := func(header http.Header) bool { return req.gate.dialect.Own(header, req.caller.ID) }
 	ctx, att.watch = req.watchSilence(ctx, place.inputs.expect)
-	answer, err := req.gate.hop.Send(ctx, place.address, &out, own)
 	req.gate.metrics.sent(req.tier(), place.alone, att.sent.Sub(req.arrived))
-	req.logSent(att, place, err)
+	req.logSent(att, place)
+	answer, err := req.gate.hop.Send(ctx, place.address, &out, own)
 	if err != nil {
+		req.told("unanswered", "target", place.target, "send", req.sends, "error", err)
 		var unsent *yuccahop.UnsentError
 		if errors.As(err, &unsent) {
 			return att, yuccagrant.Unreachable
@@ -199,19 +200,16 @@
 	return att, yuccagrant.Served
 }
 
-// logSent tells of a sending and what it was decided from.
-func (req *request) logSent(att *attempt, place placed, err error) {
-	fields := []any{
+// logSent tells of a sending and what it was decided from, before it is known what comes of
+// it: a target that hangs is seen by what has no further line.
+func (req *request) logSent(att *attempt, place placed) {
+	req.went("sent",
+		"account", req.accountName(), "route", req.routeName(),
 		"target", place.target, "send", req.sends, "waitedMillis", att.sent.Sub(req.arrived).Milliseconds(),
 		"leader", place.inputs.leader, "alone", place.alone, "expectMillis", place.inputs.expect.Milliseconds(), "busy", place.inputs.busy,
 		"number", req.table.Number(), "revision", place.inputs.revision, "newsAgeMillis", place.inputs.age.Milliseconds(),
 		"charged", req.caller.Charged,
-	}
-	if err != nil {
-		req.told("sent", append(fields, "error", err)...)
-		return
-	}
-	req.went("sent", append(fields, "account", req.accountName(), "route", req.routeName())...)
+	)
 }
 
 func (req *request) accountName() yuccaid.Account {
--- a/io/yuccagate/targets.go
+++ b/io/yuccagate/targets.go
@@ -2,6 +2,7 @@
 
 import (
 	mathrand "math/rand/v2"
+	"slices"
 	"time"
 
 	"yuccacleat/core/yuccagrant"
@@ -167,11 +168,54 @@
 		return
 	}
 	gate.rosterVersion = gate.roster.Version()
+	gate.tellTargets()
 	for _, dsk := range gate.desks {
 		gate.configure(now, dsk)
 	}
 }
 
+// mostNamed bounds how many targets one line names: a whole fleet may come at once.
+const mostNamed = 20
+
+// tellTargets tells which targets came, began anew, are leaving or went since it last did.
+func (gate *Gate) tellTargets() {
+	var came, reborn, leaving, gone []yuccaid.Target
+	now := make(map[yuccaid.Target]yuccaroster.Entry, len(gate.told))
+	for _, entry := range gate.roster.Entries() {
+		now[entry.Target] = entry
+		before, known := gate.told[entry.Target]
+		switch {
+		case !known:
+			came = append(came, entry.Target)
+		case before.Born != entry.Born:
+			reborn = append(reborn, entry.Target)
+		}
+		if entry.Leaving && !before.Leaving {
+			leaving = append(leaving, entry.Target)
+		}
+	}
+	for name := range gate.told {
+		if _, known := now[name]; !known {
+			gone = append(gone, name)
+		}
+	}
+	slices.Sort(gone)
+	gate.told = now
+	if len(came)+len(reborn)+len(leaving)+len(gone) == 0 {
+		return
+	}
+	fields := []any{"known", len(now), "revision", gate.platformAt}
+	for _, each := range []struct {
+		what  string
+		names []yuccaid.Target
+	}{{"came", came}, {"begunAnew", reborn}, {"leaving", leaving}, {"gone", gone}} {
+		if len(each.names) > 0 {
+			fields = append(fields, each.what, each.names[:min(len(each.names), mostNamed)])
+		}
+	}
+	gate.log.belief("targets", fields...)
+}
+
 // targets returns a pool's targets as they look from this data centre, with a part of their
 // places where this daemon decides without the others.
 func (gate *Gate) targets(dsk *desk) []yuccagrant.Target {
