--- a/cmd/yuccacleat/operators_test.go
+++ b/cmd/yuccacleat/operations_test.go
@@ -18,7 +18,7 @@
 
 var _ = Describe("the operators' page", func() {
 	It("shows commands that work as they stand", func() {
-		page, err := os.ReadFile(filepath.Join("..", "..", "docs", "OPERATORS.md"))
+		page, err := os.ReadFile(filepath.Join("..", "..", "docs", "OPERATIONS.md"))
 		Expect(err).NotTo(HaveOccurred())
 		fl := newFleet(1, unlike...)
 		first := fl.firstNote()
