--- a/io/yuccagate/gate_test.go
+++ b/io/yuccagate/gate_test.go
@@ -658,19 +658,6 @@
 		}
 		for _, gt := range all {
 			gt.know(1, config(), 4, eng)
-	// A data centre is cut off from the platform, and its daemons are restarted. The other one
-	// knows configuration and targets; without asking there, every caller would be told that
-	// there is no target.
-	It("learn from each other what one of them can't read", func() {
-		eng := newEngine("a", nil)
-		reads := newGateIn("odessa", "odessa-1")
-		reads.know(1, config(), 4, eng)
-		cut := newGateIn("austin", "austin-1", reads.Status().Address)
-		Eventually(func() int { return call{path: "/ticket/"}.do(cut).status }, 5*time.Second).Should(Equal(http.StatusOK))
-		reads.OfferTargets(nil, []yuccaroster.Removal{{Target: "a", Revision: 2}}, false, 2, true)
-		Eventually(func() int { return len(cut.Status().Targets) }, 5*time.Second).Should(BeZero())
-	})
-
 		}
 		crossing := func() bool {
 			across := map[bool]int{}
