--- a/core/yuccagrant/leader.go
+++ b/core/yuccagrant/leader.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -333,85 +332,6 @@
 	return seconds(float64(places) * lead.model.held() / max(lead.places(now), 0.5))
 }
 
-// hopeless reports whether a request that found no place had better be told so at once.
-//
-// Under overload a queue that takes everything makes everybody late. A caller who hears at
-// once when to come back loses nothing by it. But while requests of lower ranks run, their
-// places will come free, and a higher rank is not sent away before them.
-func (lead *Leader) hopeless(now time.Time, ask *Ask) bool {
-	if lead.model.holds < fewHolds {
-		// Nobody knows yet how long a place is held.
-		return !now.Before(ask.Until)
-	}
-	wait := lead.wait(now, lead.queue.ahead(ask.Rank, ask.Aim))
-	begin := wait + lead.model.first(ask.Prompt)
-	if begin <= ask.Aim.Sub(now)+soon {
-		return false
-	}
-	if lead.lowerRuns(ask.Rank) {
-		return begin > time.Duration(patience*float64(ask.Until.Sub(now)))
-	}
-	return true
-}
-
-func (lead *Leader) lowerRuns(rank int) bool {
-	for _, one := range lead.runs {
-		if one.ask.Rank > rank {
-			return true
-		}
-	}
-	return false
-}
-
-// expire refuses what waited in vain.
-func (lead *Leader) expire(now time.Time, dec *Decisions) {
-	if len(lead.nodes) == 0 {
-		lead.expireDeserted(now, dec)
-		return
-	}
-	var gone []*waiting
-	for _, item := range lead.queue.byID {
-		if item.Aim.Before(now) && lead.hopeless(now, &item.Ask) || !now.Before(item.Until) {
-			gone = append(gone, item)
-		}
-	}
-	lead.refuseAll(now, gone, ReasonLate, dec)
-}
-
-// expireDeserted refuses what waited in vain for a first target.
-func (lead *Leader) expireDeserted(now time.Time, dec *Decisions) {
-	var gone []*waiting
-	for _, item := range lead.queue.byID {
-		if item.Aim.Before(now) || lead.deserted(now) {
-			gone = append(gone, item)
-		}
-	}
-	lead.refuseAll(now, gone, ReasonNoTarget, dec)
-}
-
-func (lead *Leader) refuseAll(now time.Time, gone []*waiting, reason Reason, dec *Decisions) {
-	slices.SortFunc(gone, func(a, b *waiting) int { return cmp.Compare(a.ID.Number, b.ID.Number) })
-	for _, item := range gone {
-		lead.queue.remove(item.ID)
-		lead.refuse(now, &item.Ask, reason, dec)
-	}
-}
-
-func (lead *Leader) refuse(now time.Time, ask *Ask, reason Reason, dec *Decisions) {
-	dec.Refusals = append(dec.Refusals, Refusal{
-		ID: ask.ID, Reason: reason, Back: lead.back(now, ask),
-		Waiting: lead.queue.len(), Free: lead.free(now), Wait: lead.wait(now, lead.queue.ahead(ask.Rank, ask.Aim)),
-	})
-}
-
-// back is when a refused caller should come again: when what waits of its rank and above
-// has been served. Those refused together are spread, or they would come as one burst.
-func (lead *Leader) back(now time.Time, ask *Ask) time.Duration {
-	wait := lead.wait(now, lead.queue.ahead(ask.Rank, now.Add(math.MaxInt32*time.Second))+1)
-	wait = min(max(wait, leastBack), mostBack)
-	return wait + time.Duration(lead.rng.Float64()*backSpread*float64(wait))
-}
-
 func (lead *Leader) start(now time.Time, nd *node, ask Ask) *run {
 	one := &run{ask: ask, node: nd, sent: now, expect: lead.estimate(now, nd, &ask).first}
 	lead.runs[ask.ID] = one
@@ -423,70 +343,3 @@
 	delete(lead.runs, one.ask.ID)
 	delete(one.node.runs, one.ask.ID)
 }
-
-// learnFirst takes a first event into the pool's model and the target's pace.
-func (lead *Leader) learnFirst(one *run, took time.Duration) {
-	net := max(took-one.node.Way, time.Millisecond).Seconds()
-	expected := max(lead.model.first(one.ask.Prompt), time.Millisecond).Seconds()
-	lead.model.learnFirst(one.ask.Prompt, net/one.node.pace)
-	if lead.model.seen > 1 && one.ask.Gap == 0 {
-		one.node.learnPace(net/expected, callWeight)
-	}
-}
-
-// judge learns from how a run ended.
-func (lead *Leader) judge(now time.Time, one *run, end Ended) {
-	nd := one.node
-	switch end.Outcome {
-	case Served:
-		lead.learnServed(now, one, end)
-	case Failed:
-		nd.strikes = 0
-		nd.outcome(true)
-	case Rejected:
-		nd.outcome(true)
-		nd.rest = now.Add(restFirst / 2)
-	case Broken:
-		nd.outcome(true)
-	case Unreachable, Lost, Misdirected:
-		nd.outcome(true)
-		nd.strike(now)
-	case Dropped:
-	}
-}
-
-func (lead *Leader) learnServed(now time.Time, one *run, end Ended) {
-	nd := one.node
-	nd.strikes = 0
-	nd.outcome(false)
-	lead.model.learnHold(now.Sub(one.sent).Seconds() / nd.pace)
-	if end.Events > eventsForPace && end.Span > 0 {
-		gap := end.Span.Seconds() / float64(end.Events-1)
-		expected := lead.model.gap()
-		lead.model.learnEvent(gap / nd.pace)
-		if lead.model.events > 1 {
-			nd.learnPace(gap/expected, paceWeight)
-		}
-	}
-	if one.ask.Gap > 0 {
-		nd.learnPause(end.Pause > one.ask.Gap)
-	}
-}
-
-// normalise keeps the quickest known target at a pace of one, so that the model and the
-// paces don't drift apart together.
-func (lead *Leader) normalise() {
-	best := math.Inf(1)
-	for _, nd := range lead.nodes {
-		if nd.paced >= pacedEnough {
-			best = min(best, nd.pace)
-		}
-	}
-	if math.IsInf(best, 1) || math.Abs(best-1) < 0.02 {
-		return
-	}
-	for _, nd := range lead.nodes {
-		nd.pace /= best
-	}
-	lead.model.scale(best)
-}
--- /dev/null
+++ b/core/yuccagrant/learn.go
@@ -0,0 +1,73 @@
+package yuccagrant
+
+import (
+	"math"
+	"time"
+)
+
+// learnFirst takes a first event into the pool's model and the target's pace.
+func (lead *Leader) learnFirst(one *run, took time.Duration) {
+	net := max(took-one.node.Way, time.Millisecond).Seconds()
+	expected := max(lead.model.first(one.ask.Prompt), time.Millisecond).Seconds()
+	lead.model.learnFirst(one.ask.Prompt, net/one.node.pace)
+	if lead.model.seen > 1 && one.ask.Gap == 0 {
+		one.node.learnPace(net/expected, callWeight)
+	}
+}
+
+// judge learns from how a run ended.
+func (lead *Leader) judge(now time.Time, one *run, end Ended) {
+	nd := one.node
+	switch end.Outcome {
+	case Served:
+		lead.learnServed(now, one, end)
+	case Failed:
+		nd.strikes = 0
+		nd.outcome(true)
+	case Rejected:
+		nd.outcome(true)
+		nd.rest = now.Add(restFirst / 2)
+	case Broken:
+		nd.outcome(true)
+	case Unreachable, Lost, Misdirected:
+		nd.outcome(true)
+		nd.strike(now)
+	case Dropped:
+	}
+}
+
+func (lead *Leader) learnServed(now time.Time, one *run, end Ended) {
+	nd := one.node
+	nd.strikes = 0
+	nd.outcome(false)
+	lead.model.learnHold(now.Sub(one.sent).Seconds() / nd.pace)
+	if end.Events > eventsForPace && end.Span > 0 {
+		gap := end.Span.Seconds() / float64(end.Events-1)
+		expected := lead.model.gap()
+		lead.model.learnEvent(gap / nd.pace)
+		if lead.model.events > 1 {
+			nd.learnPace(gap/expected, paceWeight)
+		}
+	}
+	if one.ask.Gap > 0 {
+		nd.learnPause(end.Pause > one.ask.Gap)
+	}
+}
+
+// normalise keeps the quickest known target at a pace of one, so that the model and the
+// paces don't drift apart together.
+func (lead *Leader) normalise() {
+	best := math.Inf(1)
+	for _, nd := range lead.nodes {
+		if nd.paced >= pacedEnough {
+			best = min(best, nd.pace)
+		}
+	}
+	if math.IsInf(best, 1) || math.Abs(best-1) < 0.02 {
+		return
+	}
+	for _, nd := range lead.nodes {
+		nd.pace /= best
+	}
+	lead.model.scale(best)
+}
