What daemons pass on of quotas keeps its age

Cause: a daemon took over another's totals as if they had been let in half a window ago, or just now. Ruled out: taking over less often (a daemon that has just come has to know); the reports since the start, which were exact: the log's used and the sum of what was sent agree where nothing is passed on. The spec of three ledgers that pass totals on fails with either old placement.

--- a/core/yuccaquota/ledger_test.go
+++ b/core/yuccaquota/ledger_test.go
@@ -334,8 +334,8 @@
 	It("counts once what a neighbour and its own data centre both tell", func() {
 		led := ledger(start, strict)
 		led.Forgot(start)
-		spent := func(amount int64) []yuccaquota.Spent {
-			return []yuccaquota.Spent{{Account: "rally", Amount: amount}}
+		spent := func(amount int64) []yuccaquota.Aged {
+			return []yuccaquota.Aged{{Account: "rally", Let: []int64{amount}}}
 		}
 		led.Raise(start, spent(9000), true)
 		led.HeardWhole(start, "gulf", spent(4000))
@@ -349,6 +349,27 @@
 		Expect(led.Totals(start)).To(Equal(spent(11000)))
 	})
 
+	// Daemons restart and lose connections in turn, and each tells the next what it knows. An
+	// account that stopped asking would be refused for as long as that goes on, if what was
+	// passed on were counted anew each time.
+	It("forgets after a window what daemons pass on to one another", func() {
+		leds := []*yuccaquota.Ledger{ledger(start, strict), ledger(start, strict), ledger(start, strict)}
+		Expect(leds[0].Take(start, "rally", allowed/2, 0).Verdict).To(Equal(yuccaquota.Taken))
+		now := start
+		for turn := range 90 {
+			now = now.Add(100 * time.Millisecond)
+			from, to := leds[turn%3], leds[(turn+1)%3]
+			to.Raise(now, from.Totals(now), true)
+			to.HeardWhole(now, "gulf", from.Totals(now))
+			if turn == 40 {
+				Expect(to.Totals(now)).NotTo(BeEmpty())
+			}
+		}
+		for _, led := range leds {
+			Expect(led.Totals(now)).To(BeEmpty())
+		}
+	})
+
 	It("passes on to other data centres what this one let in, and nothing of theirs", func() {
 		led := ledger(start, strict)
 		led.Take(start, "rally", 100, 0)
--- a/core/yuccaquota/report.go
+++ b/core/yuccaquota/report.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"yuccacleat/core/yuccaid"
+	"yuccacleat/core/yuccawindow"
 )
 
 // Spent is what one account was let in for, in the units of its quota: by one daemon since
@@ -19,6 +20,15 @@
 	Asked int64
 }
 
+// Aged is what one account was let in for within its window by how long ago that was, in
+// equal parts of the window, the latest first.
+type Aged struct {
+	Account yuccaid.Account
+	Let     []int64
+	// Asked is what it asked for, at whatever age.
+	Asked int64
+}
+
 // told returns the window of an account that a report speaks of, or nil if it has no quota.
 // Peers may be met before the configuration is known; what they tell then isn't told again.
 func (led *Ledger) told(now time.Time, account yuccaid.Account) *window {
@@ -113,11 +123,11 @@
 //
 // Reports are lost while two data centres have no connection, and most of all after every
 // daemon was killed: each lets accounts in before it has met the others.
-func (led *Ledger) HeardWhole(now time.Time, centre yuccaid.Centre, totals []Spent) {
+func (led *Ledger) HeardWhole(now time.Time, centre yuccaid.Centre, totals []Aged) {
 	for _, each := range totals {
 		if win := led.told(now, each.Account); win != nil {
-			win.let.whole(now, led.span(), centre, each.Amount)
-			win.asked.whole(now, led.span(), centre, each.Asked)
+			win.let.whole(now, led.span(), centre, each.Let)
+			win.asked.whole(now, led.span(), centre, []int64{each.Asked})
 		}
 	}
 }
@@ -172,27 +182,42 @@
 }
 
 // Totals returns what the windows hold, for a daemon that has just started or was cut off.
-func (led *Ledger) Totals(now time.Time) []Spent {
-	return led.sums(now, func(tl *tally) int64 { return tl.all.Total() })
+func (led *Ledger) Totals(now time.Time) []Aged {
+	return led.aged(now, func(tl *tally) *yuccawindow.Sum { return &tl.all })
 }
 
 // Home returns what this data centre let in within the windows, for another one that may
 // have missed reports.
-func (led *Ledger) Home(now time.Time) []Spent {
-	return led.sums(now, func(tl *tally) int64 { return tl.home.Total() })
+func (led *Ledger) Home(now time.Time) []Aged {
+	return led.aged(now, func(tl *tally) *yuccawindow.Sum { return &tl.home })
+}
+
+func (led *Ledger) aged(now time.Time, of func(*tally) *yuccawindow.Sum) []Aged {
+	var list []Aged
+	for name, win := range led.windows {
+		led.advance(now, win)
+		let, asked := of(&win.let), of(&win.asked)
+		if let.Total() <= 0 && asked.Total() <= 0 {
+			continue
+		}
+		ages := let.Ages()
+		last := len(ages)
+		for last > 0 && ages[last-1] == 0 {
+			last--
+		}
+		list = append(list, Aged{Account: name, Let: ages[:last], Asked: asked.Total()})
+	}
+	slices.SortFunc(list, func(a, b Aged) int { return cmp.Compare(a.Account, b.Account) })
+	return list
 }
 
 // Mine returns what this daemon let in within the windows, for a daemon of its data centre
 // that it meets for the first time.
 func (led *Ledger) Mine(now time.Time) []Spent {
-	return led.sums(now, func(tl *tally) int64 { return tl.mine.Total() })
-}
-
-func (led *Ledger) sums(now time.Time, of func(*tally) int64) []Spent {
 	var list []Spent
 	for name, win := range led.windows {
 		led.advance(now, win)
-		if let, asked := of(&win.let), of(&win.asked); let > 0 || asked > 0 {
+		if let, asked := win.let.mine.Total(), win.asked.mine.Total(); let > 0 || asked > 0 {
 			list = append(list, Spent{Account: name, Amount: let, Asked: asked})
 		}
 	}
@@ -200,13 +225,13 @@
 	return list
 }
 
-// Raise takes over another daemon's totals where they are higher, as if what is missing had
-// been let in half a window ago. Knows says that the other has a memory of its own.
-func (led *Ledger) Raise(now time.Time, totals []Spent, knows bool) {
+// Raise takes over another daemon's totals where they are higher. Knows says that the other
+// has a memory of its own.
+func (led *Ledger) Raise(now time.Time, totals []Aged, knows bool) {
 	for _, each := range totals {
 		if win := led.told(now, each.Account); win != nil {
-			win.let.raise(each.Amount)
-			win.asked.raise(each.Asked)
+			win.let.raise(each.Let)
+			win.asked.raise([]int64{each.Asked})
 		}
 	}
 	if knows {
@@ -216,11 +241,11 @@
 
 // RaiseAway takes over the totals of a daemon of another data centre that remembers, which
 // hold what that data centre itself let in: that part isn't counted again when it is reported.
-func (led *Ledger) RaiseAway(now time.Time, centre yuccaid.Centre, totals, home []Spent) {
+func (led *Ledger) RaiseAway(now time.Time, centre yuccaid.Centre, totals, home []Aged) {
 	led.Raise(now, totals, true)
 	for _, each := range home {
 		if win := led.told(now, each.Account); win != nil {
-			win.let.whole(now, led.span(), centre, each.Amount)
+			win.let.whole(now, led.span(), centre, each.Let)
 		}
 	}
 }
--- a/core/yuccaquota/tally.go
+++ b/core/yuccaquota/tally.go
@@ -68,29 +68,54 @@
 	return sum
 }
 
-// whole takes all that another data centre counted within the window, and adds what of it
-// hasn't been heard.
-func (tl *tally) whole(now time.Time, span time.Duration, centre yuccaid.Centre, total int64) {
-	missing := total - tl.of(now, span, centre).Total()
-	if missing <= 0 {
-		return
+// whole takes all that another data centre counted within the window, by age, and adds what
+// of it hasn't been heard.
+func (tl *tally) whole(now time.Time, span time.Duration, centre yuccaid.Centre, theirs []int64) {
+	sum := tl.of(now, span, centre)
+	for _, part := range missing(theirs, sum) {
+		sum.AddAged(part.age, part.amount)
+		tl.all.AddAged(part.age, part.amount-tl.place(part))
 	}
-	tl.of(now, span, centre).Add(missing)
-	tl.all.Add(missing - tl.place(missing))
 }
 
 // place takes an amount whose data centre is now known out of what is unplaced, as far as it
 // goes, and returns how much that was.
-func (tl *tally) place(amount int64) int64 {
-	placed := min(amount, max(tl.unplaced.Total(), 0))
-	tl.unplaced.Add(-placed)
+func (tl *tally) place(part aged) int64 {
+	placed := min(part.amount, max(tl.unplaced.Total(), 0))
+	tl.unplaced.AddAged(part.age, -placed)
 	return placed
 }
 
-// raise takes over a higher total, as if what is missing had been counted half a window ago.
-func (tl *tally) raise(total int64) {
-	if missing := total - tl.all.Total(); missing > 0 {
-		tl.all.AddBefore(missing)
-		tl.unplaced.AddBefore(missing)
+// raise takes over a higher total, which is given by age.
+func (tl *tally) raise(theirs []int64) {
+	for _, part := range missing(theirs, &tl.all) {
+		tl.all.AddAged(part.age, part.amount)
+		tl.unplaced.AddAged(part.age, part.amount)
 	}
 }
+
+// aged is an amount that was counted some time ago.
+type aged struct {
+	age    int
+	amount int64
+}
+
+// missing returns what a sum lacks of another daemon's, the oldest first.
+//
+// Daemons take over one another's sums whenever they meet. Counted anew each time, an amount
+// would be passed to and fro while daemons restart, and never leave the window.
+func missing(theirs []int64, mine *yuccawindow.Sum) []aged {
+	lacks := -mine.Total()
+	for _, amount := range theirs {
+		lacks += amount
+	}
+	var parts []aged
+	have := mine.Ages()
+	for age := min(len(theirs), len(have)) - 1; age >= 0 && lacks > 0; age-- {
+		if part := min(lacks, theirs[age]-have[age]); part > 0 {
+			parts = append(parts, aged{age, part})
+			lacks -= part
+		}
+	}
+	return parts
+}
--- a/core/yuccawindow/window.go
+++ b/core/yuccawindow/window.go
@@ -51,6 +51,26 @@
 	sum.total += amount
 }
 
+// Ages is into how many parts Ages divides a window.
+const Ages = slots / 2
+
+// Ages returns the sum by how long ago it was counted, the latest first.
+func (sum *Sum) Ages() [Ages]int64 {
+	var ages [Ages]int64
+	for back := range int64(slots) {
+		ages[back/(slots/Ages)] += sum.slot[(sum.last-back+slots)%slots]
+	}
+	return ages
+}
+
+// AddAged counts an amount, or takes it back, at one of the ages: as old as that part
+// reaches. An amount that is passed on again and again never grows younger by it.
+func (sum *Sum) AddAged(age int, amount int64) {
+	back := int64(age+1)*(slots/Ages) - 1
+	sum.slot[(sum.last-back+slots)%slots] += amount
+	sum.total += amount
+}
+
 // Total returns the sum.
 func (sum *Sum) Total() int64 { return sum.total }
 
--- a/io/yuccagate/cast.go
+++ b/io/yuccagate/cast.go
@@ -66,7 +66,7 @@
 	}
 	gate.casts[key] = message.Sequence
 	if message.Centre == gate.settings.Centre {
-		if message.Topic == yuccawire.TopicUse && !message.Whole {
+		if message.Topic == yuccawire.TopicUse {
 			gate.ledger.Reported(message.Use)
 		}
 		gate.across(message)
--- a/io/yuccagate/peers.go
+++ b/io/yuccagate/peers.go
@@ -60,7 +60,7 @@
 		gate.log.belief("peer reached", "peer", member.VM, "centre", member.Centre)
 		gate.onChange(now, gate.peers.Linked(now, member))
 		gate.send(member.Incarnation, yuccawire.KindUse, yuccawire.Use{
-			Totals: true, Spent: gate.ledger.Totals(now), Ever: gate.ledger.Ever(), Mine: gate.ledger.Mine(now), Home: gate.ledger.Home(now),
+			Totals: true, Spent: gate.ledger.Ever(), Mine: gate.ledger.Mine(now), All: gate.ledger.Totals(now), Home: gate.ledger.Home(now),
 			Knows: !gate.ledger.Amnesic(now),
 		})
 		gate.resync(now, member.Incarnation)
--- a/io/yuccagate/use.go
+++ b/io/yuccagate/use.go
@@ -20,7 +20,7 @@
 	useWay = 100 * time.Millisecond
 	// wholeEvery is how often all that a data centre let in within the windows is told: casts
 	// are lost with the connections that break, and a change of speaker loses some.
-	wholeEvery = time.Second
+	wholeEvery = 2 * time.Second
 	// firstPart is the part of quotas that a daemon uses before it has heard from others, for
 	// some tenths of a second. What an account can be let in for meanwhile is bounded by what
 	// it asks for; callers who come back after an outage are refused with a smaller part.
@@ -127,7 +127,7 @@
 	gate.cast(message)
 	if gate.wholeDue || len(spent) > 0 && now.Sub(gate.wholeAt) >= wholeEvery {
 		gate.wholeDue, gate.wholeAt = false, now
-		message.Use, message.Whole = gate.ledger.Home(now), true
+		message.Use, message.Whole = nil, gate.ledger.Home(now)
 		gate.cast(message)
 	}
 }
@@ -142,7 +142,7 @@
 	case !message.Totals:
 		gate.ledger.Heard(now, from, message.Spent)
 	case away && message.Knows:
-		gate.ledger.RaiseAway(now, peer.Centre, message.Spent, message.Home)
+		gate.ledger.RaiseAway(now, peer.Centre, message.All, message.Home)
 	case away:
 	default:
 		gate.meetUse(now, from, message)
@@ -156,9 +156,9 @@
 	if message.Knows && !gate.ledger.Met(from) {
 		within = nil
 	}
-	gate.ledger.Meet(now, from, message.Ever, within)
+	gate.ledger.Meet(now, from, message.Spent, within)
 	if message.Knows {
-		gate.ledger.Raise(now, message.Spent, true)
+		gate.ledger.Raise(now, message.All, true)
 	}
 }
 
@@ -168,9 +168,6 @@
 		gate.wholeDue = true
 	}
 	gate.centres[message.Centre] = &centre{daemons: message.Daemons, heard: now}
-	if message.Whole {
-		gate.ledger.HeardWhole(now, message.Centre, message.Use)
-		return
-	}
 	gate.ledger.HeardAway(now, message.Centre, message.Use)
+	gate.ledger.HeardWhole(now, message.Centre, message.Whole)
 }
--- a/io/yuccawire/gate.go
+++ b/io/yuccawire/gate.go
@@ -42,13 +42,16 @@
 // Use tells what the sender let accounts in for since it began, or the totals of their
 // windows, for a daemon that has just come.
 type Use struct {
+	// Totals says that a connection has come up, and that the fields below hold something.
 	Totals bool
-	Spent  []yuccaquota.Spent
-	// Ever is what the sender itself let in since it began, Mine the part of that within the
-	// windows, and Home what its data centre let in within them.
-	Ever []yuccaquota.Spent
+	// Spent is what the sender itself let in since it began: of accounts for which that has
+	// changed, or of all.
+	Spent []yuccaquota.Spent
+	// Mine is the part of Spent within the windows.
 	Mine []yuccaquota.Spent
-	Home []yuccaquota.Spent
+	// All is what everybody let in within them, and Home what the sender's data centre did.
+	All  []yuccaquota.Aged
+	Home []yuccaquota.Aged
 	// Knows says that the sender has been there for a whole window or was told by one that
 	// had.
 	Knows bool
@@ -74,10 +77,10 @@
 	Topic    Topic
 	Pool     yuccaid.Pool
 	Sequence uint64
-	Use      []yuccaquota.Spent
-	// Whole says that Use holds all that the data centre let in within the windows, not
-	// what it did since the last cast.
-	Whole bool
+	// Use is what the data centre let in since the last cast, and Whole all that it did
+	// within the windows, where that is told.
+	Use   []yuccaquota.Spent
+	Whole []yuccaquota.Aged
 	Load  []TargetLoad
 	// Daemons is how many daemons the origin's data centre has.
 	Daemons int
