A daemon draws one lot for each delay of reports, and shares reach less far

The lot of a delay of reports was compared with every request beyond a daemon's share, so a short request won what a longer one had just lost, and each daemon took some 1.5 times what its share had left. Left: the last case, as before: an account whose single requests are larger than a daemon's share, all at once at 60 daemons.

--- a/core/yuccaquota/ledger.go
+++ b/core/yuccaquota/ledger.go
@@ -42,8 +42,9 @@
 	// the share, so that long requests aren't always refused in a large fleet.
 	largePart = 0.25
 	// burstKept is the part of what is kept free that shares reach into while an account has much
-	// left, and lotPart widens the chance of a long request: few daemons have one just then.
-	burstKept = 0.6
+	// left, and lotPart widens the chance of a long request that is a daemon's first: few
+	// daemons have one just then.
+	burstKept = 0.5
 	lotPart   = 1.6
 	// idlePart is the part of its window that an account has left up to which it counts as idle,
 	// and each daemon may take one such request.
@@ -102,8 +103,10 @@
 	// remembers what was let in before.
 	let   tally
 	asked tally
-	// recent is what this daemon let in within the delay of reports.
+	// recent is what this daemon let in within the delay of reports, and drawn counts the delay
+	// in which a request of the account last drew a lot.
 	recent yuccawindow.Sum
+	drawn  int64
 }
 
 // Option changes a ledger at its construction.
@@ -308,15 +311,33 @@
 	case recent > fair || cost > largePart*room:
 		return false
 	}
-	idle := recent == 0 && room > idlePart*led.limit(win)
-	return idle || led.lot(now, account) < lotPart*(fair-recent)/cost
+	if recent == 0 && room > idlePart*led.limit(win) {
+		return true
+	}
+	return led.drawn(now, account, win, cost, fair-recent)
 }
 
-// lot draws a number from 0 up to 1 that stays for the delay of reports. A request that is
-// larger than a share is let in by so many daemons that all together keep to their shares:
-// sixty daemons that see room for four long requests would else let in one each.
-func (led *Ledger) lot(now time.Time, account yuccaid.Account) float64 {
+// drawn reports whether a request that is larger than what this daemon has left of its share
+// wins a lot, of which there is one for each delay of reports.
+//
+// Sixty daemons that see room for four long requests would else let in one each. So many win
+// that all together keep to their shares, as long as each daemon draws once: in a burst that
+// brings each of them many requests, the shorter ones would else win what a longer one lost.
+func (led *Ledger) drawn(now time.Time, account yuccaid.Account, win *window, cost, left float64) bool {
 	turn := now.UnixNano() / int64(led.delay)
+	if win.drawn == turn {
+		return false
+	}
+	win.drawn = turn
+	chance := left / cost
+	if win.recent.Total() == 0 {
+		chance *= lotPart
+	}
+	return led.lot(turn, account) < chance
+}
+
+// lot draws a number from 0 up to 1 that is the daemon's own.
+func (led *Ledger) lot(turn int64, account yuccaid.Account) float64 {
 	text := fmt.Sprintf("%s/%d/%d", account, turn, led.salt)
 	return float64(xxhash.Sum64String(text)>>11) / (1 << 53)
 }
