A caller that reads nothing gives its place back when its time is up

Cause: writing to a caller had no time limit. A caller that stops reading fills its connection, the writer stands still, and neither the end of the request's time nor the closed connection to the target wakes it: the target's place, the request and its memory were held for as long as the caller likes. Ruled out: the server's own WriteTimeout (one span for all requests; streams last as long as their route allows).

--- a/io/yuccagate/listener.go
+++ b/io/yuccagate/listener.go
@@ -100,6 +100,8 @@
 }
 
 func (conn *callerConn) idle(now time.Time) {
+	// The last answer's time limit must not cut the next one, should its head be unreadable.
+	_ = conn.Conn.SetWriteDeadline(time.Time{})
 	conn.mu.Lock()
 	defer conn.mu.Unlock()
 	conn.idleSince = now
--- a/io/yuccagate/request.go
+++ b/io/yuccagate/request.go
@@ -23,6 +23,10 @@
 	notReadyBack = 500 * time.Millisecond
 	// leavingBack is when a caller should come back to whoever takes over.
 	leavingBack = 300 * time.Millisecond
+	// refusalTime bounds how long a caller may take to read an answer before it is known how
+	// long its request may last, and lastWords how long after that time.
+	refusalTime = 5 * time.Second
+	lastWords   = 500 * time.Millisecond
 )
 
 var errTimeout = errors.New("the request's time is up")
@@ -58,6 +62,7 @@
 // ServeHTTP takes one request from its caller.
 func (gate *Gate) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	req := &request{gate: gate, w: w, arrived: time.Now()}
+	req.writeUntil(req.arrived.Add(refusalTime))
 	if gate.draining() {
 		w.Header().Set("Connection", "close")
 	}
@@ -82,6 +87,15 @@
 	}
 }
 
+// writeUntil bounds the time in which the caller may take its answer.
+//
+// A caller that stops reading fills its connection, and writing to it stands still. Neither
+// the end of the request's time nor the loss of the target wakes a writer, so the target's
+// place and the request's memory would be held for as long as the caller likes.
+func (req *request) writeUntil(end time.Time) {
+	_ = http.NewResponseController(req.w).SetWriteDeadline(end)
+}
+
 func (req *request) refuse(prob *Problem) {
 	req.gate.metrics.problem(req.tier(), prob.Kind, prob.Detail)
 	fields := append([]any{
@@ -121,6 +135,7 @@
 	}
 	req.pool = route.Pick(mathrand.Float64())
 	req.until = req.arrived.Add(req.patience())
+	req.writeUntil(req.until.Add(lastWords))
 	return req.read(r)
 }
 
