A daemon's memory and descriptors bound what it holds

Cause: nothing bounded bodies and connections. With 4 MB allowed for a body, seventy callers who send most of one and stop make a process outgrow 284 MB; it is killed with all of its requests. Callers' connections could use up the descriptors, so that targets and peers couldn't be reached. Settings.Memory only set the collector's goal, Settings.Descriptors nothing. Now: core/yuccaspace divides a machine; a request takes 64 KB and its body as it comes, from what its rank may use, or is told 503 before it has run; beyond 40 % of the sockets the connection that has been idle longest is closed, or else the new one unread, and the daemon isn't ready for 3 s; unused connections to all targets have a bound together. Ruled out: reserving announced lengths (a caller may announce megabytes and send nothing); refusing to accept (the balancer's callers would wait a second each).

--- a/io/yuccagate/gate.go
+++ b/io/yuccagate/gate.go
@@ -18,6 +18,7 @@
 	"yuccacleat/core/yuccaquota"
 	"yuccacleat/core/yuccaroster"
 	"yuccacleat/core/yuccaroute"
+	"yuccacleat/core/yuccaspace"
 	"yuccacleat/io/yuccahop"
 	"yuccacleat/io/yuccalink"
 	"yuccacleat/io/yuccaloop"
@@ -35,6 +36,8 @@
 	log      logger
 	metrics  *metrics
 	hop      *yuccahop.Client
+	room     *room
+	bounds   yuccaspace.Bounds
 	control  *yuccaloop.Loop
 	tables   yuccaroute.Holder
 	// began is when the gateway started, and configured is closed once it knows a
@@ -45,6 +48,8 @@
 	leaving atomic.Int64
 	open    atomic.Int64
 	numbers atomic.Uint64
+	// turned is when a connection was last turned away, in Unix nanoseconds, or zero.
+	turned atomic.Int64
 
 	traffic     context.Context
 	stopTraffic context.CancelFunc
@@ -105,6 +110,7 @@
 	if _, err := rand.Read(nonce[:]); err != nil {
 		return nil, err
 	}
+	bounds := yuccaspace.BoundsOf(settings.Machine)
 	gate := &Gate{
 		settings: settings,
 		dialect:  dialect,
@@ -112,7 +118,9 @@
 		inc:      yuccaid.NewIncarnation(settings.VM, nonce),
 		log:      logger{target: log.NewNopLogger()},
 		metrics:  newMetrics(),
-		hop:      yuccahop.New(),
+		hop:      newHop(bounds),
+		room:     newRoom(bounds.Requests),
+		bounds:   bounds,
 		began:    time.Now(),
 
 		configured: make(chan struct{}),
@@ -153,9 +161,15 @@
 	return gate, nil
 }
 
+func newHop(bounds yuccaspace.Bounds) *yuccahop.Client {
+	limits := yuccahop.DefaultLimits()
+	limits.IdleTotal = bounds.Unused
+	return yuccahop.New(yuccahop.WithLimits(limits))
+}
+
 // Ready reports whether callers may be sent here.
 func (gate *Gate) Ready() bool {
-	return gate.tables.Load() != nil && !gate.draining()
+	return gate.tables.Load() != nil && !gate.draining() && !gate.crowded(time.Now())
 }
 
 // Close ends everything at once; Drain comes first where requests are to be finished.
--- a/io/yuccagate/listener.go
+++ b/io/yuccagate/listener.go
@@ -1,8 +1,10 @@
 package yuccagate
 
 import (
+	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 )
@@ -16,27 +18,74 @@
 // the bytes count, or the connection was closed before and they are dropped unread.
 type Listener struct {
 	net.Listener
+	// most bounds the connections, zero for no bound.
+	most int
+	// crowded is called when a connection was turned away.
+	crowded func(time.Time)
 
 	mu    sync.Mutex
 	conns map[*callerConn]struct{}
 }
 
-// NewListener wraps a listener; State has to be the server's ConnState.
-func NewListener(inner net.Listener) *Listener {
-	return &Listener{Listener: inner, conns: make(map[*callerConn]struct{})}
+// NewListener wraps a listener; State has to be the server's ConnState. Of more connections
+// than most, unless that is zero, idle ones are closed or else the newest, and crowded hears
+// of the latter.
+func NewListener(inner net.Listener, most int, crowded func(time.Time)) *Listener {
+	return &Listener{Listener: inner, most: most, crowded: crowded, conns: make(map[*callerConn]struct{})}
 }
 
 // Accept returns the next connection.
+//
+// Connections without a bound use up the descriptors; then the daemon reaches neither
+// targets nor peers, and all of its requests fail instead of a few. A connection that is
+// closed before anything was read tells its caller that nothing ran.
 func (lis *Listener) Accept() (net.Conn, error) {
-	raw, err := lis.Listener.Accept()
-	if err != nil {
-		return nil, err
+	for {
+		raw, err := lis.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		if lis.most > 0 && lis.Count() >= lis.most {
+			lis.closeLongestIdle()
+		}
+		if conn := lis.keep(raw); conn != nil {
+			return conn, nil
+		}
+		raw.Close()
+		lis.crowded(time.Now())
 	}
-	conn := &callerConn{Conn: raw, listener: lis}
+}
+
+// keep takes a connection into account, or returns nil if there is no room for it.
+func (lis *Listener) keep(raw net.Conn) net.Conn {
 	lis.mu.Lock()
+	defer lis.mu.Unlock()
+	if lis.most > 0 && len(lis.conns) >= lis.most {
+		return nil
+	}
+	conn := &callerConn{Conn: raw, listener: lis}
 	lis.conns[conn] = struct{}{}
-	lis.mu.Unlock()
-	return conn, nil
+	return conn
+}
+
+// closeLongestIdle closes the connection that has been idle for longest, if any is idle.
+func (lis *Listener) closeLongestIdle() {
+	var longest *callerConn
+	var since time.Time
+	for _, conn := range lis.list() {
+		if idle := conn.idleFrom(); !idle.IsZero() && (longest == nil || idle.Before(since)) {
+			longest, since = conn, idle
+		}
+	}
+	if longest != nil {
+		longest.closeIdle(since)
+	}
+}
+
+func (lis *Listener) list() []*callerConn {
+	lis.mu.Lock()
+	defer lis.mu.Unlock()
+	return slices.Collect(maps.Keys(lis.conns))
 }
 
 // State notes what the server does with a connection.
@@ -48,13 +97,7 @@
 
 // CloseIdle closes the connections that have been idle since a time or longer.
 func (lis *Listener) CloseIdle(since time.Time) {
-	lis.mu.Lock()
-	var list []*callerConn
-	for conn := range lis.conns {
-		list = append(list, conn)
-	}
-	lis.mu.Unlock()
-	for _, conn := range list {
+	for _, conn := range lis.list() {
 		conn.closeIdle(since)
 	}
 }
@@ -107,6 +150,13 @@
 	conn.idleSince = now
 }
 
+// idleFrom returns since when the connection has been idle, zero if it isn't.
+func (conn *callerConn) idleFrom() time.Time {
+	conn.mu.Lock()
+	defer conn.mu.Unlock()
+	return conn.idleSince
+}
+
 func (conn *callerConn) closeIdle(since time.Time) {
 	conn.mu.Lock()
 	if conn.idleSince.IsZero() || conn.idleSince.After(since) {
--- a/io/yuccagate/metrics.go
+++ b/io/yuccagate/metrics.go
@@ -60,6 +60,10 @@
 	met.set.GetOrCreateCounter(fmt.Sprintf("yuccacleat_gate_resends_total{allowed=\"%t\"}", allowed)).Inc()
 }
 
+func (met *metrics) turnedAway() {
+	met.set.GetOrCreateCounter("yuccacleat_gate_connections_turned_away_total").Inc()
+}
+
 func (met *metrics) quota(verdict yuccaquota.Verdict) {
 	met.set.GetOrCreateCounter(fmt.Sprintf("yuccacleat_gate_quota_refusals_total{verdict=%q}", verdict)).Inc()
 }
@@ -77,6 +81,7 @@
 	vm.WriteGaugeUint64(w, "yuccacleat_gate_peers", uint64(len(status.Peers)))
 	vm.WriteGaugeFloat64(w, "yuccacleat_gate_quota_part", status.QuotaPart)
 	vm.WriteGaugeUint64(w, "yuccacleat_gate_open_requests", uint64(max(status.Open, 0)))
+	vm.WriteGaugeUint64(w, "yuccacleat_gate_held_bytes", uint64(gate.room.taken()))
 	vm.WriteGaugeUint64(w, "yuccacleat_gate_ready", truth(status.Ready))
 	vm.WriteGaugeFloat64(w, "yuccacleat_gate_control_lag_seconds", gate.control.Oldest().Seconds())
 	for _, pool := range status.Pools {
--- a/io/yuccagate/request.go
+++ b/io/yuccagate/request.go
@@ -13,6 +13,7 @@
 	"yuccacleat/core/yuccagrant"
 	"yuccacleat/core/yuccaid"
 	"yuccacleat/core/yuccaroute"
+	"yuccacleat/core/yuccaspace"
 	"yuccacleat/io/yuccahop"
 )
 
@@ -44,6 +45,8 @@
 	until   time.Time
 	out     yuccahop.Outgoing
 	header  http.Header
+	// held is the memory that was lent to the request.
+	held yuccaid.Bytes
 
 	sends int
 	tried []yuccaid.Target
@@ -73,6 +76,7 @@
 	}
 	gate.open.Add(1)
 	defer gate.open.Add(-1)
+	defer req.release()
 	if prob := req.admit(r); prob != nil {
 		req.refuse(prob)
 		return
@@ -136,6 +140,9 @@
 	req.pool = route.Pick(mathrand.Float64())
 	req.until = req.arrived.Add(req.patience())
 	req.writeUntil(req.until.Add(lastWords))
+	if !req.hold(yuccaspace.RequestCost) {
+		return &Problem{Kind: KindBusy, Detail: detailRoom, Back: roomBack}
+	}
 	return req.read(r)
 }
 
@@ -192,7 +199,10 @@
 	if r.ContentLength != 0 {
 		_ = control.SetReadDeadline(req.until)
 	}
-	raw, err := readAll(body, r.ContentLength)
+	raw, err := readAll(body, r.ContentLength, req.hold)
+	if errors.Is(err, errNoRoom) {
+		return &Problem{Kind: KindBusy, Detail: detailRoom, Back: roomBack}
+	}
 	if errors.Is(err, os.ErrDeadlineExceeded) {
 		return &Problem{Kind: KindSlowBody}
 	}
@@ -213,33 +223,6 @@
 	return nil
 }
 
-func readAll(from io.Reader, length int64) ([]byte, error) {
-	const trusted = 1 << 20
-	raw := make([]byte, 0, min(max(length, 0), trusted))
-	for {
-		if len(raw) == cap(raw) {
-			if int64(len(raw)) == length {
-				var more [1]byte
-				got, err := from.Read(more[:])
-				if got == 0 && err == io.EOF {
-					return raw, nil
-				}
-				raw = append(raw, more[:got]...)
-			} else {
-				raw = append(raw, 0)[:len(raw)]
-			}
-		}
-		got, err := from.Read(raw[len(raw):cap(raw)])
-		raw = raw[:len(raw)+got]
-		if err == io.EOF {
-			return raw, nil
-		}
-		if err != nil {
-			return nil, err
-		}
-	}
-}
-
 // connectionFields concern one connection and end with it.
 var connectionFields = []string{
 	"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization",
--- a/io/yuccagate/settings.go
+++ b/io/yuccagate/settings.go
@@ -6,6 +6,7 @@
 	"yuccacleat/core/yuccabudget"
 	"yuccacleat/core/yuccaid"
 	"yuccacleat/core/yuccaquota"
+	"yuccacleat/core/yuccaspace"
 )
 
 // Settings is what differs from daemon to daemon, and the bounds that operators set.
@@ -23,10 +24,8 @@
 	// First says that the whole fleet starts for the first time, so that nothing was let in
 	// before.
 	First bool
-	// Memory is what the process may use.
-	Memory yuccaid.Bytes
-	// Descriptors is how many files and sockets the process may open.
-	Descriptors int
+	// Machine is what the process may use.
+	Machine yuccaspace.Machine
 }
 
 // Bounds are the operators' limits on what the whole fleet may do.
--- a/io/yuccagate/status.go
+++ b/io/yuccagate/status.go
@@ -19,13 +19,15 @@
 	Number  yuccaid.Number `json:"number"`
 	// Rests says that another daemon reads the platform for this one, and PlatformMillis how
 	// old the last word from it is, or -1.
-	Rests          bool           `json:"rests"`
-	PlatformMillis int64          `json:"platformMillis"`
-	Peers          []PeerStatus   `json:"peers"`
-	QuotaPart      float64        `json:"quotaPart"`
-	Open           int64          `json:"open"`
-	Pools          []PoolStatus   `json:"pools"`
-	Targets        []TargetStatus `json:"targets"`
+	Rests          bool         `json:"rests"`
+	PlatformMillis int64        `json:"platformMillis"`
+	Peers          []PeerStatus `json:"peers"`
+	QuotaPart      float64      `json:"quotaPart"`
+	Open           int64        `json:"open"`
+	// Held is the memory, in bytes, that is lent to open requests.
+	Held    yuccaid.Bytes  `json:"heldBytes"`
+	Pools   []PoolStatus   `json:"pools"`
+	Targets []TargetStatus `json:"targets"`
 	// Accounts lists the accounts with a quota.
 	Accounts []AccountStatus `json:"accounts"`
 }
@@ -73,7 +75,7 @@
 	status := Status{
 		VM: gate.settings.VM, Centre: gate.settings.Centre, Address: gate.settings.Address, Ready: gate.Ready(), Leaving: gate.draining(),
 		Number: gate.number(), Rests: gate.rests.Load(), PlatformMillis: -1,
-		QuotaPart: gate.ledger.Part(), Open: gate.open.Load(),
+		QuotaPart: gate.ledger.Part(), Open: gate.open.Load(), Held: gate.room.taken(),
 	}
 	if age := gate.platformAge(now); age >= 0 {
 		status.PlatformMillis = age.Milliseconds()
--- a/io/yuccahop/client.go
+++ b/io/yuccahop/client.go
@@ -31,6 +31,7 @@
 
 	mu     sync.Mutex
 	idle   map[string][]*conn
+	kept   int
 	opened atomic.Int64
 	reused atomic.Int64
 }
@@ -109,6 +110,7 @@
 	cl.mu.Lock()
 	conns := cl.idle[address]
 	delete(cl.idle, address)
+	cl.kept -= len(conns)
 	cl.mu.Unlock()
 	for _, cn := range conns {
 		cn.raw.Close()
@@ -126,6 +128,7 @@
 				kept = append(kept, cn)
 			} else {
 				cn.raw.Close()
+				cl.kept--
 			}
 		}
 		if len(kept) == 0 {
@@ -146,6 +149,7 @@
 		}
 	}
 	clear(cl.idle)
+	cl.kept = 0
 }
 
 // take returns the connection that was used last, which is the least likely to have been
@@ -173,15 +177,17 @@
 	last := len(conns) - 1
 	cn := conns[last]
 	cl.idle[address] = conns[:last]
+	cl.kept--
 	return cn
 }
 
 func (cl *Client) put(cn *conn) {
 	cl.mu.Lock()
 	defer cl.mu.Unlock()
-	if len(cl.idle[cn.address]) >= cl.limits.IdlePerTarget {
+	if len(cl.idle[cn.address]) >= cl.limits.IdlePerTarget || cl.limits.IdleTotal > 0 && cl.kept >= cl.limits.IdleTotal {
 		cn.raw.Close()
 		return
 	}
 	cl.idle[cn.address] = append(cl.idle[cn.address], cn)
+	cl.kept++
 }
--- a/io/yuccahop/client_test.go
+++ b/io/yuccahop/client_test.go
@@ -358,4 +358,25 @@
 		Expect(err).NotTo(HaveOccurred())
 		Expect(tgt.conns.Load()).To(Equal(int64(5)))
 	})
+
+	// A fleet has hundreds of targets, and one connection waits for each. Kept without a bound
+	// they use up the daemon's descriptors, and every new connection fails.
+	It("keeps no more unused connections to all targets than its limit", func() {
+		limits := yuccahop.DefaultLimits()
+		limits.IdleTotal = 2
+		cl := yuccahop.New(yuccahop.WithLimits(limits))
+		for at := range 4 {
+			tgt := newTarget(func(conn net.Conn, in *bufio.Reader) {
+				for id, _ := readRequest(in); id != ""; id, _ = readRequest(in) {
+					fmt.Fprint(conn, answer(id, "x"))
+				}
+			})
+			_, err := call(ctx, cl, tgt, fmt.Sprint("first", at), "")
+			Expect(err).NotTo(HaveOccurred())
+			_, err = call(ctx, cl, tgt, fmt.Sprint("second", at), "")
+			Expect(err).NotTo(HaveOccurred())
+		}
+		Expect(cl.Reused()).To(Equal(int64(2)))
+		cl.Close()
+	})
 })
--- a/io/yuccahop/limits.go
+++ b/io/yuccahop/limits.go
@@ -20,6 +20,9 @@
 	IdleMargin time.Duration
 	// IdlePerTarget bounds the unused connections that are kept to one target.
 	IdlePerTarget int
+	// IdleTotal bounds the unused connections that are kept to all targets together, so that
+	// a large fleet of targets leaves descriptors for connections in use; zero for no bound.
+	IdleTotal int
 	// Foreign is how many answers to other requests are skipped on one connection.
 	Foreign int
 }
