Views of daemons keep what was worked out from them

A daemon asks its view who is live and who leads some ten times in each of fifty turns a second and for each request, and sorted, cloned and hashed all daemons each time. Now: core/yuccapeer keeps lists and leaders until the view changes; all that changes it goes through one function. Spec: random changes, all answers compared with those worked out anew; with one of the calls taken out it fails.

--- /dev/null
+++ b/core/yuccapeer/bench_test.go
@@ -0,0 +1,46 @@
+package yuccapeer_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"yuccacleat/core/yuccaid"
+	"yuccacleat/core/yuccapeer"
+)
+
+// BenchmarkTurn measures what a daemon asks of its view in one turn of its control loop, in
+// a fleet of three data centres.
+func BenchmarkTurn(b *testing.B) {
+	for _, daemons := range []int{7, 30, 100, 400} {
+		b.Run(fmt.Sprint(daemons), func(b *testing.B) {
+			now := time.Unix(1000, 0)
+			view := yuccapeer.New(benchMember(0))
+			for at := 1; at < daemons; at++ {
+				other := benchMember(at)
+				view.Linked(now, other)
+				view.Heard(now, yuccapeer.Heartbeat{
+					Incarnation: other.Incarnation, Centre: other.Centre, Address: other.Address, Sequence: 1, Version: 1, Unlisted: true,
+				})
+			}
+			view.Tick(now)
+			view.Tick(now)
+			b.ReportAllocs()
+			for b.Loop() {
+				view.Tick(now)
+				view.Live("centre-0")
+				view.Leader("reader")
+				view.Leader("speaker")
+				view.Candidates("centre-0")
+			}
+		})
+	}
+}
+
+func benchMember(at int) yuccapeer.Member {
+	vm := yuccaid.VM(fmt.Sprintf("vm-%03d", at))
+	return yuccapeer.Member{
+		VM: vm, Centre: yuccaid.Centre(fmt.Sprintf("centre-%d", at%3)), Address: fmt.Sprintf("10.0.%d.%d:1", at/250, at%250),
+		Incarnation: yuccaid.NewIncarnation(vm, [16]byte{byte(at), byte(at >> 8)}),
+	}
+}
--- a/core/yuccapeer/candidate.go
+++ b/core/yuccapeer/candidate.go
@@ -22,7 +22,7 @@
 // lags, by a different time on each daemon, so a view that took members from it would
 // differ from the others' for as long.
 func (peers *Peers) Listed(_ time.Time, listings []Listing) {
-	peers.stale = true
+	peers.changed()
 	clear(peers.listed)
 	clear(peers.told)
 	peers.self.Unlisted = false
@@ -43,7 +43,7 @@
 	if !peers.self.Unlisted {
 		return
 	}
-	peers.stale = true
+	peers.changed()
 	for _, listing := range listings {
 		if len(peers.told) < maxTold {
 			peers.told[listing.VM] = hearsay{Listing: listing, until: now.Add(peers.timing.Remember)}
@@ -58,10 +58,12 @@
 }
 
 // Candidates returns the VMs of a data centre that may run a daemon, live or not, in
-// the order of their names.
+// the order of their names. The list is the callers' to read, not to change.
 func (peers *Peers) Candidates(centre yuccaid.Centre) []Listing {
-	return slices.DeleteFunc(peers.Roster(), func(listing Listing) bool {
-		return listing.Centre != centre
+	return lookUp(&peers.derived.candidates, centre, func() []Listing {
+		return slices.DeleteFunc(peers.Roster(), func(listing Listing) bool {
+			return listing.Centre != centre
+		})
 	})
 }
 
--- /dev/null
+++ b/core/yuccapeer/derived_test.go
@@ -0,0 +1,64 @@
+package yuccapeer_test
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"yuccacleat/core/yuccapeer"
+)
+
+var _ = Describe("what was worked out from the view", func() {
+	// Daemons come, fall silent, leave and come back, the list and other daemons tell of VMs,
+	// and this daemon is paused. A leader or a member that is remembered from before such a
+	// change would be asked though it is gone.
+	It("is never older than the view", func() {
+		rapid.Check(GinkgoT(), func(t *rapid.T) {
+			now := time.Unix(1000, 0)
+			view := yuccapeer.New(benchMember(0))
+			sequence := uint64(0)
+			for range rapid.IntRange(1, 60).Draw(t, "steps") {
+				sequence++
+				other := benchMember(rapid.IntRange(1, 9).Draw(t, "who"))
+				other.Leaving = rapid.IntRange(0, 9).Draw(t, "leaving") == 0
+				listing := yuccapeer.Listing{VM: other.VM, Centre: other.Centre, Address: other.Address, Leaving: other.Leaving}
+				switch rapid.IntRange(0, 9).Draw(t, "step") {
+				case 0:
+					view.Lost(now, other.Incarnation)
+				case 1:
+					view.Told(now, []yuccapeer.Listing{listing})
+				case 2:
+					view.Listed(now, []yuccapeer.Listing{listing})
+				case 3:
+					now = now.Add(5 * time.Second)
+				case 4:
+					view.Leave(now)
+				case 5:
+					view.Pulsed(now, other.Incarnation, yuccapeer.Pulse{Sequence: sequence, Version: 1})
+				default:
+					view.Linked(now, other)
+					view.Heard(now, yuccapeer.Heartbeat{
+						Incarnation: other.Incarnation, Centre: other.Centre, Address: other.Address,
+						Leaving: other.Leaving, Sequence: sequence, Version: sequence, Unlisted: true,
+					})
+				}
+				now = now.Add(300 * time.Millisecond)
+				view.Tick(now)
+				said := answers(view)
+				view.Forget()
+				Expect(answers(view)).To(Equal(said))
+			}
+		})
+	})
+})
+
+// answers are all that is asked of a view.
+func answers(view *yuccapeer.Peers) []any {
+	leader, found := view.Leader("pool")
+	return []any{
+		view.Live("centre-0"), view.Live("centre-1"), view.Candidates("centre-0"), view.Candidates("centre-2"),
+		leader, found, view.Gateways(),
+	}
+}
--- a/core/yuccapeer/dial.go
+++ b/core/yuccapeer/dial.go
@@ -95,6 +95,7 @@
 	}
 	plan := make(map[yuccaid.Centre][]yuccaid.VM)
 	clear(peers.bridges)
+	peers.derived.gateways = nil
 	for centre, gateways := range peers.assign(byCentre, own) {
 		for _, vm := range gateways {
 			peers.bridges[vm] = true
@@ -109,8 +110,11 @@
 // Gateways returns the live daemons of this data centre that hold the connections to the
 // others, as this daemon sees it. Where views differ for a moment one may be missing.
 func (peers *Peers) Gateways() []Member {
-	return peers.members(func(member Member) bool {
-		return member.Centre == peers.self.Centre && peers.bridges[member.Incarnation.VM]
+	own := peers.self.Centre
+	return lookUp(&peers.derived.gateways, own, func() []Member {
+		return peers.members(func(member Member) bool {
+			return member.Centre == own && peers.bridges[member.Incarnation.VM]
+		})
 	})
 }
 
--- a/core/yuccapeer/leader.go
+++ b/core/yuccapeer/leader.go
@@ -17,13 +17,15 @@
 	if !peers.Settled() {
 		return Member{}, false
 	}
-	staying := peers.Live(peers.self.Centre)
-	if len(staying) == 0 {
-		staying = peers.members(func(member Member) bool {
-			return member.Centre == peers.self.Centre
-		})
-	}
-	return highest(staying, string(pool)), true
+	return lookUp(&peers.derived.leaders, pool, func() Member {
+		staying := peers.Live(peers.self.Centre)
+		if len(staying) == 0 {
+			staying = peers.members(func(member Member) bool {
+				return member.Centre == peers.self.Centre
+			})
+		}
+		return highest(staying, string(pool))
+	}), true
 }
 
 // highest returns the member with the greatest weight for the topic.
--- a/core/yuccapeer/peers.go
+++ b/core/yuccapeer/peers.go
@@ -28,6 +28,7 @@
 	// bridges are the VMs of this data centre that the plan has as gateways.
 	bridges        map[yuccaid.VM]bool
 	stale          bool
+	derived        derived
 	plannedSettled bool
 	wishes         map[yuccaid.Centre]*wish
 	ticked         time.Time
@@ -101,7 +102,7 @@
 		return Change{}
 	}
 	peers.self.Leaving = true
-	peers.stale = true
+	peers.changed()
 	return Change{Beats: peers.announce(now)}
 }
 
@@ -211,9 +212,13 @@
 // Live returns the members of a data centre that are live and not leaving, this
 // daemon included, in the order of their names. Of other data centres these are the
 // few that this daemon holds connections to.
+//
+// The list is the callers' to read, not to change: all get the same one.
 func (peers *Peers) Live(centre yuccaid.Centre) []Member {
-	return peers.members(func(member Member) bool {
-		return member.Centre == centre && !member.Leaving
+	return lookUp(&peers.derived.live, centre, func() []Member {
+		return peers.members(func(member Member) bool {
+			return member.Centre == centre && !member.Leaving
+		})
 	})
 }
 
--- a/core/yuccapeer/view.go
+++ b/core/yuccapeer/view.go
@@ -53,7 +53,7 @@
 		change.Left = append(change.Left, before)
 	}
 	change.Joined = append(change.Joined, after)
-	peers.stale = true
+	peers.changed()
 }
 
 // yields takes an incarnation out if the newcomer has the better claim to the VM. It is
@@ -80,9 +80,9 @@
 func (peers *Peers) drop(other *peer, change *Change) {
 	if other.known {
 		change.Left = append(change.Left, other.member)
-		peers.stale = true
+		other.known = false
+		peers.changed()
 	}
-	other.known = false
 }
 
 // expire drops the silent. Silence ends nobody for good, not even one that is leaving:
@@ -119,7 +119,7 @@
 	for vm, heard := range peers.told {
 		if !now.Before(heard.until) {
 			delete(peers.told, vm)
-			peers.stale = true
+			peers.changed()
 		}
 	}
 	for inc, until := range peers.gone {
