Loads are told once, and what data centres let in as often as the fleet allows

Each change of a target's load was told in three casts, since a cast that another overtook on the second way was dropped whole. Now: casts are told apart by a window of the last 64, so that one that comes late is taken once; loads are kept by target with the cast that told them, so a late one changes only what no later one has told; the whole list is told the less often the longer it is; a data centre that fell silent is forgotten by time, not with the next news of another one (with two data centres its runs counted for ever). What was let in is told at most every 2.5 ms a daemon of the fleet, a second at most. Also here: a connection that is turned away is noted before it is closed (the spec of it failed once in three runs by that order).

--- a/io/yuccagate/cast.go
+++ b/io/yuccagate/cast.go
@@ -23,8 +23,20 @@
 	// let in: when there is news, and to show that it is there.
 	castEvery  = 100 * time.Millisecond
 	castLatest = 500 * time.Millisecond
+	// castForDaemon spaces such casts by how many daemons there are: all get each of them, and
+	// would else spend the more on it the more they are. Forty daemons and fewer notice nothing,
+	// four hundred hear of the other data centres' use every second.
+	castForDaemon = 2500 * time.Microsecond
+	// castSlowest keeps a data centre's word younger than centreFresh in any fleet.
+	castSlowest = time.Second
 )
 
+// castSpacing is how often this data centre tells the others what it let in when there is
+// news, in a fleet of so many daemons.
+func castSpacing(daemons int) time.Duration {
+	return min(max(castEvery, time.Duration(daemons)*castForDaemon), castSlowest)
+}
+
 // castKey names a series of casts, in which later ones replace earlier ones.
 type castKey struct {
 	origin string
@@ -86,13 +98,16 @@
 }
 
 // onCast passes a cast on where that is this daemon's part, and takes one from elsewhere.
-// Two connections lead to each other data centre, so most casts come twice.
+// Two connections lead to each other data centre, so most casts come twice, and not always in
+// their order.
 func (gate *Gate) onCast(now time.Time, from yuccaid.Incarnation, message yuccawire.Cast) {
 	key := castKey{origin: message.Origin, topic: message.Topic, pool: message.Pool}
-	if gate.casts[key] >= message.Sequence {
+	series := gate.casts[key]
+	news := series.first(message.Sequence)
+	gate.casts[key] = series
+	if !news {
 		return
 	}
-	gate.casts[key] = message.Sequence
 	if message.Centre == gate.settings.Centre {
 		if message.Topic == yuccawire.TopicUse {
 			gate.ledger.Reported(message.Use)
--- a/io/yuccagate/desk.go
+++ b/io/yuccagate/desk.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	mathrand "math/rand/v2"
 	"slices"
 	"time"
@@ -24,9 +25,11 @@
 	// it has on which target, when that has changed and when it hasn't.
 	loadEvery  = 100 * time.Millisecond
 	loadLatest = time.Second
-	// loadRepeats is in how many casts a change is told, and loadWholeEvery how often all is.
-	loadRepeats    = 3
+	// loadWholeEvery is how often everything is told at most, and loadWholeEach the time that
+	// is taken for each target: casts are lost with connections that break, and a new leader
+	// elsewhere knows nothing, but the lists of large pools would else outweigh all changes.
 	loadWholeEvery = 2 * time.Second
+	loadWholeEach  = 10 * time.Millisecond
 )
 
 // desk decides for one pool: for the whole data centre where this daemon leads the pool, and
@@ -39,25 +42,51 @@
 	// doubted is until when the leader is not asked.
 	doubted time.Time
 	// away is what the leaders of other data centres have running.
-	away map[yuccaid.Centre]centreLoad
+	away map[yuccaid.Centre]*centreLoad
+	// awayNews says that own hasn't been told of what came with the last casts.
+	awayNews bool
 	// told is what the other data centres were told of this one's targets, loadCast when that
 	// was last, and loadWhole when they were last told everything.
-	told      map[yuccaid.Target]toldLoad
+	told      map[yuccaid.Target]yuccawire.TargetLoad
 	loadCast  time.Time
 	loadWhole time.Time
 }
 
 // centreLoad is what another data centre has running on a pool's targets.
 type centreLoad struct {
-	runs  map[yuccaid.Target]yuccawire.TargetLoad
+	runs  map[yuccaid.Target]heardLoad
 	heard time.Time
 }
 
+// heardLoad is what was last heard of one target, and in which cast of whom.
+type heardLoad struct {
+	load     yuccawire.TargetLoad
+	origin   string
+	sequence uint64
+}
+
+// take notes what a cast tells, but for targets of which a later cast of the same daemon has
+// told already: of two ways one may be behind.
+func (load *centreLoad) take(message yuccawire.Cast) {
+	overtaken := func(target yuccaid.Target) bool {
+		had, known := load.runs[target]
+		return known && had.origin == message.Origin && had.sequence > message.Sequence
+	}
+	if !message.Part {
+		maps.DeleteFunc(load.runs, func(target yuccaid.Target, _ heardLoad) bool { return !overtaken(target) })
+	}
+	for _, each := range message.Load {
+		if !overtaken(each.Target) {
+			load.runs[each.Target] = heardLoad{load: each, origin: message.Origin, sequence: message.Sequence}
+		}
+	}
+}
+
 func (gate *Gate) desk(now time.Time, pool yuccaid.Pool) *desk {
 	dsk := gate.desks[pool]
 	if dsk == nil {
 		seed := mathrand.NewPCG(mathrand.Uint64(), uint64(now.UnixNano()))
-		dsk = &desk{pool: pool, own: yuccagrant.New(mathrand.New(seed)), away: make(map[yuccaid.Centre]centreLoad), told: make(map[yuccaid.Target]toldLoad)}
+		dsk = &desk{pool: pool, own: yuccagrant.New(mathrand.New(seed)), away: make(map[yuccaid.Centre]*centreLoad), told: make(map[yuccaid.Target]yuccawire.TargetLoad)}
 		gate.desks[pool] = dsk
 		gate.followLeader(now, dsk)
 		gate.configure(now, dsk)
@@ -72,6 +101,11 @@
 // tickDesks looks at what waits.
 func (gate *Gate) tickDesks(now time.Time) {
 	for _, dsk := range gate.desks {
+		dsk.forgetSilent(now)
+		if dsk.leads && dsk.awayNews {
+			dsk.awayNews = false
+			gate.apply(now, dsk, dsk.own.SetOthers(now, dsk.others()))
+		}
 		gate.apply(now, dsk, dsk.own.Tick(now))
 		if dsk.leads {
 			gate.castLoad(now, dsk)
@@ -269,16 +303,13 @@
 const paceGrain = 100
 
 // castLoad tells the other data centres what this one has on which target: what has changed
-// lately, and now and then everything.
-//
-// Casts take two ways, and one that is overtaken is dropped; so each change is told in some
-// casts that follow one another.
+// since the last cast, and now and then everything.
 func (gate *Gate) castLoad(now time.Time, dsk *desk) {
 	if now.Sub(dsk.loadCast) < loadEvery {
 		return
 	}
-	whole := now.Sub(dsk.loadWhole) >= loadWholeEvery
-	loads := dsk.changedLoads(now, whole)
+	whole := now.Sub(dsk.loadWhole) >= max(loadWholeEvery, time.Duration(len(dsk.told))*loadWholeEach)
+	loads := dsk.changedLoads(whole)
 	if len(loads) == 0 && now.Sub(dsk.loadCast) < loadLatest {
 		return
 	}
@@ -289,15 +320,9 @@
 	gate.cast(yuccawire.Cast{Topic: yuccawire.TopicLoad, Pool: dsk.pool, Load: loads, Part: !whole})
 }
 
-// toldLoad is what the other data centres were told of one target, and since when it is so.
-type toldLoad struct {
-	load  yuccawire.TargetLoad
-	since time.Time
-}
-
 // changedLoads returns what to tell of the targets: of all that have anything, or of those
-// for which something has changed within some casts.
-func (dsk *desk) changedLoads(now time.Time, whole bool) []yuccawire.TargetLoad {
+// for which something has changed.
+func (dsk *desk) changedLoads(whole bool) []yuccawire.TargetLoad {
 	var loads []yuccawire.TargetLoad
 	current := dsk.own.Loads()
 	for target := range dsk.told {
@@ -308,14 +333,14 @@
 	for target, load := range current {
 		is := yuccawire.TargetLoad{Target: target, Runs: load.Runs, Pace: int(load.Pace * paceGrain)}
 		was, told := dsk.told[target]
-		if !told || was.load.Runs != is.Runs || paceChanged(was.load.Pace, is.Pace) {
-			was = toldLoad{load: is, since: now}
-			dsk.told[target] = was
+		changed := !told || was.Runs != is.Runs || paceChanged(was.Pace, is.Pace)
+		if changed {
+			dsk.told[target] = is
 		}
-		if whole || now.Sub(was.since) < loadRepeats*loadEvery {
+		if whole || changed {
 			loads = append(loads, is)
 		}
-		if is.Runs == 0 && is.Pace == 0 && now.Sub(was.since) >= loadRepeats*loadEvery {
+		if is.Runs == 0 && is.Pace == 0 {
 			delete(dsk.told, target)
 		}
 	}
@@ -331,32 +356,36 @@
 func (gate *Gate) onCentreLoad(now time.Time, message yuccawire.Cast) {
 	dsk := gate.desk(now, message.Pool)
 	away := dsk.away[message.Centre]
-	if away.runs == nil || !message.Part {
-		away.runs = make(map[yuccaid.Target]yuccawire.TargetLoad, len(message.Load))
-	}
-	for _, each := range message.Load {
-		away.runs[each.Target] = each
+	if away == nil {
+		away = &centreLoad{runs: make(map[yuccaid.Target]heardLoad, len(message.Load))}
+		dsk.away[message.Centre] = away
 	}
 	away.heard = now
-	dsk.away[message.Centre] = away
-	if dsk.leads {
-		gate.apply(now, dsk, dsk.own.SetOthers(now, dsk.others(now)))
-	}
+	away.take(message)
+	dsk.awayNews = true
 }
 
-// others sums what the leaders of other data centres have on each target.
-func (dsk *desk) others(now time.Time) map[yuccaid.Target]yuccagrant.TargetLoad {
-	others := make(map[yuccaid.Target]yuccagrant.TargetLoad)
+// forgetSilent drops what was heard of data centres that have fallen silent. Their runs would
+// else take places for ever, the more so where there is no third data centre whose news would
+// have all of it counted anew.
+func (dsk *desk) forgetSilent(now time.Time) {
 	for name, load := range dsk.away {
 		if now.Sub(load.heard) > centreFresh {
 			delete(dsk.away, name)
-			continue
+			dsk.awayNews = true
 		}
-		for _, each := range load.runs {
-			load := others[each.Target]
-			load.Runs += each.Runs
-			load.Pace = max(load.Pace, float64(each.Pace)/paceGrain)
-			others[each.Target] = load
+	}
+}
+
+// others sums what the leaders of other data centres have on each target.
+func (dsk *desk) others() map[yuccaid.Target]yuccagrant.TargetLoad {
+	others := make(map[yuccaid.Target]yuccagrant.TargetLoad)
+	for _, load := range dsk.away {
+		for target, each := range load.runs {
+			sum := others[target]
+			sum.Runs += each.load.Runs
+			sum.Pace = max(sum.Pace, float64(each.load.Pace)/paceGrain)
+			others[target] = sum
 		}
 	}
 	return others
--- /dev/null
+++ b/io/yuccagate/desk_test.go
@@ -0,0 +1,61 @@
+package yuccagate
+
+import (
+	"reflect"
+	"testing"
+	"time"
+
+	"yuccacleat/core/yuccaid"
+	"yuccacleat/io/yuccawire"
+)
+
+func newAwayDesk() *desk { return &desk{away: make(map[yuccaid.Centre]*centreLoad)} }
+
+// hear has a desk take a cast of a leader elsewhere.
+func (dsk *desk) hear(now time.Time, sequence uint64, part bool, loads ...yuccawire.TargetLoad) {
+	if dsk.away["austin"] == nil {
+		dsk.away["austin"] = &centreLoad{runs: make(map[yuccaid.Target]heardLoad)}
+	}
+	dsk.away["austin"].heard = now
+	dsk.away["austin"].take(yuccawire.Cast{Origin: "entry-9", Sequence: sequence, Load: loads, Part: part})
+}
+
+func (dsk *desk) runs() map[yuccaid.Target]int {
+	runs := make(map[yuccaid.Target]int)
+	for target, load := range dsk.others() {
+		runs[target] = load.Runs
+	}
+	return runs
+}
+
+// Of two connections between data centres one is behind. Its casts bring changes of targets
+// that no later cast has told of, and old news of others: the first have to be taken, or the
+// targets look free for seconds, and the second not.
+func TestLoadsOfOvertakenCastsAreTakenByTarget(t *testing.T) {
+	now := time.Unix(1000, 0)
+	dsk := newAwayDesk()
+	dsk.hear(now, 1, false, yuccawire.TargetLoad{Target: "a", Runs: 1}, yuccawire.TargetLoad{Target: "b", Runs: 1}, yuccawire.TargetLoad{Target: "c", Runs: 1})
+	dsk.hear(now, 4, true, yuccawire.TargetLoad{Target: "a", Runs: 4})
+	dsk.hear(now, 3, true, yuccawire.TargetLoad{Target: "a", Runs: 3}, yuccawire.TargetLoad{Target: "b", Runs: 3})
+	dsk.hear(now, 2, false, yuccawire.TargetLoad{Target: "a", Runs: 2}, yuccawire.TargetLoad{Target: "b", Runs: 2})
+	want := map[yuccaid.Target]int{"a": 4, "b": 3}
+	if got := dsk.runs(); !reflect.DeepEqual(got, want) {
+		t.Errorf("got %v, want %v", got, want)
+	}
+}
+
+// The only other data centre is cut off. What it had running at last would count for ever,
+// and targets that nobody uses would look taken.
+func TestLoadsOfASilentCentreAreForgotten(t *testing.T) {
+	now := time.Unix(1000, 0)
+	dsk := newAwayDesk()
+	dsk.hear(now, 1, false, yuccawire.TargetLoad{Target: "a", Runs: 6})
+	dsk.forgetSilent(now.Add(centreFresh))
+	if got := dsk.runs(); got["a"] != 6 {
+		t.Errorf("forgotten too soon: %v", got)
+	}
+	dsk.forgetSilent(now.Add(centreFresh + time.Millisecond))
+	if got := dsk.runs(); len(got) != 0 || !dsk.awayNews {
+		t.Errorf("got %v, news %t", got, dsk.awayNews)
+	}
+}
--- a/io/yuccagate/gate.go
+++ b/io/yuccagate/gate.go
@@ -65,7 +65,7 @@
 	looked    time.Time
 	dialled   time.Time
 	sequence  uint64
-	casts     map[castKey]uint64
+	casts     map[castKey]seen
 	centres   map[yuccaid.Centre]*centre
 	refusedAt map[string]time.Time
 	faults    map[string]time.Time
@@ -125,7 +125,7 @@
 
 		configured: make(chan struct{}),
 
-		casts:   make(map[castKey]uint64),
+		casts:   make(map[castKey]seen),
 		centres: make(map[yuccaid.Centre]*centre),
 
 		refusedAt: make(map[string]time.Time),
--- a/io/yuccagate/listener.go
+++ b/io/yuccagate/listener.go
@@ -51,8 +51,8 @@
 		if conn := lis.keep(raw); conn != nil {
 			return conn, nil
 		}
-		raw.Close()
 		lis.crowded(time.Now())
+		raw.Close()
 	}
 }
 
--- a/io/yuccagate/use.go
+++ b/io/yuccagate/use.go
@@ -67,7 +67,8 @@
 	}
 	peers := len(gate.peers.Live(gate.settings.Centre)) - 1
 	every := time.Duration(peers) * useForPeer
-	gate.ledger.SetFleet(part, total, every+castEvery+useWay)
+	spacing := castSpacing(total)
+	gate.ledger.SetFleet(part, total, every+spacing+useWay)
 	if now.Sub(gate.useTold) < every {
 		return
 	}
@@ -75,7 +76,7 @@
 	if spent := gate.ledger.Report(); len(spent) > 0 {
 		gate.nearby(yuccawire.KindUse, yuccawire.Use{Spent: spent})
 	}
-	gate.castUse(now)
+	gate.castUse(now, spacing)
 }
 
 // part returns the part of the quotas that this daemon uses. One that comes back to a fleet
@@ -105,8 +106,8 @@
 }
 
 // castUse tells the other data centres, if it is this daemon that speaks for its own.
-func (gate *Gate) castUse(now time.Time) {
-	if now.Sub(gate.useCast) < castEvery {
+func (gate *Gate) castUse(now time.Time, spacing time.Duration) {
+	if now.Sub(gate.useCast) < spacing {
 		return
 	}
 	speaker, found := gate.peers.Leader(useRole)
@@ -114,10 +115,10 @@
 		return
 	}
 	spent := gate.ledger.ReportAway()
-	quiet := castLatest
+	quiet := max(castLatest, spacing)
 	if now.Sub(gate.began) < centreAwaited {
 		// Data centres that start together find one another by these.
-		quiet = castEvery
+		quiet = spacing
 	}
 	if len(spent) == 0 && !gate.wholeDue && now.Sub(gate.useCast) < quiet {
 		return
