Cuts of the test rig hold for what is under way

Cause: the rig's cuts, not the daemons. A gate told its waiting calls to end and returned at once; a note published in that moment still went through to a daemon on the wrong side. A relay looked whether two ends were apart, dialled, and only then entered the connection into the list that a cut ends, so a connection in the making stayed for the whole cut. Ruled out: a note crossing by peers of the same side (each is cut from all of the other side), a frame in a relay's buffer (both ends are closed). Conclusion: a cut now returns when nothing that was under way can pass it.

--- a/cmd/yuccacleat/gate_test.go
+++ b/cmd/yuccacleat/gate_test.go
@@ -18,6 +18,8 @@
 	mu   sync.Mutex
 	open context.Context
 	shut context.CancelFunc
+	// under are the calls that came through since the gate was opened.
+	under *sync.WaitGroup
 }
 
 func newGate(platform string) *gate {
@@ -31,17 +33,22 @@
 	return strings.TrimPrefix(way.server.URL, "http://")
 }
 
-// let opens the gate, and cut shuts it, for calls that wait as well.
+// let opens the gate.
 func (way *gate) let() {
 	way.mu.Lock()
 	defer way.mu.Unlock()
 	way.open, way.shut = context.WithCancel(context.Background())
+	way.under = &sync.WaitGroup{}
 }
 
+// cut shuts the gate and returns when no call that waited can bring an answer any
+// more: what is published next is published behind a shut gate.
 func (way *gate) cut() {
 	way.mu.Lock()
-	defer way.mu.Unlock()
 	way.shut()
+	under := way.under
+	way.mu.Unlock()
+	under.Wait()
 }
 
 func (way *gate) close() {
@@ -49,11 +56,21 @@
 	way.server.Close()
 }
 
+// enter counts a call in, unless the gate is shut: then the context has ended.
+func (way *gate) enter() (open context.Context, done func()) {
+	way.mu.Lock()
+	defer way.mu.Unlock()
+	if way.open.Err() != nil {
+		return way.open, func() {}
+	}
+	way.under.Add(1)
+	return way.open, way.under.Done
+}
+
 // ServeHTTP passes a call on while the gate is open and hangs up otherwise.
 func (way *gate) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	way.mu.Lock()
-	open := way.open
-	way.mu.Unlock()
+	open, done := way.enter()
+	defer done()
 	ctx, stop := context.WithCancel(r.Context())
 	defer stop()
 	defer context.AfterFunc(open, stop)()
--- a/cmd/yuccacleat/relay_test.go
+++ b/cmd/yuccacleat/relay_test.go
@@ -83,7 +83,9 @@
 	}
 	defer out.Close()
 	conn := &relayed{from: inc.VM, in: in, out: out}
-	rel.add(conn)
+	if !rel.add(conn) {
+		return
+	}
 	defer rel.remove(conn)
 	if _, err := out.Write(greeting.Bytes()); err != nil {
 		return
@@ -147,10 +149,16 @@
 	}
 }
 
-func (rel *relay) add(conn *relayed) {
+// add refuses a connection whose ends were cut apart while it was being made: a cut
+// ends only what it finds.
+func (rel *relay) add(conn *relayed) bool {
 	rel.mu.Lock()
 	defer rel.mu.Unlock()
+	if rel.apart(conn.from, rel.to) {
+		return false
+	}
 	rel.conns[conn] = true
+	return true
 }
 
 func (rel *relay) remove(conn *relayed) {
