Loads go to other data centres by a grain that grows with their number

Cause: each run that begins or ends on a target is told to the leaders of all other data centres over two ways. 14 data centres of 4 daemons, 8 requests a second each, runs of 200 ms (a trial in one process): casts 21.6 KB/s a daemon, all other control 0.75 KB/s. Now a change counts from 1 + centres/4 runs on, idle targets are told in any case, and whole lists are spaced by how many data centres get them. With two other data centres nothing changes.

--- a/io/yuccagate/desk.go
+++ b/io/yuccagate/desk.go
@@ -29,6 +29,12 @@
 	// elsewhere knows nothing, but the lists of large pools would else outweigh all changes.
 	loadWholeEvery = 2 * time.Second
 	loadWholeEach  = 10 * time.Millisecond
+	// centresForGrain is how many other data centres make changes of one run more be left
+	// out. Each change goes to all of them, over two ways, so that with fourteen data centres
+	// loads took twelve times what a daemon may spend on control. A leader sends elsewhere
+	// what its own targets can't take, and finds more targets to choose from the more data
+	// centres there are: it needs to know which of them are free, not by how much.
+	centresForGrain = 4
 )
 
 // desk decides for one pool: for the whole data centre where this daemon leads the pool, and
@@ -331,8 +337,9 @@
 	if now.Sub(dsk.loadCast) < loadEvery {
 		return
 	}
-	whole := now.Sub(dsk.loadWhole) >= max(loadWholeEvery, time.Duration(len(dsk.told))*loadWholeEach)
-	loads := dsk.changedLoads(whole)
+	centres := len(gate.centres)
+	whole := now.Sub(dsk.loadWhole) >= wholeLoadSpacing(len(dsk.told), centres)
+	loads := dsk.changedLoads(whole, 1+centres/centresForGrain)
 	if len(loads) == 0 && now.Sub(dsk.loadCast) < loadLatest {
 		return
 	}
@@ -343,18 +350,24 @@
 	gate.cast(yuccawire.Cast{Topic: yuccawire.TopicLoad, Pool: dsk.pool, Load: loads, Part: !whole})
 }
 
+// wholeLoadSpacing is how often everything that so many targets have is told to so many other
+// data centres.
+func wholeLoadSpacing(targets, centres int) time.Duration {
+	return max(loadWholeEvery, time.Duration(targets*centres)*loadWholeEach/2)
+}
+
 // changedLoads returns what to tell of the targets: of all that have anything, or of those
-// for which something has changed.
-func (dsk *desk) changedLoads(whole bool) []yuccawire.TargetLoad {
+// for which something has changed by the grain. That a target has become idle is told in any
+// case.
+func (dsk *desk) changedLoads(whole bool, grain int) []yuccawire.TargetLoad {
 	var loads []yuccawire.TargetLoad
 	for target, load := range dsk.own.Loads() {
 		is := toldLoad(target, load)
 		was, told := dsk.told[target]
-		changed := !told || was.Runs != is.Runs || paceChanged(was.Pace, is.Pace)
-		if changed {
-			dsk.told[target] = is
-		}
+		moved := max(was.Runs-is.Runs, is.Runs-was.Runs)
+		changed := !told || moved >= grain || moved > 0 && is.Runs == 0 || paceChanged(was.Pace, is.Pace)
 		if whole || changed {
+			dsk.told[target] = is
 			loads = append(loads, is)
 		}
 	}
--- a/io/yuccagate/desk_test.go
+++ b/io/yuccagate/desk_test.go
@@ -1,10 +1,12 @@
 package yuccagate
 
 import (
+	"math/rand/v2"
 	"reflect"
 	"testing"
 	"time"
 
+	"yuccacleat/core/yuccagrant"
 	"yuccacleat/core/yuccaid"
 	"yuccacleat/io/yuccawire"
 )
@@ -61,3 +63,41 @@
 		t.Errorf("got %v, news %t", got, dsk.awayAll)
 	}
 }
+
+// Fourteen data centres tell one another of each run that begins or ends. That took twelve
+// times what a daemon may spend on control; and if only little were left out for good, a
+// target that has become idle would look taken elsewhere.
+func TestLoadsAreToldByTheGrain(t *testing.T) {
+	now := time.Unix(1000, 0)
+	dsk := newAwayDesk()
+	dsk.own = yuccagrant.New(rand.New(rand.NewPCG(1, 1)))
+	dsk.told = make(map[yuccaid.Target]yuccawire.TargetLoad)
+	dsk.own.Configure(now, []yuccagrant.Target{{Name: "a", Slots: 8}})
+	running := uint64(0)
+	set := func(runs uint64) {
+		for ; running < runs; running++ {
+			dsk.own.Hold(now, yuccagrant.Running{Ask: yuccagrant.Ask{ID: yuccagrant.ID{Number: running}}, Target: "a", Sent: now})
+		}
+		for ; running > runs; running-- {
+			dsk.own.Ended(now, yuccagrant.Ended{ID: yuccagrant.ID{Number: running - 1}, Outcome: yuccagrant.Dropped})
+		}
+	}
+	for _, step := range []struct {
+		runs  uint64
+		whole bool
+		told  []yuccawire.TargetLoad
+	}{
+		{runs: 2, told: []yuccawire.TargetLoad{{Target: "a", Runs: 2}}},
+		{runs: 4},
+		{runs: 5, told: []yuccawire.TargetLoad{{Target: "a", Runs: 5}}},
+		{runs: 4, whole: true, told: []yuccawire.TargetLoad{{Target: "a", Runs: 4}}},
+		{runs: 2},
+		{runs: 0, told: []yuccawire.TargetLoad{{Target: "a"}}},
+		{runs: 0},
+	} {
+		set(step.runs)
+		if got := dsk.changedLoads(step.whole, 3); !reflect.DeepEqual(got, step.told) {
+			t.Errorf("at %d runs told %v, want %v", step.runs, got, step.told)
+		}
+	}
+}
