--- a/cmd/yuccameasure/main.go
+++ b/cmd/yuccameasure/main.go
@@ -45,7 +45,7 @@
 	root.PersistentFlags().StringVar(&flags.programs, "programs", "", "directory with yuccacleat and yuccastand; built by go when empty")
 	root.PersistentFlags().StringVar(&flags.lines, "lines", "", "file to which JSON lines are added")
 	root.PersistentFlags().DurationVar(&flags.limit, "limit", 10*time.Minute, "longest time that the measurement may take")
-	root.AddCommand(relayCommand(flags), membersCommand(flags), pollsCommand(flags), configCommand(flags), fullCommand(flags), stateCommand(flags))
+	root.AddCommand(relayCommand(flags), membersCommand(flags), pollsCommand(flags), configCommand(flags), fullCommand(flags), stateCommand(flags), worthCommand())
 	return root
 }
 
@@ -220,3 +220,32 @@
 	}
 	return cmd
 }
+
+func worthCommand() *cobra.Command {
+	var plot string
+	cmd := &cobra.Command{
+		Use:   "worth REPORT...",
+		Short: "Show what days were worth against their load, from the bench's reports",
+		Long: `worth reads reports of single days, named SERIES@LOAD@TRY.json, and prints the mean of the
+tries at each load. With --plot it draws them.`,
+		Args: cobra.MinimumNArgs(1),
+		RunE: func(cmd *cobra.Command, paths []string) error {
+			points, err := yuccameasure.ReadWorth(paths)
+			if err != nil {
+				return err
+			}
+			if plot != "" {
+				svg, err := yuccameasure.DrawWorth(points)
+				if err != nil {
+					return err
+				}
+				if err := os.WriteFile(plot, svg, 0o644); err != nil {
+					return err
+				}
+			}
+			return yuccameasure.WriteWorth(cmd.OutOrStdout(), points)
+		},
+	}
+	cmd.Flags().StringVar(&plot, "plot", "", "SVG file to draw worth against load to")
+	return cmd
+}
