--- a/cmd/yuccacleat/fleet_test.go
+++ b/cmd/yuccacleat/fleet_test.go
@@ -1,21 +1,16 @@
 package main_test
 
 import (
-	"bufio"
-	"bytes"
 	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
 	"os"
-	"os/exec"
 	"path/filepath"
 	"regexp"
 	"slices"
 	"strconv"
 	"strings"
-	"sync"
-	"syscall"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -26,7 +21,6 @@
 	"yuccacleat/io/yuccacaller"
 	"yuccacleat/io/yuccadaemon"
 	"yuccacleat/io/yuccaserve"
-	"yuccacleat/io/yuccastand"
 )
 
 const (
@@ -39,73 +33,6 @@
 	secret       = "hotline secret"
 )
 
-// process is one child of the test.
-type process struct {
-	cmd  *exec.Cmd
-	line []byte
-	logs *logBuffer
-	// read is closed when the child's output has ended.
-	read chan struct{}
-}
-
-// logBuffer keeps a child's log and standard error for the report of a failed test.
-type logBuffer struct {
-	mu  sync.Mutex
-	buf bytes.Buffer
-}
-
-func (lb *logBuffer) Write(p []byte) (int, error) {
-	lb.mu.Lock()
-	defer lb.mu.Unlock()
-	return lb.buf.Write(p)
-}
-
-func (lb *logBuffer) String() string {
-	lb.mu.Lock()
-	defer lb.mu.Unlock()
-	return lb.buf.String()
-}
-
-// spawn starts a program and reads the line in which it tells its addresses.
-func spawn(program string, args ...string) *process {
-	GinkgoHelper()
-	proc := &process{cmd: exec.Command(program, args...), logs: &logBuffer{}, read: make(chan struct{})}
-	proc.cmd.Stderr = proc.logs
-	out, err := proc.cmd.StdoutPipe()
-	Expect(err).NotTo(HaveOccurred())
-	Expect(proc.cmd.Start()).To(Succeed())
-	reader := bufio.NewReader(out)
-	proc.line, err = reader.ReadBytes('\n')
-	if err != nil {
-		proc.kill()
-	}
-	Expect(err).NotTo(HaveOccurred(), "%s %v said: %s", program, args, proc.logs)
-	go func() {
-		defer close(proc.read)
-		_, _ = io.Copy(proc.logs, reader)
-	}()
-	return proc
-}
-
-func (proc *process) kill() {
-	if proc.cmd.ProcessState == nil {
-		_ = proc.cmd.Process.Kill()
-		_ = proc.cmd.Wait()
-	}
-}
-
-func (proc *process) signal(sig syscall.Signal) {
-	GinkgoHelper()
-	Expect(proc.cmd.Process.Signal(sig)).To(Succeed())
-}
-
-// exit waits for the process and returns its exit code.
-func (proc *process) exit() int {
-	<-proc.read
-	_ = proc.cmd.Wait()
-	return proc.cmd.ProcessState.ExitCode()
-}
-
 // fleet is one data centre of daemons, targets and a platform, all processes.
 type fleet struct {
 	dir      string
@@ -387,75 +314,3 @@
 	}
 	return leader, others
 }
-
-// runs returns what a target really ran.
-func runs(address string) []yuccastand.Run {
-	GinkgoHelper()
-	var list []yuccastand.Run
-	fetch(Default, address, "/control/runs", &list)
-	return list
-}
-
-// runsOf counts how often targets ran a request.
-func (fl *fleet) runsOf(id yuccaid.RequestText) int {
-	GinkgoHelper()
-	count := 0
-	for _, address := range append([]string{fl.plain}, fl.engines...) {
-		for _, run := range runs(address) {
-			if run.ID == string(id) {
-				count++
-			}
-		}
-	}
-	return count
-}
-
-func fetch(g Gomega, address, path string, into any) {
-	reply, err := http.Get("http://" + address + path)
-	g.Expect(err).NotTo(HaveOccurred())
-	defer reply.Body.Close()
-	g.Expect(reply.StatusCode).To(Equal(http.StatusOK))
-	g.Expect(json.NewDecoder(reply.Body).Decode(into)).To(Succeed())
-}
-
-func put(address, path string, body []byte) {
-	GinkgoHelper()
-	call, err := http.NewRequest(http.MethodPut, "http://"+address+path, bytes.NewReader(body))
-	Expect(err).NotTo(HaveOccurred())
-	call.Header.Set("Content-Type", "application/json")
-	reply, err := http.DefaultClient.Do(call)
-	Expect(err).NotTo(HaveOccurred())
-	defer reply.Body.Close()
-	Expect(reply.StatusCode).To(BeNumerically("<", http.StatusBadRequest))
-}
-
-// faults sets a stand-in's switches: yuccastand.Faults or PlatformFaults.
-func faults(address string, set any) {
-	GinkgoHelper()
-	raw, err := json.Marshal(set)
-	Expect(err).NotTo(HaveOccurred())
-	reply, err := http.Post("http://"+address+"/control/faults", "application/json", bytes.NewReader(raw))
-	Expect(err).NotTo(HaveOccurred())
-	defer reply.Body.Close()
-	Expect(reply.StatusCode).To(BeNumerically("<", http.StatusBadRequest))
-}
-
-// draft is a request for a generated answer.
-func draft(tier yuccaid.Tier, prompt string, tokens yuccaid.Tokens) yuccadaemon.Request {
-	return yuccadaemon.Request{
-		Pool: "draft", Operation: "generate", Tier: tier, DeadlineMillis: patience.Milliseconds(),
-		Prompt: prompt, AnswerTokens: tokens,
-	}
-}
-
-// desk is a call of the plain service.
-func desk(operation yuccaid.Operation, body string) yuccadaemon.Request {
-	return yuccadaemon.Request{
-		Pool: "desk", Operation: operation, Tier: "urgent", DeadlineMillis: patience.Milliseconds(), Prompt: body,
-	}
-}
-
-// words makes a prompt of about so many tokens.
-func words(tokens int) string {
-	return strings.Repeat("gas ", tokens)
-}
--- /dev/null
+++ b/io/yuccagate/peers_test.go
@@ -0,0 +1,186 @@
+package yuccagate_test
+
+import (
+	"fmt"
+	"net/http"
+	"sync"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"yuccacleat/core/yuccaid"
+	"yuccacleat/core/yuccaroster"
+	"yuccacleat/io/yuccagate"
+)
+
+var _ = Describe("gateways of one data centre", func() {
+	two := func(slots int, engines ...*engine) (*gate, *gate) {
+		one := newGate("entry-1")
+		other := newGate("entry-2", one.Status().Address)
+		one.know(1, config(), slots, engines...)
+		other.know(1, config(), slots, engines...)
+		for _, gt := range []*gate{one, other} {
+			Eventually(func() int { return len(gt.Status().Peers) }, 3*time.Second).Should(Equal(1))
+		}
+		time.Sleep(700 * time.Millisecond)
+		return one, other
+	}
+
+	// Each daemon sees half of the callers. If each filled the targets by its own count, they
+	// would hold twice their places.
+	It("fill targets together to little more than their places", func() {
+		eng := newEngine("a", func(w http.ResponseWriter, _ *http.Request) {
+			time.Sleep(40 * time.Millisecond)
+			fmt.Fprint(w, "done")
+		})
+		one, other := two(2, eng)
+		var group sync.WaitGroup
+		for turn := range 12 {
+			group.Go(func() {
+				defer GinkgoRecover()
+				gt := []*gate{one, other}[turn%2]
+				Expect(call{path: "/ticket/", id: fmt.Sprint("r", turn)}.do(gt).status).To(Equal(http.StatusOK))
+			})
+		}
+		group.Wait()
+		Expect(eng.most.Load()).To(BeNumerically("<=", 3))
+	})
+
+	// The daemon that leads a pool is killed. Requests at the other one must not wait for it.
+	It("decide alone when the leader is gone", func() {
+		eng := newEngine("a", nil)
+		one, other := two(2, eng)
+		Expect(call{path: "/ticket/", id: "before-1"}.do(one).status).To(Equal(http.StatusOK))
+		Expect(call{path: "/ticket/", id: "before-2"}.do(other).status).To(Equal(http.StatusOK))
+		leader, rest := one, other
+		if string(other.Status().Pools[0].Leader) == "entry-2" {
+			leader, rest = other, one
+		}
+		leader.crash()
+		began := time.Now()
+		Expect(call{path: "/ticket/", id: "after"}.do(rest).status).To(Equal(http.StatusOK))
+		Expect(time.Since(began)).To(BeNumerically("<", 400*time.Millisecond))
+		Eventually(func() string { return string(rest.Status().Pools[0].Leader) }, 3*time.Second).Should(Equal(string(rest.Status().VM)))
+	})
+
+	It("pass configurations on", func() {
+		eng := newEngine("a", nil)
+		one, other := two(2, eng)
+		Expect(one.OfferRaw(encode(5, config()), "test")).To(Succeed())
+		Eventually(func() int { return int(other.Status().Number) }).Should(Equal(5))
+	})
+
+	It("pass targets on that leave", func() {
+		eng := newEngine("a", nil)
+		one, other := two(2, eng)
+		for _, gt := range []*gate{one, other} {
+			gt.OfferTargets(nil, []yuccaroster.Removal{{Target: "a", Revision: 9}}, false, 9, true)
+		}
+		for _, gt := range []*gate{one, other} {
+			Eventually(func() int { return len(gt.Status().Targets) }).Should(BeZero())
+		}
+	})
+})
+
+var _ = Describe("gateways of two data centres", func() {
+	// A data centre is cut off from the platform, and its daemons are restarted. The other one
+	// knows configuration and targets; without asking there, every caller would be told that
+	// there is no target.
+	It("learn from each other what one of them can't read", func() {
+		eng := newEngine("a", nil)
+		reads := newGateIn("odessa", "odessa-1")
+		reads.know(1, config(), 4, eng)
+		cut := newGateIn("austin", "austin-1", reads.Status().Address)
+		Eventually(func() int { return call{path: "/ticket/"}.do(cut).status }, 5*time.Second).Should(Equal(http.StatusOK))
+		reads.OfferTargets(nil, []yuccaroster.Removal{{Target: "a", Revision: 2}}, false, 2, true)
+		Eventually(func() int { return len(cut.Status().Targets) }, 5*time.Second).Should(BeZero())
+	})
+
+	// They meet by a seed, and each has a peer of its own. If their connections were given up
+	// once each data centre has found itself, accounts would get their quotas twice.
+	It("stay connected and count quotas together", func() {
+		eng := newEngine("a", nil)
+		still := func(set *yuccagate.Settings) { set.Bounds.QuotaWindow = time.Hour }
+		one := newGateOf(listen(), "odessa", "odessa-1", still)
+		seed := one.Status().Address
+		all := []*gate{one}
+		for _, each := range []struct{ centre, vm string }{{"odessa", "odessa-2"}, {"austin", "austin-1"}, {"austin", "austin-2"}} {
+			all = append(all, newGateOf(listen(), yuccaid.Centre(each.centre), each.vm, still, seed))
+		}
+		for _, gt := range all {
+			gt.know(1, config(), 4, eng)
+		}
+		crossing := func() bool {
+			across := map[bool]int{}
+			for _, gt := range all {
+				for _, peer := range gt.Status().Peers {
+					across[peer.Centre != gt.Status().Centre]++
+				}
+			}
+			return across[true] >= 2 && across[false] == 4
+		}
+		Eventually(crossing, 5*time.Second).Should(BeTrue())
+		time.Sleep(time.Second)
+		Consistently(crossing, 1500*time.Millisecond, 50*time.Millisecond).Should(BeTrue())
+		served := 0
+		for turn := range 60 {
+			got := call{path: "/ticket/", id: fmt.Sprint("r", turn), key: "k3"}.do(all[turn%4])
+			if got.status != http.StatusOK {
+				continue
+			}
+			served++
+			for _, gt := range all {
+				Eventually(func() int64 { return gt.used("still") }, 5*time.Second).Should(BeEquivalentTo(5*served), "at %s", gt.Status().VM)
+			}
+		}
+		Expect(served).To(BeNumerically("<=", 20), "the quota lets in twenty")
+		Expect(served).To(BeNumerically(">=", 19), "the last one is more than each gateway's share of what is left")
+	})
+})
+
+var _ = Describe("a gateway whose settings change", func() {
+	It("finds its peers at new seeds, and what runs goes on", func() {
+		release := make(chan struct{})
+		eng := newEngine("a", func(w http.ResponseWriter, _ *http.Request) {
+			<-release
+			fmt.Fprint(w, "whole")
+		})
+		one, other := newGate("entry-1"), newGate("entry-2")
+		other.know(1, config(), 4, eng)
+		got := make(chan answered, 1)
+		go func() { got <- call{path: "/ticket/"}.do(other) }()
+		Eventually(eng.running.Load).Should(BeEquivalentTo(1))
+		other.Reload(yuccagate.Settings{Seeds: []string{one.Status().Address}})
+		Eventually(func() int { return len(other.Status().Peers) }, 5*time.Second).Should(Equal(1))
+		close(release)
+		var whole answered
+		Eventually(got).Should(Receive(&whole))
+		Expect(whole.body).To(Equal("whole"))
+	})
+})
+
+var _ = Describe("gateways that were all restarted", func() {
+	// Until they meet, each lets accounts in by itself. If what they let in before was never
+	// told, an account that presses would be let in for as much again by everybody.
+	DescribeTable("count what each let in before they met",
+		func(centre yuccaid.Centre, vm string) {
+			eng := newEngine("a", nil)
+			forgot := func(set *yuccagate.Settings) { set.First, set.Bounds.QuotaWindow = false, time.Hour }
+			// Connections to it are taken from its start on.
+			reserved := listen()
+			early := newGateOf(listen(), "odessa", "odessa-1", forgot, reserved.Addr().String())
+			early.know(1, config(), 4, eng)
+			Expect(call{path: "/ticket/", id: "early", key: "k3"}.do(early).status).To(Equal(http.StatusOK))
+			late := newGateOf(reserved, centre, vm, forgot)
+			late.know(1, config(), 4, eng)
+			Expect(call{path: "/ticket/", id: "late", key: "k3"}.do(late).status).To(Equal(http.StatusOK))
+			for _, gt := range []*gate{early, late} {
+				Eventually(func() int64 { return gt.used("still") }, 5*time.Second).Should(BeEquivalentTo(10), "at %s", gt.Status().VM)
+				Consistently(func() int64 { return gt.used("still") }, time.Second).Should(BeEquivalentTo(10), "at %s", gt.Status().VM)
+			}
+		},
+		Entry("in one data centre", yuccaid.Centre("odessa"), "odessa-2"),
+		Entry("in two", yuccaid.Centre("austin"), "austin-1"),
+	)
+})
--- /dev/null
+++ b/io/yuccagate/stream_test.go
@@ -0,0 +1,151 @@
+package yuccagate_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"regexp"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+func events(w http.ResponseWriter, from, to int, pause time.Duration) {
+	for at := from; at <= to; at++ {
+		fmt.Fprintf(w, "id: %d\ndata: piece %d\n\n", at, at)
+		http.NewResponseController(w).Flush()
+		time.Sleep(pause)
+	}
+}
+
+func stream(from, to int, pause time.Duration) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "text/event-stream")
+		events(w, from, to, pause)
+	}
+}
+
+var _ = Describe("a stream", func() {
+	It("is handed on event by event as they come", func() {
+		eng := newEngine("a", stream(1, 5, 40*time.Millisecond))
+		gt := newGate("entry-1")
+		gt.know(1, config(), 1, eng)
+		resp, err := http.DefaultTransport.RoundTrip(call{path: "/note/"}.request(gt))
+		Expect(err).NotTo(HaveOccurred())
+		defer resp.Body.Close()
+		in := bufio.NewReader(resp.Body)
+		var gaps []time.Duration
+		last := time.Now()
+		for at := 1; at <= 5; at++ {
+			line, err := in.ReadString('\n')
+			Expect(err).NotTo(HaveOccurred())
+			Expect(line).To(Equal(fmt.Sprintf("id: %d\n", at)))
+			in.ReadString('\n')
+			in.ReadString('\n')
+			gaps = append(gaps, time.Since(last))
+			last = time.Now()
+		}
+		_, err = in.ReadByte()
+		Expect(err).To(Equal(io.EOF))
+		Expect(gaps[4]).To(BeNumerically(">", 15*time.Millisecond))
+	})
+
+	// A target breaks off in the middle of an event. A caller that took the part for the
+	// whole would act on half a note.
+	It("never looks whole when it broke off", func() {
+		eng := newEngine("a", func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Content-Type", "text/event-stream")
+			events(w, 1, 2, 0)
+			fmt.Fprint(w, "id: 3\ndata: half of")
+			http.NewResponseController(w).Flush()
+			panic(http.ErrAbortHandler)
+		})
+		gt := newGate("entry-1")
+		gt.know(1, config(), 1, eng)
+		got := call{path: "/note/"}.do(gt)
+		Expect(got.err).To(HaveOccurred())
+		Expect(got.body).NotTo(ContainSubstring("half"))
+	})
+
+	// A target crashes in the middle of an event. Another one can go on behind the last whole
+	// event, and the caller sees one stream with nothing missing or doubled.
+	DescribeTable("goes on at another target where its route allows it",
+		func(path string, whole bool) {
+			serve := func(name string) http.HandlerFunc {
+				return func(w http.ResponseWriter, r *http.Request) {
+					w.Header().Set("Content-Type", "text/event-stream")
+					w.Header().Set("X-Signature", name)
+					if from := r.Header.Get("Last-Event-Id"); from != "" {
+						// It begins one event early.
+						events(w, 2, 5, 0)
+						return
+					}
+					events(w, 1, 2, 0)
+					fmt.Fprint(w, "id: 3\ndata: half of")
+					http.NewResponseController(w).Flush()
+					panic(http.ErrAbortHandler)
+				}
+			}
+			one, two := newEngine("one", serve("one")), newEngine("two", serve("two"))
+			gt := newGate("entry-1")
+			gt.know(1, config(), 1, one, two)
+			got := call{path: path}.do(gt)
+			Expect(got.err == nil).To(Equal(whole), "%v", got.err)
+			if !whole {
+				Expect(len(one.requests()) + len(two.requests())).To(Equal(1))
+				return
+			}
+			Expect(regexp.MustCompile(`id: \d`).FindAllString(got.body, -1)).To(Equal([]string{"id: 1", "id: 2", "id: 3", "id: 4", "id: 5"}))
+			Expect(got.body).NotTo(ContainSubstring("half"))
+			first := one
+			if len(one.requests()) > 0 && one.requests()[0].header.Get("Last-Event-Id") != "" {
+				first = two
+			}
+			Expect(got.header.Get("X-Signature")).To(Equal(first.name))
+		},
+		Entry("a stream that may be resumed", "/resumed/", true),
+		Entry("one that may not", "/note/", false),
+	)
+
+	It("isn't resumed more often than its attempts allow", func() {
+		breaking := func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Content-Type", "text/event-stream")
+			events(w, 1, 1, 0)
+			panic(http.ErrAbortHandler)
+		}
+		var all []*engine
+		for at := range 4 {
+			all = append(all, newEngine(fmt.Sprint("e", at), breaking))
+		}
+		gt := newGate("entry-1")
+		gt.know(1, config(), 1, all...)
+		Expect(call{path: "/resumed/"}.do(gt).err).To(HaveOccurred())
+		runs := 0
+		for _, eng := range all {
+			runs += len(eng.requests())
+		}
+		Expect(runs).To(Equal(2))
+	})
+
+	// A caller closes its connection in the middle. The target would go on for nobody.
+	It("ends at the target when its caller leaves", func() {
+		eng := newEngine("a", func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Set("Content-Type", "text/event-stream")
+			for at := 1; r.Context().Err() == nil; at++ {
+				events(w, at, at, 10*time.Millisecond)
+			}
+		})
+		gt := newGate("entry-1")
+		gt.know(1, config(), 1, eng)
+		ctx, leave := context.WithCancel(context.Background())
+		resp, err := http.DefaultTransport.RoundTrip(call{path: "/note/"}.request(gt).WithContext(ctx))
+		Expect(err).NotTo(HaveOccurred())
+		resp.Body.Read(make([]byte, 10))
+		leave()
+		Eventually(eng.running.Load).Should(BeZero())
+		Eventually(gt.busy).Should(BeZero())
+	})
+})
