Seeds elsewhere are dialled once, not until a roster comes back

Cause: a daemon that starts asks the seeds of other data centres, lets go of them as soon as it has met them unless it is a gateway, and forgot them a third of a second later, so it dialled anew. Now: who was heard in another data centre is remembered like one of whom a peer told, for a minute. Spec seen to fail first.

--- a/core/yuccapeer/peers.go
+++ b/core/yuccapeer/peers.go
@@ -144,6 +144,12 @@
 		return change
 	}
 	peers.update(other, beat, &change)
+	if beat.Centre != peers.self.Centre {
+		// A daemon that isn't a gateway lets go of a seed elsewhere once it has met it, often
+		// before a roster has come back. Forgotten, the seed would be dialled anew at once, by
+		// every daemon of the fleet.
+		peers.Told(now, []Listing{listingOf(beat.member())})
+	}
 	if beat.Unlisted && !peers.rostered[beat.Incarnation] {
 		peers.rostered[beat.Incarnation] = true
 		change.Rosters = append(change.Rosters, beat.Incarnation)
--- a/core/yuccapeer/peers_test.go
+++ b/core/yuccapeer/peers_test.go
@@ -297,6 +297,33 @@
 		Expect(fresh.Dial()).To(Equal([]string{second.Address, "10.2.0.1:7400"}))
 	})
 
+	// A hundred daemons start and each asks the seeds elsewhere. Those that aren't gateways let
+	// go as soon as they have met, before a roster has come back over the long way. If they
+	// forgot whom they met, they would dial again and again, and the seeds would do nothing
+	// but greet.
+	It("doesn't dial a seed elsewhere again once it has heard it", func() {
+		far := yuccapeer.Member{VM: "far", Centre: "milano", Address: "10.1.0.1:7400"}
+		far.Incarnation = yuccaid.NewIncarnation("far", [16]byte{7})
+		there := yuccapeer.New(far)
+		self := first.Member
+		self.VM, self.Address = "vm-9", "10.0.0.9:7400"
+		self.Incarnation = yuccaid.NewIncarnation("vm-9", [16]byte{9})
+		fresh := yuccapeer.New(self, yuccapeer.WithSeeds(second.Address, far.Address))
+		fresh.Tick(wld.now)
+		fresh.Linked(wld.now, second.Member)
+		fresh.Heard(wld.now, second.peers.Heartbeat())
+		fresh.Linked(wld.now, far)
+		fresh.Heard(wld.now, there.Heartbeat())
+		fresh.Lost(wld.now, far.Incarnation)
+		later := wld.now.Add(5 * time.Second)
+		fresh.Tick(later)
+		Expect(fresh.Live("milano")).To(BeEmpty(), "it isn't heard any more")
+		Expect(fresh.Candidates("milano")).To(HaveLen(1))
+		fresh.Tick(wld.now.Add(2 * time.Hour))
+		Expect(fresh.Candidates("milano")).To(BeEmpty())
+		Expect(fresh.Dial()).To(ContainElement(far.Address), "nobody remembers it")
+	})
+
 	// Without a list, a roster answers every whole heartbeat, and each change of configuration
 	// brings one from every peer: a hundred daemons would send each other ten thousand.
 	It("sends a roster once for each connection", func() {
