A newcomer gets the rosters of a few daemons, not of all

Cause: without a list from the platform a daemon was sent a roster by each peer it met. Now a greeting tells how many daemons its sender knows. Who knows twice as many sends its roster, and else only the seeds and eight chosen by rank do. That all meet who start together is a property, with connections and messages in any order: it holds with no chosen eight at all (300 draws) and fails within 15 draws when the seeds may keep their rosters. A newcomer to 39 others: 78 rosters both ways before (spec seen red), 40 at most now.

--- a/core/yuccapeer/beat.go
+++ b/core/yuccapeer/beat.go
@@ -13,7 +13,7 @@
 	peers.self.Version++
 	peers.self.Sequence++
 	peers.beaten = now
-	whole := peers.self
+	whole := peers.Heartbeat()
 	return peers.toAll(func(to yuccaid.Incarnation) Beat {
 		return Beat{To: to, Heartbeat: &whole}
 	})
@@ -32,7 +32,7 @@
 // whole is the heartbeat for one peer that lacks it.
 func (peers *Peers) whole(to yuccaid.Incarnation) Beat {
 	peers.self.Sequence++
-	whole := peers.self
+	whole := peers.Heartbeat()
 	return Beat{To: to, Heartbeat: &whole}
 }
 
--- a/core/yuccapeer/candidate.go
+++ b/core/yuccapeer/candidate.go
@@ -57,6 +57,33 @@
 	return slices.SortedFunc(maps.Values(peers.candidates()), compareListings)
 }
 
+// rosterSenders is how many daemons of a data centre send their roster to one that knows most
+// of what they do.
+const rosterSenders = 8
+
+// owesRoster reports whether this daemon sends its roster to an unlisted peer.
+//
+// In a fleet of three hundred each newcomer got a hundred rosters of three hundred names, more
+// than everything else that is told. One that knows little gets the roster of whoever meets
+// it. Later ones differ in what came about meanwhile: for that the rosters of a few are
+// enough, and those of the seeds, whom everybody asks, so that no two daemons that start
+// together miss each other.
+func (peers *Peers) owesRoster(beat *Heartbeat) bool {
+	own := peers.self.Centre
+	if beat.Centre != own || 2*beat.Knows < peers.known(own) || slices.Contains(peers.seeds, peers.self.Address) {
+		return true
+	}
+	topic := "roster for " + string(beat.Incarnation.VM)
+	mine := weigh(topic, string(peers.self.Incarnation.VM))
+	better := 0
+	for _, member := range peers.Live(own) {
+		if member.VM != beat.Incarnation.VM && weigh(topic, string(member.VM)) > mine {
+			better++
+		}
+	}
+	return better < rosterSenders
+}
+
 // Candidates returns the VMs of a data centre that may run a daemon, live or not, in
 // the order of their names. The list is the callers' to read, not to change.
 func (peers *Peers) Candidates(centre yuccaid.Centre) []Listing {
@@ -67,6 +94,20 @@
 	})
 }
 
+// known is how many candidates a data centre has. Each greeting tells it, so it is counted
+// without the sorted list.
+func (peers *Peers) known(centre yuccaid.Centre) int {
+	return lookUp(&peers.derived.known, centre, func() int {
+		count := 0
+		for _, listing := range peers.candidates() {
+			if listing.Centre == centre {
+				count++
+			}
+		}
+		return count
+	})
+}
+
 // candidates joins the platform's list, what peers told, and who is heard.
 func (peers *Peers) candidates() map[yuccaid.VM]Listing {
 	all := maps.Clone(peers.listed)
--- a/core/yuccapeer/derived.go
+++ b/core/yuccapeer/derived.go
@@ -14,6 +14,7 @@
 type derived struct {
 	live       map[yuccaid.Centre][]Member
 	candidates map[yuccaid.Centre][]Listing
+	known      map[yuccaid.Centre]int
 	leaders    map[yuccaid.Pool]Member
 	gateways   map[yuccaid.Centre][]Member
 }
--- a/core/yuccapeer/member.go
+++ b/core/yuccapeer/member.go
@@ -38,8 +38,10 @@
 	Leaving     bool                `msgpack:"leaving"`
 	Sequence    uint64              `msgpack:"sequence"`
 	Version     uint64              `msgpack:"version"`
-	// Unlisted says that the sender has no list from the platform yet.
+	// Unlisted says that the sender has no list from the platform yet, and Knows how many
+	// daemons of its data centre it has heard of meanwhile, itself included.
 	Unlisted bool `msgpack:"unlisted"`
+	Knows    int  `msgpack:"knows"`
 }
 
 // Pulse is a heartbeat that says nothing has changed since the whole one of that
--- a/core/yuccapeer/peers.go
+++ b/core/yuccapeer/peers.go
@@ -82,7 +82,11 @@
 func (peers *Peers) Self() Member { return peers.self.member() }
 
 // Heartbeat returns what this daemon tells the others now.
-func (peers *Peers) Heartbeat() Heartbeat { return peers.self }
+func (peers *Peers) Heartbeat() Heartbeat {
+	beat := peers.self
+	beat.Knows = peers.known(peers.self.Centre)
+	return beat
+}
 
 // Accepted notes the configuration that this daemon has accepted and returns the
 // heartbeats that tell the others.
@@ -150,7 +154,7 @@
 		// every daemon of the fleet.
 		peers.Told(now, []Listing{listingOf(beat.member())})
 	}
-	if beat.Unlisted && !peers.rostered[beat.Incarnation] {
+	if beat.Unlisted && !peers.rostered[beat.Incarnation] && peers.owesRoster(&beat) {
 		peers.rostered[beat.Incarnation] = true
 		change.Rosters = append(change.Rosters, beat.Incarnation)
 	}
