--- a/io/yuccagate/desk.go
+++ b/io/yuccagate/desk.go
@@ -71,9 +71,7 @@
 func (gate *Gate) tickDesks(now time.Time) {
 	for _, dsk := range gate.desks {
 		dsk.forgetSilent(now)
-		if dsk.leads {
-			gate.apply(now, dsk, dsk.tellOthers(now))
-		}
+		gate.apply(now, dsk, dsk.tellOthers(now))
 		gate.apply(now, dsk, dsk.own.Tick(now))
 		if dsk.leads {
 			gate.castLoad(now, dsk)
--- a/io/yuccagate/desk_test.go
+++ b/io/yuccagate/desk_test.go
@@ -64,6 +64,30 @@
 	}
 }
 
+// A daemon that doesn't lead is told of other data centres by those who think it does. It keeps
+// nothing of that for later, and tells its leader all of it when it begins to lead.
+func TestNewsOfLoadsIsKeptForLeadersOnly(t *testing.T) {
+	now := time.Unix(1000, 0)
+	dsk := newAwayDesk()
+	dsk.own = yuccagrant.New(rand.New(rand.NewPCG(1, 1)))
+	dsk.own.Configure(now, []yuccagrant.Target{{Name: "a", Slots: 8}})
+	dsk.hear(now, 1, false, yuccawire.TargetLoad{Target: "a", Runs: 3}, yuccawire.TargetLoad{Target: "b", Runs: 3})
+	dsk.tellOthers(now)
+	if len(dsk.awayNews) > 0 {
+		t.Errorf("kept %v", dsk.awayNews)
+	}
+	dsk.leads, dsk.awayAll = true, true
+	dsk.tellOthers(now)
+	if busy := dsk.own.Targets(now)[0].Busy; busy != 3 {
+		t.Errorf("the leader counts %d runs", busy)
+	}
+	dsk.hear(now, 2, false, yuccawire.TargetLoad{Target: "b", Runs: 3})
+	dsk.tellOthers(now)
+	if busy := dsk.own.Targets(now)[0].Busy; busy != 0 || len(dsk.awayNews) > 0 {
+		t.Errorf("the leader counts %d runs, kept %v", busy, dsk.awayNews)
+	}
+}
+
 // Fourteen data centres tell one another of each run that begins or ends. That took twelve
 // times what a daemon may spend on control; and if only little were left out for good, a
 // target that has become idle would look taken elsewhere.
--- a/io/yuccagate/loads.go
+++ b/io/yuccagate/loads.go
@@ -160,6 +160,11 @@
 func (dsk *desk) tellOthers(now time.Time) yuccagrant.Decisions {
 	var dec yuccagrant.Decisions
 	switch {
+	case !dsk.leads:
+		// Who begins to lead is told of all. News for nobody would pile up for as long as
+		// targets come and go.
+		clear(dsk.awayNews)
+		return dec
 	case dsk.awayAll:
 		dsk.own.ForgetOthers()
 		dec = dsk.own.SetOthers(now, dsk.others())
