The rig's gates call the platform over connections of their own

Cause: gates passed calls on over the process's default transport, which the spec's own calls use too. A call that is ended takes its connection with it, and sometimes a call that had just been given that connection. Ruled out: the stand-in (it answered), the daemons (none is on that way).

--- a/cmd/yuccacleat/gate_test.go
+++ b/cmd/yuccacleat/gate_test.go
@@ -14,6 +14,9 @@
 type gate struct {
 	server   *httptest.Server
 	platform string
+	// calls are the gate's own: a call that is ended may take one down that uses its
+	// connection next.
+	calls *http.Transport
 
 	mu   sync.Mutex
 	open context.Context
@@ -23,7 +26,7 @@
 }
 
 func newGate(platform string) *gate {
-	way := &gate{platform: platform}
+	way := &gate{platform: platform, calls: &http.Transport{DisableKeepAlives: true}}
 	way.let()
 	way.server = httptest.NewServer(way)
 	return way
@@ -76,7 +79,7 @@
 	defer context.AfterFunc(open, stop)()
 	call := r.Clone(ctx)
 	call.URL.Scheme, call.URL.Host = "http", way.platform
-	reply, err := http.DefaultTransport.RoundTrip(call)
+	reply, err := way.calls.RoundTrip(call)
 	if err != nil {
 		panic(http.ErrAbortHandler)
 	}
--- a/cmd/yuccacleat/rig_test.go
+++ b/cmd/yuccacleat/rig_test.go
@@ -70,6 +70,42 @@
 		}
 	})
 
+	// The test publishes a note just after it has cut daemons off whose calls were waiting. The
+	// end of those calls must not end the test's own one.
+	It("of a gate ends no other call to the platform", func() {
+		platform := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if r.URL.Path == "/watch" {
+				<-r.Context().Done()
+			}
+		}))
+		defer platform.Close()
+		var ways []*gate
+		for range 5 {
+			way := newGate(strings.TrimPrefix(platform.URL, "http://"))
+			defer way.close()
+			ways = append(ways, way)
+		}
+		for range rigRounds {
+			var calls sync.WaitGroup
+			for _, way := range ways {
+				way.let()
+				calls.Go(func() {
+					if reply, err := http.Get("http://" + way.address() + "/watch"); err == nil {
+						reply.Body.Close()
+					}
+				})
+			}
+			time.Sleep(time.Millisecond)
+			for _, way := range ways {
+				way.cut()
+			}
+			for range ways {
+				put(strings.TrimPrefix(platform.URL, "http://"), "/note", []byte("{}"))
+			}
+			calls.Wait()
+		}
+	})
+
 	// A daemon dials just when it is parted from another one. Its connection must not
 	// stay for as long as the cut holds.
 	It("of a relay holds for connections that were being made", func(ctx SpecContext) {
