A reading of the whole change: what stood twice or was said in a roundabout way

A field had the name of another one of another meaning (paced). Ruled out: a change of behaviour; each daemon is still told of targets once they change and of its share once it changes, before its waiting requests are. Before and after: the specs of leaders, peers (views never older than the view, all who start together meet), gateways, adapter and soak, green both times.

--- a/core/yuccagrant/leader.go
+++ b/core/yuccagrant/leader.go
@@ -20,18 +20,18 @@
 	sharers int
 	// bound is what no target of another region can cost less than.
 	bound bound
-	// paced says that a pace has changed since the last normalising.
-	paced bool
-	runs  map[ID]*run
-	queue queue
-	model model
+	// newPaces says that a pace has changed since the last normalising.
+	newPaces bool
+	runs     map[ID]*run
+	queue    queue
+	model    model
 	// empty is since when there is no target, as long as there is none.
 	empty time.Time
 }
 
 // New returns a leader without targets; Configure gives it some.
 func New(rng *rand.Rand) *Leader {
-	return &Leader{rng: rng, runs: make(map[ID]*run), queue: newQueue()}
+	return &Leader{rng: rng, sharers: 1, runs: make(map[ID]*run), queue: newQueue()}
 }
 
 // Configure sets the targets. What is known of one stays as long as it is the same
@@ -55,7 +55,7 @@
 	}
 	slices.SortFunc(lead.nodes, func(a, b *node) int { return cmp.Or(compareAway(a, b), cmp.Compare(a.Name, b.Name)) })
 	lead.bound.configure(lead.nodes)
-	lead.paced = true
+	lead.newPaces = true
 	switch {
 	case len(lead.nodes) > 0:
 		lead.empty = time.Time{}
@@ -78,10 +78,10 @@
 }
 
 // Share sets how many daemons decide on the same targets without knowing of one another:
-// each takes its part of the places.
+// each takes its part of the places. There is one at least.
 func (lead *Leader) Share(now time.Time, sharers int) Decisions {
 	var dec Decisions
-	if max(sharers, 1) == max(lead.sharers, 1) {
+	if sharers == lead.sharers {
 		return dec
 	}
 	lead.sharers = sharers
--- a/core/yuccagrant/learn.go
+++ b/core/yuccagrant/learn.go
@@ -58,17 +58,17 @@
 
 // repaced notes that a target's pace has changed.
 func (lead *Leader) repaced(nd *node) {
-	lead.paced = true
+	lead.newPaces = true
 	lead.bound.pace = min(lead.bound.pace, nd.pace)
 }
 
 // normalise keeps the quickest known target at a pace of one, so that the model and the
 // paces don't drift apart together.
 func (lead *Leader) normalise() {
-	if !lead.paced {
+	if !lead.newPaces {
 		return
 	}
-	lead.paced = false
+	lead.newPaces = false
 	best := math.Inf(1)
 	for _, nd := range lead.nodes {
 		if nd.paced >= pacedEnough {
--- a/core/yuccagrant/node.go
+++ b/core/yuccagrant/node.go
@@ -45,7 +45,6 @@
 
 // share sets the leader's part of the places.
 func (nd *node) share(sharers int) {
-	sharers = max(sharers, 1)
 	nd.Slots = (nd.whole + sharers - 1) / sharers
 }
 
--- a/core/yuccapeer/candidate.go
+++ b/core/yuccapeer/candidate.go
@@ -43,8 +43,10 @@
 	if !peers.self.Unlisted {
 		return
 	}
-	peers.changed()
 	for _, listing := range listings {
+		if peers.told[listing.VM].Listing != listing {
+			peers.changed()
+		}
 		if len(peers.told) < maxTold {
 			peers.told[listing.VM] = hearsay{Listing: listing, until: now.Add(peers.timing.Remember)}
 		}
--- a/io/yuccagate/desk.go
+++ b/io/yuccagate/desk.go
@@ -1,6 +1,7 @@
 package yuccagate
 
 import (
+	"math"
 	mathrand "math/rand/v2"
 	"time"
 
@@ -20,6 +21,9 @@
 	doubtFor = 500 * time.Millisecond
 )
 
+// noTargets stands for the version of the roster before any was told.
+const noTargets = math.MaxUint64
+
 // desk decides for one pool: for the whole data centre where this daemon leads the pool, and
 // else for this daemon's own requests when the leader can't be heard.
 type desk struct {
@@ -35,7 +39,7 @@
 	// and awayAll says that it has to be told of all.
 	awayNews map[yuccaid.Target]bool
 	awayAll  bool
-	// targetsAt is the version of the roster that own has.
+	// targetsAt is the version of the roster that own has, or noTargets.
 	targetsAt uint64
 	// told is what the other data centres were told of this one's targets, loadCast when that
 	// was last, and loadWhole when they were last told everything.
@@ -48,10 +52,9 @@
 	dsk := gate.desks[pool]
 	if dsk == nil {
 		seed := mathrand.NewPCG(mathrand.Uint64(), uint64(now.UnixNano()))
-		dsk = &desk{pool: pool, own: yuccagrant.New(mathrand.New(seed)), away: make(map[yuccaid.Centre]*centreLoad), awayNews: make(map[yuccaid.Target]bool), told: make(map[yuccaid.Target]yuccawire.TargetLoad)}
+		dsk = &desk{pool: pool, own: yuccagrant.New(mathrand.New(seed)), away: make(map[yuccaid.Centre]*centreLoad), awayNews: make(map[yuccaid.Target]bool), told: make(map[yuccaid.Target]yuccawire.TargetLoad), targetsAt: noTargets}
 		gate.desks[pool] = dsk
 		gate.followLeader(now, dsk)
-		gate.configure(now, dsk)
 	}
 	return dsk
 }
@@ -60,7 +63,7 @@
 // fleet that comes up has as many changes of its members as it has daemons.
 func (gate *Gate) configure(now time.Time, dsk *desk) {
 	gate.apply(now, dsk, dsk.own.Share(now, gate.sharers(dsk)))
-	if version := gate.roster.Version(); dsk.targetsAt != version || version == 0 {
+	if version := gate.roster.Version(); dsk.targetsAt != version {
 		dsk.targetsAt = version
 		dsk.awayAll = true
 		gate.apply(now, dsk, dsk.own.Configure(now, gate.targets(dsk)))
@@ -84,8 +87,6 @@
 func (gate *Gate) followLeaders(now time.Time) {
 	for _, dsk := range gate.desks {
 		gate.followLeader(now, dsk)
-		// The share of a daemon that decides alone follows the number of daemons.
-		gate.configure(now, dsk)
 	}
 }
 
@@ -96,6 +97,8 @@
 		inc = yuccaid.Incarnation{}
 	}
 	if inc == dsk.leader {
+		// The share of a daemon that decides alone follows the number of daemons.
+		gate.configure(now, dsk)
 		return
 	}
 	dsk.leader = inc
--- a/io/yuccagate/room.go
+++ b/io/yuccagate/room.go
@@ -28,11 +28,11 @@
 // room lends this daemon's memory to the goroutines that serve callers.
 type room struct {
 	mu    sync.Mutex
-	space yuccaspace.Space
+	space *yuccaspace.Space
 }
 
 func newRoom(limit yuccaid.Bytes) *room {
-	return &room{space: *yuccaspace.New(limit)}
+	return &room{space: yuccaspace.New(limit)}
 }
 
 func (rm *room) take(rank int, size yuccaid.Bytes) bool {
