Plots are drawn by one package, and worth is a table like the others

Ruled out: yuccameasure using the trial's Draw (it takes results of trials). Conclusion: nothing is drawn or written twice, and a flag does what it says.

--- a/cmd/yuccameasure/main.go
+++ b/cmd/yuccameasure/main.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"os"
 	"os/exec"
 	"os/signal"
@@ -45,12 +46,12 @@
 	root.PersistentFlags().StringVar(&flags.programs, "programs", "", "directory with yuccacleat and yuccastand; built by go when empty")
 	root.PersistentFlags().StringVar(&flags.lines, "lines", "", "file to which JSON lines are added")
 	root.PersistentFlags().DurationVar(&flags.limit, "limit", 10*time.Minute, "longest time that the measurement may take")
-	root.AddCommand(relayCommand(flags), membersCommand(flags), pollsCommand(flags), configCommand(flags), fullCommand(flags), stateCommand(flags), worthCommand())
+	root.AddCommand(relayCommand(flags), membersCommand(flags), pollsCommand(flags), configCommand(flags), fullCommand(flags), stateCommand(flags), worthCommand(flags))
 	return root
 }
 
 // measurement runs with the programs' paths and writes its tables.
-type measurement func(ctx context.Context, programs yuccameasure.Programs, lines *os.File) error
+type measurement func(ctx context.Context, programs yuccameasure.Programs, text, lines io.Writer) error
 
 // run finds the programs, opens the file of lines and bounds the time.
 func (flags *common) run(cmd *cobra.Command, measure measurement) error {
@@ -62,7 +63,7 @@
 	}
 	defer remove()
 	programs := yuccameasure.Programs{Daemon: filepath.Join(dir, "yuccacleat"), Stand: filepath.Join(dir, "yuccastand")}
-	return flags.alone(func(lines *os.File) error { return measure(ctx, programs, lines) })
+	return flags.alone(func(lines *os.File) error { return measure(ctx, programs, cmd.OutOrStdout(), lines) })
 }
 
 // alone runs a measurement that starts no processes.
@@ -117,8 +118,8 @@
 	cmd.Flags().Float64Var(&decode, "decode", 400, "tokens per second of each answer")
 	cmd.RunE = func(cmd *cobra.Command, _ []string) error {
 		plan.Answer, plan.Decode = yuccaid.Tokens(answer), yuccaid.Rate(decode)
-		return flags.run(cmd, func(ctx context.Context, programs yuccameasure.Programs, lines *os.File) error {
-			return yuccameasure.Members(ctx, programs, plan, cmd.OutOrStdout(), lines)
+		return flags.run(cmd, func(ctx context.Context, programs yuccameasure.Programs, text, lines io.Writer) error {
+			return yuccameasure.Members(ctx, programs, plan, text, lines)
 		})
 	}
 	return cmd
@@ -140,8 +141,8 @@
 	cmd.Flags().Int64Var(&tokens, "tokens", 64_000, "tokens relayed for each length of answer")
 	cmd.RunE = func(cmd *cobra.Command, _ []string) error {
 		plan.Answer, plan.Tokens = yuccaid.Tokens(answer), yuccaid.Tokens(tokens)
-		return flags.run(cmd, func(ctx context.Context, programs yuccameasure.Programs, lines *os.File) error {
-			return yuccameasure.Relay(ctx, programs, plan, cmd.OutOrStdout(), lines)
+		return flags.run(cmd, func(ctx context.Context, programs yuccameasure.Programs, text, lines io.Writer) error {
+			return yuccameasure.Relay(ctx, programs, plan, text, lines)
 		})
 	}
 	return cmd
@@ -158,8 +159,8 @@
 	cmd.Flags().IntSliceVar(&plan.Targets, "targets", []int{1, 8, 32, 64, 128}, "targets of the pool, one fleet after the other")
 	cmd.Flags().DurationVar(&plan.Quiet, "quiet", 15*time.Second, "time without requests")
 	cmd.RunE = func(cmd *cobra.Command, _ []string) error {
-		return flags.run(cmd, func(ctx context.Context, programs yuccameasure.Programs, lines *os.File) error {
-			return yuccameasure.Polls(ctx, programs, plan, cmd.OutOrStdout(), lines)
+		return flags.run(cmd, func(ctx context.Context, programs yuccameasure.Programs, text, lines io.Writer) error {
+			return yuccameasure.Polls(ctx, programs, plan, text, lines)
 		})
 	}
 	return cmd
@@ -178,8 +179,8 @@
 	cmd.Flags().DurationVar(&plan.Quiet, "quiet", 70*time.Second, "time without notes; watches last up to a minute")
 	cmd.Flags().DurationVar(&plan.Outage, "outage", 20*time.Second, "time that the platform's service is away")
 	cmd.RunE = func(cmd *cobra.Command, _ []string) error {
-		return flags.run(cmd, func(ctx context.Context, programs yuccameasure.Programs, lines *os.File) error {
-			return yuccameasure.Config(ctx, programs, plan, cmd.OutOrStdout(), lines)
+		return flags.run(cmd, func(ctx context.Context, programs yuccameasure.Programs, text, lines io.Writer) error {
+			return yuccameasure.Config(ctx, programs, plan, text, lines)
 		})
 	}
 	return cmd
@@ -197,8 +198,8 @@
 	cmd.Flags().IntVar(&plan.Notes, "notes", 10, "release notes published one by one")
 	cmd.Flags().IntVar(&plan.Newcomers, "newcomers", 3, "daemons that join, one after the other")
 	cmd.RunE = func(cmd *cobra.Command, _ []string) error {
-		return flags.run(cmd, func(ctx context.Context, programs yuccameasure.Programs, lines *os.File) error {
-			return yuccameasure.Full(ctx, programs, plan, cmd.OutOrStdout(), lines)
+		return flags.run(cmd, func(ctx context.Context, programs yuccameasure.Programs, text, lines io.Writer) error {
+			return yuccameasure.Full(ctx, programs, plan, text, lines)
 		})
 	}
 	return cmd
@@ -221,7 +222,7 @@
 	return cmd
 }
 
-func worthCommand() *cobra.Command {
+func worthCommand(flags *common) *cobra.Command {
 	var plot string
 	cmd := &cobra.Command{
 		Use:   "worth REPORT...",
@@ -243,7 +244,7 @@
 					return err
 				}
 			}
-			return yuccameasure.WriteWorth(cmd.OutOrStdout(), points)
+			return flags.alone(func(lines *os.File) error { return yuccameasure.WriteWorth(points, cmd.OutOrStdout(), lines) })
 		},
 	}
 	cmd.Flags().StringVar(&plot, "plot", "", "SVG file to draw worth against load to")
--- a/io/yuccameasure/worth.go
+++ b/io/yuccameasure/worth.go
@@ -1,7 +1,6 @@
 package yuccameasure
 
 import (
-	"bytes"
 	"cmp"
 	"encoding/json"
 	"fmt"
@@ -11,14 +10,8 @@
 	"regexp"
 	"slices"
 	"strconv"
-	"text/tabwriter"
 
-	"gonum.org/v1/plot"
-	"gonum.org/v1/plot/plotter"
-	"gonum.org/v1/plot/plotutil"
-	"gonum.org/v1/plot/vg"
-	"gonum.org/v1/plot/vg/draw"
-	"gonum.org/v1/plot/vg/vgsvg"
+	"yuccacleat/core/yuccaplot"
 )
 
 // reportName is how the reports of a curve are named: what was measured, the load as a part
@@ -38,10 +31,13 @@
 // WorthPoint is the mean of all tries of one series at one load. Worth and the shares lie
 // between zero and one.
 type WorthPoint struct {
-	Series                         string
-	Load                           float64
-	Tries                          int
-	Worth, Served, Refused, Failed float64
+	Series  string  `json:"series"`
+	Load    float64 `json:"load"`
+	Tries   int     `json:"tries"`
+	Worth   float64 `json:"worth"`
+	Served  float64 `json:"served"`
+	Refused float64 `json:"refused"`
+	Failed  float64 `json:"failed"`
 }
 
 // ReadWorth reads the bench's reports of days of different load, each named SERIES@LOAD@TRY.json.
@@ -97,51 +93,32 @@
 	pt.Failed += part * (failed - pt.Failed)
 }
 
-// WriteWorth prints the points as a table.
-func WriteWorth(out io.Writer, points []WorthPoint) error {
-	tab := tabwriter.NewWriter(out, 0, 0, 2, ' ', tabwriter.AlignRight)
-	fmt.Fprintln(tab, "series\tload\ttries\tworth\tserved\trefused\tfailed\t")
-	for _, pt := range points {
-		fmt.Fprintf(tab, "%s\t%.2f\t%d\t%.3f\t%.3f\t%.3f\t%.3f\t\n", pt.Series, pt.Load, pt.Tries, pt.Worth, pt.Served, pt.Refused, pt.Failed)
-	}
-	return tab.Flush()
+// WriteWorth writes the points as a table for people and as lines for programs.
+func WriteWorth(points []WorthPoint, text, lines io.Writer) error {
+	return Table[WorthPoint]{
+		Title: "worth against load",
+		Columns: []Column[WorthPoint]{
+			{"series", func(pt WorthPoint) string { return pt.Series }},
+			{"load", func(pt WorthPoint) string { return fmt.Sprintf("%.2f", pt.Load) }},
+			{"tries", func(pt WorthPoint) string { return fmt.Sprint(pt.Tries) }},
+			{"worth", func(pt WorthPoint) string { return fine(pt.Worth) }},
+			{"served", func(pt WorthPoint) string { return fine(pt.Served) }},
+			{"refused", func(pt WorthPoint) string { return fine(pt.Refused) }},
+			{"failed", func(pt WorthPoint) string { return fine(pt.Failed) }},
+		},
+		Rows: points,
+	}.Write(text, lines)
 }
 
-const (
-	worthWidth  = 6 * vg.Inch
-	worthHeight = 4 * vg.Inch
-)
-
 // DrawWorth returns worth against load as SVG, with a line for each series.
 func DrawWorth(points []WorthPoint) ([]byte, error) {
-	plt := plot.New()
-	plt.Title.Text = "worth against load"
-	plt.X.Label.Text = "load, as a part of the usual one"
-	plt.Y.Min, plt.Y.Max = 0, 1
-	plt.Legend.Left = true
-	lines := make(map[string]plotter.XYs)
-	var names []string
+	chart := yuccaplot.Chart{Title: "worth against load", Load: "load, as a part of the usual one", Highest: 1, Dots: true}
 	for _, pt := range points {
-		if lines[pt.Series] == nil {
-			names = append(names, pt.Series)
+		if last := len(chart.Lines) - 1; last < 0 || chart.Lines[last].Name != pt.Series {
+			chart.Lines = append(chart.Lines, yuccaplot.Line{Name: pt.Series})
 		}
-		lines[pt.Series] = append(lines[pt.Series], plotter.XY{X: pt.Load, Y: pt.Worth})
-	}
-	for i, name := range names {
-		line, dots, err := plotter.NewLinePoints(lines[name])
-		if err != nil {
-			return nil, fmt.Errorf("draw %s: %w", name, err)
-		}
-		line.Color, dots.Color = plotutil.Color(i), plotutil.Color(i)
-		line.Dashes = plotutil.Dashes(i)
-		plt.Add(line, dots)
-		plt.Legend.Add(name, line)
-	}
-	canvas := vgsvg.New(worthWidth, worthHeight)
-	plt.Draw(draw.New(canvas))
-	var svg bytes.Buffer
-	if _, err := canvas.WriteTo(&svg); err != nil {
-		return nil, fmt.Errorf("write plot: %w", err)
+		line := &chart.Lines[len(chart.Lines)-1]
+		line.Points = append(line.Points, yuccaplot.Point{Load: pt.Load, Figure: pt.Worth})
 	}
-	return svg.Bytes(), nil
+	return chart.SVG()
 }
--- a/io/yuccameasure/worth_test.go
+++ b/io/yuccameasure/worth_test.go
@@ -35,18 +35,21 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	var out bytes.Buffer
-	if err := yuccameasure.WriteWorth(&out, points); err != nil {
+	var out, lines bytes.Buffer
+	if err := yuccameasure.WriteWorth(points, &out, &lines); err != nil {
 		t.Fatal(err)
 	}
-	want := "" +
+	want := "worth against load\n" +
 		"  series  load  tries  worth  served  refused  failed\n" +
 		"   pecos  0.50      2  0.850   0.900    0.050   0.010\n" +
 		"   pecos  2.00      1  0.700   0.900    0.050   0.010\n" +
-		"   rally  1.00      1  0.950   0.900    0.050   0.010\n"
+		"   rally  1.00      1  0.950   0.900    0.050   0.010\n\n"
 	if out.String() != want {
 		t.Errorf("got\n%swant\n%s", out.String(), want)
 	}
+	if got := bytes.Count(lines.Bytes(), []byte(`"series":"pecos"`)); got != 2 {
+		t.Errorf("%d lines of pecos: %s", got, lines.String())
+	}
 	svg, err := yuccameasure.DrawWorth(points)
 	if err != nil {
 		t.Fatal(err)
