A shut gate of the rig lets nothing in

Cause: a call that reached the gate after the cut was given the ended context and sent on; what follows an ended context is told by a goroutine of its own, and in that moment the call passed. Conclusion: a shut gate hangs up before anything is sent.

--- a/cmd/yuccacleat/gate_test.go
+++ b/cmd/yuccacleat/gate_test.go
@@ -59,20 +59,25 @@
 	way.server.Close()
 }
 
-// enter counts a call in, unless the gate is shut: then the context has ended.
-func (way *gate) enter() (open context.Context, done func()) {
+// enter counts a call in, unless the gate is shut.
+func (way *gate) enter() (open context.Context, done func(), entered bool) {
 	way.mu.Lock()
 	defer way.mu.Unlock()
 	if way.open.Err() != nil {
-		return way.open, func() {}
+		return nil, nil, false
 	}
 	way.under.Add(1)
-	return way.open, way.under.Done
+	return way.open, way.under.Done, true
 }
 
 // ServeHTTP passes a call on while the gate is open and hangs up otherwise.
 func (way *gate) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	open, done := way.enter()
+	open, done, entered := way.enter()
+	if !entered {
+		// What follows the gate's context follows it a moment late, in which a call would
+		// pass.
+		panic(http.ErrAbortHandler)
+	}
 	defer done()
 	ctx, stop := context.WithCancel(r.Context())
 	defer stop()
--- a/cmd/yuccacleat/rig_test.go
+++ b/cmd/yuccacleat/rig_test.go
@@ -8,6 +8,7 @@
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -70,6 +71,31 @@
 		}
 	})
 
+	// A daemon that was cut off calls again and again. None of these calls may slip through.
+	It("of a gate lets nothing in that comes while it is shut", func() {
+		platform := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			_, _ = io.WriteString(w, "note")
+		}))
+		defer platform.Close()
+		way := newGate(strings.TrimPrefix(platform.URL, "http://"))
+		defer way.close()
+		way.cut()
+		var calls sync.WaitGroup
+		var passed atomic.Int64
+		for range 8 {
+			calls.Go(func() {
+				for range rigRounds {
+					if reply, err := http.Get("http://" + way.address()); err == nil {
+						passed.Add(1)
+						reply.Body.Close()
+					}
+				}
+			})
+		}
+		calls.Wait()
+		Expect(passed.Load()).To(BeZero())
+	})
+
 	// The test publishes a note just after it has cut daemons off whose calls were waiting. The
 	// end of those calls must not end the test's own one.
 	It("of a gate ends no other call to the platform", func() {
