Quotas hold in bursts of urgent requests

Cause: the tests of bursts and of a fleet that forgets asked with rank 1, of which 8 % of a window are kept back, and so hid that what is kept free is too little for rank 0: 442,514 of 440,000 tolerated in a burst at seven daemons that haven't heard of one another, 168,199 of 165,000 after all had been killed in a rush. Ruled out: more kept free at all times (the account could use less than 0.8 of what is tolerated), a smaller part of the window while nobody remembers (the excess comes from the rush let in beside the old window), a longer hold. Change: shares reach into 0.4 of what is kept free (0.5), the rush after a restart counts one second (1.2). Before: both new entries of the table red at 1.2 s. After: green.

--- a/core/yuccaquota/rush.go
+++ b/core/yuccaquota/rush.go
@@ -10,7 +10,7 @@
 	// outage and come back together. One that asks for more most likely did so before, may
 	// have filled the window, and is held until that begins to leave it.
 	rushRate  = 1.3
-	rushSpan  = 1200 * time.Millisecond
+	rushSpan  = time.Second
 	rushBurst = 0.8
 	// fillPart shortens the time in which such an account is taken to have filled its window:
 	// it may have asked for more before than it does now.
--- a/core/yuccaquota/share.go
+++ b/core/yuccaquota/share.go
@@ -19,7 +19,7 @@
 	// burstKept is the part of what is kept free that shares reach into while an account has much
 	// left, and lotPart widens the chance of a long request that is a daemon's first: few
 	// daemons have one just then.
-	burstKept = 0.5
+	burstKept = 0.4
 	lotPart   = 1.6
 	// besideRequests is how many requests of the usual size each other daemon is taken to let in
 	// beside a long one, and usualWeight the weight of one request in what is usual. With one
--- a/core/yuccaquota/sizes_test.go
+++ b/core/yuccaquota/sizes_test.go
@@ -18,6 +18,7 @@
 	// each is how much is asked for in a second, mean the mean size.
 	each, mean float64
 
+	rank int
 	// due is what is asked for next, less what was asked for too early.
 	due            float64
 	asked, refused int
@@ -40,7 +41,7 @@
 			at := rsh.rng.IntN(len(flt.ledgers))
 			rsh.asked++
 			rsh.refused++
-			if verdict := flt.ledgers[at].Take(flt.now, "rally", cost, 1).Verdict; verdict == yuccaquota.Taken {
+			if verdict := flt.ledgers[at].Take(flt.now, "rally", cost, rsh.rank).Verdict; verdict == yuccaquota.Taken {
 				rsh.refused--
 				flt.let = append(flt.let, letIn{at: flt.now, cost: cost})
 			}
@@ -72,7 +73,7 @@
 		func(pressure float64) {
 			for seed := range uint64(5) {
 				flt := newFleet(63, 300*time.Millisecond, tolerant)
-				rsh := &rush{flt: flt, rng: rand.New(rand.NewPCG(seed, 1)), each: pressure * rate, mean: 150}
+				rsh := &rush{flt: flt, rng: rand.New(rand.NewPCG(seed, 1)), each: pressure * rate, mean: 150, rank: 1}
 				rsh.run(30 * time.Second)
 				Expect(flt.most()).To(BeNumerically("<=", 0.97*bound), "seed %d", seed)
 				Expect(flt.most()).To(BeNumerically(">=", 0.7*bound), "seed %d", seed)
@@ -94,7 +95,7 @@
 				for _, led := range flt.ledgers {
 					led.Configure(flt.now, accounts(rate, burst))
 				}
-				rsh := &rush{flt: flt, rng: rand.New(rand.NewPCG(seed, 1)), each: 25 * rate, mean: 2500}
+				rsh := &rush{flt: flt, rng: rand.New(rand.NewPCG(seed, 1)), each: 25 * rate, mean: 2500, rank: 1}
 				rsh.run(30 * time.Second)
 				tolerated := (rate*8+burst)*1.25 + amount
 				Expect(flt.most()).To(BeNumerically("<=", tolerated), "seed %d", seed)
@@ -109,7 +110,7 @@
 	// once: in a fifth of a second, before any daemon has heard of another, they ask for three
 	// times what their account may have in eight seconds.
 	DescribeTable("is kept in a burst that reaches all daemons at once",
-		func(daemons int, rate, burst, amount, mean float64) {
+		func(daemons, rank int, rate, burst, amount, mean float64) {
 			tolerance := yuccaquota.Tolerance{Window: span, Overshoot: 0.25, Amount: amount}
 			tolerated := (rate*8+burst)*1.25 + amount
 			for seed := range uint64(20) {
@@ -117,7 +118,7 @@
 				for _, led := range flt.ledgers {
 					led.Configure(flt.now, accounts(rate, burst))
 				}
-				rsh := &rush{flt: flt, rng: rand.New(rand.NewPCG(seed, 1)), each: 15 * tolerated, mean: mean}
+				rsh := &rush{flt: flt, rng: rand.New(rand.NewPCG(seed, 1)), each: 15 * tolerated, mean: mean, rank: rank}
 				rsh.run(200 * time.Millisecond)
 				rsh.each = 2 * rate
 				rsh.run(6 * time.Second)
@@ -125,17 +126,18 @@
 				Expect(flt.most()).To(BeNumerically(">=", 0.6*tolerated), "seed %d", seed)
 			}
 		},
-		Entry("of a large fleet, by a large account", 60, 100_000.0, 200_000.0, 190_000.0, 2500.0),
-		Entry("of a small fleet", 7, 20_000.0, 40_000.0, 190_000.0, 2500.0),
+		Entry("of a large fleet, by a large account", 60, 1, 100_000.0, 200_000.0, 190_000.0, 2500.0),
+		Entry("of a small fleet", 7, 1, 20_000.0, 40_000.0, 190_000.0, 2500.0),
+		Entry("of a small fleet, by urgent requests", 7, 0, 20_000.0, 40_000.0, 190_000.0, 2500.0),
 	)
 
 	// An account presses, and harder as what it had leaves the window; then all daemons are
 	// killed. Those that come back remember nothing.
 	DescribeTable("is kept when all daemons forget in the middle of a rush",
-		func(daemons int, first, second float64) {
+		func(daemons, rank int, first, second float64) {
 			for seed := range uint64(10) {
 				flt := newFleet(daemons, 300*time.Millisecond, tolerant)
-				rsh := &rush{flt: flt, rng: rand.New(rand.NewPCG(seed, 1)), each: first * rate, mean: 150}
+				rsh := &rush{flt: flt, rng: rand.New(rand.NewPCG(seed, 1)), each: first * rate, mean: 150, rank: rank}
 				rsh.run(8 * time.Second)
 				rsh.each = second * rate
 				rsh.run(4 * time.Second)
@@ -144,10 +146,11 @@
 				Expect(flt.most()).To(BeNumerically("<=", bound), "seed %d", seed)
 			}
 		},
-		Entry("which grew, in a large fleet", 63, 3.5, 5.0),
-		Entry("which goes on, in a large fleet", 63, 4.0, 4.0),
-		Entry("which grew, in a small fleet", 7, 3.5, 5.0),
-		Entry("which goes on, in a small fleet", 7, 4.0, 4.0),
+		Entry("which grew, in a large fleet", 63, 1, 3.5, 5.0),
+		Entry("which goes on, in a large fleet", 63, 1, 4.0, 4.0),
+		Entry("which grew, in a small fleet", 7, 1, 3.5, 5.0),
+		Entry("which goes on, in a small fleet", 7, 1, 4.0, 4.0),
+		Entry("of urgent requests, which goes on, in a small fleet", 7, 0, 4.0, 4.0),
 	)
 
 	// Callers who waited out an outage come back together, with twice their usual load for a
@@ -156,7 +159,7 @@
 		func(daemons int) {
 			for seed := range uint64(10) {
 				flt := newFleet(daemons, 300*time.Millisecond, tolerant)
-				rsh := &rush{flt: flt, rng: rand.New(rand.NewPCG(seed, 1)), each: 0.7 * rate, mean: 150}
+				rsh := &rush{flt: flt, rng: rand.New(rand.NewPCG(seed, 1)), each: 0.7 * rate, mean: 150, rank: 1}
 				rsh.run(8 * time.Second)
 				rsh.each = 1.7 * rate
 				rsh.kill()
