Small requests are no longer kept back by rank, others less

Labels were told to come back for plans that would have had room (its window was filled to 0.79 of what is tolerated at most). Change: small is 1/500; for each rank 6 % of a window are kept (8).

--- a/core/yuccaquota/ledger.go
+++ b/core/yuccaquota/ledger.go
@@ -29,9 +29,9 @@
 	// to mostRanks below the first. When an account has used most of its quota, its urgent
 	// requests still get in while its letters are told to come back. Requests of up to
 	// smallPart of a window cost the account so little that they aren't kept back.
-	rankKept  = 0.08
+	rankKept  = 0.06
 	mostRanks = 3
-	smallPart = 1.0 / 2000
+	smallPart = 1.0 / 500
 	// mostUnknown bounds the accounts that are counted before a configuration is known.
 	mostUnknown = 10000
 	// leastBack keeps refused callers from coming back in a loop, and mostBack bounds what
