A daemon out of sight of the others uses its part of what is left

Change: it uses its part of what was left when it lost the others, and of what leaves the window from then on. Both sides of a cut know what came before. Ruled out: that a rush then overfills the window: with six times the rate, 1.5 s before the daemons notice, seven daemons stay within what is tolerated (test).

--- a/core/yuccaquota/ledger.go
+++ b/core/yuccaquota/ledger.go
@@ -57,9 +57,11 @@
 	tellers   map[yuccaid.Incarnation]*teller
 	tolerance Tolerance
 	part      float64
-	daemons   int
-	salt      uint64
-	delay     time.Duration
+	// parted is since when this daemon may use only a part, zero if it may use all.
+	parted  time.Time
+	daemons int
+	salt    uint64
+	delay   time.Duration
 	// configured says that the accounts are known.
 	configured bool
 	// forgot is when this daemon began without memory, until it is told or a window passed.
@@ -172,7 +174,13 @@
 //
 // What an account has left is shared out for that time: seventy daemons that each see the
 // same room and fill it let in many times as much.
-func (led *Ledger) SetFleet(part float64, daemons int, delay time.Duration) {
+func (led *Ledger) SetFleet(now time.Time, part float64, daemons int, delay time.Duration) {
+	switch {
+	case part >= 1:
+		led.parted = time.Time{}
+	case led.parted.IsZero():
+		led.parted = now
+	}
 	led.part = part
 	led.daemons = max(daemons, 1)
 	// In grains, since the sums over the delay begin anew when it changes.
@@ -229,7 +237,7 @@
 	}
 	led.advance(now, win)
 	win.note(cost)
-	limit := led.limit(win)
+	limit := led.limit(now, win)
 	if cost > smallPart*limit {
 		limit *= 1 - rankKept*float64(min(max(rank, 0), mostRanks))
 	}
@@ -274,10 +282,20 @@
 }
 
 // limit is what a window may hold.
-func (led *Ledger) limit(win *window) float64 {
+//
+// A daemon that doesn't hear from the others gets its part of what was left when it lost
+// them, and of what has left the window since. Were it to get a part of the whole, what the
+// others let in before would fill that many times, and an account far below its quota would
+// be refused until the window has passed.
+func (led *Ledger) limit(now time.Time, win *window) float64 {
 	quota := win.quota
 	plain := quota.Rate*led.tolerance.Window.Seconds() + quota.Burst
-	return led.part * max(plain, led.tolerated(quota)-led.kept(win))
+	whole := max(plain, led.tolerated(quota)-led.kept(win))
+	if led.parted.IsZero() {
+		return whole
+	}
+	before := float64(win.let.all.Total() - win.let.all.Since(now.Sub(led.parted)))
+	return before + led.part*max(whole-before, 0)
 }
 
 // tolerated is what a window may hold before that counts as a breach.
@@ -328,7 +346,7 @@
 	var list []Use
 	for name, win := range led.windows {
 		led.advance(now, win)
-		list = append(list, Use{Account: name, Used: win.let.all.Total(), Limit: int64(led.limit(win))})
+		list = append(list, Use{Account: name, Used: win.let.all.Total(), Limit: int64(led.limit(now, win))})
 	}
 	slices.SortFunc(list, func(a, b Use) int { return cmp.Compare(a.Account, b.Account) })
 	return list
--- a/core/yuccaquota/ledger_test.go
+++ b/core/yuccaquota/ledger_test.go
@@ -73,7 +73,7 @@
 	flt := &fleet{now: start, every: every, told: start, cut: func(int) bool { return false }}
 	for range size {
 		led := ledger(flt.now, tolerance)
-		led.SetFleet(1, size, every+50*time.Millisecond)
+		led.SetFleet(flt.now, 1, size, every+50*time.Millisecond)
 		flt.ledgers = append(flt.ledgers, led)
 	}
 	flt.starts = make([]byte, size)
@@ -221,7 +221,7 @@
 		for turn := range 20 {
 			flt.press(time.Second, 600)
 			fresh := ledger(flt.now, tolerant)
-			fresh.SetFleet(1, 4, 150*time.Millisecond)
+			fresh.SetFleet(flt.now, 1, 4, 150*time.Millisecond)
 			fresh.Forgot(flt.now)
 			flt.restart(turn%4, fresh)
 			flt.meet(turn % 4)
@@ -250,7 +250,7 @@
 			flt.press(before, pressure)
 			for at := range flt.ledgers {
 				flt.restart(at, ledger(flt.now, tolerant))
-				flt.ledgers[at].SetFleet(1, 7, 150*time.Millisecond)
+				flt.ledgers[at].SetFleet(flt.now, 1, 7, 150*time.Millisecond)
 				flt.ledgers[at].Forgot(flt.now)
 			}
 			flt.meetAll()
@@ -278,13 +278,40 @@
 		flt.cut = func(i int) bool { return i >= 4 }
 		for i, led := range flt.ledgers {
 			if i >= 4 {
-				led.SetFleet(1.0/7, 7, 150*time.Millisecond)
+				led.SetFleet(flt.now, 1.0/7, 7, 150*time.Millisecond)
 			}
 		}
 		flt.press(30*time.Second, 600)
 		Expect(flt.most()).To(BeNumerically("<=", 1.3*bound))
 	})
 
+	// All daemons were frozen, and for a moment none hears from another. The account has used
+	// half of what it may: with a seventh of that each daemon would refuse it for seconds.
+	It("leaves room to an account within it when daemons lose sight of one another", func() {
+		flt := newFleet(7, 100*time.Millisecond, tolerant)
+		flt.press(8*time.Second, 0.6*rate*step.Seconds())
+		before := len(flt.let)
+		flt.cut = func(int) bool { return true }
+		for _, led := range flt.ledgers {
+			led.SetFleet(flt.now, 0.15, 7, 150*time.Millisecond)
+		}
+		flt.press(time.Second, 0.6*rate*step.Seconds())
+		Expect(flt.let[before:]).To(HaveLen(int(time.Second / step)))
+	})
+
+	// The same, while an account presses with six times its rate.
+	It("is kept when daemons lose sight of one another in a rush", func() {
+		flt := newFleet(7, 100*time.Millisecond, tolerant)
+		flt.press(6*time.Second, 6*rate*step.Seconds())
+		flt.cut = func(int) bool { return true }
+		flt.press(1500*time.Millisecond, 6*rate*step.Seconds())
+		for _, led := range flt.ledgers {
+			led.SetFleet(flt.now, 1.0/7, 7, 150*time.Millisecond)
+		}
+		flt.press(12*time.Second, 6*rate*step.Seconds())
+		Expect(flt.most()).To(BeNumerically("<=", bound))
+	})
+
 	It("follows a lowered quota at once and an unlimited one never refuses", func() {
 		led := ledger(start, strict)
 		led.Configure(start, accounts(100, 200))
--- a/core/yuccaquota/share.go
+++ b/core/yuccaquota/share.go
@@ -60,7 +60,7 @@
 	case cost > largePart*room:
 		return false
 	}
-	if recent == 0 && room > idlePart*led.limit(win) {
+	if recent == 0 && room > idlePart*led.limit(now, win) {
 		return true
 	}
 	return led.drawn(now, account, win, cost, fair-recent)
--- a/core/yuccaquota/sizes_test.go
+++ b/core/yuccaquota/sizes_test.go
@@ -54,14 +54,14 @@
 	flt := rsh.flt
 	for at := range flt.ledgers {
 		flt.restart(at, ledger(flt.now, tolerant))
-		flt.ledgers[at].SetFleet(0.15, 6, 300*time.Millisecond)
+		flt.ledgers[at].SetFleet(flt.now, 0.15, 6, 300*time.Millisecond)
 		flt.ledgers[at].Forgot(flt.now)
 	}
 	flt.cut = func(int) bool { return true }
 	rsh.run(450 * time.Millisecond)
 	flt.cut = func(int) bool { return false }
 	for _, led := range flt.ledgers {
-		led.SetFleet(1, len(flt.ledgers), 400*time.Millisecond)
+		led.SetFleet(flt.now, 1, len(flt.ledgers), 400*time.Millisecond)
 	}
 	flt.meetAll()
 }
--- a/core/yuccawindow/window.go
+++ b/core/yuccawindow/window.go
@@ -74,6 +74,17 @@
 // Total returns the sum.
 func (sum *Sum) Total() int64 { return sum.total }
 
+// Since returns what was counted within the last of the window, in whole parts.
+func (sum *Sum) Since(ago time.Duration) int64 {
+	width := max(sum.span/slots, 1)
+	parts := min(int64((ago+width-1)/width)+1, slots)
+	recent := int64(0)
+	for back := range parts {
+		recent += sum.slot[(sum.last-back+slots)%slots]
+	}
+	return recent
+}
+
 // Until returns how long it takes until an amount has left the window.
 func (sum *Sum) Until(amount int64) time.Duration {
 	width := sum.span / slots
--- a/io/yuccagate/use.go
+++ b/io/yuccagate/use.go
@@ -68,7 +68,7 @@
 	peers := len(gate.peers.Live(gate.settings.Centre)) - 1
 	every := time.Duration(peers) * useForPeer
 	spacing := castSpacing(total)
-	gate.ledger.SetFleet(part, total, every+spacing+useWay)
+	gate.ledger.SetFleet(now, part, total, every+spacing+useWay)
 	if now.Sub(gate.useTold) < every {
 		return
 	}
