On full engines accounts within their quotas go before what is only tolerated

Cause: we let in most of what operators tolerate beyond a quota, so that nothing within it is refused. Change: the ledger says which requests are beyond the quota itself; they are ordered as if two ranks less urgent (work counted nine times). Ruled out: refusing what is beyond quotas while engines are full (engines that fall idle a moment later would be lost to the account, which then serves nobody). Tests: a rush of one account on nearly full engines, red without the mark.

--- a/core/yuccagrant/ask.go
+++ b/core/yuccagrant/ask.go
@@ -23,6 +23,8 @@
 	// Tier orders requests strictly, and Rank within a tier; 0 is the most urgent of both.
 	Tier int
 	Rank int
+	// Over says that the request's account is beyond its quota and only tolerated.
+	Over bool
 	// Prompt and Answer are the tokens that the request announces, zero where it doesn't.
 	Prompt yuccaid.Tokens
 	Answer yuccaid.Tokens
@@ -35,6 +37,15 @@
 	Tried []yuccaid.Target
 }
 
+// rank returns the request's rank, which is lower when its account has had its share.
+func (ask *Ask) rank() int {
+	rank := min(max(ask.Rank, 0), mostRank)
+	if ask.Over {
+		rank += overRanks
+	}
+	return rank
+}
+
 // Grant sends a request to a target.
 type Grant struct {
 	ID     ID
--- a/core/yuccagrant/data.go
+++ b/core/yuccagrant/data.go
@@ -73,6 +73,8 @@
 	rankWeight = 3.0
 	// mostRank bounds the ranks that are told apart.
 	mostRank = 20
+	// overRanks is by how many ranks a request is less urgent whose account is beyond its quota.
+	overRanks = 2
 	// passedPart is the part of the time until its caller leaves during which a request may be
 	// passed by less urgent ones.
 	passedPart = 0.5
--- a/core/yuccagrant/order_test.go
+++ b/core/yuccagrant/order_test.go
@@ -85,6 +85,34 @@
 		}
 	})
 
+	// One account sends six times its usual to engines that are nearly full without it. Most of
+	// what it sends is beyond its quota, yet below what operators tolerate, and would take the
+	// places of accounts that keep to theirs.
+	It("serves accounts within their quotas through another one's rush", func() {
+		rush := func(over bool) float64 {
+			var others tally
+			for seed := range uint64(3) {
+				wld := feedWorld(seed)
+				wld.classes = slices.Clone(feed)
+				for _, cls := range feed {
+					cls.kind, cls.share = "rushing "+cls.kind, cls.share*0.5
+					cls.lies = func(ask *yuccagrant.Ask) { ask.Over = over && ask.ID.Number%5 > 0 }
+					wld.classes = append(wld.classes, cls)
+				}
+				for at := range feed {
+					wld.classes[at].share *= 0.5
+				}
+				wld.play(15*time.Second, steady(90))
+				for _, cls := range feed {
+					others.add(wld.tally(cls.kind))
+				}
+			}
+			return others.part()
+		}
+		Expect(rush(true)).To(BeNumerically(">=", 0.95))
+		Expect(rush(true)).To(BeNumerically(">=", rush(false)+0.05))
+	})
+
 	// An account announces one token for each of its long answers, or 50,000 tokens for each of
 	// its short prompts, while the engines are full.
 	DescribeTable("gives an account that announces wrong lengths no more than one that announces none",
--- a/core/yuccagrant/refuse.go
+++ b/core/yuccagrant/refuse.go
@@ -30,7 +30,7 @@
 // lowerRuns reports whether something less urgent runs.
 func (lead *Leader) lowerRuns(ask *Ask) bool {
 	for _, one := range lead.runs {
-		if cmp.Or(cmp.Compare(one.ask.Tier, ask.Tier), cmp.Compare(one.ask.Rank, ask.Rank)) > 0 {
+		if cmp.Or(cmp.Compare(one.ask.Tier, ask.Tier), cmp.Compare(one.ask.rank(), ask.rank())) > 0 {
 			return true
 		}
 	}
--- a/core/yuccagrant/serve.go
+++ b/core/yuccagrant/serve.go
@@ -18,8 +18,8 @@
 			lead.serveLine(now, ln, anyRank, dec)
 			continue
 		}
-		lead.serveLine(now, ln, func(item *waiting) bool { return item.Rank <= rank }, dec)
-		lead.serveLine(now, ln, func(item *waiting) bool { return item.Rank > rank }, dec)
+		lead.serveLine(now, ln, func(item *waiting) bool { return item.rank() <= rank }, dec)
+		lead.serveLine(now, ln, func(item *waiting) bool { return item.rank() > rank }, dec)
 	}
 }
 
@@ -89,7 +89,7 @@
 // newWaiting returns an ask for the queue.
 func (lead *Leader) newWaiting(now time.Time, ask Ask) *waiting {
 	work := lead.work(&ask)
-	return &waiting{Ask: ask, asked: now, work: work, index: work * math.Pow(rankWeight, float64(min(max(ask.Rank, 0), mostRank)))}
+	return &waiting{Ask: ask, asked: now, work: work, index: work * math.Pow(rankWeight, float64(ask.rank()))}
 }
 
 // work is how long a run is expected to hold a place of the quickest target, in seconds.
--- a/core/yuccagrant/waiting.go
+++ b/core/yuccagrant/waiting.go
@@ -35,8 +35,8 @@
 // one.
 func (ln *line) pressed(now time.Time) (rank int, found bool) {
 	for _, item := range ln.items {
-		if (!found || item.Rank < rank) && item.pressed(now) {
-			rank, found = item.Rank, true
+		if (!found || item.rank() < rank) && item.pressed(now) {
+			rank, found = item.rank(), true
 		}
 	}
 	return rank, found
--- a/core/yuccaquota/ledger.go
+++ b/core/yuccaquota/ledger.go
@@ -224,6 +224,8 @@
 	// within its quota may have; both are zero where its use is remembered.
 	Asked int64
 	Rush  int64
+	// Over says that the account is beyond its quota, and was let in because that is tolerated.
+	Over bool
 }
 
 // Take lets an account in for a cost if its window has room for it.
@@ -250,6 +252,7 @@
 	if answer.Verdict == Taken && answer.Asked > max(answer.Rush, int64(cost)) {
 		answer.Verdict, answer.Back = led.hold(now, win, cost, limit)
 	}
+	answer.Over = float64(win.let.all.Total())+cost > led.plain(win.quota)
 	if answer.Verdict == Taken {
 		win.let.count(int64(cost))
 		win.recent.Add(int64(cost))
@@ -288,9 +291,7 @@
 // others let in before would fill that many times, and an account far below its quota would
 // be refused until the window has passed.
 func (led *Ledger) limit(now time.Time, win *window) float64 {
-	quota := win.quota
-	plain := quota.Rate*led.tolerance.Window.Seconds() + quota.Burst
-	whole := max(plain, led.tolerated(quota)-led.kept(win))
+	whole := max(led.plain(win.quota), led.tolerated(win.quota)-led.kept(win))
 	if led.parted.IsZero() {
 		return whole
 	}
@@ -298,10 +299,14 @@
 	return before + led.part*max(whole-before, 0)
 }
 
+// plain is what a window may hold by the quota itself.
+func (led *Ledger) plain(quota yuccaroute.Quota) float64 {
+	return quota.Rate*led.tolerance.Window.Seconds() + quota.Burst
+}
+
 // tolerated is what a window may hold before that counts as a breach.
 func (led *Ledger) tolerated(quota yuccaroute.Quota) float64 {
-	plain := quota.Rate*led.tolerance.Window.Seconds() + quota.Burst
-	return plain*(1+led.tolerance.Overshoot) + led.tolerance.Amount
+	return led.plain(quota)*(1+led.tolerance.Overshoot) + led.tolerance.Amount
 }
 
 // kept is what is left free of what is tolerated.
--- a/core/yuccaquota/ledger_test.go
+++ b/core/yuccaquota/ledger_test.go
@@ -351,6 +351,18 @@
 		}
 	})
 
+	// An account is let in for more than its quota, since that is tolerated. On full engines
+	// these requests must be told from those of accounts that keep to theirs.
+	It("says which requests are beyond it", func() {
+		led := ledger(start, tolerant)
+		for used := 0.0; used < allowed; used += 1000 {
+			Expect(led.Take(start, "rally", 1000, 0).Over).To(BeFalse())
+		}
+		answer := led.Take(start, "rally", 1000, 0)
+		Expect(answer.Verdict).To(Equal(yuccaquota.Taken))
+		Expect(answer.Over).To(BeTrue())
+	})
+
 	It("gives back what didn't run", func() {
 		led := ledger(start, strict)
 		led.Take(start, "rally", allowed, 0)
--- a/io/yuccagate/request.go
+++ b/io/yuccagate/request.go
@@ -59,9 +59,11 @@
 	arrivals int
 	runs     int
 	// entered says that the request was counted against its quota or refused for it, counted
-	// that it was let in. Both belong to the control goroutine.
+	// that it was let in, and over that it was though its account is beyond its quota. They
+	// belong to the control goroutine until the request has been placed for the first time.
 	entered bool
 	counted bool
+	over    bool
 }
 
 // ServeHTTP takes one request from its caller.
@@ -248,7 +250,7 @@
 // ask describes the request to those who decide.
 func (req *request) ask() yuccagrant.Ask {
 	ask := yuccagrant.Ask{
-		Class: req.class(), Tier: req.tier(), Rank: req.route.Rank, Prompt: req.caller.Prompt, Answer: req.caller.Answer,
+		Class: req.class(), Tier: req.tier(), Rank: req.route.Rank, Over: req.over, Prompt: req.caller.Prompt, Answer: req.caller.Answer,
 		Aim: req.arrived.Add(req.route.Aim), Until: req.until, Tried: req.tried,
 	}
 	if req.route.Aim <= 0 {
--- a/io/yuccagate/run.go
+++ b/io/yuccagate/run.go
@@ -208,7 +208,7 @@
 		"target", place.target, "send", req.sends, "waitedMillis", att.sent.Sub(req.arrived).Milliseconds(),
 		"leader", place.inputs.leader, "alone", place.alone, "expectMillis", place.inputs.expect.Milliseconds(), "busy", place.inputs.busy,
 		"number", req.table.Number(), "revision", place.inputs.revision, "newsAgeMillis", place.inputs.age.Milliseconds(),
-		"charged", req.caller.Charged, "prompt", req.caller.Prompt, "answer", req.caller.Answer,
+		"charged", req.caller.Charged, "over", req.over, "prompt", req.caller.Prompt, "answer", req.caller.Answer,
 	)
 }
 
--- a/io/yuccagate/ticket.go
+++ b/io/yuccagate/ticket.go
@@ -75,6 +75,7 @@
 			return
 		}
 		req.counted = true
+		tkt.ask.Over = req.over
 		gate.budget.Request(now, req.pool)
 	}
 	gate.tickets[tkt.ask.ID.Number] = tkt
--- a/io/yuccagate/use.go
+++ b/io/yuccagate/use.go
@@ -36,6 +36,7 @@
 	}
 	cost := req.account.Quota.Cost(req.caller.Charged)
 	answer := gate.ledger.Take(now, req.account.Name, cost, req.route.Rank)
+	req.over = answer.Over
 	if answer.Verdict != yuccaquota.Taken {
 		gate.metrics.quota(answer.Verdict)
 		req.told("quota", "verdict", answer.Verdict, "cost", int64(cost), "used", answer.Used, "limit", answer.Limit, "mine", answer.Mine, "asked", answer.Asked, "rush", answer.Rush, "part", gate.ledger.Part(), "daemons", gate.ledger.Daemons())
--- a/io/yuccawire/gate.go
+++ b/io/yuccawire/gate.go
@@ -103,6 +103,7 @@
 	Class       uint32
 	Tier        int
 	Rank        int
+	Over        bool
 	Prompt      yuccaid.Tokens
 	Answer      yuccaid.Tokens
 	AimMillis   int64
