Suspensions are found by the boot clock, not by the time of day

Cause: both daemons compared the monotonic clock with the wall clock to find suspensions of their VM. A wall clock that is set forward by more than the pause limit looks the same, so the daemon dropped its whole view of its peers and named no leader for 0.45 s. Draining and the time after a rejected connection subtracted stored Unix times, which a step of the wall clock shifts as well.

Change: io/yuccaclock reads CLOCK_BOOTTIME, which counts suspension and can't be set; yuccapeer.CheckClocks compares it with the monotonic clock. Stored times keep their monotonic reading.

Ruled out: a larger pause limit (jumps have no bound), and Tick's gap alone (the monotonic clock stops during a suspension).

--- a/core/yuccapeer/option.go
+++ b/core/yuccapeer/option.go
@@ -20,7 +20,7 @@
 	// doesn't change the leader of any pool.
 	DisconnectGrace time.Duration
 	// PauseLimit is the longest gap between two calls of Tick, and the furthest that
-	// the wall clock may advance beyond the monotonic clock between two calls of
+	// the boot clock may advance beyond the monotonic clock between two calls of
 	// CheckClocks. If either is longer, this process counts as paused.
 	PauseLimit time.Duration
 	// SettleFor is how long a daemon receives heartbeats after a start or a pause
--- a/core/yuccapeer/peers.go
+++ b/core/yuccapeer/peers.go
@@ -232,11 +232,12 @@
 }
 
 // CheckClocks expires the whole view if this VM was suspended. It compares the time that has
-// passed since the last call by the monotonic and by the wall clock. After a suspension the
-// wall clock is ahead, while the monotonic clock, and with it the gap between two ticks, may
-// not have advanced.
-func (peers *Peers) CheckClocks(now time.Time, monotonic, wall time.Duration) Change {
-	if ahead := wall - monotonic; ahead > peers.timing.PauseLimit {
+// passed since the last call by the monotonic clock and by the boot clock, which also counts the
+// time during which the VM is suspended. After a suspension the boot clock is ahead, while the
+// monotonic clock, and with it the gap between two ticks, may not have advanced. The wall clock
+// doesn't show a suspension, because it may be set forward at any time.
+func (peers *Peers) CheckClocks(now time.Time, monotonic, boot time.Duration) Change {
+	if ahead := boot - monotonic; ahead > peers.timing.PauseLimit {
 		return peers.expireAll(now, ahead)
 	}
 	return Change{}
--- a/core/yuccapeer/peers_test.go
+++ b/core/yuccapeer/peers_test.go
@@ -213,14 +213,14 @@
 		Entry("that its own ticks show", func() yuccapeer.Change {
 			return first.view.Tick(wld.now.Add(time.Minute))
 		}),
-		Entry("that only the wall clock shows", func() yuccapeer.Change {
+		Entry("that only the boot clock shows", func() yuccapeer.Change {
 			return first.view.CheckClocks(wld.now, 100*time.Millisecond, time.Minute+100*time.Millisecond)
 		}),
 	)
 
-	It("doesn't expire when the wall clock is set back or runs a little ahead", func() {
-		for _, wall := range []time.Duration{-time.Hour, 0, 2 * time.Second} {
-			Expect(first.view.CheckClocks(wld.now, time.Second, wall)).To(BeZero())
+	It("doesn't expire when the boot clock goes back or runs a little ahead", func() {
+		for _, boot := range []time.Duration{-time.Hour, 0, 2 * time.Second} {
+			Expect(first.view.CheckClocks(wld.now, time.Second, boot)).To(BeZero())
 		}
 	})
 
--- a/io/yuccadaemon/config.go
+++ b/io/yuccadaemon/config.go
@@ -31,7 +31,8 @@
 // watchNotes follows the platform's release notes for as long as the daemon runs.
 func (d *Daemon) watchNotes(ctx context.Context) {
 	_ = d.platform.Follow(ctx, yuccastate.NotePrefix, func(page yuccaplat.Page) {
-		d.metrics.platformHeard.Store(time.Now().UnixNano())
+		heard := time.Now()
+		d.metrics.platformHeard.Store(&heard)
 		notes := make([]yuccastate.PublishedNote, 0, len(page.Entries))
 		for _, entry := range page.Entries {
 			notes = append(notes, yuccastate.ParsePublished(entry.Key, entry.Value))
@@ -69,7 +70,7 @@
 		return
 	}
 	d.state.Store(after)
-	d.metrics.configChanged.Store(now.UnixNano())
+	d.metrics.configChanged.Store(&now)
 	d.onChange(now, d.peers.SetConfig(now, after.Number, after.Digest()))
 	d.refreshLeads(now)
 }
--- a/io/yuccadaemon/daemon.go
+++ b/io/yuccadaemon/daemon.go
@@ -15,6 +15,7 @@
 	"yuccacleat/core/yuccapeer"
 	"yuccacleat/core/yuccashift"
 	"yuccacleat/core/yuccastate"
+	"yuccacleat/io/yuccaclock"
 	"yuccacleat/io/yuccaconf"
 	"yuccacleat/io/yuccalink"
 	"yuccacleat/io/yuccaloop"
@@ -69,7 +70,8 @@
 	leadersOf    *yuccastate.State
 	leadersCount int
 
-	looked time.Time
+	// suspensions shows whether the VM was suspended since the last tick.
+	suspensions *yuccaclock.Suspensions
 }
 
 // Option changes how a daemon is built.
@@ -104,6 +106,8 @@
 		shifts:   yuccashift.New(),
 		leaving:  make(map[yuccaid.Target]bool),
 		chain:    yuccastate.NewChain(),
+
+		suspensions: yuccaclock.NewSuspensions(yuccaclock.SinceBoot),
 	}
 	d.traffic, d.stopTraffic = context.WithCancel(context.Background())
 	for _, option := range options {
@@ -112,7 +116,6 @@
 	d.audit = newAudit(d.log.entry)
 	d.state.Store(d.chain.State())
 	d.peers = yuccapeer.New(d.self, yuccapeer.WithSeeds(settings.Seeds...))
-	d.looked = time.Now()
 	ready := make(chan struct{})
 	d.control = yuccaloop.New(ready, tickEvery, d.tick)
 	d.hub = yuccalink.New(d.self, key, peers,
@@ -187,8 +190,8 @@
 // tick runs on the control goroutine every tickEvery, and first after a pause.
 func (d *Daemon) tick(now time.Time) {
 	d.onChange(now, d.peers.Tick(now))
-	d.onChange(now, d.peers.CheckClocks(now, now.Sub(d.looked), wallSince(now, d.looked)))
-	d.looked = now
+	monotonic, boot := d.suspensions.Check(now)
+	d.onChange(now, d.peers.CheckClocks(now, monotonic, boot))
 	d.settle(now)
 	d.tickLeader(now)
 	d.tickOwner(now)
@@ -205,11 +208,6 @@
 	}
 }
 
-// wallSince reads the wall clock only, which runs on while a VM is suspended.
-func wallSince(now, then time.Time) time.Duration {
-	return now.Round(0).Sub(then.Round(0))
-}
-
 func (d *Daemon) onFault(address string, err error) {
 	d.log.problem("connection with "+address, err)
 }
--- a/io/yuccadaemon/metrics.go
+++ b/io/yuccadaemon/metrics.go
@@ -20,8 +20,8 @@
 	grants         *vm.Counter
 	platformErrors *vm.Counter
 	reportErrors   *vm.Counter
-	platformHeard  atomic.Int64
-	configChanged  atomic.Int64
+	platformHeard  atomic.Pointer[time.Time]
+	configChanged  atomic.Pointer[time.Time]
 }
 
 func newMetrics() *metrics {
@@ -97,11 +97,13 @@
 	d.writeLinkCounts(w)
 }
 
-func ageOf(unixNano int64) float64 {
-	if unixNano == 0 {
+// ageOf returns the time since then in seconds, or zero if then is nil. It uses the monotonic
+// clock, so a step of the wall clock doesn't make an age negative.
+func ageOf(then *time.Time) float64 {
+	if then == nil {
 		return 0
 	}
-	return time.Since(time.Unix(0, unixNano)).Seconds()
+	return time.Since(*then).Seconds()
 }
 
 func (d *Daemon) writeLinkCounts(w io.Writer) {
--- a/io/yuccagate/drain.go
+++ b/io/yuccagate/drain.go
@@ -17,7 +17,8 @@
 
 // startDraining marks this daemon as draining, so that Ready returns false from now on.
 func (gate *Gate) startDraining() {
-	gate.drainStartedAt.Store(time.Now().UnixNano())
+	now := time.Now()
+	gate.drainStartedAt.Store(&now)
 }
 
 // awaitDrained waits until minDrainTime has passed and no request is open. It returns earlier if
@@ -39,11 +40,11 @@
 }
 
 // draining reports whether this daemon has begun to drain.
-func (gate *Gate) draining() bool { return gate.drainStartedAt.Load() != 0 }
+func (gate *Gate) draining() bool { return gate.drainStartedAt.Load() != nil }
 
 // refusesAll reports whether this daemon has been draining for longer than minDrainTime, and so
 // refuses every new request.
 func (gate *Gate) refusesAll(now time.Time) bool {
 	start := gate.drainStartedAt.Load()
-	return start != 0 && now.Sub(time.Unix(0, start)) > minDrainTime
+	return start != nil && now.Sub(*start) >= minDrainTime
 }
--- a/io/yuccagate/gate.go
+++ b/io/yuccagate/gate.go
@@ -19,6 +19,7 @@
 	"yuccacleat/core/yuccaroster"
 	"yuccacleat/core/yuccaroute"
 	"yuccacleat/core/yuccaspace"
+	"yuccacleat/io/yuccaclock"
 	"yuccacleat/io/yuccahop"
 	"yuccacleat/io/yuccalink"
 	"yuccacleat/io/yuccaloop"
@@ -51,15 +52,14 @@
 	// force.
 	startedAt  time.Time
 	configured chan struct{}
-	// drainStartedAt is when the daemon began to drain, in Unix nanoseconds, or zero.
-	drainStartedAt atomic.Int64
+	// drainStartedAt is when the daemon began to drain, or nil.
+	drainStartedAt atomic.Pointer[time.Time]
 	openRequests   atomic.Int64
 	// lastPlacement is the number of the latest placement. A placement is one request's wait for
 	// a target and its run on that target.
 	lastPlacement atomic.Uint64
-	// callerRejectedAt is when a caller's connection was last rejected, in Unix nanoseconds, or
-	// zero.
-	callerRejectedAt atomic.Int64
+	// callerRejectedAt is when a caller's connection was last rejected, or nil.
+	callerRejectedAt atomic.Pointer[time.Time]
 
 	// traffic ends when the gateway is closed.
 	traffic     context.Context
@@ -76,8 +76,9 @@
 	peers *yuccapeer.Peers
 	// settled reports whether this daemon has listened to its peers for long enough to choose
 	// leaders.
-	settled        bool
-	peersCheckedAt time.Time
+	settled bool
+	// suspensions shows whether the VM was suspended since the last tick.
+	suspensions *yuccaclock.Suspensions
 	// connsComparedAt is when the existing connections to other daemons were last compared with
 	// the connections that should exist.
 	connsComparedAt time.Time
@@ -144,6 +145,12 @@
 	return func(gate *Gate) { gate.log = logger{inner: inner} }
 }
 
+// WithBootClock sets the clock that shows how long the VM was suspended, instead of
+// yuccaclock.SinceBoot.
+func WithBootClock(read yuccaclock.BootClock) Option {
+	return func(gate *Gate) { gate.suspensions = yuccaclock.NewSuspensions(read) }
+}
+
 // New starts a gateway. It accepts connections from other daemons on the listener peers, and uses
 // the function decode to parse the text of a configuration.
 func New(settings Settings, dialect Dialect, decode func([]byte) (*yuccaroute.Table, error), peers net.Listener, options ...Option) (*Gate, error) {
@@ -157,6 +164,7 @@
 		dialect:       dialect,
 		decode:        decode,
 		incarnation:   yuccaid.NewIncarnation(settings.VM, nonce),
+		suspensions:   yuccaclock.NewSuspensions(yuccaclock.SinceBoot),
 		log:           logger{inner: log.NewNopLogger()},
 		metrics:       newMetrics(),
 		targetClient:  newTargetClient(bounds),
@@ -184,7 +192,6 @@
 	gate.traffic, gate.stopTraffic = context.WithCancel(context.Background())
 	self := yuccapeer.Member{VM: settings.VM, Centre: settings.Centre, Address: settings.Address, Incarnation: gate.incarnation}
 	gate.peers = yuccapeer.New(self, yuccapeer.WithSeeds(settings.Seeds...), yuccapeer.WithTiming(peerTiming()))
-	gate.peersCheckedAt = gate.startedAt
 	if !settings.FirstStart {
 		gate.ledger.MarkWithoutHistory(gate.startedAt)
 	}
--- a/io/yuccagate/peers.go
+++ b/io/yuccagate/peers.go
@@ -100,8 +100,8 @@
 // there should be a connection.
 func (gate *Gate) tickPeers(now time.Time) {
 	gate.onChange(now, gate.peers.Tick(now))
-	gate.onChange(now, gate.peers.CheckClocks(now, now.Sub(gate.peersCheckedAt), wallSince(now, gate.peersCheckedAt)))
-	gate.peersCheckedAt = now
+	monotonic, boot := gate.suspensions.Check(now)
+	gate.onChange(now, gate.peers.CheckClocks(now, monotonic, boot))
 	if settled := gate.peers.Settled(); settled != gate.settled {
 		gate.settled = settled
 		gate.followLeaders(now)
@@ -114,12 +114,6 @@
 	}
 }
 
-// wallSince returns the time that has passed by the wall clock. Unlike the monotonic clock, the
-// wall clock continues while a VM is suspended.
-func wallSince(now, then time.Time) time.Duration {
-	return now.Round(0).Sub(then.Round(0))
-}
-
 // onChange acts on a change in this daemon's view of its peers.
 func (gate *Gate) onChange(now time.Time, change yuccapeer.Change) {
 	if change.Resumed {
--- a/io/yuccagate/room.go
+++ b/io/yuccagate/room.go
@@ -63,7 +63,7 @@
 // rejectedNotReadyFor before it.
 func (gate *Gate) connRejected(now time.Time) {
 	gate.metrics.connRejected()
-	if previous := gate.callerRejectedAt.Swap(now.UnixNano()); now.Sub(time.Unix(0, previous)) > rejectedNotReadyFor {
+	if previous := gate.callerRejectedAt.Swap(&now); previous == nil || now.Sub(*previous) > rejectedNotReadyFor {
 		gate.log.stateChange("callers turned away", "connections", gate.processBounds.CallerConnections)
 	}
 }
@@ -72,7 +72,7 @@
 // rejectedNotReadyFor.
 func (gate *Gate) rejectedCallerRecently(now time.Time) bool {
 	at := gate.callerRejectedAt.Load()
-	return at != 0 && now.Sub(time.Unix(0, at)) < rejectedNotReadyFor
+	return at != nil && now.Sub(*at) < rejectedNotReadyFor
 }
 
 // reserve reserves memory for the request until release is called, and reports whether there was
