A drain ends only when no connection has an unanswered request

A request counted as open only once its handler had passed the check for draining. One whose bytes had been read at the very end of the drain wasn't counted yet when the server was closed; its handler still sent it to a target.

Change: a request counts before that check, so one that is counted after the drain saw none is refused. The listener knows which connections hold unanswered bytes, and the server waits for them, up to 200 ms, before it closes.

Ruled out: a longer minimum drain (the same race later), refusing earlier (refuses requests that the balancer still sends rightly).

TestConnectionIsBusyFromItsFirstByte fails without the mark.

--- a/io/yuccagate/listener.go
+++ b/io/yuccagate/listener.go
@@ -116,6 +116,18 @@
 	return len(lis.conns)
 }
 
+// CountBusy returns the number of open connections on which a request, or the first bytes of one,
+// have arrived whose response has not ended.
+func (lis *Listener) CountBusy() int {
+	count := 0
+	for _, conn := range lis.openConns() {
+		if conn.isBusy() {
+			count++
+		}
+	}
+	return count
+}
+
 // callerConn is one connection of a caller.
 type callerConn struct {
 	net.Conn
@@ -125,6 +137,8 @@
 	// idleSince is when the connection became idle after its last response. It is zero before the
 	// first response has ended, and while a request is being read or served.
 	idleSince time.Time
+	// busy reports whether bytes of a request have arrived whose response has not ended.
+	busy bool
 	// closed reports whether closeIdle has closed the connection.
 	closed bool
 }
@@ -140,10 +154,17 @@
 	}
 	if n > 0 {
 		conn.idleSince = time.Time{}
+		conn.busy = true
 	}
 	return n, err
 }
 
+func (conn *callerConn) isBusy() bool {
+	conn.mu.Lock()
+	defer conn.mu.Unlock()
+	return conn.busy
+}
+
 // Close closes the connection and removes it from the listener's open connections.
 func (conn *callerConn) Close() error {
 	conn.listener.mu.Lock()
@@ -161,6 +182,7 @@
 	conn.mu.Lock()
 	defer conn.mu.Unlock()
 	conn.idleSince = now
+	conn.busy = false
 }
 
 // idleStart returns when the connection became idle, or zero if the connection isn't idle.
--- a/io/yuccagate/listener_test.go
+++ b/io/yuccagate/listener_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"net/http"
 	"testing"
 	"time"
 )
@@ -53,3 +54,29 @@
 		})
 	}
 }
+
+// A daemon is told to end just as the first bytes of a request arrive. If the connection didn't
+// count as busy before the request's handler runs, the daemon would close it, although the request
+// may still run.
+func TestConnectionIsBusyFromItsFirstByte(t *testing.T) {
+	lis := NewListener(nil, 0, nil)
+	caller, accepted := net.Pipe()
+	defer caller.Close()
+	conn := lis.track(accepted)
+	expectBusy := func(want int, when string) {
+		t.Helper()
+		if got := lis.CountBusy(); got != want {
+			t.Errorf("%s: %d busy connections, want %d", when, got, want)
+		}
+	}
+	expectBusy(0, "before any byte")
+	go caller.Write([]byte("G"))
+	if _, err := conn.Read(make([]byte, 1)); err != nil {
+		t.Fatal(err)
+	}
+	expectBusy(1, "after the first byte")
+	lis.ConnState(conn, http.StateIdle)
+	expectBusy(0, "after the response")
+	conn.Close()
+	expectBusy(0, "after the connection was closed")
+}
--- a/io/yuccagate/request.go
+++ b/io/yuccagate/request.go
@@ -80,14 +80,14 @@
 	if gate.draining() {
 		w.Header().Set("Connection", "close")
 	}
-	// Requests that are refused because the daemon is leaving don't count as open, so that they
-	// don't delay the end of the drain.
-	if gate.refusesAll(req.arrivedAt) {
+	// The request counts as open before the check, so that the drain can't end between the check
+	// and the count.
+	gate.openRequests.Add(1)
+	defer gate.openRequests.Add(-1)
+	if gate.refusesAll(time.Now()) {
 		req.refuse(&Problem{Kind: KindLeaving, RetryAfter: leavingRetryAfter})
 		return
 	}
-	gate.openRequests.Add(1)
-	defer gate.openRequests.Add(-1)
 	defer req.release()
 	if prob := req.prepare(r); prob != nil {
 		req.refuse(prob)
--- a/io/yuccagate/serve.go
+++ b/io/yuccagate/serve.go
@@ -15,8 +15,8 @@
 	// could keep its connection open for ever.
 	headTimeout  = 10 * time.Second
 	maxHeadBytes = 128 << 10
-	// lastResponseWait bounds the wait at the end of the drain until the responses to refused
-	// requests are written.
+	// lastResponseWait bounds the wait at the end of the drain for requests that have arrived but
+	// are not served yet, and for the responses to refused requests.
 	lastResponseWait = 200 * time.Millisecond
 	// idleCheckInterval is the time between two checks for idle connections.
 	idleCheckInterval = 500 * time.Millisecond
@@ -93,10 +93,24 @@
 	close(srv.stop)
 	_ = srv.listener.Close()
 	srv.listener.CloseIdle(time.Now())
-	// Requests that arrived on the last accepted connections are refused by now. Wait until the
-	// responses to these requests are written.
-	for start := time.Now(); srv.gate.openRequests.Load() > 0 && time.Since(start) < lastResponseWait && ctx.Err() == nil; {
+	srv.awaitLastResponses(ctx)
+	_ = srv.http.Close()
+}
+
+// awaitLastResponses waits for the requests that arrived just before the listener was closed: until
+// those that are served have ended, and up to lastResponseWait until those that are refused have got
+// their responses. It returns earlier if the context ends.
+//
+// A request whose bytes have arrived doesn't count as open until its handler runs. If the server
+// were closed in between, the handler could still send the request to a target, and its caller would
+// get no response.
+func (srv *Server) awaitLastResponses(ctx context.Context) {
+	start := time.Now()
+	for ctx.Err() == nil {
+		responsesDue := srv.listener.CountBusy() > 0 && time.Since(start) < lastResponseWait
+		if srv.gate.openRequests.Load() == 0 && !responsesDue {
+			return
+		}
 		time.Sleep(drainPollInterval)
 	}
-	_ = srv.http.Close()
 }
