One daemon of each data centre leads an account's quota

Cause: each daemon admitted requests within its own share of what remained of an account's quota. With 295 daemons that share is less than one prompt as soon as half of the quota is in use, so prompts were refused (shareUsed, 429) although the account was within its limit and engines idled.

Change: in each data centre one daemon, chosen by rendezvous hashing over the account's name, decides on the account's requests; the others ask it (KindQuotaRequest, 60 ms at most) and decide alone, as before, when no leader is known or it doesn't answer. What remains of a quota is divided among six leaders instead of 295 daemons. Leaders count the usage as their own, so the reports and the windows stay as they were, and only leaders have usage to report. A request that didn't run gives its charge back to the leader that counted it. Status names the leader of each account; a metric counts decisions without one. The lottery's intervals no longer depend on the time of day.

Ruled out: shares by demand (a prompt is larger than any of 295 shares), one leader for the whole fleet (60 ms more for each request, and a cut data centre would have none), leaving the check to the pool's leader (two pools would each count a part).

--- a/core/yuccapeer/derived.go
+++ b/core/yuccapeer/derived.go
@@ -3,9 +3,10 @@
 import "yuccacleat/core/yuccaid"
 
 // maxCachedPerKind bounds the entries of each map of a viewCache; a full map is cleared.
-// Leaders are cached for every pool that a request names, whether or not the pool exists.
-// Without a bound, requests for many pools that don't exist would fill the memory.
-const maxCachedPerKind = 1024
+// Leaders are cached for every pool that a request names, whether or not the pool exists, and
+// for every account. Without a bound, requests for many pools that don't exist would fill the
+// memory.
+const maxCachedPerKind = 4096
 
 // viewCache holds results computed from the view until the view changes.
 //
--- a/core/yuccaquota/ledger.go
+++ b/core/yuccaquota/ledger.go
@@ -71,14 +71,18 @@
 	// share became less than 1, or zero if share is 1.
 	share      float64
 	shareSince time.Time
-	// daemons is the number of daemons, including this one.
+	// daemons is the number of daemons, including this one. leaders is the number of daemons that
+	// lead an account, one in each data centre.
 	daemons int
+	leaders int
 	// salt makes this daemon's lottery independent of those of the other daemons.
 	salt uint64
 	// reportDelay is the time until all daemons have received a report of usage.
 	reportDelay time.Duration
-	// configured reports whether Configure has been called.
+	// configured reports whether Configure has been called, and startedAt is when it was called
+	// first.
 	configured bool
+	startedAt  time.Time
 	// withoutHistory reports whether this daemon lacks the usage from before historyLostAt. It
 	// becomes false when another daemon that has usage history sends its totals, or when a window
 	// has passed since historyLostAt.
@@ -93,10 +97,12 @@
 	// requests. demand is counted only while the daemon is without usage history.
 	admitted tally
 	demand   tally
-	// recentLocal is what this daemon has admitted within the report delay. The other daemons may
-	// not know of that usage yet. Time is divided into intervals of the length of the report delay,
-	// and lastLotteryInterval is the number of the last interval in which the lottery was held.
-	recentLocal         yuccawindow.Sum
+	// recentAlone and recentAsLeader are what this daemon has admitted within the report delay, by
+	// its role. The other daemons may not know of that usage yet. Time is divided into intervals of
+	// the length of the report delay, which are numbered from 1, and lastLotteryInterval is the number
+	// of the last interval in which the lottery was held.
+	recentAlone         yuccawindow.Sum
+	recentAsLeader      yuccawindow.Sum
 	lastLotteryInterval int64
 	// averageCost is the moving average of the cost of the requests that this daemon has received.
 	averageCost float64
@@ -115,7 +121,7 @@
 func New(tolerance Tolerance, options ...Option) *Ledger {
 	led := &Ledger{
 		windows: make(map[yuccaid.Account]*accountWindow), peers: make(map[yuccaid.Incarnation]*peerState),
-		tolerance: tolerance.withDefaults(), share: 1, daemons: 1, reportDelay: defaultReportDelay,
+		tolerance: tolerance.withDefaults(), share: 1, daemons: 1, leaders: 1, reportDelay: defaultReportDelay,
 	}
 	for _, option := range options {
 		option(led)
@@ -159,7 +165,9 @@
 
 // Configure sets the accounts' quotas. The counted usage is kept.
 func (led *Ledger) Configure(now time.Time, accounts []yuccaroute.Account) {
-	led.configured = true
+	if !led.configured {
+		led.configured, led.startedAt = true, now
+	}
 	known := make(map[yuccaid.Account]bool, len(accounts))
 	for _, account := range accounts {
 		if !account.Quota.Limited() {
@@ -190,24 +198,35 @@
 	}
 }
 
-// SetFleet sets the share of every quota that this daemon may use, the number of daemons, and the
-// report delay, which is the time until all daemons have received a report of usage. The share is 1
-// while this daemon receives the reports of all other daemons.
+// Fleet describes the daemons among which quotas are divided.
+type Fleet struct {
+	// Share is the share of every quota that this daemon may use. It is 1 while this daemon receives
+	// the reports of all other daemons.
+	Share float64
+	// Daemons is the number of daemons. Leaders is the number of data centres, in each of which one
+	// daemon leads an account.
+	Daemons, Leaders int
+	// ReportDelay is the time until all daemons have received a report of usage.
+	ReportDelay time.Duration
+}
+
+// SetFleet sets the daemons among which quotas are divided.
 //
-// During the report delay, an account's remaining quota is divided among the daemons. Otherwise
-// seventy daemons would each see the same remaining quota and use it up, and together they would
-// admit many times the remaining quota.
-func (led *Ledger) SetFleet(now time.Time, share float64, daemons int, delay time.Duration) {
+// During the report delay, an account's remaining quota is divided among the daemons that admit
+// requests of the account. Otherwise seventy daemons would each see the same remaining quota and
+// use it up, and together they would admit many times the remaining quota.
+func (led *Ledger) SetFleet(now time.Time, flt Fleet) {
 	switch {
-	case share >= 1:
+	case flt.Share >= 1:
 		led.shareSince = time.Time{}
 	case led.shareSince.IsZero():
 		led.shareSince = now
 	}
-	led.share = share
-	led.daemons = max(daemons, 1)
-	// The delay is rounded, because a change of reportDelay empties recentLocal of every account.
-	led.reportDelay = max(delay.Round(reportDelayStep), reportDelayStep)
+	led.share = flt.Share
+	led.daemons = max(flt.Daemons, 1)
+	led.leaders = max(flt.Leaders, 1)
+	// The delay is rounded, because a change of reportDelay empties the recent usage of every account.
+	led.reportDelay = max(flt.ReportDelay.Round(reportDelayStep), reportDelayStep)
 }
 
 // QuotaShare returns the share of every quota that this daemon may use.
@@ -255,12 +274,44 @@
 	OverQuota bool
 }
 
+// role is how a daemon admits requests of an account.
+type role uint8
+
+const (
+	// alone is the role of a daemon that can't reach the account's leader. All daemons may do so at
+	// the same time.
+	alone role = iota
+	// leader is the role of the daemon that admits the account's requests for its data centre.
+	leader
+)
+
+// HasQuota reports whether the requests of an account are limited. It also returns true before
+// Configure has been called.
+func (led *Ledger) HasQuota(account yuccaid.Account) bool {
+	return !led.configured || led.windows[account] != nil
+}
+
+// Configured reports whether Configure has been called.
+func (led *Ledger) Configured() bool { return led.configured }
+
 // Admit decides whether a request of an account is admitted, and counts the request's cost if so. A
-// request is always admitted if its account has no quota, or before Configure has been called.
+// request is always admitted if its account has no quota, or before Configure has been called. The
+// account's remaining quota is divided among all daemons.
 //
 // A request that costs more than the limit of a whole window is admitted if the account's window is
 // empty, because such a request could never be admitted otherwise. Rank 0 is the most urgent.
 func (led *Ledger) Admit(now time.Time, account yuccaid.Account, cost float64, rank int) Answer {
+	return led.admit(now, account, cost, rank, alone)
+}
+
+// AdmitAsLeader decides like Admit, for the daemon that admits the account's requests for all
+// daemons of its data centre. The account's remaining quota is divided among the leaders, which are
+// far fewer than the daemons.
+func (led *Ledger) AdmitAsLeader(now time.Time, account yuccaid.Account, cost float64, rank int) Answer {
+	return led.admit(now, account, cost, rank, leader)
+}
+
+func (led *Ledger) admit(now time.Time, account yuccaid.Account, cost float64, rank int, as role) Answer {
 	win := led.windows[account]
 	if win == nil || !led.configured {
 		return Answer{Verdict: Admitted}
@@ -276,7 +327,7 @@
 		win.demand.addLocalDaemon(int64(cost))
 		answer.Demand, answer.DemandLimit = win.demand.all.Total(), int64(led.demandLimit(now, win))
 	}
-	answer.Verdict, answer.RetryAfter = led.decide(now, account, win, cost, limit)
+	answer.Verdict, answer.RetryAfter = led.decide(now, account, win, cost, limit, as)
 	// A single request is never held, even if its cost alone exceeds DemandLimit.
 	if answer.Verdict == Admitted && answer.Demand > max(answer.DemandLimit, int64(cost)) {
 		answer.Verdict, answer.RetryAfter = led.decideWithoutHistory(now, win, cost, limit)
@@ -284,7 +335,7 @@
 	answer.OverQuota = float64(win.admitted.all.Total())+cost > led.quotaLimit(win.quota)
 	if answer.Verdict == Admitted {
 		win.admitted.addLocalDaemon(int64(cost))
-		win.recentLocal.Add(int64(cost))
+		win.recent(as).Add(int64(cost))
 	}
 	return answer
 }
@@ -297,15 +348,23 @@
 	win.averageCost += averageCostWeight * (cost - win.averageCost)
 }
 
+// recent returns what this daemon has admitted within the report delay in the given role.
+func (win *accountWindow) recent(as role) *yuccawindow.Sum {
+	if as == leader {
+		return &win.recentAsLeader
+	}
+	return &win.recentAlone
+}
+
 // decide returns the verdict on a request of the given cost under the given limit. It ignores whether
 // usage history was lost.
-func (led *Ledger) decide(now time.Time, account yuccaid.Account, win *accountWindow, cost, limit float64) (verdict Verdict, retryAfter time.Duration) {
+func (led *Ledger) decide(now time.Time, account yuccaid.Account, win *accountWindow, cost, limit float64, as role) (verdict Verdict, retryAfter time.Duration) {
 	used := float64(win.admitted.all.Total())
 	remaining := limit - used
 	switch {
 	case used > 0 && cost > remaining:
 		return WindowFull, clampRetryAfter(win.admitted.all.ExpiresIn(int64(cost - remaining)))
-	case !led.withinShare(now, account, win, cost, remaining):
+	case !led.withinShare(now, account, win, cost, remaining, as):
 		return ShareUsed, clampRetryAfter(led.reportDelay)
 	}
 	return Admitted, 0
@@ -363,7 +422,8 @@
 func (led *Ledger) advance(now time.Time, win *accountWindow) {
 	win.admitted.advance(now, led.span())
 	win.demand.advance(now, led.span())
-	win.recentLocal.Advance(now, led.reportDelay)
+	win.recentAlone.Advance(now, led.reportDelay)
+	win.recentAsLeader.Advance(now, led.reportDelay)
 }
 
 // span returns the window over which usage is counted. It is longer than Tolerance.Window by the
--- a/core/yuccaquota/ledger_test.go
+++ b/core/yuccaquota/ledger_test.go
@@ -78,7 +78,7 @@
 	flt := &fleet{now: start, reportInterval: reportInterval, lastReport: start, disconnected: func(int) bool { return false }}
 	for range size {
 		led := ledger(flt.now, tolerance)
-		led.SetFleet(flt.now, 1, size, reportInterval+50*time.Millisecond)
+		led.SetFleet(flt.now, yuccaquota.Fleet{Share: 1, Daemons: size, ReportDelay: reportInterval + 50*time.Millisecond})
 		flt.ledgers = append(flt.ledgers, led)
 	}
 	flt.restarts = make([]byte, size)
@@ -230,7 +230,7 @@
 		for turn := range 20 {
 			flt.send(time.Second, 600)
 			fresh := ledger(flt.now, tolerant)
-			fresh.SetFleet(flt.now, 1, 4, 150*time.Millisecond)
+			fresh.SetFleet(flt.now, yuccaquota.Fleet{Share: 1, Daemons: 4, ReportDelay: 150 * time.Millisecond})
 			fresh.MarkWithoutHistory(flt.now)
 			flt.restart(turn%4, fresh)
 			flt.connect(turn % 4)
@@ -262,7 +262,7 @@
 			flt.send(overload, cost)
 			for index := range flt.ledgers {
 				flt.restart(index, ledger(flt.now, tolerant))
-				flt.ledgers[index].SetFleet(flt.now, 1, 7, 150*time.Millisecond)
+				flt.ledgers[index].SetFleet(flt.now, yuccaquota.Fleet{Share: 1, Daemons: 7, ReportDelay: 150 * time.Millisecond})
 				flt.ledgers[index].MarkWithoutHistory(flt.now)
 			}
 			flt.connectAll()
@@ -291,7 +291,7 @@
 		flt.disconnected = func(i int) bool { return i >= 4 }
 		for i, led := range flt.ledgers {
 			if i >= 4 {
-				led.SetFleet(flt.now, 1.0/7, 7, 150*time.Millisecond)
+				led.SetFleet(flt.now, yuccaquota.Fleet{Share: 1.0 / 7, Daemons: 7, ReportDelay: 150 * time.Millisecond})
 			}
 		}
 		flt.send(30*time.Second, 600)
@@ -308,7 +308,7 @@
 		before := len(flt.admitted)
 		flt.disconnected = func(int) bool { return true }
 		for _, led := range flt.ledgers {
-			led.SetFleet(flt.now, 0.15, 7, 150*time.Millisecond)
+			led.SetFleet(flt.now, yuccaquota.Fleet{Share: 0.15, Daemons: 7, ReportDelay: 150 * time.Millisecond})
 		}
 		flt.send(time.Second, 0.6*rate*step.Seconds())
 		Expect(flt.admitted[before:]).To(HaveLen(int(time.Second / step)))
@@ -323,7 +323,7 @@
 		flt.disconnected = func(int) bool { return true }
 		flt.send(1500*time.Millisecond, 6*rate*step.Seconds())
 		for _, led := range flt.ledgers {
-			led.SetFleet(flt.now, 1.0/7, 7, 150*time.Millisecond)
+			led.SetFleet(flt.now, yuccaquota.Fleet{Share: 1.0 / 7, Daemons: 7, ReportDelay: 150 * time.Millisecond})
 		}
 		flt.send(12*time.Second, 6*rate*step.Seconds())
 		Expect(flt.maxUsage()).To(BeNumerically("<=", toleratedLimit))
--- a/core/yuccaquota/share.go
+++ b/core/yuccaquota/share.go
@@ -40,28 +40,34 @@
 
 // withinShare returns true if this daemon may admit a request of the given cost, because the cost is
 // within the daemon's share of the remaining quota or because an exception for long requests applies.
-// The share is the mean of two fractions: the even share, and this daemon's fraction of the account's
-// usage. That usage is counted without the usage that this daemon has admitted within the last report
-// delay. If no other usage is known, the share is the even share.
+// The share is the mean of two fractions: the even share of the daemons that admit requests in the
+// same role, and the fraction of the account's usage that this daemon stands for, which is its own
+// usage or, if it leads the account, the usage of its data centre. That usage is counted without the
+// usage that this daemon has admitted within the last report delay. If no other usage is known, the
+// share is the even share.
 //
 // decide has already refused a cost above the remaining quota, unless the window is empty. A single
 // daemon has no peers to share with, so for it withinShare always returns true.
 //
 // A burst reaches all daemons before any of them has received a report of it. Each daemon keeps to
 // its share, so that together they admit no more than the remaining quota and the reserve.
-func (led *Ledger) withinShare(now time.Time, account yuccaid.Account, win *accountWindow, cost, remaining float64) bool {
-	recent := float64(win.recentLocal.Total())
+func (led *Ledger) withinShare(now time.Time, account yuccaid.Account, win *accountWindow, cost, remaining float64, as role) bool {
+	recent := float64(win.recent(as).Total())
+	sharers, own := led.daemons, &win.admitted.localDaemon
+	if as == leader {
+		sharers, own = led.leaders, &win.admitted.localCentre
+	}
 	// If the window is empty, a request is admitted even if it costs more than the whole limit, because
 	// it could never be admitted otherwise.
-	if led.daemons == 1 || win.admitted.all.Total() == 0 && cost > remaining {
+	if sharers == 1 || win.admitted.all.Total() == 0 && cost > remaining {
 		return true
 	}
-	evenShare := 1 / float64(led.daemons)
+	evenShare := 1 / float64(sharers)
 	share := evenShare
 	// The usage of the last report delay is left out. The other daemons don't know yet what this daemon
 	// has admitted in that time, and it doesn't know what they have admitted.
 	if reported := float64(win.admitted.all.Total()) - recent; reported > 0 {
-		share = (evenShare + max(float64(win.admitted.localDaemon.Total())-recent, 0)/reported) / 2
+		share = (evenShare + max(float64(own.Total())-recent, 0)/reported) / 2
 	}
 	// The share applies to the quota that remained before this daemon admitted recent. Therefore
 	// recent is added to remaining here, and is counted against the share below.
@@ -72,7 +78,7 @@
 		return true
 	case recent > fairShare:
 		return false
-	case 2*recent <= fairShare && led.fitsBesidePeers(win, cost, remaining):
+	case 2*recent <= fairShare && led.fitsBesidePeers(win, sharers, cost, remaining):
 		return true
 	case cost > maxRequestShare*remaining:
 		return false
@@ -81,7 +87,7 @@
 	if recent == 0 && remaining > idleShare*led.limit(now, win) {
 		return true
 	}
-	return led.lottery(now, account, win, cost, fairShare-recent)
+	return led.lottery(now, account, win, cost, fairShare-recent, recent)
 }
 
 // fitsBesidePeers reports whether there is enough quota left for a long request at a daemon that has
@@ -92,8 +98,8 @@
 // may cost a tenth of the window. The cost of such a prompt far exceeds a daemon's share, although
 // the remaining quota suffices. If one daemon refused the prompt, the next daemon would refuse the
 // retry for the same reason.
-func (led *Ledger) fitsBesidePeers(win *accountWindow, cost, remaining float64) bool {
-	peerCost := assumedPeerRequests * float64(led.daemons-1) * win.averageCost
+func (led *Ledger) fitsBesidePeers(win *accountWindow, sharers int, cost, remaining float64) bool {
+	peerCost := assumedPeerRequests * float64(sharers-1) * win.averageCost
 	return cost+peerCost <= remaining+usableReserveShare*led.reserve(win)
 }
 
@@ -104,14 +110,14 @@
 // long request each. The chance to win is such that all daemons together keep to their shares if
 // each daemon draws once. If a daemon drew again for each request of a burst, the quota that was
 // refused to a long request would be used by shorter requests, which have a better chance.
-func (led *Ledger) lottery(now time.Time, account yuccaid.Account, win *accountWindow, cost, remainingShare float64) bool {
-	interval := now.UnixNano() / int64(led.reportDelay)
+func (led *Ledger) lottery(now time.Time, account yuccaid.Account, win *accountWindow, cost, remainingShare, recent float64) bool {
+	interval := 1 + int64(now.Sub(led.startedAt)/led.reportDelay)
 	if win.lastLotteryInterval == interval {
 		return false
 	}
 	win.lastLotteryInterval = interval
 	chance := remainingShare / cost
-	if win.recentLocal.Total() == 0 {
+	if recent == 0 {
 		chance *= firstDrawFactor
 	}
 	return led.draw(interval, account) < chance
--- a/core/yuccaquota/sizes_test.go
+++ b/core/yuccaquota/sizes_test.go
@@ -59,14 +59,14 @@
 	flt := gen.flt
 	for index := range flt.ledgers {
 		flt.restart(index, ledger(flt.now, tolerant))
-		flt.ledgers[index].SetFleet(flt.now, 0.15, 6, 300*time.Millisecond)
+		flt.ledgers[index].SetFleet(flt.now, yuccaquota.Fleet{Share: 0.15, Daemons: 6, ReportDelay: 300 * time.Millisecond})
 		flt.ledgers[index].MarkWithoutHistory(flt.now)
 	}
 	flt.disconnected = func(int) bool { return true }
 	gen.run(450 * time.Millisecond)
 	flt.disconnected = func(int) bool { return false }
 	for _, led := range flt.ledgers {
-		led.SetFleet(flt.now, 1, len(flt.ledgers), 400*time.Millisecond)
+		led.SetFleet(flt.now, yuccaquota.Fleet{Share: 1, Daemons: len(flt.ledgers), ReportDelay: 400 * time.Millisecond})
 	}
 	flt.connectAll()
 }
--- a/io/yuccagate/cast.go
+++ b/io/yuccagate/cast.go
@@ -181,3 +181,13 @@
 	}
 	return visible, max(total, len(gate.settings.Seeds))
 }
+
+// countCentres returns the number of data centres that have daemons, as far as is known. Until
+// centreStartupWait has passed since this daemon's start, every data centre named in the settings
+// counts.
+func (gate *Gate) countCentres(now time.Time) int {
+	if now.Sub(gate.startedAt) < centreStartupWait {
+		return max(len(gate.settings.Regions), 1)
+	}
+	return 1 + len(gate.remoteCentres)
+}
--- a/io/yuccagate/gate.go
+++ b/io/yuccagate/gate.go
@@ -133,6 +133,11 @@
 	// placements holds the waiting and running placements of this daemon's requests. The map's
 	// key is the placement's number.
 	placements map[uint64]*placement
+	// admissions holds the placements whose requests wait for the decision of an account's leader. The
+	// map's key is the placement's number. accountLeadersSuspected holds, for each leader that didn't
+	// respond in time, the time until which no requests are sent to it.
+	admissions              map[uint64]admission
+	accountLeadersSuspected map[yuccaid.Incarnation]time.Time
 	// idleSweptAt is when idle connections to targets were last closed.
 	idleSweptAt time.Time
 }
@@ -185,6 +190,9 @@
 		resendBudget:        yuccabudget.New(settings.Bounds.resendBounds()),
 		schedulers:          make(map[yuccaid.Pool]*scheduler),
 		placements:          make(map[uint64]*placement),
+
+		admissions:              make(map[uint64]admission),
+		accountLeadersSuspected: make(map[yuccaid.Incarnation]time.Time),
 	}
 	for _, option := range options {
 		option(gate)
--- a/io/yuccagate/metrics.go
+++ b/io/yuccagate/metrics.go
@@ -72,6 +72,12 @@
 	met.set.GetOrCreateCounter(fmt.Sprintf("yuccacleat_gate_quota_refusals_total{verdict=%q}", verdict)).Inc()
 }
 
+// admittedAlone counts a request of a limited account on which this daemon decided without the
+// account's leader.
+func (met *metrics) admittedAlone() {
+	met.set.GetOrCreateCounter("yuccacleat_gate_quota_decisions_alone_total").Inc()
+}
+
 // unsent counts a message to another daemon that could not be queued.
 func (met *metrics) unsent(kind yuccawire.Kind) {
 	met.set.GetOrCreateCounter(fmt.Sprintf("yuccacleat_gate_messages_unsent_total{kind=%q}", kind)).Inc()
--- a/io/yuccagate/peers.go
+++ b/io/yuccagate/peers.go
@@ -227,6 +227,12 @@
 		return decodeThen(frame, func(message yuccawire.Begun) { gate.onBegun(now, from, message) })
 	case yuccawire.KindEnded:
 		return decodeThen(frame, func(message yuccawire.Ended) { gate.onEnded(now, from, message) })
+	case yuccawire.KindQuotaRequest:
+		return decodeThen(frame, func(message yuccawire.QuotaRequest) { gate.onQuotaRequest(now, from, message) })
+	case yuccawire.KindQuotaAnswer:
+		return decodeThen(frame, func(message yuccawire.QuotaAnswer) { gate.onQuotaAnswer(now, from, message) })
+	case yuccawire.KindQuotaReturn:
+		return decodeThen(frame, func(message yuccawire.QuotaReturn) { gate.onQuotaReturn(now, message) })
 	case yuccawire.KindHolding:
 		return decodeThen(frame, func(message yuccawire.Holding) { gate.onHolding(now, from, message) })
 	}
--- a/io/yuccagate/peers_test.go
+++ b/io/yuccagate/peers_test.go
@@ -14,20 +14,26 @@
 	"yuccacleat/io/yuccagate"
 )
 
-var _ = Describe("gateways of one data centre", func() {
-	startTwo := func(slots int, engines ...*engine) (*gate, *gate) {
-		first := newGate("entry-1")
-		second := newGate("entry-2", first.Status().Address)
-		first.configure(1, config(), slots, engines...)
-		second.configure(1, config(), slots, engines...)
-		for _, gt := range []*gate{first, second} {
-			Eventually(func() int { return len(gt.Status().Peers) }, 3*time.Second).Should(Equal(1))
-		}
-		// Daemons choose leaders only after they have listened to their peers for 450 ms.
-		time.Sleep(700 * time.Millisecond)
-		return first, second
+// startTwo starts two connected gateways in one data centre that have chosen leaders.
+func startTwo(slots int, engines ...*engine) (*gate, *gate) {
+	return startTwoWith(nil, slots, engines...)
+}
+
+// startTwoWith does the same as startTwo, after the function change has changed the settings.
+func startTwoWith(change func(*yuccagate.Settings), slots int, engines ...*engine) (*gate, *gate) {
+	first := newGateOf(listen(), "odessa", "entry-1", change)
+	second := newGateOf(listen(), "odessa", "entry-2", change, first.Status().Address)
+	first.configure(1, config(), slots, engines...)
+	second.configure(1, config(), slots, engines...)
+	for _, gt := range []*gate{first, second} {
+		Eventually(func() int { return len(gt.Status().Peers) }, 3*time.Second).Should(Equal(1))
 	}
+	// Daemons choose leaders only after they have listened to their peers for 450 ms.
+	time.Sleep(700 * time.Millisecond)
+	return first, second
+}
 
+var _ = Describe("gateways of one data centre", func() {
 	// Each daemon gets half of the requests. If each daemon counted only the runs of its own
 	// requests, targets would get twice as many runs as they have slots.
 	It("together give targets only slightly more runs than they have slots", func() {
--- a/io/yuccagate/request.go
+++ b/io/yuccagate/request.go
@@ -64,12 +64,13 @@
 	// attempts that a target ran or may have run.
 	arrivals int
 	runs     int
-	// quotaChecked reports whether the quota has been checked. charged reports whether the request
-	// was admitted and, if it has an account, counted against the quota. overQuota reports whether
-	// the request was admitted beyond the account's quota, within the tolerance. All three fields
-	// belong to the control goroutine until the first decision on the request.
+	// quotaChecked reports whether the quota has been checked. chargedBy is the daemon that admitted
+	// the request and counted it against the quota of its account. It is zero if the request isn't
+	// counted. overQuota reports whether the request was admitted beyond the account's quota, within
+	// the tolerance. All three fields belong to the control goroutine until the first decision on the
+	// request.
 	quotaChecked bool
-	charged      bool
+	chargedBy    yuccaid.Incarnation
 	overQuota    bool
 }
 
--- a/io/yuccagate/status.go
+++ b/io/yuccagate/status.go
@@ -61,11 +61,13 @@
 }
 
 // AccountStatus is an account's usage within its quota's window by all daemons, as far as this
-// daemon has received it, and the limit that applies to that usage.
+// daemon has received it, and the limit that applies to that usage. Leader is the daemon that decides
+// on the account's requests in this data centre, or empty if none is known.
 type AccountStatus struct {
 	Account yuccaid.Account `json:"account"`
 	Used    int64           `json:"used"`
 	Limit   int64           `json:"limit"`
+	Leader  yuccaid.VM      `json:"leader"`
 }
 
 // Status returns the gateway's present state.
@@ -100,7 +102,8 @@
 		})
 	}
 	for _, usage := range gate.ledger.QuotaUsages(now) {
-		status.Accounts = append(status.Accounts, AccountStatus(usage))
+		leader, _ := gate.accountLeader(usage.Account)
+		status.Accounts = append(status.Accounts, AccountStatus{Account: usage.Account, Used: usage.Used, Limit: usage.Limit, Leader: leader.VM})
 	}
 	return status
 }
--- a/io/yuccagate/ticket.go
+++ b/io/yuccagate/ticket.go
@@ -82,14 +82,14 @@
 func (gate *Gate) place(now time.Time, req *callerRequest, plc *placement) {
 	if !req.quotaChecked {
 		req.quotaChecked = true
-		if prob := gate.chargeQuota(now, req); prob != nil {
-			plc.decision <- decision{problem: prob}
-			return
-		}
-		req.charged = true
-		plc.request.OverQuota = req.overQuota
-		gate.resendBudget.CountRequest(now, req.pool)
+		gate.admit(now, plc)
+		return
 	}
+	gate.submitPlacement(now, plc)
+}
+
+// submitPlacement submits a request to the scheduler of its pool.
+func (gate *Gate) submitPlacement(now time.Time, plc *placement) {
 	gate.placements[plc.request.ID.Number] = plc
 	gate.submit(now, gate.scheduler(now, plc.pool), plc)
 }
@@ -97,6 +97,7 @@
 // abandon withdraws a placement whose request's context ended before the decision on it was
 // received.
 func (gate *Gate) abandon(now time.Time, plc *placement) {
+	gate.abandonAdmission(plc)
 	if gate.placements[plc.request.ID.Number] != plc {
 		return
 	}
--- a/io/yuccagate/use.go
+++ b/io/yuccagate/use.go
@@ -35,36 +35,6 @@
 	unreachableShareUsed = 0.4
 )
 
-// chargeQuota charges a request to its account's quota, or returns the problem if the quota
-// refuses it.
-func (gate *Gate) chargeQuota(now time.Time, req *callerRequest) *Problem {
-	if req.account == nil {
-		return nil
-	}
-	cost := req.account.Quota.Cost(req.info.Charged)
-	admission := gate.ledger.Admit(now, req.account.Name, cost, req.route.Rank)
-	req.overQuota = admission.OverQuota
-	if admission.Verdict != yuccaquota.Admitted {
-		gate.metrics.quotaRefused(admission.Verdict)
-		req.logDecision("quota", "verdict", admission.Verdict, "cost", int64(cost), "used", admission.Used, "limit", admission.Limit, "mine", admission.UsedByDaemon, "asked", admission.Demand, "rush", admission.DemandLimit, "part", gate.ledger.QuotaShare(), "daemons", gate.ledger.Daemons())
-		return &Problem{Kind: KindQuota, Detail: string(admission.Verdict), RetryAfter: admission.RetryAfter}
-	}
-	return nil
-}
-
-// refundQuota takes back the charge of a request that did not run.
-func (gate *Gate) refundQuota(req *callerRequest) {
-	if req.account == nil {
-		return
-	}
-	gate.control.Post(func(now time.Time) {
-		if !req.charged {
-			return
-		}
-		gate.ledger.Refund(now, req.account.Name, req.account.Quota.Cost(req.info.Charged))
-	})
-}
-
 // tickUsage sets the share of the quotas that this daemon may use, and reports usage of accounts
 // to the other daemons.
 func (gate *Gate) tickUsage(now time.Time) {
@@ -76,7 +46,7 @@
 	peers := len(gate.peers.Live(gate.settings.Centre)) - 1
 	interval := time.Duration(peers) * usageIntervalPerPeer
 	spacing := castSpacing(total)
-	gate.ledger.SetFleet(now, quotaShare, total, interval+spacing+remoteUsageDelay)
+	gate.ledger.SetFleet(now, yuccaquota.Fleet{Share: quotaShare, Daemons: total, Leaders: gate.countCentres(now), ReportDelay: interval + spacing + remoteUsageDelay})
 	if now.Sub(gate.usageReportedAt) < interval {
 		return
 	}
--- a/io/yuccawire/gate.go
+++ b/io/yuccawire/gate.go
@@ -164,3 +164,32 @@
 	AgeMillis int64
 	Begun     bool
 }
+
+// QuotaRequest asks the daemon that leads an account to admit a request, which the sender
+// identifies by a number.
+type QuotaRequest struct {
+	Number  uint64
+	Account yuccaid.Account
+	// Cost is in units of the account's quota.
+	Cost int64
+	Rank int
+}
+
+// QuotaAnswer is the decision of an account's leader on a QuotaRequest.
+type QuotaAnswer struct {
+	Number uint64
+	// Verdict is empty if the receiver doesn't lead the account and so hasn't decided.
+	Verdict    yuccaquota.Verdict
+	BackMillis int64
+	// Over reports whether the request takes the account beyond its quota.
+	Over bool
+	// Used and Limit are the account's usage and the limit on which the decision is based.
+	Used  int64
+	Limit int64
+}
+
+// QuotaReturn gives back to an account's leader the cost of an admitted request that didn't run.
+type QuotaReturn struct {
+	Account yuccaid.Account
+	Cost    int64
+}
--- a/io/yuccawire/kind.go
+++ b/io/yuccawire/kind.go
@@ -82,6 +82,12 @@
 	KindEnded
 	// KindHolding carries a Holding, which tells a leader of a run that it didn't grant.
 	KindHolding
+	// KindQuotaRequest carries a QuotaRequest to the daemon that leads an account.
+	KindQuotaRequest
+	// KindQuotaAnswer carries a QuotaAnswer, the leader's decision on a QuotaRequest.
+	KindQuotaAnswer
+	// KindQuotaReturn carries a QuotaReturn: an admitted request didn't run.
+	KindQuotaReturn
 )
 
 var kindNames = map[Kind]string{
@@ -123,6 +129,10 @@
 	KindBegun:       "begun",
 	KindEnded:       "ended",
 	KindHolding:     "holding",
+
+	KindQuotaRequest: "quotaRequest",
+	KindQuotaAnswer:  "quotaAnswer",
+	KindQuotaReturn:  "quotaReturn",
 }
 
 // String returns the kind's name in logs and metrics, or its number.
--- a/io/yuccawire/placing.go
+++ b/io/yuccawire/placing.go
@@ -6,7 +6,7 @@
 	firstPlacing = KindOffer
 	lastPlacing  = KindNotLeader
 	firstGate    = KindFresh
-	lastGate     = KindHolding
+	lastGate     = KindQuotaReturn
 )
 
 // frequent reports whether messages of the kind go several times for each request or
