Few daemons of a data centre call the platform's store when its reader hears nothing

Cause: every daemon listed all registrations when it started, and again whenever the reader's last news was 1.7 s old; in an outage all of them repeated failing calls.

Change: when the whole fleet starts for the first time, only the chosen reader reads; a daemon that restarts lists once. When the last response is old, the daemons next in the order of rendezvous hashing read as well, three at first and twice as many each second (yuccaroster.Readers, a table without sockets); whoever sees the fresh news of a preferred reader stops. A reader that is asked for its targets sends them as a whole list, so that a peer drops a target whose removal the reader never saw.

Ruled out: stale reads (a tenth of the price, but a list that is seconds old misses removals, and the watch that follows costs a whole call), a longer watch (a connection that went silent would be noticed too late).

--- a/core/yuccapeer/leader.go
+++ b/core/yuccapeer/leader.go
@@ -29,6 +29,25 @@
 	}), true
 }
 
+// LeaderRank returns how many live members of this daemon's data centre would lead a pool before
+// this daemon does, and false until this daemon has settled. The leader has rank 0.
+func (peers *Peers) LeaderRank(pool yuccaid.Pool) (rank int, settled bool) {
+	if !peers.Settled() {
+		return 0, false
+	}
+	for _, member := range peers.Live(peers.self.Centre) {
+		if peers.Precedes(pool, member.VM, peers.self.Incarnation.VM) {
+			rank++
+		}
+	}
+	return rank, true
+}
+
+// Precedes reports whether one VM's daemon is preferred to another's as the leader of a pool.
+func (peers *Peers) Precedes(pool yuccaid.Pool, vm, other yuccaid.VM) bool {
+	return hashWeight(string(pool), string(vm)) > hashWeight(string(pool), string(other))
+}
+
 // highestWeight returns the member whose VM has the greatest hash weight for the topic.
 func highestWeight(members []Member, topic string) Member {
 	var best Member
--- a/io/yuccagate/gate.go
+++ b/io/yuccagate/gate.go
@@ -105,11 +105,13 @@
 	// targetsPulledAt is when this daemon last requested targets from a peer.
 	rosterVersion   uint64
 	targetsPulledAt time.Time
-	// platformRespondedAt is when the platform last responded to this daemon. platformRevision is
+	// platformRespondedAt is when the platform last responded to this daemon, and readRevision the
+	// revision up to which this daemon itself has read the platform. platformRevision is
 	// the revision up to which this daemon knows the platform's registrations of targets.
 	// platformReports holds the last report of each peer that reads the platform, and
 	// platformReportedAt is when this daemon last sent such a report.
 	platformRespondedAt time.Time
+	readRevision        yuccaroster.Revision
 	platformRevision    yuccaroster.Revision
 	platformReports     map[yuccaid.Incarnation]platformReport
 	platformReportedAt  time.Time
@@ -203,6 +205,7 @@
 	if !settings.FirstStart {
 		gate.ledger.MarkWithoutHistory(gate.startedAt)
 	}
+	gate.skipsPlatformReads.Store(settings.FirstStart)
 	ready := make(chan struct{})
 	gate.control = yuccaloop.New(ready, tickInterval, gate.tick)
 	gate.hub = yuccalink.New(self, settings.Key, peers,
--- a/io/yuccagate/peers.go
+++ b/io/yuccagate/peers.go
@@ -208,7 +208,7 @@
 	case yuccawire.KindTablePull:
 		return decodeThen(frame, func(pull yuccawire.TablePull) { gate.onTablePull(from, pull) })
 	case yuccawire.KindTargetsPull:
-		return decodeThen(frame, func(pull yuccawire.TargetsPull) { gate.onTargetsPull(from, pull) })
+		return decodeThen(frame, func(pull yuccawire.TargetsPull) { gate.onTargetsPull(now, from, pull) })
 	case yuccawire.KindTargets:
 		return decodeThen(frame, func(message yuccawire.Targets) { gate.onTargets(now, message) })
 	case yuccawire.KindFresh:
--- a/io/yuccagate/targets.go
+++ b/io/yuccagate/targets.go
@@ -23,15 +23,11 @@
 	// reader is chosen in the same way as the leader of a pool. The role can't collide with a pool,
 	// since names of pools have no spaces.
 	readerRole = yuccaid.Pool("reader of the platform")
-	// platformStaleAfter is the age of the platform's last response to the reader at which
-	// every daemon reads the platform itself. It is slightly longer than one of the reader's
-	// calls takes when nothing changes.
-	platformStaleAfter = 1700 * time.Millisecond
 	// anyPeerPullInterval is the shortest time between two requests to a peer for targets while the
 	// platform can't be read.
 	anyPeerPullInterval = 400 * time.Millisecond
-	// startupReadTime is how long after its start a daemon reads the platform itself even if the
-	// reader does so too, because it has no targets yet.
+	// startupReadTime is how long after its start a daemon doesn't request targets from an arbitrary
+	// peer, because it reads the platform itself or learns of the reader.
 	startupReadTime = 700 * time.Millisecond
 )
 
@@ -47,15 +43,16 @@
 // read from the platform. The parameter at is the platform's revision up to which they were read.
 // If whole is set, entries are all registered targets. If sure is not set, removals are tentative.
 //
-// The reader forwards changes to the other daemons of the data centre, which then need not read the
-// platform. Whole lists are not forwarded, because a hundred daemons that start together would each
-// send a thousand targets to all others. A daemon that lacks targets requests them once this daemon
-// reports a higher revision.
+// A daemon that reads the platform for its data centre forwards changes to the other daemons there,
+// which then need not read the platform. Whole lists are not forwarded, because a hundred daemons
+// that start together would each send a thousand targets to all others. A daemon that lacks targets
+// requests them once this daemon reports a higher revision.
 func (gate *Gate) OfferTargets(entries []yuccaroster.Entry, removals []yuccaroster.Removal, whole bool, at yuccaroster.Revision, sure bool) {
 	message := yuccawire.Targets{Entries: entries, Removals: removals, Whole: whole, At: at, Sure: sure}
 	gate.control.Post(func(now time.Time) {
+		gate.recordRead(now, at)
 		gate.onTargets(now, message)
-		if !whole && gate.isReader(now) {
+		if !whole && gate.settled && !gate.skipsPlatformReads.Load() {
 			gate.sendLocal(yuccawire.KindTargets, message)
 		}
 	})
@@ -64,10 +61,13 @@
 // RecordPlatformRevision records that the platform has responded, and the revision up to which the
 // platform has been read.
 func (gate *Gate) RecordPlatformRevision(at yuccaroster.Revision) {
-	gate.control.Post(func(now time.Time) {
-		gate.platformRespondedAt = now
-		gate.platformRevision = max(gate.platformRevision, at)
-	})
+	gate.control.Post(func(now time.Time) { gate.recordRead(now, at) })
+}
+
+func (gate *Gate) recordRead(now time.Time, at yuccaroster.Revision) {
+	gate.platformRespondedAt = now
+	gate.readRevision = max(gate.readRevision, at)
+	gate.platformRevision = max(gate.platformRevision, at)
 }
 
 // platformAge returns how long ago the platform last responded to this daemon or to a peer that
@@ -89,37 +89,71 @@
 // daemon reads the platform and sends the changes to this daemon.
 func (gate *Gate) MaySkipPlatformReads() bool { return gate.skipsPlatformReads.Load() }
 
-// isReader reports whether this daemon is the one that reads the platform for its data centre.
-func (gate *Gate) isReader(_ time.Time) bool {
-	reader, found := gate.peers.Leader(readerRole)
-	return found && reader.Incarnation == gate.incarnation
-}
-
-// tickReader reports to the data centre's other daemons when the platform last responded if this
-// daemon is the reader, and otherwise decides whether this daemon may skip reading the platform.
+// tickReader decides whether this daemon reads the platform. If it does, it reports to the data
+// centre's other daemons when the platform last responded.
 //
 // Calls to the platform count against a rate limit of the whole fleet, and each is paid for, so one
 // daemon of a data centre, the reader, reads for all. If the reader's process ends or hangs, or the
-// reader loses its connection to the platform, its last report grows old. Then all daemons read the
-// platform themselves.
+// reader loses its connection to the platform, its last report grows old. Then the daemons that are
+// next in the order in which readers are chosen read the platform as well, and the more of them the
+// older the last report is (see yuccaroster.Readers). If all daemons did so at once, an outage of the
+// platform would cause hundreds of failing calls a second.
 func (gate *Gate) tickReader(now time.Time) {
-	isReader := gate.isReader(now)
-	if isReader && now.Sub(gate.platformReportedAt) >= platformReportInterval && !gate.platformRespondedAt.IsZero() {
+	reads := gate.readsPlatform(now)
+	if reads && gate.settled && gate.platformFresh(now) && now.Sub(gate.platformReportedAt) >= platformReportInterval {
 		gate.platformReportedAt = now
-		gate.sendLocal(yuccawire.KindFresh, yuccawire.Fresh{AgeMillis: now.Sub(gate.platformRespondedAt).Milliseconds(), At: gate.platformRevision})
+		gate.sendLocal(yuccawire.KindFresh, yuccawire.Fresh{AgeMillis: now.Sub(gate.platformRespondedAt).Milliseconds(), At: gate.readRevision})
 	}
 	gate.pullFromAnyPeer(now)
-	skipsPlatformReads := !isReader && gate.tables.Load() != nil && now.Sub(gate.startedAt) > startupReadTime && gate.hasFreshReport(now)
-	if skipsPlatformReads != gate.skipsPlatformReads.Load() {
-		gate.skipsPlatformReads.Store(skipsPlatformReads)
-		gate.log.stateChange("reading the platform", "rests", skipsPlatformReads, "reader", isReader)
+	if reads == gate.skipsPlatformReads.Load() {
+		gate.skipsPlatformReads.Store(!reads)
+		gate.log.stateChange("reading the platform", "rests", !reads, "ageMillis", gate.platformAge(now).Milliseconds())
+	}
+}
+
+// readsPlatform reports whether this daemon reads the platform. A daemon that restarts reads it
+// once, and then waits until it has settled and the reader is known. When the whole fleet starts for
+// the first time there are no callers yet, so the daemons wait for the reader at once.
+func (gate *Gate) readsPlatform(now time.Time) bool {
+	rank, settled := gate.peers.LeaderRank(readerRole)
+	respondedOnce := !gate.platformRespondedAt.IsZero()
+	switch {
+	case !settled:
+		return !gate.settings.FirstStart && !respondedOnce
+	case rank == 0:
+		return true
+	case gate.hasPreferredReader(now):
+		return false
+	case gate.platformFresh(now) && !gate.skipsPlatformReads.Load():
+		return true
+	}
+	age := gate.platformAge(now)
+	if age < 0 {
+		age = now.Sub(gate.startedAt)
+	}
+	return rank < yuccaroster.Readers(age)
+}
+
+// platformFresh reports whether the platform has responded to this daemon within yuccaroster.StaleAfter.
+func (gate *Gate) platformFresh(now time.Time) bool {
+	return !gate.platformRespondedAt.IsZero() && now.Sub(gate.platformRespondedAt) < yuccaroster.StaleAfter
+}
+
+// hasPreferredReader reports whether a peer that is preferred to this daemon as the reader has read
+// the platform within yuccaroster.StaleAfter.
+func (gate *Gate) hasPreferredReader(now time.Time) bool {
+	for peer, report := range gate.platformReports {
+		if now.Sub(report.receivedAt)+report.age < yuccaroster.StaleAfter && gate.peers.Precedes(readerRole, peer.VM, gate.settings.VM) {
+			return true
+		}
 	}
+	return false
 }
 
-// hasFreshReport reports whether a peer has read the platform within platformStaleAfter.
+// hasFreshReport reports whether a peer has read the platform within yuccaroster.StaleAfter.
 func (gate *Gate) hasFreshReport(now time.Time) bool {
 	for _, report := range gate.platformReports {
-		if now.Sub(report.receivedAt)+report.age < platformStaleAfter {
+		if now.Sub(report.receivedAt)+report.age < yuccaroster.StaleAfter {
 			return true
 		}
 	}
@@ -149,7 +183,7 @@
 // daemons didn't request targets from peers, they would send callers' requests to targets that have
 // been removed, and restarted daemons would have no targets.
 func (gate *Gate) pullFromAnyPeer(now time.Time) {
-	platformSilent := gate.platformRespondedAt.IsZero() || now.Sub(gate.platformRespondedAt) > platformStaleAfter
+	platformSilent := gate.platformRespondedAt.IsZero() || now.Sub(gate.platformRespondedAt) > yuccaroster.StaleAfter
 	if !platformSilent || gate.hasFreshReport(now) || now.Sub(gate.startedAt) < startupReadTime || now.Sub(gate.targetsPulledAt) < anyPeerPullInterval {
 		return
 	}
@@ -159,13 +193,19 @@
 }
 
 // onTargetsPull sends the targets to a peer that has read up to a lower revision.
-func (gate *Gate) onTargetsPull(from yuccaid.Incarnation, pull yuccawire.TargetsPull) {
-	if gate.platformRevision <= pull.Have {
-		return
+//
+// If this daemon reads the platform, it sends its targets as a whole list. Otherwise the peer would
+// keep a target whose registration was removed after the peer had read the platform and before this
+// daemon did, because this daemon has never known that target.
+func (gate *Gate) onTargetsPull(now time.Time, from yuccaid.Incarnation, pull yuccawire.TargetsPull) {
+	reads := !gate.skipsPlatformReads.Load() && gate.platformFresh(now)
+	message := yuccawire.Targets{Entries: gate.roster.Entries(), Removals: gate.roster.Removals(), At: gate.platformRevision, Sure: true}
+	if reads {
+		message.At, message.Whole = gate.readRevision, true
+	}
+	if message.At > pull.Have {
+		gate.send(from, yuccawire.KindTargets, message)
 	}
-	gate.send(from, yuccawire.KindTargets, yuccawire.Targets{
-		Entries: gate.roster.Entries(), Removals: gate.roster.Removals(), At: gate.platformRevision, Sure: true,
-	})
 }
 
 // onTargets applies registrations and removals of targets that this daemon or a peer has read from
@@ -174,13 +214,12 @@
 	gate.platformRevision = max(gate.platformRevision, message.At)
 	if message.Whole {
 		gate.roster.ReplaceAll(now, message.Entries, message.At, message.Sure)
-	} else {
-		for _, entry := range message.Entries {
-			gate.roster.Put(now, entry)
-		}
-		for _, removal := range message.Removals {
-			gate.roster.Remove(now, removal, message.Sure)
-		}
+	}
+	for _, entry := range message.Entries {
+		gate.roster.Put(now, entry)
+	}
+	for _, removal := range message.Removals {
+		gate.roster.Remove(now, removal, message.Sure)
 	}
 	gate.refreshTargets(now)
 }
