A new configuration spreads compressed, and not from one daemon to all

Cause: the one daemon of a data centre that has read a new configuration announces its number to all others, and all of them requested it from that daemon at once, uncompressed. With 1,400 routes that is some 450 KB for each of fifty daemons, nine seconds of a link of 20 Mbit/s, with the heartbeats behind it in the same connections; a series of configurations each 0.33 s never lets go.

Change: daemons that can read it get the text gzipped (TablePull.Unpacks, Table.Packed; an older build still gets and sends plain text). Four daemons request at once, the others in waves that double each 100 ms (yuccapeer.PullDelay), and each daemon prefers another one of the peers that have it. A restarted daemon without a configuration and a daemon that gets it from another data centre don't wait.

Ruled out: sending differences (a peer that missed one needs the whole), longer pull intervals (the first wave is what fills the link).

--- a/core/yuccapeer/view.go
+++ b/core/yuccapeer/view.go
@@ -141,16 +141,16 @@
 
 // NewerConfig returns the configuration with the highest number among the peers in the view,
 // or the zero value if no number is above this daemon's. If several peers have the highest
-// number, the configuration of the first peer by name is returned, so that the choice is
-// stable.
+// number, the daemons choose different peers, so that one peer isn't asked by all of them. Each
+// daemon's choice is stable.
 func (peers *Peers) NewerConfig() PeerConfig {
 	best := PeerConfig{Number: peers.self.Number}
 	for _, other := range peers.byVM {
 		config := other.config
-		higher := config.Number > best.Number
-		firstByName := config.Number == best.Number && config.Number > peers.self.Number &&
-			config.Peer.String() < best.Peer.String()
-		if other.inView && (higher || firstByName) {
+		if !other.inView || config.Number < best.Number || config.Number == peers.self.Number {
+			continue
+		}
+		if config.Number > best.Number || peers.Precedes(yuccaid.Pool(peers.self.Incarnation.VM), config.Peer.VM, best.Peer.VM) {
 			best = config
 		}
 	}
--- a/io/yuccagate/beliefs.go
+++ b/io/yuccagate/beliefs.go
@@ -36,9 +36,13 @@
 	if first {
 		close(gate.configured)
 	}
-	gate.tableRaw = raw
+	gate.tableRaw, gate.tablePacked = raw, nil
+	gate.tableBehindSince = time.Time{}
 	gate.log.stateChange("configuration", "number", table.Number(), "before", before, "source", source)
 	gate.ledger.Configure(now, table.Config().Accounts)
+	for _, sched := range gate.schedulers {
+		gate.configure(now, sched)
+	}
 	gate.onChange(now, gate.peers.SetConfig(now, table.Number(), ""))
 }
 
@@ -50,29 +54,65 @@
 	return 0
 }
 
+// tableRole stands for the name of a pool when the daemons of a data centre are put in the order in
+// which they request a new configuration. The role can't collide with a pool, since names of pools
+// have no spaces.
+const tableRole = yuccaid.Pool("spread of configurations")
+
 // pullTable requests the configuration from a peer whose configuration has a higher number than
-// this daemon's. It does nothing if a peer was asked less than pullInterval ago.
+// this daemon's. Within a data centre it first waits for its turn (see yuccapeer.PullDelay). It does
+// nothing if a peer was asked less than pullInterval ago.
 func (gate *Gate) pullTable(now time.Time, source yuccapeer.PeerConfig) {
-	if now.Sub(gate.tablePulledAt) < pullInterval {
+	if gate.tableBehindSince.IsZero() {
+		gate.tableBehindSince = now
+	}
+	if now.Sub(gate.tablePulledAt) < pullInterval || now.Sub(gate.tableBehindSince) < gate.pullDelay(source) {
 		return
 	}
 	gate.tablePulledAt = now
-	gate.send(source.Peer, yuccawire.KindTablePull, yuccawire.TablePull{Have: gate.configurationNumber()})
+	gate.send(source.Peer, yuccawire.KindTablePull, yuccawire.TablePull{Have: gate.configurationNumber(), Unpacks: true})
+}
+
+// pullDelay returns how long this daemon waits before it requests a configuration from a peer. A
+// daemon that has restarted and has no configuration doesn't wait, nor does one that gets the
+// configuration from another data centre, because no other daemon may be able to do so.
+func (gate *Gate) pullDelay(source yuccapeer.PeerConfig) time.Duration {
+	peer, found := gate.peers.Find(source.Peer.VM)
+	rank, settled := gate.peers.LeaderRank(tableRole)
+	restarted := gate.tables.Load() == nil && !gate.settings.FirstStart
+	if !settled || restarted || found && peer.Centre != gate.settings.Centre {
+		return 0
+	}
+	return yuccapeer.PullDelay(rank)
 }
 
 // onTablePull sends this daemon's configuration to a peer that has requested it, if the peer's
-// configuration has a lower number.
+// configuration has a lower number. The configuration is compressed once for all peers that can read
+// that form. Otherwise fifty peers that request a configuration of some hundred kilobytes at once
+// would occupy the link of a small VM for several seconds.
 func (gate *Gate) onTablePull(from yuccaid.Incarnation, pull yuccawire.TablePull) {
-	if gate.configurationNumber() > pull.Have {
+	if gate.configurationNumber() <= pull.Have {
+		return
+	}
+	if !pull.Unpacks {
 		gate.send(from, yuccawire.KindTable, yuccawire.Table{Raw: gate.tableRaw})
+		return
 	}
+	if gate.tablePacked == nil {
+		gate.tablePacked = yuccawire.PackTable(gate.tableRaw)
+	}
+	gate.send(from, yuccawire.KindTable, yuccawire.Table{Packed: gate.tablePacked})
 }
 
 // onTable handles a configuration from a peer. It runs on the connection's goroutine, because a
 // configuration may be a megabyte long, and decoding it on the control goroutine would delay every
 // decision.
 func (gate *Gate) onTable(message yuccawire.Table) {
-	if err := gate.OfferConfiguration(message.Raw, "peer"); err != nil {
+	raw, err := message.Text()
+	if err == nil {
+		err = gate.OfferConfiguration(raw, "peer")
+	}
+	if err != nil {
 		gate.log.stateChange("configuration refused", "source", "peer", "error", err)
 	}
 }
--- a/io/yuccagate/gate.go
+++ b/io/yuccagate/gate.go
@@ -92,10 +92,15 @@
 	// logged.
 	peerRefusedAt       map[string]time.Time
 	connFailureLoggedAt map[string]time.Time
-	// tableRaw is the text of the configuration in force, for peers that request it.
-	tableRaw []byte
-	// tablePulledAt is when this daemon last requested a configuration from a peer.
-	tablePulledAt time.Time
+	// tableRaw is the text of the configuration in force, for peers that request it. tablePacked is
+	// its compressed form, or nil if no peer has requested that yet.
+	tableRaw    []byte
+	tablePacked []byte
+	// tableBehindSince is when this daemon learned that a peer has a newer configuration than the one
+	// in force, zero if none has. tablePulledAt is when this daemon last requested a configuration
+	// from a peer.
+	tableBehindSince time.Time
+	tablePulledAt    time.Time
 
 	// roster holds the registered targets.
 	roster *yuccaroster.Roster
--- a/io/yuccagate/peers.go
+++ b/io/yuccagate/peers.go
@@ -99,7 +99,11 @@
 // tickPeers checks heartbeats and whether this process was paused, and dials daemons to which
 // there should be a connection.
 func (gate *Gate) tickPeers(now time.Time) {
-	gate.onChange(now, gate.peers.Tick(now))
+	change := gate.peers.Tick(now)
+	if change.NewerConfig.Peer.IsZero() {
+		gate.tableBehindSince = time.Time{}
+	}
+	gate.onChange(now, change)
 	monotonic, boot := gate.suspensions.Check(now)
 	gate.onChange(now, gate.peers.CheckClocks(now, monotonic, boot))
 	if settled := gate.peers.Settled(); settled != gate.settled {
--- a/io/yuccawire/gate.go
+++ b/io/yuccawire/gate.go
@@ -9,11 +9,8 @@
 // TablePull asks a peer for its configuration.
 type TablePull struct {
 	Have yuccaid.ConfigNumber `msgpack:"have"`
-}
-
-// Table is a configuration as its operators wrote it.
-type Table struct {
-	Raw []byte `msgpack:"raw"`
+	// Unpacks reports whether the sender can read a compressed configuration.
+	Unpacks bool `msgpack:"unpacks"`
 }
 
 // TargetsPull asks a peer for all registrations that it knows, if it has heard of a later
