The model of a prefix cache is a package of its own

core/yuccaplace had it for the own interface only, in blocks of one size. The users' platform names parts of prompts of any size, and one model should serve both. core/yuccacache holds the model with sizes and the index of who holds what; yuccaplace uses it with blocks of size one and keeps its averages and the cost of evictions.

--- a/core/yuccaplace/fleet.go
+++ b/core/yuccaplace/fleet.go
@@ -4,6 +4,7 @@
 	"math"
 	"time"
 
+	"yuccacleat/core/yuccacache"
 	"yuccacleat/core/yuccaid"
 )
 
@@ -47,7 +48,7 @@
 		byName:         map[yuccaid.Target]*TargetState{},
 		interference:   &interference{crowding: initialCrowding, promptFactor: initialPromptFactor},
 		answerRatios:   map[yuccaid.Operation]*answerRatio{},
-		prefixes:       prefixIndex{holders: map[uint64][]*TargetState{}},
+		prefixes:       prefixIndex{yuccacache.NewIndex[*TargetState]()},
 	}
 	for _, option := range options {
 		option(placer)
--- a/core/yuccaplace/prefix.go
+++ b/core/yuccaplace/prefix.go
@@ -2,36 +2,16 @@
 
 import (
 	"slices"
-	"sort"
 
+	"yuccacleat/core/yuccacache"
 	"yuccacleat/core/yuccaid"
 	"yuccacleat/core/yuccaqueue"
 )
 
 // prefixIndex is an index from the hash of each recorded block to the targets that hold
-// the block. With it a prompt is looked up once, and not once for each target.
+// the block.
 type prefixIndex struct {
-	holders map[uint64][]*TargetState
-}
-
-func (pre *prefixIndex) add(hash uint64, state *TargetState) {
-	pre.holders[hash] = append(pre.holders[hash], state)
-}
-
-func (pre *prefixIndex) drop(hash uint64, state *TargetState) {
-	list := pre.holders[hash]
-	at := slices.Index(list, state)
-	if at < 0 {
-		return
-	}
-	last := len(list) - 1
-	list[at] = list[last]
-	list[last] = nil
-	if last == 0 {
-		delete(pre.holders, hash)
-		return
-	}
-	pre.holders[hash] = list[:last]
+	yuccacache.Index[*TargetState]
 }
 
 // recordPrompt records that a prompt was sent to a target. The last block is touched
@@ -39,7 +19,7 @@
 // in the engines. A target that holds a block therefore holds all preceding blocks of
 // the prompt too.
 func (pre *prefixIndex) recordPrompt(state *TargetState, hashes []uint64) {
-	hashes = hashes[:min(len(hashes), maxPromptBlocks, state.cache.limit)]
+	hashes = hashes[:min(len(hashes), maxPromptBlocks, int(state.cache.Limit()))]
 	stored := 0
 	for _, hash := range slices.Backward(hashes) {
 		if pre.touch(state, hash) {
@@ -52,14 +32,7 @@
 // touch records the use of a block and reports whether the target didn't hold it
 // before.
 func (pre *prefixIndex) touch(state *TargetState, hash uint64) bool {
-	evicted, didEvict, added := state.cache.touch(hash)
-	if didEvict {
-		pre.drop(evicted, state)
-	}
-	if added {
-		pre.add(hash, state)
-	}
-	return added
+	return pre.Touch(state, &state.cache.Model, yuccacache.Part{Hash: hash, Size: 1})
 }
 
 // addStored adds blocks that a target has reported. Blocks already recorded keep their
@@ -67,7 +40,7 @@
 // block was used.
 func (pre *prefixIndex) addStored(state *TargetState, hashes []uint64) {
 	for _, hash := range hashes {
-		if _, found := state.cache.index[hash]; !found && state.cache.limit > 0 {
+		if !state.cache.Holds(hash) {
 			pre.touch(state, hash)
 		}
 	}
@@ -76,46 +49,38 @@
 // removeEvicted removes blocks that a target has reported as evicted.
 func (pre *prefixIndex) removeEvicted(state *TargetState, hashes []uint64) {
 	for _, hash := range hashes {
-		if state.cache.drop(hash) {
-			pre.drop(hash, state)
-		}
+		pre.Drop(state, &state.cache.Model, hash)
 	}
 }
 
 // clear removes all blocks of a target and gives it an empty cache model.
 func (pre *prefixIndex) clear(state *TargetState) {
-	for hash := range state.cache.index {
-		pre.drop(hash, state)
-	}
+	pre.Clear(state, &state.cache.Model)
 	state.cache = newCacheModel(state.Target.Cache)
 }
 
 // longestHeld returns the largest number of prompt tokens that any target holds.
 func (pre *prefixIndex) longestHeld(hashes []uint64) yuccaid.Tokens {
-	hashes = hashes[:min(len(hashes), maxPromptBlocks)]
-	heldBlocks := sort.Search(len(hashes), func(at int) bool { return len(pre.holders[hashes[at]]) == 0 })
-	return yuccaid.Tokens(heldBlocks) * yuccaqueue.BlockTokens
+	return blockTokens(pre.LongestHeld(min(len(hashes), maxPromptBlocks), func(at int) uint64 { return hashes[at] }))
 }
 
 // markHeld sets heldPrefix and the given generation on every target that holds part of
-// the prompt, and returns the largest heldPrefix. Bisection finds the number of leading
-// blocks that any target holds; the walk back from the last of these blocks ends once
-// every holder of the first block is marked.
+// the prompt, and returns the largest heldPrefix.
 func (pre *prefixIndex) markHeld(generation uint64, hashes []uint64) yuccaid.Tokens {
-	hashes = hashes[:min(len(hashes), maxPromptBlocks)]
-	if len(hashes) == 0 || len(pre.holders[hashes[0]]) == 0 {
-		return 0
-	}
-	heldBlocks := sort.Search(len(hashes), func(at int) bool { return len(pre.holders[hashes[at]]) == 0 })
-	marked := 0
-	for at := heldBlocks - 1; at >= 0 && marked < len(pre.holders[hashes[0]]); at-- {
-		for _, state := range pre.holders[hashes[at]] {
-			if state.generation != generation {
-				state.generation = generation
-				state.heldPrefix = yuccaid.Tokens(at+1) * yuccaqueue.BlockTokens
-				marked++
-			}
+	longest := 0
+	pre.VisitHeld(min(len(hashes), maxPromptBlocks), func(at int) uint64 { return hashes[at] }, func(state *TargetState, blocks int) bool {
+		longest = max(longest, blocks)
+		if state.generation == generation {
+			return false
 		}
-	}
-	return yuccaid.Tokens(heldBlocks) * yuccaqueue.BlockTokens
+		state.generation = generation
+		state.heldPrefix = blockTokens(blocks)
+		return true
+	})
+	return blockTokens(longest)
+}
+
+// blockTokens returns the number of prompt tokens in the given number of blocks.
+func blockTokens(blocks int) yuccaid.Tokens {
+	return yuccaid.Tokens(blocks) * yuccaqueue.BlockTokens
 }
