--- a/io/yuccagate/admission_test.go
+++ b/io/yuccagate/admission_test.go
@@ -61,6 +61,21 @@
 		Expect(time.Since(start)).To(BeNumerically("<", 400*time.Millisecond))
 	})
 
+	// The daemon that leads the account hangs, but its connections stay open. Requests at the other
+	// daemon must not wait for its decision until their callers leave.
+	It("is decided on by the daemon itself when the account's leader hangs", func() {
+		eng := newEngine("a", nil)
+		first, second := startTwoWith(hourWindow, 8, eng)
+		leader, other := first, second
+		if leaderOf(first, "still") == second.Status().VM {
+			leader, other = second, first
+		}
+		leader.hang()
+		start := time.Now()
+		Expect(costing("r1", 5).do(other).status).To(Equal(http.StatusOK))
+		Expect(time.Since(start)).To(BeNumerically("<", 400*time.Millisecond))
+	})
+
 	// A request is admitted by the leader of its account, and then its only target rejects it. If
 	// the charge weren't returned to the leader, the account would lose quota for nothing.
 	It("gets back the charge of a request that didn't run", func() {
--- a/io/yuccagate/fleet_test.go
+++ b/io/yuccagate/fleet_test.go
@@ -21,6 +21,7 @@
 	"yuccacleat/core/yuccaid"
 	"yuccacleat/core/yuccaroster"
 	"yuccacleat/core/yuccaroute"
+	"yuccacleat/io/yuccaclock"
 	"yuccacleat/io/yuccagate"
 )
 
@@ -168,6 +169,17 @@
 	// crash stops the gateway and cuts off its open requests.
 	crash func()
 	lines *lines
+	// control is locked to make the gateway's control goroutine hang.
+	control *sync.Mutex
+}
+
+// hang makes the gateway's control goroutine hang until the end of the test. The gateway's
+// connections stay open.
+func (gt *gate) hang() {
+	gt.control.Lock()
+	DeferCleanup(gt.control.Unlock)
+	// The goroutine hangs at its next tick.
+	time.Sleep(100 * time.Millisecond)
 }
 
 // lines collects a gateway's log lines.
@@ -230,11 +242,17 @@
 	if change != nil {
 		change(&set)
 	}
-	inner, err := yuccagate.New(set, dialect, decode, peers, yuccagate.WithLog(logged))
+	hang := &sync.Mutex{}
+	clock := func() (time.Duration, error) {
+		hang.Lock()
+		defer hang.Unlock()
+		return yuccaclock.SinceBoot()
+	}
+	inner, err := yuccagate.New(set, dialect, decode, peers, yuccagate.WithLog(logged), yuccagate.WithBootClock(clock))
 	Expect(err).NotTo(HaveOccurred())
 	callers, err := net.Listen("tcp", "127.0.0.1:0")
 	Expect(err).NotTo(HaveOccurred())
-	gt := &gate{Gate: inner, address: callers.Addr().String(), server: inner.Serve(callers), lines: logged}
+	gt := &gate{Gate: inner, address: callers.Addr().String(), server: inner.Serve(callers), lines: logged, control: hang}
 	gt.crash = sync.OnceFunc(func() {
 		// Drain gets a context that has already ended, so that it cuts off open requests at once
 		// instead of waiting for them.
--- a/io/yuccagate/gate.go
+++ b/io/yuccagate/gate.go
@@ -285,6 +285,7 @@
 	gate.refreshTargets(now)
 	gate.tickReader(now)
 	gate.tickUsage(now)
+	gate.tickAdmissions(now)
 	gate.tickSchedulers(now)
 	if now.Sub(gate.idleSweptAt) > time.Second {
 		gate.idleSweptAt = now
