One daemon reads the platform's store for all data centres

Cause: one daemon of each data centre read the store, so six data centres paid six times for the same news, fourteen would pay fourteen times.

Change: the reader's reports and the changes that it reads go to the other data centres as casts (TopicFresh, TopicTargets), over the gateways that carry loads.

Ruled out: one reader a region (still three, and the gateways carry casts to all data centres anyway).

--- a/io/yuccagate/cast.go
+++ b/io/yuccagate/cast.go
@@ -71,18 +71,36 @@
 // this data centre, loads are sent only to the daemons that hold connections to other data
 // centres. While no such daemon is known, loads are sent to all daemons of this data centre.
 func (gate *Gate) cast(message yuccawire.Cast) {
-	gate.castSequence++
-	message.Origin = gate.incarnation.String()
-	message.Centre = gate.settings.Centre
-	message.Sequence = gate.castSequence
+	if message.Topic == yuccawire.TopicLoad {
+		gate.castRemote(message)
+		return
+	}
+	message = gate.stamp(message)
 	gate.sendRemote(message)
-	if gateways := gate.peers.Gateways(); message.Topic == yuccawire.TopicLoad && len(gateways) > 0 {
+	gate.sendLocal(yuccawire.KindCast, message)
+}
+
+// castRemote sends a message to the daemons of all other data centres as cast does, but not to the
+// daemons of this data centre that hold no connections to others.
+func (gate *Gate) castRemote(message yuccawire.Cast) {
+	message = gate.stamp(message)
+	gate.sendRemote(message)
+	if gateways := gate.peers.Gateways(); len(gateways) > 0 {
 		gate.sendTo(gateways, message)
 		return
 	}
 	gate.sendLocal(yuccawire.KindCast, message)
 }
 
+// stamp sets the fields of a cast that identify it.
+func (gate *Gate) stamp(message yuccawire.Cast) yuccawire.Cast {
+	gate.castSequence++
+	message.Origin = gate.incarnation.String()
+	message.Centre = gate.settings.Centre
+	message.Sequence = gate.castSequence
+	return message
+}
+
 // sendTo sends a cast to each of the members except this daemon.
 func (gate *Gate) sendTo(members []yuccapeer.Member, message yuccawire.Cast) {
 	for _, member := range members {
@@ -140,6 +158,12 @@
 		gate.onCentreUse(now, message)
 	case yuccawire.TopicLoad:
 		gate.onCentreLoad(now, message)
+	case yuccawire.TopicFresh:
+		gate.onRemoteFresh(now, from, message)
+	case yuccawire.TopicTargets:
+		if message.Targets != nil {
+			gate.onTargets(now, *message.Targets)
+		}
 	}
 }
 
--- a/io/yuccagate/gate.go
+++ b/io/yuccagate/gate.go
@@ -113,12 +113,12 @@
 	// platformRespondedAt is when the platform last responded to this daemon, and readRevision the
 	// revision up to which this daemon itself has read the platform. platformRevision is
 	// the revision up to which this daemon knows the platform's registrations of targets.
-	// platformReports holds the last report of each peer that reads the platform, and
+	// platformReports holds the last report of each daemon that reads the platform, and
 	// platformReportedAt is when this daemon last sent such a report.
 	platformRespondedAt time.Time
 	readRevision        yuccaroster.Revision
 	platformRevision    yuccaroster.Revision
-	platformReports     map[yuccaid.Incarnation]platformReport
+	platformReports     map[yuccaroster.Reader]platformReport
 	platformReportedAt  time.Time
 
 	// ledger counts the usage of accounts. usageReportedAt is when this daemon last reported
@@ -192,7 +192,7 @@
 		peerRefusedAt:       make(map[string]time.Time),
 		connFailureLoggedAt: make(map[string]time.Time),
 		roster:              yuccaroster.New(),
-		platformReports:     make(map[yuccaid.Incarnation]platformReport),
+		platformReports:     make(map[yuccaroster.Reader]platformReport),
 		ledger:              yuccaquota.New(settings.Bounds.tolerance(), yuccaquota.WithSalt(mathrand.Uint64())),
 		resendBudget:        yuccabudget.New(settings.Bounds.resendBounds()),
 		schedulers:          make(map[yuccaid.Pool]*scheduler),
--- a/io/yuccagate/peers.go
+++ b/io/yuccagate/peers.go
@@ -7,6 +7,7 @@
 
 	"yuccacleat/core/yuccaid"
 	"yuccacleat/core/yuccapeer"
+	"yuccacleat/core/yuccaroster"
 	"yuccacleat/io/yuccalink"
 	"yuccacleat/io/yuccawire"
 )
@@ -77,7 +78,7 @@
 	gate.control.Post(func(now time.Time) {
 		gate.log.stateChange("peer lost", "peer", member.VM, "centre", member.Centre)
 		gate.peers.HandleDisconnect(now, member.Incarnation)
-		delete(gate.platformReports, member.Incarnation)
+		delete(gate.platformReports, yuccaroster.Reader{Centre: member.Centre, VM: member.VM})
 	})
 }
 
--- a/io/yuccagate/reader_test.go
+++ b/io/yuccagate/reader_test.go
@@ -9,6 +9,18 @@
 	"yuccacleat/core/yuccaroster"
 )
 
+// poll lets the platform respond to each gateway that reads it, and returns these gateways.
+func poll(gates []*gate) []*gate {
+	var reading []*gate
+	for _, gt := range gates {
+		if !gt.MaySkipPlatformReads() {
+			gt.RecordPlatformRevision(9)
+			reading = append(reading, gt)
+		}
+	}
+	return reading
+}
+
 var _ = Describe("a daemon that doesn't read the platform", func() {
 	// A daemon reads the registrations of the targets a and b. Then b's registration is removed, and
 	// only after that the daemon that reads for the data centre reads them for the first time. That
@@ -27,3 +39,33 @@
 		}, 5*time.Second, 50*time.Millisecond).Should(Equal(1))
 	})
 })
+
+var _ = Describe("the daemons of several data centres", func() {
+	// Each call to the platform is paid for. If one daemon of each data centre read the platform,
+	// fourteen data centres would pay fourteen times for the same news.
+	It("have one daemon read the platform for all, and another one when that one is gone", func() {
+		eng := newEngine("a", nil)
+		first := newGateIn("odessa", "odessa-1")
+		seed := first.Status().Address
+		gates := []*gate{first, newGateIn("odessa", "odessa-2", seed), newGateIn("austin", "austin-1", seed), newGateIn("austin", "austin-2", seed)}
+		for _, gt := range gates {
+			gt.configure(1, config(), 4, eng)
+		}
+		count := func() int { return len(poll(gates)) }
+		Eventually(count, 5*time.Second, 50*time.Millisecond).Should(Equal(1))
+		Consistently(count, time.Second, 50*time.Millisecond).Should(Equal(1))
+		reader := poll(gates)[0]
+		entry := yuccaroster.Entry{Target: "late", Pool: "desk", Address: "127.0.0.1:1", Centre: "odessa", Slots: 4, Revision: 12}
+		reader.OfferTargets([]yuccaroster.Entry{entry}, nil, false, 12, true)
+		var others []*gate
+		for _, gt := range gates {
+			Eventually(func() int { return len(gt.Status().Targets) }, 2*time.Second).Should(Equal(2), "at %s", gt.Status().VM)
+			if gt != reader {
+				others = append(others, gt)
+			}
+		}
+		reader.crash()
+		Eventually(func() int { return len(poll(others)) }, 4*time.Second, 50*time.Millisecond).Should(BeNumerically(">=", 1))
+		Eventually(func() int { return len(poll(others)) }, 5*time.Second, 50*time.Millisecond).Should(Equal(1))
+	})
+})
--- a/io/yuccagate/targets.go
+++ b/io/yuccagate/targets.go
@@ -1,6 +1,7 @@
 package yuccagate
 
 import (
+	"maps"
 	mathrand "math/rand/v2"
 	"slices"
 	"time"
@@ -23,6 +24,9 @@
 	// reader is chosen in the same way as the leader of a pool. The role can't collide with a pool,
 	// since names of pools have no spaces.
 	readerRole = yuccaid.Pool("reader of the platform")
+	// maxPlatformReports is the number of reports from which those that are no longer fresh are
+	// deleted.
+	maxPlatformReports = 64
 	// anyPeerPullInterval is the shortest time between two requests to a peer for targets while the
 	// platform can't be read.
 	anyPeerPullInterval = 400 * time.Millisecond
@@ -31,22 +35,27 @@
 	startupReadTime = 700 * time.Millisecond
 )
 
-// platformReport is a peer's report on what it has read from the platform: revision is how far the
-// peer has read, and age is how long before the report the platform last responded to the peer.
+// platformReport is the report of a daemon that reads the platform, itself in any data centre: age is
+// how long before the report the platform last responded to the daemon.
 type platformReport struct {
-	revision   yuccaroster.Revision
+	reader     yuccaroster.Reader
 	age        time.Duration
 	receivedAt time.Time
 }
 
+// fresh reports whether the platform has responded to the daemon within yuccaroster.StaleAfter.
+func (report platformReport) fresh(now time.Time) bool {
+	return now.Sub(report.receivedAt)+report.age < yuccaroster.StaleAfter
+}
+
 // OfferTargets takes registrations of targets, and removals of registrations, that this daemon has
 // read from the platform. The parameter at is the platform's revision up to which they were read.
 // If whole is set, entries are all registered targets. If sure is not set, removals are tentative.
 //
-// A daemon that reads the platform for its data centre forwards changes to the other daemons there,
-// which then need not read the platform. Whole lists are not forwarded, because a hundred daemons
-// that start together would each send a thousand targets to all others. A daemon that lacks targets
-// requests them once this daemon reports a higher revision.
+// A daemon that reads the platform forwards changes to all other daemons, which then need not read
+// the platform. Whole lists are not forwarded, because a hundred daemons that start together would
+// each send a thousand targets to all others. A daemon that lacks targets requests them once this
+// daemon reports a higher revision.
 func (gate *Gate) OfferTargets(entries []yuccaroster.Entry, removals []yuccaroster.Removal, whole bool, at yuccaroster.Revision, sure bool) {
 	message := yuccawire.Targets{Entries: entries, Removals: removals, Whole: whole, At: at, Sure: sure}
 	gate.control.Post(func(now time.Time) {
@@ -54,6 +63,7 @@
 		gate.onTargets(now, message)
 		if !whole && gate.settled && !gate.skipsPlatformReads.Load() {
 			gate.sendLocal(yuccawire.KindTargets, message)
+			gate.castRemote(yuccawire.Cast{Topic: yuccawire.TopicTargets, Targets: &message})
 		}
 	})
 }
@@ -93,16 +103,19 @@
 // centre's other daemons when the platform last responded.
 //
 // Calls to the platform count against a rate limit of the whole fleet, and each is paid for, so one
-// daemon of a data centre, the reader, reads for all. If the reader's process ends or hangs, or the
-// reader loses its connection to the platform, its last report grows old. Then the daemons that are
-// next in the order in which readers are chosen read the platform as well, and the more of them the
-// older the last report is (see yuccaroster.Readers). If all daemons did so at once, an outage of the
-// platform would cause hundreds of failing calls a second.
+// daemon, the reader, reads for all data centres. If the reader's process ends or hangs, or the reader
+// loses its connection to the platform, its last report grows old. The same happens in a data centre
+// that is cut off from the reader's. Then the daemons that are next in the order in which readers are
+// chosen read the platform as well, and the more of them the older the last report is (see
+// yuccaroster.Readers). If all daemons did so at once, an outage of the platform would cause hundreds
+// of failing calls a second.
 func (gate *Gate) tickReader(now time.Time) {
 	reads := gate.readsPlatform(now)
 	if reads && gate.settled && gate.platformFresh(now) && now.Sub(gate.platformReportedAt) >= platformReportInterval {
 		gate.platformReportedAt = now
-		gate.sendLocal(yuccawire.KindFresh, yuccawire.Fresh{AgeMillis: now.Sub(gate.platformRespondedAt).Milliseconds(), At: gate.readRevision})
+		report := yuccawire.Fresh{AgeMillis: now.Sub(gate.platformRespondedAt).Milliseconds(), At: gate.readRevision}
+		gate.sendLocal(yuccawire.KindFresh, report)
+		gate.castRemote(yuccawire.Cast{Topic: yuccawire.TopicFresh, VM: gate.settings.VM, Fresh: &report})
 	}
 	gate.pullFromAnyPeer(now)
 	if reads == gate.skipsPlatformReads.Load() {
@@ -120,10 +133,10 @@
 	switch {
 	case !settled:
 		return !gate.settings.FirstStart && !respondedOnce
-	case rank == 0:
-		return true
 	case gate.hasPreferredReader(now):
 		return false
+	case rank == 0:
+		return true
 	case gate.platformFresh(now) && !gate.skipsPlatformReads.Load():
 		return true
 	}
@@ -139,31 +152,47 @@
 	return !gate.platformRespondedAt.IsZero() && now.Sub(gate.platformRespondedAt) < yuccaroster.StaleAfter
 }
 
-// hasPreferredReader reports whether a peer that is preferred to this daemon as the reader has read
+// hasPreferredReader reports whether a daemon that is preferred to this one as the reader has read
 // the platform within yuccaroster.StaleAfter.
 func (gate *Gate) hasPreferredReader(now time.Time) bool {
-	for peer, report := range gate.platformReports {
-		if now.Sub(report.receivedAt)+report.age < yuccaroster.StaleAfter && gate.peers.Precedes(readerRole, peer.VM, gate.settings.VM) {
+	self := yuccaroster.Reader{Centre: gate.settings.Centre, VM: gate.settings.VM}
+	for _, report := range gate.platformReports {
+		if report.fresh(now) && report.reader.Precedes(self) {
 			return true
 		}
 	}
 	return false
 }
 
-// hasFreshReport reports whether a peer has read the platform within yuccaroster.StaleAfter.
+// hasFreshReport reports whether another daemon has read the platform within yuccaroster.StaleAfter.
 func (gate *Gate) hasFreshReport(now time.Time) bool {
 	for _, report := range gate.platformReports {
-		if now.Sub(report.receivedAt)+report.age < yuccaroster.StaleAfter {
+		if report.fresh(now) {
 			return true
 		}
 	}
 	return false
 }
 
-// onFresh handles a peer's report on what it has read from the platform, and requests the targets
-// if the peer has read up to a higher revision.
+// onFresh handles the report of a reader of this data centre.
 func (gate *Gate) onFresh(now time.Time, from yuccaid.Incarnation, message yuccawire.Fresh) {
-	gate.platformReports[from] = platformReport{revision: message.At, age: time.Duration(message.AgeMillis) * time.Millisecond, receivedAt: now}
+	gate.recordReport(now, from, yuccaroster.Reader{Centre: gate.settings.Centre, VM: from.VM}, message)
+}
+
+// onRemoteFresh handles the report of a reader of another data centre, which a peer has forwarded.
+func (gate *Gate) onRemoteFresh(now time.Time, from yuccaid.Incarnation, message yuccawire.Cast) {
+	if message.Fresh != nil {
+		gate.recordReport(now, from, yuccaroster.Reader{Centre: message.Centre, VM: message.VM}, *message.Fresh)
+	}
+}
+
+// recordReport records a reader's report, and requests the targets from the peer that has sent or
+// forwarded the report if the reader has read up to a higher revision.
+func (gate *Gate) recordReport(now time.Time, from yuccaid.Incarnation, reader yuccaroster.Reader, message yuccawire.Fresh) {
+	if len(gate.platformReports) >= maxPlatformReports {
+		maps.DeleteFunc(gate.platformReports, func(_ yuccaroster.Reader, report platformReport) bool { return !report.fresh(now) })
+	}
+	gate.platformReports[reader] = platformReport{reader: reader, age: time.Duration(message.AgeMillis) * time.Millisecond, receivedAt: now}
 	if message.At > gate.platformRevision && now.Sub(gate.targetsPulledAt) > pullInterval {
 		gate.pullTargets(now, from)
 	}
--- a/io/yuccawire/gate.go
+++ b/io/yuccawire/gate.go
@@ -64,6 +64,10 @@
 	TopicUse Topic = iota + 1
 	// TopicLoad tells how many runs the leader of a pool has on each target.
 	TopicLoad
+	// TopicFresh tells how old a daemon's news of the platform is.
+	TopicFresh
+	// TopicTargets carries changes of targets that a daemon has read from the platform.
+	TopicTargets
 )
 
 // Cast is a message from one daemon to all daemons of the other data centres. Those that
@@ -83,6 +87,19 @@
 	Part bool
 	// Daemons is how many daemons the origin's data centre has.
 	Daemons int
+	// Held are parts of prompts that targets have begun to hold.
+	Held []HeldPart
+	// VM is the origin's VM, and Fresh its news of the platform, in casts on TopicFresh.
+	VM    yuccaid.VM
+	Fresh *Fresh
+	// Targets are changes of targets, in casts on TopicTargets.
+	Targets *Targets
+}
+
+// HeldPart is a part of prompts that a target holds.
+type HeldPart struct {
+	Target yuccaid.Target
+	Part   PromptPart
 }
 
 // TargetLoad is how many runs a data centre has on one target, and how many hundredths of
@@ -107,6 +124,14 @@
 	UntilMillis int64
 	GapMillis   int64
 	Tried       []yuccaid.Target
+	// Parts are the parts of the prompt that other requests may share, in the order of the prompt.
+	Parts []PromptPart
+}
+
+// PromptPart is a part of a prompt: the hash of the part and all parts before it, and its size.
+type PromptPart struct {
+	Hash   uint32
+	Tokens int64
 }
 
 // Withdrawn takes an ask back.
@@ -130,6 +155,8 @@
 	// runs the target has.
 	ExpectMillis int64
 	Busy         int
+	// Held is how many tokens of the prompt the target is assumed to hold.
+	Held yuccaid.Tokens
 }
 
 // Begun tells a leader that a run's first event came.
