A prompt goes where few tokens have to be read first

Cause: the time to the first event was modelled by the prompt's own length. An engine reads one prompt after the other, so that time also holds the prompts of runs that were sent there and haven't begun. Under load the model took their time for a longer base and a flat slope, and a target with two unread prompts cost as much as one with as many runs that were all generating.

Change: a target's pending prefill (tokens of runs without a first event, less what it has read since) is part of the estimate, and the model learns from own and pending tokens together.

--- a/core/yuccagrant/choose.go
+++ b/core/yuccagrant/choose.go
@@ -20,16 +20,18 @@
 type baseline struct {
 	// expectedTimeToFirst is the time to the first event. The other fields are in seconds:
 	// expectedHold is how long a run occupies its slot, gap the time between two events, and
-	// prefill the time to read the prompt.
-	expectedTimeToFirst        time.Duration
-	expectedHold, gap, prefill float64
+	// perToken the time to read one token of the prompt. slope is that time for a request whose
+	// announced length is reliable.
+	expectedTimeToFirst         time.Duration
+	expectedHold, gap, perToken float64
+	slope                       float64
 }
 
 func (lead *Leader) baseline(req *Request) baseline {
 	_, slope := lead.latencyModel.fitLine()
 	return baseline{
 		expectedTimeToFirst: seconds(lead.expectedTimeToFirst(req)), expectedHold: lead.latencyModel.expectedHold(), gap: lead.latencyModel.gap(),
-		prefill: slope * float64(req.Prompt),
+		slope: slope, perToken: slope * lead.lengthModel.timeToFirstRatio(req.Class),
 	}
 }
 
@@ -98,7 +100,7 @@
 // estimate returns the estimates for a request on one target. If all slots of the target are
 // occupied, the time to the first event includes the wait for a slot to become free.
 func (lead *Leader) estimate(now time.Time, tgt *targetState, req *Request, base *baseline) choice {
-	firstWithoutWait := time.Duration(tgt.pace * float64(base.expectedTimeToFirst))
+	firstWithoutWait := time.Duration(tgt.pace * float64(base.expectedTimeToFirst+seconds(base.perToken*float64(tgt.pendingPrefill(now, base.slope)))))
 	busySlots := tgt.busySlots(now)
 	slots := float64(max(tgt.Slots, 1))
 	crowding := crowdingShare * float64(busySlots) / slots
@@ -122,7 +124,7 @@
 	if req.MaxGap <= 0 {
 		return false
 	}
-	prefill := seconds(tgt.pace * base.prefill)
+	prefill := seconds(tgt.pace * base.perToken * float64(req.Prompt))
 	return seconds(tgt.pace*base.gap) > req.MaxGap/2 || tgt.pace > slowPace && prefill > req.MaxGap
 }
 
--- a/core/yuccagrant/learn.go
+++ b/core/yuccagrant/learn.go
@@ -5,16 +5,17 @@
 	"time"
 )
 
-// learnTimeToFirst includes the time to a run's first event in the pool's latency model, and in the
-// target's pace if the answer has a single event. The latency model leaves out the times of answers
+// learnTimeToFirst includes the time to a run's first event in the pool's latency model, as the time
+// for the tokens that the target had to read for this run and before it, and in the target's pace if
+// the answer has a single event. The latency model leaves out the times of answers
 // of several events whose class announces wrong prompt lengths. The pace isn't learned until the
 // latency model includes two times, because the first time only defines the model.
 func (lead *Leader) learnTimeToFirst(run *activeRun, took time.Duration) {
 	targetTime := max(took-run.targetState.RoundTrip, time.Millisecond).Seconds()
-	expected := max(lead.latencyModel.expectedTimeToFirst(run.request.Prompt), time.Millisecond).Seconds()
+	expected := max(lead.latencyModel.expectedTimeToFirst(run.request.Prompt+run.ahead), time.Millisecond).Seconds()
 	promptReliable := run.request.MaxGap == 0 || lead.lengthModel.learnTimeToFirst(run.request.Class, targetTime/run.targetState.pace/expected)
 	if promptReliable {
-		lead.latencyModel.learnTimeToFirst(run.request.Prompt, targetTime/run.targetState.pace)
+		lead.latencyModel.learnTimeToFirst(run.request.Prompt+run.ahead, targetTime/run.targetState.pace)
 	}
 	if lead.latencyModel.firstSamples > 1 && run.request.MaxGap == 0 {
 		run.targetState.learnPace(targetTime/expected, singlePaceWeight)
--- a/core/yuccagrant/node.go
+++ b/core/yuccagrant/node.go
@@ -52,6 +52,8 @@
 	sent        time.Time
 	started     bool
 	dueAfter    time.Duration
+	// ahead is how many tokens of the prompts of other runs the target had to read first.
+	ahead yuccaid.Tokens
 }
 
 func newTargetState(target Target, bias float64) *targetState {
@@ -81,6 +83,28 @@
 	return sum
 }
 
+// pendingPrefill returns how many tokens the target still has to read of the prompts of runs that have
+// not begun. An engine reads one prompt after the other, so the first event of a further run comes
+// only after these have been read. slope is the time to read a token on the fastest target, in
+// seconds.
+func (tgt *targetState) pendingPrefill(now time.Time, slope float64) yuccaid.Tokens {
+	sum, earliest := yuccaid.Tokens(0), now
+	for _, run := range tgt.runs {
+		if run.started {
+			continue
+		}
+		sum += run.request.Prompt
+		if run.sent.Before(earliest) {
+			earliest = run.sent
+		}
+	}
+	if sum == 0 || slope <= 0 {
+		return 0
+	}
+	readSince := now.Sub(earliest).Seconds() / (slope * tgt.pace)
+	return yuccaid.Tokens(max(float64(sum)-readSince, 0))
+}
+
 func (tgt *targetState) freeSlots(now time.Time) int {
 	return max(tgt.Slots-tgt.busySlots(now), 0)
 }
--- a/core/yuccagrant/serve.go
+++ b/core/yuccagrant/serve.go
@@ -121,6 +121,7 @@
 func (lead *Leader) addRun(now time.Time, tgt *targetState, request Request) *activeRun {
 	base := lead.baseline(&request)
 	run := &activeRun{request: request, targetState: tgt, sent: now, dueAfter: lead.estimate(now, tgt, &request, &base).expectedTimeToFirst}
+	run.ahead = tgt.pendingPrefill(now, base.slope)
 	lead.runs[request.ID] = run
 	tgt.runs[request.ID] = run
 	return run
