Specs: quotas led by daemons of each data centre, after a loss of history and in a burst

All daemons are killed under three and a half to five times the quota, and a burst of fifteen times what is tolerated reaches all leaders before any report: the bound holds as it did for daemons that decide alone.

--- a/core/yuccaquota/leader_test.go
+++ b/core/yuccaquota/leader_test.go
@@ -36,6 +36,8 @@
 	centres []*dataCentre
 	// aloneShare is the share of the requests that a daemon admits without the account's leader.
 	aloneShare float64
+	// disconnected reports whether no reports are exchanged.
+	disconnected bool
 	// lastLocal and lastCast are when the daemons last reported within their data centre and to the
 	// other data centres.
 	lastLocal, lastCast time.Time
@@ -81,6 +83,9 @@
 // tick advances the clock by one step and exchanges the reports that are due.
 func (cf *centreFleet) tick() {
 	cf.now = cf.now.Add(step)
+	if cf.disconnected {
+		return
+	}
 	if cf.now.Sub(cf.lastLocal) >= localReportInterval {
 		cf.lastLocal = cf.now
 		for _, dc := range cf.centres {
@@ -132,6 +137,45 @@
 	return dc.ledgers[dc.leader].AdmitAsLeader(cf.now, "rally", cost, rank)
 }
 
+// kill restarts all daemons without usage history. For 450 ms they receive no reports and know no
+// leaders.
+func (cf *centreFleet) kill(ld *load, rate, burst float64, tolerance yuccaquota.Tolerance) {
+	total := 0
+	for _, dc := range cf.centres {
+		total += len(dc.ledgers)
+		for index := range dc.ledgers {
+			led := ledger(cf.now, tolerance)
+			led.Configure(cf.now, accounts(rate, burst))
+			led.SetFleet(cf.now, yuccaquota.Fleet{Share: 0.15, Daemons: total, Leaders: len(cf.centres), ReportDelay: centreReportDelay})
+			led.MarkWithoutHistory(cf.now)
+			dc.ledgers[index] = led
+		}
+	}
+	cf.aloneShare, cf.disconnected = 1, true
+	ld.run(450*time.Millisecond, nil)
+	cf.aloneShare, cf.disconnected = 0, false
+	for _, dc := range cf.centres {
+		for index, led := range dc.ledgers {
+			led.SetFleet(cf.now, yuccaquota.Fleet{Share: 1, Daemons: total, Leaders: len(cf.centres), ReportDelay: centreReportDelay})
+			for other, peer := range dc.ledgers {
+				if other != index {
+					led.PeerConnected(cf.now, dc.daemon(other), peer.LifetimeUsage(), peer.DaemonTotals(cf.now))
+				}
+			}
+		}
+	}
+	for _, dc := range cf.centres {
+		totals := dc.ledgers[0].CentreTotals(cf.now)
+		for _, other := range cf.centres {
+			if other != dc {
+				for _, led := range other.ledgers {
+					led.ApplyRemoteTotals(cf.now, dc.name, totals)
+				}
+			}
+		}
+	}
+}
+
 // load generates an account's requests to a fleet of several data centres.
 type load struct {
 	cf         *centreFleet
@@ -227,6 +271,44 @@
 		}
 	})
 
+	// An account demands three and a half times its quota, then five times, and all daemons are killed.
+	// If the account's window started empty, the account would use its quota a second time.
+	DescribeTable("is enforced when all daemons restart without usage history",
+		func(first, second float64) {
+			const rate = 100_000.0
+			for seed := range uint64(5) {
+				cf := newCentreFleet(6, 120, rate, 2*rate, tolerance)
+				ld := &load{cf: cf, rng: rand.New(rand.NewPCG(seed, 1)), demandRate: first * rate, mean: 3700}
+				ld.run(8*time.Second, nil)
+				ld.demandRate = second * rate
+				ld.run(4*time.Second, nil)
+				cf.kill(ld, rate, 2*rate, tolerance)
+				ld.run(10*time.Second, nil)
+				Expect(cf.maxUsage()).To(BeNumerically("<=", toleratedFor(rate, 2*rate)), "seed %d", seed)
+			}
+		},
+		Entry("while the demand increases", 3.5, 5.0),
+		Entry("while the demand stays the same", 4.0, 4.0),
+	)
+
+	// Within a fifth of a second, before any leader has received a report of another one, an account
+	// demands three times what is tolerated in a window.
+	DescribeTable("is enforced in a burst that reaches all leaders at once",
+		func(centres, daemons int, rate float64) {
+			for seed := range uint64(10) {
+				cf := newCentreFleet(centres, daemons, rate, 2*rate, tolerance)
+				ld := &load{cf: cf, rng: rand.New(rand.NewPCG(seed, 1)), demandRate: 15 * toleratedFor(rate, 2*rate), mean: 3700}
+				ld.run(200*time.Millisecond, nil)
+				ld.demandRate = 2 * rate
+				ld.run(6*time.Second, nil)
+				Expect(cf.maxUsage()).To(BeNumerically("<=", toleratedFor(rate, 2*rate)), "seed %d", seed)
+			}
+		},
+		Entry("of a large fleet, on a small account", 6, 295, 47_000.0),
+		Entry("of a large fleet, on a large account", 6, 295, 400_000.0),
+		Entry("of fourteen data centres", 14, 400, 47_000.0),
+	)
+
 	// An operator lowers the quota to a third while the account uses all of it. One window later no
 	// more than the lower quota may be in use.
 	It("is enforced when it is lowered", func() {
