Requests go where parts of their prompts are held, or have them fetched from there

Cause: on the large fleet a prompt has 3,000 tokens of its own and up to 13,000 that other requests share.

The estimate of the time to the first event counts unread tokens only. Other data centres' leaders learn of new parts with the load casts. - A target that lacks parts fetches them from the one that holds most of them, if that takes at most half of the time to read them.

--- a/core/yuccagrant/ask.go
+++ b/core/yuccagrant/ask.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"yuccacleat/core/yuccacache"
 	"yuccacleat/core/yuccaid"
 )
 
@@ -34,6 +35,10 @@
 	// its answer, zero if it announces none.
 	Prompt yuccaid.Tokens
 	Answer yuccaid.Tokens
+	// Parts are the parts of the prompt that other requests may share, in the order of the prompt,
+	// with their sizes in tokens. A target that holds a part doesn't read it again. Parts is empty if
+	// the request names none.
+	Parts []yuccacache.Part
 	// The first event is on time if it comes no later than SoftDeadline. The caller stops waiting
 	// for the first event at Deadline.
 	SoftDeadline time.Time
@@ -59,10 +64,15 @@
 type Grant struct {
 	ID     ID
 	Target yuccaid.Target
-	// ExpectedTimeToFirst is the expected time from sending to the first event, and Busy the number
-	// of slots that were occupied on the target before the grant; both are logged.
+	// FetchFrom is the target from whose cache the target fetches parts of the prompt, empty if it
+	// fetches none.
+	FetchFrom yuccaid.Target
+	// ExpectedTimeToFirst is the expected time from sending to the first event, Busy the number of
+	// slots that were occupied on the target before the grant, and Held how many tokens of the prompt
+	// the target is assumed to hold. All three are logged.
 	ExpectedTimeToFirst time.Duration
 	Busy                int
+	Held                yuccaid.Tokens
 }
 
 // Reason is why a request is refused.
@@ -167,6 +177,10 @@
 type Target struct {
 	Name  yuccaid.Target
 	Slots int
+	// CacheTokens is the size of the target's prefix cache, zero if it has none. FetchRate is how many
+	// tokens a second the target can fetch from the cache of another target, zero if it can't.
+	CacheTokens yuccaid.Tokens
+	FetchRate   float64
 	// StartMillis is when the target's process started, in Unix milliseconds. A different value
 	// means that the target was restarted.
 	StartMillis int64
--- a/core/yuccagrant/centres_test.go
+++ b/core/yuccagrant/centres_test.go
@@ -24,6 +24,7 @@
 type cast struct {
 	from     *yuccagrant.Leader
 	loads    map[yuccaid.Target]yuccagrant.TargetLoad
+	parts    []yuccagrant.HeldPart
 	arriveAt time.Time
 }
 
@@ -60,7 +61,7 @@
 			for target, load := range lead.Loads() {
 				loads[target] = load
 			}
-			sim.inFlight = append(sim.inFlight, cast{from: lead, loads: loads, arriveAt: sim.now.Add(simCastDelay)})
+			sim.inFlight = append(sim.inFlight, cast{from: lead, loads: loads, parts: lead.TakeNewParts(16), arriveAt: sim.now.Add(simCastDelay)})
 		}
 	}
 	if len(sim.inFlight) > 0 && !sim.now.Before(sim.inFlight[0].arriveAt) {
@@ -72,6 +73,11 @@
 // deliverCasts sets, for each leader, the sums of the loads that the others have cast.
 func (sim *simulation) deliverCasts(casts []cast) {
 	for _, lead := range sim.leaders {
+		for _, each := range casts {
+			if each.from != lead {
+				lead.AddHeldParts(each.parts)
+			}
+		}
 		totals := make(map[yuccaid.Target]yuccagrant.TargetLoad)
 		for _, eng := range sim.engines {
 			var sum yuccagrant.TargetLoad
--- a/core/yuccagrant/choose.go
+++ b/core/yuccagrant/choose.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"yuccacleat/core/yuccaid"
 )
 
 // choice is a target considered for a request, with the estimates for that request on that target.
@@ -13,6 +15,8 @@
 	expectedTimeToFirst time.Duration
 	cost                time.Duration
 	suitable            bool
+	// available is what the target need not read of the prompt.
+	available available
 }
 
 // baseline holds the estimates for a request that do not depend on the target, as times on an
@@ -25,12 +29,18 @@
 	expectedTimeToFirst         time.Duration
 	expectedHold, gap, perToken float64
 	slope                       float64
+	// holder is the target from which others can fetch parts of the prompt, nil if there is none.
+	holder *targetState
 }
 
-func (lead *Leader) baseline(req *Request) baseline {
+// baseline returns the estimates for a request. It also finds out which targets hold parts of the
+// request's prompt, for the calls of estimate that follow.
+func (lead *Leader) baseline(now time.Time, req *Request) baseline {
+	holder := lead.findHeldParts(now, req)
 	_, slope := lead.latencyModel.fitLine()
 	return baseline{
-		expectedTimeToFirst: seconds(lead.expectedTimeToFirst(req)), expectedHold: lead.latencyModel.expectedHold(), gap: lead.latencyModel.gap(),
+		holder:              holder,
+		expectedTimeToFirst: seconds(lead.expectedTimeToFirst(req, 0)), expectedHold: lead.latencyModel.expectedHold(), gap: lead.latencyModel.gap(),
 		slope: slope, perToken: slope * lead.lengthModel.timeToFirstRatio(req.Class),
 	}
 }
@@ -72,8 +82,9 @@
 // in its answers, and for billed traffic to another region.
 func (lead *Leader) chooseTarget(now time.Time, req *Request) choice {
 	best := choice{cost: math.MaxInt64}
-	base := lead.baseline(req)
-	minRemoteCost := time.Duration(lead.remoteBound.minPace*float64(base.expectedTimeToFirst)) + lead.remoteBound.minRoundTrip + remoteCost
+	base := lead.baseline(now, req)
+	minFirst := max(base.expectedTimeToFirst-seconds(base.perToken*float64(lead.longestHeld(req))), 0)
+	minRemoteCost := time.Duration(lead.remoteBound.minPace*float64(minFirst)) + lead.remoteBound.minRoundTrip + remoteCost
 	for at, tgt := range lead.targets {
 		if at >= lead.remoteBound.localCount && best.suitable && best.cost <= minRemoteCost {
 			return best
@@ -100,19 +111,20 @@
 // estimate returns the estimates for a request on one target. If all slots of the target are
 // occupied, the time to the first event includes the wait for a slot to become free.
 func (lead *Leader) estimate(now time.Time, tgt *targetState, req *Request, base *baseline) choice {
-	firstWithoutWait := time.Duration(tgt.pace * float64(base.expectedTimeToFirst+seconds(base.perToken*float64(tgt.pendingPrefill(now, base.slope)))))
+	avail := lead.available(tgt, req, base)
+	firstWithoutWait := avail.fetchTime + time.Duration(tgt.pace*float64(base.expectedTimeToFirst+seconds(base.perToken*float64(tgt.pendingPrefill(now, base.slope)-avail.tokens))))
 	busySlots := tgt.busySlots(now)
 	slots := float64(max(tgt.Slots, 1))
 	crowding := crowdingShare * float64(busySlots) / slots
 	wait := seconds(float64(max(busySlots-tgt.Slots+1, 0)) * base.expectedHold * tgt.pace / slots)
-	candidate := choice{targetState: tgt, expectedTimeToFirst: wait + firstWithoutWait + tgt.RoundTrip}
+	candidate := choice{targetState: tgt, available: avail, expectedTimeToFirst: wait + firstWithoutWait + tgt.RoundTrip}
 	candidate.cost = candidate.expectedTimeToFirst + time.Duration((crowding+tgt.bias)*float64(firstWithoutWait)) +
-		time.Duration(tgt.lateFraction*float64(lateGapCost)) + time.Duration(tgt.failureRate*float64(failureCost))
+		time.Duration(tgt.lateFraction*float64(lateGapCost)) + time.Duration(tgt.failureRate*float64(failureCost)) + avail.fetchCost
 	if tgt.Remote {
 		candidate.cost += remoteCost
 	}
 	remaining := req.SoftDeadline.Sub(now)
-	candidate.suitable = candidate.expectedTimeToFirst <= time.Duration(softDeadlineShare*float64(remaining)) && !exceedsMaxGap(tgt, req, base)
+	candidate.suitable = candidate.expectedTimeToFirst <= time.Duration(softDeadlineShare*float64(remaining)) && !exceedsMaxGap(tgt, req, avail.tokens, base)
 	return candidate
 }
 
@@ -120,11 +132,11 @@
 // of the request's MaxGap, or whether reading the prompt would delay the other answers on the
 // target too much. An engine reads a long prompt in chunks between the tokens of its other answers;
 // on a slow target each chunk takes several times as long as a gap may last.
-func exceedsMaxGap(tgt *targetState, req *Request, base *baseline) bool {
+func exceedsMaxGap(tgt *targetState, req *Request, available yuccaid.Tokens, base *baseline) bool {
 	if req.MaxGap <= 0 {
 		return false
 	}
-	prefill := seconds(tgt.pace * base.perToken * float64(req.Prompt))
+	prefill := seconds(tgt.pace * base.perToken * float64(req.Prompt-available))
 	return seconds(tgt.pace*base.gap) > req.MaxGap/2 || tgt.pace > slowPace && prefill > req.MaxGap
 }
 
--- a/core/yuccagrant/engine_test.go
+++ b/core/yuccagrant/engine_test.go
@@ -1,8 +1,10 @@
 package yuccagrant_test
 
 import (
+	"slices"
 	"time"
 
+	"yuccacleat/core/yuccacache"
 	"yuccacleat/core/yuccagrant"
 	"yuccacleat/core/yuccaid"
 )
@@ -23,15 +25,24 @@
 	// run is preempted. The engine reads the prompt of a preempted run again later.
 	memory yuccaid.Tokens
 
+	// fetchRate is how many tokens a second the engine can fetch from another engine's cache.
+	fetchRate float64
+	// ignoresFetches is set for an engine that reads what it should fetch.
+	ignoresFetches bool
+
 	// simulatedUntil is the time up to which the engine has been simulated.
 	simulatedUntil time.Time
+	// cache holds the parts of prompts that the engine keeps. readTokens counts the prompt tokens
+	// that the engine had to read, and keptTokens those that it had kept.
+	cache                  yuccacache.Model
+	readTokens, keptTokens yuccaid.Tokens
 }
 
 // fastBatching returns the parameters of an engine of pace 1.
 func fastBatching() *batching {
 	return &batching{
 		step: 2600 * time.Microsecond, perRun: 120 * time.Microsecond, prefillPerToken: 20 * time.Microsecond,
-		chunk: 2048, eventTokens: 6, memory: 475_969,
+		chunk: 2048, eventTokens: 6, memory: 475_969, cache: yuccacache.New(475_969, 0),
 	}
 }
 
@@ -71,6 +82,34 @@
 	eng.batching.simulatedUntil = sim.now
 }
 
+// keeps returns how many tokens from the start of a prompt the engine keeps.
+func (batch *batching) keeps(parts []yuccacache.Part) yuccaid.Tokens {
+	kept := yuccaid.Tokens(0)
+	for _, part := range parts {
+		if !batch.cache.Holds(part.Hash) {
+			break
+		}
+		kept += yuccaid.Tokens(part.Size)
+	}
+	return kept
+}
+
+// readPrompt returns how many tokens of a job's prompt the engine has to read, and records that it
+// keeps the prompt's parts.
+func (batch *batching) readPrompt(jb *job) yuccaid.Tokens {
+	kept := batch.keeps(jb.parts)
+	if jb.fetchFrom != nil && !batch.ignoresFetches {
+		kept = max(kept, jb.fetchFrom.batching.keeps(jb.parts))
+	}
+	for _, part := range slices.Backward(jb.parts) {
+		batch.cache.Touch(part.Hash, part.Size, func(uint64) {})
+	}
+	kept = min(kept, jb.prompt)
+	batch.keptTokens += kept
+	batch.readTokens += jb.prompt - kept
+	return jb.prompt - kept
+}
+
 // stepDuration returns how long the next step takes.
 func (eng *engine) stepDuration() time.Duration {
 	batch := eng.batching
@@ -162,7 +201,7 @@
 		eng.queue = eng.queue[1:]
 		if jb.starts.IsZero() {
 			jb.starts = eng.batching.simulatedUntil
-			jb.state.unreadPrompt = jb.prompt
+			jb.state.unreadPrompt = eng.batching.readPrompt(jb)
 		}
 		eng.runs = append(eng.runs, jb)
 	}
--- a/core/yuccagrant/leader.go
+++ b/core/yuccagrant/leader.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"yuccacleat/core/yuccacache"
 	"yuccacleat/core/yuccaid"
 )
 
@@ -27,6 +28,14 @@
 	latencyModel latencyModel
 	lengthModel  lengthModel
 	sizeStats    sizeStats
+	// parts finds the targets that hold the parts of a prompt. generation counts the requests for
+	// which that was looked up.
+	parts      yuccacache.Index[*targetState]
+	generation uint64
+	fetches    fetches
+	// newParts are the parts that targets have begun to hold and that haven't been reported to other
+	// leaders.
+	newParts []HeldPart
 	// withoutTargetsSince is the time since which there has been no target. It is zero while
 	// there are targets.
 	withoutTargetsSince time.Time
@@ -34,7 +43,7 @@
 
 // New returns a leader without targets. SetTargets sets them.
 func New(rng *rand.Rand) *Leader {
-	return &Leader{rng: rng, leaderCount: 1, runs: make(map[ID]*activeRun), queue: newQueue(), lengthModel: newLengthModel(), sizeStats: newSizeStats()}
+	return &Leader{rng: rng, leaderCount: 1, runs: make(map[ID]*activeRun), queue: newQueue(), lengthModel: newLengthModel(), sizeStats: newSizeStats(), parts: yuccacache.NewIndex[*targetState](), fetches: fetches{success: 1}}
 }
 
 // SetTargets sets the targets. What was learned of a target is kept until its process is
@@ -50,12 +59,21 @@
 			tgt = newTargetState(target, biasShare*lead.rng.Float64())
 			tgt.pace = newPace
 		}
+		if tgt.cache.Limit() != int64(target.CacheTokens) {
+			lead.parts.Clear(tgt, &tgt.cache)
+			tgt.cache = yuccacache.New(int64(target.CacheTokens), maxPartsPerTarget(len(configured)))
+		}
 		tgt.Target = target
 		tgt.totalSlots = target.Slots
 		tgt.setLeaderCount(lead.leaderCount)
 		lead.targets = append(lead.targets, tgt)
 		lead.targetsByName[target.Name] = tgt
 	}
+	for name, tgt := range old {
+		if lead.targetsByName[name] != tgt {
+			lead.parts.Clear(tgt, &tgt.cache)
+		}
+	}
 	slices.SortFunc(lead.targets, func(a, b *targetState) int { return cmp.Or(compareRemote(a, b), cmp.Compare(a.Name, b.Name)) })
 	lead.remoteBound.configure(lead.targets)
 	lead.pacesChanged = true
--- a/core/yuccagrant/learn.go
+++ b/core/yuccagrant/learn.go
@@ -7,15 +7,20 @@
 
 // learnTimeToFirst includes the time to a run's first event in the pool's latency model, as the time
 // for the tokens that the target had to read for this run and before it, and in the target's pace if
-// the answer has a single event. The latency model leaves out the times of answers
-// of several events whose class announces wrong prompt lengths. The pace isn't learned until the
-// latency model includes two times, because the first time only defines the model.
+// the answer has a single event. The latency model leaves out the times of answers of several events
+// whose class announces wrong prompt lengths, and of runs whose fetch may have saved nothing. The pace
+// isn't learned until the latency model includes two times, because the first time only defines the
+// model.
 func (lead *Leader) learnTimeToFirst(run *activeRun, took time.Duration) {
 	targetTime := max(took-run.targetState.RoundTrip, time.Millisecond).Seconds()
-	expected := max(lead.latencyModel.expectedTimeToFirst(run.request.Prompt+run.ahead), time.Millisecond).Seconds()
+	if run.fetchFrom != "" {
+		lead.learnFetch(run, targetTime)
+		targetTime = max(targetTime-run.fetchTime.Seconds(), time.Millisecond.Seconds())
+	}
+	expected := max(lead.latencyModel.expectedTimeToFirst(run.unread+run.ahead), time.Millisecond).Seconds()
 	promptReliable := run.request.MaxGap == 0 || lead.lengthModel.learnTimeToFirst(run.request.Class, targetTime/run.targetState.pace/expected)
-	if promptReliable {
-		lead.latencyModel.learnTimeToFirst(run.request.Prompt+run.ahead, targetTime/run.targetState.pace)
+	if promptReliable && (run.fetchFrom == "" || lead.fetches.reliable()) {
+		lead.latencyModel.learnTimeToFirst(run.unread+run.ahead, targetTime/run.targetState.pace)
 	}
 	if lead.latencyModel.firstSamples > 1 && run.request.MaxGap == 0 {
 		run.targetState.learnPace(targetTime/expected, singlePaceWeight)
@@ -23,9 +28,21 @@
 	}
 }
 
+// learnFetch learns from the time to the first event of a run that fetched parts of its prompt.
+func (lead *Leader) learnFetch(run *activeRun, targetTime float64) {
+	withFetch := run.targetState.pace*lead.latencyModel.expectedTimeToFirst(run.unread+run.ahead).Seconds() + run.fetchTime.Seconds()
+	withoutFetch := run.targetState.pace * lead.latencyModel.expectedTimeToFirst(run.request.Prompt-run.held+run.ahead).Seconds()
+	if withoutFetch > withFetch {
+		lead.fetches.learn(targetTime, withFetch, withoutFetch)
+	}
+}
+
 // recordOutcome learns from the outcome of a run.
 func (lead *Leader) recordOutcome(now time.Time, run *activeRun, result Finished) {
 	tgt := run.targetState
+	if result.Outcome != Served && !run.started {
+		lead.forgetParts(run)
+	}
 	switch result.Outcome {
 	case Served:
 		lead.learnServed(now, run, result)
--- a/core/yuccagrant/node.go
+++ b/core/yuccagrant/node.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"yuccacleat/core/yuccacache"
 	"yuccacleat/core/yuccaid"
 )
 
@@ -36,6 +37,12 @@
 	// assumedOtherRuns is the number of runs that the leaders of other data centres are assumed to
 	// have on this target; see Leader.spreadOtherRuns.
 	assumedOtherRuns int
+	// cache is an estimate of the parts of prompts that the target holds. held is how many tokens of
+	// the prompt of one request it holds. held belongs to the request for which the leader's
+	// generation was heldGeneration.
+	cache          yuccacache.Model
+	held           yuccaid.Tokens
+	heldGeneration uint64
 	// bias is a small random number that differs from leader to leader. The target's cost is
 	// increased by bias times the expected time to the first event without a wait for a slot.
 	// Otherwise all leaders that have not learned anything yet would send their first requests to
@@ -52,12 +59,21 @@
 	sent        time.Time
 	started     bool
 	dueAfter    time.Duration
+	// unread is how many tokens of the prompt the target had to read when the request was sent, as
+	// far as was known.
+	unread yuccaid.Tokens
+	// held is how many tokens of the prompt the target held when the request was sent. fetchFrom is the
+	// target from which it fetches more, empty if it fetches none, and fetchTime the expected time to
+	// do so.
+	held      yuccaid.Tokens
+	fetchFrom yuccaid.Target
+	fetchTime time.Duration
 	// ahead is how many tokens of the prompts of other runs the target had to read first.
 	ahead yuccaid.Tokens
 }
 
 func newTargetState(target Target, bias float64) *targetState {
-	return &targetState{Target: target, runs: make(map[ID]*activeRun), pace: 1, bias: bias}
+	return &targetState{Target: target, runs: make(map[ID]*activeRun), pace: 1, bias: bias, cache: yuccacache.New(0, 0)}
 }
 
 // setLeaderCount sets Slots to this leader's share of the slots, rounded up.
@@ -93,7 +109,7 @@
 		if run.started {
 			continue
 		}
-		sum += run.request.Prompt
+		sum += run.unread
 		if run.sent.Before(earliest) {
 			earliest = run.sent
 		}
--- a/core/yuccagrant/refuse.go
+++ b/core/yuccagrant/refuse.go
@@ -20,7 +20,7 @@
 		// Too few runs have finished to estimate waiting times.
 		return !now.Before(entry.Deadline)
 	}
-	untilFirst := lead.estimatedWait(now, lead.queue.workAhead(entry.Tier, entry.sortKey)) + seconds(lead.expectedTimeToFirst(&entry.Request))
+	untilFirst := lead.estimatedWait(now, lead.queue.workAhead(entry.Tier, entry.sortKey)) + seconds(lead.expectedTimeToFirst(&entry.Request, lead.longestHeld(&entry.Request)))
 	if untilFirst <= entry.SoftDeadline.Sub(now)+lateStartSlack {
 		return false
 	}
--- a/core/yuccagrant/serve.go
+++ b/core/yuccagrant/serve.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"yuccacleat/core/yuccaid"
 )
 
 // grantSlots grants slots to waiting requests, the most urgent tier first.
@@ -31,6 +33,7 @@
 // that got no target. A granted request is removed from tier.entries, so the index at then already
 // refers to the next request.
 func (lead *Leader) grantTier(now time.Time, tier *tierQueue, eligible func(*queueEntry) bool, dec *Decisions) {
+	lead.grantHeld(now, tier, eligible, dec)
 	for _, onTime := range []bool{true, false} {
 		missed := 0
 		for at := 0; at < len(tier.entries) && missed < maxMisses; {
@@ -57,19 +60,26 @@
 	if !best.suitable && entry.onTime(now) && lead.worthWaiting(now, &entry.Request) {
 		return false
 	}
+	lead.grant(now, entry, best, dec)
+	return true
+}
+
+// grant assigns a waiting request to a target.
+func (lead *Leader) grant(now time.Time, entry *queueEntry, best choice, dec *Decisions) {
 	lead.queue.remove(entry.ID)
 	lead.sizeStats.learn(entry.effectiveRank(), entry.expectedWork, true)
 	busySlots := best.targetState.busySlots(now)
-	lead.addRun(now, best.targetState, entry.Request)
-	dec.Grants = append(dec.Grants, Grant{ID: entry.ID, Target: best.targetState.Name, ExpectedTimeToFirst: best.expectedTimeToFirst, Busy: busySlots})
-	return true
+	run := lead.addRun(now, best.targetState, entry.Request)
+	dec.Grants = append(dec.Grants, Grant{
+		ID: entry.ID, Target: best.targetState.Name, ExpectedTimeToFirst: best.expectedTimeToFirst, Busy: busySlots, Held: run.held, FetchFrom: run.fetchFrom,
+	})
 }
 
 // worthWaiting reports whether a target that is suitable for the request is likely to have a
 // free slot while the request can still be on time.
 func (lead *Leader) worthWaiting(now time.Time, req *Request) bool {
 	wait := lead.timeToFreeSlot(now)
-	base := lead.baseline(req)
+	base := lead.baseline(now, req)
 	for _, tgt := range lead.targets {
 		if tgt.backingOff(now) || tgt.failedBefore(req) {
 			continue
@@ -102,26 +112,31 @@
 }
 
 // expectedWork returns how long a run is expected to occupy a slot of the fastest target, in
-// seconds.
+// seconds, if it is sent to the target that holds most of its prompt.
 func (lead *Leader) expectedWork(req *Request) float64 {
 	events, known := lead.lengthModel.expectedEvents(req)
 	if req.MaxGap <= 0 || !known {
 		return lead.latencyModel.expectedHold()
 	}
-	return lead.expectedTimeToFirst(req) + lead.latencyModel.gap()*max(events-1, 0)
+	return lead.expectedTimeToFirst(req, lead.longestHeld(req)) + lead.latencyModel.gap()*max(events-1, 0)
 }
 
 // expectedTimeToFirst returns the expected time to the first event on the fastest target, in
-// seconds.
-func (lead *Leader) expectedTimeToFirst(req *Request) float64 {
-	return lead.latencyModel.expectedTimeToFirst(req.Prompt).Seconds() * lead.lengthModel.timeToFirstRatio(req.Class)
+// seconds. The target has to read the prompt without the given number of tokens.
+func (lead *Leader) expectedTimeToFirst(req *Request, held yuccaid.Tokens) float64 {
+	return lead.latencyModel.expectedTimeToFirst(req.Prompt-held).Seconds() * lead.lengthModel.timeToFirstRatio(req.Class)
 }
 
 // addRun counts a request as sent to a target now.
 func (lead *Leader) addRun(now time.Time, tgt *targetState, request Request) *activeRun {
-	base := lead.baseline(&request)
-	run := &activeRun{request: request, targetState: tgt, sent: now, dueAfter: lead.estimate(now, tgt, &request, &base).expectedTimeToFirst}
+	base := lead.baseline(now, &request)
+	estimate := lead.estimate(now, tgt, &request, &base)
+	run := &activeRun{
+		request: request, targetState: tgt, sent: now, dueAfter: estimate.expectedTimeToFirst,
+		unread: request.Prompt - estimate.available.tokens, held: lead.heldTokens(tgt, &request), fetchFrom: estimate.available.from, fetchTime: estimate.available.fetchTime,
+	}
 	run.ahead = tgt.pendingPrefill(now, base.slope)
+	lead.recordParts(tgt, &request)
 	lead.runs[request.ID] = run
 	tgt.runs[request.ID] = run
 	return run
--- a/core/yuccagrant/world_test.go
+++ b/core/yuccagrant/world_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"yuccacleat/core/yuccacache"
 	"yuccacleat/core/yuccagrant"
 	"yuccacleat/core/yuccaid"
 )
@@ -49,6 +50,7 @@
 	events  int
 	// prompt is the actual length of the prompt; req holds the announced length.
 	prompt yuccaid.Tokens
+	parts  []yuccacache.Part
 	state  progress
 	kind   string
 
@@ -70,6 +72,9 @@
 	// lead is the leader that decides on the request, and rejections how often an engine rejected it.
 	lead       *yuccagrant.Leader
 	rejections int
+	// fetchFrom is the engine from which the job's engine fetches parts of the prompt, nil if it
+	// fetches none.
+	fetchFrom *engine
 }
 
 // class describes the requests of one kind. events and prompt are the mean length of the answer in
@@ -84,6 +89,9 @@
 	// deadline is how long callers wait for the first event. If deadline is zero, callers wait four
 	// times softDeadline.
 	deadline time.Duration
+	// draw, if set, returns the parts of a prompt whose last part, which no other request has, is of
+	// the given length.
+	draw func(rng *rand.Rand, own yuccaid.Tokens) []yuccacache.Part
 	// alterRequest, if set, changes a request before it is submitted, such as the lengths that
 	// it announces.
 	alterRequest func(req *yuccagrant.Request)
@@ -137,7 +145,12 @@
 func (sim *simulation) configure() {
 	var targets []yuccagrant.Target
 	for _, eng := range sim.engines {
-		targets = append(targets, yuccagrant.Target{Name: eng.name, Slots: eng.slots})
+		target := yuccagrant.Target{Name: eng.name, Slots: eng.slots}
+		if eng.batching != nil {
+			target.CacheTokens = eng.batching.memory
+			target.FetchRate = eng.batching.fetchRate
+		}
+		targets = append(targets, target)
 	}
 	for _, lead := range sim.leaders {
 		sim.apply(lead.SetTargets(sim.now, targets))
@@ -190,6 +203,11 @@
 		Prompt: jb.prompt, Answer: yuccaid.Tokens(float64(6*jb.events) * sim.announcementError()),
 		SoftDeadline: sim.now.Add(cls.softDeadline), Deadline: sim.now.Add(cmp.Or(cls.deadline, 4*cls.softDeadline)), MaxGap: cmp.Or(sim.maxGap, 300*time.Millisecond),
 	}
+	if cls.draw != nil {
+		jb.parts = cls.draw(sim.rng, jb.prompt)
+		jb.prompt = partTokens(jb.parts)
+		jb.req.Prompt, jb.req.Parts = jb.prompt, jb.parts
+	}
 	if cls.alterRequest != nil {
 		cls.alterRequest(&jb.req)
 	}
@@ -226,6 +244,12 @@
 func (sim *simulation) apply(dec yuccagrant.Decisions) {
 	for _, grant := range dec.Grants {
 		jb := sim.jobs[grant.ID]
+		jb.fetchFrom = nil
+		for _, eng := range sim.engines {
+			if eng.name == grant.FetchFrom {
+				jb.fetchFrom = eng
+			}
+		}
 		for _, eng := range sim.engines {
 			if eng.name == grant.Target {
 				sim.sendTo(jb, eng)
@@ -323,68 +347,3 @@
 	}
 	sim.apply(jb.lead.RunFinished(sim.now, result))
 }
-
-// tally counts what became of the requests of one kind.
-type tally struct {
-	submitted, onTime, served, refused int
-}
-
-// onTimeShare returns the share of requests that were answered on time.
-func (tl tally) onTimeShare() float64 { return float64(tl.onTime) / float64(max(tl.submitted, 1)) }
-
-// servedShare returns the share of requests that were served, whether on time or late.
-func (tl tally) servedShare() float64 { return float64(tl.served) / float64(max(tl.submitted, 1)) }
-
-func (tl *tally) add(other tally) {
-	tl.submitted += other.submitted
-	tl.onTime += other.onTime
-	tl.served += other.served
-	tl.refused += other.refused
-}
-
-func (tl *tally) count(jb *job) {
-	tl.submitted++
-	if jb.done {
-		tl.served++
-	}
-	if jb.done && jb.onTime {
-		tl.onTime++
-	}
-	if jb.refused {
-		tl.refused++
-	}
-}
-
-// tally counts the outcomes of the requests of a kind, or of all requests if kind is empty.
-func (sim *simulation) tally(kind string) tally {
-	var tl tally
-	for _, jb := range sim.jobsOf(kind) {
-		tl.count(jb)
-	}
-	return tl
-}
-
-// largestTenth tallies the tenth of a kind's requests with the most work.
-func (sim *simulation) largestTenth(kind string) tally {
-	jobs := sim.jobsOf(kind)
-	slices.SortFunc(jobs, func(a, b *job) int { return cmp.Compare(b.size(), a.size()) })
-	var tl tally
-	for _, jb := range jobs[:len(jobs)/10] {
-		tl.count(jb)
-	}
-	return tl
-}
-
-// jobsOf returns the requests of a kind, or all requests if kind is empty.
-func (sim *simulation) jobsOf(kind string) []*job {
-	var jobs []*job
-	for _, jb := range sim.all {
-		if kind == "" || jb.kind == kind {
-			jobs = append(jobs, jb)
-		}
-	}
-	return jobs
-}
-
-// size weighs a request's prompt and answer by approximately what they cost an engine.
-func (jb *job) size() int { return int(jb.prompt) + 60*jb.events }
--- a/core/yuccaroute/config.go
+++ b/core/yuccaroute/config.go
@@ -57,10 +57,12 @@
 }
 
 // Engine describes each engine of a pool. Slots is how many requests the engine runs at once.
-// CacheTokens is the size of its KV cache in tokens.
+// CacheTokens is the size of its KV cache in tokens. FetchRate is how many tokens a second the engine
+// can fetch from the cache of another one, zero if it can't.
 type Engine struct {
 	Slots       int
 	CacheTokens yuccaid.Tokens
+	FetchRate   float64
 }
 
 // Account is a client account. Keys are the account's keys: a request that carries one of them
--- a/io/yuccagate/desk.go
+++ b/io/yuccagate/desk.go
@@ -7,6 +7,7 @@
 
 	"yuccacleat/core/yuccagrant"
 	"yuccacleat/core/yuccaid"
+	"yuccacleat/core/yuccaroute"
 	"yuccacleat/io/yuccawire"
 )
 
@@ -52,6 +53,8 @@
 	remoteReset   bool
 	// rosterVersion is the roster's version that local was configured with, or neverConfigured.
 	rosterVersion uint64
+	// engine is the properties of the targets that local was configured with.
+	engine yuccaroute.Engine
 	// sentLoads holds, for each target, the load that was last sent to the other data centres.
 	// loadSentAt is when loads were last sent, and fullLoadSentAt is when the loads of all targets
 	// were last sent.
@@ -73,12 +76,13 @@
 }
 
 // configure passes to a scheduler the number of daemons that decide on the pool's targets, and
-// the targets if the roster has changed since the last call. While a fleet starts, configure is
+// the targets if the roster or the properties of the pool's engines have changed since the last call. While a fleet starts, configure is
 // called once for each daemon that joins, and passing all targets each time would be expensive.
 func (gate *Gate) configure(now time.Time, sched *scheduler) {
 	gate.apply(now, sched, sched.local.SetLeaderCount(now, gate.deciderCount(sched)))
-	if version := gate.roster.Version(); sched.rosterVersion != version {
-		sched.rosterVersion = version
+	version, engine := gate.roster.Version(), gate.engineOf(sched.pool)
+	if sched.rosterVersion != version || sched.engine != engine {
+		sched.rosterVersion, sched.engine = version, engine
 		sched.remoteReset = true
 		gate.apply(now, sched, sched.local.SetTargets(now, gate.targetsOf(sched)))
 	}
@@ -224,7 +228,7 @@
 	for _, grant := range decisions.Grants {
 		if grant.ID.Owner != gate.incarnation {
 			gate.send(grant.ID.Owner, yuccawire.KindPlaced, yuccawire.Placed{
-				Pool: sched.pool, Number: grant.ID.Number, Target: grant.Target, ExpectMillis: grant.ExpectedTimeToFirst.Milliseconds(), Busy: grant.Busy,
+				Pool: sched.pool, Number: grant.ID.Number, Target: grant.Target, ExpectMillis: grant.ExpectedTimeToFirst.Milliseconds(), Busy: grant.Busy, Held: grant.Held, Fetch: grant.FetchFrom,
 			})
 			continue
 		}
@@ -269,25 +273,32 @@
 		gate.syncPlacement(now, sched, plc)
 	}
 	plc.decision <- decision{
-		target: target, address: entry.Address, withoutLeader: plc.decidedLocally && !sched.leads,
-		decisionInputs: gate.decisionInputs(now, sched, granted.ExpectedTimeToFirst, granted.Busy),
+		target: target, address: entry.Address, fetchAddress: gate.addressOf(granted.FetchFrom), withoutLeader: plc.decidedLocally && !sched.leads,
+		decisionInputs: gate.decisionInputs(now, sched, granted),
 	}
 }
 
+// addressOf returns the address of a registered target, or an empty text if it isn't registered.
+func (gate *Gate) addressOf(target yuccaid.Target) string {
+	entry, _ := gate.roster.Find(target)
+	return entry.Address
+}
+
 // deliverRefusal delivers a refusal to one of this daemon's requests, if the request still waits.
 func (gate *Gate) deliverRefusal(refusal yuccagrant.Refusal) {
 	if plc := gate.placements[refusal.ID.Number]; plc != nil && !plc.running {
 		delete(gate.placements, refusal.ID.Number)
-		plc.decision <- decision{refusal: &refusal, decisionInputs: gate.decisionInputs(time.Now(), gate.schedulers[plc.pool], 0, 0)}
+		plc.decision <- decision{refusal: &refusal, decisionInputs: gate.decisionInputs(time.Now(), gate.schedulers[plc.pool], yuccagrant.Grant{})}
 	}
 }
 
-// decisionInputs returns what is logged along with a decision: the predicted time to the first
-// event, the number of runs that the target had, the pool's leader, and the revision and age of
-// what this daemon knows from the platform.
-func (gate *Gate) decisionInputs(now time.Time, sched *scheduler, expectedFirst time.Duration, busy int) decisionInputs {
-	inputs := decisionInputs{leader: sched.leader.VM, expectedFirst: expectedFirst, busy: busy, platformRevision: gate.platformRevision, platformAge: gate.platformAge(now)}
-	return inputs
+// decisionInputs returns what is logged along with a decision: what the grant was made from, the
+// pool's leader, and the revision and age of what this daemon knows from the platform.
+func (gate *Gate) decisionInputs(now time.Time, sched *scheduler, granted yuccagrant.Grant) decisionInputs {
+	return decisionInputs{
+		leader: sched.leader.VM, expectedFirst: granted.ExpectedTimeToFirst, busy: granted.Busy, held: granted.Held, fetchFrom: granted.FetchFrom,
+		platformRevision: gate.platformRevision, platformAge: gate.platformAge(now),
+	}
 }
 
 // reportFinished reports the end of a run, or a grant that isn't used, to this daemon's scheduler.
--- a/io/yuccagate/dialect.go
+++ b/io/yuccagate/dialect.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"time"
 
+	"yuccacleat/core/yuccacache"
 	"yuccacleat/core/yuccagrant"
 	"yuccacleat/core/yuccaid"
 	"yuccacleat/core/yuccaroute"
@@ -41,6 +42,10 @@
 	Prompt  yuccaid.Tokens
 	Answer  yuccaid.Tokens
 	Charged yuccaid.Tokens
+	// Parts are the parts of the prompt that targets may keep for other requests, in the order of the
+	// prompt. Their sizes are in tokens, and their hashes have 32 bits. Parts is empty if the request
+	// names none.
+	Parts []yuccacache.Part
 	// LastEventID is the id of the last event of this stream that the caller received in an
 	// earlier response, empty if it received none.
 	LastEventID string
@@ -53,6 +58,9 @@
 	Account yuccaid.Account
 	// Remaining is the time until the request's deadline.
 	Remaining time.Duration
+	// FetchAddress is the address of the target from which the target fetches parts of the prompt. It
+	// is empty if the target fetches none.
+	FetchAddress string
 	// LastEventID is the id of the last event that the caller already has, so the target has to
 	// continue the stream after this event. It is empty if the target has to send all events.
 	LastEventID string
--- a/io/yuccagate/loads.go
+++ b/io/yuccagate/loads.go
@@ -33,6 +33,8 @@
 	// and the more data centres there are, the more remote targets it can choose from. It needs to
 	// know which remote targets are free, but not exactly how many free slots they have.
 	centresPerMinDelta = 4
+	// maxCastParts bounds the parts of prompts in one cast. Each takes some twenty bytes.
+	maxCastParts = 16
 	// paceScale is the integer that represents a pace of 1.0 in messages.
 	paceScale = 100
 )
@@ -93,14 +95,31 @@
 	centres := len(gate.remoteCentres)
 	full := now.Sub(sched.fullLoadSentAt) >= fullLoadSpacing(len(sched.sentLoads), centres)
 	loads := sched.changedLoads(full, 1+centres/centresPerMinDelta)
-	if len(loads) == 0 && now.Sub(sched.loadSentAt) < loadMaxInterval {
+	held := wireHeldParts(sched.local.TakeNewParts(maxCastParts))
+	if len(loads) == 0 && len(held) == 0 && now.Sub(sched.loadSentAt) < loadMaxInterval {
 		return
 	}
 	sched.loadSentAt = now
 	if full {
 		sched.fullLoadSentAt = now
 	}
-	gate.cast(yuccawire.Cast{Topic: yuccawire.TopicLoad, Pool: sched.pool, Load: loads, Part: !full})
+	gate.cast(yuccawire.Cast{Topic: yuccawire.TopicLoad, Pool: sched.pool, Load: loads, Part: !full, Held: held})
+}
+
+func wireHeldParts(parts []yuccagrant.HeldPart) []yuccawire.HeldPart {
+	var list []yuccawire.HeldPart
+	for _, each := range parts {
+		list = append(list, yuccawire.HeldPart{Target: each.Target, Part: wirePart(each.Part)})
+	}
+	return list
+}
+
+func heldPartsFromWire(list []yuccawire.HeldPart) []yuccagrant.HeldPart {
+	var parts []yuccagrant.HeldPart
+	for _, each := range list {
+		parts = append(parts, yuccagrant.HeldPart{Target: each.Target, Part: partFromWire(each.Part)})
+	}
+	return parts
 }
 
 // fullLoadSpacing returns the shortest time between two casts of the loads of all targets, for
@@ -155,6 +174,9 @@
 	}
 	centre.receivedAt = now
 	centre.merge(message, sched.remoteChanged)
+	if sched.leads {
+		sched.local.AddHeldParts(heldPartsFromWire(message.Held))
+	}
 }
 
 // dropSilentCentres drops the loads of data centres from which no loads have been received for
--- a/io/yuccagate/placing.go
+++ b/io/yuccagate/placing.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"yuccacleat/core/yuccacache"
 	"yuccacleat/core/yuccagrant"
 	"yuccacleat/core/yuccaid"
 	"yuccacleat/io/yuccawire"
@@ -15,17 +16,41 @@
 	return yuccawire.Ask{
 		Pool: plc.pool, Number: request.ID.Number, Class: uint32(request.Class), Tier: request.Tier, Rank: request.Rank, Over: request.OverQuota, Prompt: request.Prompt, Answer: request.Answer,
 		AimMillis: request.SoftDeadline.Sub(now).Milliseconds(), UntilMillis: request.Deadline.Sub(now).Milliseconds(),
-		GapMillis: request.MaxGap.Milliseconds(), Tried: request.FailedTargets,
+		GapMillis: request.MaxGap.Milliseconds(), Tried: request.FailedTargets, Parts: wireParts(request.Parts),
 	}
 }
 
+func wireParts(parts []yuccacache.Part) []yuccawire.PromptPart {
+	var list []yuccawire.PromptPart
+	for _, part := range parts {
+		list = append(list, wirePart(part))
+	}
+	return list
+}
+
+func wirePart(part yuccacache.Part) yuccawire.PromptPart {
+	return yuccawire.PromptPart{Hash: uint32(part.Hash), Tokens: part.Size}
+}
+
+func partFromWire(part yuccawire.PromptPart) yuccacache.Part {
+	return yuccacache.Part{Hash: uint64(part.Hash), Size: part.Tokens}
+}
+
+func partsFromWire(list []yuccawire.PromptPart) []yuccacache.Part {
+	var parts []yuccacache.Part
+	for _, part := range list {
+		parts = append(parts, partFromWire(part))
+	}
+	return parts
+}
+
 // requestFromWire returns the request that the owner's message describes.
 func requestFromWire(now time.Time, owner yuccaid.Incarnation, message yuccawire.Ask) yuccagrant.Request {
 	return yuccagrant.Request{
 		ID: yuccagrant.ID{Owner: owner, Number: message.Number}, Class: yuccagrant.Class(message.Class), Tier: message.Tier, Rank: message.Rank, OverQuota: message.Over, Prompt: message.Prompt, Answer: message.Answer,
 		SoftDeadline: now.Add(time.Duration(message.AimMillis) * time.Millisecond),
 		Deadline:     now.Add(time.Duration(message.UntilMillis) * time.Millisecond),
-		MaxGap:       time.Duration(message.GapMillis) * time.Millisecond, FailedTargets: message.Tried,
+		MaxGap:       time.Duration(message.GapMillis) * time.Millisecond, FailedTargets: message.Tried, Parts: partsFromWire(message.Parts),
 	}
 }
 
@@ -108,7 +133,7 @@
 	case !awaitsLeader:
 	case message.Target != "":
 		gate.acceptGrant(now, gate.schedulers[plc.pool], yuccagrant.Grant{
-			ID: plc.request.ID, Target: message.Target, ExpectedTimeToFirst: time.Duration(message.ExpectMillis) * time.Millisecond, Busy: message.Busy,
+			ID: plc.request.ID, Target: message.Target, ExpectedTimeToFirst: time.Duration(message.ExpectMillis) * time.Millisecond, Busy: message.Busy, Held: message.Held, FetchFrom: message.Fetch,
 		})
 	case message.Reason != "":
 		gate.deliverRefusal(yuccagrant.Refusal{
--- a/io/yuccagate/request.go
+++ b/io/yuccagate/request.go
@@ -263,7 +263,7 @@
 // schedulerRequest returns what schedulers need to know of the request to decide on it.
 func (req *callerRequest) schedulerRequest() yuccagrant.Request {
 	request := yuccagrant.Request{
-		Class: req.class(), Tier: req.tier(), Rank: req.route.Rank, OverQuota: req.overQuota, Prompt: req.info.Prompt, Answer: req.info.Answer,
+		Class: req.class(), Tier: req.tier(), Rank: req.route.Rank, OverQuota: req.overQuota, Prompt: req.info.Prompt, Answer: req.info.Answer, Parts: req.info.Parts,
 		SoftDeadline: req.arrivedAt.Add(req.route.LatencyTarget), Deadline: req.deadline, FailedTargets: req.tried,
 	}
 	if req.route.LatencyTarget <= 0 {
@@ -321,11 +321,11 @@
 	return yuccagrant.Class(xxhash.Sum64String(string(req.accountName()) + "\x00" + req.route.Name))
 }
 
-// targetHeader returns the header of the request as it is sent to a target. If lastEventID is set,
-// the header asks the target to continue the stream after the event with that id.
-func (req *callerRequest) targetHeader(now time.Time, target yuccaid.Target, lastEventID string) http.Header {
+// targetHeader returns the header of the request as it is sent to the decision's target. If
+// lastEventID is set, the header asks the target to continue the stream after the event with that id.
+func (req *callerRequest) targetHeader(now time.Time, dec decision, lastEventID string) http.Header {
 	header := req.forwardHeader.Clone()
-	info := ForwardInfo{Target: target, Remaining: req.deadline.Sub(now), LastEventID: lastEventID}
+	info := ForwardInfo{Target: dec.target, FetchAddress: dec.fetchAddress, Remaining: req.deadline.Sub(now), LastEventID: lastEventID}
 	if req.account != nil {
 		info.Account = req.account.Name
 	}
--- a/io/yuccagate/run.go
+++ b/io/yuccagate/run.go
@@ -179,7 +179,7 @@
 	req.sends++
 	req.tried = append(req.tried, dec.target)
 	outgoing := req.outgoing
-	outgoing.Header = req.targetHeader(att.sentAt, dec.target, lastEventID)
+	outgoing.Header = req.targetHeader(att.sentAt, dec, lastEventID)
 	matches := func(header http.Header) bool { return req.gate.dialect.MatchesRequest(header, req.info.ID) }
 	ctx, att.watchdog = req.startWatchdog(ctx, dec.decisionInputs.expectedFirst)
 	req.gate.metrics.sent(req.metricRank(), dec.withoutLeader, att.sentAt.Sub(req.arrivedAt))
@@ -220,7 +220,7 @@
 		"target", dec.target, "send", req.sends, "waitedMillis", att.sentAt.Sub(req.arrivedAt).Milliseconds(),
 		"leader", dec.decisionInputs.leader, "alone", dec.withoutLeader, "expectMillis", dec.decisionInputs.expectedFirst.Milliseconds(), "busy", dec.decisionInputs.busy,
 		"number", req.table.Number(), "revision", dec.decisionInputs.platformRevision, "newsAgeMillis", dec.decisionInputs.platformAge.Milliseconds(),
-		"charged", req.info.Charged, "over", req.overQuota, "prompt", req.info.Prompt, "answer", req.info.Answer,
+		"charged", req.info.Charged, "over", req.overQuota, "prompt", req.info.Prompt, "answer", req.info.Answer, "parts", len(req.info.Parts), "held", dec.decisionInputs.held, "fetchFrom", dec.decisionInputs.fetchFrom,
 	)
 }
 
--- a/io/yuccagate/targets.go
+++ b/io/yuccagate/targets.go
@@ -9,6 +9,7 @@
 	"yuccacleat/core/yuccagrant"
 	"yuccacleat/core/yuccaid"
 	"yuccacleat/core/yuccaroster"
+	"yuccacleat/core/yuccaroute"
 	"yuccacleat/io/yuccawire"
 )
 
@@ -314,8 +315,9 @@
 func (gate *Gate) targetsOf(sched *scheduler) []yuccagrant.Target {
 	usable := gate.roster.Usable(sched.pool)
 	list := make([]yuccagrant.Target, 0, len(usable))
+	engine := gate.engineOf(sched.pool)
 	for _, entry := range usable {
-		target := yuccagrant.Target{Name: entry.Target, Slots: max(entry.Slots, 1), StartMillis: entry.StartMillis}
+		target := yuccagrant.Target{Name: entry.Target, Slots: max(entry.Slots, 1), CacheTokens: engine.CacheTokens, FetchRate: engine.FetchRate, StartMillis: entry.StartMillis}
 		if gate.settings.Regions[entry.Centre] != gate.settings.Regions[gate.settings.Centre] {
 			target.Remote = true
 			target.RoundTrip = regionRoundTrip
@@ -325,6 +327,19 @@
 	return list
 }
 
+// engineOf returns the configured properties of a pool's engines, or zero values if the pool runs no
+// model.
+func (gate *Gate) engineOf(pool yuccaid.Pool) yuccaroute.Engine {
+	table := gate.tables.Load()
+	if table == nil {
+		return yuccaroute.Engine{}
+	}
+	if configured, found := table.Pool(pool); found && configured.Engine != nil {
+		return *configured.Engine
+	}
+	return yuccaroute.Engine{}
+}
+
 // deciderCount returns how many daemons share the pool's slots when this daemon decides. If this
 // daemon leads the pool, it is the only one. If it decides without the leader, it assumes that the
 // other daemons of its data centre do so too, and each daemon uses an equal share of the slots.
--- a/io/yuccagate/ticket.go
+++ b/io/yuccagate/ticket.go
@@ -40,6 +40,9 @@
 type decision struct {
 	target  yuccaid.Target
 	address string
+	// fetchAddress is the address of the target from which the target fetches parts of the prompt,
+	// empty if it fetches none.
+	fetchAddress string
 	// withoutLeader reports whether this daemon decided although it doesn't lead the pool, because
 	// the leader was suspected or none was known.
 	withoutLeader  bool
@@ -51,10 +54,13 @@
 // decisionInputs is what a decision on a request was made from, for the log.
 type decisionInputs struct {
 	leader yuccaid.VM
-	// expectedFirst is the predicted time from sending to the first event, and busy the number of
-	// runs that the target had before this request.
+	// expectedFirst is the predicted time from sending to the first event, busy the number of runs that
+	// the target had before this request, held how many tokens of the prompt the target is assumed to
+	// hold, and fetchFrom the target from which it fetches more.
 	expectedFirst time.Duration
 	busy          int
+	held          yuccaid.Tokens
+	fetchFrom     yuccaid.Target
 	// platformRevision is the revision up to which the platform had been read, and platformAge
 	// how long ago the platform had last responded, or -1 if it never had.
 	platformRevision yuccaroster.Revision
@@ -76,9 +82,8 @@
 	}
 }
 
-// place submits a request to the scheduler of its pool. Before the first submission, place charges
-// the request to its account's quota. If the quota refuses the request, the decision is the
-// problem.
+// place submits a request to the scheduler of its pool. Before the first submission, the request
+// is charged to its account's quota. If the quota refuses the request, the decision is the problem.
 func (gate *Gate) place(now time.Time, req *callerRequest, plc *placement) {
 	if !req.quotaChecked {
 		req.quotaChecked = true
--- a/io/yuccawire/gate.go
+++ b/io/yuccawire/gate.go
@@ -157,6 +157,8 @@
 	Busy         int
 	// Held is how many tokens of the prompt the target is assumed to hold.
 	Held yuccaid.Tokens
+	// Fetch is the target from whose cache the target fetches parts of the prompt, or empty.
+	Fetch yuccaid.Target
 }
 
 // Begun tells a leader that a run's first event came.
