Operators ask all daemons at once what became of a request

Cause: `explain` needs the logs of all daemons. With 295 of them an operator would have to gather and read 295 logs for one request, and nothing tells which daemon took it.

Change: each daemon keeps its last log lines about requests in memory (4 MB, some three minutes) and answers for one request at its operator address, /requests/ID. The story also tells which daemon decided on the quota, what the target was expected to hold of the prompt and from where it fetched more.

Fields and texts of lines, rates and bounds are as before.

Ruled out: a metric with ids (unbounded), a header that names the daemon (answers carry no fields that the target didn't send), casting requests' ids to peers (3 KB/s is the whole budget).

The bound holds over 1,000 requests (log_test.go).

--- a/cmd/yuccacleat/command_test.go
+++ b/cmd/yuccacleat/command_test.go
@@ -71,6 +71,7 @@
 		Entry("help", "help", 0, "--help"),
 		Entry("serve", "help-serve", 0, "serve", "--help"),
 		Entry("request", "help-request", 0, "request", "--help"),
+		Entry("explain", "help-explain", 0, "explain", "--help"),
 		Entry("an unknown command", "unknown-command", 2, "serv"),
 		Entry("an unknown flag", "unknown-flag", 2, "serve", "--setings", "x"),
 		Entry("good notes", "note-check", 0, "note", "check", "0001.yaml", "0002.yaml"),
--- /dev/null
+++ b/cmd/yuccacleat/gather.go
@@ -0,0 +1,93 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"os"
+	"strings"
+	"sync"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+)
+
+const (
+	// gatherTimeout bounds how long one daemon may take to answer.
+	gatherTimeout = 3 * time.Second
+	// gatherAtOnce is the number of daemons that are asked at the same time.
+	gatherAtOnce = 32
+	// maxGatheredBytes bounds the answer of one daemon. A daemon keeps less than that for all requests.
+	maxGatheredBytes = 8 << 20
+)
+
+// gathered holds the log lines that daemons keep about one request.
+type gathered struct {
+	mu    sync.Mutex
+	lines bytes.Buffer
+	// unreachable lists the daemons that didn't answer.
+	unreachable []string
+}
+
+// gatherLines asks the daemons at the given operator addresses for their log lines about a request.
+func gatherLines(ctx context.Context, addresses []string, request string) *gathered {
+	found := &gathered{}
+	client := &http.Client{Timeout: gatherTimeout}
+	var group errgroup.Group
+	group.SetLimit(gatherAtOnce)
+	for _, address := range addresses {
+		group.Go(func() error {
+			lines, err := getLines(ctx, client, address, request)
+			found.add(address, lines, err)
+			return nil
+		})
+	}
+	_ = group.Wait()
+	return found
+}
+
+func (found *gathered) add(address string, lines []byte, err error) {
+	found.mu.Lock()
+	defer found.mu.Unlock()
+	if err != nil {
+		found.unreachable = append(found.unreachable, address)
+		return
+	}
+	found.lines.Write(lines)
+}
+
+// getLines returns the log lines that one daemon keeps about a request, none if it keeps none.
+func getLines(ctx context.Context, client *http.Client, address, request string) ([]byte, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/requests/"+url.PathEscape(request), nil)
+	if err != nil {
+		return nil, err
+	}
+	reply, err := client.Do(req)
+	if err != nil {
+		return nil, err
+	}
+	defer reply.Body.Close()
+	switch reply.StatusCode {
+	case http.StatusOK:
+		return io.ReadAll(io.LimitReader(reply.Body, maxGatheredBytes))
+	case http.StatusNotFound:
+		return nil, nil
+	}
+	return nil, fmt.Errorf("daemon at %s answered HTTP %d: check that it is an operator address", address, reply.StatusCode)
+}
+
+// readAddresses returns the addresses in a file, one on each line. Empty lines are skipped.
+func readAddresses(path string) ([]string, error) {
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return nil, &invalidError{cause: fmt.Errorf("can't read the daemons' addresses: %w", err)}
+	}
+	addresses := strings.Fields(string(raw))
+	if len(addresses) == 0 {
+		return nil, &invalidError{cause: fmt.Errorf("%s lists no daemon: write one operator address on each line", path)}
+	}
+	return addresses, nil
+}
--- a/core/yuccastory/sentence.go
+++ b/core/yuccastory/sentence.go
@@ -17,6 +17,7 @@
 	case "sent":
 		text := fmt.Sprintf("sent to %s (sending %s) after %s ms; %s expected the first event in %s ms, %s runs were there",
 			line.text("target"), line.text("send"), line.text("waitedMillis"), decider(line), line.text("expectMillis"), line.text("busy"))
+		text += heldParts(line)
 		return text + fmt.Sprintf("; configuration %s, the platform's word %s ms old", line.text("number"), line.text("newsAgeMillis"))
 	case "unanswered":
 		return fmt.Sprintf("%s gave no answer (sending %s): %s", line.text("target"), line.text("send"), line.text("error"))
@@ -51,15 +52,43 @@
 	return "leader " + line.text("leader")
 }
 
+// heldParts tells how much of the prompt the target was expected to hold, or to fetch from another one.
+func heldParts(line *Line) string {
+	if line.number("parts") == 0 {
+		return ""
+	}
+	text := fmt.Sprintf("; it was expected to hold %s of %s prompt tokens", line.text("held"), line.text("prompt"))
+	if from := line.text("fetchFrom"); from != "" {
+		text += ", and to fetch more from " + from
+	}
+	return text
+}
+
 func quota(line *Line) string {
-	text := fmt.Sprintf("the quota of account %s said %s: it cost %s, %s of %s were used, %s of them here",
-		line.text("account"), line.text("verdict"), line.text("cost"), line.text("used"), line.text("limit"), line.text("mine"))
+	leader := accountLeader(line)
+	decidedBy, where := "", "here"
+	if leader != "" {
+		decidedBy, where = " (decided by "+leader+")", "there"
+	}
+	text := fmt.Sprintf("the quota of account %s%s said %s: it cost %s, %s of %s were used, %s of them %s",
+		line.text("account"), decidedBy, line.text("verdict"), line.text("cost"), line.text("used"), line.text("limit"), line.text("mine"), where)
 	if line.number("rush") > 0 {
 		text += fmt.Sprintf("; since all was forgotten it asked for %s, and for %s at most if it keeps to its quota", line.text("asked"), line.text("rush"))
 	}
+	if leader != "" {
+		return text
+	}
 	return text + fmt.Sprintf("; this daemon used %s of the quotas, %s daemons share them", line.text("part"), line.text("daemons"))
 }
 
+// accountLeader returns the daemon that decided on the account's quota, empty if it was this one.
+func accountLeader(line *Line) string {
+	if leader := line.text("leader"); leader != line.VM {
+		return leader
+	}
+	return ""
+}
+
 func refused(line *Line) string {
 	text := fmt.Sprintf("answered %s by the daemon itself: %s", line.text("status"), line.text("kind"))
 	if detail := line.text("detail"); detail != "" {
--- a/core/yuccastory/story_test.go
+++ b/core/yuccastory/story_test.go
@@ -26,6 +26,8 @@
 		Entry("of an account that is held after a restart", "letter-8"),
 		Entry("of a request that may have run", "ticket-3"),
 		Entry("of one whose end is missing", "ticket-9"),
+		Entry("of a prompt whose parts were fetched", "note-4"),
+		Entry("of a refusal by the account's leader", "note-5"),
 	)
 
 	It("is the same whatever order the logs come in", func() {
--- a/io/yuccalog/doc.go
+++ b/io/yuccalog/doc.go
@@ -1,12 +1,15 @@
-// Package yuccalog writes JSON lines without ever holding up who logs.
+// Package yuccalog writes log lines in JSON without ever blocking the goroutine that logs.
 //
-// A process that logs straight to its standard output stands still when nobody reads it:
-// the pipe fills, and the next line blocks whoever logs, which may be the goroutine that
-// decides for a whole data centre. And a burst of requests would write more lines than
-// anybody reads, at the expense of serving them. So lines wait in a bounded queue, and each
-// level has a rate. What finds no room is counted, and the count is a line of its own.
+// A process that writes its log directly to its standard output blocks when nobody reads it: the
+// pipe fills up, and the next line blocks whoever logs, which may be the goroutine that decides on
+// all requests of a data centre. During a burst of requests it would also write more lines than
+// anybody reads. So lines wait in a bounded queue, and each level has a rate limit. Lines beyond
+// these limits are left out, and a line reports how many.
 //
-// The levels of go-kit say what goes first: debug lines tell of requests that went well,
-// info lines of other decisions, warn lines of the most urgent requests that were refused or
-// failed and of what a process now believes. Lines without a level count as info.
+// The level defines which lines are left out first: debug lines are about requests that went well,
+// info lines about other decisions, and warn lines about the most urgent requests that were refused
+// or failed, and about changes of the process's state. Lines without a level count as info.
+//
+// A log can also keep its last lines about requests in memory, so that an operator can find out what
+// became of a request without reading the logs of all processes; see WithRecent.
 package yuccalog
--- a/io/yuccalog/log.go
+++ b/io/yuccalog/log.go
@@ -7,64 +7,51 @@
 	"time"
 
 	"github.com/go-kit/log"
-	"github.com/go-kit/log/level"
 )
 
-// grade is a level as far as room and rates go.
-type grade int
-
-const (
-	chat grade = iota
-	plain
-	urgent
-	grades
-)
-
-var gradeNames = [grades]string{"debug", "info", "warn"}
-
 // Log is a go-kit logger that writes JSON lines from a goroutine of its own.
 type Log struct {
 	now    func() time.Time
-	room   [grades]int
 	out    io.Writer
 	fields []any
 
-	mu      sync.Mutex
-	queue   [][]byte
-	bytes   int
-	buckets [grades]bucket
-	left    [grades]int
-	stalled int
-	told    time.Time
-	closed  bool
-	more    chan struct{}
-	done    chan struct{}
+	mu     sync.Mutex
+	queue  [][]byte
+	size   int
+	limits [levelCount]levelLimit
+	recent recentLines
+	// omittedByQueue counts the lines that were left out since the last report because the queue was
+	// full, and reportedAt is the time of that report.
+	omittedByQueue int
+	reportedAt     time.Time
+	closed         bool
+	wakeUps        chan struct{}
+	done           chan struct{}
 }
 
 // Option changes how a log is built.
 type Option func(*Log)
 
-// WithClock sets where the present time comes from.
+// WithClock sets the function that returns the present time.
 func WithClock(now func() time.Time) Option {
 	return func(lg *Log) { lg.now = now }
 }
 
-// WithFields sets fields of the lines that the log itself writes, such as whose log it is.
+// WithFields sets fields of the lines that the log itself writes.
 func WithFields(fields ...any) Option {
 	return func(lg *Log) { lg.fields = fields }
 }
 
+// WithRecent makes the log keep its last lines about requests, up to about the given number of bytes.
+func WithRecent(bound int) Option {
+	return func(lg *Log) { lg.recent.bound = bound }
+}
+
 // New starts a log that writes to a stream.
 func New(out io.Writer, options ...Option) *Log {
 	lg := &Log{
-		now: time.Now, out: out,
-		room: [grades]int{chat: chatBytes, plain: plainBytes, urgent: queueBytes},
-		buckets: [grades]bucket{
-			chat:   {rate: chatRate, burst: chatBurst, level: chatBurst},
-			plain:  {rate: plainRate, burst: plainBurst, level: plainBurst},
-			urgent: {rate: urgentRate, burst: urgentBurst, level: urgentBurst},
-		},
-		more: make(chan struct{}, 1), done: make(chan struct{}),
+		now: time.Now, out: out, limits: newLevelLimits(),
+		wakeUps: make(chan struct{}, 1), done: make(chan struct{}),
 	}
 	for _, option := range options {
 		option(lg)
@@ -73,22 +60,29 @@
 	return lg
 }
 
-// Log takes one line. It never waits, and its error is always nil: a line that finds no
-// room is counted.
+// Log adds one line. It never blocks, and its error is always nil: a line beyond the limits is left
+// out and counted.
 func (lg *Log) Log(fields ...any) error {
-	grade := gradeOf(fields)
-	if !lg.admit(grade) {
+	lineLevel := levelOf(fields)
+	if !lg.admit(lineLevel) {
 		return nil
 	}
 	line, err := encode(fields)
 	if err != nil {
 		line, _ = encode([]any{"event", "log", "error", err.Error()})
 	}
-	lg.put(grade, line)
+	lg.put(lineLevel, requestOf(fields), line)
 	return nil
 }
 
-// Close writes what waits, as long as somebody reads, and ends the log.
+// Recent returns the last lines about a request, the oldest first, as far as the log still has them.
+func (lg *Log) Recent(request string) []byte {
+	lg.mu.Lock()
+	defer lg.mu.Unlock()
+	return lg.recent.of(request)
+}
+
+// Close writes the lines that wait, as long as somebody reads them, and stops the log.
 func (lg *Log) Close() {
 	lg.mu.Lock()
 	lg.closed = true
@@ -96,29 +90,31 @@
 	lg.wake()
 	select {
 	case <-lg.done:
-	case <-time.After(farewell):
+	case <-time.After(closeTimeout):
 	}
 }
 
-func (lg *Log) admit(grade grade) bool {
+func (lg *Log) admit(lineLevel lineLevel) bool {
 	lg.mu.Lock()
 	defer lg.mu.Unlock()
-	now := lg.now()
-	if lg.closed || !lg.buckets[grade].take(now) {
-		lg.left[grade]++
+	limit := &lg.limits[lineLevel]
+	if lg.closed || !limit.allows(lg.now()) {
+		limit.omitted++
 		return false
 	}
 	return true
 }
 
-func (lg *Log) put(grade grade, line []byte) {
+func (lg *Log) put(lineLevel lineLevel, request string, line []byte) {
 	lg.mu.Lock()
-	if lg.bytes+len(line) > lg.room[grade] {
-		lg.left[grade]++
-		lg.stalled++
+	lg.recent.add(request, line)
+	limit := &lg.limits[lineLevel]
+	if lg.size+len(line) > limit.queueBytes {
+		limit.omitted++
+		lg.omittedByQueue++
 	} else {
 		lg.queue = append(lg.queue, line)
-		lg.bytes += len(line)
+		lg.size += len(line)
 	}
 	lg.mu.Unlock()
 	lg.wake()
@@ -126,55 +122,58 @@
 
 func (lg *Log) wake() {
 	select {
-	case lg.more <- struct{}{}:
+	case lg.wakeUps <- struct{}{}:
 	default:
 	}
 }
 
-// write hands lines to the stream, and alone waits for its reader.
+// write writes lines to the stream. It is the only function that waits for the stream's reader.
 func (lg *Log) write() {
 	defer close(lg.done)
-	ticker := time.NewTicker(tellEvery)
+	ticker := time.NewTicker(omissionInterval)
 	defer ticker.Stop()
 	for {
-		lines, closed := lg.next()
+		lines, closed := lg.takeQueue()
 		for _, line := range lines {
-			// A line that nobody takes is lost; the process goes on without its log.
+			// The process continues without its log if the stream fails.
 			_, _ = lg.out.Write(line)
 		}
 		if closed {
 			return
 		}
 		select {
-		case <-lg.more:
+		case <-lg.wakeUps:
 		case <-ticker.C:
 		}
 	}
 }
 
-// next returns what waits, with a line on what was left out before it.
-func (lg *Log) next() (lines [][]byte, closed bool) {
+// takeQueue returns the lines that wait, followed by a report of the lines that were left out.
+func (lg *Log) takeQueue() (lines [][]byte, closed bool) {
 	lg.mu.Lock()
 	defer lg.mu.Unlock()
 	lines = lg.queue
-	lg.queue, lg.bytes = nil, 0
-	if tale := lg.tale(); tale != nil {
-		lines = append(lines, tale)
+	lg.queue, lg.size = nil, 0
+	if report := lg.reportOmitted(); report != nil {
+		lines = append(lines, report)
 	}
 	return lines, lg.closed
 }
 
-func (lg *Log) tale() []byte {
+// reportOmitted returns a line that reports how many lines were left out since the last report, or
+// nil if none were or the last report is too recent.
+func (lg *Log) reportOmitted() []byte {
 	now := lg.now()
-	if lg.left == [grades]int{} || !lg.closed && now.Sub(lg.told) < tellEvery {
+	if !lg.hasOmitted() || !lg.closed && now.Sub(lg.reportedAt) < omissionInterval {
 		return nil
 	}
-	lg.told = now
-	fields := append([]any{"at", now.UTC(), "event", "log", "what", "lines left out", "stalled", lg.stalled}, lg.fields...)
-	for grade, count := range lg.left {
-		fields = append(fields, gradeNames[grade], count)
+	lg.reportedAt = now
+	fields := append([]any{"at", now.UTC(), "event", "log", "what", "lines left out", "stalled", lg.omittedByQueue}, lg.fields...)
+	for at := range lg.limits {
+		fields = append(fields, levelNames[at], lg.limits[at].omitted)
+		lg.limits[at].omitted = 0
 	}
-	lg.left, lg.stalled = [grades]int{}, 0
+	lg.omittedByQueue = 0
 	line, err := encode(fields)
 	if err != nil {
 		return nil
@@ -182,43 +181,17 @@
 	return line
 }
 
-func encode(fields []any) ([]byte, error) {
-	var line bytes.Buffer
-	err := log.NewJSONLogger(&line).Log(fields...)
-	return line.Bytes(), err
-}
-
-// gradeOf finds the level among a line's fields.
-func gradeOf(fields []any) grade {
-	for at := 0; at+1 < len(fields); at += 2 {
-		if fields[at] != level.Key() {
-			continue
-		}
-		switch fields[at+1] {
-		case level.DebugValue():
-			return chat
-		case level.WarnValue(), level.ErrorValue():
-			return urgent
+func (lg *Log) hasOmitted() bool {
+	for at := range lg.limits {
+		if lg.limits[at].omitted > 0 {
+			return true
 		}
-		return plain
 	}
-	return plain
+	return false
 }
 
-// bucket lets so many lines through in a second.
-type bucket struct {
-	rate, burst, level float64
-	filled             time.Time
-}
-
-func (bkt *bucket) take(now time.Time) bool {
-	if !bkt.filled.IsZero() {
-		bkt.level = min(bkt.level+bkt.rate*now.Sub(bkt.filled).Seconds(), bkt.burst)
-	}
-	bkt.filled = now
-	if bkt.level < 1 {
-		return false
-	}
-	bkt.level--
-	return true
+func encode(fields []any) ([]byte, error) {
+	var line bytes.Buffer
+	err := log.NewJSONLogger(&line).Log(fields...)
+	return line.Bytes(), err
 }
--- a/io/yuccalog/log_test.go
+++ b/io/yuccalog/log_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"fmt"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -16,21 +17,21 @@
 	"yuccacleat/io/yuccalog"
 )
 
-// reader is a stream whose reader may have stopped reading.
+// reader is a stream that blocks whoever writes to it until reading is closed.
 type reader struct {
-	mu    sync.Mutex
-	text  bytes.Buffer
-	going chan struct{}
+	mu      sync.Mutex
+	text    bytes.Buffer
+	reading chan struct{}
 }
 
 func newReader() *reader {
-	rd := &reader{going: make(chan struct{})}
-	close(rd.going)
+	rd := &reader{reading: make(chan struct{})}
+	close(rd.reading)
 	return rd
 }
 
 func (rd *reader) Write(line []byte) (int, error) {
-	<-rd.going
+	<-rd.reading
 	rd.mu.Lock()
 	defer rd.mu.Unlock()
 	return rd.text.Write(line)
@@ -68,25 +69,25 @@
 		Expect(out.lines()).To(Equal([]map[string]any{{"event": "started", "level": "info", "number": 7.0, "vm": "entry-1"}}))
 	})
 
-	// The process that collects the output hangs. Whoever decides on requests must go on as
-	// if nothing had happened, and later the log says what is missing.
-	It("never waits for a reader who has stopped, and says what it left out", func() {
+	// The process that collects the output hangs. The goroutine that decides on requests must not be
+	// blocked by that, and later the log reports how many lines are missing.
+	It("never blocks when nobody reads, and reports what it left out", func() {
 		out := newReader()
-		out.going = make(chan struct{})
+		out.reading = make(chan struct{})
 		var seconds atomic.Int64
 		lg := yuccalog.New(out, yuccalog.WithClock(func() time.Time { return time.Unix(seconds.Load(), 0) }))
 		filler := strings.Repeat("x", 400)
 		for range 300 {
-			// A second passes for each ten lines, so that no rate is in the way.
+			// There are ten lines a second, which is below the rate limit.
 			for range 10 {
 				_ = level.Debug(lg).Log("event", "answered", "filler", filler)
 			}
 			seconds.Add(1)
 		}
 		_ = level.Warn(lg).Log("event", "refused")
-		close(out.going)
+		close(out.reading)
 		lg.Close()
-		Expect(out.count("event", "refused")).To(Equal(1), "urgent lines find room beside the others")
+		Expect(out.count("event", "refused")).To(Equal(1), "the queue has room for warn lines")
 		left := 0.0
 		for _, line := range out.lines() {
 			if line["what"] == "lines left out" {
@@ -98,9 +99,9 @@
 		Expect(left).To(BeNumerically(">", 1000))
 	})
 
-	// Ten times the usual load comes within a moment. The lines on requests that went well
-	// give way first.
-	It("bounds the lines of each level and keeps the urgent ones", func() {
+	// Far more requests than usual arrive at once. The lines on requests that went well are left out
+	// first.
+	It("bounds the lines of each level", func() {
 		out := newReader()
 		moment := time.Unix(1000, 0)
 		lg := yuccalog.New(out, yuccalog.WithClock(func() time.Time { return moment }), yuccalog.WithFields("vm", "entry-1"))
@@ -117,7 +118,46 @@
 		Expect(out.count("vm", "entry-1")).To(Equal(out.count("what", "lines left out")))
 	})
 
-	It("takes lines from many goroutines", func() {
+	// An operator asks the process what became of one request, after its lines were written, or left
+	// out because nobody reads.
+	It("keeps the last lines about requests", func() {
+		out := newReader()
+		lg := yuccalog.New(out, yuccalog.WithRecent(64<<10))
+		defer lg.Close()
+		line := func(request, event string) { _ = level.Debug(lg).Log("event", event, "request", request) }
+		line("7c0c", "sent")
+		line("331a", "sent")
+		line("7c0c", "answered")
+		_ = level.Debug(lg).Log("event", "started")
+		Expect(string(lg.Recent("7c0c"))).To(Equal("{\"event\":\"sent\",\"level\":\"debug\",\"request\":\"7c0c\"}\n" +
+			"{\"event\":\"answered\",\"level\":\"debug\",\"request\":\"7c0c\"}\n"))
+		Expect(lg.Recent("")).To(BeEmpty())
+		Expect(lg.Recent("unknown")).To(BeEmpty())
+	})
+
+	// A daemon runs for months. What it keeps about requests must not grow with them.
+	It("forgets the oldest lines about requests beyond a bound", func() {
+		var seconds atomic.Int64
+		lg := yuccalog.New(newReader(), yuccalog.WithRecent(20<<10), yuccalog.WithClock(func() time.Time { return time.Unix(seconds.Load(), 0) }))
+		defer lg.Close()
+		kept := func(first, last int) (count int) {
+			for at := first; at < last; at++ {
+				if len(lg.Recent(fmt.Sprint(at))) > 0 {
+					count++
+				}
+			}
+			return count
+		}
+		for at := range 1000 {
+			seconds.Add(1)
+			_ = level.Info(lg).Log("event", "sent", "request", fmt.Sprint(at), "filler", strings.Repeat("x", 100))
+		}
+		Expect(kept(0, 900)).To(BeZero())
+		Expect(kept(900, 1000)).To(BeNumerically(">=", 50))
+		Expect(kept(950, 1000)).To(Equal(50))
+	})
+
+	It("accepts lines from several goroutines", func() {
 		out := newReader()
 		lg := yuccalog.New(out)
 		var group sync.WaitGroup
