--- a/cmd/yuccameasure/main.go
+++ b/cmd/yuccameasure/main.go
@@ -46,7 +46,7 @@
 	root.PersistentFlags().StringVar(&flags.programs, "programs", "", "directory with yuccacleat and yuccastand; built by go when empty")
 	root.PersistentFlags().StringVar(&flags.lines, "lines", "", "file to which JSON lines are added")
 	root.PersistentFlags().DurationVar(&flags.limit, "limit", 10*time.Minute, "longest time that the measurement may take")
-	root.AddCommand(relayCommand(flags), membersCommand(flags), pollsCommand(flags), configCommand(flags), fullCommand(flags), stateCommand(flags), worthCommand(flags))
+	root.AddCommand(relayCommand(flags), membersCommand(flags), pollsCommand(flags), configCommand(flags), fullCommand(flags), stateCommand(flags), worthCommand(flags), lossesCommand(flags))
 	return root
 }
 
@@ -250,3 +250,34 @@
 	cmd.Flags().StringVar(&plot, "plot", "", "SVG file to draw worth against load to")
 	return cmd
 }
+
+func lossesCommand(flags *common) *cobra.Command {
+	var plot string
+	cmd := &cobra.Command{
+		Use:   "losses REPORT...",
+		Short: "Show what the worth of days was lost to, from the bench's reports",
+		Long: `losses reads reports of days and prints what became of the requests of each kind, and how
+much worth was lost to late, refused and failed ones. With --plot it draws the course of the
+first day.`,
+		Example: "  yuccameasure losses --plot scale-1.svg scale-1.json trouble-1.json",
+		Args:    cobra.MinimumNArgs(1),
+		RunE: func(cmd *cobra.Command, paths []string) error {
+			rows, err := yuccameasure.ReadLosses(paths)
+			if err != nil {
+				return err
+			}
+			if plot != "" {
+				svg, err := yuccameasure.DrawLosses(paths[0])
+				if err != nil {
+					return err
+				}
+				if err := os.WriteFile(plot, svg, 0o644); err != nil {
+					return err
+				}
+			}
+			return flags.alone(func(lines *os.File) error { return yuccameasure.WriteLosses(rows, cmd.OutOrStdout(), lines) })
+		},
+	}
+	cmd.Flags().StringVar(&plot, "plot", "", "SVG file to draw the course of the first day to")
+	return cmd
+}
