--- a/cmd/yuccacleat/explain.go
+++ b/cmd/yuccacleat/explain.go
@@ -15,10 +15,10 @@
 	var daemonsPath string
 	command := &cobra.Command{
 		Use:   "explain REQUEST",
-		Short: "Tell what became of a request, from the logs of all daemons",
+		Short: "Show what became of a request, from the logs of all daemons",
 		Long: `explain reads log lines of any number of daemons from standard input, in any order, and
-tells what they decided on one request, what they decided it from, and what they
-believed at the time.
+shows what they decided on one request, the inputs of these decisions, and their own state
+changes at the time.
 
 With --daemons it asks the daemons instead. Each one keeps its last log lines about
 requests, a few minutes of them. The file has one operator address on each line.`,
--- a/cmd/yuccacleat/gather_test.go
+++ b/cmd/yuccacleat/gather_test.go
@@ -33,7 +33,7 @@
 		Expect(os.WriteFile(filepath.Join(dir, "daemons.txt"), []byte(strings.Join(addresses, "\n")+"\n"), 0o600)).To(Succeed())
 	}
 
-	It("tells what the daemons know of a request", func() {
+	It("shows what the daemons know about a request", func() {
 		writeDaemons(
 			newLineServer("r1", `{"at":"2026-07-21T21:58:25Z","event":"sent","vm":"entry-1","request":"r1","target":"drafter-2","send":1,"leader":"entry-2"}`+"\n"),
 			newLineServer("r2", ""),
--- a/core/yuccaplot/doc.go
+++ b/core/yuccaplot/doc.go
@@ -1,4 +1,4 @@
-// Package yuccaplot draws lines of figures against load as SVG, for trials and for reports.
+// Package yuccaplot draws figures against load as SVG, for trials and reports.
 //
-// The package has no clock, no files and no goroutines.
+// The package uses no clock, no files and no goroutines.
 package yuccaplot
--- a/core/yuccaplot/plot.go
+++ b/core/yuccaplot/plot.go
@@ -15,7 +15,7 @@
 const (
 	width  = 6 * vg.Inch
 	height = 4 * vg.Inch
-	// inset keeps names that stand aside off the plot's edge.
+	// inset is the distance of the legend from the edge of the plot.
 	inset = 8 * vg.Millimeter
 )
 
@@ -24,28 +24,28 @@
 	Load, Figure float64
 }
 
-// Line is the figures of one thing that is compared, in the order of their loads.
+// Line is one of the things that are compared, as figures ordered by load.
 type Line struct {
 	Name   string
 	Points []Point
 }
 
-// Chart is lines to be drawn together, from a figure of zero on.
+// Chart holds lines that are drawn together. The axis of the figures begins at zero.
 type Chart struct {
 	Title string
-	// Load says what the load is a part of.
+	// Load is the label of the load's axis.
 	Load  string
 	Lines []Line
-	// Highest is the highest figure that is shown; zero leaves that to the lines.
+	// Highest is the end of the axis of the figures. If it is zero, the axis ends at the highest figure.
 	Highest float64
-	// Aside is the load up to which the plot goes on, beyond all lines, so that their names
-	// stand there. Without it names stand at the lower left.
+	// Aside is the end of the load's axis if the legend is to the right of all lines. If it is zero,
+	// the legend is at the lower left.
 	Aside float64
-	// Dots marks each point.
+	// Dots reports whether each point is marked.
 	Dots bool
 }
 
-// SVG draws the chart.
+// SVG returns the chart as SVG.
 func (chart Chart) SVG() ([]byte, error) {
 	plt := plot.New()
 	plt.Title.Text = chart.Title
--- a/core/yuccastory/story.go
+++ b/core/yuccastory/story.go
@@ -12,11 +12,11 @@
 	"time"
 )
 
-// longestLine bounds a line that is read; longer ones are no lines of ours.
-const longestLine = 1 << 20
+// maxLineBytes bounds the length of a line. No process writes longer ones.
+const maxLineBytes = 1 << 20
 
-// believedFor is how long before a request's first line a belief still explains it.
-const believedFor = 10 * time.Second
+// changesBefore is the time before a request's first line from which state changes are included.
+const changesBefore = 10 * time.Second
 
 // Line is one line of a process's log.
 type Line struct {
@@ -25,24 +25,22 @@
 	Event   string
 	Request string
 	Fields  map[string]any
-	// order is the line's place in what was read, for lines of one time.
-	order int
 }
 
-// Story is all that the logs tell of one request.
+// Story is everything that the logs contain about one request.
 type Story struct {
 	Request string
 	Lines   []Line
-	// Beliefs are what the request's VMs began to believe shortly before or while they had it.
-	Beliefs []Line
-	// LeftOut says how many lines those VMs left out of their logs meanwhile.
-	LeftOut int
+	// Changes are the state changes of the request's VMs, from shortly before it until its last line.
+	Changes []Line
+	// Omitted is the number of lines that those VMs left out of their logs in that time.
+	Omitted int
 }
 
-// ErrUnknown says that no line names the request.
+// ErrUnknown means that no line names the request.
 var ErrUnknown = errors.New("no line names the request: give the logs of all processes of that time")
 
-// Read finds the lines of a request and what explains them.
+// Read finds the lines about a request, and the state changes that may explain them.
 func Read(from io.Reader, request string) (*Story, error) {
 	all, err := readLines(from)
 	if err != nil {
@@ -59,28 +57,28 @@
 	if len(story.Lines) == 0 {
 		return nil, ErrUnknown
 	}
-	first, last := story.Lines[0].At.Add(-believedFor), story.Lines[len(story.Lines)-1].At
+	first, last := story.Lines[0].At.Add(-changesBefore), story.Lines[len(story.Lines)-1].At
 	for _, line := range all {
 		if !vms[line.VM] || line.At.Before(first) || line.At.After(last) {
 			continue
 		}
 		switch line.Event {
 		case "belief", "dependency", "started", "stopping", "reload":
-			story.Beliefs = append(story.Beliefs, line)
+			story.Changes = append(story.Changes, line)
 		case "log":
-			story.LeftOut += leftOut(line)
+			story.Omitted += omitted(line)
 		}
 	}
 	return story, nil
 }
 
+// readLines returns all lines, ordered by time. Lines of the same time keep their order.
 func readLines(from io.Reader) ([]Line, error) {
 	var all []Line
 	scanner := bufio.NewScanner(from)
-	scanner.Buffer(make([]byte, 64<<10), longestLine)
+	scanner.Buffer(make([]byte, 64<<10), maxLineBytes)
 	for scanner.Scan() {
 		if line, ok := parse(scanner.Bytes()); ok {
-			line.order = len(all)
 			all = append(all, line)
 		}
 	}
@@ -88,7 +86,7 @@
 	return all, scanner.Err()
 }
 
-// parse reads the JSON object at a line's end.
+// parse parses the JSON object at the end of a line.
 func parse(text []byte) (Line, bool) {
 	begin := bytes.IndexByte(text, '{')
 	if begin < 0 {
@@ -106,7 +104,8 @@
 	return line, err == nil && line.Event != ""
 }
 
-func leftOut(line Line) int {
+// omitted returns the number of lines that a line reports as left out of its log.
+func omitted(line Line) int {
 	sum := 0
 	for _, level := range []string{"debug", "info", "warn"} {
 		sum += line.number(level)
@@ -114,7 +113,7 @@
 	return sum
 }
 
-// text returns a field as text, empty if the line has none.
+// text returns a field as text, or the empty string if the line doesn't have it.
 func (line *Line) text(name string) string {
 	value, found := line.Fields[name]
 	if !found || value == nil {
@@ -130,6 +129,7 @@
 	return string(raw)
 }
 
+// number returns a field as a whole number, or zero if the line doesn't have it.
 func (line *Line) number(name string) int {
 	number, ok := line.Fields[name].(json.Number)
 	if !ok {
@@ -142,28 +142,29 @@
 	return int(value)
 }
 
-// String tells the story, one line for each decision.
+// String returns the story as text, with one line for each state change and decision.
 func (story *Story) String() string {
 	var out strings.Builder
 	begin := story.Lines[0].At
 	fmt.Fprintf(&out, "request %s\n", story.Request)
-	if len(story.Beliefs) > 0 {
-		out.WriteString("what its VMs came to believe:\n")
+	if len(story.Changes) > 0 {
+		out.WriteString("state changes of its VMs:\n")
 	}
-	for _, line := range story.Beliefs {
+	for _, line := range story.Changes {
 		fmt.Fprintf(&out, "  %s %-16s %s\n", offset(line.At.Sub(begin)), line.VM, sentence(&line))
 	}
-	out.WriteString("what was decided on it:\n")
+	out.WriteString("decisions on it:\n")
 	for _, line := range story.Lines {
 		fmt.Fprintf(&out, "  %s %-16s %s\n", offset(line.At.Sub(begin)), line.VM, sentence(&line))
 	}
-	if story.LeftOut > 0 {
-		fmt.Fprintf(&out, "these VMs left %d lines out of their logs meanwhile\n", story.LeftOut)
+	if story.Omitted > 0 {
+		fmt.Fprintf(&out, "these VMs left %d lines out of their logs in that time\n", story.Omitted)
 	}
 	fmt.Fprintf(&out, "outcome: %s\n", outcome(story.Lines))
 	return out.String()
 }
 
+// offset formats the time between the request's first line and another one.
 func offset(span time.Duration) string {
 	return fmt.Sprintf("%+9.3fs", span.Seconds())
 }
--- a/core/yuccastory/story_test.go
+++ b/core/yuccastory/story_test.go
@@ -13,7 +13,7 @@
 )
 
 var _ = Describe("a story", func() {
-	DescribeTable("is told in the order of time, with what was believed before",
+	DescribeTable("is in the order of time, with the state changes before it",
 		func(request string) {
 			logs, err := os.ReadFile("testdata/fleet.log")
 			Expect(err).NotTo(HaveOccurred())
@@ -22,8 +22,8 @@
 			golden(request, story.String())
 		},
 		Entry("of a stream that broke off", "note-1"),
-		Entry("of a refusal beside free places", "letter-7"),
-		Entry("of an account that is held after a restart", "letter-8"),
+		Entry("of a refusal although slots were free", "letter-7"),
+		Entry("of an account that is limited after a restart", "letter-8"),
 		Entry("of a request that may have run", "ticket-3"),
 		Entry("of one whose end is missing", "ticket-9"),
 		Entry("of a prompt whose parts were fetched", "note-4"),
@@ -42,7 +42,7 @@
 		Expect(other.String()).To(Equal(one.String()))
 	})
 
-	It("isn't told of a request that no line names", func() {
+	It("doesn't exist for a request that no line names", func() {
 		_, err := yuccastory.Read(strings.NewReader("{}\n"), "r1")
 		Expect(err).To(MatchError(yuccastory.ErrUnknown))
 	})
