--- a/core/yuccagrant/choose.go
+++ b/core/yuccagrant/choose.go
@@ -29,9 +29,6 @@
 	expectedTimeToFirst         time.Duration
 	expectedHold, gap, perToken float64
 	slope                       float64
-	// minTimeToFirst is the time to the first event on a target that holds the longest part of the
-	// prompt that any target holds.
-	minTimeToFirst time.Duration
 	// holder is the target from which others can fetch parts of the prompt, nil if there is none.
 	holder *targetState
 }
@@ -41,13 +38,11 @@
 func (lead *Leader) baseline(now time.Time, req *Request) baseline {
 	holder := lead.findHeldParts(now, req)
 	_, slope := lead.latencyModel.fitLine()
-	base := baseline{
+	return baseline{
 		holder:              holder,
 		expectedTimeToFirst: seconds(lead.expectedTimeToFirst(req, 0)), expectedHold: lead.latencyModel.expectedHold(), gap: lead.latencyModel.gap(),
 		slope: slope, perToken: slope * lead.lengthModel.timeToFirstRatio(req.Class),
 	}
-	base.minTimeToFirst = max(base.expectedTimeToFirst-seconds(base.perToken*float64(lead.longestHeld(req))), 0)
-	return base
 }
 
 // remoteBound is a lower bound on the cost of targets in other regions.
@@ -88,12 +83,13 @@
 func (lead *Leader) chooseTarget(now time.Time, req *Request) choice {
 	best := choice{cost: math.MaxInt64}
 	base := lead.baseline(now, req)
-	minRemoteCost := time.Duration(lead.remoteBound.minPace*float64(base.minTimeToFirst)) + lead.remoteBound.minRoundTrip + remoteCost
+	minFirst := max(base.expectedTimeToFirst-seconds(base.perToken*float64(lead.longestHeld(req))), 0)
+	minRemoteCost := time.Duration(lead.remoteBound.minPace*float64(minFirst)) + lead.remoteBound.minRoundTrip + remoteCost
 	for at, tgt := range lead.targets {
 		if at >= lead.remoteBound.localCount && best.suitable && best.cost <= minRemoteCost {
 			return best
 		}
-		if best.suitable && tgt.minCost(&base) > best.cost || tgt.grantableSlots(now) == 0 || tgt.backingOff(now) || tgt.failedBefore(req) {
+		if tgt.grantableSlots(now) == 0 || tgt.backingOff(now) || tgt.failedBefore(req) {
 			continue
 		}
 		best = best.better(lead.estimate(now, tgt, req, &base))
@@ -104,17 +100,6 @@
 	return best
 }
 
-// minCost returns a lower bound on the target's cost, which takes far less time to compute than the
-// cost. It holds for a target that is idle and has or gets the longest part of the prompt that any
-// target holds.
-func (tgt *targetState) minCost(base *baseline) time.Duration {
-	bound := time.Duration((1+tgt.bias)*tgt.pace*float64(base.minTimeToFirst)) + tgt.RoundTrip
-	if tgt.Remote {
-		bound += remoteCost
-	}
-	return bound
-}
-
 // better returns the choice that is to be preferred: a suitable target, else the lower cost.
 func (best choice) better(other choice) choice {
 	if other.suitable && !best.suitable || other.suitable == best.suitable && other.cost < best.cost {
--- a/core/yuccagrant/choose_test.go
+++ b/core/yuccagrant/choose_test.go
@@ -9,23 +9,20 @@
 
 	"pgregory.net/rapid"
 
-	"yuccacleat/core/yuccacache"
 	"yuccacleat/core/yuccaid"
 )
 
-// A leader doesn't evaluate targets whose lower bound on the cost exceeds the cost of a suitable
-// target that it has found. If such a bound were too high, requests would wait for busy targets while
-// others are idle, or be read by targets that don't hold their parts.
-func TestBoundsNeverChangeTheChoice(t *testing.T) {
+// A leader does not look at the targets of other regions once it has found a suitable target of its
+// own region whose cost does not exceed remoteBound, the lower bound on the cost of targets in
+// other regions. If this bound were too high, requests would wait in a full region while targets in
+// other regions are idle.
+func TestTheBoundNeverChangesTheChoice(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		now := time.Unix(1_700_000_000, 0)
 		lead := New(rand.New(rand.NewPCG(1, rapid.Uint64().Draw(rt, "seed"))))
 		var targets []Target
 		for i := range rapid.IntRange(1, 8).Draw(rt, "targets") {
-			target := Target{
-				Name: yuccaid.Target(fmt.Sprint("engine-", i)), Slots: rapid.IntRange(1, 6).Draw(rt, "slots"),
-				CacheTokens: 40_000, FetchRate: float64(rapid.SampledFrom([]int{0, 1_000_000}).Draw(rt, "rate")),
-			}
+			target := Target{Name: yuccaid.Target(fmt.Sprint("engine-", i)), Slots: rapid.IntRange(1, 6).Draw(rt, "slots")}
 			if rapid.Bool().Draw(rt, "away") {
 				target.Remote, target.RoundTrip = true, time.Duration(rapid.IntRange(0, 80).Draw(rt, "way"))*time.Millisecond
 			}
@@ -37,11 +34,7 @@
 				ID: ID{Number: number}, Prompt: yuccaid.Tokens(rapid.IntRange(1, 20_000).Draw(rt, "prompt")),
 				SoftDeadline: now.Add(time.Duration(rapid.IntRange(1, 3000).Draw(rt, "aim")) * time.Millisecond), Deadline: now.Add(10 * time.Second),
 			}
-			if rapid.Bool().Draw(rt, "parts") {
-				shared := req.Prompt * 3 / 4
-				req.Parts = []yuccacache.Part{{Hash: rapid.Uint64Range(1, 4).Draw(rt, "part"), Size: int64(shared)}, {Hash: 100 + number, Size: int64(req.Prompt - shared)}}
-			}
-			if got, want := lead.chooseTarget(now, &req), lead.chooseWithoutBounds(now, &req); got.targetState != want.targetState {
+			if got, want := lead.chooseTarget(now, &req), lead.chooseWithoutBound(now, &req); got.targetState != want.targetState {
 				rt.Fatalf("chose %+v instead of %+v", got, want)
 			}
 			lead.Submit(now, req)
@@ -55,17 +48,9 @@
 	})
 }
 
-// chooseWithoutBounds returns what chooseTarget returns if it evaluates all targets.
-func (lead *Leader) chooseWithoutBounds(now time.Time, req *Request) choice {
-	best := choice{cost: math.MaxInt64}
-	base := lead.baseline(now, req)
-	for _, tgt := range lead.targets {
-		if tgt.grantableSlots(now) > 0 && !tgt.backingOff(now) && !tgt.failedBefore(req) {
-			best = best.better(lead.estimate(now, tgt, req, &base))
-		}
-	}
-	if best.targetState == nil && lead.belowShare(now) {
-		return lead.chooseWithinShare(now, req, &base)
-	}
-	return best
+// chooseWithoutBound is chooseTarget without remoteBound: all targets are considered.
+func (lead *Leader) chooseWithoutBound(now time.Time, req *Request) choice {
+	lead.remoteBound.localCount = math.MaxInt
+	defer lead.remoteBound.configure(lead.targets)
+	return lead.chooseTarget(now, req)
 }
--- a/io/yuccagate/admission.go
+++ b/io/yuccagate/admission.go
@@ -85,10 +85,7 @@
 	req := plc.req
 	if answer.Verdict != yuccaquota.Admitted {
 		gate.metrics.quotaRefused(answer.Verdict)
-		req.logDecision("quota",
-			"verdict", answer.Verdict, "cost", int64(req.quotaCost()), "used", answer.Used, "limit", answer.Limit, "mine", answer.UsedByDaemon,
-			"asked", answer.Demand, "rush", answer.DemandLimit, "part", gate.ledger.QuotaShare(), "daemons", gate.ledger.Daemons(), "leader", decider.VM,
-		)
+		req.logDecision("quota", "verdict", answer.Verdict, "cost", int64(req.quotaCost()), "used", answer.Used, "limit", answer.Limit, "mine", answer.UsedByDaemon, "asked", answer.Demand, "rush", answer.DemandLimit, "part", gate.ledger.QuotaShare(), "daemons", gate.ledger.Daemons(), "leader", decider.VM)
 		plc.decision <- decision{problem: &Problem{Kind: KindQuota, Detail: string(answer.Verdict), RetryAfter: answer.RetryAfter}}
 		return
 	}
