A long message on a slow link no longer breaks its connection

Cause: a connection between daemons gives a write 1.1 s, and this deadline held for the whole frame, though the comment says that silence is limited, not the time that a long message takes. The connection breaks, the peer dials again, requests the same frame and breaks it again; heartbeats, changes of targets and grants on that connection are lost with it. Class of fault: a bound on the whole of a transfer where a bound on silence is meant.

Change: a frame is written in pieces of 16 KB, each with a deadline of its own.

Why it works: the deadline now passes only if the peer takes not even 16 KB in 1.1 s, which a link of 1 Mbit/s carries in an eighth of a second.

Ruled out: a longer limit (a silent peer would be noticed later, and a longer message breaks it again).

--- a/io/yuccalink/stream.go
+++ b/io/yuccalink/stream.go
@@ -5,7 +5,11 @@
 	"time"
 )
 
-// stream is a connection whose every read and write has a deadline of its own: what is
+// pieceBytes is how much of a message is written under one deadline. A link of 1 Mbit/s takes a piece
+// in an eighth of a second, so that only a peer which really takes nothing misses the deadline.
+const pieceBytes = 16 << 10
+
+// stream is a connection whose every read and every written piece has a deadline of its own: what is
 // limited is silence, not the time that a long message takes.
 type stream struct {
 	net.Conn
@@ -20,10 +24,19 @@
 	return str.Conn.Read(into)
 }
 
-// Write fails when the peer doesn't make room within the limit.
+// Write fails when the peer doesn't make room for a piece within the limit.
 func (str *stream) Write(from []byte) (int, error) {
-	if err := str.SetWriteDeadline(time.Now().Add(str.write)); err != nil {
-		return 0, err
+	written := 0
+	for written < len(from) {
+		if err := str.SetWriteDeadline(time.Now().Add(str.write)); err != nil {
+			return written, err
+		}
+		piece := from[written:min(written+pieceBytes, len(from))]
+		count, err := str.Conn.Write(piece)
+		written += count
+		if err != nil {
+			return written, err
+		}
 	}
-	return str.Conn.Write(from)
+	return written, nil
 }
