A lost change of the targets isn't hidden by the next one

Cause: a daemon that reads the platform sends the others what has changed, and each change raises their platformRevision to its own revision, whether or not the changes before it arrived. They request the targets only if the reader's report names a higher revision. So a change is lost for good if it was lost on a connection that broke, or didn't fit a queue, or was read as part of a whole list (which isn't sent, e.g. after the store has dropped its history) and another change follows before the next report, within 300 ms. The daemon then keeps a target that has said that it leaves until it is restarted, or until a list. Class of fault: a high-water mark that is raised over a gap.

Change: a message of changes names the revision after which they were read (Targets.After). A daemon that lacks what lies before takes the changes but keeps its revision (Revision.Extend), logs 'changes of targets missing', and requests the targets at the reader's next report. Messages of older builds have no After and are taken as before; older builds pass over the field.

Ruled out: sending whole lists to all (a thousand targets to hundreds of daemons each time), requesting at once on a gap (casts may arrive out of order, and the report comes within 300 ms anyway). Elsewhere: usage is sent as lifetime totals and in full now and then, loads carry sequence numbers and full reports, configurations are sent whole: none of these raises a mark over a gap.

--- a/core/yuccaroster/entry.go
+++ b/core/yuccaroster/entry.go
@@ -10,6 +10,15 @@
 // revisions of a target, the higher is newer.
 type Revision uint64
 
+// Extend returns the revision up to which a daemon knows all changes once it has got those after one
+// revision and up to another. If it lacks changes before them, that is the revision that it had.
+func (rev Revision) Extend(after, at Revision) Revision {
+	if after > rev {
+		return rev
+	}
+	return max(rev, at)
+}
+
 // Entry is the registration of one target, as the target wrote it.
 type Entry struct {
 	Target  yuccaid.Target `msgpack:"target"`
--- a/io/yuccagate/gate.go
+++ b/io/yuccagate/gate.go
@@ -111,12 +111,14 @@
 	rosterVersion   uint64
 	targetsPulledAt time.Time
 	// platformRespondedAt is when the platform last responded to this daemon, and readRevision the
-	// revision up to which this daemon itself has read the platform. platformRevision is
-	// the revision up to which this daemon knows the platform's registrations of targets.
+	// revision up to which this daemon itself has read the platform. changeRevision is that of its last
+	// read that brought changes: there are none between the two. platformRevision is the revision up
+	// to which this daemon knows the platform's registrations of targets.
 	// platformReports holds the last report of each daemon that reads the platform, and
 	// platformReportedAt is when this daemon last sent such a report.
 	platformRespondedAt time.Time
 	readRevision        yuccaroster.Revision
+	changeRevision      yuccaroster.Revision
 	platformRevision    yuccaroster.Revision
 	platformReports     map[yuccaroster.Reader]platformReport
 	platformReportedAt  time.Time
--- a/io/yuccagate/reader_test.go
+++ b/io/yuccagate/reader_test.go
@@ -6,6 +6,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"yuccacleat/core/yuccaid"
 	"yuccacleat/core/yuccaroster"
 )
 
@@ -40,6 +41,40 @@
 	})
 })
 
+// registration returns the registration of a target of the pool desk.
+func registration(name yuccaid.Target, revision yuccaroster.Revision, leaving bool) yuccaroster.Entry {
+	return yuccaroster.Entry{Target: name, Pool: "desk", Address: "127.0.0.1:1", Centre: "odessa", Slots: 4, Revision: revision, Leaving: leaving}
+}
+
+// leavingTargets returns the targets that a daemon knows to be leaving.
+func leavingTargets(gt *gate) []yuccaid.Target {
+	var names []yuccaid.Target
+	for _, target := range gt.Status().Targets {
+		if target.Leaving {
+			names = append(names, target.Target)
+		}
+	}
+	return names
+}
+
+var _ = Describe("a change of the targets that another daemon lacks", func() {
+	// Guards against the failure that a daemon goes on using a target which has said that it leaves.
+	It("isn't hidden by the next change", func() {
+		first, second := startTwo(4, newEngine("a", nil), newEngine("b", nil))
+		reader, other := first, second
+		if first.MaySkipPlatformReads() {
+			reader, other = second, first
+		}
+		reader.OfferTargets([]yuccaroster.Entry{registration("a", 9, true), registration("b", 1, false)}, nil, true, 9, true)
+		reader.OfferTargets([]yuccaroster.Entry{registration("c", 10, false)}, nil, false, 10, true)
+		Eventually(func() int { return len(other.Status().Targets) }, 2*time.Second).Should(Equal(3))
+		Eventually(func() []yuccaid.Target {
+			reader.RecordPlatformRevision(10)
+			return leavingTargets(other)
+		}, 3*time.Second, 50*time.Millisecond).Should(Equal([]yuccaid.Target{"a"}))
+	})
+})
+
 var _ = Describe("the daemons of several data centres", func() {
 	// Each call to the platform is paid for. If one daemon of each data centre read the platform,
 	// fourteen data centres would pay fourteen times for the same news.
--- a/io/yuccagate/targets.go
+++ b/io/yuccagate/targets.go
@@ -60,6 +60,10 @@
 func (gate *Gate) OfferTargets(entries []yuccaroster.Entry, removals []yuccaroster.Removal, whole bool, at yuccaroster.Revision, sure bool) {
 	message := yuccawire.Targets{Entries: entries, Removals: removals, Whole: whole, At: at, Sure: sure}
 	gate.control.Post(func(now time.Time) {
+		if !whole {
+			message.After = gate.changeRevision
+		}
+		gate.changeRevision = max(gate.changeRevision, at)
 		gate.recordRead(now, at)
 		gate.onTargets(now, message)
 		if !whole && gate.settled && !gate.skipsPlatformReads.Load() {
@@ -239,9 +243,14 @@
 }
 
 // onTargets applies registrations and removals of targets that this daemon or a peer has read from
-// the platform.
+// the platform. If the message holds changes and earlier ones are missing, the revision up to which
+// this daemon knows the targets stays as it was, so that the reader's next report makes it request them.
 func (gate *Gate) onTargets(now time.Time, message yuccawire.Targets) {
-	gate.platformRevision = max(gate.platformRevision, message.At)
+	before := gate.platformRevision
+	gate.platformRevision = before.Extend(message.After, message.At)
+	if gate.platformRevision < message.At {
+		gate.log.stateChange("changes of targets missing", "known", before, "after", message.After, "at", message.At)
+	}
 	if message.Whole {
 		gate.roster.ReplaceAll(now, message.Entries, message.At, message.Sure)
 	}
--- a/io/yuccawire/gate.go
+++ b/io/yuccawire/gate.go
@@ -25,6 +25,9 @@
 	Removals []yuccaroster.Removal `msgpack:"removals"`
 	Whole    bool                  `msgpack:"whole"`
 	At       yuccaroster.Revision  `msgpack:"at"`
+	// After is the revision after which changes were read. It is zero if the message holds all
+	// registrations and removals up to At, and in messages of older builds.
+	After yuccaroster.Revision `msgpack:"after"`
 	// Sure says that the platform's service has answered for a while.
 	Sure bool `msgpack:"sure"`
 }
