A peer that repeats a request gets one copy of a large answer

What callers would see: late heartbeats, grants and changes of targets while a configuration or a list of targets spreads over slow links, and with them CONFIG and DRAIN.

A daemon that lacks a configuration or targets repeats its request each 0.3 s, and a peer answered each one with a whole copy, although the first was still on its way. On a link that needs longer than that, copies queue behind one another.

Change: a peer that has been sent something newer than it has gets no further copy for 1.5 s, or until it has received it, or until its connection is gone (sentAnswers). A silent connection is replaced within 1.1 s.

--- a/io/yuccagate/configuration.go
+++ b/io/yuccagate/configuration.go
@@ -87,21 +87,29 @@
 }
 
 // onTablePull sends this daemon's configuration to a peer that has requested it, if the peer's
-// configuration has a lower number. The configuration is compressed once for all peers that can read
+// configuration has a lower number and none is under way to the peer. The configuration is compressed once for all peers that can read
 // that form. Otherwise fifty peers that request a configuration of some hundred kilobytes at once
 // would occupy the link of a small VM for several seconds.
-func (gate *Gate) onTablePull(from yuccaid.Incarnation, pull yuccawire.TablePull) {
-	if gate.configurationNumber() <= pull.Have {
+func (gate *Gate) onTablePull(now time.Time, from yuccaid.Incarnation, pull yuccawire.TablePull) {
+	number := gate.configurationNumber()
+	if number <= pull.Have || gate.tablesSent.underWay(now, from, uint64(pull.Have)) {
 		return
 	}
-	if !pull.Unpacks {
-		gate.send(from, yuccawire.KindTable, yuccawire.Table{Raw: gate.tableRaw})
-		return
+	message := yuccawire.Table{Raw: gate.tableRaw}
+	if pull.Unpacks {
+		message = yuccawire.Table{Packed: gate.packTable()}
+	}
+	if gate.send(from, yuccawire.KindTable, message) {
+		gate.tablesSent[from] = sentAnswer{number: uint64(number), at: now}
 	}
+}
+
+// packTable returns the compressed text of the configuration in force.
+func (gate *Gate) packTable() []byte {
 	if gate.tablePacked == nil {
 		gate.tablePacked = yuccawire.PackTable(gate.tableRaw)
 	}
-	gate.send(from, yuccawire.KindTable, yuccawire.Table{Packed: gate.tablePacked})
+	return gate.tablePacked
 }
 
 // onTable handles a configuration from a peer. It runs on the connection's goroutine, because a
--- a/io/yuccagate/gate.go
+++ b/io/yuccagate/gate.go
@@ -96,6 +96,9 @@
 	// its compressed form, or nil if no peer has requested that yet.
 	tableRaw    []byte
 	tablePacked []byte
+	// tablesSent and listsSent hold what configurations and lists of targets were sent to connected
+	// peers.
+	tablesSent, listsSent sentAnswers
 	// tableBehindSince is when this daemon learned that a peer has a newer configuration than the one
 	// in force, zero if none has. tablePulledAt is when this daemon last requested a configuration
 	// from a peer.
@@ -191,6 +194,8 @@
 
 		configured: make(chan struct{}),
 
+		tablesSent:    make(sentAnswers),
+		listsSent:     make(sentAnswers),
 		castWindows:   make(map[castKey]sequenceWindow),
 		remoteCentres: make(map[yuccaid.Centre]*remoteCentre),
 
--- a/io/yuccagate/peers.go
+++ b/io/yuccagate/peers.go
@@ -79,6 +79,8 @@
 		gate.log.stateChange("peer lost", "peer", member.VM, "centre", member.Centre)
 		gate.peers.HandleDisconnect(now, member.Incarnation)
 		delete(gate.platformReports, yuccaroster.Reader{Centre: member.Centre, VM: member.VM})
+		delete(gate.tablesSent, member.Incarnation)
+		delete(gate.listsSent, member.Incarnation)
 	})
 }
 
@@ -155,13 +157,15 @@
 	gate.send(message.To, yuccawire.KindPulse, message.Pulse)
 }
 
-// send queues a message for a peer. A message that can't be queued is lost, as if the connection to
-// the peer had broken. A message that needs a response is sent again if no response arrives in
-// time.
-func (gate *Gate) send(to yuccaid.Incarnation, kind yuccawire.Kind, body any) {
-	if err := gate.hub.Send(to, kind, body); err != nil {
+// send queues a message for a peer and reports whether it could be queued. One that couldn't is lost,
+// as if the connection to the peer had broken. A message that needs a response is sent again if no
+// response arrives in time.
+func (gate *Gate) send(to yuccaid.Incarnation, kind yuccawire.Kind, body any) bool {
+	err := gate.hub.Send(to, kind, body)
+	if err != nil {
 		gate.metrics.unsent(kind)
 	}
+	return err == nil
 }
 
 // sendLocal sends a message to all other daemons of this data centre.
@@ -211,7 +215,7 @@
 	case yuccawire.KindRoster:
 		return decodeThen(frame, func(message peerListings) { gate.onRoster(now, message) })
 	case yuccawire.KindTablePull:
-		return decodeThen(frame, func(pull yuccawire.TablePull) { gate.onTablePull(from, pull) })
+		return decodeThen(frame, func(pull yuccawire.TablePull) { gate.onTablePull(now, from, pull) })
 	case yuccawire.KindTargetsPull:
 		return decodeThen(frame, func(pull yuccawire.TargetsPull) { gate.onTargetsPull(now, from, pull) })
 	case yuccawire.KindTargets:
--- a/io/yuccagate/targets.go
+++ b/io/yuccagate/targets.go
@@ -226,7 +226,8 @@
 	}
 }
 
-// onTargetsPull sends the targets to a peer that has read up to a lower revision.
+// onTargetsPull sends the targets to a peer that has read up to a lower revision, if they aren't under
+// way to the peer.
 //
 // If this daemon reads the platform, it sends its targets as a whole list. Otherwise the peer would
 // keep a target whose registration was removed after the peer had read the platform and before this
@@ -237,8 +238,11 @@
 	if reads {
 		message.At, message.Whole = gate.readRevision, true
 	}
-	if message.At > pull.Have {
-		gate.send(from, yuccawire.KindTargets, message)
+	if message.At <= pull.Have || gate.listsSent.underWay(now, from, uint64(pull.Have)) {
+		return
+	}
+	if gate.send(from, yuccawire.KindTargets, message) {
+		gate.listsSent[from] = sentAnswer{number: uint64(message.At), at: now}
 	}
 }
 
