--- a/io/yuccalink/conn.go
+++ b/io/yuccalink/conn.go
@@ -12,11 +12,11 @@
 	"yuccacleat/io/yuccawire"
 )
 
-// Conn is one traffic connection. One goroutine may receive while others send.
+// Conn is one traffic connection. One goroutine may call Receive while others call Send.
 type Conn struct {
 	hub     *Hub
 	peer    yuccapeer.Member
-	str     *stream
+	stream  *stream
 	in      *bufio.Reader
 	sending sync.Mutex
 	sentAt  time.Time
@@ -24,14 +24,14 @@
 	done    chan struct{}
 }
 
-// startTraffic begins a traffic connection whose handshake is done.
+// startTraffic starts a traffic connection after its handshake.
 func (hub *Hub) startTraffic(raw net.Conn, member yuccapeer.Member) (*Conn, error) {
-	str := hub.wrap(raw)
+	wrapped := hub.wrap(raw)
 	conn := &Conn{
 		hub:    hub,
 		peer:   member,
-		str:    str,
-		in:     bufio.NewReader(str),
+		stream: wrapped,
+		in:     bufio.NewReader(wrapped),
 		sentAt: time.Now(),
 		done:   make(chan struct{}),
 	}
@@ -46,11 +46,11 @@
 	return conn, nil
 }
 
-// Peer returns the daemon at the other end, as it proved itself.
+// Peer returns the daemon at the other end, which the handshake has authenticated.
 func (conn *Conn) Peer() yuccapeer.Member { return conn.peer }
 
-// Send writes one message and waits until the system has taken it, but no longer than
-// the write limit: then it fails with *StuckError. A failed write closes the connection.
+// Send writes one message and returns when the operating system has accepted it. It fails with
+// *StuckError if the peer accepts no data for Limits.Write. A failed write closes the connection.
 func (conn *Conn) Send(kind yuccawire.Kind, body any) error {
 	raw, err := yuccawire.Encode(kind, body)
 	if err != nil {
@@ -61,16 +61,16 @@
 	return conn.write(kind, raw)
 }
 
-// Receive returns the next message. It fails with *SilentError if the peer sends
-// nothing, not even a keep-alive, for the silence limit, with io.EOF after the peer's
-// goodbye, and with ErrCut if the connection ends without one.
+// Receive returns the next message. It fails with *SilentError if the peer sends nothing, not even a
+// keep-alive, for Limits.Silence. It returns io.EOF after the peer's closing message, and ErrCut if
+// the connection ends without one.
 func (conn *Conn) Receive() (yuccawire.Frame, error) {
 	for {
 		frame, err := yuccawire.Read(conn.in)
 		if err != nil {
 			return yuccawire.Frame{}, conn.fail(err)
 		}
-		conn.hub.took(frame)
+		conn.hub.countReceived(frame)
 		switch frame.Kind {
 		case yuccawire.KindKeepAlive:
 		case yuccawire.KindBye:
@@ -82,7 +82,8 @@
 	}
 }
 
-// Close says goodbye and ends the connection. It doesn't wait for a Send that hangs.
+// Close sends a closing message and closes the connection. If a Send is blocked, Close doesn't wait
+// for it and sends no closing message.
 func (conn *Conn) Close() error {
 	if conn.sending.TryLock() {
 		conn.write(yuccawire.KindBye, bye)
@@ -92,14 +93,14 @@
 	return nil
 }
 
-// write is called with sending held.
+// write writes one message. The caller must hold the mutex sending.
 func (conn *Conn) write(kind yuccawire.Kind, raw []byte) error {
 	select {
 	case <-conn.done:
 		return ErrClosed
 	default:
 	}
-	if _, err := conn.str.Write(raw); err != nil {
+	if _, err := conn.stream.Write(raw); err != nil {
 		return conn.fail(err)
 	}
 	conn.hub.sent[kind].add(len(raw))
@@ -107,7 +108,7 @@
 	return nil
 }
 
-// fail closes the connection and returns the typed error for its cause.
+// fail closes the connection and returns a typed error for the cause.
 func (conn *Conn) fail(cause error) error {
 	select {
 	case <-conn.done:
@@ -124,14 +125,14 @@
 func (conn *Conn) end() {
 	conn.closing.Do(func() {
 		close(conn.done)
-		conn.str.Close()
+		conn.stream.Close()
 		conn.hub.mu.Lock()
 		defer conn.hub.mu.Unlock()
 		delete(conn.hub.traffic, conn)
 	})
 }
 
-// keepAlive tells the peer that this end lives while it has nothing to say.
+// keepAlive sends keep-alives while no other messages are sent.
 func (conn *Conn) keepAlive() {
 	every := time.NewTicker(conn.hub.limits.KeepAliveEvery)
 	defer every.Stop()
@@ -140,14 +141,14 @@
 		case <-conn.done:
 			return
 		case <-every.C:
-			conn.prod()
+			conn.sendKeepAlive()
 		}
 	}
 }
 
-// prod sends a keep-alive unless something was sent of late. A failure shows itself
-// to whoever uses the connection.
-func (conn *Conn) prod() {
+// sendKeepAlive sends a keep-alive unless another message was sent recently. It ignores a failed
+// write, because the next Send or Receive reports that the connection is closed.
+func (conn *Conn) sendKeepAlive() {
 	conn.sending.Lock()
 	defer conn.sending.Unlock()
 	if time.Since(conn.sentAt) >= conn.hub.limits.KeepAliveEvery/2 {
--- a/io/yuccalink/conn_test.go
+++ b/io/yuccalink/conn_test.go
@@ -45,7 +45,7 @@
 			received <- frame
 		}()
 		Expect(far.Receive()).To(HaveField("Kind", kindTest))
-		// Longer than the silence limit: the keep-alives hold the connection.
+		// This is longer than the limit on silence, so only keep-alives keep the connection open.
 		Eventually(func() uint64 {
 			return count(first, yuccawire.KindKeepAlive).MessagesReceived
 		}, soon).Should(BeNumerically(">", 15))
@@ -53,8 +53,8 @@
 		Eventually(received, soon).Should(Receive(HaveField("Kind", kindTest)))
 	})
 
-	// A stream's connection is forgotten on the way, or its sender's process dies. The
-	// caller would wait for the rest of an answer for good, or take half for the whole.
+	// The connection of a stream goes silent, or its sender's process ends. Without an error, the caller
+	// would wait for the rest of the answer for ever, or take half of it for the whole.
 	DescribeTable("end by type",
 		func(end func(far *yuccalink.Conn), want any) {
 			near, far := dial()
--- a/io/yuccalink/count.go
+++ b/io/yuccalink/count.go
@@ -7,7 +7,8 @@
 	"yuccacleat/io/yuccawire"
 )
 
-// Count is what went over a hub's connections in messages of one kind, since its start.
+// Count is the number and size of messages of one kind that a hub has sent and received since its
+// start.
 type Count struct {
 	Kind                           yuccawire.Kind
 	MessagesSent, MessagesReceived uint64
@@ -29,12 +30,12 @@
 	sum.bytes.Add(uint64(bytes))
 }
 
-// counters are indexed by kind.
+// counters holds a tally for each kind of message, indexed by the kind.
 type counters struct {
 	sent, received [kinds]tally
 }
 
-// counts returns the kinds that occurred, in their order.
+// counts returns the counts of all kinds that have occurred, in the order of the kinds.
 func (all *counters) counts() []Count {
 	var found []Count
 	for kind := range kinds {
@@ -53,7 +54,7 @@
 	return found
 }
 
-// took notes a received frame at its length on the wire.
-func (all *counters) took(frame yuccawire.Frame) {
+// countReceived counts a received frame with its length on the wire.
+func (all *counters) countReceived(frame yuccawire.Frame) {
 	all.received[frame.Kind].add(headerBytes + kindBytes + len(frame.Body))
 }
--- a/io/yuccalink/dialer.go
+++ b/io/yuccalink/dialer.go
@@ -8,7 +8,7 @@
 	"yuccacleat/io/yuccawire"
 )
 
-// dialer keeps a control connection up to one address.
+// dialer keeps up a control connection to one address.
 type dialer struct {
 	hub     *Hub
 	address string
@@ -16,7 +16,7 @@
 	wait    time.Duration
 }
 
-// newDialer starts dialling until it is cancelled.
+// newDialer starts a dialer, which runs until it is cancelled.
 func newDialer(hub *Hub, address string) *dialer {
 	ctx, cancel := context.WithCancel(hub.ctx)
 	dial := &dialer{hub: hub, address: address, cancel: cancel, wait: hub.limits.FirstBackoff}
@@ -36,8 +36,8 @@
 	}
 }
 
-// watch waits for a link to come or go. A connection that held for a while shows that
-// the peer is well, so the next wait is short again.
+// watch waits until a connection is opened or closed. If the connection lasted longer than
+// Limits.Silence, the backoff starts again from its first value, because the peer was reachable.
 func (dial *dialer) watch(ctx context.Context, change <-chan struct{}) {
 	since := time.Now()
 	select {
@@ -49,7 +49,8 @@
 	}
 }
 
-// try dials once after a wait that doubles each time.
+// try waits for a random time up to the backoff and then dials once. The backoff doubles with each
+// call.
 func (dial *dialer) try(ctx context.Context) {
 	if !sleep(ctx, rand.N(dial.wait)+1) || dial.hub.reaches(dial.address) {
 		return
--- a/io/yuccalink/error.go
+++ b/io/yuccalink/error.go
@@ -11,20 +11,21 @@
 )
 
 var (
-	// ErrNoLink says that there is no control connection to a daemon.
+	// ErrNoLink is returned if there is no control connection to a daemon.
 	ErrNoLink = errors.New("no connection to that daemon: wait until it is up or send through another")
-	// ErrBacklog says that too much already waits for a daemon.
+	// ErrBacklog is returned if the queue of messages to a daemon is full.
 	ErrBacklog = errors.New("too much is queued for that daemon: drop the message or send it later")
-	// ErrClosed says that the hub or the connection was closed by this daemon.
+	// ErrClosed is returned if this daemon has closed the hub or the connection.
 	ErrClosed = errors.New("this daemon has closed the connection: use no closed hub or connection")
-	// ErrCut says that a traffic connection ended without the peer's goodbye.
+	// ErrCut is returned if a traffic connection ended without the peer's closing message.
 	ErrCut = errors.New("connection ended without a goodbye: dial again and ask the peer what it received")
 )
 
-// errContested says inside the hub that an address has to be dialled to see whose it is.
+// errContested is returned if two incarnations claim one address, which then has to be dialled to find
+// out which of them answers.
 var errContested = errors.New("another daemon is connected under that address: see who answers there")
 
-// SilentError says that a connection brought nothing for longer than its limit.
+// SilentError is returned if a peer has sent nothing on a connection for longer than the limit.
 type SilentError struct {
 	Address string
 	Limit   time.Duration
@@ -35,7 +36,7 @@
 	return fmt.Sprintf("nothing came from %s for %s: dial a new connection", err.Address, err.Limit)
 }
 
-// StuckError says that a peer takes nothing off a connection.
+// StuckError is returned if a peer has accepted no data on a connection for the limit.
 type StuckError struct {
 	Address string
 	Limit   time.Duration
@@ -46,7 +47,8 @@
 	return fmt.Sprintf("%s took nothing for %s: dial a new connection", err.Address, err.Limit)
 }
 
-// explain returns the typed error for a deadline that passed, else the cause itself.
+// explain returns a typed error if the cause is a deadline that has passed, and otherwise the cause
+// itself.
 func explain(cause error, address string, limits Limits) error {
 	var failed *net.OpError
 	if !errors.Is(cause, os.ErrDeadlineExceeded) || !errors.As(cause, &failed) {
@@ -58,7 +60,7 @@
 	return &SilentError{Address: address, Limit: limits.Silence}
 }
 
-// SelfError says that an address leads back to this daemon.
+// SelfError is returned if an address leads to this daemon itself.
 type SelfError struct {
 	Address string
 }
@@ -68,7 +70,7 @@
 	return fmt.Sprintf("%s is this daemon itself: take it out of the seeds", err.Address)
 }
 
-// ReplacedError says that a peer's address has since been taken over by a successor.
+// ReplacedError is returned if another incarnation has taken over a peer's address.
 type ReplacedError struct {
 	Incarnation yuccaid.Incarnation
 }
--- a/io/yuccalink/example_test.go
+++ b/io/yuccalink/example_test.go
@@ -42,7 +42,7 @@
 
 const kindTest yuccawire.Kind = 100
 
-// place is a member with the listener at its address.
+// place is a member and the listener at its address.
 type place struct {
 	yuccapeer.Member
 	listener net.Listener
--- a/io/yuccalink/handshake.go
+++ b/io/yuccalink/handshake.go
@@ -12,11 +12,12 @@
 	"yuccacleat/io/yuccawire"
 )
 
-// acceptPause keeps a daemon that is out of file descriptors from spinning.
+// acceptPause is the wait after a failed accept. Without it, a daemon that is out of file descriptors
+// would use all of its processor time on failing accepts.
 const acceptPause = 50 * time.Millisecond
 
-// acceptAll takes connections until the listener is closed. No failure of one ends it:
-// a daemon that no longer accepts would look alive and be out of reach.
+// acceptAll accepts connections until the listener is closed. It continues after a failed accept,
+// because a daemon that no longer accepts connections would seem alive but be unreachable.
 func (hub *Hub) acceptAll() {
 	for {
 		raw, err := hub.listener.Accept()
@@ -31,16 +32,16 @@
 			sleep(hub.ctx, acceptPause)
 			continue
 		}
-		hub.gate.enter(raw)
+		hub.pending.add(raw)
 		hub.group.Go(func() { hub.accept(raw) })
 	}
 }
 
-// accept takes one connection through its handshake.
+// accept performs the handshake of one accepted connection.
 func (hub *Hub) accept(raw net.Conn) {
 	raw.SetDeadline(time.Now().Add(hub.limits.Handshake))
 	theirs, err := yuccawire.HandshakeAccept(raw, hub.key, hub.hello(0))
-	hub.gate.leave(raw)
+	hub.pending.remove(raw)
 	if err != nil {
 		raw.Close()
 		hub.onFault(raw.RemoteAddr().String(), eris.Wrap(err, "accepted connection"))
@@ -51,7 +52,7 @@
 	}
 }
 
-// start puts an accepted connection to its purpose.
+// start hands over an accepted connection according to the purpose that the peer has stated.
 func (hub *Hub) start(raw net.Conn, theirs yuccawire.Hello) error {
 	member, err := hub.check(raw, theirs)
 	if err != nil {
@@ -67,7 +68,7 @@
 	return err
 }
 
-// open dials and shakes hands.
+// open dials an address and performs the handshake.
 func (hub *Hub) open(ctx context.Context, address string, purpose yuccawire.Purpose) (net.Conn, yuccapeer.Member, error) {
 	dialer := net.Dialer{Timeout: hub.limits.Dial}
 	raw, err := dialer.DialContext(ctx, "tcp", address)
@@ -88,7 +89,8 @@
 	return raw, member, err
 }
 
-// check turns a proven greeting into a member and refuses this daemon itself.
+// check returns the member that an authenticated hello describes. It closes the connection and fails
+// if the peer is this daemon itself.
 func (hub *Hub) check(raw net.Conn, theirs yuccawire.Hello) (yuccapeer.Member, error) {
 	raw.SetDeadline(time.Time{})
 	inc, err := theirs.Peer()
@@ -122,7 +124,7 @@
 	return &stream{Conn: raw, silence: hub.limits.Silence, write: hub.limits.Write}
 }
 
-// sleep waits and reports whether the context still stands.
+// sleep waits and reports whether the context hasn't ended.
 func sleep(ctx context.Context, wait time.Duration) bool {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
--- a/io/yuccalink/hub.go
+++ b/io/yuccalink/hub.go
@@ -25,26 +25,27 @@
 	onTraffic func(*Conn)
 	onFault   func(string, error)
 
-	ctx    context.Context
-	cancel context.CancelFunc
-	group  sync.WaitGroup
-	gate   *gate
+	ctx     context.Context
+	cancel  context.CancelFunc
+	group   sync.WaitGroup
+	pending *pendingHandshakes
 	counters
 
-	// turn makes OnUp and OnDown come in the order in which peers came and went.
-	// It is taken before mu and held over those calls; mu is held over none.
-	turn sync.Mutex
-	mu   sync.Mutex
-	// The rest is guarded by mu.
+	// upDownOrder keeps the calls of OnUp and OnDown in the order in which peers connect and
+	// disconnect. It is locked before mu and held during those calls. The mutex mu is never held
+	// during a call.
+	upDownOrder sync.Mutex
+	mu          sync.Mutex
+	// The mutex mu guards the fields below.
 	closed   bool
 	peers    map[yuccaid.Incarnation]*peer
 	dialers  map[string]*dialer
 	traffic  map[*Conn]struct{}
-	replaced memory
+	replaced incarnationSet
 	changed  chan struct{}
 }
 
-// New returns a hub that accepts on the listener, if there is one, until Close.
+// New returns a hub. If the listener isn't nil, the hub accepts connections on it until Close.
 func New(self yuccapeer.Member, key yuccaid.Key, listener net.Listener, options ...Option) *Hub {
 	hub := &Hub{
 		self:      self,
@@ -64,7 +65,7 @@
 	for _, option := range options {
 		option(hub)
 	}
-	hub.gate = &gate{limit: hub.limits.HalfOpen}
+	hub.pending = &pendingHandshakes{limit: hub.limits.HalfOpen}
 	hub.ctx, hub.cancel = context.WithCancel(context.Background())
 	if listener != nil {
 		hub.group.Go(func() { hub.acceptAll() })
@@ -72,9 +73,8 @@
 	return hub
 }
 
-// Connect sets the addresses that control connections are kept up to. A connection
-// that a peer dialled counts as well. One that this daemon dialled to another address
-// is closed.
+// Connect sets the addresses to which the hub keeps up control connections. A connection that the peer
+// has dialled counts as well. Connections that this daemon has dialled to other addresses are closed.
 func (hub *Hub) Connect(addresses []string) {
 	hub.mu.Lock()
 	defer hub.mu.Unlock()
@@ -95,7 +95,7 @@
 	}
 }
 
-// Send queues a control message for a daemon and never waits.
+// Send queues a control message for a daemon. It doesn't block.
 func (hub *Hub) Send(to yuccaid.Incarnation, kind yuccawire.Kind, body any) error {
 	raw, err := yuccawire.Encode(kind, body)
 	if err != nil {
@@ -123,8 +123,8 @@
 	return hub.startTraffic(raw, member)
 }
 
-// Counts returns what went over the hub's connections, by kind. The handshakes aren't
-// in it.
+// Counts returns the number and size of the messages on the hub's connections, by kind, without the
+// handshakes.
 func (hub *Hub) Counts() []Count { return hub.counts() }
 
 // Linked returns the daemons with a control connection, in the order of their names.
@@ -139,7 +139,7 @@
 	return members
 }
 
-// Links returns how many control connections there are, of all peers together.
+// Links returns the number of control connections to all peers.
 func (hub *Hub) Links() int {
 	hub.mu.Lock()
 	defer hub.mu.Unlock()
@@ -150,11 +150,11 @@
 	return sum
 }
 
-// HalfOpen returns how many accepted connections are in their handshake.
-func (hub *Hub) HalfOpen() int { return hub.gate.size() }
+// HalfOpen returns the number of accepted connections that are in their handshake.
+func (hub *Hub) HalfOpen() int { return hub.pending.size() }
 
-// Close stops accepting and dialling, gives queued control messages the time of
-// Farewell to go out, closes every connection and waits for the hub's goroutines.
+// Close stops accepting and dialling, waits for up to Limits.Farewell until queued control messages are
+// sent, closes all connections and waits for the hub's goroutines.
 func (hub *Hub) Close() {
 	hub.mu.Lock()
 	first := !hub.closed
@@ -171,7 +171,7 @@
 	if hub.listener != nil {
 		hub.listener.Close()
 	}
-	hub.gate.closeAll()
+	hub.pending.closeAll()
 	links, conns := hub.all()
 	for _, conn := range conns {
 		conn.Close()
@@ -208,7 +208,7 @@
 func (hub *Hub) retireDialled(address string) {
 	for _, other := range hub.peers {
 		for _, lk := range other.links {
-			if lk.wished == address {
+			if lk.dialled == address {
 				lk.retire()
 			}
 		}
@@ -227,15 +227,15 @@
 	return false
 }
 
-// change returns a channel that is closed when next a link comes or goes.
+// change returns a channel that is closed when the next link is added or removed.
 func (hub *Hub) change() <-chan struct{} {
 	hub.mu.Lock()
 	defer hub.mu.Unlock()
 	return hub.changed
 }
 
-// tellChange is called with mu held.
-func (hub *Hub) tellChange() {
+// notifyChange closes the channel that change has returned. The caller must hold mu.
+func (hub *Hub) notifyChange() {
 	close(hub.changed)
 	hub.changed = make(chan struct{})
 }
--- a/io/yuccalink/hub_test.go
+++ b/io/yuccalink/hub_test.go
@@ -25,55 +25,55 @@
 
 var key = yuccaid.Key("fleet key for tests")
 
-// notes collects what a hub's goroutines report.
-type notes[T any] struct {
+// recorded collects what a hub's goroutines report.
+type recorded[T any] struct {
 	mu    sync.Mutex
 	items []T
 }
 
-func (nts *notes[T]) add(item T) {
-	nts.mu.Lock()
-	defer nts.mu.Unlock()
-	nts.items = append(nts.items, item)
+func (rec *recorded[T]) add(item T) {
+	rec.mu.Lock()
+	defer rec.mu.Unlock()
+	rec.items = append(rec.items, item)
 }
 
-func (nts *notes[T]) all() []T {
-	nts.mu.Lock()
-	defer nts.mu.Unlock()
-	return append([]T{}, nts.items...)
+func (rec *recorded[T]) all() []T {
+	rec.mu.Lock()
+	defer rec.mu.Unlock()
+	return append([]T{}, rec.items...)
 }
 
-// journal notes what a hub called.
-type journal struct {
-	lines, texts notes[string]
-	faults       notes[error]
+// recorder records the calls that a hub makes.
+type recorder struct {
+	lines, texts recorded[string]
+	faults       recorded[error]
 }
 
-func (jrn *journal) all() []string    { return jrn.lines.all() }
-func (jrn *journal) frames() []string { return jrn.texts.all() }
-func (jrn *journal) causes() []error  { return jrn.faults.all() }
+func (rec *recorder) all() []string    { return rec.lines.all() }
+func (rec *recorder) frames() []string { return rec.texts.all() }
+func (rec *recorder) causes() []error  { return rec.faults.all() }
 
-// open starts a hub that is closed with the spec.
-func open(at place, with yuccaid.Key, options ...yuccalink.Option) (*yuccalink.Hub, *journal) {
-	jrn := &journal{}
+// open starts a hub that is closed at the end of the spec.
+func open(at place, with yuccaid.Key, options ...yuccalink.Option) (*yuccalink.Hub, *recorder) {
+	rec := &recorder{}
 	own := []yuccalink.Option{
 		yuccalink.OnFrame(func(_ yuccaid.Incarnation, frame yuccawire.Frame) {
 			var text string
 			if err := frame.Decode(&text); err != nil {
 				text = err.Error()
 			}
-			jrn.texts.add(text)
+			rec.texts.add(text)
 		}),
-		yuccalink.OnUp(func(up yuccapeer.Member) { jrn.lines.add("up " + up.Incarnation.String()) }),
-		yuccalink.OnDown(func(down yuccapeer.Member) { jrn.lines.add("down " + down.Incarnation.String()) }),
-		yuccalink.OnFault(func(_ string, err error) { jrn.faults.add(eris.Cause(err)) }),
+		yuccalink.OnUp(func(up yuccapeer.Member) { rec.lines.add("up " + up.Incarnation.String()) }),
+		yuccalink.OnDown(func(down yuccapeer.Member) { rec.lines.add("down " + down.Incarnation.String()) }),
+		yuccalink.OnFault(func(_ string, err error) { rec.faults.add(eris.Cause(err)) }),
 	}
 	hub := yuccalink.New(at.Member, with, at.listener, append(own, options...)...)
 	DeferCleanup(hub.Close)
-	return hub, jrn
+	return hub, rec
 }
 
-// quick has limits short enough that a spec can wait for them.
+// quick returns limits that are short enough for a spec to wait for them.
 func quick() yuccalink.Limits {
 	limits := yuccalink.DefaultLimits()
 	limits.Silence = time.Second
@@ -86,7 +86,7 @@
 	return limits
 }
 
-// count returns what a hub counted of a kind.
+// count returns a hub's count of one kind.
 func count(hub *yuccalink.Hub, kind yuccawire.Kind) yuccalink.Count {
 	for _, found := range hub.Counts() {
 		if found.Kind == kind {
@@ -98,7 +98,7 @@
 
 func beType(err error) types.GomegaMatcher { return ContainElement(BeAssignableToTypeOf(err)) }
 
-// sends makes an assertion's value of a send that may not work yet.
+// sends returns a function that sends a text, for assertions on a send that may fail at first.
 func sends(hub *yuccalink.Hub, to place, text string) func() error {
 	return func() error { return hub.Send(to.Incarnation, kindTest, text) }
 }
@@ -125,8 +125,8 @@
 		Expect(first.Linked()).To(Equal([]yuccapeer.Member{two.Member}))
 	})
 
-	// The key file of another fleet is put on a VM. Without a refusal its daemon would
-	// join, and answers would go to strangers.
+	// The key file of another fleet is put on a VM. If its daemon weren't refused, it would join, and
+	// answers would go to the callers of another fleet.
 	It("don't come up when the keys differ, and both ends say why", func() {
 		first, heardFirst := open(one, key)
 		_, heardSecond := open(two, yuccaid.Key("another fleet's"))
@@ -137,8 +137,8 @@
 		Expect(first.Send(two.Incarnation, kindTest, "a")).To(MatchError(yuccalink.ErrNoLink))
 	})
 
-	// A firewall between two daemons restarts and forgets its connections. Neither end
-	// gets an error. A user would wait for a grant that was sent and never arrives.
+	// A firewall between two daemons restarts and loses its state, and neither end gets an error. A user
+	// would wait for a grant that was sent and never arrives.
 	DescribeTable("are replaced when they go silent while new ones work",
 		func(near, far bool) {
 			rel := newRelay(two.Address)
@@ -176,8 +176,8 @@
 		Expect(heardFirst.all()).To(HaveLen(1))
 	})
 
-	// Two daemons start together and dial each other. With both connections kept, each
-	// heartbeat's cost would double; closed by each end's own choice, both would go.
+	// Two daemons start together and dial each other. If both connections were kept, each heartbeat would
+	// cost twice as much. If each end closed one of its choice, both could be closed.
 	It("come down to one when both ends dialled", func() {
 		first, heardFirst := open(one, key, yuccalink.WithLimits(quick()))
 		second, heardSecond := open(two, key, yuccalink.WithLimits(quick()))
@@ -212,9 +212,9 @@
 		))
 	})
 
-	// A VM is replaced while its old process is paused. When that wakes up it dials the
-	// others as if nothing had happened. Taken back, it would lead pools again with the
-	// queue of long ago; taken for the successor, it would push that out for good.
+	// A VM is replaced while its old process is paused. When the process resumes, it dials the others. If
+	// it were accepted, it would lead pools with an old queue. If it were taken for the successor, the
+	// real successor would be refused.
 	DescribeTable("of a replaced daemon end, and it isn't let back in",
 		func(oldFirst bool) {
 			first, heard := open(one, key, yuccalink.WithLimits(quick()))
@@ -256,8 +256,8 @@
 		Expect(append(heardFirst.causes(), heardSecond.causes()...)).To(BeEmpty())
 	})
 
-	// A daemon shuts down right after it handed over its pools. If what it had queued
-	// went down with it, its successor would have to wait for timeouts instead.
+	// A daemon shuts down right after it has handed over its pools. If its queued messages were lost, its
+	// successor would have to wait for timeouts.
 	It("send what is queued before a graceful close", func() {
 		limits := yuccalink.DefaultLimits()
 		limits.Farewell = soon
@@ -265,7 +265,7 @@
 		_, heardSecond := open(two, key, yuccalink.WithLimits(limits))
 		first.Connect([]string{two.Address})
 		Eventually(heardFirst.all, soon).Should(HaveLen(1))
-		// More than the system's buffers take at once, so that much still waits.
+		// This is more than the operating system's buffers hold, so most of it stays queued.
 		large := strings.Repeat("x", 7<<10)
 		for range 1000 {
 			Expect(first.Send(two.Incarnation, kindTest, large)).To(Succeed())
@@ -278,8 +278,8 @@
 		Expect(err).To(HaveOccurred())
 	})
 
-	// A peer's process hangs with its connections open. Its queue must neither grow
-	// without end nor hold up what goes to the others.
+	// A peer's process hangs with its connections open. Its queue must neither grow without a bound nor
+	// delay the messages to other peers.
 	It("refuse more for a peer that doesn't read, and others still get theirs", func() {
 		hung := member("vm-3", listen())
 		go hang(hung)
@@ -294,8 +294,8 @@
 		Eventually(heard.causes, soon).Should(Or(beType(&yuccalink.StuckError{}), beType(&yuccalink.SilentError{})))
 	})
 
-	// Somebody without the key scans the network, or opens connections and says nothing.
-	// If they took up every place, a restarted daemon could reach nobody.
+	// A client without the key opens connections and sends nothing. If these took up all handshakes, a
+	// restarted daemon could reach nobody.
 	It("come up while strangers hold every handshake", func() {
 		limits := quick()
 		limits.HalfOpen = 4
@@ -329,8 +329,8 @@
 	})
 })
 
-// hang accepts as a daemon would and then reads nothing. It holds on to what it has
-// accepted, or the garbage collector would close it.
+// hang accepts connections and then reads nothing. It keeps the connections that it has accepted,
+// because the garbage collector would close them otherwise.
 func hang(at place) {
 	var held []net.Conn
 	defer func() {
--- a/io/yuccalink/link.go
+++ b/io/yuccalink/link.go
@@ -12,17 +12,17 @@
 	"yuccacleat/io/yuccawire"
 )
 
-// link is one control connection. One goroutine reads and one writes.
+// link is one control connection, with one goroutine that reads and one that writes.
 type link struct {
-	hub    *Hub
-	peer   *peer
-	str    *stream
-	wished string
-	born   time.Time
+	hub     *Hub
+	peer    *peer
+	stream  *stream
+	dialled string
+	born    time.Time
 
 	mu    sync.Mutex
 	queue [][]byte
-	// frames and bytes count what is queued or being written.
+	// frames and bytes are the number and size of the frames that are queued or being written.
 	frames, bytes int
 
 	wake    chan struct{}
@@ -34,16 +34,16 @@
 	written chan struct{}
 }
 
-// newLink starts reading and writing on a connection whose handshake is done.
-func newLink(hub *Hub, other *peer, raw net.Conn, wished string) *link {
+// newLink starts a control connection after its handshake.
+func newLink(hub *Hub, other *peer, raw net.Conn, dialled string) *link {
 	lk := &link{
-		hub:    hub,
-		peer:   other,
-		str:    hub.wrap(raw),
-		wished: wished,
-		born:   time.Now(),
-		wake:   make(chan struct{}, 1),
-		done:   make(chan struct{}),
+		hub:     hub,
+		peer:    other,
+		stream:  hub.wrap(raw),
+		dialled: dialled,
+		born:    time.Now(),
+		wake:    make(chan struct{}, 1),
+		done:    make(chan struct{}),
 
 		written: make(chan struct{}),
 	}
@@ -52,7 +52,7 @@
 	return lk
 }
 
-// enqueue adds a frame to what waits, unless that is too much.
+// enqueue queues a frame, or fails with ErrBacklog if the queue is full.
 func (lk *link) enqueue(kind yuccawire.Kind, raw []byte) error {
 	lk.mu.Lock()
 	defer lk.mu.Unlock()
@@ -67,19 +67,19 @@
 	lk.frames++
 	lk.bytes += len(raw)
 	lk.hub.sent[kind].add(len(raw))
-	lk.rouse()
+	lk.wakeWriter()
 	return nil
 }
 
-// rouse makes the writer look at the queue.
-func (lk *link) rouse() {
+// wakeWriter makes the writer check the queue.
+func (lk *link) wakeWriter() {
 	select {
 	case lk.wake <- struct{}{}:
 	default:
 	}
 }
 
-// take returns all that waits.
+// take removes all frames from the queue and returns them.
 func (lk *link) take() [][]byte {
 	lk.mu.Lock()
 	defer lk.mu.Unlock()
@@ -88,8 +88,8 @@
 	return queue
 }
 
-// wrote makes room for as much as has been written.
-func (lk *link) wrote(queue [][]byte) {
+// releaseWritten subtracts frames that have been written from the counts that bound the queue.
+func (lk *link) releaseWritten(queue [][]byte) {
 	lk.mu.Lock()
 	defer lk.mu.Unlock()
 	lk.frames -= len(queue)
@@ -98,23 +98,23 @@
 	}
 }
 
-// retire ends the connection gracefully: nothing new is queued on it, what waits goes
-// out with a goodbye, and the peer closes.
+// retire closes the connection gracefully: it accepts no new frames, sends the queued ones and a closing
+// message, and the peer closes the connection.
 //
-// The lock keeps a message from being queued after the writer's last look.
+// The lock prevents that a frame is queued after the writer has checked the queue for the last time.
 func (lk *link) retire() {
 	lk.mu.Lock()
 	lk.retired.Store(true)
 	lk.mu.Unlock()
-	lk.rouse()
+	lk.wakeWriter()
 }
 
-// close ends the connection at once.
+// close closes the connection at once.
 func (lk *link) close(cause error) {
 	lk.closing.Do(func() {
 		lk.retired.Store(true)
 		close(lk.done)
-		lk.str.Close()
+		lk.stream.Close()
 		if !errors.Is(cause, io.EOF) && !errors.Is(cause, ErrClosed) {
 			address := lk.peer.member.Address
 			lk.hub.onFault(address, explain(cause, address, lk.hub.limits))
@@ -122,22 +122,22 @@
 	})
 }
 
-// readAll hands on frames until the connection ends.
+// readAll delivers frames until the connection ends.
 func (lk *link) readAll() {
 	defer lk.hub.unlink(lk)
-	in := bufio.NewReader(lk.str)
+	in := bufio.NewReader(lk.stream)
 	for {
 		frame, err := yuccawire.Read(in)
 		if err != nil {
 			lk.close(err)
 			return
 		}
-		lk.hub.took(frame)
+		lk.hub.countReceived(frame)
 		if frame.Kind == yuccawire.KindBye {
 			lk.farewell()
 			return
 		}
-		if lk.peer.crowded.Load() && time.Since(lk.born) > lk.hub.limits.Linger {
+		if lk.peer.hasSeveralLinks.Load() && time.Since(lk.born) > lk.hub.limits.Linger {
 			lk.hub.prune(lk)
 		}
 		if frame.Kind != yuccawire.KindKeepAlive {
@@ -146,7 +146,7 @@
 	}
 }
 
-// farewell answers a goodbye: what still waits goes out before the end.
+// farewell handles the peer's closing message: it sends the queued frames and closes the connection.
 func (lk *link) farewell() {
 	lk.retire()
 	select {
@@ -156,10 +156,10 @@
 	lk.close(io.EOF)
 }
 
-// writeAll sends what is queued, and a keep-alive when nothing was for a while.
+// writeAll sends queued frames, and keep-alives while none are queued.
 func (lk *link) writeAll() {
 	defer close(lk.written)
-	out := bufio.NewWriter(lk.str)
+	out := bufio.NewWriter(lk.stream)
 	idle := time.NewTimer(lk.hub.limits.KeepAliveEvery)
 	defer idle.Stop()
 	for {
@@ -194,13 +194,13 @@
 		out.Write(bye)
 		lk.hub.sent[yuccawire.KindBye].add(len(bye))
 	}
-	defer lk.wrote(queue)
+	defer lk.releaseWritten(queue)
 	return out.Flush()
 }
 
-// hangUp closes this end's half; the reader goes on until the peer has closed its own.
+// hangUp closes the connection for writing. The reader continues until the peer has closed its side.
 func (lk *link) hangUp() {
-	if tcp, ok := lk.str.Conn.(*net.TCPConn); ok {
+	if tcp, ok := lk.stream.Conn.(*net.TCPConn); ok {
 		tcp.CloseWrite()
 	}
 }
@@ -210,7 +210,7 @@
 	bye       = mustEncode(yuccawire.KindBye)
 )
 
-// mustEncode makes the frames that never change; nil always encodes.
+// mustEncode encodes a frame without a body, which can't fail.
 func mustEncode(kind yuccawire.Kind) []byte {
 	raw, err := yuccawire.Encode(kind, nil)
 	if err != nil {
--- a/io/yuccalink/option.go
+++ b/io/yuccalink/option.go
@@ -6,40 +6,41 @@
 	"yuccacleat/io/yuccawire"
 )
 
-// Option changes how a Hub behaves. Its functions are called by the hub's goroutines;
-// they may call Send and Connect but must not wait for other peers, nor call Close.
+// Option configures a Hub. The functions that an option sets are called on the hub's goroutines. They
+// may call Send and Connect, but must not wait for other peers or call Close.
 type Option func(*Hub)
 
-// OnFrame sets who takes control frames. It is called for one frame of a peer at a time,
-// in the order of the connection they came on, for several peers at once, and always
-// after the peer's OnUp and before its OnDown. While a pair changes to another
-// connection, a frame of the new one may overtake one of the old.
+// OnFrame sets the handler of control frames. The handler is called for one frame of a peer at a time,
+// in the order in which a connection brought them, and for several peers concurrently. All calls for a
+// peer come between its OnUp and its OnDown. While two daemons change to another connection, a frame
+// of the new connection may overtake one of the old.
 func OnFrame(take func(from yuccaid.Incarnation, frame yuccawire.Frame)) Option {
 	return func(hub *Hub) { hub.onFrame = take }
 }
 
-// OnUp sets who hears that a first connection to a daemon is up.
+// OnUp sets the function that is called when the first connection to a daemon is up.
 func OnUp(take func(yuccapeer.Member)) Option {
 	return func(hub *Hub) { hub.onUp = take }
 }
 
-// OnDown sets who hears that the last connection to a daemon is gone.
+// OnDown sets the function that is called when the last connection to a daemon is closed.
 func OnDown(take func(yuccapeer.Member)) Option {
 	return func(hub *Hub) { hub.onDown = take }
 }
 
-// OnTraffic sets who takes accepted traffic connections, each on a goroutine of its
-// own. It closes the connection when it is done.
+// OnTraffic sets the handler of accepted traffic connections, which is called on a separate goroutine
+// for each. The handler has to close the connection.
 func OnTraffic(take func(*Conn)) Option {
 	return func(hub *Hub) { hub.onTraffic = take }
 }
 
-// OnFault sets who hears why a connection failed, for logs and metrics.
+// OnFault sets the function that is called with the cause of each failed connection, for logs and
+// metrics.
 func OnFault(take func(address string, err error)) Option {
 	return func(hub *Hub) { hub.onFault = take }
 }
 
-// WithLimits sets the limits on time and memory.
+// WithLimits sets the limits on time and memory, instead of DefaultLimits.
 func WithLimits(limits Limits) Option {
 	return func(hub *Hub) { hub.limits = limits }
 }
--- a/io/yuccalink/peer.go
+++ b/io/yuccalink/peer.go
@@ -13,23 +13,23 @@
 	"yuccacleat/io/yuccawire"
 )
 
-// peer is one incarnation with its control connections, the newest last.
+// peer is an incarnation of another daemon with its control connections, the newest last.
 type peer struct {
 	member yuccapeer.Member
 	links  []*link
-	// aliases are the addresses it was dialled at, beside the one that it names.
+	// aliases are the addresses at which the peer was dialled, other than the one that it reports.
 	aliases []string
-	// crowded says that there is more than one link.
-	crowded atomic.Bool
+	// hasSeveralLinks reports whether there is more than one link.
+	hasSeveralLinks atomic.Bool
 
-	// calls makes the peer's frames and its OnDown come one after the other. A peer
-	// starts with it held, until OnUp has returned.
-	calls sync.Mutex
-	gone  bool
+	// callbacks serializes the calls of OnFrame and OnDown for this peer. It is locked until OnUp
+	// has returned.
+	callbacks sync.Mutex
+	gone      bool
 }
 
-// newest returns the connection to send on: of several, the last one to come up, since
-// an older one may have gone silent already.
+// newest returns the connection to send on. If there are several, this is the newest, because an older
+// one may have gone silent.
 func (other *peer) newest() *link {
 	for _, lk := range slices.Backward(other.links) {
 		if !lk.retired.Load() {
@@ -46,46 +46,46 @@
 
 func (other *peer) add(lk *link) {
 	other.links = append(other.links, lk)
-	other.crowded.Store(len(other.links) > 1)
-	if lk.wished != "" && !slices.Contains(other.aliases, lk.wished) {
-		other.aliases = append(other.aliases, lk.wished)
+	other.hasSeveralLinks.Store(len(other.links) > 1)
+	if lk.dialled != "" && !slices.Contains(other.aliases, lk.dialled) {
+		other.aliases = append(other.aliases, lk.dialled)
 	}
 }
 
 func (other *peer) remove(lk *link) {
 	other.links = slices.DeleteFunc(other.links, func(one *link) bool { return one == lk })
-	other.crowded.Store(len(other.links) > 1)
+	other.hasSeveralLinks.Store(len(other.links) > 1)
 }
 
-// deliver hands on one frame.
+// deliver passes a frame to OnFrame, unless the peer is gone.
 func (other *peer) deliver(hub *Hub, frame yuccawire.Frame) {
-	other.calls.Lock()
-	defer other.calls.Unlock()
+	other.callbacks.Lock()
+	defer other.callbacks.Unlock()
 	if !other.gone {
 		hub.onFrame(other.member.Incarnation, frame)
 	}
 }
 
-// end tells that the peer is down, once the frame in hand is done with.
+// end calls OnDown after the frame that is being handled.
 func (other *peer) end(hub *Hub) {
-	other.calls.Lock()
-	defer other.calls.Unlock()
+	other.callbacks.Lock()
+	defer other.callbacks.Unlock()
 	other.gone = true
 	hub.onDown(other.member)
 }
 
 // install adds a control connection, and the peer if it is new.
 //
-// A new incarnation at the address of another takes its place: the old one's process has
-// ended, and its connections may not have noticed. But an old process may also wake up
-// from a pause and dial. So only one that answered when its own address was dialled
-// takes a place; install refuses any other with errContested.
-func (hub *Hub) install(raw net.Conn, member yuccapeer.Member, wished string) error {
-	hub.turn.Lock()
-	defer hub.turn.Unlock()
+// If another incarnation is connected under the same address, its process has probably ended and its
+// connections haven't failed yet. But the newcomer may also be an old process that has resumed after a
+// pause and has dialled this daemon. So it replaces the other only if it answered when its address was
+// dialled. Otherwise install fails with errContested.
+func (hub *Hub) install(raw net.Conn, member yuccapeer.Member, dialled string) error {
+	hub.upDownOrder.Lock()
+	defer hub.upDownOrder.Unlock()
 	hub.mu.Lock()
-	old := hub.holder(member)
-	if err := hub.admits(member, old, wished); err != nil {
+	old := hub.peerAt(member)
+	if err := hub.mayInstall(member, old, dialled); err != nil {
 		hub.mu.Unlock()
 		raw.Close()
 		return err
@@ -95,29 +95,30 @@
 	fresh := other == nil
 	if fresh {
 		other = &peer{member: member}
-		other.calls.Lock()
+		other.callbacks.Lock()
 		hub.peers[member.Incarnation] = other
 	}
-	other.add(newLink(hub, other, raw, wished))
-	crowd := len(other.links) - hub.limits.LinksPerPeer
-	for i := range crowd {
+	other.add(newLink(hub, other, raw, dialled))
+	surplus := len(other.links) - hub.limits.LinksPerPeer
+	for i := range surplus {
 		other.links[i].retire()
 	}
-	hub.tellChange()
+	hub.notifyChange()
 	hub.mu.Unlock()
 	if old != nil {
 		old.end(hub)
 	}
 	if fresh {
 		hub.onUp(member)
-		other.calls.Unlock()
+		other.callbacks.Unlock()
 	}
 	return nil
 }
 
-// join installs a connection, and dials the address itself when two claim it.
-func (hub *Hub) join(raw net.Conn, member yuccapeer.Member, wished string) error {
-	err := hub.install(raw, member, wished)
+// join installs a connection. If two incarnations claim the address, it dials the address to find out
+// which of them answers.
+func (hub *Hub) join(raw net.Conn, member yuccapeer.Member, dialled string) error {
+	err := hub.install(raw, member, dialled)
 	if !errors.Is(err, errContested) {
 		return err
 	}
@@ -137,22 +138,23 @@
 	return &ReplacedError{Incarnation: member.Incarnation}
 }
 
-// admits is called with mu held.
-func (hub *Hub) admits(member yuccapeer.Member, old *peer, wished string) error {
+// mayInstall returns an error if a member's connection must not be added. The caller must hold mu.
+func (hub *Hub) mayInstall(member yuccapeer.Member, old *peer, dialled string) error {
 	if hub.closed {
 		return ErrClosed
 	}
-	if hub.replaced.holds(member.Incarnation) {
+	if hub.replaced.contains(member.Incarnation) {
 		return &ReplacedError{Incarnation: member.Incarnation}
 	}
-	if old != nil && wished != member.Address {
+	if old != nil && dialled != member.Address {
 		return errContested
 	}
 	return nil
 }
 
-// holder returns another incarnation at a member's address. It is called with mu held.
-func (hub *Hub) holder(member yuccapeer.Member) *peer {
+// peerAt returns another incarnation that is connected under the member's address, or nil. The caller
+// must hold mu.
+func (hub *Hub) peerAt(member yuccapeer.Member) *peer {
 	for inc, old := range hub.peers {
 		if inc != member.Incarnation && old.member.Address == member.Address {
 			return old
@@ -161,7 +163,8 @@
 	return nil
 }
 
-// supersede takes out the old incarnation at an address. It is called with mu held.
+// supersede removes the old incarnation at an address and refuses it from then on. The caller must hold
+// mu.
 func (hub *Hub) supersede(old *peer) {
 	if old == nil {
 		return
@@ -174,10 +177,10 @@
 	}
 }
 
-// unlink removes a connection that ended, and the peer with its last one.
+// unlink removes a connection that has ended, and the peer if it was its last one.
 func (hub *Hub) unlink(lk *link) {
-	hub.turn.Lock()
-	defer hub.turn.Unlock()
+	hub.upDownOrder.Lock()
+	defer hub.upDownOrder.Unlock()
 	other := lk.peer
 	hub.mu.Lock()
 	other.remove(lk)
@@ -185,16 +188,16 @@
 	if last {
 		delete(hub.peers, other.member.Incarnation)
 	}
-	hub.tellChange()
+	hub.notifyChange()
 	hub.mu.Unlock()
 	if last {
 		other.end(hub)
 	}
 }
 
-// prune closes the connections older than one that works. Both ends may have dialled;
-// if either closed one of its choice, they could close both and begin again, so only
-// the end with the smaller name does.
+// prune closes the connections that are older than the given one, which works. Both daemons may have
+// dialled. If each closed a connection of its choice, they could close both, so only the daemon whose
+// incarnation comes first in order closes any.
 func (hub *Hub) prune(lk *link) {
 	if hub.self.Incarnation.String() > lk.peer.member.Incarnation.String() {
 		return
@@ -211,34 +214,34 @@
 	}
 }
 
-// replacedMax bounds how many replaced incarnations are remembered: several times the
-// VMs of a large fleet.
+// replacedMax bounds the number of replaced incarnations that are kept. It is several times the number
+// of VMs of a large fleet.
 const replacedMax = 2048
 
-// memory remembers the last incarnations that were replaced.
-type memory struct {
+// incarnationSet is a set of incarnations. When it is full, the oldest is removed.
+type incarnationSet struct {
 	known map[yuccaid.Incarnation]struct{}
 	order []yuccaid.Incarnation
 }
 
-func (mem *memory) holds(inc yuccaid.Incarnation) bool {
-	_, ok := mem.known[inc]
+func (set *incarnationSet) contains(inc yuccaid.Incarnation) bool {
+	_, ok := set.known[inc]
 	return ok
 }
 
-func (mem *memory) add(inc yuccaid.Incarnation) {
-	if mem.known == nil {
-		mem.known = make(map[yuccaid.Incarnation]struct{})
+func (set *incarnationSet) add(inc yuccaid.Incarnation) {
+	if set.known == nil {
+		set.known = make(map[yuccaid.Incarnation]struct{})
 	}
-	if mem.holds(inc) {
+	if set.contains(inc) {
 		return
 	}
-	if len(mem.order) == replacedMax {
-		delete(mem.known, mem.order[0])
-		mem.order = mem.order[1:]
+	if len(set.order) == replacedMax {
+		delete(set.known, set.order[0])
+		set.order = set.order[1:]
 	}
-	mem.known[inc] = struct{}{}
-	mem.order = append(mem.order, inc)
+	set.known[inc] = struct{}{}
+	set.order = append(set.order, inc)
 }
 
 func compareMembers(a, b yuccapeer.Member) int {
--- a/io/yuccalink/relay_test.go
+++ b/io/yuccalink/relay_test.go
@@ -9,7 +9,8 @@
 	. "github.com/onsi/gomega"
 )
 
-// relay stands between two daemons and forgets connections, as a firewall would.
+// relay forwards the connections between two daemons and can make them silent, as a firewall that has
+// lost its state does.
 type relay struct {
 	listener net.Listener
 	target   string
@@ -17,13 +18,13 @@
 	pipes    []*pipe
 }
 
-// pipe is one connection through the relay; what a silent side says is swallowed.
+// pipe is one connection through the relay. Data from a silent side is dropped.
 type pipe struct {
 	near, far             net.Conn
 	silentNear, silentFar atomic.Bool
 }
 
-// newRelay starts a relay to an address that is closed with the spec.
+// newRelay starts a relay to an address. It is closed at the end of the spec.
 func newRelay(target string) *relay {
 	rel := &relay{listener: listen(), target: target}
 	go rel.acceptAll()
@@ -36,7 +37,7 @@
 
 func (rel *relay) address() string { return rel.listener.Addr().String() }
 
-// turnTo leads new connections to another address.
+// turnTo forwards new connections to another address.
 func (rel *relay) turnTo(target string) {
 	rel.mu.Lock()
 	defer rel.mu.Unlock()
@@ -86,7 +87,7 @@
 	}
 }
 
-// forget makes all present connections silent, from either side; new ones work.
+// forget makes the given sides of all present connections silent. New connections work.
 func (rel *relay) forget(near, far bool) {
 	rel.mu.Lock()
 	defer rel.mu.Unlock()
--- a/io/yuccalink/stream_test.go
+++ b/io/yuccalink/stream_test.go
@@ -21,7 +21,7 @@
 	)
 	near, far := net.Pipe()
 	defer far.Close()
-	str := &stream{Conn: near, silence: limit, write: limit}
+	st := &stream{Conn: near, silence: limit, write: limit}
 	taken := make(chan int, 1)
 	go func() {
 		total, piece := 0, make([]byte, pieceBytes)
@@ -35,7 +35,7 @@
 		}
 		taken <- total
 	}()
-	count, err := str.Write(make([]byte, pieces*pieceBytes))
+	count, err := st.Write(make([]byte, pieces*pieceBytes))
 	near.Close()
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(count).To(Equal(pieces * pieceBytes))
@@ -47,8 +47,8 @@
 	g := NewWithT(t)
 	near, far := net.Pipe()
 	defer far.Close()
-	str := &stream{Conn: near, silence: time.Second, write: 50 * time.Millisecond}
-	count, err := str.Write(make([]byte, 64<<10))
+	st := &stream{Conn: near, silence: time.Second, write: 50 * time.Millisecond}
+	count, err := st.Write(make([]byte, 64<<10))
 	g.Expect(count).To(BeZero())
 	g.Expect(err).To(MatchError(os.ErrDeadlineExceeded))
 }
