A daemon requests a configuration from another peer if one doesn't answer

What callers would see: requests on new routes refused with 404 by one daemon seconds after the others serve them (CONFIG).

Cause: several peers have a new configuration, and each daemon prefers one of them (on all preferred the first by name). It repeated its request to that one alone, each 0.3 s, for as long as the peer was in its view. A peer that is slow (its share of a processor, its link) stays in view, one that hangs for 1.5 s, though any other peer could answer.

Change: core/yuccapeer.ConfigPull decides when and whom to ask: the peer that answered last, and the next one after each request that no configuration followed. The interval and the waves are as before. The daemon of the own interface had the same logic of its own and now uses it too.

Ruled out: asking several at once (copies on slow links), a random peer each time (forgets who answers).

Tests: 'go to another peer if one doesn't answer' fails with the former choice put back (asked vm-1 twice); 'may go to each peer with the highest number'.

--- a/core/yuccapeer/view.go
+++ b/core/yuccapeer/view.go
@@ -177,7 +177,7 @@
 		if !other.inView || config.Number < best.Number || config.Number == peers.self.Number {
 			continue
 		}
-		if config.Number > best.Number || peers.Precedes(yuccaid.Pool(peers.self.Incarnation.VM), config.Peer.VM, best.Peer.VM) {
+		if config.Number > best.Number || peers.sourceWeight(config.Peer.VM) > peers.sourceWeight(best.Peer.VM) {
 			best = config
 		}
 	}
--- a/io/yuccadaemon/config.go
+++ b/io/yuccadaemon/config.go
@@ -69,6 +69,7 @@
 	if after == before {
 		return
 	}
+	d.configPull.Received()
 	d.state.Store(after)
 	d.metrics.configChanged.Store(&now)
 	d.onChange(now, d.peers.SetConfig(now, after.Number, after.Digest()))
@@ -94,12 +95,13 @@
 	}
 }
 
-// pull asks a peer with a higher number for what this daemon lacks.
-func (d *Daemon) pull(now time.Time, source yuccapeer.PeerConfig) {
-	if now.Sub(d.pulled) < pullEvery {
+// pull asks a peer with a higher number for what this daemon lacks. The known peer has one, perhaps
+// without having announced it.
+func (d *Daemon) pull(now time.Time, known yuccapeer.PeerConfig) {
+	if !d.configPull.Due(now, 0) {
 		return
 	}
-	d.pulled = now
+	source := d.configPull.Choose(now, known, d.peers.NewerConfigs())
 	plan := d.chain.PlanFetch(source.Number)
 	if len(plan.Notes) == 0 && !plan.Snapshot {
 		return
--- a/io/yuccadaemon/daemon.go
+++ b/io/yuccadaemon/daemon.go
@@ -52,19 +52,19 @@
 	draining atomic.Bool
 
 	// The fields below belong to the control goroutine.
-	owner    *yuccaonce.Owner
-	runs     map[yuccaid.RequestID]*run
-	kept     *yuccaonce.AnswerBuffer[*Answer]
-	held     yuccaid.Bytes
-	peers    *yuccapeer.Peers
-	leads    map[yuccaid.Pool]*lead
-	guests   map[yuccaid.RequestID]*guest
-	steps    map[progressTo][]yuccawire.RunProgress
-	shifts   *yuccashift.Planner
-	leaving  map[yuccaid.Target]bool
-	chain    *yuccastate.Chain
-	pulled   time.Time
-	snapshot snapshot
+	owner      *yuccaonce.Owner
+	runs       map[yuccaid.RequestID]*run
+	kept       *yuccaonce.AnswerBuffer[*Answer]
+	held       yuccaid.Bytes
+	peers      *yuccapeer.Peers
+	leads      map[yuccaid.Pool]*lead
+	guests     map[yuccaid.RequestID]*guest
+	steps      map[progressTo][]yuccawire.RunProgress
+	shifts     *yuccashift.Planner
+	leaving    map[yuccaid.Target]bool
+	chain      *yuccastate.Chain
+	configPull *yuccapeer.ConfigPull
+	snapshot   snapshot
 
 	// leadersCount is derived from leadersOf and kept until the state changes.
 	leadersOf    *yuccastate.State
@@ -116,6 +116,7 @@
 	d.audit = newAudit(d.log.entry)
 	d.state.Store(d.chain.State())
 	d.peers = yuccapeer.New(d.self, yuccapeer.WithSeeds(settings.Seeds...))
+	d.configPull = yuccapeer.NewConfigPull(pullEvery)
 	ready := make(chan struct{})
 	d.control = yuccaloop.New(ready, tickEvery, d.tick)
 	d.hub = yuccalink.New(d.self, key, peers,
--- a/io/yuccagate/configuration.go
+++ b/io/yuccagate/configuration.go
@@ -37,7 +37,7 @@
 		close(gate.configured)
 	}
 	gate.tableRaw, gate.tablePacked = raw, nil
-	gate.tableBehindSince = time.Time{}
+	gate.tablePull.Received()
 	gate.log.stateChange("configuration", "number", table.Number(), "before", before, "source", source)
 	gate.ledger.Configure(now, table.Config().Accounts)
 	for _, sched := range gate.schedulers {
@@ -62,14 +62,11 @@
 // pullTable requests the configuration from a peer whose configuration has a higher number than
 // this daemon's. Within a data centre it first waits for its turn (see yuccapeer.PullDelay). It does
 // nothing if a peer was asked less than pullInterval ago.
-func (gate *Gate) pullTable(now time.Time, source yuccapeer.PeerConfig) {
-	if gate.tableBehindSince.IsZero() {
-		gate.tableBehindSince = now
-	}
-	if now.Sub(gate.tablePulledAt) < pullInterval || now.Sub(gate.tableBehindSince) < gate.pullDelay(source) {
+func (gate *Gate) pullTable(now time.Time, preferred yuccapeer.PeerConfig) {
+	if !gate.tablePull.Due(now, gate.pullDelay(preferred)) {
 		return
 	}
-	gate.tablePulledAt = now
+	source := gate.tablePull.Choose(now, preferred, gate.peers.NewerConfigs())
 	gate.send(source.Peer, yuccawire.KindTablePull, yuccawire.TablePull{Have: gate.configurationNumber(), Unpacks: true})
 }
 
--- a/io/yuccagate/gate.go
+++ b/io/yuccagate/gate.go
@@ -99,11 +99,8 @@
 	// tablesSent and listsSent hold what configurations and lists of targets were sent to connected
 	// peers.
 	tablesSent, listsSent sentAnswers
-	// tableBehindSince is when this daemon learned that a peer has a newer configuration than the one
-	// in force, zero if none has. tablePulledAt is when this daemon last requested a configuration
-	// from a peer.
-	tableBehindSince time.Time
-	tablePulledAt    time.Time
+	// tablePull decides from which peer this daemon requests a newer configuration.
+	tablePull *yuccapeer.ConfigPull
 
 	// roster holds the registered targets.
 	roster *yuccaroster.Roster
@@ -194,6 +191,7 @@
 
 		configured: make(chan struct{}),
 
+		tablePull:     yuccapeer.NewConfigPull(pullInterval),
 		tablesSent:    make(sentAnswers),
 		listsSent:     make(sentAnswers),
 		castWindows:   make(map[castKey]sequenceWindow),
--- a/io/yuccagate/peers.go
+++ b/io/yuccagate/peers.go
@@ -104,7 +104,7 @@
 func (gate *Gate) tickPeers(now time.Time) {
 	change := gate.peers.Tick(now)
 	if change.NewerConfig.Peer.IsZero() {
-		gate.tableBehindSince = time.Time{}
+		gate.tablePull.CaughtUp()
 	}
 	gate.onChange(now, change)
 	monotonic, boot := gate.suspensions.Check(now)
