--- a/core/yuccapeer/view.go
+++ b/core/yuccapeer/view.go
@@ -1,6 +1,7 @@
 package yuccapeer
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -186,3 +187,24 @@
 	}
 	return best
 }
+
+// NewerConfigs returns the peers that have the configuration with the highest number, if it is above
+// this daemon's number, the result of NewerConfig first. Daemons have them in different orders.
+func (peers *Peers) NewerConfigs() []PeerConfig {
+	newest := peers.NewerConfig()
+	var sources []PeerConfig
+	for _, other := range peers.byVM {
+		if other.inView && !newest.Peer.IsZero() && other.config.Number == newest.Number {
+			sources = append(sources, other.config)
+		}
+	}
+	slices.SortFunc(sources, func(a, b PeerConfig) int {
+		return cmp.Compare(peers.sourceWeight(b.Peer.VM), peers.sourceWeight(a.Peer.VM))
+	})
+	return sources
+}
+
+// sourceWeight returns the weight of a VM in this daemon's order of sources.
+func (peers *Peers) sourceWeight(vm yuccaid.VM) uint64 {
+	return hashWeight(string(peers.self.Incarnation.VM), string(vm))
+}
--- a/io/yuccagate/configuration.go
+++ b/io/yuccagate/configuration.go
@@ -84,9 +84,9 @@
 }
 
 // onTablePull sends this daemon's configuration to a peer that has requested it, if the peer's
-// configuration has a lower number and none is under way to the peer. The configuration is compressed once for all peers that can read
-// that form. Otherwise fifty peers that request a configuration of some hundred kilobytes at once
-// would occupy the link of a small VM for several seconds.
+// configuration has a lower number and none is under way to the peer. The configuration is compressed
+// once for all peers that can read that form. Otherwise fifty peers that request a configuration of
+// some hundred kilobytes at once would occupy the link of a small VM for several seconds.
 func (gate *Gate) onTablePull(now time.Time, from yuccaid.Incarnation, pull yuccawire.TablePull) {
 	number := gate.configurationNumber()
 	if number <= pull.Have || gate.tablesSent.underWay(now, from, uint64(pull.Have)) {
