Changes of targets stay readable for the build before, in casts too

What callers would see: during an upgrade of the fleet, requests still sent to a target that has said that it leaves, by daemons of the build that another build's reader reads for.

Change: the field is in TargetsUpdate, the body of KindTargets, which is written as a map; a Cast on TopicTargets carries the revision in its field Fresh, which such casts left empty.

With the field in Targets the cast's bytes differ.

--- a/io/yuccagate/cast.go
+++ b/io/yuccagate/cast.go
@@ -161,9 +161,7 @@
 	case yuccawire.TopicFresh:
 		gate.onRemoteFresh(now, from, message)
 	case yuccawire.TopicTargets:
-		if message.Targets != nil {
-			gate.onTargets(now, *message.Targets)
-		}
+		gate.onRemoteTargets(now, message)
 	}
 }
 
--- a/io/yuccagate/peers.go
+++ b/io/yuccagate/peers.go
@@ -219,7 +219,7 @@
 	case yuccawire.KindTargetsPull:
 		return decodeThen(frame, func(pull yuccawire.TargetsPull) { gate.onTargetsPull(now, from, pull) })
 	case yuccawire.KindTargets:
-		return decodeThen(frame, func(message yuccawire.Targets) { gate.onTargets(now, message) })
+		return decodeThen(frame, func(message yuccawire.TargetsUpdate) { gate.onTargets(now, message) })
 	case yuccawire.KindFresh:
 		return decodeThen(frame, func(message yuccawire.Fresh) { gate.onFresh(now, from, message) })
 	case yuccawire.KindUse:
--- a/io/yuccagate/targets.go
+++ b/io/yuccagate/targets.go
@@ -58,7 +58,7 @@
 // each send a thousand targets to all others. A daemon that lacks targets requests them once this
 // daemon reports a higher revision.
 func (gate *Gate) OfferTargets(entries []yuccaroster.Entry, removals []yuccaroster.Removal, whole bool, at yuccaroster.Revision, sure bool) {
-	message := yuccawire.Targets{Entries: entries, Removals: removals, Whole: whole, At: at, Sure: sure}
+	message := yuccawire.TargetsUpdate{Targets: yuccawire.Targets{Entries: entries, Removals: removals, Whole: whole, At: at, Sure: sure}}
 	gate.control.Post(func(now time.Time) {
 		if !whole {
 			message.After = gate.changeRevision
@@ -68,7 +68,7 @@
 		gate.onTargets(now, message)
 		if !whole && gate.settled && !gate.skipsPlatformReads.Load() {
 			gate.sendLocal(yuccawire.KindTargets, message)
-			gate.castRemote(yuccawire.Cast{Topic: yuccawire.TopicTargets, Targets: &message})
+			gate.castRemote(yuccawire.Cast{Topic: yuccawire.TopicTargets, Targets: &message.Targets, Fresh: &yuccawire.Fresh{At: message.After}})
 		}
 	})
 }
@@ -234,7 +234,7 @@
 // daemon did, because this daemon has never known that target.
 func (gate *Gate) onTargetsPull(now time.Time, from yuccaid.Incarnation, pull yuccawire.TargetsPull) {
 	reads := !gate.skipsPlatformReads.Load() && gate.platformFresh(now)
-	message := yuccawire.Targets{Entries: gate.roster.Entries(), Removals: gate.roster.Removals(), At: gate.platformRevision, Sure: true}
+	message := yuccawire.TargetsUpdate{Targets: yuccawire.Targets{Entries: gate.roster.Entries(), Removals: gate.roster.Removals(), At: gate.platformRevision, Sure: true}}
 	if reads {
 		message.At, message.Whole = gate.readRevision, true
 	}
@@ -249,7 +249,7 @@
 // onTargets applies registrations and removals of targets that this daemon or a peer has read from
 // the platform. If the message holds changes and earlier ones are missing, the revision up to which
 // this daemon knows the targets stays as it was, so that the reader's next report makes it request them.
-func (gate *Gate) onTargets(now time.Time, message yuccawire.Targets) {
+func (gate *Gate) onTargets(now time.Time, message yuccawire.TargetsUpdate) {
 	before := gate.platformRevision
 	gate.platformRevision = before.Extend(message.After, message.At)
 	if gate.platformRevision < message.At {
@@ -267,6 +267,18 @@
 	gate.refreshTargets(now)
 }
 
+// onRemoteTargets applies changes of targets that a reader of another data centre has cast.
+func (gate *Gate) onRemoteTargets(now time.Time, message yuccawire.Cast) {
+	if message.Targets == nil {
+		return
+	}
+	update := yuccawire.TargetsUpdate{Targets: *message.Targets}
+	if message.Fresh != nil {
+		update.After = message.Fresh.At
+	}
+	gate.onTargets(now, update)
+}
+
 // refreshTargets passes changes of the targets to the schedulers.
 func (gate *Gate) refreshTargets(now time.Time) {
 	if gate.roster.Version() == gate.rosterVersion {
--- a/io/yuccawire/gate.go
+++ b/io/yuccawire/gate.go
@@ -25,13 +25,19 @@
 	Removals []yuccaroster.Removal `msgpack:"removals"`
 	Whole    bool                  `msgpack:"whole"`
 	At       yuccaroster.Revision  `msgpack:"at"`
-	// After is the revision after which changes were read. It is zero if the message holds all
-	// registrations and removals up to At, and in messages of older builds.
-	After yuccaroster.Revision `msgpack:"after"`
 	// Sure says that the platform's service has answered for a while.
 	Sure bool `msgpack:"sure"`
 }
 
+// TargetsUpdate is the body of KindTargets: Targets, and the revision after which changes were read.
+// After is zero if the message holds all registrations and removals up to At, and in messages of older
+// builds. It isn't a field of Targets because a Cast carries these in an array, whose length older builds
+// compare.
+type TargetsUpdate struct {
+	Targets
+	After yuccaroster.Revision `msgpack:"after"`
+}
+
 // Fresh says how old a daemon's news of the platform is, and up to which revision it has
 // heard.
 type Fresh struct {
@@ -95,7 +101,8 @@
 	// VM is the origin's VM, and Fresh its news of the platform, in casts on TopicFresh.
 	VM    yuccaid.VM
 	Fresh *Fresh
-	// Targets are changes of targets, in casts on TopicTargets.
+	// Targets are changes of targets, in casts on TopicTargets. In these, Fresh has the revision after
+	// which the changes were read.
 	Targets *Targets
 }
 
