A connection on which a request has arrived isn't closed as idle

A request may have arrived and wait to be read when the idle connections are closed, at their limit, at the bound on connections or at the end of a drain.

Change: before an idle connection is closed its socket is looked at (MSG_PEEK); one with unread bytes is kept, and counts as busy at the end of a drain.

Ruled out: a longer idle limit (clients keep to the operators' limit; a stall may be longer than any margin); a read deadline in place of the close (the same race inside the runtime's poller).

Test: TestIdleConnectionWithAnUnreadRequestIsKept failed before with 'use of closed network connection'.

--- a/io/yuccagate/listener.go
+++ b/io/yuccagate/listener.go
@@ -6,7 +6,10 @@
 	"net/http"
 	"slices"
 	"sync"
+	"syscall"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // Listener accepts callers' connections for an http.Server, and can close idle ones without
@@ -74,12 +77,14 @@
 	return conn
 }
 
-// closeLongestIdle closes the connection that has been idle for longest, if any is idle.
+// closeLongestIdle closes the connection that has been idle for longest, if any is idle and has no
+// unread request.
 func (lis *Listener) closeLongestIdle() {
 	var longest *callerConn
 	var since time.Time
 	for _, conn := range lis.openConns() {
-		if idleSince := conn.idleStart(); !idleSince.IsZero() && (longest == nil || idleSince.Before(since)) {
+		idleSince := conn.idleStart()
+		if !idleSince.IsZero() && (longest == nil || idleSince.Before(since)) && !hasUnread(conn.Conn) {
 			longest, since = conn, idleSince
 		}
 	}
@@ -162,7 +167,7 @@
 func (conn *callerConn) isBusy() bool {
 	conn.mu.Lock()
 	defer conn.mu.Unlock()
-	return conn.busy
+	return conn.busy || hasUnread(conn.Conn)
 }
 
 // Close closes the connection and removes it from the listener's open connections.
@@ -192,10 +197,12 @@
 	return conn.idleSince
 }
 
-// closeIdle closes the connection if it became idle at the given time or earlier and is still idle.
+// closeIdle closes the connection if it became idle at the given time or earlier and is still idle. A
+// process that gets little processor time may not have read a request that has arrived already; such a
+// connection isn't idle.
 func (conn *callerConn) closeIdle(since time.Time) {
 	conn.mu.Lock()
-	if conn.idleSince.IsZero() || conn.idleSince.After(since) {
+	if conn.idleSince.IsZero() || conn.idleSince.After(since) || hasUnread(conn.Conn) {
 		conn.mu.Unlock()
 		return
 	}
@@ -203,3 +210,22 @@
 	conn.mu.Unlock()
 	conn.Close()
 }
+
+// hasUnread reports whether bytes have arrived on a connection that nobody has read. It doesn't wait for
+// a read that is under way.
+func hasUnread(conn net.Conn) bool {
+	sys, ok := conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := sys.SyscallConn()
+	if err != nil {
+		return false
+	}
+	count := 0
+	err = raw.Control(func(fd uintptr) {
+		var one [1]byte
+		count, _, _ = unix.Recvfrom(int(fd), one[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+	})
+	return err == nil && count > 0
+}
--- a/io/yuccagate/listener_test.go
+++ b/io/yuccagate/listener_test.go
@@ -1,6 +1,7 @@
 package yuccagate
 
 import (
+	"io"
 	"net"
 	"net/http"
 	"testing"
@@ -55,6 +56,45 @@
 	}
 }
 
+// Guards against the failure that a request is lost because it has arrived on an idle connection and the
+// process has not read it yet when the connection is closed.
+func TestIdleConnectionWithAnUnreadRequestIsKept(t *testing.T) {
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer inner.Close()
+	lis := NewListener(inner, 1, func(time.Time) {})
+	caller, err := net.Dial("tcp", inner.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer caller.Close()
+	conn, err := lis.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	lis.ConnState(conn, http.StateIdle)
+	if _, err := caller.Write([]byte("GET")); err != nil {
+		t.Fatal(err)
+	}
+	for !hasUnread(conn.(*callerConn).Conn) {
+		time.Sleep(time.Millisecond)
+	}
+	lis.CloseIdle(time.Now())
+	lis.closeLongestIdle()
+	got := make([]byte, 3)
+	if _, err := io.ReadFull(conn, got); err != nil || string(got) != "GET" {
+		t.Fatalf("read %q, %v", got, err)
+	}
+	lis.ConnState(conn, http.StateIdle)
+	lis.CloseIdle(time.Now())
+	if _, err := conn.Read(got); err == nil {
+		t.Fatal("an idle connection without an unread request was kept")
+	}
+}
+
 // A daemon is told to end just as the first bytes of a request arrive. If the connection didn't
 // count as busy before the request's handler runs, the daemon would close it, although the request
 // may still run.
