Lines and metrics tell how an answer's end was stated, and what was left of a stream

Change: a line 'answered' names the framing (length, chunks, close) and the bytes of an event that never became complete; yuccacleat_gate_answer_ends_total counts both; 'explain' tells them. In yuccahop Answer.Framing takes the place of Delimited, which nothing but a spec called; its spec asks for more than before. No decision reads any of it.

--- a/core/yuccastory/sentence.go
+++ b/core/yuccastory/sentence.go
@@ -32,6 +32,7 @@
 	case "answered":
 		text := fmt.Sprintf("%s answered %s: %s, first event after %s ms, %s events, longest pause %s ms",
 			line.text("target"), line.text("status"), line.text("outcome"), line.text("firstMillis"), line.text("events"), line.text("pauseMillis"))
+		text += unfinishedEvent(line)
 		if cause := line.text("cause"); cause != "" {
 			text += "; " + cause
 		}
@@ -64,6 +65,14 @@
 	return text
 }
 
+// unfinishedEvent tells that a stream ended inside an event, and how its end was stated.
+func unfinishedEvent(line *Line) string {
+	if line.number("unfinishedBytes") == 0 {
+		return ""
+	}
+	return fmt.Sprintf("; it ended after %s bytes of an unfinished event (framing: %s)", line.text("unfinishedBytes"), line.text("framing"))
+}
+
 // quota explains a refusal by the quota of the request's account.
 func quota(line *Line) string {
 	leader := accountLeader(line)
--- a/io/yuccagate/metrics.go
+++ b/io/yuccagate/metrics.go
@@ -52,6 +52,12 @@
 	met.set.GetOrCreateHistogram(fmt.Sprintf("yuccacleat_gate_pause_seconds{tier=%q}", label)).Update(longestGap.Seconds())
 }
 
+// answerEnded counts how the end of a target's response was stated, and whether the response was a
+// stream that ended inside an event.
+func (met *metrics) answerEnded(framing string, insideEvent bool) {
+	met.set.GetOrCreateCounter(fmt.Sprintf("yuccacleat_gate_answer_ends_total{framing=%q,insideEvent=\"%t\"}", framing, insideEvent)).Inc()
+}
+
 // sent counts an attempt that was sent to a target, and records how long ago its request arrived.
 // The label alone is "true" if this daemon decided on the attempt without the pool's leader.
 func (met *metrics) sent(rank int, withoutLeader bool, waited time.Duration) {
--- a/io/yuccagate/relay.go
+++ b/io/yuccagate/relay.go
@@ -85,9 +85,12 @@
 
 // logAnswered logs and counts how a target's response ended.
 func (req *callerRequest) logAnswered(att *attempt, result yuccagrant.Finished, err error) {
+	framing := att.answer.Framing().String()
 	req.gate.metrics.answered(req.metricRank(), result.Outcome, att.sentAt.Add(result.TimeToFirst).Sub(req.arrivedAt), result.LongestGap)
+	req.gate.metrics.answerEnded(framing, att.unfinished > 0)
 	fields := []any{
-		"target", att.plc.target, "status", att.answer.Status, "outcome", result.Outcome.String(), "firstMillis", result.TimeToFirst.Milliseconds(),
+		"target", att.plc.target, "status", att.answer.Status, "outcome", result.Outcome.String(), "framing", framing,
+		"unfinishedBytes", att.unfinished, "firstMillis", result.TimeToFirst.Milliseconds(),
 		"events", result.Events, "pauseMillis", result.LongestGap.Milliseconds(), "sends", req.sends, "runs", req.runs,
 	}
 	if err != nil || result.Outcome != yuccagrant.Served {
@@ -218,6 +221,9 @@
 	var firstEventAt time.Time
 	for {
 		events, err := reader.next()
+		if err != nil {
+			att.unfinished = len(reader.remainder())
+		}
 		now := time.Now()
 		if firstEventAt.IsZero() && len(events) > 0 {
 			firstEventAt = now
--- a/io/yuccagate/run.go
+++ b/io/yuccagate/run.go
@@ -29,6 +29,8 @@
 	answer   *yuccahop.Answer
 	report   TargetReport
 	watchdog *watchdog
+	// unfinished is the length of the part of an event with which a stream ended, in bytes.
+	unfinished int
 }
 
 // close ends the exchange with the target and cancels the attempt's context.
--- a/io/yuccahop/answer.go
+++ b/io/yuccahop/answer.go
@@ -41,11 +41,8 @@
 // Whole reports whether the body was read to its end.
 func (ans *Answer) Whole() bool { return ans.whole }
 
-// Delimited reports whether the head or the body itself says where the body ends. One that
-// isn't ends with its connection, whether it is whole or not.
-func (ans *Answer) Delimited() bool {
-	return ans.Length >= 0 || len(ans.resp.TransferEncoding) > 0
-}
+// Framing returns how the end of the body is stated.
+func (ans *Answer) Framing() Framing { return framingOf(ans.resp) }
 
 // Close ends the exchange. The connection is kept for another request only if this one's
 // body and answer have gone over it whole. Where the target answered before it had read
--- a/io/yuccahop/client_test.go
+++ b/io/yuccahop/client_test.go
@@ -250,6 +250,27 @@
 		Entry("no length, ended by a close", "", "four", true),
 	)
 
+	DescribeTable("tells how an answer's end is stated",
+		func(method, head string, framing yuccahop.Framing, name string) {
+			tgt := newTarget(func(conn net.Conn, in *bufio.Reader) {
+				id, _ := readRequest(in)
+				fmt.Fprintf(conn, "HTTP/1.1 %s\r\nX-Id: %s\r\n\r\n", head, id)
+			})
+			out := outgoing("a", "")
+			out.Method = method
+			ans, err := cl.Send(ctx, tgt.address(), out, own("a"))
+			Expect(err).NotTo(HaveOccurred())
+			defer ans.Close()
+			Expect(ans.Framing()).To(Equal(framing))
+			Expect(ans.Framing().String()).To(Equal(name))
+		},
+		Entry("a length", "POST", "200 OK\r\nContent-Length: 4", yuccahop.FramedByLength, "length"),
+		Entry("chunks", "POST", "200 OK\r\nTransfer-Encoding: chunked", yuccahop.FramedByChunks, "chunks"),
+		Entry("neither", "POST", "200 OK", yuccahop.FramedByClose, "close"),
+		Entry("a status without a body", "POST", "204 No Content", yuccahop.FramedByLength, "length"),
+		Entry("a method without a body", "HEAD", "200 OK", yuccahop.FramedByLength, "length"),
+	)
+
 	It("takes an answer without length that ends with a reset for cut short", func() {
 		tgt := newTarget(func(conn net.Conn, in *bufio.Reader) {
 			id, _ := readRequest(in)
@@ -259,7 +280,7 @@
 		})
 		ans, err := cl.Send(ctx, tgt.address(), outgoing("a", "x"), own("a"))
 		Expect(err).NotTo(HaveOccurred())
-		Expect(ans.Delimited()).To(BeFalse())
+		Expect(ans.Framing()).To(Equal(yuccahop.FramedByClose))
 		_, err = io.ReadAll(ans)
 		Expect(err).To(HaveOccurred())
 		Expect(ans.Whole()).To(BeFalse())
