A stream that ends inside an event has been broken off, however its end is stated

Streams that may be resumed weren't.

Cause: a response with neither length nor chunks ends with its connection. net/http gives io.EOF there, whether the target was done or has crashed, and stream.forwardEvents took each io.EOF for the end of the stream: it wrote the rest of the unfinished event and ended the caller's response with the last chunk. The schedulers counted the run as served.

Ruled out: an error that is lost on its way (hypothesis 2; chunked and length-framed streams that are cut give one), and an aborted handler that ends normally (hypothesis 3; the line says served).

Change: the event reader returns io.EOF only after a complete event, and errUnfinishedEvent inside one. So a broken stream is resumed, or cut off for its caller, or answered with 502 before its first event. It holds for all three framings: a proxy before a target may end its chunks properly after the target broke off. Comments and empty lines that no event follows don't make a stream unfinished.

--- a/io/yuccagate/eventreader.go
+++ b/io/yuccagate/eventreader.go
@@ -11,7 +11,10 @@
 // and the event is still incomplete, next returns errLongEvent.
 const maxEventBytes = 1 << 20
 
-var errLongEvent = errors.New("an event is longer than a megabyte")
+var (
+	errLongEvent       = errors.New("an event is longer than a megabyte")
+	errUnfinishedEvent = errors.New("the stream ended inside an event")
+)
 
 // event is one event of a stream, as the target wrote it.
 type event struct {
@@ -40,15 +43,16 @@
 }
 
 // next waits until at least one event is complete, and returns all complete events that have
-// arrived. It returns an error when the stream ends, or when an event is too long. After an error,
-// remainder returns the bytes that belong to no complete event.
+// arrived. It returns io.EOF when the stream ends after a complete event, and another error when it
+// breaks off or when an event is too long. After an error, remainder returns the bytes that belong
+// to no complete event.
 func (reader *eventReader) next() ([]event, error) {
 	for {
 		if events := reader.split(); len(events) > 0 {
 			return events, nil
 		}
 		if reader.err != nil {
-			return nil, reader.err
+			return nil, reader.endError()
 		}
 		if len(reader.buffered) > maxEventBytes {
 			return nil, errLongEvent
@@ -59,8 +63,30 @@
 	}
 }
 
+// endError returns the error with which the stream ended. If no length and no last chunk states where
+// a response ends, a target that crashes and one that is done end it in the same way: by closing the
+// connection.
+func (reader *eventReader) endError() error {
+	if reader.err == io.EOF && reader.unfinished() > 0 {
+		return errUnfinishedEvent
+	}
+	return reader.err
+}
+
 func (reader *eventReader) remainder() []byte { return reader.buffered }
 
+// unfinished returns the length of the event that has arrived only in part, in bytes. Empty lines
+// and comments that no event follows belong to no event.
+func (reader *eventReader) unfinished() int {
+	for line := range bytes.Lines(reader.buffered) {
+		isComment := line[0] == ':' && line[len(line)-1] == '\n'
+		if !isComment && len(bytes.TrimRight(line, "\r\n")) > 0 {
+			return len(reader.buffered)
+		}
+	}
+	return 0
+}
+
 // split removes the complete events from the buffer and returns them.
 func (reader *eventReader) split() []event {
 	var events []event
--- /dev/null
+++ b/io/yuccagate/framing_test.go
@@ -0,0 +1,94 @@
+package yuccagate_test
+
+import (
+	"fmt"
+	"net/http"
+	"strconv"
+	"strings"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+const (
+	twoEvents   = "id: 1\ndata: one\n\nid: 2\ndata: two\n\n"
+	threeEvents = twoEvents + "id: 3\ndata: three\n\n"
+	// halfEvent is the part of the third event that arrives before its target breaks off.
+	halfEvent = "id: 3\ndata: thr"
+)
+
+// framed returns a target's handler that responds with the text as a stream of events. The framing
+// states the end of the stream as yuccahop.Framing's names say.
+func framed(framing, text string) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		conn, _, err := w.(http.Hijacker).Hijack()
+		if err != nil {
+			return
+		}
+		defer conn.Close()
+		fmt.Fprint(conn, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n")
+		w.Header().Write(conn)
+		switch framing {
+		case "length":
+			text = "Content-Length: " + strconv.Itoa(len(text)) + "\r\n\r\n" + text
+		case "chunks":
+			text = fmt.Sprintf("Transfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", len(text), text)
+		default:
+			text = "\r\n" + text
+		}
+		fmt.Fprint(conn, text)
+	}
+}
+
+var _ = Describe("a stream whose target closes the connection", func() {
+	// Guards against the failure that a stream which its target broke off reaches the caller as complete.
+	DescribeTable("is complete if it ends after an event",
+		func(framing, text string, complete bool) {
+			gt := newGate("entry-1")
+			gt.configure(1, config(), 1, newEngine("a", framed(framing, text)))
+			got := call{path: "/note/"}.do(gt)
+			Expect(got.err == nil).To(Equal(complete), "%v", got.err)
+			Expect(got.status).To(Equal(http.StatusOK))
+			if complete {
+				Expect(got.body).To(Equal(text))
+				return
+			}
+			Expect(text).To(HavePrefix(got.body))
+			Expect(got.body).To(HaveSuffix("\n\n"))
+		},
+		Entry("an event, by close", "close", twoEvents, true),
+		Entry("an event, by a length", "length", twoEvents, true),
+		Entry("an event, by chunks", "chunks", twoEvents, true),
+		Entry("an empty line more", "close", twoEvents+"\n", true),
+		Entry("a comment that no event follows", "close", twoEvents+": bye\n", true),
+		Entry("lines that end as on Windows", "close", strings.ReplaceAll(twoEvents, "\n", "\r\n"), true),
+		Entry("half an event, by close", "close", twoEvents+halfEvent, false),
+		Entry("half an event, by a length", "length", twoEvents+halfEvent, false),
+		Entry("half an event, by chunks", "chunks", twoEvents+halfEvent, false),
+		Entry("an event that lacks its empty line", "close", twoEvents+"id: 3\ndata: three\n", false),
+		Entry("a comment and half an event", "close", twoEvents+": busy\n"+halfEvent, false),
+		Entry("half a comment", "close", twoEvents+": bu", false),
+	)
+
+	// Guards against the failure that a stream which may be resumed isn't, because its end was taken for complete.
+	It("goes on at another target if it ends inside an event and may be resumed", func() {
+		answer := func(w http.ResponseWriter, r *http.Request) {
+			if r.Header.Get("Last-Event-Id") == "2" {
+				framed("close", strings.TrimPrefix(threeEvents, twoEvents))(w, r)
+				return
+			}
+			framed("close", twoEvents+halfEvent)(w, r)
+		}
+		gt := newGate("entry-1")
+		gt.configure(1, config(), 1, newEngine("a", answer), newEngine("b", answer))
+		got := call{path: "/resumed/"}.do(gt)
+		Expect(got.err).NotTo(HaveOccurred())
+		Expect(got.body).To(Equal(threeEvents))
+	})
+
+	It("gives a failure if it ends inside its first event", func() {
+		gt := newGate("entry-1")
+		gt.configure(1, config(), 1, newEngine("a", framed("close", halfEvent)))
+		Expect(call{path: "/note/"}.do(gt).status).To(Equal(http.StatusBadGateway))
+	})
+})
--- a/io/yuccagate/relay.go
+++ b/io/yuccagate/relay.go
@@ -222,7 +222,7 @@
 	for {
 		events, err := reader.next()
 		if err != nil {
-			att.unfinished = len(reader.remainder())
+			att.unfinished = reader.unfinished()
 		}
 		now := time.Now()
 		if firstEventAt.IsZero() && len(events) > 0 {
