Events whose lines end with a carriage return are forwarded as they arrive

Cause: eventLength took only a line feed, alone or after a carriage return, for the end of a line. The format of event streams allows a carriage return alone as well. eventID read such an event as one line.

Change: one function says what a line end is; event ends, ids and the unfinished part use it. An event whose end was '\r\n\r\n' is searched for in the last four bytes that arrived, by a named constant.

--- a/io/yuccagate/eventreader.go
+++ b/io/yuccagate/eventreader.go
@@ -11,6 +11,9 @@
 // and the event is still incomplete, next returns errLongEvent.
 const maxEventBytes = 1 << 20
 
+// maxEventEndBytes is the length of the longest end of an event: two line ends of two bytes each.
+const maxEventEndBytes = 4
+
 var (
 	errLongEvent       = errors.New("an event is longer than a megabyte")
 	errUnfinishedEvent = errors.New("the stream ended inside an event")
@@ -78,12 +81,18 @@
 // unfinished returns the length of the event that has arrived only in part, in bytes. Empty lines
 // and comments that no event follows belong to no event.
 func (reader *eventReader) unfinished() int {
-	for line := range bytes.Lines(reader.buffered) {
-		isComment := line[0] == ':' && line[len(line)-1] == '\n'
-		if !isComment && len(bytes.TrimRight(line, "\r\n")) > 0 {
-			return len(reader.buffered)
+	length := len(reader.buffered)
+	if length == 0 {
+		return 0
+	}
+	for line := range bytes.FieldsFuncSeq(reader.buffered, isLineEnd) {
+		if line[0] != ':' {
+			return length
 		}
 	}
+	if !isLineEnd(rune(reader.buffered[length-1])) {
+		return length
+	}
 	return 0
 }
 
@@ -93,9 +102,9 @@
 	for {
 		length := eventLength(reader.buffered, reader.scanned)
 		if length == 0 {
-			// The end of the event may have arrived only in part, so the last three bytes are
-			// searched again. The longest sequence that eventLength looks for has three bytes.
-			reader.scanned = max(len(reader.buffered)-3, 0)
+			// The end of the event may have arrived only in part, so the bytes that can belong to it
+			// are searched again.
+			reader.scanned = max(len(reader.buffered)-maxEventEndBytes, 0)
 			return events
 		}
 		raw := bytes.Clone(reader.buffered[:length])
@@ -107,27 +116,38 @@
 
 // eventLength returns the length of the first event in the buffer, including the empty line after
 // the event, or zero if the event isn't complete. The search for the event's end starts at the
-// index from. A line ends with a line feed, which a carriage return may precede.
+// index from.
 func eventLength(buffered []byte, from int) int {
 	for i := from; i < len(buffered); i++ {
-		if buffered[i] != '\n' {
+		end := lineEndLength(buffered[i:])
+		if end == 0 {
 			continue
 		}
-		rest := buffered[i+1:]
-		if len(rest) >= 1 && rest[0] == '\n' {
-			return i + 2
-		}
-		if len(rest) >= 2 && rest[0] == '\r' && rest[1] == '\n' {
-			return i + 3
+		if empty := lineEndLength(buffered[i+end:]); empty > 0 {
+			return i + end + empty
 		}
 	}
 	return 0
 }
 
+// lineEndLength returns the length of the line end with which the text begins, or zero. A line ends
+// with a line feed, a carriage return, or both.
+func lineEndLength(text []byte) int {
+	switch {
+	case len(text) == 0 || !isLineEnd(rune(text[0])):
+		return 0
+	case len(text) > 1 && text[0] == '\r' && text[1] == '\n':
+		return 2
+	}
+	return 1
+}
+
+func isLineEnd(char rune) bool { return char == '\n' || char == '\r' }
+
 // eventID returns the value of the event's first id field, or the empty string if the event has no
 // id field.
 func eventID(raw []byte) string {
-	for line := range bytes.Lines(raw) {
+	for line := range bytes.FieldsFuncSeq(raw, isLineEnd) {
 		if id, found := bytes.CutPrefix(line, []byte("id:")); found {
 			return strings.TrimSpace(string(id))
 		}
