A stream without an event, whose end nothing states, is a failure of its target

What callers saw: a target that crashes after its head and before its first event, and answers with neither length nor chunks, gave an empty stream with status 200, complete by its framing.

Change: such a stream counts as broken off: it is sent to another target where the route allows it, else answered with 502. A length, a last chunk, or a Last-Event-Id with which it began say that it may well be empty; then it stays complete. What remains: a stream without a stated end that is cut exactly between two events can't be told from a complete one.

Before: 'its end isn't stated' of the new table fails (200 instead of 502). After: the specs of streams, green.

--- a/io/yuccagate/framing_test.go
+++ b/io/yuccagate/framing_test.go
@@ -33,7 +33,10 @@
 		case "length":
 			text = "Content-Length: " + strconv.Itoa(len(text)) + "\r\n\r\n" + text
 		case "chunks":
-			text = fmt.Sprintf("Transfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", len(text), text)
+			if text != "" {
+				text = fmt.Sprintf("%x\r\n%s\r\n", len(text), text)
+			}
+			text = "Transfer-Encoding: chunked\r\n\r\n" + text + "0\r\n\r\n"
 		default:
 			text = "\r\n" + text
 		}
@@ -113,6 +116,20 @@
 		Expect(io.ReadAll(resp.Body)).To(Equal([]byte(second)))
 	})
 
+	// Guards against the failure that a target which crashes before its first event gives an empty success.
+	DescribeTable("gives a failure if it has no event, unless the target says that this is all",
+		func(framing, lastEventID string, status int) {
+			gt := newGate("entry-1")
+			gt.configure(1, config(), 1, newEngine("a", framed(framing, "")))
+			got := call{path: "/note/", header: map[string]string{"Last-Event-Id": lastEventID}}.do(gt)
+			Expect(got.status).To(Equal(status))
+		},
+		Entry("its end isn't stated", "close", "", http.StatusBadGateway),
+		Entry("its end is stated by a length", "length", "", http.StatusOK),
+		Entry("its end is stated by chunks", "chunks", "", http.StatusOK),
+		Entry("nothing is left after the caller's last event", "close", "7", http.StatusOK),
+	)
+
 	It("gives a failure if it ends inside its first event", func() {
 		gt := newGate("entry-1")
 		gt.configure(1, config(), 1, newEngine("a", framed("close", halfEvent)))
--- a/io/yuccagate/relay.go
+++ b/io/yuccagate/relay.go
@@ -11,11 +11,14 @@
 
 	"yuccacleat/core/yuccagrant"
 	"yuccacleat/core/yuccaroute"
+	"yuccacleat/io/yuccahop"
 )
 
 // copyBufferBytes is the size of the buffer through which a response is copied.
 const copyBufferBytes = 16 << 10
 
+var errNoEvent = errors.New("the stream ended without an event, and nothing states its end")
+
 // callerError is the error of a failed write of a response to its caller.
 type callerError struct {
 	cause error
@@ -224,6 +227,9 @@
 		if err != nil {
 			att.unfinished = reader.unfinished()
 		}
+		if err == io.EOF && st.endedBeforeItBegan(att) {
+			err = errNoEvent
+		}
 		now := time.Now()
 		if firstEventAt.IsZero() && len(events) > 0 {
 			firstEventAt = now
@@ -263,6 +269,13 @@
 	}
 }
 
+// endedBeforeItBegan reports whether a stream that has ended was most likely broken off before its first
+// event: it brought no event, and nothing but the close of the connection says that it is complete. A
+// stream that continues after an event may have nothing left.
+func (st *stream) endedBeforeItBegan(att *attempt) bool {
+	return st.result.Events == 0 && st.lastEventID == "" && att.answer.Status == http.StatusOK && att.answer.Framing() == yuccahop.FramedByClose
+}
+
 // delivered reports whether the event with the id has already been sent to the caller. A target
 // that resumes a stream should start after the event whose id it was given. If it starts earlier,
 // this check keeps events from being sent twice. Ids that aren't numbers can't be compared, so
