A stream isn't resumed after an event without an id

What callers saw: on a route whose streams may be resumed, a stream whose events have no ids came twice as far as it had come, joined in one response, if its target broke off.

Cause: stream.relay resumed at the last id, or at none, without regard to events that had been sent after it. The next target starts over, or repeats them.

Change: the stream notes whether an event without an id was the last that its caller got; then it is cut off. Comments, which engines send while they read a prompt, don't count.

Before: "isn't resumed if its events have no ids" fails (the caller gets four events of two). After: io/yuccagate whole, green.

--- a/io/yuccagate/eventreader.go
+++ b/io/yuccagate/eventreader.go
@@ -85,17 +85,22 @@
 	if length == 0 {
 		return 0
 	}
-	for line := range bytes.FieldsFuncSeq(reader.buffered, isLineEnd) {
-		if line[0] != ':' {
-			return length
-		}
-	}
-	if !isLineEnd(rune(reader.buffered[length-1])) {
+	if hasField(reader.buffered) || !isLineEnd(rune(reader.buffered[length-1])) {
 		return length
 	}
 	return 0
 }
 
+// hasField reports whether the text has a line that is neither empty nor a comment.
+func hasField(text []byte) bool {
+	for line := range bytes.FieldsFuncSeq(text, isLineEnd) {
+		if line[0] != ':' {
+			return true
+		}
+	}
+	return false
+}
+
 // split removes the complete events from the buffer and returns them.
 func (reader *eventReader) split() []event {
 	var events []event
--- a/io/yuccagate/framing_test.go
+++ b/io/yuccagate/framing_test.go
@@ -4,8 +4,8 @@
 	"fmt"
 	"io"
 	"net/http"
-	"strconv"
 	"strings"
+	"sync/atomic"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -31,16 +31,16 @@
 		w.Header().Write(conn)
 		switch framing {
 		case "length":
-			text = "Content-Length: " + strconv.Itoa(len(text)) + "\r\n\r\n" + text
+			fmt.Fprintf(conn, "Content-Length: %d\r\n\r\n%s", len(text), text)
 		case "chunks":
+			fmt.Fprint(conn, "Transfer-Encoding: chunked\r\n\r\n")
 			if text != "" {
-				text = fmt.Sprintf("%x\r\n%s\r\n", len(text), text)
+				fmt.Fprintf(conn, "%x\r\n%s\r\n", len(text), text)
 			}
-			text = "Transfer-Encoding: chunked\r\n\r\n" + text + "0\r\n\r\n"
+			fmt.Fprint(conn, "0\r\n\r\n")
 		default:
-			text = "\r\n" + text
+			fmt.Fprint(conn, "\r\n"+text)
 		}
-		fmt.Fprint(conn, text)
 	}
 }
 
@@ -130,6 +130,36 @@
 		Entry("nothing is left after the caller's last event", "close", "7", http.StatusOK),
 	)
 
+	// Guards against the failure that a caller gets events twice, because a target that continues a
+	// stream isn't told where.
+	It("isn't resumed if its events have no ids", func() {
+		text := "data: one\n\ndata: two\n\n"
+		answer := framed("close", text+"data: th")
+		first, second := newEngine("a", answer), newEngine("b", answer)
+		gt := newGate("entry-1")
+		gt.configure(1, config(), 1, first, second)
+		got := call{path: "/resumed/"}.do(gt)
+		Expect(got.err).To(HaveOccurred())
+		Expect(got.body).To(Equal(text))
+		Expect(len(first.requests()) + len(second.requests())).To(Equal(1))
+	})
+
+	It("is resumed if its target has sent no more than a comment", func() {
+		var requests atomic.Int32
+		answer := func(w http.ResponseWriter, r *http.Request) {
+			if requests.Add(1) == 1 {
+				framed("close", ": reading\n\nid: 1")(w, r)
+				return
+			}
+			framed("close", twoEvents)(w, r)
+		}
+		gt := newGate("entry-1")
+		gt.configure(1, config(), 1, newEngine("a", answer), newEngine("b", answer))
+		got := call{path: "/resumed/"}.do(gt)
+		Expect(got.err).NotTo(HaveOccurred())
+		Expect(got.body).To(Equal(": reading\n\n" + twoEvents))
+	})
+
 	It("gives a failure if it ends inside its first event", func() {
 		gt := newGate("entry-1")
 		gt.configure(1, config(), 1, newEngine("a", framed("close", halfEvent)))
--- a/io/yuccagate/relay.go
+++ b/io/yuccagate/relay.go
@@ -185,6 +185,8 @@
 	// lastEventID is the id of the last event that the caller has received. At first it is the id
 	// that the caller's request states, or empty.
 	lastEventID string
+	// unnumbered reports whether the caller has received an event without an id after that event.
+	unnumbered bool
 	// headSent reports whether the response's head has been sent to the caller.
 	headSent bool
 	// lastEventAt is when the last event was received from a target, zero if none was.
@@ -203,7 +205,9 @@
 			return nil
 		}
 		var writeFailed *callerError
-		if ctx.Err() != nil || errors.As(err, &writeFailed) {
+		// Another target can't be told where to continue after an event without an id, and would
+		// repeat it.
+		if ctx.Err() != nil || errors.As(err, &writeFailed) || st.unnumbered {
 			return err
 		}
 		next := st.req.resume(ctx, st, att)
@@ -246,9 +250,7 @@
 			if _, writeErr := req.w.Write(ev.raw); writeErr != nil {
 				return &callerError{cause: writeErr}
 			}
-			if ev.id != "" {
-				st.lastEventID = ev.id
-			}
+			st.recordPosition(ev)
 		}
 		if len(events) > 0 {
 			att.watchdog.onEvent()
@@ -301,6 +303,16 @@
 	}
 }
 
+// recordPosition updates the position in the stream after an event has been sent to the caller.
+func (st *stream) recordPosition(ev event) {
+	if ev.id != "" {
+		st.lastEventID = ev.id
+		st.unnumbered = false
+		return
+	}
+	st.unnumbered = st.unnumbered || hasField(ev.raw)
+}
+
 // recordEvents updates the result after events have arrived. The present run's first event arrived
 // at firstEventAt.
 func (st *stream) recordEvents(now, firstEventAt time.Time, events int) {
