A truncated response to a caller of HTTP/1.0 ends with a reset

What callers saw: a caller whose version of HTTP has no chunks got a truncated response that looked complete, since its connection was closed as after a complete one: when the target broke off, when the drain ended with the response open, when the daemon was killed.

Cause: such a response, without a length, ends with its connection, and http.ErrAbortHandler closes it in the usual way.

Change: while a response is being written to such a caller, its connection is set to end with a reset (linger of zero seconds), and back when the response is complete. The system keeps that promise also for a process that is killed.

--- a/io/yuccagate/framing_test.go
+++ b/io/yuccagate/framing_test.go
@@ -1,11 +1,14 @@
 package yuccagate_test
 
 import (
+	"bufio"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"sync/atomic"
+	"syscall"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -166,3 +169,60 @@
 		Expect(call{path: "/note/"}.do(gt).status).To(Equal(http.StatusBadGateway))
 	})
 })
+
+// askHTTP10 sends a request of HTTP/1.0, whose response can't come in chunks.
+func askHTTP10(gt *gate, path string) net.Conn {
+	conn, err := net.Dial("tcp", gt.address)
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(conn.Close)
+	fmt.Fprintf(conn, "POST %s HTTP/1.0\r\nHost: desk.example\r\nX-Id: r1\r\nX-Key: k1\r\nContent-Length: 0\r\n\r\n", path)
+	return conn
+}
+
+var _ = Describe("a caller of HTTP/1.0", func() {
+	// Guards against the failure that a truncated response looks complete to a caller that knows no
+	// chunks, because its connection ends in the same way as after a complete one.
+	DescribeTable("gets a reset if the response is truncated",
+		func(path string, answer http.HandlerFunc, complete bool) {
+			gt := newGate("entry-1")
+			gt.configure(1, config(), 1, newEngine("a", answer))
+			raw, err := io.ReadAll(askHTTP10(gt, path))
+			if complete {
+				Expect(err).NotTo(HaveOccurred())
+				Expect(string(raw)).To(HaveSuffix("\r\n\r\n" + twoEvents))
+				return
+			}
+			Expect(err).To(MatchError(syscall.ECONNRESET))
+		},
+		Entry("a stream", "/note/", framed("chunks", twoEvents), true),
+		Entry("a stream that ends inside an event", "/note/", framed("close", twoEvents+halfEvent), false),
+		Entry("a plain response", "/ticket/", framed("chunks", twoEvents), true),
+		Entry("a plain response that breaks off", "/ticket/", truncatedChunks, false),
+	)
+
+	It("gets a reset if the daemon ends before the response does", func() {
+		gt := newGate("entry-1")
+		gt.configure(1, config(), 1, newEngine("a", func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Set("Content-Type", "text/event-stream")
+			fmt.Fprint(w, twoEvents)
+			http.NewResponseController(w).Flush()
+			<-r.Context().Done()
+		}))
+		in := bufio.NewReader(askHTTP10(gt, "/note/"))
+		for line := ""; line != "data: two\n"; {
+			var err error
+			line, err = in.ReadString('\n')
+			Expect(err).NotTo(HaveOccurred())
+		}
+		gt.crash()
+		_, err := io.ReadAll(in)
+		Expect(err).To(MatchError(syscall.ECONNRESET))
+	})
+})
+
+// truncatedChunks responds with chunks and closes the connection without the last one.
+func truncatedChunks(w http.ResponseWriter, _ *http.Request) {
+	fmt.Fprint(w, "half")
+	http.NewResponseController(w).Flush()
+	panic(http.ErrAbortHandler)
+}
--- a/io/yuccagate/relay.go
+++ b/io/yuccagate/relay.go
@@ -40,12 +40,14 @@
 		if err := req.relayBody(ctx, att); err != nil {
 			panic(http.ErrAbortHandler)
 		}
+		req.setTruncated(false)
 		return nil
 	}
 	st := &stream{req: req, lastEventID: req.info.LastEventID}
 	err := st.relay(ctx, att)
 	switch {
 	case err == nil:
+		req.setTruncated(false)
 		return nil
 	case st.headSent:
 		panic(http.ErrAbortHandler)
@@ -66,6 +68,7 @@
 	if att.answer.Length >= 0 {
 		header["Content-Length"] = att.answer.Header["Content-Length"]
 	}
+	req.setTruncated(true)
 	req.w.WriteHeader(att.answer.Status)
 }
 
--- a/io/yuccagate/request.go
+++ b/io/yuccagate/request.go
@@ -39,7 +39,10 @@
 type callerRequest struct {
 	gate *Gate
 	w    http.ResponseWriter
-	info RequestInfo
+	// unframed is the connection on which the response can only end by a close, nil if the response
+	// can come in chunks.
+	unframed *callerConn
+	info     RequestInfo
 	// table is the configuration that applies to the request, even if it changes meanwhile.
 	table     *yuccaroute.Table
 	route     *yuccaroute.Route
@@ -76,7 +79,7 @@
 
 // ServeHTTP serves one request of a caller.
 func (gate *Gate) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	req := &callerRequest{gate: gate, w: w, arrivedAt: time.Now()}
+	req := &callerRequest{gate: gate, w: w, unframed: resettable(r), arrivedAt: time.Now()}
 	req.setWriteDeadline(req.arrivedAt.Add(refusalWriteTimeout))
 	if gate.draining() {
 		w.Header().Set("Connection", "close")
--- a/io/yuccagate/serve.go
+++ b/io/yuccagate/serve.go
@@ -45,6 +45,7 @@
 		ReadHeaderTimeout: headTimeout,
 		MaxHeaderBytes:    maxHeadBytes,
 		ConnState:         srv.listener.ConnState,
+		ConnContext:       withConn,
 	}
 	go func() {
 		if err := srv.http.Serve(srv.listener); !errors.Is(err, http.ErrServerClosed) {
