explain names daemons whose answers are truncated

An answer longer than eight megabytes was cut off without a word; one that ended inside a line was joined with the first line of the next daemon, and both were lost.

Cause: gatherLines read through a limit and compared nothing with it, and didn't look at the end of what it had read.

Change: the answer is read one byte beyond the limit and has to end with a line. Otherwise the daemon is named among those that didn't answer.

Before: both specs of 'names the daemons whose answers are truncated' fail. After: specs of explain, green.

--- a/cmd/yuccacleat/gather.go
+++ b/cmd/yuccacleat/gather.go
@@ -72,13 +72,25 @@
 	defer reply.Body.Close()
 	switch reply.StatusCode {
 	case http.StatusOK:
-		return io.ReadAll(io.LimitReader(reply.Body, maxGatheredBytes))
+		return readLines(reply.Body, address)
 	case http.StatusNotFound:
 		return nil, nil
 	}
 	return nil, fmt.Errorf("daemon at %s answered HTTP %d: check that it is an operator address", address, reply.StatusCode)
 }
 
+// readLines reads a daemon's lines to their end, which is the end of a line.
+func readLines(body io.Reader, address string) ([]byte, error) {
+	raw, err := io.ReadAll(io.LimitReader(body, maxGatheredBytes+1))
+	if err != nil {
+		return nil, err
+	}
+	if len(raw) > maxGatheredBytes || len(raw) > 0 && raw[len(raw)-1] != '\n' {
+		return nil, fmt.Errorf("answer of the daemon at %s is truncated: ask it again, or take its log", address)
+	}
+	return raw, nil
+}
+
 // readAddresses returns the addresses in a file, one on each line. Empty lines are skipped.
 func readAddresses(path string) ([]string, error) {
 	raw, err := os.ReadFile(path)
--- a/cmd/yuccacleat/gather_test.go
+++ b/cmd/yuccacleat/gather_test.go
@@ -55,6 +55,21 @@
 		Expect(output).To(ContainSubstring("1 of 2 daemons didn't answer, and what they know is missing: " + address))
 	})
 
+	// Guards against the failure that lines are missing from the story without a word, because a part of
+	// an answer was taken for all of it, or joined with the lines of the next daemon.
+	DescribeTable("names the daemons whose answers are truncated",
+		func(lines string) {
+			address := newLineServer("r1", lines)
+			writeDaemons(address, newLineServer("r1", `{"at":"2026-07-21T21:58:26Z","event":"sent","vm":"entry-2","request":"r1"}`+"\n"))
+			output, code := tool(dir, "explain", "--daemons", "daemons.txt", "r1")
+			Expect(code).To(Equal(0), output)
+			Expect(output).To(ContainSubstring("1 of 2 daemons didn't answer, and what they know is missing: " + address))
+			Expect(output).To(ContainSubstring("entry-2"))
+		},
+		Entry("inside a line", `{"at":"2026-07-21T21:58:25Z","event":"sent","vm":"entry-1","request":"r1"`),
+		Entry("by the limit on their length", strings.Repeat("{}\n", 3<<20)),
+	)
+
 	It("fails if no daemon knows the request, or the file lists none", func() {
 		writeDaemons(newLineServer("r2", ""))
 		_, code := tool(dir, "explain", "--daemons", "daemons.txt", "r1")
