A value of the platform's service needs a stated end

What operators could see: a note cut off at the end of a line reads like a whole one that adds or withdraws less. Reader.Get took a body that ends with its connection for the whole value.

Change: Get refuses an answer with neither a length nor chunks as garbled, with the remedy of its kind.

Before: 'fail when nothing states where a value ends' fails. After: package yuccaplat, green.

--- a/io/yuccaplat/reader.go
+++ b/io/yuccaplat/reader.go
@@ -112,17 +112,26 @@
 func (reader *Reader) Get(ctx context.Context, key string) ([]byte, Revision, error) {
 	path := "/v1/keys/" + (&url.URL{Path: key}).EscapedPath()
 	reader.counts.gets.Add(1)
-	value, header, err := reader.call(ctx, 0, path)
+	value, answer, err := reader.call(ctx, 0, path)
 	if err != nil {
 		return nil, 0, err
 	}
-	revision, err := strconv.ParseUint(header.Get("X-Revision"), 10, 64)
+	if !statesEnd(answer) {
+		return nil, 0, reader.failed(newFault(ErrGarbled, path, http.StatusOK, "answer has neither a length nor chunks"))
+	}
+	revision, err := strconv.ParseUint(answer.Header.Get("X-Revision"), 10, 64)
 	if err != nil {
 		return nil, 0, reader.failed(newFault(ErrGarbled, path, http.StatusOK, "header X-Revision is no number"))
 	}
 	return value, Revision(revision), nil
 }
 
+// statesEnd reports whether the answer says where its body ends. A body that ends with its connection
+// may be a part of the value; compressed bodies and JSON objects show that by themselves.
+func statesEnd(answer *http.Response) bool {
+	return answer.ContentLength >= 0 || len(answer.TransferEncoding) > 0 || answer.Uncompressed
+}
+
 // VMs returns the platform's list of VMs, which lags behind; it is one call.
 func (reader *Reader) VMs(ctx context.Context) ([]VM, error) {
 	reader.counts.lists.Add(1)
@@ -142,8 +151,9 @@
 	return nil
 }
 
-// call makes one GET and reads its whole answer within the time that it may take.
-func (reader *Reader) call(ctx context.Context, wait time.Duration, path string) ([]byte, http.Header, error) {
+// call makes one GET and reads its whole answer within the time that it may take. It returns the body
+// and the answer, whose own body is closed.
+func (reader *Reader) call(ctx context.Context, wait time.Duration, path string) ([]byte, *http.Response, error) {
 	ctx, cancel := context.WithTimeout(ctx, wait+answerTime)
 	defer cancel()
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, reader.base+path, nil)
@@ -165,7 +175,7 @@
 		detail := fmt.Sprintf("answer exceeds %d bytes", answerLimit)
 		return nil, nil, reader.failed(newFault(ErrGarbled, path, answer.StatusCode, detail))
 	}
-	return raw, answer.Header, nil
+	return raw, answer, nil
 }
 
 func kindOf(status int) error {
--- a/io/yuccaplat/reader_test.go
+++ b/io/yuccaplat/reader_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"sync"
 	"testing"
@@ -244,6 +245,22 @@
 		Expect(err).To(MatchError(yuccaplat.ErrUnreachable))
 	})
 
+	// Guards against the failure that a part of a value is taken for the value, because its answer ends
+	// with its connection.
+	It("fail when nothing states where a value ends", func() {
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			conn, _, err := w.(http.Hijacker).Hijack()
+			if err != nil {
+				return
+			}
+			defer conn.Close()
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nX-Revision: 2\r\n\r\nnumber: 2\n")
+		}))
+		DeferCleanup(server.Close)
+		_, _, err := yuccaplat.New(server.URL).Get(ctx, "notes/2")
+		Expect(err).To(MatchError(yuccaplat.ErrGarbled))
+	})
+
 	It("end with the context, also in a pause", func() {
 		// A daemon that shuts down would otherwise stay until the longest pause is over.
 		ctx, cancel := context.WithCancel(ctx)
