--- a/io/yuccastand/fault.go
+++ b/io/yuccastand/fault.go
@@ -41,8 +41,11 @@
 	// or before it if negative.
 	ResumeShift int `json:"resumeShift"`
 	// Unfinished ends the answer without its last line, on every connection.
-	Unfinished bool  `json:"unfinished"`
-	Dead       Death `json:"dead"`
+	Unfinished bool `json:"unfinished"`
+	// Unframed answers with neither a length nor chunks, so that answers end with their
+	// connection.
+	Unframed bool  `json:"unframed"`
+	Dead     Death `json:"dead"`
 	// Swallow takes calls and orders, never answers them and never runs them, while reads
 	// work, as when something between has lost track of the connection.
 	Swallow bool `json:"swallow"`
--- a/io/yuccastand/stream.go
+++ b/io/yuccastand/stream.go
@@ -36,6 +36,10 @@
 	header := c.Response().Header()
 	header.Set(echo.HeaderContentType, yuccatarget.ContentStream)
 	header.Set(yuccatarget.HeaderRequest, id)
+	if back.Faults().Unframed {
+		// The server takes this for: the connection's close ends the body.
+		header.Set("Transfer-Encoding", "identity")
+	}
 	c.Response().WriteHeader(http.StatusOK)
 	c.Response().Flush()
 	return &stream{back: back, c: c, id: id, first: first, lines: json.NewEncoder(c.Response())}
