An idle connection is closed by its reader, so that no request that has arrived is lost

Cause: callerConn.Read takes bytes from the socket and only then, under a lock, notes that the connection is in use. Between the two the socket is empty and the connection still counts as idle; closeIdle closed it, and Read dropped the bytes. Daemons whose processor share is a quota stand still at any point, for up to a tenth of a second, and idle connections are looked for twice a second.

Change: closeIdle no longer closes, it interrupts the reader by a read deadline in the past. The reader, which alone knows whether it has bytes, closes the connection or goes on. After an interruption it looks at the socket once more. Interrupted connections don't count against the bound on connections, and count as busy at the end of a drain until they are closed.

Before: TestIdleConnectionWhoseRequestIsBeingReadIsKept fails ('read GET, use of closed network connection'). TestLongestIdleConnectionIsClosed now has readers, as the server's connections do, and also asks for the number of open connections.

--- a/io/yuccagate/listener.go
+++ b/io/yuccagate/listener.go
@@ -12,14 +12,18 @@
 	"golang.org/x/sys/unix"
 )
 
+// longAgo is a read deadline that interrupts a reader.
+var longAgo = time.Unix(0, 0)
+
 // Listener accepts callers' connections for an http.Server, and can close idle ones without
 // losing a request.
 //
 // If http.Server closed idle connections itself, it could close a connection after the first bytes
 // of a request had been read, but before the server had noticed these bytes. The request would then
-// be forwarded to a target, and its caller would get no response. Here a lock for each connection
-// keeps reading and closing apart. If the bytes are read first, the connection stays open. If the
-// connection is closed first, the bytes are dropped and the request is not served.
+// be lost, or be forwarded to a target without a response to its caller. Here only the goroutine that
+// reads from a connection closes it for being idle: it is interrupted, and closes the connection if
+// no bytes have arrived. However long the process stands still in between, a request that has
+// arrived is served.
 type Listener struct {
 	net.Listener
 	// maxConns bounds the number of open connections; zero means no bound.
@@ -27,8 +31,11 @@
 	// onRejected is called when a connection is rejected, before it is closed.
 	onRejected func(time.Time)
 
-	mu    sync.Mutex
-	conns map[*callerConn]struct{}
+	mu sync.Mutex
+	// conns holds the open connections, and whether each is being closed for being idle. closing
+	// is the number of those that are.
+	conns   map[*callerConn]bool
+	closing int
 }
 
 // NewListener wraps a listener. The caller has to set the method ConnState as the http.Server's
@@ -36,7 +43,7 @@
 // for longest is closed. If no connection is idle, the new connection is rejected and onRejected is
 // called. A maxConns of zero means no bound.
 func NewListener(inner net.Listener, maxConns int, onRejected func(time.Time)) *Listener {
-	return &Listener{Listener: inner, maxConns: maxConns, onRejected: onRejected, conns: make(map[*callerConn]struct{})}
+	return &Listener{Listener: inner, maxConns: maxConns, onRejected: onRejected, conns: make(map[*callerConn]bool)}
 }
 
 // Accept returns the next connection that the bound on connections allows, and rejects connections
@@ -69,14 +76,38 @@
 func (lis *Listener) track(raw net.Conn) net.Conn {
 	lis.mu.Lock()
 	defer lis.mu.Unlock()
-	if lis.maxConns > 0 && len(lis.conns) >= lis.maxConns {
+	if lis.maxConns > 0 && len(lis.conns)-lis.closing >= lis.maxConns {
 		return nil
 	}
 	conn := &callerConn{Conn: raw, listener: lis}
-	lis.conns[conn] = struct{}{}
+	lis.conns[conn] = false
 	return conn
 }
 
+// markClosing records whether an open connection is being closed for being idle.
+func (lis *Listener) markClosing(conn *callerConn, closing bool) {
+	lis.mu.Lock()
+	defer lis.mu.Unlock()
+	before, open := lis.conns[conn]
+	if !open || before == closing {
+		return
+	}
+	lis.conns[conn] = closing
+	if closing {
+		lis.closing++
+	} else {
+		lis.closing--
+	}
+}
+
+// remove removes a connection that is closed.
+func (lis *Listener) remove(conn *callerConn) {
+	lis.markClosing(conn, false)
+	lis.mu.Lock()
+	defer lis.mu.Unlock()
+	delete(lis.conns, conn)
+}
+
 // closeLongestIdle closes the connection that has been idle for longest, if any is idle and has no
 // unread request.
 func (lis *Listener) closeLongestIdle() {
@@ -114,15 +145,15 @@
 	}
 }
 
-// Count returns the number of open connections.
+// Count returns the number of open connections, without those that are being closed.
 func (lis *Listener) Count() int {
 	lis.mu.Lock()
 	defer lis.mu.Unlock()
-	return len(lis.conns)
+	return len(lis.conns) - lis.closing
 }
 
 // CountBusy returns the number of open connections on which a request, or the first bytes of one,
-// have arrived whose response has not ended.
+// have or may have arrived whose response has not ended.
 func (lis *Listener) CountBusy() int {
 	count := 0
 	for _, conn := range lis.openConns() {
@@ -144,37 +175,60 @@
 	idleSince time.Time
 	// busy reports whether bytes of a request have arrived whose response has not ended.
 	busy bool
-	// closed reports whether closeIdle has closed the connection.
-	closed bool
+	// closing reports whether closeIdle has interrupted the reader, which closes the connection
+	// unless bytes have arrived.
+	closing bool
 }
 
 // Read reads from the connection, and marks it as in use once a byte has arrived. If closeIdle has
-// closed the connection, Read drops the bytes and returns net.ErrClosed.
+// interrupted it and no byte has arrived, Read returns an error, after which the server closes the
+// connection.
 func (conn *callerConn) Read(buf []byte) (int, error) {
-	n, err := conn.Conn.Read(buf)
+	for {
+		n, err := conn.Conn.Read(buf)
+		if again := conn.afterRead(n); !again {
+			return n, err
+		}
+	}
+}
+
+// afterRead records that n bytes were read. It reports whether to read again because closeIdle has
+// interrupted the read although bytes have arrived.
+func (conn *callerConn) afterRead(n int) (again bool) {
 	conn.mu.Lock()
 	defer conn.mu.Unlock()
-	if conn.closed {
-		return 0, net.ErrClosed
-	}
 	if n > 0 {
 		conn.idleSince = time.Time{}
 		conn.busy = true
 	}
-	return n, err
+	if !conn.closing || n == 0 && !hasUnread(conn.Conn) {
+		return false
+	}
+	conn.closing = false
+	conn.listener.markClosing(conn, false)
+	_ = conn.Conn.SetReadDeadline(time.Time{})
+	return n == 0
+}
+
+// SetReadDeadline sets the read deadline, unless the reader has been interrupted.
+func (conn *callerConn) SetReadDeadline(deadline time.Time) error {
+	conn.mu.Lock()
+	defer conn.mu.Unlock()
+	if conn.closing {
+		return nil
+	}
+	return conn.Conn.SetReadDeadline(deadline)
 }
 
 func (conn *callerConn) isBusy() bool {
 	conn.mu.Lock()
 	defer conn.mu.Unlock()
-	return conn.busy || hasUnread(conn.Conn)
+	return conn.busy || conn.closing || hasUnread(conn.Conn)
 }
 
 // Close closes the connection and removes it from the listener's open connections.
 func (conn *callerConn) Close() error {
-	conn.listener.mu.Lock()
-	delete(conn.listener.conns, conn)
-	conn.listener.mu.Unlock()
+	conn.listener.remove(conn)
 	return conn.Conn.Close()
 }
 
@@ -197,18 +251,18 @@
 	return conn.idleSince
 }
 
-// closeIdle closes the connection if it became idle at the given time or earlier and is still idle. A
-// process that gets little processor time may not have read a request that has arrived already; such a
-// connection isn't idle.
+// closeIdle has the connection closed if it became idle at the given time or earlier and is still
+// idle. A process that gets little processor time may not have read a request that has arrived
+// already; such a connection isn't idle.
 func (conn *callerConn) closeIdle(since time.Time) {
 	conn.mu.Lock()
-	if conn.idleSince.IsZero() || conn.idleSince.After(since) || hasUnread(conn.Conn) {
-		conn.mu.Unlock()
+	defer conn.mu.Unlock()
+	if conn.closing || conn.idleSince.IsZero() || conn.idleSince.After(since) || hasUnread(conn.Conn) {
 		return
 	}
-	conn.closed = true
-	conn.mu.Unlock()
-	conn.Close()
+	conn.closing = true
+	conn.listener.markClosing(conn, true)
+	_ = conn.Conn.SetReadDeadline(longAgo)
 }
 
 // hasUnread reports whether bytes have arrived on a connection that nobody has read. It doesn't wait for
--- a/io/yuccagate/listener_test.go
+++ b/io/yuccagate/listener_test.go
@@ -8,15 +8,16 @@
 	"time"
 )
 
-// closable is a connection that records whether it was closed.
+// closable is a connection that records whether it was closed. Like those of http.Server, it has a
+// reader that closes it after a failed read.
 type closable struct {
 	net.Conn
-	closed bool
+	closed chan struct{}
 }
 
 func (cn *closable) Close() error {
-	cn.closed = true
-	return nil
+	close(cn.closed)
+	return cn.Conn.Close()
 }
 
 // Callers keep connections open that they don't use. When a new connection would exceed the bound,
@@ -40,18 +41,35 @@
 			lis := NewListener(nil, len(test.idle), func(time.Time) {})
 			conns := make([]*closable, len(test.idle))
 			for at, idle := range test.idle {
-				conns[at] = &closable{}
+				caller, accepted := net.Pipe()
+				defer caller.Close()
+				conns[at] = &closable{Conn: accepted, closed: make(chan struct{})}
 				conn := lis.track(conns[at]).(*callerConn)
 				if idle > 0 {
 					conn.idleSince = now.Add(-idle)
 				}
+				go func() {
+					if _, err := conn.Read(make([]byte, 1)); err != nil {
+						conn.Close()
+					}
+				}()
 			}
 			lis.closeLongestIdle()
+			if test.closed >= 0 {
+				<-conns[test.closed].closed
+			}
 			for at, conn := range conns {
-				if conn.closed != (at == test.closed) {
-					t.Errorf("connection %d: closed %t", at, conn.closed)
+				select {
+				case <-conn.closed:
+					if at != test.closed {
+						t.Errorf("connection %d was closed", at)
+					}
+				default:
 				}
 			}
+			if want := len(conns) - min(test.closed+1, 1); lis.Count() != want {
+				t.Errorf("%d connections are open, want %d", lis.Count(), want)
+			}
 		})
 	}
 }
@@ -120,3 +138,43 @@
 	conn.Close()
 	expectBusy(0, "after the connection was closed")
 }
+
+// stallingConn is a connection whose reader stands still after it has taken bytes from the socket.
+type stallingConn struct {
+	net.Conn
+	taken, resume chan struct{}
+}
+
+func (conn *stallingConn) Read(buf []byte) (int, error) {
+	n, err := conn.Conn.Read(buf)
+	if n > 0 {
+		close(conn.taken)
+		<-conn.resume
+	}
+	return n, err
+}
+
+// Guards against the failure that a request is lost because its bytes have left the socket, and the
+// process stands still before it notes that, when the idle connections are closed.
+func TestIdleConnectionWhoseRequestIsBeingReadIsKept(t *testing.T) {
+	caller, accepted := net.Pipe()
+	defer caller.Close()
+	inner := &stallingConn{Conn: accepted, taken: make(chan struct{}), resume: make(chan struct{})}
+	lis := NewListener(nil, 0, nil)
+	conn := lis.track(inner)
+	defer conn.Close()
+	lis.ConnState(conn, http.StateIdle)
+	go caller.Write([]byte("GET"))
+	go func() {
+		<-inner.taken
+		lis.CloseIdle(time.Now())
+		close(inner.resume)
+	}()
+	got := make([]byte, 3)
+	if _, err := io.ReadFull(conn, got); err != nil || string(got) != "GET" {
+		t.Fatalf("read %q, %v", got, err)
+	}
+	if count := lis.CountBusy(); count != 1 {
+		t.Errorf("%d busy connections, want 1", count)
+	}
+}
