A plain answer that breaks off before any of it was sent is replaced, or told as lost

What callers saw: half of a short answer and a closed connection, where another target could have answered.

Hypothesis: plain answers are short; read to their end before the head is sent, a broken one costs its caller nothing where the request may be repeated, and 502 tells more than a cut where it may not.

Change: the first 16 KB of an answer that isn't a stream are read before any of it is sent; a break there is an outcome like a lost answer (attempts, budget of resends). The watchdog stays armed meanwhile, so that a target that stops inside a short answer is noticed too. Longer answers are relayed as before. The answer of a target that failed (5xx) is held as well.

--- a/io/yuccagate/run.go
+++ b/io/yuccagate/run.go
@@ -29,6 +29,10 @@
 	answer   *yuccahop.Answer
 	report   TargetReport
 	watchdog *watchdog
+	// timeToHead is the time from the sending to the head of a response that isn't a stream. held is
+	// the beginning of its body, which was read before any of it was sent to the caller.
+	timeToHead time.Duration
+	held       []byte
 	// unfinished is the length of the part of an event with which a stream ended, in bytes.
 	unfinished int
 }
@@ -62,6 +66,15 @@
 		failure.drop()
 		att, outcome := req.send(ctx, plc, dec, req.info.LastEventID)
 		failure = nil
+		if outcome == yuccagrant.Served {
+			if err := req.holdBody(att); err != nil {
+				req.finishAttempt(ctx, att, yuccagrant.Finished{TimeToFirst: att.timeToHead}, err)
+				if prob := req.problemUnlessResent(ctx, att, yuccagrant.Broken); prob != nil {
+					return prob
+				}
+				continue
+			}
+		}
 		switch {
 		case outcome == yuccagrant.Served && att.answer.Status < http.StatusInternalServerError:
 			return req.relay(ctx, att)
@@ -75,8 +88,8 @@
 		default:
 			att.close()
 			req.gate.postFinished(plc, yuccagrant.Finished{Outcome: outcome, Load: att.report.Load})
-			if ctx.Err() != nil || !req.shouldResend(outcome, att) {
-				return req.problemAfterFailure(ctx, outcome)
+			if prob := req.problemUnlessResent(ctx, att, outcome); prob != nil {
+				return prob
 			}
 		}
 	}
@@ -145,6 +158,15 @@
 	return &Problem{Kind: KindLate, Detail: detail, RetryAfter: unservedRetryAfter}
 }
 
+// problemUnlessResent returns the problem of a request whose attempt ended with the outcome, or nil if
+// the request is to be sent to another target.
+func (req *callerRequest) problemUnlessResent(ctx context.Context, att *attempt, outcome yuccagrant.Outcome) *Problem {
+	if ctx.Err() != nil || !req.shouldResend(outcome, att) {
+		return req.problemAfterFailure(ctx, outcome)
+	}
+	return nil
+}
+
 // problemAfterFailure returns the problem of a request whose last attempt ended with the
 // outcome.
 func (req *callerRequest) problemAfterFailure(ctx context.Context, outcome yuccagrant.Outcome) *Problem {
