An account that is over its quota is held also if its demand falls while all daemons restart

A quota may not be used twice within a window, whatever is killed.

Ruled out: leaders that don't hear one another (all five did 0.6 s after the restart, and their totals agree).

Change: the rate is what was demanded since the loss, over the time since then; the hold lasts at least the first second; the fill time is taken at 0.3 of that by the present demand (0.7 before), which covers a demand that falls to a third. In return a held account gets what an account within its quota would, as far as half of the reserve covers it; before, it got that of the first moment only.

--- a/core/yuccaquota/history.go
+++ b/core/yuccaquota/history.go
@@ -15,26 +15,28 @@
 	demandBurstShare = 0.8
 	// fillTimeFactor shortens the time in which a held account is assumed to have filled its window,
 	// because its demand before the loss of the history may have been higher than after the loss.
-	fillTimeFactor = 0.7
+	fillTimeFactor = 0.3
+	// heldReserveShare is the part of the reserve that a held account may use.
+	heldReserveShare = 0.5
 )
 
 // decideWithoutHistory decides on a request of an account that demands more than its quota while no
 // daemon has usage history. At first such an account is admitted for the largest demand that is
-// expected from an account within its quota. If the account's demand was as high before the history
-// was lost (historyLostAt), the account filled its window within a few seconds. In the worst case
-// these were the last seconds before the loss. Their usage then begins to leave the window at
-// holdTime after the loss, which is the length of the window minus these seconds. From then on,
-// requests are admitted at the rate of the demand.
+// expected from an account within its quota, as far as the reserve covers it. If the account's demand
+// was as high before the history was lost (historyLostAt), the account filled its window within a few
+// seconds. In the worst case these were the last seconds before the loss. Their usage then begins to
+// leave the window at holdTime after the loss, which is the length of the window minus these seconds.
+// From then on, requests are admitted at the rate of the demand. While the rate isn't known yet, in the
+// first demandHeadStart, the account is held too.
 //
 // The history is lost when all daemons restart, and also when the length of the window changes.
 func (led *Ledger) decideWithoutHistory(now time.Time, win *accountWindow, cost, limit float64) (verdict Verdict, retryAfter time.Duration) {
 	sinceLoss := now.Sub(led.historyLostAt)
-	demandRate := float64(win.demand.all.Total()) / (sinceLoss + demandHeadStart).Seconds()
-	holdTime := led.tolerance.Window - seconds(fillTimeFactor*limit/demandRate)
-	// The admissible usage starts at this daemon's share of the demand that is expected at the time
-	// of the loss. It keeps that value until holdTime after the loss, and then grows by demandRate
-	// each second. The growth isn't multiplied by the share.
-	admissible := led.share*win.demandLimit(0) + demandRate*max(sinceLoss-holdTime, 0).Seconds()
+	demandRate := float64(win.demand.all.Total()) / max(sinceLoss, demandHeadStart).Seconds()
+	holdTime := max(led.tolerance.Window-seconds(fillTimeFactor*limit/demandRate), demandHeadStart)
+	// The growth from holdTime on isn't multiplied by this daemon's share.
+	held := min(win.demandLimit(sinceLoss), max(win.demandLimit(0), heldReserveShare*led.reserve(win)))
+	admissible := led.share*held + demandRate*max(sinceLoss-holdTime, 0).Seconds()
 	if float64(win.admitted.all.Total())+cost <= admissible {
 		return Admitted, 0
 	}
--- a/core/yuccaquota/ledger_test.go
+++ b/core/yuccaquota/ledger_test.go
@@ -131,6 +131,30 @@
 		Entry("at three times the rate", 6*time.Second, 300.0),
 	)
 
+	// Guards against the failure that an account uses its quota twice within one window, because its demand
+	// fell while all daemons were away: callers have left or wait, so the demand after the restart says
+	// little about the usage before it.
+	DescribeTable("isn't granted a second time when the demand falls with the restart of all daemons",
+		func(overload time.Duration, before, after float64) {
+			generous := yuccaquota.Tolerance{Window: windowSpan, Overshoot: 0.25, Allowance: 10 * quotaLimit}
+			flt := newFleet(7, 100*time.Millisecond, generous)
+			flt.send(overload, before)
+			for index := range flt.ledgers {
+				flt.restart(index, ledger(flt.now, generous))
+				flt.ledgers[index].SetFleet(flt.now, yuccaquota.Fleet{Share: 1, Daemons: 7, ReportDelay: 150 * time.Millisecond})
+				flt.ledgers[index].MarkWithoutHistory(flt.now)
+			}
+			flt.connectAll()
+			flt.send(15*time.Second, after)
+			Expect(flt.maxUsage()).To(BeNumerically("<=", quotaLimit*1.25+generous.Allowance))
+		},
+		Entry("to nine tenths", 6*time.Second, 1800.0, 1600.0),
+		Entry("to two thirds", 6*time.Second, 1800.0, 1200.0),
+		Entry("to two fifths", 6*time.Second, 1800.0, 750.0),
+		Entry("to two fifths, after a short overload", 2600*time.Millisecond, 4000.0, 1600.0),
+		Entry("to a fifth", 6*time.Second, 1800.0, 360.0),
+	)
+
 	It("admits the usage within the quota when all daemons restart without usage history", func() {
 		flt := newFleet(7, 100*time.Millisecond, tolerant)
 		for _, led := range flt.ledgers {
