A daemon that vanishes from another data centre's view keeps its part of the quotas

One of five daemons was cut off one way while an account sent three times what it may.

Cause, from the lines: the daemon cut off went on with its share, as it has to. In its own data centre the others took it for possibly running and left it a part (share 0.88); in the other two data centres the share was 1 again 0.1 s later, since a cast of usage states only the daemons that its sender sees, and the fleet seemed to have shrunk to four.

Change: the largest number of daemons that a data centre has stated lately counts for the fleet's size, for the minute for which a data centre that has fallen silent counts already. No field on the wire changes.

--- a/io/yuccagate/cast.go
+++ b/io/yuccagate/cast.go
@@ -13,7 +13,7 @@
 	// present state.
 	centreFreshFor = 1500 * time.Millisecond
 	// centreExpectedFor is how long a data centre that no longer sends anything still counts in
-	// the fleet's size.
+	// the fleet's size, and how long daemons still count that another data centre no longer sees.
 	centreExpectedFor = time.Minute
 	// centreStartupWait is how long after this daemon's start a data centre named in the settings
 	// counts in the fleet's size although nothing has been received from it yet. After that time,
@@ -54,13 +54,6 @@
 	pool   yuccaid.Pool
 }
 
-// remoteCentre is what is known about another data centre: the number of its daemons according to
-// its last cast of usage, and when that cast was received.
-type remoteCentre struct {
-	daemons    int
-	receivedAt time.Time
-}
-
 // cast sends a message to the daemons of all other data centres. It sends the message over this
 // daemon's own connections to other data centres, and to daemons of this data centre, which
 // forward it over their connections to other data centres.
@@ -191,13 +184,12 @@
 		total += total * max(silentCentres, 0)
 	}
 	for name, centre := range gate.remoteCentres {
-		age := now.Sub(centre.receivedAt)
-		if age > centreExpectedFor {
+		if now.Sub(centre.receivedAt) > centreExpectedFor {
 			delete(gate.remoteCentres, name)
 			continue
 		}
-		total += centre.daemons
-		if age < centreFreshFor {
+		total += centre.expected(now)
+		if now.Sub(centre.receivedAt) < centreFreshFor {
 			visible += centre.daemons
 		}
 	}
--- a/io/yuccagate/peers_test.go
+++ b/io/yuccagate/peers_test.go
@@ -106,6 +106,23 @@
 		Eventually(func() int { return len(disconnected.Status().Targets) }, 5*time.Second).Should(BeZero())
 	})
 
+	// Guards against the failure that an account gets a part of its quota twice, because a data centre
+	// whose daemon has vanished from another one takes it for ended while it serves callers on its own.
+	It("leave a part of the quotas to a daemon that the other data centre no longer sees", func() {
+		first := newGateIn("odessa", "odessa-1")
+		seed := first.Status().Address
+		silent := newGateIn("odessa", "odessa-2", seed)
+		remote := newGateIn("austin", "austin-1", seed)
+		for _, gt := range []*gate{first, silent, remote} {
+			gt.configure(1, config(), 4)
+		}
+		share := func() float64 { return remote.Status().QuotaShare }
+		Eventually(share, 5*time.Second).Should(Equal(1.0))
+		silent.hang()
+		Eventually(share, 5*time.Second).Should(BeNumerically("<", 1))
+		Consistently(share, 2*time.Second).Should(BeNumerically("<", 1))
+	})
+
 	// Each of two data centres has two daemons. All four daemons find one another through one seed.
 	// If the connections between the data centres were closed once the daemons within each data
 	// centre have found one another, accounts would get their quotas twice.
--- a/io/yuccagate/usage.go
+++ b/io/yuccagate/usage.go
@@ -186,7 +186,7 @@
 	if before == nil || now.Sub(before.receivedAt) > centreFreshFor {
 		gate.fullUsageDue = true
 	}
-	gate.remoteCentres[message.Centre] = &remoteCentre{daemons: message.Daemons, receivedAt: now}
+	gate.remoteCentres[message.Centre] = before.updated(now, message.Daemons)
 	gate.ledger.ApplyRemoteReport(now, message.Centre, message.Use)
 	gate.ledger.ApplyRemoteTotals(now, message.Centre, message.Whole)
 }
