--- /dev/null
+++ b/io/yuccagate/body.go
@@ -0,0 +1,68 @@
+package yuccagate
+
+import (
+	"context"
+	"io"
+	"time"
+
+	"yuccacleat/core/yuccagrant"
+)
+
+// copyBufferBytes is the size of the buffer through which a response is copied, and the length up to
+// which a response that isn't a stream is read to its end before it is sent to the caller.
+const copyBufferBytes = 16 << 10
+
+// holdBody reads the beginning of a response that isn't a stream of events before any of it is sent to
+// the caller; that is all of a short one. If the target breaks the response off meanwhile, holdBody
+// returns the error, and the request can be sent to another target or be answered with a problem.
+func (req *callerRequest) holdBody(att *attempt) error {
+	if req.isStream(att) {
+		return nil
+	}
+	att.timeToHead = time.Since(att.sentAt)
+	size := int64(copyBufferBytes)
+	if length := att.answer.Length; length >= 0 {
+		// With one byte more than the body has, the read goes on to the body's end.
+		size = min(size, length+1)
+	}
+	buf := make([]byte, size)
+	n, err := io.ReadFull(att.answer, buf)
+	att.held = buf[:n]
+	if att.answer.Whole() {
+		return nil
+	}
+	return err
+}
+
+// relayBody relays a response that is not a stream of events, after holdBody has read its beginning.
+func (req *callerRequest) relayBody(ctx context.Context, att *attempt) error {
+	att.watchdog.disarm()
+	err := req.copyBody(att)
+	req.finishAttempt(ctx, att, yuccagrant.Finished{TimeToFirst: att.timeToHead}, err)
+	return err
+}
+
+func (req *callerRequest) copyBody(att *attempt) error {
+	req.writeHead(att)
+	if _, err := req.w.Write(att.held); err != nil {
+		return &callerError{cause: err}
+	}
+	if att.answer.Whole() {
+		return nil
+	}
+	buf := att.held
+	for {
+		n, err := att.answer.Read(buf)
+		if n > 0 {
+			if _, writeErr := req.w.Write(buf[:n]); writeErr != nil {
+				return &callerError{cause: writeErr}
+			}
+		}
+		if err == io.EOF {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+	}
+}
--- /dev/null
+++ b/io/yuccagate/stream.go
@@ -0,0 +1,193 @@
+package yuccagate
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"yuccacleat/core/yuccagrant"
+	"yuccacleat/io/yuccahop"
+)
+
+var errNoEvent = errors.New("the stream ended without an event, and nothing states its end")
+
+// stream is the response to one caller as a stream of events. If the stream is resumed, its events
+// come from one target after another.
+type stream struct {
+	req *callerRequest
+	// lastEventID is the id of the last event that the caller has received. At first it is the id
+	// that the caller's request states, or empty.
+	lastEventID string
+	// unnumbered reports whether the caller has received an event without an id after that event.
+	unnumbered bool
+	// headSent reports whether the response's head has been sent to the caller.
+	headSent bool
+	// lastEventAt is when the last event was received from a target, zero if none was.
+	lastEventAt time.Time
+	// result describes the run on the present target, up to the last event that has arrived.
+	result yuccagrant.Finished
+}
+
+// relay copies the stream, and resumes it from another target if the present one breaks off and
+// the route allows it.
+func (st *stream) relay(ctx context.Context, att *attempt) error {
+	for {
+		err := st.forwardEvents(att)
+		st.req.finishAttempt(ctx, att, st.result, err)
+		if err == nil {
+			return nil
+		}
+		var writeFailed *callerError
+		// Another target can't be told where to continue after an event without an id, and would
+		// repeat it.
+		if ctx.Err() != nil || errors.As(err, &writeFailed) || st.unnumbered {
+			return err
+		}
+		next := st.req.resume(ctx, st, att)
+		if next == nil {
+			return err
+		}
+		att = next
+	}
+}
+
+// forwardEvents forwards the events of one target, each as soon as it is complete, until the
+// stream ends.
+func (st *stream) forwardEvents(att *attempt) error {
+	req := st.req
+	control := http.NewResponseController(req.w)
+	reader := newEventReader(att.answer)
+	st.result = yuccagrant.Finished{}
+	var firstEventAt time.Time
+	for {
+		events, err := reader.next()
+		if err != nil {
+			att.unfinished = reader.unfinished()
+		}
+		if err == io.EOF && st.endedBeforeItBegan(att) {
+			err = errNoEvent
+		}
+		now := time.Now()
+		if firstEventAt.IsZero() && len(events) > 0 {
+			firstEventAt = now
+			st.result.TimeToFirst = now.Sub(att.sentAt)
+			req.gate.postStarted(att.plc, st.result.TimeToFirst, att.report.Load)
+		}
+		if len(events) > 0 || err == io.EOF {
+			st.sendHead(att)
+		}
+		for _, ev := range events {
+			if st.delivered(ev.id) {
+				continue
+			}
+			if _, writeErr := req.w.Write(ev.raw); writeErr != nil {
+				return &callerError{cause: writeErr}
+			}
+			st.recordPosition(ev)
+		}
+		if len(events) > 0 {
+			att.watchdog.onEvent()
+			if writeErr := control.Flush(); writeErr != nil {
+				return &callerError{cause: writeErr}
+			}
+			st.recordEvents(now, firstEventAt, len(events))
+		}
+		if err == io.EOF {
+			if _, writeErr := req.w.Write(reader.remainder()); writeErr != nil {
+				return &callerError{cause: writeErr}
+			}
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+	}
+}
+
+// endedBeforeItBegan reports whether a stream that has ended was most likely broken off before its first
+// event: it brought no event, and nothing but the close of the connection says that it is complete. A
+// stream that continues after an event may have nothing left.
+func (st *stream) endedBeforeItBegan(att *attempt) bool {
+	return st.result.Events == 0 && st.lastEventID == "" && att.answer.Status == http.StatusOK && att.answer.Framing() == yuccahop.FramedByClose
+}
+
+// delivered reports whether the event with the id has already been sent to the caller. A target
+// that resumes a stream should start after the event whose id it was given. If it starts earlier,
+// this check keeps events from being sent twice. Ids that aren't numbers can't be compared, so
+// their events are always sent.
+func (st *stream) delivered(id string) bool {
+	if id == "" || st.lastEventID == "" {
+		return false
+	}
+	eventNumber, err := strconv.ParseInt(id, 10, 64)
+	if err != nil {
+		return false
+	}
+	lastNumber, err := strconv.ParseInt(st.lastEventID, 10, 64)
+	return err == nil && eventNumber <= lastNumber
+}
+
+// sendHead sends the head of the first target's response to the caller. When the stream is resumed,
+// the heads of later targets' responses are not sent.
+func (st *stream) sendHead(att *attempt) {
+	if !st.headSent {
+		st.headSent = true
+		st.req.writeHead(att)
+	}
+}
+
+// recordPosition updates the position in the stream after an event has been sent to the caller.
+func (st *stream) recordPosition(ev event) {
+	if ev.id != "" {
+		st.lastEventID = ev.id
+		st.unnumbered = false
+		return
+	}
+	st.unnumbered = st.unnumbered || hasField(ev.raw)
+}
+
+// recordEvents updates the result after events have arrived. The present run's first event arrived
+// at firstEventAt.
+func (st *stream) recordEvents(now, firstEventAt time.Time, events int) {
+	if st.result.Events > 0 {
+		st.result.LongestGap = max(st.result.LongestGap, now.Sub(st.lastEventAt))
+	}
+	st.result.Events += events
+	st.result.Span = now.Sub(firstEventAt)
+	st.lastEventAt = now
+}
+
+// resume sends the request of a stream that broke off to another target, which continues after the
+// last event that the caller has received. It returns the new attempt, or nil if the stream can't
+// be resumed.
+//
+// If streams weren't resumed, the caller of a long response whose target crashes would lose the
+// whole response, or retry and have it generated again. A target that resumes the stream only has
+// to read the prompt again.
+func (req *callerRequest) resume(ctx context.Context, st *stream, att *attempt) *attempt {
+	req.streamBrokeAt = time.Now()
+	for req.shouldResend(yuccagrant.Broken, att) {
+		plc, dec, err := req.gate.acquire(ctx, req)
+		if err != nil || dec.refusal != nil || dec.problem != nil {
+			return nil
+		}
+		next, outcome := req.send(ctx, plc, dec, st.lastEventID)
+		att = next
+		if outcome == yuccagrant.Served && att.answer.Status == http.StatusOK && req.isStream(att) {
+			req.logDecision("resumed", "target", dec.target, "position", st.lastEventID)
+			return att
+		}
+		att.close()
+		if outcome == yuccagrant.Served {
+			outcome = yuccagrant.Failed
+		}
+		req.gate.postFinished(plc, yuccagrant.Finished{Outcome: outcome, Load: att.report.Load})
+		if ctx.Err() != nil {
+			return nil
+		}
+	}
+	return nil
+}
