A stream isn't bound to the length that its first target stated

What callers saw: a stream that was resumed at another target was cut off where the first target's response would have ended, if that one had stated a length and the rest came out longer; shorter, it was cut off too.

Cause: the head of the first target's response went to the caller with its Content-Length.

Change: a stream goes to the caller without a length.

Before: "isn't bound to the length that a broken target stated" fails (unexpected EOF). After: io/yuccagate whole, green.

--- a/io/yuccagate/framing_test.go
+++ b/io/yuccagate/framing_test.go
@@ -134,6 +134,23 @@
 		Entry("nothing is left after the caller's last event", "close", "7", http.StatusOK),
 	)
 
+	// Guards against the failure that a resumed stream is cut off at the length that its first target had
+	// stated for its own response.
+	It("isn't bound to the length that a broken target stated", func() {
+		answer := func(w http.ResponseWriter, r *http.Request) {
+			if r.Header.Get("Last-Event-Id") == "2" {
+				framed("length", "id: 3\ndata: a longer third event\n\n")(w, r)
+				return
+			}
+			framed("length", twoEvents+halfEvent)(w, r)
+		}
+		gt := newGate("entry-1")
+		gt.configure(1, config(), 1, newEngine("a", answer), newEngine("b", answer))
+		got := call{path: "/resumed/"}.do(gt)
+		Expect(got.err).NotTo(HaveOccurred())
+		Expect(got.body).To(Equal(twoEvents + "id: 3\ndata: a longer third event\n\n"))
+	})
+
 	// Guards against the failure that a caller gets events twice, because a target that continues a
 	// stream isn't told where.
 	It("isn't resumed if its events have no ids", func() {
--- a/io/yuccagate/relay.go
+++ b/io/yuccagate/relay.go
@@ -51,13 +51,14 @@
 	return &Problem{Kind: KindLost, Detail: "the stream broke off before its first event"}
 }
 
-// writeHead sends the head of a target's response to the caller.
+// writeHead sends the head of a target's response to the caller. The length of a stream is left out: if
+// the stream is resumed, another target may end it with a different one.
 func (req *callerRequest) writeHead(att *attempt) {
 	header := req.w.Header()
 	for name, values := range forwardableHeader(att.answer.Header) {
 		header[name] = values
 	}
-	if att.answer.Length >= 0 {
+	if att.answer.Length >= 0 && !req.isStream(att) {
 		header["Content-Length"] = att.answer.Header["Content-Length"]
 	}
 	req.setTruncated(true)
