yuccagate: forwarding a stream's events is split into reading, sending and ending

forwardEvents had fifty lines and did four things. recordEvents, sendEvents and end are functions of their own; a stream has a constructor.

--- a/io/yuccagate/relay.go
+++ b/io/yuccagate/relay.go
@@ -35,7 +35,7 @@
 		req.setTruncated(false)
 		return nil
 	}
-	st := &stream{req: req, lastEventID: req.info.LastEventID}
+	st := newStream(req)
 	err := st.relay(ctx, att)
 	switch {
 	case err == nil:
--- a/io/yuccagate/stream.go
+++ b/io/yuccagate/stream.go
@@ -17,7 +17,8 @@
 // stream is the response to one caller as a stream of events. If the stream is resumed, its events
 // come from one target after another.
 type stream struct {
-	req *callerRequest
+	req     *callerRequest
+	control *http.ResponseController
 	// lastEventID is the id of the last event that the caller has received. At first it is the id
 	// that the caller's request states, or empty.
 	lastEventID string
@@ -25,12 +26,16 @@
 	unnumbered bool
 	// headSent reports whether the response's head has been sent to the caller.
 	headSent bool
-	// lastEventAt is when the last event was received from a target, zero if none was.
-	lastEventAt time.Time
+	// firstEventAt and lastEventAt are when the first and the last event of the present run arrived.
+	firstEventAt, lastEventAt time.Time
 	// result describes the run on the present target, up to the last event that has arrived.
 	result yuccagrant.Finished
 }
 
+func newStream(req *callerRequest) *stream {
+	return &stream{req: req, control: http.NewResponseController(req.w), lastEventID: req.info.LastEventID}
+}
+
 // relay copies the stream, and resumes it from another target if the present one breaks off and
 // the route allows it.
 func (st *stream) relay(ctx context.Context, att *attempt) error {
@@ -57,56 +62,57 @@
 // forwardEvents forwards the events of one target, each as soon as it is complete, until the
 // stream ends.
 func (st *stream) forwardEvents(att *attempt) error {
-	req := st.req
-	control := http.NewResponseController(req.w)
 	reader := newEventReader(att.answer)
 	st.result = yuccagrant.Finished{}
-	var firstEventAt time.Time
 	for {
 		events, err := reader.next()
-		if err != nil {
-			att.unfinished = reader.unfinished()
-		}
-		if err == io.EOF && st.endedBeforeItBegan(att) {
-			err = errNoEvent
-		}
-		now := time.Now()
-		if firstEventAt.IsZero() && len(events) > 0 {
-			firstEventAt = now
-			st.result.TimeToFirst = now.Sub(att.sentAt)
-			req.gate.postStarted(att.plc, st.result.TimeToFirst, att.report.Load)
-		}
-		if len(events) > 0 || err == io.EOF {
-			st.sendHead(att)
-		}
-		for _, ev := range events {
-			if st.delivered(ev.id) {
-				continue
-			}
-			if _, writeErr := req.w.Write(ev.raw); writeErr != nil {
-				return &callerError{cause: writeErr}
-			}
-			st.recordPosition(ev)
-		}
 		if len(events) > 0 {
-			att.watchdog.onEvent()
-			if writeErr := control.Flush(); writeErr != nil {
-				return &callerError{cause: writeErr}
+			st.recordEvents(time.Now(), att, len(events))
+			if writeErr := st.sendEvents(att, events); writeErr != nil {
+				return writeErr
 			}
-			st.recordEvents(now, firstEventAt, len(events))
-		}
-		if err == io.EOF {
-			if _, writeErr := req.w.Write(reader.remainder()); writeErr != nil {
-				return &callerError{cause: writeErr}
-			}
-			return nil
 		}
 		if err != nil {
-			return err
+			att.unfinished = reader.unfinished()
+			return st.end(att, err, reader.remainder())
 		}
 	}
 }
 
+// sendEvents sends events to the caller, except those that the caller has already received.
+func (st *stream) sendEvents(att *attempt, events []event) error {
+	st.sendHead(att)
+	for _, ev := range events {
+		if st.delivered(ev.id) {
+			continue
+		}
+		if _, err := st.req.w.Write(ev.raw); err != nil {
+			return &callerError{cause: err}
+		}
+		st.recordPosition(ev)
+	}
+	if err := st.control.Flush(); err != nil {
+		return &callerError{cause: err}
+	}
+	return nil
+}
+
+// end ends the forwarding of one target's events, after reading has ended with the error. If the stream
+// is complete, end sends the caller what follows the last event, and returns nil.
+func (st *stream) end(att *attempt, err error, remainder []byte) error {
+	if err != io.EOF {
+		return err
+	}
+	if st.endedBeforeItBegan(att) {
+		return errNoEvent
+	}
+	st.sendHead(att)
+	if _, err := st.req.w.Write(remainder); err != nil {
+		return &callerError{cause: err}
+	}
+	return nil
+}
+
 // endedBeforeItBegan reports whether a stream that has ended was most likely broken off before its first
 // event: it brought no event, and nothing but the close of the connection says that it is complete. A
 // stream that continues after an event may have nothing left.
@@ -149,14 +155,18 @@
 	st.unnumbered = st.unnumbered || hasField(ev.raw)
 }
 
-// recordEvents updates the result after events have arrived. The present run's first event arrived
-// at firstEventAt.
-func (st *stream) recordEvents(now, firstEventAt time.Time, events int) {
-	if st.result.Events > 0 {
+// recordEvents updates the result after events have arrived from the target of the attempt.
+func (st *stream) recordEvents(now time.Time, att *attempt, events int) {
+	att.watchdog.onEvent()
+	if st.result.Events == 0 {
+		st.firstEventAt = now
+		st.result.TimeToFirst = now.Sub(att.sentAt)
+		st.req.gate.postStarted(att.plc, st.result.TimeToFirst, att.report.Load)
+	} else {
 		st.result.LongestGap = max(st.result.LongestGap, now.Sub(st.lastEventAt))
 	}
 	st.result.Events += events
-	st.result.Span = now.Sub(firstEventAt)
+	st.result.Span = now.Sub(st.firstEventAt)
 	st.lastEventAt = now
 }
 
