--- a/core/yuccaquota/ledger_test.go
+++ b/core/yuccaquota/ledger_test.go
@@ -116,12 +116,7 @@
 		func(overload time.Duration, cost float64) {
 			flt := newFleet(7, 100*time.Millisecond, tolerant)
 			flt.send(overload, cost)
-			for index := range flt.ledgers {
-				flt.restart(index, ledger(flt.now, tolerant))
-				flt.ledgers[index].SetFleet(flt.now, yuccaquota.Fleet{Share: 1, Daemons: 7, ReportDelay: 150 * time.Millisecond})
-				flt.ledgers[index].MarkWithoutHistory(flt.now)
-			}
-			flt.connectAll()
+			flt.restartAll(tolerant)
 			flt.send(15*time.Second, cost)
 			Expect(flt.maxUsage()).To(BeNumerically("<=", toleratedLimit))
 		},
@@ -139,12 +134,7 @@
 			generous := yuccaquota.Tolerance{Window: windowSpan, Overshoot: 0.25, Allowance: 10 * quotaLimit}
 			flt := newFleet(7, 100*time.Millisecond, generous)
 			flt.send(overload, before)
-			for index := range flt.ledgers {
-				flt.restart(index, ledger(flt.now, generous))
-				flt.ledgers[index].SetFleet(flt.now, yuccaquota.Fleet{Share: 1, Daemons: 7, ReportDelay: 150 * time.Millisecond})
-				flt.ledgers[index].MarkWithoutHistory(flt.now)
-			}
-			flt.connectAll()
+			flt.restartAll(generous)
 			flt.send(15*time.Second, after)
 			Expect(flt.maxUsage()).To(BeNumerically("<=", quotaLimit*1.25+generous.Allowance))
 		},
--- a/core/yuccaquota/world_test.go
+++ b/core/yuccaquota/world_test.go
@@ -93,6 +93,17 @@
 	flt.restarts[index]++
 }
 
+// restartAll replaces the processes of all daemons. The new ones have no usage history, and are connected
+// to one another at once.
+func (flt *fleet) restartAll(tolerance yuccaquota.Tolerance) {
+	for index := range flt.ledgers {
+		flt.restart(index, ledger(flt.now, tolerance))
+		flt.ledgers[index].SetFleet(flt.now, yuccaquota.Fleet{Share: 1, Daemons: len(flt.ledgers), ReportDelay: flt.reportInterval + 50*time.Millisecond})
+		flt.ledgers[index].MarkWithoutHistory(flt.now)
+	}
+	flt.connectAll()
+}
+
 // connect connects a daemon to all others.
 func (flt *fleet) connect(index int) {
 	led := flt.ledgers[index]
--- a/io/yuccagate/framing_test.go
+++ b/io/yuccagate/framing_test.go
@@ -48,6 +48,18 @@
 	}
 }
 
+// breakAfterTwo returns a target's handler that responds with two events and a half. If it is asked to
+// continue after the second event, it responds with the rest.
+func breakAfterTwo(framing, rest string) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		if r.Header.Get("Last-Event-Id") == "2" {
+			framed(framing, rest)(w, r)
+			return
+		}
+		framed(framing, twoEvents+halfEvent)(w, r)
+	}
+}
+
 var _ = Describe("a stream whose target closes the connection", func() {
 	// Guards against the failure that a stream which its target broke off reaches the caller as complete.
 	DescribeTable("is complete if it ends after an event",
@@ -82,13 +94,7 @@
 
 	// Guards against the failure that a stream which may be resumed isn't, because its end was taken for complete.
 	It("goes on at another target if it ends inside an event and may be resumed", func() {
-		answer := func(w http.ResponseWriter, r *http.Request) {
-			if r.Header.Get("Last-Event-Id") == "2" {
-				framed("close", strings.TrimPrefix(threeEvents, twoEvents))(w, r)
-				return
-			}
-			framed("close", twoEvents+halfEvent)(w, r)
-		}
+		answer := breakAfterTwo("close", strings.TrimPrefix(threeEvents, twoEvents))
 		gt := newGate("entry-1")
 		gt.configure(1, config(), 1, newEngine("a", answer), newEngine("b", answer))
 		got := call{path: "/resumed/"}.do(gt)
@@ -137,18 +143,13 @@
 	// Guards against the failure that a resumed stream is cut off at the length that its first target had
 	// stated for its own response.
 	It("isn't bound to the length that a broken target stated", func() {
-		answer := func(w http.ResponseWriter, r *http.Request) {
-			if r.Header.Get("Last-Event-Id") == "2" {
-				framed("length", "id: 3\ndata: a longer third event\n\n")(w, r)
-				return
-			}
-			framed("length", twoEvents+halfEvent)(w, r)
-		}
+		const third = "id: 3\ndata: a longer third event\n\n"
+		answer := breakAfterTwo("length", third)
 		gt := newGate("entry-1")
 		gt.configure(1, config(), 1, newEngine("a", answer), newEngine("b", answer))
 		got := call{path: "/resumed/"}.do(gt)
 		Expect(got.err).NotTo(HaveOccurred())
-		Expect(got.body).To(Equal(twoEvents + "id: 3\ndata: a longer third event\n\n"))
+		Expect(got.body).To(Equal(twoEvents + third))
 	})
 
 	// Guards against the failure that a caller gets events twice, because a target that continues a
