Versions of targets' software in rosters, peers' messages and lines

Now the registration's version (of the software, not of the weights) is in the roster, 'sent', 'resumed' and the line on changed targets have it, and 'sent' has the attempt and the event after which a caller goes on; explain tells both. No decision uses it.

--- a/core/yuccaid/name.go
+++ b/core/yuccaid/name.go
@@ -18,6 +18,9 @@
 // Target names one inference engine or service instance, to which requests are sent.
 type Target string
 
+// Version names a version of the software that a target runs.
+type Version string
+
 // Centre names a data centre.
 type Centre string
 
--- a/core/yuccastory/sentence.go
+++ b/core/yuccastory/sentence.go
@@ -16,7 +16,7 @@
 	case "sent":
 		text := fmt.Sprintf("sent to %s (attempt %s) after %s ms; %s expected the first event in %s ms, %s runs were on that target",
 			line.text("target"), line.text("send"), line.text("waitedMillis"), decider(line), line.text("expectMillis"), line.text("busy"))
-		text += heldParts(line)
+		text += heldParts(line) + softwareVersion(line)
 		return text + fmt.Sprintf("; configuration %s, last response of the platform %s ms ago", line.text("number"), line.text("newsAgeMillis"))
 	case "unanswered":
 		return fmt.Sprintf("%s gave no answer (attempt %s): %s", line.text("target"), line.text("send"), line.text("error"))
@@ -160,3 +160,16 @@
 	}
 	return "it was not allowed, and did not run"
 }
+
+// softwareVersion returns the version of the target's software and, for a request that takes a stream up,
+// which attempt began the stream. It returns an empty text for a line that states neither.
+func softwareVersion(line *Line) string {
+	text := ""
+	if version := line.text("version"); version != "" {
+		text += "; its software is " + version
+	}
+	if from := line.text("from"); from != "" {
+		text += fmt.Sprintf("; continues the stream of %q after event %s", line.text("resumes"), from)
+	}
+	return text
+}
--- a/io/yuccagate/dialect.go
+++ b/io/yuccagate/dialect.go
@@ -49,6 +49,9 @@
 	// LastEventID is the id of the last event of this stream that the caller received in an
 	// earlier response, empty if it received none.
 	LastEventID string
+	// Resumes is the id of the request that brought the first event of this stream, empty if the
+	// request states none.
+	Resumes string
 }
 
 // ForwardInfo is what a forwarded request tells its target.
--- a/io/yuccagate/placement.go
+++ b/io/yuccagate/placement.go
@@ -40,6 +40,9 @@
 type decision struct {
 	target  yuccaid.Target
 	address string
+	// version is what decides whether another target can continue a stream of this one (see
+	// yuccaroster.Entry.StreamVersion).
+	version yuccaid.Version
 	// fetchAddress is the address of the target from which the target fetches parts of the prompt,
 	// empty if it fetches none.
 	fetchAddress string
--- a/io/yuccagate/stream.go
+++ b/io/yuccagate/stream.go
@@ -187,7 +187,7 @@
 		next, outcome := req.send(ctx, plc, dec, st.lastEventID)
 		att = next
 		if outcome == yuccagrant.Served && att.answer.Status == http.StatusOK && req.isStream(att) {
-			req.logDecision("resumed", "target", dec.target, "position", st.lastEventID)
+			req.logDecision("resumed", "target", dec.target, "version", dec.version, "position", st.lastEventID)
 			return att
 		}
 		att.close()
--- a/io/yuccagate/targets.go
+++ b/io/yuccagate/targets.go
@@ -4,6 +4,8 @@
 	"maps"
 	mathrand "math/rand/v2"
 	"slices"
+	"strconv"
+	"strings"
 	"time"
 
 	"yuccacleat/core/yuccagrant"
@@ -323,7 +325,7 @@
 	if len(added)+len(restarted)+len(leaving)+len(removed) == 0 {
 		return
 	}
-	fields := []any{"known", len(current), "revision", gate.platformRevision}
+	fields := []any{"known", len(current), "revision", gate.platformRevision, "versions", countVersions(current)}
 	for _, group := range []struct {
 		key   string
 		names []yuccaid.Target
@@ -335,6 +337,19 @@
 	gate.log.stateChange("targets", fields...)
 }
 
+// countVersions returns how many targets of each pool are of each version, as a text for the log.
+func countVersions(targets map[yuccaid.Target]yuccaroster.Entry) string {
+	counts := make(map[string]int)
+	for _, entry := range targets {
+		counts[string(entry.Pool)+" "+string(entry.Version)]++
+	}
+	var list []string
+	for _, name := range slices.Sorted(maps.Keys(counts)) {
+		list = append(list, name+": "+strconv.Itoa(counts[name]))
+	}
+	return strings.Join(list[:min(len(list), maxLoggedTargets)], ", ")
+}
+
 // targetsOf returns a pool's targets. Targets in other regions than this daemon are marked as
 // remote.
 func (gate *Gate) targetsOf(sched *scheduler) []yuccagrant.Target {
