A daemon resumes a stream only at a target of the version that began it

Cause: resume asked the pool's leader for any target that the request hadn't tried; neither the roster nor the leader knew versions.

Now a request is bound to its target's version with the first event. The leader grants it only targets of that version, refuses it at once if none is registered, and doesn't let requests that wait for a full version keep others from free targets. The owner checks the version again in the registration that it knows itself. The leader's interface is an array whose length older builds compare, so a bound request goes in a message of its own, which an older leader ignores; its owner then decides itself. The only target of a version may continue a stream that it broke off itself: with any version that didn't matter, as another target took it. A target that states no version has that of its process; one that states neither has none, and its streams aren't resumed. Specs of the gate give their engines a version.

--- a/core/yuccagrant/choose.go
+++ b/core/yuccagrant/choose.go
@@ -89,7 +89,7 @@
 		if at >= lead.remoteBound.localCount && best.suitable && best.cost <= minRemoteCost {
 			return best
 		}
-		if tgt.grantableSlots(now) == 0 || tgt.backingOff(now) || tgt.failedBefore(req) {
+		if tgt.grantableSlots(now) == 0 || tgt.backingOff(now) || !tgt.mayServe(req) {
 			continue
 		}
 		best = best.better(lead.estimate(now, tgt, req, &base))
--- a/core/yuccagrant/leader.go
+++ b/core/yuccagrant/leader.go
@@ -17,6 +17,8 @@
 	// targets lists the targets of this region before those of other regions.
 	targets       []*targetState
 	targetsByName map[yuccaid.Target]*targetState
+	// versions are the versions of the targets.
+	versions map[yuccaid.Version]bool
 	// leaderCount is the number of leaders among which the slots of each target are divided.
 	leaderCount int
 	// remoteBound is a lower bound on the cost of targets in other regions.
@@ -52,8 +54,10 @@
 	old := lead.targetsByName
 	lead.targetsByName = make(map[yuccaid.Target]*targetState, len(configured))
 	lead.targets = make([]*targetState, 0, len(configured))
+	lead.versions = make(map[yuccaid.Version]bool)
 	newPace := medianPace(old)
 	for _, target := range configured {
+		lead.versions[target.Version] = true
 		tgt := old[target.Name]
 		if tgt == nil || tgt.StartMillis != target.StartMillis {
 			tgt = newTargetState(target, biasShare*lead.rng.Float64())
@@ -144,6 +148,10 @@
 		lead.refuse(now, lead.newEntry(now, req), ReasonNoTarget, &dec)
 		return dec
 	}
+	if lead.withoutVersion(&req) {
+		lead.refuse(now, lead.newEntry(now, req), ReasonNoVersion, &dec)
+		return dec
+	}
 	if lead.queue.len() >= maxQueued {
 		lead.refuse(now, lead.newEntry(now, req), ReasonQueueFull, &dec)
 		return dec
--- a/core/yuccagrant/parts.go
+++ b/core/yuccagrant/parts.go
@@ -184,7 +184,7 @@
 	var firstKey float64
 	seen := 0
 	for _, entry := range tier.entries {
-		if !entry.onTime(now) || !eligible(entry) || tgt.failedBefore(&entry.Request) {
+		if !entry.onTime(now) || !eligible(entry) || !tgt.mayServe(&entry.Request) {
 			continue
 		}
 		key := entry.sortKey * (1 - lead.savedShare(tgt, entry))
--- a/core/yuccagrant/refuse.go
+++ b/core/yuccagrant/refuse.go
@@ -49,6 +49,7 @@
 		lead.refuseWithoutTargets(now, dec)
 		return
 	}
+	lead.refuseWithoutVersion(now, dec)
 	var expired []*queueEntry
 	for _, entry := range lead.queue.byID {
 		if !entry.onTime(now) && lead.cannotMeetDeadline(now, entry) || !now.Before(entry.Deadline) {
--- a/core/yuccagrant/request.go
+++ b/core/yuccagrant/request.go
@@ -48,6 +48,9 @@
 	MaxGap time.Duration
 	// FailedTargets lists the targets on which this request has failed before.
 	FailedTargets []yuccaid.Target
+	// Version is the version of the targets that may serve the request, empty if any target may. A
+	// stream that goes on has the version that began it.
+	Version yuccaid.Version
 }
 
 // effectiveRank returns the rank that the request is scheduled by: Rank, limited to the range from
@@ -86,6 +89,8 @@
 	ReasonLate Reason = "late"
 	// ReasonQueueFull means that the pool's queue already holds maxQueued requests.
 	ReasonQueueFull Reason = "full"
+	// ReasonNoVersion means that the pool has targets, and none is of the request's version.
+	ReasonNoVersion Reason = "noVersion"
 )
 
 // Refusal is the final decision not to serve a request; RetryAfter is the time after which the
@@ -184,6 +189,8 @@
 	// StartMillis is when the target's process started, in Unix milliseconds. A different value
 	// means that the target was restarted.
 	StartMillis int64
+	// Version is what targets have in common that can continue one another's streams.
+	Version yuccaid.Version
 	// RoundTrip is the network round-trip time to the target.
 	RoundTrip time.Duration
 	// Remote reports that the target is in another region, so that traffic to it is billed by
--- a/core/yuccagrant/serve.go
+++ b/core/yuccagrant/serve.go
@@ -30,20 +30,20 @@
 
 // grantTier grants slots to the eligible requests of one tier: first to the requests that can still
 // be on time, then to the late requests. Each of these two passes ends after maxMisses requests
-// that got no target. A granted request is removed from tier.entries, so the index at then already
-// refers to the next request.
+// that got no target (see misses). A granted request is removed from tier.entries, so the index at
+// then already refers to the next request.
 func (lead *Leader) grantTier(now time.Time, tier *tierQueue, eligible func(*queueEntry) bool, dec *Decisions) {
 	lead.grantHeld(now, tier, eligible, dec)
 	for _, onTime := range []bool{true, false} {
-		missed := 0
-		for at := 0; at < len(tier.entries) && missed < maxMisses; {
+		var missed misses
+		for at := 0; at < len(tier.entries) && !missed.enough(""); {
 			entry := tier.entries[at]
 			switch {
-			case entry.onTime(now) != onTime || !eligible(entry):
+			case entry.onTime(now) != onTime || !eligible(entry) || missed.enough(entry.Version):
 				at++
 			case !lead.tryGrant(now, entry, dec):
 				at++
-				missed++
+				missed.count(entry.Version)
 			}
 		}
 	}
@@ -81,7 +81,7 @@
 	wait := lead.timeToFreeSlot(now)
 	base := lead.baseline(now, req)
 	for _, tgt := range lead.targets {
-		if tgt.backingOff(now) || tgt.failedBefore(req) {
+		if tgt.backingOff(now) || !tgt.mayServe(req) {
 			continue
 		}
 		candidate := lead.estimate(now, tgt, req, &base)
--- a/io/yuccagate/fleet_test.go
+++ b/io/yuccagate/fleet_test.go
@@ -101,7 +101,9 @@
 // engine is a target whose responses are defined by a test. It rejects requests that are meant for
 // another target.
 type engine struct {
-	name     string
+	name string
+	// version is the version of the engine's software. It is to be set before the engine is registered.
+	version  yuccaid.Version
 	listener net.Listener
 	http     *http.Server
 	// running is the number of requests that are being served. maxRunning is the highest value
@@ -125,7 +127,7 @@
 func newEngine(name string, answer http.HandlerFunc) *engine {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	Expect(err).NotTo(HaveOccurred())
-	eng := &engine{name: name, listener: listener, answer: answer}
+	eng := &engine{name: name, version: "v1", listener: listener, answer: answer}
 	eng.http = &http.Server{Handler: eng}
 	go eng.http.Serve(listener)
 	DeferCleanup(func() { eng.http.Close() })
@@ -272,7 +274,7 @@
 	var entries []yuccaroster.Entry
 	for _, eng := range engines {
 		entries = append(entries, yuccaroster.Entry{
-			Target: yuccaid.Target(eng.name), Pool: "desk", Address: eng.listener.Addr().String(), Centre: "odessa", Slots: slots, Revision: 1,
+			Target: yuccaid.Target(eng.name), Pool: "desk", Address: eng.listener.Addr().String(), Centre: "odessa", Slots: slots, Revision: 1, Version: eng.version,
 		})
 	}
 	gt.OfferTargets(entries, nil, true, 1, true)
--- a/io/yuccagate/peers.go
+++ b/io/yuccagate/peers.go
@@ -242,6 +242,8 @@
 		return decodeThen(frame, func(message yuccawire.QuotaAnswer) { gate.onQuotaAnswer(now, from, message) })
 	case yuccawire.KindQuotaReturn:
 		return decodeThen(frame, func(message yuccawire.QuotaReturn) { gate.onQuotaReturn(now, message) })
+	case yuccawire.KindVersionAsk:
+		return decodeThen(frame, func(message yuccawire.VersionAsk) { gate.onVersionAsk(now, from, message) })
 	case yuccawire.KindHolding:
 		return decodeThen(frame, func(message yuccawire.Holding) { gate.onHolding(now, from, message) })
 	}
--- a/io/yuccagate/placement.go
+++ b/io/yuccagate/placement.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"yuccacleat/core/yuccagrant"
@@ -98,10 +99,24 @@
 
 // submitPlacement submits a request to the scheduler of its pool.
 func (gate *Gate) submitPlacement(now time.Time, plc *placement) {
+	if plc.request.Version != "" && gate.triedAll(plc) {
+		plc.request.FailedTargets = nil
+	}
 	gate.placements[plc.request.ID.Number] = plc
 	gate.submit(now, gate.scheduler(now, plc.pool), plc)
 }
 
+// triedAll reports whether a request has been sent to all targets of its version. The stream of the only
+// one may go on there, since it still serves.
+func (gate *Gate) triedAll(plc *placement) bool {
+	for _, entry := range gate.roster.Usable(plc.pool) {
+		if entry.StreamVersion() == plc.request.Version && !slices.Contains(plc.request.FailedTargets, entry.Target) {
+			return false
+		}
+	}
+	return true
+}
+
 // abandon withdraws a placement whose request's context ended before the decision on it was
 // received.
 func (gate *Gate) abandon(now time.Time, plc *placement) {
--- a/io/yuccagate/placingwire.go
+++ b/io/yuccagate/placingwire.go
@@ -97,11 +97,18 @@
 // onAsk tells the owner so. A daemon that doesn't lead the pool doesn't respond, and the owner then
 // decides on the request itself.
 func (gate *Gate) onAsk(now time.Time, from yuccaid.Incarnation, message yuccawire.Ask) {
+	gate.onVersionAsk(now, from, yuccawire.VersionAsk{Ask: message})
+}
+
+// onVersionAsk does what onAsk does for a request that needs targets of one version.
+func (gate *Gate) onVersionAsk(now time.Time, from yuccaid.Incarnation, ask yuccawire.VersionAsk) {
+	message := ask.Ask
 	sched := gate.scheduler(now, message.Pool)
 	if !sched.leads {
 		return
 	}
 	request := requestFromWire(now, from, message)
+	request.Version = ask.Version
 	gate.apply(now, sched, sched.local.Submit(now, request))
 	if sched.local.IsWaiting(request.ID) {
 		gate.send(from, yuccawire.KindPlaced, yuccawire.Placed{Pool: message.Pool, Number: message.Number})
--- a/io/yuccagate/problem.go
+++ b/io/yuccagate/problem.go
@@ -31,6 +31,8 @@
 	KindNoTarget Kind = "noTarget"
 	// KindRejected: the request was sent to targets, and none of them ran it.
 	KindRejected Kind = "rejected"
+	// KindUnresumable: no target of the version that began the stream serves, or that isn't known.
+	KindUnresumable Kind = "unresumable"
 	// KindLeaving: the daemon is draining.
 	KindLeaving Kind = "leaving"
 	// KindLost: a target may have run the request, but there is no response to pass on.
@@ -46,21 +48,22 @@
 }
 
 var kindInfos = map[Kind]kindInfo{
-	KindMalformed:  {http.StatusBadRequest, "send a well-formed request"},
-	KindNoRoute:    {http.StatusNotFound, "use a host and path that the configuration routes"},
-	KindUnknownKey: {http.StatusUnauthorized, "send a key that the configuration holds"},
-	KindTooLarge:   {http.StatusRequestEntityTooLarge, "send a shorter body"},
-	KindLargeHead:  {http.StatusRequestHeaderFieldsTooLarge, "send a shorter head"},
-	KindSlowBody:   {http.StatusRequestTimeout, "send the body sooner"},
-	KindQuota:      {http.StatusTooManyRequests, "come back when the account's quota has room"},
-	KindNotReady:   {http.StatusServiceUnavailable, "come back when this daemon knows its configuration"},
-	KindBusy:       {http.StatusServiceUnavailable, "come back when this daemon holds less"},
-	KindLate:       {http.StatusServiceUnavailable, "come back when the targets are less busy"},
-	KindNoTarget:   {http.StatusServiceUnavailable, "come back when the pool has targets"},
-	KindRejected:   {http.StatusServiceUnavailable, "come back when the targets are less busy"},
-	KindLeaving:    {http.StatusServiceUnavailable, "come back at another daemon"},
-	KindLost:       {http.StatusBadGateway, "it may have run: repeat it only if that does no harm"},
-	KindTimeout:    {http.StatusGatewayTimeout, "it may have run: repeat it only if that does no harm"},
+	KindMalformed:   {http.StatusBadRequest, "send a well-formed request"},
+	KindNoRoute:     {http.StatusNotFound, "use a host and path that the configuration routes"},
+	KindUnknownKey:  {http.StatusUnauthorized, "send a key that the configuration holds"},
+	KindTooLarge:    {http.StatusRequestEntityTooLarge, "send a shorter body"},
+	KindLargeHead:   {http.StatusRequestHeaderFieldsTooLarge, "send a shorter head"},
+	KindSlowBody:    {http.StatusRequestTimeout, "send the body sooner"},
+	KindQuota:       {http.StatusTooManyRequests, "come back when the account's quota has room"},
+	KindNotReady:    {http.StatusServiceUnavailable, "come back when this daemon knows its configuration"},
+	KindBusy:        {http.StatusServiceUnavailable, "come back when this daemon holds less"},
+	KindLate:        {http.StatusServiceUnavailable, "come back when the targets are less busy"},
+	KindNoTarget:    {http.StatusServiceUnavailable, "come back when the pool has targets"},
+	KindRejected:    {http.StatusServiceUnavailable, "come back when the targets are less busy"},
+	KindUnresumable: {http.StatusServiceUnavailable, "start the stream over, without the event after which it should go on"},
+	KindLeaving:     {http.StatusServiceUnavailable, "come back at another daemon"},
+	KindLost:        {http.StatusBadGateway, "it may have run: repeat it only if that does no harm"},
+	KindTimeout:     {http.StatusGatewayTimeout, "it may have run: repeat it only if that does no harm"},
 }
 
 // Problem is a response that the gateway itself gives.
--- a/io/yuccagate/request.go
+++ b/io/yuccagate/request.go
@@ -61,6 +61,10 @@
 	// each attempt.
 	sends int
 	tried []yuccaid.Target
+	// bound reports whether only targets of the version may serve the request, because its caller has
+	// events of that version. The version is empty if no target may.
+	bound   bool
+	version yuccaid.Version
 	// streamBrokeAt is when the stream to the caller broke off, zero if it didn't.
 	streamBrokeAt time.Time
 	// arrivals counts the attempts that reached or may have reached a target. runs counts the
@@ -77,6 +81,11 @@
 	overQuota    bool
 }
 
+// bind binds a request to targets of a version, because its caller has events of that version.
+func (req *callerRequest) bind(version yuccaid.Version) {
+	req.bound, req.version = true, version
+}
+
 // ServeHTTP serves one request of a caller.
 func (gate *Gate) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	req := &callerRequest{gate: gate, w: w, unframed: resettable(r), arrivedAt: time.Now()}
@@ -267,7 +276,7 @@
 func (req *callerRequest) schedulerRequest() yuccagrant.Request {
 	request := yuccagrant.Request{
 		Class: req.class(), Tier: req.tier(), Rank: req.route.Rank, OverQuota: req.overQuota, Prompt: req.info.Prompt, Answer: req.info.Answer, Parts: req.info.Parts,
-		SoftDeadline: req.arrivedAt.Add(req.route.LatencyTarget), Deadline: req.deadline, FailedTargets: req.tried,
+		SoftDeadline: req.arrivedAt.Add(req.route.LatencyTarget), Deadline: req.deadline, FailedTargets: req.tried, Version: req.version,
 	}
 	if req.route.LatencyTarget <= 0 {
 		request.SoftDeadline = req.deadline
--- a/io/yuccagate/run.go
+++ b/io/yuccagate/run.go
@@ -22,8 +22,10 @@
 
 // attempt is one attempt to have a request served by one target.
 type attempt struct {
-	plc    *placement
-	sentAt time.Time
+	plc *placement
+	// version is the target's version, as it was registered when the request was sent.
+	version yuccaid.Version
+	sentAt  time.Time
 	// answer is the target's response, nil if none came. report is what the response's status and
 	// header say about the target and the run.
 	answer   *yuccahop.Answer
@@ -189,6 +191,8 @@
 		kind = KindNoTarget
 	case yuccagrant.ReasonQueueFull:
 		kind = KindBusy
+	case yuccagrant.ReasonNoVersion:
+		kind = KindUnresumable
 	}
 	return &Problem{Kind: kind, Detail: string(refusal.Reason), RetryAfter: refusal.RetryAfter, logFields: []any{
 		"leader", dec.decisionInputs.leader, "waiting", refusal.QueueLength, "free", refusal.FreeSlots, "waitMillis", refusal.EstimatedWait.Milliseconds(),
@@ -199,7 +203,7 @@
 // send sends the request to the granted target and waits for the head of the response. If
 // lastEventID is set, the target is told to continue the stream after that event.
 func (req *callerRequest) send(ctx context.Context, plc *placement, dec decision, lastEventID string) (*attempt, yuccagrant.Outcome) {
-	att := &attempt{plc: plc, sentAt: time.Now()}
+	att := &attempt{plc: plc, version: dec.version, sentAt: time.Now()}
 	req.sends++
 	req.tried = append(req.tried, dec.target)
 	outgoing := req.outgoing
--- a/io/yuccagate/scheduler.go
+++ b/io/yuccagate/scheduler.go
@@ -180,11 +180,19 @@
 		return
 	}
 	plc.decidedLocally = false
-	if err := gate.hub.Send(sched.leader, yuccawire.KindAsk, wireRequest(now, plc)); err != nil {
+	if err := gate.ask(now, sched.leader, plc); err != nil {
 		gate.suspectLeader(now, sched, plc)
 	}
 }
 
+// ask sends a request to its pool's leader.
+func (gate *Gate) ask(now time.Time, leader yuccaid.Incarnation, plc *placement) error {
+	if plc.request.Version != "" {
+		return gate.hub.Send(leader, yuccawire.KindVersionAsk, yuccawire.VersionAsk{Ask: wireRequest(now, plc), Version: plc.request.Version})
+	}
+	return gate.hub.Send(leader, yuccawire.KindAsk, wireRequest(now, plc))
+}
+
 // suspectLeader marks a leader that didn't respond as suspected for the time suspectFor. It
 // withdraws the request from the leader, in case the leader has received it, and lets this daemon
 // decide on the request.
@@ -248,8 +256,9 @@
 
 // acceptGrant accepts a decision that sends one of this daemon's requests to a target. It ignores
 // the decision if the request no longer waits. The leader may have decided with an older roster, so
-// acceptGrant checks the target again. If the target is leaving or isn't registered, acceptGrant
-// reports that the grant isn't used and submits the request again, with this target excluded.
+// acceptGrant checks the target again. If the target is leaving, isn't registered or is of another
+// version than the request needs, acceptGrant reports that the grant isn't used and submits the request
+// again, with this target excluded.
 func (gate *Gate) acceptGrant(now time.Time, sched *scheduler, granted yuccagrant.Grant) {
 	target := granted.Target
 	plc := gate.placements[granted.ID.Number]
@@ -257,8 +266,9 @@
 		return
 	}
 	entry, found := gate.roster.Find(target)
-	if !found || entry.Leaving {
-		plc.req.logDecision("declined", "target", target, "known", found, "leader", sched.leader.VM, "revision", gate.platformRevision)
+	otherVersion := plc.request.Version != "" && plc.request.Version != entry.StreamVersion()
+	if !found || entry.Leaving || otherVersion {
+		plc.req.logDecision("declined", "target", target, "known", found, "otherVersion", otherVersion, "leader", sched.leader.VM, "revision", gate.platformRevision)
 		plc.request.FailedTargets = append(plc.request.FailedTargets, target)
 		gate.reportFinished(now, sched, yuccagrant.Finished{ID: plc.request.ID, Outcome: yuccagrant.Dropped})
 		gate.submit(now, sched, plc)
--- a/io/yuccagate/stream.go
+++ b/io/yuccagate/stream.go
@@ -48,7 +48,7 @@
 		var writeFailed *callerError
 		// Another target can't be told where to continue after an event without an id, and would
 		// repeat it.
-		if ctx.Err() != nil || errors.As(err, &writeFailed) || st.unnumbered {
+		if ctx.Err() != nil || errors.As(err, &writeFailed) || st.unnumbered || st.req.bound && st.req.version == "" {
 			return err
 		}
 		next := st.req.resume(ctx, st, att)
@@ -155,6 +155,13 @@
 	st.unnumbered = st.unnumbered || hasField(ev.raw)
 }
 
+// begin binds the stream to the version of its first event.
+func (st *stream) begin(att *attempt) {
+	if !st.req.bound {
+		st.req.bind(att.version)
+	}
+}
+
 // recordEvents updates the result after events have arrived from the target of the attempt.
 func (st *stream) recordEvents(now time.Time, att *attempt, events int) {
 	att.watchdog.onEvent()
@@ -162,6 +169,7 @@
 		st.firstEventAt = now
 		st.result.TimeToFirst = now.Sub(att.sentAt)
 		st.req.gate.postStarted(att.plc, st.result.TimeToFirst, att.report.Load)
+		st.begin(att)
 	} else {
 		st.result.LongestGap = max(st.result.LongestGap, now.Sub(st.lastEventAt))
 	}
--- a/io/yuccagate/targets.go
+++ b/io/yuccagate/targets.go
@@ -357,7 +357,7 @@
 	list := make([]yuccagrant.Target, 0, len(usable))
 	engine := gate.engineOf(sched.pool)
 	for _, entry := range usable {
-		target := yuccagrant.Target{Name: entry.Target, Slots: max(entry.Slots, 1), CacheTokens: engine.CacheTokens, FetchRate: engine.FetchRate, StartMillis: entry.StartMillis}
+		target := yuccagrant.Target{Name: entry.Target, Slots: max(entry.Slots, 1), CacheTokens: engine.CacheTokens, FetchRate: engine.FetchRate, StartMillis: entry.StartMillis, Version: entry.StreamVersion()}
 		if gate.settings.Regions[entry.Centre] != gate.settings.Regions[gate.settings.Centre] {
 			target.Remote = true
 			target.RoundTrip = regionRoundTrip
--- a/io/yuccawire/kind.go
+++ b/io/yuccawire/kind.go
@@ -88,6 +88,8 @@
 	KindQuotaAnswer
 	// KindQuotaReturn carries a QuotaReturn: an admitted request didn't run.
 	KindQuotaReturn
+	// KindVersionAsk carries a VersionAsk from the daemon that holds a request to its pool's leader.
+	KindVersionAsk
 )
 
 var kindNames = map[Kind]string{
@@ -133,6 +135,8 @@
 	KindQuotaRequest: "quotaRequest",
 	KindQuotaAnswer:  "quotaAnswer",
 	KindQuotaReturn:  "quotaReturn",
+
+	KindVersionAsk: "versionAsk",
 }
 
 // String returns the kind's name in logs and metrics, or its number.
