A stream that its caller takes up goes on only at the version that began it

Cause: nothing but the daemon that began a stream knew where that was, and it didn't keep it. Evidence: TestStreamIsTakenUpAtItsVersion, 6 to 11 of 16 streams mixed.

With a stream's first event, and before the caller gets it, its daemon remembers the stream's pool and version under a hash of account and attempt until five seconds after the deadline, and passes that on: to three daemons of its data centre that the hash chooses, and in fleets of up to 24 daemons to all. A daemon that gets a request with Last-Event-Id looks the origin up, asks the same daemons if it doesn't know it, and binds the request to that pool and version. If nobody remembers the stream it goes on only where one version is the only one that the pool has had for ten minutes, by daemons with news of the platform; while it is silent, all that answer have to agree. Otherwise the caller is told at once that it has to start over (503, not run). While a pool has had one version only, nothing is sent. A target that restarts under its name with another version makes the streams doubtful that it began within 30 s.

Ruled out: event ids or headers that hold the version (both are the targets' own); a cast of all origins (61 KB/s a daemon at 5,100 requests/s); asking targets (they drop a run when its connection closes).

--- /dev/null
+++ b/core/yuccastream/doc.go
@@ -0,0 +1,8 @@
+// Package yuccastream keeps what decides where a stream may go on: the pool and the version of the
+// targets' software that began it.
+//
+// What two versions write doesn't fit together. A caller whose stream broke off may take it up at any
+// daemon, which can't know from the request which version began it. So daemons remember the origins of
+// streams and pass them on (Memory), and know which versions a pool has had for a while (History): if
+// it was only one, no stream can have begun at another.
+package yuccastream
--- a/io/yuccagate/configuration.go
+++ b/io/yuccagate/configuration.go
@@ -40,6 +40,7 @@
 	gate.tablePull.Received()
 	gate.log.stateChange("configuration", "number", table.Number(), "before", before, "source", source)
 	gate.ledger.Configure(now, table.Config().Accounts)
+	gate.trackRoutes(now, table)
 	for _, sched := range gate.schedulers {
 		gate.configure(now, sched)
 	}
--- a/io/yuccagate/gate.go
+++ b/io/yuccagate/gate.go
@@ -141,6 +141,9 @@
 	// failed.
 	resendBudget *yuccabudget.Budget
 
+	// origins is what this daemon knows of where streams began.
+	origins origins
+
 	schedulers map[yuccaid.Pool]*scheduler
 	// placements holds the waiting and running placements of this daemon's requests. The map's
 	// key is the placement's number.
@@ -218,6 +221,7 @@
 	if !settings.FirstStart {
 		gate.ledger.MarkWithoutHistory(gate.startedAt)
 	}
+	gate.origins = newOrigins(settings.FirstStart, gate.startedAt)
 	gate.skipsPlatformReads.Store(settings.FirstStart)
 	ready := make(chan struct{})
 	gate.control = yuccaloop.New(ready, tickInterval, gate.tick)
@@ -295,6 +299,7 @@
 	gate.tickUsage(now)
 	gate.tickAdmissions(now)
 	gate.tickSchedulers(now)
+	gate.tickOrigins(now)
 	if now.Sub(gate.idleSweptAt) > time.Second {
 		gate.idleSweptAt = now
 		gate.targetClient.Sweep(now)
--- a/io/yuccagate/metrics.go
+++ b/io/yuccagate/metrics.go
@@ -70,6 +70,11 @@
 	met.set.GetOrCreateCounter(fmt.Sprintf("yuccacleat_gate_resends_total{allowed=\"%t\"}", allowed)).Inc()
 }
 
+// takenUp counts a stream that a caller takes up, by the way in which its origin was found out.
+func (met *metrics) takenUp(origin string) {
+	met.set.GetOrCreateCounter(fmt.Sprintf("yuccacleat_gate_streams_taken_up_total{origin=%q}", origin)).Inc()
+}
+
 func (met *metrics) connRejected() {
 	met.set.GetOrCreateCounter("yuccacleat_gate_connections_turned_away_total").Inc()
 }
--- a/io/yuccagate/peers.go
+++ b/io/yuccagate/peers.go
@@ -242,6 +242,12 @@
 		return decodeThen(frame, func(message yuccawire.QuotaAnswer) { gate.onQuotaAnswer(now, from, message) })
 	case yuccawire.KindQuotaReturn:
 		return decodeThen(frame, func(message yuccawire.QuotaReturn) { gate.onQuotaReturn(now, message) })
+	case yuccawire.KindOrigins:
+		return decodeThen(frame, func(message yuccawire.Origins) { gate.onOrigins(now, from, message) })
+	case yuccawire.KindOriginQuery:
+		return decodeThen(frame, func(message yuccawire.OriginQuery) { gate.onOriginQuery(now, from, message) })
+	case yuccawire.KindOriginAnswer:
+		return decodeThen(frame, func(message yuccawire.OriginAnswer) { gate.onOriginAnswer(now, message) })
 	case yuccawire.KindVersionAsk:
 		return decodeThen(frame, func(message yuccawire.VersionAsk) { gate.onVersionAsk(now, from, message) })
 	case yuccawire.KindHolding:
--- a/io/yuccagate/run.go
+++ b/io/yuccagate/run.go
@@ -54,6 +54,11 @@
 	// failure is the last attempt if its target responded with an error. It is kept until another
 	// target is found. If no other target is found, the error response of this attempt is relayed.
 	var failure *attempt
+	if req.takesUp() {
+		if prob := req.bindToOrigin(ctx); prob != nil {
+			return prob
+		}
+	}
 	for {
 		plc, dec, prob := req.awaitTarget(ctx)
 		if prob != nil && failure != nil && ctx.Err() == nil {
--- a/io/yuccagate/stream.go
+++ b/io/yuccagate/stream.go
@@ -48,7 +48,7 @@
 		var writeFailed *callerError
 		// Another target can't be told where to continue after an event without an id, and would
 		// repeat it.
-		if ctx.Err() != nil || errors.As(err, &writeFailed) || st.unnumbered || st.req.bound && st.req.version == "" {
+		if ctx.Err() != nil || errors.As(err, &writeFailed) || st.unnumbered || !st.req.confirmVersion() {
 			return err
 		}
 		next := st.req.resume(ctx, st, att)
@@ -155,11 +155,15 @@
 	st.unnumbered = st.unnumbered || hasField(ev.raw)
 }
 
-// begin binds the stream to the version of its first event.
+// begin binds the stream to the version of its first event, and has it remembered for the case that the
+// caller takes the stream up later. That is done before the caller gets the event.
 func (st *stream) begin(att *attempt) {
 	if !st.req.bound {
 		st.req.bind(att.version)
 	}
+	if st.req.route.Resumable {
+		st.req.postBegun(att)
+	}
 }
 
 // recordEvents updates the result after events have arrived from the target of the attempt.
--- /dev/null
+++ b/io/yuccagate/takeup.go
@@ -0,0 +1,185 @@
+package yuccagate
+
+import (
+	"context"
+	"time"
+
+	"yuccacleat/core/yuccaid"
+	"yuccacleat/core/yuccaroute"
+	"yuccacleat/core/yuccastream"
+	"yuccacleat/io/yuccawire"
+)
+
+const (
+	// lookupTimeout bounds the wait for what other daemons of this data centre know of a stream's origin.
+	// remoteLookupTimeout applies if there are none, so that daemons of other data centres are asked.
+	lookupTimeout       = 100 * time.Millisecond
+	remoteLookupTimeout = 300 * time.Millisecond
+)
+
+// The ways in which the origin of a stream that a caller takes up is found out, for logs and metrics.
+const (
+	originRemembered = "remembered"
+	originTold       = "told"
+	originSole       = "sole version"
+	originUncertain  = "uncertain"
+	originUnknown    = "unknown"
+	originMoved      = "another pool"
+)
+
+// originLookup is a lookup of where a stream began.
+type originLookup struct {
+	key  yuccastream.Key
+	pool yuccaid.Pool
+	// onlyPool reports whether the stream can't have begun in another pool.
+	onlyPool bool
+	// awaiting counts the daemons that haven't answered, and views is what the others know of the pool's
+	// versions. The lookup ends at the time until.
+	awaiting int
+	views    []yuccastream.View
+	until    time.Time
+	result   chan originResult
+}
+
+// originResult is the result of a lookup; the version is empty if the stream can't go on.
+type originResult struct {
+	origin yuccastream.Origin
+	source string
+}
+
+// takesUp reports whether the request continues a stream that an earlier request began.
+func (req *callerRequest) takesUp() bool {
+	return req.route.Kind == yuccaroute.Stream && req.info.LastEventID != ""
+}
+
+// bindToOrigin binds a request that takes a stream up to the pool and the version that began it. It
+// returns a problem if these can't be told, or if the route no longer leads to that pool.
+//
+// Targets don't check which version began a stream. If any target could continue it, the caller would
+// get events that don't fit together.
+func (req *callerRequest) bindToOrigin(ctx context.Context) *Problem {
+	lookup := &originLookup{key: req.streamKey(), pool: req.pool, result: make(chan originResult, 1)}
+	began := time.Now()
+	req.gate.control.Post(func(now time.Time) {
+		lookup.onlyPool = len(req.route.Pools) == 1 && req.gate.origins.history.RouteIsOld(now, req.route.Name)
+		req.gate.startLookup(now, lookup)
+	})
+	var res originResult
+	select {
+	case res = <-lookup.result:
+	case <-ctx.Done():
+		return req.problemUnsent(context.Cause(ctx))
+	}
+	if res.origin.Version != "" && !req.route.Serves(res.origin.Pool) {
+		res = originResult{source: originMoved}
+	}
+	req.gate.metrics.takenUp(res.source)
+	req.logDecision("taken up", "resumes", req.info.Resumes, "from", req.info.LastEventID, "origin", res.source, "version", res.origin.Version,
+		"lookupMillis", time.Since(began).Milliseconds())
+	if res.origin.Version == "" {
+		return &Problem{Kind: KindUnresumable, Detail: "the version that began the stream: " + res.source}
+	}
+	req.pool = res.origin.Pool
+	req.bind(res.origin.Version)
+	return nil
+}
+
+// confirmVersion reports whether it is still certain which version began the request's stream.
+func (req *callerRequest) confirmVersion() bool {
+	if !req.bound {
+		return true
+	}
+	gate, certain := req.gate, req.version != ""
+	gate.control.Call(func(now time.Time) {
+		if origin, found := gate.origins.memory.Find(now, req.streamKey()); found {
+			certain = certain && origin.Version == req.version
+		}
+	})
+	return certain
+}
+
+// startLookup looks an origin up in this daemon's memory, and asks other daemons if it isn't there.
+func (gate *Gate) startLookup(now time.Time, lookup *originLookup) {
+	if origin, found := gate.origins.memory.Find(now, lookup.key); found {
+		lookup.deliver(origin, originRemembered)
+		return
+	}
+	holders := gate.originHolders(now, lookup.key)
+	lookup.until = now.Add(remoteLookupTimeout)
+	if len(gate.peers.Live(gate.settings.Centre)) > 1 {
+		lookup.until = now.Add(lookupTimeout)
+		holders = gate.inThisCentre(holders)
+	}
+	gate.origins.lastLookup++
+	query := yuccawire.OriginQuery{Number: gate.origins.lastLookup, Key: lookup.key, Pool: lookup.pool}
+	for _, holder := range holders {
+		if gate.send(holder, yuccawire.KindOriginQuery, query) {
+			lookup.awaiting++
+		}
+	}
+	if lookup.awaiting == 0 {
+		lookup.conclude(gate.poolView(now, lookup.pool))
+		return
+	}
+	gate.origins.lookups[query.Number] = lookup
+}
+
+// inThisCentre returns those of the daemons that are in this data centre.
+func (gate *Gate) inThisCentre(list []yuccaid.Incarnation) []yuccaid.Incarnation {
+	var here []yuccaid.Incarnation
+	for _, each := range list {
+		if member, found := gate.peers.Find(each.VM); found && member.Centre == gate.settings.Centre {
+			here = append(here, each)
+		}
+	}
+	return here
+}
+
+// onOriginQuery answers another daemon's lookup.
+func (gate *Gate) onOriginQuery(now time.Time, from yuccaid.Incarnation, query yuccawire.OriginQuery) {
+	origin, found := gate.origins.memory.Find(now, query.Key)
+	view := gate.poolView(now, query.Pool)
+	gate.send(from, yuccawire.KindOriginAnswer, yuccawire.OriginAnswer{
+		Number: query.Number, Found: found, Pool: origin.Pool, Version: origin.Version,
+		Sole: view.Version, Several: view.Several, Complete: view.Complete, Fresh: view.Fresh,
+	})
+}
+
+// onOriginAnswer handles an answer to one of this daemon's lookups. The first daemon that remembers the
+// stream ends the lookup, and so does the last answer.
+func (gate *Gate) onOriginAnswer(now time.Time, answer yuccawire.OriginAnswer) {
+	lookup := gate.origins.lookups[answer.Number]
+	if lookup == nil {
+		return
+	}
+	lookup.awaiting--
+	lookup.views = append(lookup.views, yuccastream.View{Version: answer.Sole, Several: answer.Several, Complete: answer.Complete, Fresh: answer.Fresh})
+	switch {
+	case answer.Found:
+		lookup.deliver(yuccastream.Origin{Pool: answer.Pool, Version: answer.Version}, originTold)
+	case lookup.awaiting == 0:
+		lookup.conclude(gate.poolView(now, lookup.pool))
+	default:
+		return
+	}
+	delete(gate.origins.lookups, answer.Number)
+}
+
+// deliver ends a lookup with a remembered origin.
+func (lookup *originLookup) deliver(origin yuccastream.Origin, source string) {
+	if origin.Version == "" {
+		source = originUncertain
+	}
+	lookup.result <- originResult{origin: origin, source: source}
+}
+
+// conclude ends a lookup of a stream that nobody remembers. The stream can only go on if its pool has had
+// one version.
+func (lookup *originLookup) conclude(own yuccastream.View) {
+	version, agreed := yuccastream.Agree(append(lookup.views, own))
+	if !agreed || !lookup.onlyPool {
+		lookup.result <- originResult{source: originUnknown}
+		return
+	}
+	lookup.result <- originResult{origin: yuccastream.Origin{Pool: lookup.pool, Version: version}, source: originSole}
+}
--- a/io/yuccagate/targets.go
+++ b/io/yuccagate/targets.go
@@ -287,6 +287,7 @@
 		return
 	}
 	gate.rosterVersion = gate.roster.Version()
+	gate.trackVersions(now)
 	gate.logTargetChanges()
 	for _, sched := range gate.schedulers {
 		gate.configure(now, sched)
--- a/io/yuccawire/kind.go
+++ b/io/yuccawire/kind.go
@@ -90,6 +90,12 @@
 	KindQuotaReturn
 	// KindVersionAsk carries a VersionAsk from the daemon that holds a request to its pool's leader.
 	KindVersionAsk
+	// KindOrigins carries Origins, where streams began, to daemons that remember it.
+	KindOrigins
+	// KindOriginQuery carries an OriginQuery to such a daemon.
+	KindOriginQuery
+	// KindOriginAnswer carries an OriginAnswer.
+	KindOriginAnswer
 )
 
 var kindNames = map[Kind]string{
@@ -136,7 +142,10 @@
 	KindQuotaAnswer:  "quotaAnswer",
 	KindQuotaReturn:  "quotaReturn",
 
-	KindVersionAsk: "versionAsk",
+	KindVersionAsk:   "versionAsk",
+	KindOrigins:      "origins",
+	KindOriginQuery:  "originQuery",
+	KindOriginAnswer: "originAnswer",
 }
 
 // String returns the kind's name in logs and metrics, or its number.
--- a/io/yuccawire/origin.go
+++ b/io/yuccawire/origin.go
@@ -1,6 +1,40 @@
 package yuccawire
 
-import "yuccacleat/core/yuccaid"
+import (
+	"yuccacleat/core/yuccaid"
+	"yuccacleat/core/yuccastream"
+)
+
+// Origins tell where streams began: those with the keys in the pool, at the version. They are to be
+// remembered for some seconds.
+type Origins struct {
+	Pool    yuccaid.Pool
+	Version yuccaid.Version
+	Keys    []yuccastream.Key
+	Seconds int
+}
+
+// OriginQuery asks where a stream began, and what the receiver knows of a pool's versions. The sender
+// identifies the query by a number.
+type OriginQuery struct {
+	Number uint64          `msgpack:"number"`
+	Key    yuccastream.Key `msgpack:"key"`
+	Pool   yuccaid.Pool    `msgpack:"pool"`
+}
+
+// OriginAnswer tells where a stream began, if the sender remembers it, and the sender's view of the pool
+// of the OriginQuery.
+type OriginAnswer struct {
+	Number  uint64          `msgpack:"number"`
+	Found   bool            `msgpack:"found"`
+	Pool    yuccaid.Pool    `msgpack:"pool"`
+	Version yuccaid.Version `msgpack:"version"`
+	// Sole, Several, Complete and Fresh are the view.
+	Sole     yuccaid.Version `msgpack:"sole"`
+	Several  bool            `msgpack:"several"`
+	Complete bool            `msgpack:"complete"`
+	Fresh    bool            `msgpack:"fresh"`
+}
 
 // VersionAsk is an Ask for a request that only targets of one version may serve. Older builds, which
 // can't read an Ask with a further field, don't answer it.
