A request whose only target its daemon didn't know yet is served as soon as the daemon knows it

Callers of a daemon that learned of a pool's only target some milliseconds after the leader waited until their deadline (15 s) and were refused. Cause: a target that is declined is counted as one where the request has failed, for good; that is right for one that leaves, and wrong for one that comes. Now such requests are submitted again when the target is known. The list of failed targets that a placement appends to no longer shares its array with the caller's goroutine.

--- a/io/yuccagate/peers_test.go
+++ b/io/yuccagate/peers_test.go
@@ -72,6 +72,31 @@
 		Eventually(func() string { return string(survivor.Status().Pools[0].Leader) }, 3*time.Second).Should(Equal(string(survivor.Status().VM)))
 	})
 
+	// Guards against the failure that a request waits until its deadline because its daemon learns of the
+	// only target a moment after the leader.
+	It("use a target that the leader knew first, as soon as the other daemon knows it", func() {
+		old, replacement := newEngine("a", nil), newEngine("b", nil)
+		first, second := startTwo(2, old)
+		Expect(call{path: "/ticket/", id: "before"}.do(first).status).To(Equal(http.StatusOK))
+		leader, other := first, second
+		if first.Status().Pools[0].Leader == second.Status().VM {
+			leader, other = second, first
+		}
+		list := []yuccaroster.Entry{{Target: "b", Pool: "desk", Address: replacement.listener.Addr().String(), Centre: "odessa", Slots: 2, Revision: 5, Version: "v1"}}
+		leader.OfferTargets(list, nil, true, 5, true)
+		Eventually(func() string { return string(leader.Status().Targets[0].Target) }).Should(Equal("b"))
+		took := make(chan time.Duration, 1)
+		go func() {
+			defer GinkgoRecover()
+			start := time.Now()
+			Expect(call{path: "/ticket/", id: "after"}.do(other).status).To(Equal(http.StatusOK))
+			took <- time.Since(start)
+		}()
+		Eventually(other.lines.all).Should(ContainSubstring("declined"))
+		other.OfferTargets(list, nil, true, 5, true)
+		Eventually(took, 3*time.Second).Should(Receive(BeNumerically("<", time.Second)))
+	})
+
 	It("forward configurations", func() {
 		eng := newEngine("a", nil)
 		first, second := startTwo(2, eng)
--- a/io/yuccagate/placement.go
+++ b/io/yuccagate/placement.go
@@ -29,6 +29,10 @@
 	waitConfirmedAt time.Time
 	decidedLocally  bool
 
+	// unknownTargets are targets that were granted and that this daemon didn't know. They count as failed
+	// until it does.
+	unknownTargets []yuccaid.Target
+
 	// running reports whether the request has been granted the target, and started whether the
 	// run's first event has arrived. sentAt is when the grant was accepted.
 	running bool
--- a/io/yuccagate/request.go
+++ b/io/yuccagate/request.go
@@ -7,6 +7,7 @@
 	mathrand "math/rand/v2"
 	"net/http"
 	"os"
+	"slices"
 	"strings"
 	"time"
 
@@ -276,7 +277,7 @@
 func (req *callerRequest) schedulerRequest() yuccagrant.Request {
 	request := yuccagrant.Request{
 		Class: req.class(), Tier: req.tier(), Rank: req.route.Rank, OverQuota: req.overQuota, Prompt: req.info.Prompt, Answer: req.info.Answer, Parts: req.info.Parts,
-		SoftDeadline: req.arrivedAt.Add(req.route.LatencyTarget), Deadline: req.deadline, FailedTargets: req.tried, Version: req.version,
+		SoftDeadline: req.arrivedAt.Add(req.route.LatencyTarget), Deadline: req.deadline, FailedTargets: slices.Clip(req.tried), Version: req.version,
 	}
 	if req.route.LatencyTarget <= 0 {
 		request.SoftDeadline = req.deadline
--- a/io/yuccagate/scheduler.go
+++ b/io/yuccagate/scheduler.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	mathrand "math/rand/v2"
+	"slices"
 	"time"
 
 	"yuccacleat/core/yuccagrant"
@@ -270,6 +271,9 @@
 	if !found || entry.Leaving || otherVersion {
 		plc.req.logDecision("declined", "target", target, "known", found, "otherVersion", otherVersion, "leader", sched.leader.VM, "revision", gate.platformRevision)
 		plc.request.FailedTargets = append(plc.request.FailedTargets, target)
+		if !found {
+			plc.unknownTargets = append(plc.unknownTargets, target)
+		}
 		gate.reportFinished(now, sched, yuccagrant.Finished{ID: plc.request.ID, Outcome: yuccagrant.Dropped})
 		gate.submit(now, sched, plc)
 		return
@@ -288,6 +292,30 @@
 	}
 }
 
+// reconsiderTargets submits the requests again that were granted a target which this daemon didn't know
+// then and knows now. Without it, a request whose pool has no other target would wait until its deadline.
+func (gate *Gate) reconsiderTargets(now time.Time) {
+	for _, plc := range gate.placements {
+		if plc.running || !slices.ContainsFunc(plc.unknownTargets, gate.isUsable) {
+			continue
+		}
+		unknown := plc.unknownTargets
+		plc.unknownTargets = nil
+		plc.request.FailedTargets = slices.DeleteFunc(slices.Clone(plc.request.FailedTargets), func(target yuccaid.Target) bool {
+			return slices.Contains(unknown, target) && gate.isUsable(target)
+		})
+		sched := gate.scheduler(now, plc.pool)
+		gate.withdraw(now, sched, plc)
+		gate.submit(now, sched, plc)
+	}
+}
+
+// isUsable reports whether a target is registered and not leaving.
+func (gate *Gate) isUsable(target yuccaid.Target) bool {
+	entry, found := gate.roster.Find(target)
+	return found && !entry.Leaving
+}
+
 // addressOf returns the address of a registered target, or an empty text if it isn't registered.
 func (gate *Gate) addressOf(target yuccaid.Target) string {
 	entry, _ := gate.roster.Find(target)
--- a/io/yuccagate/targets.go
+++ b/io/yuccagate/targets.go
@@ -292,6 +292,7 @@
 	for _, sched := range gate.schedulers {
 		gate.configure(now, sched)
 	}
+	gate.reconsiderTargets(now)
 }
 
 // maxLoggedTargets bounds how many targets one log line names, because a whole fleet may
