Origins of streams are passed on at the moment a second version registers

Cause: while one version is the only one, origins are kept back, and the check whether they have become due ran four times a second. It now also runs when the registered targets change.

--- a/io/yuccagate/metrics.go
+++ b/io/yuccagate/metrics.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"io"
+	"maps"
+	"slices"
 	"strconv"
 	"time"
 
@@ -106,6 +108,8 @@
 	vm.WriteGaugeUint64(w, "yuccacleat_gate_held_bytes", uint64(gate.memory.reserved()))
 	vm.WriteGaugeUint64(w, "yuccacleat_gate_ready", boolGauge(status.Ready))
 	vm.WriteGaugeFloat64(w, "yuccacleat_gate_control_lag_seconds", gate.control.Oldest().Seconds())
+	vm.WriteGaugeUint64(w, "yuccacleat_gate_streams_remembered", uint64(status.Streams))
+	writeRegistered(w, status.Targets)
 	for _, pool := range status.Pools {
 		label := fmt.Sprintf("{pool=%q}", pool.Pool)
 		vm.WriteGaugeUint64(w, "yuccacleat_gate_waiting"+label, uint64(pool.Waiting))
@@ -121,6 +125,17 @@
 	}
 }
 
+// writeRegistered writes how many targets of each pool are registered, by the version of their software.
+func writeRegistered(w io.Writer, targets []TargetStatus) {
+	counts := make(map[string]uint64)
+	for _, target := range targets {
+		counts[fmt.Sprintf("{pool=%q,version=%q}", target.Pool, target.Version)]++
+	}
+	for _, label := range slices.Sorted(maps.Keys(counts)) {
+		vm.WriteGaugeUint64(w, "yuccacleat_gate_registered_targets"+label, counts[label])
+	}
+}
+
 func boolGauge(value bool) uint64 {
 	if value {
 		return 1
--- a/io/yuccagate/origin.go
+++ b/io/yuccagate/origin.go
@@ -218,6 +218,7 @@
 		}
 	}
 	gate.origins.history.SetRegistered(now, registered)
+	gate.passOrigins(now)
 }
 
 // trackRoutes notes the routes of streams.
--- a/io/yuccagate/status.go
+++ b/io/yuccagate/status.go
@@ -32,6 +32,8 @@
 	ReservedBytes yuccaid.Bytes  `json:"heldBytes"`
 	Pools         []PoolStatus   `json:"pools"`
 	Targets       []TargetStatus `json:"targets"`
+	// Streams is the number of streams whose origins this daemon remembers.
+	Streams int `json:"streams"`
 	// Accounts lists the accounts that have a quota.
 	Accounts []AccountStatus `json:"accounts"`
 }
@@ -58,6 +60,8 @@
 	Centre  yuccaid.Centre `json:"centre"`
 	Address string         `json:"address"`
 	Leaving bool           `json:"leaving"`
+	// Version is the version of the target's software, empty if the target doesn't state it.
+	Version yuccaid.Version `json:"version"`
 }
 
 // AccountStatus is an account's usage within its quota's window by all daemons, as far as this
@@ -83,6 +87,7 @@
 		VM: gate.settings.VM, Centre: gate.settings.Centre, Address: gate.settings.Address, Ready: gate.Ready(), Leaving: gate.draining(),
 		Number: gate.configurationNumber(), SkipsPlatformReads: gate.skipsPlatformReads.Load(), PlatformAgeMillis: -1,
 		QuotaShare: gate.ledger.QuotaShare(), OpenRequests: gate.openRequests.Load(), ReservedBytes: gate.memory.reserved(),
+		Streams: gate.origins.memory.Len(),
 	}
 	if age := gate.platformAge(now); age >= 0 {
 		status.PlatformAgeMillis = age.Milliseconds()
@@ -98,7 +103,7 @@
 	slices.SortFunc(status.Pools, func(a, b PoolStatus) int { return cmp.Compare(a.Pool, b.Pool) })
 	for _, entry := range gate.roster.Entries() {
 		status.Targets = append(status.Targets, TargetStatus{
-			Target: entry.Target, Pool: entry.Pool, Centre: entry.Centre, Address: entry.Address, Leaving: entry.Leaving,
+			Target: entry.Target, Pool: entry.Pool, Centre: entry.Centre, Address: entry.Address, Leaving: entry.Leaving, Version: entry.Version,
 		})
 	}
 	for _, usage := range gate.ledger.QuotaUsages(now) {
