A stream goes on only at a target that is still the process that has registered

Callers could get events of another version from a target that had restarted under its id and address while the platform was silent: the daemons hold its former registration, and the target accepts the request, whose id is right. Before a stream goes on at a target, the daemon asks it for its status and compares the start of its process with the registration's; if it differs, the target counts as misdirected, which it is, and another one is chosen. One short question for each stream that goes on; none for those that begin.

--- a/io/yuccagate/dialect.go
+++ b/io/yuccagate/dialect.go
@@ -23,6 +23,10 @@
 	MatchesRequest func(header http.Header, id string) bool
 	// ReadReport extracts what a target reports along with its response.
 	ReadReport func(status int, header http.Header) TargetReport
+	// StatusPath is the path at which a target tells its status, empty if targets don't. ReadStart
+	// extracts from a status when the target's process started, in Unix milliseconds.
+	StatusPath string
+	ReadStart  func(status []byte) (startMillis int64, found bool)
 }
 
 // RequestInfo is what a request states about itself.
--- a/io/yuccagate/placement.go
+++ b/io/yuccagate/placement.go
@@ -48,6 +48,8 @@
 	// version is what decides whether another target can continue a stream of this one (see
 	// yuccaroster.Entry.StreamVersion).
 	version yuccaid.Version
+	// startMillis is when the target's process started, as it has registered, zero if it hasn't said so.
+	startMillis int64
 	// fetchAddress is the address of the target from which the target fetches parts of the prompt,
 	// empty if it fetches none.
 	fetchAddress string
--- a/io/yuccagate/run.go
+++ b/io/yuccagate/run.go
@@ -215,6 +215,9 @@
 	outgoing.Header = req.targetHeader(att.sentAt, dec, lastEventID)
 	matches := func(header http.Header) bool { return req.gate.dialect.MatchesRequest(header, req.info.ID) }
 	ctx, att.watchdog = req.startWatchdog(ctx, dec.decisionInputs.expectedFirst)
+	if req.hasRestarted(ctx, dec) {
+		return att, yuccagrant.Misdirected
+	}
 	req.gate.metrics.sent(req.metricRank(), dec.withoutLeader, att.sentAt.Sub(req.arrivedAt))
 	req.logSent(att, dec)
 	answer, err := req.gate.targetClient.Send(ctx, dec.address, &outgoing, matches)
--- a/io/yuccagate/scheduler.go
+++ b/io/yuccagate/scheduler.go
@@ -287,7 +287,7 @@
 		gate.syncPlacement(now, sched, plc)
 	}
 	plc.decision <- decision{
-		target: target, address: entry.Address, version: entry.StreamVersion(), fetchAddress: gate.addressOf(granted.FetchFrom), withoutLeader: plc.decidedLocally && !sched.leads,
+		target: target, address: entry.Address, version: entry.StreamVersion(), startMillis: entry.StartMillis, fetchAddress: gate.addressOf(granted.FetchFrom), withoutLeader: plc.decidedLocally && !sched.leads,
 		decisionInputs: gate.decisionInputs(now, sched, granted),
 	}
 }
