--- a/io/yuccagate/origin.go
+++ b/io/yuccagate/origin.go
@@ -20,7 +20,7 @@
 	originCopies = 3
 	// smallFleet is the number of daemons up to which all of them remember the origins of all streams. In a
 	// small fleet a data centre may lose all its daemons at once.
-	smallFleet = 24
+	smallFleet = 12
 	// originInterval is the time between two checks for origins that have to be passed on.
 	originInterval = 250 * time.Millisecond
 	// originGrace is how long after its request's deadline the origin of a stream is remembered.
