--- a/io/yuccagate/restarted.go
+++ b/io/yuccagate/restarted.go
@@ -19,7 +19,7 @@
 // asks the target, because the new registration may not have arrived, and a target that has restarted with
 // another version under its id accepts the stream. A target that doesn't tell is taken to be as registered.
 func (req *callerRequest) hasRestarted(ctx context.Context, dec decision) bool {
-	if !req.bound || dec.startMillis == 0 || req.gate.dialect.StatusPath == "" {
+	if dec.startMillis == 0 || req.gate.dialect.StatusPath == "" {
 		return false
 	}
 	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
--- a/io/yuccagate/run.go
+++ b/io/yuccagate/run.go
@@ -215,8 +215,11 @@
 	outgoing.Header = req.targetHeader(att.sentAt, dec, lastEventID)
 	matches := func(header http.Header) bool { return req.gate.dialect.MatchesRequest(header, req.info.ID) }
 	ctx, att.watchdog = req.startWatchdog(ctx, dec.decisionInputs.expectedFirst)
-	if req.hasRestarted(ctx, dec) {
-		return att, yuccagrant.Misdirected
+	if req.bound {
+		if req.hasRestarted(ctx, dec) {
+			return att, yuccagrant.Misdirected
+		}
+		att.sentAt = time.Now()
 	}
 	req.gate.metrics.sent(req.metricRank(), dec.withoutLeader, att.sentAt.Sub(req.arrivedAt))
 	req.logSent(att, dec)
