--- a/io/yuccawire/origin_test.go
+++ b/io/yuccawire/origin_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"reflect"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -13,15 +14,20 @@
 var _ = Describe("the origins of streams", func() {
 	origins := yuccawire.Origins{Pool: "drafter", Version: "v1.2", Keys: []yuccastream.Key{yuccastream.NewKey("rally", "9c41d07be2a35f68")}, Seconds: 20}
 
-	It("are read as they were written", func() {
-		for kind, body := range map[yuccawire.Kind]any{yuccawire.KindOrigins: origins} {
+	It("are read as they were written, like the questions for them", func() {
+		for kind, body := range map[yuccawire.Kind]any{
+			yuccawire.KindOrigins:      origins,
+			yuccawire.KindOriginQuery:  yuccawire.OriginQuery{Number: 7, Key: 9, Pool: "drafter"},
+			yuccawire.KindOriginAnswer: yuccawire.OriginAnswer{Number: 7, Found: true, Pool: "drafter", Version: "v1", Sole: "v1", Complete: true, Fresh: true},
+			yuccawire.KindVersionAsk:   yuccawire.VersionAsk{Ask: yuccawire.Ask{Pool: "drafter", Number: 3}, Version: "v1"},
+		} {
 			frame, err := yuccawire.Encode(kind, body)
 			Expect(err).NotTo(HaveOccurred())
 			read, err := yuccawire.Read(bytes.NewReader(frame))
 			Expect(err).NotTo(HaveOccurred())
-			var got yuccawire.Origins
-			Expect(read.Decode(&got)).To(Succeed())
-			Expect(got).To(Equal(origins))
+			got := reflect.New(reflect.TypeOf(body))
+			Expect(read.Decode(got.Interface())).To(Succeed())
+			Expect(got.Elem().Interface()).To(Equal(body))
 		}
 	})
 
