Spec on a vanished daemon's part of the quotas: it waits until the fleet is known

Traced by the lines of that run: a daemon's share is 1 before its first look at the fleet, so the first wait was over at once; the other daemon hung before anybody had seen it, the share was 0.15 while starting, below 1, and then 1 'visible 3 total 3'. The daemons did what they should.

--- a/io/yuccagate/peers_test.go
+++ b/io/yuccagate/peers_test.go
@@ -142,7 +142,12 @@
 			gt.configure(1, config(), 4)
 		}
 		share := func() float64 { return remote.Status().QuotaShare }
+		Eventually(func() int { return len(first.Status().Peers) }, 5*time.Second).Should(Equal(2))
+		// A daemon's share is 1 also before its first look at the fleet.
+		Eventually(remote.lines.all, 5*time.Second).Should(ContainSubstring("part of the quotas"))
 		Eventually(share, 5*time.Second).Should(Equal(1.0))
+		// The other data centre says within half a second how many daemons it sees.
+		time.Sleep(time.Second)
 		silent.hang()
 		Eventually(share, 5*time.Second).Should(BeNumerically("<", 1))
 		Consistently(share, 2*time.Second).Should(BeNumerically("<", 1))
