The lines on resends tell what a decision was made from

It now tells how many resends this process has counted in its window (resent), its part of the limit and among how many daemons it divides (among); so does the new line 'silent' of a watchdog, whose charge no line showed. No decision is changed.

--- a/core/yuccabudget/budget.go
+++ b/core/yuccabudget/budget.go
@@ -46,16 +46,27 @@
 	bud.countsOf(now, pool).requests.Add(1)
 }
 
-// AllowResend reports whether the limit allows one more resend for the pool, and counts the resend
+// Decision is the decision on one resend, with what it was made from.
+type Decision struct {
+	Allowed bool
+	// Used is the number of resends that counted against the limit before this one, Limit this daemon's part of
+	// the limit, and Daemons the number of daemons among which the allowance is divided.
+	Used    int64
+	Limit   float64
+	Daemons int
+}
+
+// DecideResend decides whether the limit allows one more resend for the pool, and counts the resend
 // if so. The allowance is divided evenly among the given number of daemons.
-func (bud *Budget) AllowResend(now time.Time, pool yuccaid.Pool, daemons int) bool {
+func (bud *Budget) DecideResend(now time.Time, pool yuccaid.Pool, daemons int) Decision {
 	counts := bud.countsOf(now, pool)
-	allowed := safetyShare * (bud.bounds.Ratio*float64(counts.requests.Total()) + bud.bounds.Allowance/float64(max(daemons, 1)))
-	if float64(counts.resends.Total()+1) > allowed {
-		return false
+	dec := Decision{Used: counts.resends.Total(), Daemons: max(daemons, 1)}
+	dec.Limit = safetyShare * (bud.bounds.Ratio*float64(counts.requests.Total()) + bud.bounds.Allowance/float64(dec.Daemons))
+	dec.Allowed = float64(dec.Used+1) <= dec.Limit
+	if dec.Allowed {
+		counts.resends.Add(1)
 	}
-	counts.resends.Add(1)
-	return true
+	return dec
 }
 
 // countsOf returns the counts of a pool, after advancing its windows to now.
--- a/core/yuccabudget/budget_test.go
+++ b/core/yuccabudget/budget_test.go
@@ -26,7 +26,7 @@
 			now = now.Add(time.Second / requestsPerSecond)
 			for _, bud := range budgets {
 				bud.CountRequest(now, "desk")
-				for bud.AllowResend(now, "desk", daemons) {
+				for bud.DecideResend(now, "desk", daemons).Allowed {
 					resent = append(resent, now)
 				}
 			}
@@ -49,7 +49,7 @@
 		now := time.Unix(1_700_000_000, 0)
 		resend := func() int {
 			sent := 0
-			for bud.AllowResend(now, "desk", 7) {
+			for bud.DecideResend(now, "desk", 7).Allowed {
 				sent++
 			}
 			return sent
@@ -62,11 +62,24 @@
 		Expect(resend()).To(Equal(6))
 	})
 
+	// An operator sees from a daemon's log why a request wasn't sent again.
+	It("tells what a decision was made from", func() {
+		bud := yuccabudget.New(bounds)
+		now := time.Unix(1_700_000_000, 0)
+		for range 10 {
+			bud.CountRequest(now, "desk")
+		}
+		bud.DecideResend(now, "desk", 6)
+		dec := bud.DecideResend(now, "desk", 6)
+		Expect(dec.Limit).To(BeNumerically("~", 0.8*(0.2*10+54.0/6), 1e-9))
+		Expect(dec).To(Equal(yuccabudget.Decision{Allowed: true, Used: 1, Limit: dec.Limit, Daemons: 6}))
+	})
+
 	It("counts each pool separately", func() {
 		bud := yuccabudget.New(bounds)
 		now := time.Unix(1_700_000_000, 0)
-		for bud.AllowResend(now, "desk", 7) {
+		for bud.DecideResend(now, "desk", 7).Allowed {
 		}
-		Expect(bud.AllowResend(now, "draft", 7)).To(BeTrue())
+		Expect(bud.DecideResend(now, "draft", 7).Allowed).To(BeTrue())
 	})
 })
--- a/core/yuccastory/sentence.go
+++ b/core/yuccastory/sentence.go
@@ -21,12 +21,10 @@
 	case "unanswered":
 		return fmt.Sprintf("%s gave no answer (attempt %s): %s", line.text("target"), line.text("send"), line.text("error"))
 	case "again":
-		may := "may not"
-		if line.text("may") == "true" {
-			may = "may"
-		}
-		return fmt.Sprintf("after the outcome %s it %s be sent again (%s; attempts: %s, runs: %s)",
-			line.text("outcome"), may, line.text("why"), line.text("sends"), line.text("runs"))
+		return fmt.Sprintf("after the outcome %s it %s be sent again (%s; attempts: %s, runs: %s%s)",
+			line.text("outcome"), may(line), line.text("why"), line.text("sends"), line.text("runs"), resendBudget(line))
+	case "silent":
+		return fmt.Sprintf("its target showed nothing for too long, and it %s be sent again%s", may(line), resendBudget(line))
 	case "quota":
 		return quota(line)
 	case "answered":
@@ -45,6 +43,23 @@
 	return line.Event + fields(line)
 }
 
+// may tells whether a request may be sent again.
+func may(line *Line) string {
+	if line.text("may") == "true" {
+		return "may"
+	}
+	return "may not"
+}
+
+// resendBudget tells how much of its part of the budget of resends the daemon had used. It returns an
+// empty text for a line that doesn't state it.
+func resendBudget(line *Line) string {
+	if line.text("limit") == "" {
+		return ""
+	}
+	return fmt.Sprintf("; %s resends counted here, the limit was %s, %s daemons known", line.text("resent"), line.text("limit"), line.text("among"))
+}
+
 // decider names the daemon that chose the target.
 func decider(line *Line) string {
 	if line.text("alone") == "true" {
--- a/core/yuccastory/story_test.go
+++ b/core/yuccastory/story_test.go
@@ -29,6 +29,7 @@
 		Entry("of a prompt whose parts were fetched", "note-4"),
 		Entry("of a refusal by the account's leader", "note-5"),
 		Entry("of a stream that ended inside an event", "note-6"),
+		Entry("of resends that the budget allowed and refused", "lookup-2"),
 	)
 
 	It("is the same whatever order the logs come in", func() {
--- a/io/yuccagate/placement.go
+++ b/io/yuccagate/placement.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"math"
 	"slices"
 	"time"
 
+	"yuccacleat/core/yuccabudget"
 	"yuccacleat/core/yuccagrant"
 	"yuccacleat/core/yuccaid"
 	"yuccacleat/core/yuccaroster"
@@ -160,20 +162,18 @@
 	gate.reportFinished(now, gate.scheduler(now, plc.pool), result)
 }
 
-// chargeResend reports whether the resend budget allows a request that has reached one target to be
+// chargeResend decides whether the resend budget allows a request that has reached one target to be
 // sent to another target. If so, it counts the resend.
-func (gate *Gate) chargeResend(pool yuccaid.Pool) bool {
-	allowed := false
+func (gate *Gate) chargeResend(pool yuccaid.Pool) (dec yuccabudget.Decision) {
 	gate.control.Call(func(now time.Time) {
 		_, daemons := gate.countDaemons(now)
-		allowed = gate.resendBudget.AllowResend(now, pool, daemons)
+		dec = gate.resendBudget.DecideResend(now, pool, daemons)
 	})
-	gate.metrics.resendDecided(allowed)
-	return allowed
+	gate.metrics.resendDecided(dec.Allowed)
+	return dec
 }
 
-// allowResend reports whether the request may be sent to another target as far as the resend
-// budget is concerned. A request that has reached no target yet is always allowed and not counted.
-func (gate *Gate) allowResend(req *callerRequest) bool {
-	return req.arrivals == 0 || gate.chargeResend(req.pool)
+// resendFields returns what is logged on a decision on a resend.
+func resendFields(dec yuccabudget.Decision) []any {
+	return []any{"resent", dec.Used, "limit", math.Round(10*dec.Limit) / 10, "among", dec.Daemons}
 }
--- a/io/yuccagate/run.go
+++ b/io/yuccagate/run.go
@@ -132,10 +132,16 @@
 // so counts the resend against the budget, unless the attempt's watchdog has already counted it.
 func (req *callerRequest) shouldResend(outcome yuccagrant.Outcome, att *attempt) bool {
 	allowed, reason := req.mayRepeat(outcome)
-	if allowed && !att.watchdog.resendCharged.Load() && !req.gate.allowResend(req) {
-		allowed, reason = false, "budget of resends"
+	fields := []any{"outcome", outcome.String(), "sends", req.sends, "runs", req.runs}
+	// A request that has reached no target yet isn't sent a second time.
+	if allowed && req.arrivals > 0 && !att.watchdog.resendCharged.Load() {
+		dec := req.gate.chargeResend(req.pool)
+		fields = append(fields, resendFields(dec)...)
+		if !dec.Allowed {
+			allowed, reason = false, "budget of resends"
+		}
 	}
-	req.logDecision("again", "outcome", outcome.String(), "may", allowed, "why", reason, "sends", req.sends, "runs", req.runs)
+	req.logDecision("again", append(fields, "may", allowed, "why", reason)...)
 	return allowed
 }
 
--- a/io/yuccagate/watchdog.go
+++ b/io/yuccagate/watchdog.go
@@ -51,7 +51,9 @@
 
 // fire cancels the attempt if the resend budget allows to send the request to another target.
 func (wd *watchdog) fire() {
-	if wd.req.gate.chargeResend(wd.req.pool) {
+	dec := wd.req.gate.chargeResend(wd.req.pool)
+	wd.req.logDecision("silent", append(resendFields(dec), "may", dec.Allowed)...)
+	if dec.Allowed {
 		wd.resendCharged.Store(true)
 		wd.cancel(errSilent)
 	}
