Connections to targets are reset until the answer's head has come

Callers saw nothing, targets did: requests that were given up, or whose daemon was killed, arrived when a cut link healed, with those of a later window. Cause: a connection that is closed in order still delivers what the link holds. TestRequestsThatWereGivenUpDontArriveWhenALinkHeals: 136 and 176 late arrivals before, none with SO_LINGER 0 from before the request is written until the answer's head has come; the kernel resets it also when the process is killed.

--- a/io/yuccahop/conn.go
+++ b/io/yuccahop/conn.go
@@ -66,6 +66,7 @@
 // exchange sends one request and waits for the head of its answer.
 func (cn *conn) exchange(ctx context.Context, out *Outgoing, own func(http.Header) bool) (*Answer, error) {
 	stop := context.AfterFunc(ctx, func() { cn.raw.Close() })
+	cn.resetOnClose(true)
 	up := newUpload()
 	head := cn.head(out)
 	if len(out.Body) <= eagerBody {
@@ -95,9 +96,25 @@
 		}
 		return nil, &LostError{Address: cn.address, Cause: err}
 	}
+	cn.resetOnClose(false)
 	return newAnswer(cn, resp, up, stop), nil
 }
 
+// resetOnClose sets whether the connection is reset when it is closed, by this client or because its process
+// ends. Until an answer has come, a cut link may hold up the request. A connection that was closed in order
+// would deliver the request when the link heals, though nobody waits for it any more.
+func (cn *conn) resetOnClose(reset bool) {
+	tcp, ok := cn.raw.(*net.TCPConn)
+	if !ok {
+		return
+	}
+	seconds := -1
+	if reset {
+		seconds = 0
+	}
+	_ = tcp.SetLinger(seconds)
+}
+
 func (cn *conn) head(out *Outgoing) *bytes.Buffer {
 	var head bytes.Buffer
 	head.Grow(1024 + min(len(out.Body), eagerBody))
