The allowance of resends is divided by seeds, and a larger part applies after 1.2 windows

Callers' targets got more arrivals beyond the first than the budget allows when daemons were killed and back while targets fail. Cause: what was spent is known to a process alone, and the part that may be spent followed from a momentary view; each process that starts had its part anew, survivors divided among themselves, and daemons that were cut off each had all of it. Now each seed stands for an equal share, which the daemons that reach it divide, among the largest fleet of ten minutes; a daemon uses the smallest part that it had in the last 1.2 windows, and a process that starts had none. So at any time the parts are at most the whole, whatever daemons know. Ruled out: a leader that counts (its successor has counted nothing), reports (too late), telling the successor (all may be killed at once), unheard data centres counted as large as one's own (doesn't cover parts within one). The lines tell the share.

--- a/core/yuccabudget/budget.go
+++ b/core/yuccabudget/budget.go
@@ -7,10 +7,14 @@
 	"yuccacleat/core/yuccawindow"
 )
 
-// safetyShare is the share of the limit that a Budget uses. The rest is a margin, because the limit
-// is also checked outside this package. That check uses windows that begin at other times than the
-// windows of a Budget, and counts requests by when they arrive.
-const safetyShare = 0.8
+const (
+	// safetyShare is the share of the limit that a Budget uses. The rest is a margin, because the limit
+	// is also checked outside this package. That check uses windows that begin at other times than the
+	// windows of a Budget, and counts requests by when they arrive.
+	safetyShare = 0.8
+	// changeShare is the share of the window in which all daemons learn of a change of the fleet.
+	changeShare = 0.2
+)
 
 // Bounds is the limit on the resends of one pool over all daemons: within any Window, at most Ratio
 // times the requests plus Allowance.
@@ -25,6 +29,12 @@
 type Budget struct {
 	bounds Bounds
 	pools  map[yuccaid.Pool]*poolCounts
+	// fleet is what SetFleet was last told, with the largest number of daemons that it was told within
+	// fleetMemory. fleetKnownAt is when this daemon last reached others or there were none.
+	fleet        Fleet
+	knownDaemons largest
+	fleetKnownAt time.Time
+	shares       smallest
 }
 
 // poolCounts counts one pool's requests and resends within the sliding window.
@@ -38,8 +48,40 @@
 	return &Budget{bounds: bounds, pools: make(map[yuccaid.Pool]*poolCounts)}
 }
 
-// SetBounds changes the limit and keeps the counts.
-func (bud *Budget) SetBounds(bounds Bounds) { bud.bounds = bounds }
+// SetBounds changes the limit and keeps the counts, unless the window changes.
+func (bud *Budget) SetBounds(now time.Time, bounds Bounds) {
+	if bounds.Window != bud.bounds.Window {
+		bud.MarkCountsLost(now)
+	}
+	bud.bounds = bounds
+}
+
+// MarkCountsLost records that this daemon doesn't know the resends before now. It is called when the process
+// has started, because one that has ended may have used this daemon's part of the allowance within the
+// present window, or the others divide all of it, since they don't know this one yet.
+func (bud *Budget) MarkCountsLost(now time.Time) {
+	bud.shares.add(now, 0)
+}
+
+// SetFleet sets the daemons that share the allowance. It is called often, also while nothing is resent,
+// because daemons that are no longer known still count for fleetMemory.
+func (bud *Budget) SetFleet(now time.Time, flt Fleet) {
+	flt.Daemons = bud.knownDaemons.add(now, flt.Daemons)
+	bud.fleet = flt
+	if !flt.Isolated {
+		bud.fleetKnownAt = now
+	}
+	share := flt.share()
+	if bud.fleetKnownAt.IsZero() || now.Sub(bud.fleetKnownAt) >= fleetMemory {
+		share = 0
+	}
+	bud.shares.add(now, share)
+}
+
+// changeTime is the time in which all daemons learn of a change of the fleet.
+func (bud *Budget) changeTime() time.Duration {
+	return time.Duration(changeShare * float64(bud.bounds.Window))
+}
 
 // CountRequest counts a request that arrived from a caller.
 func (bud *Budget) CountRequest(now time.Time, pool yuccaid.Pool) {
@@ -49,19 +91,18 @@
 // Decision is the decision on one resend, with what it was made from.
 type Decision struct {
 	Allowed bool
-	// Used is the number of resends that counted against the limit before this one, Limit this daemon's part of
-	// the limit, and Daemons the number of daemons among which the allowance is divided.
+	// Used is the number of resends that counted against the limit before this one, Limit this daemon's part
+	// of the limit, and Share its share of the allowance. Daemons is the number of daemons that it knows of.
 	Used    int64
 	Limit   float64
+	Share   float64
 	Daemons int
 }
 
-// DecideResend decides whether the limit allows one more resend for the pool, and counts the resend
-// if so. The allowance is divided evenly among the given number of daemons.
-func (bud *Budget) DecideResend(now time.Time, pool yuccaid.Pool, daemons int) Decision {
+// DecideResend decides whether the limit allows one more resend for the pool, and counts the resend if so.
+func (bud *Budget) DecideResend(now time.Time, pool yuccaid.Pool) Decision {
 	counts := bud.countsOf(now, pool)
-	dec := Decision{Used: counts.resends.Total(), Daemons: max(daemons, 1)}
-	dec.Limit = safetyShare * (bud.bounds.Ratio*float64(counts.requests.Total()) + bud.bounds.Allowance/float64(dec.Daemons))
+	dec := Decision{Used: counts.resends.Total(), Limit: bud.limit(now, counts), Share: bud.share(now), Daemons: bud.fleet.Daemons}
 	dec.Allowed = float64(dec.Used+1) <= dec.Limit
 	if dec.Allowed {
 		counts.resends.Add(1)
@@ -69,6 +110,21 @@
 	return dec
 }
 
+// limit returns this daemon's part of the limit.
+func (bud *Budget) limit(now time.Time, counts *poolCounts) float64 {
+	return safetyShare * (bud.bounds.Ratio*float64(counts.requests.Total()) + bud.bounds.Allowance*bud.share(now))
+}
+
+// share returns this daemon's share of the allowance. It is the smallest that this daemon had in the last window
+// and the time in which all daemons learn of a change. So what daemons have resent whose shares have become smaller, or
+// that have ended, has left the window before others have larger shares.
+//
+// The ratio has no such condition. It applies to the requests that this daemon has counted itself, which no
+// other daemon counts.
+func (bud *Budget) share(now time.Time) float64 {
+	return bud.shares.within(now, bud.bounds.Window+bud.changeTime())
+}
+
 // countsOf returns the counts of a pool, after advancing its windows to now.
 func (bud *Budget) countsOf(now time.Time, pool yuccaid.Pool) *poolCounts {
 	counts := bud.pools[pool]
--- a/core/yuccapeer/peers.go
+++ b/core/yuccapeer/peers.go
@@ -289,6 +289,20 @@
 	return listing.member(), ok
 }
 
+// ReachesAddress reports whether the address is this daemon's or that of a member in its view, which may be
+// leaving.
+func (peers *Peers) ReachesAddress(address string) bool {
+	if address == peers.self.Address {
+		return true
+	}
+	for _, other := range peers.byVM {
+		if other.inView && other.member.Address == address {
+			return true
+		}
+	}
+	return false
+}
+
 // Settled reports whether this daemon has received heartbeats for long enough to name
 // leaders.
 func (peers *Peers) Settled() bool {
--- a/core/yuccapeer/peers_test.go
+++ b/core/yuccapeer/peers_test.go
@@ -253,6 +253,17 @@
 		Expect(leader.Leaving).To(BeTrue())
 	})
 
+	It("reaches the addresses of live members, leaving ones included, and no others", func() {
+		Expect(first.view.ReachesAddress(first.Address)).To(BeTrue())
+		Expect(first.view.ReachesAddress("nobody's")).To(BeFalse())
+		wld.apply(second, second.view.Leave(wld.now))
+		wld.advance(10)
+		Expect(first.view.ReachesAddress(second.Address)).To(BeTrue())
+		second.dead = true
+		wld.advance(100)
+		Expect(first.view.ReachesAddress(second.Address)).To(BeFalse())
+	})
+
 	It("reports peers that have another configuration under the same number", func() {
 		wld.apply(first, first.view.SetConfig(wld.now, 1, "a"))
 		heartbeat := second.view.Heartbeat()
--- a/core/yuccastory/sentence.go
+++ b/core/yuccastory/sentence.go
@@ -57,7 +57,7 @@
 	if line.text("limit") == "" {
 		return ""
 	}
-	return fmt.Sprintf("; %s resends counted here, the limit was %s, %s daemons known", line.text("resent"), line.text("limit"), line.text("among"))
+	return fmt.Sprintf("; %s resends counted here, the limit was %s, with a share of %s of the allowance, %s daemons known", line.text("resent"), line.text("limit"), line.text("share"), line.text("among"))
 }
 
 // decider names the daemon that chose the target.
--- a/io/yuccagate/gate.go
+++ b/io/yuccagate/gate.go
@@ -138,8 +138,11 @@
 	fullUsageDue bool
 	fullUsageAt  time.Time
 	// resendBudget bounds how many requests are sent to another target after an attempt has
-	// failed.
-	resendBudget *yuccabudget.Budget
+	// failed. seedsReachedAt has when this daemon last reached each seed, and seedCentres the data
+	// centres of those that it has known, by address.
+	resendBudget   *yuccabudget.Budget
+	seedsReachedAt map[string]time.Time
+	seedCentres    map[string]yuccaid.Centre
 
 	// origins is what this daemon knows of where streams began.
 	origins origins
@@ -206,6 +209,8 @@
 		platformReports:     make(map[yuccaroster.Reader]platformReport),
 		ledger:              yuccaquota.New(settings.Bounds.tolerance(), yuccaquota.WithSalt(mathrand.Uint64())),
 		resendBudget:        yuccabudget.New(settings.Bounds.resendBounds()),
+		seedsReachedAt:      make(map[string]time.Time),
+		seedCentres:         make(map[string]yuccaid.Centre),
 		schedulers:          make(map[yuccaid.Pool]*scheduler),
 		placements:          make(map[uint64]*placement),
 
@@ -221,6 +226,10 @@
 	if !settings.FirstStart {
 		gate.ledger.MarkWithoutHistory(gate.startedAt)
 	}
+	if !settings.FirstStart {
+		gate.resendBudget.MarkCountsLost(gate.startedAt)
+	}
+	gate.resendBudget.SetFleet(gate.startedAt, gate.resendFleet(gate.startedAt))
 	gate.origins = newOrigins(settings.FirstStart, gate.startedAt)
 	gate.skipsPlatformReads.Store(settings.FirstStart)
 	ready := make(chan struct{})
@@ -284,7 +293,7 @@
 		gate.settings.Seeds, gate.settings.Bounds = settings.Seeds, settings.Bounds
 		gate.peers.SetSeeds(settings.Seeds)
 		gate.ledger.SetTolerance(now, settings.Bounds.tolerance())
-		gate.resendBudget.SetBounds(settings.Bounds.resendBounds())
+		gate.resendBudget.SetBounds(now, settings.Bounds.resendBounds())
 		gate.hub.Connect(gate.peers.WantedConnections())
 	})
 }
--- a/io/yuccagate/placement.go
+++ b/io/yuccagate/placement.go
@@ -2,11 +2,9 @@
 
 import (
 	"context"
-	"math"
 	"slices"
 	"time"
 
-	"yuccacleat/core/yuccabudget"
 	"yuccacleat/core/yuccagrant"
 	"yuccacleat/core/yuccaid"
 	"yuccacleat/core/yuccaroster"
@@ -161,19 +159,3 @@
 	result.ID = plc.request.ID
 	gate.reportFinished(now, gate.scheduler(now, plc.pool), result)
 }
-
-// chargeResend decides whether the resend budget allows a request that has reached one target to be
-// sent to another target. If so, it counts the resend.
-func (gate *Gate) chargeResend(pool yuccaid.Pool) (dec yuccabudget.Decision) {
-	gate.control.Call(func(now time.Time) {
-		_, daemons := gate.countDaemons(now)
-		dec = gate.resendBudget.DecideResend(now, pool, daemons)
-	})
-	gate.metrics.resendDecided(dec.Allowed)
-	return dec
-}
-
-// resendFields returns what is logged on a decision on a resend.
-func resendFields(dec yuccabudget.Decision) []any {
-	return []any{"resent", dec.Used, "limit", math.Round(10*dec.Limit) / 10, "among", dec.Daemons}
-}
