Daemons use half of the ratio of resends, and 0.85 of the allowance

The ratio alone was exceeded after kills: 191 of 160 (TestResendsKeepToTheRatioAfterAllDaemonsWereKilled). Cause: daemons' last windows aren't the same window. What the dead have resent for the requests before a kill counts beside what their successors resend for those after it; the rule allows for the larger of two windows, not for both. With half of the ratio, what is resent for any two windows' requests is within what the larger allows, for any loads and shifts. Of the allowance 0.85 is divided, 0.8 before: the rest is for daemons that learn late that there are more. Ruled out: a bucket of the last two seconds' requests (a larger share on even loads, broken by bursts).

--- a/core/yuccabudget/budget.go
+++ b/core/yuccabudget/budget.go
@@ -8,10 +8,14 @@
 )
 
 const (
-	// safetyShare is the share of the limit that a Budget uses. The rest is a margin, because the limit
-	// is also checked outside this package. That check uses windows that begin at other times than the
-	// windows of a Budget, and counts requests by when they arrive.
-	safetyShare = 0.8
+	// ratioShare is the share of the ratio that a daemon uses. The daemons' windows end at different times,
+	// and requests move from one daemon to another. So a window that is checked from outside may hold what
+	// some daemons have resent for the requests of the window before it, and others for its own requests, of
+	// which the limit allows for one alone.
+	ratioShare = 0.5
+	// allowanceShare is the share of the allowance that the daemons divide. The rest is for daemons that
+	// learn late that there are more of them, or that they reach fewer.
+	allowanceShare = 0.85
 	// changeShare is the share of the window in which all daemons learn of a change of the fleet.
 	changeShare = 0.2
 )
@@ -112,7 +116,7 @@
 
 // limit returns this daemon's part of the limit.
 func (bud *Budget) limit(now time.Time, counts *poolCounts) float64 {
-	return safetyShare * (bud.bounds.Ratio*float64(counts.requests.Total()) + bud.bounds.Allowance*bud.share(now))
+	return ratioShare*bud.bounds.Ratio*float64(counts.requests.Total()) + allowanceShare*bud.bounds.Allowance*bud.share(now)
 }
 
 // share returns this daemon's share of the allowance. It is the smallest that this daemon had in the last window
