Resends count until a window after they have arrived, each at its own time

A resend counted when it was decided, then waited for a target, perhaps for seconds, and for its connection; what counted over more than a window could arrive within one: 5 of 4.8 without sockets with resends that wait up to 4 s (the world of TestFleetKeepsToTheBudget). Now it is pending from the decision until its target has taken it or its connection is closed, the budget is asked again before it is sent, and it counts for a window after that. One charge (resendCharge) stands for a request and its watchdog; they charged apart. A resend that is refused once it has a target gives the target back unused (Dropped).

--- a/core/yuccabudget/budget.go
+++ b/core/yuccabudget/budget.go
@@ -41,10 +41,16 @@
 	shares       smallest
 }
 
-// poolCounts counts one pool's requests and resends within the sliding window.
+// poolCounts counts one pool's requests, and its resends that have arrived, within the sliding window.
+//
+// The time of each resend is kept, because a Sum would count some of them for longer than a window. In a pool whose
+// targets all fail, resends come together at the start of each window, and a window between two such times would
+// have hardly any.
 type poolCounts struct {
 	requests yuccawindow.Sum
-	resends  yuccawindow.Sum
+	arrived  []time.Time
+	// pending is the number of resends that are allowed and haven't arrived yet.
+	pending int64
 }
 
 // New returns a budget without any requests or resends.
@@ -95,25 +101,52 @@
 // Decision is the decision on one resend, with what it was made from.
 type Decision struct {
 	Allowed bool
-	// Used is the number of resends that counted against the limit before this one, Limit this daemon's part
-	// of the limit, and Share its share of the allowance. Daemons is the number of daemons that it knows of.
+	// Used is the number of resends that counted against the limit before this one, pending ones included,
+	// Limit this daemon's part of the limit, and Share its share of the allowance. Daemons is the number of
+	// daemons that it knows of.
 	Used    int64
 	Limit   float64
 	Share   float64
 	Daemons int
 }
 
-// DecideResend decides whether the limit allows one more resend for the pool, and counts the resend if so.
+// DecideResend decides whether the limit allows one more resend for the pool. If so, the resend is pending
+// until Arrived or Drop is called. It counts all the while, because it may wait for a target or be held up on its
+// way, and what is checked from outside is when it arrives.
 func (bud *Budget) DecideResend(now time.Time, pool yuccaid.Pool) Decision {
 	counts := bud.countsOf(now, pool)
-	dec := Decision{Used: counts.resends.Total(), Limit: bud.limit(now, counts), Share: bud.share(now), Daemons: bud.fleet.Daemons}
+	dec := Decision{Used: counts.used(), Limit: bud.limit(now, counts), Share: bud.share(now), Daemons: bud.fleet.Daemons}
 	dec.Allowed = float64(dec.Used+1) <= dec.Limit
 	if dec.Allowed {
-		counts.resends.Add(1)
+		counts.pending++
 	}
 	return dec
 }
 
+// MaySend reports whether a pending resend may still be sent, now that it has a target. While it waited, the
+// requests that allowed it may have left the window. If it may not be sent, it is no longer pending.
+func (bud *Budget) MaySend(now time.Time, pool yuccaid.Pool) bool {
+	counts := bud.countsOf(now, pool)
+	if float64(counts.used()) <= bud.limit(now, counts) {
+		return true
+	}
+	counts.pending--
+	return false
+}
+
+// Arrived records that a pending resend has reached a target by now, as far as it ever will.
+func (bud *Budget) Arrived(now time.Time, pool yuccaid.Pool) {
+	counts := bud.countsOf(now, pool)
+	counts.pending--
+	counts.arrived = append(counts.arrived, now)
+}
+
+// Drop records that a pending resend hasn't been sent and won't be.
+func (bud *Budget) Drop(now time.Time, pool yuccaid.Pool) { bud.countsOf(now, pool).pending-- }
+
+// used returns the number of resends that count against the limit.
+func (counts *poolCounts) used() int64 { return counts.pending + int64(len(counts.arrived)) }
+
 // limit returns this daemon's part of the limit.
 func (bud *Budget) limit(now time.Time, counts *poolCounts) float64 {
 	return ratioShare*bud.bounds.Ratio*float64(counts.requests.Total()) + allowanceShare*bud.bounds.Allowance*bud.share(now)
@@ -137,9 +170,6 @@
 		bud.pools[pool] = counts
 	}
 	counts.requests.Advance(now, bud.bounds.Window)
-	// Resends are counted over a window that is longer by an eighth, because a Sum drops its oldest
-	// bucket before all amounts in that bucket are as old as the window, and because resends reach
-	// the targets later than they are counted here.
-	counts.resends.Advance(now, bud.bounds.Window+bud.bounds.Window/8)
+	counts.arrived = dropBefore(counts.arrived, now.Add(-bud.bounds.Window))
 	return counts
 }
--- a/core/yuccabudget/budget_test.go
+++ b/core/yuccabudget/budget_test.go
@@ -35,6 +35,7 @@
 				arrivals.RecordRequest(now)
 				bud.CountRequest(now, "desk")
 				for bud.DecideResend(now, "desk").Allowed {
+					bud.Arrived(now, "desk")
 					arrivals.RecordResent(now)
 				}
 			}
@@ -48,6 +49,7 @@
 		resend := func() int {
 			sent := 0
 			for bud.DecideResend(now, "desk").Allowed {
+				bud.Arrived(now, "desk")
 				sent++
 			}
 			return sent
@@ -181,7 +183,39 @@
 
 	// Guards against the failure that resends which wait for a target, or are held up on their way, arrive together
 	// with those of the next window.
+	It("counts a resend from the decision until a window after its arrival", func() {
+		now := time.Unix(1_700_000_000, 0)
+		bud := newBudget(now, yuccabudget.Bounds{Window: 10 * time.Second, Allowance: 2}, 1)
+		Expect(bud.DecideResend(now, "desk").Allowed).To(BeTrue())
+		now = now.Add(time.Minute)
+		Expect(bud.DecideResend(now, "desk").Allowed).To(BeFalse(), "it still waits")
+		bud.Arrived(now, "desk")
+		now = now.Add(9 * time.Second)
+		Expect(bud.DecideResend(now, "desk").Allowed).To(BeFalse(), "it has arrived within the window")
+		now = now.Add(2 * time.Second)
+		Expect(bud.DecideResend(now, "desk").Allowed).To(BeTrue())
+	})
+
 	// Guards against the failure that a resend is sent long after the requests that allowed it.
+	It("sends a resend only as long as the limit allows it", func() {
+		now := time.Unix(1_700_000_000, 0)
+		bud := newBudget(now, yuccabudget.Bounds{Window: 10 * time.Second, Ratio: 1}, 1)
+		bud.CountRequest(now, "desk")
+		bud.CountRequest(now, "desk")
+		Expect(bud.DecideResend(now, "desk").Allowed).To(BeTrue())
+		Expect(bud.MaySend(now.Add(5*time.Second), "desk")).To(BeTrue())
+		Expect(bud.MaySend(now.Add(11*time.Second), "desk")).To(BeFalse())
+		Expect(bud.DecideResend(now.Add(11*time.Second), "desk").Used).To(BeZero())
+	})
+
+	It("doesn't count a resend that isn't sent", func() {
+		now := time.Unix(1_700_000_000, 0)
+		bud := newBudget(now, yuccabudget.Bounds{Window: 10 * time.Second, Allowance: 2}, 1)
+		Expect(bud.DecideResend(now, "desk").Allowed).To(BeTrue())
+		bud.Drop(now, "desk")
+		Expect(bud.DecideResend(now, "desk").Allowed).To(BeTrue())
+	})
+
 	// Guards against the failure that a process which was frozen reads what callers sent meanwhile, and resends for it
 	// in a window in which nobody sent it.
 	// Guards against the failure that a process which was frozen has its part of the allowance when it wakes, though those
--- a/io/yuccagate/request.go
+++ b/io/yuccagate/request.go
@@ -72,6 +72,8 @@
 	// attempts that a target ran or may have run.
 	arrivals int
 	runs     int
+	// resend is what the request has charged to the budget of resends.
+	resend resendCharge
 	// quotaChecked reports whether the quota has been checked. chargedBy is the daemon that admitted
 	// the request and counted it against the quota of its account. It is zero if the request isn't
 	// counted. overQuota reports whether the request was admitted beyond the account's quota, within
@@ -89,7 +91,7 @@
 
 // ServeHTTP serves one request of a caller.
 func (gate *Gate) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	req := &callerRequest{gate: gate, w: w, unframed: resettable(r), arrivedAt: time.Now()}
+	req := &callerRequest{gate: gate, w: w, unframed: resettable(r), arrivedAt: time.Now(), resend: resendCharge{gate: gate}}
 	req.setWriteDeadline(req.arrivedAt.Add(refusalWriteTimeout))
 	if gate.draining() {
 		w.Header().Set("Connection", "close")
@@ -109,6 +111,7 @@
 	}
 	ctx, cancel := context.WithDeadlineCause(r.Context(), req.deadline, errTimeout)
 	defer cancel()
+	defer req.resend.end()
 	if prob := req.run(ctx); prob != nil {
 		if req.runs == 0 {
 			gate.refundQuota(req)
--- a/io/yuccagate/resend.go
+++ b/io/yuccagate/resend.go
@@ -4,6 +4,7 @@
 	"maps"
 	"math"
 	"slices"
+	"sync"
 	"time"
 
 	"yuccacleat/core/yuccabudget"
@@ -11,17 +12,98 @@
 	"yuccacleat/core/yuccapeer"
 )
 
-// chargeResend decides whether the resend budget allows a request that has reached one target to be
-// sent to another target. If so, it counts the resend.
-func (gate *Gate) chargeResend(pool yuccaid.Pool) (dec yuccabudget.Decision) {
-	gate.control.Call(func(now time.Time) { dec = gate.resendBudget.DecideResend(now, pool) })
-	gate.metrics.resendDecided(dec.Allowed)
-	return dec
+// resendCharge is what one request has charged to the budget of resends. It is safe for concurrent use, since
+// a request's watchdog charges resends too.
+type resendCharge struct {
+	gate *Gate
+
+	mu   sync.Mutex
+	pool yuccaid.Pool
+	// waiting reports whether a resend is charged that hasn't been sent, and sending whether one is on its
+	// way. A watchdog may charge the next resend while one is on its way.
+	waiting, sending bool
+	// ended reports whether the request has ended, so that nothing is sent any more.
+	ended bool
+}
+
+// charge decides whether a request that has reached a target of the pool may be sent to another. Found reports
+// that a resend had been charged before, and this one is it.
+func (chg *resendCharge) charge(pool yuccaid.Pool) (dec yuccabudget.Decision, found bool) {
+	chg.mu.Lock()
+	defer chg.mu.Unlock()
+	if chg.waiting || chg.ended {
+		return yuccabudget.Decision{Allowed: chg.waiting}, true
+	}
+	chg.pool = pool
+	chg.gate.control.Call(func(now time.Time) { dec = chg.gate.resendBudget.DecideResend(now, pool) })
+	chg.waiting = dec.Allowed
+	chg.gate.metrics.resendDecided(dec.Allowed)
+	return dec, false
+}
+
+// begin reports whether the request may be sent to the target that it has been granted: if a resend is charged,
+// whether the budget still allows it.
+func (chg *resendCharge) begin() bool {
+	chg.mu.Lock()
+	defer chg.mu.Unlock()
+	if !chg.waiting {
+		return true
+	}
+	chg.waiting = false
+	chg.gate.control.Call(func(now time.Time) { chg.sending = chg.gate.resendBudget.MaySend(now, chg.pool) })
+	return chg.sending
+}
+
+// arrived records that the request has reached a target, or that its connection was closed before.
+func (chg *resendCharge) arrived() {
+	chg.mu.Lock()
+	defer chg.mu.Unlock()
+	chg.endSending()
+}
+
+// unsent records that nothing of the request has been sent, so that the resend is still to come.
+func (chg *resendCharge) unsent() {
+	chg.mu.Lock()
+	defer chg.mu.Unlock()
+	if chg.sending && chg.waiting {
+		chg.drop()
+	}
+	chg.waiting = chg.waiting || chg.sending
+	chg.sending = false
+}
+
+// end records that the request has ended.
+func (chg *resendCharge) end() {
+	chg.mu.Lock()
+	defer chg.mu.Unlock()
+	chg.endSending()
+	if chg.waiting {
+		chg.drop()
+	}
+	chg.waiting, chg.ended = false, true
 }
 
-// resendFields returns what is logged on a decision on a resend.
-func resendFields(dec yuccabudget.Decision) []any {
-	return []any{"resent", dec.Used, "limit", math.Round(10*dec.Limit) / 10, "among", dec.Daemons, "share", math.Round(1000*dec.Share) / 1000}
+func (chg *resendCharge) endSending() {
+	if chg.sending {
+		pool := chg.pool
+		chg.gate.control.Post(func(now time.Time) { chg.gate.resendBudget.Arrived(now, pool) })
+	}
+	chg.sending = false
+}
+
+func (chg *resendCharge) drop() {
+	pool := chg.pool
+	chg.gate.control.Post(func(now time.Time) { chg.gate.resendBudget.Drop(now, pool) })
+}
+
+// mayResend reports whether the budget allows the request, which has reached one target, to be sent to
+// another, and what is logged on that.
+func (req *callerRequest) mayResend() (allowed bool, fields []any) {
+	dec, found := req.resend.charge(req.pool)
+	if !found {
+		fields = []any{"resent", dec.Used, "limit", math.Round(10*dec.Limit) / 10, "among", dec.Daemons, "share", math.Round(1000*dec.Share) / 1000}
+	}
+	return dec.Allowed, fields
 }
 
 // seedReachedFor is how long a seed counts as reached after this daemon has last reached it, so that a seed that is
--- a/io/yuccagate/run.go
+++ b/io/yuccagate/run.go
@@ -76,7 +76,7 @@
 		if outcome == yuccagrant.Served {
 			if err := req.holdBody(att); err != nil {
 				req.finishAttempt(ctx, att, yuccagrant.Finished{TimeToFirst: att.timeToHead}, err)
-				if prob := req.problemUnlessResent(ctx, att, yuccagrant.Broken); prob != nil {
+				if prob := req.problemUnlessResent(ctx, yuccagrant.Broken); prob != nil {
 					return prob
 				}
 				continue
@@ -87,7 +87,7 @@
 			return req.relay(ctx, att)
 		case outcome == yuccagrant.Served:
 			att.watchdog.disarm()
-			if !req.shouldResend(yuccagrant.Failed, att) {
+			if !req.shouldResend(yuccagrant.Failed) {
 				return req.relay(ctx, att)
 			}
 			req.gate.postFinished(plc, yuccagrant.Finished{Outcome: yuccagrant.Failed, Load: att.report.Load})
@@ -95,7 +95,7 @@
 		default:
 			att.close()
 			req.gate.postFinished(plc, yuccagrant.Finished{Outcome: outcome, Load: att.report.Load})
-			if prob := req.problemUnlessResent(ctx, att, outcome); prob != nil {
+			if prob := req.problemUnlessResent(ctx, outcome); prob != nil {
 				return prob
 			}
 		}
@@ -121,6 +121,10 @@
 		prob = dec.problem
 	case dec.refusal != nil:
 		prob = refusalProblem(dec)
+	case !req.resend.begin():
+		req.logDecision("again", "may", false, "why", "budget of resends", "sends", req.sends, "runs", req.runs)
+		req.gate.postFinished(plc, yuccagrant.Finished{Outcome: yuccagrant.Dropped})
+		prob = req.problemAfterFailure(ctx, yuccagrant.Rejected)
 	}
 	if prob != nil && req.runs > 0 && prob.promisesNotRun() {
 		prob = &Problem{Kind: KindLost, Detail: "it ran before: " + string(prob.Kind), logFields: prob.logFields}
@@ -129,15 +133,15 @@
 }
 
 // shouldResend reports whether the request may be sent to another target after an outcome, and if
-// so counts the resend against the budget, unless the attempt's watchdog has already counted it.
-func (req *callerRequest) shouldResend(outcome yuccagrant.Outcome, att *attempt) bool {
+// so counts the resend against the budget, unless a watchdog has already counted it.
+func (req *callerRequest) shouldResend(outcome yuccagrant.Outcome) bool {
 	allowed, reason := req.mayRepeat(outcome)
 	fields := []any{"outcome", outcome.String(), "sends", req.sends, "runs", req.runs}
 	// A request that has reached no target yet isn't sent a second time.
-	if allowed && req.arrivals > 0 && !att.watchdog.resendCharged.Load() {
-		dec := req.gate.chargeResend(req.pool)
-		fields = append(fields, resendFields(dec)...)
-		if !dec.Allowed {
+	if allowed && req.arrivals > 0 {
+		inBudget, budgetFields := req.mayResend()
+		fields = append(fields, budgetFields...)
+		if !inBudget {
 			allowed, reason = false, "budget of resends"
 		}
 	}
@@ -173,8 +177,8 @@
 
 // problemUnlessResent returns the problem of a request whose attempt ended with the outcome, or nil if
 // the request is to be sent to another target.
-func (req *callerRequest) problemUnlessResent(ctx context.Context, att *attempt, outcome yuccagrant.Outcome) *Problem {
-	if ctx.Err() != nil || !req.shouldResend(outcome, att) {
+func (req *callerRequest) problemUnlessResent(ctx context.Context, outcome yuccagrant.Outcome) *Problem {
+	if ctx.Err() != nil || !req.shouldResend(outcome) {
 		return req.problemAfterFailure(ctx, outcome)
 	}
 	return nil
@@ -223,6 +227,7 @@
 	ctx, att.watchdog = req.startWatchdog(ctx, dec.decisionInputs.expectedFirst)
 	if req.bound {
 		if req.hasRestarted(ctx, dec) {
+			req.resend.unsent()
 			return att, yuccagrant.Misdirected
 		}
 		att.sentAt = time.Now()
@@ -234,8 +239,10 @@
 		req.logDecision("unanswered", "target", dec.target, "send", req.sends, "error", err)
 		var unsent *yuccahop.UnsentError
 		if errors.As(err, &unsent) {
+			req.resend.unsent()
 			return att, yuccagrant.Unreachable
 		}
+		req.resend.arrived()
 		req.arrivals++
 		req.runs++
 		cause := context.Cause(ctx)
@@ -244,6 +251,7 @@
 		}
 		return att, yuccagrant.Lost
 	}
+	req.resend.arrived()
 	req.arrivals++
 	att.answer = answer
 	att.report = req.gate.dialect.ReadReport(answer.Status, answer.Header)
--- a/io/yuccagate/stream.go
+++ b/io/yuccagate/stream.go
@@ -51,7 +51,7 @@
 		if ctx.Err() != nil || errors.As(err, &writeFailed) || st.unnumbered || !st.req.confirmVersion() {
 			return err
 		}
-		next := st.req.resume(ctx, st, att)
+		next := st.req.resume(ctx, st)
 		if next == nil {
 			return err
 		}
@@ -189,15 +189,14 @@
 // If streams weren't resumed, the caller of a long response whose target crashes would lose the
 // whole response, or retry and have it generated again. A target that resumes the stream only has
 // to read the prompt again.
-func (req *callerRequest) resume(ctx context.Context, st *stream, att *attempt) *attempt {
+func (req *callerRequest) resume(ctx context.Context, st *stream) *attempt {
 	req.streamBrokeAt = time.Now()
-	for req.shouldResend(yuccagrant.Broken, att) {
-		plc, dec, err := req.gate.acquire(ctx, req)
-		if err != nil || dec.refusal != nil || dec.problem != nil {
+	for req.shouldResend(yuccagrant.Broken) {
+		plc, dec, prob := req.awaitTarget(ctx)
+		if prob != nil {
 			return nil
 		}
-		next, outcome := req.send(ctx, plc, dec, st.lastEventID)
-		att = next
+		att, outcome := req.send(ctx, plc, dec, st.lastEventID)
 		if outcome == yuccagrant.Served && att.answer.Status == http.StatusOK && req.isStream(att) {
 			req.logDecision("resumed", "target", dec.target, "version", dec.version, "position", st.lastEventID)
 			return att
--- a/io/yuccagate/watchdog.go
+++ b/io/yuccagate/watchdog.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"sync/atomic"
 	"time"
 )
 
@@ -32,9 +31,6 @@
 	// timer calls fire. It is nil if the watchdog may not cancel the attempt.
 	timer  *time.Timer
 	cancel context.CancelCauseFunc
-	// resendCharged reports whether the watchdog has cancelled the attempt, and has already counted
-	// the resend that follows against the resend budget.
-	resendCharged atomic.Bool
 }
 
 // startWatchdog returns the context of an attempt, and a watchdog that cancels it unless the
@@ -51,10 +47,9 @@
 
 // fire cancels the attempt if the resend budget allows to send the request to another target.
 func (wd *watchdog) fire() {
-	dec := wd.req.gate.chargeResend(wd.req.pool)
-	wd.req.logDecision("silent", append(resendFields(dec), "may", dec.Allowed)...)
-	if dec.Allowed {
-		wd.resendCharged.Store(true)
+	allowed, fields := wd.req.mayResend()
+	wd.req.logDecision("silent", append(fields, "may", allowed)...)
+	if allowed {
 		wd.cancel(errSilent)
 	}
 }
