A daemon that was paused counts no old requests, and waits for its part like one that starts

Requests of the first second after a pause, and those before it, don't count. After a pause of a window or more a daemon has no part for 1.2 windows.

--- a/core/yuccabudget/budget.go
+++ b/core/yuccabudget/budget.go
@@ -18,6 +18,8 @@
 	allowanceShare = 0.85
 	// changeShare is the share of the window in which all daemons learn of a change of the fleet.
 	changeShare = 0.2
+	// backlogTime is the time in which a process that resumes after a pause reads what callers sent meanwhile.
+	backlogTime = time.Second
 )
 
 // Bounds is the limit on the resends of one pool over all daemons: within any Window, at most Ratio
@@ -39,6 +41,8 @@
 	knownDaemons largest
 	fleetKnownAt time.Time
 	shares       smallest
+	// countsFrom is when requests begin to count.
+	countsFrom time.Time
 }
 
 // poolCounts counts one pool's requests, and its resends that have arrived, within the sliding window.
@@ -73,6 +77,21 @@
 	bud.shares.add(now, 0)
 }
 
+// MarkResumed records that this process resumes after a pause. What it reads next may have been sent long
+// before, and its clock may not have counted the pause. So neither the requests before now nor those of the next
+// moment count, which would allow resends in a window in which they were not sent.
+//
+// Daemons that have started while this one was paused for longer than a window may have its part of the allowance.
+func (bud *Budget) MarkResumed(now time.Time, pausedFor time.Duration) {
+	if pausedFor >= bud.bounds.Window {
+		bud.MarkCountsLost(now)
+	}
+	bud.countsFrom = now.Add(backlogTime)
+	for _, counts := range bud.pools {
+		counts.requests = yuccawindow.Sum{}
+	}
+}
+
 // SetFleet sets the daemons that share the allowance. It is called often, also while nothing is resent,
 // because daemons that are no longer known still count for fleetMemory.
 func (bud *Budget) SetFleet(now time.Time, flt Fleet) {
@@ -95,7 +114,10 @@
 
 // CountRequest counts a request that arrived from a caller.
 func (bud *Budget) CountRequest(now time.Time, pool yuccaid.Pool) {
-	bud.countsOf(now, pool).requests.Add(1)
+	counts := bud.countsOf(now, pool)
+	if !now.Before(bud.countsFrom) {
+		counts.requests.Add(1)
+	}
 }
 
 // Decision is the decision on one resend, with what it was made from.
--- a/core/yuccabudget/budget_test.go
+++ b/core/yuccabudget/budget_test.go
@@ -218,8 +218,35 @@
 
 	// Guards against the failure that a process which was frozen reads what callers sent meanwhile, and resends for it
 	// in a window in which nobody sent it.
+	It("doesn't count requests that may have been sent before a pause ended", func() {
+		now := time.Unix(1_700_000_000, 0)
+		bud := newBudget(now, yuccabudget.Bounds{Window: 10 * time.Second, Ratio: 1}, 1)
+		for range 10 {
+			bud.CountRequest(now, "desk")
+		}
+		bud.MarkResumed(now, time.Second)
+		for range 10 {
+			bud.CountRequest(now, "desk")
+		}
+		Expect(bud.DecideResend(now, "desk").Limit).To(BeZero())
+		now = now.Add(time.Second)
+		bud.CountRequest(now, "desk")
+		Expect(bud.DecideResend(now, "desk").Limit).To(Equal(0.5))
+	})
+
 	// Guards against the failure that a process which was frozen has its part of the allowance when it wakes, though those
 	// that have started meanwhile divide all of it.
+	It("has no allowance after a pause of a window until a window has passed", func() {
+		now := time.Unix(1_700_000_000, 0)
+		bud := newBudget(now, bounds, 4)
+		bud.MarkResumed(now.Add(time.Minute), 9*time.Second)
+		Expect(bud.DecideResend(now.Add(time.Minute), "desk").Allowed).To(BeTrue())
+		bud.MarkResumed(now.Add(2*time.Minute), 10*time.Second)
+		bud.SetFleet(now.Add(2*time.Minute), yuccabudget.Fleet{Daemons: 4})
+		Expect(bud.DecideResend(now.Add(2*time.Minute), "desk").Allowed).To(BeFalse())
+		Expect(bud.DecideResend(now.Add(2*time.Minute+12*time.Second), "desk").Allowed).To(BeTrue())
+	})
+
 	It("counts each pool separately", func() {
 		now := time.Unix(1_700_000_000, 0)
 		bud := newBudget(now, bounds, 1)
--- a/io/yuccagate/peers.go
+++ b/io/yuccagate/peers.go
@@ -127,6 +127,7 @@
 		gate.log.stateChange("woken from a pause", "pauseMillis", change.PausedFor.Milliseconds())
 		clear(gate.platformReports)
 		clear(gate.remoteCentres)
+		gate.resendBudget.MarkResumed(now, change.PausedFor)
 	}
 	for _, message := range change.Messages {
 		gate.sendHeartbeat(message)
