A seed in another data centre counts as reached only if daemons there reach it

Cause: daemons counted a seed of another data centre while anything was heard from there. Seeds that start again, cut off within their own data centre, have their shares of the allowance as well. Now gateways report which seeds of their data centre they reach, at once when that changes and each second (KindSeeds, ignored by older builds; a fleet of two builds has smaller shares meanwhile); a report is passed on within the data centre and lapses after 1.5 s. And a seed that isn't reached any more counts for 0.5 s in place of 2, so that a cut is noticed within the fifth of a ten-second window in which all are taken to learn of a change. Ruled out: a field in casts (arrays, whose length older builds compare), counting unreached machines of the other data centre (it would lose shares whenever one machine there is down). 195 bytes a second of a daemon at three seeds, a fifteenth of what is aimed at.

--- a/io/yuccagate/gate.go
+++ b/io/yuccagate/gate.go
@@ -138,11 +138,10 @@
 	fullUsageDue bool
 	fullUsageAt  time.Time
 	// resendBudget bounds how many requests are sent to another target after an attempt has
-	// failed. seedsReachedAt has when this daemon last reached each seed, and seedCentres the data
-	// centres of those that it has known, by address.
-	resendBudget   *yuccabudget.Budget
-	seedsReachedAt map[string]time.Time
-	seedCentres    map[string]yuccaid.Centre
+	// failed.
+	resendBudget *yuccabudget.Budget
+	// seeds is what this daemon knows of the seeds.
+	seeds seeds
 
 	// origins is what this daemon knows of where streams began.
 	origins origins
@@ -209,8 +208,7 @@
 		platformReports:     make(map[yuccaroster.Reader]platformReport),
 		ledger:              yuccaquota.New(settings.Bounds.tolerance(), yuccaquota.WithSalt(mathrand.Uint64())),
 		resendBudget:        yuccabudget.New(settings.Bounds.resendBounds()),
-		seedsReachedAt:      make(map[string]time.Time),
-		seedCentres:         make(map[string]yuccaid.Centre),
+		seeds:               newSeeds(),
 		schedulers:          make(map[yuccaid.Pool]*scheduler),
 		placements:          make(map[uint64]*placement),
 
--- a/io/yuccagate/peers.go
+++ b/io/yuccagate/peers.go
@@ -127,6 +127,7 @@
 		gate.log.stateChange("woken from a pause", "pauseMillis", change.PausedFor.Milliseconds())
 		clear(gate.platformReports)
 		clear(gate.remoteCentres)
+		clear(gate.seeds.remote)
 		gate.resendBudget.MarkResumed(now, change.PausedFor)
 	}
 	for _, message := range change.Messages {
@@ -251,6 +252,8 @@
 		return decodeThen(frame, func(message yuccawire.OriginAnswer) { gate.onOriginAnswer(now, message) })
 	case yuccawire.KindVersionAsk:
 		return decodeThen(frame, func(message yuccawire.VersionAsk) { gate.onVersionAsk(now, from, message) })
+	case yuccawire.KindSeeds:
+		return decodeThen(frame, func(message yuccawire.Seeds) { gate.onSeeds(now, from, message) })
 	case yuccawire.KindHolding:
 		return decodeThen(frame, func(message yuccawire.Holding) { gate.onHolding(now, from, message) })
 	}
--- a/io/yuccagate/resend.go
+++ b/io/yuccagate/resend.go
@@ -1,15 +1,12 @@
 package yuccagate
 
 import (
-	"maps"
 	"math"
-	"slices"
 	"sync"
 	"time"
 
 	"yuccacleat/core/yuccabudget"
 	"yuccacleat/core/yuccaid"
-	"yuccacleat/core/yuccapeer"
 )
 
 // resendCharge is what one request has charged to the budget of resends. It is safe for concurrent use, since
@@ -106,16 +103,11 @@
 	return dec.Allowed, fields
 }
 
-// seedReachedFor is how long a seed counts as reached after this daemon has last reached it, so that a seed that is
-// started again counts all the while.
-const seedReachedFor = 2 * time.Second
-
 // resendFleet returns the daemons that share the allowance of resends. Unlike countDaemons, it counts daemons
 // that have stopped: what they have resent is still in the window.
 func (gate *Gate) resendFleet(now time.Time) yuccabudget.Fleet {
 	visible, _ := gate.countDaemons(now)
-	gate.noteReachedSeeds(now)
-	flt := yuccabudget.Fleet{Seeds: len(gate.settings.Seeds), ReachedSeeds: len(gate.seedsReachedAt)}
+	flt := yuccabudget.Fleet{Seeds: len(gate.settings.Seeds), ReachedSeeds: gate.countReachedSeeds(now)}
 	flt.Daemons = max(len(gate.peers.Candidates(gate.settings.Centre)), len(gate.peers.Live(gate.settings.Centre)))
 	for _, centre := range gate.remoteCentres {
 		flt.Daemons += centre.expected(now)
@@ -123,40 +115,3 @@
 	flt.Isolated = visible <= 1 && max(flt.Daemons, flt.Seeds) > 1
 	return flt
 }
-
-// noteReachedSeeds records which seeds this daemon reaches, and drops those that it hasn't reached for some time.
-func (gate *Gate) noteReachedSeeds(now time.Time) {
-	for _, address := range gate.settings.Seeds {
-		if gate.reachesSeed(now, address) {
-			gate.seedsReachedAt[address] = now
-		}
-	}
-	maps.DeleteFunc(gate.seedsReachedAt, func(address string, at time.Time) bool {
-		return now.Sub(at) >= seedReachedFor || !slices.Contains(gate.settings.Seeds, address)
-	})
-}
-
-// reachesSeed reports whether a seed is in this daemon's view, or in another data centre from which something was
-// heard lately. Of the daemons there, only gateways are in the view.
-func (gate *Gate) reachesSeed(now time.Time, address string) bool {
-	if gate.peers.ReachesAddress(address) {
-		return true
-	}
-	centre := gate.remoteCentres[gate.seedCentre(address)]
-	return centre != nil && now.Sub(centre.receivedAt) < centreFreshFor
-}
-
-// seedCentre returns the data centre of a seed, or an empty name if it isn't known. It is remembered, since
-// candidates in other data centres are forgotten.
-func (gate *Gate) seedCentre(address string) yuccaid.Centre {
-	if known := gate.seedCentres[address]; known != "" {
-		return known
-	}
-	hasAddress := func(listing yuccapeer.Listing) bool { return listing.Address == address }
-	for name := range gate.settings.Regions {
-		if slices.ContainsFunc(gate.peers.Candidates(name), hasAddress) {
-			gate.seedCentres[address] = name
-		}
-	}
-	return gate.seedCentres[address]
-}
--- a/io/yuccagate/usage.go
+++ b/io/yuccagate/usage.go
@@ -61,6 +61,7 @@
 		Share: quotaShare, Daemons: total, Leaders: gate.countCentres(now),
 		ReportDelay: min(interval, usageInterval) + castDelay, AloneReportDelay: interval + castDelay,
 	})
+	gate.reportSeeds(now)
 	gate.resendBudget.SetFleet(now, gate.resendFleet(now))
 	gate.reportUsage(now, interval)
 	gate.castUsage(now, castSpacing(total))
--- a/io/yuccawire/gate.go
+++ b/io/yuccawire/gate.go
@@ -106,6 +106,12 @@
 	Targets *Targets
 }
 
+// Seeds has the addresses of the seeds in a data centre that its sender reaches there.
+type Seeds struct {
+	Centre    yuccaid.Centre
+	Addresses []string
+}
+
 // HeldPart is a part of prompts that a target holds.
 type HeldPart struct {
 	Target yuccaid.Target
--- a/io/yuccawire/gate_test.go
+++ b/io/yuccawire/gate_test.go
@@ -128,3 +128,26 @@
 		}
 	})
 })
+
+var _ = Describe("the seeds of a data centre", func() {
+	It("are read as they were written, also if there are none", func() {
+		for _, message := range []yuccawire.Seeds{{Centre: "odessa", Addresses: []string{"10.0.0.1:7000"}}, {Centre: "odessa"}} {
+			frame, err := yuccawire.Encode(yuccawire.KindSeeds, message)
+			Expect(err).NotTo(HaveOccurred())
+			read, err := yuccawire.Read(bytes.NewReader(frame))
+			Expect(err).NotTo(HaveOccurred())
+			var got yuccawire.Seeds
+			Expect(read.Decode(&got)).To(Succeed())
+			Expect(got).To(Equal(message))
+		}
+	})
+
+	// Guards against the failure that what daemons tell each other of seeds takes more than a tenth of the bytes that
+	// are aimed at. The platform names three seeds, and one report a second of each is passed on.
+	It("take less than a tenth of the bytes that are aimed at", func() {
+		frame, err := yuccawire.Encode(yuccawire.KindSeeds, yuccawire.Seeds{Centre: "centre-of-odessa-3", Addresses: []string{"10.100.200.100:10000"}})
+		Expect(err).NotTo(HaveOccurred())
+		const reports, aimedBytes = 3, 3000
+		Expect(reports * len(frame)).To(BeNumerically("<", aimedBytes/10))
+	})
+})
--- a/io/yuccawire/kind.go
+++ b/io/yuccawire/kind.go
@@ -96,6 +96,8 @@
 	KindOriginQuery
 	// KindOriginAnswer carries an OriginAnswer.
 	KindOriginAnswer
+	// KindSeeds carries Seeds from one data centre to the daemons of the others. Older builds ignore it.
+	KindSeeds
 )
 
 var kindNames = map[Kind]string{
@@ -146,6 +148,8 @@
 	KindOrigins:      "origins",
 	KindOriginQuery:  "originQuery",
 	KindOriginAnswer: "originAnswer",
+
+	KindSeeds: "seeds",
 }
 
 // String returns the kind's name in logs and metrics, or its number.
