The spec of one reader for several data centres waits until these have met

The spec had taken the moment at which only the first of them had settled for the end of the start. No code is changed.

--- a/io/yuccagate/reader_test.go
+++ b/io/yuccagate/reader_test.go
@@ -75,6 +75,22 @@
 	})
 })
 
+// joined reports whether all gateways are connected to their neighbours, each data centre to the other, and all know of
+// an answer of the platform. Until then each side of a fleet that starts may read for itself.
+func joined(gates []*gate) bool {
+	linked := make(map[[2]yuccaid.Centre]bool)
+	for _, gt := range gates {
+		status := gt.Status()
+		if len(status.Peers) == 0 || status.PlatformAgeMillis < 0 {
+			return false
+		}
+		for _, peer := range status.Peers {
+			linked[[2]yuccaid.Centre{status.Centre, peer.Centre}] = true
+		}
+	}
+	return len(linked) == 4
+}
+
 var _ = Describe("the daemons of several data centres", func() {
 	// Each call to the platform is paid for. If one daemon of each data centre read the platform,
 	// fourteen data centres would pay fourteen times for the same news.
@@ -87,6 +103,7 @@
 			gt.configure(1, config(), 4, eng)
 		}
 		count := func() int { return len(poll(gates)) }
+		Eventually(func() bool { count(); return joined(gates) }, 5*time.Second, 50*time.Millisecond).Should(BeTrue())
 		Eventually(count, 5*time.Second, 50*time.Millisecond).Should(Equal(1))
 		Consistently(count, time.Second, 50*time.Millisecond).Should(Equal(1))
 		reader := poll(gates)[0]
