A silent target keeps its request until another one has answered

Cause: the watchdog ended an attempt after three times the predicted time and 0.3 s, or after four times the longest gap, before anything better was at hand, and knew nothing of the other targets. Class: silence taken for death, and what is held given up for a hope.

Change: before the first event, a request stays at its silent target while it is also sent to another one; the first of them that answers is relayed (race.go, attempt.go). A response that replaces one is read up to 256 KB before, so that one that breaks off replaces nothing. A target's own error response is kept until something better has come, not until another target is found. A target that has the stream already isn't granted as its own replacement. Of targets that have all been tried, the last one comes last. Resends are charged for each send (resend.go), since several may be on their way. A whole response is delivered also after the deadline.

Ruled out: a longer watchdog alone (a lost answer of a lookup would come after 2.5 s of 2.5 to 4 s); keeping the silent run in the middle of a stream until the other has sent an event (two runs go on at once).

All specs of io/yuccagate, platform, platform/edge and cmd/yuccacleat pass beside load; those of yuccagate under the race detector. The spec 'has its stream continued by another target' asks for a target that hangs for ever within 2 s; it holds by the share of the caller's time.

--- /dev/null
+++ b/io/yuccagate/attempt.go
@@ -0,0 +1,207 @@
+package yuccagate
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"yuccacleat/core/yuccagrant"
+	"yuccacleat/io/yuccahop"
+)
+
+// errSilent is why a run ends whose target has sent nothing for long, once another target has been granted or has answered.
+// errReplaced is why one ends that lost its race.
+var (
+	errSilent   = errors.New("the target has sent nothing for too long, and another one serves")
+	errReplaced = errors.New("another target has answered")
+)
+
+// attempt is one attempt to have a request served by one target. While its exchange runs, only the exchange's
+// goroutine uses the fields below done.
+type attempt struct {
+	req *callerRequest
+	plc *placement
+	dec decision
+	// sentAt is when the request was sent. charged reports whether it is charged to the budget of resends.
+	sentAt  time.Time
+	charged bool
+	// lastEventID is the id of the event after which the target is told to continue the stream, empty if it
+	// is to send all events.
+	lastEventID string
+	// silent reports whether the target had sent nothing for long when another one was looked for.
+	silent bool
+	// holdBytes is how much of a response that isn't a stream is read before any of it is sent to the caller.
+	holdBytes int64
+	ctx       context.Context
+	cancel    context.CancelCauseFunc
+	// done is closed when the exchange has ended.
+	done chan struct{}
+
+	// answer is the target's response, nil if none came; then err says why. report is what the response's
+	// status and header say about the target and the run.
+	answer *yuccahop.Answer
+	err    error
+	report TargetReport
+	// timeToFirst is the time from the sending to the head of a response that isn't a stream, or to the first
+	// event of one that is.
+	timeToFirst time.Duration
+	// held is the beginning of the body of a response that isn't a stream.
+	held []byte
+	// reader reads the events of a stream, and events are the first ones.
+	reader *eventReader
+	events []event
+	// broke is why the response broke off before its first event or within what was to be held.
+	broke error
+	// unfinished is the length of the part of an event with which a stream ended, in bytes.
+	unfinished int
+}
+
+// newAttempt returns an attempt at a granted target, and counts it.
+func (req *callerRequest) newAttempt(ctx context.Context, plc *placement, dec decision, lastEventID string) *attempt {
+	att := &attempt{req: req, plc: plc, dec: dec, sentAt: time.Now(), lastEventID: lastEventID, holdBytes: copyBufferBytes, done: make(chan struct{})}
+	att.ctx, att.cancel = context.WithCancelCause(ctx)
+	req.sends++
+	req.tried = append(req.tried, att.dec.target)
+	return att
+}
+
+// start sends the request on a goroutine of its own, which passes the attempt to the function ended.
+func (att *attempt) start(ended func(*attempt)) {
+	req := att.req
+	att.sentAt = time.Now()
+	outgoing := req.outgoing
+	outgoing.Header = req.targetHeader(att.sentAt, att.dec, att.lastEventID)
+	req.gate.metrics.sent(req.metricRank(), att.dec.withoutLeader, att.sentAt.Sub(req.arrivedAt))
+	req.logSent(att)
+	go func() {
+		att.exchange(&outgoing)
+		close(att.done)
+		ended(att)
+	}()
+}
+
+// exchange sends the request, waits for the head of the response, and reads its beginning.
+func (att *attempt) exchange(outgoing *yuccahop.Outgoing) {
+	req := att.req
+	matches := func(header http.Header) bool { return req.gate.dialect.MatchesRequest(header, req.info.ID) }
+	att.answer, att.err = req.gate.targetClient.Send(att.ctx, att.dec.address, outgoing, matches)
+	if att.err != nil {
+		return
+	}
+	att.timeToFirst = time.Since(att.sentAt)
+	att.report = req.gate.dialect.ReadReport(att.answer.Status, att.answer.Header)
+	switch {
+	case att.report.Misdirected || att.report.NotRun:
+	case att.isStream():
+		att.awaitEvent()
+	default:
+		att.broke = att.holdBody()
+	}
+}
+
+// isStream reports whether the target's response is forwarded event by event: the route is a
+// streaming route and the response is a stream of events.
+func (att *attempt) isStream() bool {
+	return att.answer != nil && att.req.isStream(att.answer)
+}
+
+// awaitEvent reads a stream up to its first event.
+func (att *attempt) awaitEvent() {
+	att.reader = newEventReader(att.answer)
+	att.events, att.broke = att.reader.next()
+	att.timeToFirst = time.Since(att.sentAt)
+	if att.broke == nil {
+		return
+	}
+	att.unfinished = att.reader.unfinished()
+	if att.broke == io.EOF && !att.endedBeforeItBegan() {
+		att.broke = nil
+	} else if att.broke == io.EOF {
+		att.broke = errNoEvent
+	}
+}
+
+// endedBeforeItBegan reports whether a stream that has ended without an event was most likely broken off before its
+// first one: nothing but the close of the connection says that it is complete. A stream that continues after an event
+// may have nothing left.
+func (att *attempt) endedBeforeItBegan() bool {
+	return att.lastEventID == "" && att.answer.Status == http.StatusOK && att.answer.Framing() == yuccahop.FramedByClose
+}
+
+// whole reports whether the whole response has been read.
+func (att *attempt) whole() bool {
+	return att.answer != nil && !att.isStream() && att.answer.Whole()
+}
+
+// end ends the exchange with a cause and waits for its goroutine.
+func (att *attempt) end(cause error) {
+	att.cancel(cause)
+	<-att.done
+	att.close()
+}
+
+// close ends the exchange with the target, whose goroutine has ended, and cancels the attempt's context.
+func (att *attempt) close() {
+	if att.answer != nil {
+		att.answer.Close()
+	}
+	att.cancel(nil)
+}
+
+// settle counts an attempt whose exchange has ended, and returns its outcome.
+func (req *callerRequest) settle(att *attempt) yuccagrant.Outcome {
+	var unsent *yuccahop.UnsentError
+	if att.err != nil {
+		req.logDecision("unanswered", "target", att.dec.target, "send", req.sends, "error", att.err)
+	}
+	if errors.As(att.err, &unsent) {
+		if att.charged {
+			req.resend.unsent()
+		}
+		return yuccagrant.Unreachable
+	}
+	if att.charged {
+		req.resend.arrived()
+	}
+	req.arrivals++
+	switch {
+	case att.err == nil && att.report.Misdirected:
+		return yuccagrant.Misdirected
+	case att.err == nil && att.report.NotRun:
+		return yuccagrant.Rejected
+	}
+	req.runs++
+	switch {
+	case att.err != nil:
+		return lostOutcome(context.Cause(att.ctx))
+	case att.broke != nil:
+		return yuccagrant.Broken
+	case att.answer.Status >= http.StatusInternalServerError:
+		return yuccagrant.Failed
+	}
+	return yuccagrant.Served
+}
+
+// lostOutcome returns the outcome of an attempt that got no response and whose context ended with the cause,
+// nil if it didn't end.
+func lostOutcome(cause error) yuccagrant.Outcome {
+	if cause != nil && !errors.Is(cause, errTimeout) && !errors.Is(cause, errSilent) {
+		return yuccagrant.Dropped
+	}
+	return yuccagrant.Lost
+}
+
+// logSent logs an attempt and what its decision was made from, before the outcome is known. If no
+// further line on the attempt follows, the target probably hangs.
+func (req *callerRequest) logSent(att *attempt) {
+	dec := att.dec
+	req.logStep("sent",
+		"account", req.accountName(), "route", req.routeName(),
+		"target", dec.target, "version", dec.version, "resumes", req.info.Resumes, "from", req.info.LastEventID, "send", req.sends, "waitedMillis", att.sentAt.Sub(req.arrivedAt).Milliseconds(),
+		"leader", dec.decisionInputs.leader, "alone", dec.withoutLeader, "expectMillis", dec.decisionInputs.expectedFirst.Milliseconds(), "busy", dec.decisionInputs.busy,
+		"number", req.table.Number(), "revision", dec.decisionInputs.platformRevision, "newsAgeMillis", dec.decisionInputs.platformAge.Milliseconds(),
+		"charged", req.info.Charged, "over", req.overQuota, "prompt", req.info.Prompt, "answer", req.info.Answer, "parts", len(req.info.Parts), "held", dec.decisionInputs.held, "fetchFrom", dec.decisionInputs.fetchFrom,
+	)
+}
--- a/io/yuccagate/body.go
+++ b/io/yuccagate/body.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"io"
-	"time"
 
 	"yuccacleat/core/yuccagrant"
 )
@@ -15,30 +14,30 @@
 // holdBody reads the beginning of a response that isn't a stream of events before any of it is sent to
 // the caller; that is all of a short one. If the target breaks the response off meanwhile, holdBody
 // returns the error, and the request can be sent to another target or be answered with a problem.
-func (req *callerRequest) holdBody(att *attempt) error {
-	if req.isStream(att) {
-		return nil
-	}
-	att.timeToHead = time.Since(att.sentAt)
-	size := int64(copyBufferBytes)
-	if length := att.answer.Length; length >= 0 {
-		// With one byte more than the body has, the read goes on to the body's end.
-		size = min(size, length+1)
-	}
-	buf := make([]byte, size)
-	n, err := io.ReadFull(att.answer, buf)
-	att.held = buf[:n]
-	if att.answer.Whole() {
-		return nil
+func (att *attempt) holdBody() error {
+	for int64(len(att.held)) < att.holdBytes {
+		size := min(int64(copyBufferBytes), att.holdBytes-int64(len(att.held)))
+		if length := att.answer.Length; length >= 0 {
+			// With one byte more than the body has, the read goes on to the body's end.
+			size = min(size, length+1-int64(len(att.held)))
+		}
+		part := make([]byte, size)
+		n, err := io.ReadFull(att.answer, part)
+		att.held = append(att.held, part[:n]...)
+		if att.answer.Whole() {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
 	}
-	return err
+	return nil
 }
 
 // relayBody relays a response that is not a stream of events, after holdBody has read its beginning.
 func (req *callerRequest) relayBody(ctx context.Context, att *attempt) error {
-	att.watchdog.disarm()
 	err := req.copyBody(att)
-	req.finishAttempt(ctx, att, yuccagrant.Finished{TimeToFirst: att.timeToHead}, err)
+	req.finishAttempt(ctx, att, yuccagrant.Finished{TimeToFirst: att.timeToFirst}, err)
 	return err
 }
 
@@ -50,7 +49,7 @@
 	if att.answer.Whole() {
 		return nil
 	}
-	buf := att.held
+	buf := make([]byte, copyBufferBytes)
 	for {
 		n, err := att.answer.Read(buf)
 		if n > 0 {
--- a/io/yuccagate/origin.go
+++ b/io/yuccagate/origin.go
@@ -63,7 +63,7 @@
 // postBegun has the control goroutine remember where a stream began, or that it goes on there.
 func (req *callerRequest) postBegun(att *attempt) {
 	gate := req.gate
-	gate.control.Post(func(now time.Time) { gate.rememberOrigin(now, req, att.plc.target, att.version) })
+	gate.control.Post(func(now time.Time) { gate.rememberOrigin(now, req, att.plc.target, att.dec.version) })
 }
 
 // rememberOrigin remembers the origin of one of this daemon's streams, and passes it on unless the pool
--- a/io/yuccagate/placement.go
+++ b/io/yuccagate/placement.go
@@ -1,7 +1,6 @@
 package yuccagate
 
 import (
-	"context"
 	"slices"
 	"time"
 
@@ -19,6 +18,9 @@
 	pool yuccaid.Pool
 	// request holds what schedulers need to know of req to decide on it.
 	request yuccagrant.Request
+	// replaces reports whether the placement is for a target that is to replace one which still has the
+	// request. It isn't granted a target that already has the request.
+	replaces bool
 	// decision receives the one decision on the placement.
 	decision chan decision
 
@@ -77,19 +79,22 @@
 	platformAge      time.Duration
 }
 
-// acquire waits for the decision on a request. If the context ends first, acquire withdraws the
-// request and returns the context's cause.
-func (gate *Gate) acquire(ctx context.Context, req *callerRequest) (*placement, decision, error) {
-	plc := &placement{req: req, pool: req.pool, request: req.schedulerRequest(), decision: make(chan decision, 1)}
+// newPlacement returns a placement of a request. LastEventAt is when the caller got the last event, zero if it got none.
+// If replaces is set, the placement is for a target that is to replace one which still has the request.
+func (gate *Gate) newPlacement(req *callerRequest, lastEventAt time.Time, replaces bool) *placement {
+	plc := &placement{req: req, pool: req.pool, request: req.schedulerRequest(time.Now(), lastEventAt), replaces: replaces, decision: make(chan decision, 1)}
 	plc.request.ID = yuccagrant.ID{Owner: gate.incarnation, Number: gate.lastPlacement.Add(1)}
-	gate.control.Post(func(now time.Time) { gate.place(now, req, plc) })
-	select {
-	case dec := <-plc.decision:
-		return plc, dec, nil
-	case <-ctx.Done():
-		gate.control.Post(func(now time.Time) { gate.abandon(now, plc) })
-		return plc, decision{}, context.Cause(ctx)
-	}
+	return plc
+}
+
+// postPlacement has the control goroutine submit a placement, whose decision arrives in its channel.
+func (gate *Gate) postPlacement(plc *placement) {
+	gate.control.Post(func(now time.Time) { gate.place(now, plc.req, plc) })
+}
+
+// postAbandon has the control goroutine withdraw a placement whose decision is no longer awaited.
+func (gate *Gate) postAbandon(plc *placement) {
+	gate.control.Post(func(now time.Time) { gate.abandon(now, plc) })
 }
 
 // place submits a request to the scheduler of its pool. Before the first submission, the request
@@ -105,8 +110,8 @@
 
 // submitPlacement submits a request to the scheduler of its pool.
 func (gate *Gate) submitPlacement(now time.Time, plc *placement) {
-	if plc.request.Version != "" && gate.triedAll(plc) {
-		plc.request.FailedTargets = nil
+	if plc.request.Version != "" && !plc.replaces && gate.triedAll(plc) {
+		plc.request.FailedTargets = gate.lastTried(plc)
 	}
 	gate.placements[plc.request.ID.Number] = plc
 	gate.submit(now, gate.scheduler(now, plc.pool), plc)
@@ -123,6 +128,21 @@
 	return true
 }
 
+// lastTried returns the target to which a request was sent last, if there is another one of its version.
+func (gate *Gate) lastTried(plc *placement) []yuccaid.Target {
+	tried := plc.request.FailedTargets
+	if len(tried) == 0 {
+		return nil
+	}
+	last := tried[len(tried)-1:]
+	for _, entry := range gate.roster.Usable(plc.pool) {
+		if entry.StreamVersion() == plc.request.Version && entry.Target != last[0] {
+			return last
+		}
+	}
+	return nil
+}
+
 // abandon withdraws a placement whose request's context ended before the decision on it was
 // received.
 func (gate *Gate) abandon(now time.Time, plc *placement) {
--- a/io/yuccagate/relay.go
+++ b/io/yuccagate/relay.go
@@ -9,6 +9,7 @@
 
 	"yuccacleat/core/yuccagrant"
 	"yuccacleat/core/yuccaroute"
+	"yuccacleat/io/yuccahop"
 )
 
 // callerError is the error of a failed write of a response to its caller.
@@ -28,7 +29,7 @@
 // response for a complete one. If a stream breaks off before its head has been sent, relay returns
 // a problem.
 func (req *callerRequest) relay(ctx context.Context, att *attempt) *Problem {
-	if !req.isStream(att) {
+	if !att.isStream() {
 		if err := req.relayBody(ctx, att); err != nil {
 			panic(http.ErrAbortHandler)
 		}
@@ -58,7 +59,7 @@
 	for name, values := range forwardableHeader(att.answer.Header) {
 		header[name] = values
 	}
-	if att.answer.Length >= 0 && !req.isStream(att) {
+	if att.answer.Length >= 0 && !att.isStream() {
 		header["Content-Length"] = att.answer.Header["Content-Length"]
 	}
 	req.setTruncated(true)
@@ -67,8 +68,8 @@
 
 // isStream reports whether the target's response is forwarded event by event: the route is a
 // streaming route and the response is a stream of events.
-func (req *callerRequest) isStream(att *attempt) bool {
-	contentType := att.answer.Header.Get("Content-Type")
+func (req *callerRequest) isStream(answer *yuccahop.Answer) bool {
+	contentType := answer.Header.Get("Content-Type")
 	return req.route.Kind == yuccaroute.Stream && strings.HasPrefix(contentType, "text/event-stream")
 }
 
--- a/io/yuccagate/request.go
+++ b/io/yuccagate/request.go
@@ -66,8 +66,6 @@
 	// events of that version. The version is empty if no target may.
 	bound   bool
 	version yuccaid.Version
-	// streamBrokeAt is when the stream to the caller broke off, zero if it didn't.
-	streamBrokeAt time.Time
 	// arrivals counts the attempts that reached or may have reached a target. runs counts the
 	// attempts that a target ran or may have run.
 	arrivals int
@@ -276,8 +274,9 @@
 	return header
 }
 
-// schedulerRequest returns what schedulers need to know of the request to decide on it.
-func (req *callerRequest) schedulerRequest() yuccagrant.Request {
+// schedulerRequest returns what schedulers need to know of the request to decide on it. If its caller has got events,
+// lastEventAt is when the last one arrived, and the stream is to go on soon after now.
+func (req *callerRequest) schedulerRequest(now, lastEventAt time.Time) yuccagrant.Request {
 	request := yuccagrant.Request{
 		Class: req.class(), Tier: req.tier(), Rank: req.route.Rank, OverQuota: req.overQuota, Prompt: req.info.Prompt, Answer: req.info.Answer, Parts: req.info.Parts,
 		SoftDeadline: req.arrivedAt.Add(req.route.LatencyTarget), Deadline: req.deadline, FailedTargets: slices.Clip(req.tried), Version: req.version,
@@ -288,15 +287,15 @@
 	if req.route.Kind == yuccaroute.Stream {
 		request.MaxGap = req.route.MaxGap
 	}
-	lastEvent := req.arrivedAt
-	if !req.streamBrokeAt.IsZero() {
+	waitsSince := req.arrivedAt
+	if !lastEventAt.IsZero() {
 		// When a stream is resumed, what counts for the caller is the gap since the last event,
 		// not the time since the request's arrival.
-		lastEvent = req.streamBrokeAt
-		request.SoftDeadline = req.streamBrokeAt.Add(req.route.MaxGap)
+		waitsSince = lastEventAt
+		request.SoftDeadline = now.Add(req.route.MaxGap)
 	}
-	if req.info.EventTimeout > 0 && lastEvent.Add(req.info.EventTimeout).Before(request.Deadline) {
-		request.Deadline = lastEvent.Add(req.info.EventTimeout)
+	if req.info.EventTimeout > 0 && waitsSince.Add(req.info.EventTimeout).Before(request.Deadline) {
+		request.Deadline = waitsSince.Add(req.info.EventTimeout)
 	}
 	return request
 }
--- a/io/yuccagate/resend.go
+++ b/io/yuccagate/resend.go
@@ -10,15 +10,15 @@
 )
 
 // resendCharge is what one request has charged to the budget of resends. It is safe for concurrent use, since
-// a request's watchdog charges resends too.
+// a request's silence watch charges resends too.
 type resendCharge struct {
 	gate *Gate
 
 	mu   sync.Mutex
 	pool yuccaid.Pool
-	// waiting reports whether a resend is charged that hasn't been sent, and sending whether one is on its
-	// way. A watchdog may charge the next resend while one is on its way.
-	waiting, sending bool
+	// waiting reports whether a resend is charged that hasn't been sent. The next resend may be charged while
+	// earlier ones are on their way.
+	waiting bool
 	// ended reports whether the request has ended, so that nothing is sent any more.
 	ended bool
 }
@@ -39,55 +39,46 @@
 }
 
 // begin reports whether the request may be sent to the target that it has been granted: if a resend is charged,
-// whether the budget still allows it.
-func (chg *resendCharge) begin() bool {
+// whether the budget still allows it. Charged reports whether this send is a charged resend.
+func (chg *resendCharge) begin() (allowed, charged bool) {
 	chg.mu.Lock()
 	defer chg.mu.Unlock()
 	if !chg.waiting {
-		return true
+		return true, false
 	}
 	chg.waiting = false
-	chg.gate.control.Call(func(now time.Time) { chg.sending = chg.gate.resendBudget.MaySend(now, chg.pool) })
-	return chg.sending
+	chg.gate.control.Call(func(now time.Time) { allowed = chg.gate.resendBudget.MaySend(now, chg.pool) })
+	return allowed, allowed
 }
 
-// arrived records that the request has reached a target, or that its connection was closed before.
+// arrived records that a charged resend has reached a target, or that its connection was closed before.
 func (chg *resendCharge) arrived() {
 	chg.mu.Lock()
 	defer chg.mu.Unlock()
-	chg.endSending()
+	pool := chg.pool
+	chg.gate.control.Post(func(now time.Time) { chg.gate.resendBudget.Arrived(now, pool) })
 }
 
-// unsent records that nothing of the request has been sent, so that the resend is still to come.
+// unsent records that nothing of a charged resend has been sent, so that it is still to come.
 func (chg *resendCharge) unsent() {
 	chg.mu.Lock()
 	defer chg.mu.Unlock()
-	if chg.sending && chg.waiting {
+	if chg.waiting || chg.ended {
 		chg.drop()
 	}
-	chg.waiting = chg.waiting || chg.sending
-	chg.sending = false
+	chg.waiting = !chg.ended
 }
 
 // end records that the request has ended.
 func (chg *resendCharge) end() {
 	chg.mu.Lock()
 	defer chg.mu.Unlock()
-	chg.endSending()
 	if chg.waiting {
 		chg.drop()
 	}
 	chg.waiting, chg.ended = false, true
 }
 
-func (chg *resendCharge) endSending() {
-	if chg.sending {
-		pool := chg.pool
-		chg.gate.control.Post(func(now time.Time) { chg.gate.resendBudget.Arrived(now, pool) })
-	}
-	chg.sending = false
-}
-
 func (chg *resendCharge) drop() {
 	pool := chg.pool
 	chg.gate.control.Post(func(now time.Time) { chg.gate.resendBudget.Drop(now, pool) })
--- a/io/yuccagate/stream.go
+++ b/io/yuccagate/stream.go
@@ -9,7 +9,6 @@
 	"time"
 
 	"yuccacleat/core/yuccagrant"
-	"yuccacleat/io/yuccahop"
 )
 
 var errNoEvent = errors.New("the stream ended without an event, and nothing states its end")
@@ -40,18 +39,15 @@
 // the route allows it.
 func (st *stream) relay(ctx context.Context, att *attempt) error {
 	for {
-		err := st.forwardEvents(att)
+		watch := newSilenceWatch(ctx, att)
+		err := st.forwardEvents(att, watch)
+		granted := watch.rest()
 		st.req.finishAttempt(ctx, att, st.result, err)
-		if err == nil {
-			return nil
-		}
-		var writeFailed *callerError
-		// Another target can't be told where to continue after an event without an id, and would
-		// repeat it.
-		if ctx.Err() != nil || errors.As(err, &writeFailed) || st.unnumbered || !st.req.confirmVersion() {
+		if err == nil || !st.mayResume(ctx, err) {
+			granted.giveBack()
 			return err
 		}
-		next := st.req.resume(ctx, st)
+		next := st.req.resume(ctx, st, granted)
 		if next == nil {
 			return err
 		}
@@ -59,22 +55,37 @@
 	}
 }
 
+// mayResume reports whether the stream may be resumed after its present target ended it with the error.
+func (st *stream) mayResume(ctx context.Context, err error) bool {
+	var writeFailed *callerError
+	// Another target can't be told where to continue after an event without an id, and would
+	// repeat it.
+	return ctx.Err() == nil && !errors.As(err, &writeFailed) && !st.unnumbered && st.req.confirmVersion()
+}
+
 // forwardEvents forwards the events of one target, each as soon as it is complete, until the
 // stream ends.
-func (st *stream) forwardEvents(att *attempt) error {
-	reader := newEventReader(att.answer)
+func (st *stream) forwardEvents(att *attempt, watch *silenceWatch) error {
 	st.result = yuccagrant.Finished{}
+	st.begin(att)
+	events, err := att.events, error(nil)
 	for {
-		events, err := reader.next()
 		if len(events) > 0 {
-			st.recordEvents(time.Now(), att, len(events))
+			watch.rest()
 			if writeErr := st.sendEvents(att, events); writeErr != nil {
 				return writeErr
 			}
 		}
 		if err != nil {
-			att.unfinished = reader.unfinished()
-			return st.end(att, err, reader.remainder())
+			att.unfinished = att.reader.unfinished()
+			return st.end(att, err, att.reader.remainder())
+		}
+		if !st.unnumbered {
+			watch.await(time.Now())
+		}
+		events, err = att.reader.next()
+		if len(events) > 0 {
+			st.recordEvents(time.Now(), len(events))
 		}
 	}
 }
@@ -103,9 +114,6 @@
 	if err != io.EOF {
 		return err
 	}
-	if st.endedBeforeItBegan(att) {
-		return errNoEvent
-	}
 	st.sendHead(att)
 	if _, err := st.req.w.Write(remainder); err != nil {
 		return &callerError{cause: err}
@@ -113,13 +121,6 @@
 	return nil
 }
 
-// endedBeforeItBegan reports whether a stream that has ended was most likely broken off before its first
-// event: it brought no event, and nothing but the close of the connection says that it is complete. A
-// stream that continues after an event may have nothing left.
-func (st *stream) endedBeforeItBegan(att *attempt) bool {
-	return st.result.Events == 0 && st.lastEventID == "" && att.answer.Status == http.StatusOK && att.answer.Framing() == yuccahop.FramedByClose
-}
-
 // delivered reports whether the event with the id has already been sent to the caller. A target
 // that resumes a stream should start after the event whose id it was given. If it starts earlier,
 // this check keeps events from being sent twice. Ids that aren't numbers can't be compared, so
@@ -155,28 +156,28 @@
 	st.unnumbered = st.unnumbered || hasField(ev.raw)
 }
 
-// begin binds the stream to the version of its first event, and has it remembered for the case that the
-// caller takes the stream up later. That is done before the caller gets the event.
+// begin records the first events of the attempt's target. It binds the stream to their version, and has it remembered for
+// the case that the caller takes the stream up later. That is done before the caller gets the events.
 func (st *stream) begin(att *attempt) {
+	if len(att.events) == 0 {
+		return
+	}
+	st.firstEventAt = att.sentAt.Add(att.timeToFirst)
+	st.lastEventAt = st.firstEventAt
+	st.result.TimeToFirst = att.timeToFirst
+	st.result.Events = len(att.events)
+	st.req.gate.postStarted(att.plc, att.timeToFirst, att.report.Load)
 	if !st.req.bound {
-		st.req.bind(att.version)
+		st.req.bind(att.dec.version)
 	}
 	if st.req.route.Resumable {
 		st.req.postBegun(att)
 	}
 }
 
-// recordEvents updates the result after events have arrived from the target of the attempt.
-func (st *stream) recordEvents(now time.Time, att *attempt, events int) {
-	att.watchdog.onEvent()
-	if st.result.Events == 0 {
-		st.firstEventAt = now
-		st.result.TimeToFirst = now.Sub(att.sentAt)
-		st.req.gate.postStarted(att.plc, st.result.TimeToFirst, att.report.Load)
-		st.begin(att)
-	} else {
-		st.result.LongestGap = max(st.result.LongestGap, now.Sub(st.lastEventAt))
-	}
+// recordEvents updates the result after further events have arrived.
+func (st *stream) recordEvents(now time.Time, events int) {
+	st.result.LongestGap = max(st.result.LongestGap, now.Sub(st.lastEventAt))
 	st.result.Events += events
 	st.result.Span = now.Sub(st.firstEventAt)
 	st.lastEventAt = now
@@ -184,31 +185,18 @@
 
 // resume sends the request of a stream that broke off to another target, which continues after the
 // last event that the caller has received. It returns the new attempt, or nil if the stream can't
-// be resumed.
+// be resumed. Granted is the target that was granted while the stream's target was silent, or nil.
 //
 // If streams weren't resumed, the caller of a long response whose target crashes would lose the
 // whole response, or retry and have it generated again. A target that resumes the stream only has
 // to read the prompt again.
-func (req *callerRequest) resume(ctx context.Context, st *stream) *attempt {
-	req.streamBrokeAt = time.Now()
-	for req.shouldResend(yuccagrant.Broken) {
-		plc, dec, prob := req.awaitTarget(ctx)
-		if prob != nil {
-			return nil
-		}
-		att, outcome := req.send(ctx, plc, dec, st.lastEventID)
-		if outcome == yuccagrant.Served && att.answer.Status == http.StatusOK && req.isStream(att) {
-			req.logDecision("resumed", "target", dec.target, "version", dec.version, "position", st.lastEventID)
-			return att
-		}
-		att.close()
-		if outcome == yuccagrant.Served {
-			outcome = yuccagrant.Failed
-		}
-		req.gate.postFinished(plc, yuccagrant.Finished{Outcome: outcome, Load: att.report.Load})
-		if ctx.Err() != nil {
-			return nil
-		}
+func (req *callerRequest) resume(ctx context.Context, st *stream, granted *grant) *attempt {
+	if granted == nil && !req.shouldResend(yuccagrant.Broken) {
+		return nil
 	}
-	return nil
+	att, _ := newRace(ctx, req, st.lastEventID, st.lastEventAt).run(granted)
+	if att != nil {
+		req.logDecision("resumed", "target", att.dec.target, "version", att.dec.version, "position", st.lastEventID)
+	}
+	return att
 }
