--- a/core/yuccastory/sentence.go
+++ b/core/yuccastory/sentence.go
@@ -25,6 +25,10 @@
 			line.text("outcome"), may(line), line.text("why"), line.text("sends"), line.text("runs"), resendBudget(line))
 	case "silent":
 		return fmt.Sprintf("its target showed nothing for too long, and it %s be sent again%s", may(line), resendBudget(line))
+	case "kept waiting":
+		return fmt.Sprintf("no other target was to be had (%s: %s), so it stayed at its silent target", line.text("kind"), line.text("detail"))
+	case "silence ended":
+		return silenceEnded(line)
 	case "quota":
 		return quota(line)
 	case "answered":
@@ -43,6 +47,14 @@
 	return line.Event + fields(line)
 }
 
+// silenceEnded tells how the silence of a target ended.
+func silenceEnded(line *Line) string {
+	if line.text("replaced") == "true" {
+		return fmt.Sprintf("%s was replaced %s ms after it had been sent the request", line.text("target"), line.text("sinceSentMillis"))
+	}
+	return fmt.Sprintf("%s went on or failed %s ms after it had been sent the request", line.text("target"), line.text("sinceSentMillis"))
+}
+
 // may tells whether a request may be sent again.
 func may(line *Line) string {
 	if line.text("may") == "true" {
--- a/core/yuccastory/story_test.go
+++ b/core/yuccastory/story_test.go
@@ -30,6 +30,7 @@
 		Entry("of a refusal by the account's leader", "note-5"),
 		Entry("of a stream that ended inside an event", "note-6"),
 		Entry("of resends that the budget allowed and refused", "lookup-2"),
+		Entry("of a silent target that kept its request", "lookup-3"),
 	)
 
 	It("is the same whatever order the logs come in", func() {
--- a/io/yuccagate/metrics.go
+++ b/io/yuccagate/metrics.go
@@ -72,6 +72,11 @@
 	met.set.GetOrCreateCounter(fmt.Sprintf("yuccacleat_gate_resends_total{allowed=\"%t\"}", allowed)).Inc()
 }
 
+// silenceEnded counts a target that was silent for so long that another one was looked for, by whether it was replaced.
+func (met *metrics) silenceEnded(replaced bool) {
+	met.set.GetOrCreateCounter(fmt.Sprintf("yuccacleat_gate_silences_total{replaced=\"%t\"}", replaced)).Inc()
+}
+
 // takenUp counts a stream that a caller takes up, by the way in which its origin was found out.
 func (met *metrics) takenUp(origin string) {
 	met.set.GetOrCreateCounter(fmt.Sprintf("yuccacleat_gate_streams_taken_up_total{origin=%q}", origin)).Inc()
--- a/io/yuccagate/race.go
+++ b/io/yuccagate/race.go
@@ -214,6 +214,7 @@
 		return nil, nil
 	}
 	rc.pending = slices.Delete(rc.pending, index, index+1)
+	rc.req.countSilence(att, false)
 	outcome := rc.req.settle(att)
 	if outcome == yuccagrant.Served && rc.resumes() && !rc.continues(att) {
 		outcome = yuccagrant.Failed
@@ -316,6 +317,7 @@
 	for _, att := range rc.pending {
 		att.end(cause)
 		rc.req.settle(att)
+		rc.req.countSilence(att, true)
 		outcome := yuccagrant.Dropped
 		if att.silent {
 			outcome = yuccagrant.Lost
@@ -325,6 +327,15 @@
 	rc.pending = nil
 }
 
+// countSilence counts a silent target that has been replaced, or whose silence has ended.
+func (req *callerRequest) countSilence(att *attempt, replaced bool) {
+	if !att.silent {
+		return
+	}
+	req.gate.metrics.silenceEnded(replaced)
+	req.logDecision("silence ended", "target", att.dec.target, "replaced", replaced, "sinceSentMillis", time.Since(att.sentAt).Milliseconds())
+}
+
 // drop closes an attempt that isn't relayed and reports its outcome.
 func (rc *race) drop(att *attempt, outcome yuccagrant.Outcome) {
 	att.close()
--- a/io/yuccagate/silencewatch.go
+++ b/io/yuccagate/silencewatch.go
@@ -77,6 +77,7 @@
 	if interrupt != nil {
 		interrupt()
 		<-sought
+		watch.att.req.gate.metrics.silenceEnded(false)
 	}
 	watch.mu.Lock()
 	defer watch.mu.Unlock()
@@ -146,5 +147,7 @@
 		return
 	}
 	watch.granted = grt
+	watch.att.silent = true
+	watch.att.req.countSilence(watch.att, true)
 	watch.att.cancel(errSilent)
 }
