What a target sends before its answer's own head is bounded

Callers saw requests that lasted until their deadline, and other requests lost when the process's memory was used up: a target could send a status line, a head, interim answers or an answer to another request without end, and all of it was read. Cause: awaitHead called http.ReadResponse, which has no limit, and discarded the bodies of answers to other requests whatever their length. Now a reader below the buffer (allowance.go) counts: a head has at most 32 KB and 512 lines, and all that is read on an exchange up to the end of its own head at most 256 KB, interim answers included. More is a *TooLongError within the *LostError, and the connection is reset at once. The body that follows has no bound here. Interim answers are passed over line by line instead of being parsed. A limit on a head's bytes alone was ruled out by a trial: 32 KB of fields of four to six bytes took 454 KB a request parsed.

Passed before, and shown now: a chunk header, a chunk's extension, chunks of long extensions and a trailer without end are ended by net/http's reader, in a body and in an answer to another request; so are an answer to another request without length and empty lines.

--- a/io/yuccahop/conn.go
+++ b/io/yuccahop/conn.go
@@ -28,6 +28,8 @@
 	address string
 	raw     net.Conn
 	in      *bufio.Reader
+	// allowance is what in reads from.
+	allowance *allowance
 	// until is when the connection is too old to be used again.
 	until time.Time
 	// skipped says that an answer to another request came: what else may come is unknown.
@@ -35,7 +37,8 @@
 }
 
 func newConn(client *Client, address string, raw net.Conn) *conn {
-	return &conn{client: client, address: address, raw: raw, in: bufio.NewReaderSize(raw, readBuffer)}
+	allowed := &allowance{from: raw}
+	return &conn{client: client, address: address, raw: raw, in: bufio.NewReaderSize(allowed, readBuffer), allowance: allowed}
 }
 
 // quiet reports whether the connection is open and has brought nothing while unused. What
@@ -138,20 +141,20 @@
 //
 // A target may answer an earlier request late, at the point where this one's answer is
 // due. Its caller would get what was meant for another; so an answer that names another
-// request is read to its end and dropped.
+// request is read to its end and dropped. What is read before the own head is bounded,
+// since a target may send it without end.
 func (cn *conn) awaitHead(method string, own func(http.Header) bool) (*http.Response, error) {
+	cn.allowance.startExchange()
 	for skipped := 0; skipped <= cn.client.limits.Foreign; {
-		resp, err := http.ReadResponse(cn.in, &http.Request{Method: method})
+		resp, err := cn.readHead(method)
 		if err != nil {
-			if errors.Is(err, io.ErrUnexpectedEOF) {
-				err = errNoHead
-			}
 			return nil, err
 		}
-		if resp.StatusCode < http.StatusOK {
+		if resp == nil {
 			continue
 		}
 		if own(resp.Header) {
+			cn.allowance.endPreamble()
 			return resp, nil
 		}
 		cn.skipped = true
@@ -166,6 +169,63 @@
 	return nil, errForeign
 }
 
+// readHead reads the next head. It returns nil for the head of an interim answer.
+func (cn *conn) readHead(method string) (*http.Response, error) {
+	buffered, _ := cn.in.Peek(cn.in.Buffered())
+	if err := cn.allowance.startHead(buffered); err != nil {
+		return nil, err
+	}
+	resp, err := cn.parseHead(method)
+	if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) {
+		return nil, errNoHead
+	}
+	cn.allowance.endHead()
+	return resp, err
+}
+
+// parseHead passes over a head whose beginning shows an interim answer, since thousands of
+// them, parsed, would leave megabytes to the collector.
+func (cn *conn) parseHead(method string) (*http.Response, error) {
+	if _, err := cn.in.Peek(1); err != nil {
+		return nil, err
+	}
+	buffered, _ := cn.in.Peek(cn.in.Buffered())
+	if startsInterim(buffered) {
+		return nil, cn.skipHead()
+	}
+	resp, err := http.ReadResponse(cn.in, &http.Request{Method: method})
+	if err == nil && resp.StatusCode < http.StatusOK {
+		return nil, nil
+	}
+	return resp, err
+}
+
+// startsInterim reports whether what has come of a head shows an interim answer.
+func startsInterim(head []byte) bool {
+	status, isHTTP := bytes.CutPrefix(head, []byte("HTTP/1.1 "))
+	if !isHTTP || len(status) < len("100 ") {
+		return false
+	}
+	return status[0] == '1' && isDigit(status[1]) && isDigit(status[2]) && bytes.IndexByte([]byte(" \r\n"), status[3]) >= 0
+}
+
+func isDigit(b byte) bool { return '0' <= b && b <= '9' }
+
+// skipHead reads to the end of a head.
+func (cn *conn) skipHead() error {
+	within := false
+	for {
+		line, more, err := cn.in.ReadLine()
+		if err != nil {
+			return err
+		}
+		if len(line) == 0 && !within {
+			return nil
+		}
+		within = more
+	}
+}
+
 // keep puts the connection back if nothing of its exchange is left on it.
 func (cn *conn) keep(resp *http.Response, now time.Time) {
 	if cn.skipped || resp.Close || cn.in.Buffered() > 0 {
--- a/io/yuccahop/errors.go
+++ b/io/yuccahop/errors.go
@@ -1,5 +1,7 @@
 package yuccahop
 
+import "strconv"
+
 // UnsentError says that no byte of a request left, so it surely didn't run.
 type UnsentError struct {
 	Address string
@@ -27,3 +29,17 @@
 
 // Unwrap returns the network's own error.
 func (err *LostError) Unwrap() error { return err.Cause }
+
+// TooLongError says that a target sent more than is read before the end of an answer's head.
+type TooLongError struct {
+	// What names the part that was too long.
+	What string
+	// Limit is how much of it is read, in Unit.
+	Limit int
+	Unit  string
+}
+
+// Error names the part, its limit and the remedy.
+func (err *TooLongError) Error() string {
+	return err.What + " had more than " + strconv.Itoa(err.Limit) + " " + err.Unit + ": have the target send less before the body of its answer"
+}
