Events are bounded to 256 KB, and their buffers count as memory of requests

What callers saw: nothing of one stream; but a target that didn't end its events took up to a megabyte for each stream, in a buffer that append doubled and of which each event was cloned, and none of it counted against the daemon's memory for requests. A target that sent comments or empty lines with ends, and no event, was relayed until the request's deadline. Comments and empty lines are counted from the last event with a field, and 256 KB of them end the attempt; a comment of 20 bytes a second takes hours for that. An id longer than 4 KB counts as none, since it would be kept beyond its event, and sent to the next target; the event is forwarded, and the stream isn't resumed after it. Errors are typed and name the remedy; the connection to the target is closed as after any break, and a stream that may be resumed is. At most 256 events are taken from the buffer at once, so that a buffer of empty lines doesn't become five megabytes of slices. The unit tests in eventreader_test.go don't compile on the old code, whose reader has no buffer to be given.

--- a/io/yuccagate/attempt.go
+++ b/io/yuccagate/attempt.go
@@ -49,8 +49,9 @@
 	timeToFirst time.Duration
 	// held is the beginning of the body of a response that isn't a stream.
 	held []byte
-	// reader reads the events of a stream, and events are the first ones.
+	// reader reads the events of a stream through the buffer, and events are the first ones.
 	reader *eventReader
+	buffer *eventBuffer
 	events []event
 	// broke is why the response broke off before its first event or within what was to be held.
 	broke error
@@ -60,7 +61,7 @@
 
 // newAttempt returns an attempt at a granted target, and counts it.
 func (req *callerRequest) newAttempt(ctx context.Context, plc *placement, dec decision, lastEventID string) *attempt {
-	att := &attempt{req: req, plc: plc, dec: dec, sentAt: time.Now(), lastEventID: lastEventID, holdBytes: copyBufferBytes, done: make(chan struct{})}
+	att := &attempt{req: req, plc: plc, dec: dec, sentAt: time.Now(), lastEventID: lastEventID, holdBytes: copyBufferBytes, buffer: req.takeEventBuffer(), done: make(chan struct{})}
 	att.ctx, att.cancel = context.WithCancelCause(ctx)
 	req.sends++
 	req.tried = append(req.tried, att.dec.target)
@@ -109,7 +110,7 @@
 
 // awaitEvent reads a stream up to its first event.
 func (att *attempt) awaitEvent() {
-	att.reader = newEventReader(att.answer)
+	att.reader = newEventReader(att.answer, att.buffer)
 	att.events, att.broke = att.reader.next()
 	att.timeToFirst = time.Since(att.sentAt)
 	if att.broke == nil {
@@ -148,6 +149,8 @@
 		att.answer.Close()
 	}
 	att.cancel(nil)
+	att.req.giveEventBuffer(att.buffer)
+	att.buffer = nil
 }
 
 // settle counts an attempt whose exchange has ended, and returns its outcome.
--- a/io/yuccagate/eventreader.go
+++ b/io/yuccagate/eventreader.go
@@ -3,26 +3,95 @@
 import (
 	"bytes"
 	"errors"
+	"fmt"
 	"io"
-	"strings"
+
+	"yuccacleat/core/yuccaid"
 )
 
-// maxEventBytes bounds the length of an event. If more than maxEventBytes of an event have arrived
-// and the event is still incomplete, next returns errLongEvent.
-const maxEventBytes = 1 << 20
+const (
+	// maxEventBytes bounds the length of an event, and the length of the comments and empty lines
+	// between two events. Beyond it, next returns an *overlongError.
+	maxEventBytes = 256 << 10
+	// coveredEventBytes is the size up to which yuccaspace.RequestOverhead covers an event buffer. It
+	// holds an event of 16 KB and what arrives behind it. The memory of a larger buffer is reserved.
+	coveredEventBytes = 32 << 10
+	// maxEventIDBytes bounds the length of an id. Callers can't send a longer one back, because the
+	// heads of their requests are bounded too.
+	maxEventIDBytes = 4 << 10
+	// maxEventsAtOnce bounds the number of events that next returns.
+	maxEventsAtOnce = 256
+	// maxEventEndBytes is the length of the longest end of an event: two line ends of two bytes each.
+	maxEventEndBytes = 4
+)
 
-// maxEventEndBytes is the length of the longest end of an event: two line ends of two bytes each.
-const maxEventEndBytes = 4
+var errUnfinishedEvent = errors.New("the stream ended inside an event")
 
-var (
-	errLongEvent       = errors.New("an event is longer than a megabyte")
-	errUnfinishedEvent = errors.New("the stream ended inside an event")
-)
+// overlongError is the error of a target's answer of which one part is longer than the gateway accepts.
+type overlongError struct {
+	part  string
+	limit int64
+}
+
+// Error returns what is too long, and the remedy.
+func (err *overlongError) Error() string {
+	return fmt.Sprintf("%s is longer than %d bytes: mend the target, or have it send less", err.part, err.limit)
+}
+
+// eventMemoryError is the error of a stream whose event finds no room in the daemon's memory for requests.
+type eventMemoryError struct {
+	size int
+}
+
+// Error returns what found no room, and the remedy.
+func (err *eventMemoryError) Error() string {
+	return fmt.Sprintf("%v: a buffer of %d bytes for an event finds no room: repeat the request when this daemon holds less, or have the target send shorter events", errNoMemory, err.size)
+}
 
-// event is one event of a stream, as the target wrote it.
+// Unwrap returns errNoMemory.
+func (err *eventMemoryError) Unwrap() error { return errNoMemory }
+
+// eventBuffer holds what has arrived of a stream's events. The targets of one stream use it one after
+// another, so that its memory is reserved only once.
+type eventBuffer struct {
+	bytes   []byte
+	reserve func(yuccaid.Bytes) bool
+}
+
+// eventBufferSizes are the sizes through which an event buffer grows. Few events are longer than a few KB.
+// Beyond that, the steps are large, because what a buffer has outgrown is garbage.
+var eventBufferSizes = [...]int{4 << 10, coveredEventBytes, 128 << 10, maxEventBytes}
+
+// grow makes the buffer larger, and keeps what it holds.
+func (buf *eventBuffer) grow() error {
+	size := buf.nextSize()
+	if size == 0 {
+		return &overlongError{part: "an event", limit: maxEventBytes}
+	}
+	if more := size - max(len(buf.bytes), coveredEventBytes); more > 0 && !buf.reserve(yuccaid.Bytes(more)) {
+		return &eventMemoryError{size: size}
+	}
+	grown := make([]byte, size)
+	copy(grown, buf.bytes)
+	buf.bytes = grown
+	return nil
+}
+
+// nextSize returns the size to which the buffer grows, or zero if it is as large as it may be.
+func (buf *eventBuffer) nextSize() int {
+	for _, size := range eventBufferSizes {
+		if size > len(buf.bytes) {
+			return size
+		}
+	}
+	return 0
+}
+
+// event is one event of a stream, as the target wrote it. Its bytes are those of the reader's buffer.
 type event struct {
 	raw []byte
-	// id is the value of the event's id field, empty if the event has no such field.
+	// id is the value of the event's id field, empty if the event has no such field or a longer one than
+	// maxEventIDBytes.
 	id string
 }
 
@@ -32,38 +101,70 @@
 // event, another target could not continue the stream, because a stream can only be continued after
 // a complete event. So an event is forwarded only when its last byte has arrived.
 type eventReader struct {
-	source   io.Reader
+	source io.Reader
+	buffer *eventBuffer
+	// buffered is the part of the buffer that has been read and belongs to no returned event. It
+	// begins at the index start.
 	buffered []byte
+	start    int
 	// scanned is the length of the part of buffered that has been searched without finding the
 	// end of an event.
 	scanned int
-	chunk   [4 << 10]byte
-	err     error
+	// fieldless is the length of the comments and empty lines since the last event with a field.
+	fieldless int
+	events    []event
+	err       error
 }
 
-func newEventReader(source io.Reader) *eventReader {
-	return &eventReader{source: source}
+func newEventReader(source io.Reader, buffer *eventBuffer) *eventReader {
+	return &eventReader{source: source, buffer: buffer}
 }
 
-// next waits until at least one event is complete, and returns all complete events that have
-// arrived. It returns io.EOF when the stream ends after a complete event, and another error when it
-// breaks off or when an event is too long. After an error, remainder returns the bytes that belong
-// to no complete event.
+// next waits until at least one event is complete, and returns complete events that have arrived. They
+// are valid until the next call. It returns io.EOF when the stream ends after a complete event, and
+// another error when it breaks off, when an event is too long or when there is no memory for it. After
+// an error, remainder returns the bytes that belong to no complete event.
 func (reader *eventReader) next() ([]event, error) {
 	for {
+		if reader.fieldless > maxEventBytes {
+			return nil, &overlongError{part: "a stream of comments and empty lines without an event", limit: maxEventBytes}
+		}
 		if events := reader.split(); len(events) > 0 {
 			return events, nil
 		}
 		if reader.err != nil {
 			return nil, reader.endError()
 		}
-		if len(reader.buffered) > maxEventBytes {
-			return nil, errLongEvent
+		if err := reader.makeRoom(); err != nil {
+			return nil, err
+		}
+		reader.read()
+	}
+}
+
+// makeRoom moves what belongs to no returned event to the beginning of the buffer, and grows the buffer
+// if it is full.
+func (reader *eventReader) makeRoom() error {
+	length := len(reader.buffered)
+	if reader.start > 0 {
+		copy(reader.buffer.bytes, reader.buffered)
+	}
+	if length == len(reader.buffer.bytes) {
+		if err := reader.buffer.grow(); err != nil {
+			return err
 		}
-		n, err := reader.source.Read(reader.chunk[:])
-		reader.buffered = append(reader.buffered, reader.chunk[:n]...)
-		reader.err = err
 	}
+	reader.start = 0
+	reader.buffered = reader.buffer.bytes[:length]
+	return nil
+}
+
+// read reads what arrives next into the free part of the buffer.
+func (reader *eventReader) read() {
+	length := len(reader.buffered)
+	n, err := reader.source.Read(reader.buffer.bytes[length:])
+	reader.buffered = reader.buffer.bytes[:length+n]
+	reader.err = err
 }
 
 // endError returns the error with which the stream ended. If no length and no last chunk states where
@@ -101,22 +202,34 @@
 	return false
 }
 
-// split removes the complete events from the buffer and returns them.
+// split removes complete events from the buffer and returns them, at most maxEventsAtOnce.
 func (reader *eventReader) split() []event {
-	var events []event
-	for {
+	reader.events = reader.events[:0]
+	for len(reader.events) < maxEventsAtOnce {
 		length := eventLength(reader.buffered, reader.scanned)
 		if length == 0 {
 			// The end of the event may have arrived only in part, so the bytes that can belong to it
 			// are searched again.
 			reader.scanned = max(len(reader.buffered)-maxEventEndBytes, 0)
-			return events
+			break
 		}
-		raw := bytes.Clone(reader.buffered[:length])
+		raw := reader.buffered[:length]
 		reader.buffered = reader.buffered[length:]
+		reader.start += length
 		reader.scanned = 0
-		events = append(events, event{raw: raw, id: eventID(raw)})
+		reader.countFieldless(raw)
+		reader.events = append(reader.events, event{raw: raw, id: eventID(raw)})
 	}
+	return reader.events
+}
+
+// countFieldless counts an event of comments and empty lines alone.
+func (reader *eventReader) countFieldless(raw []byte) {
+	if hasField(raw) {
+		reader.fieldless = 0
+		return
+	}
+	reader.fieldless += len(raw)
 }
 
 // eventLength returns the length of the first event in the buffer, including the empty line after
@@ -150,12 +263,17 @@
 func isLineEnd(char rune) bool { return char == '\n' || char == '\r' }
 
 // eventID returns the value of the event's first id field, or the empty string if the event has no
-// id field.
+// id field or one that is longer than maxEventIDBytes.
 func eventID(raw []byte) string {
 	for line := range bytes.FieldsFuncSeq(raw, isLineEnd) {
-		if id, found := bytes.CutPrefix(line, []byte("id:")); found {
-			return strings.TrimSpace(string(id))
+		id, found := bytes.CutPrefix(line, []byte("id:"))
+		if !found {
+			continue
+		}
+		if id = bytes.TrimSpace(id); len(id) > maxEventIDBytes {
+			return ""
 		}
+		return string(id)
 	}
 	return ""
 }
--- a/io/yuccagate/eventreader_test.go
+++ b/io/yuccagate/eventreader_test.go
@@ -8,12 +8,14 @@
 	"strings"
 	"testing"
 	"testing/iotest"
+
+	"yuccacleat/core/yuccaid"
 )
 
 // readEvents reads a stream to its end. It returns the text of all events and of the remainder, the
 // ids of the events that have one, and whether the stream ended inside an event.
 func readEvents(source io.Reader) (text string, ids []string, broken bool) {
-	reader := newEventReader(source)
+	reader := newEventReader(source, &eventBuffer{reserve: func(yuccaid.Bytes) bool { return true }})
 	var all bytes.Buffer
 	for {
 		events, err := reader.next()
@@ -47,3 +49,92 @@
 		}
 	})
 }
+
+// repeated is a stream of one text again and again. It counts what is read of it.
+type repeated struct {
+	text string
+	read int
+}
+
+func (src *repeated) Read(into []byte) (int, error) {
+	for index := range into {
+		into[index] = src.text[(src.read+index)%len(src.text)]
+	}
+	src.read += len(into)
+	return len(into), nil
+}
+
+// Guards against the failure that bytes without end fill the daemon's memory, or are read until the deadline.
+func TestEventReaderBoundsWhatItReads(t *testing.T) {
+	for _, text := range []string{"x", "data: x\n", ":\n", ":\r", ": busy\n\n", "\n", "\r\n", "\r"} {
+		var reserved yuccaid.Bytes
+		buffer := &eventBuffer{reserve: func(size yuccaid.Bytes) bool { reserved += size; return true }}
+		source := &repeated{text: text}
+		reader := newEventReader(source, buffer)
+		var err error
+		for err == nil {
+			_, err = reader.next()
+		}
+		var overlong *overlongError
+		if !errors.As(err, &overlong) {
+			t.Errorf("got error %v of a stream of %q, want an *overlongError", err, text)
+		}
+		if source.read > maxEventBytes+eventBufferSizes[0] {
+			t.Errorf("read %d bytes of a stream of %q, more than the bound of %d and one buffer", source.read, text, maxEventBytes)
+		}
+		if got, want := int(reserved), max(len(buffer.bytes)-coveredEventBytes, 0); got != want || cap(buffer.bytes) > maxEventBytes {
+			t.Errorf("reserved %d bytes for a buffer of %d on a stream of %q, want %d", got, cap(buffer.bytes), text, want)
+		}
+	}
+}
+
+// Guards against the failure that comments between events, however many there are over hours, end a stream.
+func TestEventReaderCountsCommentsFromTheLastEvent(t *testing.T) {
+	pause := strings.Repeat(": busy\n\n", maxEventBytes/2/len(": busy\n\n"))
+	stream := strings.Repeat(pause+"data: x\n\n", 6)
+	if text, _, broken := readEvents(strings.NewReader(stream)); text != stream || broken {
+		t.Errorf("got %d bytes of %d", len(text), len(stream))
+	}
+}
+
+// Guards against the failure that a stream reserves memory again for each event or each target, or that
+// its events are held without a reservation.
+func TestEventBufferReservesItsLargestSizeOnce(t *testing.T) {
+	var reserved yuccaid.Bytes
+	buffer := &eventBuffer{reserve: func(size yuccaid.Bytes) bool {
+		if reserved+size > 100<<10 {
+			return false
+		}
+		reserved += size
+		return true
+	}}
+	long := strings.Repeat("data: "+strings.Repeat("x", 100<<10)+"\n\n", 5)
+	for range 3 {
+		reader := newEventReader(strings.NewReader(long), buffer)
+		count := 0
+		for events, err := reader.next(); err == nil; events, err = reader.next() {
+			count += len(events)
+		}
+		if count != 5 || reserved != 96<<10 {
+			t.Errorf("got %d events with %d bytes reserved, want 5 with %d", count, reserved, 96<<10)
+		}
+	}
+	reader := newEventReader(&repeated{text: "x"}, buffer)
+	_, err := reader.next()
+	var noRoom *eventMemoryError
+	if !errors.As(err, &noRoom) || !errors.Is(err, errNoMemory) {
+		t.Errorf("got error %v, want an *eventMemoryError", err)
+	}
+	if len(buffer.bytes) != 128<<10 {
+		t.Errorf("the buffer has %d bytes, want %d", len(buffer.bytes), 128<<10)
+	}
+}
+
+// Guards against the failure that a stream keeps a long id beyond its event, or asks a target with it for the rest.
+func TestEventIDOfBoundedLength(t *testing.T) {
+	for length, want := range map[int]int{maxEventIDBytes: maxEventIDBytes, maxEventIDBytes + 1: 0} {
+		if got := eventID([]byte("id: " + strings.Repeat("7", length) + "\n\n")); len(got) != want {
+			t.Errorf("got an id of %d bytes of one of %d, want %d", len(got), length, want)
+		}
+	}
+}
--- a/io/yuccagate/memory.go
+++ b/io/yuccagate/memory.go
@@ -81,14 +81,32 @@
 	if !req.gate.memory.reserve(req.memoryRank(), size) {
 		return false
 	}
-	req.reserved += size
+	req.reserved.Add(int64(size))
 	return true
 }
 
 // release frees all memory reserved for the request.
 func (req *callerRequest) release() {
-	req.gate.memory.release(req.reserved)
-	req.reserved = 0
+	req.gate.memory.release(yuccaid.Bytes(req.reserved.Swap(0)))
+}
+
+// takeEventBuffer returns a buffer for the events of an attempt: one of an earlier attempt if there is one, so that its
+// memory is reserved once.
+func (req *callerRequest) takeEventBuffer() *eventBuffer {
+	last := len(req.eventBuffers) - 1
+	if last < 0 {
+		return &eventBuffer{reserve: req.reserve}
+	}
+	buf := req.eventBuffers[last]
+	req.eventBuffers = req.eventBuffers[:last]
+	return buf
+}
+
+// giveEventBuffer keeps the buffer of an attempt that has ended for the next one.
+func (req *callerRequest) giveEventBuffer(buf *eventBuffer) {
+	if buf != nil {
+		req.eventBuffers = append(req.eventBuffers, buf)
+	}
 }
 
 // memoryRank returns the rank that decides how much of the memory the request may use: the
--- a/io/yuccagate/request.go
+++ b/io/yuccagate/request.go
@@ -9,6 +9,7 @@
 	"os"
 	"slices"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -55,8 +56,11 @@
 	// the caller's header without fields that concern only one connection.
 	outgoing      yuccahop.Outgoing
 	forwardHeader http.Header
-	// reserved is the memory that is reserved for the request.
-	reserved yuccaid.Bytes
+	// reserved is the memory that is reserved for the request, in bytes. Attempts that go on side by side
+	// reserve some for themselves.
+	reserved atomic.Int64
+	// eventBuffers are the buffers of attempts that have ended.
+	eventBuffers []*eventBuffer
 
 	// sends is the number of attempts to have the request served, and tried holds the target of
 	// each attempt.
