A target that is silent for 2 s doesn't have its long request given up

Callers saw a 502, or their idempotent request ran twice, when a sound target fell silent for 1 to 2 s while a request longer than the buffers was on its way to it. Cause: TCP_USER_TIMEOUT of 1.2 s ends a connection whose bytes stay unacknowledged, and also one whose receive window stays closed, as that of a target is that doesn't read. The doc comment of KeepAlive said that three unanswered probes end a connection.

--- a/io/yuccahop/limits.go
+++ b/io/yuccahop/limits.go
@@ -7,11 +7,13 @@
 	// Dial bounds the wait for a connection. Within a region it stands in 60 ms; a target
 	// that doesn't answer for so long is better replaced by another.
 	Dial time.Duration
-	// Unacknowledged is how long sent bytes may stay unacknowledged before the connection
-	// counts as dead. A path that forgot the connection gives no other sign.
+	// Unacknowledged is how long sent bytes may stay unacknowledged, or the target's receive
+	// window closed, before the connection counts as dead. A path that forgot the connection
+	// gives no other sign. A sound target may be silent for 2 s, and if it doesn't read a
+	// long request meanwhile, its window closes: the limit has to be longer.
 	Unacknowledged time.Duration
-	// KeepAlive is the interval of probes on a connection that shows nothing; three that
-	// stay unanswered end it.
+	// KeepAlive is the interval of probes on a connection that shows nothing. The target's
+	// kernel answers them; if it doesn't, Unacknowledged ends the connection.
 	KeepAlive time.Duration
 	// Idle is how long an unused connection is kept when the target names no time.
 	Idle time.Duration
@@ -31,7 +33,7 @@
 func DefaultLimits() Limits {
 	return Limits{
 		Dial:           400 * time.Millisecond,
-		Unacknowledged: 1200 * time.Millisecond,
+		Unacknowledged: 3 * time.Second,
 		KeepAlive:      time.Second,
 		Idle:           4 * time.Second,
 		IdleMargin:     600 * time.Millisecond,
