A request isn't sent on a connection that a silent target closes when it goes on

Callers saw a 502, or their idempotent request ran twice, though nothing had run: a request went out on a connection that had been unused for a time, to a target that was silent as a whole; the target's limit for unused connections ran out meanwhile, so it closed the connection with the request unread when it went on. Cause: a connection was given up 0.6 s before the limit that the target names, and after 4 s if it names none, where many servers' limit is 5 s. A sound target may be silent for 2 s. The margin is now 2.6 s, so the time without a named limit 2.4 s. silence_test.go before; the case whose limit is far passed, and its connection is still used again: "a limit that isn't named": "no answer from 127.0.0.1:39717: read tcp ...: read: connection reset by peer: it may have run, ..." "a limit that is named": "no answer from 127.0.0.1:35959: read tcp ...: read: connection reset by peer: it may have run, ..." After: 3 of 3 runs of the spec green; io/yuccahop green, and green with -race (once each). What gets slower: a request after a pause of 2.4 s or more opens a connection, a round trip; to a target that names 2 s or less, each request does.

--- a/io/yuccahop/limits.go
+++ b/io/yuccahop/limits.go
@@ -15,10 +15,12 @@
 	// KeepAlive is the interval of probes on a connection that shows nothing. The target's
 	// kernel answers them; if it doesn't, Unacknowledged ends the connection.
 	KeepAlive time.Duration
-	// Idle is how long an unused connection is kept when the target names no time.
+	// Idle is how long an unused connection is kept when the target names no time. Many servers
+	// close it after 5 s; IdleMargin is off that.
 	Idle time.Duration
 	// IdleMargin is how much sooner than the target's own limit a connection is given up,
-	// so that a request doesn't cross the target's close.
+	// so that a request doesn't cross the target's close. A sound target may be silent for
+	// 2 s; if its limit runs out meanwhile, it closes the connection with the request unread.
 	IdleMargin time.Duration
 	// IdlePerTarget bounds the unused connections that are kept to one target.
 	IdlePerTarget int
@@ -35,8 +37,8 @@
 		Dial:           400 * time.Millisecond,
 		Unacknowledged: 3 * time.Second,
 		KeepAlive:      time.Second,
-		Idle:           4 * time.Second,
-		IdleMargin:     600 * time.Millisecond,
+		Idle:           2400 * time.Millisecond,
+		IdleMargin:     2600 * time.Millisecond,
 		IdlePerTarget:  8,
 		Foreign:        2,
 	}
--- a/io/yuccahop/silence_test.go
+++ b/io/yuccahop/silence_test.go
@@ -90,6 +90,52 @@
 	return err
 }
 
+// unusedConn is a connection that is unused for a time, to a target that is silent from shortly
+// before the next request.
+type unusedConn struct {
+	name string
+	// limit is how long the target keeps an unused connection, and field how it says so.
+	limit time.Duration
+	field string
+	// unused is the time between the first answer and the next request.
+	unused time.Duration
+	// conns is how many connections the two requests take.
+	conns int64
+}
+
+var unusedConns = []unusedConn{
+	{"a limit that isn't named", 5 * time.Second, "", 3900 * time.Millisecond, 2},
+	{"a limit that is named", 3 * time.Second, "Keep-Alive: timeout=3\r\n", 2300 * time.Millisecond, 2},
+	{"a limit that is far", 5 * time.Second, "Keep-Alive: timeout=5\r\n", 1900 * time.Millisecond, 1},
+}
+
+// exchange sends two requests and returns why the second had no whole answer.
+func (us unusedConn) exchange(cl *yuccahop.Client) error {
+	tgt := newTarget(func(conn net.Conn, in *bufio.Reader) {
+		for {
+			id, body := readRequest(in)
+			if id == "" {
+				return
+			}
+			fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nX-Id: %s\r\n%sContent-Length: %d\r\n\r\n%s", id, us.field, len(body), body)
+			conn.SetReadDeadline(time.Now().Add(us.limit))
+			time.Sleep(us.unused - 100*time.Millisecond + silence)
+		}
+	})
+	ctx := context.Background()
+	if _, err := call(ctx, cl, tgt, "a", "x"); err != nil {
+		return err
+	}
+	time.Sleep(us.unused)
+	if _, err := call(ctx, cl, tgt, "b", "x"); err != nil {
+		return err
+	}
+	if conns := tgt.conns.Load(); conns != us.conns {
+		return fmt.Errorf("%d connections, not %d", conns, us.conns)
+	}
+	return nil
+}
+
 var _ = Describe("a sound target that is silent", func() {
 	// Guards against the failure that a target which is silent for 2 s has its request given up.
 	It("is waited for, wherever in an exchange it is", func() {
@@ -115,6 +161,30 @@
 		Expect(failed).To(BeEmpty())
 	})
 
+	// Guards against the failure that a request is sent to a silent target whose limit for unused connections runs out before it reads again.
+	It("isn't sent a request on a connection that it closes when it goes on", func() {
+		cl := yuccahop.New()
+		DeferCleanup(cl.Close)
+		results := make(map[string]chan error)
+		for _, us := range unusedConns {
+			result := make(chan error, 1)
+			results[us.name] = result
+			go func() {
+				defer GinkgoRecover()
+				result <- us.exchange(cl)
+			}()
+		}
+		failed := make(map[string]string)
+		for name, result := range results {
+			var err error
+			Eventually(result, 5*silence).Should(Receive(&err), name)
+			if err != nil {
+				failed[name] = err.Error()
+			}
+		}
+		Expect(failed).To(BeEmpty())
+	})
+
 	// Guards against the failure that a target which is silent before it accepts a connection is taken for unreachable.
 	It("is waited for before it accepts a connection", func() {
 		listener, err := net.Listen("tcp", "127.0.0.1:0")
