An error's text doesn't quote a long line that is no head

Operators saw a log line of 120 KB for a request whose target sent one long line that is no head: net/http quotes the line whole in its error, and each byte that isn't printable takes four.

--- a/io/yuccahop/endless_test.go
+++ b/io/yuccahop/endless_test.go
@@ -189,6 +189,24 @@
 		Entry("an answer to another request", foreign+chunked, "4\r\nfour\r\n"),
 	)
 
+	// Guards against the failure that a line of tens of thousands of bytes that is no head is quoted whole in a log line.
+	DescribeTable("aren't quoted whole in the error's text",
+		func(beginning, end string) {
+			long := strings.Repeat("\x01", 30<<10)
+			tgt := newTarget(func(conn net.Conn, in *bufio.Reader) {
+				readRequest(in)
+				fmt.Fprint(conn, beginning, long, end)
+				in.ReadByte()
+			})
+			_, err := call(context.Background(), cl, tgt, "a", "x")
+			Expect(lost(err)).To(BeTrue(), "%v", err)
+			Expect(len(err.Error())).To(BeNumerically("<", 1024))
+			Expect(err).To(MatchError(And(ContainSubstring("malformed"), ContainSubstring("only if it is idempotent"))))
+		},
+		Entry("a status line", "", "\r\n\r\n"),
+		Entry("a field", owned, "\r\n\r\n"),
+	)
+
 	// Guards against the failure that the limit on what precedes an answer cuts the answer's body.
 	It("aren't taken for such when a long body follows a long head", func() {
 		const long = 1 << 20
--- a/io/yuccahop/errors.go
+++ b/io/yuccahop/errors.go
@@ -2,6 +2,9 @@
 
 import "strconv"
 
+// causeBytes bounds the text of a cause, since net/http quotes the whole line that it can't parse.
+const causeBytes = 400
+
 // UnsentError says that no byte of a request left, so it surely didn't run.
 type UnsentError struct {
 	Address string
@@ -24,12 +27,19 @@
 
 // Error names the target and what may be done.
 func (err *LostError) Error() string {
-	return "no answer from " + err.Address + ": " + err.Cause.Error() + ": it may have run, repeat it only if it is idempotent"
+	return "no answer from " + err.Address + ": " + shortened(err.Cause.Error()) + ": it may have run, repeat it only if it is idempotent"
 }
 
 // Unwrap returns the network's own error.
 func (err *LostError) Unwrap() error { return err.Cause }
 
+func shortened(text string) string {
+	if len(text) <= causeBytes {
+		return text
+	}
+	return text[:causeBytes] + "..."
+}
+
 // TooLongError says that a target sent more than is read before the end of an answer's head.
 type TooLongError struct {
 	// What names the part that was too long.
