Streams use event buffers of ended streams again

Finding: waves of streams whose targets don't end an event left a buffer of 256 KB each to the collector, which lets the heap grow to twice what is in use. Why it works: a pool for each size, which the collector empties if nobody takes from it. A buffer goes back when it has been outgrown, and when its stream has ended: there the goroutine that read into it has returned. The test has streams of several goroutines read beside one another, under the race detector too; it guards the new code, the old one has nothing to use again.

--- a/io/yuccagate/eventreader.go
+++ b/io/yuccagate/eventreader.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"sync"
 
 	"yuccacleat/core/yuccaid"
 )
@@ -51,40 +52,60 @@
 // Unwrap returns errNoMemory.
 func (err *eventMemoryError) Unwrap() error { return errNoMemory }
 
+// eventBufferSizes are the sizes through which an event buffer grows. Few events are longer than a few KB.
+// Beyond that, the steps are large, because each is copied into the next.
+var eventBufferSizes = [...]int{4 << 10, coveredEventBytes, 128 << 10, maxEventBytes}
+
+// eventBufferPools hold unused buffers of these sizes. If each stream with long events left its buffers to the
+// collector, the process's memory would grow to twice what the buffers in use take.
+var eventBufferPools [len(eventBufferSizes)]sync.Pool
+
 // eventBuffer holds what has arrived of a stream's events. The targets of one stream use it one after
 // another, so that its memory is reserved only once.
 type eventBuffer struct {
-	bytes   []byte
+	bytes []byte
+	// steps is the number of sizes through which the buffer has grown.
+	steps   int
 	reserve func(yuccaid.Bytes) bool
 }
 
-// eventBufferSizes are the sizes through which an event buffer grows. Few events are longer than a few KB.
-// Beyond that, the steps are large, because what a buffer has outgrown is garbage.
-var eventBufferSizes = [...]int{4 << 10, coveredEventBytes, 128 << 10, maxEventBytes}
-
-// grow makes the buffer larger, and keeps what it holds.
+// grow makes the buffer larger, and keeps what it holds. The memory that it had before is used again.
 func (buf *eventBuffer) grow() error {
-	size := buf.nextSize()
-	if size == 0 {
+	if buf.steps == len(eventBufferSizes) {
 		return &overlongError{part: "an event", limit: maxEventBytes}
 	}
+	size := eventBufferSizes[buf.steps]
 	if more := size - max(len(buf.bytes), coveredEventBytes); more > 0 && !buf.reserve(yuccaid.Bytes(more)) {
 		return &eventMemoryError{size: size}
 	}
-	grown := make([]byte, size)
+	grown := unusedBytes(buf.steps)
 	copy(grown, buf.bytes)
+	buf.recycle()
 	buf.bytes = grown
+	buf.steps++
 	return nil
 }
 
-// nextSize returns the size to which the buffer grows, or zero if it is as large as it may be.
-func (buf *eventBuffer) nextSize() int {
-	for _, size := range eventBufferSizes {
-		if size > len(buf.bytes) {
-			return size
-		}
+// unusedBytes returns an unused buffer of the size with the given index.
+func unusedBytes(index int) []byte {
+	if unused, ok := eventBufferPools[index].Get().(*[]byte); ok {
+		return *unused
 	}
-	return 0
+	return make([]byte, eventBufferSizes[index])
+}
+
+// recycle gives the buffer's memory to other streams.
+func (buf *eventBuffer) recycle() {
+	if buf.steps > 0 {
+		unused := buf.bytes
+		eventBufferPools[buf.steps-1].Put(&unused)
+	}
+}
+
+// release ends the use of the buffer and of all events in it. No reader may be reading into it any more.
+func (buf *eventBuffer) release() {
+	buf.recycle()
+	buf.bytes, buf.steps = nil, 0
 }
 
 // event is one event of a stream, as the target wrote it. Its bytes are those of the reader's buffer.
--- a/io/yuccagate/eventreader_test.go
+++ b/io/yuccagate/eventreader_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"slices"
 	"strings"
+	"sync"
 	"testing"
 	"testing/iotest"
 
@@ -130,6 +131,26 @@
 	}
 }
 
+// Guards against the failure that a stream gets bytes of another one whose buffer it uses again.
+func TestEventBuffersAreUsedByOneStreamAtATime(t *testing.T) {
+	var group sync.WaitGroup
+	for letter := range 8 {
+		group.Go(func() {
+			for length := 1; length < 200<<10; length = length*3 + letter {
+				buffer := &eventBuffer{reserve: func(yuccaid.Bytes) bool { return true }}
+				want := "data: " + strings.Repeat(string(rune('a'+letter)), length) + "\n\n"
+				reader := newEventReader(strings.NewReader(want), buffer)
+				events, err := reader.next()
+				if err != nil || len(events) != 1 || string(events[0].raw) != want {
+					t.Errorf("got %d events and error %v, want one event of %d bytes", len(events), err, len(want))
+				}
+				buffer.release()
+			}
+		})
+	}
+	group.Wait()
+}
+
 // Guards against the failure that a stream keeps a long id beyond its event, or asks a target with it for the rest.
 func TestEventIDOfBoundedLength(t *testing.T) {
 	for length, want := range map[int]int{maxEventIDBytes: maxEventIDBytes, maxEventIDBytes + 1: 0} {
--- a/io/yuccagate/memory.go
+++ b/io/yuccagate/memory.go
@@ -87,6 +87,9 @@
 
 // release frees all memory reserved for the request.
 func (req *callerRequest) release() {
+	for _, buf := range req.eventBuffers {
+		buf.release()
+	}
 	req.gate.memory.release(yuccaid.Bytes(req.reserved.Swap(0)))
 }
 
