Requests whose response hasn't begun are refused shortly before the drain's end

What callers saw: a daemon got SIGTERM, and a request that had been read whole got neither an answer nor a refusal. When the drain's time was up, Server.Drain closed the server, and with it the connections of requests that waited for a slot, for a target or for a response's head or first event, and of those whose body was being read.

What no target has run gets 503 'leaving' with Retry-After, and is withdrawn from the scheduler; what was sent gets 502. Whether a response begins or its request is ended is decided by one call, the stop function of context.AfterFunc. A response that has been read to its end is delivered all the same. Bodies that are still being read are interrupted, so that none is read whole too late for a response. Responses that have begun go on until the drain's end. Refusals and responses that begin during the drain close their connections, and connections without a request are closed, as soon as they are idle.

Connections that the kernel has accepted and the process hasn't are reset as before. Nothing was read from them. A cancelled context still cuts off everything at once, as tests of crashes need it.

--- a/io/yuccagate/gate.go
+++ b/io/yuccagate/gate.go
@@ -55,6 +55,9 @@
 	// drainStartedAt is when the daemon began to drain, or nil.
 	drainStartedAt atomic.Pointer[time.Time]
 	openRequests   atomic.Int64
+	// leaving ends near the end of the drain (see leavingTime).
+	leaving context.Context
+	leave   context.CancelFunc
 	// lastPlacement is the number of the latest placement. A placement is one request's wait for
 	// a target and its run on that target.
 	lastPlacement atomic.Uint64
@@ -219,6 +222,7 @@
 		option(gate)
 	}
 	gate.traffic, gate.stopTraffic = context.WithCancel(context.Background())
+	gate.leaving, gate.leave = context.WithCancel(context.Background())
 	self := yuccapeer.Member{VM: settings.VM, Centre: settings.Centre, Address: settings.Address, Incarnation: gate.incarnation}
 	gate.peers = yuccapeer.New(self, yuccapeer.WithSeeds(settings.Seeds...), yuccapeer.WithTiming(peerTiming()))
 	if !settings.FirstStart {
--- a/io/yuccagate/listener.go
+++ b/io/yuccagate/listener.go
@@ -36,6 +36,8 @@
 	// is the number of those that are.
 	conns   map[*callerConn]bool
 	closing int
+	// closesUnused reports whether connections are closed as soon as they are idle.
+	closesUnused bool
 }
 
 // NewListener wraps a listener. The caller has to set the method ConnState as the http.Server's
@@ -133,11 +135,23 @@
 
 // ConnState is the http.Server hook that reports to the listener when a connection becomes idle.
 func (lis *Listener) ConnState(raw net.Conn, state http.ConnState) {
-	if conn, ok := raw.(*callerConn); ok && state == http.StateIdle {
-		conn.markIdle(time.Now())
+	conn, ok := raw.(*callerConn)
+	if !ok || state != http.StateIdle {
+		return
+	}
+	now := time.Now()
+	conn.markIdle(now)
+	if lis.doesCloseUnused() {
+		conn.closeIdle(now)
 	}
 }
 
+func (lis *Listener) doesCloseUnused() bool {
+	lis.mu.Lock()
+	defer lis.mu.Unlock()
+	return lis.closesUnused
+}
+
 // CloseIdle closes the connections that became idle at the given time or earlier.
 func (lis *Listener) CloseIdle(since time.Time) {
 	for _, conn := range lis.openConns() {
@@ -145,6 +159,18 @@
 	}
 }
 
+// CloseUnused closes the connections that are idle or on which no byte has arrived yet, and from now on
+// each other connection once it is idle.
+func (lis *Listener) CloseUnused() {
+	lis.mu.Lock()
+	lis.closesUnused = true
+	lis.mu.Unlock()
+	now := time.Now()
+	for _, conn := range lis.openConns() {
+		conn.closeUnused(now)
+	}
+}
+
 // Count returns the number of open connections, without those that are being closed.
 func (lis *Listener) Count() int {
 	lis.mu.Lock()
@@ -265,6 +291,17 @@
 	_ = conn.Conn.SetReadDeadline(longAgo)
 }
 
+// closeUnused has the connection closed if no request, or part of one, has arrived whose response has not
+// ended.
+func (conn *callerConn) closeUnused(now time.Time) {
+	conn.mu.Lock()
+	if !conn.busy && conn.idleSince.IsZero() {
+		conn.idleSince = now
+	}
+	conn.mu.Unlock()
+	conn.closeIdle(now)
+}
+
 // hasUnread reports whether bytes have arrived on a connection that nobody has read. It doesn't wait for
 // a read that is under way.
 func hasUnread(conn net.Conn) bool {
--- a/io/yuccagate/race.go
+++ b/io/yuccagate/race.go
@@ -110,6 +110,10 @@
 func (rc *race) onDecision(dec decision) *Problem {
 	plc := rc.seeking
 	rc.seeking = nil
+	if dec.target != "" && rc.req.endsUnbegun() {
+		rc.req.gate.postAbandon(plc)
+		return rc.stayOrEnd(rc.req.problemUnsent(errLeaving))
+	}
 	charged, prob := rc.req.useDecision(rc.ctx, plc, dec)
 	if prob != nil {
 		return rc.stayOrEnd(prob)
@@ -288,11 +292,7 @@
 	if whole != nil {
 		return rc.finish(whole, nil)
 	}
-	prob := rc.req.problemUnsent(cause)
-	if rc.req.runs > 0 && prob.promisesNotRun() {
-		prob = &Problem{Kind: KindLost, Detail: "it ran before: " + string(prob.Kind)}
-	}
-	return rc.finish(nil, prob)
+	return rc.finish(nil, rc.req.problemUnsent(cause))
 }
 
 // finish ends what is still under way. It returns the winner, or the error response of a target in place of the problem.
--- a/io/yuccagate/relay.go
+++ b/io/yuccagate/relay.go
@@ -30,7 +30,11 @@
 // a problem.
 func (req *callerRequest) relay(ctx context.Context, att *attempt) *Problem {
 	if !att.isStream() {
-		if err := req.relayBody(ctx, att); err != nil {
+		err := req.relayBody(ctx, att)
+		if errors.Is(err, errLeaving) {
+			return req.problemAfterFailure(ctx, yuccagrant.Dropped)
+		}
+		if err != nil {
 			panic(http.ErrAbortHandler)
 		}
 		req.setTruncated(false)
@@ -42,7 +46,7 @@
 	case err == nil:
 		req.setTruncated(false)
 		return nil
-	case st.headSent:
+	case st.headSent && !errors.Is(err, errLeaving):
 		panic(http.ErrAbortHandler)
 	case errors.Is(context.Cause(ctx), errTimeout):
 		return &Problem{Kind: KindTimeout}
@@ -53,8 +57,14 @@
 }
 
 // writeHead sends the head of a target's response to the caller. The length of a stream is left out: if
-// the stream is resumed, another target may end it with a different one.
+// the stream is resumed, another target may end it with a different one. If the request was ended before
+// because the daemon leaves, writeHead sends nothing, and later writes fail with errLeaving. A response
+// that has been read to its end is sent all the same.
 func (req *callerRequest) writeHead(att *attempt) {
+	if !att.answer.Whole() && !req.start.begin() {
+		return
+	}
+	req.closeIfDraining()
 	header := req.w.Header()
 	for name, values := range forwardableHeader(att.answer.Header) {
 		header[name] = values
--- a/io/yuccagate/request.go
+++ b/io/yuccagate/request.go
@@ -74,6 +74,8 @@
 	// attempts that a target ran or may have run.
 	arrivals int
 	runs     int
+	// start decides whether the response begins before the daemon leaves.
+	start *responseStart
 	// resend is what the request has charged to the budget of resends.
 	resend resendCharge
 	// quotaChecked reports whether the quota has been checked. chargedBy is the daemon that admitted
@@ -95,26 +97,33 @@
 func (gate *Gate) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	req := &callerRequest{gate: gate, w: w, unframed: resettable(r), arrivedAt: time.Now(), resend: resendCharge{gate: gate}}
 	req.setWriteDeadline(req.arrivedAt.Add(refusalWriteTimeout))
-	if gate.draining() {
-		w.Header().Set("Connection", "close")
-	}
 	// The request counts as open before the check, so that the drain can't end between the check
 	// and the count.
 	gate.openRequests.Add(1)
 	defer gate.openRequests.Add(-1)
 	if gate.refusesAll(time.Now()) {
-		req.refuse(&Problem{Kind: KindLeaving, RetryAfter: leavingRetryAfter})
+		req.refuse(leavingProblem())
 		return
 	}
 	defer req.release()
-	if prob := req.prepare(r); prob != nil {
+	keepBody := req.interruptBodyWhenLeaving()
+	prob := req.prepare(r)
+	keepBody()
+	if gate.leaving.Err() != nil {
+		prob = leavingProblem()
+	}
+	if prob != nil {
 		req.refuse(prob)
 		return
 	}
 	ctx, cancel := context.WithDeadlineCause(r.Context(), req.deadline, errTimeout)
 	defer cancel()
 	defer req.resend.end()
-	if prob := req.run(ctx); prob != nil {
+	ctx, endRun := req.endWhenLeaving(ctx)
+	defer endRun()
+	prob = req.run(ctx)
+	endRun()
+	if prob != nil {
 		if req.runs == 0 {
 			gate.refundQuota(req)
 		}
@@ -145,6 +154,7 @@
 	} else {
 		req.logDecision("refused", fields...)
 	}
+	req.closeIfDraining()
 	prob.write(req.w)
 }
 
--- a/io/yuccagate/run.go
+++ b/io/yuccagate/run.go
@@ -56,8 +56,8 @@
 			prob = req.problemAfterFailure(ctx, yuccagrant.Rejected)
 		}
 	}
-	if prob != nil && req.runs > 0 && prob.promisesNotRun() {
-		prob = &Problem{Kind: KindLost, Detail: "it ran before: " + string(prob.Kind), logFields: prob.logFields}
+	if prob != nil {
+		prob = req.withoutPromise(prob)
 	}
 	return charged, prob
 }
@@ -93,22 +93,34 @@
 }
 
 // problemUnsent returns the problem of a request that got no target before its context ended
-// with the cause.
+// with the cause. If the request has run, the problem doesn't state that it hasn't.
 func (req *callerRequest) problemUnsent(cause error) *Problem {
-	if errors.Is(cause, errTimeout) && req.runs > 0 {
+	prob := &Problem{Kind: KindLate, Detail: "its caller left", RetryAfter: unservedRetryAfter}
+	switch {
+	case errors.Is(cause, errLeaving):
+		prob = leavingProblem()
+	case errors.Is(cause, errTimeout) && req.runs > 0:
 		return &Problem{Kind: KindTimeout}
+	case errors.Is(cause, errTimeout):
+		prob.Detail = "its time is up"
 	}
-	detail := "its caller left"
-	if errors.Is(cause, errTimeout) {
-		detail = "its time is up"
+	return req.withoutPromise(prob)
+}
+
+// withoutPromise returns the problem, or one that doesn't state that the request hasn't run if it may have run.
+func (req *callerRequest) withoutPromise(prob *Problem) *Problem {
+	if req.runs == 0 || !prob.promisesNotRun() {
+		return prob
 	}
-	return &Problem{Kind: KindLate, Detail: detail, RetryAfter: unservedRetryAfter}
+	return &Problem{Kind: KindLost, Detail: "it ran before: " + string(prob.Kind), logFields: prob.logFields}
 }
 
 // problemAfterFailure returns the problem of a request whose last attempt ended with the
 // outcome.
 func (req *callerRequest) problemAfterFailure(ctx context.Context, outcome yuccagrant.Outcome) *Problem {
 	switch {
+	case req.runs == 0 && errors.Is(context.Cause(ctx), errLeaving):
+		return leavingProblem()
 	case req.runs == 0:
 		return &Problem{Kind: KindRejected, Detail: outcome.String(), RetryAfter: unservedRetryAfter}
 	case errors.Is(context.Cause(ctx), errTimeout):
--- a/io/yuccagate/serve.go
+++ b/io/yuccagate/serve.go
@@ -16,7 +16,8 @@
 	headTimeout  = 10 * time.Second
 	maxHeadBytes = 128 << 10
 	// lastResponseWait bounds the wait at the end of the drain for requests that have arrived but
-	// are not served yet, and for the responses to refused requests.
+	// are not served yet, and for the responses to refused requests. It also is the least time for
+	// these if the process stood still until the drain's end.
 	lastResponseWait = 200 * time.Millisecond
 	// idleCheckInterval is the time between two checks for idle connections.
 	idleCheckInterval = 500 * time.Millisecond
@@ -79,35 +80,46 @@
 }
 
 // Drain makes the daemon report that it isn't ready, closes idle connections, waits until no
-// request is open or the context ends, and closes the server. It returns the number of requests
-// that are still open and are cut off.
+// request is open or the context ends, and closes the server. Requests whose response hasn't begun
+// shortly before the context's deadline are refused. It returns the number of requests that are still
+// open and are cut off. If the context is cancelled, these are all open requests.
 func (srv *Server) Drain(ctx context.Context) int64 {
 	srv.drainOnce.Do(func() { srv.shutDown(ctx) })
 	return srv.gate.openRequests.Load()
 }
 
 // shutDown drains and closes the server.
+//
+// Connections that the kernel has accepted and this process hasn't are reset when the listener is closed.
+// Nothing was read from them, so their callers' requests did not run.
 func (srv *Server) shutDown(ctx context.Context) {
 	srv.gate.startDraining()
 	srv.listener.CloseIdle(time.Now())
 	srv.gate.awaitDrained(ctx)
 	close(srv.stop)
 	_ = srv.listener.Close()
-	srv.listener.CloseIdle(time.Now())
-	srv.awaitLastResponses(ctx)
+	srv.listener.CloseUnused()
+	if !errors.Is(ctx.Err(), context.Canceled) {
+		srv.gate.leave()
+		srv.awaitLastResponses(ctx)
+	}
 	_ = srv.http.Close()
 }
 
 // awaitLastResponses waits for the requests that arrived just before the listener was closed: until
 // those that are served have ended, and up to lastResponseWait until those that are refused have got
-// their responses. It returns earlier if the context ends.
+// their responses. It returns earlier if the context is cancelled, and if its deadline has passed and
+// lastResponseWait too.
 //
 // A request whose bytes have arrived doesn't count as open until its handler runs. If the server
 // were closed in between, the handler could still send the request to a target, and its caller would
 // get no response.
 func (srv *Server) awaitLastResponses(ctx context.Context) {
 	start := time.Now()
-	for ctx.Err() == nil {
+	for ctx.Err() == nil || time.Since(start) < lastResponseWait {
+		if errors.Is(ctx.Err(), context.Canceled) {
+			return
+		}
 		responsesDue := srv.listener.CountBusy() > 0 && time.Since(start) < lastResponseWait
 		if srv.gate.openRequests.Load() == 0 && !responsesDue {
 			return
