Refusals reach callers whose deadline passed while the process stood still

What callers saw: a daemon stood still for some seconds while it drained (SIGSTOP, SIGCONT). Requests whose deadline had passed by more than half a second meanwhile were cut off without a response.

Cause: the write deadline of a response is that of the request plus writeGrace. When the process went on, it had passed as well, so the refusal could not be written. It happens outside the drain too.

Why the fix works: a refusal gets refusalWriteTimeout from the moment at which it is written. It fits in the connection's buffer, so a caller that doesn't read keeps nothing occupied.

--- a/io/yuccagate/request.go
+++ b/io/yuccagate/request.go
@@ -29,8 +29,8 @@
 	// leavingRetryAfter is the retry-after of a draining daemon. It is short because another
 	// daemon serves the retry.
 	leavingRetryAfter = 300 * time.Millisecond
-	// refusalWriteTimeout bounds the writing of a response while the request's deadline isn't
-	// known yet. writeGrace is how long after the deadline a response may still be written.
+	// refusalWriteTimeout bounds the writing of a refusal, and of a response while the request's
+	// deadline isn't known yet. writeGrace is how long after the deadline a response may still be written.
 	refusalWriteTimeout = 5 * time.Second
 	writeGrace          = 500 * time.Millisecond
 )
@@ -155,6 +155,8 @@
 		req.logDecision("refused", fields...)
 	}
 	req.closeIfDraining()
+	// If the process stood still past the request's deadline, the time for writing is over too.
+	req.setWriteDeadline(time.Now().Add(refusalWriteTimeout))
 	prob.write(req.w)
 }
 
