A target's status is read up to 64 KB

What callers saw: nothing; but a daemon that asked a target whether it has started again read up to a megabyte of the answer, through a buffer that grew in small steps. Evidence: in 40 streams at once that are continued while the target's report has no end, the process's resident memory grew by 1,145 KB for each (endless_test.go of platform/edge, kind report, on the old code). Why it works: 64 KB hold a report many times over, and readAll doubles its buffer. The whole status, not only its head, stays within 250 ms, since the connection is closed when the context ends. A status that is longer isn't understood, and the target is taken to be as registered, as before.

--- a/io/yuccagate/restarted.go
+++ b/io/yuccagate/restarted.go
@@ -6,13 +6,14 @@
 	"net/http"
 	"time"
 
+	"yuccacleat/core/yuccaid"
 	"yuccacleat/io/yuccahop"
 )
 
 const (
-	// statusTimeout bounds the wait for a target's status, and maxStatusBytes the length that is read.
+	// statusTimeout bounds the wait for a target's whole status, and maxStatusBytes the length that is read.
 	statusTimeout  = 250 * time.Millisecond
-	maxStatusBytes = 1 << 20
+	maxStatusBytes = 64 << 10
 )
 
 // hasRestarted reports whether the target of a stream that goes on has started again since it registered. It
@@ -30,7 +31,7 @@
 		return false
 	}
 	defer answer.Close()
-	raw, err := io.ReadAll(io.LimitReader(answer, maxStatusBytes))
+	raw, err := readStatus(answer)
 	if err != nil || answer.Status != http.StatusOK {
 		return false
 	}
@@ -41,3 +42,9 @@
 	}
 	return restarted
 }
+
+// readStatus reads a status, up to maxStatusBytes. No memory is reserved for it: it is needed for a moment
+// only, in which no part of a response is held.
+func readStatus(from io.Reader) ([]byte, error) {
+	return readAll(io.LimitReader(from, maxStatusBytes), maxStatusBytes, func(yuccaid.Bytes) bool { return true })
+}
