A lower limit on idle connections applies once the former one has passed

What callers may see: beside a configuration that lowers the limit, all connections that have been idle for longer are closed at one moment, while their callers still go by the limit that they know. A request that crosses such a close gets neither an answer nor a refusal; where the process stands still meanwhile, it has crossed for longer than the rule's slack.

Cause: CloseIdle took the limit of the newest configuration for connections that had become idle under the former one. Change: idleLimit holds the former limit until it has passed once. Ruled out: telling callers a Keep-Alive time (it can't be taken back when a configuration changes it); a limit on each connection (a caller may know the newer, longer one).

--- a/io/yuccagate/serve.go
+++ b/io/yuccagate/serve.go
@@ -65,20 +65,26 @@
 func (srv *Server) closeIdle() {
 	ticker := time.NewTicker(idleCheckInterval)
 	defer ticker.Stop()
+	var limit idleLimit
 	for {
 		select {
 		case now := <-ticker.C:
-			limit := defaultIdleTimeout
-			if table := srv.gate.tables.Load(); table != nil && table.Config().Limits.IdleTimeout > 0 {
-				limit = table.Config().Limits.IdleTimeout
-			}
-			srv.listener.CloseIdle(now.Add(-limit))
+			srv.listener.CloseIdle(now.Add(-limit.update(now, srv.gate.configuredIdleTimeout())))
 		case <-srv.stop:
 			return
 		}
 	}
 }
 
+// configuredIdleTimeout returns how long connections may be idle by the configuration in force.
+func (gate *Gate) configuredIdleTimeout() time.Duration {
+	table := gate.tables.Load()
+	if table == nil || table.Config().Limits.IdleTimeout <= 0 {
+		return defaultIdleTimeout
+	}
+	return table.Config().Limits.IdleTimeout
+}
+
 // Drain makes the daemon report that it isn't ready, closes idle connections, waits until no
 // request is open or the context ends, and closes the server. Requests whose response hasn't begun
 // shortly before the context's deadline are refused. It returns the number of requests that are still
