A silent target is given up only once another one has taken the stream up

Cause: the run was ended on a grant, not on what came of it. Budget, version and restart are checked before. An attempt that replaces others needs an event with a field. A charged resend that isn't sent is returned at once. A search whose reason has gone is made anew, and one that found nothing is repeated; three replacements at most. A timer that fires late searches for nothing. Buffers of 256 KB only for plain routes, once. Names: disarm, retryOrFail, keepWaiting, onContextDone, startSearch.

Kept: a replaced silent target counts as lost for the scheduler, as before.

--- a/io/yuccagate/attempt.go
+++ b/io/yuccagate/attempt.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"slices"
 	"time"
 
 	"yuccacleat/core/yuccagrant"
@@ -30,6 +31,8 @@
 	// lastEventID is the id of the event after which the target is told to continue the stream, empty if it
 	// is to send all events.
 	lastEventID string
+	// replaces reports whether the attempt was started beside others whose targets are silent.
+	replaces bool
 	// silent reports whether the target had sent nothing for long when another one was looked for.
 	silent bool
 	// holdBytes is how much of a response that isn't a stream is read before any of it is sent to the caller.
@@ -53,6 +56,8 @@
 	reader *eventReader
 	buffer *eventBuffer
 	events []event
+	// comments are what came before the events of an attempt that replaces others.
+	comments []byte
 	// broke is why the response broke off before its first event or within what was to be held.
 	broke error
 	// unfinished is the length of the part of an event with which a stream ended, in bytes.
@@ -112,6 +117,10 @@
 func (att *attempt) awaitEvent() {
 	att.reader = newEventReader(att.answer, att.buffer)
 	att.events, att.broke = att.reader.next()
+	for att.replaces && att.broke == nil && !hasEvent(att.events) {
+		att.comments = appendRaw(att.comments, att.events)
+		att.events, att.broke = att.reader.next()
+	}
 	att.timeToFirst = time.Since(att.sentAt)
 	if att.broke == nil {
 		return
@@ -124,6 +133,32 @@
 	}
 }
 
+// hasEvent reports whether one of the events has a field. Comments say nothing about whether a stream is going to come.
+func hasEvent(events []event) bool {
+	return slices.ContainsFunc(events, func(ev event) bool { return hasField(ev.raw) })
+}
+
+func appendRaw(to []byte, events []event) []byte {
+	for _, ev := range events {
+		to = append(to, ev.raw...)
+	}
+	return to
+}
+
+// succeeded reports whether the attempt, whose exchange has ended, has a stream's first event.
+func (att *attempt) succeeded() bool {
+	return att.err == nil && att.broke == nil && att.isStream() && att.answer.Status == http.StatusOK
+}
+
+// dropUnsent ends an attempt of which nothing was sent.
+func (att *attempt) dropUnsent(outcome yuccagrant.Outcome) {
+	if att.charged {
+		att.req.resend.unsent()
+	}
+	att.close()
+	att.req.gate.postFinished(att.plc, yuccagrant.Finished{Outcome: outcome})
+}
+
 // endedBeforeItBegan reports whether a stream that has ended without an event was most likely broken off before its
 // first one: nothing but the close of the connection says that it is complete. A stream that continues after an event
 // may have nothing left.
--- a/io/yuccagate/race.go
+++ b/io/yuccagate/race.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"yuccacleat/core/yuccagrant"
+	"yuccacleat/core/yuccaroute"
 )
 
 const (
@@ -16,10 +17,16 @@
 	silenceRatio = 3
 	silenceSlack = 300 * time.Millisecond
 	// maxSoundSilence is how long a sound target may be silent, with some time for this daemon. A run that can't go
-	// on beside another one isn't ended before, unless the caller waits no longer than that: then it is after the
-	// share silenceShare of the time that its caller waits.
+	// on beside another one for long isn't ended before. If its caller waits no longer than that, another target is looked
+	// for after the share silenceShare of the time that is left, and not before minSilence: later it would be of no use.
 	maxSoundSilence = 2500 * time.Millisecond
-	silenceShare    = 0.7
+	silenceShare    = 0.8
+	minSilence      = 1200 * time.Millisecond
+	// maxOverlap bounds how long two runs of a continued stream go on side by side. A target that takes part in a run may
+	// reject it, reset its connection or be unreachable within that time, and then the run before goes on.
+	maxOverlap = 300 * time.Millisecond
+	// maxReplacements bounds how often a request is sent to another target because one is silent.
+	maxReplacements = 3
 	// seekAgainAfter is the time after which a target is looked for again to replace a silent one.
 	seekAgainAfter = 500 * time.Millisecond
 	// maxSends bounds how often a request is sent in all.
@@ -48,32 +55,46 @@
 	seeking *placement
 	// failure is the last attempt whose target responded with an error, or nil. It is relayed if nothing better comes.
 	failure *attempt
-	// silence fires when the last attempt's target has been silent for too long.
-	silence *time.Timer
+	// silence fires when the last attempt's target has been silent for too long. overlap fires when attempts that may not
+	// go on beside a replacement have to be ended.
+	silence, overlap *time.Timer
+	// replacements counts the attempts that were started beside silent ones.
+	replacements int
 }
 
 func newRace(ctx context.Context, req *callerRequest, lastEventID string, lastEventAt time.Time) *race {
 	rc := &race{req: req, ctx: ctx, lastEventID: lastEventID, lastEventAt: lastEventAt, ended: make(chan *attempt, maxSends)}
-	rc.silence = time.NewTimer(time.Hour)
-	rc.silence.Stop()
+	rc.silence, rc.overlap = stoppedTimer(), stoppedTimer()
 	return rc
 }
 
+func stoppedTimer() *time.Timer {
+	timer := time.NewTimer(time.Hour)
+	timer.Stop()
+	return timer
+}
+
 // resumes reports whether the caller has already got events in this response, so that only a stream suits it.
 func (rc *race) resumes() bool { return !rc.lastEventAt.IsZero() }
 
-// run returns the attempt whose response is to be relayed, or a problem if there is none. Granted is a target that has
-// been granted already, or nil.
-func (rc *race) run(granted *grant) (*attempt, *Problem) {
+// run looks for a target and returns the attempt whose response is to be relayed, or a problem if there is none.
+func (rc *race) run() (*attempt, *Problem) {
+	rc.seek()
+	return rc.await()
+}
+
+// runWith does the same with an attempt that has been started, which the channel ended receives.
+func (rc *race) runWith(att *attempt, ended chan *attempt) (*attempt, *Problem) {
+	rc.pending = append(rc.pending, att)
+	rc.ended = ended
+	rc.awaitSilence(att.dec)
+	return rc.await()
+}
+
+// await returns the attempt whose response is to be relayed, or a problem if there is none.
+func (rc *race) await() (*attempt, *Problem) {
 	defer rc.silence.Stop()
-	if granted != nil {
-		rc.seeking = granted.plc
-		if prob := rc.onDecision(granted.dec); prob != nil {
-			return rc.finish(nil, prob)
-		}
-	} else {
-		rc.seek()
-	}
+	defer rc.overlap.Stop()
 	for {
 		select {
 		case att := <-rc.ended:
@@ -86,8 +107,10 @@
 			}
 		case <-rc.silence.C:
 			rc.onSilence()
+		case <-rc.overlap.C:
+			rc.endAllButLast(errSilent)
 		case <-rc.ctx.Done():
-			return rc.onOver()
+			return rc.onContextDone()
 		}
 	}
 }
@@ -112,20 +135,21 @@
 	rc.seeking = nil
 	if dec.target != "" && rc.req.endsUnbegun() {
 		rc.req.gate.postAbandon(plc)
-		return rc.stayOrEnd(rc.req.problemUnsent(errLeaving))
+		return rc.keepWaiting(rc.req.problemUnsent(errLeaving))
 	}
 	charged, prob := rc.req.useDecision(rc.ctx, plc, dec)
 	if prob != nil {
-		return rc.stayOrEnd(prob)
+		return rc.keepWaiting(prob)
 	}
 	return rc.begin(plc, dec, charged)
 }
 
-// stayOrEnd returns the problem if no attempt is pending. Otherwise a target is looked for again later.
-func (rc *race) stayOrEnd(prob *Problem) *Problem {
+// keepWaiting returns the problem if no attempt is pending. Otherwise a target is looked for again later.
+func (rc *race) keepWaiting(prob *Problem) *Problem {
 	if len(rc.pending) == 0 {
 		return prob
 	}
+	rc.req.resend.release()
 	rc.req.logDecision("kept waiting", "kind", prob.Kind, "detail", prob.Detail, "pending", len(rc.pending))
 	rc.silence.Reset(seekAgainAfter)
 	return nil
@@ -133,16 +157,14 @@
 
 // begin sends the request to a granted target.
 func (rc *race) begin(plc *placement, dec decision, charged bool) *Problem {
-	if !rc.sideBySide() {
-		rc.endPending(errSilent)
-	}
 	att := rc.req.newAttempt(rc.ctx, plc, dec, rc.lastEventID)
 	att.charged = charged
 	if rc.req.bound && rc.req.hasRestarted(att.ctx, dec) {
-		return rc.onRestarted(att)
+		att.dropUnsent(yuccagrant.Misdirected)
+		return rc.retryOrFail(yuccagrant.Misdirected)
 	}
-	if len(rc.pending) > 0 && rc.req.reserve(replacementHoldBytes-copyBufferBytes) {
-		att.holdBytes = replacementHoldBytes
+	if len(rc.pending) > 0 {
+		rc.beginReplacement(att)
 	}
 	rc.pending = append(rc.pending, att)
 	att.start(func(att *attempt) { rc.ended <- att })
@@ -150,20 +172,22 @@
 	return nil
 }
 
-// sideBySide reports whether another run may be started beside one that goes on: not if runs continue a stream, since
-// a continued stream may have one run only.
-func (rc *race) sideBySide() bool { return rc.lastEventID == "" }
-
-// onRestarted handles a target that turned out to have restarted, to which nothing was sent.
-func (rc *race) onRestarted(att *attempt) *Problem {
-	if att.charged {
-		rc.req.resend.unsent()
+// beginReplacement prepares an attempt that is started beside others. Their answers are given up only for one that has come
+// so far that it is likely to be whole.
+func (rc *race) beginReplacement(att *attempt) {
+	rc.replacements++
+	att.replaces = true
+	if rc.req.route.Kind != yuccaroute.Stream && rc.replacements == 1 && rc.req.reserve(replacementHoldBytes-copyBufferBytes) {
+		att.holdBytes = replacementHoldBytes
+	}
+	if !rc.sideBySide() {
+		rc.overlap.Reset(maxOverlap)
 	}
-	att.cancel(nil)
-	rc.req.gate.postFinished(att.plc, yuccagrant.Finished{Outcome: yuccagrant.Misdirected})
-	return rc.goOn(yuccagrant.Misdirected)
 }
 
+// sideBySide reports whether another run may go on beside one for long: not if runs continue a stream.
+func (rc *race) sideBySide() bool { return rc.lastEventID == "" }
+
 // awaitSilence sets when another target is looked for because the last one is silent.
 func (rc *race) awaitSilence(dec decision) {
 	switch {
@@ -185,13 +209,13 @@
 	if left > maxSoundSilence {
 		return maxSoundSilence
 	}
-	return time.Duration(silenceShare * float64(left))
+	return max(time.Duration(silenceShare*float64(left)), minSilence)
 }
 
 // mayReplace reports whether the request may be sent to another target while attempts are pending.
 func (rc *race) mayReplace() bool {
 	req := rc.req
-	return req.route.Repeatable() && req.runs+len(rc.pending) < req.route.Attempts && req.sends < maxSends
+	return req.route.Repeatable() && req.runs+len(rc.pending) < req.route.Attempts && req.sends < maxSends && rc.replacements < maxReplacements
 }
 
 // onSilence looks for another target, because those that have the request are silent, if the budget allows
@@ -200,14 +224,26 @@
 	if rc.seeking != nil || len(rc.pending) == 0 || !rc.mayReplace() || !rc.req.confirmVersion() {
 		return
 	}
-	for _, att := range rc.pending {
+	if !rc.req.allowReplacement(rc.pending...) {
+		rc.silence.Reset(seekAgainAfter)
+		return
+	}
+	rc.seek()
+}
+
+// allowReplacement reports whether the budget allows to send the request to another target, because those of the attempts
+// are silent.
+func (req *callerRequest) allowReplacement(silent ...*attempt) bool {
+	allowed, fields := req.mayResend()
+	known := true
+	for _, att := range silent {
+		known = known && att.silent
 		att.silent = true
 	}
-	allowed, fields := rc.req.mayResend()
-	rc.req.logDecision("silent", append(fields, "may", allowed)...)
-	if allowed {
-		rc.seek()
+	if !known {
+		req.logDecision("silent", append(fields, "may", allowed)...)
 	}
+	return allowed
 }
 
 // onEnded handles an attempt whose exchange has ended. It returns the attempt to relay, or a problem if nothing
@@ -234,7 +270,7 @@
 		att.close()
 		rc.req.gate.postFinished(att.plc, yuccagrant.Finished{Outcome: outcome, Load: att.report.Load})
 	}
-	return nil, rc.goOn(outcome)
+	return nil, rc.retryOrFail(outcome)
 }
 
 // continues reports whether the target's response continues a stream.
@@ -260,15 +296,19 @@
 // underWay reports whether an attempt is pending or a target is looked for.
 func (rc *race) underWay() bool { return len(rc.pending) > 0 || rc.seeking != nil }
 
-// goOn looks for another target after an attempt without a response, unless something is under way. It returns a
+// retryOrFail looks for another target after an attempt without a response, unless something is under way. It returns a
 // problem if the request may not be sent again.
-func (rc *race) goOn(outcome yuccagrant.Outcome) *Problem {
+func (rc *race) retryOrFail(outcome yuccagrant.Outcome) *Problem {
 	switch {
 	case len(rc.pending) > 0 && rc.seeking == nil:
 		rc.silence.Reset(seekAgainAfter)
 		return nil
-	case rc.underWay():
+	case len(rc.pending) > 0 || rc.seeking != nil && !rc.seeking.replaces:
 		return nil
+	}
+	// A target that was looked for to replace another one may not be the other one again; now it may.
+	rc.abandonSearch()
+	switch {
 	case rc.ctx.Err() != nil || !rc.req.confirmVersion() || !rc.req.shouldResend(outcome):
 		return rc.req.problemAfterFailure(rc.ctx, outcome)
 	}
@@ -276,8 +316,8 @@
 	return nil
 }
 
-// onOver ends the race when its context has ended. A response that is whole is delivered nevertheless.
-func (rc *race) onOver() (*attempt, *Problem) {
+// onContextDone ends the race when its context has ended. A response that is whole is delivered nevertheless.
+func (rc *race) onContextDone() (*attempt, *Problem) {
 	cause := context.Cause(rc.ctx)
 	var whole *attempt
 	for _, att := range slices.Clone(rc.pending) {
@@ -297,10 +337,7 @@
 
 // finish ends what is still under way. It returns the winner, or the error response of a target in place of the problem.
 func (rc *race) finish(winner *attempt, prob *Problem) (*attempt, *Problem) {
-	if rc.seeking != nil {
-		rc.req.gate.postAbandon(rc.seeking)
-		rc.seeking = nil
-	}
+	rc.abandonSearch()
 	rc.endPending(errReplaced)
 	if winner == nil && rc.failure != nil && (rc.ctx.Err() == nil || rc.failure.whole()) {
 		// The request ran, so responding that it didn't would be wrong. The target's own error
@@ -312,21 +349,51 @@
 	return winner, prob
 }
 
+// abandonSearch withdraws the placement whose decision is awaited, if any.
+func (rc *race) abandonSearch() {
+	if rc.seeking == nil {
+		return
+	}
+	rc.req.gate.postAbandon(rc.seeking)
+	rc.req.resend.release()
+	rc.seeking = nil
+}
+
 // endPending ends the pending attempts with a cause.
 func (rc *race) endPending(cause error) {
 	for _, att := range rc.pending {
-		att.end(cause)
-		rc.req.settle(att)
-		rc.req.countSilence(att, true)
-		outcome := yuccagrant.Dropped
-		if att.silent {
-			outcome = yuccagrant.Lost
-		}
-		rc.drop(att, outcome)
+		rc.endOne(att, cause)
 	}
 	rc.pending = nil
 }
 
+// endAllButLast ends the pending attempts but the last one with a cause.
+func (rc *race) endAllButLast(cause error) {
+	for len(rc.pending) > 1 {
+		rc.endOne(rc.pending[0], cause)
+		rc.pending = rc.pending[1:]
+	}
+}
+
+func (rc *race) endOne(att *attempt, cause error) {
+	att.end(cause)
+	rc.req.countSilence(att, true)
+	rc.req.dropSettled(att)
+}
+
+// dropSettled counts an attempt whose exchange has ended and whose response isn't relayed, and reports its outcome.
+func (req *callerRequest) dropSettled(att *attempt) {
+	outcome := req.settle(att)
+	if outcome == yuccagrant.Served || outcome == yuccagrant.Broken {
+		outcome = yuccagrant.Dropped
+	}
+	if att.silent {
+		outcome = yuccagrant.Lost
+	}
+	att.close()
+	req.gate.postFinished(att.plc, yuccagrant.Finished{Outcome: outcome, Load: att.report.Load})
+}
+
 // countSilence counts a silent target that has been replaced, or whose silence has ended.
 func (req *callerRequest) countSilence(att *attempt, replaced bool) {
 	if !att.silent {
--- a/io/yuccagate/resend.go
+++ b/io/yuccagate/resend.go
@@ -69,6 +69,16 @@
 	chg.waiting = !chg.ended
 }
 
+// release returns a charged resend that isn't sent, because the request is served without it.
+func (chg *resendCharge) release() {
+	chg.mu.Lock()
+	defer chg.mu.Unlock()
+	if chg.waiting {
+		chg.drop()
+	}
+	chg.waiting = false
+}
+
 // end records that the request has ended.
 func (chg *resendCharge) end() {
 	chg.mu.Lock()
--- a/io/yuccagate/run.go
+++ b/io/yuccagate/run.go
@@ -25,7 +25,7 @@
 			return prob
 		}
 	}
-	att, prob := newRace(ctx, req, req.info.LastEventID, time.Time{}).run(nil)
+	att, prob := newRace(ctx, req, req.info.LastEventID, time.Time{}).run()
 	if prob != nil {
 		return prob
 	}
--- a/io/yuccagate/silencewatch.go
+++ b/io/yuccagate/silencewatch.go
@@ -8,21 +8,8 @@
 	"yuccacleat/core/yuccagrant"
 )
 
-// grant is a target that a request has been granted and that it hasn't been sent to.
-type grant struct {
-	plc *placement
-	dec decision
-}
-
-// giveBack returns a grant that isn't used. It does nothing if the grant is nil.
-func (grt *grant) giveBack() {
-	if grt != nil {
-		grt.plc.req.gate.postFinished(grt.plc, yuccagrant.Finished{Outcome: yuccagrant.Dropped})
-	}
-}
-
 // silenceWatch looks for another target for a stream whose target sends nothing for longer than a sound one
-// may be silent. It ends the present run only once another target has been granted.
+// may be silent. It ends the present run only once another target has taken the stream up.
 //
 // A target may hang while its connection stays open. Without a watch the stream would wait there until its caller
 // leaves, although another target could continue it.
@@ -34,17 +21,24 @@
 
 	mu sync.Mutex
 	// interrupt ends the search for a target, and sought is closed when it has ended; both are nil if none is under way.
+	// While a search is under way, it alone uses the request.
 	interrupt context.CancelFunc
 	sought    chan struct{}
-	granted   *grant
-	// awaiting reports whether events are awaited, and since when.
-	awaiting bool
-	since    time.Time
+	// replacement is the attempt that takes the stream up, and ended receives it once its exchange has ended.
+	replacement *attempt
+	ended       chan *attempt
+	// awaiting reports whether events are awaited, since when, for how long, and after which event.
+	awaiting    bool
+	since       time.Time
+	limit       time.Duration
+	lastEventID string
+	// sends counts the targets to which the stream has been sent because this one was silent.
+	sends int
 }
 
 // newSilenceWatch returns the watch of an attempt's stream, which doesn't look before await is called.
 func newSilenceWatch(ctx context.Context, att *attempt) *silenceWatch {
-	watch := &silenceWatch{att: att, ctx: ctx}
+	watch := &silenceWatch{att: att, ctx: ctx, ended: make(chan *attempt, maxSends)}
 	if req := att.req; req.route.Repeatable() && req.runs < req.route.Attempts {
 		watch.timer = time.AfterFunc(time.Hour, watch.seek)
 		watch.timer.Stop()
@@ -53,19 +47,20 @@
 }
 
 // await has the watch look for another target if its own is silent for too long from now on.
-func (watch *silenceWatch) await(now time.Time) {
+func (watch *silenceWatch) await(now time.Time, lastEventID string) {
 	if watch.timer == nil {
 		return
 	}
+	limit := watch.att.req.soundSilence(now)
 	watch.mu.Lock()
-	watch.awaiting, watch.since = true, now
+	watch.awaiting, watch.since, watch.limit, watch.lastEventID = true, now, limit, lastEventID
 	watch.mu.Unlock()
-	watch.timer.Reset(watch.att.req.soundSilence(now))
+	watch.timer.Reset(limit)
 }
 
-// rest has the watch stop looking, because events have arrived or the stream has ended. It returns the target for which the
+// disarm has the watch stop looking, because events have arrived or the stream has ended. It returns the attempt for which the
 // watch has ended the run, or nil.
-func (watch *silenceWatch) rest() *grant {
+func (watch *silenceWatch) disarm() *attempt {
 	if watch.timer == nil {
 		return nil
 	}
@@ -77,18 +72,17 @@
 	if interrupt != nil {
 		interrupt()
 		<-sought
-		watch.att.req.gate.metrics.silenceEnded(false)
 	}
 	watch.mu.Lock()
 	defer watch.mu.Unlock()
-	return watch.granted
+	return watch.replacement
 }
 
-// begin records that a search begins. It reports false if no events are awaited any more.
-func (watch *silenceWatch) begin() (ctx context.Context, end func(), begun bool) {
+// startSearch records that a search begins. It reports false if no events are awaited any more, or not for long enough.
+func (watch *silenceWatch) startSearch(now time.Time) (ctx context.Context, end func(), started bool) {
 	watch.mu.Lock()
 	defer watch.mu.Unlock()
-	if !watch.awaiting || watch.granted != nil {
+	if !watch.awaiting || watch.replacement != nil || now.Sub(watch.since) < watch.limit {
 		return nil, nil, false
 	}
 	ctx, cancel := context.WithCancel(watch.ctx)
@@ -104,50 +98,86 @@
 	return ctx, end, true
 }
 
-// seek looks for another target if the budget allows to send the request to one, and ends the present run when one is
-// granted.
+// seek looks for another target if the budget allows to send the request to one, and looks again later if none is
+// to be had.
 func (watch *silenceWatch) seek() {
-	ctx, end, begun := watch.begin()
-	if !begun {
+	ctx, end, started := watch.startSearch(time.Now())
+	if !started {
 		return
 	}
 	defer end()
+	replaced := watch.replace(ctx)
 	req := watch.att.req
-	if !req.confirmVersion() {
-		return
+	if !replaced {
+		req.resend.release()
 	}
-	allowed, fields := req.mayResend()
-	req.logDecision("silent", append(fields, "may", allowed)...)
-	if !allowed {
-		return
+	switch {
+	case replaced || ctx.Err() != nil:
+		req.countSilence(watch.att, replaced)
+	case watch.sends < maxReplacements:
+		watch.timer.Reset(seekAgainAfter)
+	}
+}
+
+// replace reports whether another target has taken the stream up, so that the present run has been ended.
+func (watch *silenceWatch) replace(ctx context.Context) bool {
+	req := watch.att.req
+	if !req.confirmVersion() || !req.allowReplacement(watch.att) {
+		return false
 	}
 	plc := req.gate.newPlacement(req, watch.since, true)
 	req.gate.postPlacement(plc)
 	select {
 	case dec := <-plc.decision:
-		watch.onDecision(ctx, plc, dec)
+		att := watch.start(ctx, plc, dec)
+		return att != nil && watch.takesOver(ctx, att)
 	case <-ctx.Done():
 		req.gate.postAbandon(plc)
 	}
+	return false
 }
 
-// onDecision ends the present run if a target was granted. Else the watch looks again later.
-func (watch *silenceWatch) onDecision(ctx context.Context, plc *placement, dec decision) {
-	if dec.refusal != nil || dec.problem != nil {
-		if ctx.Err() == nil {
-			watch.timer.Reset(seekAgainAfter)
+// start sends the stream to a granted target beside the present one. It returns nil if no target was granted, or if the stream
+// may not be sent there.
+func (watch *silenceWatch) start(ctx context.Context, plc *placement, dec decision) *attempt {
+	req := watch.att.req
+	charged, prob := req.useDecision(ctx, plc, dec)
+	if prob != nil {
+		return nil
+	}
+	att := req.newAttempt(watch.ctx, plc, dec, watch.lastEventID)
+	att.charged, att.replaces = charged, true
+	if !req.confirmVersion() || req.hasRestarted(ctx, dec) {
+		att.dropUnsent(yuccagrant.Misdirected)
+		return nil
+	}
+	watch.sends++
+	att.start(func(att *attempt) { watch.ended <- att })
+	return att
+}
+
+// takesOver waits for a replacement while the present target goes on. It reports whether the present run has been ended: as soon as
+// the replacement sends an event, or when it hasn't failed within maxOverlap.
+func (watch *silenceWatch) takesOver(ctx context.Context, att *attempt) bool {
+	timer := time.NewTimer(maxOverlap)
+	defer timer.Stop()
+	select {
+	case <-att.done:
+		if !att.succeeded() {
+			<-watch.ended
+			att.req.dropSettled(att)
+			return false
 		}
-		return
+	case <-timer.C:
+	case <-ctx.Done():
+		att.end(errReplaced)
+		<-watch.ended
+		att.req.dropSettled(att)
+		return false
 	}
 	watch.mu.Lock()
-	defer watch.mu.Unlock()
-	grt := &grant{plc: plc, dec: dec}
-	if ctx.Err() != nil {
-		grt.giveBack()
-		return
-	}
-	watch.granted = grt
-	watch.att.silent = true
-	watch.att.req.countSilence(watch.att, true)
+	watch.replacement = att
+	watch.mu.Unlock()
 	watch.att.cancel(errSilent)
+	return true
 }
--- a/io/yuccagate/stream.go
+++ b/io/yuccagate/stream.go
@@ -41,13 +41,13 @@
 	for {
 		watch := newSilenceWatch(ctx, att)
 		err := st.forwardEvents(att, watch)
-		granted := watch.rest()
+		replacement := watch.disarm()
 		st.req.finishAttempt(ctx, att, st.result, err)
-		if err == nil || !st.mayResume(ctx, err) {
-			granted.giveBack()
+		if err == nil || replacement == nil && !st.mayResume(ctx, err) {
+			st.req.giveUp(replacement)
 			return err
 		}
-		next := st.req.resume(ctx, st, granted)
+		next := st.req.resume(ctx, st, replacement, watch.ended)
 		if next == nil {
 			return err
 		}
@@ -55,6 +55,14 @@
 	}
 }
 
+// giveUp ends an attempt that isn't needed any more, if there is one.
+func (req *callerRequest) giveUp(att *attempt) {
+	if att != nil {
+		att.end(errReplaced)
+		req.dropSettled(att)
+	}
+}
+
 // mayResume reports whether the stream may be resumed after its present target ended it with the error.
 func (st *stream) mayResume(ctx context.Context, err error) bool {
 	var writeFailed *callerError
@@ -69,9 +77,12 @@
 	st.result = yuccagrant.Finished{}
 	st.begin(att)
 	events, err := att.events, error(nil)
+	if writeErr := st.sendComments(att); writeErr != nil {
+		return writeErr
+	}
 	for {
 		if len(events) > 0 {
-			watch.rest()
+			watch.disarm()
 			if writeErr := st.sendEvents(att, events); writeErr != nil {
 				return writeErr
 			}
@@ -81,7 +92,7 @@
 			return st.end(att, err, att.reader.remainder())
 		}
 		if !st.unnumbered {
-			watch.await(time.Now())
+			watch.await(time.Now(), st.lastEventID)
 		}
 		events, err = att.reader.next()
 		if len(events) > 0 {
@@ -108,6 +119,18 @@
 	return nil
 }
 
+// sendComments sends the caller what came before the first events of an attempt that replaced others.
+func (st *stream) sendComments(att *attempt) error {
+	if len(att.comments) == 0 {
+		return nil
+	}
+	st.sendHead(att)
+	if _, err := st.req.w.Write(att.comments); err != nil {
+		return &callerError{cause: err}
+	}
+	return nil
+}
+
 // end ends the forwarding of one target's events, after reading has ended with the error. If the stream
 // is complete, end sends the caller what follows the last event, and returns nil.
 func (st *stream) end(att *attempt, err error, remainder []byte) error {
@@ -185,16 +208,21 @@
 
 // resume sends the request of a stream that broke off to another target, which continues after the
 // last event that the caller has received. It returns the new attempt, or nil if the stream can't
-// be resumed. Granted is the target that was granted while the stream's target was silent, or nil.
+// be resumed. Replacement is the attempt that takes the stream up because its target was silent, or nil, and the channel
+// ended receives it.
 //
 // If streams weren't resumed, the caller of a long response whose target crashes would lose the
 // whole response, or retry and have it generated again. A target that resumes the stream only has
 // to read the prompt again.
-func (req *callerRequest) resume(ctx context.Context, st *stream, granted *grant) *attempt {
-	if granted == nil && !req.shouldResend(yuccagrant.Broken) {
-		return nil
+func (req *callerRequest) resume(ctx context.Context, st *stream, replacement *attempt, ended chan *attempt) *attempt {
+	rc := newRace(ctx, req, st.lastEventID, st.lastEventAt)
+	var att *attempt
+	switch {
+	case replacement != nil:
+		att, _ = rc.runWith(replacement, ended)
+	case req.shouldResend(yuccagrant.Broken):
+		att, _ = rc.run()
 	}
-	att, _ := newRace(ctx, req, st.lastEventID, st.lastEventAt).run(granted)
 	if att != nil {
 		req.logDecision("resumed", "target", att.dec.target, "version", att.dec.version, "position", st.lastEventID)
 	}
