Replacements of a silent stream count against the route's attempts

What callers would see: a stream that runs on more targets than its route allows (rule BUDGET), where the targets that are to replace its silent one fail. Found by reading the change as a newcomer.

Cause: the watch compared runs with the route's attempts when it was made, not before each search. Change: mayReplace asks each time, and a search that may send nothing isn't repeated. Ruled out: the race of attempts has the check in mayReplace already.

Before: 'runs on no more targets than its route allows' counts 3 runs of 2 allowed. After: 2; the specs on targets that send nothing pass.

--- a/io/yuccagate/race.go
+++ b/io/yuccagate/race.go
@@ -22,8 +22,8 @@
 	maxSoundSilence = 2500 * time.Millisecond
 	silenceShare    = 0.8
 	minSilence      = 1200 * time.Millisecond
-	// maxOverlap bounds how long two runs of a continued stream go on side by side. A target that takes part in a run may
-	// reject it, reset its connection or be unreachable within that time, and then the run before goes on.
+	// maxOverlap bounds how long two runs of a continued stream go on side by side. If the later one is rejected, reset or
+	// can't be sent within that time, the earlier one goes on.
 	maxOverlap = 300 * time.Millisecond
 	// maxReplacements bounds how often a request is sent to another target because one is silent.
 	maxReplacements = 3
@@ -308,8 +308,7 @@
 	}
 	// A target that was looked for to replace another one may not be the other one again; now it may.
 	rc.abandonSearch()
-	switch {
-	case rc.ctx.Err() != nil || !rc.req.confirmVersion() || !rc.req.shouldResend(outcome):
+	if rc.ctx.Err() != nil || !rc.req.confirmVersion() || !rc.req.shouldResend(outcome) {
 		return rc.req.problemAfterFailure(rc.ctx, outcome)
 	}
 	rc.seek()
--- a/io/yuccagate/silencewatch.go
+++ b/io/yuccagate/silencewatch.go
@@ -39,7 +39,7 @@
 // newSilenceWatch returns the watch of an attempt's stream, which doesn't look before await is called.
 func newSilenceWatch(ctx context.Context, att *attempt) *silenceWatch {
 	watch := &silenceWatch{att: att, ctx: ctx, ended: make(chan *attempt, maxSends)}
-	if req := att.req; req.route.Repeatable() && req.runs < req.route.Attempts {
+	if att.req.route.Repeatable() && watch.mayReplace() {
 		watch.timer = time.AfterFunc(time.Hour, watch.seek)
 		watch.timer.Stop()
 	}
@@ -106,17 +106,25 @@
 		return
 	}
 	defer end()
+	if !watch.mayReplace() {
+		return
+	}
 	replaced := watch.replace(ctx)
 	req := watch.att.req
 	if !replaced {
 		req.resend.release()
 	}
-	switch {
-	case replaced || ctx.Err() != nil:
+	if replaced || ctx.Err() != nil {
 		req.countSilence(watch.att, replaced)
-	case watch.sends < maxReplacements:
-		watch.timer.Reset(seekAgainAfter)
+		return
 	}
+	watch.timer.Reset(seekAgainAfter)
+}
+
+// mayReplace reports whether the stream may be sent to another target.
+func (watch *silenceWatch) mayReplace() bool {
+	req := watch.att.req
+	return req.runs < req.route.Attempts && req.sends < maxSends && watch.sends < maxReplacements
 }
 
 // replace reports whether another target has taken the stream up, so that the present run has been ended.
