--- a/io/yuccagate/attempt.go
+++ b/io/yuccagate/attempt.go
@@ -12,7 +12,7 @@
 	"yuccacleat/io/yuccahop"
 )
 
-// errSilent is why a run ends whose target has sent nothing for long, once another target has been granted or has answered.
+// errSilent is why a run ends whose target has sent nothing for long, once another target has taken the request up.
 // errReplaced is why one ends that lost its race.
 var (
 	errSilent   = errors.New("the target has sent nothing for too long, and another one serves")
