The line 'sent' names the parts of the prompt that other requests share

Operators could not tell what requests on targets that end one after the other have in common: the line had only the number of parts. What is decided is unchanged.

--- a/core/yuccaid/name.go
+++ b/core/yuccaid/name.go
@@ -33,6 +33,9 @@
 // Model is the name of a model, an adapter or a version in the weight store.
 type Model string
 
+// PromptPart is the id of a part of a prompt that several requests may share.
+type PromptPart string
+
 // ConfigNumber numbers the states of the configuration: how many release notes have
 // been accepted. The empty configuration has number 0.
 type ConfigNumber uint64
--- a/io/yuccagate/attempt.go
+++ b/io/yuccagate/attempt.go
@@ -240,6 +240,6 @@
 		"target", dec.target, "version", dec.version, "resumes", req.info.Resumes, "from", req.info.LastEventID, "send", req.sends, "waitedMillis", att.sentAt.Sub(req.arrivedAt).Milliseconds(),
 		"leader", dec.decisionInputs.leader, "alone", dec.withoutLeader, "expectMillis", dec.decisionInputs.expectedFirst.Milliseconds(), "busy", dec.decisionInputs.busy,
 		"number", req.table.Number(), "revision", dec.decisionInputs.platformRevision, "newsAgeMillis", dec.decisionInputs.platformAge.Milliseconds(),
-		"charged", req.info.Charged, "over", req.overQuota, "prompt", req.info.Prompt, "answer", req.info.Answer, "parts", len(req.info.Parts), "held", dec.decisionInputs.held, "fetchFrom", dec.decisionInputs.fetchFrom,
+		"charged", req.info.Charged, "over", req.overQuota, "prompt", req.info.Prompt, "answer", req.info.Answer, "parts", len(req.info.Parts), "shared", req.info.SharedParts, "held", dec.decisionInputs.held, "fetchFrom", dec.decisionInputs.fetchFrom,
 	)
 }
--- a/io/yuccagate/dialect.go
+++ b/io/yuccagate/dialect.go
@@ -50,6 +50,8 @@
 	// prompt. Their sizes are in tokens, and their hashes have 32 bits. Parts is empty if the request
 	// names none.
 	Parts []yuccacache.Part
+	// SharedParts are the ids of the parts of the prompt that other requests may share, whatever comes before them.
+	SharedParts []yuccaid.PromptPart
 	// LastEventID is the id of the last event of this stream that the caller received in an
 	// earlier response, empty if it received none.
 	LastEventID string
