Requests with a part on which targets crash are held back

Callers of sound requests saw them break off one after the other: requests with one part in their prompts ended 63 to 78 targets, each with its batch. Cause: nothing tied the end of a target to what it was running; an answer that breaks off counts as a failure of its target, and the request, its caller's retry and the next one with the part go to another.

Now each daemon records which parts were in the runs that a crashed process lost (core/yuccaquarantine). A process has crashed if runs on it broke off and it then refuses connections, or its registration goes without having left. A run that goes on for 250 ms after its first event, or is whole, clears its parts, also at other daemons. The fewest parts that explain the crashes are held after three, where each counts less if other targets crash at the same time without the part. Daemons tell one another of crashes, cleared parts and trials, and a newcomer of all. A held request gets 503, kind held, with the time of the next trial: after 2 s, a minute, twice that and so on, one request at a time. Parts that have the same crashes are told apart by one request that has only some of them.

Why this works: a bad part never goes far and is in each of its crashes, all others are cleared or explained by it. Ruled out: taking each broken stream for a crash (targets break single answers off too). explain tells of held requests and trials; golden files.

--- /dev/null
+++ b/core/yuccaquarantine/quarantine.go
@@ -0,0 +1,262 @@
+package yuccaquarantine
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"yuccacleat/core/yuccaid"
+)
+
+const (
+	// crashesToHold is the number of crashes, each explained by nothing else, for which a part is held. Daemons that see only
+	// a part of the fleet, or have lost what they knew, hold it for fewerCrashesToHold: each such part of the fleet learns for itself.
+	crashesToHold      = 3
+	fewerCrashesToHold = 2
+	// announceSpread is the time over which daemons spread what they tell of a part that all of them have cleared.
+	announceSpread = 80 * time.Millisecond
+	// soundFor is how long a part counts as sound after a run came far with it.
+	soundFor = 10 * time.Second
+	// maxSound bounds the parts whose last good run is remembered.
+	maxSound = 1 << 13
+)
+
+// View is what a daemon sees of its fleet.
+type View struct {
+	// Whole reports whether it sees all data centres, and Experienced whether it, or a daemon that told it, has run
+	// for long enough to know of earlier crashes.
+	Whole, Experienced bool
+}
+
+// Quarantine is what one daemon knows of the parts on which targets crash. It isn't safe for concurrent use.
+type Quarantine struct {
+	vm       yuccaid.VM
+	crashes  []*crash
+	suspects map[yuccaid.PromptPart]*suspect
+	// sound and soundBefore have when a run last came far with a part, in the present and the former span of soundFor.
+	sound, soundBefore map[yuccaid.PromptPart]time.Time
+	soundSince         time.Time
+	// held is what is held, and news what other daemons are to be told.
+	held []group
+	news News
+}
+
+// New returns what the daemon on a VM knows at first.
+func New(vm yuccaid.VM) *Quarantine {
+	return &Quarantine{vm: vm, suspects: make(map[yuccaid.PromptPart]*suspect), sound: make(map[yuccaid.PromptPart]time.Time)}
+}
+
+// RecordCrash records a crash that this daemon has noticed, and has other daemons told.
+func (qua *Quarantine) RecordCrash(now time.Time, report Crash) {
+	report.Parts = slices.DeleteFunc(slices.Clone(report.Parts), func(part yuccaid.PromptPart) bool { return qua.soundAt(part, report.At) })
+	qua.addCrash(now, report)
+	qua.news.Crashes = append(qua.news.Crashes, report)
+}
+
+// soundAt reports whether a run has cleared the part of a crash at a time.
+func (qua *Quarantine) soundAt(part yuccaid.PromptPart, at time.Time) bool {
+	last := qua.lastSound(part)
+	return !last.IsZero() && !at.After(last.Add(clearedGrace))
+}
+
+func (qua *Quarantine) lastSound(part yuccaid.PromptPart) time.Time {
+	if at, found := qua.sound[part]; found {
+		return at
+	}
+	return qua.soundBefore[part]
+}
+
+// RecordSound records that a run with the parts came far in its answer at this daemon.
+func (qua *Quarantine) RecordSound(now time.Time, parts []yuccaid.PromptPart) {
+	if now.Sub(qua.soundSince) >= soundFor || len(qua.sound) >= maxSound {
+		qua.sound, qua.soundBefore, qua.soundSince = make(map[yuccaid.PromptPart]time.Time), qua.sound, now
+	}
+	for _, part := range parts {
+		qua.sound[part] = now
+		sus := qua.suspects[part]
+		if sus == nil {
+			continue
+		}
+		several, held := len(sus.evidence) > 1, !sus.heldSince.IsZero()
+		if sus.clear(now) {
+			sus.unannounced = true
+		}
+		if several || held {
+			qua.announce(sus, part)
+		}
+	}
+}
+
+// announce has other daemons told that a part is cleared.
+func (qua *Quarantine) announce(sus *suspect, part yuccaid.PromptPart) {
+	sus.unannounced, sus.announceAt = false, time.Time{}
+	qua.news.Cleared = append(qua.news.Cleared, Cleared{Part: part, At: sus.clearedAt})
+}
+
+// Merge records what another daemon tells. It reports whether anything of it wasn't known.
+func (qua *Quarantine) Merge(now time.Time, news News) (isNew bool) {
+	for _, report := range news.Crashes {
+		isNew = qua.addCrash(now, report) || isNew
+	}
+	for _, cleared := range news.Cleared {
+		if sus := qua.suspects[cleared.Part]; sus != nil {
+			isNew = sus.clear(cleared.At) || isNew
+			sus.unannounced, sus.announceAt = false, time.Time{}
+		}
+	}
+	for _, trial := range news.Trials {
+		isNew = qua.addTrial(trial) || isNew
+	}
+	return isNew
+}
+
+// addCrash records a crash, and reports whether it or one of its parts wasn't known.
+func (qua *Quarantine) addCrash(now time.Time, report Crash) (isNew bool) {
+	index := slices.IndexFunc(qua.crashes, func(cr *crash) bool { return cr.isSame(report) })
+	var known *crash
+	if index >= 0 {
+		known = qua.crashes[index]
+	} else {
+		known = &crash{Crash: Crash{Process: report.Process, At: report.At}, recordedAt: now}
+		qua.crashes = append(qua.crashes, known)
+		if len(qua.crashes) > maxCrashes {
+			qua.crashes = slices.Delete(qua.crashes, 0, 1)
+		}
+		isNew = true
+	}
+	for _, part := range report.Parts {
+		if slices.Contains(known.Parts, part) || len(known.Parts) >= maxPartsPerCrash {
+			continue
+		}
+		isNew = true
+		known.Parts = append(known.Parts, part)
+		qua.addEvidence(now, part, known)
+	}
+	return isNew
+}
+
+// addEvidence records that a part may have caused a crash, unless a run here has cleared it.
+func (qua *Quarantine) addEvidence(now time.Time, part yuccaid.PromptPart, cr *crash) {
+	sus := qua.suspects[part]
+	if sus == nil {
+		qua.makeRoom()
+		sus = &suspect{}
+		qua.suspects[part] = sus
+	}
+	sus.lastCrash = now
+	if last := qua.lastSound(part); last.After(sus.clearedAt) {
+		sus.clearedAt = last
+	}
+	if sus.disproved(cr) {
+		if sus.unannounced {
+			sus.announceAt = now.Add(qua.stagger(part, announceSpread))
+		}
+		sus.unannounced = true
+		return
+	}
+	if sus.unannounced && sus.announceAt.IsZero() {
+		sus.announceAt = now.Add(qua.stagger(part, announceSpread))
+	}
+	if sus.has(cr) {
+		return
+	}
+	sus.evidence = append(sus.evidence, evidence{crash: cr, weight: 1})
+	if len(sus.evidence) > maxEvidence {
+		sus.evidence = slices.Delete(sus.evidence, 0, 1)
+	}
+}
+
+// makeRoom forgets the suspect with the fewest crashes, of those the one of longest ago, if there are too many.
+func (qua *Quarantine) makeRoom() {
+	if len(qua.suspects) < maxSuspects {
+		return
+	}
+	var least yuccaid.PromptPart
+	var found *suspect
+	for part, sus := range qua.suspects {
+		if found == nil || cmp.Or(cmp.Compare(len(sus.evidence), len(found.evidence)), sus.lastCrash.Compare(found.lastCrash)) < 0 {
+			least, found = part, sus
+		}
+	}
+	delete(qua.suspects, least)
+}
+
+// addTrial records a trial, and reports whether it wasn't known.
+func (qua *Quarantine) addTrial(trial Trial) (isNew bool) {
+	for _, part := range trial.Parts {
+		sus := qua.suspects[part]
+		if sus == nil {
+			continue
+		}
+		if trial.Number > sus.trials {
+			sus.trials = trial.Number
+			isNew = true
+		}
+		if trial.At.After(sus.triedAt) {
+			sus.triedAt = trial.At
+		}
+	}
+	return isNew
+}
+
+// stagger returns a time between zero and the spread that differs between daemons.
+func (qua *Quarantine) stagger(part yuccaid.PromptPart, spread time.Duration) time.Duration {
+	return time.Duration(xxhash.Sum64String(string(part)+"\x00"+string(qua.vm)) % uint64(spread))
+}
+
+// Tick decides anew what is held, and returns what other daemons are to be told.
+func (qua *Quarantine) Tick(now time.Time, view View) News {
+	qua.expire(now)
+	for part, sus := range qua.suspects {
+		if !sus.announceAt.IsZero() && !now.Before(sus.announceAt) {
+			qua.announce(sus, part)
+		}
+	}
+	qua.decide(now, view)
+	news := qua.news
+	qua.news = News{}
+	return news
+}
+
+func (qua *Quarantine) expire(now time.Time) {
+	maps.DeleteFunc(qua.suspects, func(_ yuccaid.PromptPart, sus *suspect) bool { return now.Sub(sus.lastCrash) >= suspectFor })
+	qua.crashes = slices.DeleteFunc(qua.crashes, func(cr *crash) bool { return now.Sub(cr.recordedAt) >= suspectFor })
+}
+
+// State returns all that a daemon needs to know which has just been reached: the crashes of the suspects that have several,
+// and their trials.
+func (qua *Quarantine) State() News {
+	var news News
+	told := make(map[*crash]bool)
+	for part, sus := range qua.suspects {
+		if len(sus.evidence) < strongSuspicion {
+			continue
+		}
+		for _, ev := range sus.evidence {
+			if !told[ev.crash] {
+				told[ev.crash] = true
+				news.Crashes = append(news.Crashes, qua.suspected(ev.crash))
+			}
+		}
+		if sus.trials > 0 {
+			news.Trials = append(news.Trials, Trial{Parts: []yuccaid.PromptPart{part}, At: sus.triedAt, Number: sus.trials})
+		}
+	}
+	return news
+}
+
+// suspected returns a crash without the parts that have been cleared of it.
+func (qua *Quarantine) suspected(cr *crash) Crash {
+	report := cr.Crash
+	report.Parts = slices.DeleteFunc(slices.Clone(cr.Parts), func(part yuccaid.PromptPart) bool {
+		sus := qua.suspects[part]
+		return sus == nil || !sus.has(cr)
+	})
+	return report
+}
+
+// Suspects returns how many parts are remembered as suspects.
+func (qua *Quarantine) Suspects() int { return len(qua.suspects) }
--- /dev/null
+++ b/core/yuccaquarantine/quarantine_test.go
@@ -0,0 +1,297 @@
+package yuccaquarantine_test
+
+import (
+	"fmt"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"yuccacleat/core/yuccaid"
+	"yuccacleat/core/yuccaquarantine"
+)
+
+// whole is the view of a daemon that sees its whole fleet and knows of earlier crashes.
+var whole = yuccaquarantine.View{Whole: true, Experienced: true}
+
+// fleet is daemons that tell one another all news after each tick.
+type fleet struct {
+	now     time.Time
+	view    yuccaquarantine.View
+	daemons []*yuccaquarantine.Quarantine
+	crashes int
+}
+
+func newFleet(daemons int) *fleet {
+	flt := &fleet{now: time.Unix(1_700_000_000, 0), view: whole}
+	for index := range daemons {
+		flt.daemons = append(flt.daemons, yuccaquarantine.New(yuccaid.VM(fmt.Sprint("entry-", index))))
+	}
+	return flt
+}
+
+// pass lets time pass, with a tick of all daemons every 20 ms.
+func (flt *fleet) pass(span time.Duration) {
+	for ; span > 0; span -= 20 * time.Millisecond {
+		flt.now = flt.now.Add(20 * time.Millisecond)
+		for from, qua := range flt.daemons {
+			news := qua.Tick(flt.now, flt.view)
+			for to, other := range flt.daemons {
+				if to != from {
+					other.Merge(flt.now, news)
+				}
+			}
+		}
+	}
+}
+
+// crash has another target crash, on which runs with the parts were under way at one daemon.
+func (flt *fleet) crash(daemon int, parts ...yuccaid.PromptPart) {
+	flt.crashes++
+	process := yuccaquarantine.Process{Target: yuccaid.Target(fmt.Sprint("t-", flt.crashes)), StartMillis: 1}
+	flt.daemons[daemon].RecordCrash(flt.now, yuccaquarantine.Crash{Process: process, At: flt.now, Parts: parts})
+}
+
+func (flt *fleet) sound(daemon int, parts ...yuccaid.PromptPart) {
+	flt.daemons[daemon].RecordSound(flt.now, parts)
+}
+
+func (flt *fleet) decide(daemon int, parts ...yuccaid.PromptPart) yuccaquarantine.Decision {
+	return flt.daemons[daemon].Decide(flt.now, flt.view, parts)
+}
+
+// send sends a request with the parts at any daemon that lets it through. It reports false if all hold it back. A request with
+// the bad part crashes its target, the other one clears its parts.
+func (flt *fleet) send(bad yuccaid.PromptPart, parts ...yuccaid.PromptPart) bool {
+	for daemon := range flt.daemons {
+		dec := flt.decide(daemon, parts...)
+		if dec.Held {
+			continue
+		}
+		if dec.Trial {
+			flt.daemons[daemon].StartTrial(flt.now, dec.Parts)
+		}
+		for _, part := range parts {
+			if part == bad {
+				flt.crash(daemon, parts...)
+				return true
+			}
+		}
+		flt.sound(daemon, parts...)
+		return true
+	}
+	return false
+}
+
+var _ = Describe("a part on which targets crash", func() {
+	It("is held at all daemons after the third crash", func() {
+		flt := newFleet(4)
+		for turn := range 3 {
+			Expect(flt.decide(3, "bad").Held).To(BeFalse(), "turn %d", turn)
+			flt.crash(turn, "bad", yuccaid.PromptPart(fmt.Sprint("own-", turn)))
+			flt.pass(time.Second)
+		}
+		for daemon := range flt.daemons {
+			dec := flt.decide(daemon, "other", "bad")
+			Expect(dec.Held).To(BeTrue())
+			Expect(dec.Parts).To(Equal([]yuccaid.PromptPart{"bad"}))
+			Expect(dec.Crashes).To(Equal(3))
+			Expect(dec.RetryAfter).To(BeNumerically(">", 0))
+		}
+		Expect(flt.decide(0, "other", "own-1").Held).To(BeFalse())
+	})
+
+	It("is held after two crashes where the daemons don't see the whole fleet, or have lost what they knew", func() {
+		for _, view := range []yuccaquarantine.View{{Whole: true}, {Experienced: true}} {
+			flt := newFleet(2)
+			flt.view = view
+			for range 2 {
+				flt.crash(0, "bad")
+				flt.pass(time.Second)
+			}
+			Expect(flt.decide(1, "bad").Held).To(BeTrue())
+		}
+	})
+
+	It("is tried once at a time, and ever more rarely", func() {
+		flt := newFleet(5)
+		sent := 0
+		for elapsed := time.Duration(0); elapsed < time.Hour; elapsed += 100 * time.Millisecond {
+			if flt.send("bad", "shared", "bad") {
+				sent++
+			}
+			flt.sound(0, "shared")
+			flt.pass(100 * time.Millisecond)
+			switch elapsed {
+			case 10 * time.Second:
+				Expect(sent).To(BeNumerically("<=", 7))
+				sent = 0
+			case 5 * time.Minute:
+				Expect(sent).To(BeNumerically("<=", 3))
+			}
+		}
+		Expect(sent).To(BeNumerically("<=", 8))
+	})
+
+	It("is served again once a run with it has come far", func() {
+		flt := newFleet(3)
+		for range 3 {
+			flt.crash(0, "bad")
+			flt.pass(400 * time.Millisecond)
+		}
+		Expect(flt.decide(1, "bad").Held).To(BeTrue())
+		Eventually(func() bool {
+			flt.pass(100 * time.Millisecond)
+			return flt.send("none", "bad")
+		}).Should(BeTrue())
+		flt.pass(200 * time.Millisecond)
+		for daemon := range flt.daemons {
+			Expect(flt.decide(daemon, "bad")).To(Equal(yuccaquarantine.Decision{}))
+		}
+	})
+
+	It("is known to a daemon that joins, with its trials", func() {
+		flt := newFleet(2)
+		for range 3 {
+			flt.crash(0, "bad")
+			flt.pass(400 * time.Millisecond)
+		}
+		flt.pass(5 * time.Second)
+		Expect(flt.send("bad", "bad")).To(BeTrue())
+		flt.pass(time.Second)
+		joined := yuccaquarantine.New("entry-new")
+		joined.Merge(flt.now, flt.daemons[1].State())
+		joined.Tick(flt.now.Add(time.Second), whole)
+		dec := joined.Decide(flt.now.Add(time.Second), whole, []yuccaid.PromptPart{"bad"})
+		Expect(dec.Held).To(BeTrue())
+		Expect(dec.RetryAfter).To(BeNumerically(">", 50*time.Second))
+	})
+})
+
+var _ = Describe("parts that aren't the reason", func() {
+	It("aren't held if they were on the same targets by chance", func() {
+		flt := newFleet(3)
+		for turn := range 4 {
+			flt.crash(0, "bad", yuccaid.PromptPart(fmt.Sprint("mate-", turn%3)))
+			flt.pass(500 * time.Millisecond)
+		}
+		Expect(flt.decide(1, "bad").Held).To(BeTrue())
+		for turn := range 3 {
+			Expect(flt.decide(1, yuccaid.PromptPart(fmt.Sprint("mate-", turn))).Held).To(BeFalse())
+		}
+	})
+
+	It("are told apart by one request of theirs if they have the same crashes", func() {
+		flt := newFleet(3)
+		for range 3 {
+			flt.crash(0, "bad", "other")
+			flt.pass(400 * time.Millisecond)
+		}
+		Expect(flt.decide(0, "bad", "other").Held).To(BeTrue())
+		Eventually(func() bool {
+			flt.pass(100 * time.Millisecond)
+			return flt.send("bad", "sound", "other")
+		}).Should(BeTrue())
+		flt.pass(200 * time.Millisecond)
+		Expect(flt.decide(1, "other")).To(Equal(yuccaquarantine.Decision{}))
+		Expect(flt.decide(1, "bad").Held).To(BeTrue())
+	})
+
+	It("are served within seconds if they were on each target that crashed, and on others", func() {
+		flt := newFleet(3)
+		for range 3 {
+			flt.crash(0, "bad", "everywhere")
+			flt.pass(400 * time.Millisecond)
+		}
+		flt.crash(0, "everywhere")
+		flt.pass(400 * time.Millisecond)
+		began := flt.now
+		Eventually(func() bool {
+			flt.pass(100 * time.Millisecond)
+			return flt.send("bad", "everywhere")
+		}).Should(BeTrue())
+		Expect(flt.now.Sub(began)).To(BeNumerically("<", 4*time.Second))
+		flt.pass(400 * time.Millisecond)
+		Expect(flt.decide(1, "everywhere").Held).To(BeFalse())
+		Expect(flt.decide(1, "bad").Held).To(BeTrue())
+	})
+
+	It("aren't held if many targets crash at once, and few of these with the part", func() {
+		flt := newFleet(3)
+		for turn := range 9 {
+			parts := []yuccaid.PromptPart{yuccaid.PromptPart(fmt.Sprint("own-", turn))}
+			if turn%2 == 0 {
+				parts = append(parts, "shared")
+			}
+			flt.crash(turn%3, parts...)
+		}
+		flt.pass(5 * time.Second)
+		Expect(flt.decide(0, "shared").Held).To(BeFalse())
+	})
+
+	It("aren't held if a run came far with them shortly before", func() {
+		flt := newFleet(3)
+		flt.sound(2, "shared")
+		for range 5 {
+			flt.crash(0, "shared")
+			flt.pass(100 * time.Millisecond)
+		}
+		flt.pass(time.Second)
+		Expect(flt.decide(0, "shared").Held).To(BeFalse())
+	})
+
+	It("aren't held for crashes with runs that came far between them", func() {
+		flt := newFleet(3)
+		for range 8 {
+			flt.crash(0, "shared")
+			flt.pass(5 * time.Second)
+			flt.sound(1, "shared")
+			flt.pass(5 * time.Second)
+		}
+		Expect(flt.decide(0, "shared").Held).To(BeFalse())
+	})
+})
+
+// Guards against the failure that many different parts use up a daemon's memory.
+var _ = It("remembers a bounded number of parts", func() {
+	flt := newFleet(1)
+	for turn := range 400 {
+		var parts []yuccaid.PromptPart
+		for index := range 100 {
+			parts = append(parts, yuccaid.PromptPart(fmt.Sprint(turn, "-", index)))
+		}
+		flt.crash(0, append(parts[:10], "bad")...)
+		flt.pass(400 * time.Millisecond)
+	}
+	Expect(flt.daemons[0].Suspects()).To(BeNumerically("<=", 2048))
+	Expect(flt.daemons[0].Held()).To(ContainElement(yuccaid.PromptPart("bad")))
+})
+
+// Guards against the failure that requests with a bad part end more than five targets, whatever they share with sound ones.
+var _ = It("holds any bad part after few crashes, and no other part for long", func() {
+	rapid.Check(GinkgoT(), func(t *rapid.T) {
+		flt := newFleet(rapid.IntRange(1, 6).Draw(t, "daemons"))
+		parts := []yuccaid.PromptPart{"p0", "p1", "p2", "p3", "p4"}
+		pause := time.Duration(rapid.IntRange(2, 30).Draw(t, "pause")) * 100 * time.Millisecond
+		bad := 0
+		for turn := range 100 {
+			request := []yuccaid.PromptPart{rapid.SampledFrom(parts).Draw(t, "part"), "bad"}
+			if flt.send("bad", request...) {
+				bad++
+			}
+			flt.send("bad", parts[turn%len(parts)])
+			flt.pass(pause)
+		}
+		flt.pass(5 * time.Second)
+		for _, part := range parts {
+			if !flt.send("bad", part) {
+				t.Fatalf("%s is still held back", part)
+			}
+		}
+		trials := 3
+		if bad > 5+trials {
+			t.Fatalf("%d bad requests reached targets", bad)
+		}
+	})
+})
--- /dev/null
+++ b/core/yuccaquarantine/runs.go
@@ -0,0 +1,96 @@
+package yuccaquarantine
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"yuccacleat/core/yuccaid"
+)
+
+const (
+	// brokenFor is how long after a run broke off its process may turn out to have crashed. A registration takes most of
+	// it to expire.
+	brokenFor = 6 * time.Second
+	// maxBroken bounds the runs that are remembered, and maxPartsPerCrash the parts of one report.
+	maxBroken        = 4096
+	maxPartsPerCrash = 64
+)
+
+// Runs is what one daemon knows of the runs that have broken off. It isn't safe for concurrent use. The zero value is empty.
+type Runs struct {
+	broken map[Process][]brokenRun
+	count  int
+	// crashed are the processes known to have crashed, and when.
+	crashed map[Process]time.Time
+}
+
+// brokenRun is a run that broke off. It has no parts if it had come far in its answer.
+type brokenRun struct {
+	at    time.Time
+	parts []yuccaid.PromptPart
+}
+
+// Break records that a run of a process broke off. The parts are empty if the run had come far in its answer. If the process is
+// known to have crashed, it returns the crash with the run's parts.
+func (runs *Runs) Break(now time.Time, process Process, parts []yuccaid.PromptPart) (Crash, bool) {
+	if at, found := runs.crashed[process]; found && now.Sub(at) < brokenFor {
+		return Crash{Process: process, At: at, Parts: parts}, len(parts) > 0
+	}
+	if runs.broken == nil {
+		runs.broken = make(map[Process][]brokenRun)
+	}
+	if runs.count < maxBroken {
+		runs.broken[process] = append(runs.broken[process], brokenRun{at: now, parts: parts})
+		runs.count++
+	}
+	return Crash{}, false
+}
+
+// Crashed records that a process has crashed. It returns the crash if runs of the process broke off within brokenFor.
+func (runs *Runs) Crashed(now time.Time, process Process) (Crash, bool) {
+	runs.Expire(now)
+	if _, known := runs.crashed[process]; known {
+		return Crash{}, false
+	}
+	list := runs.broken[process]
+	if len(list) == 0 {
+		return Crash{}, false
+	}
+	runs.forget(process)
+	if runs.crashed == nil {
+		runs.crashed = make(map[Process]time.Time)
+	}
+	// The last run that broke off before was broken off by the crash, since none can begin after it.
+	crash := Crash{Process: process, At: list[len(list)-1].at}
+	runs.crashed[process] = crash.At
+	for _, run := range list {
+		if crash.At.Sub(run.at) > sameCrash {
+			continue
+		}
+		for _, part := range run.parts {
+			if !slices.Contains(crash.Parts, part) && len(crash.Parts) < maxPartsPerCrash {
+				crash.Parts = append(crash.Parts, part)
+			}
+		}
+	}
+	return crash, true
+}
+
+// Processes iterates over the processes of which runs broke off within brokenFor.
+func (runs *Runs) Processes() []Process { return slices.Collect(maps.Keys(runs.broken)) }
+
+// Expire forgets what is older than brokenFor.
+func (runs *Runs) Expire(now time.Time) {
+	maps.DeleteFunc(runs.crashed, func(_ Process, at time.Time) bool { return now.Sub(at) >= brokenFor })
+	for process, list := range runs.broken {
+		if now.Sub(list[len(list)-1].at) >= brokenFor {
+			runs.forget(process)
+		}
+	}
+}
+
+func (runs *Runs) forget(process Process) {
+	runs.count -= len(runs.broken[process])
+	delete(runs.broken, process)
+}
--- /dev/null
+++ b/core/yuccaquarantine/suspect.go
@@ -0,0 +1,83 @@
+package yuccaquarantine
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// sameCrash is the time within which reports of the end of one process mean the same crash.
+	sameCrash = time.Second
+	// collective is the time within which processes that crash are taken to crash for one reason.
+	collective = 300 * time.Millisecond
+	// settleTime is how long a crash is known before a part is held for it, so that other daemons can tell of other
+	// crashes at the same time and of runs that clear the part.
+	settleTime = 250 * time.Millisecond
+	// clearedGrace is how long a run that came far clears its parts of later crashes. Runs that begin with a bad part never
+	// come far, so it delays only the finding of a part that turns bad.
+	clearedGrace = 2 * time.Second
+	// suspectFor is how long a suspect is remembered after its last crash.
+	suspectFor = time.Hour
+	// maxCrashes bounds the crashes that are remembered, maxSuspects the parts, and maxEvidence the crashes of one part.
+	maxCrashes  = 512
+	maxSuspects = 2048
+	maxEvidence = 8
+)
+
+// crash is a crash that is remembered.
+type crash struct {
+	Crash
+	// recordedAt is when it became known here.
+	recordedAt time.Time
+}
+
+// isSame reports whether a report means this crash.
+func (cr *crash) isSame(report Crash) bool {
+	return cr.Process == report.Process && cr.At.Sub(report.At).Abs() < sameCrash
+}
+
+// evidence is a crash that a part may have caused.
+type evidence struct {
+	crash *crash
+	// weight is how much it counts: less if other processes crashed at the same time without the part.
+	weight float64
+}
+
+// suspect is a part that may have caused crashes.
+type suspect struct {
+	evidence []evidence
+	// lastCrash is when the part was last reported, and clearedAt when a run last cleared it.
+	lastCrash, clearedAt time.Time
+	// unannounced reports whether the part was cleared here, which other daemons weren't told. announceAt is when they are
+	// going to be, zero if not.
+	unannounced bool
+	announceAt  time.Time
+	// trials counts the trials, and triedAt is when the last one began.
+	trials  int
+	triedAt time.Time
+	// heldSince is when the part was first held, zero if it isn't held.
+	heldSince time.Time
+}
+
+// has reports whether the crash is evidence already.
+func (sus *suspect) has(cr *crash) bool {
+	return slices.ContainsFunc(sus.evidence, func(ev evidence) bool { return ev.crash == cr })
+}
+
+// clear drops the evidence that a run at a time disproves. It reports whether there was any.
+func (sus *suspect) clear(at time.Time) bool {
+	if at.After(sus.clearedAt) {
+		sus.clearedAt = at
+	}
+	before := len(sus.evidence)
+	sus.evidence = slices.DeleteFunc(sus.evidence, func(ev evidence) bool { return sus.disproved(ev.crash) })
+	if len(sus.evidence) == 0 {
+		sus.trials, sus.heldSince = 0, time.Time{}
+	}
+	return len(sus.evidence) < before
+}
+
+// disproved reports whether a run has cleared the part of a crash.
+func (sus *suspect) disproved(cr *crash) bool {
+	return !sus.clearedAt.IsZero() && !cr.At.After(sus.clearedAt.Add(clearedGrace))
+}
--- a/core/yuccastory/sentence.go
+++ b/core/yuccastory/sentence.go
@@ -29,6 +29,8 @@
 		return fmt.Sprintf("no other target was to be had (%s: %s), so it stayed at its silent target", line.text("kind"), line.text("detail"))
 	case "silence ended":
 		return silenceEnded(line)
+	case "trial":
+		return fmt.Sprintf("sent to one target only, to try again parts of its prompt that were held back (its shared parts: %s)", line.text("shared"))
 	case "quota":
 		return quota(line)
 	case "answered":
--- a/core/yuccastory/story_test.go
+++ b/core/yuccastory/story_test.go
@@ -30,6 +30,8 @@
 		Entry("of a refusal by the account's leader", "note-5"),
 		Entry("of a stream that ended inside an event", "note-6"),
 		Entry("of resends that the budget allowed and refused", "lookup-2"),
+		Entry("of a prompt with a part on which targets crash", "note-7"),
+		Entry("of one that tries such a part again", "note-8"),
 		Entry("of a silent target that kept its request", "lookup-3"),
 	)
 
--- a/io/yuccagate/attempt.go
+++ b/io/yuccagate/attempt.go
@@ -60,6 +60,9 @@
 	comments []byte
 	// broke is why the response broke off before its first event or within what was to be held.
 	broke error
+	// sound reports whether the run came so far that the parts of its prompt can't be why targets crash, and endRecorded
+	// whether its end has been recorded for that.
+	sound, endRecorded bool
 	// unfinished is the length of the part of an event with which a stream ended, in bytes.
 	unfinished int
 }
@@ -195,6 +198,7 @@
 		req.logDecision("unanswered", "target", att.dec.target, "send", req.sends, "error", att.err)
 	}
 	if errors.As(att.err, &unsent) {
+		req.recordRunEnd(att, yuccagrant.Unreachable, 0)
 		if att.charged {
 			req.resend.unsent()
 		}
@@ -213,8 +217,11 @@
 	req.runs++
 	switch {
 	case att.err != nil:
-		return lostOutcome(context.Cause(att.ctx))
+		outcome := lostOutcome(context.Cause(att.ctx))
+		req.recordRunEnd(att, outcome, 0)
+		return outcome
 	case att.broke != nil:
+		req.recordRunEnd(att, yuccagrant.Broken, 0)
 		return yuccagrant.Broken
 	case att.answer.Status >= http.StatusInternalServerError:
 		return yuccagrant.Failed
--- a/io/yuccagate/gate.go
+++ b/io/yuccagate/gate.go
@@ -148,6 +148,8 @@
 
 	// origins is what this daemon knows of where streams began.
 	origins origins
+	// quarantine is what it knows of parts of prompts on which targets crash.
+	quarantine *quarantine
 
 	schedulers map[yuccaid.Pool]*scheduler
 	// placements holds the waiting and running placements of this daemon's requests. The map's
@@ -233,6 +235,7 @@
 	}
 	gate.resendBudget.SetFleet(gate.startedAt, gate.resendFleet(gate.startedAt))
 	gate.origins = newOrigins(settings.FirstStart, gate.startedAt)
+	gate.quarantine = newQuarantine(settings)
 	gate.skipsPlatformReads.Store(settings.FirstStart)
 	ready := make(chan struct{})
 	gate.control = yuccaloop.New(ready, tickInterval, gate.tick)
@@ -311,6 +314,7 @@
 	gate.tickAdmissions(now)
 	gate.tickSchedulers(now)
 	gate.tickOrigins(now)
+	gate.tickQuarantine(now)
 	if now.Sub(gate.idleSweptAt) > time.Second {
 		gate.idleSweptAt = now
 		gate.targetClient.Sweep(now)
--- a/io/yuccagate/metrics.go
+++ b/io/yuccagate/metrics.go
@@ -82,6 +82,16 @@
 	met.set.GetOrCreateCounter(fmt.Sprintf("yuccacleat_gate_streams_taken_up_total{origin=%q}", origin)).Inc()
 }
 
+// targetCrashed counts a target that has crashed while it had runs of this daemon.
+func (met *metrics) targetCrashed() {
+	met.set.GetOrCreateCounter("yuccacleat_gate_target_crashes_total").Inc()
+}
+
+// setHeldParts sets the number of parts of prompts that are held back.
+func (met *metrics) setHeldParts(count int) {
+	met.set.GetOrCreateGauge("yuccacleat_gate_held_parts", nil).Set(float64(count))
+}
+
 func (met *metrics) connRejected() {
 	met.set.GetOrCreateCounter("yuccacleat_gate_connections_turned_away_total").Inc()
 }
--- a/io/yuccagate/peers.go
+++ b/io/yuccagate/peers.go
@@ -70,6 +70,7 @@
 			Knows: !gate.ledger.WithoutHistory(now),
 		})
 		gate.resync(now, member.Incarnation)
+		gate.sendQuarantine(now, member.Incarnation)
 	})
 }
 
@@ -254,6 +255,8 @@
 		return decodeThen(frame, func(message yuccawire.VersionAsk) { gate.onVersionAsk(now, from, message) })
 	case yuccawire.KindSeeds:
 		return decodeThen(frame, func(message yuccawire.Seeds) { gate.onSeeds(now, from, message) })
+	case yuccawire.KindQuarantine:
+		return decodeThen(frame, func(message yuccawire.Quarantine) { gate.onQuarantine(now, from, message) })
 	case yuccawire.KindHolding:
 		return decodeThen(frame, func(message yuccawire.Holding) { gate.onHolding(now, from, message) })
 	}
--- a/io/yuccagate/race.go
+++ b/io/yuccagate/race.go
@@ -163,6 +163,10 @@
 		att.dropUnsent(yuccagrant.Misdirected)
 		return rc.retryOrFail(yuccagrant.Misdirected)
 	}
+	if prob := rc.req.beginTrial(); prob != nil {
+		att.dropUnsent(yuccagrant.Dropped)
+		return rc.keepWaiting(rc.req.withoutPromise(prob))
+	}
 	if len(rc.pending) > 0 {
 		rc.beginReplacement(att)
 	}
@@ -215,7 +219,7 @@
 // mayReplace reports whether the request may be sent to another target while attempts are pending.
 func (rc *race) mayReplace() bool {
 	req := rc.req
-	return req.route.Repeatable() && req.runs+len(rc.pending) < req.route.Attempts && req.sends < maxSends && rc.replacements < maxReplacements
+	return !req.trial && req.route.Repeatable() && req.runs+len(rc.pending) < req.route.Attempts && req.sends < maxSends && rc.replacements < maxReplacements
 }
 
 // onSilence looks for another target, because those that have the request are silent, if the budget allows
--- a/io/yuccagate/relay.go
+++ b/io/yuccagate/relay.go
@@ -88,6 +88,7 @@
 func (req *callerRequest) finishAttempt(ctx context.Context, att *attempt, result yuccagrant.Finished, err error) {
 	result.Load = att.report.Load
 	result.Outcome = outcomeOf(ctx, att, err)
+	req.recordRunEnd(att, result.Outcome, result.Events)
 	att.close()
 	req.gate.postFinished(att.plc, result)
 	req.logAnswered(att, result, err)
--- a/io/yuccagate/request.go
+++ b/io/yuccagate/request.go
@@ -74,6 +74,8 @@
 	// attempts that a target ran or may have run.
 	arrivals int
 	runs     int
+	// trial reports whether the request tries parts that are held back, so that it is sent to one target only.
+	trial bool
 	// start decides whether the response begins before the daemon leaves.
 	start *responseStart
 	// resend is what the request has charged to the budget of resends.
--- a/io/yuccagate/run.go
+++ b/io/yuccagate/run.go
@@ -20,6 +20,9 @@
 
 // run has the request served by a target and relays the response.
 func (req *callerRequest) run(ctx context.Context) *Problem {
+	if prob := req.checkHeld(); prob != nil {
+		return prob
+	}
 	if req.takesUp() {
 		if prob := req.bindToOrigin(ctx); prob != nil {
 			return prob
@@ -82,6 +85,9 @@
 // mayRepeat reports whether the outcome and the route allow another attempt, and the reason for
 // the log.
 func (req *callerRequest) mayRepeat(outcome yuccagrant.Outcome) (allowed bool, reason string) {
+	if req.trial && outcome != yuccagrant.Unreachable {
+		return false, "it tries a part"
+	}
 	switch outcome {
 	case yuccagrant.Rejected, yuccagrant.Misdirected, yuccagrant.Unreachable:
 		return req.sends < maxUnrunSends, "not run"
@@ -89,6 +95,9 @@
 	if !req.route.Repeatable() {
 		return false, "may run once"
 	}
+	if !req.mayRunAgain() {
+		return false, "its target crashed on a part"
+	}
 	return req.runs < max(req.route.Attempts, 1), "attempts of the route"
 }
 
--- a/io/yuccagate/silencewatch.go
+++ b/io/yuccagate/silencewatch.go
@@ -124,7 +124,7 @@
 // mayReplace reports whether the stream may be sent to another target.
 func (watch *silenceWatch) mayReplace() bool {
 	req := watch.att.req
-	return req.runs < req.route.Attempts && req.sends < maxSends && watch.sends < maxReplacements
+	return !req.trial && req.runs < req.route.Attempts && req.sends < maxSends && watch.sends < maxReplacements
 }
 
 // replace reports whether another target has taken the stream up, so that the present run has been ended.
@@ -155,7 +155,7 @@
 	}
 	att := req.newAttempt(watch.ctx, plc, dec, watch.lastEventID)
 	att.charged, att.replaces = charged, true
-	if !req.confirmVersion() || req.hasRestarted(ctx, dec) {
+	if !req.confirmVersion() || req.hasRestarted(ctx, dec) || req.beginTrial() != nil {
 		att.dropUnsent(yuccagrant.Misdirected)
 		return nil
 	}
--- a/io/yuccagate/stream.go
+++ b/io/yuccagate/stream.go
@@ -97,6 +97,9 @@
 		events, err = att.reader.next()
 		if len(events) > 0 {
 			st.recordEvents(time.Now(), len(events))
+			if st.result.Span >= soundAfter {
+				st.req.recordSound(att)
+			}
 		}
 	}
 }
--- a/io/yuccawire/gate_test.go
+++ b/io/yuccawire/gate_test.go
@@ -129,6 +129,26 @@
 	})
 })
 
+// Guards against the failure that daemons don't learn of one another's crashes, cleared parts or trials.
+var _ = Describe("news of crashes", func() {
+	It("are read as they were written, also if there are none", func() {
+		full := yuccawire.Quarantine{
+			Crashes: []yuccawire.TargetCrash{{Target: "t-1", StartMillis: 5, AgeMillis: 40, Parts: []yuccaid.PromptPart{"5c1e07a2"}}},
+			Cleared: []yuccawire.ClearedPart{{Part: "91bd3f06", AgeMillis: 3}}, Trials: []yuccawire.PartTrial{{Parts: []yuccaid.PromptPart{"5c1e07a2"}, AgeMillis: 9, Number: 2}},
+			Experienced: true,
+		}
+		for _, message := range []yuccawire.Quarantine{full, {}} {
+			frame, err := yuccawire.Encode(yuccawire.KindQuarantine, message)
+			Expect(err).NotTo(HaveOccurred())
+			read, err := yuccawire.Read(bytes.NewReader(frame))
+			Expect(err).NotTo(HaveOccurred())
+			var got yuccawire.Quarantine
+			Expect(read.Decode(&got)).To(Succeed())
+			Expect(got).To(Equal(message))
+		}
+	})
+})
+
 var _ = Describe("the seeds of a data centre", func() {
 	It("are read as they were written, also if there are none", func() {
 		for _, message := range []yuccawire.Seeds{{Centre: "odessa", Addresses: []string{"10.0.0.1:7000"}}, {Centre: "odessa"}} {
--- a/io/yuccawire/kind.go
+++ b/io/yuccawire/kind.go
@@ -98,6 +98,8 @@
 	KindOriginAnswer
 	// KindSeeds carries Seeds from one data centre to the daemons of the others. Older builds ignore it.
 	KindSeeds
+	// KindQuarantine carries a Quarantine to all other daemons. Older builds ignore it.
+	KindQuarantine
 )
 
 var kindNames = map[Kind]string{
@@ -150,6 +152,8 @@
 	KindOriginAnswer: "originAnswer",
 
 	KindSeeds: "seeds",
+
+	KindQuarantine: "quarantine",
 }
 
 // String returns the kind's name in logs and metrics, or its number.
