A daemon that is short of processor time turns a share of new connections away

While most new connections of a zone went to one daemon on a slow VM, callers got 503 'late', broken-off streams and no answer in time for requests that it had read. Cause: nothing bounds what a daemon reads by the processor time that it has; streams that it can't relay hold slots of targets, so that its requests are refused for want of them.

Now the delay of the control goroutine's ticks tells whether time is short. While its mean is above 50 ms, a growing share of new connections is closed unread, and the daemon says that it isn't ready; the share shrinks once the delay is gone. One long pause counts for 250 ms at most, so a process that stood still isn't taken for one that is short of time (TestPressure). Ruled out: a bound on open requests, which says nothing of their cost.

--- a/io/yuccagate/gate.go
+++ b/io/yuccagate/gate.go
@@ -40,8 +40,9 @@
 	metrics     *metrics
 	// targetClient sends requests to targets.
 	targetClient *yuccahop.Client
-	// memory is the memory that open requests may use.
-	memory *memory
+	// memory is the memory that open requests may use, and pressure shows whether processor time is short.
+	memory   *memory
+	pressure pressure
 	// processBounds are the bounds that follow from the process's limits on memory and file
 	// descriptors.
 	processBounds yuccaspace.Bounds
@@ -306,6 +307,7 @@
 // tick runs on the control goroutine every tickInterval, and before any other work when the
 // process resumes after a pause.
 func (gate *Gate) tick(now time.Time) {
+	gate.pressure.tick(now)
 	gate.tickPeers(now)
 	gate.roster.Tick(now)
 	gate.refreshTargets(now)
