An answer that ends with its connection doesn't clear the parts of its prompt by its end

Cause: such a target that crashes after its first event ends the connection as one that has completed its answer, so the run cleared the part. What callers get of such a stream is unchanged: cut exactly between two events, it can't be told from a complete one.

--- a/io/yuccagate/fleet_test.go
+++ b/io/yuccagate/fleet_test.go
@@ -32,6 +32,11 @@
 		if info.ID == "" {
 			return info, errors.New("no id")
 		}
+		for part := range strings.SplitSeq(r.Header.Get("X-Parts"), ",") {
+			if part != "" {
+				info.SharedParts = append(info.SharedParts, yuccaid.PromptPart(part))
+			}
+		}
 		if millis, err := strconv.Atoi(r.Header.Get("X-Remaining")); err == nil {
 			info.Remaining = time.Duration(millis) * time.Millisecond
 		}
--- a/io/yuccagate/quarantine.go
+++ b/io/yuccagate/quarantine.go
@@ -5,6 +5,7 @@
 	"fmt"
 	mathrand "math/rand/v2"
 	"net"
+	"net/http"
 	"slices"
 	"sync/atomic"
 	"syscall"
@@ -13,6 +14,7 @@
 	"yuccacleat/core/yuccagrant"
 	"yuccacleat/core/yuccaid"
 	"yuccacleat/core/yuccaquarantine"
+	"yuccacleat/io/yuccahop"
 	"yuccacleat/io/yuccawire"
 )
 
@@ -23,6 +25,8 @@
 	// time between two of them.
 	targetCheckTimeout  = 400 * time.Millisecond
 	targetCheckInterval = 300 * time.Millisecond
+	// listenerCloseWait is the time that a process which crashes may take from the end of a connection to that of its listener.
+	listenerCloseWait = 100 * time.Millisecond
 	// experiencedAfter is the time since its start after which a daemon counts as knowing of earlier crashes.
 	experiencedAfter = 2 * time.Minute
 	// quarantineSyncInterval is the time between two messages in which a daemon with held parts tells one peer of all of them.
@@ -64,25 +68,34 @@
 		return
 	}
 	att.endRecorded = true
-	gate, process, address := req.gate, att.process(), att.dec.address
+	gate, process := req.gate, att.process()
 	switch outcome {
 	case yuccagrant.Unreachable:
 		if errors.Is(att.err, syscall.ECONNREFUSED) {
 			gate.control.Post(func(now time.Time) { gate.targetCrashed(now, process) })
 		}
 	case yuccagrant.Lost, yuccagrant.Broken:
-		var parts []yuccaid.PromptPart
-		if !att.sound {
-			parts = req.info.SharedParts
-		}
-		gate.control.Post(func(now time.Time) { gate.runBroke(now, process, address, parts) })
+		req.recordBroken(att, false)
 	case yuccagrant.Served:
-		if events > 0 || !att.isStream() && att.answer.Status < 300 {
+		// A target that crashes ends such a response in the same way as one that has completed it.
+		if att.answer.Framing() == yuccahop.FramedByClose {
+			req.recordBroken(att, true)
+		} else if events > 0 || !att.isStream() && att.answer.Status < http.StatusMultipleChoices {
 			req.recordSound(att)
 		}
 	}
 }
 
+// recordBroken records that a run has broken off. If that isn't certain, the run may also be whole.
+func (req *callerRequest) recordBroken(att *attempt, mayBeWhole bool) {
+	gate, process, address := req.gate, att.process(), att.dec.address
+	var parts []yuccaid.PromptPart
+	if !att.sound {
+		parts = req.info.SharedParts
+	}
+	gate.control.Post(func(now time.Time) { gate.runBroke(now, process, address, parts, mayBeWhole) })
+}
+
 // recordSound records that a run came so far that the parts of its prompt can't be why targets crash.
 func (req *callerRequest) recordSound(att *attempt) {
 	if att.sound || len(req.info.SharedParts) == 0 {
@@ -94,8 +107,8 @@
 }
 
 // runBroke records that a run of a process broke off, and finds out whether the process has crashed. A target that leaves
-// may end its runs.
-func (gate *Gate) runBroke(now time.Time, process yuccaquarantine.Process, address string, parts []yuccaid.PromptPart) {
+// may end its runs. If the run may be whole, it is if its process goes on.
+func (gate *Gate) runBroke(now time.Time, process yuccaquarantine.Process, address string, parts []yuccaid.PromptPart, mayBeWhole bool) {
 	entry, found := gate.roster.Find(process.Target)
 	if !found || entry.Leaving {
 		return
@@ -113,20 +126,29 @@
 	}
 	gate.quarantine.checkedAt[process] = now
 	gate.workers.Go(func() {
-		if refusesConnections(address) {
-			gate.control.Post(func(now time.Time) { gate.targetCrashed(now, process) })
+		if mayBeWhole {
+			time.Sleep(listenerCloseWait)
 		}
+		refuses, accepts := checkListener(address)
+		gate.control.Post(func(now time.Time) {
+			switch {
+			case refuses:
+				gate.targetCrashed(now, process)
+			case accepts && mayBeWhole:
+				gate.quarantine.known.RecordSound(now, parts)
+			}
+		})
 	})
 }
 
-// refusesConnections reports whether nobody listens at an address.
-func refusesConnections(address string) bool {
+// checkListener reports whether an address refuses a connection or accepts one. If it does neither, that isn't known.
+func checkListener(address string) (refuses, accepts bool) {
 	conn, err := net.DialTimeout("tcp", address, targetCheckTimeout)
 	if err != nil {
-		return errors.Is(err, syscall.ECONNREFUSED)
+		return errors.Is(err, syscall.ECONNREFUSED), false
 	}
 	conn.Close()
-	return false
+	return false, true
 }
 
 // targetCrashed records that a process has crashed, if any of its runs broke off lately.
