Requests with a part that is about to be held wait until that is decided

A part is held 250 ms after its third crash, so that daemons can tell of other crashes at the same time. Meanwhile requests with it went on to targets. Now they wait for the verdict, 0.32 s at most, where they arrive and before they are sent; nobody is refused for it. Seen in the daemons' lines of a frequent case of TestPartThatCrashesTargetsIsHeldBack: after the third crash only two requests are sent, both within 16 ms of it, before the others have heard; five targets end, and a sixth by the trial two seconds later. Ruled out: a shorter time until the verdict, which many crashes at once need.

--- a/core/yuccaquarantine/quarantine_test.go
+++ b/core/yuccaquarantine/quarantine_test.go
@@ -102,6 +102,20 @@
 		Expect(flt.decide(0, "other", "own-1").Held).To(BeFalse())
 	})
 
+	It("has requests wait until it is decided whether it is held", func() {
+		flt := newFleet(2)
+		for range 3 {
+			flt.crash(0, "bad")
+		}
+		flt.pass(40 * time.Millisecond)
+		dec := flt.decide(1, "bad")
+		Expect(dec.Held).To(BeFalse())
+		Expect(dec.Pending).To(BeTrue())
+		Expect(flt.decide(1, "other")).To(Equal(yuccaquarantine.Decision{}))
+		flt.pass(300 * time.Millisecond)
+		Expect(flt.decide(1, "bad").Held).To(BeTrue())
+	})
+
 	It("is held after two crashes where the daemons don't see the whole fleet, or have lost what they knew", func() {
 		for _, view := range []yuccaquarantine.View{{Whole: true}, {Experienced: true}} {
 			flt := newFleet(2)
--- a/core/yuccaquarantine/verdict.go
+++ b/core/yuccaquarantine/verdict.go
@@ -150,6 +150,8 @@
 	Crashes int
 	// RetryAfter is the time until the parts are going to be tried again.
 	RetryAfter time.Duration
+	// Pending reports whether it is about to be decided that the request is held back. That takes settleTime at most.
+	Pending bool
 	// Trial reports whether the request tries held parts. It may be sent to one target only, once StartTrial was called.
 	Trial bool
 }
@@ -168,7 +170,7 @@
 		dec.Trial = !dec.Held
 		return dec
 	}
-	return Decision{}
+	return Decision{Pending: !qua.MayRepeat(now, parts)}
 }
 
 // nextTrial returns when the parts of a request that are in a group may be tried next.
--- a/io/yuccagate/quarantine.go
+++ b/io/yuccagate/quarantine.go
@@ -27,6 +27,9 @@
 	targetCheckInterval = 300 * time.Millisecond
 	// listenerCloseWait is the time that a process which crashes may take from the end of a connection to that of its listener.
 	listenerCloseWait = 100 * time.Millisecond
+	// verdictPoll is the time between two looks whether a part is held that is about to be, and maxVerdictWait the longest wait.
+	verdictPoll    = 40 * time.Millisecond
+	maxVerdictWait = 320 * time.Millisecond
 	// experiencedAfter is the time since its start after which a daemon counts as knowing of earlier crashes.
 	experiencedAfter = 2 * time.Minute
 	// quarantineSyncInterval is the time between two messages in which a daemon with held parts tells one peer of all of them.
@@ -293,23 +296,29 @@
 	return prob
 }
 
-// decideHeld decides on the request. Starts says whether it is sent now, so that a trial begins.
+// decideHeld decides on the request, once it is known whether its parts are held. Starts says whether it is sent now, so that
+// a trial begins.
 func (req *callerRequest) decideHeld(starts bool) (trial bool, prob *Problem) {
 	gate := req.gate
-	if len(req.info.SharedParts) == 0 || !gate.quarantine.active.Load() {
-		return false, nil
-	}
-	var held yuccaquarantine.Decision
-	gate.control.Call(func(now time.Time) {
-		held = gate.quarantine.known.Decide(now, gate.quarantineView(now), req.info.SharedParts)
-		if held.Trial && starts {
-			gate.quarantine.known.StartTrial(now, held.Parts)
+	for waited := time.Duration(0); ; waited += verdictPoll {
+		if len(req.info.SharedParts) == 0 || !gate.quarantine.active.Load() {
+			return false, nil
 		}
-	})
-	if held.Held {
-		return false, heldProblem(held)
+		var held yuccaquarantine.Decision
+		gate.control.Call(func(now time.Time) {
+			held = gate.quarantine.known.Decide(now, gate.quarantineView(now), req.info.SharedParts)
+			if held.Trial && starts {
+				gate.quarantine.known.StartTrial(now, held.Parts)
+			}
+		})
+		switch {
+		case held.Held:
+			return false, heldProblem(held)
+		case !held.Pending || waited >= maxVerdictWait:
+			return held.Trial, nil
+		}
+		time.Sleep(verdictPoll)
 	}
-	return held.Trial, nil
 }
 
 // mayRunAgain reports whether the parts of its prompt allow a request that has reached a target to be sent to another.
