Many targets that crash at once speak against their parts as little later as then

A crash counts less against a part if other targets crash at the same time without it. Those were counted anew at each decision, also once some had been forgotten: after 600 more crashes a part that was on 4 of 16 targets which had crashed at once was held, so callers of sound requests would have been refused. Now they are counted for ten seconds, and the weight stays. Found by reading the code; the spec fails before and passes after.

--- a/core/yuccaquarantine/quarantine_test.go
+++ b/core/yuccaquarantine/quarantine_test.go
@@ -244,6 +244,24 @@
 		Expect(flt.decide(0, "shared").Held).To(BeFalse())
 	})
 
+	It("aren't held later for many targets that crashed at once, however many crash meanwhile", func() {
+		flt := newFleet(2)
+		for turn := range 12 {
+			flt.crash(0, yuccaid.PromptPart(fmt.Sprint("own-", turn)))
+		}
+		for range 4 {
+			flt.crash(1, "shared")
+		}
+		flt.pass(time.Second)
+		Expect(flt.decide(0, "shared").Held).To(BeFalse())
+		for turn := range 600 {
+			flt.crash(0, yuccaid.PromptPart(fmt.Sprint("later-", turn)))
+			flt.pass(40 * time.Millisecond)
+		}
+		flt.pass(time.Second)
+		Expect(flt.daemons[0].Held()).To(BeEmpty())
+	})
+
 	It("aren't held if a run came far with them shortly before", func() {
 		flt := newFleet(3)
 		flt.sound(2, "shared")
--- a/core/yuccaquarantine/suspect.go
+++ b/core/yuccaquarantine/suspect.go
@@ -13,6 +13,8 @@
 	// settleTime is how long a crash is known before a part is held for it, so that other daemons can tell of other
 	// crashes at the same time and of runs that clear the part.
 	settleTime = 250 * time.Millisecond
+	// weighedFor is how long after a crash other crashes at the same time are counted. Later some may be forgotten.
+	weighedFor = 10 * time.Second
 	// clearedGrace is how long a run that came far clears its parts of later crashes. Runs that begin with a bad part never
 	// come far, so it delays only the finding of a part that turns bad.
 	clearedGrace = 2 * time.Second
--- a/core/yuccaquarantine/verdict.go
+++ b/core/yuccaquarantine/verdict.go
@@ -103,7 +103,9 @@
 		if explained[ev.crash] || now.Sub(ev.crash.recordedAt) < known {
 			continue
 		}
-		ev.weight = 1 / float64(1+qua.crashesWithout(part, ev.crash))
+		if now.Sub(ev.crash.recordedAt) < weighedFor {
+			ev.weight = 1 / float64(1+qua.crashesWithout(part, ev.crash))
+		}
 		sum += ev.weight
 	}
 	return sum
