A run that went well until its target crashed clears its parts up to then

A part was cleared when a run with it had gone on for 250 ms, and not again while that run went on. If targets crashed by themselves some seconds later, long answers on them cleared nothing, and a part that waited on several of them at the same time was held: callers of sound requests would have got 503. Found by reading the code; the spec (four long runs and four that wait, on eight targets that crash in turn) fails before and passes after. Now the end of such a run, whole or broken off, clears its parts as well.

--- a/io/yuccagate/quarantine_test.go
+++ b/io/yuccagate/quarantine_test.go
@@ -106,3 +106,53 @@
 	}
 	Consistently(gt.lines.all, 500*time.Millisecond).ShouldNot(ContainSubstring("target crashed"))
 })
+
+// Guards against the failure that a part is held for targets that crash by themselves, though runs with it went well on them until then.
+var _ = It("holds nothing back that was in a run which went well until its target crashed", func() {
+	gt := newGate("entry-1")
+	var engines []*engine
+	for index := range 8 {
+		engines = append(engines, newEngine(fmt.Sprint("e", index), func(w http.ResponseWriter, r *http.Request) {
+			if strings.Contains(r.Header.Get("X-Id"), "waits") {
+				<-r.Context().Done()
+				return
+			}
+			w.Header().Set("Content-Type", "text/event-stream")
+			for number := 1; r.Context().Err() == nil; number++ {
+				fmt.Fprintf(w, "id: %d\ndata: x\n\n", number)
+				w.(http.Flusher).Flush()
+				time.Sleep(20 * time.Millisecond)
+			}
+		}))
+	}
+	long := config()
+	for index := range long.Routes {
+		long.Routes[index].Timeout = 9 * time.Second
+	}
+	gt.configure(1, long, 1, engines...)
+	ask := func(id string) {
+		go call{path: "/note/", id: id, header: map[string]string{"X-Parts": "shared", "X-Remaining": "9000"}}.do(gt)
+	}
+	running := func() (sum int64) {
+		for _, eng := range engines {
+			sum += eng.running.Load()
+		}
+		return sum
+	}
+	for number := range 4 {
+		ask(fmt.Sprint("goes-", number))
+	}
+	Eventually(running).Should(Equal(int64(4)))
+	// Longer than a run that came far clears its parts of later crashes.
+	time.Sleep(2500 * time.Millisecond)
+	for number := range 4 {
+		ask(fmt.Sprint("waits-", number))
+	}
+	Eventually(running).Should(Equal(int64(8)))
+	for _, eng := range engines {
+		eng.http.Close()
+		time.Sleep(350 * time.Millisecond)
+	}
+	Expect(gt.lines.all()).To(ContainSubstring("target crashed"))
+	Expect(gt.lines.all()).NotTo(ContainSubstring("parts held"))
+})
--- a/io/yuccagate/targetcrash.go
+++ b/io/yuccagate/targetcrash.go
@@ -48,7 +48,7 @@
 		if att.answer.Framing() == yuccahop.FramedByClose {
 			req.recordBroken(att, true)
 		} else if events > 0 || !att.isStream() && att.answer.Status < http.StatusMultipleChoices {
-			req.recordSound(att)
+			req.postSound()
 		}
 	}
 }
@@ -56,9 +56,11 @@
 // recordBroken records that a run has broken off. If that isn't certain, the run may also be whole.
 func (req *callerRequest) recordBroken(att *attempt, mayBeWhole bool) {
 	gate, process, address := req.gate, att.process(), att.dec.address
-	var parts []yuccaid.PromptPart
-	if !att.sound {
-		parts = req.info.SharedParts
+	parts := req.info.SharedParts
+	if att.sound {
+		// It was going well until now.
+		req.postSound()
+		parts = nil
 	}
 	gate.control.Post(func(now time.Time) { gate.runBroke(now, process, address, parts, mayBeWhole) })
 }
@@ -69,6 +71,11 @@
 		return
 	}
 	att.sound = true
+	req.postSound()
+}
+
+// postSound has the control goroutine record that the parts of the request's prompt are sound.
+func (req *callerRequest) postSound() {
 	gate, parts := req.gate, req.info.SharedParts
 	gate.control.Post(func(now time.Time) { gate.quarantine.known.RecordSound(now, parts) })
 }
