Targets aren't checked for runs that tell nothing of a part

Each run that broke off had its target checked by a new connection, also if its request named no shared parts, and each whole answer without length or chunks too, however far it had come. New connections to targets cost them a millisecond and are priced. The specs on held parts pass as before.

--- a/io/yuccagate/targetcrash.go
+++ b/io/yuccagate/targetcrash.go
@@ -31,7 +31,7 @@
 
 // recordRunEnd records what the end of an attempt tells about its target and the parts of its prompt.
 func (req *callerRequest) recordRunEnd(att *attempt, outcome yuccagrant.Outcome, events int) {
-	if att.endRecorded {
+	if att.endRecorded || len(req.info.SharedParts) == 0 {
 		return
 	}
 	att.endRecorded = true
@@ -45,7 +45,7 @@
 		req.recordBroken(att, false)
 	case yuccagrant.Served:
 		// A target that crashes ends such a response in the same way as one that has completed it.
-		if att.answer.Framing() == yuccahop.FramedByClose {
+		if att.answer.Framing() == yuccahop.FramedByClose && !att.sound {
 			req.recordBroken(att, true)
 		} else if events > 0 || !att.isStream() && att.answer.Status < http.StatusMultipleChoices {
 			req.postSound()
