A crash that is told again after it was forgotten isn't counted twice

A peer that holds a part tells of its crashes again every two seconds; one that the receiver had forgotten came in as another crash of the same part, so two crashes could have held a sound part. Found by reading the code; the spec fails before and passes after. The order of two steps and two names are clearer, too.

--- a/core/yuccaquarantine/quarantine.go
+++ b/core/yuccaquarantine/quarantine.go
@@ -51,13 +51,13 @@
 
 // RecordCrash records a crash that this daemon has noticed, and has other daemons told.
 func (qua *Quarantine) RecordCrash(now time.Time, report Crash) {
-	report.Parts = slices.DeleteFunc(slices.Clone(report.Parts), func(part yuccaid.PromptPart) bool { return qua.soundAt(part, report.At) })
+	report.Parts = slices.DeleteFunc(slices.Clone(report.Parts), func(part yuccaid.PromptPart) bool { return qua.clearedOf(part, report.At) })
 	qua.addCrash(now, report)
 	qua.news.Crashes = append(qua.news.Crashes, report)
 }
 
-// soundAt reports whether a run has cleared the part of a crash at a time.
-func (qua *Quarantine) soundAt(part yuccaid.PromptPart, at time.Time) bool {
+// clearedOf reports whether a run here has cleared the part of a crash at a time.
+func (qua *Quarantine) clearedOf(part yuccaid.PromptPart, at time.Time) bool {
 	last := qua.lastSound(part)
 	return !last.IsZero() && !at.After(last.Add(clearedGrace))
 }
@@ -150,16 +150,14 @@
 	if last := qua.lastSound(part); last.After(sus.clearedAt) {
 		sus.clearedAt = last
 	}
+	// Others don't know that the part was cleared. At its second crash they have to.
+	if sus.unannounced && sus.announceAt.IsZero() {
+		sus.announceAt = now.Add(qua.stagger(part, announceSpread))
+	}
 	if sus.disproved(cr) {
-		if sus.unannounced {
-			sus.announceAt = now.Add(qua.stagger(part, announceSpread))
-		}
 		sus.unannounced = true
 		return
 	}
-	if sus.unannounced && sus.announceAt.IsZero() {
-		sus.announceAt = now.Add(qua.stagger(part, announceSpread))
-	}
 	if sus.has(cr) {
 		return
 	}
--- a/core/yuccaquarantine/quarantine_test.go
+++ b/core/yuccaquarantine/quarantine_test.go
@@ -165,6 +165,22 @@
 		}
 	})
 
+	It("isn't charged twice with a crash that is told again once it was forgotten", func() {
+		flt := newFleet(2)
+		for range 2 {
+			flt.crash(0, "rare")
+			flt.pass(400 * time.Millisecond)
+		}
+		state := flt.daemons[0].State()
+		for turn := range 600 {
+			flt.crash(1, yuccaid.PromptPart(fmt.Sprint("other-", turn)))
+			flt.pass(20 * time.Millisecond)
+		}
+		flt.daemons[1].Merge(flt.now, state)
+		flt.pass(time.Second)
+		Expect(flt.daemons[1].Held()).To(BeEmpty())
+	})
+
 	It("is known to a daemon that joins, with its trials", func() {
 		flt := newFleet(2)
 		for range 3 {
--- a/core/yuccaquarantine/runs.go
+++ b/core/yuccaquarantine/runs.go
@@ -77,7 +77,7 @@
 	return crash, true
 }
 
-// Processes iterates over the processes of which runs broke off within brokenFor.
+// Processes returns the processes of which runs broke off within brokenFor.
 func (runs *Runs) Processes() []Process { return slices.Collect(maps.Keys(runs.broken)) }
 
 // Expire forgets what is older than brokenFor.
--- a/core/yuccaquarantine/suspect.go
+++ b/core/yuccaquarantine/suspect.go
@@ -63,7 +63,7 @@
 
 // has reports whether the crash is evidence already.
 func (sus *suspect) has(cr *crash) bool {
-	return slices.ContainsFunc(sus.evidence, func(ev evidence) bool { return ev.crash == cr })
+	return slices.ContainsFunc(sus.evidence, func(ev evidence) bool { return ev.crash.isSame(cr.Crash) })
 }
 
 // clear drops the evidence that a run at a time disproves. It reports whether there was any.
