Unused connections of callers leave room for others

Memory was kept free for each connection of which nothing had been read, so 1,200 that callers opened and didn't use would have had a daemon of 284 MB turn all others away, where its limit on connections is 1,560 and idle ones make room.

--- a/io/yuccagate/pressure_test.go
+++ b/io/yuccagate/pressure_test.go
@@ -3,6 +3,9 @@
 import (
 	"testing"
 	"time"
+
+	"yuccacleat/core/yuccaid"
+	"yuccacleat/core/yuccaspace"
 )
 
 // Guards against the failure that a daemon which is short of processor time reads whatever comes, or that one which stood still
@@ -45,3 +48,20 @@
 		})
 	}
 }
+
+// Guards against the failure that callers who open connections and don't use them keep a daemon from reading from others.
+func TestUnusedConnectionsLeaveRoom(t *testing.T) {
+	gate := &Gate{memory: newMemory(100 << 20)}
+	for _, test := range []struct {
+		unread int
+		used   yuccaid.Bytes
+		admits bool
+	}{{0, 0, true}, {100, 0, true}, {5000, 0, true}, {0, 69 << 20, true}, {100, 69 << 20, false}, {0, 70 << 20, false}} {
+		gate.memory.reserve(0, test.used)
+		gate.openRequests.Store(int64(test.used / yuccaspace.RequestOverhead))
+		if admits := gate.admitsCaller(test.unread); admits != test.admits {
+			t.Errorf("beside %d unread connections and %d bytes in use: %v, want %v", test.unread, test.used, admits, test.admits)
+		}
+		gate.memory.release(test.used)
+	}
+}
