Parts that are held for different crashes are tried together, and a trial that told nothing is repeated soon

With many bad parts at once, sound parts that all requests of a route have in common were held with them, and a request wasn't a trial if it had another suspect: requests with two of them were refused for as long as daemons remembered, an hour. Now a request with parts that are held for different crashes is a trial once each of them is due, so that a bad one among them keeps it back. A trial that neither crashes a target nor clears its parts, because its request didn't run, is repeated once after 5 s instead of a minute later. What is cleared between two ticks isn't held any more at once.

--- a/core/yuccaquarantine/quarantine.go
+++ b/core/yuccaquarantine/quarantine.go
@@ -39,9 +39,12 @@
 	// sound and soundBefore have when a run last came far with a part, in the present and the former span of soundFor.
 	sound, soundBefore map[yuccaid.PromptPart]time.Time
 	soundSince         time.Time
-	// held is what is held, and news what other daemons are to be told.
-	held []group
-	news News
+	// held is what is held, and explained are the crashes that it explains. If stale is set, suspects have been cleared or forgotten
+	// since that was decided. News is what other daemons are to be told.
+	held      []group
+	explained map[*crash]bool
+	stale     bool
+	news      News
 }
 
 // New returns what the daemon on a VM knows at first.
@@ -82,7 +85,7 @@
 		}
 		several, held := len(sus.evidence) > 1, !sus.heldSince.IsZero()
 		if sus.clear(now) {
-			sus.unannounced = true
+			sus.unannounced, qua.stale = true, true
 		}
 		if several || held {
 			qua.announce(sus, part)
@@ -103,7 +106,9 @@
 	}
 	for _, cleared := range news.Cleared {
 		if sus := qua.suspects[cleared.Part]; sus != nil {
-			isNew = sus.clear(cleared.At) || isNew
+			if sus.clear(cleared.At) {
+				isNew, qua.stale = true, true
+			}
 			sus.unannounced, sus.announceAt = false, time.Time{}
 		}
 	}
@@ -180,6 +185,7 @@
 		}
 	}
 	delete(qua.suspects, least)
+	qua.stale = true
 }
 
 // addTrial records a trial, and reports whether it wasn't known.
--- a/core/yuccaquarantine/quarantine_test.go
+++ b/core/yuccaquarantine/quarantine_test.go
@@ -159,6 +159,13 @@
 			flt.pass(100 * time.Millisecond)
 			return flt.send("none", "bad")
 		}).Should(BeTrue())
+		for daemon, qua := range flt.daemons {
+			if daemon > 0 {
+				qua.Merge(flt.now, yuccaquarantine.News{Cleared: []yuccaquarantine.Cleared{{Part: "bad", At: flt.now}}})
+			}
+			flt.sound(0, "bad")
+			Expect(flt.decide(daemon, "bad")).To(Equal(yuccaquarantine.Decision{}), "before the next tick")
+		}
 		flt.pass(200 * time.Millisecond)
 		for daemon := range flt.daemons {
 			Expect(flt.decide(daemon, "bad")).To(Equal(yuccaquarantine.Decision{}))
@@ -228,6 +235,63 @@
 		Expect(flt.decide(1, "bad").Held).To(BeTrue())
 	})
 
+	It("are served within seconds if requests have several of them, each held for other crashes", func() {
+		flt := newFleet(3)
+		for _, part := range []yuccaid.PromptPart{"one", "two", "three"} {
+			for range 3 {
+				flt.crash(0, part)
+				flt.pass(400 * time.Millisecond)
+			}
+		}
+		Expect(flt.daemons[1].Held()).To(ConsistOf(yuccaid.PromptPart("one"), yuccaid.PromptPart("two"), yuccaid.PromptPart("three")))
+		began := flt.now
+		Eventually(func() bool {
+			flt.pass(100 * time.Millisecond)
+			return flt.send("bad", "one", "two", "three")
+		}).Should(BeTrue())
+		Expect(flt.now.Sub(began)).To(BeNumerically("<", 4*time.Second))
+		flt.pass(400 * time.Millisecond)
+		Expect(flt.daemons[2].Held()).To(BeEmpty())
+	})
+
+	It("are tried on their own, not with a bad part that isn't due", func() {
+		flt := newFleet(3)
+		for _, part := range []yuccaid.PromptPart{"sound", "bad"} {
+			for range 3 {
+				flt.crash(0, part)
+				flt.pass(400 * time.Millisecond)
+			}
+		}
+		flt.pass(3 * time.Second)
+		Expect(flt.send("bad", "bad")).To(BeTrue())
+		flt.pass(time.Second)
+		Expect(flt.send("bad", "sound", "bad")).To(BeFalse())
+		Expect(flt.send("bad", "sound")).To(BeTrue())
+		flt.pass(400 * time.Millisecond)
+		Expect(flt.daemons[1].Held()).To(Equal([]yuccaid.PromptPart{"bad"}))
+	})
+
+	It("are tried once more soon if the first trial told nothing", func() {
+		flt := newFleet(3)
+		for range 3 {
+			flt.crash(0, "sound")
+			flt.pass(400 * time.Millisecond)
+		}
+		flt.pass(3 * time.Second)
+		trials := 0
+		for range 120 {
+			for daemon, qua := range flt.daemons {
+				if dec := flt.decide(daemon, "sound"); dec.Trial {
+					trials++
+					qua.StartTrial(flt.now, dec.Parts)
+					break
+				}
+			}
+			flt.pass(100 * time.Millisecond)
+		}
+		Expect(trials).To(Equal(2))
+	})
+
 	It("are served within seconds if they were on each target that crashed, and on others", func() {
 		flt := newFleet(3)
 		for range 3 {
--- a/core/yuccaquarantine/verdict.go
+++ b/core/yuccaquarantine/verdict.go
@@ -18,7 +18,10 @@
 	trialSpread = 0.3
 	// separatingInterval is the time between two trials that separate parts which have the same crashes.
 	separatingInterval = time.Second
-	// strongSuspicion is the fewest crashes for which a part is held, and with which no other part is tried.
+	// repeatedTrialAfter is how long after the first trial another one begins if no target has crashed and no run has cleared the
+	// part: the trial's request may not have run.
+	repeatedTrialAfter = 5 * time.Second
+	// strongSuspicion is the fewest crashes for which a part is held.
 	strongSuspicion = 2
 	// roundingError is what sums of weights may be off by.
 	roundingError = 1e-9
@@ -62,7 +65,7 @@
 			}
 		}
 	}
-	qua.held = held
+	qua.held, qua.explained, qua.stale = held, explained, false
 }
 
 func isHeld(held []group, part yuccaid.PromptPart) bool {
@@ -158,57 +161,63 @@
 	Trial bool
 }
 
-// Decide decides on a request with the parts, of which none is the last one of its prompt.
+// Decide decides on a request with the parts, of which none is the last one of its prompt. If it has parts that are held for different
+// crashes, those that may be tried last decide.
 func (qua *Quarantine) Decide(now time.Time, view View, parts []yuccaid.PromptPart) Decision {
+	if qua.stale {
+		qua.decide(now, view)
+	}
+	var dec Decision
+	var last time.Time
 	for _, grp := range qua.held {
 		common := slices.DeleteFunc(slices.Clone(grp.parts), func(part yuccaid.PromptPart) bool { return !slices.Contains(parts, part) })
 		if len(common) == 0 {
 			continue
 		}
-		dec := Decision{Parts: common, Crashes: grp.crashes}
-		dec.RetryAfter = qua.nextTrial(view, grp, common).Sub(now)
-		dec.Held = dec.RetryAfter > 0 || qua.hasOtherSuspect(grp, parts)
-		dec.RetryAfter = max(dec.RetryAfter, separatingInterval)
-		dec.Trial = !dec.Held
-		return dec
+		if next := qua.nextTrial(view, grp, common); next.After(last) {
+			last = next
+			dec = Decision{Parts: common, Crashes: grp.crashes}
+		}
+	}
+	if last.IsZero() {
+		return Decision{Pending: !qua.MayRepeat(now, parts)}
 	}
-	return Decision{Pending: !qua.MayRepeat(now, parts)}
+	dec.Held = now.Before(last)
+	dec.Trial = !dec.Held
+	dec.RetryAfter = max(last.Sub(now), separatingInterval)
+	return dec
 }
 
 // nextTrial returns when the parts of a request that are in a group may be tried next.
 func (qua *Quarantine) nextTrial(view View, grp group, common []yuccaid.PromptPart) time.Time {
-	var triedAt, heldSince time.Time
+	var triedAt, heldSince, crashedAt time.Time
 	trials := 0
 	for _, part := range grp.parts {
 		sus := qua.suspects[part]
 		trials = max(trials, sus.trials)
-		if sus.triedAt.After(triedAt) {
-			triedAt = sus.triedAt
-		}
-		if sus.heldSince.After(heldSince) {
-			heldSince = sus.heldSince
-		}
+		triedAt = later(triedAt, sus.triedAt)
+		heldSince = later(heldSince, sus.heldSince)
+		crashedAt = later(crashedAt, sus.evidence[len(sus.evidence)-1].crash.At)
 	}
-	from, interval := heldSince, firstTrialAfter
+	toldNothing := trials == 1 && crashedAt.Before(triedAt)
+	interval := firstTrialAfter
 	switch {
 	case len(common) < len(grp.parts):
 		interval = separatingInterval
+	case toldNothing:
+		interval = repeatedTrialAfter
 	case trials > 0 || !view.Whole:
 		interval = min(secondTrialAfter<<min(max(trials-1, 0), 8), maxTrialInterval)
 	}
-	if triedAt.After(from) {
-		from = triedAt
-	}
-	return from.Add(interval + qua.stagger(common[0], time.Duration(trialSpread*float64(interval))))
+	return later(heldSince, triedAt).Add(interval + qua.stagger(common[0], time.Duration(trialSpread*float64(interval))))
 }
 
-// hasOtherSuspect reports whether a request has a part outside of a group that several crashes speak against. If it crashed a
-// target, nobody would know by which part.
-func (qua *Quarantine) hasOtherSuspect(grp group, parts []yuccaid.PromptPart) bool {
-	return slices.ContainsFunc(parts, func(part yuccaid.PromptPart) bool {
-		sus := qua.suspects[part]
-		return sus != nil && len(sus.evidence) >= strongSuspicion && !slices.Contains(grp.parts, part)
-	})
+// later returns the later one of two times.
+func later(one, other time.Time) time.Time {
+	if other.After(one) {
+		return other
+	}
+	return one
 }
 
 // StartTrial records that a request is sent that tries the parts, and has other daemons told.
