--- a/core/yuccaquarantine/quarantine_test.go
+++ b/core/yuccaquarantine/quarantine_test.go
@@ -219,6 +219,19 @@
 		}
 	})
 
+	It("neither wait nor lose a second attempt for crashes that another part explains", func() {
+		flt := newFleet(3)
+		for range 5 {
+			flt.crash(0, "bad", "mate")
+			flt.pass(400 * time.Millisecond)
+		}
+		flt.crash(0, "bad")
+		flt.pass(400 * time.Millisecond)
+		Expect(flt.daemons[1].Held()).To(Equal([]yuccaid.PromptPart{"bad"}))
+		Expect(flt.decide(1, "mate")).To(Equal(yuccaquarantine.Decision{}))
+		Expect(flt.daemons[1].MayRepeat(flt.now, []yuccaid.PromptPart{"mate"})).To(BeTrue())
+	})
+
 	It("are told apart by one request of theirs if they have the same crashes", func() {
 		flt := newFleet(3)
 		for range 3 {
--- a/core/yuccaquarantine/verdict.go
+++ b/core/yuccaquarantine/verdict.go
@@ -237,7 +237,7 @@
 func (qua *Quarantine) MayRepeat(now time.Time, parts []yuccaid.PromptPart) bool {
 	return !slices.ContainsFunc(parts, func(part yuccaid.PromptPart) bool {
 		sus := qua.suspects[part]
-		return sus != nil && (!sus.heldSince.IsZero() || qua.score(now, part, 0, nil) >= crashesToHold-roundingError)
+		return sus != nil && (!sus.heldSince.IsZero() || qua.score(now, part, 0, qua.explained) >= crashesToHold-roundingError)
 	})
 }
 
