A run that goes on clears its parts again and again

A run cleared its parts when it had come far and at its end; in between the clearing grew old, so callers of sound requests could have got 503 where targets crash by themselves and answers are long. Now a run clears its parts each second while its events arrive. The spec now has those targets crash first, always; it fails before.

--- a/io/yuccagate/attempt.go
+++ b/io/yuccagate/attempt.go
@@ -60,9 +60,10 @@
 	comments []byte
 	// broke is why the response broke off before its first event or within what was to be held.
 	broke error
-	// sound reports whether the run came so far that the parts of its prompt can't be why targets crash, and endRecorded
-	// whether its end has been recorded for that.
-	sound, endRecorded bool
+	// soundAt is when it was last recorded that the run goes on and the parts of its prompt can't be why targets crash, zero if it
+	// hasn't come so far. endRecorded reports whether its end has been recorded.
+	soundAt     time.Time
+	endRecorded bool
 	// unfinished is the length of the part of an event with which a stream ended, in bytes.
 	unfinished int
 }
--- a/io/yuccagate/quarantine_test.go
+++ b/io/yuccagate/quarantine_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
 	"strings"
 	"time"
 
@@ -149,6 +150,10 @@
 		ask(fmt.Sprint("waits-", number))
 	}
 	Eventually(running).Should(Equal(int64(8)))
+	// The targets of the runs that wait crash first, while the others go on.
+	slices.SortStableFunc(engines, func(a, b *engine) int {
+		return strings.Compare(b.requests()[0].id, a.requests()[0].id)
+	})
 	for _, eng := range engines {
 		eng.http.Close()
 		time.Sleep(350 * time.Millisecond)
--- a/io/yuccagate/stream.go
+++ b/io/yuccagate/stream.go
@@ -96,9 +96,10 @@
 		}
 		events, err = att.reader.next()
 		if len(events) > 0 {
-			st.recordEvents(time.Now(), len(events))
+			now := time.Now()
+			st.recordEvents(now, len(events))
 			if st.result.Span >= soundAfter {
-				st.req.recordSound(att)
+				st.req.recordSound(now, att)
 			}
 		}
 	}
--- a/io/yuccagate/targetcrash.go
+++ b/io/yuccagate/targetcrash.go
@@ -16,6 +16,8 @@
 const (
 	// soundAfter is how long after its first event a run has to go on to clear the parts of its prompt.
 	soundAfter = 250 * time.Millisecond
+	// soundInterval is the time after which a run that goes on clears them again.
+	soundInterval = time.Second
 	// targetCheckTimeout bounds the connection that shows whether a target still listens, and targetCheckInterval is the
 	// time between two of them.
 	targetCheckTimeout  = 400 * time.Millisecond
@@ -45,7 +47,7 @@
 		req.recordBroken(att, false)
 	case yuccagrant.Served:
 		// A target that crashes ends such a response in the same way as one that has completed it.
-		if att.answer.Framing() == yuccahop.FramedByClose && !att.sound {
+		if att.answer.Framing() == yuccahop.FramedByClose && att.soundAt.IsZero() {
 			req.recordBroken(att, true)
 		} else if events > 0 || !att.isStream() && att.answer.Status < http.StatusMultipleChoices {
 			req.postSound()
@@ -57,7 +59,7 @@
 func (req *callerRequest) recordBroken(att *attempt, mayBeWhole bool) {
 	gate, process, address := req.gate, att.process(), att.dec.address
 	parts := req.info.SharedParts
-	if att.sound {
+	if !att.soundAt.IsZero() {
 		// It was going well until now.
 		req.postSound()
 		parts = nil
@@ -65,12 +67,12 @@
 	gate.control.Post(func(now time.Time) { gate.runBroke(now, process, address, parts, mayBeWhole) })
 }
 
-// recordSound records that a run came so far that the parts of its prompt can't be why targets crash.
-func (req *callerRequest) recordSound(att *attempt) {
-	if att.sound || len(req.info.SharedParts) == 0 {
+// recordSound records that a run that came so far that the parts of its prompt can't be why targets crash still goes on.
+func (req *callerRequest) recordSound(now time.Time, att *attempt) {
+	if now.Sub(att.soundAt) < soundInterval || len(req.info.SharedParts) == 0 {
 		return
 	}
-	att.sound = true
+	att.soundAt = now
 	req.postSound()
 }
 
