--- a/core/yuccaspace/space.go
+++ b/core/yuccaspace/space.go
@@ -83,12 +83,6 @@
 	return true
 }
 
-// HasRoom reports whether a request of any rank could reserve the memory.
-func (mem *MemoryLimiter) HasRoom(size yuccaid.Bytes) bool {
-	available := float64(mem.limit) * (1 - rankReserve*maxReservedRanks)
-	return mem.limit <= 0 || float64(mem.reserved+size) <= available
-}
-
 // Release returns memory that Reserve has reserved.
 func (mem *MemoryLimiter) Release(size yuccaid.Bytes) {
 	mem.reserved -= size
--- a/io/yuccagate/request.go
+++ b/io/yuccagate/request.go
@@ -146,9 +146,6 @@
 // refuse responds with the problem, and logs and counts it.
 func (req *callerRequest) refuse(prob *Problem) {
 	req.gate.metrics.problem(req.metricRank(), prob.Kind, prob.Detail)
-	if prob.Kind == KindBusy && prob.Detail == detailMemory {
-		req.gate.memoryShortage.requestRefused()
-	}
 	fields := append([]any{
 		"kind", prob.Kind, "status", prob.Status(), "detail", prob.Detail, "backMillis", prob.RetryAfter.Milliseconds(),
 		"sends", req.sends, "runs", req.runs, "number", req.configurationNumber(),
