The listener no longer counts connections of which nothing has been read

Cause: took out the closing of connections for want of memory, the only reader of that count; the counter, its flag on each connection and the argument of AdmitIf stayed and made a reader look for their use. They are removed. The test of the count goes with it; what else it showed, that a connection which isn't admitted is rejected and the next one accepted, is a test of its own. Ruled out: taking AdmitIf out too, by which processor time decides. Before and after: no decision changes, since the argument was ignored; the listener's and the pressure's tests pass, vet is clean.

--- a/io/yuccagate/listener.go
+++ b/io/yuccagate/listener.go
@@ -6,7 +6,6 @@
 	"net/http"
 	"slices"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -31,10 +30,8 @@
 	maxConns int
 	// onRejected is called when a connection is rejected, before it is closed.
 	onRejected func(time.Time)
-	// admits reports whether a new connection may be read from, beside a number of others of which nothing has been read.
-	admits func(unread int) bool
-	// unread is the number of open connections of which nothing has been read.
-	unread atomic.Int64
+	// admits reports whether a new connection may be read from.
+	admits func() bool
 
 	mu sync.Mutex
 	// conns holds the open connections, and whether each is being closed for being idle. closing
@@ -51,7 +48,7 @@
 // called. A maxConns of zero means no bound.
 func NewListener(inner net.Listener, maxConns int, onRejected func(time.Time), options ...ListenerOption) *Listener {
 	lis := &Listener{Listener: inner, maxConns: maxConns, onRejected: onRejected, conns: make(map[*callerConn]bool)}
-	lis.admits = func(int) bool { return true }
+	lis.admits = func() bool { return true }
 	for _, option := range options {
 		option(lis)
 	}
@@ -61,9 +58,8 @@
 // ListenerOption configures a listener.
 type ListenerOption func(*Listener)
 
-// AdmitIf has the listener reject new connections unless the function, which gets the number of open connections of which
-// nothing has been read, reports true.
-func AdmitIf(admits func(unread int) bool) ListenerOption {
+// AdmitIf has the listener reject new connections unless the function reports true.
+func AdmitIf(admits func() bool) ListenerOption {
 	return func(lis *Listener) { lis.admits = admits }
 }
 
@@ -84,7 +80,7 @@
 		if lis.maxConns > 0 && lis.Count() >= lis.maxConns {
 			lis.closeLongestIdle()
 		}
-		if lis.admits(int(lis.unread.Load())) {
+		if lis.admits() {
 			if conn := lis.track(raw); conn != nil {
 				return conn, nil
 			}
@@ -102,8 +98,7 @@
 	if lis.maxConns > 0 && len(lis.conns)-lis.closing >= lis.maxConns {
 		return nil
 	}
-	conn := &callerConn{Conn: raw, listener: lis, unread: true}
-	lis.unread.Add(1)
+	conn := &callerConn{Conn: raw, listener: lis}
 	lis.conns[conn] = false
 	return conn
 }
@@ -221,8 +216,6 @@
 	// idleSince is when the connection became idle after its last response. It is zero before the
 	// first response has ended, and while a request is being read or served.
 	idleSince time.Time
-	// unread reports whether nothing has been read of it.
-	unread bool
 	// busy reports whether bytes of a request have arrived whose response has not ended.
 	busy bool
 	// closing reports whether closeIdle has interrupted the reader, which closes the connection
@@ -250,7 +243,6 @@
 	if n > 0 {
 		conn.idleSince = time.Time{}
 		conn.busy = true
-		conn.markRead()
 	}
 	if !conn.closing || n == 0 && !hasUnread(conn.Conn) {
 		return false
@@ -279,21 +271,10 @@
 
 // Close closes the connection and removes it from the listener's open connections.
 func (conn *callerConn) Close() error {
-	conn.mu.Lock()
-	conn.markRead()
-	conn.mu.Unlock()
 	conn.listener.remove(conn)
 	return conn.Conn.Close()
 }
 
-// markRead records that something has been read of the connection, or that it is closed. The caller holds its lock.
-func (conn *callerConn) markRead() {
-	if conn.unread {
-		conn.unread = false
-		conn.listener.unread.Add(-1)
-	}
-}
-
 // markIdle records that the connection is idle as of now.
 func (conn *callerConn) markIdle(now time.Time) {
 	// The write deadline of the last response must not apply to the next response. If the head of
