Targets that may be cold get no more requests in any second than they bear

Cause: a target that has just started, or comes back after it was down, bears few requests a second and crashes at many.

Change: the bound is divided beforehand (core/yuccacold): the leader of the target's data centre may send most of it in any second, a few leaders elsewhere and a few daemons that decide alone, chosen by hashing, one request each. A target that is known to be cold gets requests from its leader only, spaced by the rate. Pools of which no cold targets are configured have no budget and are decided on as before. Negative numbers in the configuration are refused with the pool's name.

Ruled out: counting in the casts of loads, which are a tenth of a second old; a holder of the budget over all data centres; probes, which are paid for.

--- /dev/null
+++ b/core/yuccacold/sends.go
@@ -0,0 +1,64 @@
+package yuccacold
+
+import "time"
+
+// window is the time in which requests are counted.
+const window = time.Second
+
+// Sends records when one daemon sent requests to one target. The zero value has none.
+type Sends struct {
+	// times holds the times of the last second and some earlier ones.
+	times []time.Time
+	last  time.Time
+}
+
+// Record records that a request was sent at the given time, which may have passed.
+func (sn *Sends) Record(now, sent time.Time) {
+	kept := sn.times[:0]
+	for _, each := range sn.times {
+		if now.Sub(each) < window {
+			kept = append(kept, each)
+		}
+	}
+	sn.times = append(kept, sent)
+	if sent.After(sn.last) {
+		sn.last = sent
+	}
+}
+
+// Count returns how many requests were sent in the last second.
+func (sn *Sends) Count(now time.Time) int {
+	count := 0
+	for _, each := range sn.times {
+		if now.Sub(each) < window {
+			count++
+		}
+	}
+	return count
+}
+
+// Budget is what one daemon may send to one target.
+type Budget struct {
+	// Limit is that of the target's pool. There is no budget if it doesn't apply.
+	Limit Limit
+	// PerSecond is how many requests the daemon may send the target in any second.
+	PerSecond int
+	// WhileCold reports whether the daemon may send the target requests while it is cold.
+	WhileCold bool
+}
+
+// Allows reports whether a request may be sent to a target now. While the target is cold, its requests are spaced.
+func (bud Budget) Allows(now time.Time, st *State, sn *Sends) bool {
+	if sn.Count(now) >= bud.PerSecond {
+		return false
+	}
+	if !st.Cold(now) {
+		return true
+	}
+	return bud.WhileCold && now.Sub(sn.last) >= bud.spacing()
+}
+
+// spacing is the time between two requests to a cold target.
+func (bud Budget) spacing() time.Duration {
+	return time.Duration(float64(time.Second) / bud.Limit.Rate)
+}
--- a/core/yuccagrant/choose.go
+++ b/core/yuccagrant/choose.go
@@ -161,7 +161,7 @@
 		if tgt.backingOff(now) {
 			continue
 		}
-		sum += float64(tgt.Slots) / tgt.pace
+		sum += min(float64(tgt.Slots)/tgt.pace, tgt.coldSlots(now, lead.latencyModel.expectedHold()))
 		ownRuns += len(tgt.runs)
 		allRuns += len(tgt.runs) + tgt.otherCentreRuns
 	}
--- a/core/yuccagrant/leader.go
+++ b/core/yuccagrant/leader.go
@@ -38,6 +38,8 @@
 	// newParts are the parts that targets have begun to hold and that haven't been reported to other
 	// leaders.
 	newParts []HeldPart
+	// tookOverAt is when the leader took over from another one, zero if it didn't.
+	tookOverAt time.Time
 	// withoutTargetsSince is the time since which there has been no target. It is zero while
 	// there are targets.
 	withoutTargetsSince time.Time
@@ -56,13 +58,19 @@
 	lead.targets = make([]*targetState, 0, len(configured))
 	lead.versions = make(map[yuccaid.Version]bool)
 	newPace := medianPace(old)
+	hadTargets := len(old) > 0
 	for _, target := range configured {
 		lead.versions[target.Version] = true
 		tgt := old[target.Name]
 		if tgt == nil || tgt.StartMillis != target.StartMillis {
 			tgt = newTargetState(target, biasShare*lead.rng.Float64())
 			tgt.pace = newPace
+			if former := old[target.Name]; former != nil {
+				tgt.cold, tgt.sends = former.cold, former.sends
+			}
 		}
+		tgt.cold.Register(now, target.Budget.Limit, target.Cold, hadTargets)
+		tgt.tookOverAt = lead.tookOverAt
 		if tgt.cache.Limit() != int64(target.CacheTokens) {
 			lead.parts.Clear(tgt, &tgt.cache)
 			tgt.cache = yuccacache.New(int64(target.CacheTokens), maxPartsPerTarget(len(configured)))
@@ -196,6 +204,7 @@
 		return dec
 	}
 	run.started = true
+	run.targetState.recordAnswer(now, run)
 	run.targetState.recordReport(now, load)
 	lead.learnTimeToFirst(run, took)
 	lead.grantSlots(now, &dec)
@@ -213,6 +222,9 @@
 		lead.learnTimeToFirst(run, result.TimeToFirst)
 	}
 	if !run.started {
+		if result.Outcome == Served || result.Outcome == Failed || result.Outcome == Rejected {
+			run.targetState.recordAnswer(now, run)
+		}
 		run.targetState.recordReport(now, result.Load)
 	}
 	lead.removeRun(run)
@@ -233,7 +245,7 @@
 	if !found {
 		return
 	}
-	run := lead.addRun(now, tgt, running.Request)
+	run := lead.addRun(now, running.Sent, tgt, running.Request)
 	run.sent = running.Sent
 	run.started = running.Started
 }
@@ -355,7 +367,7 @@
 	list := make([]TargetStatus, 0, len(lead.targets))
 	for _, tgt := range lead.targets {
 		list = append(list, TargetStatus{
-			Target: tgt.Name, Busy: tgt.busySlots(now), Slots: tgt.Slots, Pace: tgt.pace, LateFraction: tgt.lateFraction, FailureRate: tgt.failureRate, BackingOff: tgt.backingOff(now),
+			Target: tgt.Name, Busy: tgt.busySlots(now), Slots: tgt.Slots, Pace: tgt.pace, LateFraction: tgt.lateFraction, FailureRate: tgt.failureRate, BackingOff: tgt.backingOff(now), Cold: tgt.isCold(now),
 		})
 	}
 	return list
--- a/core/yuccagrant/learn.go
+++ b/core/yuccagrant/learn.go
@@ -57,7 +57,11 @@
 		tgt.backoffUntil = now.Add(minBackoff / 2)
 	case Broken:
 		tgt.learnFailure(true)
-	case Unreachable, Lost, Misdirected:
+	case Unreachable:
+		tgt.cold.Unreachable(now)
+		tgt.learnFailure(true)
+		tgt.backOff(now)
+	case Lost, Misdirected:
 		tgt.learnFailure(true)
 		tgt.backOff(now)
 	case Dropped:
--- a/core/yuccagrant/request.go
+++ b/core/yuccagrant/request.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"yuccacleat/core/yuccacache"
+	"yuccacleat/core/yuccacold"
 	"yuccacleat/core/yuccaid"
 )
 
@@ -196,4 +197,8 @@
 	// Remote reports that the target is in another region, so that traffic to it is billed by
 	// volume.
 	Remote bool
+	// Cold is what the target has registered about being cold, and Budget what the leader may send it
+	// because it may be cold.
+	Cold   yuccacold.Statement
+	Budget yuccacold.Budget
 }
--- a/core/yuccagrant/target.go
+++ b/core/yuccagrant/target.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"yuccacleat/core/yuccacache"
+	"yuccacleat/core/yuccacold"
 	"yuccacleat/core/yuccaid"
 )
 
@@ -48,6 +49,11 @@
 	// Otherwise all leaders that have not learned anything yet would send their first requests to
 	// the same target.
 	bias float64
+	// cold is what is known of the target's being cold, and sends when requests were sent to it.
+	// tookOverAt is that of the leader.
+	cold       yuccacold.State
+	sends      yuccacold.Sends
+	tookOverAt time.Time
 }
 
 // activeRun is a request that was sent to a target and has not finished. started reports that the
@@ -130,6 +136,9 @@
 // idle until the leader learns of it. More requests must not wait there, because the target's queue
 // ignores ranks.
 func (tgt *targetState) grantableSlots(now time.Time) int {
+	if !tgt.withinBudget(now) {
+		return 0
+	}
 	return max(tgt.Slots+(tgt.Slots+overcommitDivisor-1)/overcommitDivisor-tgt.busySlots(now), 0)
 }
 
@@ -229,4 +238,5 @@
 	LateFraction float64        `json:"late"`
 	FailureRate  float64        `json:"failed"`
 	BackingOff   bool           `json:"resting"`
+	Cold         bool           `json:"cold,omitempty"`
 }
--- a/core/yuccaroster/entry.go
+++ b/core/yuccaroster/entry.go
@@ -36,10 +36,11 @@
 	// the target has restarted under the same name, and the requests and caches of its previous
 	// process are lost.
 	StartMillis int64 `msgpack:"born"`
-	// WarmAfter is for how long after its registration the target still answers slowly because
-	// its caches are empty. Daemons pass it on with the entry, but no decision depends on it.
-	WarmAfter time.Duration `msgpack:"warmAfter"`
-	Revision  Revision      `msgpack:"revision"`
+	// WarmAfter is for how long after its registration the target is still cold, and StatesWarmAfter
+	// reports whether the registration says so, since zero may also mean that it doesn't.
+	WarmAfter       time.Duration `msgpack:"warmAfter"`
+	StatesWarmAfter bool          `msgpack:"statesWarmAfter"`
+	Revision        Revision      `msgpack:"revision"`
 	// Version is the version of the target's software, empty if the target doesn't state it.
 	Version yuccaid.Version `msgpack:"version"`
 }
@@ -75,7 +76,7 @@
 func (entry Entry) EncodeMsgpack(enc *msgpack.Encoder) error {
 	fields := []any{
 		"target", entry.Target, "pool", entry.Pool, "address", entry.Address, "centre", entry.Centre, "slots", entry.Slots,
-		"leaving", entry.Leaving, "born", entry.StartMillis, "warmAfter", entry.WarmAfter, "revision", entry.Revision, "version", entry.Version,
+		"leaving", entry.Leaving, "born", entry.StartMillis, "warmAfter", entry.WarmAfter, "statesWarmAfter", entry.StatesWarmAfter, "revision", entry.Revision, "version", entry.Version,
 	}
 	if err := enc.EncodeMapLen(len(fields) / 2); err != nil {
 		return err
--- a/core/yuccaroute/config.go
+++ b/core/yuccaroute/config.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"yuccacleat/core/yuccacold"
 	"yuccacleat/core/yuccaid"
 )
 
@@ -54,6 +55,8 @@
 	MaxConnections int
 	// Engine describes the pool's model engines. It is nil if the pool runs no model.
 	Engine *Engine
+	// Cold says for how long the pool's targets are cold and what they bear meanwhile.
+	Cold yuccacold.Limit
 }
 
 // Engine describes each engine of a pool. Slots is how many requests the engine runs at once.
--- a/core/yuccaroute/table.go
+++ b/core/yuccaroute/table.go
@@ -22,7 +22,7 @@
 }
 
 // NewTable returns the table of a configuration, whose slices must not be modified afterwards. If a
-// route can't be used, the error is a *ConfigError.
+// route or a pool can't be used, the error is a *ConfigError.
 func NewTable(number yuccaid.ConfigNumber, config Config) (*Table, error) {
 	tab := &Table{
 		number: number,
@@ -33,6 +33,9 @@
 		byName: make(map[yuccaid.Account]*Account, len(config.Accounts)),
 	}
 	for i := range config.Pools {
+		if err := checkPool(&config.Pools[i]); err != nil {
+			return nil, err
+		}
 		tab.pools[config.Pools[i].Name] = &config.Pools[i]
 	}
 	for i := range config.Accounts {
@@ -127,13 +130,27 @@
 	return strings.ToLower(strings.TrimSuffix(host, "."))
 }
 
-// ConfigError describes why a route can't be used and how to correct it.
+// checkPool returns an error if what is configured of a pool can't be true.
+func checkPool(pool *Pool) error {
+	if pool.Cold.Duration < 0 || pool.Cold.Rate < 0 {
+		problem := fmt.Sprintf("targets are cold for %v and then bear %g requests a second: neither may be negative", pool.Cold.Duration, pool.Cold.Rate)
+		return &ConfigError{Pool: pool.Name, Problem: problem}
+	}
+	return nil
+}
+
+// ConfigError describes why a route or a pool can't be used and how to correct it.
 type ConfigError struct {
+	// Route is the name of the route, empty if the error concerns a pool, whose name Pool then is.
 	Route   string
+	Pool    yuccaid.Pool
 	Problem string
 }
 
-// Error returns the name of the route and the problem with its remedy.
+// Error returns the name of the route or pool and the problem with its remedy.
 func (err *ConfigError) Error() string {
+	if err.Pool != "" {
+		return "pool " + string(err.Pool) + ": " + err.Problem
+	}
 	return "route " + err.Route + ": " + err.Problem
 }
--- a/core/yuccaroute/table_test.go
+++ b/core/yuccaroute/table_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"errors"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"yuccacleat/core/yuccacold"
 	"yuccacleat/core/yuccaid"
 	"yuccacleat/core/yuccaroute"
 )
@@ -78,6 +80,15 @@
 		Entry("an unknown pool", route("r", "h", "/notes/", "draft"), "add it or name another"),
 		Entry("no pool", yuccaroute.Route{Name: "r", Prefix: "/"}, "no pool: name one"),
 	)
+
+	DescribeTable("refuses a pool that can't be true",
+		func(cold yuccacold.Limit) {
+			_, err := yuccaroute.NewTable(1, yuccaroute.Config{Pools: []yuccaroute.Pool{{Name: "draft", Cold: cold}}})
+			Expect(err).To(MatchError(And(ContainSubstring("pool draft"), ContainSubstring("neither may be negative"))))
+		},
+		Entry("a negative rate of cold targets", yuccacold.Limit{Duration: time.Second, Rate: -1}),
+		Entry("a negative time for which targets are cold", yuccacold.Limit{Duration: -time.Second, Rate: 1}),
+	)
 })
 
 var _ = Describe("picking a pool", func() {
--- /dev/null
+++ b/io/yuccagate/cold.go
@@ -0,0 +1,136 @@
+package yuccagate
+
+import (
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"yuccacleat/core/yuccacold"
+	"yuccacleat/core/yuccaid"
+	"yuccacleat/core/yuccaroster"
+)
+
+// budgetRole is what this daemon's budgets for the targets of a pool depend on. It is the zero value for a pool whose
+// targets are never cold.
+type budgetRole struct {
+	limit yuccacold.Limit
+	// leads reports whether this daemon leads the pool and sees most of its data centre's daemons. candidates identifies
+	// the daemons that the data centre may have.
+	leads      bool
+	candidates uint64
+}
+
+// budgetRoleOf returns what this daemon's budgets for a pool's targets depend on now.
+func (gate *Gate) budgetRoleOf(now time.Time, sched *scheduler) budgetRole {
+	limit := gate.coldLimitOf(sched.pool)
+	if !limit.Applies() {
+		return budgetRole{}
+	}
+	digest := xxhash.New()
+	for _, name := range gate.candidateNames() {
+		digest.WriteString(name)
+		digest.Write([]byte{0})
+	}
+	return budgetRole{limit: limit, leads: sched.leads && gate.seesMostDaemons(now), candidates: digest.Sum64()}
+}
+
+// coldLimitOf returns what is configured of a pool's cold targets.
+func (gate *Gate) coldLimitOf(pool yuccaid.Pool) yuccacold.Limit {
+	if table := gate.tables.Load(); table != nil {
+		if configured, found := table.Pool(pool); found {
+			return configured.Cold
+		}
+	}
+	return yuccacold.Limit{}
+}
+
+// seesMostDaemons reports whether this daemon sees more than half of its data centre's daemons, or half of them with the
+// one whose name is first. In a data centre that has split, at most one leader does.
+func (gate *Gate) seesMostDaemons(now time.Time) bool {
+	live, expected := gate.peers.Live(gate.settings.Centre), gate.expectedDaemons(now)
+	if 2*len(live) != expected {
+		return 2*len(live) > expected
+	}
+	candidates := gate.peers.Candidates(gate.settings.Centre)
+	for _, member := range live {
+		if member.VM == candidates[0].VM {
+			return true
+		}
+	}
+	return false
+}
+
+// candidateNames returns the names of the VMs of this data centre that may run a daemon.
+func (gate *Gate) candidateNames() []string {
+	var names []string
+	for _, listing := range gate.peers.Candidates(gate.settings.Centre) {
+		names = append(names, string(listing.VM))
+	}
+	return names
+}
+
+// budgets decides what this daemon may send to the targets of one pool.
+type budgets struct {
+	role   budgetRole
+	shares yuccacold.Shares
+	centre yuccaid.Centre
+	vm     yuccaid.VM
+	// regions holds the region of each data centre, and candidates the names of this data centre's VMs.
+	regions    map[yuccaid.Centre]yuccaid.Region
+	candidates []string
+}
+
+// budgetsOf returns the budgets for a pool's targets.
+func (gate *Gate) budgetsOf(sched *scheduler) budgets {
+	buds := budgets{role: sched.budgetRole, centre: gate.settings.Centre, vm: gate.settings.VM, regions: gate.settings.Regions}
+	if buds.role.limit.Applies() {
+		buds.shares = yuccacold.Divide(gate.settings.Bounds.Cold.PerSecond(buds.role.limit))
+		buds.candidates = gate.candidateNames()
+	}
+	return buds
+}
+
+// of returns the budget for one target.
+func (buds *budgets) of(entry yuccaroster.Entry) yuccacold.Budget {
+	budget := yuccacold.Budget{Limit: buds.role.limit}
+	switch {
+	case !buds.role.limit.Applies():
+	case entry.Centre != buds.centre:
+		if buds.role.leads && buds.mayReach(entry) {
+			budget.PerSecond = 1
+		}
+	case buds.role.leads:
+		budget.PerSecond, budget.WhileCold = buds.shares.Leader, true
+	case yuccacold.AmongFirst(buds.shares.Alone, entry.Target, string(buds.vm), buds.candidates):
+		budget.PerSecond = 1
+	}
+	return budget
+}
+
+// mayReach reports whether the leaders of this data centre may send requests to a target of another one. Those of the
+// target's own region come first, since traffic between regions is billed by volume.
+func (buds *budgets) mayReach(entry yuccaroster.Entry) bool {
+	var near, far []string
+	for centre, region := range buds.regions {
+		switch {
+		case centre == entry.Centre:
+		case region == buds.regions[entry.Centre]:
+			near = append(near, string(centre))
+		default:
+			far = append(far, string(centre))
+		}
+	}
+	own := string(buds.centre)
+	if slices.Contains(near, own) {
+		return yuccacold.AmongFirst(buds.shares.Others, entry.Target, own, near)
+	}
+	return yuccacold.AmongFirst(buds.shares.Others-len(near), entry.Target, own, far)
+}
+
+// coldStatement returns what a target has registered about being cold.
+func coldStatement(entry yuccaroster.Entry) yuccacold.Statement {
+	return yuccacold.Statement{
+		Revision: uint64(entry.Revision), Known: entry.StatesWarmAfter, Remaining: entry.WarmAfter, StartMillis: entry.StartMillis,
+	}
+}
--- /dev/null
+++ b/io/yuccagate/cold_test.go
@@ -0,0 +1,56 @@
+package yuccagate
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"yuccacleat/core/yuccacold"
+	"yuccacleat/core/yuccaid"
+	"yuccacleat/core/yuccaroster"
+)
+
+// Guards against the failure that the budgets of a target at all daemons add up to more than the bound, or that leaders of
+// its own region, which can reach it without paying for the way, have none.
+func TestBudgetsOfATargetAddUpToTheBound(t *testing.T) {
+	const daemonsPerCentre = 15
+	regions := map[yuccaid.Centre]yuccaid.Region{"a1": "a", "a2": "a", "b1": "b", "b2": "b", "c1": "c", "c2": "c"}
+	limit := yuccacold.Limit{Duration: 3 * time.Second, Rate: 5.2}
+	perSecond := yuccacold.Bound{Factor: 1.5, Allowance: 5}.PerSecond(limit)
+	for number := range 50 {
+		entry := yuccaroster.Entry{Target: yuccaid.Target(fmt.Sprint("i-", number)), Centre: "b2"}
+		sum, whileCold := 0, 0
+		for centre := range regions {
+			var candidates []string
+			for vm := range daemonsPerCentre {
+				candidates = append(candidates, fmt.Sprintf("entry-%s-%d", centre, vm))
+			}
+			for at, name := range candidates {
+				buds := budgets{role: budgetRole{limit: limit, leads: at == 3}, shares: yuccacold.Divide(perSecond), centre: centre, vm: yuccaid.VM(name), regions: regions, candidates: candidates}
+				budget := buds.of(entry)
+				sum += budget.PerSecond
+				if budget.WhileCold {
+					whileCold++
+				}
+				if centre == "b1" && at == 3 && budget.PerSecond != 1 {
+					t.Errorf("the leader of the other data centre of the region may send %s %d requests a second", entry.Target, budget.PerSecond)
+				}
+			}
+		}
+		// The leader may be among those that are chosen to decide alone; it uses one part only.
+		if sum > perSecond || sum < perSecond-1 {
+			t.Errorf("all daemons together may send %s %d requests a second, want %d or one less", entry.Target, sum, perSecond)
+		}
+		if whileCold != 1 {
+			t.Errorf("%d daemons send requests to %s while it is cold", whileCold, entry.Target)
+		}
+	}
+}
+
+// A pool of which nothing is configured is served as before.
+func TestTargetsThatAreNeverColdHaveNoBudget(t *testing.T) {
+	buds := budgets{centre: "a1"}
+	if budget := buds.of(yuccaroster.Entry{Target: "i-1", Centre: "b1"}); budget != (yuccacold.Budget{}) {
+		t.Errorf("got %+v", budget)
+	}
+}
--- a/io/yuccagate/scheduler.go
+++ b/io/yuccagate/scheduler.go
@@ -56,6 +56,8 @@
 	rosterVersion uint64
 	// engine is the properties of the targets that local was configured with.
 	engine yuccaroute.Engine
+	// budgetRole is what the budgets of the targets depend on that local was configured with.
+	budgetRole budgetRole
 	// sentLoads holds, for each target, the load that was last sent to the other data centres.
 	// loadSentAt is when loads were last sent, and fullLoadSentAt is when the loads of all targets
 	// were last sent.
@@ -77,13 +79,14 @@
 }
 
 // configure passes to a scheduler the number of daemons that decide on the pool's targets, and
-// the targets if the roster or the properties of the pool's engines have changed since the last call. While a fleet starts, configure is
+// the targets if the roster, the properties of the pool's engines or this daemon's budgets for the
+// targets have changed since the last call. While a fleet starts, configure is
 // called once for each daemon that joins, and passing all targets each time would be expensive.
 func (gate *Gate) configure(now time.Time, sched *scheduler) {
 	gate.apply(now, sched, sched.local.SetLeaderCount(now, gate.deciderCount(sched)))
-	version, engine := gate.roster.Version(), gate.engineOf(sched.pool)
-	if sched.rosterVersion != version || sched.engine != engine {
-		sched.rosterVersion, sched.engine = version, engine
+	version, engine, role := gate.roster.Version(), gate.engineOf(sched.pool), gate.budgetRoleOf(now, sched)
+	if sched.rosterVersion != version || sched.engine != engine || sched.budgetRole != role {
+		sched.rosterVersion, sched.engine, sched.budgetRole = version, engine, role
 		sched.remoteReset = true
 		gate.apply(now, sched, sched.local.SetTargets(now, gate.targetsOf(sched)))
 	}
@@ -95,6 +98,9 @@
 func (gate *Gate) tickSchedulers(now time.Time) {
 	for _, sched := range gate.schedulers {
 		sched.dropSilentCentres(now)
+		if gate.budgetRoleOf(now, sched) != sched.budgetRole {
+			gate.configure(now, sched)
+		}
 		gate.apply(now, sched, sched.passRemoteLoads(now))
 		gate.apply(now, sched, sched.local.Tick(now))
 		if sched.leads {
@@ -135,6 +141,9 @@
 		sched.local.DropOtherOwners(gate.incarnation)
 		sched.local.ClearOtherCentreLoads()
 	}
+	if sched.leads {
+		sched.local.TakeOver(now)
+	}
 	gate.configure(now, sched)
 	for _, plc := range gate.placements {
 		if plc.pool == sched.pool {
--- a/io/yuccagate/settings.go
+++ b/io/yuccagate/settings.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"yuccacleat/core/yuccabudget"
+	"yuccacleat/core/yuccacold"
 	"yuccacleat/core/yuccaid"
 	"yuccacleat/core/yuccaquota"
 	"yuccacleat/core/yuccaspace"
@@ -43,6 +44,8 @@
 	QuotaWindow    time.Duration
 	QuotaOvershoot float64
 	QuotaAllowance float64
+	// Cold is by how much the fleet may exceed what a pool's cold targets bear.
+	Cold yuccacold.Bound
 }
 
 func (bounds *Bounds) tolerance() yuccaquota.Tolerance {
--- a/io/yuccagate/targets.go
+++ b/io/yuccagate/targets.go
@@ -359,8 +359,10 @@
 	usable := gate.roster.Usable(sched.pool)
 	list := make([]yuccagrant.Target, 0, len(usable))
 	engine := gate.engineOf(sched.pool)
+	budgets := gate.budgetsOf(sched)
 	for _, entry := range usable {
 		target := yuccagrant.Target{Name: entry.Target, Slots: max(entry.Slots, 1), CacheTokens: engine.CacheTokens, FetchRate: engine.FetchRate, StartMillis: entry.StartMillis, Version: entry.StreamVersion()}
+		target.Cold, target.Budget = coldStatement(entry), budgets.of(entry)
 		if gate.settings.Regions[entry.Centre] != gate.settings.Regions[gate.settings.Centre] {
 			target.Remote = true
 			target.RoundTrip = regionRoundTrip
