New and recovered targets get as many requests as their answers show that they can take

Cause: a target that registers, or answers again, looks idle to all leaders at once, and each sends it as many requests as it has slots. A target that failed was tried by each leader with several requests at once, and left alone for up to four seconds.

Change: core/yuccaramp, a window of runs that haven't begun, one at first and twice as many with each round of answers on time. The leader of the target's own data centre tries it, once a second if it failed; the others follow when its casts contain the pace. For pools with model engines; others are served as before.

Ruled out: a window in the casts (older builds compare the length of loads), a bound on all runs (64 rounds for 64 slots).

--- a/core/yuccagrant/centres_test.go
+++ b/core/yuccagrant/centres_test.go
@@ -85,6 +85,7 @@
 				if each.from != lead {
 					sum.Runs += each.loads[eng.name].Runs
 					sum.Pace = max(sum.Pace, each.loads[eng.name].Pace)
+					sum.Tried = sum.Tried || each.from == eng.lead && each.loads[eng.name].Pace > 0
 				}
 			}
 			totals[eng.name] = sum
--- a/core/yuccagrant/cold.go
+++ b/core/yuccagrant/cold.go
@@ -31,18 +31,15 @@
 	}
 }
 
-// HeldByBudget returns how many targets have a free slot that isn't granted because the target is or may be cold, and how
-// many are known to be cold.
-func (lead *Leader) HeldByBudget(now time.Time) (held, cold int) {
+// ColdTargets returns the targets of this leader's data centre that are cold, as far as is known.
+func (lead *Leader) ColdTargets(now time.Time) []yuccaid.Target {
+	var names []yuccaid.Target
 	for _, tgt := range lead.targets {
-		if tgt.isCold(now) {
-			cold++
-		}
-		if tgt.freeSlots(now) > 0 && !tgt.withinBudget(now) {
-			held++
+		if !tgt.OtherCentre && tgt.isCold(now) {
+			names = append(names, tgt.Name)
 		}
 	}
-	return held, cold
+	return names
 }
 
 // withinBudget reports whether the target may be sent one more request without getting more than it bears if it is cold.
@@ -81,8 +78,3 @@
 		tgt.sends.Record(now, sent)
 	}
 }
-
-// recordAnswer records that a run on the target began to answer.
-func (tgt *targetState) recordAnswer(now time.Time, run *activeRun) {
-	tgt.cold.Answered(now, run.sent, tgt.Budget.Limit)
-}
--- a/core/yuccagrant/leader.go
+++ b/core/yuccagrant/leader.go
@@ -62,6 +62,7 @@
 	for _, target := range configured {
 		lead.versions[target.Version] = true
 		tgt := old[target.Name]
+		isNew := hadTargets && (tgt == nil || tgt.StartMillis != target.StartMillis)
 		if tgt == nil || tgt.StartMillis != target.StartMillis {
 			tgt = newTargetState(target, biasShare*lead.rng.Float64())
 			tgt.pace = newPace
@@ -76,6 +77,9 @@
 			tgt.cache = yuccacache.New(int64(target.CacheTokens), maxPartsPerTarget(len(configured)))
 		}
 		tgt.Target = target
+		if isNew {
+			tgt.beginRamp(now)
+		}
 		tgt.totalSlots = target.Slots
 		tgt.setLeaderCount(lead.leaderCount)
 		lead.targets = append(lead.targets, tgt)
@@ -204,7 +208,7 @@
 		return dec
 	}
 	run.started = true
-	run.targetState.recordAnswer(now, run)
+	run.targetState.recordAnswer(now, run, took)
 	run.targetState.recordReport(now, load)
 	lead.learnTimeToFirst(run, took)
 	lead.grantSlots(now, &dec)
@@ -222,8 +226,8 @@
 		lead.learnTimeToFirst(run, result.TimeToFirst)
 	}
 	if !run.started {
-		if result.Outcome == Served || result.Outcome == Failed || result.Outcome == Rejected {
-			run.targetState.recordAnswer(now, run)
+		if result.Outcome == Served || result.Outcome == Failed {
+			run.targetState.recordAnswer(now, run, now.Sub(run.sent))
 		}
 		run.targetState.recordReport(now, result.Load)
 	}
@@ -284,13 +288,14 @@
 }
 
 // SetOtherCentreLoads sets how many runs the leaders of other data centres have on the given
-// targets. It adopts the paces that those leaders have learned for targets of which this leader
+// targets, and whether the targets have been tried there. It adopts the paces that those leaders have learned for targets of which this leader
 // has too few samples.
 func (lead *Leader) SetOtherCentreLoads(now time.Time, loads map[yuccaid.Target]TargetLoad) Decisions {
 	var dec Decisions
 	for target, load := range loads {
 		if tgt, found := lead.targetsByName[target]; found {
 			tgt.otherCentreRuns = load.Runs
+			tgt.recordTried(load.Tried)
 			if tgt.adoptPace(load.Pace) {
 				lead.notePaceChange(tgt)
 			}
@@ -310,10 +315,13 @@
 }
 
 // TargetLoad is the number of runs that a leader has on one target, and the pace that the leader
-// has learned for the target, zero if it is unknown.
+// has learned for the target, zero if it is unknown or the target has failed and hasn't answered since.
+// Tried reports, of a load that other leaders have sent, that the leader of the target's own data
+// centre knows its pace.
 type TargetLoad struct {
-	Runs int
-	Pace float64
+	Runs  int
+	Pace  float64
+	Tried bool
 }
 
 // Loads iterates over the targets that have runs of this leader or a known pace.
@@ -367,7 +375,7 @@
 	list := make([]TargetStatus, 0, len(lead.targets))
 	for _, tgt := range lead.targets {
 		list = append(list, TargetStatus{
-			Target: tgt.Name, Busy: tgt.busySlots(now), Slots: tgt.Slots, Pace: tgt.pace, LateFraction: tgt.lateFraction, FailureRate: tgt.failureRate, BackingOff: tgt.backingOff(now), Cold: tgt.isCold(now),
+			Target: tgt.Name, Busy: tgt.busySlots(now), Slots: tgt.Slots, Pace: tgt.pace, LateFraction: tgt.lateFraction, FailureRate: tgt.failureRate, BackingOff: tgt.backingOff(now), Cold: tgt.isCold(now), HeldBack: tgt.heldBack(now), Window: tgt.window.Size(now),
 		})
 	}
 	return list
--- a/core/yuccagrant/learn.go
+++ b/core/yuccagrant/learn.go
@@ -53,15 +53,17 @@
 	case Rejected:
 		// A target that is full gets no requests for half of minBackoff, however often it
 		// rejects them.
+		tgt.cold.Answered(now, run.sent, tgt.Budget.Limit)
+		tgt.window.Shrink(now)
 		tgt.learnFailure(true)
 		tgt.backoffUntil = now.Add(minBackoff / 2)
 	case Broken:
 		tgt.learnFailure(true)
-	case Unreachable:
-		tgt.cold.Unreachable(now)
-		tgt.learnFailure(true)
-		tgt.backOff(now)
-	case Lost, Misdirected:
+	case Unreachable, Lost, Misdirected:
+		if result.Outcome == Unreachable {
+			tgt.cold.Unreachable(now)
+		}
+		tgt.failRamp(now)
 		tgt.learnFailure(true)
 		tgt.backOff(now)
 	case Dropped:
--- a/core/yuccagrant/request.go
+++ b/core/yuccagrant/request.go
@@ -197,6 +197,10 @@
 	// Remote reports that the target is in another region, so that traffic to it is billed by
 	// volume.
 	Remote bool
+	// OtherCentre reports that the target is in another data centre, and Ramped that the leader finds out
+	// how much it can take when it has just started or recovered.
+	OtherCentre bool
+	Ramped      bool
 	// Cold is what the target has registered about being cold, and Budget what the leader may send it
 	// because it may be cold.
 	Cold   yuccacold.Statement
--- a/core/yuccagrant/share.go
+++ b/core/yuccagrant/share.go
@@ -42,7 +42,7 @@
 func (lead *Leader) chooseWithinShare(now time.Time, req *Request, base *baseline) choice {
 	best := choice{cost: math.MaxInt64}
 	for _, tgt := range lead.targets {
-		if tgt.busySlots(now) < maxShareLoad*tgt.Slots && tgt.withinBudget(now) && !tgt.backingOff(now) && tgt.mayServe(req) {
+		if tgt.busySlots(now) < maxShareLoad*tgt.Slots && tgt.withinBudget(now) && tgt.withinWindow(now) && !tgt.backingOff(now) && tgt.mayServe(req) {
 			best = best.better(lead.estimate(now, tgt, req, base))
 		}
 	}
--- a/core/yuccagrant/target.go
+++ b/core/yuccagrant/target.go
@@ -6,6 +6,7 @@
 	"yuccacleat/core/yuccacache"
 	"yuccacleat/core/yuccacold"
 	"yuccacleat/core/yuccaid"
+	"yuccacleat/core/yuccaramp"
 )
 
 // targetState is a target as configured, together with its runs and what the leader has learned
@@ -54,6 +55,12 @@
 	cold       yuccacold.State
 	sends      yuccacold.Sends
 	tookOverAt time.Time
+	// window bounds the runs that haven't begun while it isn't known what the target can take. Until
+	// untriedUntil, a new target of another data centre is left to the leader there, unless that one reports
+	// its pace before. tried reports that it does so.
+	window       yuccaramp.Window
+	untriedUntil time.Time
+	tried        bool
 }
 
 // activeRun is a request that was sent to a target and has not finished. started reports that the
@@ -90,7 +97,7 @@
 // load returns what is reported to other leaders about the target.
 func (tgt *targetState) load() TargetLoad {
 	load := TargetLoad{Runs: len(tgt.runs)}
-	if tgt.paceSamples >= minPaceSamples {
+	if tgt.paceSamples >= minPaceSamples && !tgt.window.Failed() {
 		load.Pace = tgt.pace
 	}
 	return load
@@ -136,10 +143,16 @@
 // idle until the leader learns of it. More requests must not wait there, because the target's queue
 // ignores ranks.
 func (tgt *targetState) grantableSlots(now time.Time) int {
-	if !tgt.withinBudget(now) {
+	if !tgt.withinBudget(now) || !tgt.withinWindow(now) {
 		return 0
 	}
-	return max(tgt.Slots+(tgt.Slots+overcommitDivisor-1)/overcommitDivisor-tgt.busySlots(now), 0)
+	return max(tgt.maxRuns()-tgt.busySlots(now), 0)
+}
+
+// maxRuns returns how many runs the target may have: its slots, and the few that may wait in its own
+// queue.
+func (tgt *targetState) maxRuns() int {
+	return tgt.Slots + (tgt.Slots+overcommitDivisor-1)/overcommitDivisor
 }
 
 // recordReport compares the load that the target reported with the runs that the leaders know of.
@@ -176,7 +189,7 @@
 // backOff records a failure after which the target gets no requests for a while.
 func (tgt *targetState) backOff(now time.Time) {
 	// The shift is bounded because the delay would otherwise overflow.
-	delay := min(minBackoff<<min(tgt.consecutiveFailures, 8), maxBackoff)
+	delay := min(minBackoff<<min(tgt.consecutiveFailures, 8), tgt.maxBackoff())
 	tgt.consecutiveFailures++
 	tgt.backoffUntil = now.Add(delay)
 }
@@ -238,5 +251,10 @@
 	LateFraction float64        `json:"late"`
 	FailureRate  float64        `json:"failed"`
 	BackingOff   bool           `json:"resting"`
-	Cold         bool           `json:"cold,omitempty"`
+	// Cold reports that the target is known to be cold, and HeldBack why the leader sends it nothing at
+	// present although it may have free slots, empty if it doesn't hold it back. Window is the bound on
+	// the runs that haven't begun, zero if there is none.
+	Cold     bool     `json:"cold,omitempty"`
+	HeldBack HeldBack `json:"heldBack,omitempty"`
+	Window   int      `json:"window,omitempty"`
 }
--- a/core/yuccagrant/world_test.go
+++ b/core/yuccagrant/world_test.go
@@ -26,7 +26,11 @@
 	pace  float64
 	// fails returns the outcome of a run that is sent now. If fails is nil, all runs are Served.
 	fails func(now time.Time) yuccagrant.Outcome
-	queue []*job
+	// lead is the leader of the engine's data centre, nil if engines belong to none.
+	lead *yuccagrant.Leader
+	// lostAfter is the time after which it shows that a job is lost, zero if that shows at its deadline.
+	lostAfter time.Duration
+	queue     []*job
 	// queueLimit is the number of requests that may wait in the queue. The engine rejects further
 	// requests. Zero means no limit.
 	queueLimit int
@@ -75,6 +79,8 @@
 	// fetchFrom is the engine from which the job's engine fetches parts of the prompt, nil if it
 	// fetches none.
 	fetchFrom *engine
+	// engine is the engine that the job was last sent to.
+	engine *engine
 }
 
 // class describes the requests of one kind. events and prompt are the mean length of the answer in
@@ -263,7 +269,7 @@
 }
 
 func (sim *simulation) sendTo(jb *job, eng *engine) {
-	jb.sent = sim.now
+	jb.sent, jb.engine = sim.now, eng
 	if eng.fails != nil {
 		jb.outcome = eng.fails(sim.now)
 	}
@@ -299,7 +305,7 @@
 	}
 	var remaining []*job
 	for _, jb := range eng.runs {
-		if jb.outcome == yuccagrant.Lost && sim.now.Before(jb.req.Deadline) {
+		if jb.outcome == yuccagrant.Lost && sim.now.Before(eng.lostAt(jb)) {
 			remaining = append(remaining, jb)
 			continue
 		}
@@ -332,6 +338,14 @@
 	}
 }
 
+// lostAt returns when it shows that a job is lost.
+func (eng *engine) lostAt(jb *job) time.Time {
+	if eng.lostAfter > 0 {
+		return jb.sent.Add(eng.lostAfter)
+	}
+	return jb.req.Deadline
+}
+
 // finish reports the outcome of a run to the leader.
 func (sim *simulation) finish(eng *engine, jb *job, outcome yuccagrant.Outcome) {
 	if sim.leastOutstanding {
--- a/io/yuccagate/cold.go
+++ b/io/yuccagate/cold.go
@@ -11,6 +11,9 @@
 	"yuccacleat/core/yuccaroster"
 )
 
+// coldCheckInterval is the time between two comparisons of which targets are cold, for the log.
+const coldCheckInterval = 200 * time.Millisecond
+
 // budgetRole is what this daemon's budgets for the targets of a pool depend on. It is the zero value for a pool whose
 // targets are never cold.
 type budgetRole struct {
@@ -35,6 +38,20 @@
 	return budgetRole{limit: limit, leads: sched.leads && gate.seesMostDaemons(now), candidates: digest.Sum64()}
 }
 
+// logColdTargets logs which targets of this data centre are cold whenever that has changed.
+func (gate *Gate) logColdTargets(now time.Time, sched *scheduler) {
+	if !sched.budgetRole.limit.Applies() || now.Sub(sched.coldCheckedAt) < coldCheckInterval {
+		return
+	}
+	sched.coldCheckedAt = now
+	cold := sched.local.ColdTargets(now)
+	if slices.Equal(cold, sched.coldTargets) {
+		return
+	}
+	sched.coldTargets = cold
+	gate.log.stateChange("cold targets", "pool", sched.pool, "count", len(cold), "targets", cold[:min(len(cold), maxLoggedTargets)], "rate", sched.budgetRole.limit.Rate)
+}
+
 // coldLimitOf returns what is configured of a pool's cold targets.
 func (gate *Gate) coldLimitOf(pool yuccaid.Pool) yuccacold.Limit {
 	if table := gate.tables.Load(); table != nil {
--- a/io/yuccagate/loads.go
+++ b/io/yuccagate/loads.go
@@ -233,8 +233,9 @@
 	return totals
 }
 
-// remoteTotal returns the sum of the runs that other data centres have on a target, and the
-// highest pace that any of these data centres reports for the target.
+// remoteTotal returns the sum of the runs that other data centres have on a target, the
+// highest pace that any of these data centres reports for the target, and whether the target's own
+// data centre reports one.
 func (sched *scheduler) remoteTotal(target yuccaid.Target) yuccagrant.TargetLoad {
 	var sum yuccagrant.TargetLoad
 	for _, centre := range sched.remoteLoads {
@@ -242,5 +243,8 @@
 		sum.Runs += entry.Runs
 		sum.Pace = max(sum.Pace, float64(entry.Pace)/paceScale)
 	}
+	if centre := sched.remoteLoads[sched.centres[target]]; centre != nil {
+		sum.Tried = centre.loads[target].load.Pace > 0
+	}
 	return sum
 }
--- a/io/yuccagate/metrics.go
+++ b/io/yuccagate/metrics.go
@@ -130,6 +130,7 @@
 		vm.WriteGaugeUint64(w, "yuccacleat_gate_waiting"+label, uint64(pool.Waiting))
 		vm.WriteGaugeUint64(w, "yuccacleat_gate_targets"+label, uint64(len(pool.Targets)))
 		vm.WriteGaugeUint64(w, "yuccacleat_gate_leads"+label, boolGauge(pool.Leader == status.VM))
+		writeHeldBack(w, pool)
 	}
 	for _, count := range gate.hub.Counts() {
 		label := fmt.Sprintf("{kind=%q}", count.Kind)
@@ -140,6 +141,21 @@
 	}
 }
 
+// writeHeldBack writes how many of a pool's targets are cold, and how many this daemon sends nothing, by the reason.
+func writeHeldBack(w io.Writer, pool PoolStatus) {
+	cold, counts := uint64(0), make(map[yuccagrant.HeldBack]uint64)
+	for _, target := range pool.Targets {
+		if target.Cold {
+			cold++
+		}
+		counts[target.HeldBack]++
+	}
+	vm.WriteGaugeUint64(w, fmt.Sprintf("yuccacleat_gate_cold_targets{pool=%q}", pool.Pool), cold)
+	for _, reason := range []yuccagrant.HeldBack{yuccagrant.HeldCold, yuccagrant.HeldUntried, yuccagrant.HeldWindow} {
+		vm.WriteGaugeUint64(w, fmt.Sprintf("yuccacleat_gate_held_back_targets{pool=%q,reason=%q}", pool.Pool, reason), counts[reason])
+	}
+}
+
 // writeRegistered writes how many targets of each pool are registered, by the version of their software.
 func writeRegistered(w io.Writer, targets []TargetStatus) {
 	counts := make(map[string]uint64)
--- a/io/yuccagate/scheduler.go
+++ b/io/yuccagate/scheduler.go
@@ -52,6 +52,8 @@
 	// loads of all targets have to be passed to local.
 	remoteChanged map[yuccaid.Target]bool
 	remoteReset   bool
+	// centres holds the data centres of the targets that local was configured with.
+	centres map[yuccaid.Target]yuccaid.Centre
 	// rosterVersion is the roster's version that local was configured with, or neverConfigured.
 	rosterVersion uint64
 	// engine is the properties of the targets that local was configured with.
@@ -64,6 +66,10 @@
 	sentLoads      map[yuccaid.Target]yuccawire.TargetLoad
 	loadSentAt     time.Time
 	fullLoadSentAt time.Time
+	// coldTargets are the cold targets of this data centre as the log last reported them, and
+	// coldCheckedAt is when that was last compared.
+	coldTargets   []yuccaid.Target
+	coldCheckedAt time.Time
 }
 
 // scheduler returns the pool's scheduler, and creates it if there is none yet.
@@ -105,6 +111,7 @@
 		gate.apply(now, sched, sched.local.Tick(now))
 		if sched.leads {
 			gate.castLoad(now, sched)
+			gate.logColdTargets(now, sched)
 		}
 	}
 	gate.tickPlacements(now)
--- a/io/yuccagate/targets.go
+++ b/io/yuccagate/targets.go
@@ -360,8 +360,11 @@
 	list := make([]yuccagrant.Target, 0, len(usable))
 	engine := gate.engineOf(sched.pool)
 	budgets := gate.budgetsOf(sched)
+	sched.centres = make(map[yuccaid.Target]yuccaid.Centre, len(usable))
 	for _, entry := range usable {
 		target := yuccagrant.Target{Name: entry.Target, Slots: max(entry.Slots, 1), CacheTokens: engine.CacheTokens, FetchRate: engine.FetchRate, StartMillis: entry.StartMillis, Version: entry.StreamVersion()}
+		sched.centres[entry.Target] = entry.Centre
+		target.OtherCentre, target.Ramped = entry.Centre != gate.settings.Centre, engine != (yuccaroute.Engine{})
 		target.Cold, target.Budget = coldStatement(entry), budgets.of(entry)
 		if gate.settings.Regions[entry.Centre] != gate.settings.Regions[gate.settings.Centre] {
 			target.Remote = true
