The leader's part of a cold target's budget passes on to the next leader

Cause: a leader that took over didn't know how many requests the one before had sent in the same second.

Change: the leader of a pool whose targets may be cold reports its sends to the daemon that would lead next, and one that no longer leads to its successor (a new kind of message, which older builds ignore). A leader that knows them needs no wait.

Ruled out: reports of owners to the new leader (those of the killed daemon are missing), a smaller part for the leader (it would bind in every burst).

--- a/core/yuccacold/sends.go
+++ b/core/yuccacold/sends.go
@@ -26,6 +26,24 @@
 	}
 }
 
+// Merge adds the sends that another daemon has recorded.
+func (sn *Sends) Merge(now time.Time, other *Sends) {
+	for _, each := range other.Recent(now) {
+		sn.Record(now, each)
+	}
+}
+
+// Recent returns the times of the sends of the last second.
+func (sn *Sends) Recent(now time.Time) []time.Time {
+	var recent []time.Time
+	for _, each := range sn.times {
+		if now.Sub(each) < window {
+			recent = append(recent, each)
+		}
+	}
+	return recent
+}
+
 // Count returns how many requests were sent in the last second.
 func (sn *Sends) Count(now time.Time) int {
 	count := 0
--- a/core/yuccagrant/cold.go
+++ b/core/yuccagrant/cold.go
@@ -4,24 +4,78 @@
 	"math"
 	"time"
 
+	"yuccacleat/core/yuccacold"
 	"yuccacleat/core/yuccaid"
 )
 
 const (
-	// takeOverWait is how long a leader that has taken over sends nothing to cold targets, because the leader before may
-	// have sent them requests in that time, or may go on until it learns that it no longer leads.
+	// takeOverWait is how long a leader that has taken over, and doesn't know the sends of the leader before, sends nothing to
+	// cold targets.
 	takeOverWait = time.Second
 	// takeOverDivisor is how small a part of its budget a leader uses in that time at targets that aren't known to be cold.
 	// The runs that owners report to it count too.
 	takeOverDivisor = 2
 )
 
-// TakeOver records that this leader has taken over from another one.
-func (lead *Leader) TakeOver(now time.Time) {
+// Send is a request that was sent to a target at the given time.
+type Send struct {
+	Target yuccaid.Target
+	At     time.Time
+}
+
+// maxNewSends bounds the sends that wait to be reported. Those beyond it are reported with all of the last second.
+const maxNewSends = 4096
+
+// TakeOver records that this leader has taken over from another one. Reported says whether that one has reported its sends
+// of the last second.
+func (lead *Leader) TakeOver(now time.Time, reported bool) {
+	lead.newSends = nil
 	lead.tookOverAt = now
+	if reported {
+		lead.tookOverAt = time.Time{}
+	}
+	for _, tgt := range lead.targets {
+		tgt.tookOverAt = lead.tookOverAt
+		if reported {
+			tgt.sends.Merge(now, &tgt.reportedSends)
+		}
+	}
+}
+
+// RecordReported records sends that the present leader, or the one before this leader, reports. If whole is set, they are
+// all of the last second.
+func (lead *Leader) RecordReported(now time.Time, sends []Send, whole bool) {
+	if whole {
+		for _, tgt := range lead.targets {
+			tgt.reportedSends = yuccacold.Sends{}
+		}
+	}
+	for _, each := range sends {
+		if tgt, found := lead.targetsByName[each.Target]; found {
+			tgt.reportedSends.Record(now, each.At)
+		}
+	}
+}
+
+// TakeNewSends returns the sends to targets of this data centre since the last call, for the daemon that would lead next.
+func (lead *Leader) TakeNewSends() []Send {
+	taken := lead.newSends
+	lead.newSends = nil
+	return taken
+}
+
+// RecentSends returns all sends to targets of this data centre in the last second that this leader knows of.
+func (lead *Leader) RecentSends(now time.Time) []Send {
+	var list []Send
 	for _, tgt := range lead.targets {
-		tgt.tookOverAt = now
+		if tgt.OtherCentre {
+			continue
+		}
+		for _, at := range tgt.sends.Recent(now) {
+			list = append(list, Send{Target: tgt.Name, At: at})
+		}
 	}
+	return list
 }
 
 // AssumeCold records that a target is cold from now on, for example because nothing was sent to its data centre for long.
@@ -72,6 +126,14 @@
 	return tgt.Budget.Limit.Rate * hold
 }
 
+// recordGrant counts a request that this leader sends to the target.
+func (lead *Leader) recordGrant(now time.Time, tgt *targetState) {
+	tgt.recordSend(now, now)
+	if tgt.Budget.Limit.Applies() && !tgt.OtherCentre && len(lead.newSends) < maxNewSends {
+		lead.newSends = append(lead.newSends, Send{Target: tgt.Name, At: now})
+	}
+}
+
 // recordSend counts a request that is sent to the target.
 func (tgt *targetState) recordSend(now, sent time.Time) {
 	if tgt.Budget.Limit.Applies() {
--- a/core/yuccagrant/leader.go
+++ b/core/yuccagrant/leader.go
@@ -38,8 +38,10 @@
 	// newParts are the parts that targets have begun to hold and that haven't been reported to other
 	// leaders.
 	newParts []HeldPart
-	// tookOverAt is when the leader took over from another one, zero if it didn't.
+	// tookOverAt is when the leader took over from another one of whose sends it doesn't know, zero if it
+	// knows them. newSends are its sends that haven't been reported to the daemon that would lead next.
 	tookOverAt time.Time
+	newSends   []Send
 	// withoutTargetsSince is the time since which there has been no target. It is zero while
 	// there are targets.
 	withoutTargetsSince time.Time
@@ -67,7 +69,7 @@
 			tgt = newTargetState(target, biasShare*lead.rng.Float64())
 			tgt.pace = newPace
 			if former := old[target.Name]; former != nil {
-				tgt.cold, tgt.sends = former.cold, former.sends
+				tgt.cold, tgt.sends, tgt.reportedSends = former.cold, former.sends, former.reportedSends
 			}
 		}
 		tgt.cold.Register(now, target.Budget.Limit, target.Cold, hadTargets)
@@ -249,7 +251,10 @@
 	if !found {
 		return
 	}
-	run := lead.addRun(now, running.Sent, tgt, running.Request)
+	run := lead.addRun(now, tgt, running.Request)
+	if now.Sub(tgt.tookOverAt) < takeOverWait {
+		tgt.recordSend(now, running.Sent)
+	}
 	run.sent = running.Sent
 	run.started = running.Started
 }
--- a/core/yuccagrant/serve.go
+++ b/core/yuccagrant/serve.go
@@ -69,7 +69,8 @@
 	lead.queue.remove(entry.ID)
 	lead.sizeStats.learn(entry.effectiveRank(), entry.expectedWork, true)
 	busySlots := best.targetState.busySlots(now)
-	run := lead.addRun(now, now, best.targetState, entry.Request)
+	run := lead.addRun(now, best.targetState, entry.Request)
+	lead.recordGrant(now, best.targetState)
 	dec.Grants = append(dec.Grants, Grant{
 		ID: entry.ID, Target: best.targetState.Name, ExpectedTimeToFirst: best.expectedTimeToFirst, Busy: busySlots, Held: run.held, FetchFrom: run.fetchFrom,
 	})
@@ -127,17 +128,16 @@
 	return lead.latencyModel.expectedTimeToFirst(req.Prompt-held).Seconds() * lead.lengthModel.timeToFirstRatio(req.Class)
 }
 
-// addRun counts a request as sent to a target at the given time.
-func (lead *Leader) addRun(now, sent time.Time, tgt *targetState, request Request) *activeRun {
+// addRun counts a request as sent to a target now.
+func (lead *Leader) addRun(now time.Time, tgt *targetState, request Request) *activeRun {
 	base := lead.baseline(now, &request)
 	estimate := lead.estimate(now, tgt, &request, &base)
 	run := &activeRun{
-		request: request, targetState: tgt, sent: sent, dueAfter: estimate.expectedTimeToFirst,
+		request: request, targetState: tgt, sent: now, dueAfter: estimate.expectedTimeToFirst,
 		unread: request.Prompt - estimate.available.tokens, held: lead.heldTokens(tgt, &request), fetchFrom: estimate.available.from, fetchTime: estimate.available.fetchTime,
 	}
 	run.ahead = tgt.pendingPrefill(now, base.slope)
 	lead.recordParts(tgt, &request)
-	tgt.recordSend(now, sent)
 	lead.runs[request.ID] = run
 	tgt.runs[request.ID] = run
 	return run
--- a/core/yuccagrant/target.go
+++ b/core/yuccagrant/target.go
@@ -51,10 +51,12 @@
 	// the same target.
 	bias float64
 	// cold is what is known of the target's being cold, and sends when requests were sent to it.
-	// tookOverAt is that of the leader.
-	cold       yuccacold.State
-	sends      yuccacold.Sends
-	tookOverAt time.Time
+	// reportedSends is when requests were sent to it as the present leader has reported. tookOverAt is
+	// that of the leader.
+	cold          yuccacold.State
+	sends         yuccacold.Sends
+	reportedSends yuccacold.Sends
+	tookOverAt    time.Time
 	// window bounds the runs that haven't begun while it isn't known what the target can take. Until
 	// untriedUntil, a new target of another data centre is left to the leader there, unless that one reports
 	// its pace before. tried reports that it does so.
--- a/io/yuccagate/peers.go
+++ b/io/yuccagate/peers.go
@@ -257,6 +257,8 @@
 		return decodeThen(frame, func(message yuccawire.Seeds) { gate.onSeeds(now, from, message) })
 	case yuccawire.KindQuarantine:
 		return decodeThen(frame, func(message yuccawire.Quarantine) { gate.onQuarantine(now, from, message) })
+	case yuccawire.KindSends:
+		return decodeThen(frame, func(message yuccawire.Sends) { gate.onSends(now, from, message) })
 	case yuccawire.KindHolding:
 		return decodeThen(frame, func(message yuccawire.Holding) { gate.onHolding(now, from, message) })
 	}
--- a/io/yuccagate/scheduler.go
+++ b/io/yuccagate/scheduler.go
@@ -70,6 +70,10 @@
 	// coldCheckedAt is when that was last compared.
 	coldTargets   []yuccaid.Target
 	coldCheckedAt time.Time
+	// sendsReport is what this daemon has reported of its sends as the leader, and sendsSeen what the leader
+	// has reported to this daemon.
+	sendsReport sendsReport
+	sendsSeen   sendsSeen
 }
 
 // scheduler returns the pool's scheduler, and creates it if there is none yet.
@@ -110,6 +114,7 @@
 		gate.apply(now, sched, sched.passRemoteLoads(now))
 		gate.apply(now, sched, sched.local.Tick(now))
 		if sched.leads {
+			gate.reportSends(now, sched)
 			gate.castLoad(now, sched)
 			gate.logColdTargets(now, sched)
 		}
@@ -138,6 +143,7 @@
 		gate.configure(now, sched)
 		return
 	}
+	former := sched.leader
 	sched.leader = incarnation
 	sched.suspectUntil = time.Time{}
 	ledBefore := sched.leads
@@ -148,9 +154,7 @@
 		sched.local.DropOtherOwners(gate.incarnation)
 		sched.local.ClearOtherCentreLoads()
 	}
-	if sched.leads {
-		sched.local.TakeOver(now)
-	}
+	gate.handOver(now, sched, former, ledBefore)
 	gate.configure(now, sched)
 	for _, plc := range gate.placements {
 		if plc.pool == sched.pool {
--- a/io/yuccawire/kind.go
+++ b/io/yuccawire/kind.go
@@ -100,6 +100,8 @@
 	KindSeeds
 	// KindQuarantine carries a Quarantine to all other daemons. Older builds ignore it.
 	KindQuarantine
+	// KindSends carries Sends from a pool's leader to the daemon that would lead next. Older builds ignore it.
+	KindSends
 )
 
 var kindNames = map[Kind]string{
@@ -154,6 +156,7 @@
 	KindSeeds: "seeds",
 
 	KindQuarantine: "quarantine",
+	KindSends:      "sends",
 }
 
 // String returns the kind's name in logs and metrics, or its number.
