What budgets depend on is compared five times a second; decisions on cold and new targets

Cause: the list of VMs was read and hashed in each tick for each pool whose targets may be cold. Change: every 200 ms, with the look at which targets are cold. Tests of io/yuccagate pass.

--- a/io/yuccagate/cold.go
+++ b/io/yuccagate/cold.go
@@ -11,8 +11,9 @@
 	"yuccacleat/core/yuccaroster"
 )
 
-// coldCheckInterval is the time between two comparisons of which targets are cold, for the log.
-const coldCheckInterval = 200 * time.Millisecond
+// budgetsCheckInterval is the time between two looks at what budgets depend on besides the leader, and at which targets are
+// cold.
+const budgetsCheckInterval = 200 * time.Millisecond
 
 // budgetRole is what this daemon's budgets for the targets of a pool depend on. It is the zero value for a pool whose
 // targets are never cold.
@@ -38,13 +39,23 @@
 	return budgetRole{limit: limit, leads: sched.leads && gate.seesMostDaemons(now), candidates: digest.Sum64()}
 }
 
-// logColdTargets logs which targets of this data centre are cold whenever that has changed.
-func (gate *Gate) logColdTargets(now time.Time, sched *scheduler) {
-	if !sched.budgetRole.limit.Applies() || now.Sub(sched.coldCheckedAt) < coldCheckInterval {
+// checkBudgets configures a scheduler anew if this daemon's budgets for its targets have changed, and logs which targets are
+// cold.
+func (gate *Gate) checkBudgets(now time.Time, sched *scheduler) {
+	if now.Sub(sched.budgetsCheckedAt) < budgetsCheckInterval {
 		return
 	}
-	sched.coldCheckedAt = now
-	cold := sched.local.ColdTargets(now)
+	sched.budgetsCheckedAt = now
+	if gate.budgetRoleOf(now, sched) != sched.budgetRole {
+		gate.configure(now, sched)
+	}
+	if sched.leads && sched.budgetRole.limit.Applies() {
+		gate.logColdTargets(sched, sched.local.ColdTargets(now))
+	}
+}
+
+// logColdTargets logs which targets of this data centre are cold if that has changed.
+func (gate *Gate) logColdTargets(sched *scheduler, cold []yuccaid.Target) {
 	if slices.Equal(cold, sched.coldTargets) {
 		return
 	}
--- a/io/yuccagate/scheduler.go
+++ b/io/yuccagate/scheduler.go
@@ -67,9 +67,9 @@
 	loadSentAt     time.Time
 	fullLoadSentAt time.Time
 	// coldTargets are the cold targets of this data centre as the log last reported them, and
-	// coldCheckedAt is when that was last compared.
-	coldTargets   []yuccaid.Target
-	coldCheckedAt time.Time
+	// budgetsCheckedAt is when these and the budgets were last compared.
+	coldTargets      []yuccaid.Target
+	budgetsCheckedAt time.Time
 	// sendsReport is what this daemon has reported of its sends as the leader, and sendsSeen what the leader
 	// has reported to this daemon.
 	sendsReport sendsReport
@@ -108,15 +108,12 @@
 func (gate *Gate) tickSchedulers(now time.Time) {
 	for _, sched := range gate.schedulers {
 		sched.dropSilentCentres(now)
-		if gate.budgetRoleOf(now, sched) != sched.budgetRole {
-			gate.configure(now, sched)
-		}
+		gate.checkBudgets(now, sched)
 		gate.apply(now, sched, sched.passRemoteLoads(now))
 		gate.apply(now, sched, sched.local.Tick(now))
 		if sched.leads {
 			gate.reportSends(now, sched)
 			gate.castLoad(now, sched)
-			gate.logColdTargets(now, sched)
 		}
 	}
 	gate.tickPlacements(now)
