Requests that find no memory are left unread while many do, urgent ones are read

Cause: the daemon learned only by reading which rank a request has, so it read all that came; closing any new connection instead had turned away the urgent ones, for whom memory is kept.

Heads that come in several segments and requests on kept connections are read as before, and the first few requests that find no memory are still refused with 503.

The new spec 'leaves less urgent requests unread ...' holds both promises; before this change nothing was left unread.

--- a/core/yuccaspace/space.go
+++ b/core/yuccaspace/space.go
@@ -72,11 +72,16 @@
 	return &MemoryLimiter{limit: limit}
 }
 
-// Reserve reserves memory for a request and reports whether enough was left for its rank. Rank 0
-// is the most urgent.
-func (mem *MemoryLimiter) Reserve(rank int, size yuccaid.Bytes) bool {
+// HasRoom reports whether enough memory is left for a request of the given rank. Rank 0 is the most
+// urgent.
+func (mem *MemoryLimiter) HasRoom(rank int, size yuccaid.Bytes) bool {
 	available := float64(mem.limit) * (1 - rankReserve*float64(min(max(rank, 0), maxReservedRanks)))
-	if mem.limit > 0 && float64(mem.reserved+size) > available {
+	return mem.limit <= 0 || float64(mem.reserved+size) <= available
+}
+
+// Reserve reserves memory for a request and reports whether enough was left for its rank.
+func (mem *MemoryLimiter) Reserve(rank int, size yuccaid.Bytes) bool {
+	if !mem.HasRoom(rank, size) {
 		return false
 	}
 	mem.reserved += size
--- a/io/yuccagate/gate.go
+++ b/io/yuccagate/gate.go
@@ -43,6 +43,8 @@
 	// memory is the memory that open requests may use, and pressure shows whether processor time is short.
 	memory   *memory
 	pressure pressure
+	// memoryShortage shows whether many requests find no memory.
+	memoryShortage memoryShortage
 	// processBounds are the bounds that follow from the process's limits on memory and file
 	// descriptors.
 	processBounds yuccaspace.Bounds
@@ -308,6 +310,7 @@
 // process resumes after a pause.
 func (gate *Gate) tick(now time.Time) {
 	gate.pressure.tick(now)
+	gate.memoryShortage.tick(now)
 	gate.tickPeers(now)
 	gate.roster.Tick(now)
 	gate.refreshTargets(now)
--- a/io/yuccagate/listener.go
+++ b/io/yuccagate/listener.go
@@ -1,6 +1,7 @@
 package yuccagate
 
 import (
+	"io"
 	"maps"
 	"net"
 	"net/http"
@@ -32,6 +33,8 @@
 	onRejected func(time.Time)
 	// admits reports whether a new connection may be read from.
 	admits func() bool
+	// reads reports whether the first request on a connection may be read.
+	reads func(net.Conn) bool
 
 	mu sync.Mutex
 	// conns holds the open connections, and whether each is being closed for being idle. closing
@@ -49,6 +52,7 @@
 func NewListener(inner net.Listener, maxConns int, onRejected func(time.Time), options ...ListenerOption) *Listener {
 	lis := &Listener{Listener: inner, maxConns: maxConns, onRejected: onRejected, conns: make(map[*callerConn]bool)}
 	lis.admits = func() bool { return true }
+	lis.reads = func(net.Conn) bool { return true }
 	for _, option := range options {
 		option(lis)
 	}
@@ -63,6 +67,12 @@
 	return func(lis *Listener) { lis.admits = admits }
 }
 
+// ReadIf has the listener reject new connections after they have been accepted unless the function reports true. It is
+// called before anything is read, and may wait for the first bytes, which it must leave in the socket.
+func ReadIf(reads func(net.Conn) bool) ListenerOption {
+	return func(lis *Listener) { lis.reads = reads }
+}
+
 // Accept returns the next connection that the bound on connections allows, and rejects connections
 // beyond the bound.
 //
@@ -212,6 +222,9 @@
 	net.Conn
 	listener *Listener
 
+	// began reports whether Read has been called. It belongs to the reader.
+	began bool
+
 	mu sync.Mutex
 	// idleSince is when the connection became idle after its last response. It is zero before the
 	// first response has ended, and while a request is being read or served.
@@ -225,8 +238,15 @@
 
 // Read reads from the connection, and marks it as in use once a byte has arrived. If closeIdle has
 // interrupted it and no byte has arrived, Read returns an error, after which the server closes the
-// connection.
+// connection. The first Read closes the connection if its request may not be read.
 func (conn *callerConn) Read(buf []byte) (int, error) {
+	if !conn.began {
+		conn.began = true
+		if !conn.listener.reads(conn.Conn) {
+			conn.reject()
+			return 0, io.EOF
+		}
+	}
 	for {
 		n, err := conn.Conn.Read(buf)
 		if again := conn.afterRead(n); !again {
@@ -235,6 +255,13 @@
 	}
 }
 
+// reject closes the connection with its request unread. The kernel resets the connection of a caller whose request has
+// arrived, so that the caller can't take the end for a response.
+func (conn *callerConn) reject() {
+	conn.listener.onRejected(time.Now())
+	_ = conn.Close()
+}
+
 // afterRead records that n bytes were read. It reports whether to read again because closeIdle has
 // interrupted the read although bytes have arrived.
 func (conn *callerConn) afterRead(n int) (again bool) {
--- a/io/yuccagate/memory.go
+++ b/io/yuccagate/memory.go
@@ -46,6 +46,13 @@
 	return mem.limiter.Reserve(rank, size)
 }
 
+// hasRoom reports whether memory could be reserved for a request of the given rank now.
+func (mem *memory) hasRoom(rank int, size yuccaid.Bytes) bool {
+	mem.mu.Lock()
+	defer mem.mu.Unlock()
+	return mem.limiter.HasRoom(rank, size)
+}
+
 func (mem *memory) release(size yuccaid.Bytes) {
 	mem.mu.Lock()
 	defer mem.mu.Unlock()
--- a/io/yuccagate/memory_test.go
+++ b/io/yuccagate/memory_test.go
@@ -107,6 +107,41 @@
 		Expect(gt.lines.all()).To(ContainSubstring("memory"))
 	})
 
+	// Callers announce long prompts and stall, until less urgent requests find no memory and several have been refused. If the
+	// gateway went on reading such requests, their callers would get errors; if it closed all new connections, urgent callers
+	// would find none of the memory that is kept for them.
+	It("leaves less urgent requests unread once many have found no memory, and serves urgent ones", func() {
+		eng := newEngine("a", nil)
+		gt := newGateWithLimits(8<<20, 0)
+		gt.configure(1, rankedConfig(), 4, eng)
+		const sent = 512<<10 - 1
+		part := strings.Repeat("x", sent)
+		var stalled []net.Conn
+		for turn := range 5 {
+			stalled = append(stalled, dial(gt, requestHead("/lookup/", fmt.Sprint("stalled", turn), 1<<20)+part))
+			Eventually(func() yuccaid.Bytes { return gt.Status().ReservedBytes }).Should(Equal(yuccaid.Bytes(turn+1) * (yuccaspace.RequestOverhead + sent + 1)))
+		}
+		for turn := range 6 {
+			Expect(readStatus(dial(gt, requestHead("/lookup/", fmt.Sprint("refused", turn), sent)+part))).To(Equal(http.StatusServiceUnavailable))
+		}
+		unread := func() bool {
+			conn, err := net.Dial("tcp", gt.address)
+			Expect(err).NotTo(HaveOccurred())
+			defer conn.Close()
+			_, _ = io.WriteString(conn, requestHead("/lookup/", "unread", sent))
+			return readStatus(conn) == 0
+		}
+		Eventually(unread).Should(BeTrue())
+		Expect(readStatus(dial(gt, requestHead("/ticket/", "urgent", 64<<10)+part[:64<<10]))).To(Equal(http.StatusOK))
+		Expect(readStatus(dial(gt, requestHead("/lookup/", "small", 0)))).To(Equal(http.StatusOK))
+		Expect(gt.Ready()).To(BeFalse())
+		for _, conn := range stalled {
+			conn.Close()
+		}
+		Eventually(func() yuccaid.Bytes { return gt.Status().ReservedBytes }).Should(BeZero())
+		Expect(readStatus(dial(gt, requestHead("/lookup/", "later", sent)+part))).To(Equal(http.StatusOK))
+	})
+
 	// A request ends with a response or because its caller leaves. If either way of ending didn't
 	// free the request's memory, the daemon would sooner or later refuse every request.
 	It("frees all memory of requests that have ended", func() {
--- a/io/yuccagate/request.go
+++ b/io/yuccagate/request.go
@@ -146,6 +146,9 @@
 // refuse responds with the problem, and logs and counts it.
 func (req *callerRequest) refuse(prob *Problem) {
 	req.gate.metrics.problem(req.metricRank(), prob.Kind, prob.Detail)
+	if prob.Kind == KindBusy && prob.Detail == detailMemory {
+		req.gate.memoryShortage.requestRefused()
+	}
 	fields := append([]any{
 		"kind", prob.Kind, "status", prob.Status(), "detail", prob.Detail, "backMillis", prob.RetryAfter.Milliseconds(),
 		"sends", req.sends, "runs", req.runs, "number", req.configurationNumber(),
@@ -169,6 +172,20 @@
 	if req.table == nil {
 		return &Problem{Kind: KindNotReady, RetryAfter: notReadyRetryAfter}
 	}
+	if prob := req.identify(r); prob != nil {
+		return prob
+	}
+	req.pool = req.route.Pick(mathrand.Float64())
+	req.deadline = req.arrivedAt.Add(req.timeout())
+	req.setWriteDeadline(req.deadline.Add(writeGrace))
+	if !req.reserve(yuccaspace.RequestOverhead) {
+		return &Problem{Kind: KindBusy, Detail: detailMemory, RetryAfter: memoryRetryAfter}
+	}
+	return req.readBody(r)
+}
+
+// identify checks a request's head against the configuration, and finds its route and account.
+func (req *callerRequest) identify(r *http.Request) *Problem {
 	if limit := req.table.Config().Limits.Header; limit > 0 && headSize(r) > limit {
 		return &Problem{Kind: KindLargeHead}
 	}
@@ -182,16 +199,7 @@
 		return &Problem{Kind: KindMalformed, Detail: err.Error()}
 	}
 	req.info = info
-	if prob := req.identifyAccount(); prob != nil {
-		return prob
-	}
-	req.pool = route.Pick(mathrand.Float64())
-	req.deadline = req.arrivedAt.Add(req.timeout())
-	req.setWriteDeadline(req.deadline.Add(writeGrace))
-	if !req.reserve(yuccaspace.RequestOverhead) {
-		return &Problem{Kind: KindBusy, Detail: detailMemory, RetryAfter: memoryRetryAfter}
-	}
-	return req.readBody(r)
+	return req.identifyAccount()
 }
 
 // headSize returns the approximate size of a request's head.
