--- a/io/yuccagate/listener.go
+++ b/io/yuccagate/listener.go
@@ -30,7 +30,7 @@
 	// maxConns bounds the number of open connections; zero means no bound.
 	maxConns int
 	// onRejected is called when a connection is rejected, before it is closed.
-	onRejected func(time.Time)
+	onRejected func(time.Time, rejection)
 	// admits reports whether a new connection may be read from.
 	admits func() bool
 	// reads reports whether the first request on a connection may be read.
@@ -49,7 +49,7 @@
 // ConnState hook. When a new connection would exceed maxConns, the connection that has been idle
 // for longest is closed. If no connection is idle, the new connection is rejected and onRejected is
 // called. A maxConns of zero means no bound.
-func NewListener(inner net.Listener, maxConns int, onRejected func(time.Time), options ...ListenerOption) *Listener {
+func NewListener(inner net.Listener, maxConns int, onRejected func(time.Time, rejection), options ...ListenerOption) *Listener {
 	lis := &Listener{Listener: inner, maxConns: maxConns, onRejected: onRejected, conns: make(map[*callerConn]bool)}
 	lis.admits = func() bool { return true }
 	lis.reads = func(net.Conn) bool { return true }
@@ -59,6 +59,15 @@
 	return lis
 }
 
+// rejection is why a connection is rejected, as metrics name it.
+type rejection string
+
+const (
+	rejectedConnections rejection = "connections"
+	rejectedProcessor   rejection = "processor"
+	rejectedMemory      rejection = "memory"
+)
+
 // ListenerOption configures a listener.
 type ListenerOption func(*Listener)
 
@@ -90,12 +99,14 @@
 		if lis.maxConns > 0 && lis.Count() >= lis.maxConns {
 			lis.closeLongestIdle()
 		}
+		reason := rejectedProcessor
 		if lis.admits() {
 			if conn := lis.track(raw); conn != nil {
 				return conn, nil
 			}
+			reason = rejectedConnections
 		}
-		lis.onRejected(time.Now())
+		lis.onRejected(time.Now(), reason)
 		raw.Close()
 	}
 }
@@ -258,7 +269,7 @@
 // reject closes the connection with its request unread. The kernel resets the connection of a caller whose request has
 // arrived, so that the caller can't take the end for a response.
 func (conn *callerConn) reject() {
-	conn.listener.onRejected(time.Now())
+	conn.listener.onRejected(time.Now(), rejectedMemory)
 	_ = conn.Close()
 }
 
--- a/io/yuccagate/memory.go
+++ b/io/yuccagate/memory.go
@@ -65,13 +65,12 @@
 	return mem.limiter.Reserved()
 }
 
-// connRejected records that a caller's connection was rejected because the bound on connections was
-// reached. The rejection is logged only if no other connection was rejected within
-// rejectedNotReadyFor before it.
-func (gate *Gate) connRejected(now time.Time) {
-	gate.metrics.connRejected()
+// connRejected records that a caller's connection was rejected. The rejection is logged only if no
+// other connection was rejected within rejectedNotReadyFor before it.
+func (gate *Gate) connRejected(now time.Time, reason rejection) {
+	gate.metrics.connRejected(reason)
 	if previous := gate.callerRejectedAt.Swap(&now); previous == nil || now.Sub(*previous) > rejectedNotReadyFor {
-		gate.log.stateChange("callers turned away", "connections", gate.processBounds.CallerConnections)
+		gate.log.stateChange("callers turned away", "reason", reason, "connections", gate.processBounds.CallerConnections)
 	}
 }
 
--- a/io/yuccagate/metrics.go
+++ b/io/yuccagate/metrics.go
@@ -92,8 +92,8 @@
 	met.set.GetOrCreateGauge("yuccacleat_gate_held_parts", nil).Set(float64(count))
 }
 
-func (met *metrics) connRejected() {
-	met.set.GetOrCreateCounter("yuccacleat_gate_connections_turned_away_total").Inc()
+func (met *metrics) connRejected(reason rejection) {
+	met.set.GetOrCreateCounter(fmt.Sprintf("yuccacleat_gate_connections_turned_away_total{reason=%q}", reason)).Inc()
 }
 
 func (met *metrics) quotaRefused(verdict yuccaquota.Verdict) {
