Routes and accounts may be limited to regions

Change: core/yuccaregion holds sets of regions, in which "any" differs from "none" and equal sets are equal values; Route.Regions and Account.Regions have one each; where both are limited, both bind. An empty list of the platform allows every region, as its examples on the wire show. Ruled out: a slice for a set, since requests are counted by their limits and a map needs a key.

--- a/core/yuccaroute/config.go
+++ b/core/yuccaroute/config.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"yuccacleat/core/yuccaid"
+	"yuccacleat/core/yuccaregion"
 )
 
 // Config is a complete routing configuration as operators publish it.
@@ -38,6 +39,8 @@
 	Attempts int
 	// AllowAnonymous reports whether requests are accepted without a key.
 	AllowAnonymous bool
+	// Regions are the regions in which the route's requests may be served.
+	Regions yuccaregion.Set
 }
 
 // PoolWeight is a pool with its weight, relative to the other pools of the route.
@@ -74,6 +77,9 @@
 	HasRank bool
 	Rank    int
 	Quota   Quota
+	// Regions are the regions in which the account's requests may be served. Where the route is limited to
+	// regions too, a request may be served only in those of both.
+	Regions yuccaregion.Set
 }
 
 // Quota limits the requests of an account over all daemons. A zero Rate means no limit.
--- a/core/yuccaroute/table.go
+++ b/core/yuccaroute/table.go
@@ -127,13 +127,18 @@
 	return strings.ToLower(strings.TrimSuffix(host, "."))
 }
 
-// ConfigError describes why a route can't be used and how to correct it.
+// ConfigError describes why a route or an account can't be used and how to correct it.
 type ConfigError struct {
+	// Route is the name of the route, empty if the error concerns the account.
 	Route   string
+	Account yuccaid.Account
 	Problem string
 }
 
-// Error returns the name of the route and the problem with its remedy.
+// Error returns the name of the route or the account, and the problem with its remedy.
 func (err *ConfigError) Error() string {
+	if err.Account != "" {
+		return "account " + string(err.Account) + ": " + err.Problem
+	}
 	return "route " + err.Route + ": " + err.Problem
 }
