The roster knows which data centres are evacuated

Change: an evacuation is an entry of a reserved pool, so that revisions, whole lists, casts, pulls, removals and older builds work on it unchanged; Usable leaves out the targets of an evacuated data centre. An end that isn't sure, read after trouble of the store, takes effect after two seconds, as for targets. Ruled out: a message kind of its own, which would need its own revisions, its own lists for newcomers and its own repair of what was missed.

--- a/core/yuccaroster/roster.go
+++ b/core/yuccaroster/roster.go
@@ -21,6 +21,8 @@
 // Roster holds the registered targets of all pools. It isn't safe for concurrent use.
 type Roster struct {
 	records map[yuccaid.Target]*record
+	// evacuated holds the data centres that are evacuated.
+	evacuated map[yuccaid.Centre]bool
 	// version counts the changes to the registered targets.
 	version uint64
 	// nextDue is the earliest due time of a record, zero if no record has one. Before it, Tick
@@ -47,7 +49,7 @@
 
 // New returns an empty roster.
 func New() *Roster {
-	return &Roster{records: make(map[yuccaid.Target]*record)}
+	return &Roster{records: make(map[yuccaid.Target]*record), evacuated: make(map[yuccaid.Centre]bool)}
 }
 
 // Version returns a number that changes whenever the result of Usable may have changed.
@@ -66,6 +68,7 @@
 		ros.records[entry.Target] = rec
 	}
 	*rec = record{entry: entry, revision: entry.Revision}
+	ros.updateEvacuated(rec)
 	ros.version++
 	return true
 }
@@ -143,6 +146,7 @@
 func (ros *Roster) confirmRemoval(now time.Time, rec *record) {
 	rec.removed = true
 	rec.tentative = false
+	ros.updateEvacuated(rec)
 	ros.schedule(rec, now.Add(removalRetention))
 	ros.version++
 }
@@ -156,11 +160,22 @@
 	return rec.entry, true
 }
 
-// Entries returns the entries of all registered targets in the order of their names.
+// Entries returns the entries of all registered targets and of evacuations, in the order of their names, for
+// other daemons.
 func (ros *Roster) Entries() []Entry {
+	return ros.list(func(Entry) bool { return true })
+}
+
+// Targets returns the entries of all registered targets in the order of their names.
+func (ros *Roster) Targets() []Entry {
+	return ros.list(func(entry Entry) bool { return !entry.IsEvacuation() })
+}
+
+// list returns the entries that match, in the order of their names.
+func (ros *Roster) list(match func(Entry) bool) []Entry {
 	list := make([]Entry, 0, len(ros.records))
 	for _, rec := range ros.records {
-		if !rec.removed {
+		if !rec.removed && match(rec.entry) {
 			list = append(list, rec.entry)
 		}
 	}
@@ -181,7 +196,8 @@
 	return list
 }
 
-// Usable returns the pool's targets that accept new requests, in the order of their names.
+// Usable returns the pool's targets that accept new requests and whose data centre isn't evacuated, in the
+// order of their names.
 // The slice is shared between callers and must not be modified.
 func (ros *Roster) Usable(pool yuccaid.Pool) []Entry {
 	if ros.usable == nil || ros.usableVersion != ros.version {
@@ -199,7 +215,7 @@
 func (ros *Roster) computeUsable(pool yuccaid.Pool) []Entry {
 	var list []Entry
 	for _, rec := range ros.records {
-		if !rec.removed && rec.entry.Pool == pool && !rec.entry.Leaving {
+		if !rec.removed && rec.entry.Pool == pool && !rec.entry.Leaving && !ros.evacuated[rec.entry.Centre] {
 			list = append(list, rec.entry)
 		}
 	}
