One place decides which targets a request may use, by region, version and evacuation

Change: core/yuccaallow decides with a typed reason; leaders ask it for each placement, and so for resends, races and resumes; acceptGrant asks it again, so that an old leader decides nothing. yuccagrant.Request has Regions, Target has Centre and Region; misses, refusals for want of a version and for want of a region are one kind of thing, counted by limits. A request limited to regions goes to its leader as RegionAsk, a new kind; older builds don't answer it, and the daemon then decides alone, as with VersionAsk. A new configuration places what waits anew; what has been sent is sent again only where the request's configuration and the newest allow it. Nothing is fetched from where the request may not be served. Metrics: grants declined by reason, evacuated centres; the log tells evacuations and how many targets were excluded by which reason. Ruled out: a field on VersionAsk, which older leaders would ignore: they would grant the targets of other regions one after the other.

--- a/core/yuccagrant/choose.go
+++ b/core/yuccagrant/choose.go
@@ -4,6 +4,7 @@
 	"math"
 	"time"
 
+	"yuccacleat/core/yuccaallow"
 	"yuccacleat/core/yuccaid"
 )
 
@@ -89,7 +90,7 @@
 		if at >= lead.remoteBound.localCount && best.suitable && best.cost <= minRemoteCost {
 			return best
 		}
-		if tgt.grantableSlots(now) == 0 || tgt.backingOff(now) || !tgt.mayServe(req) {
+		if tgt.exclusion(now, req) != yuccaallow.Allowed {
 			continue
 		}
 		best = best.better(lead.estimate(now, tgt, req, &base))
@@ -140,11 +141,12 @@
 	return seconds(tgt.pace*base.gap) > req.MaxGap/2 || tgt.pace > slowPace && prefill > req.MaxGap
 }
 
-// freeSlots returns the number of free slots on targets that are not backing off.
-func (lead *Leader) freeSlots(now time.Time) int {
+// freeSlots returns the number of free slots on the targets that the limits allow and that are not backing
+// off.
+func (lead *Leader) freeSlots(now time.Time, lim yuccaallow.Limits) int {
 	sum := 0
 	for _, tgt := range lead.targets {
-		if !tgt.backingOff(now) {
+		if tgt.within(lim) && !tgt.backingOff(now) {
 			sum += tgt.freeSlots(now)
 		}
 	}
--- a/core/yuccagrant/leader.go
+++ b/core/yuccagrant/leader.go
@@ -17,8 +17,10 @@
 	// targets lists the targets of this region before those of other regions.
 	targets       []*targetState
 	targetsByName map[yuccaid.Target]*targetState
-	// versions are the versions of the targets.
-	versions map[yuccaid.Version]bool
+	// present is which targets there are, and evacuated the data centres whose targets have left because of
+	// an evacuation.
+	present   presence
+	evacuated map[yuccaid.Centre]bool
 	// leaderCount is the number of leaders among which the slots of each target are divided.
 	leaderCount int
 	// remoteBound is a lower bound on the cost of targets in other regions.
@@ -38,9 +40,6 @@
 	// newParts are the parts that targets have begun to hold and that haven't been reported to other
 	// leaders.
 	newParts []HeldPart
-	// withoutTargetsSince is the time since which there has been no target. It is zero while
-	// there are targets.
-	withoutTargetsSince time.Time
 }
 
 // New returns a leader without targets. SetTargets sets them.
@@ -54,10 +53,8 @@
 	old := lead.targetsByName
 	lead.targetsByName = make(map[yuccaid.Target]*targetState, len(configured))
 	lead.targets = make([]*targetState, 0, len(configured))
-	lead.versions = make(map[yuccaid.Version]bool)
 	newPace := medianPace(old)
 	for _, target := range configured {
-		lead.versions[target.Version] = true
 		tgt := old[target.Name]
 		if tgt == nil || tgt.StartMillis != target.StartMillis {
 			tgt = newTargetState(target, biasShare*lead.rng.Float64())
@@ -81,17 +78,18 @@
 	slices.SortFunc(lead.targets, func(a, b *targetState) int { return cmp.Or(compareRemote(a, b), cmp.Compare(a.Name, b.Name)) })
 	lead.remoteBound.configure(lead.targets)
 	lead.pacesChanged = true
-	switch {
-	case len(lead.targets) > 0:
-		lead.withoutTargetsSince = time.Time{}
-	case lead.withoutTargetsSince.IsZero():
-		lead.withoutTargetsSince = now
-	}
+	lead.present.update(now, old, lead.targets, lead.evacuated)
 	var dec Decisions
 	lead.grantSlots(now, &dec)
 	return dec
 }
 
+// SetEvacuated sets the data centres that are evacuated, before SetTargets is called without their targets.
+// Requests don't wait for these as for targets that are expected to register again.
+func (lead *Leader) SetEvacuated(centres map[yuccaid.Centre]bool) {
+	lead.evacuated = centres
+}
+
 // compareRemote orders targets of this region before targets of other regions.
 func compareRemote(a, b *targetState) int {
 	switch {
@@ -144,12 +142,8 @@
 	if _, found := lead.queue.byID[req.ID]; found {
 		return dec
 	}
-	if lead.withoutTargets(now) {
-		lead.refuse(now, lead.newEntry(now, req), ReasonNoTarget, &dec)
-		return dec
-	}
-	if lead.withoutVersion(&req) {
-		lead.refuse(now, lead.newEntry(now, req), ReasonNoVersion, &dec)
+	if reason := lead.present.missing(now, req.limits()); reason != "" {
+		lead.refuse(now, lead.newEntry(now, req), reason, &dec)
 		return dec
 	}
 	if lead.queue.len() >= maxQueued {
@@ -166,17 +160,6 @@
 	return dec
 }
 
-// withoutTargets reports whether there has been no target for noTargetGrace, so that none is
-// expected soon.
-//
-// A daemon that has just started may receive requests shortly before it learns of its targets.
-// After an outage of the platform, with which targets register, all registrations may be missing
-// until the targets renew them. Requests that arrive in that time are queued, because a late
-// answer is better than a refusal.
-func (lead *Leader) withoutTargets(now time.Time) bool {
-	return len(lead.targets) == 0 && now.Sub(lead.withoutTargetsSince) >= noTargetGrace
-}
-
 // Withdraw removes a waiting request whose caller has stopped waiting.
 func (lead *Leader) Withdraw(now time.Time, id ID) Decisions {
 	var dec Decisions
--- a/core/yuccagrant/refuse.go
+++ b/core/yuccagrant/refuse.go
@@ -49,7 +49,7 @@
 		lead.refuseWithoutTargets(now, dec)
 		return
 	}
-	lead.refuseWithoutVersion(now, dec)
+	lead.refuseMissing(now, dec)
 	var expired []*queueEntry
 	for _, entry := range lead.queue.byID {
 		if !entry.onTime(now) && lead.cannotMeetDeadline(now, entry) || !now.Before(entry.Deadline) {
@@ -62,9 +62,10 @@
 // refuseWithoutTargets refuses waiting requests of a pool without targets: the requests past their
 // soft deadline, or all waiting requests if no target is expected soon.
 func (lead *Leader) refuseWithoutTargets(now time.Time, dec *Decisions) {
+	lead.refuseMissing(now, dec)
 	var expired []*queueEntry
 	for _, entry := range lead.queue.byID {
-		if !entry.onTime(now) || lead.withoutTargets(now) {
+		if !entry.onTime(now) {
 			expired = append(expired, entry)
 		}
 	}
@@ -86,7 +87,7 @@
 	estimatedWait := lead.estimatedWait(now, lead.queue.workAhead(entry.Tier, entry.sortKey))
 	dec.Refusals = append(dec.Refusals, Refusal{
 		ID: entry.ID, Reason: reason, RetryAfter: lead.retryAfter(now, entry.Tier),
-		QueueLength: lead.queue.len(), FreeSlots: lead.freeSlots(now), EstimatedWait: estimatedWait,
+		QueueLength: lead.queue.len(), FreeSlots: lead.freeSlots(now, entry.limits()), EstimatedWait: estimatedWait,
 	})
 }
 
--- a/core/yuccagrant/request.go
+++ b/core/yuccagrant/request.go
@@ -3,8 +3,10 @@
 import (
 	"time"
 
+	"yuccacleat/core/yuccaallow"
 	"yuccacleat/core/yuccacache"
 	"yuccacleat/core/yuccaid"
+	"yuccacleat/core/yuccaregion"
 )
 
 // ID identifies a request by its owner, which is the daemon that holds the caller's connection,
@@ -51,6 +53,13 @@
 	// Version is the version of the targets that may serve the request, empty if any target may. A
 	// stream that goes on has the version that began it.
 	Version yuccaid.Version
+	// Regions are the regions in which the request may be served.
+	Regions yuccaregion.Set
+}
+
+// limits returns what the request requires of its targets.
+func (req *Request) limits() yuccaallow.Limits {
+	return yuccaallow.Limits{Regions: req.Regions, Version: req.Version}
 }
 
 // effectiveRank returns the rank that the request is scheduled by: Rank, limited to the range from
@@ -91,6 +100,9 @@
 	ReasonQueueFull Reason = "full"
 	// ReasonNoVersion means that the pool has targets, and none is of the request's version.
 	ReasonNoVersion Reason = "noVersion"
+	// ReasonNoRegion means that the pool has targets, and none in the regions in which the request may be
+	// served, or that it may be served in none.
+	ReasonNoRegion Reason = "noRegion"
 )
 
 // Refusal is the final decision not to serve a request; RetryAfter is the time after which the
@@ -182,6 +194,9 @@
 type Target struct {
 	Name  yuccaid.Target
 	Slots int
+	// Centre is the target's data centre, and Region the region of that data centre.
+	Centre yuccaid.Centre
+	Region yuccaid.Region
 	// CacheTokens is the size of the target's prefix cache, zero if it has none. FetchRate is how many
 	// tokens a second the target can fetch from the cache of another target, zero if it can't.
 	CacheTokens yuccaid.Tokens
--- a/core/yuccagrant/serve.go
+++ b/core/yuccagrant/serve.go
@@ -4,6 +4,7 @@
 	"math"
 	"time"
 
+	"yuccacleat/core/yuccaallow"
 	"yuccacleat/core/yuccaid"
 )
 
@@ -36,14 +37,14 @@
 	lead.grantHeld(now, tier, eligible, dec)
 	for _, onTime := range []bool{true, false} {
 		var missed misses
-		for at := 0; at < len(tier.entries) && !missed.enough(""); {
+		for at := 0; at < len(tier.entries) && !missed.enough(yuccaallow.Limits{}); {
 			entry := tier.entries[at]
 			switch {
-			case entry.onTime(now) != onTime || !eligible(entry) || missed.enough(entry.Version):
+			case entry.onTime(now) != onTime || !eligible(entry) || missed.enough(entry.limits()):
 				at++
 			case !lead.tryGrant(now, entry, dec):
 				at++
-				missed.count(entry.Version)
+				missed.count(entry.limits())
 			}
 		}
 	}
--- a/core/yuccagrant/target.go
+++ b/core/yuccagrant/target.go
@@ -210,16 +210,6 @@
 	tgt.lateFraction += lateGapWeight * (sample - tgt.lateFraction)
 }
 
-// failedBefore reports whether the request has already failed on this target.
-func (tgt *targetState) failedBefore(req *Request) bool {
-	for _, name := range req.FailedTargets {
-		if name == tgt.Name {
-			return true
-		}
-	}
-	return false
-}
-
 // TargetStatus is the state of a target that a leader shows to operators.
 type TargetStatus struct {
 	Target       yuccaid.Target `json:"target"`
--- a/io/yuccagate/configuration.go
+++ b/io/yuccagate/configuration.go
@@ -16,9 +16,13 @@
 
 // OfferConfiguration takes the text of a configuration from the named source. It puts the new
 // configuration in force if its number is higher than the number of the present configuration. If
-// the text can't be decoded, OfferConfiguration returns an error and changes nothing.
+// the text can't be decoded, or a region that it names has no data centre, OfferConfiguration returns an
+// error and changes nothing.
 func (gate *Gate) OfferConfiguration(raw []byte, source string) error {
 	table, err := gate.decode(raw)
+	if err == nil {
+		err = table.CheckRegions(gate.settings.Regions)
+	}
 	if err != nil {
 		return err
 	}
@@ -44,6 +48,7 @@
 	for _, sched := range gate.schedulers {
 		gate.configure(now, sched)
 	}
+	gate.limitPlacements(now)
 	gate.onChange(now, gate.peers.SetConfig(now, table.Number(), ""))
 }
 
--- a/io/yuccagate/metrics.go
+++ b/io/yuccagate/metrics.go
@@ -10,6 +10,7 @@
 
 	vm "github.com/VictoriaMetrics/metrics"
 
+	"yuccacleat/core/yuccaallow"
 	"yuccacleat/core/yuccagrant"
 	"yuccacleat/core/yuccaquota"
 	"yuccacleat/io/yuccawire"
@@ -92,6 +93,11 @@
 	met.set.GetOrCreateGauge("yuccacleat_gate_held_parts", nil).Set(float64(count))
 }
 
+// grantDeclined counts a granted target that the daemon which holds the request declined, by the reason.
+func (met *metrics) grantDeclined(why yuccaallow.Exclusion) {
+	met.set.GetOrCreateCounter(fmt.Sprintf("yuccacleat_gate_grants_declined_total{reason=%q}", why)).Inc()
+}
+
 func (met *metrics) connRejected() {
 	met.set.GetOrCreateCounter("yuccacleat_gate_connections_turned_away_total").Inc()
 }
@@ -124,6 +130,7 @@
 	vm.WriteGaugeUint64(w, "yuccacleat_gate_ready", boolGauge(status.Ready))
 	vm.WriteGaugeFloat64(w, "yuccacleat_gate_control_lag_seconds", gate.control.Oldest().Seconds())
 	vm.WriteGaugeUint64(w, "yuccacleat_gate_streams_remembered", uint64(status.Streams))
+	vm.WriteGaugeUint64(w, "yuccacleat_gate_evacuated_centres", uint64(len(status.Evacuated)))
 	writeRegistered(w, status.Targets)
 	for _, pool := range status.Pools {
 		label := fmt.Sprintf("{pool=%q}", pool.Pool)
--- a/io/yuccagate/origin.go
+++ b/io/yuccagate/origin.go
@@ -210,7 +210,7 @@
 // turned out to be of another version, because it restarted under its name.
 func (gate *Gate) trackVersions(now time.Time) {
 	registered := make(map[yuccastream.Origin]bool)
-	for _, entry := range gate.roster.Entries() {
+	for _, entry := range gate.roster.Targets() {
 		registered[yuccastream.Origin{Pool: entry.Pool, Version: entry.StreamVersion()}] = true
 		before, known := gate.loggedTargets[entry.Target]
 		if known && before.StreamVersion() != entry.StreamVersion() {
--- a/io/yuccagate/peers.go
+++ b/io/yuccagate/peers.go
@@ -253,6 +253,8 @@
 		return decodeThen(frame, func(message yuccawire.OriginAnswer) { gate.onOriginAnswer(now, message) })
 	case yuccawire.KindVersionAsk:
 		return decodeThen(frame, func(message yuccawire.VersionAsk) { gate.onVersionAsk(now, from, message) })
+	case yuccawire.KindRegionAsk:
+		return decodeThen(frame, func(message yuccawire.RegionAsk) { gate.onRegionAsk(now, from, message) })
 	case yuccawire.KindSeeds:
 		return decodeThen(frame, func(message yuccawire.Seeds) { gate.onSeeds(now, from, message) })
 	case yuccawire.KindQuarantine:
--- a/io/yuccagate/placement.go
+++ b/io/yuccagate/placement.go
@@ -1,11 +1,12 @@
 package yuccagate
 
 import (
-	"slices"
 	"time"
 
+	"yuccacleat/core/yuccaallow"
 	"yuccacleat/core/yuccagrant"
 	"yuccacleat/core/yuccaid"
+	"yuccacleat/core/yuccaregion"
 	"yuccacleat/core/yuccaroster"
 )
 
@@ -77,6 +78,10 @@
 	// how long ago the platform had last responded, or -1 if it never had.
 	platformRevision yuccaroster.Revision
 	platformAge      time.Duration
+	// regions are the regions in which the request may be served, and excluded counts the targets that it may
+	// not use, by reason; both are set for refusals for want of targets only.
+	regions  yuccaregion.Set
+	excluded string
 }
 
 // newPlacement returns a placement of a request. LastEventAt is when the caller got the last event, zero if it got none.
@@ -110,6 +115,8 @@
 
 // submitPlacement submits a request to the scheduler of its pool.
 func (gate *Gate) submitPlacement(now time.Time, plc *placement) {
+	// The configuration may have changed since the placement was made.
+	plc.request.Regions = plc.req.allowedRegions()
 	if plc.request.Version != "" && !plc.replaces && gate.triedAll(plc) {
 		plc.request.FailedTargets = gate.lastTried(plc)
 	}
@@ -117,18 +124,18 @@
 	gate.submit(now, gate.scheduler(now, plc.pool), plc)
 }
 
-// triedAll reports whether a request has been sent to all targets of its version. The stream of the only
+// triedAll reports whether a request has been sent to all targets of its version that it may use. The stream of the only
 // one may go on there, since it still serves.
 func (gate *Gate) triedAll(plc *placement) bool {
 	for _, entry := range gate.roster.Usable(plc.pool) {
-		if entry.StreamVersion() == plc.request.Version && !slices.Contains(plc.request.FailedTargets, entry.Target) {
+		if gate.exclusion(plc, entry) == yuccaallow.Allowed {
 			return false
 		}
 	}
 	return true
 }
 
-// lastTried returns the target to which a request was sent last, if there is another one of its version.
+// lastTried returns the target to which a request was sent last, if there is another one that it may use.
 func (gate *Gate) lastTried(plc *placement) []yuccaid.Target {
 	tried := plc.request.FailedTargets
 	if len(tried) == 0 {
@@ -136,7 +143,7 @@
 	}
 	last := tried[len(tried)-1:]
 	for _, entry := range gate.roster.Usable(plc.pool) {
-		if entry.StreamVersion() == plc.request.Version && entry.Target != last[0] {
+		if limitsOf(&plc.request).Exclusion(gate.region(entry.Centre), entry.StreamVersion()) == yuccaallow.Allowed && entry.Target != last[0] {
 			return last
 		}
 	}
--- a/io/yuccagate/placingwire.go
+++ b/io/yuccagate/placingwire.go
@@ -3,9 +3,11 @@
 import (
 	"time"
 
+	"yuccacleat/core/yuccaallow"
 	"yuccacleat/core/yuccacache"
 	"yuccacleat/core/yuccagrant"
 	"yuccacleat/core/yuccaid"
+	"yuccacleat/core/yuccaregion"
 	"yuccacleat/io/yuccawire"
 )
 
@@ -97,18 +99,27 @@
 // onAsk tells the owner so. A daemon that doesn't lead the pool doesn't respond, and the owner then
 // decides on the request itself.
 func (gate *Gate) onAsk(now time.Time, from yuccaid.Incarnation, message yuccawire.Ask) {
-	gate.onVersionAsk(now, from, yuccawire.VersionAsk{Ask: message})
+	gate.submitForOwner(now, from, message, yuccaallow.Limits{})
 }
 
 // onVersionAsk does what onAsk does for a request that needs targets of one version.
 func (gate *Gate) onVersionAsk(now time.Time, from yuccaid.Incarnation, ask yuccawire.VersionAsk) {
-	message := ask.Ask
+	gate.submitForOwner(now, from, ask.Ask, yuccaallow.Limits{Version: ask.Version})
+}
+
+// onRegionAsk does what onAsk does for a request that may be served in some regions only.
+func (gate *Gate) onRegionAsk(now time.Time, from yuccaid.Incarnation, ask yuccawire.RegionAsk) {
+	gate.submitForOwner(now, from, ask.Ask, yuccaallow.Limits{Regions: yuccaregion.Only(ask.Regions...), Version: ask.Version})
+}
+
+// submitForOwner submits another daemon's request, with what it requires of its targets.
+func (gate *Gate) submitForOwner(now time.Time, from yuccaid.Incarnation, message yuccawire.Ask, lim yuccaallow.Limits) {
 	sched := gate.scheduler(now, message.Pool)
 	if !sched.leads {
 		return
 	}
 	request := requestFromWire(now, from, message)
-	request.Version = ask.Version
+	request.Version, request.Regions = lim.Version, lim.Regions
 	gate.apply(now, sched, sched.local.Submit(now, request))
 	if sched.local.IsWaiting(request.ID) {
 		gate.send(from, yuccawire.KindPlaced, yuccawire.Placed{Pool: message.Pool, Number: message.Number})
--- a/io/yuccagate/problem.go
+++ b/io/yuccagate/problem.go
@@ -29,6 +29,8 @@
 	KindLate Kind = "late"
 	// KindNoTarget: the pool has no target.
 	KindNoTarget Kind = "noTarget"
+	// KindNoRegion: the pool has no target in the regions in which the request may be served.
+	KindNoRegion Kind = "noRegion"
 	// KindRejected: the request was sent to targets, and none of them ran it.
 	KindRejected Kind = "rejected"
 	// KindUnresumable: no target of the version that began the stream serves, or that isn't known.
@@ -61,6 +63,7 @@
 	KindBusy:        {http.StatusServiceUnavailable, "come back when this daemon holds less"},
 	KindLate:        {http.StatusServiceUnavailable, "come back when the targets are less busy"},
 	KindNoTarget:    {http.StatusServiceUnavailable, "come back when the pool has targets"},
+	KindNoRegion:    {http.StatusServiceUnavailable, "come back when the regions in which it may be served have targets"},
 	KindRejected:    {http.StatusServiceUnavailable, "come back when the targets are less busy"},
 	KindUnresumable: {http.StatusServiceUnavailable, "start the stream over, without the event after which it should go on"},
 	KindLeaving:     {http.StatusServiceUnavailable, "come back at another daemon"},
--- a/io/yuccagate/request.go
+++ b/io/yuccagate/request.go
@@ -46,10 +46,12 @@
 	unframed *callerConn
 	info     RequestInfo
 	// table is the configuration that applies to the request, even if it changes meanwhile.
-	table     *yuccaroute.Table
-	route     *yuccaroute.Route
-	account   *yuccaroute.Account
-	pool      yuccaid.Pool
+	table   *yuccaroute.Table
+	route   *yuccaroute.Route
+	account *yuccaroute.Account
+	pool    yuccaid.Pool
+	// path is the path of the request's URL, by which a configuration selects its route.
+	path      string
 	arrivedAt time.Time
 	deadline  time.Time
 	// outgoing is the request as it is sent to targets. Its header is derived from forwardHeader,
@@ -176,7 +178,7 @@
 	if !found {
 		return &Problem{Kind: KindNoRoute}
 	}
-	req.route = route
+	req.route, req.path = route, r.URL.Path
 	info, err := req.gate.dialect.ReadRequest(r, route)
 	if err != nil {
 		return &Problem{Kind: KindMalformed, Detail: err.Error()}
@@ -298,6 +300,7 @@
 	request := yuccagrant.Request{
 		Class: req.class(), Tier: req.tier(), Rank: req.route.Rank, OverQuota: req.overQuota, Prompt: req.info.Prompt, Answer: req.info.Answer, Parts: req.info.Parts,
 		SoftDeadline: req.arrivedAt.Add(req.route.LatencyTarget), Deadline: req.deadline, FailedTargets: slices.Clip(req.tried), Version: req.version,
+		Regions: req.allowedRegions(),
 	}
 	if req.route.LatencyTarget <= 0 {
 		request.SoftDeadline = req.deadline
--- a/io/yuccagate/run.go
+++ b/io/yuccagate/run.go
@@ -150,11 +150,18 @@
 		kind = KindBusy
 	case yuccagrant.ReasonNoVersion:
 		kind = KindUnresumable
+	case yuccagrant.ReasonNoRegion:
+		kind = KindNoRegion
 	}
-	return &Problem{Kind: kind, Detail: string(refusal.Reason), RetryAfter: refusal.RetryAfter, logFields: []any{
-		"leader", dec.decisionInputs.leader, "waiting", refusal.QueueLength, "free", refusal.FreeSlots, "waitMillis", refusal.EstimatedWait.Milliseconds(),
-		"revision", dec.decisionInputs.platformRevision, "newsAgeMillis", dec.decisionInputs.platformAge.Milliseconds(),
-	}}
+	inputs := dec.decisionInputs
+	fields := []any{
+		"leader", inputs.leader, "waiting", refusal.QueueLength, "free", refusal.FreeSlots, "waitMillis", refusal.EstimatedWait.Milliseconds(),
+		"revision", inputs.platformRevision, "newsAgeMillis", inputs.platformAge.Milliseconds(),
+	}
+	if inputs.excluded != "" || inputs.regions.Limited() {
+		fields = append(fields, "regions", inputs.regions.String(), "excluded", inputs.excluded)
+	}
+	return &Problem{Kind: kind, Detail: string(refusal.Reason), RetryAfter: refusal.RetryAfter, logFields: fields}
 }
 
 func (req *callerRequest) accountName() yuccaid.Account {
--- a/io/yuccagate/scheduler.go
+++ b/io/yuccagate/scheduler.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"yuccacleat/core/yuccaallow"
 	"yuccacleat/core/yuccagrant"
 	"yuccacleat/core/yuccaid"
 	"yuccacleat/core/yuccaroute"
@@ -85,6 +86,7 @@
 	if sched.rosterVersion != version || sched.engine != engine {
 		sched.rosterVersion, sched.engine = version, engine
 		sched.remoteReset = true
+		sched.local.SetEvacuated(gate.roster.EvacuatedCentres())
 		gate.apply(now, sched, sched.local.SetTargets(now, gate.targetsOf(sched)))
 	}
 }
@@ -175,7 +177,7 @@
 func (gate *Gate) submit(now time.Time, sched *scheduler, plc *placement) {
 	plc.submittedAt = now
 	plc.waitConfirmedAt = time.Time{}
-	if sched.leads || sched.leader.IsZero() || now.Before(sched.suspectUntil) {
+	if sched.leads || sched.leader.IsZero() || now.Before(sched.suspectUntil) || plc.request.Regions.Empty() {
 		plc.decidedLocally = true
 		gate.apply(now, sched, sched.local.Submit(now, plc.request))
 		return
@@ -188,6 +190,9 @@
 
 // ask sends a request to its pool's leader.
 func (gate *Gate) ask(now time.Time, leader yuccaid.Incarnation, plc *placement) error {
+	if plc.request.Regions.Limited() {
+		return gate.hub.Send(leader, yuccawire.KindRegionAsk, yuccawire.RegionAsk{Ask: wireRequest(now, plc), Version: plc.request.Version, Regions: plc.request.Regions.Regions()})
+	}
 	if plc.request.Version != "" {
 		return gate.hub.Send(leader, yuccawire.KindVersionAsk, yuccawire.VersionAsk{Ask: wireRequest(now, plc), Version: plc.request.Version})
 	}
@@ -257,21 +262,20 @@
 
 // acceptGrant accepts a decision that sends one of this daemon's requests to a target. It ignores
 // the decision if the request no longer waits. The leader may have decided with an older roster, so
-// acceptGrant checks the target again. If the target is leaving, isn't registered or is of another
-// version than the request needs, acceptGrant reports that the grant isn't used and submits the request
-// again, with this target excluded.
+// acceptGrant checks the target again. If the request may not use the target, acceptGrant reports that the
+// grant isn't used and submits the request again, with this target excluded.
 func (gate *Gate) acceptGrant(now time.Time, sched *scheduler, granted yuccagrant.Grant) {
 	target := granted.Target
 	plc := gate.placements[granted.ID.Number]
 	if plc == nil || plc.running {
 		return
 	}
-	entry, found := gate.roster.Find(target)
-	otherVersion := plc.request.Version != "" && plc.request.Version != entry.StreamVersion()
-	if !found || entry.Leaving || otherVersion {
-		plc.req.logDecision("declined", "target", target, "known", found, "otherVersion", otherVersion, "leader", sched.leader.VM, "revision", gate.platformRevision)
+	entry, _ := gate.roster.Find(target)
+	if why := gate.grantExclusion(plc, target); why != yuccaallow.Allowed {
+		plc.req.logDecision("declined", "target", target, "why", why, "regions", plc.request.Regions.String(), "leader", sched.leader.VM, "revision", gate.platformRevision)
+		gate.metrics.grantDeclined(why)
 		plc.request.FailedTargets = append(plc.request.FailedTargets, target)
-		if !found {
+		if why == yuccaallow.Unregistered {
 			plc.unknownTargets = append(plc.unknownTargets, target)
 		}
 		gate.reportFinished(now, sched, yuccagrant.Finished{ID: plc.request.ID, Outcome: yuccagrant.Dropped})
@@ -287,7 +291,7 @@
 		gate.syncPlacement(now, sched, plc)
 	}
 	plc.decision <- decision{
-		target: target, address: entry.Address, version: entry.StreamVersion(), startMillis: entry.StartMillis, fetchAddress: gate.addressOf(granted.FetchFrom), withoutLeader: plc.decidedLocally && !sched.leads,
+		target: target, address: entry.Address, version: entry.StreamVersion(), startMillis: entry.StartMillis, fetchAddress: gate.fetchAddress(plc, granted.FetchFrom), withoutLeader: plc.decidedLocally && !sched.leads,
 		decisionInputs: gate.decisionInputs(now, sched, granted),
 	}
 }
@@ -310,23 +314,22 @@
 	}
 }
 
-// isUsable reports whether a target is registered and not leaving.
+// isUsable reports whether a target is registered and not leaving, and its data centre isn't evacuated.
 func (gate *Gate) isUsable(target yuccaid.Target) bool {
 	entry, found := gate.roster.Find(target)
-	return found && !entry.Leaving
-}
-
-// addressOf returns the address of a registered target, or an empty text if it isn't registered.
-func (gate *Gate) addressOf(target yuccaid.Target) string {
-	entry, _ := gate.roster.Find(target)
-	return entry.Address
+	return found && !entry.Leaving && !gate.roster.Evacuated(entry.Centre)
 }
 
 // deliverRefusal delivers a refusal to one of this daemon's requests, if the request still waits.
 func (gate *Gate) deliverRefusal(refusal yuccagrant.Refusal) {
 	if plc := gate.placements[refusal.ID.Number]; plc != nil && !plc.running {
 		delete(gate.placements, refusal.ID.Number)
-		plc.decision <- decision{refusal: &refusal, decisionInputs: gate.decisionInputs(time.Now(), gate.schedulers[plc.pool], yuccagrant.Grant{})}
+		inputs := gate.decisionInputs(time.Now(), gate.schedulers[plc.pool], yuccagrant.Grant{})
+		switch refusal.Reason {
+		case yuccagrant.ReasonNoTarget, yuccagrant.ReasonNoRegion, yuccagrant.ReasonNoVersion:
+			inputs.regions, inputs.excluded = plc.request.Regions, gate.excludedTargets(plc)
+		}
+		plc.decision <- decision{refusal: &refusal, decisionInputs: inputs}
 	}
 }
 
--- a/io/yuccagate/status.go
+++ b/io/yuccagate/status.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -32,6 +33,8 @@
 	ReservedBytes yuccaid.Bytes  `json:"heldBytes"`
 	Pools         []PoolStatus   `json:"pools"`
 	Targets       []TargetStatus `json:"targets"`
+	// Evacuated lists the data centres that are evacuated.
+	Evacuated []yuccaid.Centre `json:"evacuated"`
 	// Streams is the number of streams whose origins this daemon remembers.
 	Streams int `json:"streams"`
 	// Accounts lists the accounts that have a quota.
@@ -101,11 +104,12 @@
 		})
 	}
 	slices.SortFunc(status.Pools, func(a, b PoolStatus) int { return cmp.Compare(a.Pool, b.Pool) })
-	for _, entry := range gate.roster.Entries() {
+	for _, entry := range gate.roster.Targets() {
 		status.Targets = append(status.Targets, TargetStatus{
 			Target: entry.Target, Pool: entry.Pool, Centre: entry.Centre, Address: entry.Address, Leaving: entry.Leaving, Version: entry.Version,
 		})
 	}
+	status.Evacuated = slices.Sorted(maps.Keys(gate.roster.EvacuatedCentres()))
 	for _, usage := range gate.ledger.QuotaUsages(now) {
 		leader, _ := gate.accountLeader(usage.Account)
 		status.Accounts = append(status.Accounts, AccountStatus{Account: usage.Account, Used: usage.Used, Limit: usage.Limit, Leader: leader.VM})
--- a/io/yuccagate/targets.go
+++ b/io/yuccagate/targets.go
@@ -289,6 +289,7 @@
 	gate.rosterVersion = gate.roster.Version()
 	gate.trackVersions(now)
 	gate.logTargetChanges()
+	gate.logEvacuations()
 	gate.findCrashedTargets(now)
 	for _, sched := range gate.schedulers {
 		gate.configure(now, sched)
@@ -305,7 +306,7 @@
 func (gate *Gate) logTargetChanges() {
 	var added, restarted, leaving, removed []yuccaid.Target
 	current := make(map[yuccaid.Target]yuccaroster.Entry, len(gate.loggedTargets))
-	for _, entry := range gate.roster.Entries() {
+	for _, entry := range gate.roster.Targets() {
 		current[entry.Target] = entry
 		before, known := gate.loggedTargets[entry.Target]
 		switch {
@@ -360,8 +361,8 @@
 	list := make([]yuccagrant.Target, 0, len(usable))
 	engine := gate.engineOf(sched.pool)
 	for _, entry := range usable {
-		target := yuccagrant.Target{Name: entry.Target, Slots: max(entry.Slots, 1), CacheTokens: engine.CacheTokens, FetchRate: engine.FetchRate, StartMillis: entry.StartMillis, Version: entry.StreamVersion()}
-		if gate.settings.Regions[entry.Centre] != gate.settings.Regions[gate.settings.Centre] {
+		target := yuccagrant.Target{Name: entry.Target, Centre: entry.Centre, Region: gate.region(entry.Centre), Slots: max(entry.Slots, 1), CacheTokens: engine.CacheTokens, FetchRate: engine.FetchRate, StartMillis: entry.StartMillis, Version: entry.StreamVersion()}
+		if target.Region != gate.region(gate.settings.Centre) {
 			target.Remote = true
 			target.RoundTrip = regionRoundTrip
 		}
--- a/io/yuccawire/kind.go
+++ b/io/yuccawire/kind.go
@@ -100,6 +100,8 @@
 	KindSeeds
 	// KindQuarantine carries a Quarantine to all other daemons. Older builds ignore it.
 	KindQuarantine
+	// KindRegionAsk carries a RegionAsk from the daemon that holds a request to its pool's leader.
+	KindRegionAsk
 )
 
 var kindNames = map[Kind]string{
@@ -154,6 +156,8 @@
 	KindSeeds: "seeds",
 
 	KindQuarantine: "quarantine",
+
+	KindRegionAsk: "regionAsk",
 }
 
 // String returns the kind's name in logs and metrics, or its number.
