Tests of the check by the daemon that holds a request, and of regions in asks

Two parts could be taken out one at a time, since each made up for the other: the regions in the ask to the leader, and the check in acceptGrant. Now each has a test of its own: no grant is declined where the leader knows the regions, and a leader that takes another region's targets for allowed ones is overruled (its settings have the regions wrong).

--- a/io/yuccagate/allow_test.go
+++ b/io/yuccagate/allow_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"sync"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -12,6 +13,7 @@
 	"yuccacleat/core/yuccaregion"
 	"yuccacleat/core/yuccaroster"
 	"yuccacleat/core/yuccaroute"
+	"yuccacleat/io/yuccagate"
 )
 
 // limited returns the configuration of most tests with all routes limited to regions.
@@ -123,11 +125,43 @@
 			leader, other = second, first
 		}
 		send(other, "c")
+		Expect(other.lines.all()).NotTo(ContainSubstring("declined"))
 		leader.crash()
 		send(other, "d")
 		Expect(here.requests()).To(BeEmpty())
 	})
 
+	// Guards against the failure that the daemon which holds a request sends it wherever its leader says, which may
+	// know less than it.
+	It("keeps to them with a leader that takes another region's targets for theirs", func() {
+		there = newEngine("there", func(w http.ResponseWriter, _ *http.Request) {
+			time.Sleep(20 * time.Millisecond)
+			fmt.Fprint(w, "done")
+		})
+		first := newGateOf(listen(), "odessa", "odessa-1", func(set *yuccagate.Settings) {
+			set.Regions = map[yuccaid.Centre]yuccaid.Region{"odessa": "hills", "austin": "hills"}
+		})
+		second := newGateIn("odessa", "odessa-2", first.Status().Address)
+		for _, gt := range []*gate{first, second} {
+			register(gt, limited("hills"), entryIn("odessa", here, 40, 1), entryIn("austin", there, 4, 1))
+		}
+		Eventually(func() yuccaid.VM {
+			call{path: "/lookup/", id: "before"}.do(second)
+			return second.Status().Pools[0].Leader
+		}, 5*time.Second).Should(Equal(yuccaid.VM("odessa-1")), "names for which this daemon leads the pool")
+		var group sync.WaitGroup
+		for turn := range 12 {
+			group.Go(func() {
+				defer GinkgoRecover()
+				got := call{path: "/lookup/", id: fmt.Sprint("r", turn)}.do(second)
+				Expect(got.status).To(Equal(http.StatusOK), got.body)
+			})
+		}
+		group.Wait()
+		Expect(here.requests()).To(BeEmpty())
+		Expect(second.lines.all()).To(ContainSubstring("declined"))
+	})
+
 	// Guards against the failure that a request which waits is sent to a region that a new configuration has taken
 	// away.
 	It("is placed anew when a configuration takes a region away while it waits", func() {
