Waits are estimated for the targets that a request may use

Cause: a request that is limited to some regions or to one version was judged by the capacity and the queue of the whole pool: it waited in vain for a full region, or was refused because others wait for one. Waiting work is distributed over the groups as grants distribute it: what may be done in fewer groups first, what may be done in several where there is least to do. cannotMeetDeadline, worthWaiting, retryAfter, belowShare, the free slots in a refusal, the runs of less urgent requests, the target to fetch from and the longest held prompt are those of the targets that the request may use. With unlimited requests only, every figure is as it was. Ruled out: counting all waiting work against the capacity of the own regions (refuses too much where others may go elsewhere); only the work of equal limits (a region counts as free while all unlimited requests go there).

--- a/core/yuccagrant/choose.go
+++ b/core/yuccagrant/choose.go
@@ -95,7 +95,7 @@
 		}
 		best = best.better(lead.estimate(now, tgt, req, &base))
 	}
-	if best.targetState == nil && lead.belowShare(now) {
+	if best.targetState == nil && lead.belowShare(now, req.limits()) {
 		return lead.chooseWithinShare(now, req, &base)
 	}
 	return best
@@ -152,20 +152,3 @@
 	}
 	return sum
 }
-
-// slotCapacity returns the capacity of the targets that are not backing off, as a number of slots
-// of the fastest target: a slot of another target counts for 1/pace. The result is the sum times
-// this leader's share of all runs on these targets, because the leaders of other data centres use
-// the rest. ownRuns and allRuns start at 1, so that the share is defined while there are no runs.
-func (lead *Leader) slotCapacity(now time.Time) float64 {
-	sum, ownRuns, allRuns := 0.0, 1, 1
-	for _, tgt := range lead.targets {
-		if tgt.backingOff(now) {
-			continue
-		}
-		sum += float64(tgt.Slots) / tgt.pace
-		ownRuns += len(tgt.runs)
-		allRuns += len(tgt.runs) + tgt.otherCentreRuns
-	}
-	return sum * float64(ownRuns) / float64(allRuns)
-}
--- a/core/yuccagrant/leader.go
+++ b/core/yuccagrant/leader.go
@@ -153,7 +153,7 @@
 	entry := lead.newEntry(now, req)
 	lead.queue.push(entry)
 	lead.grantSlots(now, &dec)
-	if lead.IsWaiting(req.ID) && lead.cannotMeetDeadline(now, entry) {
+	if lead.IsWaiting(req.ID) && lead.cannotMeetDeadline(now, entry, lead.capacities(now)) {
 		lead.queue.remove(req.ID)
 		lead.refuse(now, entry, ReasonLate, &dec)
 	}
--- a/core/yuccagrant/limits.go
+++ b/core/yuccagrant/limits.go
@@ -56,7 +56,8 @@
 
 // presence is which targets there are, and when those of a region left.
 type presence struct {
-	groups  map[group]int
+	// groups are the groups of the targets, in the order in which targetState.group counts them.
+	groups  []group
 	regions map[yuccaid.Region]int
 	// leftAt holds, for each region without targets that had some, when the last one left. Targets that
 	// left because their data centre was evacuated don't count: they aren't expected back soon.
@@ -68,9 +69,17 @@
 // update records the targets that there are now, in place of the former ones.
 func (pres *presence) update(now time.Time, former map[yuccaid.Target]*targetState, targets []*targetState, evacuated map[yuccaid.Centre]bool) {
 	before := pres.regions
-	pres.groups, pres.regions = make(map[group]int), make(map[yuccaid.Region]int)
+	pres.groups, pres.regions = nil, make(map[yuccaid.Region]int)
+	index := make(map[group]int)
 	for _, tgt := range targets {
-		pres.groups[group{tgt.Region, tgt.Version}]++
+		grp := group{tgt.Region, tgt.Version}
+		at, found := index[grp]
+		if !found {
+			at = len(pres.groups)
+			index[grp] = at
+			pres.groups = append(pres.groups, grp)
+		}
+		tgt.group = at
 		pres.regions[tgt.Region]++
 		delete(pres.leftAt, tgt.Region)
 	}
@@ -115,7 +124,7 @@
 		return ""
 	}
 	inRegions := false
-	for grp := range pres.groups {
+	for _, grp := range pres.groups {
 		switch lim.Exclusion(grp.region, grp.version) {
 		case yuccaallow.Allowed:
 			return ""
--- a/core/yuccagrant/parts.go
+++ b/core/yuccagrant/parts.go
@@ -35,7 +35,8 @@
 
 // findHeldParts sets, on each target that holds parts of a request's prompt, how many tokens of the
 // prompt it holds. It returns the target from which others can fetch most of the prompt, nil if there
-// is none. A target of this region is preferred to one of another region that holds as much.
+// is none. It is one in a region in which the request may be served. A target of this region is preferred to
+// one of another region that holds as much.
 func (lead *Leader) findHeldParts(now time.Time, req *Request) (holder *targetState) {
 	lead.generation++
 	hashAt := func(at int) uint64 { return req.Parts[at].Hash }
@@ -45,7 +46,7 @@
 		}
 		tgt.heldGeneration = lead.generation
 		tgt.held = req.tokensOf(parts)
-		if !tgt.backingOff(now) && (holder == nil || tgt.held > holder.held || tgt.held == holder.held && holder.Remote && !tgt.Remote) {
+		if !tgt.backingOff(now) && req.Regions.Allows(tgt.Region) && (holder == nil || tgt.held > holder.held || tgt.held == holder.held && holder.Remote && !tgt.Remote) {
 			holder = tgt
 		}
 		return true
@@ -72,12 +73,25 @@
 	return tgt.held
 }
 
-// longestHeld returns the largest number of tokens of a request's prompt that any target holds.
+// longestHeld returns the largest number of tokens of a request's prompt that any target holds in a region in
+// which the request may be served.
 func (lead *Leader) longestHeld(req *Request) yuccaid.Tokens {
 	if len(req.Parts) == 0 {
 		return 0
 	}
-	held := req.tokensOf(lead.parts.LongestHeld(len(req.Parts), func(at int) uint64 { return req.Parts[at].Hash }))
+	hashAt := func(at int) uint64 { return req.Parts[at].Hash }
+	parts := 0
+	if req.Regions.Limited() {
+		lead.parts.VisitHeld(len(req.Parts), hashAt, func(tgt *targetState, count int) bool {
+			if req.Regions.Allows(tgt.Region) {
+				parts = max(parts, count)
+			}
+			return false
+		})
+	} else {
+		parts = lead.parts.LongestHeld(len(req.Parts), hashAt)
+	}
+	held := req.tokensOf(parts)
 	if held < minHeldTokens {
 		return 0
 	}
--- a/core/yuccagrant/refuse.go
+++ b/core/yuccagrant/refuse.go
@@ -15,12 +15,12 @@
 // run, the waiting request may wait longer, because the slots of the less urgent requests will
 // become free soon. It is then refused only if its first event is expected later than
 // lateStartShare of the time to its deadline.
-func (lead *Leader) cannotMeetDeadline(now time.Time, entry *queueEntry) bool {
+func (lead *Leader) cannotMeetDeadline(now time.Time, entry *queueEntry, caps capacities) bool {
 	if lead.latencyModel.holdSamples < minHoldSamples {
 		// Too few runs have finished to estimate waiting times.
 		return !now.Before(entry.Deadline)
 	}
-	untilFirst := lead.estimatedWait(now, lead.queue.workAhead(entry.Tier, entry.sortKey)) + seconds(lead.expectedTimeToFirst(&entry.Request, lead.longestHeld(&entry.Request)))
+	untilFirst := caps.wait(entry.limits(), lead.queue.workAhead(entry.Tier, entry.sortKey)) + seconds(lead.expectedTimeToFirst(&entry.Request, lead.longestHeld(&entry.Request)))
 	if untilFirst <= entry.SoftDeadline.Sub(now)+lateStartSlack {
 		return false
 	}
@@ -31,10 +31,10 @@
 }
 
 // lessUrgentRunning reports whether a request of a less urgent tier or effective rank than the
-// given one is running.
+// given one is running on a target that the given one may use.
 func (lead *Leader) lessUrgentRunning(request *Request) bool {
 	for _, run := range lead.runs {
-		if cmp.Or(cmp.Compare(run.request.Tier, request.Tier), cmp.Compare(run.request.effectiveRank(), request.effectiveRank())) > 0 {
+		if cmp.Or(cmp.Compare(run.request.Tier, request.Tier), cmp.Compare(run.request.effectiveRank(), request.effectiveRank())) > 0 && run.targetState.within(request.limits()) {
 			return true
 		}
 	}
@@ -45,14 +45,18 @@
 // that are past their soft deadline and whose first event is expected too late.
 // refuseWithoutTargets does so for a pool without targets.
 func (lead *Leader) refuseExpired(now time.Time, dec *Decisions) {
+	if lead.queue.len() == 0 {
+		return
+	}
 	if len(lead.targets) == 0 {
 		lead.refuseWithoutTargets(now, dec)
 		return
 	}
 	lead.refuseMissing(now, dec)
 	var expired []*queueEntry
+	caps := lead.capacities(now)
 	for _, entry := range lead.queue.byID {
-		if !entry.onTime(now) && lead.cannotMeetDeadline(now, entry) || !now.Before(entry.Deadline) {
+		if !entry.onTime(now) && lead.cannotMeetDeadline(now, entry, caps) || !now.Before(entry.Deadline) {
 			expired = append(expired, entry)
 		}
 	}
@@ -84,19 +88,26 @@
 
 func (lead *Leader) refuse(now time.Time, entry *queueEntry, reason Reason, dec *Decisions) {
 	lead.sizeStats.learn(entry.effectiveRank(), entry.expectedWork, false)
-	estimatedWait := lead.estimatedWait(now, lead.queue.workAhead(entry.Tier, entry.sortKey))
+	caps := lead.capacities(now)
+	estimatedWait := caps.wait(entry.limits(), lead.queue.workAhead(entry.Tier, entry.sortKey))
 	dec.Refusals = append(dec.Refusals, Refusal{
-		ID: entry.ID, Reason: reason, RetryAfter: lead.retryAfter(now, entry.Tier),
+		ID: entry.ID, Reason: reason, RetryAfter: lead.retryAfter(entry, reason, caps),
 		QueueLength: lead.queue.len(), FreeSlots: lead.freeSlots(now, entry.limits()), EstimatedWait: estimatedWait,
 	})
 }
 
 // retryAfter returns the time after which a refused caller should retry: the estimated time to
 // serve one more request and all requests that wait in the refused request's tier or in more urgent
-// tiers. It is limited to the range from minRetryAfter to maxRetryAfter. Then a random part is
+// tiers. Where the regions of the request have no target, it is the time in which they may have one
+// again. It is limited to the range from minRetryAfter to maxRetryAfter. Then a random part is
 // added, because callers that are refused together would otherwise retry in one burst.
-func (lead *Leader) retryAfter(now time.Time, tier int) time.Duration {
-	wait := lead.estimatedWait(now, lead.queue.workAhead(tier, math.Inf(1))+lead.latencyModel.expectedHold())
+func (lead *Leader) retryAfter(entry *queueEntry, reason Reason, caps capacities) time.Duration {
+	ahead := lead.queue.workAhead(entry.Tier, math.Inf(1))
+	ahead.add(entry.limits(), lead.latencyModel.expectedHold())
+	wait := caps.wait(entry.limits(), ahead)
+	if reason == ReasonNoRegion {
+		wait = max(wait, noTargetGrace)
+	}
 	wait = min(max(wait, minRetryAfter), maxRetryAfter)
 	return wait + time.Duration(lead.rng.Float64()*retryJitter*float64(wait))
 }
--- a/core/yuccagrant/serve.go
+++ b/core/yuccagrant/serve.go
@@ -79,7 +79,7 @@
 // worthWaiting reports whether a target that is suitable for the request is likely to have a
 // free slot while the request can still be on time.
 func (lead *Leader) worthWaiting(now time.Time, req *Request) bool {
-	wait := lead.timeToFreeSlot(now)
+	wait := lead.timeToFreeSlot(now, req.limits())
 	base := lead.baseline(now, req)
 	for _, tgt := range lead.targets {
 		if tgt.backingOff(now) || !tgt.mayServe(req) {
@@ -93,16 +93,9 @@
 	return false
 }
 
-// timeToFreeSlot returns the mean time until one slot of any target becomes free.
-func (lead *Leader) timeToFreeSlot(now time.Time) time.Duration {
-	return lead.estimatedWait(now, lead.latencyModel.expectedHold())
-}
-
-// estimatedWait returns how long the targets take for the given work, which is in seconds of one
-// slot of the fastest target. The targets are assumed to have a capacity of at least half such a
-// slot, so that the result is defined while no target can be used.
-func (lead *Leader) estimatedWait(now time.Time, work float64) time.Duration {
-	return seconds(work / max(lead.slotCapacity(now), 0.5))
+// timeToFreeSlot returns the mean time until one slot of any target that the limits allow becomes free.
+func (lead *Leader) timeToFreeSlot(now time.Time, lim yuccaallow.Limits) time.Duration {
+	return seconds(lead.latencyModel.expectedHold() / lead.capacities(now).within(lim))
 }
 
 // newEntry returns a queue entry for a request, with its expected work and sort key.
--- a/core/yuccagrant/share.go
+++ b/core/yuccagrant/share.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"yuccacleat/core/yuccaallow"
 )
 
 const (
@@ -22,19 +24,31 @@
 // refuse its requests, although most of the reported runs have finished. So each leader may always
 // use a share of the slots that corresponds to its share of the demand. The shares of all leaders add
 // up to the slots of the pool.
-func (lead *Leader) belowShare(now time.Time) bool {
+//
+// For a request that may use some of the targets only, the share is that of these targets.
+func (lead *Leader) belowShare(now time.Time, lim yuccaallow.Limits) bool {
 	if !lead.shortRuns() {
 		return false
 	}
-	slots, others := 0, 0
+	slots, others, runs := 0, 0, 0
 	for _, tgt := range lead.targets {
+		if !tgt.within(lim) {
+			continue
+		}
+		runs += len(tgt.runs)
 		if !tgt.backingOff(now) {
 			slots += tgt.Slots
 			others += tgt.otherCentreRuns
 		}
 	}
-	demand := float64(len(lead.runs) + lead.queue.len())
-	return float64(len(lead.runs)) < math.Ceil(float64(slots)*demand/(demand+float64(others)))
+	waiting := lead.queue.len()
+	if lim.Any() {
+		runs = len(lead.runs)
+	} else {
+		waiting = lead.queue.count(lim)
+	}
+	demand := float64(runs + waiting)
+	return float64(runs) < math.Ceil(float64(slots)*demand/(demand+float64(others)))
 }
 
 // chooseWithinShare returns the target with the lowest cost among those with fewer runs than
--- a/core/yuccagrant/target.go
+++ b/core/yuccagrant/target.go
@@ -11,6 +11,8 @@
 // of it.
 type targetState struct {
 	Target
+	// group is the index of the target's group among those of the leader.
+	group int
 	// totalSlots is the number of the target's slots. The embedded Slots is set to this leader's
 	// share of them.
 	totalSlots int
--- a/core/yuccagrant/waiting.go
+++ b/core/yuccagrant/waiting.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"yuccacleat/core/yuccaallow"
 )
 
 // queueEntry is a waiting request.
@@ -89,17 +91,27 @@
 
 func (q *queue) len() int { return len(q.byID) }
 
+// count returns how many waiting requests have the given limits.
+func (q *queue) count(lim yuccaallow.Limits) int {
+	sum := 0
+	for _, entry := range q.byID {
+		if entry.limits() == lim {
+			sum++
+		}
+	}
+	return sum
+}
+
 // workAhead returns the expected work of all waiting requests that go before a request of the given
-// tier and sortKey, in seconds of one slot of the fastest target. Waiting requests with the same
-// tier and sortKey are included.
-func (q *queue) workAhead(tier int, sortKey float64) float64 {
-	sum := 0.0
+// tier and sortKey. Waiting requests with the same tier and sortKey are included.
+func (q *queue) workAhead(tier int, sortKey float64) demand {
+	var sum demand
 	for _, tq := range q.tiers {
 		for _, entry := range tq.entries {
 			if tq.tier > tier || tq.tier == tier && entry.sortKey > sortKey {
 				break
 			}
-			sum += entry.expectedWork
+			sum.add(entry.limits(), entry.expectedWork)
 		}
 	}
 	return sum
--- a/core/yuccagrant/world_test.go
+++ b/core/yuccagrant/world_test.go
@@ -24,6 +24,8 @@
 	name  yuccaid.Target
 	slots int
 	pace  float64
+	// region is the region of the engine's data centre, which has the same name.
+	region yuccaid.Region
 	// fails returns the outcome of a run that is sent now. If fails is nil, all runs are Served.
 	fails func(now time.Time) yuccagrant.Outcome
 	queue []*job
@@ -145,7 +147,7 @@
 func (sim *simulation) configure() {
 	var targets []yuccagrant.Target
 	for _, eng := range sim.engines {
-		target := yuccagrant.Target{Name: eng.name, Slots: eng.slots}
+		target := yuccagrant.Target{Name: eng.name, Slots: eng.slots, Region: eng.region, Centre: yuccaid.Centre(eng.region)}
 		if eng.batching != nil {
 			target.CacheTokens = eng.batching.memory
 			target.FetchRate = eng.batching.fetchRate
--- a/io/yuccagate/allow_test.go
+++ b/io/yuccagate/allow_test.go
@@ -239,7 +239,9 @@
 		Eventually(func() int { return len(first.Status().Peers) }).Should(Equal(1))
 		Expect(call{path: "/lookup/", id: "before"}.do(second).status).To(Equal(http.StatusOK))
 		Expect(there.requests()).NotTo(BeEmpty())
-		evacuated := func(gt *gate) func() []yuccaid.Centre { return func() []yuccaid.Centre { return gt.Status().Evacuated } }
+		evacuated := func(gt *gate) func() []yuccaid.Centre {
+			return func() []yuccaid.Centre { return gt.Status().Evacuated }
+		}
 
 		first.OfferTargets([]yuccaroster.Entry{yuccaroster.Evacuation("austin", 3)}, nil, false, 3, true)
 		Eventually(evacuated(second), 3*time.Second).Should(Equal([]yuccaid.Centre{"austin"}))
