explain tells which rule excluded targets; metrics count excluded targets

Cause: the lines declined and regions, and the targets that a refused request may not use, came as bare fields. Change: sentences for them, a golden story, and yuccacleat_gate_excluded_targets by pool and reason.

--- a/core/yuccastory/sentence.go
+++ b/core/yuccastory/sentence.go
@@ -18,6 +18,10 @@
 			line.text("target"), line.text("send"), line.text("waitedMillis"), decider(line), line.text("expectMillis"), line.text("busy"))
 		text += heldParts(line) + softwareVersion(line)
 		return text + fmt.Sprintf("; configuration %s, last response of the platform %s ms ago", line.text("number"), line.text("newsAgeMillis"))
+	case "declined":
+		return fmt.Sprintf("leader %s chose %s, which it may not use (%s)", line.text("leader"), line.text("target"), exclusion(line.text("why"), line))
+	case "regions":
+		return fmt.Sprintf("configuration %s came while it waited: it may be served in %s now, before in %s", line.text("number"), line.text("now"), line.text("before"))
 	case "unanswered":
 		return fmt.Sprintf("%s gave no answer (attempt %s): %s", line.text("target"), line.text("send"), line.text("error"))
 	case "again":
@@ -138,12 +142,57 @@
 		text += fmt.Sprintf("; leader %s had %s requests waiting and %s free slots, the wait would have been %s ms",
 			line.text("leader"), line.text("waiting"), line.text("free"), line.text("waitMillis"))
 	}
+	text += excludedTargets(line)
 	if back := line.number("backMillis"); back > 0 {
 		text += fmt.Sprintf("; to be retried after %d ms", back)
 	}
 	return text
 }
 
+// exclusions are the reasons why a request may not use a target, in words.
+var exclusions = map[string]string{
+	"unregistered": "it isn't registered",
+	"leaving":      "it is leaving",
+	"evacuated":    "its data centre is evacuated",
+	"region":       "its region",
+	"version":      "the version of its software",
+	"failedBefore": "it failed there before",
+}
+
+// exclusion tells why a request may not use a target.
+func exclusion(why string, line *Line) string {
+	words, known := exclusions[why]
+	if !known {
+		return why
+	}
+	if why == "region" {
+		words += "; it may be served in " + line.text("regions")
+	}
+	return words
+}
+
+// excludedTargets tells where a refused request may be served, and how many targets it may not use for which
+// reason. It returns an empty text for a line that doesn't state it.
+func excludedTargets(line *Line) string {
+	text := ""
+	if regions := line.text("regions"); regions != "" && regions != "any" {
+		text += "; it may be served in " + regions
+	}
+	excluded := line.text("excluded")
+	if excluded == "" {
+		return text
+	}
+	var list []string
+	for each := range strings.SplitSeq(excluded, ", ") {
+		why, count, _ := strings.Cut(each, " ")
+		if words, known := exclusions[why]; known {
+			why = words
+		}
+		list = append(list, count+" ("+why+")")
+	}
+	return text + "; targets that it may not use: " + strings.Join(list, ", ")
+}
+
 // fields lists the fields of a line, without the common ones and those with the given names.
 func fields(line *Line, without ...string) string {
 	var out strings.Builder
--- a/core/yuccastory/story_test.go
+++ b/core/yuccastory/story_test.go
@@ -33,6 +33,7 @@
 		Entry("of a prompt with a part on which targets crash", "note-7"),
 		Entry("of one that tries such a part again", "note-8"),
 		Entry("of a silent target that kept its request", "lookup-3"),
+		Entry("of one whose regions have no target", "note-9"),
 	)
 
 	It("is the same whatever order the logs come in", func() {
--- a/io/yuccagate/metrics.go
+++ b/io/yuccagate/metrics.go
@@ -132,6 +132,7 @@
 	vm.WriteGaugeUint64(w, "yuccacleat_gate_streams_remembered", uint64(status.Streams))
 	vm.WriteGaugeUint64(w, "yuccacleat_gate_evacuated_centres", uint64(len(status.Evacuated)))
 	writeRegistered(w, status.Targets)
+	writeExcluded(w, status)
 	for _, pool := range status.Pools {
 		label := fmt.Sprintf("{pool=%q}", pool.Pool)
 		vm.WriteGaugeUint64(w, "yuccacleat_gate_waiting"+label, uint64(pool.Waiting))
@@ -158,6 +159,20 @@
 	}
 }
 
+// writeExcluded writes how many targets of each pool get no requests, by the reason.
+func writeExcluded(w io.Writer, status Status) {
+	counts := make(map[string]uint64)
+	for _, target := range status.Targets {
+		why := yuccaallow.Check(yuccaallow.Limits{}, nil, yuccaallow.Target{Leaving: target.Leaving, Evacuated: slices.Contains(status.Evacuated, target.Centre)})
+		if why != yuccaallow.Allowed {
+			counts[fmt.Sprintf("{pool=%q,reason=%q}", target.Pool, why)]++
+		}
+	}
+	for _, label := range slices.Sorted(maps.Keys(counts)) {
+		vm.WriteGaugeUint64(w, "yuccacleat_gate_excluded_targets"+label, counts[label])
+	}
+}
+
 func boolGauge(value bool) uint64 {
 	if value {
 		return 1
