--- a/core/yuccagrant/target.go
+++ b/core/yuccagrant/target.go
@@ -11,6 +11,8 @@
 // of it.
 type targetState struct {
 	Target
+	// group is the index of the target's group among those of the leader.
+	group int
 	// totalSlots is the number of the target's slots. The embedded Slots is set to this leader's
 	// share of them.
 	totalSlots int
@@ -210,16 +212,6 @@
 	tgt.lateFraction += lateGapWeight * (sample - tgt.lateFraction)
 }
 
-// failedBefore reports whether the request has already failed on this target.
-func (tgt *targetState) failedBefore(req *Request) bool {
-	for _, name := range req.FailedTargets {
-		if name == tgt.Name {
-			return true
-		}
-	}
-	return false
-}
-
 // TargetStatus is the state of a target that a leader shows to operators.
 type TargetStatus struct {
 	Target       yuccaid.Target `json:"target"`
