--- a/core/yuccagrant/capacity.go
+++ b/core/yuccagrant/capacity.go
@@ -50,7 +50,7 @@
 		if tgt.backingOff(now) {
 			continue
 		}
-		slots := float64(tgt.Slots) / tgt.pace
+		slots := min(float64(tgt.Slots)/tgt.pace, tgt.coldSlots(now, lead.latencyModel.expectedHold()))
 		caps.total += slots
 		caps.capacity[tgt.group] += slots
 		ownRuns += len(tgt.runs)
--- a/core/yuccagrant/leader.go
+++ b/core/yuccagrant/leader.go
@@ -21,6 +21,8 @@
 	// an evacuation.
 	present   presence
 	evacuated map[yuccaid.Centre]bool
+	// evacuatedBefore are those that were evacuated when the targets were last set.
+	evacuatedBefore map[yuccaid.Centre]bool
 	// leaderCount is the number of leaders among which the slots of each target are divided.
 	leaderCount int
 	// remoteBound is a lower bound on the cost of targets in other regions.
@@ -40,6 +42,8 @@
 	// newParts are the parts that targets have begun to hold and that haven't been reported to other
 	// leaders.
 	newParts []HeldPart
+	// tookOverAt is when the leader took over from another one, zero if it didn't.
+	tookOverAt time.Time
 }
 
 // New returns a leader without targets. SetTargets sets them.
@@ -54,17 +58,30 @@
 	lead.targetsByName = make(map[yuccaid.Target]*targetState, len(configured))
 	lead.targets = make([]*targetState, 0, len(configured))
 	newPace := medianPace(old)
+	hadTargets := len(old) > 0
 	for _, target := range configured {
 		tgt := old[target.Name]
+		isNew := hadTargets && (tgt == nil || tgt.StartMillis != target.StartMillis)
 		if tgt == nil || tgt.StartMillis != target.StartMillis {
 			tgt = newTargetState(target, biasShare*lead.rng.Float64())
 			tgt.pace = newPace
+			if former := old[target.Name]; former != nil {
+				tgt.cold, tgt.sends = former.cold, former.sends
+			}
+		}
+		tgt.cold.Register(now, target.Budget.Limit, target.Cold, hadTargets)
+		if lead.returned(target.Centre) {
+			tgt.cold.Assume(now, target.Budget.Limit)
 		}
+		tgt.tookOverAt = lead.tookOverAt
 		if tgt.cache.Limit() != int64(target.CacheTokens) {
 			lead.parts.Clear(tgt, &tgt.cache)
 			tgt.cache = yuccacache.New(int64(target.CacheTokens), maxPartsPerTarget(len(configured)))
 		}
 		tgt.Target = target
+		if isNew {
+			tgt.beginRamp(now)
+		}
 		tgt.totalSlots = target.Slots
 		tgt.setLeaderCount(lead.leaderCount)
 		lead.targets = append(lead.targets, tgt)
@@ -84,10 +101,16 @@
 	return dec
 }
 
-// SetEvacuated sets the data centres that are evacuated, before SetTargets is called without their targets.
-// Requests don't wait for these as for targets that are expected to register again.
+// SetEvacuated sets the data centres that are evacuated, before SetTargets is called with the targets of the
+// others. Requests don't wait for the targets of an evacuated data centre as for targets that are expected to
+// register again. Once it isn't evacuated any more, they count as cold.
 func (lead *Leader) SetEvacuated(centres map[yuccaid.Centre]bool) {
-	lead.evacuated = centres
+	lead.evacuatedBefore, lead.evacuated = lead.evacuated, centres
+}
+
+// returned reports whether the data centre has ceased to be evacuated since the targets were last set.
+func (lead *Leader) returned(centre yuccaid.Centre) bool {
+	return lead.evacuatedBefore[centre] && !lead.evacuated[centre]
 }
 
 // compareRemote orders targets of this region before targets of other regions.
@@ -179,6 +202,7 @@
 		return dec
 	}
 	run.started = true
+	run.targetState.recordAnswer(now, run, took)
 	run.targetState.recordReport(now, load)
 	lead.learnTimeToFirst(run, took)
 	lead.grantSlots(now, &dec)
@@ -196,6 +220,9 @@
 		lead.learnTimeToFirst(run, result.TimeToFirst)
 	}
 	if !run.started {
+		if result.Outcome == Served || result.Outcome == Failed {
+			run.targetState.recordAnswer(now, run, now.Sub(run.sent))
+		}
 		run.targetState.recordReport(now, result.Load)
 	}
 	lead.removeRun(run)
@@ -216,7 +243,7 @@
 	if !found {
 		return
 	}
-	run := lead.addRun(now, tgt, running.Request)
+	run := lead.addRun(now, running.Sent, tgt, running.Request)
 	run.sent = running.Sent
 	run.started = running.Started
 }
@@ -255,13 +282,14 @@
 }
 
 // SetOtherCentreLoads sets how many runs the leaders of other data centres have on the given
-// targets. It adopts the paces that those leaders have learned for targets of which this leader
+// targets, and whether the targets have been tried there. It adopts the paces that those leaders have learned for targets of which this leader
 // has too few samples.
 func (lead *Leader) SetOtherCentreLoads(now time.Time, loads map[yuccaid.Target]TargetLoad) Decisions {
 	var dec Decisions
 	for target, load := range loads {
 		if tgt, found := lead.targetsByName[target]; found {
 			tgt.otherCentreRuns = load.Runs
+			tgt.recordTried(load.Tried)
 			if tgt.adoptPace(load.Pace) {
 				lead.notePaceChange(tgt)
 			}
@@ -281,10 +309,13 @@
 }
 
 // TargetLoad is the number of runs that a leader has on one target, and the pace that the leader
-// has learned for the target, zero if it is unknown.
+// has learned for the target, zero if it is unknown or the target has failed and hasn't answered since.
+// Tried reports, of a load that other leaders have sent, that the leader of the target's own data
+// centre knows its pace.
 type TargetLoad struct {
-	Runs int
-	Pace float64
+	Runs  int
+	Pace  float64
+	Tried bool
 }
 
 // Loads iterates over the targets that have runs of this leader or a known pace.
@@ -338,7 +369,7 @@
 	list := make([]TargetStatus, 0, len(lead.targets))
 	for _, tgt := range lead.targets {
 		list = append(list, TargetStatus{
-			Target: tgt.Name, Busy: tgt.busySlots(now), Slots: tgt.Slots, Pace: tgt.pace, LateFraction: tgt.lateFraction, FailureRate: tgt.failureRate, BackingOff: tgt.backingOff(now),
+			Target: tgt.Name, Busy: tgt.busySlots(now), Slots: tgt.Slots, Pace: tgt.pace, LateFraction: tgt.lateFraction, FailureRate: tgt.failureRate, BackingOff: tgt.backingOff(now), Cold: tgt.isCold(now), HeldBack: tgt.heldBack(now), Window: tgt.window.Size(now),
 		})
 	}
 	return list
--- a/core/yuccagrant/limits.go
+++ b/core/yuccagrant/limits.go
@@ -14,6 +14,12 @@
 	// BackingOff means that the target gets no requests for a while after a failure, or while a run is
 	// overdue.
 	BackingOff yuccaallow.Exclusion = "backingOff"
+	// Cold means that the target is or may be cold and would get more than it may in a second.
+	Cold yuccaallow.Exclusion = "cold"
+	// Untried means that the target is new and left to the leader of its data centre.
+	Untried yuccaallow.Exclusion = "untried"
+	// Window means that the target hasn't begun to answer what it got, and what it can take isn't known.
+	Window yuccaallow.Exclusion = "window"
 )
 
 // mayServe reports whether a request may use the target once it has a free slot.
@@ -29,6 +35,9 @@
 
 // exclusion returns why a request may not be sent to the target now, or yuccaallow.Allowed.
 func (tgt *targetState) exclusion(now time.Time, req *Request) yuccaallow.Exclusion {
+	if why := tgt.heldBack(now); why != yuccaallow.Allowed {
+		return why
+	}
 	switch {
 	case tgt.grantableSlots(now) == 0:
 		return Full
--- a/core/yuccagrant/share.go
+++ b/core/yuccagrant/share.go
@@ -56,7 +56,7 @@
 func (lead *Leader) chooseWithinShare(now time.Time, req *Request, base *baseline) choice {
 	best := choice{cost: math.MaxInt64}
 	for _, tgt := range lead.targets {
-		if tgt.busySlots(now) < maxShareLoad*tgt.Slots && !tgt.backingOff(now) && tgt.mayServe(req) {
+		if tgt.busySlots(now) < maxShareLoad*tgt.Slots && tgt.heldBack(now) == yuccaallow.Allowed && !tgt.backingOff(now) && tgt.mayServe(req) {
 			best = best.better(lead.estimate(now, tgt, req, base))
 		}
 	}
