Streams of unstated origins are told apart

A caller that doesn't state which request began its stream (no Resumes) got a stream joined from two versions: 200, to its end. Cause: the empty id gave one key to all such streams of an account. The first of them that went on, where the pool had one version, was remembered under it, and all later ones were taken for it.

Ruled out: the id of the request that takes the stream up as its key; no later request names it.

--- a/core/yuccastream/memory.go
+++ b/core/yuccastream/memory.go
@@ -22,8 +22,16 @@
 // event. The account is part of it, so that no caller can refer to a stream of another account.
 type Key uint64
 
-// NewKey returns the key of the stream that a request of an account began.
+// UnknownKey is the key of all streams of which it isn't known which request began them. Nothing is
+// remembered under it.
+const UnknownKey Key = 0
+
+// NewKey returns the key of the stream that a request of an account began, UnknownKey if the id of that
+// request is empty.
 func NewKey(account yuccaid.Account, request string) Key {
+	if request == "" {
+		return UnknownKey
+	}
 	return Key(xxhash.Sum64String(string(account) + "\x00" + request))
 }
 
@@ -64,6 +72,9 @@
 // Begin remembers the origin of a stream of this daemon, whose first event came from the target. It is
 // to be passed on (see TakeUnsent).
 func (mem *Memory) Begin(now time.Time, rec Record, target yuccaid.Target) {
+	if rec.Key == UnknownKey {
+		return
+	}
 	mem.Put(now, rec)
 	mem.records[rec.Key].target = target
 	mem.records[rec.Key].begunAt = now
@@ -73,6 +84,9 @@
 // Put remembers an origin, and reports whether that is news. If another origin is known for the
 // stream, its version isn't certain any more.
 func (mem *Memory) Put(now time.Time, rec Record) bool {
+	if rec.Key == UnknownKey {
+		return false
+	}
 	expiresAt := now.Add(min(rec.For, MaxRetention))
 	known := mem.records[rec.Key]
 	if known == nil {
--- a/core/yuccastream/memory_test.go
+++ b/core/yuccastream/memory_test.go
@@ -67,6 +67,17 @@
 		Expect(mem.TakeUnsent(start, always)).To(HaveLen(1 << 16))
 	})
 
+	// Guards against the failure that a stream goes on at the version of another one of its account.
+	It("has nothing of streams of which it isn't known which request began them", func() {
+		var mem yuccastream.Memory
+		unstated := record(yuccastream.NewKey("rally", ""))
+		mem.Begin(start, unstated, "a")
+		Expect(mem.Put(start, unstated)).To(BeFalse())
+		_, found := mem.Find(start, unstated.Key)
+		Expect(found).To(BeFalse())
+		Expect(mem.TakeUnsent(start, always)).To(BeEmpty())
+	})
+
 	It("tells the streams of two accounts apart", func() {
 		Expect(yuccastream.NewKey("rally", "r1")).NotTo(Equal(yuccastream.NewKey("desk", "r1")))
 	})
