Streams go on after all daemons were killed, where targets keep their prompts

The last part of a prompt is the request's own, and a target that has made events has read all of it. So where nobody remembers a stream, the targets are asked what they keep: if all that keep something of that part are of one pool and one version, and one keeps all of it, that version began the stream. The targets are divided in four shares, each asked by a daemon of the data centre's choice, at most once a second after a start and every 15 s later, and only once a stream is taken up that nobody remembers. The start of a target's process is compared with its registration. Callers wait up to 0.7 s for it.

Ruled out: the store's history of registrations (it may be cut short, and then nobody can tell how far back it reaches); one daemon that asks all targets (1.2 MB over 10 Mbit/s on the slowest VMs); the tokens kept beyond the prompt as a proof of events (only whole runs leave them).

--- /dev/null
+++ b/core/yuccastream/survey_test.go
@@ -0,0 +1,59 @@
+package yuccastream_test
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"yuccacleat/core/yuccastream"
+)
+
+var _ = Describe("a survey of what targets keep", func() {
+	start := time.Unix(1_700_000_000, 0)
+	one := map[yuccastream.PartKey][]yuccastream.Holding{7: {holding("notes", "v1", 992)}}
+
+	It("has what the targets keep until streams of before can't be taken up any more", func() {
+		sv := yuccastream.NewSurvey(start)
+		Expect(sv.Start(start)).To(BeTrue())
+		Expect(sv.Running()).To(BeTrue())
+		sv.End(one)
+		Expect(sv.Running()).To(BeFalse())
+		Expect(sv.Find(start.Add(time.Minute), 7)).To(Equal(one[7]))
+		Expect(sv.Find(start.Add(time.Minute), 8)).To(BeEmpty())
+		Expect(sv.Find(start.Add(time.Minute+time.Second), 7)).To(BeEmpty())
+	})
+
+	// Guards against the failure that callers who take up streams that nobody has begun keep targets from their work.
+	It("asks the targets seldom, the more so the longer the daemon runs", func() {
+		asked := func(age time.Duration) (count int) {
+			sv := yuccastream.NewSurvey(start)
+			for now := start.Add(age); now.Before(start.Add(age + time.Minute)); now = now.Add(10 * time.Millisecond) {
+				if sv.Start(now) {
+					sv.End(nil)
+					count++
+				}
+			}
+			return count
+		}
+		Expect(asked(0)).To(BeNumerically("<=", 14))
+		Expect(asked(time.Hour)).To(Equal(4))
+	})
+
+	It("asks the targets once at a time", func() {
+		sv := yuccastream.NewSurvey(start)
+		Expect(sv.Start(start)).To(BeTrue())
+		Expect(sv.Start(start.Add(time.Hour))).To(BeFalse())
+	})
+
+	It("is bounded", func() {
+		sv := yuccastream.NewSurvey(start)
+		sv.Start(start)
+		many := make(map[yuccastream.PartKey][]yuccastream.Holding)
+		for part := range yuccastream.PartKey(1<<15 + 1) {
+			many[part] = one[7]
+		}
+		sv.End(many)
+		Expect(sv.Find(start, 7)).To(BeEmpty())
+	})
+})
--- a/io/yuccagate/dialect.go
+++ b/io/yuccagate/dialect.go
@@ -8,6 +8,7 @@
 	"yuccacleat/core/yuccagrant"
 	"yuccacleat/core/yuccaid"
 	"yuccacleat/core/yuccaroute"
+	"yuccacleat/core/yuccastream"
 )
 
 // Dialect defines how callers and targets express what the gateway needs to know.
@@ -27,6 +28,16 @@
 	// extracts from a status when the target's process started, in Unix milliseconds.
 	StatusPath string
 	ReadStart  func(status []byte) (startMillis int64, found bool)
+	// HoldingsPath is the path at which a target lists the parts of prompts that it keeps, empty if targets don't.
+	// ReadHoldings extracts them from the list, and reports false if it can't be read.
+	HoldingsPath string
+	ReadHoldings func(list []byte) ([]KeptPart, bool)
+}
+
+// KeptPart is a part of a prompt that a target keeps.
+type KeptPart struct {
+	Part   yuccastream.PartKey
+	Tokens yuccaid.Tokens
 }
 
 // RequestInfo is what a request states about itself.
@@ -58,6 +69,9 @@
 	// Resumes is the id of the request that brought the first event of this stream, empty if the
 	// request states none.
 	Resumes string
+	// OwnPart is the last part of the prompt, which belongs to the request itself or to its session. It is zero unless
+	// the request names its parts and takes a stream up.
+	OwnPart KeptPart
 }
 
 // ForwardInfo is what a forwarded request tells its target.
--- a/io/yuccagate/gate.go
+++ b/io/yuccagate/gate.go
@@ -147,8 +147,9 @@
 	// seeds is what this daemon knows of the seeds.
 	seeds seeds
 
-	// origins is what this daemon knows of where streams began.
+	// origins is what this daemon knows of where streams began, and surveys what it has learned of it from targets.
 	origins origins
+	surveys [surveyShares]*targetSurvey
 	// quarantine is what it knows of parts of prompts on which targets crash.
 	quarantine *quarantine
 
@@ -236,6 +237,7 @@
 	}
 	gate.resendBudget.SetFleet(gate.startedAt, gate.resendFleet(gate.startedAt))
 	gate.origins = newOrigins(settings.FirstStart, gate.startedAt)
+	gate.surveys = newTargetSurveys(gate.startedAt)
 	gate.quarantine = newQuarantine(settings)
 	gate.skipsPlatformReads.Store(settings.FirstStart)
 	ready := make(chan struct{})
--- a/io/yuccagate/origin.go
+++ b/io/yuccagate/origin.go
@@ -92,7 +92,7 @@
 	for number, lookup := range gate.origins.lookups {
 		if !now.Before(lookup.until) {
 			delete(gate.origins.lookups, number)
-			lookup.conclude(gate.poolView(now, lookup.pool))
+			gate.conclude(now, lookup)
 		}
 	}
 	if now.Sub(gate.origins.checkedAt) < originInterval {
--- a/io/yuccagate/peers.go
+++ b/io/yuccagate/peers.go
@@ -251,6 +251,10 @@
 		return decodeThen(frame, func(message yuccawire.OriginQuery) { gate.onOriginQuery(now, from, message) })
 	case yuccawire.KindOriginAnswer:
 		return decodeThen(frame, func(message yuccawire.OriginAnswer) { gate.onOriginAnswer(now, message) })
+	case yuccawire.KindHoldingQuery:
+		return decodeThen(frame, func(message yuccawire.HoldingQuery) { gate.onHoldingQuery(now, from, message) })
+	case yuccawire.KindHoldingAnswer:
+		return decodeThen(frame, func(message yuccawire.HoldingAnswer) { gate.onHoldingAnswer(now, message) })
 	case yuccawire.KindVersionAsk:
 		return decodeThen(frame, func(message yuccawire.VersionAsk) { gate.onVersionAsk(now, from, message) })
 	case yuccawire.KindSeeds:
--- a/io/yuccagate/restarted.go
+++ b/io/yuccagate/restarted.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net/http"
 	"time"
@@ -11,7 +12,7 @@
 )
 
 const (
-	// statusTimeout bounds the wait for a target's whole status, and maxStatusBytes the length that is read.
+	// statusTimeout bounds the wait for all that a target says of itself, and maxStatusBytes the length of a status that is read.
 	statusTimeout  = 250 * time.Millisecond
 	maxStatusBytes = 64 << 10
 )
@@ -23,18 +24,10 @@
 	if dec.startMillis == 0 || req.gate.dialect.StatusPath == "" {
 		return false
 	}
-	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
-	defer cancel()
-	outgoing := yuccahop.Outgoing{Method: http.MethodGet, URI: req.gate.dialect.StatusPath, Host: dec.address}
-	answer, err := req.gate.targetClient.Send(ctx, dec.address, &outgoing, func(http.Header) bool { return true })
+	raw, err := req.gate.askTarget(ctx, dec.address, req.gate.dialect.StatusPath, maxStatusBytes)
 	if err != nil {
 		return false
 	}
-	defer answer.Close()
-	raw, err := readStatus(answer)
-	if err != nil || answer.Status != http.StatusOK {
-		return false
-	}
 	startMillis, found := req.gate.dialect.ReadStart(raw)
 	restarted := found && startMillis != dec.startMillis
 	if restarted {
@@ -43,8 +36,24 @@
 	return restarted
 }
 
-// readStatus reads a status, up to maxStatusBytes. No memory is reserved for it: it is needed for a moment
-// only, in which no part of a response is held.
-func readStatus(from io.Reader) ([]byte, error) {
-	return readAll(io.LimitReader(from, maxStatusBytes), maxStatusBytes, func(yuccaid.Bytes) bool { return true })
+// askTarget asks a target for what it says of itself at a path, up to a length.
+func (gate *Gate) askTarget(ctx context.Context, address, path string, maxBytes int64) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
+	defer cancel()
+	outgoing := yuccahop.Outgoing{Method: http.MethodGet, URI: path, Host: address}
+	answer, err := gate.targetClient.Send(ctx, address, &outgoing, func(http.Header) bool { return true })
+	if err != nil {
+		return nil, err
+	}
+	defer answer.Close()
+	if answer.Status != http.StatusOK {
+		return nil, fmt.Errorf("the target answered %d at %s", answer.Status, path)
+	}
+	return readStatus(answer, maxBytes)
+}
+
+// readStatus reads what a target says of itself, up to a length. No memory is reserved for it: it is needed for a
+// moment only, in which no part of a response is held.
+func readStatus(from io.Reader, maxBytes int64) ([]byte, error) {
+	return readAll(io.LimitReader(from, maxBytes), maxBytes, func(yuccaid.Bytes) bool { return true })
 }
--- /dev/null
+++ b/io/yuccagate/survey.go
@@ -0,0 +1,220 @@
+package yuccagate
+
+import (
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"golang.org/x/sync/errgroup"
+
+	"yuccacleat/core/yuccaid"
+	"yuccacleat/core/yuccaroster"
+	"yuccacleat/core/yuccastream"
+	"yuccacleat/io/yuccawire"
+)
+
+const (
+	// surveyShares is the number of shares into which the targets are divided. Each is asked by a daemon of its own, so
+	// that the lists of a large pool don't delay what a slow VM serves.
+	surveyShares = 4
+	// surveyTimeout bounds the wait for what targets keep. It is short beside the time for which callers wait for the
+	// next event.
+	surveyTimeout = 700 * time.Millisecond
+	// surveyedAtOnce is how many targets are asked at once, and maxHoldingsBytes the length of a list that is read.
+	surveyedAtOnce   = 16
+	maxHoldingsBytes = 256 << 10
+)
+
+// targetSurvey is a survey of one share of the targets. It belongs to the control goroutine.
+type targetSurvey struct {
+	*yuccastream.Survey
+	// waiting are the queries that wait for the survey's end.
+	waiting []holdingQuery
+}
+
+// holdingQuery is a query for what targets keep of a part, with the function that gets the answer.
+type holdingQuery struct {
+	part   yuccastream.PartKey
+	answer func(now time.Time, holdings []yuccastream.Holding)
+}
+
+func newTargetSurveys(startedAt time.Time) (shares [surveyShares]*targetSurvey) {
+	for share := range shares {
+		shares[share] = &targetSurvey{Survey: yuccastream.NewSurvey(startedAt)}
+	}
+	return shares
+}
+
+// surveyRole is the role of the daemon of a data centre that asks the targets of a share.
+func surveyRole(share int) yuccaid.Pool {
+	return yuccaid.Pool("survey of targets\x00" + strconv.Itoa(share))
+}
+
+// shareOf returns the share of a target.
+func shareOf(target yuccaid.Target) int {
+	return int(xxhash.Sum64String(string(target)) % surveyShares)
+}
+
+// askHoldings has the lookup go on with what targets keep of the stream's prompt.
+func (gate *Gate) askHoldings(now time.Time, lookup *originLookup) {
+	lookup.surveyed = true
+	lookup.until, lookup.awaiting = now.Add(surveyTimeout), surveyShares
+	gate.origins.lastLookup++
+	number := gate.origins.lastLookup
+	gate.origins.lookups[number] = lookup
+	for share := range surveyShares {
+		query := yuccawire.HoldingQuery{Number: number, Share: share, Part: lookup.ownPart.Part}
+		leader, settled := gate.peers.Leader(surveyRole(share))
+		if settled && leader.Incarnation != gate.incarnation && gate.send(leader.Incarnation, yuccawire.KindHoldingQuery, query) {
+			continue
+		}
+		gate.findHoldings(now, share, holdingQuery{query.Part, func(now time.Time, holdings []yuccastream.Holding) {
+			gate.addHoldings(now, number, holdings)
+		}})
+	}
+}
+
+// addHoldings adds what the targets of a share keep to a lookup, and ends the lookup after the last share.
+func (gate *Gate) addHoldings(now time.Time, number uint64, holdings []yuccastream.Holding) {
+	lookup := gate.origins.lookups[number]
+	if lookup == nil {
+		return
+	}
+	lookup.awaiting--
+	lookup.holdings = append(lookup.holdings, holdings...)
+	if lookup.awaiting == 0 {
+		delete(gate.origins.lookups, number)
+		gate.conclude(now, lookup)
+	}
+}
+
+// onHoldingQuery answers another daemon's query.
+func (gate *Gate) onHoldingQuery(now time.Time, from yuccaid.Incarnation, query yuccawire.HoldingQuery) {
+	if query.Share < 0 || query.Share >= surveyShares {
+		return
+	}
+	gate.findHoldings(now, query.Share, holdingQuery{query.Part, func(_ time.Time, holdings []yuccastream.Holding) {
+		answer := yuccawire.HoldingAnswer{Number: query.Number}
+		for _, one := range holdings {
+			answer.Holdings = append(answer.Holdings, yuccawire.PartHolding{Pool: one.Origin.Pool, Version: one.Origin.Version, Tokens: one.Tokens})
+		}
+		gate.send(from, yuccawire.KindHoldingAnswer, answer)
+	}})
+}
+
+// onHoldingAnswer handles an answer to one of this daemon's queries.
+func (gate *Gate) onHoldingAnswer(now time.Time, answer yuccawire.HoldingAnswer) {
+	var holdings []yuccastream.Holding
+	for _, one := range answer.Holdings {
+		holdings = append(holdings, yuccastream.Holding{Origin: yuccastream.Origin{Pool: one.Pool, Version: one.Version}, Tokens: one.Tokens})
+	}
+	gate.addHoldings(now, answer.Number, holdings)
+}
+
+// findHoldings answers a query from the share's last survey, or has the targets asked again if they kept nothing of the part
+// then.
+func (gate *Gate) findHoldings(now time.Time, share int, query holdingQuery) {
+	survey := gate.surveys[share]
+	held := survey.Find(now, query.part)
+	if len(held) > 0 {
+		query.answer(now, held)
+		return
+	}
+	if survey.Start(now) {
+		gate.surveyTargets(now, share)
+	}
+	if !survey.Running() {
+		query.answer(now, nil)
+		return
+	}
+	survey.waiting = append(survey.waiting, query)
+}
+
+// surveyTargets asks the targets of a share which parts of prompts they keep, and then answers the queries that wait.
+func (gate *Gate) surveyTargets(startedAt time.Time, share int) {
+	entries := gate.entriesToSurvey(share)
+	gate.workers.Go(func() {
+		held, answered := gate.askAllHoldings(entries)
+		gate.control.Post(func(now time.Time) {
+			survey := gate.surveys[share]
+			survey.End(held)
+			gate.log.stateChange("targets asked what they keep", "share", share, "asked", len(entries), "answered", answered, "parts", len(held),
+				"millis", now.Sub(startedAt).Milliseconds())
+			waiting := survey.waiting
+			survey.waiting = nil
+			for _, query := range waiting {
+				query.answer(now, survey.Find(now, query.part))
+			}
+		})
+	})
+}
+
+// entriesToSurvey returns the targets of a share that run a model. Those that are leaving belong to them: they began
+// streams.
+func (gate *Gate) entriesToSurvey(share int) []yuccaroster.Entry {
+	var list []yuccaroster.Entry
+	table := gate.tables.Load()
+	if table == nil {
+		return nil
+	}
+	for _, entry := range gate.roster.Entries() {
+		pool, found := table.Pool(entry.Pool)
+		if found && pool.Engine != nil && shareOf(entry.Target) == share {
+			list = append(list, entry)
+		}
+	}
+	return list
+}
+
+// askAllHoldings asks targets which parts of prompts they keep. It returns that by part, and how many have answered.
+func (gate *Gate) askAllHoldings(entries []yuccaroster.Entry) (held map[yuccastream.PartKey][]yuccastream.Holding, answered int) {
+	held = make(map[yuccastream.PartKey][]yuccastream.Holding)
+	var mu sync.Mutex
+	var group errgroup.Group
+	group.SetLimit(surveyedAtOnce)
+	for _, entry := range entries {
+		group.Go(func() error {
+			kept, known := gate.askKeptParts(entry)
+			if !known {
+				return nil
+			}
+			origin := gate.originOf(entry, len(kept) > 0)
+			mu.Lock()
+			defer mu.Unlock()
+			answered++
+			for _, one := range kept {
+				held[one.Part] = append(held[one.Part], yuccastream.Holding{Origin: origin, Tokens: one.Tokens})
+			}
+			return nil
+		})
+	}
+	_ = group.Wait()
+	return held, answered
+}
+
+// askKeptParts asks a target which parts of prompts it keeps.
+func (gate *Gate) askKeptParts(entry yuccaroster.Entry) ([]KeptPart, bool) {
+	list, err := gate.askTarget(gate.traffic, entry.Address, gate.dialect.HoldingsPath, maxHoldingsBytes)
+	if err != nil {
+		return nil, false
+	}
+	return gate.dialect.ReadHoldings(list)
+}
+
+// originOf returns the pool and version of a target that has just said what it keeps. The target is asked when it
+// started: if it has restarted under its id, or another one has got its address, its version isn't known.
+func (gate *Gate) originOf(entry yuccaroster.Entry, keepsAny bool) yuccastream.Origin {
+	origin := yuccastream.Origin{Pool: entry.Pool, Version: entry.StreamVersion()}
+	if !keepsAny || entry.StartMillis == 0 || gate.dialect.StatusPath == "" {
+		return origin
+	}
+	status, err := gate.askTarget(gate.traffic, entry.Address, gate.dialect.StatusPath, maxStatusBytes)
+	if err != nil {
+		return yuccastream.Origin{Pool: entry.Pool}
+	}
+	if startMillis, found := gate.dialect.ReadStart(status); !found || startMillis != entry.StartMillis {
+		return yuccastream.Origin{Pool: entry.Pool}
+	}
+	return origin
+}
--- a/io/yuccagate/takeup.go
+++ b/io/yuccagate/takeup.go
@@ -22,6 +22,7 @@
 	originRemembered = "remembered"
 	originTold       = "told"
 	originSole       = "sole version"
+	originKept       = "kept by targets"
 	originUncertain  = "uncertain"
 	originUnknown    = "unknown"
 	originMoved      = "another pool"
@@ -33,8 +34,13 @@
 	pool yuccaid.Pool
 	// onlyPool reports whether the stream can't have begun in another pool.
 	onlyPool bool
-	// awaiting counts the daemons that haven't answered, and views is what the others know of the pool's
-	// versions. The lookup ends at the time until.
+	// ownPart is the last part of the stream's prompt, zero if it isn't known. surveyed reports whether the targets are asked
+	// what they keep of it, and holdings is what they have answered.
+	ownPart  KeptPart
+	surveyed bool
+	holdings []yuccastream.Holding
+	// awaiting counts the answers that are missing, and views is what other daemons know of the pool's versions. The
+	// lookup ends at the time until, or goes on with the targets.
 	awaiting int
 	views    []yuccastream.View
 	until    time.Time
@@ -58,7 +64,7 @@
 // Targets don't check which version began a stream. If any target could continue it, the caller would
 // get events that don't fit together.
 func (req *callerRequest) bindToOrigin(ctx context.Context) *Problem {
-	lookup := &originLookup{key: req.streamKey(), pool: req.pool, result: make(chan originResult, 1)}
+	lookup := &originLookup{key: req.streamKey(), pool: req.pool, ownPart: req.info.OwnPart, result: make(chan originResult, 1)}
 	began := time.Now()
 	req.gate.control.Post(func(now time.Time) {
 		lookup.onlyPool = len(req.route.Pools) == 1 && req.gate.origins.history.RouteIsOld(now, req.route.Name)
@@ -118,7 +124,7 @@
 		}
 	}
 	if lookup.awaiting == 0 {
-		lookup.conclude(gate.poolView(now, lookup.pool))
+		gate.conclude(now, lookup)
 		return
 	}
 	gate.origins.lookups[query.Number] = lookup
@@ -149,20 +155,19 @@
 // stream ends the lookup, and so does the last answer.
 func (gate *Gate) onOriginAnswer(now time.Time, answer yuccawire.OriginAnswer) {
 	lookup := gate.origins.lookups[answer.Number]
-	if lookup == nil {
+	if lookup == nil || lookup.surveyed {
 		return
 	}
 	lookup.awaiting--
 	lookup.views = append(lookup.views, yuccastream.View{Version: answer.Sole, Several: answer.Several, Complete: answer.Complete, Fresh: answer.Fresh})
 	switch {
 	case answer.Found:
+		delete(gate.origins.lookups, answer.Number)
 		lookup.deliver(yuccastream.Origin{Pool: answer.Pool, Version: answer.Version}, originTold)
 	case lookup.awaiting == 0:
-		lookup.conclude(gate.poolView(now, lookup.pool))
-	default:
-		return
+		delete(gate.origins.lookups, answer.Number)
+		gate.conclude(now, lookup)
 	}
-	delete(gate.origins.lookups, answer.Number)
 }
 
 // deliver ends a lookup with a remembered origin.
@@ -174,12 +179,28 @@
 }
 
 // conclude ends a lookup of a stream that nobody remembers. The stream can only go on if its pool has had
-// one version.
-func (lookup *originLookup) conclude(own yuccastream.View) {
-	version, agreed := yuccastream.Agree(append(lookup.views, own))
-	if !agreed || !lookup.onlyPool {
+// one version, or if what targets keep of its prompt tells the version that began it.
+func (gate *Gate) conclude(now time.Time, lookup *originLookup) {
+	version, agreed := yuccastream.Agree(append(lookup.views, gate.poolView(now, lookup.pool)))
+	switch {
+	case agreed && lookup.onlyPool:
+		lookup.deliver(yuccastream.Origin{Pool: lookup.pool, Version: version}, originSole)
+	case lookup.surveyed:
+		lookup.concludeSurvey()
+	case lookup.ownPart.Tokens > 0 && gate.dialect.HoldingsPath != "":
+		gate.askHoldings(now, lookup)
+	default:
+		lookup.result <- originResult{source: originUnknown}
+	}
+}
+
+// concludeSurvey ends a lookup with what targets keep. If some of them may not have been asked, another version may keep the
+// part as well.
+func (lookup *originLookup) concludeSurvey() {
+	origin, found := yuccastream.OriginOf(lookup.holdings, lookup.ownPart.Tokens)
+	if !found || lookup.awaiting > 0 {
 		lookup.result <- originResult{source: originUnknown}
 		return
 	}
-	lookup.result <- originResult{origin: yuccastream.Origin{Pool: lookup.pool, Version: version}, source: originSole}
+	lookup.deliver(origin, originKept)
 }
--- a/io/yuccawire/kind.go
+++ b/io/yuccawire/kind.go
@@ -100,6 +100,10 @@
 	KindSeeds
 	// KindQuarantine carries a Quarantine to all other daemons. Older builds ignore it.
 	KindQuarantine
+	// KindHoldingQuery carries a HoldingQuery to the daemon that asks the targets of a share. Older builds ignore it.
+	KindHoldingQuery
+	// KindHoldingAnswer carries a HoldingAnswer.
+	KindHoldingAnswer
 )
 
 var kindNames = map[Kind]string{
@@ -154,6 +158,9 @@
 	KindSeeds: "seeds",
 
 	KindQuarantine: "quarantine",
+
+	KindHoldingQuery:  "holdingQuery",
+	KindHoldingAnswer: "holdingAnswer",
 }
 
 // String returns the kind's name in logs and metrics, or its number.
--- a/io/yuccawire/origin.go
+++ b/io/yuccawire/origin.go
@@ -36,6 +36,27 @@
 	Fresh    bool            `msgpack:"fresh"`
 }
 
+// HoldingQuery asks what a share of the targets keeps of a part of a prompt. The sender identifies the query by
+// a number.
+type HoldingQuery struct {
+	Number uint64              `msgpack:"number"`
+	Share  int                 `msgpack:"share"`
+	Part   yuccastream.PartKey `msgpack:"part"`
+}
+
+// HoldingAnswer tells what the targets of the HoldingQuery's share keep of its part.
+type HoldingAnswer struct {
+	Number   uint64        `msgpack:"number"`
+	Holdings []PartHolding `msgpack:"holdings"`
+}
+
+// PartHolding is what one target keeps.
+type PartHolding struct {
+	Pool    yuccaid.Pool    `msgpack:"pool"`
+	Version yuccaid.Version `msgpack:"version"`
+	Tokens  yuccaid.Tokens  `msgpack:"tokens"`
+}
+
 // VersionAsk is an Ask for a request that only targets of one version may serve. Older builds, which
 // can't read an Ask with a further field, don't answer it.
 type VersionAsk struct {
