--- a/io/yuccagate/survey.go
+++ b/io/yuccagate/survey.go
@@ -21,8 +21,9 @@
 	// surveyTimeout bounds the wait for what targets keep. It is short beside the time for which callers wait for the
 	// next event.
 	surveyTimeout = 700 * time.Millisecond
-	// surveyedAtOnce is how many targets are asked at once, and maxHoldingsBytes the length of a list that is read.
-	surveyedAtOnce   = 16
+	// surveyedAtOnce is how many targets are asked at once: all of a share in most fleets, because each takes three round
+	// trips, which are long to other regions. maxHoldingsBytes is the length of a list that is read.
+	surveyedAtOnce   = 64
 	maxHoldingsBytes = 256 << 10
 )
 
