--- a/io/yuccawire/kind.go
+++ b/io/yuccawire/kind.go
@@ -102,6 +102,10 @@
 	KindQuarantine
 	// KindRegionAsk carries a RegionAsk from the daemon that holds a request to its pool's leader.
 	KindRegionAsk
+	// KindHoldingQuery carries a HoldingQuery to the daemon that asks the targets of a share. Older builds ignore it.
+	KindHoldingQuery
+	// KindHoldingAnswer carries a HoldingAnswer.
+	KindHoldingAnswer
 )
 
 var kindNames = map[Kind]string{
@@ -157,7 +161,9 @@
 
 	KindQuarantine: "quarantine",
 
-	KindRegionAsk: "regionAsk",
+	KindRegionAsk:     "regionAsk",
+	KindHoldingQuery:  "holdingQuery",
+	KindHoldingAnswer: "holdingAnswer",
 }
 
 // String returns the kind's name in logs and metrics, or its number.
