--- a/core/yuccagrant/cold.go
+++ b/core/yuccagrant/cold.go
@@ -78,13 +78,6 @@
 	return list
 }
 
-// AssumeCold records that a target is cold from now on, for example because nothing was sent to its data centre for long.
-func (lead *Leader) AssumeCold(now time.Time, target yuccaid.Target) {
-	if tgt, found := lead.targetsByName[target]; found {
-		tgt.cold.Assume(now, tgt.Budget.Limit)
-	}
-}
-
 // ColdTargets returns the targets of this leader's data centre that are cold, as far as is known.
 func (lead *Leader) ColdTargets(now time.Time) []yuccaid.Target {
 	var names []yuccaid.Target
--- a/core/yuccagrant/leader.go
+++ b/core/yuccagrant/leader.go
@@ -17,8 +17,12 @@
 	// targets lists the targets of this region before those of other regions.
 	targets       []*targetState
 	targetsByName map[yuccaid.Target]*targetState
-	// versions are the versions of the targets.
-	versions map[yuccaid.Version]bool
+	// present is which targets there are, and evacuated the data centres whose targets have left because of
+	// an evacuation.
+	present   presence
+	evacuated map[yuccaid.Centre]bool
+	// evacuatedBefore are those that were evacuated when the targets were last set.
+	evacuatedBefore map[yuccaid.Centre]bool
 	// leaderCount is the number of leaders among which the slots of each target are divided.
 	leaderCount int
 	// remoteBound is a lower bound on the cost of targets in other regions.
@@ -42,9 +46,6 @@
 	// knows them. newSends are its sends that haven't been reported to the daemon that would lead next.
 	tookOverAt time.Time
 	newSends   []Send
-	// withoutTargetsSince is the time since which there has been no target. It is zero while
-	// there are targets.
-	withoutTargetsSince time.Time
 }
 
 // New returns a leader without targets. SetTargets sets them.
@@ -58,11 +59,9 @@
 	old := lead.targetsByName
 	lead.targetsByName = make(map[yuccaid.Target]*targetState, len(configured))
 	lead.targets = make([]*targetState, 0, len(configured))
-	lead.versions = make(map[yuccaid.Version]bool)
 	newPace := medianPace(old)
 	hadTargets := len(old) > 0
 	for _, target := range configured {
-		lead.versions[target.Version] = true
 		tgt := old[target.Name]
 		isNew := hadTargets && (tgt == nil || tgt.StartMillis != target.StartMillis)
 		if tgt == nil || tgt.StartMillis != target.StartMillis {
@@ -73,6 +72,9 @@
 			}
 		}
 		tgt.cold.Register(now, target.Budget.Limit, target.Cold, hadTargets)
+		if lead.returned(target.Centre) {
+			tgt.cold.Assume(now, target.Budget.Limit)
+		}
 		tgt.tookOverAt = lead.tookOverAt
 		if tgt.cache.Limit() != int64(target.CacheTokens) {
 			lead.parts.Clear(tgt, &tgt.cache)
@@ -95,17 +97,24 @@
 	slices.SortFunc(lead.targets, func(a, b *targetState) int { return cmp.Or(compareRemote(a, b), cmp.Compare(a.Name, b.Name)) })
 	lead.remoteBound.configure(lead.targets)
 	lead.pacesChanged = true
-	switch {
-	case len(lead.targets) > 0:
-		lead.withoutTargetsSince = time.Time{}
-	case lead.withoutTargetsSince.IsZero():
-		lead.withoutTargetsSince = now
-	}
+	lead.present.update(now, old, lead.targets, lead.evacuated)
 	var dec Decisions
 	lead.grantSlots(now, &dec)
 	return dec
 }
 
+// SetEvacuated sets the data centres that are evacuated, before SetTargets is called with the targets of the
+// others. Requests don't wait for the targets of an evacuated data centre as for targets that are expected to
+// register again. Once it isn't evacuated any more, they count as cold.
+func (lead *Leader) SetEvacuated(centres map[yuccaid.Centre]bool) {
+	lead.evacuatedBefore, lead.evacuated = lead.evacuated, centres
+}
+
+// returned reports whether the data centre has ceased to be evacuated since the targets were last set.
+func (lead *Leader) returned(centre yuccaid.Centre) bool {
+	return lead.evacuatedBefore[centre] && !lead.evacuated[centre]
+}
+
 // compareRemote orders targets of this region before targets of other regions.
 func compareRemote(a, b *targetState) int {
 	switch {
@@ -158,12 +167,8 @@
 	if _, found := lead.queue.byID[req.ID]; found {
 		return dec
 	}
-	if lead.withoutTargets(now) {
-		lead.refuse(now, lead.newEntry(now, req), ReasonNoTarget, &dec)
-		return dec
-	}
-	if lead.withoutVersion(&req) {
-		lead.refuse(now, lead.newEntry(now, req), ReasonNoVersion, &dec)
+	if reason := lead.present.missing(now, req.limits()); reason != "" {
+		lead.refuse(now, lead.newEntry(now, req), reason, &dec)
 		return dec
 	}
 	if lead.queue.len() >= maxQueued {
@@ -173,24 +178,13 @@
 	entry := lead.newEntry(now, req)
 	lead.queue.push(entry)
 	lead.grantSlots(now, &dec)
-	if lead.IsWaiting(req.ID) && lead.cannotMeetDeadline(now, entry) {
+	if lead.IsWaiting(req.ID) && lead.cannotMeetDeadline(now, entry, lead.capacities(now)) {
 		lead.queue.remove(req.ID)
 		lead.refuse(now, entry, ReasonLate, &dec)
 	}
 	return dec
 }
 
-// withoutTargets reports whether there has been no target for noTargetGrace, so that none is
-// expected soon.
-//
-// A daemon that has just started may receive requests shortly before it learns of its targets.
-// After an outage of the platform, with which targets register, all registrations may be missing
-// until the targets renew them. Requests that arrive in that time are queued, because a late
-// answer is better than a refusal.
-func (lead *Leader) withoutTargets(now time.Time) bool {
-	return len(lead.targets) == 0 && now.Sub(lead.withoutTargetsSince) >= noTargetGrace
-}
-
 // Withdraw removes a waiting request whose caller has stopped waiting.
 func (lead *Leader) Withdraw(now time.Time, id ID) Decisions {
 	var dec Decisions
--- a/core/yuccagrant/ramp.go
+++ b/core/yuccagrant/ramp.go
@@ -1,6 +1,10 @@
 package yuccagrant
 
-import "time"
+import (
+	"time"
+
+	"yuccacleat/core/yuccaallow"
+)
 
 // untriedWait is how long a leader leaves a new target of another data centre to the leaders there. If all leaders began
 // with the target at once, each with one request, a target with few slots would get more than it can take.
@@ -68,28 +72,16 @@
 	tgt.window.Answer(now, took, run.dueAfter, tgt.maxRuns())
 }
 
-// HeldBack is why a leader sends nothing to a target that is neither full nor backing off.
-type HeldBack string
-
-// The reasons for which targets are held back.
-const (
-	// HeldCold means that the target is or may be cold and would get more than it may in a second.
-	HeldCold HeldBack = "cold"
-	// HeldUntried means that it is left to the leader of its data centre, since it is new.
-	HeldUntried HeldBack = "untried"
-	// HeldWindow means that it hasn't begun to answer what it got, and what it can take isn't known.
-	HeldWindow HeldBack = "window"
-)
-
-// heldBack returns why nothing is sent to the target, empty if it isn't held back.
-func (tgt *targetState) heldBack(now time.Time) HeldBack {
+// heldBack returns why nothing is sent to the target, although it is neither full nor backing off, or
+// yuccaallow.Allowed.
+func (tgt *targetState) heldBack(now time.Time) yuccaallow.Exclusion {
 	switch {
 	case !tgt.withinBudget(now):
-		return HeldCold
+		return Cold
 	case now.Before(tgt.untriedUntil):
-		return HeldUntried
+		return Untried
 	case !tgt.withinWindow(now):
-		return HeldWindow
+		return Window
 	}
-	return ""
+	return yuccaallow.Allowed
 }
--- a/core/yuccagrant/target.go
+++ b/core/yuccagrant/target.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"yuccacleat/core/yuccaallow"
 	"yuccacleat/core/yuccacache"
 	"yuccacleat/core/yuccacold"
 	"yuccacleat/core/yuccaid"
@@ -13,6 +14,8 @@
 // of it.
 type targetState struct {
 	Target
+	// group is the index of the target's group among those of the leader.
+	group int
 	// totalSlots is the number of the target's slots. The embedded Slots is set to this leader's
 	// share of them.
 	totalSlots int
@@ -145,7 +148,7 @@
 // idle until the leader learns of it. More requests must not wait there, because the target's queue
 // ignores ranks.
 func (tgt *targetState) grantableSlots(now time.Time) int {
-	if !tgt.withinBudget(now) || !tgt.withinWindow(now) {
+	if tgt.heldBack(now) != yuccaallow.Allowed {
 		return 0
 	}
 	return max(tgt.maxRuns()-tgt.busySlots(now), 0)
@@ -234,16 +237,6 @@
 	tgt.lateFraction += lateGapWeight * (sample - tgt.lateFraction)
 }
 
-// failedBefore reports whether the request has already failed on this target.
-func (tgt *targetState) failedBefore(req *Request) bool {
-	for _, name := range req.FailedTargets {
-		if name == tgt.Name {
-			return true
-		}
-	}
-	return false
-}
-
 // TargetStatus is the state of a target that a leader shows to operators.
 type TargetStatus struct {
 	Target       yuccaid.Target `json:"target"`
@@ -256,7 +249,7 @@
 	// Cold reports that the target is known to be cold, and HeldBack why the leader sends it nothing at
 	// present although it may have free slots, empty if it doesn't hold it back. Window is the bound on
 	// the runs that haven't begun, zero if there is none.
-	Cold     bool     `json:"cold,omitempty"`
-	HeldBack HeldBack `json:"heldBack,omitempty"`
-	Window   int      `json:"window,omitempty"`
+	Cold     bool                 `json:"cold,omitempty"`
+	HeldBack yuccaallow.Exclusion `json:"heldBack,omitempty"`
+	Window   int                  `json:"window,omitempty"`
 }
--- a/core/yuccaroute/table.go
+++ b/core/yuccaroute/table.go
@@ -139,17 +139,21 @@
 	return nil
 }
 
-// ConfigError describes why a route or a pool can't be used and how to correct it.
+// ConfigError describes why a route, a pool or an account can't be used and how to correct it.
 type ConfigError struct {
-	// Route is the name of the route, empty if the error concerns a pool, whose name Pool then is.
+	// Route is the name of the route, empty if the error concerns a pool or an account.
 	Route   string
 	Pool    yuccaid.Pool
+	Account yuccaid.Account
 	Problem string
 }
 
-// Error returns the name of the route or pool and the problem with its remedy.
+// Error returns the name of the route, pool or account, and the problem with its remedy.
 func (err *ConfigError) Error() string {
-	if err.Pool != "" {
+	switch {
+	case err.Account != "":
+		return "account " + string(err.Account) + ": " + err.Problem
+	case err.Pool != "":
 		return "pool " + string(err.Pool) + ": " + err.Problem
 	}
 	return "route " + err.Route + ": " + err.Problem
--- a/io/yuccagate/gate.go
+++ b/io/yuccagate/gate.go
@@ -43,6 +43,8 @@
 	// memory is the memory that open requests may use, and pressure shows whether processor time is short.
 	memory   *memory
 	pressure pressure
+	// memoryShortage shows whether many requests find no memory.
+	memoryShortage memoryShortage
 	// processBounds are the bounds that follow from the process's limits on memory and file
 	// descriptors.
 	processBounds yuccaspace.Bounds
@@ -110,6 +112,8 @@
 	roster *yuccaroster.Roster
 	// loggedTargets are the targets as the log last reported them.
 	loggedTargets map[yuccaid.Target]yuccaroster.Entry
+	// loggedEvacuated are the evacuated data centres as the log last reported them.
+	loggedEvacuated map[yuccaid.Centre]bool
 	// rosterVersion is the version of the roster that was last passed to the schedulers.
 	// targetsPulledAt is when this daemon last requested targets from a peer.
 	rosterVersion   uint64
@@ -147,8 +151,9 @@
 	// seeds is what this daemon knows of the seeds.
 	seeds seeds
 
-	// origins is what this daemon knows of where streams began.
+	// origins is what this daemon knows of where streams began, and surveys what it has learned of it from targets.
 	origins origins
+	surveys [surveyShares]*targetSurvey
 	// quarantine is what it knows of parts of prompts on which targets crash.
 	quarantine *quarantine
 
@@ -236,6 +241,7 @@
 	}
 	gate.resendBudget.SetFleet(gate.startedAt, gate.resendFleet(gate.startedAt))
 	gate.origins = newOrigins(settings.FirstStart, gate.startedAt)
+	gate.surveys = newTargetSurveys(gate.startedAt)
 	gate.quarantine = newQuarantine(settings)
 	gate.skipsPlatformReads.Store(settings.FirstStart)
 	ready := make(chan struct{})
@@ -308,6 +314,7 @@
 // process resumes after a pause.
 func (gate *Gate) tick(now time.Time) {
 	gate.pressure.tick(now)
+	gate.memoryShortage.tick(now)
 	gate.tickPeers(now)
 	gate.roster.Tick(now)
 	gate.refreshTargets(now)
--- a/io/yuccagate/metrics.go
+++ b/io/yuccagate/metrics.go
@@ -10,6 +10,7 @@
 
 	vm "github.com/VictoriaMetrics/metrics"
 
+	"yuccacleat/core/yuccaallow"
 	"yuccacleat/core/yuccagrant"
 	"yuccacleat/core/yuccaquota"
 	"yuccacleat/io/yuccawire"
@@ -92,8 +93,13 @@
 	met.set.GetOrCreateGauge("yuccacleat_gate_held_parts", nil).Set(float64(count))
 }
 
-func (met *metrics) connRejected() {
-	met.set.GetOrCreateCounter("yuccacleat_gate_connections_turned_away_total").Inc()
+// grantDeclined counts a granted target that the daemon which holds the request declined, by the reason.
+func (met *metrics) grantDeclined(why yuccaallow.Exclusion) {
+	met.set.GetOrCreateCounter(fmt.Sprintf("yuccacleat_gate_grants_declined_total{reason=%q}", why)).Inc()
+}
+
+func (met *metrics) connRejected(reason rejection) {
+	met.set.GetOrCreateCounter(fmt.Sprintf("yuccacleat_gate_connections_turned_away_total{reason=%q}", reason)).Inc()
 }
 
 func (met *metrics) quotaRefused(verdict yuccaquota.Verdict) {
@@ -124,7 +130,9 @@
 	vm.WriteGaugeUint64(w, "yuccacleat_gate_ready", boolGauge(status.Ready))
 	vm.WriteGaugeFloat64(w, "yuccacleat_gate_control_lag_seconds", gate.control.Oldest().Seconds())
 	vm.WriteGaugeUint64(w, "yuccacleat_gate_streams_remembered", uint64(status.Streams))
+	vm.WriteGaugeUint64(w, "yuccacleat_gate_evacuated_centres", uint64(len(status.Evacuated)))
 	writeRegistered(w, status.Targets)
+	writeExcluded(w, status)
 	for _, pool := range status.Pools {
 		label := fmt.Sprintf("{pool=%q}", pool.Pool)
 		vm.WriteGaugeUint64(w, "yuccacleat_gate_waiting"+label, uint64(pool.Waiting))
@@ -143,7 +151,7 @@
 
 // writeHeldBack writes how many of a pool's targets are cold, and how many this daemon sends nothing, by the reason.
 func writeHeldBack(w io.Writer, pool PoolStatus) {
-	cold, counts := uint64(0), make(map[yuccagrant.HeldBack]uint64)
+	cold, counts := uint64(0), make(map[yuccaallow.Exclusion]uint64)
 	for _, target := range pool.Targets {
 		if target.Cold {
 			cold++
@@ -151,7 +159,7 @@
 		counts[target.HeldBack]++
 	}
 	vm.WriteGaugeUint64(w, fmt.Sprintf("yuccacleat_gate_cold_targets{pool=%q}", pool.Pool), cold)
-	for _, reason := range []yuccagrant.HeldBack{yuccagrant.HeldCold, yuccagrant.HeldUntried, yuccagrant.HeldWindow} {
+	for _, reason := range []yuccaallow.Exclusion{yuccagrant.Cold, yuccagrant.Untried, yuccagrant.Window} {
 		vm.WriteGaugeUint64(w, fmt.Sprintf("yuccacleat_gate_held_back_targets{pool=%q,reason=%q}", pool.Pool, reason), counts[reason])
 	}
 }
@@ -167,6 +175,20 @@
 	}
 }
 
+// writeExcluded writes how many targets of each pool get no requests, by the reason.
+func writeExcluded(w io.Writer, status Status) {
+	counts := make(map[string]uint64)
+	for _, target := range status.Targets {
+		why := yuccaallow.Check(yuccaallow.Limits{}, nil, yuccaallow.Target{Leaving: target.Leaving, Evacuated: slices.Contains(status.Evacuated, target.Centre)})
+		if why != yuccaallow.Allowed {
+			counts[fmt.Sprintf("{pool=%q,reason=%q}", target.Pool, why)]++
+		}
+	}
+	for _, label := range slices.Sorted(maps.Keys(counts)) {
+		vm.WriteGaugeUint64(w, "yuccacleat_gate_excluded_targets"+label, counts[label])
+	}
+}
+
 func boolGauge(value bool) uint64 {
 	if value {
 		return 1
