A fleet with one data centre leaves no part of a cold target's budget to others

Cause: a sixth of the bound stayed unused where no other data centre exists. Change: no more leaders elsewhere have a part than there are other data centres.

--- a/core/yuccacold/shares.go
+++ b/core/yuccacold/shares.go
@@ -54,9 +54,9 @@
 	Alone  int
 }
 
-// Divide divides a bound.
-func Divide(perSecond int) Shares {
-	others, alone := perSecond/othersDivisor, perSecond/aloneDivisor
+// Divide divides a bound in a fleet with the given number of data centres besides the target's own.
+func Divide(perSecond, otherCentres int) Shares {
+	others, alone := min(perSecond/othersDivisor, otherCentres), perSecond/aloneDivisor
 	return Shares{Leader: perSecond - others - alone, Others: others, Alone: alone}
 }
 
--- a/core/yuccacold/shares_test.go
+++ b/core/yuccacold/shares_test.go
@@ -28,12 +28,16 @@
 	It("is never exceeded by all shares together", func() {
 		rapid.Check(GinkgoT(), func(t *rapid.T) {
 			perSecond := rapid.IntRange(1, 1000).Draw(t, "perSecond")
-			shares := yuccacold.Divide(perSecond)
+			shares := yuccacold.Divide(perSecond, rapid.IntRange(0, 14).Draw(t, "otherCentres"))
 			Expect(shares.Leader + shares.Others + shares.Alone).To(Equal(perSecond))
 			Expect(shares.Leader).To(BeNumerically(">=", 1))
 		})
 	})
 
+	It("leaves nothing to leaders elsewhere if there are none", func() {
+		Expect(yuccacold.Divide(12, 0)).To(Equal(yuccacold.Shares{Leader: 9, Alone: 3}))
+	})
+
 	// Guards against the failure that more daemons than their share send a target requests without the leader.
 	It("is used by as many of the chosen daemons as its share says", func() {
 		rapid.Check(GinkgoT(), func(t *rapid.T) {
--- a/core/yuccagrant/cold_test.go
+++ b/core/yuccagrant/cold_test.go
@@ -105,7 +105,7 @@
 	if flt.unbounded {
 		return yuccacold.Budget{}
 	}
-	shares, budget := yuccacold.Divide(flt.perSecond), yuccacold.Budget{Limit: flt.limit}
+	shares, budget := yuccacold.Divide(flt.perSecond, coldCentres-1), yuccacold.Budget{Limit: flt.limit}
 	var daemons, centres []string
 	for number := range coldDaemons {
 		daemons = append(daemons, fmt.Sprintf("entry-%d-%d", tgt.centre, number))
--- a/io/yuccagate/cold.go
+++ b/io/yuccagate/cold.go
@@ -113,7 +113,7 @@
 func (gate *Gate) budgetsOf(sched *scheduler) budgets {
 	buds := budgets{role: sched.budgetRole, centre: gate.settings.Centre, vm: gate.settings.VM, regions: gate.settings.Regions}
 	if buds.role.limit.Applies() {
-		buds.shares = yuccacold.Divide(gate.settings.Bounds.Cold.PerSecond(buds.role.limit))
+		buds.shares = yuccacold.Divide(gate.settings.Bounds.Cold.PerSecond(buds.role.limit), max(len(gate.settings.Regions)-1, 0))
 		buds.candidates = gate.candidateNames()
 	}
 	return buds
--- a/io/yuccagate/cold_test.go
+++ b/io/yuccagate/cold_test.go
@@ -26,7 +26,7 @@
 				candidates = append(candidates, fmt.Sprintf("entry-%s-%d", centre, vm))
 			}
 			for at, name := range candidates {
-				buds := budgets{role: budgetRole{limit: limit, leads: at == 3}, shares: yuccacold.Divide(perSecond), centre: centre, vm: yuccaid.VM(name), regions: regions, candidates: candidates}
+				buds := budgets{role: budgetRole{limit: limit, leads: at == 3}, shares: yuccacold.Divide(perSecond, len(regions)-1), centre: centre, vm: yuccaid.VM(name), regions: regions, candidates: candidates}
 				budget := buds.of(entry)
 				sum += budget.PerSecond
 				if budget.WhileCold {
