The smaller side of a data centre keeps a part of the budgets of targets that may be cold

Cause: a leader that saw half of its data centre's daemons or fewer could send requests only to the few targets that hashing gives a daemon which decides alone, one a second each. Change: such a leader may send each target its share of the part of daemons that decide alone; the parts of all smaller sides together stay within it (property), and nothing goes to cold targets. Tests of core/yuccacold and io/yuccagate pass.

--- a/core/yuccacold/shares.go
+++ b/core/yuccacold/shares.go
@@ -60,6 +60,16 @@
 	return Shares{Leader: perSecond - others - alone, Others: others, Alone: alone}
 }
 
+// Minority returns how many requests a leader may send a target of its data centre in any second if it sees no more than half
+// of the daemons there: those of the others may have a leader of their own, whom it can't reach. The parts of all such
+// leaders add up to no more than that of the daemons that decide alone.
+func (shares Shares) Minority(live, expected int) int {
+	if expected <= 0 || 2*live > expected {
+		return shares.Alone
+	}
+	return 2 * shares.Alone * live / expected
+}
+
 // AmongFirst reports whether a name is among the first of the names in the order that hashing with the target gives. The
 // order is the same for all daemons, and names that are missing or too many change it little.
 func AmongFirst(count int, target yuccaid.Target, name string, names []string) bool {
--- a/core/yuccacold/shares_test.go
+++ b/core/yuccacold/shares_test.go
@@ -38,6 +38,24 @@
 		Expect(yuccacold.Divide(12, 0)).To(Equal(yuccacold.Shares{Leader: 9, Alone: 3}))
 	})
 
+	// Guards against the failure that the sides of a data centre that has split use more than one of them alone, or that a side
+	// which has lost most of its daemons for good uses hardly anything.
+	It("is used in part by the smaller sides of a data centre that has split", func() {
+		shares := yuccacold.Divide(12, 5)
+		Expect(shares.Minority(5, 15)).To(Equal(2))
+		rapid.Check(GinkgoT(), func(t *rapid.T) {
+			shares := yuccacold.Divide(rapid.IntRange(1, 100).Draw(t, "perSecond"), 5)
+			expected := rapid.IntRange(2, 40).Draw(t, "expected")
+			sum, left := 0, expected/2
+			for left > 0 {
+				side := rapid.IntRange(1, left).Draw(t, "side")
+				sum += shares.Minority(side, expected)
+				left -= side
+			}
+			Expect(sum).To(BeNumerically("<=", shares.Alone))
+		})
+	})
+
 	// Guards against the failure that more daemons than their share send a target requests without the leader.
 	It("is used by as many of the chosen daemons as its share says", func() {
 		rapid.Check(GinkgoT(), func(t *rapid.T) {
--- a/io/yuccagate/cold.go
+++ b/io/yuccagate/cold.go
@@ -19,9 +19,11 @@
 // targets are never cold.
 type budgetRole struct {
 	limit yuccacold.Limit
-	// leads reports whether this daemon leads the pool and sees most of its data centre's daemons. candidates identifies
-	// the daemons that the data centre may have.
+	// leads reports whether this daemon leads the pool and sees most of its data centre's daemons. minority is what it may
+	// send each target of its data centre in a second if it leads the pool and sees fewer. candidates identifies the daemons
+	// that the data centre may have.
 	leads      bool
+	minority   int
 	candidates uint64
 }
 
@@ -36,7 +38,20 @@
 		digest.WriteString(name)
 		digest.Write([]byte{0})
 	}
-	return budgetRole{limit: limit, leads: sched.leads && gate.seesMostDaemons(now), candidates: digest.Sum64()}
+	role := budgetRole{limit: limit, candidates: digest.Sum64()}
+	switch {
+	case !sched.leads:
+	case gate.seesMostDaemons(now):
+		role.leads = true
+	default:
+		role.minority = gate.sharesOf(limit).Minority(len(gate.peers.Live(gate.settings.Centre)), gate.expectedDaemons(now))
+	}
+	return role
+}
+
+// sharesOf returns how the bound of a pool's targets is divided.
+func (gate *Gate) sharesOf(limit yuccacold.Limit) yuccacold.Shares {
+	return yuccacold.Divide(gate.settings.Bounds.Cold.PerSecond(limit), max(len(gate.settings.Regions)-1, 0))
 }
 
 // checkBudgets configures a scheduler anew if this daemon's budgets for its targets have changed, and logs which targets are
@@ -113,7 +128,7 @@
 func (gate *Gate) budgetsOf(sched *scheduler) budgets {
 	buds := budgets{role: sched.budgetRole, centre: gate.settings.Centre, vm: gate.settings.VM, regions: gate.settings.Regions}
 	if buds.role.limit.Applies() {
-		buds.shares = yuccacold.Divide(gate.settings.Bounds.Cold.PerSecond(buds.role.limit), max(len(gate.settings.Regions)-1, 0))
+		buds.shares = gate.sharesOf(buds.role.limit)
 		buds.candidates = gate.candidateNames()
 	}
 	return buds
@@ -130,6 +145,8 @@
 		}
 	case buds.role.leads:
 		budget.PerSecond, budget.WhileCold = buds.shares.Leader, true
+	case buds.role.minority > 0:
+		budget.PerSecond = buds.role.minority
 	case yuccacold.AmongFirst(buds.shares.Alone, entry.Target, string(buds.vm), buds.candidates):
 		budget.PerSecond = 1
 	}
--- a/io/yuccagate/cold_test.go
+++ b/io/yuccagate/cold_test.go
@@ -54,3 +54,17 @@
 		t.Errorf("got %+v", budget)
 	}
 }
+
+// Guards against the failure that the smaller side of a data centre that has split sends requests to cold targets, as the
+// larger one does.
+func TestASmallerSideSendsLittleAndNothingToColdTargets(t *testing.T) {
+	limit := yuccacold.Limit{Duration: 3 * time.Second, Rate: 5.2}
+	buds := budgets{role: budgetRole{limit: limit, minority: 2}, shares: yuccacold.Divide(12, 0), centre: "a1"}
+	want := yuccacold.Budget{Limit: limit, PerSecond: 2}
+	if budget := buds.of(yuccaroster.Entry{Target: "i-1", Centre: "a1"}); budget != want {
+		t.Errorf("got %+v, want %+v", budget, want)
+	}
+	if budget := buds.of(yuccaroster.Entry{Target: "i-1", Centre: "b1"}); budget.PerSecond != 0 {
+		t.Errorf("got %+v elsewhere", budget)
+	}
+}
