Leaders of several data centres no longer fill the same targets at once

Cause: each leader chooses among the targets of all data centres of its region, and knows of the runs that other leaders sent there by casts that are a tenth of a second old and leave out changes of one run. Daemons that had lost their leader also rounded their share of each target's slots up: twenty daemons used twenty slots of a target with four.

Change: targets know whether they are in the leader's own data centre. What remains when slots are divided among daemons goes to some of them, so that they use as many as there are.

Ruled out: casting every change of all targets (twice the traffic between regions, and the own leader knows its runs anyhow).

--- a/core/yuccagrant/centres_test.go
+++ b/core/yuccagrant/centres_test.go
@@ -40,11 +40,17 @@
 	sim.configure()
 }
 
-// drawLeader returns the leader of a random data centre.
+// drawLeader returns the leader of a random data centre, to which demand gives its share if it is set.
 func (sim *simulation) drawLeader() *yuccagrant.Leader {
 	if len(sim.leaders) == 1 {
 		return sim.leaders[0]
 	}
+	draw := sim.rng.Float64()
+	for number, share := range sim.demand {
+		if draw -= share; draw < 0 {
+			return sim.leaders[number]
+		}
+	}
 	return sim.leaders[sim.rng.IntN(len(sim.leaders))]
 }
 
--- a/core/yuccagrant/choose.go
+++ b/core/yuccagrant/choose.go
@@ -119,10 +119,7 @@
 	wait := seconds(float64(max(busySlots-tgt.Slots+1, 0)) * base.expectedHold * tgt.pace / slots)
 	candidate := choice{targetState: tgt, available: avail, expectedTimeToFirst: wait + firstWithoutWait + tgt.RoundTrip}
 	candidate.cost = candidate.expectedTimeToFirst + time.Duration((crowding+tgt.bias)*float64(firstWithoutWait)) +
-		time.Duration(tgt.lateFraction*float64(lateGapCost)) + time.Duration(tgt.failureRate*float64(failureCost)) + avail.fetchCost
-	if tgt.Remote {
-		candidate.cost += remoteCost
-	}
+		time.Duration(tgt.lateFraction*float64(lateGapCost)) + time.Duration(tgt.failureRate*float64(failureCost)) + avail.fetchCost + tgt.centreCost()
 	remaining := req.SoftDeadline.Sub(now)
 	candidate.suitable = candidate.expectedTimeToFirst <= time.Duration(softDeadlineShare*float64(remaining)) && !exceedsMaxGap(tgt, req, avail.tokens, base)
 	return candidate
--- a/core/yuccagrant/leader.go
+++ b/core/yuccagrant/leader.go
@@ -69,7 +69,6 @@
 		}
 		tgt.Target = target
 		tgt.totalSlots = target.Slots
-		tgt.setLeaderCount(lead.leaderCount)
 		lead.targets = append(lead.targets, tgt)
 		lead.targetsByName[target.Name] = tgt
 	}
@@ -79,6 +78,7 @@
 		}
 	}
 	slices.SortFunc(lead.targets, func(a, b *targetState) int { return cmp.Or(compareRemote(a, b), cmp.Compare(a.Name, b.Name)) })
+	lead.shareSlots()
 	lead.remoteBound.configure(lead.targets)
 	lead.pacesChanged = true
 	switch {
@@ -111,9 +111,7 @@
 		return dec
 	}
 	lead.leaderCount = leaderCount
-	for _, tgt := range lead.targets {
-		tgt.setLeaderCount(leaderCount)
-	}
+	lead.shareSlots()
 	lead.grantSlots(now, &dec)
 	return dec
 }
@@ -298,17 +296,22 @@
 }
 
 // TargetLoad is the number of runs that a leader has on one target, and the pace that the leader
-// has learned for the target, zero if it is unknown.
+// has learned for the target, zero if it is unknown. OtherCentre reports that the target is in
+// another data centre than the leader.
 type TargetLoad struct {
-	Runs int
-	Pace float64
+	Runs        int
+	Pace        float64
+	OtherCentre bool
 }
 
+// IsZero reports whether there is nothing to tell of the target.
+func (load TargetLoad) IsZero() bool { return load.Runs == 0 && load.Pace == 0 }
+
 // Loads iterates over the targets that have runs of this leader or a known pace.
 func (lead *Leader) Loads() iter.Seq2[yuccaid.Target, TargetLoad] {
 	return func(yield func(yuccaid.Target, TargetLoad) bool) {
 		for _, tgt := range lead.targets {
-			if load := tgt.load(); load != (TargetLoad{}) && !yield(tgt.Name, load) {
+			if load := tgt.load(); !load.IsZero() && !yield(tgt.Name, load) {
 				return
 			}
 		}
--- a/core/yuccagrant/request.go
+++ b/core/yuccagrant/request.go
@@ -193,6 +193,9 @@
 	Version yuccaid.Version
 	// RoundTrip is the network round-trip time to the target.
 	RoundTrip time.Duration
+	// OtherCentre reports that the target is in another data centre, whose leader sends it most of its
+	// runs.
+	OtherCentre bool
 	// Remote reports that the target is in another region, so that traffic to it is billed by
 	// volume.
 	Remote bool
--- a/core/yuccagrant/share.go
+++ b/core/yuccagrant/share.go
@@ -14,6 +14,27 @@
 	maxShareLoad = 2
 )
 
+// shareSlots sets how many slots of each target this leader uses: its share of them. What remains of the
+// division goes to some of the leaders, whom the bias of the target tells. If each leader rounded its
+// share up, twenty leaders would use twenty slots of each target that has four.
+func (lead *Leader) shareSlots() {
+	short, sum := lead.shortRuns(), 0
+	for _, tgt := range lead.targets {
+		tgt.Slots = tgt.totalSlots / lead.leaderCount
+		remainder := tgt.totalSlots % lead.leaderCount
+		if tgt.bias*float64(lead.leaderCount) < biasShare*float64(remainder) {
+			tgt.Slots++
+		}
+		sum += tgt.Slots
+	}
+	for _, tgt := range lead.targets {
+		if sum == 0 {
+			tgt.Slots = 1
+		}
+		tgt.setOvercommit(short)
+	}
+}
+
 // belowShare reports whether this leader has fewer runs than its share of the pool's slots, in a pool
 // whose runs are shorter than the delay of the other leaders' reports.
 //
@@ -63,6 +84,7 @@
 		others += tgt.otherCentreRuns
 	}
 	for _, tgt := range lead.targets {
+		tgt.setOvercommit(stale)
 		tgt.assumedOtherRuns = tgt.otherCentreRuns
 		if stale && slots > 0 {
 			tgt.assumedOtherRuns = int(math.Round(float64(others) * float64(tgt.Slots) / float64(slots)))
--- a/core/yuccagrant/target.go
+++ b/core/yuccagrant/target.go
@@ -37,6 +37,8 @@
 	// assumedOtherRuns is the number of runs that the leaders of other data centres are assumed to
 	// have on this target; see Leader.spreadOtherRuns.
 	assumedOtherRuns int
+	// overcommit is how many requests beyond the slots may be sent to the target.
+	overcommit int
 	// cache is an estimate of the parts of prompts that the target holds. held is how many tokens of
 	// the prompt of one request it holds. held belongs to the request for which the leader's
 	// generation was heldGeneration.
@@ -76,14 +78,9 @@
 	return &targetState{Target: target, runs: make(map[ID]*activeRun), pace: 1, bias: bias, cache: yuccacache.New(0, 0)}
 }
 
-// setLeaderCount sets Slots to this leader's share of the slots, rounded up.
-func (tgt *targetState) setLeaderCount(leaderCount int) {
-	tgt.Slots = (tgt.totalSlots + leaderCount - 1) / leaderCount
-}
-
 // load returns what is reported to other leaders about the target.
 func (tgt *targetState) load() TargetLoad {
-	load := TargetLoad{Runs: len(tgt.runs)}
+	load := TargetLoad{Runs: len(tgt.runs), OtherCentre: tgt.OtherCentre}
 	if tgt.paceSamples >= minPaceSamples {
 		load.Pace = tgt.pace
 	}
@@ -130,7 +127,7 @@
 // idle until the leader learns of it. More requests must not wait there, because the target's queue
 // ignores ranks.
 func (tgt *targetState) grantableSlots(now time.Time) int {
-	return max(tgt.Slots+(tgt.Slots+overcommitDivisor-1)/overcommitDivisor-tgt.busySlots(now), 0)
+	return max(tgt.Slots+tgt.overcommit-tgt.busySlots(now), 0)
 }
 
 // recordReport compares the load that the target reported with the runs that the leaders know of.
--- a/core/yuccagrant/world_test.go
+++ b/core/yuccagrant/world_test.go
@@ -116,6 +116,10 @@
 	// their loads.
 	inFlight []cast
 	lastCast time.Time
+	// demand, if set, holds the share of the requests that comes to each data centre.
+	demand []float64
+	// centreOf, if set, returns the number of the data centre that an engine is in.
+	centreOf func(eng *engine) int
 	engines  []*engine
 	jobs     map[yuccagrant.ID]*job
 	all      []*job
@@ -152,7 +156,10 @@
 		}
 		targets = append(targets, target)
 	}
-	for _, lead := range sim.leaders {
+	for number, lead := range sim.leaders {
+		for at, eng := range sim.engines {
+			targets[at].OtherCentre = sim.centreOf != nil && sim.centreOf(eng) != number
+		}
 		sim.apply(lead.SetTargets(sim.now, targets))
 	}
 }
--- a/io/yuccagate/loads.go
+++ b/io/yuccagate/loads.go
@@ -131,21 +131,22 @@
 // changedLoads returns the loads to send, and records them as sent. If full is set, it returns the
 // loads of all targets that have any. Otherwise it returns only the loads of targets that are new,
 // whose number of runs has changed by at least minDelta, or whose pace has changed. A target that
-// has become idle is always included.
+// has become idle is always included, and so is each change on a target of another data centre, whose
+// own leader would otherwise overload it.
 func (sched *scheduler) changedLoads(full bool, minDelta int) []yuccawire.TargetLoad {
 	var loads []yuccawire.TargetLoad
 	for target, load := range sched.local.Loads() {
 		current := wireTargetLoad(target, load)
 		previous, sent := sched.sentLoads[target]
 		delta := max(previous.Runs-current.Runs, current.Runs-previous.Runs)
-		changed := !sent || delta >= minDelta || delta > 0 && current.Runs == 0 || paceChanged(previous.Pace, current.Pace)
+		changed := !sent || delta >= minDelta || delta > 0 && (current.Runs == 0 || load.OtherCentre) || paceChanged(previous.Pace, current.Pace)
 		if full || changed {
 			sched.sentLoads[target] = current
 			loads = append(loads, current)
 		}
 	}
 	for target := range sched.sentLoads {
-		if sched.local.Load(target) == (yuccagrant.TargetLoad{}) {
+		if sched.local.Load(target).IsZero() {
 			loads = append(loads, yuccawire.TargetLoad{Target: target})
 			delete(sched.sentLoads, target)
 		}
--- a/io/yuccagate/targets.go
+++ b/io/yuccagate/targets.go
@@ -361,6 +361,7 @@
 	engine := gate.engineOf(sched.pool)
 	for _, entry := range usable {
 		target := yuccagrant.Target{Name: entry.Target, Slots: max(entry.Slots, 1), CacheTokens: engine.CacheTokens, FetchRate: engine.FetchRate, StartMillis: entry.StartMillis, Version: entry.StreamVersion()}
+		target.OtherCentre = entry.Centre != gate.settings.Centre
 		if gate.settings.Regions[entry.Centre] != gate.settings.Regions[gate.settings.Centre] {
 			target.Remote = true
 			target.RoundTrip = regionRoundTrip
