A target on which run after run fails is tried by one request at a time

Cause: after its backoff a target that resets connections looks idle, and each of six leaders sent it as many requests as it has slots, and found out by itself; the end of a run that had begun before ended the count of failures, so the backoff stayed at 0.3 s.

Change: only a run that was sent after the last failure and has begun ends the count. After three failures in a row a target is tried by one request at a time, which isn't one of the most urgent rank unless no other comes for a second, and the leader tells the others, which wait longer than itself. A leader on more than half of whose targets runs fail tells nothing, since the cause is most likely its own; one whose own run has begun there within half a second doesn't listen. Older builds ignore the new topic of casts.

Ruled out: tripping at the first failure (targets that lose a third of their answers would serve one request at a time); asking health checks (they lie here, and are priced).

--- a/core/yuccagrant/centres_test.go
+++ b/core/yuccagrant/centres_test.go
@@ -25,6 +25,7 @@
 	from     *yuccagrant.Leader
 	loads    map[yuccaid.Target]yuccagrant.TargetLoad
 	parts    []yuccagrant.HeldPart
+	failures []yuccagrant.TargetFailures
 	arriveAt time.Time
 }
 
@@ -67,7 +68,7 @@
 			for target, load := range lead.Loads() {
 				loads[target] = load
 			}
-			sim.inFlight = append(sim.inFlight, cast{from: lead, loads: loads, parts: lead.TakeNewParts(16), arriveAt: sim.now.Add(simCastDelay)})
+			sim.inFlight = append(sim.inFlight, cast{from: lead, loads: loads, parts: lead.TakeNewParts(16), failures: lead.TakeFailures(), arriveAt: sim.now.Add(simCastDelay)})
 		}
 	}
 	if len(sim.inFlight) > 0 && !sim.now.Before(sim.inFlight[0].arriveAt) {
@@ -82,6 +83,9 @@
 		for _, each := range casts {
 			if each.from != lead {
 				lead.AddHeldParts(each.parts)
+				if !sim.secretive {
+					sim.apply(lead.AddFailures(sim.now, each.failures))
+				}
 			}
 		}
 		totals := make(map[yuccaid.Target]yuccagrant.TargetLoad)
--- a/core/yuccagrant/choose.go
+++ b/core/yuccagrant/choose.go
@@ -89,7 +89,7 @@
 		if at >= lead.remoteBound.localCount && best.suitable && best.cost <= minRemoteCost {
 			return best
 		}
-		if tgt.grantableSlots(now) == 0 || tgt.backingOff(now) || !tgt.mayServe(req) {
+		if tgt.grantableSlots(now) == 0 || tgt.backingOff(now) || !tgt.mayServe(req) || !lead.mayTry(now, tgt, req) {
 			continue
 		}
 		best = best.better(lead.estimate(now, tgt, req, &base))
@@ -137,25 +137,25 @@
 	return seconds(tgt.pace*base.gap) > req.MaxGap/2 || tgt.pace > slowPace && prefill > req.MaxGap
 }
 
-// freeSlots returns the number of free slots on targets that are not backing off.
+// freeSlots returns the number of free slots on targets that are neither backing off nor tripped.
 func (lead *Leader) freeSlots(now time.Time) int {
 	sum := 0
 	for _, tgt := range lead.targets {
-		if !tgt.backingOff(now) {
+		if !tgt.backingOff(now) && !tgt.tripped() {
 			sum += tgt.freeSlots(now)
 		}
 	}
 	return sum
 }
 
-// slotCapacity returns the capacity of the targets that are not backing off, as a number of slots
+// slotCapacity returns the capacity of the targets that are neither backing off nor tripped, as a number of slots
 // of the fastest target: a slot of another target counts for 1/pace. The result is the sum times
 // this leader's share of all runs on these targets, because the leaders of other data centres use
 // the rest. ownRuns and allRuns start at 1, so that the share is defined while there are no runs.
 func (lead *Leader) slotCapacity(now time.Time) float64 {
 	sum, ownRuns, allRuns := 0.0, 1, 1
 	for _, tgt := range lead.targets {
-		if tgt.backingOff(now) {
+		if tgt.backingOff(now) || tgt.tripped() {
 			continue
 		}
 		sum += float64(tgt.Slots) / tgt.pace
--- a/core/yuccagrant/leader.go
+++ b/core/yuccagrant/leader.go
@@ -38,6 +38,9 @@
 	// newParts are the parts that targets have begun to hold and that haven't been reported to other
 	// leaders.
 	newParts []HeldPart
+	// newFailures are the targets whose failures have changed since they were last reported to other
+	// leaders.
+	newFailures map[yuccaid.Target]bool
 	// withoutTargetsSince is the time since which there has been no target. It is zero while
 	// there are targets.
 	withoutTargetsSince time.Time
@@ -194,6 +197,7 @@
 		return dec
 	}
 	run.started = true
+	lead.recordBegun(run)
 	run.targetState.recordReport(now, load)
 	lead.learnTimeToFirst(run, took)
 	lead.grantSlots(now, &dec)
--- a/core/yuccagrant/learn.go
+++ b/core/yuccagrant/learn.go
@@ -48,7 +48,7 @@
 		lead.learnServed(now, run, result)
 	case Failed:
 		// The target answered, so earlier failures to reach it no longer count.
-		tgt.consecutiveFailures = 0
+		lead.recordBegun(run)
 		tgt.learnFailure(true)
 	case Rejected:
 		// A target that is full gets no requests for half of minBackoff, however often it
@@ -59,7 +59,7 @@
 		tgt.learnFailure(true)
 	case Unreachable, Lost, Misdirected:
 		tgt.learnFailure(true)
-		tgt.backOff(now)
+		lead.recordFailure(now, tgt)
 	case Dropped:
 		// This outcome says nothing about the target.
 	}
@@ -69,7 +69,7 @@
 // its answer, and the gaps between its events.
 func (lead *Leader) learnServed(now time.Time, run *activeRun, result Finished) {
 	tgt := run.targetState
-	tgt.consecutiveFailures = 0
+	lead.recordBegun(run)
 	tgt.learnFailure(false)
 	lead.latencyModel.learnHold(now.Sub(run.sent).Seconds() / tgt.pace)
 	if run.request.MaxGap > 0 {
--- a/core/yuccagrant/parts.go
+++ b/core/yuccagrant/parts.go
@@ -45,7 +45,7 @@
 		}
 		tgt.heldGeneration = lead.generation
 		tgt.held = req.tokensOf(parts)
-		if !tgt.backingOff(now) && (holder == nil || tgt.held > holder.held || tgt.held == holder.held && holder.Remote && !tgt.Remote) {
+		if !tgt.backingOff(now) && !tgt.tripped() && (holder == nil || tgt.held > holder.held || tgt.held == holder.held && holder.Remote && !tgt.Remote) {
 			holder = tgt
 		}
 		return true
@@ -162,7 +162,7 @@
 		return
 	}
 	for _, tgt := range lead.targets {
-		for tgt.cache.Len() > 0 && tgt.grantableSlots(now) > 0 && !tgt.backingOff(now) {
+		for tgt.cache.Len() > 0 && tgt.grantableSlots(now) > 0 && !tgt.backingOff(now) && !tgt.tripped() {
 			entry := lead.firstOn(now, tgt, tier, eligible)
 			if entry == nil {
 				break
--- a/core/yuccagrant/serve.go
+++ b/core/yuccagrant/serve.go
@@ -81,7 +81,7 @@
 	wait := lead.timeToFreeSlot(now)
 	base := lead.baseline(now, req)
 	for _, tgt := range lead.targets {
-		if tgt.backingOff(now) || !tgt.mayServe(req) {
+		if tgt.backingOff(now) || tgt.tripped() || !tgt.mayServe(req) {
 			continue
 		}
 		candidate := lead.estimate(now, tgt, req, &base)
--- a/core/yuccagrant/share.go
+++ b/core/yuccagrant/share.go
@@ -49,7 +49,7 @@
 	}
 	slots, others := 0, 0
 	for _, tgt := range lead.targets {
-		if !tgt.backingOff(now) {
+		if !tgt.backingOff(now) && !tgt.tripped() {
 			slots += tgt.Slots
 			others += tgt.otherCentreRuns
 		}
@@ -63,7 +63,7 @@
 func (lead *Leader) chooseWithinShare(now time.Time, req *Request, base *baseline) choice {
 	best := choice{cost: math.MaxInt64}
 	for _, tgt := range lead.targets {
-		if tgt.busySlots(now) < maxShareLoad*tgt.Slots && !tgt.backingOff(now) && tgt.mayServe(req) {
+		if tgt.busySlots(now) < maxShareLoad*tgt.Slots && !tgt.backingOff(now) && tgt.mayServe(req) && lead.mayTry(now, tgt, req) {
 			best = best.better(lead.estimate(now, tgt, req, base))
 		}
 	}
--- a/core/yuccagrant/sizes.go
+++ b/core/yuccagrant/sizes.go
@@ -67,3 +67,16 @@
 	stats.servedShare += rankStatsWeight * (sample - stats.servedShare)
 	stats.meanWork += rankStatsWeight * (work - stats.meanWork)
 }
+
+// mostUrgent reports whether no request of a more urgent rank has been seen, but requests of less urgent
+// ranks have.
+func (ss *sizeStats) mostUrgent(rank int) bool {
+	less := false
+	for other := range ss.ranks {
+		if other < rank {
+			return false
+		}
+		less = less || other > rank
+	}
+	return less
+}
--- a/core/yuccagrant/target.go
+++ b/core/yuccagrant/target.go
@@ -26,6 +26,9 @@
 	// backoffUntil is the time before which the target gets no requests because of a failure.
 	backoffUntil        time.Time
 	consecutiveFailures int
+	// failedAt is when the last such failure was recorded, and provenAt when the last run was sent that
+	// has begun since.
+	failedAt, provenAt time.Time
 	// unaccounted is the number of runs that the target reported beyond the runs that the leaders
 	// know of, reduced by unaccountedSlack. These runs count as occupied slots until
 	// unaccountedUntil.
@@ -163,10 +166,14 @@
 
 // backOff records a failure after which the target gets no requests for a while.
 func (tgt *targetState) backOff(now time.Time) {
-	// The shift is bounded because the delay would otherwise overflow.
-	delay := min(minBackoff<<min(tgt.consecutiveFailures, 8), maxBackoff)
 	tgt.consecutiveFailures++
-	tgt.backoffUntil = now.Add(delay)
+	tgt.backoffUntil = now.Add(backoffAfter(tgt.consecutiveFailures))
+}
+
+// backoffAfter returns the backoff after the given number of consecutive failures.
+func backoffAfter(failures int) time.Duration {
+	// The shift is bounded because the backoff would otherwise overflow.
+	return min(minBackoff<<min(failures-1, 8), maxBackoff)
 }
 
 func (tgt *targetState) learnFailure(failed bool) {
--- a/core/yuccagrant/world_test.go
+++ b/core/yuccagrant/world_test.go
@@ -62,6 +62,8 @@
 	first   time.Time
 	ends    time.Time
 	outcome yuccagrant.Outcome
+	// engine is the engine that the request was last sent to.
+	engine *engine
 	// The fields from refused to done are what the caller saw: retryAfter is set for a refused
 	// request, onTime reports that no event so far was late, and done reports that the answer is
 	// complete.
@@ -118,6 +120,8 @@
 	lastCast time.Time
 	// demand, if set, holds the share of the requests that comes to each data centre.
 	demand []float64
+	// secretive is set if the leaders don't tell one another of failing targets.
+	secretive bool
 	// centreOf, if set, returns the number of the data centre that an engine is in.
 	centreOf func(eng *engine) int
 	engines  []*engine
@@ -270,7 +274,7 @@
 }
 
 func (sim *simulation) sendTo(jb *job, eng *engine) {
-	jb.sent = sim.now
+	jb.sent, jb.engine = sim.now, eng
 	if eng.fails != nil {
 		jb.outcome = eng.fails(sim.now)
 	}
--- a/io/yuccagate/cast.go
+++ b/io/yuccagate/cast.go
@@ -58,13 +58,13 @@
 // daemon's own connections to other data centres, and to daemons of this data centre, which
 // forward it over their connections to other data centres.
 //
-// Only the leaders of other data centres need the loads of a pool's targets, which are sent ten
-// times a second. When every daemon received the loads, they made up nine tenths of the messages
-// between daemons and grew with the square of the number of daemons in a data centre. So within
-// this data centre, loads are sent only to the daemons that hold connections to other data
-// centres. While no such daemon is known, loads are sent to all daemons of this data centre.
+// Only the leaders of other data centres need the loads and failures of a pool's targets. Loads are
+// sent ten times a second. When every daemon received the loads, they made up nine tenths of the
+// messages between daemons and grew with the square of the number of daemons in a data centre. So
+// within this data centre, both are sent only to the daemons that hold connections to other data
+// centres. While no such daemon is known, they are sent to all daemons of this data centre.
 func (gate *Gate) cast(message yuccawire.Cast) {
-	if message.Topic == yuccawire.TopicLoad {
+	if message.Topic.ForLeaders() {
 		gate.castRemote(message)
 		return
 	}
@@ -103,10 +103,10 @@
 	}
 }
 
-// forwardCast forwards a cast from another data centre within this data centre. Loads of targets
-// go only to the pool's leader, if there is one; all other casts go to all daemons.
+// forwardCast forwards a cast from another data centre within this data centre. Loads and
+// failures of targets go only to the pool's leader, if there is one; all other casts go to all daemons.
 func (gate *Gate) forwardCast(message yuccawire.Cast) {
-	if message.Topic != yuccawire.TopicLoad {
+	if !message.Topic.ForLeaders() {
 		gate.sendLocal(yuccawire.KindCast, message)
 		return
 	}
@@ -151,6 +151,8 @@
 		gate.onCentreUse(now, message)
 	case yuccawire.TopicLoad:
 		gate.onCentreLoad(now, message)
+	case yuccawire.TopicFailures:
+		gate.onCentreFailures(now, message)
 	case yuccawire.TopicFresh:
 		gate.onRemoteFresh(now, from, message)
 	case yuccawire.TopicTargets:
--- a/io/yuccagate/scheduler.go
+++ b/io/yuccagate/scheduler.go
@@ -100,6 +100,7 @@
 		if sched.leads {
 			gate.castLoad(now, sched)
 		}
+		gate.castFailures(sched)
 	}
 	gate.tickPlacements(now)
 }
--- a/io/yuccawire/gate.go
+++ b/io/yuccawire/gate.go
@@ -77,8 +77,14 @@
 	TopicFresh
 	// TopicTargets carries changes of targets that a daemon has read from the platform.
 	TopicTargets
+	// TopicFailures tells on which targets several runs in a row have failed, and which serve again.
+	// Older builds ignore it.
+	TopicFailures
 )
 
+// ForLeaders reports whether casts on the topic concern only the leaders of a pool.
+func (topic Topic) ForLeaders() bool { return topic == TopicLoad || topic == TopicFailures }
+
 // Cast is a message from one daemon to all daemons of the other data centres. Those that
 // hold a connection between two data centres pass it on; Sequence tells a copy.
 type Cast struct {
@@ -119,7 +125,8 @@
 }
 
 // TargetLoad is how many runs a data centre has on one target, and how many hundredths of
-// the quickest one's time the target takes, zero if that isn't known.
+// the quickest one's time the target takes, zero if that isn't known. In casts on TopicFailures, Runs
+// is how many runs in a row have failed, zero once the target serves again.
 type TargetLoad struct {
 	Target yuccaid.Target
 	Runs   int
