How long work takes on a target at the moment counts in placing and waiting

A pace learned in a slow moment was held against the target for many answers.

Change: core/yuccaspeed learns, from all targets of a pool, for how long a stated figure holds (from the figures that follow one another, by age) and how far it can be trusted (from how long work then took), and gives the factor by which work that begins now differs from the usual. The leader multiplies the learned pace by it where it estimates the first event and the capacity for waiting requests, and divides it out of what it learns. A figure that is missing, old or false gives the factor 1. Each leader uses what its own answers state, which no two leaders do at the same moment. Begun and Ended carry the figure as a third number of their load; a leader of an older build takes three numbers as no load, so during an upgrade it doesn't notice runs that it doesn't know of.

--- a/core/yuccagrant/choose.go
+++ b/core/yuccagrant/choose.go
@@ -84,7 +84,7 @@
 	best := choice{cost: math.MaxInt64}
 	base := lead.baseline(now, req)
 	minFirst := max(base.expectedTimeToFirst-seconds(base.perToken*float64(lead.longestHeld(req))), 0)
-	minRemoteCost := time.Duration(lead.remoteBound.minPace*float64(minFirst)) + lead.remoteBound.minRoundTrip + remoteCost
+	minRemoteCost := time.Duration(lead.remoteBound.minPace*lead.leastSlowness()*float64(minFirst)) + lead.remoteBound.minRoundTrip + remoteCost
 	for at, tgt := range lead.targets {
 		if at >= lead.remoteBound.localCount && best.suitable && best.cost <= minRemoteCost {
 			return best
@@ -112,7 +112,7 @@
 // occupied, the time to the first event includes the wait for a slot to become free.
 func (lead *Leader) estimate(now time.Time, tgt *targetState, req *Request, base *baseline) choice {
 	avail := lead.available(tgt, req, base)
-	firstWithoutWait := avail.fetchTime + time.Duration(tgt.pace*float64(base.expectedTimeToFirst+seconds(base.perToken*float64(tgt.pendingPrefill(now, base.slope)-avail.tokens))))
+	firstWithoutWait := avail.fetchTime + time.Duration(tgt.pace*lead.slowness(now, tgt)*float64(base.expectedTimeToFirst+seconds(base.perToken*float64(tgt.pendingPrefill(now, base.slope)-avail.tokens))))
 	busySlots := tgt.busySlots(now)
 	slots := float64(max(tgt.Slots, 1))
 	crowding := crowdingShare * float64(busySlots) / slots
@@ -149,7 +149,7 @@
 }
 
 // slotCapacity returns the capacity of the targets that are neither backing off nor tripped, as a number of slots
-// of the fastest target: a slot of another target counts for 1/pace. The result is the sum times
+// of the fastest target: a slot of another target counts for 1/pace, at its present speed. The result is the sum times
 // this leader's share of all runs on these targets, because the leaders of other data centres use
 // the rest. ownRuns and allRuns start at 1, so that the share is defined while there are no runs.
 func (lead *Leader) slotCapacity(now time.Time) float64 {
@@ -158,7 +158,7 @@
 		if tgt.backingOff(now) || tgt.tripped() {
 			continue
 		}
-		sum += float64(tgt.Slots) / tgt.pace
+		sum += float64(tgt.Slots) / (tgt.pace * lead.slowness(now, tgt))
 		ownRuns += len(tgt.runs)
 		allRuns += len(tgt.runs) + tgt.otherCentreRuns
 	}
--- a/core/yuccagrant/leader.go
+++ b/core/yuccagrant/leader.go
@@ -9,6 +9,7 @@
 
 	"yuccacleat/core/yuccacache"
 	"yuccacleat/core/yuccaid"
+	"yuccacleat/core/yuccaspeed"
 )
 
 // Leader schedules the requests of one pool. It isn't safe for concurrent use.
@@ -30,6 +31,8 @@
 	latencyModel latencyModel
 	lengthModel  lengthModel
 	sizeStats    sizeStats
+	// speeds estimates from what targets state how long work takes there at the moment.
+	speeds yuccaspeed.Model
 	// parts finds the targets that hold the parts of a prompt. generation counts the requests for
 	// which that was looked up.
 	parts      yuccacache.Index[*targetState]
@@ -199,7 +202,8 @@
 	run.started = true
 	lead.recordBegun(run)
 	run.targetState.recordReport(now, load)
-	lead.learnTimeToFirst(run, took)
+	lead.recordSpeed(now, run, load)
+	lead.learnTimeToFirst(now, run, took)
 	lead.grantSlots(now, &dec)
 	return dec
 }
@@ -212,7 +216,8 @@
 		return dec
 	}
 	if result.TimeToFirst > 0 && !run.started {
-		lead.learnTimeToFirst(run, result.TimeToFirst)
+		lead.recordSpeed(now, run, result.Load)
+		lead.learnTimeToFirst(now, run, result.TimeToFirst)
 	}
 	if !run.started {
 		run.targetState.recordReport(now, result.Load)
--- a/core/yuccagrant/learn.go
+++ b/core/yuccagrant/learn.go
@@ -11,13 +11,15 @@
 // whose class announces wrong prompt lengths, and of runs whose fetch may have saved nothing. The pace
 // isn't learned until the latency model includes two times, because the first time only defines the
 // model.
-func (lead *Leader) learnTimeToFirst(run *activeRun, took time.Duration) {
+func (lead *Leader) learnTimeToFirst(now time.Time, run *activeRun, took time.Duration) {
 	targetTime := max(took-run.targetState.RoundTrip, time.Millisecond).Seconds()
 	if run.fetchFrom != "" {
 		lead.learnFetch(run, targetTime)
 		targetTime = max(targetTime-run.fetchTime.Seconds(), time.Millisecond.Seconds())
 	}
 	expected := max(lead.latencyModel.expectedTimeToFirst(run.unread+run.ahead), time.Millisecond).Seconds()
+	lead.learnSpeed(run, targetTime/run.targetState.pace/expected)
+	targetTime = lead.usualTime(now, run.targetState, targetTime)
 	promptReliable := run.request.MaxGap == 0 || lead.lengthModel.learnTimeToFirst(run.request.Class, targetTime/run.targetState.pace/expected)
 	if promptReliable && (run.fetchFrom == "" || lead.fetches.reliable()) {
 		lead.latencyModel.learnTimeToFirst(run.unread+run.ahead, targetTime/run.targetState.pace)
@@ -76,7 +78,7 @@
 		lead.lengthModel.learnAnswer(&run.request, result.Events)
 	}
 	if result.Events > minPaceEvents && result.Span > 0 {
-		gap := result.Span.Seconds() / float64(result.Events-1)
+		gap := lead.usualTime(now, tgt, result.Span.Seconds()) / float64(result.Events-1)
 		expected := lead.latencyModel.gap()
 		lead.latencyModel.learnGap(gap / tgt.pace)
 		if lead.latencyModel.gapSamples > 1 {
--- a/core/yuccagrant/request.go
+++ b/core/yuccagrant/request.go
@@ -5,6 +5,7 @@
 
 	"yuccacleat/core/yuccacache"
 	"yuccacleat/core/yuccaid"
+	"yuccacleat/core/yuccaspeed"
 )
 
 // ID identifies a request by its owner, which is the daemon that holds the caller's connection,
@@ -162,11 +163,13 @@
 }
 
 // ReportedLoad holds the numbers of requests that a target reports as running and as waiting in
-// its own queue. Known is false if the target reported no load.
+// its own queue. Known is false if the target reported no load. Slowness is how many times as long as
+// usual work takes there now, zero if the target doesn't say.
 type ReportedLoad struct {
-	Known   bool
-	Running int
-	Waiting int
+	Known    bool
+	Running  int
+	Waiting  int
+	Slowness yuccaspeed.Factor
 }
 
 // Running is a run that an owner reports to a new leader.
--- a/core/yuccagrant/serve.go
+++ b/core/yuccagrant/serve.go
@@ -135,6 +135,7 @@
 		request: request, targetState: tgt, sent: now, dueAfter: estimate.expectedTimeToFirst,
 		unread: request.Prompt - estimate.available.tokens, held: lead.heldTokens(tgt, &request), fetchFrom: estimate.available.from, fetchTime: estimate.available.fetchTime,
 	}
+	run.speed = tgt.speed
 	run.ahead = tgt.pendingPrefill(now, base.slope)
 	lead.recordParts(tgt, &request)
 	lead.runs[request.ID] = run
--- a/core/yuccagrant/target.go
+++ b/core/yuccagrant/target.go
@@ -5,6 +5,7 @@
 
 	"yuccacleat/core/yuccacache"
 	"yuccacleat/core/yuccaid"
+	"yuccacleat/core/yuccaspeed"
 )
 
 // targetState is a target as configured, together with its runs and what the leader has learned
@@ -42,6 +43,8 @@
 	assumedOtherRuns int
 	// overcommit is how many requests beyond the slots may be sent to the target.
 	overcommit int
+	// speed is what the target last stated about how long work takes there.
+	speed yuccaspeed.Reading
 	// cache is an estimate of the parts of prompts that the target holds. held is how many tokens of
 	// the prompt of one request it holds. held belongs to the request for which the leader's
 	// generation was heldGeneration.
@@ -73,6 +76,8 @@
 	held      yuccaid.Tokens
 	fetchFrom yuccaid.Target
 	fetchTime time.Duration
+	// speed is what the target had stated about its speed when the request was sent.
+	speed yuccaspeed.Reading
 	// ahead is how many tokens of the prompts of other runs the target had to read first.
 	ahead yuccaid.Tokens
 }
--- a/core/yuccagrant/world_test.go
+++ b/core/yuccagrant/world_test.go
@@ -24,6 +24,10 @@
 	name  yuccaid.Target
 	slots int
 	pace  float64
+	// slowness, if set, returns how many times as long as usual work that begins now takes, and states what
+	// the engine says of it. If states is nil, the engine says nothing.
+	slowness func(now time.Time) float64
+	states   func(slowness float64) float64
 	// fails returns the outcome of a run that is sent now. If fails is nil, all runs are Served.
 	fails func(now time.Time) yuccagrant.Outcome
 	queue []*job
@@ -322,7 +326,7 @@
 			jb.first = sim.now
 			jb.onTime = !sim.now.After(jb.req.SoftDeadline)
 			if !sim.leastOutstanding {
-				sim.apply(jb.lead.RunStarted(sim.now, jb.req.ID, sim.now.Sub(jb.sent), yuccagrant.ReportedLoad{}))
+				sim.apply(jb.lead.RunStarted(sim.now, jb.req.ID, sim.now.Sub(jb.sent), eng.reportedLoad(sim.now)))
 			}
 		}
 		if sim.now.Before(jb.ends) {
@@ -337,7 +341,11 @@
 		jb := eng.queue[0]
 		eng.queue = eng.queue[1:]
 		prefill := time.Duration(float64(jb.req.Prompt) * 15 * float64(time.Microsecond))
-		jb.starts = sim.now.Add(time.Duration(eng.pace * float64(firstTime+prefill)))
+		pace := eng.pace
+		if eng.slowness != nil {
+			pace *= eng.slowness(sim.now)
+		}
+		jb.starts = sim.now.Add(time.Duration(pace * float64(firstTime+prefill)))
 		jb.ends = jb.starts.Add(time.Duration(eng.pace * float64(jb.events-1) * float64(eventTime)))
 		eng.runs = append(eng.runs, jb)
 	}
--- /dev/null
+++ b/core/yuccaspeed/suite_test.go
@@ -0,0 +1,13 @@
+package yuccaspeed_test
+
+import (
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+func TestYuccaspeed(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "yuccaspeed")
+}
--- a/io/yuccagate/placingwire.go
+++ b/io/yuccagate/placingwire.go
@@ -1,11 +1,13 @@
 package yuccagate
 
 import (
+	"math"
 	"time"
 
 	"yuccacleat/core/yuccacache"
 	"yuccacleat/core/yuccagrant"
 	"yuccacleat/core/yuccaid"
+	"yuccacleat/core/yuccaspeed"
 	"yuccacleat/io/yuccawire"
 )
 
@@ -63,20 +65,31 @@
 	return message
 }
 
+// slownessScale is the integer that represents the usual speed in messages.
+const slownessScale = 100
+
 // wireLoad returns the message form of a target's reported load: its numbers of running and of
-// waiting requests, or nil if it reported none.
+// waiting requests and, if it stated one, its slowness, or nil if it reported no load. A leader of an
+// older build takes three numbers as no load.
 func wireLoad(load yuccagrant.ReportedLoad) []int {
-	if !load.Known {
+	switch {
+	case !load.Known:
 		return nil
+	case load.Slowness > 0:
+		return []int{load.Running, load.Waiting, int(math.Round(float64(load.Slowness) * slownessScale))}
 	}
 	return []int{load.Running, load.Waiting}
 }
 
 func loadFromWire(message []int) yuccagrant.ReportedLoad {
-	if len(message) != 2 {
+	if len(message) != 2 && len(message) != 3 {
 		return yuccagrant.ReportedLoad{}
 	}
-	return yuccagrant.ReportedLoad{Known: true, Running: message[0], Waiting: message[1]}
+	load := yuccagrant.ReportedLoad{Known: true, Running: message[0], Waiting: message[1]}
+	if len(message) == 3 {
+		load.Slowness = yuccaspeed.Factor(message[2]) / slownessScale
+	}
+	return load
 }
 
 func finishedFromWire(owner yuccaid.Incarnation, message yuccawire.Ended) yuccagrant.Finished {
