Answers aren't begun where they can't be complete in time

Cause: a slow target takes longer for an answer of a hundred events than its caller waits. Leaders knew only until when the first event is waited for.

Change: requests whose length is announced carry the time by which the answer has to be complete, to the leader in VersionAsk, a map, in which older leaders ignore it. A target of more than twice the fastest one's pace that isn't expected to be done by then isn't sent the request, unless a fast one wouldn't be either: then the announced length is taken as wrong. On slow targets, prompts are also kept away that would delay the other answers there beyond MaxGap together with what is still to be read.

--- a/core/yuccagrant/choose.go
+++ b/core/yuccagrant/choose.go
@@ -15,6 +15,8 @@
 	expectedTimeToFirst time.Duration
 	cost                time.Duration
 	suitable            bool
+	// tooSlow reports that the answer is expected to be cut off there, though not on a fast target.
+	tooSlow bool
 	// available is what the target need not read of the prompt.
 	available available
 }
@@ -29,6 +31,8 @@
 	expectedTimeToFirst         time.Duration
 	expectedHold, gap, perToken float64
 	slope                       float64
+	// events is the expected number of events of the answer, zero if it isn't known.
+	events float64
 	// holder is the target from which others can fetch parts of the prompt, nil if there is none.
 	holder *targetState
 }
@@ -38,10 +42,12 @@
 func (lead *Leader) baseline(now time.Time, req *Request) baseline {
 	holder := lead.findHeldParts(now, req)
 	_, slope := lead.latencyModel.fitLine()
+	events, _ := lead.lengthModel.expectedEvents(req)
 	return baseline{
 		holder:              holder,
 		expectedTimeToFirst: seconds(lead.expectedTimeToFirst(req, 0)), expectedHold: lead.latencyModel.expectedHold(), gap: lead.latencyModel.gap(),
 		slope: slope, perToken: slope * lead.lengthModel.timeToFirstRatio(req.Class),
+		events: events,
 	}
 }
 
@@ -100,9 +106,19 @@
 	return best
 }
 
-// better returns the choice that is to be preferred: a suitable target, else the lower cost.
+// better returns the choice that is to be preferred: a suitable target, else one that isn't too slow,
+// else the lower cost.
 func (best choice) better(other choice) choice {
-	if other.suitable && !best.suitable || other.suitable == best.suitable && other.cost < best.cost {
+	switch {
+	case best.targetState == nil || other.suitable != best.suitable:
+		if other.suitable || best.targetState == nil {
+			return other
+		}
+	case other.tooSlow != best.tooSlow:
+		if best.tooSlow {
+			return other
+		}
+	case other.cost < best.cost:
 		return other
 	}
 	return best
@@ -112,7 +128,8 @@
 // occupied, the time to the first event includes the wait for a slot to become free.
 func (lead *Leader) estimate(now time.Time, tgt *targetState, req *Request, base *baseline) choice {
 	avail := lead.available(tgt, req, base)
-	firstWithoutWait := avail.fetchTime + time.Duration(tgt.pace*lead.slowness(now, tgt)*float64(base.expectedTimeToFirst+seconds(base.perToken*float64(tgt.pendingPrefill(now, base.slope)-avail.tokens))))
+	pending := tgt.pendingPrefill(now, base.slope)
+	firstWithoutWait := avail.fetchTime + time.Duration(tgt.pace*lead.slowness(now, tgt)*float64(base.expectedTimeToFirst+seconds(base.perToken*float64(pending-avail.tokens))))
 	busySlots := tgt.busySlots(now)
 	slots := float64(max(tgt.Slots, 1))
 	crowding := crowdingShare * float64(busySlots) / slots
@@ -121,20 +138,21 @@
 	candidate.cost = candidate.expectedTimeToFirst + time.Duration((crowding+tgt.bias)*float64(firstWithoutWait)) +
 		time.Duration(tgt.lateFraction*float64(lateGapCost)) + time.Duration(tgt.failureRate*float64(failureCost)) + avail.fetchCost + tgt.centreCost()
 	remaining := req.SoftDeadline.Sub(now)
-	candidate.suitable = candidate.expectedTimeToFirst <= time.Duration(softDeadlineShare*float64(remaining)) && !exceedsMaxGap(tgt, req, avail.tokens, base)
+	candidate.tooSlow = req.finishable && !base.finishes(now, req, candidate.expectedTimeToFirst, tgt.pace) && tgt.pace > slowPace
+	candidate.suitable = candidate.expectedTimeToFirst <= time.Duration(softDeadlineShare*float64(remaining)) && !candidate.tooSlow && !exceedsMaxGap(tgt, req, pending+req.Prompt-avail.tokens, base)
 	return candidate
 }
 
 // exceedsMaxGap reports whether the expected gap between two events on a target is more than half
-// of the request's MaxGap, or whether reading the prompt would delay the other answers on the
-// target too much. An engine reads a long prompt in chunks between the tokens of its other answers;
-// on a slow target each chunk takes several times as long as a gap may last.
-func exceedsMaxGap(tgt *targetState, req *Request, available yuccaid.Tokens, base *baseline) bool {
+// of the request's MaxGap, or whether reading the given number of tokens would delay the other answers
+// on the target too much. An engine reads a long prompt in chunks between the tokens of its other
+// answers; on a slow target each chunk takes several times as long as a gap may last.
+func exceedsMaxGap(tgt *targetState, req *Request, unread yuccaid.Tokens, base *baseline) bool {
 	if req.MaxGap <= 0 {
 		return false
 	}
-	prefill := seconds(tgt.pace * base.perToken * float64(req.Prompt-available))
-	return seconds(tgt.pace*base.gap) > req.MaxGap/2 || tgt.pace > slowPace && prefill > req.MaxGap
+	gap, prefill := seconds(tgt.pace*base.gap), seconds(tgt.pace*base.perToken*float64(unread))
+	return gap > req.MaxGap/2 || tgt.pace > slowPace && gap+prefill > req.MaxGap
 }
 
 // freeSlots returns the number of free slots on targets that are neither backing off nor tripped.
--- a/core/yuccagrant/parts.go
+++ b/core/yuccagrant/parts.go
@@ -169,7 +169,7 @@
 			}
 			base := lead.baseline(now, &entry.Request)
 			candidate := lead.estimate(now, tgt, &entry.Request, &base)
-			if lead.heldTokens(tgt, &entry.Request) == 0 || !candidate.suitable && entry.onTime(now) && lead.worthWaiting(now, &entry.Request) {
+			if lead.heldTokens(tgt, &entry.Request) == 0 || candidate.tooSlow || !candidate.suitable && entry.onTime(now) && lead.worthWaiting(now, &entry.Request) {
 				break
 			}
 			lead.grant(now, entry, candidate, dec)
--- a/core/yuccagrant/request.go
+++ b/core/yuccagrant/request.go
@@ -44,6 +44,10 @@
 	// for the first event at Deadline.
 	SoftDeadline time.Time
 	Deadline     time.Time
+	// End is when the answer has to be complete, zero if that doesn't matter or can't be foreseen.
+	End time.Time
+	// finishable reports whether the answer can be complete at End.
+	finishable bool
 	// MaxGap is the longest time between two events of an answer that is on time. It is zero
 	// for requests that are answered with a single event.
 	MaxGap time.Duration
--- a/core/yuccagrant/serve.go
+++ b/core/yuccagrant/serve.go
@@ -54,7 +54,7 @@
 // likely to have a free slot in time.
 func (lead *Leader) tryGrant(now time.Time, entry *queueEntry, dec *Decisions) bool {
 	best := lead.chooseTarget(now, &entry.Request)
-	if best.targetState == nil {
+	if best.targetState == nil || best.tooSlow {
 		return false
 	}
 	if !best.suitable && entry.onTime(now) && lead.worthWaiting(now, &entry.Request) {
@@ -106,6 +106,7 @@
 
 // newEntry returns a queue entry for a request, with its expected work and sort key.
 func (lead *Leader) newEntry(now time.Time, req Request) *queueEntry {
+	lead.noteFinishable(now, &req)
 	expectedWork := lead.expectedWork(&req)
 	rankWeight := math.Pow(rankFactor, float64(req.effectiveRank()))
 	return &queueEntry{Request: req, submitted: now, expectedWork: expectedWork, sortKey: rankWeight * lead.sizeStats.orderingWork(req.effectiveRank(), expectedWork)}
--- a/io/yuccagate/placingwire.go
+++ b/io/yuccagate/placingwire.go
@@ -22,6 +22,16 @@
 	}
 }
 
+// wireVersionRequest returns the message for a request that needs a version or has to end at a certain
+// time.
+func wireVersionRequest(now time.Time, plc *placement) yuccawire.VersionAsk {
+	message := yuccawire.VersionAsk{Ask: wireRequest(now, plc), Version: plc.request.Version}
+	if !plc.request.End.IsZero() {
+		message.EndMillis = max(plc.request.End.Sub(now).Milliseconds(), 1)
+	}
+	return message
+}
+
 func wireParts(parts []yuccacache.Part) []yuccawire.PromptPart {
 	var list []yuccawire.PromptPart
 	for _, part := range parts {
@@ -113,7 +123,8 @@
 	gate.onVersionAsk(now, from, yuccawire.VersionAsk{Ask: message})
 }
 
-// onVersionAsk does what onAsk does for a request that needs targets of one version.
+// onVersionAsk does what onAsk does for a request that needs targets of one version or has to end at a
+// certain time.
 func (gate *Gate) onVersionAsk(now time.Time, from yuccaid.Incarnation, ask yuccawire.VersionAsk) {
 	message := ask.Ask
 	sched := gate.scheduler(now, message.Pool)
@@ -122,6 +133,9 @@
 	}
 	request := requestFromWire(now, from, message)
 	request.Version = ask.Version
+	if ask.EndMillis > 0 {
+		request.End = now.Add(time.Duration(ask.EndMillis) * time.Millisecond)
+	}
 	gate.apply(now, sched, sched.local.Submit(now, request))
 	if sched.local.IsWaiting(request.ID) {
 		gate.send(from, yuccawire.KindPlaced, yuccawire.Placed{Pool: message.Pool, Number: message.Number})
--- a/io/yuccagate/request.go
+++ b/io/yuccagate/request.go
@@ -304,6 +304,9 @@
 	}
 	if req.route.Kind == yuccaroute.Stream {
 		request.MaxGap = req.route.MaxGap
+		if request.Answer > 0 {
+			request.End = req.deadline
+		}
 	}
 	waitsSince := req.arrivedAt
 	if !lastEventAt.IsZero() {
--- a/io/yuccagate/scheduler.go
+++ b/io/yuccagate/scheduler.go
@@ -189,8 +189,8 @@
 
 // ask sends a request to its pool's leader.
 func (gate *Gate) ask(now time.Time, leader yuccaid.Incarnation, plc *placement) error {
-	if plc.request.Version != "" {
-		return gate.hub.Send(leader, yuccawire.KindVersionAsk, yuccawire.VersionAsk{Ask: wireRequest(now, plc), Version: plc.request.Version})
+	if plc.request.Version != "" || !plc.request.End.IsZero() {
+		return gate.hub.Send(leader, yuccawire.KindVersionAsk, wireVersionRequest(now, plc))
 	}
 	return gate.hub.Send(leader, yuccawire.KindAsk, wireRequest(now, plc))
 }
--- a/io/yuccawire/origin.go
+++ b/io/yuccawire/origin.go
@@ -36,9 +36,12 @@
 	Fresh    bool            `msgpack:"fresh"`
 }
 
-// VersionAsk is an Ask for a request that only targets of one version may serve. Older builds, which
-// can't read an Ask with a further field, don't answer it.
+// VersionAsk is an Ask for a request that only targets of one version may serve, or whose answer has to
+// be complete at a certain time. Older builds, which can't read an Ask with a further field, don't
+// answer it, or ignore the end.
 type VersionAsk struct {
 	Ask     Ask             `msgpack:"ask"`
 	Version yuccaid.Version `msgpack:"version"`
+	// EndMillis is the time until the answer has to be complete, zero if there is no such time.
+	EndMillis int64 `msgpack:"endMillis,omitempty"`
 }
