A slow target is recognised by the beginning of its first answer

Cause: the pace of a target was learned from complete answers of several events only. A slow target takes seconds for one, is sent requests as a target of the median pace meanwhile, and what it doesn't complete in time taught nothing.

Change: until a target has a pace of its own, it is taken from the time to the first event of a request that nothing delayed there. Answers that broke off or whose caller has left count by their gaps, too.

--- a/core/yuccagrant/learn.go
+++ b/core/yuccagrant/learn.go
@@ -7,7 +7,7 @@
 
 // learnTimeToFirst includes the time to a run's first event in the pool's latency model, as the time
 // for the tokens that the target had to read for this run and before it, and in the target's pace if
-// the answer has a single event. The latency model leaves out the times of answers of several events
+// the answer has a single event or tells the pace by its beginning. The latency model leaves out the times of answers of several events
 // whose class announces wrong prompt lengths, and of runs whose fetch may have saved nothing. The pace
 // isn't learned until the latency model includes two times, because the first time only defines the
 // model.
@@ -24,12 +24,19 @@
 	if promptReliable && (run.fetchFrom == "" || lead.fetches.reliable()) {
 		lead.latencyModel.learnTimeToFirst(run.unread+run.ahead, targetTime/run.targetState.pace)
 	}
-	if lead.latencyModel.firstSamples > 1 && run.request.MaxGap == 0 {
+	if lead.latencyModel.firstSamples > 1 && (run.request.MaxGap == 0 || promptReliable && run.tellsPace()) {
 		run.targetState.learnPace(targetTime/expected, singlePaceWeight)
 		lead.notePaceChange(run.targetState)
 	}
 }
 
+// tellsPace reports whether the pace of the target is learned from the beginning of an answer of several
+// events. That is less exact than the gaps between the events, but a slow target takes seconds for its
+// first answer, and would be sent many requests meanwhile.
+func (run *activeRun) tellsPace() bool {
+	return run.undelayed && run.targetState.paceSamples == 0
+}
+
 // learnFetch learns from the time to the first event of a run that fetched parts of its prompt.
 func (lead *Leader) learnFetch(run *activeRun, targetTime float64) {
 	withFetch := run.targetState.pace*lead.latencyModel.expectedTimeToFirst(run.unread+run.ahead).Seconds() + run.fetchTime.Seconds()
@@ -59,11 +66,30 @@
 		tgt.backoffUntil = now.Add(minBackoff / 2)
 	case Broken:
 		tgt.learnFailure(true)
+		lead.learnGap(now, run, result)
 	case Unreachable, Lost, Misdirected:
 		tgt.learnFailure(true)
 		lead.recordFailure(now, tgt)
 	case Dropped:
-		// This outcome says nothing about the target.
+		// The outcome says nothing about the target, but what came of the answer tells its pace.
+		lead.learnGap(now, run, result)
+	}
+}
+
+// learnGap learns from the gaps between the events of an answer, whether it is complete or not. If only
+// complete answers counted, nothing would be learned from those that a slow target doesn't complete in
+// time.
+func (lead *Leader) learnGap(now time.Time, run *activeRun, result Finished) {
+	tgt := run.targetState
+	if result.Events <= minPaceEvents || result.Span <= 0 {
+		return
+	}
+	gap := lead.usualTime(now, tgt, result.Span.Seconds()) / float64(result.Events-1)
+	expected := lead.latencyModel.gap()
+	lead.latencyModel.learnGap(gap / tgt.pace)
+	if lead.latencyModel.gapSamples > 1 {
+		tgt.learnPace(gap/expected, streamPaceWeight)
+		lead.notePaceChange(tgt)
 	}
 }
 
@@ -77,15 +103,7 @@
 	if run.request.MaxGap > 0 {
 		lead.lengthModel.learnAnswer(&run.request, result.Events)
 	}
-	if result.Events > minPaceEvents && result.Span > 0 {
-		gap := lead.usualTime(now, tgt, result.Span.Seconds()) / float64(result.Events-1)
-		expected := lead.latencyModel.gap()
-		lead.latencyModel.learnGap(gap / tgt.pace)
-		if lead.latencyModel.gapSamples > 1 {
-			tgt.learnPace(gap/expected, streamPaceWeight)
-			lead.notePaceChange(tgt)
-		}
-	}
+	lead.learnGap(now, run, result)
 	if run.request.MaxGap > 0 {
 		tgt.learnLateGap(result.LongestGap > run.request.MaxGap)
 	}
--- a/core/yuccagrant/serve.go
+++ b/core/yuccagrant/serve.go
@@ -138,6 +138,7 @@
 	}
 	run.speed = tgt.speed
 	run.ahead = tgt.pendingPrefill(now, base.slope)
+	run.undelayed = run.ahead == 0 && run.fetchFrom == "" && tgt.busySlots(now) < tgt.Slots
 	lead.recordParts(tgt, &request)
 	lead.runs[request.ID] = run
 	tgt.runs[request.ID] = run
--- a/core/yuccagrant/target.go
+++ b/core/yuccagrant/target.go
@@ -78,6 +78,9 @@
 	fetchTime time.Duration
 	// speed is what the target had stated about its speed when the request was sent.
 	speed yuccaspeed.Reading
+	// undelayed reports that the target had a free slot and read no other prompt when the request was
+	// sent, and that it fetches no parts, so that the time to the first event tells its pace.
+	undelayed bool
 	// ahead is how many tokens of the prompts of other runs the target had to read first.
 	ahead yuccaid.Tokens
 }
