A leader uses its share of the free slots of other data centres' targets

Change: a leader sends to a target of another data centre no more than its share of the slots that are free there, less what it has sent so recently that the others don't know of it. Shares of less than a slot are given by lot, which differs from target to target.

Ruled out: a single request until the next report (with many data centres that floods a target as well).

--- a/core/yuccagrant/centre.go
+++ b/core/yuccagrant/centre.go
@@ -1,11 +1,49 @@
 package yuccagrant
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
-// otherCentreCost is the cost of a target in another data centre of this region. It is about what an
-// idle target gains over one with a free slot left, so that a leader sends requests to its own data
-// centre while a slot is free there.
-const otherCentreCost = 50 * time.Millisecond
+const (
+	// otherCentreCost is the cost of a target in another data centre of this region. It is about what an
+	// idle target gains over one with a free slot left, so that a leader sends requests to its own data
+	// centre while a slot is free there.
+	otherCentreCost = 50 * time.Millisecond
+	// reportDelay is how long it takes until the leaders of other data centres know of a run.
+	reportDelay = 150 * time.Millisecond
+)
+
+// SetCentreCount sets the number of data centres whose leaders decide on the same targets, at least 1.
+func (lead *Leader) SetCentreCount(count int) { lead.centreCount = max(count, 1) }
+
+// grantableSlots returns how many more requests may be sent to a target.
+func (lead *Leader) grantableSlots(now time.Time, tgt *targetState) int {
+	if tgt.OtherCentre && !lead.spreadsRuns {
+		return tgt.spareShare(now, lead.centreCount)
+	}
+	return tgt.grantableSlots(now)
+}
+
+// spareShare returns how many more requests this leader may send to a target of another data centre: its
+// share of the free slots, less what it has sent there so recently that the others don't know of it. What
+// remains of the division goes to some of the leaders, whom the bias of the target tells.
+//
+// When a target starts or recovers, the leaders of all data centres see its free slots at the same
+// time. If each filled them, the target would have several times as many requests as slots.
+func (tgt *targetState) spareShare(now time.Time, centres int) int {
+	recent := 0
+	for _, run := range tgt.runs {
+		if now.Sub(run.sent) < reportDelay {
+			recent++
+		}
+	}
+	share, part := math.Modf(float64(tgt.freeSlots(now)+recent) / float64(centres))
+	if tgt.bias < biasShare*part {
+		share++
+	}
+	return max(int(share)-recent, 0)
+}
 
 // centreCost returns the cost of a target for the place that it is in.
 //
--- a/core/yuccagrant/centres_test.go
+++ b/core/yuccagrant/centres_test.go
@@ -38,6 +38,9 @@
 	for number := range centres - 1 {
 		sim.leaders = append(sim.leaders, yuccagrant.New(rand.New(rand.NewPCG(seed, uint64(number)+3))))
 	}
+	for _, lead := range sim.leaders {
+		lead.SetCentreCount(centres)
+	}
 	sim.configure()
 }
 
--- a/core/yuccagrant/choose.go
+++ b/core/yuccagrant/choose.go
@@ -95,7 +95,7 @@
 		if at >= lead.remoteBound.localCount && best.suitable && best.cost <= minRemoteCost {
 			return best
 		}
-		if tgt.grantableSlots(now) == 0 || tgt.backingOff(now) || !tgt.mayServe(req) || !lead.mayTry(now, tgt, req) {
+		if lead.grantableSlots(now, tgt) == 0 || tgt.backingOff(now) || !tgt.mayServe(req) || !lead.mayTry(now, tgt, req) {
 			continue
 		}
 		best = best.better(lead.estimate(now, tgt, req, &base))
--- a/core/yuccagrant/leader.go
+++ b/core/yuccagrant/leader.go
@@ -22,6 +22,11 @@
 	versions map[yuccaid.Version]bool
 	// leaderCount is the number of leaders among which the slots of each target are divided.
 	leaderCount int
+	// centreCount is the number of data centres whose leaders decide on the same targets. spreadsRuns
+	// is set while the runs of other leaders are assumed to be spread over all targets (see
+	// Leader.spreadOtherRuns).
+	centreCount int
+	spreadsRuns bool
 	// remoteBound is a lower bound on the cost of targets in other regions.
 	remoteBound remoteBound
 	// pacesChanged reports that a pace has changed since paces were last normalised.
@@ -51,7 +56,7 @@
 
 // New returns a leader without targets. SetTargets sets them.
 func New(rng *rand.Rand) *Leader {
-	return &Leader{rng: rng, leaderCount: 1, runs: make(map[ID]*activeRun), queue: newQueue(), lengthModel: newLengthModel(), sizeStats: newSizeStats(), parts: yuccacache.NewIndex[*targetState](), fetches: fetches{success: 1}}
+	return &Leader{rng: rng, leaderCount: 1, centreCount: 1, runs: make(map[ID]*activeRun), queue: newQueue(), lengthModel: newLengthModel(), sizeStats: newSizeStats(), parts: yuccacache.NewIndex[*targetState](), fetches: fetches{success: 1}}
 }
 
 // SetTargets sets the targets. What was learned of a target is kept until its process is
--- a/core/yuccagrant/parts.go
+++ b/core/yuccagrant/parts.go
@@ -162,7 +162,7 @@
 		return
 	}
 	for _, tgt := range lead.targets {
-		for tgt.cache.Len() > 0 && tgt.grantableSlots(now) > 0 && !tgt.backingOff(now) && !tgt.tripped() {
+		for tgt.cache.Len() > 0 && lead.grantableSlots(now, tgt) > 0 && !tgt.backingOff(now) && !tgt.tripped() {
 			entry := lead.firstOn(now, tgt, tier, eligible)
 			if entry == nil {
 				break
--- a/core/yuccagrant/share.go
+++ b/core/yuccagrant/share.go
@@ -78,6 +78,7 @@
 // to the target that had the fewest runs a tenth of a second ago, and overload it.
 func (lead *Leader) spreadOtherRuns() {
 	stale := lead.shortRuns()
+	lead.spreadsRuns = stale
 	slots, others := 0, 0
 	for _, tgt := range lead.targets {
 		slots += tgt.Slots
--- a/io/yuccagate/loads.go
+++ b/io/yuccagate/loads.go
@@ -198,6 +198,7 @@
 // passes the remote loads of all targets.
 func (sched *scheduler) passRemoteLoads(now time.Time) yuccagrant.Decisions {
 	var dec yuccagrant.Decisions
+	sched.local.SetCentreCount(1 + len(sched.remoteLoads))
 	switch {
 	case !sched.leads:
 		// A daemon that becomes the leader passes all remote loads to local, so it doesn't need
