--- a/core/yuccagrant/centres_test.go
+++ b/core/yuccagrant/centres_test.go
@@ -25,6 +25,7 @@
 	from     *yuccagrant.Leader
 	loads    map[yuccaid.Target]yuccagrant.TargetLoad
 	parts    []yuccagrant.HeldPart
+	failures []yuccagrant.TargetFailures
 	arriveAt time.Time
 }
 
@@ -37,14 +38,23 @@
 	for number := range centres - 1 {
 		sim.leaders = append(sim.leaders, yuccagrant.New(rand.New(rand.NewPCG(seed, uint64(number)+3))))
 	}
+	for _, lead := range sim.leaders {
+		lead.SetCentreCount(centres)
+	}
 	sim.configure()
 }
 
-// drawLeader returns the leader of a random data centre.
+// drawLeader returns the leader of a random data centre, to which demand gives its share if it is set.
 func (sim *simulation) drawLeader() *yuccagrant.Leader {
 	if len(sim.leaders) == 1 {
 		return sim.leaders[0]
 	}
+	draw := sim.rng.Float64()
+	for number, share := range sim.demand {
+		if draw -= share; draw < 0 {
+			return sim.leaders[number]
+		}
+	}
 	return sim.leaders[sim.rng.IntN(len(sim.leaders))]
 }
 
@@ -61,7 +71,7 @@
 			for target, load := range lead.Loads() {
 				loads[target] = load
 			}
-			sim.inFlight = append(sim.inFlight, cast{from: lead, loads: loads, parts: lead.TakeNewParts(16), arriveAt: sim.now.Add(simCastDelay)})
+			sim.inFlight = append(sim.inFlight, cast{from: lead, loads: loads, parts: lead.TakeNewParts(16), failures: lead.TakeFailures(), arriveAt: sim.now.Add(simCastDelay)})
 		}
 	}
 	if len(sim.inFlight) > 0 && !sim.now.Before(sim.inFlight[0].arriveAt) {
@@ -76,6 +86,9 @@
 		for _, each := range casts {
 			if each.from != lead {
 				lead.AddHeldParts(each.parts)
+				if !sim.secretive {
+					sim.apply(lead.AddFailures(sim.now, each.failures))
+				}
 			}
 		}
 		totals := make(map[yuccaid.Target]yuccagrant.TargetLoad)
--- a/core/yuccagrant/serve.go
+++ b/core/yuccagrant/serve.go
@@ -55,7 +55,7 @@
 // likely to have a free slot in time.
 func (lead *Leader) tryGrant(now time.Time, entry *queueEntry, dec *Decisions) bool {
 	best := lead.chooseTarget(now, &entry.Request)
-	if best.targetState == nil {
+	if best.targetState == nil || best.tooSlow {
 		return false
 	}
 	if !best.suitable && entry.onTime(now) && lead.worthWaiting(now, &entry.Request) {
@@ -82,7 +82,7 @@
 	wait := lead.timeToFreeSlot(now, req.limits())
 	base := lead.baseline(now, req)
 	for _, tgt := range lead.targets {
-		if tgt.backingOff(now) || !tgt.mayServe(req) || !tgt.withinBudget(now.Add(wait)) {
+		if tgt.backingOff(now) || tgt.tripped() || !tgt.mayServe(req) || !tgt.withinBudget(now.Add(wait)) {
 			continue
 		}
 		candidate := lead.estimate(now, tgt, req, &base)
@@ -100,6 +100,7 @@
 
 // newEntry returns a queue entry for a request, with its expected work and sort key.
 func (lead *Leader) newEntry(now time.Time, req Request) *queueEntry {
+	lead.noteFinishable(now, &req)
 	expectedWork := lead.expectedWork(&req)
 	rankWeight := math.Pow(rankFactor, float64(req.effectiveRank()))
 	return &queueEntry{Request: req, submitted: now, expectedWork: expectedWork, sortKey: rankWeight * lead.sizeStats.orderingWork(req.effectiveRank(), expectedWork)}
@@ -129,7 +130,9 @@
 		request: request, targetState: tgt, sent: sent, dueAfter: estimate.expectedTimeToFirst,
 		unread: request.Prompt - estimate.available.tokens, held: lead.heldTokens(tgt, &request), fetchFrom: estimate.available.from, fetchTime: estimate.available.fetchTime,
 	}
+	run.speed = tgt.speed
 	run.ahead = tgt.pendingPrefill(now, base.slope)
+	run.undelayed = run.ahead == 0 && run.fetchFrom == "" && tgt.busySlots(now) < tgt.Slots
 	lead.recordParts(tgt, &request)
 	tgt.recordSend(now, sent)
 	lead.runs[request.ID] = run
--- a/core/yuccagrant/world_test.go
+++ b/core/yuccagrant/world_test.go
@@ -26,6 +26,10 @@
 	pace  float64
 	// region is the region of the engine's data centre, which has the same name.
 	region yuccaid.Region
+	// slowness, if set, returns how many times as long as usual work that begins now takes, and states what
+	// the engine says of it. If states is nil, the engine says nothing.
+	slowness func(now time.Time) float64
+	states   func(slowness float64) float64
 	// fails returns the outcome of a run that is sent now. If fails is nil, all runs are Served.
 	fails func(now time.Time) yuccagrant.Outcome
 	// lead is the leader of the engine's data centre, nil if engines belong to none.
@@ -68,6 +72,8 @@
 	first   time.Time
 	ends    time.Time
 	outcome yuccagrant.Outcome
+	// engine is the engine that the request was last sent to.
+	engine *engine
 	// The fields from refused to done are what the caller saw: retryAfter is set for a refused
 	// request, onTime reports that no event so far was late, and done reports that the answer is
 	// complete.
@@ -81,8 +87,6 @@
 	// fetchFrom is the engine from which the job's engine fetches parts of the prompt, nil if it
 	// fetches none.
 	fetchFrom *engine
-	// engine is the engine that the job was last sent to.
-	engine *engine
 }
 
 // class describes the requests of one kind. events and prompt are the mean length of the answer in
@@ -124,6 +128,12 @@
 	// their loads.
 	inFlight []cast
 	lastCast time.Time
+	// demand, if set, holds the share of the requests that comes to each data centre.
+	demand []float64
+	// secretive is set if the leaders don't tell one another of failing targets.
+	secretive bool
+	// centreOf, if set, returns the number of the data centre that an engine is in.
+	centreOf func(eng *engine) int
 	engines  []*engine
 	jobs     map[yuccagrant.ID]*job
 	all      []*job
@@ -160,7 +170,10 @@
 		}
 		targets = append(targets, target)
 	}
-	for _, lead := range sim.leaders {
+	for number, lead := range sim.leaders {
+		for at, eng := range sim.engines {
+			targets[at].OtherCentre = sim.centreOf != nil && sim.centreOf(eng) != number
+		}
 		sim.apply(lead.SetTargets(sim.now, targets))
 	}
 }
@@ -319,7 +332,7 @@
 			jb.first = sim.now
 			jb.onTime = !sim.now.After(jb.req.SoftDeadline)
 			if !sim.leastOutstanding {
-				sim.apply(jb.lead.RunStarted(sim.now, jb.req.ID, sim.now.Sub(jb.sent), yuccagrant.ReportedLoad{}))
+				sim.apply(jb.lead.RunStarted(sim.now, jb.req.ID, sim.now.Sub(jb.sent), eng.reportedLoad(sim.now)))
 			}
 		}
 		if sim.now.Before(jb.ends) {
@@ -334,7 +347,11 @@
 		jb := eng.queue[0]
 		eng.queue = eng.queue[1:]
 		prefill := time.Duration(float64(jb.req.Prompt) * 15 * float64(time.Microsecond))
-		jb.starts = sim.now.Add(time.Duration(eng.pace * float64(firstTime+prefill)))
+		pace := eng.pace
+		if eng.slowness != nil {
+			pace *= eng.slowness(sim.now)
+		}
+		jb.starts = sim.now.Add(time.Duration(pace * float64(firstTime+prefill)))
 		jb.ends = jb.starts.Add(time.Duration(eng.pace * float64(jb.events-1) * float64(eventTime)))
 		eng.runs = append(eng.runs, jb)
 	}
--- a/io/yuccawire/region_test.go
+++ b/io/yuccawire/region_test.go
@@ -12,7 +12,7 @@
 
 var _ = Describe("a request that may be served in some regions only", func() {
 	It("is read as it was written", func() {
-		ask := yuccawire.RegionAsk{Ask: yuccawire.Ask{Pool: "drafter", Number: 3}, Version: "v1", Regions: []yuccaid.Region{"coast", "hills"}}
+		ask := yuccawire.RegionAsk{VersionAsk: yuccawire.VersionAsk{Ask: yuccawire.Ask{Pool: "drafter", Number: 3}, Version: "v1", EndMillis: 40}, Regions: []yuccaid.Region{"coast", "hills"}}
 		frame, err := yuccawire.Encode(yuccawire.KindRegionAsk, ask)
 		Expect(err).NotTo(HaveOccurred())
 		read, err := yuccawire.Read(bytes.NewReader(frame))
