--- a/core/yuccagrant/capacity.go
+++ b/core/yuccagrant/capacity.go
@@ -31,8 +31,8 @@
 	dem.limited[lim] += work
 }
 
-// capacities is what the targets that are not backing off can do, in slots of the fastest target: a slot of
-// another target counts for 1/pace. Each sum is multiplied by this leader's share of all runs, because the
+// capacities is what the targets that are neither backing off nor tripped can do, in slots of the fastest
+// target: a slot of another target counts for 1/pace, at its present speed. Each sum is multiplied by this leader's share of all runs, because the
 // leaders of other data centres use the rest.
 type capacities struct {
 	total float64
@@ -47,10 +47,10 @@
 	caps := capacities{groups: lead.present.groups, capacity: make([]float64, len(lead.present.groups))}
 	ownRuns, allRuns := 1, 1
 	for _, tgt := range lead.targets {
-		if tgt.backingOff(now) {
+		if tgt.backingOff(now) || tgt.tripped() {
 			continue
 		}
-		slots := min(float64(tgt.Slots)/tgt.pace, tgt.coldSlots(now, lead.latencyModel.expectedHold()))
+		slots := min(float64(tgt.Slots)/(tgt.pace*lead.slowness(now, tgt)), tgt.coldSlots(now, lead.latencyModel.expectedHold()))
 		caps.total += slots
 		caps.capacity[tgt.group] += slots
 		ownRuns += len(tgt.runs)
--- a/core/yuccagrant/leader.go
+++ b/core/yuccagrant/leader.go
@@ -9,6 +9,7 @@
 
 	"yuccacleat/core/yuccacache"
 	"yuccacleat/core/yuccaid"
+	"yuccacleat/core/yuccaspeed"
 )
 
 // Leader schedules the requests of one pool. It isn't safe for concurrent use.
@@ -25,6 +26,11 @@
 	evacuatedBefore map[yuccaid.Centre]bool
 	// leaderCount is the number of leaders among which the slots of each target are divided.
 	leaderCount int
+	// centreCount is the number of data centres whose leaders decide on the same targets. spreadsRuns
+	// is set while the runs of other leaders are assumed to be spread over all targets (see
+	// Leader.spreadOtherRuns).
+	centreCount int
+	spreadsRuns bool
 	// remoteBound is a lower bound on the cost of targets in other regions.
 	remoteBound remoteBound
 	// pacesChanged reports that a pace has changed since paces were last normalised.
@@ -34,6 +40,8 @@
 	latencyModel latencyModel
 	lengthModel  lengthModel
 	sizeStats    sizeStats
+	// speeds estimates from what targets state how long work takes there at the moment.
+	speeds yuccaspeed.Model
 	// parts finds the targets that hold the parts of a prompt. generation counts the requests for
 	// which that was looked up.
 	parts      yuccacache.Index[*targetState]
@@ -42,6 +50,9 @@
 	// newParts are the parts that targets have begun to hold and that haven't been reported to other
 	// leaders.
 	newParts []HeldPart
+	// newFailures are the targets whose failures have changed since they were last reported to other
+	// leaders.
+	newFailures map[yuccaid.Target]bool
 	// tookOverAt is when the leader took over from another one of whose sends it doesn't know, zero if it
 	// knows them. newSends are its sends that haven't been reported to the daemon that would lead next.
 	tookOverAt time.Time
@@ -50,7 +61,7 @@
 
 // New returns a leader without targets. SetTargets sets them.
 func New(rng *rand.Rand) *Leader {
-	return &Leader{rng: rng, leaderCount: 1, runs: make(map[ID]*activeRun), queue: newQueue(), lengthModel: newLengthModel(), sizeStats: newSizeStats(), parts: yuccacache.NewIndex[*targetState](), fetches: fetches{success: 1}}
+	return &Leader{rng: rng, leaderCount: 1, centreCount: 1, runs: make(map[ID]*activeRun), queue: newQueue(), lengthModel: newLengthModel(), sizeStats: newSizeStats(), parts: yuccacache.NewIndex[*targetState](), fetches: fetches{success: 1}}
 }
 
 // SetTargets sets the targets. What was learned of a target is kept until its process is
@@ -85,7 +96,6 @@
 			tgt.beginRamp(now)
 		}
 		tgt.totalSlots = target.Slots
-		tgt.setLeaderCount(lead.leaderCount)
 		lead.targets = append(lead.targets, tgt)
 		lead.targetsByName[target.Name] = tgt
 	}
@@ -95,6 +105,7 @@
 		}
 	}
 	slices.SortFunc(lead.targets, func(a, b *targetState) int { return cmp.Or(compareRemote(a, b), cmp.Compare(a.Name, b.Name)) })
+	lead.shareSlots()
 	lead.remoteBound.configure(lead.targets)
 	lead.pacesChanged = true
 	lead.present.update(now, old, lead.targets, lead.evacuated)
@@ -134,9 +145,7 @@
 		return dec
 	}
 	lead.leaderCount = leaderCount
-	for _, tgt := range lead.targets {
-		tgt.setLeaderCount(leaderCount)
-	}
+	lead.shareSlots()
 	lead.grantSlots(now, &dec)
 	return dec
 }
@@ -205,8 +214,10 @@
 	}
 	run.started = true
 	run.targetState.recordAnswer(now, run, took)
+	lead.recordBegun(run)
 	run.targetState.recordReport(now, load)
-	lead.learnTimeToFirst(run, took)
+	lead.recordSpeed(now, run, load)
+	lead.learnTimeToFirst(now, run, took)
 	lead.grantSlots(now, &dec)
 	return dec
 }
@@ -219,7 +230,8 @@
 		return dec
 	}
 	if result.TimeToFirst > 0 && !run.started {
-		lead.learnTimeToFirst(run, result.TimeToFirst)
+		lead.recordSpeed(now, run, result.Load)
+		lead.learnTimeToFirst(now, run, result.TimeToFirst)
 	}
 	if !run.started {
 		if result.Outcome == Served || result.Outcome == Failed {
@@ -316,18 +328,23 @@
 // TargetLoad is the number of runs that a leader has on one target, and the pace that the leader
 // has learned for the target, zero if it is unknown or the target has failed and hasn't answered since.
 // Tried reports, of a load that other leaders have sent, that the leader of the target's own data
-// centre knows its pace.
+// centre knows its pace. OtherCentre reports, of a load of this leader, that the target is in another
+// data centre.
 type TargetLoad struct {
-	Runs  int
-	Pace  float64
-	Tried bool
+	Runs        int
+	Pace        float64
+	Tried       bool
+	OtherCentre bool
 }
 
+// IsZero reports whether there is nothing to tell of the target.
+func (load TargetLoad) IsZero() bool { return load.Runs == 0 && load.Pace == 0 }
+
 // Loads iterates over the targets that have runs of this leader or a known pace.
 func (lead *Leader) Loads() iter.Seq2[yuccaid.Target, TargetLoad] {
 	return func(yield func(yuccaid.Target, TargetLoad) bool) {
 		for _, tgt := range lead.targets {
-			if load := tgt.load(); load != (TargetLoad{}) && !yield(tgt.Name, load) {
+			if load := tgt.load(); !load.IsZero() && !yield(tgt.Name, load) {
 				return
 			}
 		}
--- a/core/yuccagrant/parts.go
+++ b/core/yuccagrant/parts.go
@@ -46,7 +46,7 @@
 		}
 		tgt.heldGeneration = lead.generation
 		tgt.held = req.tokensOf(parts)
-		if !tgt.backingOff(now) && req.Regions.Allows(tgt.Region) && (holder == nil || tgt.held > holder.held || tgt.held == holder.held && holder.Remote && !tgt.Remote) {
+		if !tgt.backingOff(now) && !tgt.tripped() && req.Regions.Allows(tgt.Region) && (holder == nil || tgt.held > holder.held || tgt.held == holder.held && holder.Remote && !tgt.Remote) {
 			holder = tgt
 		}
 		return true
@@ -176,14 +176,14 @@
 		return
 	}
 	for _, tgt := range lead.targets {
-		for tgt.cache.Len() > 0 && tgt.grantableSlots(now) > 0 && !tgt.backingOff(now) {
+		for tgt.cache.Len() > 0 && lead.grantableSlots(now, tgt) > 0 && !tgt.backingOff(now) && !tgt.tripped() {
 			entry := lead.firstOn(now, tgt, tier, eligible)
 			if entry == nil {
 				break
 			}
 			base := lead.baseline(now, &entry.Request)
 			candidate := lead.estimate(now, tgt, &entry.Request, &base)
-			if lead.heldTokens(tgt, &entry.Request) == 0 || !candidate.suitable && entry.onTime(now) && lead.worthWaiting(now, &entry.Request) {
+			if lead.heldTokens(tgt, &entry.Request) == 0 || candidate.tooSlow || !candidate.suitable && entry.onTime(now) && lead.worthWaiting(now, &entry.Request) {
 				break
 			}
 			lead.grant(now, entry, candidate, dec)
--- a/core/yuccagrant/target.go
+++ b/core/yuccagrant/target.go
@@ -8,6 +8,7 @@
 	"yuccacleat/core/yuccacold"
 	"yuccacleat/core/yuccaid"
 	"yuccacleat/core/yuccaramp"
+	"yuccacleat/core/yuccaspeed"
 )
 
 // targetState is a target as configured, together with its runs and what the leader has learned
@@ -31,6 +32,9 @@
 	// backoffUntil is the time before which the target gets no requests because of a failure.
 	backoffUntil        time.Time
 	consecutiveFailures int
+	// failedAt is when the last such failure was recorded, and provenAt when the last run was sent that
+	// has begun since.
+	failedAt, provenAt time.Time
 	// unaccounted is the number of runs that the target reported beyond the runs that the leaders
 	// know of, reduced by unaccountedSlack. These runs count as occupied slots until
 	// unaccountedUntil.
@@ -42,6 +46,10 @@
 	// assumedOtherRuns is the number of runs that the leaders of other data centres are assumed to
 	// have on this target; see Leader.spreadOtherRuns.
 	assumedOtherRuns int
+	// overcommit is how many requests beyond the slots may be sent to the target.
+	overcommit int
+	// speed is what the target last stated about how long work takes there.
+	speed yuccaspeed.Reading
 	// cache is an estimate of the parts of prompts that the target holds. held is how many tokens of
 	// the prompt of one request it holds. held belongs to the request for which the leader's
 	// generation was heldGeneration.
@@ -86,6 +94,11 @@
 	held      yuccaid.Tokens
 	fetchFrom yuccaid.Target
 	fetchTime time.Duration
+	// speed is what the target had stated about its speed when the request was sent.
+	speed yuccaspeed.Reading
+	// undelayed reports that the target had a free slot and read no other prompt when the request was
+	// sent, and that it fetches no parts, so that the time to the first event tells its pace.
+	undelayed bool
 	// ahead is how many tokens of the prompts of other runs the target had to read first.
 	ahead yuccaid.Tokens
 }
@@ -94,14 +107,9 @@
 	return &targetState{Target: target, runs: make(map[ID]*activeRun), pace: 1, bias: bias, cache: yuccacache.New(0, 0)}
 }
 
-// setLeaderCount sets Slots to this leader's share of the slots, rounded up.
-func (tgt *targetState) setLeaderCount(leaderCount int) {
-	tgt.Slots = (tgt.totalSlots + leaderCount - 1) / leaderCount
-}
-
 // load returns what is reported to other leaders about the target.
 func (tgt *targetState) load() TargetLoad {
-	load := TargetLoad{Runs: len(tgt.runs)}
+	load := TargetLoad{Runs: len(tgt.runs), OtherCentre: tgt.OtherCentre}
 	if tgt.paceSamples >= minPaceSamples && !tgt.window.Failed() {
 		load.Pace = tgt.pace
 	}
@@ -157,7 +165,7 @@
 // maxRuns returns how many runs the target may have: its slots, and the few that may wait in its own
 // queue.
 func (tgt *targetState) maxRuns() int {
-	return tgt.Slots + (tgt.Slots+overcommitDivisor-1)/overcommitDivisor
+	return tgt.Slots + tgt.overcommit
 }
 
 // recordReport compares the load that the target reported with the runs that the leaders know of.
@@ -193,10 +201,14 @@
 
 // backOff records a failure after which the target gets no requests for a while.
 func (tgt *targetState) backOff(now time.Time) {
-	// The shift is bounded because the delay would otherwise overflow.
-	delay := min(minBackoff<<min(tgt.consecutiveFailures, 8), tgt.maxBackoff())
 	tgt.consecutiveFailures++
-	tgt.backoffUntil = now.Add(delay)
+	tgt.backoffUntil = now.Add(min(backoffAfter(tgt.consecutiveFailures), tgt.maxBackoff()))
+}
+
+// backoffAfter returns the backoff after the given number of consecutive failures.
+func backoffAfter(failures int) time.Duration {
+	// The shift is bounded because the backoff would otherwise overflow.
+	return min(minBackoff<<min(failures-1, 8), maxBackoff)
 }
 
 func (tgt *targetState) learnFailure(failed bool) {
--- a/io/yuccagate/scheduler.go
+++ b/io/yuccagate/scheduler.go
@@ -117,6 +117,7 @@
 			gate.reportSends(now, sched)
 			gate.castLoad(now, sched)
 		}
+		gate.castFailures(sched)
 	}
 	gate.tickPlacements(now)
 }
@@ -208,10 +209,10 @@
 // ask sends a request to its pool's leader.
 func (gate *Gate) ask(now time.Time, leader yuccaid.Incarnation, plc *placement) error {
 	if plc.request.Regions.Limited() {
-		return gate.hub.Send(leader, yuccawire.KindRegionAsk, yuccawire.RegionAsk{Ask: wireRequest(now, plc), Version: plc.request.Version, Regions: plc.request.Regions.Regions()})
+		return gate.hub.Send(leader, yuccawire.KindRegionAsk, yuccawire.RegionAsk{VersionAsk: wireVersionRequest(now, plc), Regions: plc.request.Regions.Regions()})
 	}
-	if plc.request.Version != "" {
-		return gate.hub.Send(leader, yuccawire.KindVersionAsk, yuccawire.VersionAsk{Ask: wireRequest(now, plc), Version: plc.request.Version})
+	if plc.request.Version != "" || !plc.request.End.IsZero() {
+		return gate.hub.Send(leader, yuccawire.KindVersionAsk, wireVersionRequest(now, plc))
 	}
 	return gate.hub.Send(leader, yuccawire.KindAsk, wireRequest(now, plc))
 }
