--- a/core/yuccagrant/limits.go
+++ b/core/yuccagrant/limits.go
@@ -38,14 +38,13 @@
 	return yuccaallow.Check(req.limits(), req.FailedTargets, yuccaallow.Target{Name: tgt.Name, Region: tgt.Region, Version: tgt.Version})
 }
 
-// Exclusions counts why a request may not be sent to the targets now. The targets to which it may be
-// sent count under yuccaallow.Allowed.
-func (lead *Leader) Exclusions(now time.Time, req Request) map[yuccaallow.Exclusion]int {
-	counts := make(map[yuccaallow.Exclusion]int)
+// Exclusions returns, for each target, why a request may not be sent there now, or yuccaallow.Allowed.
+func (lead *Leader) Exclusions(now time.Time, req Request) map[yuccaid.Target]yuccaallow.Exclusion {
+	list := make(map[yuccaid.Target]yuccaallow.Exclusion, len(lead.targets))
 	for _, tgt := range lead.targets {
-		counts[tgt.exclusion(now, &req)]++
+		list[tgt.Name] = tgt.exclusion(now, &req)
 	}
-	return counts
+	return list
 }
 
 // group is what targets have in common that the same limits allow.
--- a/core/yuccagrant/limits_test.go
+++ b/core/yuccagrant/limits_test.go
@@ -36,7 +36,9 @@
 			Expect(dec.Grants).To(HaveLen(1))
 			Expect([]yuccaid.Target{"b", "c"}).To(ContainElement(dec.Grants[0].Target))
 		}
-		Expect(lead.Exclusions(start, newRequest(20, hills))).To(HaveKeyWithValue(yuccaallow.OtherRegion, 2))
+		Expect(lead.Exclusions(start, newRequest(20, hills))).To(Equal(map[yuccaid.Target]yuccaallow.Exclusion{
+			"a": yuccaallow.OtherRegion, "b": yuccaallow.Allowed, "c": yuccaallow.Allowed, "d": yuccaallow.OtherRegion,
+		}))
 	})
 
 	// Guards against the failure that a request waits for regions that have no targets until its deadline.
--- a/io/yuccagate/allow.go
+++ b/io/yuccagate/allow.go
@@ -83,8 +83,8 @@
 	}
 }
 
-// grantExclusion returns why a placement may not use a granted target, or yuccaallow.Allowed. A target on
-// which the request has failed is left to the leader, which grants it once no other one is left.
+// grantExclusion returns why a placement may not use a granted target, or yuccaallow.Allowed. The leader alone
+// decides whether a request goes to a target again on which it has failed.
 func (gate *Gate) grantExclusion(plc *placement, target yuccaid.Target) yuccaallow.Exclusion {
 	entry, found := gate.roster.Find(target)
 	if !found {
