--- a/io/yuccagate/scheduler.go
+++ b/io/yuccagate/scheduler.go
@@ -208,7 +208,7 @@
 // ask sends a request to its pool's leader.
 func (gate *Gate) ask(now time.Time, leader yuccaid.Incarnation, plc *placement) error {
 	if plc.request.Regions.Limited() {
-		return gate.hub.Send(leader, yuccawire.KindRegionAsk, yuccawire.RegionAsk{VersionAsk: wireVersionRequest(now, plc), Regions: plc.request.Regions.Regions()})
+		return gate.hub.Send(leader, yuccawire.KindRegionAsk, wireRegionRequest(now, plc))
 	}
 	if plc.request.Version != "" || !plc.request.End.IsZero() {
 		return gate.hub.Send(leader, yuccawire.KindVersionAsk, wireVersionRequest(now, plc))
