--- a/io/yuccagate/scheduler.go
+++ b/io/yuccagate/scheduler.go
@@ -68,9 +68,13 @@
 	loadSentAt     time.Time
 	fullLoadSentAt time.Time
 	// coldTargets are the cold targets of this data centre as the log last reported them, and
-	// coldCheckedAt is when that was last compared.
-	coldTargets   []yuccaid.Target
-	coldCheckedAt time.Time
+	// budgetsCheckedAt is when these and the budgets were last compared.
+	coldTargets      []yuccaid.Target
+	budgetsCheckedAt time.Time
+	// sendsReport is what this daemon has reported of its sends as the leader, and sendsSeen what the leader
+	// has reported to this daemon.
+	sendsReport sendsReport
+	sendsSeen   sendsSeen
 }
 
 // scheduler returns the pool's scheduler, and creates it if there is none yet.
@@ -106,14 +110,12 @@
 func (gate *Gate) tickSchedulers(now time.Time) {
 	for _, sched := range gate.schedulers {
 		sched.dropSilentCentres(now)
-		if gate.budgetRoleOf(now, sched) != sched.budgetRole {
-			gate.configure(now, sched)
-		}
+		gate.checkBudgets(now, sched)
 		gate.apply(now, sched, sched.passRemoteLoads(now))
 		gate.apply(now, sched, sched.local.Tick(now))
 		if sched.leads {
+			gate.reportSends(now, sched)
 			gate.castLoad(now, sched)
-			gate.logColdTargets(now, sched)
 		}
 		gate.castFailures(sched)
 	}
@@ -141,6 +143,7 @@
 		gate.configure(now, sched)
 		return
 	}
+	former := sched.leader
 	sched.leader = incarnation
 	sched.suspectUntil = time.Time{}
 	ledBefore := sched.leads
@@ -151,9 +154,7 @@
 		sched.local.DropOtherOwners(gate.incarnation)
 		sched.local.ClearOtherCentreLoads()
 	}
-	if sched.leads {
-		sched.local.TakeOver(now)
-	}
+	gate.handOver(now, sched, former, ledBefore)
 	gate.configure(now, sched)
 	for _, plc := range gate.placements {
 		if plc.pool == sched.pool {
