--- a/core/yuccagrant/target.go
+++ b/core/yuccagrant/target.go
@@ -3,14 +3,19 @@
 import (
 	"time"
 
+	"yuccacleat/core/yuccaallow"
 	"yuccacleat/core/yuccacache"
+	"yuccacleat/core/yuccacold"
 	"yuccacleat/core/yuccaid"
+	"yuccacleat/core/yuccaramp"
 )
 
 // targetState is a target as configured, together with its runs and what the leader has learned
 // of it.
 type targetState struct {
 	Target
+	// group is the index of the target's group among those of the leader.
+	group int
 	// totalSlots is the number of the target's slots. The embedded Slots is set to this leader's
 	// share of them.
 	totalSlots int
@@ -48,6 +53,17 @@
 	// Otherwise all leaders that have not learned anything yet would send their first requests to
 	// the same target.
 	bias float64
+	// cold is what is known of the target's being cold, and sends when requests were sent to it.
+	// tookOverAt is that of the leader.
+	cold       yuccacold.State
+	sends      yuccacold.Sends
+	tookOverAt time.Time
+	// window bounds the runs that haven't begun while it isn't known what the target can take. Until
+	// untriedUntil, a new target of another data centre is left to the leader there, unless that one reports
+	// its pace before. tried reports that it does so.
+	window       yuccaramp.Window
+	untriedUntil time.Time
+	tried        bool
 }
 
 // activeRun is a request that was sent to a target and has not finished. started reports that the
@@ -84,7 +100,7 @@
 // load returns what is reported to other leaders about the target.
 func (tgt *targetState) load() TargetLoad {
 	load := TargetLoad{Runs: len(tgt.runs)}
-	if tgt.paceSamples >= minPaceSamples {
+	if tgt.paceSamples >= minPaceSamples && !tgt.window.Failed() {
 		load.Pace = tgt.pace
 	}
 	return load
@@ -130,7 +146,16 @@
 // idle until the leader learns of it. More requests must not wait there, because the target's queue
 // ignores ranks.
 func (tgt *targetState) grantableSlots(now time.Time) int {
-	return max(tgt.Slots+(tgt.Slots+overcommitDivisor-1)/overcommitDivisor-tgt.busySlots(now), 0)
+	if tgt.heldBack(now) != yuccaallow.Allowed {
+		return 0
+	}
+	return max(tgt.maxRuns()-tgt.busySlots(now), 0)
+}
+
+// maxRuns returns how many runs the target may have: its slots, and the few that may wait in its own
+// queue.
+func (tgt *targetState) maxRuns() int {
+	return tgt.Slots + (tgt.Slots+overcommitDivisor-1)/overcommitDivisor
 }
 
 // recordReport compares the load that the target reported with the runs that the leaders know of.
@@ -167,7 +192,7 @@
 // backOff records a failure after which the target gets no requests for a while.
 func (tgt *targetState) backOff(now time.Time) {
 	// The shift is bounded because the delay would otherwise overflow.
-	delay := min(minBackoff<<min(tgt.consecutiveFailures, 8), maxBackoff)
+	delay := min(minBackoff<<min(tgt.consecutiveFailures, 8), tgt.maxBackoff())
 	tgt.consecutiveFailures++
 	tgt.backoffUntil = now.Add(delay)
 }
@@ -210,16 +235,6 @@
 	tgt.lateFraction += lateGapWeight * (sample - tgt.lateFraction)
 }
 
-// failedBefore reports whether the request has already failed on this target.
-func (tgt *targetState) failedBefore(req *Request) bool {
-	for _, name := range req.FailedTargets {
-		if name == tgt.Name {
-			return true
-		}
-	}
-	return false
-}
-
 // TargetStatus is the state of a target that a leader shows to operators.
 type TargetStatus struct {
 	Target       yuccaid.Target `json:"target"`
@@ -229,4 +244,10 @@
 	LateFraction float64        `json:"late"`
 	FailureRate  float64        `json:"failed"`
 	BackingOff   bool           `json:"resting"`
+	// Cold reports that the target is known to be cold, and HeldBack why the leader sends it nothing at
+	// present although it may have free slots, empty if it doesn't hold it back. Window is the bound on
+	// the runs that haven't begun, zero if there is none.
+	Cold     bool                 `json:"cold,omitempty"`
+	HeldBack yuccaallow.Exclusion `json:"heldBack,omitempty"`
+	Window   int                  `json:"window,omitempty"`
 }
--- a/io/yuccagate/gate.go
+++ b/io/yuccagate/gate.go
@@ -112,6 +112,8 @@
 	roster *yuccaroster.Roster
 	// loggedTargets are the targets as the log last reported them.
 	loggedTargets map[yuccaid.Target]yuccaroster.Entry
+	// loggedEvacuated are the evacuated data centres as the log last reported them.
+	loggedEvacuated map[yuccaid.Centre]bool
 	// rosterVersion is the version of the roster that was last passed to the schedulers.
 	// targetsPulledAt is when this daemon last requested targets from a peer.
 	rosterVersion   uint64
@@ -149,8 +151,9 @@
 	// seeds is what this daemon knows of the seeds.
 	seeds seeds
 
-	// origins is what this daemon knows of where streams began.
+	// origins is what this daemon knows of where streams began, and surveys what it has learned of it from targets.
 	origins origins
+	surveys [surveyShares]*targetSurvey
 	// quarantine is what it knows of parts of prompts on which targets crash.
 	quarantine *quarantine
 
@@ -238,6 +241,7 @@
 	}
 	gate.resendBudget.SetFleet(gate.startedAt, gate.resendFleet(gate.startedAt))
 	gate.origins = newOrigins(settings.FirstStart, gate.startedAt)
+	gate.surveys = newTargetSurveys(gate.startedAt)
 	gate.quarantine = newQuarantine(settings)
 	gate.skipsPlatformReads.Store(settings.FirstStart)
 	ready := make(chan struct{})
--- a/io/yuccagate/scheduler.go
+++ b/io/yuccagate/scheduler.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"yuccacleat/core/yuccaallow"
 	"yuccacleat/core/yuccagrant"
 	"yuccacleat/core/yuccaid"
 	"yuccacleat/core/yuccaroute"
@@ -52,16 +53,24 @@
 	// loads of all targets have to be passed to local.
 	remoteChanged map[yuccaid.Target]bool
 	remoteReset   bool
+	// centres holds the data centres of the targets that local was configured with.
+	centres map[yuccaid.Target]yuccaid.Centre
 	// rosterVersion is the roster's version that local was configured with, or neverConfigured.
 	rosterVersion uint64
 	// engine is the properties of the targets that local was configured with.
 	engine yuccaroute.Engine
+	// budgetRole is what the budgets of the targets depend on that local was configured with.
+	budgetRole budgetRole
 	// sentLoads holds, for each target, the load that was last sent to the other data centres.
 	// loadSentAt is when loads were last sent, and fullLoadSentAt is when the loads of all targets
 	// were last sent.
 	sentLoads      map[yuccaid.Target]yuccawire.TargetLoad
 	loadSentAt     time.Time
 	fullLoadSentAt time.Time
+	// coldTargets are the cold targets of this data centre as the log last reported them, and
+	// coldCheckedAt is when that was last compared.
+	coldTargets   []yuccaid.Target
+	coldCheckedAt time.Time
 }
 
 // scheduler returns the pool's scheduler, and creates it if there is none yet.
@@ -77,14 +86,16 @@
 }
 
 // configure passes to a scheduler the number of daemons that decide on the pool's targets, and
-// the targets if the roster or the properties of the pool's engines have changed since the last call. While a fleet starts, configure is
+// the targets if the roster, the properties of the pool's engines or this daemon's budgets for the
+// targets have changed since the last call. While a fleet starts, configure is
 // called once for each daemon that joins, and passing all targets each time would be expensive.
 func (gate *Gate) configure(now time.Time, sched *scheduler) {
 	gate.apply(now, sched, sched.local.SetLeaderCount(now, gate.deciderCount(sched)))
-	version, engine := gate.roster.Version(), gate.engineOf(sched.pool)
-	if sched.rosterVersion != version || sched.engine != engine {
-		sched.rosterVersion, sched.engine = version, engine
+	version, engine, role := gate.roster.Version(), gate.engineOf(sched.pool), gate.budgetRoleOf(now, sched)
+	if sched.rosterVersion != version || sched.engine != engine || sched.budgetRole != role {
+		sched.rosterVersion, sched.engine, sched.budgetRole = version, engine, role
 		sched.remoteReset = true
+		sched.local.SetEvacuated(gate.roster.EvacuatedCentres())
 		gate.apply(now, sched, sched.local.SetTargets(now, gate.targetsOf(sched)))
 	}
 }
@@ -95,10 +106,14 @@
 func (gate *Gate) tickSchedulers(now time.Time) {
 	for _, sched := range gate.schedulers {
 		sched.dropSilentCentres(now)
+		if gate.budgetRoleOf(now, sched) != sched.budgetRole {
+			gate.configure(now, sched)
+		}
 		gate.apply(now, sched, sched.passRemoteLoads(now))
 		gate.apply(now, sched, sched.local.Tick(now))
 		if sched.leads {
 			gate.castLoad(now, sched)
+			gate.logColdTargets(now, sched)
 		}
 	}
 	gate.tickPlacements(now)
@@ -135,6 +150,9 @@
 		sched.local.DropOtherOwners(gate.incarnation)
 		sched.local.ClearOtherCentreLoads()
 	}
+	if sched.leads {
+		sched.local.TakeOver(now)
+	}
 	gate.configure(now, sched)
 	for _, plc := range gate.placements {
 		if plc.pool == sched.pool {
@@ -175,7 +193,7 @@
 func (gate *Gate) submit(now time.Time, sched *scheduler, plc *placement) {
 	plc.submittedAt = now
 	plc.waitConfirmedAt = time.Time{}
-	if sched.leads || sched.leader.IsZero() || now.Before(sched.suspectUntil) {
+	if sched.leads || sched.leader.IsZero() || now.Before(sched.suspectUntil) || plc.request.Regions.Empty() {
 		plc.decidedLocally = true
 		gate.apply(now, sched, sched.local.Submit(now, plc.request))
 		return
@@ -188,6 +206,9 @@
 
 // ask sends a request to its pool's leader.
 func (gate *Gate) ask(now time.Time, leader yuccaid.Incarnation, plc *placement) error {
+	if plc.request.Regions.Limited() {
+		return gate.hub.Send(leader, yuccawire.KindRegionAsk, yuccawire.RegionAsk{Ask: wireRequest(now, plc), Version: plc.request.Version, Regions: plc.request.Regions.Regions()})
+	}
 	if plc.request.Version != "" {
 		return gate.hub.Send(leader, yuccawire.KindVersionAsk, yuccawire.VersionAsk{Ask: wireRequest(now, plc), Version: plc.request.Version})
 	}
@@ -257,21 +278,20 @@
 
 // acceptGrant accepts a decision that sends one of this daemon's requests to a target. It ignores
 // the decision if the request no longer waits. The leader may have decided with an older roster, so
-// acceptGrant checks the target again. If the target is leaving, isn't registered or is of another
-// version than the request needs, acceptGrant reports that the grant isn't used and submits the request
-// again, with this target excluded.
+// acceptGrant checks the target again. If the request may not use the target, acceptGrant reports that the
+// grant isn't used and submits the request again, with this target excluded.
 func (gate *Gate) acceptGrant(now time.Time, sched *scheduler, granted yuccagrant.Grant) {
 	target := granted.Target
 	plc := gate.placements[granted.ID.Number]
 	if plc == nil || plc.running {
 		return
 	}
-	entry, found := gate.roster.Find(target)
-	otherVersion := plc.request.Version != "" && plc.request.Version != entry.StreamVersion()
-	if !found || entry.Leaving || otherVersion {
-		plc.req.logDecision("declined", "target", target, "known", found, "otherVersion", otherVersion, "leader", sched.leader.VM, "revision", gate.platformRevision)
+	entry, _ := gate.roster.Find(target)
+	if why := gate.grantExclusion(plc, target); why != yuccaallow.Allowed {
+		plc.req.logDecision("declined", "target", target, "why", why, "regions", plc.request.Regions.String(), "leader", sched.leader.VM, "revision", gate.platformRevision)
+		gate.metrics.grantDeclined(why)
 		plc.request.FailedTargets = append(plc.request.FailedTargets, target)
-		if !found {
+		if why == yuccaallow.Unregistered {
 			plc.unknownTargets = append(plc.unknownTargets, target)
 		}
 		gate.reportFinished(now, sched, yuccagrant.Finished{ID: plc.request.ID, Outcome: yuccagrant.Dropped})
@@ -287,7 +307,7 @@
 		gate.syncPlacement(now, sched, plc)
 	}
 	plc.decision <- decision{
-		target: target, address: entry.Address, version: entry.StreamVersion(), startMillis: entry.StartMillis, fetchAddress: gate.addressOf(granted.FetchFrom), withoutLeader: plc.decidedLocally && !sched.leads,
+		target: target, address: entry.Address, version: entry.StreamVersion(), startMillis: entry.StartMillis, fetchAddress: gate.fetchAddress(plc, granted.FetchFrom), withoutLeader: plc.decidedLocally && !sched.leads,
 		decisionInputs: gate.decisionInputs(now, sched, granted),
 	}
 }
@@ -310,23 +330,22 @@
 	}
 }
 
-// isUsable reports whether a target is registered and not leaving.
+// isUsable reports whether a target is registered and not leaving, and its data centre isn't evacuated.
 func (gate *Gate) isUsable(target yuccaid.Target) bool {
 	entry, found := gate.roster.Find(target)
-	return found && !entry.Leaving
-}
-
-// addressOf returns the address of a registered target, or an empty text if it isn't registered.
-func (gate *Gate) addressOf(target yuccaid.Target) string {
-	entry, _ := gate.roster.Find(target)
-	return entry.Address
+	return found && !entry.Leaving && !gate.roster.Evacuated(entry.Centre)
 }
 
 // deliverRefusal delivers a refusal to one of this daemon's requests, if the request still waits.
 func (gate *Gate) deliverRefusal(refusal yuccagrant.Refusal) {
 	if plc := gate.placements[refusal.ID.Number]; plc != nil && !plc.running {
 		delete(gate.placements, refusal.ID.Number)
-		plc.decision <- decision{refusal: &refusal, decisionInputs: gate.decisionInputs(time.Now(), gate.schedulers[plc.pool], yuccagrant.Grant{})}
+		inputs := gate.decisionInputs(time.Now(), gate.schedulers[plc.pool], yuccagrant.Grant{})
+		switch refusal.Reason {
+		case yuccagrant.ReasonNoTarget, yuccagrant.ReasonNoRegion, yuccagrant.ReasonNoVersion:
+			inputs.regions, inputs.excluded = plc.request.Regions, gate.excludedTargets(plc)
+		}
+		plc.decision <- decision{refusal: &refusal, decisionInputs: inputs}
 	}
 }
 
--- a/io/yuccawire/kind.go
+++ b/io/yuccawire/kind.go
@@ -100,6 +100,12 @@
 	KindSeeds
 	// KindQuarantine carries a Quarantine to all other daemons. Older builds ignore it.
 	KindQuarantine
+	// KindRegionAsk carries a RegionAsk from the daemon that holds a request to its pool's leader.
+	KindRegionAsk
+	// KindHoldingQuery carries a HoldingQuery to the daemon that asks the targets of a share. Older builds ignore it.
+	KindHoldingQuery
+	// KindHoldingAnswer carries a HoldingAnswer.
+	KindHoldingAnswer
 )
 
 var kindNames = map[Kind]string{
@@ -154,6 +160,10 @@
 	KindSeeds: "seeds",
 
 	KindQuarantine: "quarantine",
+
+	KindRegionAsk:     "regionAsk",
+	KindHoldingQuery:  "holdingQuery",
+	KindHoldingAnswer: "holdingAnswer",
 }
 
 // String returns the kind's name in logs and metrics, or its number.
