A leader tells what it would decide on a request, and changes nothing

An operator can learn what became of a request (explain), not where one would go now, and why not elsewhere. Leader.Forecast returns the target and what is expected of it, that the request would wait and behind how many, or the reason of a refusal; and for each target its estimate and its exclusion, those that last before those of the moment. It uses the code that decides: 'pick' is what tryGrant did before it granted, 'missing', 'cannotMeetDeadline', 'exclusion'. Gate.Outlook adds what the daemon refuses itself (no configuration, route, key, memory, held parts), the targets that the leader isn't given (leaving, evacuated), and the account's usage.

Ruled out: a dry run of the whole queue (exact behind many waiting requests, but needs a copy of all state); Forecast counts how many wait ahead instead.

--- a/core/yuccagrant/choose_test.go
+++ b/core/yuccagrant/choose_test.go
@@ -9,6 +9,7 @@
 
 	"pgregory.net/rapid"
 
+	"yuccacleat/core/yuccacache"
 	"yuccacleat/core/yuccaid"
 )
 
@@ -54,3 +55,20 @@
 	defer lead.remoteBound.configure(lead.targets)
 	return lead.chooseTarget(now, req)
 }
+
+// Guards against the failure that a forecast changes which later requests fetch parts, which depends on how many requests there were,
+// or that a target counts as holding what it held of the forecast's prompt.
+func TestForecastKeepsTheGeneration(t *testing.T) {
+	now := time.Unix(1_700_000_000, 0)
+	lead := New(rand.New(rand.NewPCG(1, 1)))
+	lead.SetTargets(now, []Target{{Name: "engine", Slots: 4, CacheTokens: 20_000}})
+	req := Request{Prompt: 4000, Parts: []yuccacache.Part{{Hash: 1, Size: 3000}, {Hash: 2, Size: 1000}}, SoftDeadline: now.Add(time.Minute), Deadline: now.Add(time.Minute)}
+	lead.Submit(now, req)
+	before := lead.generation
+	if held := lead.Forecast(now, req).Candidates[0].Held; held != 4000 {
+		t.Errorf("the target holds %d tokens, want 4000", held)
+	}
+	if tgt := lead.targets[0]; lead.generation != before || tgt.heldGeneration > before {
+		t.Errorf("generation %d, held of %d, want %d", lead.generation, tgt.heldGeneration, before)
+	}
+}
--- a/core/yuccagrant/limits.go
+++ b/core/yuccagrant/limits.go
@@ -24,8 +24,12 @@
 
 // mayServe reports whether a request may use the target once it has a free slot.
 func (tgt *targetState) mayServe(req *Request) bool {
-	allowed := yuccaallow.Target{Name: tgt.Name, Region: tgt.Region, Version: tgt.Version}
-	return yuccaallow.Check(req.limits(), req.FailedTargets, allowed) == yuccaallow.Allowed
+	return tgt.lastingExclusion(req) == yuccaallow.Allowed
+}
+
+// lastingExclusion returns why a request may not use the target even once it has a free slot, or yuccaallow.Allowed.
+func (tgt *targetState) lastingExclusion(req *Request) yuccaallow.Exclusion {
+	return yuccaallow.Check(req.limits(), req.FailedTargets, yuccaallow.Target{Name: tgt.Name, Region: tgt.Region, Version: tgt.Version})
 }
 
 // within reports whether the target is one that the limits allow.
@@ -44,7 +48,7 @@
 	case tgt.backingOff(now):
 		return BackingOff
 	}
-	return yuccaallow.Check(req.limits(), req.FailedTargets, yuccaallow.Target{Name: tgt.Name, Region: tgt.Region, Version: tgt.Version})
+	return tgt.lastingExclusion(req)
 }
 
 // Exclusions counts why a request may not be sent to the targets now. The targets to which it may be
--- a/core/yuccagrant/serve.go
+++ b/core/yuccagrant/serve.go
@@ -50,19 +50,24 @@
 	}
 }
 
-// tryGrant assigns a request to its best target and reports whether it did. A request that can
-// still be on time is not assigned to a target where it would be late if a suitable target is
-// likely to have a free slot in time.
+// tryGrant assigns a request to its best target and reports whether it did.
 func (lead *Leader) tryGrant(now time.Time, entry *queueEntry, dec *Decisions) bool {
-	best := lead.chooseTarget(now, &entry.Request)
-	if best.targetState == nil {
-		return false
+	best, found := lead.pick(now, entry)
+	if found {
+		lead.grant(now, entry, best, dec)
 	}
-	if !best.suitable && entry.onTime(now) && lead.worthWaiting(now, &entry.Request) {
-		return false
+	return found
+}
+
+// pick returns the best target for a request, and false if it has to wait. A request that can still be on
+// time is not assigned to a target where it would be late if a suitable target is likely to have a free slot
+// in time.
+func (lead *Leader) pick(now time.Time, entry *queueEntry) (best choice, found bool) {
+	best = lead.chooseTarget(now, &entry.Request)
+	if best.targetState == nil {
+		return best, false
 	}
-	lead.grant(now, entry, best, dec)
-	return true
+	return best, best.suitable || !entry.onTime(now) || !lead.worthWaiting(now, &entry.Request)
 }
 
 // grant assigns a waiting request to a target.
--- a/io/yuccagate/allow.go
+++ b/io/yuccagate/allow.go
@@ -70,9 +70,9 @@
 	return yuccaallow.Limits{Regions: request.Regions, Version: request.Version}
 }
 
-// exclusion returns why a placement may not use a target, as far as this daemon knows, or yuccaallow.Allowed.
-func (gate *Gate) exclusion(plc *placement, entry yuccaroster.Entry) yuccaallow.Exclusion {
-	return yuccaallow.Check(limitsOf(&plc.request), plc.request.FailedTargets, yuccaallow.Target{
+// exclusion returns why a request may not use a target, as far as this daemon knows, or yuccaallow.Allowed.
+func (gate *Gate) exclusion(request *yuccagrant.Request, entry yuccaroster.Entry) yuccaallow.Exclusion {
+	return yuccaallow.Check(limitsOf(request), request.FailedTargets, yuccaallow.Target{
 		Name: entry.Target, Region: gate.region(entry.Centre), Version: entry.StreamVersion(),
 		Leaving: entry.Leaving, Evacuated: gate.roster.Evacuated(entry.Centre),
 	})
@@ -85,7 +85,7 @@
 	if !found {
 		return yuccaallow.Unregistered
 	}
-	if why := gate.exclusion(plc, entry); why != yuccaallow.FailedBefore {
+	if why := gate.exclusion(&plc.request, entry); why != yuccaallow.FailedBefore {
 		return why
 	}
 	return yuccaallow.Allowed
@@ -96,7 +96,7 @@
 func (gate *Gate) excludedTargets(plc *placement) string {
 	counts := make(map[yuccaallow.Exclusion]int)
 	for _, entry := range gate.roster.Targets() {
-		if why := gate.exclusion(plc, entry); entry.Pool == plc.pool && why != yuccaallow.Allowed {
+		if why := gate.exclusion(&plc.request, entry); entry.Pool == plc.pool && why != yuccaallow.Allowed {
 			counts[why]++
 		}
 	}
--- a/io/yuccagate/placement.go
+++ b/io/yuccagate/placement.go
@@ -128,7 +128,7 @@
 // one may go on there, since it still serves.
 func (gate *Gate) triedAll(plc *placement) bool {
 	for _, entry := range gate.roster.Usable(plc.pool) {
-		if gate.exclusion(plc, entry) == yuccaallow.Allowed {
+		if gate.exclusion(&plc.request, entry) == yuccaallow.Allowed {
 			return false
 		}
 	}
--- /dev/null
+++ b/io/yuccagate/where.go
@@ -0,0 +1,184 @@
+package yuccagate
+
+import (
+	"cmp"
+	"encoding/json"
+	mathrand "math/rand/v2"
+	"net/http"
+	"slices"
+	"time"
+
+	"yuccacleat/core/yuccaallow"
+	"yuccacleat/core/yuccagrant"
+	"yuccacleat/core/yuccaid"
+	"yuccacleat/core/yuccaspace"
+)
+
+// Outlook is where one daemon would send a request now, and why. It is told without sending the request.
+type Outlook struct {
+	VM     yuccaid.VM     `json:"vm"`
+	Centre yuccaid.Centre `json:"centre"`
+	// Number is that of the configuration in force. PlatformAgeMillis is how many milliseconds ago the platform last responded,
+	// or -1 if it never did.
+	Number            yuccaid.ConfigNumber `json:"number"`
+	PlatformAgeMillis int64                `json:"platformMillis"`
+	Route             string               `json:"route,omitempty"`
+	Account           yuccaid.Account      `json:"account,omitempty"`
+	// Problem is why the daemon would refuse the request before a target is chosen, empty if it wouldn't.
+	Problem string `json:"problem,omitempty"`
+	// Quota is what the account has used, nil if it has no quota. Whether it admits the request isn't told.
+	Quota *AccountStatus `json:"quota,omitempty"`
+	// Pools has the decision for each pool that the route's requests are divided among.
+	Pools []PoolOutlook `json:"pools,omitempty"`
+}
+
+// PoolOutlook is where a daemon would send a request to one pool. It would go to Target; if Target is empty, it would be refused for
+// the reason Refused; if that is empty too, it would wait.
+type PoolOutlook struct {
+	Pool   yuccaid.Pool `json:"pool"`
+	Weight int          `json:"weight"`
+	// Leader leads the pool in the daemon's data centre, empty if none is known. Leads reports whether it is the daemon itself. If it
+	// isn't, the daemon knows only of its own runs, and the leader may decide otherwise.
+	Leader              yuccaid.VM        `json:"leader,omitempty"`
+	Leads               bool              `json:"leads"`
+	Target              yuccaid.Target    `json:"target,omitempty"`
+	Refused             yuccagrant.Reason `json:"refused,omitempty"`
+	ExpectedFirstMillis int64             `json:"expectedFirstMillis"`
+	FetchFrom           yuccaid.Target    `json:"fetchFrom,omitempty"`
+	// Ahead is the number of waiting requests that go first, and WaitMillis how long they are expected to take.
+	Ahead      int             `json:"ahead"`
+	WaitMillis int64           `json:"waitMillis"`
+	Targets    []TargetOutlook `json:"targets"`
+}
+
+// TargetOutlook is what a daemon makes of a target for a request.
+type TargetOutlook struct {
+	Target yuccaid.Target `json:"target"`
+	Centre yuccaid.Centre `json:"centre"`
+	Region yuccaid.Region `json:"region,omitempty"`
+	// Excluded is why the request may not be sent to the target now, empty if it may. The figures below are those of targets that
+	// the pool's leader considers. CostMillis is the expected time to the first event and what sending the request there
+	// costs others.
+	Excluded            yuccaallow.Exclusion `json:"excluded,omitempty"`
+	OnTime              bool                 `json:"onTime"`
+	ExpectedFirstMillis int64                `json:"expectedFirstMillis"`
+	CostMillis          int64                `json:"costMillis"`
+	Busy                int                  `json:"busy"`
+	Slots               int                  `json:"slots"`
+	Held                yuccaid.Tokens       `json:"held"`
+}
+
+// Outlook returns where the request with the given head would go now. It sends nothing and changes nothing.
+func (gate *Gate) Outlook(head *http.Request) Outlook {
+	var out Outlook
+	gate.control.Call(func(now time.Time) { out = gate.outlook(now, head) })
+	return out
+}
+
+// outlook returns where a request would go; it runs on the control goroutine.
+func (gate *Gate) outlook(now time.Time, head *http.Request) Outlook {
+	out := Outlook{VM: gate.settings.VM, Centre: gate.settings.Centre, Number: gate.configurationNumber(), PlatformAgeMillis: -1}
+	if age := gate.platformAge(now); age >= 0 {
+		out.PlatformAgeMillis = age.Milliseconds()
+	}
+	req := &callerRequest{gate: gate, table: gate.tables.Load(), arrivedAt: now}
+	prob := req.check(now, head)
+	if req.route != nil {
+		out.Route, out.Account, out.Quota = req.route.Name, req.accountName(), gate.quotaStatus(now, req.accountName())
+	}
+	if prob != nil {
+		out.Problem = prob.Error()
+		return out
+	}
+	for _, share := range req.route.Pools {
+		out.Pools = append(out.Pools, gate.poolOutlook(now, req, share.Pool, share.Weight))
+	}
+	return out
+}
+
+// check returns why this daemon would refuse the request before a target is chosen, or nil.
+func (req *callerRequest) check(now time.Time, head *http.Request) *Problem {
+	gate := req.gate
+	if gate.refusesAll(now) {
+		return leavingProblem()
+	}
+	if req.table == nil {
+		return &Problem{Kind: KindNotReady}
+	}
+	if prob := req.identify(head); prob != nil {
+		return prob
+	}
+	req.outgoing.Host, req.deadline = head.Host, now.Add(req.timeout())
+	if !gate.memory.hasRoom(req.memoryRank(), yuccaspace.RequestOverhead) {
+		return &Problem{Kind: KindBusy, Detail: detailMemory}
+	}
+	if held := gate.quarantine.known.Decide(now, gate.quarantineView(now), req.info.SharedParts); held.Held {
+		return heldProblem(held)
+	}
+	return nil
+}
+
+// quotaStatus returns what an account with a quota has used, nil if it has none.
+func (gate *Gate) quotaStatus(now time.Time, account yuccaid.Account) *AccountStatus {
+	for _, usage := range gate.ledger.QuotaUsages(now) {
+		if usage.Account == account {
+			leader, _ := gate.accountLeader(account)
+			return &AccountStatus{Account: account, Used: usage.Used, Limit: usage.Limit, Leader: leader.VM}
+		}
+	}
+	return nil
+}
+
+// poolOutlook returns where a request to one pool would go.
+func (gate *Gate) poolOutlook(now time.Time, req *callerRequest, pool yuccaid.Pool, weight int) PoolOutlook {
+	leader, _ := gate.peers.Leader(pool)
+	out := PoolOutlook{Pool: pool, Weight: weight, Leader: leader.VM, Leads: leader.Incarnation == gate.incarnation}
+	request := req.schedulerRequest(now, time.Time{})
+	told := gate.deciderOf(now, pool).Forecast(now, request)
+	out.Target, out.Refused, out.FetchFrom = told.Target, told.Refused, told.FetchFrom
+	out.ExpectedFirstMillis, out.Ahead, out.WaitMillis = told.ExpectedTimeToFirst.Milliseconds(), told.Ahead, told.EstimatedWait.Milliseconds()
+	for _, one := range told.Candidates {
+		out.Targets = append(out.Targets, TargetOutlook{
+			Target: one.Target, Centre: one.Centre, Region: one.Region, Excluded: one.Exclusion, OnTime: one.OnTime,
+			ExpectedFirstMillis: one.ExpectedTimeToFirst.Milliseconds(), CostMillis: one.Cost.Milliseconds(), Busy: one.Busy, Slots: one.Slots, Held: one.Held,
+		})
+	}
+	out.Targets = append(out.Targets, gate.unusedTargets(&request, pool, out.Targets)...)
+	slices.SortFunc(out.Targets, func(a, b TargetOutlook) int { return cmp.Compare(a.Target, b.Target) })
+	return out
+}
+
+// deciderOf returns what decides on a pool's requests at this daemon. For a pool that it hasn't served yet that is one which knows
+// the targets and nothing else.
+func (gate *Gate) deciderOf(now time.Time, pool yuccaid.Pool) *yuccagrant.Leader {
+	if sched := gate.schedulers[pool]; sched != nil {
+		return sched.local
+	}
+	lead := yuccagrant.New(mathrand.New(mathrand.NewPCG(0, 0)))
+	lead.SetEvacuated(gate.roster.EvacuatedCentres())
+	lead.SetTargets(now, gate.targetsOf(&scheduler{pool: pool}))
+	return lead
+}
+
+// unusedTargets returns the registered targets of a pool that its leader isn't given, with the reason.
+func (gate *Gate) unusedTargets(request *yuccagrant.Request, pool yuccaid.Pool, given []TargetOutlook) []TargetOutlook {
+	var list []TargetOutlook
+	for _, entry := range gate.roster.Targets() {
+		known := slices.ContainsFunc(given, func(one TargetOutlook) bool { return one.Target == entry.Target })
+		if entry.Pool != pool || known {
+			continue
+		}
+		list = append(list, TargetOutlook{
+			Target: entry.Target, Centre: entry.Centre, Region: gate.region(entry.Centre), Slots: entry.Slots, Excluded: gate.exclusion(request, entry),
+		})
+	}
+	return list
+}
+
+// OutlookHandler responds with the Outlook of a request whose head is that of the handled one, with the method GET.
+func (gate *Gate) OutlookHandler() http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Content-Type", "application/json")
+		_ = json.NewEncoder(w).Encode(gate.Outlook(r))
+	})
+}
