--- a/cmd/yuccacleat/command_test.go
+++ b/cmd/yuccacleat/command_test.go
@@ -72,6 +72,7 @@
 		Entry("serve", "help-serve", 0, "serve", "--help"),
 		Entry("request", "help-request", 0, "request", "--help"),
 		Entry("explain", "help-explain", 0, "explain", "--help"),
+		Entry("where", "help-where", 0, "where", "--help"),
 		Entry("an unknown command", "unknown-command", 2, "serv"),
 		Entry("an unknown flag", "unknown-flag", 2, "serve", "--setings", "x"),
 		Entry("good notes", "note-check", 0, "note", "check", "0001.yaml", "0002.yaml"),
--- a/cmd/yuccacleat/gather.go
+++ b/cmd/yuccacleat/gather.go
@@ -26,7 +26,6 @@
 
 // gathered holds the log lines that daemons keep about one request.
 type gathered struct {
-	mu    sync.Mutex
 	lines bytes.Buffer
 	// unreachable lists the daemons that didn't answer.
 	unreachable []string
@@ -35,28 +34,38 @@
 // gatherLines asks the daemons at the given operator addresses for their log lines about a request.
 func gatherLines(ctx context.Context, addresses []string, request string) *gathered {
 	found := &gathered{}
+	answers, unreachable := askDaemons(ctx, addresses, func(ctx context.Context, client *http.Client, address string) ([]byte, error) {
+		return getLines(ctx, client, address, request)
+	})
+	found.unreachable = unreachable
+	for _, lines := range answers {
+		found.lines.Write(lines)
+	}
+	return found
+}
+
+// askDaemons asks the daemons at the given operator addresses, several at a time. It returns their answers, and the addresses of
+// those that didn't give one.
+func askDaemons[T any](ctx context.Context, addresses []string, ask func(ctx context.Context, client *http.Client, address string) (T, error)) (answers []T, unreachable []string) {
+	var mu sync.Mutex
 	client := &http.Client{Timeout: gatherTimeout}
 	var group errgroup.Group
 	group.SetLimit(gatherAtOnce)
 	for _, address := range addresses {
 		group.Go(func() error {
-			lines, err := getLines(ctx, client, address, request)
-			found.add(address, lines, err)
+			answer, err := ask(ctx, client, address)
+			mu.Lock()
+			defer mu.Unlock()
+			if err != nil {
+				unreachable = append(unreachable, address)
+			} else {
+				answers = append(answers, answer)
+			}
 			return nil
 		})
 	}
 	_ = group.Wait()
-	return found
-}
-
-func (found *gathered) add(address string, lines []byte, err error) {
-	found.mu.Lock()
-	defer found.mu.Unlock()
-	if err != nil {
-		found.unreachable = append(found.unreachable, address)
-		return
-	}
-	found.lines.Write(lines)
+	return answers, unreachable
 }
 
 // getLines returns the log lines that one daemon keeps about a request, none if it keeps none.
