--- a/io/yuccagate/allow.go
+++ b/io/yuccagate/allow.go
@@ -70,9 +70,9 @@
 	return yuccaallow.Limits{Regions: request.Regions, Version: request.Version}
 }
 
-// exclusion returns why a placement may not use a target, as far as this daemon knows, or yuccaallow.Allowed.
-func (gate *Gate) exclusion(plc *placement, entry yuccaroster.Entry) yuccaallow.Exclusion {
-	return yuccaallow.Check(limitsOf(&plc.request), plc.request.FailedTargets, gate.allowTarget(entry))
+// exclusion returns why a request may not use a target, as far as this daemon knows, or yuccaallow.Allowed.
+func (gate *Gate) exclusion(request *yuccagrant.Request, entry yuccaroster.Entry) yuccaallow.Exclusion {
+	return yuccaallow.Check(limitsOf(request), request.FailedTargets, gate.allowTarget(entry))
 }
 
 // allowTarget returns what decides whether requests may use a registered target.
@@ -90,7 +90,7 @@
 	if !found {
 		return yuccaallow.Unregistered
 	}
-	if why := gate.exclusion(plc, entry); why != yuccaallow.FailedBefore {
+	if why := gate.exclusion(&plc.request, entry); why != yuccaallow.FailedBefore {
 		return why
 	}
 	return yuccaallow.Allowed
