--- a/io/yuccagate/placingwire.go
+++ b/io/yuccagate/placingwire.go
@@ -24,6 +24,12 @@
 	}
 }
 
+// wireRegionRequest returns the message for a request that may be served in some regions only.
+func wireRegionRequest(now time.Time, plc *placement) yuccawire.RegionAsk {
+	limited := wireVersionRequest(now, plc)
+	return yuccawire.RegionAsk{Ask: limited.Ask, Version: limited.Version, EndMillis: limited.EndMillis, Regions: plc.request.Regions.Regions()}
+}
+
 // wireVersionRequest returns the message for a request that needs a version or has to end at a certain
 // time.
 func wireVersionRequest(now time.Time, plc *placement) yuccawire.VersionAsk {
