New targets are left to the leader of their data centre for 0.6 s, not 1.5 s

Cause: where that leader has no request for them, they got their first one only when the others were free to try them. Change: 0.6 s. Tests of core/yuccagrant pass.

--- a/core/yuccagrant/ramp.go
+++ b/core/yuccagrant/ramp.go
@@ -8,7 +8,7 @@
 
 // untriedWait is how long a leader leaves a new target of another data centre to the leaders there. If all leaders began
 // with the target at once, each with one request, a target with few slots would get more than it can take.
-const untriedWait = 1500 * time.Millisecond
+const untriedWait = 600 * time.Millisecond
 
 // maxTrialBackoff bounds the time for which a target that failed gets no requests from the leader of its data centre. That
 // leader tries it for all others, with one request at a time.
