--- a/io/yuccagate/restarted.go
+++ b/io/yuccagate/restarted.go
@@ -12,7 +12,7 @@
 )
 
 const (
-	// statusTimeout bounds the wait for all that a target says of itself, and maxStatusBytes the length of a status that is read.
+	// statusTimeout bounds the wait for a target's whole status, and maxStatusBytes the length that is read.
 	statusTimeout  = 250 * time.Millisecond
 	maxStatusBytes = 64 << 10
 )
@@ -24,6 +24,8 @@
 	if dec.startMillis == 0 || req.gate.dialect.StatusPath == "" {
 		return false
 	}
+	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
+	defer cancel()
 	raw, err := req.gate.askTarget(ctx, dec.address, req.gate.dialect.StatusPath, maxStatusBytes)
 	if err != nil {
 		return false
@@ -38,8 +40,6 @@
 
 // askTarget asks a target for what it says of itself at a path, up to a length.
 func (gate *Gate) askTarget(ctx context.Context, address, path string, maxBytes int64) ([]byte, error) {
-	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
-	defer cancel()
 	outgoing := yuccahop.Outgoing{Method: http.MethodGet, URI: path, Host: address}
 	answer, err := gate.targetClient.Send(ctx, address, &outgoing, func(http.Header) bool { return true })
 	if err != nil {
--- a/io/yuccagate/survey.go
+++ b/io/yuccagate/survey.go
@@ -1,6 +1,7 @@
 package yuccagate
 
 import (
+	"context"
 	"strconv"
 	"sync"
 	"time"
@@ -21,6 +22,8 @@
 	// surveyTimeout bounds the wait for what targets keep. It is short beside the time for which callers wait for the
 	// next event.
 	surveyTimeout = 700 * time.Millisecond
+	// surveyTargetTimeout bounds the time in which a target tells what it keeps and when it started.
+	surveyTargetTimeout = 550 * time.Millisecond
 	// surveyedAtOnce is how many targets are asked at once: all of a share in most fleets, because each takes three round
 	// trips, which are long to other regions. maxHoldingsBytes is the length of a list that is read.
 	surveyedAtOnce   = 64
@@ -176,11 +179,13 @@
 	group.SetLimit(surveyedAtOnce)
 	for _, entry := range entries {
 		group.Go(func() error {
-			kept, known := gate.askKeptParts(entry)
+			ctx, cancel := context.WithTimeout(gate.traffic, surveyTargetTimeout)
+			defer cancel()
+			kept, known := gate.askKeptParts(ctx, entry)
 			if !known {
 				return nil
 			}
-			origin := gate.originOf(entry, len(kept) > 0)
+			origin := gate.originOf(ctx, entry, len(kept) > 0)
 			mu.Lock()
 			defer mu.Unlock()
 			answered++
@@ -195,8 +200,8 @@
 }
 
 // askKeptParts asks a target which parts of prompts it keeps.
-func (gate *Gate) askKeptParts(entry yuccaroster.Entry) ([]KeptPart, bool) {
-	list, err := gate.askTarget(gate.traffic, entry.Address, gate.dialect.HoldingsPath, maxHoldingsBytes)
+func (gate *Gate) askKeptParts(ctx context.Context, entry yuccaroster.Entry) ([]KeptPart, bool) {
+	list, err := gate.askTarget(ctx, entry.Address, gate.dialect.HoldingsPath, maxHoldingsBytes)
 	if err != nil {
 		return nil, false
 	}
@@ -205,12 +210,12 @@
 
 // originOf returns the pool and version of a target that has just said what it keeps. The target is asked when it
 // started: if it has restarted under its id, or another one has got its address, its version isn't known.
-func (gate *Gate) originOf(entry yuccaroster.Entry, keepsAny bool) yuccastream.Origin {
+func (gate *Gate) originOf(ctx context.Context, entry yuccaroster.Entry, keepsAny bool) yuccastream.Origin {
 	origin := yuccastream.Origin{Pool: entry.Pool, Version: entry.StreamVersion()}
 	if !keepsAny || entry.StartMillis == 0 || gate.dialect.StatusPath == "" {
 		return origin
 	}
-	status, err := gate.askTarget(gate.traffic, entry.Address, gate.dialect.StatusPath, maxStatusBytes)
+	status, err := gate.askTarget(ctx, entry.Address, gate.dialect.StatusPath, maxStatusBytes)
 	if err != nil {
 		return yuccastream.Origin{Pool: entry.Pool}
 	}
