--- a/core/yuccagrant/request.go
+++ b/core/yuccagrant/request.go
@@ -3,8 +3,12 @@
 import (
 	"time"
 
+	"yuccacleat/core/yuccaallow"
 	"yuccacleat/core/yuccacache"
+	"yuccacleat/core/yuccacold"
 	"yuccacleat/core/yuccaid"
+	"yuccacleat/core/yuccaregion"
+	"yuccacleat/core/yuccaspeed"
 )
 
 // ID identifies a request by its owner, which is the daemon that holds the caller's connection,
@@ -43,6 +47,10 @@
 	// for the first event at Deadline.
 	SoftDeadline time.Time
 	Deadline     time.Time
+	// End is when the answer has to be complete, zero if that doesn't matter or can't be foreseen.
+	End time.Time
+	// finishable reports whether the answer can be complete at End.
+	finishable bool
 	// MaxGap is the longest time between two events of an answer that is on time. It is zero
 	// for requests that are answered with a single event.
 	MaxGap time.Duration
@@ -51,6 +59,13 @@
 	// Version is the version of the targets that may serve the request, empty if any target may. A
 	// stream that goes on has the version that began it.
 	Version yuccaid.Version
+	// Regions are the regions in which the request may be served.
+	Regions yuccaregion.Set
+}
+
+// limits returns what the request requires of its targets.
+func (req *Request) limits() yuccaallow.Limits {
+	return yuccaallow.Limits{Regions: req.Regions, Version: req.Version}
 }
 
 // effectiveRank returns the rank that the request is scheduled by: Rank, limited to the range from
@@ -91,6 +106,9 @@
 	ReasonQueueFull Reason = "full"
 	// ReasonNoVersion means that the pool has targets, and none is of the request's version.
 	ReasonNoVersion Reason = "noVersion"
+	// ReasonNoRegion means that the pool has targets, and none in the regions in which the request may be
+	// served, or that it may be served in none.
+	ReasonNoRegion Reason = "noRegion"
 )
 
 // Refusal is the final decision not to serve a request; RetryAfter is the time after which the
@@ -162,11 +180,13 @@
 }
 
 // ReportedLoad holds the numbers of requests that a target reports as running and as waiting in
-// its own queue. Known is false if the target reported no load.
+// its own queue. Known is false if the target reported no load. Slowness is how many times as long as
+// usual work takes there now, zero if the target doesn't say.
 type ReportedLoad struct {
-	Known   bool
-	Running int
-	Waiting int
+	Known    bool
+	Running  int
+	Waiting  int
+	Slowness yuccaspeed.Factor
 }
 
 // Running is a run that an owner reports to a new leader.
@@ -182,6 +202,9 @@
 type Target struct {
 	Name  yuccaid.Target
 	Slots int
+	// Centre is the target's data centre, and Region the region of that data centre.
+	Centre yuccaid.Centre
+	Region yuccaid.Region
 	// CacheTokens is the size of the target's prefix cache, zero if it has none. FetchRate is how many
 	// tokens a second the target can fetch from the cache of another target, zero if it can't.
 	CacheTokens yuccaid.Tokens
@@ -193,7 +216,17 @@
 	Version yuccaid.Version
 	// RoundTrip is the network round-trip time to the target.
 	RoundTrip time.Duration
+	// OtherCentre reports that the target is in another data centre, whose leader sends it most of its
+	// runs.
+	OtherCentre bool
 	// Remote reports that the target is in another region, so that traffic to it is billed by
 	// volume.
 	Remote bool
+	// Ramped reports that the leader finds out how much the target can take when it has just started or
+	// recovered.
+	Ramped bool
+	// Cold is what the target has registered about being cold, and Budget what the leader may send it
+	// because it may be cold.
+	Cold   yuccacold.Statement
+	Budget yuccacold.Budget
 }
--- a/core/yuccagrant/share.go
+++ b/core/yuccagrant/share.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"yuccacleat/core/yuccaallow"
 )
 
 const (
@@ -14,6 +16,27 @@
 	maxShareLoad = 2
 )
 
+// shareSlots sets how many slots of each target this leader uses: its share of them. What remains of the
+// division goes to some of the leaders, whom the bias of the target tells. If each leader rounded its
+// share up, twenty leaders would use twenty slots of each target that has four.
+func (lead *Leader) shareSlots() {
+	short, sum := lead.shortRuns(), 0
+	for _, tgt := range lead.targets {
+		tgt.Slots = tgt.totalSlots / lead.leaderCount
+		remainder := tgt.totalSlots % lead.leaderCount
+		if tgt.bias*float64(lead.leaderCount) < biasShare*float64(remainder) {
+			tgt.Slots++
+		}
+		sum += tgt.Slots
+	}
+	for _, tgt := range lead.targets {
+		if sum == 0 {
+			tgt.Slots = 1
+		}
+		tgt.setOvercommit(short)
+	}
+}
+
 // belowShare reports whether this leader has fewer runs than its share of the pool's slots, in a pool
 // whose runs are shorter than the delay of the other leaders' reports.
 //
@@ -22,19 +45,31 @@
 // refuse its requests, although most of the reported runs have finished. So each leader may always
 // use a share of the slots that corresponds to its share of the demand. The shares of all leaders add
 // up to the slots of the pool.
-func (lead *Leader) belowShare(now time.Time) bool {
+//
+// For a request that may use some of the targets only, the share is that of these targets.
+func (lead *Leader) belowShare(now time.Time, lim yuccaallow.Limits) bool {
 	if !lead.shortRuns() {
 		return false
 	}
-	slots, others := 0, 0
+	slots, others, runs := 0, 0, 0
 	for _, tgt := range lead.targets {
-		if !tgt.backingOff(now) {
+		if !tgt.within(lim) {
+			continue
+		}
+		runs += len(tgt.runs)
+		if !tgt.backingOff(now) && !tgt.tripped() {
 			slots += tgt.Slots
 			others += tgt.otherCentreRuns
 		}
 	}
-	demand := float64(len(lead.runs) + lead.queue.len())
-	return float64(len(lead.runs)) < math.Ceil(float64(slots)*demand/(demand+float64(others)))
+	waiting := lead.queue.len()
+	if lim.Any() {
+		runs = len(lead.runs)
+	} else {
+		waiting = lead.queue.count(lim)
+	}
+	demand := float64(runs + waiting)
+	return float64(runs) < math.Ceil(float64(slots)*demand/(demand+float64(others)))
 }
 
 // chooseWithinShare returns the target with the lowest cost among those with fewer runs than
@@ -42,7 +77,7 @@
 func (lead *Leader) chooseWithinShare(now time.Time, req *Request, base *baseline) choice {
 	best := choice{cost: math.MaxInt64}
 	for _, tgt := range lead.targets {
-		if tgt.busySlots(now) < maxShareLoad*tgt.Slots && !tgt.backingOff(now) && tgt.mayServe(req) {
+		if tgt.busySlots(now) < maxShareLoad*tgt.Slots && tgt.heldBack(now) == yuccaallow.Allowed && !tgt.backingOff(now) && tgt.mayServe(req) && lead.mayTry(now, tgt, req) {
 			best = best.better(lead.estimate(now, tgt, req, base))
 		}
 	}
@@ -57,12 +92,14 @@
 // to the target that had the fewest runs a tenth of a second ago, and overload it.
 func (lead *Leader) spreadOtherRuns() {
 	stale := lead.shortRuns()
+	lead.spreadsRuns = stale
 	slots, others := 0, 0
 	for _, tgt := range lead.targets {
 		slots += tgt.Slots
 		others += tgt.otherCentreRuns
 	}
 	for _, tgt := range lead.targets {
+		tgt.setOvercommit(stale)
 		tgt.assumedOtherRuns = tgt.otherCentreRuns
 		if stale && slots > 0 {
 			tgt.assumedOtherRuns = int(math.Round(float64(others) * float64(tgt.Slots) / float64(slots)))
--- a/io/yuccagate/memory.go
+++ b/io/yuccagate/memory.go
@@ -46,6 +46,13 @@
 	return mem.limiter.Reserve(rank, size)
 }
 
+// hasRoom reports whether memory could be reserved for a request of the given rank now.
+func (mem *memory) hasRoom(rank int, size yuccaid.Bytes) bool {
+	mem.mu.Lock()
+	defer mem.mu.Unlock()
+	return mem.limiter.HasRoom(rank, size)
+}
+
 func (mem *memory) release(size yuccaid.Bytes) {
 	mem.mu.Lock()
 	defer mem.mu.Unlock()
@@ -58,13 +65,12 @@
 	return mem.limiter.Reserved()
 }
 
-// connRejected records that a caller's connection was rejected because the bound on connections was
-// reached. The rejection is logged only if no other connection was rejected within
-// rejectedNotReadyFor before it.
-func (gate *Gate) connRejected(now time.Time) {
-	gate.metrics.connRejected()
+// connRejected records that a caller's connection was rejected. The rejection is logged only if no
+// other connection was rejected within rejectedNotReadyFor before it.
+func (gate *Gate) connRejected(now time.Time, reason rejection) {
+	gate.metrics.connRejected(reason)
 	if previous := gate.callerRejectedAt.Swap(&now); previous == nil || now.Sub(*previous) > rejectedNotReadyFor {
-		gate.log.stateChange("callers turned away", "connections", gate.processBounds.CallerConnections)
+		gate.log.stateChange("callers turned away", "reason", reason, "connections", gate.processBounds.CallerConnections)
 	}
 }
 
--- a/io/yuccagate/placingwire.go
+++ b/io/yuccagate/placingwire.go
@@ -1,11 +1,15 @@
 package yuccagate
 
 import (
+	"math"
 	"time"
 
+	"yuccacleat/core/yuccaallow"
 	"yuccacleat/core/yuccacache"
 	"yuccacleat/core/yuccagrant"
 	"yuccacleat/core/yuccaid"
+	"yuccacleat/core/yuccaregion"
+	"yuccacleat/core/yuccaspeed"
 	"yuccacleat/io/yuccawire"
 )
 
@@ -20,6 +24,16 @@
 	}
 }
 
+// wireVersionRequest returns the message for a request that needs a version or has to end at a certain
+// time.
+func wireVersionRequest(now time.Time, plc *placement) yuccawire.VersionAsk {
+	message := yuccawire.VersionAsk{Ask: wireRequest(now, plc), Version: plc.request.Version}
+	if !plc.request.End.IsZero() {
+		message.EndMillis = max(plc.request.End.Sub(now).Milliseconds(), 1)
+	}
+	return message
+}
+
 func wireParts(parts []yuccacache.Part) []yuccawire.PromptPart {
 	var list []yuccawire.PromptPart
 	for _, part := range parts {
@@ -63,20 +77,31 @@
 	return message
 }
 
+// slownessScale is the integer that represents the usual speed in messages.
+const slownessScale = 100
+
 // wireLoad returns the message form of a target's reported load: its numbers of running and of
-// waiting requests, or nil if it reported none.
+// waiting requests and, if it stated one, its slowness, or nil if it reported no load. A leader of an
+// older build takes three numbers as no load.
 func wireLoad(load yuccagrant.ReportedLoad) []int {
-	if !load.Known {
+	switch {
+	case !load.Known:
 		return nil
+	case load.Slowness > 0:
+		return []int{load.Running, load.Waiting, int(math.Round(float64(load.Slowness) * slownessScale))}
 	}
 	return []int{load.Running, load.Waiting}
 }
 
 func loadFromWire(message []int) yuccagrant.ReportedLoad {
-	if len(message) != 2 {
+	if len(message) != 2 && len(message) != 3 {
 		return yuccagrant.ReportedLoad{}
 	}
-	return yuccagrant.ReportedLoad{Known: true, Running: message[0], Waiting: message[1]}
+	load := yuccagrant.ReportedLoad{Known: true, Running: message[0], Waiting: message[1]}
+	if len(message) == 3 {
+		load.Slowness = yuccaspeed.Factor(message[2]) / slownessScale
+	}
+	return load
 }
 
 func finishedFromWire(owner yuccaid.Incarnation, message yuccawire.Ended) yuccagrant.Finished {
@@ -97,18 +122,32 @@
 // onAsk tells the owner so. A daemon that doesn't lead the pool doesn't respond, and the owner then
 // decides on the request itself.
 func (gate *Gate) onAsk(now time.Time, from yuccaid.Incarnation, message yuccawire.Ask) {
-	gate.onVersionAsk(now, from, yuccawire.VersionAsk{Ask: message})
+	gate.submitForOwner(now, from, message, yuccaallow.Limits{}, 0)
 }
 
-// onVersionAsk does what onAsk does for a request that needs targets of one version.
+// onVersionAsk does what onAsk does for a request that needs targets of one version or has to end at a
+// certain time.
 func (gate *Gate) onVersionAsk(now time.Time, from yuccaid.Incarnation, ask yuccawire.VersionAsk) {
-	message := ask.Ask
+	gate.submitForOwner(now, from, ask.Ask, yuccaallow.Limits{Version: ask.Version}, ask.EndMillis)
+}
+
+// onRegionAsk does what onAsk does for a request that may be served in some regions only.
+func (gate *Gate) onRegionAsk(now time.Time, from yuccaid.Incarnation, ask yuccawire.RegionAsk) {
+	gate.submitForOwner(now, from, ask.Ask, yuccaallow.Limits{Regions: yuccaregion.Only(ask.Regions...), Version: ask.Version}, ask.EndMillis)
+}
+
+// submitForOwner submits another daemon's request, with what it requires of its targets. If endMillis isn't
+// zero, the answer has to be complete within that time.
+func (gate *Gate) submitForOwner(now time.Time, from yuccaid.Incarnation, message yuccawire.Ask, lim yuccaallow.Limits, endMillis int64) {
 	sched := gate.scheduler(now, message.Pool)
 	if !sched.leads {
 		return
 	}
 	request := requestFromWire(now, from, message)
-	request.Version = ask.Version
+	request.Version, request.Regions = lim.Version, lim.Regions
+	if endMillis > 0 {
+		request.End = now.Add(time.Duration(endMillis) * time.Millisecond)
+	}
 	gate.apply(now, sched, sched.local.Submit(now, request))
 	if sched.local.IsWaiting(request.ID) {
 		gate.send(from, yuccawire.KindPlaced, yuccawire.Placed{Pool: message.Pool, Number: message.Number})
--- a/io/yuccagate/request.go
+++ b/io/yuccagate/request.go
@@ -46,10 +46,12 @@
 	unframed *callerConn
 	info     RequestInfo
 	// table is the configuration that applies to the request, even if it changes meanwhile.
-	table     *yuccaroute.Table
-	route     *yuccaroute.Route
-	account   *yuccaroute.Account
-	pool      yuccaid.Pool
+	table   *yuccaroute.Table
+	route   *yuccaroute.Route
+	account *yuccaroute.Account
+	pool    yuccaid.Pool
+	// path is the path of the request's URL, by which a configuration selects its route.
+	path      string
 	arrivedAt time.Time
 	deadline  time.Time
 	// outgoing is the request as it is sent to targets. Its header is derived from forwardHeader,
@@ -146,6 +148,9 @@
 // refuse responds with the problem, and logs and counts it.
 func (req *callerRequest) refuse(prob *Problem) {
 	req.gate.metrics.problem(req.metricRank(), prob.Kind, prob.Detail)
+	if prob.Kind == KindBusy && prob.Detail == detailMemory {
+		req.gate.memoryShortage.requestRefused()
+	}
 	fields := append([]any{
 		"kind", prob.Kind, "status", prob.Status(), "detail", prob.Detail, "backMillis", prob.RetryAfter.Milliseconds(),
 		"sends", req.sends, "runs", req.runs, "number", req.configurationNumber(),
@@ -169,6 +174,20 @@
 	if req.table == nil {
 		return &Problem{Kind: KindNotReady, RetryAfter: notReadyRetryAfter}
 	}
+	if prob := req.identify(r); prob != nil {
+		return prob
+	}
+	req.pool = req.route.Pick(mathrand.Float64())
+	req.deadline = req.arrivedAt.Add(req.timeout())
+	req.setWriteDeadline(req.deadline.Add(writeGrace))
+	if !req.reserve(yuccaspace.RequestOverhead) {
+		return &Problem{Kind: KindBusy, Detail: detailMemory, RetryAfter: memoryRetryAfter}
+	}
+	return req.readBody(r)
+}
+
+// identify checks a request's head against the configuration, and finds its route and account.
+func (req *callerRequest) identify(r *http.Request) *Problem {
 	if limit := req.table.Config().Limits.Header; limit > 0 && headSize(r) > limit {
 		return &Problem{Kind: KindLargeHead}
 	}
@@ -176,22 +195,13 @@
 	if !found {
 		return &Problem{Kind: KindNoRoute}
 	}
-	req.route = route
+	req.route, req.path = route, r.URL.Path
 	info, err := req.gate.dialect.ReadRequest(r, route)
 	if err != nil {
 		return &Problem{Kind: KindMalformed, Detail: err.Error()}
 	}
 	req.info = info
-	if prob := req.identifyAccount(); prob != nil {
-		return prob
-	}
-	req.pool = route.Pick(mathrand.Float64())
-	req.deadline = req.arrivedAt.Add(req.timeout())
-	req.setWriteDeadline(req.deadline.Add(writeGrace))
-	if !req.reserve(yuccaspace.RequestOverhead) {
-		return &Problem{Kind: KindBusy, Detail: detailMemory, RetryAfter: memoryRetryAfter}
-	}
-	return req.readBody(r)
+	return req.identifyAccount()
 }
 
 // headSize returns the approximate size of a request's head.
@@ -298,12 +308,16 @@
 	request := yuccagrant.Request{
 		Class: req.class(), Tier: req.tier(), Rank: req.route.Rank, OverQuota: req.overQuota, Prompt: req.info.Prompt, Answer: req.info.Answer, Parts: req.info.Parts,
 		SoftDeadline: req.arrivedAt.Add(req.route.LatencyTarget), Deadline: req.deadline, FailedTargets: slices.Clip(req.tried), Version: req.version,
+		Regions: req.allowedRegions(),
 	}
 	if req.route.LatencyTarget <= 0 {
 		request.SoftDeadline = req.deadline
 	}
 	if req.route.Kind == yuccaroute.Stream {
 		request.MaxGap = req.route.MaxGap
+		if request.Answer > 0 {
+			request.End = req.deadline
+		}
 	}
 	waitsSince := req.arrivedAt
 	if !lastEventAt.IsZero() {
--- a/io/yuccagate/survey.go
+++ b/io/yuccagate/survey.go
@@ -155,16 +155,16 @@
 }
 
 // entriesToSurvey returns the targets of a share that run a model. Those that are leaving belong to them: they began
-// streams.
+// streams. Nothing is sent to the targets of a data centre that is evacuated.
 func (gate *Gate) entriesToSurvey(share int) []yuccaroster.Entry {
 	var list []yuccaroster.Entry
 	table := gate.tables.Load()
 	if table == nil {
 		return nil
 	}
-	for _, entry := range gate.roster.Entries() {
+	for _, entry := range gate.roster.Targets() {
 		pool, found := table.Pool(entry.Pool)
-		if found && pool.Engine != nil && shareOf(entry.Target) == share {
+		if found && pool.Engine != nil && shareOf(entry.Target) == share && !gate.roster.Evacuated(entry.Centre) {
 			list = append(list, entry)
 		}
 	}
--- a/io/yuccawire/kind.go
+++ b/io/yuccawire/kind.go
@@ -100,6 +100,8 @@
 	KindSeeds
 	// KindQuarantine carries a Quarantine to all other daemons. Older builds ignore it.
 	KindQuarantine
+	// KindRegionAsk carries a RegionAsk from the daemon that holds a request to its pool's leader.
+	KindRegionAsk
 	// KindHoldingQuery carries a HoldingQuery to the daemon that asks the targets of a share. Older builds ignore it.
 	KindHoldingQuery
 	// KindHoldingAnswer carries a HoldingAnswer.
@@ -159,6 +161,7 @@
 
 	KindQuarantine: "quarantine",
 
+	KindRegionAsk:     "regionAsk",
 	KindHoldingQuery:  "holdingQuery",
 	KindHoldingAnswer: "holdingAnswer",
 }
