--- a/core/yuccagrant/leader.go
+++ b/core/yuccagrant/leader.go
@@ -9,6 +9,7 @@
 
 	"yuccacleat/core/yuccacache"
 	"yuccacleat/core/yuccaid"
+	"yuccacleat/core/yuccaspeed"
 )
 
 // Leader schedules the requests of one pool. It isn't safe for concurrent use.
@@ -21,8 +22,15 @@
 	// an evacuation.
 	present   presence
 	evacuated map[yuccaid.Centre]bool
+	// evacuatedBefore are those that were evacuated when the targets were last set.
+	evacuatedBefore map[yuccaid.Centre]bool
 	// leaderCount is the number of leaders among which the slots of each target are divided.
 	leaderCount int
+	// centreCount is the number of data centres whose leaders decide on the same targets. spreadsRuns
+	// is set while the runs of other leaders are assumed to be spread over all targets (see
+	// Leader.spreadOtherRuns).
+	centreCount int
+	spreadsRuns bool
 	// remoteBound is a lower bound on the cost of targets in other regions.
 	remoteBound remoteBound
 	// pacesChanged reports that a pace has changed since paces were last normalised.
@@ -32,6 +40,8 @@
 	latencyModel latencyModel
 	lengthModel  lengthModel
 	sizeStats    sizeStats
+	// speeds estimates from what targets state how long work takes there at the moment.
+	speeds yuccaspeed.Model
 	// parts finds the targets that hold the parts of a prompt. generation counts the requests for
 	// which that was looked up.
 	parts      yuccacache.Index[*targetState]
@@ -40,11 +50,16 @@
 	// newParts are the parts that targets have begun to hold and that haven't been reported to other
 	// leaders.
 	newParts []HeldPart
+	// newFailures are the targets whose failures have changed since they were last reported to other
+	// leaders.
+	newFailures map[yuccaid.Target]bool
+	// tookOverAt is when the leader took over from another one, zero if it didn't.
+	tookOverAt time.Time
 }
 
 // New returns a leader without targets. SetTargets sets them.
 func New(rng *rand.Rand) *Leader {
-	return &Leader{rng: rng, leaderCount: 1, runs: make(map[ID]*activeRun), queue: newQueue(), lengthModel: newLengthModel(), sizeStats: newSizeStats(), parts: yuccacache.NewIndex[*targetState](), fetches: fetches{success: 1}}
+	return &Leader{rng: rng, leaderCount: 1, centreCount: 1, runs: make(map[ID]*activeRun), queue: newQueue(), lengthModel: newLengthModel(), sizeStats: newSizeStats(), parts: yuccacache.NewIndex[*targetState](), fetches: fetches{success: 1}}
 }
 
 // SetTargets sets the targets. What was learned of a target is kept until its process is
@@ -54,19 +69,31 @@
 	lead.targetsByName = make(map[yuccaid.Target]*targetState, len(configured))
 	lead.targets = make([]*targetState, 0, len(configured))
 	newPace := medianPace(old)
+	hadTargets := len(old) > 0
 	for _, target := range configured {
 		tgt := old[target.Name]
+		isNew := hadTargets && (tgt == nil || tgt.StartMillis != target.StartMillis)
 		if tgt == nil || tgt.StartMillis != target.StartMillis {
 			tgt = newTargetState(target, biasShare*lead.rng.Float64())
 			tgt.pace = newPace
+			if former := old[target.Name]; former != nil {
+				tgt.cold, tgt.sends = former.cold, former.sends
+			}
+		}
+		tgt.cold.Register(now, target.Budget.Limit, target.Cold, hadTargets)
+		if lead.returned(target.Centre) {
+			tgt.cold.Assume(now, target.Budget.Limit)
 		}
+		tgt.tookOverAt = lead.tookOverAt
 		if tgt.cache.Limit() != int64(target.CacheTokens) {
 			lead.parts.Clear(tgt, &tgt.cache)
 			tgt.cache = yuccacache.New(int64(target.CacheTokens), maxPartsPerTarget(len(configured)))
 		}
 		tgt.Target = target
+		if isNew {
+			tgt.beginRamp(now)
+		}
 		tgt.totalSlots = target.Slots
-		tgt.setLeaderCount(lead.leaderCount)
 		lead.targets = append(lead.targets, tgt)
 		lead.targetsByName[target.Name] = tgt
 	}
@@ -76,6 +103,7 @@
 		}
 	}
 	slices.SortFunc(lead.targets, func(a, b *targetState) int { return cmp.Or(compareRemote(a, b), cmp.Compare(a.Name, b.Name)) })
+	lead.shareSlots()
 	lead.remoteBound.configure(lead.targets)
 	lead.pacesChanged = true
 	lead.present.update(now, old, lead.targets, lead.evacuated)
@@ -84,10 +112,16 @@
 	return dec
 }
 
-// SetEvacuated sets the data centres that are evacuated, before SetTargets is called without their targets.
-// Requests don't wait for these as for targets that are expected to register again.
+// SetEvacuated sets the data centres that are evacuated, before SetTargets is called with the targets of the
+// others. Requests don't wait for the targets of an evacuated data centre as for targets that are expected to
+// register again. Once it isn't evacuated any more, they count as cold.
 func (lead *Leader) SetEvacuated(centres map[yuccaid.Centre]bool) {
-	lead.evacuated = centres
+	lead.evacuatedBefore, lead.evacuated = lead.evacuated, centres
+}
+
+// returned reports whether the data centre has ceased to be evacuated since the targets were last set.
+func (lead *Leader) returned(centre yuccaid.Centre) bool {
+	return lead.evacuatedBefore[centre] && !lead.evacuated[centre]
 }
 
 // compareRemote orders targets of this region before targets of other regions.
@@ -109,9 +143,7 @@
 		return dec
 	}
 	lead.leaderCount = leaderCount
-	for _, tgt := range lead.targets {
-		tgt.setLeaderCount(leaderCount)
-	}
+	lead.shareSlots()
 	lead.grantSlots(now, &dec)
 	return dec
 }
@@ -179,8 +211,11 @@
 		return dec
 	}
 	run.started = true
+	run.targetState.recordAnswer(now, run, took)
+	lead.recordBegun(run)
 	run.targetState.recordReport(now, load)
-	lead.learnTimeToFirst(run, took)
+	lead.recordSpeed(now, run, load)
+	lead.learnTimeToFirst(now, run, took)
 	lead.grantSlots(now, &dec)
 	return dec
 }
@@ -193,9 +228,13 @@
 		return dec
 	}
 	if result.TimeToFirst > 0 && !run.started {
-		lead.learnTimeToFirst(run, result.TimeToFirst)
+		lead.recordSpeed(now, run, result.Load)
+		lead.learnTimeToFirst(now, run, result.TimeToFirst)
 	}
 	if !run.started {
+		if result.Outcome == Served || result.Outcome == Failed {
+			run.targetState.recordAnswer(now, run, now.Sub(run.sent))
+		}
 		run.targetState.recordReport(now, result.Load)
 	}
 	lead.removeRun(run)
@@ -216,7 +255,7 @@
 	if !found {
 		return
 	}
-	run := lead.addRun(now, tgt, running.Request)
+	run := lead.addRun(now, running.Sent, tgt, running.Request)
 	run.sent = running.Sent
 	run.started = running.Started
 }
@@ -255,13 +294,14 @@
 }
 
 // SetOtherCentreLoads sets how many runs the leaders of other data centres have on the given
-// targets. It adopts the paces that those leaders have learned for targets of which this leader
+// targets, and whether the targets have been tried there. It adopts the paces that those leaders have learned for targets of which this leader
 // has too few samples.
 func (lead *Leader) SetOtherCentreLoads(now time.Time, loads map[yuccaid.Target]TargetLoad) Decisions {
 	var dec Decisions
 	for target, load := range loads {
 		if tgt, found := lead.targetsByName[target]; found {
 			tgt.otherCentreRuns = load.Runs
+			tgt.recordTried(load.Tried)
 			if tgt.adoptPace(load.Pace) {
 				lead.notePaceChange(tgt)
 			}
@@ -281,17 +321,25 @@
 }
 
 // TargetLoad is the number of runs that a leader has on one target, and the pace that the leader
-// has learned for the target, zero if it is unknown.
+// has learned for the target, zero if it is unknown or the target has failed and hasn't answered since.
+// Tried reports, of a load that other leaders have sent, that the leader of the target's own data
+// centre knows its pace. OtherCentre reports, of a load of this leader, that the target is in another
+// data centre.
 type TargetLoad struct {
-	Runs int
-	Pace float64
+	Runs        int
+	Pace        float64
+	Tried       bool
+	OtherCentre bool
 }
 
+// IsZero reports whether there is nothing to tell of the target.
+func (load TargetLoad) IsZero() bool { return load.Runs == 0 && load.Pace == 0 }
+
 // Loads iterates over the targets that have runs of this leader or a known pace.
 func (lead *Leader) Loads() iter.Seq2[yuccaid.Target, TargetLoad] {
 	return func(yield func(yuccaid.Target, TargetLoad) bool) {
 		for _, tgt := range lead.targets {
-			if load := tgt.load(); load != (TargetLoad{}) && !yield(tgt.Name, load) {
+			if load := tgt.load(); !load.IsZero() && !yield(tgt.Name, load) {
 				return
 			}
 		}
@@ -338,7 +386,7 @@
 	list := make([]TargetStatus, 0, len(lead.targets))
 	for _, tgt := range lead.targets {
 		list = append(list, TargetStatus{
-			Target: tgt.Name, Busy: tgt.busySlots(now), Slots: tgt.Slots, Pace: tgt.pace, LateFraction: tgt.lateFraction, FailureRate: tgt.failureRate, BackingOff: tgt.backingOff(now),
+			Target: tgt.Name, Busy: tgt.busySlots(now), Slots: tgt.Slots, Pace: tgt.pace, LateFraction: tgt.lateFraction, FailureRate: tgt.failureRate, BackingOff: tgt.backingOff(now), Cold: tgt.isCold(now), HeldBack: tgt.heldBack(now), Window: tgt.window.Size(now),
 		})
 	}
 	return list
--- a/core/yuccagrant/limits.go
+++ b/core/yuccagrant/limits.go
@@ -12,8 +12,14 @@
 	// Full means that the target has as many requests as it may have.
 	Full yuccaallow.Exclusion = "full"
 	// BackingOff means that the target gets no requests for a while after a failure, or while a run is
-	// overdue.
+	// overdue, or one at a time after several failures.
 	BackingOff yuccaallow.Exclusion = "backingOff"
+	// Cold means that the target is or may be cold and would get more than it may in a second.
+	Cold yuccaallow.Exclusion = "cold"
+	// Untried means that the target is new and left to the leader of its data centre.
+	Untried yuccaallow.Exclusion = "untried"
+	// Window means that the target hasn't begun to answer what it got, and what it can take isn't known.
+	Window yuccaallow.Exclusion = "window"
 )
 
 // mayServe reports whether a request may use the target once it has a free slot.
@@ -27,12 +33,15 @@
 	return lim.Exclusion(tgt.Region, tgt.Version) == yuccaallow.Allowed
 }
 
-// exclusion returns why a request may not be sent to the target now, or yuccaallow.Allowed.
-func (tgt *targetState) exclusion(now time.Time, req *Request) yuccaallow.Exclusion {
+// exclusion returns why a request may not be sent to a target now, or yuccaallow.Allowed.
+func (lead *Leader) exclusion(now time.Time, tgt *targetState, req *Request) yuccaallow.Exclusion {
+	if why := tgt.heldBack(now); why != yuccaallow.Allowed {
+		return why
+	}
 	switch {
-	case tgt.grantableSlots(now) == 0:
+	case lead.grantableSlots(now, tgt) == 0:
 		return Full
-	case tgt.backingOff(now):
+	case tgt.backingOff(now) || !lead.mayTry(now, tgt, req):
 		return BackingOff
 	}
 	return yuccaallow.Check(req.limits(), req.FailedTargets, yuccaallow.Target{Name: tgt.Name, Region: tgt.Region, Version: tgt.Version})
@@ -42,7 +51,7 @@
 func (lead *Leader) Exclusions(now time.Time, req Request) map[yuccaid.Target]yuccaallow.Exclusion {
 	list := make(map[yuccaid.Target]yuccaallow.Exclusion, len(lead.targets))
 	for _, tgt := range lead.targets {
-		list[tgt.Name] = tgt.exclusion(now, &req)
+		list[tgt.Name] = lead.exclusion(now, tgt, &req)
 	}
 	return list
 }
--- a/core/yuccagrant/request.go
+++ b/core/yuccagrant/request.go
@@ -5,8 +5,10 @@
 
 	"yuccacleat/core/yuccaallow"
 	"yuccacleat/core/yuccacache"
+	"yuccacleat/core/yuccacold"
 	"yuccacleat/core/yuccaid"
 	"yuccacleat/core/yuccaregion"
+	"yuccacleat/core/yuccaspeed"
 )
 
 // ID identifies a request by its owner, which is the daemon that holds the caller's connection,
@@ -45,6 +47,10 @@
 	// for the first event at Deadline.
 	SoftDeadline time.Time
 	Deadline     time.Time
+	// End is when the answer has to be complete, zero if that doesn't matter or can't be foreseen.
+	End time.Time
+	// finishable reports whether the answer can be complete at End.
+	finishable bool
 	// MaxGap is the longest time between two events of an answer that is on time. It is zero
 	// for requests that are answered with a single event.
 	MaxGap time.Duration
@@ -174,11 +180,13 @@
 }
 
 // ReportedLoad holds the numbers of requests that a target reports as running and as waiting in
-// its own queue. Known is false if the target reported no load.
+// its own queue. Known is false if the target reported no load. Slowness is how many times as long as
+// usual work takes there now, zero if the target doesn't say.
 type ReportedLoad struct {
-	Known   bool
-	Running int
-	Waiting int
+	Known    bool
+	Running  int
+	Waiting  int
+	Slowness yuccaspeed.Factor
 }
 
 // Running is a run that an owner reports to a new leader.
@@ -208,7 +216,17 @@
 	Version yuccaid.Version
 	// RoundTrip is the network round-trip time to the target.
 	RoundTrip time.Duration
+	// OtherCentre reports that the target is in another data centre, whose leader sends it most of its
+	// runs.
+	OtherCentre bool
 	// Remote reports that the target is in another region, so that traffic to it is billed by
 	// volume.
 	Remote bool
+	// Ramped reports that the leader finds out how much the target can take when it has just started or
+	// recovered.
+	Ramped bool
+	// Cold is what the target has registered about being cold, and Budget what the leader may send it
+	// because it may be cold.
+	Cold   yuccacold.Statement
+	Budget yuccacold.Budget
 }
--- a/core/yuccagrant/serve.go
+++ b/core/yuccagrant/serve.go
@@ -55,7 +55,7 @@
 // likely to have a free slot in time.
 func (lead *Leader) tryGrant(now time.Time, entry *queueEntry, dec *Decisions) bool {
 	best := lead.chooseTarget(now, &entry.Request)
-	if best.targetState == nil {
+	if best.targetState == nil || best.tooSlow {
 		return false
 	}
 	if !best.suitable && entry.onTime(now) && lead.worthWaiting(now, &entry.Request) {
@@ -70,7 +70,7 @@
 	lead.queue.remove(entry.ID)
 	lead.sizeStats.learn(entry.effectiveRank(), entry.expectedWork, true)
 	busySlots := best.targetState.busySlots(now)
-	run := lead.addRun(now, best.targetState, entry.Request)
+	run := lead.addRun(now, now, best.targetState, entry.Request)
 	dec.Grants = append(dec.Grants, Grant{
 		ID: entry.ID, Target: best.targetState.Name, ExpectedTimeToFirst: best.expectedTimeToFirst, Busy: busySlots, Held: run.held, FetchFrom: run.fetchFrom,
 	})
@@ -82,7 +82,7 @@
 	wait := lead.timeToFreeSlot(now, req.limits())
 	base := lead.baseline(now, req)
 	for _, tgt := range lead.targets {
-		if tgt.backingOff(now) || !tgt.mayServe(req) {
+		if tgt.backingOff(now) || tgt.tripped() || !tgt.mayServe(req) || !tgt.withinBudget(now.Add(wait)) {
 			continue
 		}
 		candidate := lead.estimate(now, tgt, req, &base)
@@ -100,6 +100,7 @@
 
 // newEntry returns a queue entry for a request, with its expected work and sort key.
 func (lead *Leader) newEntry(now time.Time, req Request) *queueEntry {
+	lead.noteFinishable(now, &req)
 	expectedWork := lead.expectedWork(&req)
 	rankWeight := math.Pow(rankFactor, float64(req.effectiveRank()))
 	return &queueEntry{Request: req, submitted: now, expectedWork: expectedWork, sortKey: rankWeight * lead.sizeStats.orderingWork(req.effectiveRank(), expectedWork)}
@@ -121,16 +122,19 @@
 	return lead.latencyModel.expectedTimeToFirst(req.Prompt-held).Seconds() * lead.lengthModel.timeToFirstRatio(req.Class)
 }
 
-// addRun counts a request as sent to a target now.
-func (lead *Leader) addRun(now time.Time, tgt *targetState, request Request) *activeRun {
+// addRun counts a request as sent to a target at the given time.
+func (lead *Leader) addRun(now, sent time.Time, tgt *targetState, request Request) *activeRun {
 	base := lead.baseline(now, &request)
 	estimate := lead.estimate(now, tgt, &request, &base)
 	run := &activeRun{
-		request: request, targetState: tgt, sent: now, dueAfter: estimate.expectedTimeToFirst,
+		request: request, targetState: tgt, sent: sent, dueAfter: estimate.expectedTimeToFirst,
 		unread: request.Prompt - estimate.available.tokens, held: lead.heldTokens(tgt, &request), fetchFrom: estimate.available.from, fetchTime: estimate.available.fetchTime,
 	}
+	run.speed = tgt.speed
 	run.ahead = tgt.pendingPrefill(now, base.slope)
+	run.undelayed = run.ahead == 0 && run.fetchFrom == "" && tgt.busySlots(now) < tgt.Slots
 	lead.recordParts(tgt, &request)
+	tgt.recordSend(now, sent)
 	lead.runs[request.ID] = run
 	tgt.runs[request.ID] = run
 	return run
--- a/core/yuccagrant/target.go
+++ b/core/yuccagrant/target.go
@@ -3,8 +3,12 @@
 import (
 	"time"
 
+	"yuccacleat/core/yuccaallow"
 	"yuccacleat/core/yuccacache"
+	"yuccacleat/core/yuccacold"
 	"yuccacleat/core/yuccaid"
+	"yuccacleat/core/yuccaramp"
+	"yuccacleat/core/yuccaspeed"
 )
 
 // targetState is a target as configured, together with its runs and what the leader has learned
@@ -28,6 +32,9 @@
 	// backoffUntil is the time before which the target gets no requests because of a failure.
 	backoffUntil        time.Time
 	consecutiveFailures int
+	// failedAt is when the last such failure was recorded, and provenAt when the last run was sent that
+	// has begun since.
+	failedAt, provenAt time.Time
 	// unaccounted is the number of runs that the target reported beyond the runs that the leaders
 	// know of, reduced by unaccountedSlack. These runs count as occupied slots until
 	// unaccountedUntil.
@@ -39,6 +46,10 @@
 	// assumedOtherRuns is the number of runs that the leaders of other data centres are assumed to
 	// have on this target; see Leader.spreadOtherRuns.
 	assumedOtherRuns int
+	// overcommit is how many requests beyond the slots may be sent to the target.
+	overcommit int
+	// speed is what the target last stated about how long work takes there.
+	speed yuccaspeed.Reading
 	// cache is an estimate of the parts of prompts that the target holds. held is how many tokens of
 	// the prompt of one request it holds. held belongs to the request for which the leader's
 	// generation was heldGeneration.
@@ -50,6 +61,17 @@
 	// Otherwise all leaders that have not learned anything yet would send their first requests to
 	// the same target.
 	bias float64
+	// cold is what is known of the target's being cold, and sends when requests were sent to it.
+	// tookOverAt is that of the leader.
+	cold       yuccacold.State
+	sends      yuccacold.Sends
+	tookOverAt time.Time
+	// window bounds the runs that haven't begun while it isn't known what the target can take. Until
+	// untriedUntil, a new target of another data centre is left to the leader there, unless that one reports
+	// its pace before. tried reports that it does so.
+	window       yuccaramp.Window
+	untriedUntil time.Time
+	tried        bool
 }
 
 // activeRun is a request that was sent to a target and has not finished. started reports that the
@@ -70,6 +92,11 @@
 	held      yuccaid.Tokens
 	fetchFrom yuccaid.Target
 	fetchTime time.Duration
+	// speed is what the target had stated about its speed when the request was sent.
+	speed yuccaspeed.Reading
+	// undelayed reports that the target had a free slot and read no other prompt when the request was
+	// sent, and that it fetches no parts, so that the time to the first event tells its pace.
+	undelayed bool
 	// ahead is how many tokens of the prompts of other runs the target had to read first.
 	ahead yuccaid.Tokens
 }
@@ -78,15 +105,10 @@
 	return &targetState{Target: target, runs: make(map[ID]*activeRun), pace: 1, bias: bias, cache: yuccacache.New(0, 0)}
 }
 
-// setLeaderCount sets Slots to this leader's share of the slots, rounded up.
-func (tgt *targetState) setLeaderCount(leaderCount int) {
-	tgt.Slots = (tgt.totalSlots + leaderCount - 1) / leaderCount
-}
-
 // load returns what is reported to other leaders about the target.
 func (tgt *targetState) load() TargetLoad {
-	load := TargetLoad{Runs: len(tgt.runs)}
-	if tgt.paceSamples >= minPaceSamples {
+	load := TargetLoad{Runs: len(tgt.runs), OtherCentre: tgt.OtherCentre}
+	if tgt.paceSamples >= minPaceSamples && !tgt.window.Failed() {
 		load.Pace = tgt.pace
 	}
 	return load
@@ -132,7 +154,16 @@
 // idle until the leader learns of it. More requests must not wait there, because the target's queue
 // ignores ranks.
 func (tgt *targetState) grantableSlots(now time.Time) int {
-	return max(tgt.Slots+(tgt.Slots+overcommitDivisor-1)/overcommitDivisor-tgt.busySlots(now), 0)
+	if tgt.heldBack(now) != yuccaallow.Allowed {
+		return 0
+	}
+	return max(tgt.maxRuns()-tgt.busySlots(now), 0)
+}
+
+// maxRuns returns how many runs the target may have: its slots, and the few that may wait in its own
+// queue.
+func (tgt *targetState) maxRuns() int {
+	return tgt.Slots + tgt.overcommit
 }
 
 // recordReport compares the load that the target reported with the runs that the leaders know of.
@@ -168,10 +199,14 @@
 
 // backOff records a failure after which the target gets no requests for a while.
 func (tgt *targetState) backOff(now time.Time) {
-	// The shift is bounded because the delay would otherwise overflow.
-	delay := min(minBackoff<<min(tgt.consecutiveFailures, 8), maxBackoff)
 	tgt.consecutiveFailures++
-	tgt.backoffUntil = now.Add(delay)
+	tgt.backoffUntil = now.Add(min(backoffAfter(tgt.consecutiveFailures), tgt.maxBackoff()))
+}
+
+// backoffAfter returns the backoff after the given number of consecutive failures.
+func backoffAfter(failures int) time.Duration {
+	// The shift is bounded because the backoff would otherwise overflow.
+	return min(minBackoff<<min(failures-1, 8), maxBackoff)
 }
 
 func (tgt *targetState) learnFailure(failed bool) {
@@ -221,4 +256,10 @@
 	LateFraction float64        `json:"late"`
 	FailureRate  float64        `json:"failed"`
 	BackingOff   bool           `json:"resting"`
+	// Cold reports that the target is known to be cold, and HeldBack why the leader sends it nothing at
+	// present although it may have free slots, empty if it doesn't hold it back. Window is the bound on
+	// the runs that haven't begun, zero if there is none.
+	Cold     bool                 `json:"cold,omitempty"`
+	HeldBack yuccaallow.Exclusion `json:"heldBack,omitempty"`
+	Window   int                  `json:"window,omitempty"`
 }
--- a/io/yuccagate/gate.go
+++ b/io/yuccagate/gate.go
@@ -43,6 +43,8 @@
 	// memory is the memory that open requests may use, and pressure shows whether processor time is short.
 	memory   *memory
 	pressure pressure
+	// memoryShortage shows whether many requests find no memory.
+	memoryShortage memoryShortage
 	// processBounds are the bounds that follow from the process's limits on memory and file
 	// descriptors.
 	processBounds yuccaspace.Bounds
@@ -151,8 +153,9 @@
 	// seeds is what this daemon knows of the seeds.
 	seeds seeds
 
-	// origins is what this daemon knows of where streams began.
+	// origins is what this daemon knows of where streams began, and surveys what it has learned of it from targets.
 	origins origins
+	surveys [surveyShares]*targetSurvey
 	// quarantine is what it knows of parts of prompts on which targets crash.
 	quarantine *quarantine
 
@@ -240,6 +243,7 @@
 	}
 	gate.resendBudget.SetFleet(gate.startedAt, gate.resendFleet(gate.startedAt))
 	gate.origins = newOrigins(settings.FirstStart, gate.startedAt)
+	gate.surveys = newTargetSurveys(gate.startedAt)
 	gate.quarantine = newQuarantine(settings)
 	gate.skipsPlatformReads.Store(settings.FirstStart)
 	ready := make(chan struct{})
@@ -312,6 +316,7 @@
 // process resumes after a pause.
 func (gate *Gate) tick(now time.Time) {
 	gate.pressure.tick(now)
+	gate.memoryShortage.tick(now)
 	gate.tickPeers(now)
 	gate.roster.Tick(now)
 	gate.refreshTargets(now)
