Streams that are taken up before a daemon knows any target wait for the targets

Spec 'waits for the targets of a daemon that has just started': 503 before, 200 now. New specs of surveys at a gate.

--- a/io/yuccagate/fleet_test.go
+++ b/io/yuccagate/fleet_test.go
@@ -15,12 +15,14 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
 	"yuccacleat/core/yuccaid"
 	"yuccacleat/core/yuccaroster"
 	"yuccacleat/core/yuccaroute"
+	"yuccacleat/core/yuccastream"
 	"yuccacleat/io/yuccaclock"
 	"yuccacleat/io/yuccagate"
 )
@@ -37,6 +39,9 @@
 				info.SharedParts = append(info.SharedParts, yuccaid.PromptPart(part))
 			}
 		}
+		if own := r.Header.Get("X-Own"); own != "" {
+			info.OwnPart = yuccagate.KeptPart{Part: partKey(own), Tokens: ownTokens}
+		}
 		if millis, err := strconv.Atoi(r.Header.Get("X-Remaining")); err == nil {
 			info.Remaining = time.Duration(millis) * time.Millisecond
 		}
@@ -58,8 +63,23 @@
 	ReadReport: func(status int, header http.Header) yuccagate.TargetReport {
 		return yuccagate.TargetReport{NotRun: header.Get("X-Not-Run") != "", Misdirected: status == http.StatusMisdirectedRequest}
 	},
+	HoldingsPath: holdingsPath,
+	ReadHoldings: func(list []byte) (kept []yuccagate.KeptPart, known bool) {
+		for name := range strings.FieldsSeq(string(list)) {
+			kept = append(kept, yuccagate.KeptPart{Part: partKey(name), Tokens: ownTokens})
+		}
+		return kept, true
+	},
 }
 
+const (
+	// holdingsPath is where engines list the names of the parts that they keep. Each has ownTokens.
+	holdingsPath = "/holdings"
+	ownTokens    = 100
+)
+
+func partKey(name string) yuccastream.PartKey { return yuccastream.PartKey(xxhash.Sum64String(name)) }
+
 // config returns the configuration that most tests use.
 func config() yuccaroute.Config {
 	route := func(name string, kind yuccaroute.Kind, attempts int) yuccaroute.Route {
@@ -119,6 +139,9 @@
 	mu       sync.Mutex
 	received []received
 	answer   http.HandlerFunc
+	// keeps are the parts that the engine keeps, and lists counts how often it has told them.
+	keeps []string
+	lists int
 }
 
 // received is a request as it arrived at a target.
@@ -141,6 +164,13 @@
 
 func (eng *engine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	w.Header().Set("X-Id", r.Header.Get("X-Id"))
+	if r.URL.Path == holdingsPath {
+		eng.mu.Lock()
+		defer eng.mu.Unlock()
+		eng.lists++
+		fmt.Fprint(w, strings.Join(eng.keeps, " "))
+		return
+	}
 	if r.Header.Get("X-Target") != eng.name {
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
--- a/io/yuccagate/origin.go
+++ b/io/yuccagate/origin.go
@@ -87,7 +87,8 @@
 	return gate.origins.history.View(now, pool, age >= 0 && age < originNewsAge)
 }
 
-// tickOrigins passes on origins that have become due, and ends lookups that have taken too long.
+// tickOrigins passes on origins that have become due, and ends lookups that have taken too long. Others go on if they waited
+// for targets.
 func (gate *Gate) tickOrigins(now time.Time) {
 	for number, lookup := range gate.origins.lookups {
 		if !now.Before(lookup.until) {
@@ -95,6 +96,7 @@
 			gate.conclude(now, lookup)
 		}
 	}
+	gate.tickSurveys(now)
 	if now.Sub(gate.origins.checkedAt) < originInterval {
 		return
 	}
--- a/io/yuccagate/survey.go
+++ b/io/yuccagate/survey.go
@@ -26,8 +26,10 @@
 	surveyTargetTimeout = 550 * time.Millisecond
 	// surveyedAtOnce is how many targets are asked at once: all of a share in most fleets, because each takes three round
 	// trips, which are long to other regions. maxHoldingsBytes is the length of a list that is read.
-	surveyedAtOnce   = 64
-	maxHoldingsBytes = 256 << 10
+	surveyedAtOnce = 64
+	// maxWaitingQueries bounds the queries that wait until a daemon knows any target.
+	maxWaitingQueries = 1 << 10
+	maxHoldingsBytes  = 256 << 10
 )
 
 // targetSurvey is a survey of one share of the targets. It belongs to the control goroutine.
@@ -120,6 +122,10 @@
 // then.
 func (gate *Gate) findHoldings(now time.Time, share int, query holdingQuery) {
 	survey := gate.surveys[share]
+	if !gate.knowsTargets() && len(survey.waiting) < maxWaitingQueries {
+		survey.waiting = append(survey.waiting, query)
+		return
+	}
 	held := survey.Find(now, query.part)
 	if len(held) > 0 {
 		query.answer(now, held)
@@ -135,6 +141,27 @@
 	survey.waiting = append(survey.waiting, query)
 }
 
+// knowsTargets reports whether this daemon has learned of targets since it started. Callers that take streams up come as
+// soon as it accepts connections.
+func (gate *Gate) knowsTargets() bool { return gate.roster.Version() > 0 }
+
+// tickSurveys goes on with the queries that came before any target was known.
+func (gate *Gate) tickSurveys(now time.Time) {
+	if !gate.knowsTargets() {
+		return
+	}
+	for share, survey := range gate.surveys {
+		if survey.Running() {
+			continue
+		}
+		waiting := survey.waiting
+		survey.waiting = nil
+		for _, query := range waiting {
+			gate.findHoldings(now, share, query)
+		}
+	}
+}
+
 // surveyTargets asks the targets of a share which parts of prompts they keep, and then answers the queries that wait.
 func (gate *Gate) surveyTargets(startedAt time.Time, share int) {
 	entries := gate.entriesToSurvey(share)
--- /dev/null
+++ b/io/yuccagate/survey_test.go
@@ -0,0 +1,78 @@
+package yuccagate_test
+
+import (
+	"fmt"
+	"net/http"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"yuccacleat/core/yuccaid"
+	"yuccacleat/core/yuccaroster"
+	"yuccacleat/core/yuccaroute"
+	"yuccacleat/io/yuccagate"
+)
+
+var _ = Describe("a stream that is taken up at a daemon without memory", func() {
+	restarted := func(set *yuccagate.Settings) { set.FirstStart = false }
+	takeUp := call{path: "/resumed/", header: map[string]string{"Last-Event-Id": "2", "X-Own": "p1"}}
+	modelConfig := func() yuccaroute.Config {
+		cfg := config()
+		cfg.Pools[0].Engine = &yuccaroute.Engine{CacheTokens: 1000}
+		return cfg
+	}
+	newEngines := func(versions ...yuccaid.Version) (list []*engine) {
+		for index, version := range versions {
+			eng := newEngine(fmt.Sprint("e", index), func(w http.ResponseWriter, _ *http.Request) {
+				w.Header().Set("Content-Type", "text/event-stream")
+				writeEvents(w, 3, 5, 0)
+			})
+			eng.version = version
+			list = append(list, eng)
+		}
+		return list
+	}
+
+	It("goes on at the version whose targets keep its prompt", func() {
+		engines := newEngines("v1", "v2", "v1", "v2")
+		engines[1].keeps = []string{"p1"}
+		gt := newGateOf(listen(), "odessa", "entry-1", restarted)
+		gt.configure(1, modelConfig(), 4, engines...)
+		Expect(takeUp.do(gt).status).To(Equal(http.StatusOK))
+		Expect(len(engines[1].requests()) + len(engines[3].requests())).To(Equal(1))
+	})
+
+	It("is refused where targets of two versions keep its prompt", func() {
+		engines := newEngines("v1", "v2")
+		engines[0].keeps, engines[1].keeps = []string{"p1"}, []string{"p1"}
+		gt := newGateOf(listen(), "odessa", "entry-1", restarted)
+		gt.configure(1, modelConfig(), 4, engines...)
+		Expect(takeUp.do(gt).status).To(Equal(http.StatusServiceUnavailable))
+	})
+
+	// Guards against the failure that streams are lost because their callers come before the daemon knows any target.
+	It("waits for the targets of a daemon that has just started", func() {
+		engines := newEngines("v1")
+		engines[0].keeps = []string{"p1"}
+		gt := newGateOf(listen(), "odessa", "entry-1", restarted)
+		Expect(gt.OfferConfiguration(encode(1, modelConfig()), "test")).To(Succeed())
+		Eventually(gt.Ready).Should(BeTrue())
+		go func() {
+			time.Sleep(200 * time.Millisecond)
+			gt.OfferTargets([]yuccaroster.Entry{{
+				Target: "e0", Pool: "desk", Address: engines[0].listener.Addr().String(), Centre: "odessa", Slots: 4, Revision: 1, Version: "v1",
+			}}, nil, true, 1, true)
+		}()
+		Expect(takeUp.do(gt).status).To(Equal(http.StatusOK))
+	})
+
+	// Guards against the failure that targets of plain services are asked for what only engines keep.
+	It("is refused where no pool runs a model", func() {
+		engines := newEngines("v1")
+		gt := newGateOf(listen(), "odessa", "entry-1", restarted)
+		gt.configure(1, config(), 4, engines...)
+		Expect(takeUp.do(gt).status).To(Equal(http.StatusServiceUnavailable))
+		Expect(engines[0].lists).To(BeZero())
+	})
+})
