--- a/core/yuccagrant/leader.go
+++ b/core/yuccagrant/leader.go
@@ -22,6 +22,8 @@
 	// an evacuation.
 	present   presence
 	evacuated map[yuccaid.Centre]bool
+	// servesLimited reports whether requests that may be served in some regions only have been submitted.
+	servesLimited bool
 	// evacuatedBefore are those that were evacuated when the targets were last set.
 	evacuatedBefore map[yuccaid.Centre]bool
 	// leaderCount is the number of leaders among which the slots of each target are divided.
@@ -182,6 +184,10 @@
 		lead.refuse(now, lead.newEntry(now, req), ReasonQueueFull, &dec)
 		return dec
 	}
+	if req.Regions.Limited() && !lead.servesLimited {
+		lead.servesLimited = true
+		lead.shareSlots()
+	}
 	entry := lead.newEntry(now, req)
 	lead.queue.push(entry)
 	lead.grantSlots(now, &dec)
--- a/core/yuccagrant/limits_test.go
+++ b/core/yuccagrant/limits_test.go
@@ -84,6 +84,18 @@
 		Expect(dec.Refusals[0].Reason).To(Equal(yuccagrant.ReasonNoTarget))
 	})
 
+	// Guards against the failure that a daemon which decides without its leader has no slot in a region, so that requests
+	// which may be served only there wait until they are refused.
+	It("has a slot in them however many leaders share the targets", func() {
+		for seed := range uint64(50) {
+			lead := yuccagrant.New(rand.New(rand.NewPCG(seed, 1)))
+			lead.SetTargets(start, []yuccagrant.Target{target("a", "coast", 4), target("b", "coast", 4), target("c", "hills", 4), target("d", "hills", 4), target("e", "coast", 40)})
+			lead.SetLeaderCount(start, 20)
+			dec := lead.Submit(start, newRequest(1, hills))
+			Expect(dec.Grants).To(HaveLen(1), "seed %d", seed)
+		}
+	})
+
 	// Guards against the failure that requests which wait for a full region keep the other ones idle.
 	It("doesn't keep other requests from other targets", func() {
 		lead := newLeader(target("a", "coast", 4), target("b", "hills", 1))
--- a/core/yuccagrant/share.go
+++ b/core/yuccagrant/share.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"yuccacleat/core/yuccaallow"
+	"yuccacleat/core/yuccaid"
 )
 
 const (
@@ -29,6 +30,9 @@
 		}
 		sum += tgt.Slots
 	}
+	if sum > 0 && lead.servesLimited {
+		lead.shareRegions()
+	}
 	for _, tgt := range lead.targets {
 		if sum == 0 {
 			tgt.Slots = 1
@@ -37,6 +41,24 @@
 	}
 }
 
+// shareRegions sees that this leader uses a slot in each region. A leader with a small share may have no slot of
+// any target in a region, where requests that may be served only there would wait in vain.
+func (lead *Leader) shareRegions() {
+	first := make(map[yuccaid.Region]*targetState)
+	shared := make(map[yuccaid.Region]bool)
+	for _, tgt := range lead.targets {
+		shared[tgt.Region] = shared[tgt.Region] || tgt.Slots > 0
+		if other := first[tgt.Region]; other == nil || tgt.bias < other.bias {
+			first[tgt.Region] = tgt
+		}
+	}
+	for region, tgt := range first {
+		if !shared[region] {
+			tgt.Slots = 1
+		}
+	}
+}
+
 // belowShare reports whether this leader has fewer runs than its share of the pool's slots, in a pool
 // whose runs are shorter than the delay of the other leaders' reports.
 //
