--- a/core/yuccagrant/serve.go
+++ b/core/yuccagrant/serve.go
@@ -50,19 +50,24 @@
 	}
 }
 
-// tryGrant assigns a request to its best target and reports whether it did. A request that can
-// still be on time is not assigned to a target where it would be late if a suitable target is
-// likely to have a free slot in time.
+// tryGrant assigns a request to its best target and reports whether it did.
 func (lead *Leader) tryGrant(now time.Time, entry *queueEntry, dec *Decisions) bool {
-	best := lead.chooseTarget(now, &entry.Request)
-	if best.targetState == nil || best.tooSlow {
-		return false
+	best, found := lead.pick(now, entry)
+	if found {
+		lead.grant(now, entry, best, dec)
 	}
-	if !best.suitable && entry.onTime(now) && lead.worthWaiting(now, &entry.Request) {
-		return false
+	return found
+}
+
+// pick returns the best target for a request, and false if it has to wait. A request that can still be on
+// time is not assigned to a target where it would be late if a suitable target is likely to have a free slot
+// in time.
+func (lead *Leader) pick(now time.Time, entry *queueEntry) (best choice, found bool) {
+	best = lead.chooseTarget(now, &entry.Request)
+	if best.targetState == nil || best.tooSlow {
+		return best, false
 	}
-	lead.grant(now, entry, best, dec)
-	return true
+	return best, best.suitable || !entry.onTime(now) || !lead.worthWaiting(now, &entry.Request)
 }
 
 // grant assigns a waiting request to a target.
@@ -70,7 +75,8 @@
 	lead.queue.remove(entry.ID)
 	lead.sizeStats.learn(entry.effectiveRank(), entry.expectedWork, true)
 	busySlots := best.targetState.busySlots(now)
-	run := lead.addRun(now, now, best.targetState, entry.Request)
+	run := lead.addRun(now, best.targetState, entry.Request)
+	lead.recordGrant(now, best.targetState)
 	dec.Grants = append(dec.Grants, Grant{
 		ID: entry.ID, Target: best.targetState.Name, ExpectedTimeToFirst: best.expectedTimeToFirst, Busy: busySlots, Held: run.held, FetchFrom: run.fetchFrom,
 	})
@@ -122,19 +128,18 @@
 	return lead.latencyModel.expectedTimeToFirst(req.Prompt-held).Seconds() * lead.lengthModel.timeToFirstRatio(req.Class)
 }
 
-// addRun counts a request as sent to a target at the given time.
-func (lead *Leader) addRun(now, sent time.Time, tgt *targetState, request Request) *activeRun {
+// addRun counts a request as sent to a target now.
+func (lead *Leader) addRun(now time.Time, tgt *targetState, request Request) *activeRun {
 	base := lead.baseline(now, &request)
 	estimate := lead.estimate(now, tgt, &request, &base)
 	run := &activeRun{
-		request: request, targetState: tgt, sent: sent, dueAfter: estimate.expectedTimeToFirst,
+		request: request, targetState: tgt, sent: now, dueAfter: estimate.expectedTimeToFirst,
 		unread: request.Prompt - estimate.available.tokens, held: lead.heldTokens(tgt, &request), fetchFrom: estimate.available.from, fetchTime: estimate.available.fetchTime,
 	}
 	run.speed = tgt.speed
 	run.ahead = tgt.pendingPrefill(now, base.slope)
 	run.undelayed = run.ahead == 0 && run.fetchFrom == "" && tgt.busySlots(now) < tgt.Slots
 	lead.recordParts(tgt, &request)
-	tgt.recordSend(now, sent)
 	lead.runs[request.ID] = run
 	tgt.runs[request.ID] = run
 	return run
