Leaders of evacuated data centres come first among those that may reach targets of others

Each target of a pool that may be cold takes one request a second from two of the five other leaders, those of its region first. The leader of an evacuated data centre has only those: by calculation some 46 requests a second, where its callers ask for some 60 on average. Without evacuations, and without targets that may be cold, nothing changes. Ruled out: a part kept for evacuated data centres at all times (takes one of the leader's seven from every target); two requests a second (the bound has no room for it beside another evacuated data centre).

--- a/core/yuccacold/shares.go
+++ b/core/yuccacold/shares.go
@@ -73,6 +73,18 @@
 	return before < count && slices.Contains(names, name)
 }
 
+// AmongFirstOf does what AmongFirst does for groups of names: those of an earlier group come before those of a later
+// one.
+func AmongFirstOf(count int, target yuccaid.Target, name string, groups ...[]string) bool {
+	for _, names := range groups {
+		if slices.Contains(names, name) {
+			return AmongFirst(count, target, name, names)
+		}
+		count -= len(names)
+	}
+	return false
+}
+
 func weight(target yuccaid.Target, name string) uint64 {
 	return xxhash.Sum64String("cold\x00" + string(target) + "\x00" + name)
 }
--- a/io/yuccagate/allow.go
+++ b/io/yuccagate/allow.go
@@ -44,9 +44,10 @@
 	}
 }
 
-// logEvacuations logs which data centres are evacuated, if that has changed since the last call.
-func (gate *Gate) logEvacuations() {
+// logEvacuations notes which data centres are evacuated, and logs them if they have changed since the last call.
+func (gate *Gate) logEvacuations(now time.Time) {
 	evacuated := gate.roster.EvacuatedCentres()
+	gate.evacuations.Update(now, evacuated)
 	if maps.Equal(evacuated, gate.loggedEvacuated) {
 		return
 	}
--- a/io/yuccagate/cold.go
+++ b/io/yuccagate/cold.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -23,6 +24,8 @@
 	// the daemons that the data centre may have.
 	leads      bool
 	candidates uint64
+	// evacuated are the data centres whose leaders come first, separated by spaces.
+	evacuated string
 }
 
 // budgetRoleOf returns what this daemon's budgets for a pool's targets depend on now.
@@ -36,7 +39,17 @@
 		digest.WriteString(name)
 		digest.Write([]byte{0})
 	}
-	return budgetRole{limit: limit, leads: sched.leads && gate.seesMostDaemons(now), candidates: digest.Sum64()}
+	return budgetRole{limit: limit, leads: sched.leads && gate.seesMostDaemons(now), candidates: digest.Sum64(), evacuated: gate.evacuatedFirst(now)}
+}
+
+// evacuatedFirst returns the names of the evacuated data centres whose leaders come first among those of other data
+// centres, separated by spaces.
+func (gate *Gate) evacuatedFirst(now time.Time) string {
+	var names []string
+	for _, centre := range gate.evacuations.First(now, gate.settings.Centre) {
+		names = append(names, string(centre))
+	}
+	return strings.Join(names, " ")
 }
 
 // checkBudgets configures a scheduler anew if this daemon's budgets for its targets have changed, and logs which targets are
@@ -136,24 +149,22 @@
 	return budget
 }
 
-// mayReach reports whether the leaders of this data centre may send requests to a target of another one. Those of the
-// target's own region come first, since traffic between regions is billed by volume.
+// mayReach reports whether the leaders of this data centre may send requests to a target of another one. Those of
+// evacuated data centres come first, since they have no targets of their own, and then those of the target's own
+// region, since traffic between regions is billed by volume.
 func (buds *budgets) mayReach(entry yuccaroster.Entry) bool {
+	evacuated := strings.Fields(buds.role.evacuated)
 	var near, far []string
 	for centre, region := range buds.regions {
 		switch {
-		case centre == entry.Centre:
+		case centre == entry.Centre || slices.Contains(evacuated, string(centre)):
 		case region == buds.regions[entry.Centre]:
 			near = append(near, string(centre))
 		default:
 			far = append(far, string(centre))
 		}
 	}
-	own := string(buds.centre)
-	if slices.Contains(near, own) {
-		return yuccacold.AmongFirst(buds.shares.Others, entry.Target, own, near)
-	}
-	return yuccacold.AmongFirst(buds.shares.Others-len(near), entry.Target, own, far)
+	return yuccacold.AmongFirstOf(buds.shares.Others, entry.Target, string(buds.centre), evacuated, near, far)
 }
 
 // coldStatement returns what a target has registered about being cold.
--- a/io/yuccagate/cold_test.go
+++ b/io/yuccagate/cold_test.go
@@ -12,7 +12,20 @@
 
 // Guards against the failure that the budgets of a target at all daemons add up to more than the bound, or that leaders of
 // its own region, which can reach it without paying for the way, have none.
-func TestBudgetsOfATargetAddUpToTheBound(t *testing.T) {
+func TestBudgetsOfATargetAddUpToTheBound(t *testing.T) { testBudgets(t, "", "b1") }
+
+// Guards against the failure that the leader of an evacuated data centre may send next to nothing, since it has no targets
+// and only some leaders may reach each target of the others.
+func TestLeadersOfEvacuatedCentresComeFirst(t *testing.T) {
+	testBudgets(t, "a1", "a1")
+	testBudgets(t, "a1 c2", "a1")
+	testBudgets(t, "a1 c2", "c2")
+}
+
+// testBudgets checks the budgets of targets of one data centre while others are evacuated, and that the leader of the data
+// centre first has one.
+func testBudgets(t *testing.T, evacuated string, first yuccaid.Centre) {
+	t.Helper()
 	const daemonsPerCentre = 15
 	regions := map[yuccaid.Centre]yuccaid.Region{"a1": "a", "a2": "a", "b1": "b", "b2": "b", "c1": "c", "c2": "c"}
 	limit := yuccacold.Limit{Duration: 3 * time.Second, Rate: 5.2}
@@ -26,14 +39,14 @@
 				candidates = append(candidates, fmt.Sprintf("entry-%s-%d", centre, vm))
 			}
 			for at, name := range candidates {
-				buds := budgets{role: budgetRole{limit: limit, leads: at == 3}, shares: yuccacold.Divide(perSecond, len(regions)-1), centre: centre, vm: yuccaid.VM(name), regions: regions, candidates: candidates}
+				buds := budgets{role: budgetRole{limit: limit, leads: at == 3, evacuated: evacuated}, shares: yuccacold.Divide(perSecond, len(regions)-1), centre: centre, vm: yuccaid.VM(name), regions: regions, candidates: candidates}
 				budget := buds.of(entry)
 				sum += budget.PerSecond
 				if budget.WhileCold {
 					whileCold++
 				}
-				if centre == "b1" && at == 3 && budget.PerSecond != 1 {
-					t.Errorf("the leader of the other data centre of the region may send %s %d requests a second", entry.Target, budget.PerSecond)
+				if centre == first && at == 3 && budget.PerSecond != 1 {
+					t.Errorf("the leader of %s may send %s %d requests a second while %q are evacuated", first, entry.Target, budget.PerSecond, evacuated)
 				}
 			}
 		}
--- a/io/yuccagate/gate.go
+++ b/io/yuccagate/gate.go
@@ -13,6 +13,7 @@
 	"github.com/go-kit/log"
 
 	"yuccacleat/core/yuccabudget"
+	"yuccacleat/core/yuccacold"
 	"yuccacleat/core/yuccaid"
 	"yuccacleat/core/yuccapeer"
 	"yuccacleat/core/yuccaquota"
@@ -114,6 +115,8 @@
 	loggedTargets map[yuccaid.Target]yuccaroster.Entry
 	// exclusions are the texts on excluded targets that have been made since the roster changed.
 	exclusions excludedTexts
+	// evacuations are the data centres whose leaders come first in budgets of targets that may be cold.
+	evacuations yuccacold.Evacuations
 	// loggedEvacuated are the evacuated data centres as the log last reported them.
 	loggedEvacuated map[yuccaid.Centre]bool
 	// rosterVersion is the version of the roster that was last passed to the schedulers.
--- a/io/yuccagate/targets.go
+++ b/io/yuccagate/targets.go
@@ -289,7 +289,7 @@
 	gate.rosterVersion = gate.roster.Version()
 	gate.trackVersions(now)
 	gate.logTargetChanges()
-	gate.logEvacuations()
+	gate.logEvacuations(now)
 	gate.findCrashedTargets(now)
 	for _, sched := range gate.schedulers {
 		gate.configure(now, sched)
