--- a/core/yuccagrant/limits.go
+++ b/core/yuccagrant/limits.go
@@ -12,7 +12,7 @@
 	// Full means that the target has as many requests as it may have.
 	Full yuccaallow.Exclusion = "full"
 	// BackingOff means that the target gets no requests for a while after a failure, or while a run is
-	// overdue.
+	// overdue, or one at a time after several failures.
 	BackingOff yuccaallow.Exclusion = "backingOff"
 	// Cold means that the target is or may be cold and would get more than it may in a second.
 	Cold yuccaallow.Exclusion = "cold"
@@ -37,15 +37,15 @@
 	return lim.Exclusion(tgt.Region, tgt.Version) == yuccaallow.Allowed
 }
 
-// exclusion returns why a request may not be sent to the target now, or yuccaallow.Allowed.
-func (tgt *targetState) exclusion(now time.Time, req *Request) yuccaallow.Exclusion {
+// exclusion returns why a request may not be sent to a target now, or yuccaallow.Allowed.
+func (lead *Leader) exclusion(now time.Time, tgt *targetState, req *Request) yuccaallow.Exclusion {
 	if why := tgt.heldBack(now); why != yuccaallow.Allowed {
 		return why
 	}
 	switch {
-	case tgt.grantableSlots(now) == 0:
+	case lead.grantableSlots(now, tgt) == 0:
 		return Full
-	case tgt.backingOff(now):
+	case tgt.backingOff(now) || !lead.mayTry(now, tgt, req):
 		return BackingOff
 	}
 	return tgt.lastingExclusion(req)
@@ -56,7 +56,7 @@
 func (lead *Leader) Exclusions(now time.Time, req Request) map[yuccaallow.Exclusion]int {
 	counts := make(map[yuccaallow.Exclusion]int)
 	for _, tgt := range lead.targets {
-		counts[tgt.exclusion(now, &req)]++
+		counts[lead.exclusion(now, tgt, &req)]++
 	}
 	return counts
 }
