--- a/core/yuccagrant/forecast.go
+++ b/core/yuccagrant/forecast.go
@@ -44,8 +44,8 @@
 // Forecast returns what Submit would decide on a request now, and changes nothing. Waiting requests count as if they went on waiting.
 func (lead *Leader) Forecast(now time.Time, req Request) Forecast {
 	defer lead.restoreHeld(lead.generation)
-	fc := Forecast{Candidates: lead.candidates(now, &req)}
 	entry := lead.newEntry(now, req)
+	fc := Forecast{Candidates: lead.candidates(now, &entry.Request)}
 	fc.Ahead = lead.queue.countAhead(entry)
 	fc.EstimatedWait = lead.capacities(now).wait(entry.limits(), lead.queue.workAhead(entry.Tier, entry.sortKey))
 	fc.Refused = lead.present.missing(now, entry.limits())
