A late request is ordered as one rank less urgent, not after all others

Cause: within a tier all requests that could be on time went before all that were late, whatever their ranks. In an overload new requests of the least urgent rank keep coming, so that urgent ones which had become late waited until their callers left or were refused.

Change: a late request is ordered as if it were one rank less urgent, and the work ahead of a request is counted in that order.

--- a/core/yuccagrant/refuse.go
+++ b/core/yuccagrant/refuse.go
@@ -20,7 +20,7 @@
 		// Too few runs have finished to estimate waiting times.
 		return !now.Before(entry.Deadline)
 	}
-	untilFirst := lead.estimatedWait(now, lead.queue.workAhead(entry.Tier, entry.sortKey)) + seconds(lead.expectedTimeToFirst(&entry.Request, lead.longestHeld(&entry.Request)))
+	untilFirst := lead.estimatedWait(now, lead.queue.workAhead(now, entry.Tier, entry.key(now))) + seconds(lead.expectedTimeToFirst(&entry.Request, lead.longestHeld(&entry.Request)))
 	if untilFirst <= entry.SoftDeadline.Sub(now)+lateStartSlack {
 		return false
 	}
@@ -83,7 +83,7 @@
 
 func (lead *Leader) refuse(now time.Time, entry *queueEntry, reason Reason, dec *Decisions) {
 	lead.sizeStats.learn(entry.effectiveRank(), entry.expectedWork, false)
-	estimatedWait := lead.estimatedWait(now, lead.queue.workAhead(entry.Tier, entry.sortKey))
+	estimatedWait := lead.estimatedWait(now, lead.queue.workAhead(now, entry.Tier, entry.key(now)))
 	dec.Refusals = append(dec.Refusals, Refusal{
 		ID: entry.ID, Reason: reason, RetryAfter: lead.retryAfter(now, entry.Tier),
 		QueueLength: lead.queue.len(), FreeSlots: lead.freeSlots(now), EstimatedWait: estimatedWait,
@@ -95,7 +95,7 @@
 // tiers. It is limited to the range from minRetryAfter to maxRetryAfter. Then a random part is
 // added, because callers that are refused together would otherwise retry in one burst.
 func (lead *Leader) retryAfter(now time.Time, tier int) time.Duration {
-	wait := lead.estimatedWait(now, lead.queue.workAhead(tier, math.Inf(1))+lead.latencyModel.expectedHold())
+	wait := lead.estimatedWait(now, lead.queue.workAhead(now, tier, math.Inf(1))+lead.latencyModel.expectedHold())
 	wait = min(max(wait, minRetryAfter), maxRetryAfter)
 	return wait + time.Duration(lead.rng.Float64()*retryJitter*float64(wait))
 }
--- a/core/yuccagrant/serve.go
+++ b/core/yuccagrant/serve.go
@@ -11,8 +11,8 @@
 //
 // Within a tier, requests of the same rank are ordered by expected work, the least first. A less
 // urgent request goes before a more urgent request only if its expected work is less by more than a
-// factor of rankFactor for each rank between them. Requests that can still be on time go before
-// requests that are late. Once a request is starved, all requests of its tier with its rank or a
+// factor of rankFactor for each rank between them. A request that is late is ordered as if it were one
+// rank less urgent. Once a request is starved, all requests of its tier with its rank or a
 // more urgent rank go before the less urgent requests of the tier.
 func (lead *Leader) grantSlots(now time.Time, dec *Decisions) {
 	for _, tier := range lead.queue.tiers {
@@ -28,23 +28,21 @@
 
 func anyRank(*queueEntry) bool { return true }
 
-// grantTier grants slots to the eligible requests of one tier: first to the requests that can still
-// be on time, then to the late requests. Each of these two passes ends after maxMisses requests
-// that got no target (see misses). A granted request is removed from tier.entries, so the index at
-// then already refers to the next request.
+// grantTier grants slots to the eligible requests of one tier in their present order. It ends after
+// maxMisses requests that can be on time and as many late ones got no target (see misses).
 func (lead *Leader) grantTier(now time.Time, tier *tierQueue, eligible func(*queueEntry) bool, dec *Decisions) {
 	lead.grantHeld(now, tier, eligible, dec)
-	for _, onTime := range []bool{true, false} {
-		var missed misses
-		for at := 0; at < len(tier.entries) && !missed.enough(""); {
-			entry := tier.entries[at]
-			switch {
-			case entry.onTime(now) != onTime || !eligible(entry) || missed.enough(entry.Version):
-				at++
-			case !lead.tryGrant(now, entry, dec):
-				at++
-				missed.count(entry.Version)
-			}
+	missed := map[bool]*misses{true: {}, false: {}}
+	for _, entry := range tier.ordered(now) {
+		ofKind := missed[entry.onTime(now)]
+		if !eligible(entry) || ofKind.enough(entry.Version) {
+			continue
+		}
+		if !lead.tryGrant(now, entry, dec) {
+			ofKind.count(entry.Version)
+		}
+		if missed[true].enough("") && missed[false].enough("") {
+			return
 		}
 	}
 }
@@ -98,8 +96,7 @@
 }
 
 // estimatedWait returns how long the targets take for the given work, which is in seconds of one
-// slot of the fastest target. The targets are assumed to have a capacity of at least half such a
-// slot, so that the result is defined while no target can be used.
+// slot of the fastest target.
 func (lead *Leader) estimatedWait(now time.Time, work float64) time.Duration {
 	return seconds(work / max(lead.slotCapacity(now), 0.5))
 }
--- a/core/yuccagrant/sizes.go
+++ b/core/yuccagrant/sizes.go
@@ -6,7 +6,7 @@
 	largeFactor = 2.0
 	// Large requests of a rank are moved forward in the queue while their served share is below
 	// minServedRatio times the served share of all requests of that rank.
-	minServedRatio = 0.6
+	minServedRatio = 0.65
 	// A large request that is moved forward is ordered as if its work were the mean work of its
 	// rank divided by priorityDivisor.
 	priorityDivisor = 4
--- a/core/yuccagrant/waiting.go
+++ b/core/yuccagrant/waiting.go
@@ -27,6 +27,16 @@
 	return now.Sub(entry.submitted) > time.Duration(starvationShare*float64(entry.Deadline.Sub(entry.submitted)))
 }
 
+// key returns what the request is ordered by now: the sortKey, and that of a request one rank less urgent
+// once the request is late. A late answer is worth less to its caller than one on time, but a more urgent
+// one more than a less urgent one on time, so late requests mustn't wait for all others.
+func (entry *queueEntry) key(now time.Time) float64 {
+	if entry.onTime(now) {
+		return entry.sortKey
+	}
+	return rankFactor * entry.sortKey
+}
+
 // tierQueue holds the waiting requests of one tier, sorted by sortKey.
 type tierQueue struct {
 	tier    int
@@ -44,6 +54,30 @@
 	return rank, found
 }
 
+// ordered returns the entries by their present keys.
+func (tq *tierQueue) ordered(now time.Time) []*queueEntry {
+	var onTime, late []*queueEntry
+	for _, entry := range tq.entries {
+		if entry.onTime(now) {
+			onTime = append(onTime, entry)
+		} else {
+			late = append(late, entry)
+		}
+	}
+	if len(late) == 0 {
+		return onTime
+	}
+	merged := make([]*queueEntry, 0, len(onTime)+len(late))
+	for len(onTime) > 0 && len(late) > 0 {
+		if onTime[0].key(now) <= late[0].key(now) {
+			merged, onTime = append(merged, onTime[0]), onTime[1:]
+		} else {
+			merged, late = append(merged, late[0]), late[1:]
+		}
+	}
+	return append(append(merged, onTime...), late...)
+}
+
 // queue holds the waiting requests, the most urgent tier first.
 type queue struct {
 	tiers []*tierQueue
@@ -90,16 +124,18 @@
 func (q *queue) len() int { return len(q.byID) }
 
 // workAhead returns the expected work of all waiting requests that go before a request of the given
-// tier and sortKey, in seconds of one slot of the fastest target. Waiting requests with the same
-// tier and sortKey are included.
-func (q *queue) workAhead(tier int, sortKey float64) float64 {
+// tier and key, in seconds of one slot of the fastest target. Waiting requests with the same tier and key
+// are included.
+func (q *queue) workAhead(now time.Time, tier int, key float64) float64 {
 	sum := 0.0
 	for _, tq := range q.tiers {
+		if tq.tier > tier {
+			break
+		}
 		for _, entry := range tq.entries {
-			if tq.tier > tier || tq.tier == tier && entry.sortKey > sortKey {
-				break
+			if tq.tier < tier || entry.key(now) <= key {
+				sum += entry.expectedWork
 			}
-			sum += entry.expectedWork
 		}
 	}
 	return sum
