Waits count the more urgent requests to come, and returns are planned

Cause: the wait of a request was estimated by the queue alone. While more urgent requests keep coming, less urgent ones were kept for slots that those got, and refused at the end of their time. And all callers that were refused together were told to come back after the wait of that moment, in one burst, in which most were refused again.

Change: core/yuccagrant/demand.go averages the arriving work by tier and key over a second; the wait is the work ahead by the capacity that is left by more urgent work to come, a tenth at least. core/yuccagrant/return.go plans for each tier and rank when refused callers come back, as fast as they can be served. While no target can be used, nothing is planned.

--- a/core/yuccagrant/constants.go
+++ b/core/yuccagrant/constants.go
@@ -119,12 +119,6 @@
 	// A request also stays queued if its first event is expected at most lateStartSlack after
 	// its soft deadline.
 	lateStartSlack = 200 * time.Millisecond
-	// minRetryAfter and maxRetryAfter bound the time after which a refused caller is told to
-	// retry. retryJitter is the share of that time by which it is randomly extended, so that
-	// callers who were refused together do not retry together.
-	minRetryAfter = 300 * time.Millisecond
-	maxRetryAfter = 8 * time.Second
-	retryJitter   = 0.5
 	// noTargetGrace is how long a pool may be without targets before requests are refused at
 	// once, because live targets renew their registrations within two seconds.
 	noTargetGrace = 2 * time.Second
--- a/core/yuccagrant/leader.go
+++ b/core/yuccagrant/leader.go
@@ -36,6 +36,8 @@
 	latencyModel latencyModel
 	lengthModel  lengthModel
 	sizeStats    sizeStats
+	demand       demand
+	returns      returns
 	// speeds estimates from what targets state how long work takes there at the moment.
 	speeds yuccaspeed.Model
 	// parts finds the targets that hold the parts of a prompt. generation counts the requests for
@@ -56,7 +58,7 @@
 
 // New returns a leader without targets. SetTargets sets them.
 func New(rng *rand.Rand) *Leader {
-	return &Leader{rng: rng, leaderCount: 1, centreCount: 1, runs: make(map[ID]*activeRun), queue: newQueue(), lengthModel: newLengthModel(), sizeStats: newSizeStats(), parts: yuccacache.NewIndex[*targetState](), fetches: fetches{success: 1}}
+	return &Leader{rng: rng, leaderCount: 1, centreCount: 1, runs: make(map[ID]*activeRun), queue: newQueue(), lengthModel: newLengthModel(), sizeStats: newSizeStats(), demand: newDemand(), returns: newReturns(), parts: yuccacache.NewIndex[*targetState](), fetches: fetches{success: 1}}
 }
 
 // SetTargets sets the targets. What was learned of a target is kept until its process is
@@ -166,6 +168,7 @@
 		return dec
 	}
 	entry := lead.newEntry(now, req)
+	lead.demand.add(now, entry.Tier, entry.sortKey, entry.expectedWork)
 	lead.queue.push(entry)
 	lead.grantSlots(now, &dec)
 	if lead.IsWaiting(req.ID) && lead.cannotMeetDeadline(now, entry) {
--- a/core/yuccagrant/refuse.go
+++ b/core/yuccagrant/refuse.go
@@ -20,7 +20,7 @@
 		// Too few runs have finished to estimate waiting times.
 		return !now.Before(entry.Deadline)
 	}
-	untilFirst := lead.estimatedWait(now, lead.queue.workAhead(now, entry.Tier, entry.key(now))) + seconds(lead.expectedTimeToFirst(&entry.Request, lead.longestHeld(&entry.Request)))
+	untilFirst := lead.waitFor(now, entry) + seconds(lead.expectedTimeToFirst(&entry.Request, lead.longestHeld(&entry.Request)))
 	if untilFirst <= entry.SoftDeadline.Sub(now)+lateStartSlack {
 		return false
 	}
@@ -83,19 +83,38 @@
 
 func (lead *Leader) refuse(now time.Time, entry *queueEntry, reason Reason, dec *Decisions) {
 	lead.sizeStats.learn(entry.effectiveRank(), entry.expectedWork, false)
-	estimatedWait := lead.estimatedWait(now, lead.queue.workAhead(now, entry.Tier, entry.key(now)))
+	estimatedWait := lead.waitFor(now, entry)
 	dec.Refusals = append(dec.Refusals, Refusal{
-		ID: entry.ID, Reason: reason, RetryAfter: lead.retryAfter(now, entry.Tier),
+		ID: entry.ID, Reason: reason, RetryAfter: lead.retryAfter(now, entry),
 		QueueLength: lead.queue.len(), FreeSlots: lead.freeSlots(now), EstimatedWait: estimatedWait,
 	})
 }
 
-// retryAfter returns the time after which a refused caller should retry: the estimated time to
-// serve one more request and all requests that wait in the refused request's tier or in more urgent
-// tiers. It is limited to the range from minRetryAfter to maxRetryAfter. Then a random part is
-// added, because callers that are refused together would otherwise retry in one burst.
-func (lead *Leader) retryAfter(now time.Time, tier int) time.Duration {
-	wait := lead.estimatedWait(now, lead.queue.workAhead(now, tier, math.Inf(1))+lead.latencyModel.expectedHold())
+// waitFor returns how long a waiting request is expected to wait for a slot, with the requests that are
+// expected to arrive meanwhile and go first.
+func (lead *Leader) waitFor(now time.Time, entry *queueEntry) time.Duration {
+	key := entry.key(now)
+	work := lead.queue.workAhead(now, entry.Tier, key)
+	return seconds(work / lead.capacityBehind(now, lead.demand.ahead(now, entry.Tier, key)))
+}
+
+// capacityBehind returns the capacity that is left by more urgent work, of which the given amount arrives
+// in a second.
+func (lead *Leader) capacityBehind(now time.Time, arriving float64) float64 {
+	capacity := max(lead.slotCapacity(now), minCapacity)
+	return max(capacity-arriving, minFreeCapacity*capacity)
+}
+
+// retryAfter returns the time after which a refused caller should retry: the estimated time to serve
+// all requests that wait in the refused request's tier or in more urgent tiers, and the callers as urgent
+// that were refused before. A random part is added. While no target can be used, nothing is known of the
+// time that requests will take.
+func (lead *Leader) retryAfter(now time.Time, entry *queueEntry) time.Duration {
+	wait := lead.estimatedWait(now, lead.queue.workAhead(now, entry.Tier, math.Inf(1))+lead.latencyModel.expectedHold())
+	if lead.slotCapacity(now) > minCapacity {
+		behind := lead.capacityBehind(now, lead.demand.ahead(now, entry.Tier, entry.sortKey))
+		wait = lead.returns.plan(now, urgency{entry.Tier, entry.effectiveRank()}, wait, seconds(entry.expectedWork/behind))
+	}
 	wait = min(max(wait, minRetryAfter), maxRetryAfter)
 	return wait + time.Duration(lead.rng.Float64()*retryJitter*float64(wait))
 }
--- a/core/yuccagrant/serve.go
+++ b/core/yuccagrant/serve.go
@@ -98,7 +98,7 @@
 // estimatedWait returns how long the targets take for the given work, which is in seconds of one
 // slot of the fastest target.
 func (lead *Leader) estimatedWait(now time.Time, work float64) time.Duration {
-	return seconds(work / max(lead.slotCapacity(now), 0.5))
+	return seconds(work / max(lead.slotCapacity(now), minCapacity))
 }
 
 // newEntry returns a queue entry for a request, with its expected work and sort key.
--- a/core/yuccagrant/world_test.go
+++ b/core/yuccagrant/world_test.go
@@ -72,6 +72,7 @@
 	// request, onTime reports that no event so far was late, and done reports that the answer is
 	// complete.
 	refused    bool
+	refusedAt  time.Time
 	retryAfter time.Duration
 	onTime     bool
 	done       bool
@@ -273,7 +274,7 @@
 	}
 	for _, refusal := range dec.Refusals {
 		jb := sim.jobs[refusal.ID]
-		jb.refused, jb.retryAfter = true, refusal.RetryAfter
+		jb.refused, jb.refusedAt, jb.retryAfter = true, sim.now, refusal.RetryAfter
 	}
 }
 
