--- a/core/yuccagrant/leader.go
+++ b/core/yuccagrant/leader.go
@@ -375,7 +375,7 @@
 	list := make([]TargetStatus, 0, len(lead.targets))
 	for _, tgt := range lead.targets {
 		list = append(list, TargetStatus{
-			Target: tgt.Name, Busy: tgt.busySlots(now), Slots: tgt.Slots, Pace: tgt.pace, LateFraction: tgt.lateFraction, FailureRate: tgt.failureRate, BackingOff: tgt.backingOff(now),
+			Target: tgt.Name, Busy: tgt.busySlots(now), Slots: tgt.Slots, Pace: tgt.pace, LateFraction: tgt.lateFraction, FailureRate: tgt.failureRate, BackingOff: tgt.backingOff(now), Slowness: lead.slowness(now, tgt), Tripped: tgt.tripped(),
 		})
 	}
 	return list
--- a/core/yuccagrant/speed.go
+++ b/core/yuccagrant/speed.go
@@ -34,6 +34,6 @@
 	lead.speeds.Learn(run.sent, run.speed, ratio)
 }
 
-// Trust returns how far the times that targets state for their work explain how long it takes, from 0
+// SpeedTrust returns how far the times that targets state for their work explain how long it takes, from 0
 // to 1.
-func (lead *Leader) Trust() float64 { return lead.speeds.Trust() }
+func (lead *Leader) SpeedTrust() float64 { return lead.speeds.Trust() }
--- a/core/yuccagrant/target.go
+++ b/core/yuccagrant/target.go
@@ -232,7 +232,9 @@
 	return false
 }
 
-// TargetStatus is the state of a target that a leader shows to operators.
+// TargetStatus is the state of a target that a leader shows to operators. Slowness is how many times as
+// long as usual work is expected to take there now, and Tripped reports that the target is tried by one
+// request at a time.
 type TargetStatus struct {
 	Target       yuccaid.Target `json:"target"`
 	Busy         int            `json:"busy"`
@@ -241,4 +243,6 @@
 	LateFraction float64        `json:"late"`
 	FailureRate  float64        `json:"failed"`
 	BackingOff   bool           `json:"resting"`
+	Slowness     float64        `json:"slowness"`
+	Tripped      bool           `json:"tripped"`
 }
--- a/io/yuccagate/status.go
+++ b/io/yuccagate/status.go
@@ -45,12 +45,14 @@
 	Leaving bool           `json:"leaving"`
 }
 
-// PoolStatus is the state of one pool's scheduler on this daemon.
+// PoolStatus is the state of one pool's scheduler on this daemon. SpeedTrust is how far what targets state
+// about their speed is trusted, from 0 to 1.
 type PoolStatus struct {
-	Pool    yuccaid.Pool              `json:"pool"`
-	Leader  yuccaid.VM                `json:"leader"`
-	Waiting int                       `json:"waiting"`
-	Targets []yuccagrant.TargetStatus `json:"targets"`
+	Pool       yuccaid.Pool              `json:"pool"`
+	Leader     yuccaid.VM                `json:"leader"`
+	Waiting    int                       `json:"waiting"`
+	SpeedTrust float64                   `json:"speedTrust"`
+	Targets    []yuccagrant.TargetStatus `json:"targets"`
 }
 
 // TargetStatus is one registered target.
@@ -97,7 +99,7 @@
 	}
 	for _, sched := range gate.schedulers {
 		status.Pools = append(status.Pools, PoolStatus{
-			Pool: sched.pool, Leader: sched.leader.VM, Waiting: sched.local.QueueLength(), Targets: sched.local.Targets(now),
+			Pool: sched.pool, Leader: sched.leader.VM, Waiting: sched.local.QueueLength(), SpeedTrust: sched.local.SpeedTrust(), Targets: sched.local.Targets(now),
 		})
 	}
 	slices.SortFunc(status.Pools, func(a, b PoolStatus) int { return cmp.Compare(a.Pool, b.Pool) })
