--- a/core/yuccagrant/demand_test.go
+++ b/core/yuccagrant/demand_test.go
@@ -16,8 +16,10 @@
 		sim := newSimulation(1, newEngines(4, 1, 1, 1, 1, 1, 1)...)
 		sim.classes = []class{
 			{kind: "plan", rank: 0, softDeadline: time.Second, events: 60, prompt: 3700, share: 0.6},
-			{kind: "summary", rank: 1, softDeadline: time.Second, deadline: 8 * time.Second, events: 60, prompt: 2900, share: 0.4,
-				alterRequest: func(req *yuccagrant.Request) { req.Tier = 1 }},
+			{
+				kind: "summary", rank: 1, softDeadline: time.Second, deadline: 8 * time.Second, events: 60, prompt: 2900, share: 0.4,
+				alterRequest: func(req *yuccagrant.Request) { req.Tier = 1 },
+			},
 		}
 		sim.run(20*time.Second, steady(70))
 		refused, kept := 0, 0
