--- a/core/yuccagrant/centre.go
+++ b/core/yuccagrant/centre.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"yuccacleat/core/yuccaallow"
 )
 
 const (
@@ -19,6 +21,9 @@
 
 // grantableSlots returns how many more requests may be sent to a target.
 func (lead *Leader) grantableSlots(now time.Time, tgt *targetState) int {
+	if tgt.heldBack(now) != yuccaallow.Allowed {
+		return 0
+	}
 	if tgt.OtherCentre && !lead.spreadsRuns {
 		return tgt.spareShare(now, lead.centreCount)
 	}
--- a/core/yuccagrant/choose.go
+++ b/core/yuccagrant/choose.go
@@ -4,6 +4,7 @@
 	"math"
 	"time"
 
+	"yuccacleat/core/yuccaallow"
 	"yuccacleat/core/yuccaid"
 )
 
@@ -95,12 +96,12 @@
 		if at >= lead.remoteBound.localCount && best.suitable && best.cost <= minRemoteCost {
 			return best
 		}
-		if lead.grantableSlots(now, tgt) == 0 || tgt.backingOff(now) || !tgt.mayServe(req) || !lead.mayTry(now, tgt, req) {
+		if lead.exclusion(now, tgt, req) != yuccaallow.Allowed {
 			continue
 		}
 		best = best.better(lead.estimate(now, tgt, req, &base))
 	}
-	if best.targetState == nil && lead.belowShare(now) {
+	if best.targetState == nil && lead.belowShare(now, req.limits()) {
 		return lead.chooseWithinShare(now, req, &base)
 	}
 	return best
@@ -155,30 +156,14 @@
 	return gap > req.MaxGap/2 || tgt.pace > slowPace && gap+prefill > req.MaxGap
 }
 
-// freeSlots returns the number of free slots on targets that are neither backing off nor tripped.
-func (lead *Leader) freeSlots(now time.Time) int {
+// freeSlots returns the number of free slots on the targets that the limits allow and that are neither backing
+// off nor tripped.
+func (lead *Leader) freeSlots(now time.Time, lim yuccaallow.Limits) int {
 	sum := 0
 	for _, tgt := range lead.targets {
-		if !tgt.backingOff(now) && !tgt.tripped() {
+		if tgt.within(lim) && !tgt.backingOff(now) && !tgt.tripped() {
 			sum += tgt.freeSlots(now)
 		}
 	}
 	return sum
 }
-
-// slotCapacity returns the capacity of the targets that are neither backing off nor tripped, as a number of slots
-// of the fastest target: a slot of another target counts for 1/pace, at its present speed. The result is the sum times
-// this leader's share of all runs on these targets, because the leaders of other data centres use
-// the rest. ownRuns and allRuns start at 1, so that the share is defined while there are no runs.
-func (lead *Leader) slotCapacity(now time.Time) float64 {
-	sum, ownRuns, allRuns := 0.0, 1, 1
-	for _, tgt := range lead.targets {
-		if tgt.backingOff(now) || tgt.tripped() {
-			continue
-		}
-		sum += float64(tgt.Slots) / (tgt.pace * lead.slowness(now, tgt))
-		ownRuns += len(tgt.runs)
-		allRuns += len(tgt.runs) + tgt.otherCentreRuns
-	}
-	return sum * float64(ownRuns) / float64(allRuns)
-}
--- a/core/yuccagrant/leader.go
+++ b/core/yuccagrant/leader.go
@@ -18,8 +18,12 @@
 	// targets lists the targets of this region before those of other regions.
 	targets       []*targetState
 	targetsByName map[yuccaid.Target]*targetState
-	// versions are the versions of the targets.
-	versions map[yuccaid.Version]bool
+	// present is which targets there are, and evacuated the data centres whose targets have left because of
+	// an evacuation.
+	present   presence
+	evacuated map[yuccaid.Centre]bool
+	// evacuatedBefore are those that were evacuated when the targets were last set.
+	evacuatedBefore map[yuccaid.Centre]bool
 	// leaderCount is the number of leaders among which the slots of each target are divided.
 	leaderCount int
 	// centreCount is the number of data centres whose leaders decide on the same targets. spreadsRuns
@@ -36,7 +40,7 @@
 	latencyModel latencyModel
 	lengthModel  lengthModel
 	sizeStats    sizeStats
-	demand       demand
+	arrivals     arrivals
 	returns      returns
 	// speeds estimates from what targets state how long work takes there at the moment.
 	speeds yuccaspeed.Model
@@ -51,14 +55,13 @@
 	// newFailures are the targets whose failures have changed since they were last reported to other
 	// leaders.
 	newFailures map[yuccaid.Target]bool
-	// withoutTargetsSince is the time since which there has been no target. It is zero while
-	// there are targets.
-	withoutTargetsSince time.Time
+	// tookOverAt is when the leader took over from another one, zero if it didn't.
+	tookOverAt time.Time
 }
 
 // New returns a leader without targets. SetTargets sets them.
 func New(rng *rand.Rand) *Leader {
-	return &Leader{rng: rng, leaderCount: 1, centreCount: 1, runs: make(map[ID]*activeRun), queue: newQueue(), lengthModel: newLengthModel(), sizeStats: newSizeStats(), demand: newDemand(), returns: newReturns(), parts: yuccacache.NewIndex[*targetState](), fetches: fetches{success: 1}}
+	return &Leader{rng: rng, leaderCount: 1, centreCount: 1, runs: make(map[ID]*activeRun), queue: newQueue(), lengthModel: newLengthModel(), sizeStats: newSizeStats(), arrivals: newArrivals(), returns: newReturns(), parts: yuccacache.NewIndex[*targetState](), fetches: fetches{success: 1}}
 }
 
 // SetTargets sets the targets. What was learned of a target is kept until its process is
@@ -67,20 +70,31 @@
 	old := lead.targetsByName
 	lead.targetsByName = make(map[yuccaid.Target]*targetState, len(configured))
 	lead.targets = make([]*targetState, 0, len(configured))
-	lead.versions = make(map[yuccaid.Version]bool)
 	newPace := medianPace(old)
+	hadTargets := len(old) > 0
 	for _, target := range configured {
-		lead.versions[target.Version] = true
 		tgt := old[target.Name]
+		isNew := hadTargets && (tgt == nil || tgt.StartMillis != target.StartMillis)
 		if tgt == nil || tgt.StartMillis != target.StartMillis {
 			tgt = newTargetState(target, biasShare*lead.rng.Float64())
 			tgt.pace = newPace
+			if former := old[target.Name]; former != nil {
+				tgt.cold, tgt.sends = former.cold, former.sends
+			}
+		}
+		tgt.cold.Register(now, target.Budget.Limit, target.Cold, hadTargets)
+		if lead.returned(target.Centre) {
+			tgt.cold.Assume(now, target.Budget.Limit)
 		}
+		tgt.tookOverAt = lead.tookOverAt
 		if tgt.cache.Limit() != int64(target.CacheTokens) {
 			lead.parts.Clear(tgt, &tgt.cache)
 			tgt.cache = yuccacache.New(int64(target.CacheTokens), maxPartsPerTarget(len(configured)))
 		}
 		tgt.Target = target
+		if isNew {
+			tgt.beginRamp(now)
+		}
 		tgt.totalSlots = target.Slots
 		lead.targets = append(lead.targets, tgt)
 		lead.targetsByName[target.Name] = tgt
@@ -94,17 +108,24 @@
 	lead.shareSlots()
 	lead.remoteBound.configure(lead.targets)
 	lead.pacesChanged = true
-	switch {
-	case len(lead.targets) > 0:
-		lead.withoutTargetsSince = time.Time{}
-	case lead.withoutTargetsSince.IsZero():
-		lead.withoutTargetsSince = now
-	}
+	lead.present.update(now, old, lead.targets, lead.evacuated)
 	var dec Decisions
 	lead.grantSlots(now, &dec)
 	return dec
 }
 
+// SetEvacuated sets the data centres that are evacuated, before SetTargets is called with the targets of the
+// others. Requests don't wait for the targets of an evacuated data centre as for targets that are expected to
+// register again. Once it isn't evacuated any more, they count as cold.
+func (lead *Leader) SetEvacuated(centres map[yuccaid.Centre]bool) {
+	lead.evacuatedBefore, lead.evacuated = lead.evacuated, centres
+}
+
+// returned reports whether the data centre has ceased to be evacuated since the targets were last set.
+func (lead *Leader) returned(centre yuccaid.Centre) bool {
+	return lead.evacuatedBefore[centre] && !lead.evacuated[centre]
+}
+
 // compareRemote orders targets of this region before targets of other regions.
 func compareRemote(a, b *targetState) int {
 	switch {
@@ -155,12 +176,8 @@
 	if _, found := lead.queue.byID[req.ID]; found {
 		return dec
 	}
-	if lead.withoutTargets(now) {
-		lead.refuse(now, lead.newEntry(now, req), ReasonNoTarget, &dec)
-		return dec
-	}
-	if lead.withoutVersion(&req) {
-		lead.refuse(now, lead.newEntry(now, req), ReasonNoVersion, &dec)
+	if reason := lead.present.missing(now, req.limits()); reason != "" {
+		lead.refuse(now, lead.newEntry(now, req), reason, &dec)
 		return dec
 	}
 	if lead.queue.len() >= maxQueued {
@@ -168,27 +185,16 @@
 		return dec
 	}
 	entry := lead.newEntry(now, req)
-	lead.demand.add(now, entry.Tier, entry.sortKey, entry.expectedWork)
+	lead.arrivals.add(now, entry)
 	lead.queue.push(entry)
 	lead.grantSlots(now, &dec)
-	if lead.IsWaiting(req.ID) && lead.cannotMeetDeadline(now, entry) {
+	if lead.IsWaiting(req.ID) && lead.cannotMeetDeadline(now, entry, lead.capacities(now)) {
 		lead.queue.remove(req.ID)
 		lead.refuse(now, entry, ReasonLate, &dec)
 	}
 	return dec
 }
 
-// withoutTargets reports whether there has been no target for noTargetGrace, so that none is
-// expected soon.
-//
-// A daemon that has just started may receive requests shortly before it learns of its targets.
-// After an outage of the platform, with which targets register, all registrations may be missing
-// until the targets renew them. Requests that arrive in that time are queued, because a late
-// answer is better than a refusal.
-func (lead *Leader) withoutTargets(now time.Time) bool {
-	return len(lead.targets) == 0 && now.Sub(lead.withoutTargetsSince) >= noTargetGrace
-}
-
 // Withdraw removes a waiting request whose caller has stopped waiting.
 func (lead *Leader) Withdraw(now time.Time, id ID) Decisions {
 	var dec Decisions
@@ -208,6 +214,7 @@
 		return dec
 	}
 	run.started = true
+	run.targetState.recordAnswer(now, run, took)
 	lead.recordBegun(run)
 	run.targetState.recordReport(now, load)
 	lead.recordSpeed(now, run, load)
@@ -228,6 +235,9 @@
 		lead.learnTimeToFirst(now, run, result.TimeToFirst)
 	}
 	if !run.started {
+		if result.Outcome == Served || result.Outcome == Failed {
+			run.targetState.recordAnswer(now, run, now.Sub(run.sent))
+		}
 		run.targetState.recordReport(now, result.Load)
 	}
 	lead.removeRun(run)
@@ -248,7 +258,7 @@
 	if !found {
 		return
 	}
-	run := lead.addRun(now, tgt, running.Request)
+	run := lead.addRun(now, running.Sent, tgt, running.Request)
 	run.sent = running.Sent
 	run.started = running.Started
 }
@@ -287,13 +297,14 @@
 }
 
 // SetOtherCentreLoads sets how many runs the leaders of other data centres have on the given
-// targets. It adopts the paces that those leaders have learned for targets of which this leader
+// targets, and whether the targets have been tried there. It adopts the paces that those leaders have learned for targets of which this leader
 // has too few samples.
 func (lead *Leader) SetOtherCentreLoads(now time.Time, loads map[yuccaid.Target]TargetLoad) Decisions {
 	var dec Decisions
 	for target, load := range loads {
 		if tgt, found := lead.targetsByName[target]; found {
 			tgt.otherCentreRuns = load.Runs
+			tgt.recordTried(load.Tried)
 			if tgt.adoptPace(load.Pace) {
 				lead.notePaceChange(tgt)
 			}
@@ -313,11 +324,14 @@
 }
 
 // TargetLoad is the number of runs that a leader has on one target, and the pace that the leader
-// has learned for the target, zero if it is unknown. OtherCentre reports that the target is in
-// another data centre than the leader.
+// has learned for the target, zero if it is unknown or the target has failed and hasn't answered since.
+// Tried reports, of a load that other leaders have sent, that the leader of the target's own data
+// centre knows its pace. OtherCentre reports, of a load of this leader, that the target is in another
+// data centre.
 type TargetLoad struct {
 	Runs        int
 	Pace        float64
+	Tried       bool
 	OtherCentre bool
 }
 
@@ -375,7 +389,7 @@
 	list := make([]TargetStatus, 0, len(lead.targets))
 	for _, tgt := range lead.targets {
 		list = append(list, TargetStatus{
-			Target: tgt.Name, Busy: tgt.busySlots(now), Slots: tgt.Slots, Pace: tgt.pace, LateFraction: tgt.lateFraction, FailureRate: tgt.failureRate, BackingOff: tgt.backingOff(now), Slowness: lead.slowness(now, tgt), Tripped: tgt.tripped(),
+			Target: tgt.Name, Busy: tgt.busySlots(now), Slots: tgt.Slots, Pace: tgt.pace, LateFraction: tgt.lateFraction, FailureRate: tgt.failureRate, BackingOff: tgt.backingOff(now), Slowness: lead.slowness(now, tgt), Tripped: tgt.tripped(), Cold: tgt.isCold(now), HeldBack: tgt.heldBack(now), Window: tgt.window.Size(now),
 		})
 	}
 	return list
--- a/core/yuccagrant/learn.go
+++ b/core/yuccagrant/learn.go
@@ -62,12 +62,18 @@
 	case Rejected:
 		// A target that is full gets no requests for half of minBackoff, however often it
 		// rejects them.
+		tgt.cold.Answered(now, run.sent, tgt.Budget.Limit)
+		tgt.window.Shrink(now)
 		tgt.learnFailure(true)
 		tgt.backoffUntil = now.Add(minBackoff / 2)
 	case Broken:
 		tgt.learnFailure(true)
 		lead.learnGap(now, run, result)
 	case Unreachable, Lost, Misdirected:
+		if result.Outcome == Unreachable {
+			tgt.cold.Unreachable(now)
+		}
+		tgt.failRamp(now)
 		tgt.learnFailure(true)
 		lead.recordFailure(now, tgt)
 	case Dropped:
--- a/core/yuccagrant/refuse.go
+++ b/core/yuccagrant/refuse.go
@@ -15,12 +15,12 @@
 // run, the waiting request may wait longer, because the slots of the less urgent requests will
 // become free soon. It is then refused only if its first event is expected later than
 // lateStartShare of the time to its deadline.
-func (lead *Leader) cannotMeetDeadline(now time.Time, entry *queueEntry) bool {
+func (lead *Leader) cannotMeetDeadline(now time.Time, entry *queueEntry, caps capacities) bool {
 	if lead.latencyModel.holdSamples < minHoldSamples {
 		// Too few runs have finished to estimate waiting times.
 		return !now.Before(entry.Deadline)
 	}
-	untilFirst := lead.waitFor(now, entry) + seconds(lead.expectedTimeToFirst(&entry.Request, lead.longestHeld(&entry.Request)))
+	untilFirst := lead.waitFor(now, entry, caps) + seconds(lead.expectedTimeToFirst(&entry.Request, lead.longestHeld(&entry.Request)))
 	if untilFirst <= entry.SoftDeadline.Sub(now)+lateStartSlack {
 		return false
 	}
@@ -31,10 +31,10 @@
 }
 
 // lessUrgentRunning reports whether a request of a less urgent tier or effective rank than the
-// given one is running.
+// given one is running on a target that the given one may use.
 func (lead *Leader) lessUrgentRunning(request *Request) bool {
 	for _, run := range lead.runs {
-		if cmp.Or(cmp.Compare(run.request.Tier, request.Tier), cmp.Compare(run.request.effectiveRank(), request.effectiveRank())) > 0 {
+		if cmp.Or(cmp.Compare(run.request.Tier, request.Tier), cmp.Compare(run.request.effectiveRank(), request.effectiveRank())) > 0 && run.targetState.within(request.limits()) {
 			return true
 		}
 	}
@@ -45,14 +45,18 @@
 // that are past their soft deadline and whose first event is expected too late.
 // refuseWithoutTargets does so for a pool without targets.
 func (lead *Leader) refuseExpired(now time.Time, dec *Decisions) {
+	if lead.queue.len() == 0 {
+		return
+	}
 	if len(lead.targets) == 0 {
 		lead.refuseWithoutTargets(now, dec)
 		return
 	}
-	lead.refuseWithoutVersion(now, dec)
+	lead.refuseMissing(now, dec)
 	var expired []*queueEntry
+	caps := lead.capacities(now)
 	for _, entry := range lead.queue.byID {
-		if !entry.onTime(now) && lead.cannotMeetDeadline(now, entry) || !now.Before(entry.Deadline) {
+		if !entry.onTime(now) && lead.cannotMeetDeadline(now, entry, caps) || !now.Before(entry.Deadline) {
 			expired = append(expired, entry)
 		}
 	}
@@ -62,9 +66,10 @@
 // refuseWithoutTargets refuses waiting requests of a pool without targets: the requests past their
 // soft deadline, or all waiting requests if no target is expected soon.
 func (lead *Leader) refuseWithoutTargets(now time.Time, dec *Decisions) {
+	lead.refuseMissing(now, dec)
 	var expired []*queueEntry
 	for _, entry := range lead.queue.byID {
-		if !entry.onTime(now) || lead.withoutTargets(now) {
+		if !entry.onTime(now) {
 			expired = append(expired, entry)
 		}
 	}
@@ -83,37 +88,38 @@
 
 func (lead *Leader) refuse(now time.Time, entry *queueEntry, reason Reason, dec *Decisions) {
 	lead.sizeStats.learn(entry.effectiveRank(), entry.expectedWork, false)
-	estimatedWait := lead.waitFor(now, entry)
+	lead.arrivals.remove(now, entry)
+	caps := lead.capacities(now)
 	dec.Refusals = append(dec.Refusals, Refusal{
-		ID: entry.ID, Reason: reason, RetryAfter: lead.retryAfter(now, entry),
-		QueueLength: lead.queue.len(), FreeSlots: lead.freeSlots(now), EstimatedWait: estimatedWait,
+		ID: entry.ID, Reason: reason, RetryAfter: lead.retryAfter(now, entry, reason, caps),
+		QueueLength: lead.queue.len(), FreeSlots: lead.freeSlots(now, entry.limits()), EstimatedWait: lead.waitFor(now, entry, caps),
 	})
 }
 
 // waitFor returns how long a waiting request is expected to wait for a slot, with the requests that are
 // expected to arrive meanwhile and go first.
-func (lead *Leader) waitFor(now time.Time, entry *queueEntry) time.Duration {
+func (lead *Leader) waitFor(now time.Time, entry *queueEntry, caps capacities) time.Duration {
 	key := entry.key(now)
-	work := lead.queue.workAhead(now, entry.Tier, key)
-	return seconds(work / lead.capacityBehind(now, lead.demand.ahead(now, entry.Tier, key)))
-}
-
-// capacityBehind returns the capacity that is left by more urgent work, of which the given amount arrives
-// in a second.
-func (lead *Leader) capacityBehind(now time.Time, arriving float64) float64 {
-	capacity := max(lead.slotCapacity(now), minCapacity)
-	return max(capacity-arriving, minFreeCapacity*capacity)
+	wait := caps.wait(entry.limits(), lead.queue.workAhead(now, entry.Tier, key))
+	return seconds(wait.Seconds() / caps.left(entry.limits(), lead.arrivals.ahead(now, entry, key)))
 }
 
 // retryAfter returns the time after which a refused caller should retry: the estimated time to serve
-// all requests that wait in the refused request's tier or in more urgent tiers, and the callers as urgent
-// that were refused before. A random part is added. While no target can be used, nothing is known of the
-// time that requests will take.
-func (lead *Leader) retryAfter(now time.Time, entry *queueEntry) time.Duration {
-	wait := lead.estimatedWait(now, lead.queue.workAhead(now, entry.Tier, math.Inf(1))+lead.latencyModel.expectedHold())
-	if lead.slotCapacity(now) > minCapacity {
-		behind := lead.capacityBehind(now, lead.demand.ahead(now, entry.Tier, entry.sortKey))
-		wait = lead.returns.plan(now, urgency{entry.Tier, entry.effectiveRank()}, wait, seconds(entry.expectedWork/behind))
+// one more request and all requests that wait in the refused request's tier or in more urgent tiers, and
+// the callers as urgent that were refused before. Where the regions of the request have no target, it is
+// the time in which they may have one again. It is limited to the range from minRetryAfter to
+// maxRetryAfter, and a random part is added. While no target can be used, nothing is known of the time
+// that requests will take.
+func (lead *Leader) retryAfter(now time.Time, entry *queueEntry, reason Reason, caps capacities) time.Duration {
+	ahead := lead.queue.workAhead(now, entry.Tier, math.Inf(1))
+	ahead.add(entry.limits(), lead.latencyModel.expectedHold())
+	wait := caps.wait(entry.limits(), ahead)
+	switch capacity := caps.within(entry.limits()); {
+	case reason == ReasonNoRegion:
+		wait = max(wait, noTargetGrace)
+	case capacity > minCapacity:
+		left := capacity * caps.left(entry.limits(), lead.arrivals.ahead(now, entry, entry.sortKey))
+		wait = lead.returns.plan(now, urgency{entry.Tier, entry.effectiveRank()}, wait, seconds(entry.expectedWork/left))
 	}
 	wait = min(max(wait, minRetryAfter), maxRetryAfter)
 	return wait + time.Duration(lead.rng.Float64()*retryJitter*float64(wait))
--- a/core/yuccagrant/request.go
+++ b/core/yuccagrant/request.go
@@ -3,8 +3,11 @@
 import (
 	"time"
 
+	"yuccacleat/core/yuccaallow"
 	"yuccacleat/core/yuccacache"
+	"yuccacleat/core/yuccacold"
 	"yuccacleat/core/yuccaid"
+	"yuccacleat/core/yuccaregion"
 	"yuccacleat/core/yuccaspeed"
 )
 
@@ -56,6 +59,13 @@
 	// Version is the version of the targets that may serve the request, empty if any target may. A
 	// stream that goes on has the version that began it.
 	Version yuccaid.Version
+	// Regions are the regions in which the request may be served.
+	Regions yuccaregion.Set
+}
+
+// limits returns what the request requires of its targets.
+func (req *Request) limits() yuccaallow.Limits {
+	return yuccaallow.Limits{Regions: req.Regions, Version: req.Version}
 }
 
 // effectiveRank returns the rank that the request is scheduled by: Rank, limited to the range from
@@ -96,6 +106,9 @@
 	ReasonQueueFull Reason = "full"
 	// ReasonNoVersion means that the pool has targets, and none is of the request's version.
 	ReasonNoVersion Reason = "noVersion"
+	// ReasonNoRegion means that the pool has targets, and none in the regions in which the request may be
+	// served, or that it may be served in none.
+	ReasonNoRegion Reason = "noRegion"
 )
 
 // Refusal is the final decision not to serve a request; RetryAfter is the time after which the
@@ -189,6 +202,9 @@
 type Target struct {
 	Name  yuccaid.Target
 	Slots int
+	// Centre is the target's data centre, and Region the region of that data centre.
+	Centre yuccaid.Centre
+	Region yuccaid.Region
 	// CacheTokens is the size of the target's prefix cache, zero if it has none. FetchRate is how many
 	// tokens a second the target can fetch from the cache of another target, zero if it can't.
 	CacheTokens yuccaid.Tokens
@@ -206,4 +222,11 @@
 	// Remote reports that the target is in another region, so that traffic to it is billed by
 	// volume.
 	Remote bool
+	// Ramped reports that the leader finds out how much the target can take when it has just started or
+	// recovered.
+	Ramped bool
+	// Cold is what the target has registered about being cold, and Budget what the leader may send it
+	// because it may be cold.
+	Cold   yuccacold.Statement
+	Budget yuccacold.Budget
 }
--- a/core/yuccagrant/serve.go
+++ b/core/yuccagrant/serve.go
@@ -4,6 +4,7 @@
 	"math"
 	"time"
 
+	"yuccacleat/core/yuccaallow"
 	"yuccacleat/core/yuccaid"
 )
 
@@ -35,13 +36,13 @@
 	missed := map[bool]*misses{true: {}, false: {}}
 	for _, entry := range tier.ordered(now) {
 		ofKind := missed[entry.onTime(now)]
-		if !eligible(entry) || ofKind.enough(entry.Version) {
+		if !eligible(entry) || ofKind.enough(entry.limits()) {
 			continue
 		}
 		if !lead.tryGrant(now, entry, dec) {
-			ofKind.count(entry.Version)
+			ofKind.count(entry.limits())
 		}
-		if missed[true].enough("") && missed[false].enough("") {
+		if missed[true].enough(yuccaallow.Limits{}) && missed[false].enough(yuccaallow.Limits{}) {
 			return
 		}
 	}
@@ -67,7 +68,7 @@
 	lead.queue.remove(entry.ID)
 	lead.sizeStats.learn(entry.effectiveRank(), entry.expectedWork, true)
 	busySlots := best.targetState.busySlots(now)
-	run := lead.addRun(now, best.targetState, entry.Request)
+	run := lead.addRun(now, now, best.targetState, entry.Request)
 	dec.Grants = append(dec.Grants, Grant{
 		ID: entry.ID, Target: best.targetState.Name, ExpectedTimeToFirst: best.expectedTimeToFirst, Busy: busySlots, Held: run.held, FetchFrom: run.fetchFrom,
 	})
@@ -76,10 +77,10 @@
 // worthWaiting reports whether a target that is suitable for the request is likely to have a
 // free slot while the request can still be on time.
 func (lead *Leader) worthWaiting(now time.Time, req *Request) bool {
-	wait := lead.timeToFreeSlot(now)
+	wait := lead.timeToFreeSlot(now, req.limits())
 	base := lead.baseline(now, req)
 	for _, tgt := range lead.targets {
-		if tgt.backingOff(now) || tgt.tripped() || !tgt.mayServe(req) {
+		if tgt.backingOff(now) || tgt.tripped() || !tgt.mayServe(req) || !tgt.withinBudget(now.Add(wait)) {
 			continue
 		}
 		candidate := lead.estimate(now, tgt, req, &base)
@@ -90,15 +91,9 @@
 	return false
 }
 
-// timeToFreeSlot returns the mean time until one slot of any target becomes free.
-func (lead *Leader) timeToFreeSlot(now time.Time) time.Duration {
-	return lead.estimatedWait(now, lead.latencyModel.expectedHold())
-}
-
-// estimatedWait returns how long the targets take for the given work, which is in seconds of one
-// slot of the fastest target.
-func (lead *Leader) estimatedWait(now time.Time, work float64) time.Duration {
-	return seconds(work / max(lead.slotCapacity(now), minCapacity))
+// timeToFreeSlot returns the mean time until one slot of any target that the limits allow becomes free.
+func (lead *Leader) timeToFreeSlot(now time.Time, lim yuccaallow.Limits) time.Duration {
+	return seconds(lead.latencyModel.expectedHold() / lead.capacities(now).within(lim))
 }
 
 // newEntry returns a queue entry for a request, with its expected work and sort key.
@@ -125,18 +120,19 @@
 	return lead.latencyModel.expectedTimeToFirst(req.Prompt-held).Seconds() * lead.lengthModel.timeToFirstRatio(req.Class)
 }
 
-// addRun counts a request as sent to a target now.
-func (lead *Leader) addRun(now time.Time, tgt *targetState, request Request) *activeRun {
+// addRun counts a request as sent to a target at the given time.
+func (lead *Leader) addRun(now, sent time.Time, tgt *targetState, request Request) *activeRun {
 	base := lead.baseline(now, &request)
 	estimate := lead.estimate(now, tgt, &request, &base)
 	run := &activeRun{
-		request: request, targetState: tgt, sent: now, dueAfter: estimate.expectedTimeToFirst,
+		request: request, targetState: tgt, sent: sent, dueAfter: estimate.expectedTimeToFirst,
 		unread: request.Prompt - estimate.available.tokens, held: lead.heldTokens(tgt, &request), fetchFrom: estimate.available.from, fetchTime: estimate.available.fetchTime,
 	}
 	run.speed = tgt.speed
 	run.ahead = tgt.pendingPrefill(now, base.slope)
 	run.undelayed = run.ahead == 0 && run.fetchFrom == "" && tgt.busySlots(now) < tgt.Slots
 	lead.recordParts(tgt, &request)
+	tgt.recordSend(now, sent)
 	lead.runs[request.ID] = run
 	tgt.runs[request.ID] = run
 	return run
--- a/core/yuccagrant/target.go
+++ b/core/yuccagrant/target.go
@@ -3,8 +3,11 @@
 import (
 	"time"
 
+	"yuccacleat/core/yuccaallow"
 	"yuccacleat/core/yuccacache"
+	"yuccacleat/core/yuccacold"
 	"yuccacleat/core/yuccaid"
+	"yuccacleat/core/yuccaramp"
 	"yuccacleat/core/yuccaspeed"
 )
 
@@ -12,6 +15,8 @@
 // of it.
 type targetState struct {
 	Target
+	// group is the index of the target's group among those of the leader.
+	group int
 	// totalSlots is the number of the target's slots. The embedded Slots is set to this leader's
 	// share of them.
 	totalSlots int
@@ -56,6 +61,17 @@
 	// Otherwise all leaders that have not learned anything yet would send their first requests to
 	// the same target.
 	bias float64
+	// cold is what is known of the target's being cold, and sends when requests were sent to it.
+	// tookOverAt is that of the leader.
+	cold       yuccacold.State
+	sends      yuccacold.Sends
+	tookOverAt time.Time
+	// window bounds the runs that haven't begun while it isn't known what the target can take. Until
+	// untriedUntil, a new target of another data centre is left to the leader there, unless that one reports
+	// its pace before. tried reports that it does so.
+	window       yuccaramp.Window
+	untriedUntil time.Time
+	tried        bool
 }
 
 // activeRun is a request that was sent to a target and has not finished. started reports that the
@@ -92,7 +108,7 @@
 // load returns what is reported to other leaders about the target.
 func (tgt *targetState) load() TargetLoad {
 	load := TargetLoad{Runs: len(tgt.runs), OtherCentre: tgt.OtherCentre}
-	if tgt.paceSamples >= minPaceSamples {
+	if tgt.paceSamples >= minPaceSamples && !tgt.window.Failed() {
 		load.Pace = tgt.pace
 	}
 	return load
@@ -138,7 +154,16 @@
 // idle until the leader learns of it. More requests must not wait there, because the target's queue
 // ignores ranks.
 func (tgt *targetState) grantableSlots(now time.Time) int {
-	return max(tgt.Slots+tgt.overcommit-tgt.busySlots(now), 0)
+	if tgt.heldBack(now) != yuccaallow.Allowed {
+		return 0
+	}
+	return max(tgt.maxRuns()-tgt.busySlots(now), 0)
+}
+
+// maxRuns returns how many runs the target may have: its slots, and the few that may wait in its own
+// queue.
+func (tgt *targetState) maxRuns() int {
+	return tgt.Slots + tgt.overcommit
 }
 
 // recordReport compares the load that the target reported with the runs that the leaders know of.
@@ -175,7 +200,7 @@
 // backOff records a failure after which the target gets no requests for a while.
 func (tgt *targetState) backOff(now time.Time) {
 	tgt.consecutiveFailures++
-	tgt.backoffUntil = now.Add(backoffAfter(tgt.consecutiveFailures))
+	tgt.backoffUntil = now.Add(min(backoffAfter(tgt.consecutiveFailures), tgt.maxBackoff()))
 }
 
 // backoffAfter returns the backoff after the given number of consecutive failures.
@@ -222,16 +247,6 @@
 	tgt.lateFraction += lateGapWeight * (sample - tgt.lateFraction)
 }
 
-// failedBefore reports whether the request has already failed on this target.
-func (tgt *targetState) failedBefore(req *Request) bool {
-	for _, name := range req.FailedTargets {
-		if name == tgt.Name {
-			return true
-		}
-	}
-	return false
-}
-
 // TargetStatus is the state of a target that a leader shows to operators. Slowness is how many times as
 // long as usual work is expected to take there now, and Tripped reports that the target is tried by one
 // request at a time.
@@ -245,4 +260,10 @@
 	BackingOff   bool           `json:"resting"`
 	Slowness     float64        `json:"slowness"`
 	Tripped      bool           `json:"tripped"`
+	// Cold reports that the target is known to be cold, and HeldBack why the leader sends it nothing at
+	// present although it may have free slots, empty if it doesn't hold it back. Window is the bound on
+	// the runs that haven't begun, zero if there is none.
+	Cold     bool                 `json:"cold,omitempty"`
+	HeldBack yuccaallow.Exclusion `json:"heldBack,omitempty"`
+	Window   int                  `json:"window,omitempty"`
 }
--- a/core/yuccaroute/config.go
+++ b/core/yuccaroute/config.go
@@ -3,7 +3,9 @@
 import (
 	"time"
 
+	"yuccacleat/core/yuccacold"
 	"yuccacleat/core/yuccaid"
+	"yuccacleat/core/yuccaregion"
 )
 
 // Config is a complete routing configuration as operators publish it.
@@ -38,6 +40,8 @@
 	Attempts int
 	// AllowAnonymous reports whether requests are accepted without a key.
 	AllowAnonymous bool
+	// Regions are the regions in which the route's requests may be served.
+	Regions yuccaregion.Set
 }
 
 // PoolWeight is a pool with its weight, relative to the other pools of the route.
@@ -54,6 +58,8 @@
 	MaxConnections int
 	// Engine describes the pool's model engines. It is nil if the pool runs no model.
 	Engine *Engine
+	// Cold says for how long the pool's targets are cold and what they bear meanwhile.
+	Cold yuccacold.Limit
 }
 
 // Engine describes each engine of a pool. Slots is how many requests the engine runs at once.
@@ -74,6 +80,9 @@
 	HasRank bool
 	Rank    int
 	Quota   Quota
+	// Regions are the regions in which the account's requests may be served. Where the route is limited to
+	// regions too, a request may be served only in those of both.
+	Regions yuccaregion.Set
 }
 
 // Quota limits the requests of an account over all daemons. A zero Rate means no limit.
--- a/io/yuccagate/placingwire.go
+++ b/io/yuccagate/placingwire.go
@@ -4,9 +4,11 @@
 	"math"
 	"time"
 
+	"yuccacleat/core/yuccaallow"
 	"yuccacleat/core/yuccacache"
 	"yuccacleat/core/yuccagrant"
 	"yuccacleat/core/yuccaid"
+	"yuccacleat/core/yuccaregion"
 	"yuccacleat/core/yuccaspeed"
 	"yuccacleat/io/yuccawire"
 )
@@ -120,21 +122,31 @@
 // onAsk tells the owner so. A daemon that doesn't lead the pool doesn't respond, and the owner then
 // decides on the request itself.
 func (gate *Gate) onAsk(now time.Time, from yuccaid.Incarnation, message yuccawire.Ask) {
-	gate.onVersionAsk(now, from, yuccawire.VersionAsk{Ask: message})
+	gate.submitForOwner(now, from, message, yuccaallow.Limits{}, 0)
 }
 
 // onVersionAsk does what onAsk does for a request that needs targets of one version or has to end at a
 // certain time.
 func (gate *Gate) onVersionAsk(now time.Time, from yuccaid.Incarnation, ask yuccawire.VersionAsk) {
-	message := ask.Ask
+	gate.submitForOwner(now, from, ask.Ask, yuccaallow.Limits{Version: ask.Version}, ask.EndMillis)
+}
+
+// onRegionAsk does what onAsk does for a request that may be served in some regions only.
+func (gate *Gate) onRegionAsk(now time.Time, from yuccaid.Incarnation, ask yuccawire.RegionAsk) {
+	gate.submitForOwner(now, from, ask.Ask, yuccaallow.Limits{Regions: yuccaregion.Only(ask.Regions...), Version: ask.Version}, ask.EndMillis)
+}
+
+// submitForOwner submits another daemon's request, with what it requires of its targets. If endMillis isn't
+// zero, the answer has to be complete within that time.
+func (gate *Gate) submitForOwner(now time.Time, from yuccaid.Incarnation, message yuccawire.Ask, lim yuccaallow.Limits, endMillis int64) {
 	sched := gate.scheduler(now, message.Pool)
 	if !sched.leads {
 		return
 	}
 	request := requestFromWire(now, from, message)
-	request.Version = ask.Version
-	if ask.EndMillis > 0 {
-		request.End = now.Add(time.Duration(ask.EndMillis) * time.Millisecond)
+	request.Version, request.Regions = lim.Version, lim.Regions
+	if endMillis > 0 {
+		request.End = now.Add(time.Duration(endMillis) * time.Millisecond)
 	}
 	gate.apply(now, sched, sched.local.Submit(now, request))
 	if sched.local.IsWaiting(request.ID) {
