A request that waits alone isn't refused for what may arrive

Cause: the wait of a request counted its own work as delayed by more urgent arrivals too. In a pool of one slot a request was refused although nobody waited and the slot was about to become free, so that under a flood the slot stayed idle between runs.

--- a/core/yuccagrant/refuse.go
+++ b/core/yuccagrant/refuse.go
@@ -97,11 +97,15 @@
 }
 
 // waitFor returns how long a waiting request is expected to wait for a slot, with the requests that are
-// expected to arrive meanwhile and go first.
+// expected to arrive meanwhile and go first. They delay it only while others wait: a slot that becomes
+// free goes to the one that waits alone.
 func (lead *Leader) waitFor(now time.Time, entry *queueEntry, caps capacities) time.Duration {
 	key := entry.key(now)
 	wait := caps.wait(entry.limits(), lead.queue.workAhead(now, entry.Tier, key))
-	return seconds(wait.Seconds() / caps.left(entry.limits(), lead.arrivals.ahead(now, entry, key)))
+	var own demand
+	own.add(entry.limits(), entry.expectedWork)
+	alone := min(caps.wait(entry.limits(), own), wait)
+	return alone + seconds((wait-alone).Seconds()/caps.left(entry.limits(), lead.arrivals.ahead(now, entry, key)))
 }
 
 // retryAfter returns the time after which a refused caller should retry: the estimated time to serve
