--- a/core/yuccacold/shares_test.go
+++ b/core/yuccacold/shares_test.go
@@ -28,12 +28,34 @@
 	It("is never exceeded by all shares together", func() {
 		rapid.Check(GinkgoT(), func(t *rapid.T) {
 			perSecond := rapid.IntRange(1, 1000).Draw(t, "perSecond")
-			shares := yuccacold.Divide(perSecond)
+			shares := yuccacold.Divide(perSecond, rapid.IntRange(0, 14).Draw(t, "otherCentres"))
 			Expect(shares.Leader + shares.Others + shares.Alone).To(Equal(perSecond))
 			Expect(shares.Leader).To(BeNumerically(">=", 1))
 		})
 	})
 
+	It("leaves nothing to leaders elsewhere if there are none", func() {
+		Expect(yuccacold.Divide(12, 0)).To(Equal(yuccacold.Shares{Leader: 9, Alone: 3}))
+	})
+
+	// Guards against the failure that the sides of a data centre that has split use more than one of them alone, or that a side
+	// which has lost most of its daemons for good uses hardly anything.
+	It("is used in part by the smaller sides of a data centre that has split", func() {
+		shares := yuccacold.Divide(12, 5)
+		Expect(shares.Minority(5, 15)).To(Equal(2))
+		rapid.Check(GinkgoT(), func(t *rapid.T) {
+			shares := yuccacold.Divide(rapid.IntRange(1, 100).Draw(t, "perSecond"), 5)
+			expected := rapid.IntRange(2, 40).Draw(t, "expected")
+			sum, left := 0, expected/2
+			for left > 0 {
+				side := rapid.IntRange(1, left).Draw(t, "side")
+				sum += shares.Minority(side, expected)
+				left -= side
+			}
+			Expect(sum).To(BeNumerically("<=", shares.Alone))
+		})
+	})
+
 	// Guards against the failure that more daemons than their share send a target requests without the leader.
 	It("is used by as many of the chosen daemons as its share says", func() {
 		rapid.Check(GinkgoT(), func(t *rapid.T) {
--- a/core/yuccagrant/limits.go
+++ b/core/yuccagrant/limits.go
@@ -24,8 +24,12 @@
 
 // mayServe reports whether a request may use the target once it has a free slot.
 func (tgt *targetState) mayServe(req *Request) bool {
-	allowed := yuccaallow.Target{Name: tgt.Name, Region: tgt.Region, Version: tgt.Version}
-	return yuccaallow.Check(req.limits(), req.FailedTargets, allowed) == yuccaallow.Allowed
+	return tgt.lastingExclusion(req) == yuccaallow.Allowed
+}
+
+// lastingExclusion returns why a request may not use the target even once it has a free slot, or yuccaallow.Allowed.
+func (tgt *targetState) lastingExclusion(req *Request) yuccaallow.Exclusion {
+	return yuccaallow.Check(req.limits(), req.FailedTargets, yuccaallow.Target{Name: tgt.Name, Region: tgt.Region, Version: tgt.Version})
 }
 
 // within reports whether the target is one that the limits allow.
@@ -44,17 +48,16 @@
 	case tgt.backingOff(now) || !lead.mayTry(now, tgt, req):
 		return BackingOff
 	}
-	return yuccaallow.Check(req.limits(), req.FailedTargets, yuccaallow.Target{Name: tgt.Name, Region: tgt.Region, Version: tgt.Version})
+	return tgt.lastingExclusion(req)
 }
 
-// Exclusions counts why a request may not be sent to the targets now. The targets to which it may be
-// sent count under yuccaallow.Allowed.
-func (lead *Leader) Exclusions(now time.Time, req Request) map[yuccaallow.Exclusion]int {
-	counts := make(map[yuccaallow.Exclusion]int)
+// Exclusions returns, for each target, why a request may not be sent there now, or yuccaallow.Allowed.
+func (lead *Leader) Exclusions(now time.Time, req Request) map[yuccaid.Target]yuccaallow.Exclusion {
+	list := make(map[yuccaid.Target]yuccaallow.Exclusion, len(lead.targets))
 	for _, tgt := range lead.targets {
-		counts[lead.exclusion(now, tgt, &req)]++
+		list[tgt.Name] = lead.exclusion(now, tgt, &req)
 	}
-	return counts
+	return list
 }
 
 // group is what targets have in common that the same limits allow.
--- a/io/yuccagate/cold.go
+++ b/io/yuccagate/cold.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -11,17 +12,22 @@
 	"yuccacleat/core/yuccaroster"
 )
 
-// coldCheckInterval is the time between two comparisons of which targets are cold, for the log.
-const coldCheckInterval = 200 * time.Millisecond
+// budgetsCheckInterval is the time between two looks at what budgets depend on besides the leader, and at which targets are
+// cold.
+const budgetsCheckInterval = 200 * time.Millisecond
 
 // budgetRole is what this daemon's budgets for the targets of a pool depend on. It is the zero value for a pool whose
 // targets are never cold.
 type budgetRole struct {
 	limit yuccacold.Limit
-	// leads reports whether this daemon leads the pool and sees most of its data centre's daemons. candidates identifies
-	// the daemons that the data centre may have.
+	// leads reports whether this daemon leads the pool and sees most of its data centre's daemons. minority is what it may
+	// send each target of its data centre in a second if it leads the pool and sees fewer. candidates identifies the daemons
+	// that the data centre may have.
 	leads      bool
+	minority   int
 	candidates uint64
+	// evacuated are the data centres whose leaders come first, separated by spaces.
+	evacuated string
 }
 
 // budgetRoleOf returns what this daemon's budgets for a pool's targets depend on now.
@@ -35,16 +41,49 @@
 		digest.WriteString(name)
 		digest.Write([]byte{0})
 	}
-	return budgetRole{limit: limit, leads: sched.leads && gate.seesMostDaemons(now), candidates: digest.Sum64()}
+	role := budgetRole{limit: limit, candidates: digest.Sum64(), evacuated: gate.evacuatedFirst(now)}
+	switch {
+	case !sched.leads:
+	case gate.seesMostDaemons(now):
+		role.leads = true
+	default:
+		role.minority = gate.sharesOf(limit).Minority(len(gate.peers.Live(gate.settings.Centre)), gate.expectedDaemons(now))
+	}
+	return role
 }
 
-// logColdTargets logs which targets of this data centre are cold whenever that has changed.
-func (gate *Gate) logColdTargets(now time.Time, sched *scheduler) {
-	if !sched.budgetRole.limit.Applies() || now.Sub(sched.coldCheckedAt) < coldCheckInterval {
+// evacuatedFirst returns the names of the evacuated data centres whose leaders come first among those of other data
+// centres, separated by spaces.
+func (gate *Gate) evacuatedFirst(now time.Time) string {
+	var names []string
+	for _, centre := range gate.evacuations.First(now, gate.settings.Centre) {
+		names = append(names, string(centre))
+	}
+	return strings.Join(names, " ")
+}
+
+// sharesOf returns how the bound of a pool's targets is divided.
+func (gate *Gate) sharesOf(limit yuccacold.Limit) yuccacold.Shares {
+	return yuccacold.Divide(gate.settings.Bounds.Cold.PerSecond(limit), max(len(gate.settings.Regions)-1, 0))
+}
+
+// checkBudgets configures a scheduler anew if this daemon's budgets for its targets have changed, and logs which targets are
+// cold.
+func (gate *Gate) checkBudgets(now time.Time, sched *scheduler) {
+	if now.Sub(sched.budgetsCheckedAt) < budgetsCheckInterval {
 		return
 	}
-	sched.coldCheckedAt = now
-	cold := sched.local.ColdTargets(now)
+	sched.budgetsCheckedAt = now
+	if gate.budgetRoleOf(now, sched) != sched.budgetRole {
+		gate.configure(now, sched)
+	}
+	if sched.leads && sched.budgetRole.limit.Applies() {
+		gate.logColdTargets(sched, sched.local.ColdTargets(now))
+	}
+}
+
+// logColdTargets logs which targets of this data centre are cold if that has changed.
+func (gate *Gate) logColdTargets(sched *scheduler, cold []yuccaid.Target) {
 	if slices.Equal(cold, sched.coldTargets) {
 		return
 	}
@@ -102,7 +141,7 @@
 func (gate *Gate) budgetsOf(sched *scheduler) budgets {
 	buds := budgets{role: sched.budgetRole, centre: gate.settings.Centre, vm: gate.settings.VM, regions: gate.settings.Regions}
 	if buds.role.limit.Applies() {
-		buds.shares = yuccacold.Divide(gate.settings.Bounds.Cold.PerSecond(buds.role.limit))
+		buds.shares = gate.sharesOf(buds.role.limit)
 		buds.candidates = gate.candidateNames()
 	}
 	return buds
@@ -119,30 +158,30 @@
 		}
 	case buds.role.leads:
 		budget.PerSecond, budget.WhileCold = buds.shares.Leader, true
+	case buds.role.minority > 0:
+		budget.PerSecond = buds.role.minority
 	case yuccacold.AmongFirst(buds.shares.Alone, entry.Target, string(buds.vm), buds.candidates):
 		budget.PerSecond = 1
 	}
 	return budget
 }
 
-// mayReach reports whether the leaders of this data centre may send requests to a target of another one. Those of the
-// target's own region come first, since traffic between regions is billed by volume.
+// mayReach reports whether the leaders of this data centre may send requests to a target of another one. Those of
+// evacuated data centres come first, since they have no targets of their own, and then those of the target's own
+// region, since traffic between regions is billed by volume.
 func (buds *budgets) mayReach(entry yuccaroster.Entry) bool {
+	evacuated := strings.Fields(buds.role.evacuated)
 	var near, far []string
 	for centre, region := range buds.regions {
 		switch {
-		case centre == entry.Centre:
+		case centre == entry.Centre || slices.Contains(evacuated, string(centre)):
 		case region == buds.regions[entry.Centre]:
 			near = append(near, string(centre))
 		default:
 			far = append(far, string(centre))
 		}
 	}
-	own := string(buds.centre)
-	if slices.Contains(near, own) {
-		return yuccacold.AmongFirst(buds.shares.Others, entry.Target, own, near)
-	}
-	return yuccacold.AmongFirst(buds.shares.Others-len(near), entry.Target, own, far)
+	return yuccacold.AmongFirstOf(buds.shares.Others, entry.Target, string(buds.centre), evacuated, near, far)
 }
 
 // coldStatement returns what a target has registered about being cold.
--- a/io/yuccagate/placingwire.go
+++ b/io/yuccagate/placingwire.go
@@ -34,6 +34,12 @@
 	return message
 }
 
+// wireRegionRequest returns the message for a request that may be served in some regions only.
+func wireRegionRequest(now time.Time, plc *placement) yuccawire.RegionAsk {
+	message := wireVersionRequest(now, plc)
+	return yuccawire.RegionAsk{Ask: message.Ask, Version: message.Version, EndMillis: message.EndMillis, Regions: plc.request.Regions.Regions()}
+}
+
 func wireParts(parts []yuccacache.Part) []yuccawire.PromptPart {
 	var list []yuccawire.PromptPart
 	for _, part := range parts {
--- a/io/yuccagate/survey.go
+++ b/io/yuccagate/survey.go
@@ -1,6 +1,7 @@
 package yuccagate
 
 import (
+	"context"
 	"strconv"
 	"sync"
 	"time"
@@ -21,10 +22,14 @@
 	// surveyTimeout bounds the wait for what targets keep. It is short beside the time for which callers wait for the
 	// next event.
 	surveyTimeout = 700 * time.Millisecond
+	// surveyTargetTimeout bounds the time in which a target tells what it keeps and when it started.
+	surveyTargetTimeout = 550 * time.Millisecond
 	// surveyedAtOnce is how many targets are asked at once: all of a share in most fleets, because each takes three round
 	// trips, which are long to other regions. maxHoldingsBytes is the length of a list that is read.
-	surveyedAtOnce   = 64
-	maxHoldingsBytes = 256 << 10
+	surveyedAtOnce = 64
+	// maxWaitingQueries bounds the queries that wait until a daemon knows any target.
+	maxWaitingQueries = 1 << 10
+	maxHoldingsBytes  = 256 << 10
 )
 
 // targetSurvey is a survey of one share of the targets. It belongs to the control goroutine.
@@ -117,6 +122,10 @@
 // then.
 func (gate *Gate) findHoldings(now time.Time, share int, query holdingQuery) {
 	survey := gate.surveys[share]
+	if !gate.knowsTargets() && len(survey.waiting) < maxWaitingQueries {
+		survey.waiting = append(survey.waiting, query)
+		return
+	}
 	held := survey.Find(now, query.part)
 	if len(held) > 0 {
 		query.answer(now, held)
@@ -132,6 +141,27 @@
 	survey.waiting = append(survey.waiting, query)
 }
 
+// knowsTargets reports whether this daemon has learned of targets since it started. Callers that take streams up come as
+// soon as it accepts connections.
+func (gate *Gate) knowsTargets() bool { return gate.roster.Version() > 0 }
+
+// tickSurveys goes on with the queries that came before any target was known.
+func (gate *Gate) tickSurveys(now time.Time) {
+	if !gate.knowsTargets() {
+		return
+	}
+	for share, survey := range gate.surveys {
+		if survey.Running() {
+			continue
+		}
+		waiting := survey.waiting
+		survey.waiting = nil
+		for _, query := range waiting {
+			gate.findHoldings(now, share, query)
+		}
+	}
+}
+
 // surveyTargets asks the targets of a share which parts of prompts they keep, and then answers the queries that wait.
 func (gate *Gate) surveyTargets(startedAt time.Time, share int) {
 	entries := gate.entriesToSurvey(share)
@@ -176,11 +206,13 @@
 	group.SetLimit(surveyedAtOnce)
 	for _, entry := range entries {
 		group.Go(func() error {
-			kept, known := gate.askKeptParts(entry)
+			ctx, cancel := context.WithTimeout(gate.traffic, surveyTargetTimeout)
+			defer cancel()
+			kept, known := gate.askKeptParts(ctx, entry)
 			if !known {
 				return nil
 			}
-			origin := gate.originOf(entry, len(kept) > 0)
+			origin := gate.originOf(ctx, entry, len(kept) > 0)
 			mu.Lock()
 			defer mu.Unlock()
 			answered++
@@ -195,8 +227,8 @@
 }
 
 // askKeptParts asks a target which parts of prompts it keeps.
-func (gate *Gate) askKeptParts(entry yuccaroster.Entry) ([]KeptPart, bool) {
-	list, err := gate.askTarget(gate.traffic, entry.Address, gate.dialect.HoldingsPath, maxHoldingsBytes)
+func (gate *Gate) askKeptParts(ctx context.Context, entry yuccaroster.Entry) ([]KeptPart, bool) {
+	list, err := gate.askTarget(ctx, entry.Address, gate.dialect.HoldingsPath, maxHoldingsBytes)
 	if err != nil {
 		return nil, false
 	}
@@ -205,12 +237,12 @@
 
 // originOf returns the pool and version of a target that has just said what it keeps. The target is asked when it
 // started: if it has restarted under its id, or another one has got its address, its version isn't known.
-func (gate *Gate) originOf(entry yuccaroster.Entry, keepsAny bool) yuccastream.Origin {
+func (gate *Gate) originOf(ctx context.Context, entry yuccaroster.Entry, keepsAny bool) yuccastream.Origin {
 	origin := yuccastream.Origin{Pool: entry.Pool, Version: entry.StreamVersion()}
 	if !keepsAny || entry.StartMillis == 0 || gate.dialect.StatusPath == "" {
 		return origin
 	}
-	status, err := gate.askTarget(gate.traffic, entry.Address, gate.dialect.StatusPath, maxStatusBytes)
+	status, err := gate.askTarget(ctx, entry.Address, gate.dialect.StatusPath, maxStatusBytes)
 	if err != nil {
 		return yuccastream.Origin{Pool: entry.Pool}
 	}
--- a/io/yuccawire/kind.go
+++ b/io/yuccawire/kind.go
@@ -106,6 +106,8 @@
 	KindHoldingQuery
 	// KindHoldingAnswer carries a HoldingAnswer.
 	KindHoldingAnswer
+	// KindSends carries Sends from a pool's leader to the daemon that would lead next. Older builds ignore it.
+	KindSends
 )
 
 var kindNames = map[Kind]string{
@@ -164,6 +166,7 @@
 	KindRegionAsk:     "regionAsk",
 	KindHoldingQuery:  "holdingQuery",
 	KindHoldingAnswer: "holdingAnswer",
+	KindSends:         "sends",
 }
 
 // String returns the kind's name in logs and metrics, or its number.
