--- a/core/yuccagrant/forecast.go
+++ b/core/yuccagrant/forecast.go
@@ -46,8 +46,8 @@
 	defer lead.restoreHeld(lead.generation)
 	entry := lead.newEntry(now, req)
 	fc := Forecast{Candidates: lead.candidates(now, &entry.Request)}
-	fc.Ahead = lead.queue.countAhead(entry)
-	fc.EstimatedWait = lead.capacities(now).wait(entry.limits(), lead.queue.workAhead(entry.Tier, entry.sortKey))
+	fc.Ahead = lead.queue.countAhead(now, entry)
+	fc.EstimatedWait = lead.waitFor(now, entry, lead.capacities(now))
 	fc.Refused = lead.present.missing(now, entry.limits())
 	if fc.Refused == "" && lead.queue.len() >= maxQueued {
 		fc.Refused = ReasonQueueFull
@@ -97,15 +97,15 @@
 }
 
 // goesBefore reports whether a waiting request goes before another one that is submitted now.
-func (entry *queueEntry) goesBefore(other *queueEntry) bool {
-	return entry.Tier < other.Tier || entry.Tier == other.Tier && entry.sortKey <= other.sortKey
+func (entry *queueEntry) goesBefore(now time.Time, other *queueEntry) bool {
+	return entry.Tier < other.Tier || entry.Tier == other.Tier && entry.key(now) <= other.key(now)
 }
 
 // countAhead returns the number of waiting requests that go before one that is submitted now.
-func (q *queue) countAhead(entry *queueEntry) int {
+func (q *queue) countAhead(now time.Time, entry *queueEntry) int {
 	count := 0
 	for _, other := range q.byID {
-		if other.goesBefore(entry) {
+		if other.goesBefore(now, entry) {
 			count++
 		}
 	}
@@ -116,7 +116,7 @@
 func (q *queue) hides(now time.Time, entry *queueEntry) bool {
 	count := 0
 	for _, other := range q.byID {
-		if other.Tier == entry.Tier && other.goesBefore(entry) && other.limits() == entry.limits() && other.onTime(now) == entry.onTime(now) {
+		if other.Tier == entry.Tier && other.goesBefore(now, entry) && other.limits() == entry.limits() && other.onTime(now) == entry.onTime(now) {
 			count++
 		}
 	}
--- a/core/yuccagrant/leader.go
+++ b/core/yuccagrant/leader.go
@@ -42,6 +42,8 @@
 	latencyModel latencyModel
 	lengthModel  lengthModel
 	sizeStats    sizeStats
+	arrivals     arrivals
+	returns      returns
 	// speeds estimates from what targets state how long work takes there at the moment.
 	speeds yuccaspeed.Model
 	// parts finds the targets that hold the parts of a prompt. generation counts the requests for
@@ -63,7 +65,7 @@
 
 // New returns a leader without targets. SetTargets sets them.
 func New(rng *rand.Rand) *Leader {
-	return &Leader{rng: rng, leaderCount: 1, centreCount: 1, runs: make(map[ID]*activeRun), queue: newQueue(), lengthModel: newLengthModel(), sizeStats: newSizeStats(), parts: yuccacache.NewIndex[*targetState](), fetches: fetches{success: 1}}
+	return &Leader{rng: rng, leaderCount: 1, centreCount: 1, runs: make(map[ID]*activeRun), queue: newQueue(), lengthModel: newLengthModel(), sizeStats: newSizeStats(), arrivals: newArrivals(), returns: newReturns(), parts: yuccacache.NewIndex[*targetState](), fetches: fetches{success: 1}}
 }
 
 // SetTargets sets the targets. What was learned of a target is kept until its process is
@@ -191,6 +193,7 @@
 		lead.shareSlots()
 	}
 	entry := lead.newEntry(now, req)
+	lead.arrivals.add(now, entry)
 	lead.queue.push(entry)
 	lead.grantSlots(now, &dec)
 	if lead.IsWaiting(req.ID) && lead.cannotMeetDeadline(now, entry, lead.capacities(now)) {
@@ -397,7 +400,7 @@
 	list := make([]TargetStatus, 0, len(lead.targets))
 	for _, tgt := range lead.targets {
 		list = append(list, TargetStatus{
-			Target: tgt.Name, Busy: tgt.busySlots(now), Slots: tgt.Slots, Pace: tgt.pace, LateFraction: tgt.lateFraction, FailureRate: tgt.failureRate, BackingOff: tgt.backingOff(now), Cold: tgt.isCold(now), HeldBack: tgt.heldBack(now), Window: tgt.window.Size(now),
+			Target: tgt.Name, Busy: tgt.busySlots(now), Slots: tgt.Slots, Pace: tgt.pace, LateFraction: tgt.lateFraction, FailureRate: tgt.failureRate, BackingOff: tgt.backingOff(now), Slowness: lead.slowness(now, tgt), Tripped: tgt.tripped(), Cold: tgt.isCold(now), HeldBack: tgt.heldBack(now), Window: tgt.window.Size(now),
 		})
 	}
 	return list
--- a/core/yuccagrant/refuse.go
+++ b/core/yuccagrant/refuse.go
@@ -20,7 +20,7 @@
 		// Too few runs have finished to estimate waiting times.
 		return !now.Before(entry.Deadline)
 	}
-	untilFirst := caps.wait(entry.limits(), lead.queue.workAhead(entry.Tier, entry.sortKey)) + seconds(lead.expectedTimeToFirst(&entry.Request, lead.longestHeld(&entry.Request)))
+	untilFirst := lead.waitFor(now, entry, caps) + seconds(lead.expectedTimeToFirst(&entry.Request, lead.longestHeld(&entry.Request)))
 	if untilFirst <= entry.SoftDeadline.Sub(now)+lateStartSlack {
 		return false
 	}
@@ -88,25 +88,42 @@
 
 func (lead *Leader) refuse(now time.Time, entry *queueEntry, reason Reason, dec *Decisions) {
 	lead.sizeStats.learn(entry.effectiveRank(), entry.expectedWork, false)
+	lead.arrivals.remove(now, entry)
 	caps := lead.capacities(now)
-	estimatedWait := caps.wait(entry.limits(), lead.queue.workAhead(entry.Tier, entry.sortKey))
 	dec.Refusals = append(dec.Refusals, Refusal{
-		ID: entry.ID, Reason: reason, RetryAfter: lead.retryAfter(entry, reason, caps),
-		QueueLength: lead.queue.len(), FreeSlots: lead.freeSlots(now, entry.limits()), EstimatedWait: estimatedWait,
+		ID: entry.ID, Reason: reason, RetryAfter: lead.retryAfter(now, entry, reason, caps),
+		QueueLength: lead.queue.len(), FreeSlots: lead.freeSlots(now, entry.limits()), EstimatedWait: lead.waitFor(now, entry, caps),
 	})
 }
 
-// retryAfter returns the time after which a refused caller should retry: the estimated time to
-// serve one more request and all requests that wait in the refused request's tier or in more urgent
-// tiers. Where the regions of the request have no target, it is the time in which they may have one
-// again. It is limited to the range from minRetryAfter to maxRetryAfter. Then a random part is
-// added, because callers that are refused together would otherwise retry in one burst.
-func (lead *Leader) retryAfter(entry *queueEntry, reason Reason, caps capacities) time.Duration {
-	ahead := lead.queue.workAhead(entry.Tier, math.Inf(1))
+// waitFor returns how long a waiting request is expected to wait for a slot, with the requests that are
+// expected to arrive meanwhile and go first. They delay it only while others wait: a slot that becomes
+// free goes to the one that waits alone.
+func (lead *Leader) waitFor(now time.Time, entry *queueEntry, caps capacities) time.Duration {
+	key := entry.key(now)
+	wait := caps.wait(entry.limits(), lead.queue.workAhead(now, entry.Tier, key))
+	var own demand
+	own.add(entry.limits(), entry.expectedWork)
+	alone := min(caps.wait(entry.limits(), own), wait)
+	return alone + seconds((wait-alone).Seconds()/caps.left(entry.limits(), lead.arrivals.ahead(now, entry, key)))
+}
+
+// retryAfter returns the time after which a refused caller should retry: the estimated time to serve
+// one more request and all requests that wait in the refused request's tier or in more urgent tiers, and
+// the callers as urgent that were refused before. Where the regions of the request have no target, it is
+// the time in which they may have one again. It is limited to the range from minRetryAfter to
+// maxRetryAfter, and a random part is added. While no target can be used, nothing is known of the time
+// that requests will take.
+func (lead *Leader) retryAfter(now time.Time, entry *queueEntry, reason Reason, caps capacities) time.Duration {
+	ahead := lead.queue.workAhead(now, entry.Tier, math.Inf(1))
 	ahead.add(entry.limits(), lead.latencyModel.expectedHold())
 	wait := caps.wait(entry.limits(), ahead)
-	if reason == ReasonNoRegion {
+	switch capacity := caps.within(entry.limits()); {
+	case reason == ReasonNoRegion:
 		wait = max(wait, noTargetGrace)
+	case capacity > minCapacity:
+		left := capacity * caps.left(entry.limits(), lead.arrivals.ahead(now, entry, entry.sortKey))
+		wait = lead.returns.plan(now, urgency{entry.Tier, entry.effectiveRank()}, wait, seconds(entry.expectedWork/left))
 	}
 	wait = min(max(wait, minRetryAfter), maxRetryAfter)
 	return wait + time.Duration(lead.rng.Float64()*retryJitter*float64(wait))
--- a/core/yuccagrant/target.go
+++ b/core/yuccagrant/target.go
@@ -249,7 +249,9 @@
 	tgt.lateFraction += lateGapWeight * (sample - tgt.lateFraction)
 }
 
-// TargetStatus is the state of a target that a leader shows to operators.
+// TargetStatus is the state of a target that a leader shows to operators. Slowness is how many times as
+// long as usual work is expected to take there now, and Tripped reports that the target is tried by one
+// request at a time.
 type TargetStatus struct {
 	Target       yuccaid.Target `json:"target"`
 	Busy         int            `json:"busy"`
@@ -258,6 +260,8 @@
 	LateFraction float64        `json:"late"`
 	FailureRate  float64        `json:"failed"`
 	BackingOff   bool           `json:"resting"`
+	Slowness     float64        `json:"slowness"`
+	Tripped      bool           `json:"tripped"`
 	// Cold reports that the target is known to be cold, and HeldBack why the leader sends it nothing at
 	// present although it may have free slots, empty if it doesn't hold it back. Window is the bound on
 	// the runs that haven't begun, zero if there is none.
