--- a/core/yuccastream/survey.go
+++ b/core/yuccastream/survey.go
@@ -30,11 +30,13 @@
 func NewSurvey(since time.Time) *Survey { return &Survey{since: since} }
 
 // Find returns what the targets kept of a part.
-func (sv *Survey) Find(now time.Time, part PartKey) []Holding {
+func (sv *Survey) Find(part PartKey) []Holding { return sv.held[part] }
+
+// Expire forgets what the targets kept once its time has passed.
+func (sv *Survey) Expire(now time.Time) {
 	if now.Sub(sv.startedAt) > surveyRetention {
 		sv.held = nil
 	}
-	return sv.held[part]
 }
 
 // Running reports whether the targets are being asked.
--- a/core/yuccastream/survey_test.go
+++ b/core/yuccastream/survey_test.go
@@ -19,9 +19,11 @@
 		Expect(sv.Running()).To(BeTrue())
 		sv.End(one)
 		Expect(sv.Running()).To(BeFalse())
-		Expect(sv.Find(start.Add(time.Minute), 7)).To(Equal(one[7]))
-		Expect(sv.Find(start.Add(time.Minute), 8)).To(BeEmpty())
-		Expect(sv.Find(start.Add(time.Minute+time.Second), 7)).To(BeEmpty())
+		sv.Expire(start.Add(time.Minute))
+		Expect(sv.Find(7)).To(Equal(one[7]))
+		Expect(sv.Find(8)).To(BeEmpty())
+		sv.Expire(start.Add(time.Minute + time.Second))
+		Expect(sv.Find(7)).To(BeEmpty())
 	})
 
 	// Guards against the failure that callers who take up streams that nobody has begun keep targets from their work.
@@ -54,6 +56,6 @@
 			many[part] = one[7]
 		}
 		sv.End(many)
-		Expect(sv.Find(start, 7)).To(BeEmpty())
+		Expect(sv.Find(7)).To(BeEmpty())
 	})
 })
--- a/io/yuccagate/survey.go
+++ b/io/yuccagate/survey.go
@@ -126,7 +126,7 @@
 		survey.waiting = append(survey.waiting, query)
 		return
 	}
-	held := survey.Find(now, query.part)
+	held := survey.Find(query.part)
 	if len(held) > 0 {
 		query.answer(now, held)
 		return
@@ -145,13 +145,11 @@
 // soon as it accepts connections.
 func (gate *Gate) knowsTargets() bool { return gate.roster.Version() > 0 }
 
-// tickSurveys goes on with the queries that came before any target was known.
+// tickSurveys forgets old surveys, and goes on with the queries that came before any target was known.
 func (gate *Gate) tickSurveys(now time.Time) {
-	if !gate.knowsTargets() {
-		return
-	}
 	for share, survey := range gate.surveys {
-		if survey.Running() {
+		survey.Expire(now)
+		if survey.Running() || len(survey.waiting) == 0 || !gate.knowsTargets() {
 			continue
 		}
 		waiting := survey.waiting
@@ -175,7 +173,7 @@
 			waiting := survey.waiting
 			survey.waiting = nil
 			for _, query := range waiting {
-				query.answer(now, survey.Find(now, query.part))
+				query.answer(now, survey.Find(query.part))
 			}
 		})
 	})
