The leaders of evacuated data centres share the parts of all leaders of other data centres

Cause: with one part at each target the leader of an evacuated data centre has some 115 requests a second, by calculation, where its callers ask for twice their usual in a burst. Change: while a data centre is evacuated, its leader has all parts that leaders of other data centres have at a target; several share them. Others have none meanwhile: they have targets of their own. Tests: TestLeadersOfEvacuatedCentresComeFirst wants two parts for one and one for each of two; the budgets still add up to the bound.

--- a/core/yuccacold/shares.go
+++ b/core/yuccacold/shares.go
@@ -48,8 +48,8 @@
 type Shares struct {
 	// Leader is how many requests the leader of the target's own data centre may send it in any second.
 	Leader int
-	// Others and Alone are how many leaders of other data centres, and how many daemons of the target's data centre that
-	// decide without the leader, may send it one request in any second each.
+	// Others and Alone are the parts of leaders of other data centres, and of daemons of the target's data centre that
+	// decide without the leader: one request in any second each.
 	Others int
 	Alone  int
 }
@@ -73,16 +73,27 @@
 	return before < count && slices.Contains(names, name)
 }
 
-// AmongFirstOf does what AmongFirst does for groups of names: those of an earlier group come before those of a later
-// one.
-func AmongFirstOf(count int, target yuccaid.Target, name string, groups ...[]string) bool {
-	for _, names := range groups {
-		if slices.Contains(names, name) {
-			return AmongFirst(count, target, name, names)
-		}
-		count -= len(names)
+// OtherParts returns how many of the parts of leaders of other data centres that of the named one has at a target.
+// Those of evacuated data centres share all of them. Without any, each leader has one part at most: first those of
+// near data centres, then those of far ones.
+func (shr Shares) OtherParts(target yuccaid.Target, name string, evacuated, near, far []string) int {
+	switch {
+	case slices.Contains(evacuated, name):
+		return shr.Others/len(evacuated) + part(AmongFirst(shr.Others%len(evacuated), target, name, evacuated))
+	case len(evacuated) > 0:
+		return 0
+	case slices.Contains(near, name):
+		return part(AmongFirst(shr.Others, target, name, near))
+	}
+	return part(AmongFirst(shr.Others-len(near), target, name, far))
+}
+
+// part returns one part if it is given, else none.
+func part(given bool) int {
+	if given {
+		return 1
 	}
-	return false
+	return 0
 }
 
 func weight(target yuccaid.Target, name string) uint64 {
--- a/io/yuccagate/cold.go
+++ b/io/yuccagate/cold.go
@@ -138,8 +138,8 @@
 	switch {
 	case !buds.role.limit.Applies():
 	case entry.Centre != buds.centre:
-		if buds.role.leads && buds.mayReach(entry) {
-			budget.PerSecond = 1
+		if buds.role.leads {
+			budget.PerSecond = buds.otherParts(entry)
 		}
 	case buds.role.leads:
 		budget.PerSecond, budget.WhileCold = buds.shares.Leader, true
@@ -149,10 +149,10 @@
 	return budget
 }
 
-// mayReach reports whether the leaders of this data centre may send requests to a target of another one. Those of
-// evacuated data centres come first, since they have no targets of their own, and then those of the target's own
-// region, since traffic between regions is billed by volume.
-func (buds *budgets) mayReach(entry yuccaroster.Entry) bool {
+// otherParts returns how many requests a second the leader of this data centre may send to a target of another one.
+// Those of evacuated data centres come first, since they have no targets of their own, and then those of the target's
+// own region, since traffic between regions is billed by volume.
+func (buds *budgets) otherParts(entry yuccaroster.Entry) int {
 	evacuated := strings.Fields(buds.role.evacuated)
 	var near, far []string
 	for centre, region := range buds.regions {
@@ -164,7 +164,7 @@
 			far = append(far, string(centre))
 		}
 	}
-	return yuccacold.AmongFirstOf(buds.shares.Others, entry.Target, string(buds.centre), evacuated, near, far)
+	return buds.shares.OtherParts(entry.Target, string(buds.centre), evacuated, near, far)
 }
 
 // coldStatement returns what a target has registered about being cold.
