--- a/core/yuccacold/shares.go
+++ b/core/yuccacold/shares.go
@@ -86,16 +86,16 @@
 // OtherParts returns how many of the parts of leaders of other data centres that of the named one has at a target.
 // Those of evacuated data centres share all of them. Without any, each leader has one part at most: first those of
 // near data centres, then those of far ones.
-func (shr Shares) OtherParts(target yuccaid.Target, name string, evacuated, near, far []string) int {
+func (shares Shares) OtherParts(target yuccaid.Target, name string, evacuated, near, far []string) int {
 	switch {
 	case slices.Contains(evacuated, name):
-		return shr.Others/len(evacuated) + part(AmongFirst(shr.Others%len(evacuated), target, name, evacuated))
+		return shares.Others/len(evacuated) + part(AmongFirst(shares.Others%len(evacuated), target, name, evacuated))
 	case len(evacuated) > 0:
 		return 0
 	case slices.Contains(near, name):
-		return part(AmongFirst(shr.Others, target, name, near))
+		return part(AmongFirst(shares.Others, target, name, near))
 	}
-	return part(AmongFirst(shr.Others-len(near), target, name, far))
+	return part(AmongFirst(shares.Others-len(near), target, name, far))
 }
 
 // part returns one part if it is given, else none.
