A data centre without usable targets competes for those of others

Cause: a leader uses only its share of what is free at targets of other data centres, and lets nothing wait there; their own leaders fill them first. A leader with few targets of its own, for example of an evacuated data centre, gets next to nothing while the others are busy. Change: while more requests wait than the usable targets of its data centre have slots, a leader competes for the targets of others as their own leaders do; one without any targets of its own may also let requests wait in their queues. Ruled out: giving it a fixed share of busy slots (needs its demand, which no message tells).

--- a/core/yuccagrant/centre.go
+++ b/core/yuccagrant/centre.go
@@ -24,12 +24,29 @@
 	if tgt.heldBack(now) != yuccaallow.Allowed {
 		return 0
 	}
-	if tgt.OtherCentre && !lead.spreadsRuns {
+	if tgt.OtherCentre && !lead.spreadsRuns && !lead.lacksTargets() {
 		return tgt.spareShare(now, lead.centreCount)
 	}
 	return tgt.grantableSlots(now)
 }
 
+// countOwnSlots counts the slots of the targets of this leader's data centre that can be used.
+func (lead *Leader) countOwnSlots(now time.Time) {
+	lead.ownSlots = 0
+	for _, tgt := range lead.targets {
+		if !tgt.OtherCentre && !tgt.tripped() && !tgt.backingOff(now) {
+			lead.ownSlots += tgt.Slots
+		}
+	}
+}
+
+// lacksTargets reports whether more requests wait than the targets of the leader's data centre can run at
+// once. The leader then competes for the targets of others like their own leaders.
+//
+// The leader of a data centre whose targets are few, have crashed or are evacuated would otherwise get
+// only what the others leave free. While these are busy, all of its callers would wait and be refused.
+func (lead *Leader) lacksTargets() bool { return lead.queue.len() > lead.ownSlots }
+
 // spareShare returns how many more requests this leader may send to a target of another data centre: its
 // share of the free slots, less what it has sent there so recently that the others don't know of it. What
 // remains of the division goes to some of the leaders, whom the bias of the target tells.
@@ -66,11 +83,12 @@
 }
 
 // setOvercommit sets how many requests may wait in the target's own queue. In the queue of a target of
-// another data centre none may wait, because the leader there fills it. The shares of a pool whose runs
-// are short (see Leader.belowShare) take the place of that rule.
-func (tgt *targetState) setOvercommit(shortRuns bool) {
+// another data centre none may wait, because the leader there fills it, except for a leader without
+// targets of its own. The shares of a pool whose runs are short (see Leader.belowShare) take the place of
+// that rule.
+func (lead *Leader) setOvercommit(tgt *targetState, shortRuns bool) {
 	tgt.overcommit = (tgt.Slots + overcommitDivisor - 1) / overcommitDivisor
-	if tgt.OtherCentre && !shortRuns {
+	if tgt.OtherCentre && !shortRuns && lead.hasOwn {
 		tgt.overcommit = 0
 	}
 }
--- a/core/yuccagrant/leader.go
+++ b/core/yuccagrant/leader.go
@@ -33,6 +33,10 @@
 	// Leader.spreadOtherRuns).
 	centreCount int
 	spreadsRuns bool
+	// hasOwn reports whether there are targets in this leader's data centre, and ownSlots is the number of
+	// slots of those that can be used.
+	hasOwn   bool
+	ownSlots int
 	// remoteBound is a lower bound on the cost of targets in other regions.
 	remoteBound remoteBound
 	// pacesChanged reports that a pace has changed since paces were last normalised.
@@ -110,6 +114,7 @@
 	}
 	slices.SortFunc(lead.targets, func(a, b *targetState) int { return cmp.Or(compareRemote(a, b), cmp.Compare(a.Name, b.Name)) })
 	lead.shareSlots()
+	lead.countOwnSlots(now)
 	lead.remoteBound.configure(lead.targets)
 	lead.pacesChanged = true
 	lead.present.update(now, old, lead.targets, lead.evacuated)
@@ -387,6 +392,7 @@
 	}
 	lead.normalisePaces()
 	lead.lengthModel.updateMedian()
+	lead.countOwnSlots(now)
 	lead.grantSlots(now, &dec)
 	lead.refuseExpired(now, &dec)
 	return dec
--- a/core/yuccagrant/share.go
+++ b/core/yuccagrant/share.go
@@ -22,6 +22,7 @@
 // share up, twenty leaders would use twenty slots of each target that has four.
 func (lead *Leader) shareSlots() {
 	short, sum := lead.shortRuns(), 0
+	lead.hasOwn = false
 	for _, tgt := range lead.targets {
 		tgt.Slots = tgt.totalSlots / lead.leaderCount
 		remainder := tgt.totalSlots % lead.leaderCount
@@ -29,6 +30,7 @@
 			tgt.Slots++
 		}
 		sum += tgt.Slots
+		lead.hasOwn = lead.hasOwn || !tgt.OtherCentre
 	}
 	if sum > 0 && lead.servesLimited {
 		lead.shareRegions()
@@ -37,7 +39,7 @@
 		if sum == 0 {
 			tgt.Slots = 1
 		}
-		tgt.setOvercommit(short)
+		lead.setOvercommit(tgt, short)
 	}
 }
 
@@ -121,7 +123,7 @@
 		others += tgt.otherCentreRuns
 	}
 	for _, tgt := range lead.targets {
-		tgt.setOvercommit(stale)
+		lead.setOvercommit(tgt, stale)
 		tgt.assumedOtherRuns = tgt.otherCentreRuns
 		if stale && slots > 0 {
 			tgt.assumedOtherRuns = int(math.Round(float64(others) * float64(tgt.Slots) / float64(slots)))
