--- a/io/yuccagate/cold.go
+++ b/io/yuccagate/cold.go
@@ -52,11 +52,6 @@
 	return role
 }
 
-// sharesOf returns how the bound of a pool's targets is divided.
-func (gate *Gate) sharesOf(limit yuccacold.Limit) yuccacold.Shares {
-	return yuccacold.Divide(gate.settings.Bounds.Cold.PerSecond(limit), max(len(gate.settings.Regions)-1, 0))
-}
-
 // evacuatedFirst returns the names of the evacuated data centres whose leaders come first among those of other data
 // centres, separated by spaces.
 func (gate *Gate) evacuatedFirst(now time.Time) string {
@@ -67,6 +62,11 @@
 	return strings.Join(names, " ")
 }
 
+// sharesOf returns how the bound of a pool's targets is divided.
+func (gate *Gate) sharesOf(limit yuccacold.Limit) yuccacold.Shares {
+	return yuccacold.Divide(gate.settings.Bounds.Cold.PerSecond(limit), max(len(gate.settings.Regions)-1, 0))
+}
+
 // checkBudgets configures a scheduler anew if this daemon's budgets for its targets have changed, and logs which targets are
 // cold.
 func (gate *Gate) checkBudgets(now time.Time, sched *scheduler) {
