A share of targets whose lists were dropped no longer counts as one that keeps nothing

Streams that are taken up after all daemons were killed go on at the version whose targets keep their prompts, if no other version keeps any. A survey that finds more than 32,768 kept parts drops them, since for some parts it wouldn't be known who else keeps them. But then its share answered "nothing is kept", so that a target of another share alone told the version, although targets of the dropped share may have read the prompt at another one.

Cause: the survey had no state for "not known". Now it answers with a holding of an unknown target then, which OriginOf (and that of older builds) takes as uncertain, and targets are asked again at the next query.

The spec "is bounded" expected nothing to be found after too many holdings, which is the fault. It expects now that no origin is told although a further target keeps the whole part, and fails on.

--- a/core/yuccastream/holding.go
+++ b/core/yuccastream/holding.go
@@ -6,7 +6,7 @@
 // block isn't kept.
 const maxBlockTokens = 64
 
-// Holding is what a target keeps of a part of a prompt.
+// Holding is what a target keeps of a part of a prompt. The zero value is of a target of which nothing is known.
 type Holding struct {
 	// Origin is the target's pool and version; the version is empty if it isn't certain which process answered.
 	Origin Origin
--- a/core/yuccastream/survey.go
+++ b/core/yuccastream/survey.go
@@ -24,18 +24,28 @@
 	startedAt time.Time
 	running   bool
 	held      map[PartKey][]Holding
+	// dropped reports whether the targets kept too much to be held here.
+	dropped bool
 }
 
 // NewSurvey returns a survey that hasn't begun, of a daemon that has started.
 func NewSurvey(since time.Time) *Survey { return &Survey{since: since} }
 
-// Find returns what the targets kept of a part.
-func (sv *Survey) Find(part PartKey) []Holding { return sv.held[part] }
+// Find returns what the targets kept of a part. If that was dropped, any of them may have kept some of it.
+func (sv *Survey) Find(part PartKey) []Holding {
+	if sv.dropped {
+		return []Holding{{}}
+	}
+	return sv.held[part]
+}
+
+// Tells reports whether some of the targets kept the part, and nothing else can be found out by asking again.
+func (sv *Survey) Tells(part PartKey) bool { return !sv.dropped && len(sv.held[part]) > 0 }
 
 // Expire forgets what the targets kept once its time has passed.
 func (sv *Survey) Expire(now time.Time) {
 	if now.Sub(sv.startedAt) > surveyRetention {
-		sv.held = nil
+		sv.held, sv.dropped = nil, false
 	}
 }
 
@@ -56,12 +66,12 @@
 // End ends the survey with what the targets keep. Too many holdings are dropped, because of some of them it wouldn't be
 // known that others keep the same part.
 func (sv *Survey) End(held map[PartKey][]Holding) {
-	sv.running, sv.held = false, nil
 	count := 0
 	for _, list := range held {
 		count += len(list)
 	}
-	if count <= maxSurveyed {
-		sv.held = held
+	sv.running, sv.held, sv.dropped = false, held, count > maxSurveyed
+	if sv.dropped {
+		sv.held = nil
 	}
 }
--- a/core/yuccastream/survey_test.go
+++ b/core/yuccastream/survey_test.go
@@ -48,7 +48,9 @@
 		Expect(sv.Start(start.Add(time.Hour))).To(BeFalse())
 	})
 
-	It("is bounded", func() {
+	// Guards against the failure that a stream goes on at the version that some targets tell, while others that kept its prompt too
+	// count as if they kept nothing, because they kept too much to be held.
+	It("is bounded, and tells no origin beyond", func() {
 		sv := yuccastream.NewSurvey(start)
 		sv.Start(start)
 		many := make(map[yuccastream.PartKey][]yuccastream.Holding)
@@ -56,6 +58,10 @@
 			many[part] = one[7]
 		}
 		sv.End(many)
+		Expect(sv.Find(7)).To(HaveLen(1))
+		_, found := yuccastream.OriginOf(append(sv.Find(7), holding("notes", "v2", 1000)), 1000)
+		Expect(found).To(BeFalse())
+		sv.Expire(start.Add(time.Hour))
 		Expect(sv.Find(7)).To(BeEmpty())
 	})
 })
--- a/io/yuccagate/survey.go
+++ b/io/yuccagate/survey.go
@@ -126,16 +126,15 @@
 		survey.waiting = append(survey.waiting, query)
 		return
 	}
-	held := survey.Find(query.part)
-	if len(held) > 0 {
-		query.answer(now, held)
+	if survey.Tells(query.part) {
+		query.answer(now, survey.Find(query.part))
 		return
 	}
 	if survey.Start(now) {
 		gate.surveyTargets(now, share)
 	}
 	if !survey.Running() {
-		query.answer(now, nil)
+		query.answer(now, survey.Find(query.part))
 		return
 	}
 	survey.waiting = append(survey.waiting, query)
