A target that doesn't tell what it keeps leaves the version of a stream unknown

A stream whose prompt two versions have read (its first attempt brought no event, its daemon was killed, the second attempt went to another version) is refused after all daemons were killed.

Now a survey names the pools and versions of the targets that didn't tell. These count as keeping some of every part: a stream goes on if they are of the version that the others tell, or of a pool in which it can't have begun, and else is refused (503, not run). A target that refuses connections has ended, and what it kept with it, so it counts as gone as before. While some didn't tell, targets are asked again at the next query.

Ruled out: counting targets that refuse connections too (each crashed target would hold up all streams for three heartbeats, and nothing can be learned of it then or later).

--- a/core/yuccastream/survey.go
+++ b/core/yuccastream/survey.go
@@ -1,6 +1,9 @@
 package yuccastream
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 const (
 	// minSurveyInterval and maxSurveyInterval bound the time between the starts of two surveys, which grows with the
@@ -23,29 +26,43 @@
 	since     time.Time
 	startedAt time.Time
 	running   bool
-	held      map[PartKey][]Holding
+	found     Findings
 	// dropped reports whether the targets kept too much to be held here.
 	dropped bool
 }
 
+// Findings is what a group of targets kept of prompts.
+type Findings struct {
+	Held map[PartKey][]Holding
+	// Silent are the origins of the targets that didn't tell. Each of these may have kept some of any part.
+	Silent map[Origin]bool
+}
+
 // NewSurvey returns a survey that hasn't begun, of a daemon that has started.
 func NewSurvey(since time.Time) *Survey { return &Survey{since: since} }
 
-// Find returns what the targets kept of a part. If that was dropped, any of them may have kept some of it.
+// Find returns what the targets kept of a part, with a holding of no tokens for those that may have kept some of it. If what they
+// kept was dropped, any of them may have.
 func (sv *Survey) Find(part PartKey) []Holding {
 	if sv.dropped {
 		return []Holding{{}}
 	}
-	return sv.held[part]
+	list := slices.Clone(sv.found.Held[part])
+	for origin := range sv.found.Silent {
+		list = append(list, Holding{Origin: origin})
+	}
+	return list
 }
 
 // Tells reports whether some of the targets kept the part, and nothing else can be found out by asking again.
-func (sv *Survey) Tells(part PartKey) bool { return !sv.dropped && len(sv.held[part]) > 0 }
+func (sv *Survey) Tells(part PartKey) bool {
+	return !sv.dropped && len(sv.found.Silent) == 0 && len(sv.found.Held[part]) > 0
+}
 
 // Expire forgets what the targets kept once its time has passed.
 func (sv *Survey) Expire(now time.Time) {
 	if now.Sub(sv.startedAt) > surveyRetention {
-		sv.held, sv.dropped = nil, false
+		sv.found, sv.dropped = Findings{}, false
 	}
 }
 
@@ -63,15 +80,15 @@
 	return true
 }
 
-// End ends the survey with what the targets keep. Too many holdings are dropped, because of some of them it wouldn't be
+// End ends the survey with what was found. Too many holdings are dropped, because of some of them it wouldn't be
 // known that others keep the same part.
-func (sv *Survey) End(held map[PartKey][]Holding) {
+func (sv *Survey) End(found Findings) {
 	count := 0
-	for _, list := range held {
+	for _, list := range found.Held {
 		count += len(list)
 	}
-	sv.running, sv.held, sv.dropped = false, held, count > maxSurveyed
+	sv.running, sv.found, sv.dropped = false, found, count > maxSurveyed
 	if sv.dropped {
-		sv.held = nil
+		sv.found = Findings{}
 	}
 }
--- a/core/yuccastream/survey_test.go
+++ b/core/yuccastream/survey_test.go
@@ -11,7 +11,7 @@
 
 var _ = Describe("a survey of what targets keep", func() {
 	start := time.Unix(1_700_000_000, 0)
-	one := map[yuccastream.PartKey][]yuccastream.Holding{7: {holding("notes", "v1", 992)}}
+	one := yuccastream.Findings{Held: map[yuccastream.PartKey][]yuccastream.Holding{7: {holding("notes", "v1", 992)}}}
 
 	It("has what the targets keep until streams of before can't be taken up any more", func() {
 		sv := yuccastream.NewSurvey(start)
@@ -20,19 +20,31 @@
 		sv.End(one)
 		Expect(sv.Running()).To(BeFalse())
 		sv.Expire(start.Add(time.Minute))
-		Expect(sv.Find(7)).To(Equal(one[7]))
+		Expect(sv.Find(7)).To(Equal(one.Held[7]))
 		Expect(sv.Find(8)).To(BeEmpty())
 		sv.Expire(start.Add(time.Minute + time.Second))
 		Expect(sv.Find(7)).To(BeEmpty())
 	})
 
+	// Guards against the failure that a stream goes on at the version of the targets that told, because one of another version that kept
+	// its prompt too didn't.
+	It("has targets that didn't tell keep some of any part", func() {
+		sv := yuccastream.NewSurvey(start)
+		sv.Start(start)
+		silent := holding("notes", "v2", 0)
+		sv.End(yuccastream.Findings{Held: one.Held, Silent: map[yuccastream.Origin]bool{silent.Origin: true}})
+		Expect(sv.Find(7)).To(ConsistOf(one.Held[7][0], silent))
+		Expect(sv.Find(8)).To(ConsistOf(silent))
+		Expect(sv.Tells(7)).To(BeFalse())
+	})
+
 	// Guards against the failure that callers who take up streams that nobody has begun keep targets from their work.
 	It("asks the targets seldom, the more so the longer the daemon runs", func() {
 		asked := func(age time.Duration) (count int) {
 			sv := yuccastream.NewSurvey(start)
 			for now := start.Add(age); now.Before(start.Add(age + time.Minute)); now = now.Add(10 * time.Millisecond) {
 				if sv.Start(now) {
-					sv.End(nil)
+					sv.End(yuccastream.Findings{})
 					count++
 				}
 			}
@@ -55,9 +67,9 @@
 		sv.Start(start)
 		many := make(map[yuccastream.PartKey][]yuccastream.Holding)
 		for part := range yuccastream.PartKey(1<<15 + 1) {
-			many[part] = one[7]
+			many[part] = one.Held[7]
 		}
-		sv.End(many)
+		sv.End(yuccastream.Findings{Held: many})
 		Expect(sv.Find(7)).To(HaveLen(1))
 		_, found := yuccastream.OriginOf(append(sv.Find(7), holding("notes", "v2", 1000)), 1000)
 		Expect(found).To(BeFalse())
--- a/io/yuccagate/fleet_test.go
+++ b/io/yuccagate/fleet_test.go
@@ -142,6 +142,8 @@
 	// keeps are the parts that the engine keeps, and lists counts how often it has told them.
 	keeps []string
 	lists int
+	// silent has the engine not tell what it keeps.
+	silent atomic.Bool
 }
 
 // received is a request as it arrived at a target.
@@ -165,6 +167,10 @@
 func (eng *engine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	w.Header().Set("X-Id", r.Header.Get("X-Id"))
 	if r.URL.Path == holdingsPath {
+		if eng.silent.Load() {
+			<-r.Context().Done()
+			return
+		}
 		eng.mu.Lock()
 		defer eng.mu.Unlock()
 		eng.lists++
--- a/io/yuccagate/survey.go
+++ b/io/yuccagate/survey.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"errors"
+	"maps"
 	"strconv"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -32,6 +35,9 @@
 	maxHoldingsBytes  = 256 << 10
 )
 
+// errUnreadableHoldings says that what a target told of the parts that it keeps can't be read.
+var errUnreadableHoldings = errors.New("the list of kept parts can't be read")
+
 // targetSurvey is a survey of one share of the targets. It belongs to the control goroutine.
 type targetSurvey struct {
 	*yuccastream.Survey
@@ -161,13 +167,14 @@
 
 // surveyTargets asks the targets of a share which parts of prompts they keep, and then answers the queries that wait.
 func (gate *Gate) surveyTargets(startedAt time.Time, share int) {
-	entries := gate.entriesToSurvey(share)
+	entries, silent := gate.entriesToSurvey(share)
 	gate.workers.Go(func() {
-		held, answered := gate.askAllHoldings(entries)
+		found := gate.askAllHoldings(entries)
+		maps.Copy(found.Silent, silent)
 		gate.control.Post(func(now time.Time) {
 			survey := gate.surveys[share]
-			survey.End(held)
-			gate.log.stateChange("targets asked what they keep", "share", share, "asked", len(entries), "answered", answered, "parts", len(held),
+			survey.End(found)
+			gate.log.stateChange("targets asked what they keep", "share", share, "asked", len(entries), "silent", len(found.Silent), "parts", len(found.Held),
 				"millis", now.Sub(startedAt).Milliseconds())
 			waiting := survey.waiting
 			survey.waiting = nil
@@ -179,25 +186,34 @@
 }
 
 // entriesToSurvey returns the targets of a share that run a model. Those that are leaving belong to them: they began
-// streams. Nothing is sent to the targets of a data centre that is evacuated.
-func (gate *Gate) entriesToSurvey(share int) []yuccaroster.Entry {
-	var list []yuccaroster.Entry
+// streams. Nothing is sent to the targets of a data centre that is evacuated; these stay silent.
+func (gate *Gate) entriesToSurvey(share int) (list []yuccaroster.Entry, silent map[yuccastream.Origin]bool) {
 	table := gate.tables.Load()
 	if table == nil {
-		return nil
+		return nil, nil
 	}
+	silent = make(map[yuccastream.Origin]bool)
 	for _, entry := range gate.roster.Targets() {
 		pool, found := table.Pool(entry.Pool)
-		if found && pool.Engine != nil && shareOf(entry.Target) == share && !gate.roster.Evacuated(entry.Centre) {
+		switch {
+		case !found || pool.Engine == nil || shareOf(entry.Target) != share:
+		case gate.roster.Evacuated(entry.Centre):
+			silent[registeredOrigin(entry)] = true
+		default:
 			list = append(list, entry)
 		}
 	}
-	return list
+	return list, silent
+}
+
+// registeredOrigin returns the pool and version of a target, as it registered.
+func registeredOrigin(entry yuccaroster.Entry) yuccastream.Origin {
+	return yuccastream.Origin{Pool: entry.Pool, Version: entry.StreamVersion()}
 }
 
-// askAllHoldings asks targets which parts of prompts they keep. It returns that by part, and how many have answered.
-func (gate *Gate) askAllHoldings(entries []yuccaroster.Entry) (held map[yuccastream.PartKey][]yuccastream.Holding, answered int) {
-	held = make(map[yuccastream.PartKey][]yuccastream.Holding)
+// askAllHoldings asks targets which parts of prompts they keep.
+func (gate *Gate) askAllHoldings(entries []yuccaroster.Entry) yuccastream.Findings {
+	found := yuccastream.Findings{Held: make(map[yuccastream.PartKey][]yuccastream.Holding), Silent: make(map[yuccastream.Origin]bool)}
 	var mu sync.Mutex
 	var group errgroup.Group
 	group.SetLimit(surveyedAtOnce)
@@ -205,37 +221,43 @@
 		group.Go(func() error {
 			ctx, cancel := context.WithTimeout(gate.traffic, surveyTargetTimeout)
 			defer cancel()
-			kept, known := gate.askKeptParts(ctx, entry)
-			if !known {
-				return nil
-			}
+			kept, err := gate.askKeptParts(ctx, entry)
 			origin := gate.originOf(ctx, entry, len(kept) > 0)
 			mu.Lock()
 			defer mu.Unlock()
-			answered++
+			switch {
+			case errors.Is(err, syscall.ECONNREFUSED):
+				// Its process has ended, and what it kept with it.
+			case err != nil:
+				found.Silent[registeredOrigin(entry)] = true
+			}
 			for _, one := range kept {
-				held[one.Part] = append(held[one.Part], yuccastream.Holding{Origin: origin, Tokens: one.Tokens})
+				found.Held[one.Part] = append(found.Held[one.Part], yuccastream.Holding{Origin: origin, Tokens: one.Tokens})
 			}
 			return nil
 		})
 	}
 	_ = group.Wait()
-	return held, answered
+	return found
 }
 
 // askKeptParts asks a target which parts of prompts it keeps.
-func (gate *Gate) askKeptParts(ctx context.Context, entry yuccaroster.Entry) ([]KeptPart, bool) {
+func (gate *Gate) askKeptParts(ctx context.Context, entry yuccaroster.Entry) ([]KeptPart, error) {
 	list, err := gate.askTarget(ctx, entry.Address, gate.dialect.HoldingsPath, maxHoldingsBytes)
 	if err != nil {
-		return nil, false
+		return nil, err
+	}
+	kept, ok := gate.dialect.ReadHoldings(list)
+	if !ok {
+		return nil, errUnreadableHoldings
 	}
-	return gate.dialect.ReadHoldings(list)
+	return kept, nil
 }
 
 // originOf returns the pool and version of a target that has just said what it keeps. The target is asked when it
 // started: if it has restarted under its id, or another one has got its address, its version isn't known.
 func (gate *Gate) originOf(ctx context.Context, entry yuccaroster.Entry, keepsAny bool) yuccastream.Origin {
-	origin := yuccastream.Origin{Pool: entry.Pool, Version: entry.StreamVersion()}
+	origin := registeredOrigin(entry)
 	if !keepsAny || entry.StartMillis == 0 || gate.dialect.StatusPath == "" {
 		return origin
 	}
--- a/io/yuccagate/survey_test.go
+++ b/io/yuccagate/survey_test.go
@@ -51,6 +51,30 @@
 		Expect(takeUp.do(gt).status).To(Equal(http.StatusServiceUnavailable))
 	})
 
+	// Guards against the failure that a stream goes on at the version of an attempt that brought no event, because the target that began
+	// it is slow to tell what it keeps, or isn't asked.
+	DescribeTable("while a target doesn't tell what it keeps",
+		func(version yuccaid.Version, status int) {
+			engines := newEngines("v1", version)
+			engines[0].keeps = []string{"p1"}
+			engines[1].silent.Store(true)
+			gt := newGateOf(listen(), "odessa", "entry-1", restarted)
+			gt.configure(1, modelConfig(), 4, engines...)
+			Expect(takeUp.do(gt).status).To(Equal(status))
+		},
+		Entry("is refused if that is of another version", yuccaid.Version("v2"), http.StatusServiceUnavailable),
+		Entry("goes on if that is of the same", yuccaid.Version("v1"), http.StatusOK),
+	)
+
+	It("goes on where the process of a target of another version has ended", func() {
+		engines := newEngines("v1", "v2")
+		engines[0].keeps = []string{"p1"}
+		gt := newGateOf(listen(), "odessa", "entry-1", restarted)
+		gt.configure(1, modelConfig(), 4, engines...)
+		engines[1].http.Close()
+		Expect(takeUp.do(gt).status).To(Equal(http.StatusOK))
+	})
+
 	// Guards against the failure that streams are lost because their callers come before the daemon knows any target.
 	It("waits for the targets of a daemon that has just started", func() {
 		engines := newEngines("v1")
--- a/io/yuccagate/takeup.go
+++ b/io/yuccagate/takeup.go
@@ -197,7 +197,11 @@
 // concludeSurvey ends a lookup with what targets keep. If some of them may not have been asked, another version may keep the
 // part as well.
 func (lookup *originLookup) concludeSurvey() {
-	origin, found := yuccastream.OriginOf(lookup.holdings, lookup.ownPart.Tokens)
+	holdings := lookup.holdings
+	if lookup.onlyPool {
+		holdings = yuccastream.InPool(holdings, lookup.pool)
+	}
+	origin, found := yuccastream.OriginOf(holdings, lookup.ownPart.Tokens)
 	if !found || lookup.awaiting > 0 {
 		lookup.result <- originResult{source: originUnknown}
 		return
