A daemon that remembers a stream is heard while targets are asked about it

A caller takes a stream up. The daemons that remember which version began it answer later than 0.1 s (they are busy or stood still), so targets are asked what they keep of its prompt. The answer that came then was ignored, and the stream went on at the version that targets told: that of an earlier attempt, if the target that began the stream has left or has evicted the prompt.

The spec "goes on where a slow daemon remembers that it began" fails on: the stream goes on at the other version's target. A daemon that answers later than the targets is still not heard: waiting for all would hold each stream for 0.7 s while one peer stands still.

--- a/io/yuccagate/fleet_test.go
+++ b/io/yuccagate/fleet_test.go
@@ -30,7 +30,7 @@
 // dialect is the dialect of the tests' callers and targets, which use headers of their own.
 var dialect = yuccagate.Dialect{
 	ReadRequest: func(r *http.Request, route *yuccaroute.Route) (yuccagate.RequestInfo, error) {
-		info := yuccagate.RequestInfo{ID: r.Header.Get("X-Id"), Key: r.Header.Get("X-Key"), LastEventID: r.Header.Get("Last-Event-Id")}
+		info := yuccagate.RequestInfo{ID: r.Header.Get("X-Id"), Key: r.Header.Get("X-Key"), LastEventID: r.Header.Get("Last-Event-Id"), Resumes: r.Header.Get("X-Resumes")}
 		if info.ID == "" {
 			return info, errors.New("no id")
 		}
--- a/io/yuccagate/survey.go
+++ b/io/yuccagate/survey.go
@@ -72,17 +72,15 @@
 func (gate *Gate) askHoldings(now time.Time, lookup *originLookup) {
 	lookup.surveyed = true
 	lookup.until, lookup.awaiting = now.Add(surveyTimeout), surveyShares
-	gate.origins.lastLookup++
-	number := gate.origins.lastLookup
-	gate.origins.lookups[number] = lookup
+	gate.origins.lookups[lookup.number] = lookup
 	for share := range surveyShares {
-		query := yuccawire.HoldingQuery{Number: number, Share: share, Part: lookup.ownPart.Part}
+		query := yuccawire.HoldingQuery{Number: lookup.number, Share: share, Part: lookup.ownPart.Part}
 		leader, settled := gate.peers.Leader(surveyRole(share))
 		if settled && leader.Incarnation != gate.incarnation && gate.send(leader.Incarnation, yuccawire.KindHoldingQuery, query) {
 			continue
 		}
 		gate.findHoldings(now, share, holdingQuery{query.Part, func(now time.Time, holdings []yuccastream.Holding) {
-			gate.addHoldings(now, number, holdings)
+			gate.addHoldings(now, lookup.number, holdings)
 		}})
 	}
 }
--- a/io/yuccagate/survey_test.go
+++ b/io/yuccagate/survey_test.go
@@ -15,6 +15,8 @@
 )
 
 var _ = Describe("a stream that is taken up at a daemon without memory", func() {
+	// settled is the time after which gateways agree which of them asks which targets.
+	const settled = 700 * time.Millisecond
 	restarted := func(set *yuccagate.Settings) { set.FirstStart = false }
 	takeUp := call{path: "/resumed/", header: map[string]string{"Last-Event-Id": "2", "X-Own": "p1"}}
 	modelConfig := func() yuccaroute.Config {
@@ -99,4 +101,26 @@
 		Expect(takeUp.do(gt).status).To(Equal(http.StatusServiceUnavailable))
 		Expect(engines[0].lists).To(BeZero())
 	})
+
+	// Guards against the failure that a stream goes on at the version that targets tell although a daemon remembers another one, because
+	// it is slow to answer.
+	It("goes on where a slow daemon remembers that it began", func() {
+		engines := newEngines("v1", "v2")
+		slow := newGateOf(listen(), "odessa", "entry-1", restarted)
+		slow.configure(1, modelConfig(), 4, engines[1])
+		Expect(call{path: "/resumed/", id: "began"}.do(slow).status).To(Equal(http.StatusOK))
+		gt := newGateOf(listen(), "odessa", "entry-2", restarted, slow.Status().Address)
+		engines[0].keeps = []string{"p1"}
+		for _, each := range []*gate{slow, gt} {
+			each.configure(2, modelConfig(), 4, engines...)
+			Eventually(func() int { return len(each.Status().Peers) }, 5*time.Second).Should(Equal(1))
+		}
+		time.Sleep(settled)
+		slow.control.Lock()
+		time.Sleep(100 * time.Millisecond)
+		time.AfterFunc(250*time.Millisecond, slow.control.Unlock)
+		remembered := call{path: takeUp.path, header: map[string]string{"Last-Event-Id": "2", "X-Own": "p1", "X-Resumes": "began"}}
+		Expect(remembered.do(gt).status).To(Equal(http.StatusOK))
+		Expect(engines[0].requests()).To(BeEmpty())
+	})
 })
--- a/io/yuccagate/takeup.go
+++ b/io/yuccagate/takeup.go
@@ -30,8 +30,10 @@
 
 // originLookup is a lookup of where a stream began.
 type originLookup struct {
-	key  yuccastream.Key
-	pool yuccaid.Pool
+	// number identifies the lookup in this daemon's queries.
+	number uint64
+	key    yuccastream.Key
+	pool   yuccaid.Pool
 	// onlyPool reports whether the stream can't have begun in another pool.
 	onlyPool bool
 	// ownPart is the last part of the stream's prompt, zero if it isn't known. surveyed reports whether the targets are asked
@@ -117,7 +119,8 @@
 		holders = gate.inThisCentre(holders)
 	}
 	gate.origins.lastLookup++
-	query := yuccawire.OriginQuery{Number: gate.origins.lastLookup, Key: lookup.key, Pool: lookup.pool}
+	lookup.number = gate.origins.lastLookup
+	query := yuccawire.OriginQuery{Number: lookup.number, Key: lookup.key, Pool: lookup.pool}
 	for _, holder := range holders {
 		if gate.send(holder, yuccawire.KindOriginQuery, query) {
 			lookup.awaiting++
@@ -127,7 +130,7 @@
 		gate.conclude(now, lookup)
 		return
 	}
-	gate.origins.lookups[query.Number] = lookup
+	gate.origins.lookups[lookup.number] = lookup
 }
 
 // inThisCentre returns those of the daemons that are in this data centre.
@@ -152,19 +155,22 @@
 }
 
 // onOriginAnswer handles an answer to one of this daemon's lookups. The first daemon that remembers the
-// stream ends the lookup, and so does the last answer.
+// stream ends the lookup, also while targets are asked, and so does the last answer.
 func (gate *Gate) onOriginAnswer(now time.Time, answer yuccawire.OriginAnswer) {
 	lookup := gate.origins.lookups[answer.Number]
-	if lookup == nil || lookup.surveyed {
-		return
-	}
-	lookup.awaiting--
-	lookup.views = append(lookup.views, yuccastream.View{Version: answer.Sole, Several: answer.Several, Complete: answer.Complete, Fresh: answer.Fresh})
 	switch {
+	case lookup == nil:
+		return
 	case answer.Found:
 		delete(gate.origins.lookups, answer.Number)
 		lookup.deliver(yuccastream.Origin{Pool: answer.Pool, Version: answer.Version}, originTold)
-	case lookup.awaiting == 0:
+		return
+	case lookup.surveyed:
+		return
+	}
+	lookup.awaiting--
+	lookup.views = append(lookup.views, yuccastream.View{Version: answer.Sole, Several: answer.Several, Complete: answer.Complete, Fresh: answer.Fresh})
+	if lookup.awaiting == 0 {
 		delete(gate.origins.lookups, answer.Number)
 		gate.conclude(now, lookup)
 	}
