What targets kept before a daemon was lost doesn't count

What a survey found counts for a minute. In fleets of more than twelve daemons those of other data centres don't know a stream; if its daemon is killed, its caller takes it up there, and was answered from a survey of before the stream began: a target that had read the prompt in an attempt without events told its version, though the one that began the stream keeps the prompt too and would have told, were it asked.

Now a daemon that loses another one forgets its surveys, and asks as often as after its own start again: at most once a second, more seldom as time goes by. Until targets have told, a query waits for them, as after a start. A survey that runs as a daemon is lost doesn't count either.

Ruled out: asking anew for each stream (targets' work is delayed; the spec that bounds how often they are asked stands), and a result that counts for half a second only (a caller would wait beyond 0.7 s for the next survey of a daemon that is ten seconds old).

Left: a stream that began after the survey at a daemon whose loss isn't noticed yet.

--- a/io/yuccagate/peers.go
+++ b/io/yuccagate/peers.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"slices"
 	"syscall"
 	"time"
 
@@ -143,6 +144,9 @@
 	for _, removed := range change.Removed {
 		gate.log.stateChange("peer gone", "peer", removed.VM, "centre", removed.Centre)
 		gate.dropOwner(now, removed.Incarnation)
+		if !slices.ContainsFunc(change.Joined, func(member yuccapeer.Member) bool { return member.Incarnation == removed.Incarnation }) {
+			gate.forgetHoldings(now)
+		}
 	}
 	if len(change.Joined) == 0 && len(change.Removed) == 0 && !change.Resumed {
 		return
--- a/io/yuccagate/survey.go
+++ b/io/yuccagate/survey.go
@@ -137,13 +137,20 @@
 	if survey.Start(now) {
 		gate.surveyTargets(now, share)
 	}
-	if !survey.Running() {
+	if survey.Known() && !survey.Running() || len(survey.waiting) >= maxWaitingQueries {
 		query.answer(now, survey.Find(query.part))
 		return
 	}
 	survey.waiting = append(survey.waiting, query)
 }
 
+// forgetHoldings forgets what targets kept before another daemon was lost.
+func (gate *Gate) forgetHoldings(now time.Time) {
+	for _, survey := range gate.surveys {
+		survey.LoseDaemon(now)
+	}
+}
+
 // knowsTargets reports whether this daemon has learned of targets since it started. Callers that take streams up come as
 // soon as it accepts connections.
 func (gate *Gate) knowsTargets() bool { return gate.roster.Version() > 0 }
--- a/io/yuccagate/survey_test.go
+++ b/io/yuccagate/survey_test.go
@@ -123,4 +123,25 @@
 		Expect(remembered.do(gt).status).To(Equal(http.StatusOK))
 		Expect(engines[0].requests()).To(BeEmpty())
 	})
+
+	// Guards against the failure that a stream goes on at the version of an attempt that brought no event, because the target that began
+	// it had told before what it keeps.
+	It("is refused where another version has read its prompt since targets were asked, and a daemon was lost", func() {
+		engines := newEngines("v1", "v2")
+		engines[0].keeps = []string{"p1"}
+		lost := newGateOf(listen(), "odessa", "entry-1", restarted)
+		gt := newGateOf(listen(), "odessa", "entry-2", restarted, lost.Status().Address)
+		for _, each := range []*gate{lost, gt} {
+			each.configure(1, modelConfig(), 4, engines...)
+			Eventually(func() int { return len(each.Status().Peers) }, 5*time.Second).Should(Equal(1))
+		}
+		time.Sleep(settled)
+		Expect(takeUp.do(gt).status).To(Equal(http.StatusOK))
+		engines[1].mu.Lock()
+		engines[1].keeps = []string{"p1"}
+		engines[1].mu.Unlock()
+		lost.crash()
+		Eventually(gt.lines.all, 5*time.Second).Should(ContainSubstring("peer gone"))
+		Expect(takeUp.do(gt).status).To(Equal(http.StatusServiceUnavailable))
+	})
 })
