--- a/io/yuccagate/fleet_test.go
+++ b/io/yuccagate/fleet_test.go
@@ -30,7 +30,7 @@
 // dialect is the dialect of the tests' callers and targets, which use headers of their own.
 var dialect = yuccagate.Dialect{
 	ReadRequest: func(r *http.Request, route *yuccaroute.Route) (yuccagate.RequestInfo, error) {
-		info := yuccagate.RequestInfo{ID: r.Header.Get("X-Id"), Key: r.Header.Get("X-Key"), LastEventID: r.Header.Get("Last-Event-Id")}
+		info := yuccagate.RequestInfo{ID: r.Header.Get("X-Id"), Key: r.Header.Get("X-Key"), LastEventID: r.Header.Get("Last-Event-Id"), Resumes: r.Header.Get("X-Resumes")}
 		if info.ID == "" {
 			return info, errors.New("no id")
 		}
@@ -142,6 +142,8 @@
 	// keeps are the parts that the engine keeps, and lists counts how often it has told them.
 	keeps []string
 	lists int
+	// silent has the engine not tell what it keeps.
+	silent atomic.Bool
 }
 
 // received is a request as it arrived at a target.
@@ -165,6 +167,10 @@
 func (eng *engine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	w.Header().Set("X-Id", r.Header.Get("X-Id"))
 	if r.URL.Path == holdingsPath {
+		if eng.silent.Load() {
+			<-r.Context().Done()
+			return
+		}
 		eng.mu.Lock()
 		defer eng.mu.Unlock()
 		eng.lists++
--- a/io/yuccagate/survey_test.go
+++ b/io/yuccagate/survey_test.go
@@ -15,6 +15,8 @@
 )
 
 var _ = Describe("a stream that is taken up at a daemon without memory", func() {
+	// settled is the time after which gateways agree which of them asks which targets.
+	const settled = 700 * time.Millisecond
 	restarted := func(set *yuccagate.Settings) { set.FirstStart = false }
 	takeUp := call{path: "/resumed/", header: map[string]string{"Last-Event-Id": "2", "X-Own": "p1"}}
 	modelConfig := func() yuccaroute.Config {
@@ -51,6 +53,30 @@
 		Expect(takeUp.do(gt).status).To(Equal(http.StatusServiceUnavailable))
 	})
 
+	// Guards against the failure that a stream goes on at the version of an attempt that brought no event, because the target that began
+	// it is slow to tell what it keeps, or isn't asked.
+	DescribeTable("while a target doesn't tell what it keeps",
+		func(version yuccaid.Version, status int) {
+			engines := newEngines("v1", version)
+			engines[0].keeps = []string{"p1"}
+			engines[1].silent.Store(true)
+			gt := newGateOf(listen(), "odessa", "entry-1", restarted)
+			gt.configure(1, modelConfig(), 4, engines...)
+			Expect(takeUp.do(gt).status).To(Equal(status))
+		},
+		Entry("is refused if that is of another version", yuccaid.Version("v2"), http.StatusServiceUnavailable),
+		Entry("goes on if that is of the same", yuccaid.Version("v1"), http.StatusOK),
+	)
+
+	It("goes on where the process of a target of another version has ended", func() {
+		engines := newEngines("v1", "v2")
+		engines[0].keeps = []string{"p1"}
+		gt := newGateOf(listen(), "odessa", "entry-1", restarted)
+		gt.configure(1, modelConfig(), 4, engines...)
+		engines[1].http.Close()
+		Expect(takeUp.do(gt).status).To(Equal(http.StatusOK))
+	})
+
 	// Guards against the failure that streams are lost because their callers come before the daemon knows any target.
 	It("waits for the targets of a daemon that has just started", func() {
 		engines := newEngines("v1")
@@ -75,4 +101,47 @@
 		Expect(takeUp.do(gt).status).To(Equal(http.StatusServiceUnavailable))
 		Expect(engines[0].lists).To(BeZero())
 	})
+
+	// Guards against the failure that a stream goes on at the version that targets tell although a daemon remembers another one, because
+	// it is slow to answer.
+	It("goes on where a slow daemon remembers that it began", func() {
+		engines := newEngines("v1", "v2")
+		slow := newGateOf(listen(), "odessa", "entry-1", restarted)
+		slow.configure(1, modelConfig(), 4, engines[1])
+		Expect(call{path: "/resumed/", id: "began"}.do(slow).status).To(Equal(http.StatusOK))
+		gt := newGateOf(listen(), "odessa", "entry-2", restarted, slow.Status().Address)
+		engines[0].keeps = []string{"p1"}
+		for _, each := range []*gate{slow, gt} {
+			each.configure(2, modelConfig(), 4, engines...)
+			Eventually(func() int { return len(each.Status().Peers) }, 5*time.Second).Should(Equal(1))
+		}
+		time.Sleep(settled)
+		slow.control.Lock()
+		time.Sleep(100 * time.Millisecond)
+		time.AfterFunc(250*time.Millisecond, slow.control.Unlock)
+		remembered := call{path: takeUp.path, header: map[string]string{"Last-Event-Id": "2", "X-Own": "p1", "X-Resumes": "began"}}
+		Expect(remembered.do(gt).status).To(Equal(http.StatusOK))
+		Expect(engines[0].requests()).To(BeEmpty())
+	})
+
+	// Guards against the failure that a stream goes on at the version of an attempt that brought no event, because the target that began
+	// it had told before what it keeps.
+	It("is refused where another version has read its prompt since targets were asked, and a daemon was lost", func() {
+		engines := newEngines("v1", "v2")
+		engines[0].keeps = []string{"p1"}
+		lost := newGateOf(listen(), "odessa", "entry-1", restarted)
+		gt := newGateOf(listen(), "odessa", "entry-2", restarted, lost.Status().Address)
+		for _, each := range []*gate{lost, gt} {
+			each.configure(1, modelConfig(), 4, engines...)
+			Eventually(func() int { return len(each.Status().Peers) }, 5*time.Second).Should(Equal(1))
+		}
+		time.Sleep(settled)
+		Expect(takeUp.do(gt).status).To(Equal(http.StatusOK))
+		engines[1].mu.Lock()
+		engines[1].keeps = []string{"p1"}
+		engines[1].mu.Unlock()
+		lost.crash()
+		Eventually(gt.lines.all, 5*time.Second).Should(ContainSubstring("peer gone"))
+		Expect(takeUp.do(gt).status).To(Equal(http.StatusServiceUnavailable))
+	})
 })
