--- a/core/yuccaramp/window.go
+++ b/core/yuccaramp/window.go
@@ -16,19 +16,20 @@
 type Window struct {
 	// size is the bound, zero if there is none.
 	size int
-	// from is when the window began or last shrank, or the target answered after it failed. failed reports whether the target failed and hasn't answered since.
-	from   time.Time
+	// from is when the window began or last shrank, or when the target answered after it had failed.
+	from time.Time
+	// failed reports whether the target failed and hasn't answered since.
 	failed bool
 }
 
-// Begin bounds a target that has just started.
+// Begin bounds a target that has just started to one request.
 func (win *Window) Begin(now time.Time) { *win = Window{size: 1, from: now} }
 
-// Fail records that the target didn't answer a request. It gets one at a time until it does.
+// Fail records that the target didn't answer a request. The bound is one until it answers again.
 func (win *Window) Fail(now time.Time) { *win = Window{size: 1, from: now, failed: true} }
 
-// Answer records that an answer has begun, and how long that took and was expected to take. The window ends once it has
-// the given size, which is what the target can take in any case.
+// Answer records that an answer has begun, how long it took to begin and how long that was expected to take. The window
+// ends once it has the size full, the number of requests that the target can take in any case.
 func (win *Window) Answer(now time.Time, took, expected time.Duration, full int) {
 	if !win.bounds(now) {
 		*win = Window{}
@@ -47,7 +48,7 @@
 	}
 }
 
-// Shrink records that the target has got more than it can take. A target that isn't bounded remains so.
+// Shrink halves the window, because the target has got more than it can take. A target that isn't bounded remains so.
 func (win *Window) Shrink(now time.Time) {
 	if win.bounds(now) {
 		win.size, win.from = max(win.size/2, 1), now
