--- a/core/yuccaallow/allow_test.go
+++ b/core/yuccaallow/allow_test.go
@@ -9,7 +9,7 @@
 	"yuccacleat/core/yuccaregion"
 )
 
-var _ = Describe("what a request may use", func() {
+var _ = Describe("the check of a target", func() {
 	target := yuccaallow.Target{Name: "a", Region: "coast", Version: "v1"}
 	changed := func(change func(*yuccaallow.Target)) yuccaallow.Target {
 		tgt := target
@@ -18,7 +18,7 @@
 	}
 	coast := yuccaallow.Limits{Regions: yuccaregion.Only("coast", "hills")}
 
-	DescribeTable("is decided in one place",
+	DescribeTable("tells why a request may not use it",
 		func(lim yuccaallow.Limits, failed []yuccaid.Target, tgt yuccaallow.Target, want yuccaallow.Exclusion) {
 			Expect(yuccaallow.Check(lim, failed, tgt)).To(Equal(want))
 		},
