yuccagrant, yuccaspeed: one subject a file, and the field's terms

Leader.Exclusions was used by one test only, which reads them from the Forecast now; withinWindow no longer repeats what heldBack has decided before it.

Terms: covariance -> regression, spread -> variance, holds -> validity, Model.Read -> Observe (it reads nothing). yuccagrant: proofTTL -> provenFor, queue.hides -> outOfReach, secretive -> isolated, told -> forecast (a local name); the breaker and the levels name circuit breaker and water-filling. Test heads say in one line which failure they guard against.

--- a/core/yuccagrant/breaker.go
+++ b/core/yuccagrant/breaker.go
@@ -12,8 +12,8 @@
 	// tripFailures is the number of consecutive failures after which a target is tried by one request
 	// at a time. A target that loses some of its answers seldom has as many.
 	tripFailures = 3
-	// proofTTL is how long a run that has begun outweighs the failures that other leaders report.
-	proofTTL = 500 * time.Millisecond
+	// provenFor is how long a run that has begun outweighs the failures that other leaders report.
+	provenFor = 500 * time.Millisecond
 	// anyTrialAfter is the time after the end of a backoff from which also a request of the most
 	// urgent rank may be the one that tries the target.
 	anyTrialAfter = time.Second
@@ -30,7 +30,7 @@
 }
 
 // tripped reports whether so many runs in a row have failed on the target that it is tried by one
-// request at a time.
+// request at a time, as behind a half-open circuit breaker.
 //
 // A target that resets each connection looks idle once its backoff is over, and would be sent as many
 // requests as it has slots, all of which would be lost.
@@ -113,26 +113,16 @@
 	return list
 }
 
-// AddFailures takes in what another leader reports about targets that are tried by one request at a
-// time, so that not every leader loses requests there. This leader waits longer than the one that
-// reports, which tries the target first and tells when it serves again. The leader of the target's own
-// data centre goes on trying it for all.
+// AddFailures applies what another leader reports about targets that are tried by one request at a time,
+// so that not every leader loses requests there.
 func (lead *Leader) AddFailures(now time.Time, reports []TargetFailures) Decisions {
 	var dec Decisions
 	for _, report := range reports {
 		tgt, found := lead.targetsByName[report.Target]
 		switch {
-		case !found || now.Sub(tgt.provenAt) < proofTTL:
+		case !found || now.Sub(tgt.provenAt) < provenFor:
 		case report.Failures > 0:
-			tgt.consecutiveFailures = max(tgt.consecutiveFailures, report.Failures)
-			wait := time.Duration((1 + lead.rng.Float64()) * float64(backoffAfter(report.Failures)))
-			if !tgt.OtherCentre {
-				wait = min(wait, tgt.maxBackoff())
-			}
-			until := now.Add(wait)
-			if until.After(tgt.backoffUntil) {
-				tgt.backoffUntil = until
-			}
+			lead.addFailure(now, tgt, report.Failures)
 		case tgt.tripped():
 			tgt.consecutiveFailures, tgt.backoffUntil = 0, now
 		}
@@ -140,3 +130,17 @@
 	lead.grantSlots(now, &dec)
 	return dec
 }
+
+// addFailure has a target back off because of the failures that another leader reports. This leader waits longer
+// than that one, which tries the target first and tells when it serves again. The leader of the target's own
+// data centre goes on trying it for all.
+func (lead *Leader) addFailure(now time.Time, tgt *targetState, failures int) {
+	tgt.consecutiveFailures = max(tgt.consecutiveFailures, failures)
+	wait := time.Duration((1 + lead.rng.Float64()) * float64(backoffAfter(failures)))
+	if !tgt.OtherCentre {
+		wait = min(wait, tgt.maxBackoff())
+	}
+	if until := now.Add(wait); until.After(tgt.backoffUntil) {
+		tgt.backoffUntil = until
+	}
+}
--- a/core/yuccagrant/breaker_test.go
+++ b/core/yuccagrant/breaker_test.go
@@ -41,21 +41,19 @@
 func alwaysUnreachable(time.Time) yuccagrant.Outcome { return yuccagrant.Unreachable }
 
 var _ = Describe("a target that resets every connection", func() {
-	// The pool is full, and the target looks idle after each backoff. If leaders sent it as many requests as it has slots, and each
-	// leader found out by itself, several hundred requests would be lost in some seconds.
+	// Guards against the failure that each leader sends a failing target, which looks idle, as many requests as it has slots after each backoff.
 	It("costs few requests, and hardly any of the most urgent ones", func() {
 		sim := failingPool(1, alwaysUnreachable)
 		sim.run(15*time.Second, steady(400))
-		secretive := failingPool(1, alwaysUnreachable)
-		secretive.secretive = true
-		secretive.run(15*time.Second, steady(400))
+		isolated := failingPool(1, alwaysUnreachable)
+		isolated.isolated = true
+		isolated.run(15*time.Second, steady(400))
 		Expect(sim.lost("")).To(BeNumerically("<=", 150))
-		Expect(sim.lost("")).To(BeNumerically("<", secretive.lost("")/2))
+		Expect(sim.lost("")).To(BeNumerically("<", isolated.lost("")/2))
 		Expect(sim.lost("plan")).To(BeNumerically("<", sim.lost("summary")))
 	})
 
-	// The engines work again after five seconds. If their failures were remembered for too long, their
-	// slots would stay idle.
+	// Guards against the failure that leaders remember failures for too long, so that slots stay idle.
 	It("gets its share again soon after it has recovered", func() {
 		start := time.Time{}
 		sim := failingPool(1, func(now time.Time) yuccagrant.Outcome {
@@ -77,8 +75,7 @@
 		Expect(recovered).To(Equal(6))
 	})
 
-	// A third of the runs on every target fail, and the others are served. Targets that serve most of
-	// their runs have to keep getting requests.
+	// Guards against the failure that targets which serve two thirds of their runs get hardly any requests.
 	It("is told apart from targets that fail some of their runs", func() {
 		sim := regionalPool(1, 6, true)
 		number := 0
--- a/core/yuccagrant/capacity.go
+++ b/core/yuccagrant/capacity.go
@@ -32,8 +32,8 @@
 }
 
 // capacities is what the targets that are neither backing off nor tripped can do, in slots of the fastest
-// target: a slot of another target counts for 1/pace, at its present speed. Each sum is multiplied by this leader's share of all runs, because the
-// leaders of other data centres use the rest.
+// target: a slot of another target counts for 1/pace, at its present speed. Each sum is multiplied by this
+// leader's share of all runs, because the leaders of other data centres use the rest.
 type capacities struct {
 	total float64
 	// groups are those of the targets, each with its capacity.
@@ -101,14 +101,15 @@
 	return seconds(lvls.within(lim).lowest())
 }
 
-// level is how long a group of targets takes for the work that it has to do, in seconds.
+// level is the work that a group of targets has to do.
 type level struct {
 	group
+	// capacity is in slots of the fastest target, and seconds is how long the group takes for its work.
 	capacity float64
 	seconds  float64
 }
 
-// levels are those of several groups.
+// levels are those of several groups, over which work is distributed by water-filling.
 type levels []*level
 
 // within returns the groups that the limits allow.
@@ -121,7 +122,11 @@
 // narrowestFirst returns the limits of the work, those that allow the fewest groups first.
 func (lvls levels) narrowestFirst(ahead demand) []yuccaallow.Limits {
 	return slices.SortedFunc(maps.Keys(ahead.limited), func(a, b yuccaallow.Limits) int {
-		return cmp.Or(cmp.Compare(len(lvls.within(a)), len(lvls.within(b))), cmp.Compare(a.Regions.String(), b.Regions.String()), cmp.Compare(a.Version, b.Version))
+		return cmp.Or(
+			cmp.Compare(len(lvls.within(a)), len(lvls.within(b))),
+			cmp.Compare(a.Regions.String(), b.Regions.String()),
+			cmp.Compare(a.Version, b.Version),
+		)
 	})
 }
 
--- a/core/yuccagrant/capacity_test.go
+++ b/core/yuccagrant/capacity_test.go
@@ -42,8 +42,7 @@
 		fill(hills)
 	})
 
-	// Guards against the failure that a request which is limited to a full region waits for targets that it may not
-	// use, and is refused when it is too late to go elsewhere.
+	// Guards against the failure that a request limited to a full region waits for targets that it may not use, and is refused late.
 	It("is that of these targets", func() {
 		for range 20 {
 			submit(hills, time.Minute)
@@ -89,8 +88,7 @@
 		Expect(dec.Refusals[0].EstimatedWait).To(BeNumerically(">", 4*time.Second))
 	})
 
-	// Guards against the failure that an urgent request waits for less urgent ones to end on targets that it may not
-	// use.
+	// Guards against the failure that an urgent request waits for less urgent ones to end on targets that it may not use.
 	It("is worth it only for runs that will free one of these targets", func() {
 		lead.SetTargets(start, []yuccagrant.Target{{Name: "a", Slots: 30, Region: "coast"}, {Name: "b", Slots: 8, Region: "hills"}})
 		number++
@@ -116,9 +114,7 @@
 })
 
 var _ = Describe("callers whose requests may be served in one region only", func() {
-	// A third of the requests may be served in one region only, which has a quarter of the engines: more than it can
-	// serve. If they were treated like the others, the others would be refused with them while engines are idle, and
-	// they themselves would wait in vain.
+	// Guards against the failure that others are refused while engines are idle, because requests limited to a full region wait, or that these wait in vain.
 	It("don't take their targets from the others, and aren't kept waiting in vain", func() {
 		hills := yuccaregion.Only("hills")
 		limited := class{kind: "limited", rank: 0, softDeadline: time.Second, events: 40, prompt: 2000, share: 0.4, alterRequest: func(req *yuccagrant.Request) { req.Regions = hills }}
--- a/core/yuccagrant/centre_test.go
+++ b/core/yuccagrant/centre_test.go
@@ -46,8 +46,7 @@
 }
 
 var _ = Describe("callers of a pool in several data centres", func() {
-	// The pool is full for 20 seconds. If each leader sent requests to any target that had a free slot
-	// a tenth of a second ago, requests would queue at some targets while slots of others are free.
+	// Guards against the failure that all leaders send requests to the targets that had free slots a tenth of a second ago, where they queue.
 	It("don't queue at targets that all leaders have chosen at once", func() {
 		const seeds = 3
 		gained := 0.0
@@ -61,8 +60,7 @@
 		Expect(gained).To(BeNumerically(">", 0.01))
 	})
 
-	// Nearly all requests come to one of three data centres, which has a third of the targets. If its
-	// leader used its own targets only, two requests of three would be refused.
+	// Guards against the failure that a leader with most of the demand uses the targets of its own data centre only.
 	It("of which one has nearly all the demand are served by the targets of the others too", func() {
 		sim := regionalPool(1, 3, true)
 		sim.demand = []float64{0.9, 0.05, 0.05}
--- a/core/yuccagrant/centres_test.go
+++ b/core/yuccagrant/centres_test.go
@@ -86,7 +86,7 @@
 		for _, each := range casts {
 			if each.from != lead {
 				lead.AddHeldParts(each.parts)
-				if !sim.secretive {
+				if !sim.isolated {
 					sim.apply(lead.AddFailures(sim.now, each.failures))
 				}
 			}
--- a/core/yuccagrant/choose_test.go
+++ b/core/yuccagrant/choose_test.go
@@ -56,8 +56,7 @@
 	return lead.chooseTarget(now, req)
 }
 
-// Guards against the failure that a forecast changes which later requests fetch parts, which depends on how many requests there were,
-// or that a target counts as holding what it held of the forecast's prompt.
+// Guards against the failure that a forecast changes which later requests fetch parts, or what a target counts as holding.
 func TestForecastKeepsTheGeneration(t *testing.T) {
 	now := time.Unix(1_700_000_000, 0)
 	lead := New(rand.New(rand.NewPCG(1, 1)))
--- a/core/yuccagrant/cold.go
+++ b/core/yuccagrant/cold.go
@@ -9,12 +9,14 @@
 )
 
 const (
-	// takeOverWait is how long a leader that has taken over, and doesn't know the sends of the leader before, sends nothing to
-	// cold targets.
+	// takeOverWait is how long a leader sends nothing to cold targets after it has taken over from one whose sends it
+	// doesn't know.
 	takeOverWait = time.Second
-	// takeOverDivisor is how small a part of its budget a leader uses in that time at targets that aren't known to be cold.
-	// The runs that owners report to it count too.
+	// takeOverDivisor divides a leader's budget during takeOverWait at targets that aren't known to be cold. The runs that
+	// owners report to it count as sends.
 	takeOverDivisor = 2
+	// maxNewSends bounds the sends that wait to be reported. Those beyond it are reported with all of the last second.
+	maxNewSends = 4096
 )
 
 // Send is a request that was sent to a target at the given time.
@@ -23,11 +25,8 @@
 	At     time.Time
 }
 
-// maxNewSends bounds the sends that wait to be reported. Those beyond it are reported with all of the last second.
-const maxNewSends = 4096
-
-// TakeOver records that this leader has taken over from another one. Reported says whether that one has reported its sends
-// of the last second.
+// TakeOver records that this leader has taken over from another one, and whether that one has reported all its sends of the
+// last second.
 func (lead *Leader) TakeOver(now time.Time, reported bool) {
 	lead.newSends = nil
 	lead.tookOverAt = now
@@ -42,8 +41,8 @@
 	}
 }
 
-// RecordReported records sends that the present leader, or the one before this leader, reports. If whole is set, they are
-// all of the last second.
+// RecordReported records sends that another leader reports: the present one, or this leader's predecessor. If whole is set,
+// they are all of its sends of the last second.
 func (lead *Leader) RecordReported(now time.Time, sends []Send, whole bool) {
 	if whole {
 		for _, tgt := range lead.targets {
@@ -107,8 +106,8 @@
 	return tgt.Budget.Limit.Applies() && tgt.cold.Cold(now)
 }
 
-// coldSlots returns how many slots of the fastest target a cold target stands for, since its requests are spaced. hold is
-// how long a run occupies such a slot, in seconds. A target that isn't cold has no such bound.
+// coldSlots returns the capacity of a cold target, whose requests are spaced, in slots of the fastest target. hold is how
+// long a run occupies such a slot, in seconds. The capacity of a target that isn't cold is infinite in this respect.
 func (tgt *targetState) coldSlots(now time.Time, hold float64) float64 {
 	switch {
 	case !tgt.isCold(now):
--- a/core/yuccagrant/cold_test.go
+++ b/core/yuccagrant/cold_test.go
@@ -209,7 +209,7 @@
 	return most
 }
 
-// forget drops what was counted so far.
+// forget discards what has been counted.
 func (flt *coldFleet) forget() {
 	for _, tgt := range flt.targets {
 		tgt.arrivals, tgt.mostInSecond = nil, 0
@@ -217,8 +217,7 @@
 }
 
 var _ = Describe("a pool whose targets may be cold", func() {
-	// Guards against the failure that the leaders and the daemons without a leader together send a cold target, of which they
-	// know that it is cold, learn it late or never learn it, more than it bears.
+	// Guards against the failure that all deciders together send a cold target more than it bears, whether or not they know that it is cold.
 	It("never sends a target more than the bound in any second", func() {
 		rapid.Check(GinkgoT(), func(t *rapid.T) {
 			flt := newColdFleet(rapid.Uint64().Draw(t, "seed"), 2)
@@ -245,7 +244,7 @@
 		})
 	})
 
-	It("sends one more than that if no budget is kept", func() {
+	It("would send a target more than that without budgets", func() {
 		flt := newColdFleet(1, 2)
 		flt.unbounded = true
 		for _, dec := range flt.deciders {
@@ -255,8 +254,7 @@
 		Expect(flt.most()).To(BeNumerically(">", 2*flt.perSecond))
 	})
 
-	// Guards against the failure that a leader which was killed, or which doesn't know yet that it no longer leads, and its
-	// successor each use the budget of the same second.
+	// Guards against the failure that a former leader, killed or not yet aware of its successor, and the successor each use the budget of a second.
 	It("stays within the bound at targets that are known to be cold while the leaders change", func() {
 		rapid.Check(GinkgoT(), func(t *rapid.T) {
 			flt := newColdFleet(rapid.Uint64().Draw(t, "seed"), 2)
@@ -282,8 +280,7 @@
 		})
 	})
 
-	// Guards against the failure that a leader which was killed and its successor each use the budget of the same second at a
-	// target of which nobody knows that it is cold.
+	// Guards against the failure that a killed leader and its successor each use the budget of a second at a target not known to be cold.
 	It("stays within the bound at any target if a new leader knows the sends of the one before", func() {
 		most := func(seed uint64, reported bool) int {
 			flt := newColdFleet(seed, 2)
--- a/core/yuccagrant/finish_test.go
+++ b/core/yuccagrant/finish_test.go
@@ -46,8 +46,7 @@
 }
 
 var _ = Describe("long answers", func() {
-	// The pool is full, so slow engines are used too. An answer of a hundred events takes longer there
-	// than its caller waits, and would be cut off after it has kept its slot all the while.
+	// Guards against the failure that a long answer keeps a slot of a slow engine until its caller leaves, and is cut off.
 	It("aren't begun where they can't be completed in time", func() {
 		gained := 0
 		for seed := range uint64(3) {
@@ -62,7 +61,7 @@
 		Expect(gained).To(BeNumerically(">", 0))
 	})
 
-	// Callers announce answers that no engine could complete, but want short ones. They must be served.
+	// Guards against the failure that callers who announce answers that no engine could complete are not served.
 	It("are served if their announced length can't be meant", func() {
 		sim := unequalPool(1, true)
 		end := sim.classes[0].alterRequest
--- a/core/yuccagrant/forecast.go
+++ b/core/yuccagrant/forecast.go
@@ -7,9 +7,10 @@
 	"yuccacleat/core/yuccaid"
 )
 
-// Forecast is what a leader would decide on a request now. The request would be sent to Target; if Target is empty, it would be
-// refused for the reason Refused; if that is empty too, it would wait.
+// Forecast is what a leader would decide on a request now.
 type Forecast struct {
+	// Target is the target that the request would be sent to, and Refused why it would be refused. If both are empty, it
+	// would wait.
 	Target  yuccaid.Target
 	Refused Reason
 	// ExpectedTimeToFirst is the expected time from sending to the first event, and FetchFrom the target from which the
@@ -23,25 +24,28 @@
 	Candidates []Candidate
 }
 
-// Candidate is what a leader makes of a target for a request.
+// Candidate is how a leader rates a target for a request.
 type Candidate struct {
 	Target yuccaid.Target
 	Centre yuccaid.Centre
 	Region yuccaid.Region
-	// Exclusion is why the request may not be sent to the target now, yuccaallow.Allowed if it may. The target with the lowest cost
-	// is chosen among those that may and are expected to be on time, if there are any.
+	// Exclusion is why the request may not be sent to the target now, yuccaallow.Allowed if it may.
 	Exclusion yuccaallow.Exclusion
-	OnTime    bool
-	// ExpectedTimeToFirst is the expected time from sending to the first event. Cost adds to it what sending the request there
-	// costs others.
+	// OnTime reports whether the first event is expected in time. Among allowed targets, those that are on time come first,
+	// and then the one with the lowest Cost.
+	OnTime bool
+	// ExpectedTimeToFirst is the expected time from sending to the first event.
 	ExpectedTimeToFirst time.Duration
-	Cost                time.Duration
-	// Busy is how many of the Slots are occupied, and Held how many tokens of the prompt the target is assumed to hold.
+	// Cost is ExpectedTimeToFirst plus the delay that the request is expected to cause others.
+	Cost time.Duration
+	// Busy is how many of the Slots are occupied.
 	Busy, Slots int
-	Held        yuccaid.Tokens
+	// Held is how many tokens of the prompt the target is assumed to hold.
+	Held yuccaid.Tokens
 }
 
-// Forecast returns what Submit would decide on a request now, and changes nothing. Waiting requests count as if they went on waiting.
+// Forecast returns what Submit would decide on a request now, and changes nothing. It assumes that requests which wait go on
+// waiting.
 func (lead *Leader) Forecast(now time.Time, req Request) Forecast {
 	defer lead.restoreHeld(lead.generation)
 	entry := lead.newEntry(now, req)
@@ -55,8 +59,9 @@
 	if fc.Refused != "" {
 		return fc
 	}
-	if best, found := lead.pick(now, entry); found && !lead.queue.hides(now, entry) {
-		fc.Target, fc.ExpectedTimeToFirst, fc.FetchFrom = best.targetState.Name, best.expectedTimeToFirst, best.available.from
+	if best, found := lead.pick(now, entry); found && !lead.queue.outOfReach(now, entry) {
+		fc.Target, fc.FetchFrom = best.targetState.Name, best.available.from
+		fc.ExpectedTimeToFirst = best.expectedTimeToFirst
 		return fc
 	}
 	lead.queue.push(entry)
@@ -67,7 +72,7 @@
 	return fc
 }
 
-// candidates returns what the leader makes of its targets for a request.
+// candidates returns how the leader rates each of its targets for a request.
 func (lead *Leader) candidates(now time.Time, req *Request) []Candidate {
 	base := lead.baseline(now, req)
 	list := make([]Candidate, 0, len(lead.targets))
@@ -78,8 +83,10 @@
 			why = lead.exclusion(now, tgt, req)
 		}
 		list = append(list, Candidate{
-			Target: tgt.Name, Centre: tgt.Centre, Region: tgt.Region, Exclusion: why, OnTime: estimate.suitable,
-			ExpectedTimeToFirst: estimate.expectedTimeToFirst, Cost: estimate.cost, Busy: tgt.busySlots(now), Slots: tgt.Slots, Held: lead.heldTokens(tgt, req),
+			Target: tgt.Name, Centre: tgt.Centre, Region: tgt.Region,
+			Exclusion: why, OnTime: estimate.suitable,
+			ExpectedTimeToFirst: estimate.expectedTimeToFirst, Cost: estimate.cost,
+			Busy: tgt.busySlots(now), Slots: tgt.Slots, Held: lead.heldTokens(tgt, req),
 		})
 	}
 	return list
@@ -112,11 +119,13 @@
 	return count
 }
 
-// hides reports whether so many waiting requests with the same limits go first that grantTier would not reach the request.
-func (q *queue) hides(now time.Time, entry *queueEntry) bool {
+// outOfReach reports whether so many waiting requests with the same limits go first that grantTier would end before it
+// reached the request.
+func (q *queue) outOfReach(now time.Time, entry *queueEntry) bool {
 	count := 0
 	for _, other := range q.byID {
-		if other.Tier == entry.Tier && other.goesBefore(now, entry) && other.limits() == entry.limits() && other.onTime(now) == entry.onTime(now) {
+		sameKind := other.limits() == entry.limits() && other.onTime(now) == entry.onTime(now)
+		if sameKind && other.Tier == entry.Tier && other.goesBefore(now, entry) {
 			count++
 		}
 	}
--- a/core/yuccagrant/forecast_test.go
+++ b/core/yuccagrant/forecast_test.go
@@ -34,6 +34,15 @@
 	return list
 }
 
+// exclusionsOf returns why each target of a forecast can't be used.
+func exclusionsOf(forecast yuccagrant.Forecast) map[yuccaid.Target]yuccaallow.Exclusion {
+	exclusions := make(map[yuccaid.Target]yuccaallow.Exclusion)
+	for _, one := range forecast.Candidates {
+		exclusions[one.Target] = one.Exclusion
+	}
+	return exclusions
+}
+
 // drawRequest draws a request that may be limited and has parts that other requests share.
 func drawRequest(t *rapid.T, now time.Time, number uint64) yuccagrant.Request {
 	req := yuccagrant.Request{
@@ -82,21 +91,22 @@
 				finishRun(t, now, 50*time.Millisecond, &running, lead)
 			}
 			req := drawRequest(t, now, number)
-			told := lead.Forecast(now, req)
+			forecast := lead.Forecast(now, req)
 			dec := lead.Submit(now, req)
 			switch {
 			case len(dec.Grants) > 0:
 				grant := dec.Grants[0]
-				if told.Target != grant.Target || told.Refused != "" || told.ExpectedTimeToFirst != grant.ExpectedTimeToFirst || told.FetchFrom != grant.FetchFrom {
-					t.Fatalf("told of %+v, granted %+v", told, grant)
+				if forecast.Target != grant.Target || forecast.Refused != "" ||
+					forecast.ExpectedTimeToFirst != grant.ExpectedTimeToFirst || forecast.FetchFrom != grant.FetchFrom {
+					t.Fatalf("forecast %+v, granted %+v", forecast, grant)
 				}
 				running = append(running, grant.ID)
 			case len(dec.Refusals) > 0:
-				if told.Target != "" || told.Refused != dec.Refusals[0].Reason {
-					t.Fatalf("told of %+v, refused %+v", told, dec.Refusals[0])
+				if forecast.Target != "" || forecast.Refused != dec.Refusals[0].Reason {
+					t.Fatalf("forecast %+v, refused %+v", forecast, dec.Refusals[0])
 				}
-			case told.Target != "" || told.Refused != "":
-				t.Fatalf("told of %+v, has to wait", told)
+			case forecast.Target != "" || forecast.Refused != "":
+				t.Fatalf("forecast %+v, has to wait", forecast)
 			}
 			// The next request finds an empty queue.
 			lead.Withdraw(now, req.ID)
@@ -160,17 +170,13 @@
 			ID: yuccagrant.ID{Number: 9}, Regions: yuccaregion.Only("coast"), Version: "v1", FailedTargets: []yuccaid.Target{"engine-2"},
 			SoftDeadline: now.Add(time.Minute), Deadline: now.Add(time.Minute),
 		}
-		told := lead.Forecast(now, req)
-		exclusions := make(map[yuccaid.Target]yuccaallow.Exclusion)
-		for _, one := range told.Candidates {
-			exclusions[one.Target] = one.Exclusion
-		}
-		Expect(exclusions).To(Equal(map[yuccaid.Target]yuccaallow.Exclusion{
+		forecast := lead.Forecast(now, req)
+		Expect(exclusionsOf(forecast)).To(Equal(map[yuccaid.Target]yuccaallow.Exclusion{
 			"engine-0": yuccagrant.Full, "engine-1": yuccaallow.OtherRegion, "engine-2": yuccaallow.FailedBefore,
 			"engine-3": yuccaallow.OtherRegion, "engine-4": yuccaallow.OtherVersion, "engine-5": yuccaallow.OtherRegion,
 		}))
-		Expect(told.Target).To(BeEmpty())
-		Expect(told.Refused).To(BeEmpty())
+		Expect(forecast.Target).To(BeEmpty())
+		Expect(forecast.Refused).To(BeEmpty())
 		req.FailedTargets = nil
 		Expect(lead.Forecast(now, req).Target).To(Equal(yuccaid.Target("engine-2")))
 		req.Regions = yuccaregion.Only("plain")
--- a/core/yuccagrant/limits_property_test.go
+++ b/core/yuccagrant/limits_property_test.go
@@ -16,8 +16,7 @@
 	"yuccacleat/core/yuccaregion"
 )
 
-// Guards against the failures that a request is granted a target, or told to fetch from one, that it may not use,
-// and that it waits beyond its deadline for targets that never come.
+// Guards against the failure that a request is granted, or fetches from, a target that it may not use, or waits beyond its deadline.
 func TestGrantsKeepToTheLimits(t *testing.T) {
 	regions := []yuccaid.Region{"coast", "hills", "plain"}
 	var all []yuccagrant.Target
@@ -44,7 +43,8 @@
 				running = append(running, grant.ID)
 				target, found := listed[grant.Target]
 				if !found || !req.Regions.Allows(target.Region) || req.Version != "" && req.Version != target.Version || slices.Contains(req.FailedTargets, target.Name) {
-					t.Fatalf("a request limited to %v and version %q that failed on %v was granted %s in %s of version %s", req.Regions, req.Version, req.FailedTargets, grant.Target, target.Region, target.Version)
+					t.Fatalf("a request limited to %v and version %q that failed on %v was granted %s in %s of version %s",
+						req.Regions, req.Version, req.FailedTargets, grant.Target, target.Region, target.Version)
 				}
 				if from := listed[grant.FetchFrom]; grant.FetchFrom != "" && !req.Regions.Allows(from.Region) {
 					t.Fatalf("a request limited to %v fetches from %s in %q", req.Regions, grant.FetchFrom, from.Region)
--- a/core/yuccagrant/limits_test.go
+++ b/core/yuccagrant/limits_test.go
@@ -36,7 +36,7 @@
 			Expect(dec.Grants).To(HaveLen(1))
 			Expect([]yuccaid.Target{"b", "c"}).To(ContainElement(dec.Grants[0].Target))
 		}
-		Expect(lead.Exclusions(start, newRequest(20, hills))).To(Equal(map[yuccaid.Target]yuccaallow.Exclusion{
+		Expect(exclusionsOf(lead.Forecast(start, newRequest(20, hills)))).To(Equal(map[yuccaid.Target]yuccaallow.Exclusion{
 			"a": yuccaallow.OtherRegion, "b": yuccaallow.Allowed, "c": yuccaallow.Allowed, "d": yuccaallow.OtherRegion,
 		}))
 	})
@@ -51,8 +51,7 @@
 		}
 	})
 
-	// Guards against the failure that all requests of a region are refused when its targets, which register
-	// again within two seconds, expire in an outage of the platform.
+	// Guards against the failure that all requests of a region are refused when its targets expire in an outage and register again.
 	It("waits for targets that have just left, and is refused if they don't come back", func() {
 		lead := newLeader(target("a", "coast", 2), target("b", "hills", 2))
 		lead.SetTargets(start, []yuccagrant.Target{target("a", "coast", 2)})
@@ -84,8 +83,7 @@
 		Expect(dec.Refusals[0].Reason).To(Equal(yuccagrant.ReasonNoTarget))
 	})
 
-	// Guards against the failure that a daemon which decides without its leader has no slot in a region, so that requests
-	// which may be served only there wait until they are refused.
+	// Guards against the failure that a daemon which decides without its leader has no slot in the only region that requests may use.
 	It("has a slot in them however many leaders share the targets", func() {
 		for seed := range uint64(50) {
 			lead := yuccagrant.New(rand.New(rand.NewPCG(seed, 1)))
--- a/core/yuccagrant/ramp.go
+++ b/core/yuccagrant/ramp.go
@@ -1,20 +1,17 @@
 package yuccagrant
 
-import (
-	"time"
+import "time"
 
-	"yuccacleat/core/yuccaallow"
+const (
+	// untriedWait is how long a leader leaves a new target of another data centre to the leader there. If all leaders
+	// began with the target at once, each with one request, a target with few slots would get more than it can take.
+	untriedWait = 600 * time.Millisecond
+	// maxTrialBackoff bounds the time for which a target that failed gets no requests from the leader of its data centre.
+	// That leader tries it for all others, with one request at a time.
+	maxTrialBackoff = time.Second
 )
 
-// untriedWait is how long a leader leaves a new target of another data centre to the leaders there. If all leaders began
-// with the target at once, each with one request, a target with few slots would get more than it can take.
-const untriedWait = 600 * time.Millisecond
-
-// maxTrialBackoff bounds the time for which a target that failed gets no requests from the leader of its data centre. That
-// leader tries it for all others, with one request at a time.
-const maxTrialBackoff = time.Second
-
-// beginRamp bounds the runs on a target that has just started.
+// beginRamp bounds the runs on a target that has just started by a window.
 func (tgt *targetState) beginRamp(now time.Time) {
 	if !tgt.Ramped {
 		return
@@ -25,7 +22,7 @@
 	}
 }
 
-// failRamp bounds the runs on a target that failed, until it answers.
+// failRamp bounds the runs on a target that failed to one at a time until it answers.
 func (tgt *targetState) failRamp(now time.Time) {
 	if tgt.Ramped {
 		tgt.window.Fail(now)
@@ -40,8 +37,8 @@
 	return maxBackoff
 }
 
-// recordTried records whether the leader of the target's data centre knows its pace. As soon as it does, the target gets
-// requests of this leader too.
+// recordTried records whether the leader of the target's own data centre has learned its pace. Once it has, this leader
+// sends requests to the target too.
 func (tgt *targetState) recordTried(tried bool) {
 	if tried && !tgt.tried && tgt.Ramped {
 		tgt.untriedUntil, tgt.backoffUntil = time.Time{}, time.Time{}
@@ -49,11 +46,8 @@
 	tgt.tried = tried
 }
 
-// withinWindow reports whether the target may get one more run as far as is known of what it can take.
+// withinWindow reports whether the target's window allows one more run.
 func (tgt *targetState) withinWindow(now time.Time) bool {
-	if now.Before(tgt.untriedUntil) {
-		return false
-	}
 	if tgt.window.Size(now) == 0 {
 		return true
 	}
@@ -71,17 +65,3 @@
 	tgt.cold.Answered(now, run.sent, tgt.Budget.Limit)
 	tgt.window.Answer(now, took, run.dueAfter, tgt.maxRuns())
 }
-
-// heldBack returns why nothing is sent to the target, although it is neither full nor backing off, or
-// yuccaallow.Allowed.
-func (tgt *targetState) heldBack(now time.Time) yuccaallow.Exclusion {
-	switch {
-	case !tgt.withinBudget(now):
-		return Cold
-	case now.Before(tgt.untriedUntil):
-		return Untried
-	case !tgt.withinWindow(now):
-		return Window
-	}
-	return yuccaallow.Allowed
-}
--- a/core/yuccagrant/share_test.go
+++ b/core/yuccagrant/share_test.go
@@ -36,15 +36,14 @@
 }
 
 var _ = Describe("daemons that decide without their leader", func() {
-	// Their leader has just failed, and each daemon decides by itself. If each took a slot of every
-	// target, targets would be sent several times as many requests as they have slots.
+	// Guards against the failure that each daemon takes a slot of every target, so that targets get several times as many requests as they have slots.
 	It("use as many slots together as there are", func() {
 		sum, fewest := sharedSlots(48)
 		Expect(sum).To(BeNumerically("~", 48*4, 48))
 		Expect(fewest).To(BeNumerically(">", 0))
 	})
 
-	// A daemon whose share of a small pool is nothing would refuse all of its requests.
+	// Guards against the failure that a daemon has no share of a small pool and refuses all of its requests.
 	It("all have some slots of a small pool", func() {
 		_, fewest := sharedSlots(3)
 		Expect(fewest).To(BeNumerically(">", 0))
--- a/core/yuccagrant/speed_test.go
+++ b/core/yuccagrant/speed_test.go
@@ -52,8 +52,7 @@
 func contrary(slowness float64) float64 { return 5 - slowness }
 
 var _ = Describe("callers of targets whose speed changes by the moment", func() {
-	// Without the figure a fifth of the requests would meet a target in a slow moment. With six leaders
-	// that all chose the target which has become fast last, they would queue there instead.
+	// Guards against the failure that requests meet slow moments, or that all leaders choose the target that has just become fast.
 	DescribeTable("are late less often if the targets state their speed", func(centres int, rate, lateShare float64) {
 		stated, unstated := 0.0, 0.0
 		for seed := range uint64(3) {
@@ -69,7 +68,7 @@
 		Entry("one leader of a pool that is nearly full", 1, 240.0, 0.8), Entry("six leaders of a pool that is nearly full", 6, 240.0, 0.97),
 	)
 
-	// If false figures were believed, callers would be sent to the slow targets.
+	// Guards against the failure that false figures are believed, so that callers are sent to slow targets.
 	It("lose nothing by targets that state the contrary of the truth", func() {
 		for seed := range uint64(3) {
 			lying, unstated := unsteadyPool(seed, 6, contrary), unsteadyPool(seed, 6, nil)
--- a/core/yuccagrant/lacking_test.go
+++ b/core/yuccagrant/targetless_test.go
@@ -10,9 +10,8 @@
 	"yuccacleat/core/yuccagrant"
 )
 
-// serveWithout has six data centres serve a load that the targets of five can just bear, since the last one has none. It
-// returns the share of requests that were served on time, of the callers of that data centre and of all others. If the
-// leader without targets doesn't know that they are in other data centres, it competes with their leaders anyway.
+// serveWithout has six data centres, of which the last one has no targets, serve a load that the targets of the others can
+// just bear. It returns the share of requests that were served on time, of the callers of that data centre and of all others.
 func serveWithout(seed uint64) (without, others float64) {
 	const centres, enginesPerCentre, rate = 6, 4, 170
 	sim := newSimulation(seed, newEngines(4, make([]float64, (centres-1)*enginesPerCentre)...)...)
@@ -46,8 +45,7 @@
 }
 
 var _ = Describe("a data centre without targets", func() {
-	// Guards against the failure that the callers of a data centre whose targets have crashed or are evacuated wait until
-	// they are refused, because the leaders of the others fill their targets first.
+	// Guards against the failure that callers of a data centre without targets are refused, because other leaders fill their own targets first.
 	It("is served about as well as the others while all are busy", func() {
 		for seed := range uint64(3) {
 			without, others := serveWithout(seed)
--- a/core/yuccagrant/waiting_test.go
+++ b/core/yuccagrant/waiting_test.go
@@ -23,8 +23,7 @@
 		return lead.finish(now, running[0]).Number
 	}
 
-	// Requests keep arriving faster than they are served. If all that can still be on time went first, an
-	// urgent request that has become late would wait until its caller leaves.
+	// Guards against the failure that an urgent request that has become late waits until its caller leaves, because others can still be on time.
 	It("goes before less urgent ones that are on time", func() {
 		Expect(nextOf(urgent, other)).To(Equal(uint64(1)))
 	})
--- a/core/yuccagrant/world_test.go
+++ b/core/yuccagrant/world_test.go
@@ -131,8 +131,8 @@
 	lastCast time.Time
 	// demand, if set, holds the share of the requests that comes to each data centre.
 	demand []float64
-	// secretive is set if the leaders don't tell one another of failing targets.
-	secretive bool
+	// isolated is set if the leaders don't report failing targets to one another.
+	isolated bool
 	// centreOf, if set, returns the number of the data centre that an engine is in.
 	centreOf func(eng *engine) int
 	engines  []*engine
--- a/core/yuccaspeed/model.go
+++ b/core/yuccaspeed/model.go
@@ -6,7 +6,7 @@
 )
 
 const (
-	// minFactor and maxFactor bound a stated figure, so that a single wrong one has little effect.
+	// minFactor and maxFactor clamp a stated figure, so that a single wrong one has little effect.
 	minFactor = 0.2
 	maxFactor = 5.0
 	// meanWeight is the weight of one figure in the mean of all.
@@ -30,7 +30,7 @@
 // Factor is how many times as long as usual work takes.
 type Factor float64
 
-// Reading is the last figure that a target has stated, and when. It is the zero value if the target has
+// Reading is the last figure that a target has stated, and when. The zero value is that of a target that has
 // stated none.
 type Reading struct {
 	Factor Factor
@@ -43,37 +43,18 @@
 // Model estimates how long work takes on the targets of a pool. The zero value knows nothing, and
 // expects work to take as long as usual.
 type Model struct {
-	// mean and spread are the mean of the stated figures and their mean squared deviation from it.
-	mean, spread float64
-	samples      int
-	ages         [ageSlots]covariance
-	outcomes     covariance
+	// mean and variance are those of the stated figures.
+	mean, variance float64
+	samples        int
+	// ages relates each figure to the one before it on the same target, by the range of the time between them.
+	ages [ageSlots]regression
+	// outcomes relates how long work took to what the figures said.
+	outcomes regression
 }
 
-// covariance holds the decaying sums for a line through the origin: of the products of what was
-// expected and what was seen, and of the squares of what was expected.
-type covariance struct {
-	weight, products, squares float64
-}
-
-func (cov *covariance) learn(expected, seen, decay float64) {
-	cov.weight = cov.weight*decay + 1
-	cov.products = cov.products*decay + expected*seen
-	cov.squares = cov.squares*decay + expected*expected
-}
-
-// slope returns the slope of the line, from 0 to 1, if prior is added to the squares of what was
-// expected.
-func (cov *covariance) slope(prior float64) float64 {
-	if cov.squares <= 0 {
-		return 0
-	}
-	return min(max(cov.products/(cov.squares+prior), 0), 1)
-}
-
-// Read takes in a figure that a target states now, and returns it as the target's reading. last is the
-// target's reading before.
-func (mod *Model) Read(now time.Time, last Reading, factor Factor) Reading {
+// Observe learns from a figure that a target states now, and returns it as the target's reading. last is
+// the target's reading before. A figure that can't be true is ignored.
+func (mod *Model) Observe(now time.Time, last Reading, factor Factor) Reading {
 	if factor <= 0 || math.IsNaN(float64(factor)) {
 		return last
 	}
@@ -82,10 +63,10 @@
 	weight := max(meanWeight, 1/float64(mod.samples))
 	mod.mean += weight * (float64(factor) - mod.mean)
 	deviation := float64(factor) - mod.mean
-	mod.spread += weight * (deviation*deviation - mod.spread)
+	mod.variance += weight * (deviation*deviation - mod.variance)
 	if last.Known() {
 		if slot, found := ageSlot(now.Sub(last.At)); found {
-			mod.ages[slot].learn(float64(last.Factor)-mod.mean, deviation, pairDecay)
+			mod.ages[slot].add(float64(last.Factor)-mod.mean, deviation, pairDecay)
 		}
 	}
 	return Reading{Factor: factor, At: now}
@@ -101,8 +82,8 @@
 	return 0, false
 }
 
-// holds returns how far a figure of the given age still holds, from 0 to 1.
-func (mod *Model) holds(age time.Duration) float64 {
+// validity returns how far a figure of the given age still holds, from 0 to 1.
+func (mod *Model) validity(age time.Duration) float64 {
 	slot, found := ageSlot(age)
 	if !found || mod.ages[slot].weight < minPairs {
 		return 0
@@ -116,7 +97,7 @@
 	if !reading.Known() || mod.mean <= 0 {
 		return 0
 	}
-	return mod.holds(now.Sub(reading.At)) * (float64(reading.Factor) - mod.mean) / mod.mean
+	return mod.validity(now.Sub(reading.At)) * (float64(reading.Factor) - mod.mean) / mod.mean
 }
 
 // Trust returns how far the stated figures explain how long work takes, from 0 to 1.
@@ -124,11 +105,11 @@
 	if mod.mean <= 0 {
 		return 0
 	}
-	return mod.outcomes.slope(priorOutcomes * mod.spread / (mod.mean * mod.mean))
+	return mod.outcomes.slope(priorOutcomes * mod.variance / (mod.mean * mod.mean))
 }
 
-// Factor returns how many times as long as usual work that begins now is expected to take on a target.
-// Usual is the mean over time, which also a pace learned from answers is.
+// Factor returns how many times as long as usual work that begins now is expected to take on a target. The
+// usual time is the mean over time, as is a pace that is learned from answers.
 func (mod *Model) Factor(now time.Time, reading Reading) Factor {
 	return Factor(1 + mod.Trust()*mod.deviation(now, reading))
 }
@@ -141,12 +122,12 @@
 	return Factor(1 - mod.Trust()*(1-minFactor/mod.mean))
 }
 
-// Learn takes in how long work took that began at the given time, as a ratio to the time that was
-// expected at the usual speed. reading is the target's reading when the work began.
+// Learn learns how far figures can be trusted from how long work took that began at the given time, as a
+// ratio to the time that was expected at the usual speed. reading is the target's reading at that time.
 func (mod *Model) Learn(began time.Time, reading Reading, ratio float64) {
 	expected := mod.deviation(began, reading)
 	if expected == 0 || math.IsNaN(ratio) {
 		return
 	}
-	mod.outcomes.learn(expected, min(max(ratio, 1/maxRatio), maxRatio)-1, outcomeDecay)
+	mod.outcomes.add(expected, min(max(ratio, 1/maxRatio), maxRatio)-1, outcomeDecay)
 }
--- a/core/yuccaspeed/model_test.go
+++ b/core/yuccaspeed/model_test.go
@@ -55,14 +55,14 @@
 			without += math.Pow(1-ratio, 2)
 		}
 		mod.Learn(now, mach.reading, ratio)
-		mach.reading = mod.Read(now, mach.reading, yuccaspeed.Factor(states(rng, mach.at(now))))
+		mach.reading = mod.Observe(now, mach.reading, yuccaspeed.Factor(states(rng, mach.at(now))))
 	}
 	return withFigure / float64(count), without / float64(count)
 }
 
 func truthful(_ *rand.Rand, factor float64) float64 { return factor }
 
-// False figures are drawn anew for each answer, or the opposite of the truth.
+// invented and contrary return false figures: one that is drawn anew for each answer, and the opposite of the truth.
 func invented(rng *rand.Rand, _ float64) float64    { return 1 + 1.5*rng.Float64() }
 func contrary(_ *rand.Rand, factor float64) float64 { return 3.5 - factor }
 
@@ -74,13 +74,14 @@
 		Expect(mod.Trust()).To(BeNumerically(">", 0.7))
 	})
 
-	// If the age of a figure didn't count, work would be sent to targets that were fast a while ago.
+	// Guards against the failure that work is sent to targets that were fast a while ago.
 	It("counts for little if it changes before the next answer", func() {
 		var mod yuccaspeed.Model
 		withFigure, without := observe(&mod, 40*time.Millisecond, truthful)
 		Expect(withFigure).To(BeNumerically("<", 1.02*without))
 	})
 
+	// Guards against the failure that false figures send work to slow targets.
 	DescribeTable("does no harm if it is false", func(states func(*rand.Rand, float64) float64) {
 		var mod yuccaspeed.Model
 		withFigure, without := observe(&mod, 600*time.Millisecond, states)
@@ -91,13 +92,12 @@
 	It("changes nothing if it is missing", func() {
 		var mod yuccaspeed.Model
 		Expect(mod.Factor(time.Now(), yuccaspeed.Reading{})).To(Equal(yuccaspeed.Factor(1)))
-		reading := mod.Read(time.Now(), yuccaspeed.Reading{}, 0)
+		reading := mod.Observe(time.Now(), yuccaspeed.Reading{}, 0)
 		Expect(reading.Known()).To(BeFalse())
 	})
 })
 
-// TestFactorIsBounded guards against figures and outcomes that make a target look infinitely fast or
-// slow, such as zero, huge and negative ones.
+// Guards against the failure that figures and outcomes such as zero, huge and negative ones make a target look infinitely fast or slow.
 func TestFactorIsBounded(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		var mod yuccaspeed.Model
@@ -106,7 +106,7 @@
 		for range rapid.IntRange(1, 200).Draw(rt, "steps") {
 			now = now.Add(time.Duration(rapid.IntRange(0, 2000).Draw(rt, "millis")) * time.Millisecond)
 			mod.Learn(now, reading, rapid.Float64().Draw(rt, "ratio"))
-			reading = mod.Read(now, reading, yuccaspeed.Factor(rapid.Float64().Draw(rt, "figure")))
+			reading = mod.Observe(now, reading, yuccaspeed.Factor(rapid.Float64().Draw(rt, "figure")))
 			factor := float64(mod.Factor(now, reading))
 			if !(factor >= float64(mod.Least())-1e-9 && factor > 0 && factor <= 30) {
 				rt.Fatalf("factor %v, least %v", factor, mod.Least())
