--- a/cmd/yuccameasure/fleet.go
+++ b/cmd/yuccameasure/fleet.go
@@ -1,8 +1,6 @@
 package main
 
 import (
-	"context"
-	"io"
 	"time"
 
 	"github.com/spf13/cobra"
@@ -28,12 +26,10 @@
 	cmd.Flags().Float64Var(&plan.Rate, "rate", 3, "requests a second for each daemon")
 	cmd.Flags().Int64Var(&answer, "answer", 32, "tokens of an answer")
 	cmd.Flags().Float64Var(&decode, "decode", 400, "tokens per second of each answer")
-	cmd.RunE = func(cmd *cobra.Command, _ []string) error {
+	cmd.PreRun = func(*cobra.Command, []string) {
 		plan.Answer, plan.Decode = yuccaid.Tokens(answer), yuccaid.TokenRate(decode)
-		return flags.run(cmd, func(ctx context.Context, programs yuccameasure.Programs, text, lines io.Writer) error {
-			return yuccameasure.Members(ctx, programs, plan, text, lines)
-		})
 	}
+	cmd.RunE = measuring(flags, &plan, yuccameasure.Members)
 	return cmd
 }
 
@@ -51,12 +47,10 @@
 	cmd.Flags().IntSliceVar(&plan.Streams, "streams", []int{0, 125, 250, 375, 500}, "streams held open at once")
 	cmd.Flags().IntVar(&plan.Busy, "busy", 32, "streams at once for the processor time")
 	cmd.Flags().Int64Var(&tokens, "tokens", 64_000, "tokens relayed for each length of answer")
-	cmd.RunE = func(cmd *cobra.Command, _ []string) error {
+	cmd.PreRun = func(*cobra.Command, []string) {
 		plan.Answer, plan.Tokens = yuccaid.Tokens(answer), yuccaid.Tokens(tokens)
-		return flags.run(cmd, func(ctx context.Context, programs yuccameasure.Programs, text, lines io.Writer) error {
-			return yuccameasure.Relay(ctx, programs, plan, text, lines)
-		})
 	}
+	cmd.RunE = measuring(flags, &plan, yuccameasure.Relay)
 	return cmd
 }
 
@@ -70,11 +64,7 @@
 	}
 	cmd.Flags().IntSliceVar(&plan.Targets, "targets", []int{1, 8, 32, 64, 128}, "targets of the pool, one fleet after the other")
 	cmd.Flags().DurationVar(&plan.Quiet, "quiet", 15*time.Second, "time without requests")
-	cmd.RunE = func(cmd *cobra.Command, _ []string) error {
-		return flags.run(cmd, func(ctx context.Context, programs yuccameasure.Programs, text, lines io.Writer) error {
-			return yuccameasure.Polls(ctx, programs, plan, text, lines)
-		})
-	}
+	cmd.RunE = measuring(flags, &plan, yuccameasure.Polls)
 	return cmd
 }
 
@@ -90,11 +80,7 @@
 	cmd.Flags().IntVar(&plan.Notes, "notes", 100, "release notes published one by one")
 	cmd.Flags().DurationVar(&plan.Quiet, "quiet", 70*time.Second, "time without notes; watches last up to a minute")
 	cmd.Flags().DurationVar(&plan.Outage, "outage", 20*time.Second, "time that the platform's service is away")
-	cmd.RunE = func(cmd *cobra.Command, _ []string) error {
-		return flags.run(cmd, func(ctx context.Context, programs yuccameasure.Programs, text, lines io.Writer) error {
-			return yuccameasure.Config(ctx, programs, plan, text, lines)
-		})
-	}
+	cmd.RunE = measuring(flags, &plan, yuccameasure.Config)
 	return cmd
 }
 
@@ -109,10 +95,6 @@
 	cmd.Flags().IntVar(&plan.Daemons, "daemons", 7, "daemons of the fleet")
 	cmd.Flags().IntVar(&plan.Notes, "notes", 10, "release notes published one by one")
 	cmd.Flags().IntVar(&plan.Newcomers, "newcomers", 3, "daemons that join, one after the other")
-	cmd.RunE = func(cmd *cobra.Command, _ []string) error {
-		return flags.run(cmd, func(ctx context.Context, programs yuccameasure.Programs, text, lines io.Writer) error {
-			return yuccameasure.Full(ctx, programs, plan, text, lines)
-		})
-	}
+	cmd.RunE = measuring(flags, &plan, yuccameasure.Full)
 	return cmd
 }
--- a/cmd/yuccameasure/main.go
+++ b/cmd/yuccameasure/main.go
@@ -45,13 +45,28 @@
 	root.PersistentFlags().StringVar(&flags.programs, "programs", "", "directory with yuccacleat and yuccastand; built by go when empty")
 	root.PersistentFlags().StringVar(&flags.lines, "lines", "", "file to which JSON lines are added")
 	root.PersistentFlags().DurationVar(&flags.limit, "limit", 10*time.Minute, "longest time that the measurement may take")
-	root.AddCommand(relayCommand(flags), membersCommand(flags), pollsCommand(flags), configCommand(flags), fullCommand(flags), stateCommand(flags), worthCommand(flags), lossesCommand(flags))
+	root.AddCommand(
+		relayCommand(flags), membersCommand(flags), pollsCommand(flags), configCommand(flags), fullCommand(flags),
+		stateCommand(flags), worthCommand(flags), lossesCommand(flags),
+	)
 	return root
 }
 
 // measurement runs with the programs' paths and writes its tables.
 type measurement func(ctx context.Context, programs yuccameasure.Programs, text, lines io.Writer) error
 
+// plannedMeasurement runs with the programs' paths by a plan and writes its tables.
+type plannedMeasurement[Plan any] func(ctx context.Context, programs yuccameasure.Programs, plan Plan, text, lines io.Writer) error
+
+// measuring returns the RunE function of a command that measures by a plan, which the command's flags set.
+func measuring[Plan any](flags *common, plan *Plan, measure plannedMeasurement[Plan]) func(*cobra.Command, []string) error {
+	return func(cmd *cobra.Command, _ []string) error {
+		return flags.run(cmd, func(ctx context.Context, programs yuccameasure.Programs, text, lines io.Writer) error {
+			return measure(ctx, programs, *plan, text, lines)
+		})
+	}
+}
+
 // run finds the programs, opens the file of lines and bounds the time.
 func (flags *common) run(cmd *cobra.Command, measure measurement) error {
 	ctx, stop := context.WithTimeout(cmd.Context(), flags.limit)
