--- /dev/null
+++ b/io/yuccagate/callerconn.go
@@ -0,0 +1,162 @@
+package yuccagate
+
+import (
+	"io"
+	"net"
+	"sync"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// longAgo is a read deadline that interrupts a reader.
+var longAgo = time.Unix(0, 0)
+
+// callerConn is one connection of a caller.
+type callerConn struct {
+	net.Conn
+	listener *Listener
+
+	// began reports whether Read has been called. It belongs to the reader.
+	began bool
+
+	mu sync.Mutex
+	// idleSince is when the connection became idle after its last response. It is zero before the
+	// first response has ended, and while a request is being read or served.
+	idleSince time.Time
+	// busy reports whether bytes of a request have arrived whose response has not ended.
+	busy bool
+	// closing reports whether closeIdle has interrupted the reader, which closes the connection
+	// unless bytes have arrived.
+	closing bool
+}
+
+// Read reads from the connection, and marks it as in use once a byte has arrived. If closeIdle has
+// interrupted it and no byte has arrived, Read returns an error, after which the server closes the
+// connection. The first Read closes the connection if its request may not be read.
+func (conn *callerConn) Read(buf []byte) (int, error) {
+	if !conn.began {
+		conn.began = true
+		if !conn.listener.reads(conn.Conn) {
+			conn.reject()
+			return 0, io.EOF
+		}
+	}
+	for {
+		n, err := conn.Conn.Read(buf)
+		if again := conn.afterRead(n); !again {
+			return n, err
+		}
+	}
+}
+
+// reject closes the connection with its request unread. The kernel resets the connection of a caller whose request has
+// arrived, so that the caller can't take the end for a response.
+func (conn *callerConn) reject() {
+	conn.listener.onRejected(time.Now(), rejectedMemory)
+	_ = conn.Close()
+}
+
+// afterRead records that n bytes were read. It reports whether to read again because closeIdle has
+// interrupted the read although bytes have arrived.
+func (conn *callerConn) afterRead(n int) (again bool) {
+	conn.mu.Lock()
+	defer conn.mu.Unlock()
+	if n > 0 {
+		conn.idleSince = time.Time{}
+		conn.busy = true
+	}
+	if !conn.closing || n == 0 && !hasUnread(conn.Conn) {
+		return false
+	}
+	conn.closing = false
+	conn.listener.markClosing(conn, false)
+	_ = conn.Conn.SetReadDeadline(time.Time{})
+	return n == 0
+}
+
+// SetReadDeadline sets the read deadline, unless the reader has been interrupted.
+func (conn *callerConn) SetReadDeadline(deadline time.Time) error {
+	conn.mu.Lock()
+	defer conn.mu.Unlock()
+	if conn.closing {
+		return nil
+	}
+	return conn.Conn.SetReadDeadline(deadline)
+}
+
+func (conn *callerConn) isBusy() bool {
+	conn.mu.Lock()
+	defer conn.mu.Unlock()
+	return conn.busy || conn.closing || hasUnread(conn.Conn)
+}
+
+// Close closes the connection and removes it from the listener's open connections.
+func (conn *callerConn) Close() error {
+	conn.listener.remove(conn)
+	return conn.Conn.Close()
+}
+
+// markIdle records that the connection is idle as of now.
+func (conn *callerConn) markIdle(now time.Time) {
+	// The write deadline of the last response must not apply to the next response. If the head of
+	// the next request can't be read, the server responds with an error without setting a new
+	// deadline.
+	_ = conn.Conn.SetWriteDeadline(time.Time{})
+	conn.mu.Lock()
+	defer conn.mu.Unlock()
+	conn.idleSince = now
+	conn.busy = false
+}
+
+// idleStart returns when the connection became idle, or zero if the connection isn't idle.
+func (conn *callerConn) idleStart() time.Time {
+	conn.mu.Lock()
+	defer conn.mu.Unlock()
+	return conn.idleSince
+}
+
+// closeIdle has the connection closed if it became idle at the given time or earlier and is still
+// idle. A process that gets little processor time may not have read a request that has arrived
+// already; such a connection isn't idle.
+func (conn *callerConn) closeIdle(since time.Time) {
+	conn.mu.Lock()
+	defer conn.mu.Unlock()
+	if conn.closing || conn.idleSince.IsZero() || conn.idleSince.After(since) || hasUnread(conn.Conn) {
+		return
+	}
+	conn.closing = true
+	conn.listener.markClosing(conn, true)
+	_ = conn.Conn.SetReadDeadline(longAgo)
+}
+
+// closeUnused has the connection closed if no request, or part of one, has arrived whose response has not
+// ended.
+func (conn *callerConn) closeUnused(now time.Time) {
+	conn.mu.Lock()
+	if !conn.busy && conn.idleSince.IsZero() {
+		conn.idleSince = now
+	}
+	conn.mu.Unlock()
+	conn.closeIdle(now)
+}
+
+// hasUnread reports whether bytes have arrived on a connection that nobody has read. It doesn't wait for
+// a read that is under way.
+func hasUnread(conn net.Conn) bool {
+	sys, ok := conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := sys.SyscallConn()
+	if err != nil {
+		return false
+	}
+	count := 0
+	err = raw.Control(func(fd uintptr) {
+		var one [1]byte
+		count, _, _ = unix.Recvfrom(int(fd), one[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+	})
+	return err == nil && count > 0
+}
--- a/io/yuccagate/listener_test.go
+++ b/io/yuccagate/listener_test.go
@@ -38,7 +38,7 @@
 		{"none at all", []time.Duration{0, 0}, -1},
 	} {
 		t.Run(test.name, func(t *testing.T) {
-			lis := NewListener(nil, len(test.idle), func(time.Time, rejection) {})
+			lis := NewListener(nil, len(test.idle), func(time.Time, Rejection) {})
 			conns := make([]*closable, len(test.idle))
 			for at, idle := range test.idle {
 				caller, accepted := net.Pipe()
@@ -82,7 +82,7 @@
 		t.Fatal(err)
 	}
 	defer inner.Close()
-	lis := NewListener(inner, 1, func(time.Time, rejection) {})
+	lis := NewListener(inner, 1, func(time.Time, Rejection) {})
 	caller, err := net.Dial("tcp", inner.Addr().String())
 	if err != nil {
 		t.Fatal(err)
@@ -187,7 +187,7 @@
 	}
 	defer inner.Close()
 	asked, rejected := 0, 0
-	lis := NewListener(inner, 0, func(time.Time, rejection) { rejected++ }, AdmitIf(func() bool {
+	lis := NewListener(inner, 0, func(time.Time, Rejection) { rejected++ }, AdmitIf(func() bool {
 		asked++
 		return asked > 1
 	}))
--- a/io/yuccagate/memory.go
+++ b/io/yuccagate/memory.go
@@ -67,7 +67,7 @@
 
 // connRejected records that a caller's connection was rejected. The rejection is logged only if no
 // other connection was rejected within rejectedNotReadyFor before it.
-func (gate *Gate) connRejected(now time.Time, reason rejection) {
+func (gate *Gate) connRejected(now time.Time, reason Rejection) {
 	gate.metrics.connRejected(reason)
 	if previous := gate.callerRejectedAt.Swap(&now); previous == nil || now.Sub(*previous) > rejectedNotReadyFor {
 		gate.log.stateChange("callers turned away", "reason", reason, "connections", gate.processBounds.CallerConnections)
--- a/io/yuccagate/metrics.go
+++ b/io/yuccagate/metrics.go
@@ -98,7 +98,7 @@
 	met.set.GetOrCreateCounter(fmt.Sprintf("yuccacleat_gate_grants_declined_total{reason=%q}", why)).Inc()
 }
 
-func (met *metrics) connRejected(reason rejection) {
+func (met *metrics) connRejected(reason Rejection) {
 	met.set.GetOrCreateCounter(fmt.Sprintf("yuccacleat_gate_connections_turned_away_total{reason=%q}", reason)).Inc()
 }
 
--- a/io/yuccagate/serve.go
+++ b/io/yuccagate/serve.go
@@ -41,7 +41,13 @@
 
 // Serve starts serving callers on the listener.
 func (gate *Gate) Serve(inner net.Listener) *Server {
-	srv := &Server{gate: gate, listener: NewListener(inner, gate.processBounds.CallerConnections, gate.connRejected, AdmitIf(func() bool { return !gate.pressure.turnsAway(mathrand.Float64()) }), ReadIf(gate.hasRoomFor)), errs: make(chan error, 1), stop: make(chan struct{})}
+	admits := func() bool { return !gate.pressure.turnsAway(mathrand.Float64()) }
+	srv := &Server{
+		gate:     gate,
+		listener: NewListener(inner, gate.processBounds.CallerConnections, gate.connRejected, AdmitIf(admits), ReadIf(gate.hasRoomFor)),
+		errs:     make(chan error, 1),
+		stop:     make(chan struct{}),
+	}
 	srv.http = &http.Server{
 		Handler:           gate,
 		ReadHeaderTimeout: headTimeout,
