A sum over a window tells when an amount leaves it, not one bucket later

Cause: ExpiresIn began with one bucket before it looked at the first, so even an amount in the oldest bucket left after two. Change: it counts the buckets that have to expire, up to and including the newest one. Ruled out: a finer window; a bucket of a thirty-second part is close enough. Before: the new spec fails at age 1 s. After: it passes, with the package's oracle.

--- a/core/yuccawindow/window.go
+++ b/core/yuccawindow/window.go
@@ -102,8 +102,8 @@
 // to whole buckets and at most the span of the window.
 func (sum *Sum) ExpiresIn(amount int64) time.Duration {
 	bucketSpan := sum.span / buckets
-	wait := bucketSpan
-	for number := sum.current + 1; number < sum.current+buckets && amount > 0; number++ {
+	wait := time.Duration(0)
+	for number := sum.current + 1; number <= sum.current+buckets && amount > 0; number++ {
 		amount -= sum.amounts[number%buckets]
 		wait += bucketSpan
 	}
--- a/core/yuccawindow/window_test.go
+++ b/core/yuccawindow/window_test.go
@@ -93,4 +93,20 @@
 		sum.AddHalfWindowAgo(5)
 		Expect(sum.ExpiresIn(5)).To(BeNumerically("~", 16*time.Second, time.Second))
 	})
+
+	// Guards against the failure that callers are told to wait for one bucket longer than an amount stays.
+	It("returns the time at which an amount leaves, and no later one", func() {
+		for age := range 32 {
+			var sum yuccawindow.Sum
+			sum.Advance(now, 32*time.Second)
+			sum.Add(5)
+			asked := now.Add(time.Duration(age) * time.Second)
+			sum.Advance(asked, 32*time.Second)
+			wait := sum.ExpiresIn(5)
+			sum.Advance(asked.Add(wait-time.Second), 32*time.Second)
+			Expect(sum.Total()).To(Equal(int64(5)), "age %d s", age)
+			sum.Advance(asked.Add(wait), 32*time.Second)
+			Expect(sum.Total()).To(BeZero(), "age %d s", age)
+		}
+	})
 })
