--- a/core/yuccaquota/admit.go
+++ b/core/yuccaquota/admit.go
@@ -91,14 +91,11 @@
 		win.demand.addLocalDaemon(int64(cost))
 		answer.Demand, answer.DemandLimit = win.demand.all.Total(), int64(led.demandLimit(now, win))
 	}
-	answer.Verdict = led.decide(now, account, win, cost, limit, as)
+	answer.Verdict, answer.RetryAfter = led.decide(now, account, win, cost, limit, as)
 	// A single request is never held, even if its cost alone exceeds DemandLimit.
 	if answer.Verdict == Admitted && answer.Demand > max(answer.DemandLimit, int64(cost)) {
 		answer.Verdict, answer.RetryAfter = led.decideWithoutHistory(now, win, cost, limit)
 	}
-	if answer.Verdict == WindowFull || answer.Verdict == ShareUsed {
-		answer.RetryAfter = led.retryAfter(now, win, cost, limit, rank, as, answer.Verdict)
-	}
 	answer.OverQuota = float64(win.admitted.all.Total())+cost > led.quotaLimit(win.quota)
 	if answer.Verdict == Admitted {
 		win.admitted.addLocalDaemon(int64(cost))
@@ -117,16 +114,16 @@
 
 // decide returns the verdict on a request of the given cost under the given limit. It ignores whether
 // usage history was lost.
-func (led *Ledger) decide(now time.Time, account yuccaid.Account, win *accountWindow, cost, limit float64, as role) Verdict {
+func (led *Ledger) decide(now time.Time, account yuccaid.Account, win *accountWindow, cost, limit float64, as role) (verdict Verdict, retryAfter time.Duration) {
 	used := float64(win.admitted.all.Total())
 	remaining := limit - used
 	switch {
 	case used > 0 && cost > remaining:
-		return WindowFull
+		return WindowFull, clampRetryAfter(win.admitted.all.ExpiresIn(int64(cost - remaining)))
 	case !led.withinShare(now, account, win, cost, remaining, as):
-		return ShareUsed
+		return ShareUsed, clampRetryAfter(led.reportDelay[as])
 	}
-	return Admitted
+	return Admitted, 0
 }
 
 // clampRetryAfter limits a retry-after to the range from minRetryAfter to maxRetryAfter.
--- a/core/yuccaquota/ledger.go
+++ b/core/yuccaquota/ledger.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"yuccacleat/core/yuccaid"
-	"yuccacleat/core/yuccareturn"
 	"yuccacleat/core/yuccaroute"
 	"yuccacleat/core/yuccawindow"
 )
@@ -112,16 +111,6 @@
 	lastLotteryInterval int64
 	// averageCost is the moving average of the cost of the requests that this daemon has received.
 	averageCost float64
-	// returns plans when callers that this daemon has refused come back, for each role.
-	returns [roles]yuccareturn.Plan
-}
-
-func newAccountWindow() *accountWindow {
-	win := &accountWindow{}
-	for as := range win.returns {
-		win.returns[as] = yuccareturn.New(maxRetryAfter)
-	}
-	return win
 }
 
 // Option configures a Ledger.
@@ -192,7 +181,7 @@
 		known[account.Name] = true
 		win := led.windows[account.Name]
 		if win == nil {
-			win = newAccountWindow()
+			win = &accountWindow{}
 			led.windows[account.Name] = win
 		}
 		led.advance(now, win)
--- a/core/yuccaquota/report.go
+++ b/core/yuccaquota/report.go
@@ -39,7 +39,7 @@
 func (led *Ledger) windowFor(now time.Time, account yuccaid.Account) *accountWindow {
 	win := led.windows[account]
 	if win == nil && !led.configured && len(led.windows) < maxUnconfigured {
-		win = newAccountWindow()
+		win = &accountWindow{}
 		led.windows[account] = win
 	}
 	if win != nil {
--- a/core/yuccaquota/share.go
+++ b/core/yuccaquota/share.go
@@ -40,6 +40,12 @@
 
 // withinShare returns true if this daemon may admit a request of the given cost, because the cost is
 // within the daemon's share of the remaining quota or because an exception for long requests applies.
+// The share is the mean of two fractions: the even share of the daemons that admit requests in the
+// same role, and the fraction of the account's usage that this daemon stands for, which is its own
+// usage or, if it leads the account, the usage of its data centre. That usage is counted without the
+// usage that this daemon has admitted within the last report delay. If no other usage is known, the
+// share is the even share.
+//
 // decide has already refused a cost above the remaining quota, unless the window is empty. A single
 // daemon has no peers to share with, so for it withinShare always returns true.
 //
@@ -47,16 +53,26 @@
 // its share, so that together they admit no more than the remaining quota and the reserve.
 func (led *Ledger) withinShare(now time.Time, account yuccaid.Account, win *accountWindow, cost, remaining float64, as role) bool {
 	recent := float64(win.recent[as].Total())
-	sharers := led.sharers(as)
+	sharers, own := led.daemons, &win.admitted.localDaemon
+	if as == leader {
+		sharers, own = led.leaders, &win.admitted.localCentre
+	}
 	// If the window is empty, a request is admitted even if it costs more than the whole limit, because
 	// it could never be admitted otherwise.
 	if sharers == 1 || win.admitted.all.Total() == 0 && cost > remaining {
 		return true
 	}
+	evenShare := 1 / float64(sharers)
+	share := evenShare
+	// The usage of the last report delay is left out. The other daemons don't know yet what this daemon
+	// has admitted in that time, and it doesn't know what they have admitted.
+	if reported := float64(win.admitted.all.Total()) - recent; reported > 0 {
+		share = (evenShare + max(float64(own.Total())-recent, 0)/reported) / 2
+	}
 	// The share applies to the quota that remained before this daemon admitted recent. Therefore
 	// recent is added to remaining here, and is counted against the share below.
 	remaining += recent
-	fairShare := led.roleShare(win, as) * min(shareFactor*remaining, remaining+usableReserveShare*led.reserve(win))
+	fairShare := share * min(shareFactor*remaining, remaining+usableReserveShare*led.reserve(win))
 	switch {
 	case recent+cost <= fairShare:
 		return true
@@ -74,34 +90,6 @@
 	return led.lottery(now, account, win, cost, fairShare-recent, as)
 }
 
-// sharers returns the number of daemons that admit requests in the given role.
-func (led *Ledger) sharers(as role) int {
-	if as == leader {
-		return led.leaders
-	}
-	return led.daemons
-}
-
-// roleShare returns this daemon's share of an account's remaining quota. It is the mean of two fractions: the
-// even share of the daemons that admit requests in the same role, and the fraction of the account's usage that
-// this daemon stands for, which is its own usage or, if it leads the account, the usage of its data centre.
-// That usage is counted without the usage that this daemon has admitted within the last report delay: the
-// other daemons don't know yet of that usage, and it doesn't know what they have admitted in that time. If no
-// other usage is known, the share is the even share.
-func (led *Ledger) roleShare(win *accountWindow, as role) float64 {
-	recent := float64(win.recent[as].Total())
-	evenShare := 1 / float64(led.sharers(as))
-	own := &win.admitted.localDaemon
-	if as == leader {
-		own = &win.admitted.localCentre
-	}
-	reported := float64(win.admitted.all.Total()) - recent
-	if reported <= 0 {
-		return evenShare
-	}
-	return (evenShare + max(float64(own.Total())-recent, 0)/reported) / 2
-}
-
 // fitsBesidePeers reports whether there is enough quota left for a long request at a daemon that has
 // used little of its share, even if each other daemon admits assumedPeerRequests requests of
 // average cost at the same moment.
@@ -111,12 +99,8 @@
 // the remaining quota suffices. If one daemon refused the prompt, the next daemon would refuse the
 // retry for the same reason.
 func (led *Ledger) fitsBesidePeers(win *accountWindow, sharers int, cost, remaining float64) bool {
-	return cost+win.peerCost(sharers) <= remaining+usableReserveShare*led.reserve(win)
-}
-
-// peerCost returns what the other daemons are assumed to admit at the same time as a long request.
-func (win *accountWindow) peerCost(sharers int) float64 {
-	return assumedPeerRequests * float64(sharers-1) * win.averageCost
+	peerCost := assumedPeerRequests * float64(sharers-1) * win.averageCost
+	return cost+peerCost <= remaining+usableReserveShare*led.reserve(win)
 }
 
 // lottery reports whether a request that exceeds the remaining part of this daemon's share wins a
