--- a/core/yuccagrant/leader.go
+++ b/core/yuccagrant/leader.go
@@ -9,7 +9,6 @@
 
 	"yuccacleat/core/yuccacache"
 	"yuccacleat/core/yuccaid"
-	"yuccacleat/core/yuccareturn"
 	"yuccacleat/core/yuccaspeed"
 )
 
@@ -48,7 +47,7 @@
 	lengthModel  lengthModel
 	sizeStats    sizeStats
 	arrivals     arrivals
-	returns      yuccareturn.Plan
+	returns      returns
 	// speeds estimates from what targets state how long work takes there at the moment.
 	speeds yuccaspeed.Model
 	// parts finds the targets that hold the parts of a prompt. generation counts the requests for
@@ -70,7 +69,7 @@
 
 // New returns a leader without targets. SetTargets sets them.
 func New(rng *rand.Rand) *Leader {
-	return &Leader{rng: rng, leaderCount: 1, centreCount: 1, runs: make(map[ID]*activeRun), queue: newQueue(), lengthModel: newLengthModel(), sizeStats: newSizeStats(), arrivals: newArrivals(), returns: yuccareturn.New(maxRetryAfter), parts: yuccacache.NewIndex[*targetState](), fetches: fetches{success: 1}}
+	return &Leader{rng: rng, leaderCount: 1, centreCount: 1, runs: make(map[ID]*activeRun), queue: newQueue(), lengthModel: newLengthModel(), sizeStats: newSizeStats(), arrivals: newArrivals(), returns: newReturns(), parts: yuccacache.NewIndex[*targetState](), fetches: fetches{success: 1}}
 }
 
 // SetTargets sets the targets. What was learned of a target is kept until its process is
--- a/core/yuccagrant/refuse.go
+++ b/core/yuccagrant/refuse.go
@@ -5,17 +5,6 @@
 	"math"
 	"slices"
 	"time"
-
-	"yuccacleat/core/yuccareturn"
-)
-
-const (
-	// minRetryAfter and maxRetryAfter bound the time after which a refused caller is told to
-	// retry. retryJitter is the share of that time by which it is randomly extended, because the
-	// leaders of several data centres know nothing of the callers that others have refused.
-	minRetryAfter = 300 * time.Millisecond
-	maxRetryAfter = 8 * time.Second
-	retryJitter   = 0.25
 )
 
 // cannotMeetDeadline reports whether a waiting request should be refused now because its first
@@ -134,7 +123,7 @@
 		wait = max(wait, noTargetGrace)
 	case capacity > minCapacity:
 		left := capacity * caps.left(entry.limits(), lead.arrivals.ahead(now, entry, entry.sortKey))
-		wait = lead.returns.Next(now, yuccareturn.Urgency{Tier: entry.Tier, Rank: entry.effectiveRank()}, wait, seconds(entry.expectedWork/left))
+		wait = lead.returns.plan(now, urgency{entry.Tier, entry.effectiveRank()}, wait, seconds(entry.expectedWork/left))
 	}
 	wait = min(max(wait, minRetryAfter), maxRetryAfter)
 	return wait + time.Duration(lead.rng.Float64()*retryJitter*float64(wait))
