--- a/core/yuccaroster/entry.go
+++ b/core/yuccaroster/entry.go
@@ -76,7 +76,8 @@
 func (entry Entry) EncodeMsgpack(enc *msgpack.Encoder) error {
 	fields := []any{
 		"target", entry.Target, "pool", entry.Pool, "address", entry.Address, "centre", entry.Centre, "slots", entry.Slots,
-		"leaving", entry.Leaving, "born", entry.StartMillis, "warmAfter", entry.WarmAfter, "statesWarmAfter", entry.StatesWarmAfter, "revision", entry.Revision, "version", entry.Version,
+		"leaving", entry.Leaving, "born", entry.StartMillis, "warmAfter", entry.WarmAfter, "statesWarmAfter", entry.StatesWarmAfter,
+		"revision", entry.Revision, "version", entry.Version,
 	}
 	if err := enc.EncodeMapLen(len(fields) / 2); err != nil {
 		return err
