yuccagate, yuccawire: one comment a field, literals and log lines that can be read

The fields of Outlook, of the reports of sends and of the memory shortage were described two and three at a time in lines of 130 characters. refusalSpan -> refusalDecay, which is a time constant. Heads of tests say in one line which failure they guard against.

--- a/io/yuccagate/attempt.go
+++ b/io/yuccagate/attempt.go
@@ -70,7 +70,10 @@
 
 // newAttempt returns an attempt at a granted target, and counts it.
 func (req *callerRequest) newAttempt(ctx context.Context, plc *placement, dec decision, lastEventID string) *attempt {
-	att := &attempt{req: req, plc: plc, dec: dec, sentAt: time.Now(), lastEventID: lastEventID, holdBytes: copyBufferBytes, buffer: req.takeEventBuffer(), done: make(chan struct{})}
+	att := &attempt{
+		req: req, plc: plc, dec: dec, sentAt: time.Now(), lastEventID: lastEventID,
+		holdBytes: copyBufferBytes, buffer: req.takeEventBuffer(), done: make(chan struct{}),
+	}
 	att.ctx, att.cancel = context.WithCancelCause(ctx)
 	req.sends++
 	req.tried = append(req.tried, att.dec.target)
@@ -242,12 +245,14 @@
 // logSent logs an attempt and what its decision was made from, before the outcome is known. If no
 // further line on the attempt follows, the target probably hangs.
 func (req *callerRequest) logSent(att *attempt) {
-	dec := att.dec
+	dec, info, inputs := &att.dec, &req.info, &att.dec.decisionInputs
 	req.logStep("sent",
 		"account", req.accountName(), "route", req.routeName(),
-		"target", dec.target, "version", dec.version, "resumes", req.info.Resumes, "from", req.info.LastEventID, "send", req.sends, "waitedMillis", att.sentAt.Sub(req.arrivedAt).Milliseconds(),
-		"leader", dec.decisionInputs.leader, "alone", dec.withoutLeader, "expectMillis", dec.decisionInputs.expectedFirst.Milliseconds(), "busy", dec.decisionInputs.busy,
-		"number", req.table.Number(), "revision", dec.decisionInputs.platformRevision, "newsAgeMillis", dec.decisionInputs.platformAge.Milliseconds(),
-		"charged", req.info.Charged, "over", req.overQuota, "prompt", req.info.Prompt, "answer", req.info.Answer, "parts", len(req.info.Parts), "shared", req.info.SharedParts, "held", dec.decisionInputs.held, "fetchFrom", dec.decisionInputs.fetchFrom,
+		"target", dec.target, "version", dec.version, "resumes", info.Resumes, "from", info.LastEventID,
+		"send", req.sends, "waitedMillis", att.sentAt.Sub(req.arrivedAt).Milliseconds(),
+		"leader", inputs.leader, "alone", dec.withoutLeader, "expectMillis", inputs.expectedFirst.Milliseconds(), "busy", inputs.busy,
+		"number", req.table.Number(), "revision", inputs.platformRevision, "newsAgeMillis", inputs.platformAge.Milliseconds(),
+		"charged", info.Charged, "over", req.overQuota, "prompt", info.Prompt, "answer", info.Answer,
+		"parts", len(info.Parts), "shared", info.SharedParts, "held", inputs.held, "fetchFrom", inputs.fetchFrom,
 	)
 }
--- a/io/yuccagate/memory_test.go
+++ b/io/yuccagate/memory_test.go
@@ -107,9 +107,7 @@
 		Expect(gt.lines.all()).To(ContainSubstring("memory"))
 	})
 
-	// Callers announce long prompts and stall, until less urgent requests find no memory and several have been refused. If the
-	// gateway went on reading such requests, their callers would get errors; if it closed all new connections, urgent callers
-	// would find none of the memory that is kept for them.
+	// Guards against the failure that requests are read which find no memory, or that urgent ones, for which memory is kept, are left unread too.
 	It("leaves less urgent requests unread once many have found no memory, and serves urgent ones", func() {
 		eng := newEngine("a", nil)
 		gt := newGateWithLimits(8<<20, 0)
--- a/io/yuccagate/memoryshortage.go
+++ b/io/yuccagate/memoryshortage.go
@@ -7,9 +7,9 @@
 )
 
 const (
-	// refusalSpan is the time after which a request that was refused for want of memory counts a third, and fewRefusals is
-	// how many don't matter: single large requests say little about the next ones.
-	refusalSpan = time.Second
+	// refusalDecay is the time constant with which the weight of a refusal for want of memory decays.
+	refusalDecay = time.Second
+	// fewRefusals is how many refusals don't count as a shortage: single large requests say little about the next ones.
 	fewRefusals = 3
 	// memoryShortFor is how long after many refusals memory counts as short.
 	memoryShortFor = 5 * time.Second
@@ -20,7 +20,7 @@
 type memoryShortage struct {
 	// refused counts the requests that were refused since the last tick.
 	refused atomic.Int64
-	// refusals counts the requests that were refused lately, older ones less.
+	// refusals is the decaying count of refused requests, as of tickedAt.
 	refusals float64
 	tickedAt time.Time
 	// shortAt is when there were last many refusals.
@@ -36,7 +36,7 @@
 
 // tick decides anew whether memory is short.
 func (sht *memoryShortage) tick(now time.Time) {
-	sht.refusals = sht.refusals*math.Exp(-float64(now.Sub(sht.tickedAt))/float64(refusalSpan)) + float64(sht.refused.Swap(0))
+	sht.refusals = sht.refusals*math.Exp(-float64(now.Sub(sht.tickedAt))/float64(refusalDecay)) + float64(sht.refused.Swap(0))
 	sht.tickedAt = now
 	if sht.refusals > fewRefusals {
 		sht.shortAt = now
--- a/io/yuccagate/placingwire.go
+++ b/io/yuccagate/placingwire.go
@@ -18,7 +18,8 @@
 func wireRequest(now time.Time, plc *placement) yuccawire.Ask {
 	request := &plc.request
 	return yuccawire.Ask{
-		Pool: plc.pool, Number: request.ID.Number, Class: uint32(request.Class), Tier: request.Tier, Rank: request.Rank, Over: request.OverQuota, Prompt: request.Prompt, Answer: request.Answer,
+		Pool: plc.pool, Number: request.ID.Number, Class: uint32(request.Class), Tier: request.Tier, Rank: request.Rank,
+		Over: request.OverQuota, Prompt: request.Prompt, Answer: request.Answer,
 		AimMillis: request.SoftDeadline.Sub(now).Milliseconds(), UntilMillis: request.Deadline.Sub(now).Milliseconds(),
 		GapMillis: request.MaxGap.Milliseconds(), Tried: request.FailedTargets, Parts: wireParts(request.Parts),
 	}
@@ -67,7 +68,8 @@
 // requestFromWire returns the request that the owner's message describes.
 func requestFromWire(now time.Time, owner yuccaid.Incarnation, message yuccawire.Ask) yuccagrant.Request {
 	return yuccagrant.Request{
-		ID: yuccagrant.ID{Owner: owner, Number: message.Number}, Class: yuccagrant.Class(message.Class), Tier: message.Tier, Rank: message.Rank, OverQuota: message.Over, Prompt: message.Prompt, Answer: message.Answer,
+		ID: yuccagrant.ID{Owner: owner, Number: message.Number}, Class: yuccagrant.Class(message.Class), Tier: message.Tier, Rank: message.Rank,
+		OverQuota: message.Over, Prompt: message.Prompt, Answer: message.Answer,
 		SoftDeadline: now.Add(time.Duration(message.AimMillis) * time.Millisecond),
 		Deadline:     now.Add(time.Duration(message.UntilMillis) * time.Millisecond),
 		MaxGap:       time.Duration(message.GapMillis) * time.Millisecond, FailedTargets: message.Tried, Parts: partsFromWire(message.Parts),
@@ -185,7 +187,8 @@
 	case !awaitsLeader:
 	case message.Target != "":
 		gate.acceptGrant(now, gate.schedulers[plc.pool], yuccagrant.Grant{
-			ID: plc.request.ID, Target: message.Target, ExpectedTimeToFirst: time.Duration(message.ExpectMillis) * time.Millisecond, Busy: message.Busy, Held: message.Held, FetchFrom: message.Fetch,
+			ID: plc.request.ID, Target: message.Target, ExpectedTimeToFirst: time.Duration(message.ExpectMillis) * time.Millisecond,
+			Busy: message.Busy, Held: message.Held, FetchFrom: message.Fetch,
 		})
 	case message.Reason != "":
 		gate.deliverRefusal(yuccagrant.Refusal{
--- a/io/yuccagate/sends.go
+++ b/io/yuccagate/sends.go
@@ -19,21 +19,25 @@
 	sendsFreshFor = 600 * time.Millisecond
 )
 
-// sendsReport is what the leader of a pool has reported to the daemon that would lead next.
+// sendsReport is the state of a leader's reports of its sends to the daemon that would lead next.
 type sendsReport struct {
 	to yuccaid.Incarnation
 	// former is the leader before this one.
-	former  yuccaid.Incarnation
-	number  uint64
+	former yuccaid.Incarnation
+	// number is that of the last report.
+	number uint64
+	// at is when the last report was sent, and wholeAt when the last one of all sends of a second was.
 	at      time.Time
 	wholeAt time.Time
 }
 
-// sendsSeen is what a daemon knows of the sends of a pool's leader. Complete reports whether it knows all of the last second.
+// sendsSeen is the state of the reports that a daemon has received of the sends of a pool's leader.
 type sendsSeen struct {
-	from     yuccaid.Incarnation
-	number   uint64
-	at       time.Time
+	from yuccaid.Incarnation
+	// number is that of the last report, and at is when it arrived.
+	number uint64
+	at     time.Time
+	// complete reports whether the daemon knows all sends of the second before at.
 	complete bool
 }
 
@@ -42,8 +46,8 @@
 	return seen.complete && seen.from == former && !former.IsZero() && now.Sub(seen.at) < sendsFreshFor
 }
 
-// reportSends reports this leader's sends to targets that may be cold to the daemon that would lead next, so that the two
-// together keep to the budget of the second in which this one ends.
+// reportSends reports this leader's sends to targets that may be cold to the daemon that would lead next, so that both
+// together keep to the budget if this daemon ends within a second.
 func (gate *Gate) reportSends(now time.Time, sched *scheduler) {
 	if !sched.budgetRole.limit.Applies() {
 		return
--- a/io/yuccagate/where.go
+++ b/io/yuccagate/where.go
@@ -14,58 +14,65 @@
 	"yuccacleat/core/yuccaspace"
 )
 
-// Outlook is where one daemon would send a request now, and why. It is told without sending the request.
+// Outlook is where one daemon would send a request now, and why.
 type Outlook struct {
 	VM     yuccaid.VM     `json:"vm"`
 	Centre yuccaid.Centre `json:"centre"`
-	// Number is that of the configuration in force. PlatformAgeMillis is how many milliseconds ago the platform last responded,
-	// or -1 if it never did.
-	Number            yuccaid.ConfigNumber `json:"number"`
-	PlatformAgeMillis int64                `json:"platformMillis"`
-	Route             string               `json:"route,omitempty"`
-	Account           yuccaid.Account      `json:"account,omitempty"`
+	// Number is that of the configuration in force.
+	Number yuccaid.ConfigNumber `json:"number"`
+	// PlatformAgeMillis is how many milliseconds ago the platform last responded, or -1 if it never did.
+	PlatformAgeMillis int64           `json:"platformMillis"`
+	Route             string          `json:"route,omitempty"`
+	Account           yuccaid.Account `json:"account,omitempty"`
 	// Problem is why the daemon would refuse the request before a target is chosen, empty if it wouldn't.
 	Problem string `json:"problem,omitempty"`
-	// Quota is what the account has used, nil if it has no quota. Whether it admits the request isn't told.
+	// Quota is what the account has used, nil if it has no quota. It doesn't tell whether the quota admits the request.
 	Quota *AccountStatus `json:"quota,omitempty"`
 	// Pools has the decision for each pool that the route's requests are divided among.
 	Pools []PoolOutlook `json:"pools,omitempty"`
 }
 
-// PoolOutlook is where a daemon would send a request to one pool. It would go to Target; if Target is empty, it would be refused for
-// the reason Refused; if that is empty too, it would wait.
+// PoolOutlook is where a daemon would send a request to one pool.
 type PoolOutlook struct {
 	Pool   yuccaid.Pool `json:"pool"`
 	Weight int          `json:"weight"`
-	// Leader leads the pool in the daemon's data centre, empty if none is known. Leads reports whether it is the daemon itself. If it
-	// isn't, the daemon knows only of its own runs, and the leader may decide otherwise.
-	Leader              yuccaid.VM        `json:"leader,omitempty"`
-	Leads               bool              `json:"leads"`
-	Target              yuccaid.Target    `json:"target,omitempty"`
-	Refused             yuccagrant.Reason `json:"refused,omitempty"`
-	ExpectedFirstMillis int64             `json:"expectedFirstMillis"`
-	FetchFrom           yuccaid.Target    `json:"fetchFrom,omitempty"`
+	// Leader leads the pool in the daemon's data centre, empty if none is known.
+	Leader yuccaid.VM `json:"leader,omitempty"`
+	// Leads reports whether the daemon itself is the leader. If it isn't, it knows only of its own runs, and the leader may
+	// decide otherwise.
+	Leads bool `json:"leads"`
+	// Target is the target that the request would be sent to, and Refused why it would be refused. If both are empty, it
+	// would wait.
+	Target  yuccaid.Target    `json:"target,omitempty"`
+	Refused yuccagrant.Reason `json:"refused,omitempty"`
+	// ExpectedFirstMillis is the expected time from sending to the first event.
+	ExpectedFirstMillis int64 `json:"expectedFirstMillis"`
+	// FetchFrom is the target from which Target would fetch parts of the prompt, empty if it would fetch none.
+	FetchFrom yuccaid.Target `json:"fetchFrom,omitempty"`
 	// Ahead is the number of waiting requests that go first, and WaitMillis how long they are expected to take.
 	Ahead      int             `json:"ahead"`
 	WaitMillis int64           `json:"waitMillis"`
 	Targets    []TargetOutlook `json:"targets"`
 }
 
-// TargetOutlook is what a daemon makes of a target for a request.
+// TargetOutlook is how a daemon rates a target for a request.
 type TargetOutlook struct {
 	Target yuccaid.Target `json:"target"`
 	Centre yuccaid.Centre `json:"centre"`
 	Region yuccaid.Region `json:"region,omitempty"`
-	// Excluded is why the request may not be sent to the target now, empty if it may. The figures below are those of targets that
-	// the pool's leader considers. CostMillis is the expected time to the first event and what sending the request there
-	// costs others.
-	Excluded            yuccaallow.Exclusion `json:"excluded,omitempty"`
-	OnTime              bool                 `json:"onTime"`
-	ExpectedFirstMillis int64                `json:"expectedFirstMillis"`
-	CostMillis          int64                `json:"costMillis"`
-	Busy                int                  `json:"busy"`
-	Slots               int                  `json:"slots"`
-	Held                yuccaid.Tokens       `json:"held"`
+	// Excluded is why the request may not be sent to the target now, empty if it may.
+	Excluded yuccaallow.Exclusion `json:"excluded,omitempty"`
+	// OnTime reports whether the first event is expected in time. It and the figures below are known only of targets that
+	// the pool's leader considers.
+	OnTime              bool  `json:"onTime"`
+	ExpectedFirstMillis int64 `json:"expectedFirstMillis"`
+	// CostMillis is ExpectedFirstMillis plus the delay that the request is expected to cause others.
+	CostMillis int64 `json:"costMillis"`
+	// Busy is how many of the Slots are occupied.
+	Busy  int `json:"busy"`
+	Slots int `json:"slots"`
+	// Held is how many tokens of the prompt the target is assumed to hold.
+	Held yuccaid.Tokens `json:"held"`
 }
 
 // Outlook returns where the request with the given head would go now. It sends nothing and changes nothing.
@@ -134,13 +141,15 @@
 	leader, _ := gate.peers.Leader(pool)
 	out := PoolOutlook{Pool: pool, Weight: weight, Leader: leader.VM, Leads: leader.Incarnation == gate.incarnation}
 	request := req.schedulerRequest(now, time.Time{})
-	told := gate.deciderOf(now, pool).Forecast(now, request)
-	out.Target, out.Refused, out.FetchFrom = told.Target, told.Refused, told.FetchFrom
-	out.ExpectedFirstMillis, out.Ahead, out.WaitMillis = told.ExpectedTimeToFirst.Milliseconds(), told.Ahead, told.EstimatedWait.Milliseconds()
-	for _, one := range told.Candidates {
+	forecast := gate.deciderOf(now, pool).Forecast(now, request)
+	out.Target, out.Refused, out.FetchFrom = forecast.Target, forecast.Refused, forecast.FetchFrom
+	out.ExpectedFirstMillis = forecast.ExpectedTimeToFirst.Milliseconds()
+	out.Ahead, out.WaitMillis = forecast.Ahead, forecast.EstimatedWait.Milliseconds()
+	for _, one := range forecast.Candidates {
 		out.Targets = append(out.Targets, TargetOutlook{
 			Target: one.Target, Centre: one.Centre, Region: one.Region, Excluded: one.Exclusion, OnTime: one.OnTime,
-			ExpectedFirstMillis: one.ExpectedTimeToFirst.Milliseconds(), CostMillis: one.Cost.Milliseconds(), Busy: one.Busy, Slots: one.Slots, Held: one.Held,
+			ExpectedFirstMillis: one.ExpectedTimeToFirst.Milliseconds(), CostMillis: one.Cost.Milliseconds(),
+			Busy: one.Busy, Slots: one.Slots, Held: one.Held,
 		})
 	}
 	out.Targets = append(out.Targets, gate.unusedTargets(&request, pool, out.Targets)...)
@@ -148,8 +157,8 @@
 	return out
 }
 
-// deciderOf returns what decides on a pool's requests at this daemon. For a pool that it hasn't served yet that is one which knows
-// the targets and nothing else.
+// deciderOf returns what decides on a pool's requests at this daemon. If the daemon hasn't served the pool yet, that is a
+// leader which knows the targets and nothing else.
 func (gate *Gate) deciderOf(now time.Time, pool yuccaid.Pool) *yuccagrant.Leader {
 	if sched := gate.schedulers[pool]; sched != nil {
 		return sched.local
--- a/io/yuccawire/region_test.go
+++ b/io/yuccawire/region_test.go
@@ -11,8 +11,7 @@
 )
 
 var _ = Describe("a request that may be served in some regions only", func() {
-	// Guards against the failure that asks of limited requests, of which there may be as many as of others, take
-	// several times as many bytes.
+	// Guards against the failure that asks of limited requests, which may be as frequent as others, take several times as many bytes.
 	It("is read as it was written, and takes few bytes", func() {
 		ask := yuccawire.RegionAsk{Ask: yuccawire.Ask{Pool: "drafter", Number: 3}, Version: "v1", EndMillis: 40, Regions: []yuccaid.Region{"coast", "hills"}}
 		frame, err := yuccawire.Encode(yuccawire.KindRegionAsk, ask)
