yuccacold, yuccagate: shares of a bound with types for data centres and VMs

A newcomer met parts, shares, budgets and bounds for two things, names of data centres as strings joined by spaces, and hashing without its name. Now a bound is divided into shares, and what a daemon may send is its budget; AmongFirst is rendezvous hashing over VMs or data centres, which keep their types; budgetRole is compared by a method. Terms: OtherParts -> OtherLeader, Evacuations.First -> Preferred, evacuationTold -> evacuationSettleTime, evacuationRetained -> evacuationGrace, isNew -> addedLater.

--- a/core/yuccacold/evacuations.go
+++ b/core/yuccacold/evacuations.go
@@ -8,17 +8,18 @@
 )
 
 const (
-	// evacuationTold is how long after it learned of its own data centre's evacuation a leader waits before it uses
-	// the parts of others, so that the others have learned of it.
-	evacuationTold = time.Second
-	// evacuationRetained is how long after an evacuation's end the others leave their parts to the data centre's
-	// leader, which may learn of the end later than they do.
-	evacuationRetained = 2 * time.Second
+	// evacuationSettleTime is how long after a leader learned of its own data centre's evacuation it waits before it uses
+	// the shares of other leaders, so that these have learned of the evacuation too.
+	evacuationSettleTime = time.Second
+	// evacuationGrace is how long after an evacuation's end the other leaders still leave their shares to the leader of
+	// that data centre, which may learn of the end later.
+	evacuationGrace = 2 * time.Second
 )
 
-// Evacuations are the data centres whose leaders come first among those of other data centres, because they have no
-// targets of their own. The zero value holds none.
+// Evacuations records which data centres are evacuated. Their leaders have no targets of their own, so they get the shares
+// of the leaders of other data centres at all targets (see Shares.OtherLeader). The zero value has none.
 type Evacuations struct {
+	// since is when this daemon learned of each evacuation, and ended when it learned of the end of recent ones.
 	since map[yuccaid.Centre]time.Time
 	ended map[yuccaid.Centre]time.Time
 }
@@ -41,24 +42,24 @@
 		}
 	}
 	for centre, at := range ev.ended {
-		if now.Sub(at) >= evacuationRetained {
+		if now.Sub(at) >= evacuationGrace {
 			delete(ev.ended, centre)
 		}
 	}
 }
 
-// First returns the data centres whose leaders come first, in the order of their names, as the leader of one data
-// centre has to reckon: that of an evacuated data centre comes first a little later and no longer than the others
-// make room for it.
-func (ev *Evacuations) First(now time.Time, own yuccaid.Centre) []yuccaid.Centre {
+// Preferred returns the data centres whose leaders get the shares of other data centres, in the order of their names, as
+// the leader of the data centre own has to see it. Since leaders learn of an evacuation at different times, own is listed
+// later and for a shorter time than the others make room for it.
+func (ev *Evacuations) Preferred(now time.Time, own yuccaid.Centre) []yuccaid.Centre {
 	var list []yuccaid.Centre
 	for centre, at := range ev.since {
-		if centre != own || now.Sub(at) >= evacuationTold {
+		if centre != own || now.Sub(at) >= evacuationSettleTime {
 			list = append(list, centre)
 		}
 	}
 	for centre, at := range ev.ended {
-		if centre != own && now.Sub(at) < evacuationRetained {
+		if centre != own && now.Sub(at) < evacuationGrace {
 			list = append(list, centre)
 		}
 	}
--- a/core/yuccacold/evacuations_test.go
+++ b/core/yuccacold/evacuations_test.go
@@ -15,8 +15,7 @@
 	at := func(millis int) time.Time { return start.Add(time.Duration(millis) * time.Millisecond) }
 	evacuated := map[yuccaid.Centre]bool{"odessa": true}
 
-	// Guards against the failure that more leaders use their parts at a target than the bound is divided among, because
-	// some have learned of an evacuation or of its end before others.
+	// Guards against the failure that leaders which learn of an evacuation or its end at different times together exceed their shares.
 	It("comes first no sooner and no longer than the others make room for it", func() {
 		for _, late := range []int{0, 300, 900} {
 			var here, there yuccacold.Evacuations
@@ -30,25 +29,25 @@
 				if millis >= endThere {
 					there.Update(at(millis), nil)
 				}
-				first := len(here.First(at(millis), "odessa")) > 0
-				room := millis >= late && len(there.First(at(millis), "austin")) > 0
+				first := len(here.Preferred(at(millis), "odessa")) > 0
+				room := millis >= late && len(there.Preferred(at(millis), "austin")) > 0
 				Expect(first && !room).To(BeFalse(), "%d ms, learned %d ms later", millis, late)
 			}
-			Expect(here.First(at(5000), "odessa")).To(BeEmpty())
+			Expect(here.Preferred(at(5000), "odessa")).To(BeEmpty())
 		}
 	})
 
 	It("comes first from a second after it has learned of the evacuation until its end", func() {
 		var ev yuccacold.Evacuations
-		Expect(ev.First(start, "austin")).To(BeEmpty())
+		Expect(ev.Preferred(start, "austin")).To(BeEmpty())
 		ev.Update(start, evacuated)
-		Expect(ev.First(start, "odessa")).To(BeEmpty())
-		Expect(ev.First(start, "austin")).To(Equal([]yuccaid.Centre{"odessa"}))
-		Expect(ev.First(at(1000), "odessa")).To(Equal([]yuccaid.Centre{"odessa"}))
+		Expect(ev.Preferred(start, "odessa")).To(BeEmpty())
+		Expect(ev.Preferred(start, "austin")).To(Equal([]yuccaid.Centre{"odessa"}))
+		Expect(ev.Preferred(at(1000), "odessa")).To(Equal([]yuccaid.Centre{"odessa"}))
 		ev.Update(at(5000), nil)
-		Expect(ev.First(at(5000), "odessa")).To(BeEmpty())
-		Expect(ev.First(at(6900), "austin")).To(Equal([]yuccaid.Centre{"odessa"}))
-		Expect(ev.First(at(7000), "austin")).To(BeEmpty())
+		Expect(ev.Preferred(at(5000), "odessa")).To(BeEmpty())
+		Expect(ev.Preferred(at(6900), "austin")).To(Equal([]yuccaid.Centre{"odessa"}))
+		Expect(ev.Preferred(at(7000), "austin")).To(BeEmpty())
 	})
 
 	It("comes first again if its data centre is evacuated again", func() {
@@ -56,8 +55,8 @@
 		ev.Update(start, evacuated)
 		ev.Update(at(5000), nil)
 		ev.Update(at(5500), evacuated)
-		Expect(ev.First(at(5600), "odessa")).To(BeEmpty())
-		Expect(ev.First(at(6500), "odessa")).To(HaveLen(1))
-		Expect(ev.First(at(9000), "austin")).To(HaveLen(1))
+		Expect(ev.Preferred(at(5600), "odessa")).To(BeEmpty())
+		Expect(ev.Preferred(at(6500), "odessa")).To(HaveLen(1))
+		Expect(ev.Preferred(at(9000), "austin")).To(HaveLen(1))
 	})
 })
--- a/core/yuccacold/sends.go
+++ b/core/yuccacold/sends.go
@@ -7,12 +7,12 @@
 
 // Sends records when one daemon sent requests to one target. The zero value has none.
 type Sends struct {
-	// times holds the times of the last second and some earlier ones.
+	// times holds the times of the last second and some earlier ones, and last is the latest of all.
 	times []time.Time
 	last  time.Time
 }
 
-// Record records that a request was sent at the given time, which may have passed.
+// Record records that a request was sent at a time, which is now or earlier.
 func (sn *Sends) Record(now, sent time.Time) {
 	kept := sn.times[:0]
 	for _, each := range sn.times {
@@ -57,7 +57,7 @@
 
 // Budget is what one daemon may send to one target.
 type Budget struct {
-	// Limit is that of the target's pool. There is no budget if it doesn't apply.
+	// Limit is that of the target's pool. If it doesn't apply, there is no budget to keep.
 	Limit Limit
 	// PerSecond is how many requests the daemon may send the target in any second.
 	PerSecond int
--- a/core/yuccacold/shares.go
+++ b/core/yuccacold/shares.go
@@ -2,56 +2,28 @@
 
 import (
 	"slices"
-	"time"
 
 	"github.com/cespare/xxhash/v2"
 
 	"yuccacleat/core/yuccaid"
 )
 
-// Limit is what the operators state of a pool's targets.
-type Limit struct {
-	// Duration is how long a target is cold after its process started, and Rate how many requests a second it bears
-	// meanwhile.
-	Duration time.Duration
-	Rate     float64
-}
-
-// Applies reports whether the pool's targets are ever cold.
-func (lim Limit) Applies() bool { return lim.Duration > 0 && lim.Rate > 0 }
-
-// Bound is by how much all daemons together may exceed the rate of a Limit in any second: by a factor and by a number of
-// requests.
-type Bound struct {
-	Factor    float64
-	Allowance float64
-}
-
-// PerSecond returns how many requests a cold target may get in any second.
-func (bound Bound) PerSecond(lim Limit) int {
-	factor := bound.Factor
-	if factor <= 0 {
-		factor = 1
-	}
-	return max(int(lim.Rate*factor+max(bound.Allowance, 0)), 1)
-}
-
-// othersDivisor is how small a part of the bound the leaders of other data centres get together, and aloneDivisor how small
-// a part the daemons that decide without the leader. The former need little, since a data centre whose own targets are busy
-// spreads the rest of its requests over the targets of all others.
 const (
+	// othersDivisor gives the leaders of other data centres a sixth of the bound. They need little, since a data centre
+	// whose own targets are busy spreads the rest of its requests over the targets of all others.
 	othersDivisor = 6
-	aloneDivisor  = 4
+	// aloneDivisor gives the daemons that decide without the leader a quarter of the bound.
+	aloneDivisor = 4
 )
 
 // Shares is how a bound is divided among those that may send a target requests in the same second.
 type Shares struct {
 	// Leader is how many requests the leader of the target's own data centre may send it in any second.
 	Leader int
-	// Others and Alone are the parts of leaders of other data centres, and of daemons of the target's data centre that
-	// decide without the leader: one request in any second each.
+	// Others is how many requests the leaders of other data centres may send it together in any second.
 	Others int
-	Alone  int
+	// Alone is how many daemons of the target's data centre may send it one request in any second without their leader.
+	Alone int
 }
 
 // Divide divides a bound in a fleet with the given number of data centres besides the target's own.
@@ -61,8 +33,8 @@
 }
 
 // Minority returns how many requests a leader may send a target of its data centre in any second if it sees no more than half
-// of the daemons there: those of the others may have a leader of their own, whom it can't reach. The parts of all such
-// leaders add up to no more than that of the daemons that decide alone.
+// of the daemons there: those of the others may have a leader of their own, whom it can't reach. All such leaders together
+// send no more than the daemons that decide alone.
 func (shares Shares) Minority(live, expected int) int {
 	if expected <= 0 || 2*live > expected {
 		return shares.Alone
@@ -70,42 +42,42 @@
 	return 2 * shares.Alone * live / expected
 }
 
-// AmongFirst reports whether a name is among the first of the names in the order that hashing with the target gives. The
-// order is the same for all daemons, and names that are missing or too many change it little.
-func AmongFirst(count int, target yuccaid.Target, name string, names []string) bool {
-	own := weight(target, name)
-	before := 0
-	for _, other := range names {
-		if other != name && weight(target, other) > own {
-			before++
-		}
-	}
-	return before < count && slices.Contains(names, name)
-}
-
-// OtherParts returns how many of the parts of leaders of other data centres that of the named one has at a target.
-// Those of evacuated data centres share all of them. Without any, each leader has one part at most: first those of
-// near data centres, then those of far ones.
-func (shares Shares) OtherParts(target yuccaid.Target, name string, evacuated, near, far []string) int {
+// OtherLeader returns how many requests the leader of another data centre than the target's may send it in any second. The
+// leaders of evacuated data centres divide Others among themselves. If there are none, each leader gets one request at
+// most: first those of near data centres, then those of far ones.
+func (shares Shares) OtherLeader(target yuccaid.Target, centre yuccaid.Centre, evacuated, near, far []yuccaid.Centre) int {
 	switch {
-	case slices.Contains(evacuated, name):
-		return shares.Others/len(evacuated) + part(AmongFirst(shares.Others%len(evacuated), target, name, evacuated))
+	case slices.Contains(evacuated, centre):
+		return shares.Others/len(evacuated) + oneIf(AmongFirst(shares.Others%len(evacuated), target, centre, evacuated))
 	case len(evacuated) > 0:
 		return 0
-	case slices.Contains(near, name):
-		return part(AmongFirst(shares.Others, target, name, near))
+	case slices.Contains(near, centre):
+		return oneIf(AmongFirst(shares.Others, target, centre, near))
 	}
-	return part(AmongFirst(shares.Others-len(near), target, name, far))
+	return oneIf(AmongFirst(shares.Others-len(near), target, centre, far))
 }
 
-// part returns one part if it is given, else none.
-func part(given bool) int {
-	if given {
+func oneIf(chosen bool) int {
+	if chosen {
 		return 1
 	}
 	return 0
 }
 
+// AmongFirst reports whether a name is among the first count names in the order that rendezvous hashing gives for the
+// target. All daemons find the same order, and names that some of them lack change it little.
+func AmongFirst[Name ~string](count int, target yuccaid.Target, name Name, names []Name) bool {
+	own := weight(target, string(name))
+	before := 0
+	for _, other := range names {
+		if other != name && weight(target, string(other)) > own {
+			before++
+		}
+	}
+	return before < count && slices.Contains(names, name)
+}
+
+// weight is the rendezvous weight of a name for a target.
 func weight(target yuccaid.Target, name string) uint64 {
 	return xxhash.Sum64String("cold\x00" + string(target) + "\x00" + name)
 }
--- a/core/yuccacold/state.go
+++ b/core/yuccacold/state.go
@@ -2,7 +2,7 @@
 
 import "time"
 
-// Statement is what the registration of a target says about being cold.
+// Statement is what a target's registration says about its being cold.
 type Statement struct {
 	// Revision is the revision of the registration.
 	Revision uint64
@@ -13,7 +13,7 @@
 	StartMillis int64
 }
 
-// maxRemaining bounds what a registration may say.
+// maxRemaining bounds the time that a registration may state.
 const maxRemaining = time.Minute
 
 // State is what is known of one target: until when it is cold. The zero value is a target that isn't.
@@ -29,9 +29,10 @@
 	unreachableAt time.Time
 }
 
-// Register takes a registration into account, unless it is the one that was registered last. A target that says nothing
-// is cold if it is new or its process has started anew; isNew reports that other targets were known before it.
-func (st *State) Register(now time.Time, lim Limit, stated Statement, isNew bool) {
+// Register takes a registration into account, unless it has the revision of the last one. If the registration doesn't say
+// whether the target is cold, the target is taken for cold if its process has started anew, or if it is first seen after
+// the daemon has learned of other targets, which addedLater reports.
+func (st *State) Register(now time.Time, lim Limit, stated Statement, addedLater bool) {
 	if st.registered && st.revision == stated.Revision {
 		return
 	}
@@ -42,7 +43,7 @@
 	case stated.Known:
 		st.until = now.Add(min(stated.Remaining, maxRemaining))
 		st.unreachable = false
-	case restarted || first && isNew:
+	case restarted || first && addedLater:
 		st.until = now.Add(lim.Duration)
 	}
 }
--- a/io/yuccagate/cold.go
+++ b/io/yuccagate/cold.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -20,14 +19,21 @@
 // targets are never cold.
 type budgetRole struct {
 	limit yuccacold.Limit
-	// leads reports whether this daemon leads the pool and sees most of its data centre's daemons. minority is what it may
-	// send each target of its data centre in a second if it leads the pool and sees fewer. candidates identifies the daemons
-	// that the data centre may have.
-	leads      bool
-	minority   int
+	// leads reports whether this daemon leads the pool and sees most of its data centre's daemons.
+	leads bool
+	// minority is how many requests a second this daemon may send each target of its data centre if it leads the pool
+	// and sees no more than half of the daemons.
+	minority int
+	// candidates identifies the daemons that the data centre may have.
 	candidates uint64
-	// evacuated are the data centres whose leaders come first, separated by spaces.
-	evacuated string
+	// evacuated lists the data centres whose leaders get the shares of other data centres.
+	evacuated []yuccaid.Centre
+}
+
+// equal reports whether two roles give the same budgets.
+func (role budgetRole) equal(other budgetRole) bool {
+	return role.limit == other.limit && role.leads == other.leads && role.minority == other.minority &&
+		role.candidates == other.candidates && slices.Equal(role.evacuated, other.evacuated)
 }
 
 // budgetRoleOf returns what this daemon's budgets for a pool's targets depend on now.
@@ -36,12 +42,7 @@
 	if !limit.Applies() {
 		return budgetRole{}
 	}
-	digest := xxhash.New()
-	for _, name := range gate.candidateNames() {
-		digest.WriteString(name)
-		digest.Write([]byte{0})
-	}
-	role := budgetRole{limit: limit, candidates: digest.Sum64(), evacuated: gate.evacuatedFirst(now)}
+	role := budgetRole{limit: limit, candidates: gate.candidatesDigest(), evacuated: gate.evacuations.Preferred(now, gate.settings.Centre)}
 	switch {
 	case !sched.leads:
 	case gate.seesMostDaemons(now):
@@ -52,14 +53,14 @@
 	return role
 }
 
-// evacuatedFirst returns the names of the evacuated data centres whose leaders come first among those of other data
-// centres, separated by spaces.
-func (gate *Gate) evacuatedFirst(now time.Time) string {
-	var names []string
-	for _, centre := range gate.evacuations.First(now, gate.settings.Centre) {
-		names = append(names, string(centre))
+// candidatesDigest returns a hash of the VMs of this data centre that may run a daemon.
+func (gate *Gate) candidatesDigest() uint64 {
+	digest := xxhash.New()
+	for _, vm := range gate.candidateVMs() {
+		digest.WriteString(string(vm))
+		digest.Write([]byte{0})
 	}
-	return strings.Join(names, " ")
+	return digest.Sum64()
 }
 
 // sharesOf returns how the bound of a pool's targets is divided.
@@ -74,7 +75,7 @@
 		return
 	}
 	sched.budgetsCheckedAt = now
-	if gate.budgetRoleOf(now, sched) != sched.budgetRole {
+	if !gate.budgetRoleOf(now, sched).equal(sched.budgetRole) {
 		gate.configure(now, sched)
 	}
 	if sched.leads && sched.budgetRole.limit.Applies() {
@@ -88,7 +89,8 @@
 		return
 	}
 	sched.coldTargets = cold
-	gate.log.stateChange("cold targets", "pool", sched.pool, "count", len(cold), "targets", cold[:min(len(cold), maxLoggedTargets)], "rate", sched.budgetRole.limit.Rate)
+	listed := cold[:min(len(cold), maxLoggedTargets)]
+	gate.log.stateChange("cold targets", "pool", sched.pool, "count", len(cold), "targets", listed, "rate", sched.budgetRole.limit.Rate)
 }
 
 // coldLimitOf returns what is configured of a pool's cold targets.
@@ -117,13 +119,13 @@
 	return false
 }
 
-// candidateNames returns the names of the VMs of this data centre that may run a daemon.
-func (gate *Gate) candidateNames() []string {
-	var names []string
+// candidateVMs returns the VMs of this data centre that may run a daemon.
+func (gate *Gate) candidateVMs() []yuccaid.VM {
+	var vms []yuccaid.VM
 	for _, listing := range gate.peers.Candidates(gate.settings.Centre) {
-		names = append(names, string(listing.VM))
+		vms = append(vms, listing.VM)
 	}
-	return names
+	return vms
 }
 
 // budgets decides what this daemon may send to the targets of one pool.
@@ -132,9 +134,9 @@
 	shares yuccacold.Shares
 	centre yuccaid.Centre
 	vm     yuccaid.VM
-	// regions holds the region of each data centre, and candidates the names of this data centre's VMs.
+	// regions holds the region of each data centre, and candidates this data centre's VMs.
 	regions    map[yuccaid.Centre]yuccaid.Region
-	candidates []string
+	candidates []yuccaid.VM
 }
 
 // budgetsOf returns the budgets for a pool's targets.
@@ -142,7 +144,7 @@
 	buds := budgets{role: sched.budgetRole, centre: gate.settings.Centre, vm: gate.settings.VM, regions: gate.settings.Regions}
 	if buds.role.limit.Applies() {
 		buds.shares = gate.sharesOf(buds.role.limit)
-		buds.candidates = gate.candidateNames()
+		buds.candidates = gate.candidateVMs()
 	}
 	return buds
 }
@@ -154,34 +156,32 @@
 	case !buds.role.limit.Applies():
 	case entry.Centre != buds.centre:
 		if buds.role.leads {
-			budget.PerSecond = buds.otherParts(entry)
+			budget.PerSecond = buds.otherLeader(entry)
 		}
 	case buds.role.leads:
 		budget.PerSecond, budget.WhileCold = buds.shares.Leader, true
 	case buds.role.minority > 0:
 		budget.PerSecond = buds.role.minority
-	case yuccacold.AmongFirst(buds.shares.Alone, entry.Target, string(buds.vm), buds.candidates):
+	case yuccacold.AmongFirst(buds.shares.Alone, entry.Target, buds.vm, buds.candidates):
 		budget.PerSecond = 1
 	}
 	return budget
 }
 
-// otherParts returns how many requests a second the leader of this data centre may send to a target of another one.
-// Those of evacuated data centres come first, since they have no targets of their own, and then those of the target's
-// own region, since traffic between regions is billed by volume.
-func (buds *budgets) otherParts(entry yuccaroster.Entry) int {
-	evacuated := strings.Fields(buds.role.evacuated)
-	var near, far []string
+// otherLeader returns how many requests a second the leader of this data centre may send to a target of another one.
+// Leaders of the target's own region come before those of other regions, since traffic between regions is billed by volume.
+func (buds *budgets) otherLeader(entry yuccaroster.Entry) int {
+	var near, far []yuccaid.Centre
 	for centre, region := range buds.regions {
 		switch {
-		case centre == entry.Centre || slices.Contains(evacuated, string(centre)):
+		case centre == entry.Centre || slices.Contains(buds.role.evacuated, centre):
 		case region == buds.regions[entry.Centre]:
-			near = append(near, string(centre))
+			near = append(near, centre)
 		default:
-			far = append(far, string(centre))
+			far = append(far, centre)
 		}
 	}
-	return buds.shares.OtherParts(entry.Target, string(buds.centre), evacuated, near, far)
+	return buds.shares.OtherLeader(entry.Target, buds.centre, buds.role.evacuated, near, far)
 }
 
 // coldStatement returns what a target has registered about being cold.
--- a/io/yuccagate/cold_test.go
+++ b/io/yuccagate/cold_test.go
@@ -12,19 +12,19 @@
 
 // Guards against the failure that the budgets of a target at all daemons add up to more than the bound, or that leaders of
 // its own region, which can reach it without paying for the way, have none.
-func TestBudgetsOfATargetAddUpToTheBound(t *testing.T) { testBudgets(t, "", "b1", 1) }
+func TestBudgetsOfATargetAddUpToTheBound(t *testing.T) { testBudgets(t, nil, "b1", 1) }
 
 // Guards against the failure that the leader of an evacuated data centre may send next to nothing, since it has no targets
 // and only some leaders may reach each target of the others.
 func TestLeadersOfEvacuatedCentresComeFirst(t *testing.T) {
-	testBudgets(t, "a1", "a1", 2)
-	testBudgets(t, "a1 c2", "a1", 1)
-	testBudgets(t, "a1 c2", "c2", 1)
+	testBudgets(t, []yuccaid.Centre{"a1"}, "a1", 2)
+	testBudgets(t, []yuccaid.Centre{"a1", "c2"}, "a1", 1)
+	testBudgets(t, []yuccaid.Centre{"a1", "c2"}, "c2", 1)
 }
 
 // testBudgets checks the budgets of targets of one data centre while others are evacuated, and that the leader of the data
-// centre first has the given number of parts.
-func testBudgets(t *testing.T, evacuated string, first yuccaid.Centre, parts int) {
+// centre first may send each target the given number of requests a second.
+func testBudgets(t *testing.T, evacuated []yuccaid.Centre, first yuccaid.Centre, perSecondOfFirst int) {
 	t.Helper()
 	const daemonsPerCentre = 15
 	regions := map[yuccaid.Centre]yuccaid.Region{"a1": "a", "a2": "a", "b1": "b", "b2": "b", "c1": "c", "c2": "c"}
@@ -34,23 +34,27 @@
 		entry := yuccaroster.Entry{Target: yuccaid.Target(fmt.Sprint("i-", number)), Centre: "b2"}
 		sum, whileCold := 0, 0
 		for centre := range regions {
-			var candidates []string
-			for vm := range daemonsPerCentre {
-				candidates = append(candidates, fmt.Sprintf("entry-%s-%d", centre, vm))
+			var candidates []yuccaid.VM
+			for number := range daemonsPerCentre {
+				candidates = append(candidates, yuccaid.VM(fmt.Sprintf("entry-%s-%d", centre, number)))
 			}
-			for at, name := range candidates {
-				buds := budgets{role: budgetRole{limit: limit, leads: at == 3, evacuated: evacuated}, shares: yuccacold.Divide(perSecond, len(regions)-1), centre: centre, vm: yuccaid.VM(name), regions: regions, candidates: candidates}
+			for at, vm := range candidates {
+				buds := budgets{
+					role:   budgetRole{limit: limit, leads: at == 3, evacuated: evacuated},
+					shares: yuccacold.Divide(perSecond, len(regions)-1),
+					centre: centre, vm: vm, regions: regions, candidates: candidates,
+				}
 				budget := buds.of(entry)
 				sum += budget.PerSecond
 				if budget.WhileCold {
 					whileCold++
 				}
-				if centre == first && at == 3 && budget.PerSecond != parts {
-					t.Errorf("the leader of %s may send %s %d requests a second while %q are evacuated, want %d", first, entry.Target, budget.PerSecond, evacuated, parts)
+				if centre == first && at == 3 && budget.PerSecond != perSecondOfFirst {
+					t.Errorf("the leader of %s may send %s %d requests a second while %q are evacuated, want %d", first, entry.Target, budget.PerSecond, evacuated, perSecondOfFirst)
 				}
 			}
 		}
-		// The leader may be among those that are chosen to decide alone; it uses one part only.
+		// The leader may be among the daemons that are chosen to decide alone; it has one budget only.
 		if sum > perSecond || sum < perSecond-1 {
 			t.Errorf("all daemons together may send %s %d requests a second, want %d or one less", entry.Target, sum, perSecond)
 		}
@@ -60,7 +64,7 @@
 	}
 }
 
-// A pool of which nothing is configured is served as before.
+// Guards against the failure that targets which are never cold get a budget, and so no requests.
 func TestTargetsThatAreNeverColdHaveNoBudget(t *testing.T) {
 	buds := budgets{centre: "a1"}
 	if budget := buds.of(yuccaroster.Entry{Target: "i-1", Centre: "b1"}); budget != (yuccacold.Budget{}) {
--- a/io/yuccagate/coldfleet_test.go
+++ b/io/yuccagate/coldfleet_test.go
@@ -92,8 +92,7 @@
 		return arr
 	}
 
-	// Guards against the failure that daemons which take over from a killed leader, or decide without it, send the target
-	// more than all daemons together may.
+	// Guards against the failure that daemons which take over from a killed leader, or decide without it, exceed the bound.
 	It("send it no more than the bound while it is cold, and never nothing for long", func() {
 		most, all := serve(time.Minute).mostInSecond()
 		Expect(most).To(BeNumerically("<=", 9))
--- a/io/yuccagate/configuration.go
+++ b/io/yuccagate/configuration.go
@@ -48,7 +48,7 @@
 	for _, sched := range gate.schedulers {
 		gate.configure(now, sched)
 	}
-	gate.limitPlacements(now)
+	gate.resubmitForRegions(now)
 	gate.onChange(now, gate.peers.SetConfig(now, table.Number(), ""))
 }
 
--- a/io/yuccagate/allow_test.go
+++ b/io/yuccagate/regions_test.go
@@ -54,7 +54,7 @@
 		here, there = newEngine("here", nil), newEngine("there", nil)
 	})
 
-	// Guards against the failure that a request goes to the closer target of another region.
+	// Guards against the failure that a request goes to a closer target of another region.
 	It("is served only there, whether its route or its account says so", func() {
 		gt := newGateIn("odessa", "odessa-1")
 		byAccount := config()
@@ -72,8 +72,7 @@
 		Expect(there.requests()).To(HaveLen(20))
 	})
 
-	// Guards against the failure that a request is sent elsewhere because its region has no target, and that it
-	// waits there for its time.
+	// Guards against the failure that a request whose region has no target is sent elsewhere, or waits until its deadline.
 	It("is refused with a Retry-After where no target is in them", func() {
 		gt := newGateIn("odessa", "odessa-1")
 		register(gt, limited("hills"), entryIn("odessa", here, 4, 1))
@@ -131,8 +130,7 @@
 		Expect(here.requests()).To(BeEmpty())
 	})
 
-	// Guards against the failure that the daemon which holds a request sends it wherever its leader says, which may
-	// know less than it.
+	// Guards against the failure that the daemon which holds a request sends it wherever its leader, which may know less, says.
 	It("keeps to them with a leader that takes another region's targets for theirs", func() {
 		there = newEngine("there", func(w http.ResponseWriter, _ *http.Request) {
 			time.Sleep(20 * time.Millisecond)
@@ -162,8 +160,7 @@
 		Expect(second.lines.all()).To(ContainSubstring("declined"))
 	})
 
-	// Guards against the failure that a request which waits is sent to a region that a new configuration has taken
-	// away.
+	// Guards against the failure that a waiting request is sent to a region that a new configuration has taken away.
 	It("is placed anew when a configuration takes a region away while it waits", func() {
 		release := make(chan struct{})
 		blocked := func(w http.ResponseWriter, _ *http.Request) {
@@ -192,8 +189,7 @@
 		Expect(here.requests()).To(HaveLen(1))
 	})
 
-	// Guards against the failure that a request which has failed at its target is sent again to a region that a new
-	// configuration has taken away.
+	// Guards against the failure that a failed request is sent again to a region that a new configuration has taken away.
 	It("isn't sent again where a new configuration doesn't allow it", func() {
 		var gt *gate
 		cutOff := func(w http.ResponseWriter, r *http.Request) {
--- a/io/yuccagate/scheduler.go
+++ b/io/yuccagate/scheduler.go
@@ -82,7 +82,12 @@
 	sched := gate.schedulers[pool]
 	if sched == nil {
 		seed := mathrand.NewPCG(mathrand.Uint64(), uint64(now.UnixNano()))
-		sched = &scheduler{pool: pool, local: yuccagrant.New(mathrand.New(seed)), remoteLoads: make(map[yuccaid.Centre]*centreLoads), remoteChanged: make(map[yuccaid.Target]bool), sentLoads: make(map[yuccaid.Target]yuccawire.TargetLoad), rosterVersion: neverConfigured}
+		sched = &scheduler{
+			pool: pool, local: yuccagrant.New(mathrand.New(seed)), rosterVersion: neverConfigured,
+			remoteLoads:   make(map[yuccaid.Centre]*centreLoads),
+			remoteChanged: make(map[yuccaid.Target]bool),
+			sentLoads:     make(map[yuccaid.Target]yuccawire.TargetLoad),
+		}
 		gate.schedulers[pool] = sched
 		gate.followLeader(now, sched)
 	}
@@ -91,16 +96,26 @@
 
 // configure passes to a scheduler the number of daemons that decide on the pool's targets, and
 // the targets if the roster, the properties of the pool's engines or this daemon's budgets for the
-// targets have changed since the last call. While a fleet starts, configure is
-// called once for each daemon that joins, and passing all targets each time would be expensive.
+// targets have changed since the last call. While a fleet starts, configure is called once for each
+// daemon that joins, and passing all targets each time would be expensive.
 func (gate *Gate) configure(now time.Time, sched *scheduler) {
 	gate.apply(now, sched, sched.local.SetLeaderCount(now, gate.deciderCount(sched)))
 	version, engine, role := gate.roster.Version(), gate.engineOf(sched.pool), gate.budgetRoleOf(now, sched)
-	if sched.rosterVersion != version || sched.engine != engine || sched.budgetRole != role {
+	if sched.rosterVersion != version || sched.engine != engine || !sched.budgetRole.equal(role) {
 		sched.rosterVersion, sched.engine, sched.budgetRole = version, engine, role
 		sched.remoteReset = true
 		sched.local.SetEvacuated(gate.roster.EvacuatedCentres())
-		gate.apply(now, sched, sched.local.SetTargets(now, gate.targetsOf(sched)))
+		targets := gate.targetsOf(sched)
+		sched.setCentres(targets)
+		gate.apply(now, sched, sched.local.SetTargets(now, targets))
+	}
+}
+
+// setCentres records the data centres of the targets that local is configured with.
+func (sched *scheduler) setCentres(targets []yuccagrant.Target) {
+	sched.centres = make(map[yuccaid.Target]yuccaid.Centre, len(targets))
+	for _, target := range targets {
+		sched.centres[target.Name] = target.Centre
 	}
 }
 
@@ -222,7 +237,8 @@
 // decide on the request.
 func (gate *Gate) suspectLeader(now time.Time, sched *scheduler, plc *placement) {
 	if now.After(sched.suspectUntil) {
-		gate.log.stateChange("leader doubted", "pool", sched.pool, "leader", sched.leader.VM, "request", plc.req.info.ID, "silentMillis", now.Sub(plc.submittedAt).Milliseconds())
+		silence := now.Sub(plc.submittedAt)
+		gate.log.stateChange("leader doubted", "pool", sched.pool, "leader", sched.leader.VM, "request", plc.req.info.ID, "silentMillis", silence.Milliseconds())
 	}
 	sched.suspectUntil = now.Add(suspectFor)
 	gate.send(sched.leader, yuccawire.KindWithdrawn, yuccawire.Withdrawn{Pool: sched.pool, Number: plc.request.ID.Number})
@@ -260,7 +276,8 @@
 	for _, grant := range decisions.Grants {
 		if grant.ID.Owner != gate.incarnation {
 			gate.send(grant.ID.Owner, yuccawire.KindPlaced, yuccawire.Placed{
-				Pool: sched.pool, Number: grant.ID.Number, Target: grant.Target, ExpectMillis: grant.ExpectedTimeToFirst.Milliseconds(), Busy: grant.Busy, Held: grant.Held, Fetch: grant.FetchFrom,
+				Pool: sched.pool, Number: grant.ID.Number, Target: grant.Target, ExpectMillis: grant.ExpectedTimeToFirst.Milliseconds(),
+				Busy: grant.Busy, Held: grant.Held, Fetch: grant.FetchFrom,
 			})
 			continue
 		}
@@ -309,7 +326,8 @@
 		gate.syncPlacement(now, sched, plc)
 	}
 	plc.decision <- decision{
-		target: target, address: entry.Address, version: entry.StreamVersion(), startMillis: entry.StartMillis, fetchAddress: gate.fetchAddress(plc, granted.FetchFrom), withoutLeader: plc.decidedLocally && !sched.leads,
+		target: target, address: entry.Address, version: entry.StreamVersion(), startMillis: entry.StartMillis,
+		fetchAddress: gate.fetchAddress(plc, granted.FetchFrom), withoutLeader: plc.decidedLocally && !sched.leads,
 		decisionInputs: gate.decisionInputs(now, sched, granted),
 	}
 }
--- a/io/yuccagate/targets.go
+++ b/io/yuccagate/targets.go
@@ -289,7 +289,7 @@
 	gate.rosterVersion = gate.roster.Version()
 	gate.trackVersions(now)
 	gate.logTargetChanges()
-	gate.logEvacuations(now)
+	gate.noteEvacuations(now)
 	gate.findCrashedTargets(now)
 	for _, sched := range gate.schedulers {
 		gate.configure(now, sched)
@@ -354,28 +354,35 @@
 	return strings.Join(list[:min(len(list), maxLoggedTargets)], ", ")
 }
 
-// targetsOf returns a pool's targets. Targets in other regions than this daemon are marked as
-// remote.
+// targetsOf returns a pool's targets.
 func (gate *Gate) targetsOf(sched *scheduler) []yuccagrant.Target {
 	usable := gate.roster.Usable(sched.pool)
 	list := make([]yuccagrant.Target, 0, len(usable))
-	engine := gate.engineOf(sched.pool)
-	budgets := gate.budgetsOf(sched)
-	sched.centres = make(map[yuccaid.Target]yuccaid.Centre, len(usable))
+	engine, budgets := gate.engineOf(sched.pool), gate.budgetsOf(sched)
 	for _, entry := range usable {
-		target := yuccagrant.Target{Name: entry.Target, Centre: entry.Centre, Region: gate.region(entry.Centre), Slots: max(entry.Slots, 1), CacheTokens: engine.CacheTokens, FetchRate: engine.FetchRate, StartMillis: entry.StartMillis, Version: entry.StreamVersion()}
-		sched.centres[entry.Target] = entry.Centre
-		target.OtherCentre, target.Ramped = entry.Centre != gate.settings.Centre, engine != (yuccaroute.Engine{})
-		target.Cold, target.Budget = coldStatement(entry), budgets.of(entry)
-		if target.Region != gate.region(gate.settings.Centre) {
-			target.Remote = true
-			target.RoundTrip = regionRoundTrip
-		}
-		list = append(list, target)
+		list = append(list, gate.targetOf(entry, engine, &budgets))
 	}
 	return list
 }
 
+// targetOf returns what a pool's leader has to know of a registered target. Targets in other regions than this daemon
+// are marked as remote.
+func (gate *Gate) targetOf(entry yuccaroster.Entry, engine yuccaroute.Engine, budgets *budgets) yuccagrant.Target {
+	target := yuccagrant.Target{
+		Name: entry.Target, Centre: entry.Centre, Region: gate.region(entry.Centre),
+		OtherCentre: entry.Centre != gate.settings.Centre,
+		Slots:       max(entry.Slots, 1), CacheTokens: engine.CacheTokens, FetchRate: engine.FetchRate,
+		Ramped:      engine != (yuccaroute.Engine{}),
+		StartMillis: entry.StartMillis, Version: entry.StreamVersion(),
+		Cold: coldStatement(entry), Budget: budgets.of(entry),
+	}
+	if target.Region != gate.region(gate.settings.Centre) {
+		target.Remote = true
+		target.RoundTrip = regionRoundTrip
+	}
+	return target
+}
+
 // engineOf returns the configured properties of a pool's engines, or zero values if the pool runs no
 // model.
 func (gate *Gate) engineOf(pool yuccaid.Pool) yuccaroute.Engine {
