yuccacleat: where asks with a request head, and long lines are wrapped

The type question held the head of a request; it is requestHead now. The order in which targets are shown has a function with a name (compareTargets), and the function that askDaemons calls has a type (asking).

--- a/cmd/yuccacleat/gather.go
+++ b/cmd/yuccacleat/gather.go
@@ -44,9 +44,12 @@
 	return found
 }
 
-// askDaemons asks the daemons at the given operator addresses, several at a time. It returns their answers, and the addresses of
-// those that didn't give one.
-func askDaemons[T any](ctx context.Context, addresses []string, ask func(ctx context.Context, client *http.Client, address string) (T, error)) (answers []T, unreachable []string) {
+// asking asks the daemon at an operator address.
+type asking[T any] func(ctx context.Context, client *http.Client, address string) (T, error)
+
+// askDaemons asks the daemons at the given operator addresses, several at a time. It returns their answers, and the
+// addresses of those that didn't give one.
+func askDaemons[T any](ctx context.Context, addresses []string, ask asking[T]) (answers []T, unreachable []string) {
 	var mu sync.Mutex
 	client := &http.Client{Timeout: gatherTimeout}
 	var group errgroup.Group
--- a/cmd/yuccacleat/main.go
+++ b/cmd/yuccacleat/main.go
@@ -64,7 +64,10 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	command.AddCommand(serveCommand(), checkCommand(), noteCommand(), statusCommand(), auditCommand(), requestCommand(), demoCommand(), trialCommand(), explainCommand(), whereCommand(), versionCommand())
+	command.AddCommand(
+		serveCommand(), checkCommand(), noteCommand(), statusCommand(), auditCommand(), requestCommand(),
+		demoCommand(), trialCommand(), explainCommand(), whereCommand(), versionCommand(),
+	)
 	return command
 }
 
--- a/cmd/yuccacleat/outlook.go
+++ b/cmd/yuccacleat/outlook.go
@@ -61,6 +61,7 @@
 	}
 }
 
+// writePool writes what the daemon that decides on a pool's request tells.
 func writePool(out io.Writer, decider yuccagate.Outlook, pool yuccagate.PoolOutlook) {
 	role := "which leads the pool"
 	if !pool.Leads {
@@ -76,6 +77,7 @@
 	writeExcluded(out, pool)
 }
 
+// heard tells when a daemon last heard from the platform.
 func heard(ageMillis int64) string {
 	if ageMillis < 0 {
 		return "never"
@@ -83,6 +85,7 @@
 	return fmt.Sprintf("%d ms ago", ageMillis)
 }
 
+// quotaText tells what an account has used of its quota.
 func quotaText(quota *yuccagate.AccountStatus) string {
 	if quota == nil {
 		return ", without a quota"
@@ -105,20 +108,12 @@
 	return text
 }
 
-// writeAlternatives writes the targets that may be used now, the one with the lowest cost first.
+// writeAlternatives writes the targets that may be used now, the best one first.
 func writeAlternatives(out io.Writer, pool yuccagate.PoolOutlook) {
 	usable := slices.DeleteFunc(slices.Clone(pool.Targets), func(one yuccagate.TargetOutlook) bool {
 		return one.Excluded != yuccaallow.Allowed && one.Target != pool.Target
 	})
-	slices.SortStableFunc(usable, func(a, b yuccagate.TargetOutlook) int {
-		if a.OnTime != b.OnTime {
-			if a.OnTime {
-				return -1
-			}
-			return 1
-		}
-		return cmp.Compare(a.CostMillis, b.CostMillis)
-	})
+	slices.SortStableFunc(usable, compareTargets)
 	for _, one := range usable[:min(len(usable), maxAlternatives)] {
 		late := ""
 		if !one.OnTime {
@@ -132,6 +127,17 @@
 	}
 }
 
+// compareTargets orders targets as leaders prefer them: those that are on time first, then those with the lowest cost.
+func compareTargets(a, b yuccagate.TargetOutlook) int {
+	switch {
+	case a.OnTime && !b.OnTime:
+		return -1
+	case b.OnTime && !a.OnTime:
+		return 1
+	}
+	return cmp.Compare(a.CostMillis, b.CostMillis)
+}
+
 // writeExcluded writes the targets that can't be used, by reason.
 func writeExcluded(out io.Writer, pool yuccagate.PoolOutlook) {
 	targets := make(map[yuccaallow.Exclusion][]string)
--- a/cmd/yuccacleat/where.go
+++ b/cmd/yuccacleat/where.go
@@ -16,15 +16,16 @@
 // maxOutlookBytes bounds the answer of one daemon, which has a few hundred bytes for each target of a pool.
 const maxOutlookBytes = 4 << 20
 
-// question is a request's head as its caller would send it.
-type question struct {
+// requestHead is a request's head as its caller would send it.
+type requestHead struct {
 	path, host string
 	// fields are header fields, each a name and a value with a colon between.
 	fields []string
 }
 
+// whereCommand returns the command that asks daemons where a request would go.
 func whereCommand() *cobra.Command {
-	var asked question
+	var head requestHead
 	var daemonsPath string
 	command := &cobra.Command{
 		Use:   "where PATH",
@@ -39,28 +40,28 @@
 		Example: "  yuccacleat where --daemons daemons.txt --host desk.example --header 'Yuccacleat-Attempt-Id: 1' --header 'Yuccacleat-Key: …' /notes/",
 		Args:    cobra.ExactArgs(1),
 		RunE: func(command *cobra.Command, args []string) error {
-			asked.path = args[0]
-			if err := asked.check(); err != nil {
+			head.path = args[0]
+			if err := head.check(); err != nil {
 				return &invalidError{cause: err}
 			}
-			return where(command, daemonsPath, asked)
+			return where(command, daemonsPath, head)
 		},
 	}
 	flags := command.Flags()
 	flags.StringVar(&daemonsPath, "daemons", "", "a file with the operator addresses of the daemons to ask, one on each line")
-	flags.StringVar(&asked.host, "host", "", "the host that the request names")
-	flags.StringArrayVar(&asked.fields, "header", nil, "a header field of the request, 'Name: value'; may be repeated")
+	flags.StringVar(&head.host, "host", "", "the host that the request names")
+	flags.StringArrayVar(&head.fields, "header", nil, "a header field of the request, 'Name: value'; may be repeated")
 	_ = command.MarkFlagRequired("daemons")
 	_ = command.MarkFlagRequired("host")
 	return command
 }
 
-// check returns an error if the question isn't that of a request.
-func (asked question) check() error {
-	if !strings.HasPrefix(asked.path, "/") {
-		return fmt.Errorf("path %q doesn't begin with a slash: name the path that the caller would request", asked.path)
+// check returns an error if no request can have such a head.
+func (head requestHead) check() error {
+	if !strings.HasPrefix(head.path, "/") {
+		return fmt.Errorf("path %q doesn't begin with a slash: name the path that the caller would request", head.path)
 	}
-	for _, field := range asked.fields {
+	for _, field := range head.fields {
 		if name, _, found := strings.Cut(field, ":"); !found || strings.TrimSpace(name) == "" {
 			return fmt.Errorf("header field %q has no name: write it as 'Name: value'", field)
 		}
@@ -69,14 +70,15 @@
 }
 
 // where prints what the daemons answer.
-func where(command *cobra.Command, path string, asked question) error {
+func where(command *cobra.Command, path string, head requestHead) error {
 	addresses, err := readAddresses(path)
 	if err != nil {
 		return err
 	}
-	outlooks, unreachable := askDaemons(command.Context(), addresses, asked.ask)
+	outlooks, unreachable := askDaemons(command.Context(), addresses, head.ask)
 	if len(unreachable) > 0 {
-		fmt.Fprintf(command.ErrOrStderr(), "%d of %d daemons didn't answer, and what they know is missing: %s\n", len(unreachable), len(addresses), strings.Join(unreachable, " "))
+		fmt.Fprintf(command.ErrOrStderr(), "%d of %d daemons didn't answer, and what they know is missing: %s\n",
+			len(unreachable), len(addresses), strings.Join(unreachable, " "))
 	}
 	if len(outlooks) == 0 {
 		return fmt.Errorf("no daemon answered: check that %s lists operator addresses of running daemons", path)
@@ -86,14 +88,14 @@
 }
 
 // ask asks the daemon at an operator address.
-func (asked question) ask(ctx context.Context, client *http.Client, address string) (yuccagate.Outlook, error) {
+func (head requestHead) ask(ctx context.Context, client *http.Client, address string) (yuccagate.Outlook, error) {
 	var out yuccagate.Outlook
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/where"+asked.path, nil)
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/where"+head.path, nil)
 	if err != nil {
 		return out, err
 	}
-	req.Host = asked.host
-	for _, field := range asked.fields {
+	req.Host = head.host
+	for _, field := range head.fields {
 		name, value, _ := strings.Cut(field, ":")
 		req.Header.Set(strings.TrimSpace(name), strings.TrimSpace(value))
 	}
--- a/cmd/yuccacleat/where_test.go
+++ b/cmd/yuccacleat/where_test.go
@@ -30,7 +30,7 @@
 }
 
 // outlookOf returns an outlook in which a pool's leader would send a request to a target.
-func outlookOf(centre yuccaid.Centre, vm yuccaid.VM, leader yuccaid.VM) yuccagate.Outlook {
+func outlookOf(centre yuccaid.Centre, vm, leader yuccaid.VM) yuccagate.Outlook {
 	targets := []yuccagate.TargetOutlook{
 		{Target: "drafter-1", Centre: "odessa", ExpectedFirstMillis: 55, CostMillis: 60, Busy: 1, Slots: 4, Held: 600, OnTime: true},
 		{Target: "drafter-2", Centre: "odessa", ExpectedFirstMillis: 40, CostMillis: 45, Slots: 4},
@@ -42,8 +42,12 @@
 		targets = append(targets, yuccagate.TargetOutlook{Target: name, Centre: "odessa", ExpectedFirstMillis: 60, CostMillis: 90, Busy: 3, Slots: 4, OnTime: true})
 	}
 	return yuccagate.Outlook{
-		VM: vm, Centre: centre, Number: 12, PlatformAgeMillis: 130, Route: "notes", Account: "rally", Quota: &yuccagate.AccountStatus{Account: "rally", Used: 40, Limit: 104},
-		Pools: []yuccagate.PoolOutlook{{Pool: "drafter", Weight: 1, Leader: leader, Leads: leader == vm, Target: "drafter-1", ExpectedFirstMillis: 55, FetchFrom: "drafter-2", Targets: targets}},
+		VM: vm, Centre: centre, Number: 12, PlatformAgeMillis: 130, Route: "notes", Account: "rally",
+		Quota: &yuccagate.AccountStatus{Account: "rally", Used: 40, Limit: 104},
+		Pools: []yuccagate.PoolOutlook{{
+			Pool: "drafter", Weight: 1, Leader: leader, Leads: leader == vm,
+			Target: "drafter-1", ExpectedFirstMillis: 55, FetchFrom: "drafter-2", Targets: targets,
+		}},
 	}
 }
 
