--- a/io/yuccawire/origin.go
+++ b/io/yuccawire/origin.go
@@ -50,7 +50,7 @@
 	Holdings []PartHolding `msgpack:"holdings"`
 }
 
-// PartHolding is what one target keeps.
+// PartHolding is what one target keeps. It has no tokens if the target didn't tell, and no pool if nothing is known of the target.
 type PartHolding struct {
 	Pool    yuccaid.Pool    `msgpack:"pool"`
 	Version yuccaid.Version `msgpack:"version"`
