A new leader counts what the one before has reported, also if that may not be all

Cause of one way to it: a new leader dropped the sends that the former one had reported to it if the last report was over 0.6 s old or one was missing, and counted none. Change: reported sends count in either case; the halved budget for those that may be missing stays. Ruled out: nothing at all for a second after each such change, which leaves warm targets idle. Before: the new spec of core/yuccagrant fails (4 grants). After: it passes, with the 6 others on cold targets.

--- a/core/yuccagrant/cold.go
+++ b/core/yuccagrant/cold.go
@@ -26,7 +26,7 @@
 }
 
 // TakeOver records that this leader has taken over from another one, and whether that one has reported all its sends of the
-// last second.
+// last second. Those that it has reported count in either case.
 func (lead *Leader) TakeOver(now time.Time, reported bool) {
 	lead.newSends = nil
 	lead.tookOverAt = now
@@ -35,9 +35,7 @@
 	}
 	for _, tgt := range lead.targets {
 		tgt.tookOverAt = lead.tookOverAt
-		if reported {
-			tgt.sends.Merge(now, &tgt.reportedSends)
-		}
+		tgt.sends.Merge(now, &tgt.reportedSends)
 	}
 }
 
--- a/core/yuccagrant/cold_test.go
+++ b/core/yuccagrant/cold_test.go
@@ -307,6 +307,29 @@
 		Expect(exceeded).To(BeNumerically(">=", 3))
 	})
 
+	// Guards against the failure that a new leader uses its budget beside that of a killed one whose last reports it has, because they are old.
+	It("counts the sends that the leader before has reported, also if they may not be all", func() {
+		flt := newColdFleet(1, 1)
+		lead := yuccagrant.New(rand.New(rand.NewPCG(1, 1)))
+		start := flt.now
+		lead.SetTargets(start, []yuccagrant.Target{{Name: "i-1", Slots: 16, Budget: yuccacold.Budget{Limit: flt.limit, PerSecond: 7, WhileCold: true}}})
+		sent := start.Add(-200 * time.Millisecond)
+		var reported []yuccagrant.Send
+		for range 7 {
+			reported = append(reported, yuccagrant.Send{Target: "i-1", At: sent})
+		}
+		lead.RecordReported(start, reported, false)
+		lead.TakeOver(start, false)
+		granted := 0
+		for number := range uint64(8) {
+			granted += len(lead.Submit(start, yuccagrant.Request{
+				ID: yuccagrant.ID{Number: number + 1}, SoftDeadline: start.Add(10 * time.Second), Deadline: start.Add(20 * time.Second),
+			}).Grants)
+		}
+		Expect(granted).To(BeZero())
+		Expect(lead.Tick(sent.Add(time.Second)).Grants).To(HaveLen(4))
+	})
+
 	// Guards against the failure that a cold target gets nothing, so that its slots are idle although requests wait.
 	It("uses what a cold target bears", func() {
 		flt := newColdFleet(1, 1)
