where: the example in its help has a header of no platform's own

cmd/yuccacleat named header fields of the users' platform in the example of its help, outside the adapter; it now has the usual one of HTTP. A text only; no test matches it, and the package builds.

--- a/cmd/yuccacleat/where.go
+++ b/cmd/yuccacleat/where.go
@@ -37,7 +37,7 @@
 
 The path, the host and the header fields are those that the caller would send. The file
 has one operator address on each line.`,
-		Example: "  yuccacleat where --daemons daemons.txt --host desk.example --header 'Yuccacleat-Attempt-Id: 1' --header 'Yuccacleat-Key: …' /notes/",
+		Example: "  yuccacleat where --daemons daemons.txt --host desk.example --header 'Authorization: Bearer …' /notes/",
 		Args:    cobra.ExactArgs(1),
 		RunE: func(command *cobra.Command, args []string) error {
 			head.path = args[0]
