--- a/core/yuccagrant/leader.go
+++ b/core/yuccagrant/leader.go
@@ -1,10 +1,8 @@
 package yuccagrant
 
 import (
-	"cmp"
 	"iter"
 	"math/rand/v2"
-	"slices"
 	"time"
 
 	"yuccacleat/core/yuccacache"
@@ -72,109 +70,6 @@
 	return &Leader{rng: rng, leaderCount: 1, centreCount: 1, runs: make(map[ID]*activeRun), queue: newQueue(), lengthModel: newLengthModel(), sizeStats: newSizeStats(), arrivals: newArrivals(), returns: newReturns(), parts: yuccacache.NewIndex[*targetState](), fetches: fetches{success: 1}}
 }
 
-// SetTargets sets the targets. What was learned of a target is kept until its process is
-// restarted. Runs on targets that are no longer listed continue.
-func (lead *Leader) SetTargets(now time.Time, configured []Target) Decisions {
-	old := lead.targetsByName
-	lead.targetsByName = make(map[yuccaid.Target]*targetState, len(configured))
-	lead.targets = make([]*targetState, 0, len(configured))
-	newPace := medianPace(old)
-	hadTargets := len(old) > 0
-	for _, target := range configured {
-		tgt := old[target.Name]
-		isNew := hadTargets && (tgt == nil || tgt.StartMillis != target.StartMillis)
-		if tgt == nil || tgt.StartMillis != target.StartMillis {
-			tgt = newTargetState(target, biasShare*lead.rng.Float64())
-			tgt.pace = newPace
-			if former := old[target.Name]; former != nil {
-				tgt.cold, tgt.sends, tgt.reportedSends = former.cold, former.sends, former.reportedSends
-			}
-		}
-		tgt.cold.Register(now, target.Budget.Limit, target.Cold, hadTargets)
-		if lead.returned(target.Centre) {
-			tgt.cold.Assume(now, target.Budget.Limit)
-		}
-		tgt.tookOverAt = lead.tookOverAt
-		if tgt.cache.Limit() != int64(target.CacheTokens) {
-			lead.parts.Clear(tgt, &tgt.cache)
-			tgt.cache = yuccacache.New(int64(target.CacheTokens), maxPartsPerTarget(len(configured)))
-		}
-		tgt.Target = target
-		if isNew {
-			tgt.beginRamp(now)
-		}
-		tgt.totalSlots = target.Slots
-		lead.targets = append(lead.targets, tgt)
-		lead.targetsByName[target.Name] = tgt
-	}
-	for name, tgt := range old {
-		if lead.targetsByName[name] != tgt {
-			lead.parts.Clear(tgt, &tgt.cache)
-		}
-	}
-	slices.SortFunc(lead.targets, func(a, b *targetState) int { return cmp.Or(compareRemote(a, b), cmp.Compare(a.Name, b.Name)) })
-	lead.shareSlots()
-	lead.countOwnSlots(now)
-	lead.remoteBound.configure(lead.targets)
-	lead.pacesChanged = true
-	lead.present.update(now, old, lead.targets, lead.evacuated)
-	var dec Decisions
-	lead.grantSlots(now, &dec)
-	return dec
-}
-
-// SetEvacuated sets the data centres that are evacuated, before SetTargets is called with the targets of the
-// others. Requests don't wait for the targets of an evacuated data centre as for targets that are expected to
-// register again. Once it isn't evacuated any more, they count as cold.
-func (lead *Leader) SetEvacuated(centres map[yuccaid.Centre]bool) {
-	lead.evacuatedBefore, lead.evacuated = lead.evacuated, centres
-}
-
-// returned reports whether the data centre has ceased to be evacuated since the targets were last set.
-func (lead *Leader) returned(centre yuccaid.Centre) bool {
-	return lead.evacuatedBefore[centre] && !lead.evacuated[centre]
-}
-
-// compareRemote orders targets of this region before targets of other regions.
-func compareRemote(a, b *targetState) int {
-	switch {
-	case a.Remote == b.Remote:
-		return 0
-	case b.Remote:
-		return -1
-	}
-	return 1
-}
-
-// SetLeaderCount sets the number of leaders, at least 1, that decide on the same targets without
-// knowing of one another's runs. Each leader uses an equal share of each target's slots.
-func (lead *Leader) SetLeaderCount(now time.Time, leaderCount int) Decisions {
-	var dec Decisions
-	if leaderCount == lead.leaderCount {
-		return dec
-	}
-	lead.leaderCount = leaderCount
-	lead.shareSlots()
-	lead.grantSlots(now, &dec)
-	return dec
-}
-
-// medianPace returns the pace assumed for a target that has not answered yet: the median of the
-// paces learned so far, or 1.
-func medianPace(targets map[yuccaid.Target]*targetState) float64 {
-	var known []float64
-	for _, tgt := range targets {
-		if tgt.paceSamples > 0 {
-			known = append(known, tgt.pace)
-		}
-	}
-	if len(known) == 0 {
-		return 1
-	}
-	slices.Sort(known)
-	return known[len(known)/2]
-}
-
 // Submit adds a request, which is granted, refused or queued. It does nothing if the request is
 // already waiting or running.
 func (lead *Leader) Submit(now time.Time, req Request) Decisions {
--- a/core/yuccagrant/target.go
+++ b/core/yuccagrant/target.go
@@ -103,8 +103,29 @@
 	ahead yuccaid.Tokens
 }
 
-func newTargetState(target Target, bias float64) *targetState {
-	return &targetState{Target: target, runs: make(map[ID]*activeRun), pace: 1, bias: bias, cache: yuccacache.New(0, 0)}
+func newTargetState(target Target, bias, pace float64) *targetState {
+	return &targetState{
+		Target: target,
+		runs:   make(map[ID]*activeRun),
+		pace:   pace,
+		bias:   bias,
+		cache:  yuccacache.New(0, 0),
+	}
+}
+
+// keepSends takes over what is known of the target's former process, nil if there was none, that holds for the new one:
+// the requests sent to the target, and whether it is cold until it registers.
+func (tgt *targetState) keepSends(former *targetState) {
+	if former != nil {
+		tgt.cold, tgt.sends, tgt.reportedSends = former.cold, former.sends, former.reportedSends
+	}
+}
+
+// configure sets the target as configured now. addedLater reports whether the leader has had targets before.
+func (tgt *targetState) configure(now time.Time, target Target, addedLater bool) {
+	tgt.cold.Register(now, target.Budget.Limit, target.Cold, addedLater)
+	tgt.Target = target
+	tgt.totalSlots = target.Slots
 }
 
 // load returns what is reported to other leaders about the target.
