core/yuccagrant: names that say what they hold, and literals and conditions on lines of their own

Leader's fields on sharing targets with other leaders are a struct of share.go. returns is retries, as "returned" is said of data centres after an evacuation; provenAt is lastGoodSend, shareRegions keepSlotPerRegion, capacities.left freeShare, targetState.group groupIndex, the field present presence. Literals of several fields and conditions beyond 140 columns are broken, and comments that pointed at other comments or told how a remainder is divided by a figure of speech say it.

No behaviour is changed; random draws keep their order.

--- a/core/yuccagrant/arrivals.go
+++ b/core/yuccagrant/arrivals.go
@@ -105,8 +105,8 @@
 	return min(max(int(math.Ceil(math.Log2(max(key, smallestKey)/smallestKey))), 0), arrivalKeys-1)
 }
 
-// left returns the share of the capacity within the limits that is left by more urgent work, of which the
-// given amount arrives in a second.
-func (caps capacities) left(lim yuccaallow.Limits, arriving float64) float64 {
+// freeShare returns the share of the capacity within the limits that more urgent work leaves, of which the given
+// amount arrives in a second.
+func (caps capacities) freeShare(lim yuccaallow.Limits, arriving float64) float64 {
 	return max(1-arriving/caps.within(lim), minFreeCapacity)
 }
--- a/core/yuccagrant/breaker.go
+++ b/core/yuccagrant/breaker.go
@@ -12,8 +12,9 @@
 	// tripFailures is the number of consecutive failures after which a target is tried by one request
 	// at a time. A target that loses some of its answers seldom has as many.
 	tripFailures = 3
-	// provenFor is how long a run that has begun outweighs the failures that other leaders report.
-	provenFor = 500 * time.Millisecond
+	// goodSendTTL is how long after it was sent a run that has begun to answer outweighs the failures that
+	// other leaders report.
+	goodSendTTL = 500 * time.Millisecond
 	// anyTrialAfter is the time after the end of a backoff from which also a request of the most
 	// urgent rank may be the one that tries the target.
 	anyTrialAfter = time.Second
@@ -58,8 +59,8 @@
 	if run.sent.Before(tgt.failedAt) {
 		return
 	}
-	if run.sent.After(tgt.provenAt) {
-		tgt.provenAt = run.sent
+	if run.sent.After(tgt.lastGoodSend) {
+		tgt.lastGoodSend = run.sent
 	}
 	if tgt.tripped() {
 		lead.noteFailures(tgt)
@@ -120,7 +121,7 @@
 	for _, report := range reports {
 		tgt, found := lead.targetsByName[report.Target]
 		switch {
-		case !found || now.Sub(tgt.provenAt) < provenFor:
+		case !found || now.Sub(tgt.lastGoodSend) < goodSendTTL:
 		case report.Failures > 0:
 			lead.addFailure(now, tgt, report.Failures)
 		case tgt.tripped():
--- a/core/yuccagrant/capacity.go
+++ b/core/yuccagrant/capacity.go
@@ -44,15 +44,16 @@
 // capacities returns the present capacities. ownRuns and allRuns start at 1, so that the share is defined
 // while there are no runs.
 func (lead *Leader) capacities(now time.Time) capacities {
-	caps := capacities{groups: lead.present.groups, capacity: make([]float64, len(lead.present.groups))}
+	caps := capacities{groups: lead.presence.groups, capacity: make([]float64, len(lead.presence.groups))}
 	ownRuns, allRuns := 1, 1
 	for _, tgt := range lead.targets {
 		if tgt.backingOff(now) || tgt.tripped() {
 			continue
 		}
-		slots := min(float64(tgt.Slots)/(tgt.pace*lead.slowness(now, tgt)), tgt.coldSlots(now, lead.latencyModel.expectedHold()))
+		slots := float64(tgt.Slots) / (tgt.pace * lead.slowness(now, tgt))
+		slots = min(slots, tgt.coldSlots(now, lead.latencyModel.expectedHold()))
 		caps.total += slots
-		caps.capacity[tgt.group] += slots
+		caps.capacity[tgt.groupIndex] += slots
 		ownRuns += len(tgt.runs)
 		allRuns += len(tgt.runs) + tgt.otherCentreRuns
 	}
--- a/core/yuccagrant/centre.go
+++ b/core/yuccagrant/centre.go
@@ -17,25 +17,25 @@
 )
 
 // SetCentreCount sets the number of data centres whose leaders decide on the same targets, at least 1.
-func (lead *Leader) SetCentreCount(count int) { lead.centreCount = max(count, 1) }
+func (lead *Leader) SetCentreCount(count int) { lead.sharing.centreCount = max(count, 1) }
 
 // grantableSlots returns how many more requests may be sent to a target.
 func (lead *Leader) grantableSlots(now time.Time, tgt *targetState) int {
 	if tgt.heldBack(now) != yuccaallow.Allowed {
 		return 0
 	}
-	if tgt.OtherCentre && !lead.spreadsRuns && !lead.lacksTargets() {
-		return tgt.spareShare(now, lead.centreCount)
+	if tgt.OtherCentre && !lead.sharing.spreadsRuns && !lead.lacksTargets() {
+		return tgt.spareShare(now, lead.sharing.centreCount)
 	}
 	return tgt.grantableSlots(now)
 }
 
 // countOwnSlots counts the slots of the targets of this leader's data centre that can be used.
 func (lead *Leader) countOwnSlots(now time.Time) {
-	lead.ownSlots = 0
+	lead.sharing.ownSlots = 0
 	for _, tgt := range lead.targets {
 		if !tgt.OtherCentre && !tgt.tripped() && !tgt.backingOff(now) {
-			lead.ownSlots += tgt.Slots
+			lead.sharing.ownSlots += tgt.Slots
 		}
 	}
 }
@@ -45,11 +45,11 @@
 //
 // The leader of a data centre whose targets are few, have crashed or are evacuated would otherwise get
 // only what the others leave free. While these are busy, all of its callers would wait and be refused.
-func (lead *Leader) lacksTargets() bool { return lead.queue.len() > lead.ownSlots }
+func (lead *Leader) lacksTargets() bool { return lead.queue.len() > lead.sharing.ownSlots }
 
 // spareShare returns how many more requests this leader may send to a target of another data centre: its
 // share of the free slots, less what it has sent there so recently that the others don't know of it. What
-// remains of the division goes to some of the leaders, whom the bias of the target tells.
+// remains of the division goes to the leaders for which the target has a low bias.
 //
 // When a target starts or recovers, the leaders of all data centres see its free slots at the same
 // time. If each filled them, the target would have several times as many requests as slots.
@@ -60,8 +60,8 @@
 			recent++
 		}
 	}
-	share, part := math.Modf(float64(tgt.freeSlots(now)+recent) / float64(centres))
-	if tgt.bias < biasShare*part {
+	share, fraction := math.Modf(float64(tgt.freeSlots(now)+recent) / float64(centres))
+	if tgt.bias < biasShare*fraction {
 		share++
 	}
 	return max(int(share)-recent, 0)
@@ -88,7 +88,7 @@
 // that rule.
 func (lead *Leader) setOvercommit(tgt *targetState, shortRuns bool) {
 	tgt.overcommit = (tgt.Slots + overcommitDivisor - 1) / overcommitDivisor
-	if tgt.OtherCentre && !shortRuns && lead.hasOwn {
+	if tgt.OtherCentre && !shortRuns && lead.sharing.hasOwnTargets {
 		tgt.overcommit = 0
 	}
 }
--- a/core/yuccagrant/choose.go
+++ b/core/yuccagrant/choose.go
@@ -45,10 +45,13 @@
 	_, slope := lead.latencyModel.fitLine()
 	events, _ := lead.lengthModel.expectedEvents(req)
 	return baseline{
+		expectedTimeToFirst: seconds(lead.expectedTimeToFirst(req, 0)),
+		expectedHold:        lead.latencyModel.expectedHold(),
+		gap:                 lead.latencyModel.gap(),
+		perToken:            slope * lead.lengthModel.timeToFirstRatio(req.Class),
+		slope:               slope,
+		events:              events,
 		holder:              holder,
-		expectedTimeToFirst: seconds(lead.expectedTimeToFirst(req, 0)), expectedHold: lead.latencyModel.expectedHold(), gap: lead.latencyModel.gap(),
-		slope: slope, perToken: slope * lead.lengthModel.timeToFirstRatio(req.Class),
-		events: events,
 	}
 }
 
@@ -91,7 +94,8 @@
 	best := choice{cost: math.MaxInt64}
 	base := lead.baseline(now, req)
 	minFirst := max(base.expectedTimeToFirst-seconds(base.perToken*float64(lead.longestHeld(req))), 0)
-	minRemoteCost := time.Duration(lead.remoteBound.minPace*lead.leastSlowness()*float64(minFirst)) + lead.remoteBound.minRoundTrip + remoteCost
+	minRemoteFirst := time.Duration(lead.remoteBound.minPace * lead.leastSlowness() * float64(minFirst))
+	minRemoteCost := minRemoteFirst + lead.remoteBound.minRoundTrip + remoteCost
 	for at, tgt := range lead.targets {
 		if at >= lead.remoteBound.localCount && best.suitable && best.cost <= minRemoteCost {
 			return best
@@ -130,17 +134,20 @@
 func (lead *Leader) estimate(now time.Time, tgt *targetState, req *Request, base *baseline) choice {
 	avail := lead.available(tgt, req, base)
 	pending := tgt.pendingPrefill(now, base.slope)
-	firstWithoutWait := avail.fetchTime + time.Duration(tgt.pace*lead.slowness(now, tgt)*float64(base.expectedTimeToFirst+seconds(base.perToken*float64(pending-avail.tokens))))
+	onFastest := base.expectedTimeToFirst + seconds(base.perToken*float64(pending-avail.tokens))
+	firstWithoutWait := avail.fetchTime + time.Duration(tgt.pace*lead.slowness(now, tgt)*float64(onFastest))
 	busySlots := tgt.busySlots(now)
 	slots := float64(max(tgt.Slots, 1))
 	crowding := crowdingShare * float64(busySlots) / slots
 	wait := seconds(float64(max(busySlots-tgt.Slots+1, 0)) * base.expectedHold * tgt.pace / slots)
 	candidate := choice{targetState: tgt, available: avail, expectedTimeToFirst: wait + firstWithoutWait + tgt.RoundTrip}
 	candidate.cost = candidate.expectedTimeToFirst + time.Duration((crowding+tgt.bias)*float64(firstWithoutWait)) +
-		time.Duration(tgt.lateFraction*float64(lateGapCost)) + time.Duration(tgt.failureRate*float64(failureCost)) + avail.fetchCost + tgt.centreCost()
+		time.Duration(tgt.lateFraction*float64(lateGapCost)) + time.Duration(tgt.failureRate*float64(failureCost)) +
+		avail.fetchCost + tgt.centreCost()
 	remaining := req.SoftDeadline.Sub(now)
 	candidate.tooSlow = req.finishable && !base.finishes(now, req, candidate.expectedTimeToFirst, tgt.pace) && tgt.pace > slowPace
-	candidate.suitable = candidate.expectedTimeToFirst <= time.Duration(softDeadlineShare*float64(remaining)) && !candidate.tooSlow && !exceedsMaxGap(tgt, req, pending+req.Prompt-avail.tokens, base)
+	candidate.suitable = candidate.expectedTimeToFirst <= time.Duration(softDeadlineShare*float64(remaining)) &&
+		!candidate.tooSlow && !exceedsMaxGap(tgt, req, pending+req.Prompt-avail.tokens, base)
 	return candidate
 }
 
--- a/core/yuccagrant/configure.go
+++ b/core/yuccagrant/configure.go
@@ -32,7 +32,7 @@
 	lead.countOwnSlots(now)
 	lead.remoteBound.configure(lead.targets)
 	lead.pacesChanged = true
-	lead.present.update(now, former, lead.targets, lead.evacuated)
+	lead.presence.update(now, former, lead.targets, lead.evacuated)
 	var dec Decisions
 	lead.grantSlots(now, &dec)
 	return dec
@@ -94,10 +94,10 @@
 // knowing of one another's runs. Each leader uses an equal share of each target's slots.
 func (lead *Leader) SetLeaderCount(now time.Time, leaderCount int) Decisions {
 	var dec Decisions
-	if leaderCount == lead.leaderCount {
+	if leaderCount == lead.sharing.leaderCount {
 		return dec
 	}
-	lead.leaderCount = leaderCount
+	lead.sharing.leaderCount = leaderCount
 	lead.shareSlots()
 	lead.grantSlots(now, &dec)
 	return dec
--- a/core/yuccagrant/forecast.go
+++ b/core/yuccagrant/forecast.go
@@ -52,7 +52,7 @@
 	fc := Forecast{Candidates: lead.candidates(now, &entry.Request)}
 	fc.Ahead = lead.queue.countAhead(now, entry)
 	fc.EstimatedWait = lead.waitFor(now, entry, lead.capacities(now))
-	fc.Refused = lead.present.missing(now, entry.limits())
+	fc.Refused = lead.presence.missing(now, entry.limits())
 	if fc.Refused == "" && lead.queue.len() >= maxQueued {
 		fc.Refused = ReasonQueueFull
 	}
--- a/core/yuccagrant/leader.go
+++ b/core/yuccagrant/leader.go
@@ -16,25 +16,11 @@
 	// targets lists the targets of this region before those of other regions.
 	targets       []*targetState
 	targetsByName map[yuccaid.Target]*targetState
-	// present is which targets there are, and evacuated the data centres whose targets have left because of
-	// an evacuation.
-	present   presence
-	evacuated map[yuccaid.Centre]bool
-	// servesLimited reports whether requests that may be served in some regions only have been submitted.
-	servesLimited bool
-	// evacuatedBefore are those that were evacuated when the targets were last set.
-	evacuatedBefore map[yuccaid.Centre]bool
-	// leaderCount is the number of leaders among which the slots of each target are divided.
-	leaderCount int
-	// centreCount is the number of data centres whose leaders decide on the same targets. spreadsRuns
-	// is set while the runs of other leaders are assumed to be spread over all targets (see
-	// Leader.spreadOtherRuns).
-	centreCount int
-	spreadsRuns bool
-	// hasOwn reports whether there are targets in this leader's data centre, and ownSlots is the number of
-	// slots of those that can be used.
-	hasOwn   bool
-	ownSlots int
+	presence      presence
+	// evacuated are the data centres whose targets have left because of an evacuation, and evacuatedBefore
+	// those that were evacuated when the targets were last set.
+	evacuated, evacuatedBefore map[yuccaid.Centre]bool
+	sharing                    sharing
 	// remoteBound is a lower bound on the cost of targets in other regions.
 	remoteBound remoteBound
 	// pacesChanged reports that a pace has changed since paces were last normalised.
@@ -45,7 +31,7 @@
 	lengthModel  lengthModel
 	sizeStats    sizeStats
 	arrivals     arrivals
-	returns      returns
+	retries      retries
 	// speeds estimates from what targets state how long work takes there at the moment.
 	speeds yuccaspeed.Model
 	// parts finds the targets that hold the parts of a prompt. generation counts the requests for
@@ -67,7 +53,18 @@
 
 // New returns a leader without targets. SetTargets sets them.
 func New(rng *rand.Rand) *Leader {
-	return &Leader{rng: rng, leaderCount: 1, centreCount: 1, runs: make(map[ID]*activeRun), queue: newQueue(), lengthModel: newLengthModel(), sizeStats: newSizeStats(), arrivals: newArrivals(), returns: newReturns(), parts: yuccacache.NewIndex[*targetState](), fetches: fetches{success: 1}}
+	return &Leader{
+		rng:         rng,
+		sharing:     sharing{leaderCount: 1, centreCount: 1},
+		runs:        make(map[ID]*activeRun),
+		queue:       newQueue(),
+		lengthModel: newLengthModel(),
+		sizeStats:   newSizeStats(),
+		arrivals:    newArrivals(),
+		retries:     newRetries(),
+		parts:       yuccacache.NewIndex[*targetState](),
+		fetches:     fetches{success: 1},
+	}
 }
 
 // Submit adds a request, which is granted, refused or queued. It does nothing if the request is
@@ -80,7 +77,7 @@
 	if _, found := lead.queue.byID[req.ID]; found {
 		return dec
 	}
-	if reason := lead.present.missing(now, req.limits()); reason != "" {
+	if reason := lead.presence.missing(now, req.limits()); reason != "" {
 		lead.refuse(now, lead.newEntry(now, req), reason, &dec)
 		return dec
 	}
@@ -88,8 +85,8 @@
 		lead.refuse(now, lead.newEntry(now, req), ReasonQueueFull, &dec)
 		return dec
 	}
-	if req.Regions.Limited() && !lead.servesLimited {
-		lead.servesLimited = true
+	if req.Regions.Limited() && !lead.sharing.servesLimited {
+		lead.sharing.servesLimited = true
 		lead.shareSlots()
 	}
 	entry := lead.newEntry(now, req)
@@ -208,8 +205,8 @@
 }
 
 // SetOtherCentreLoads sets how many runs the leaders of other data centres have on the given
-// targets, and whether the targets have been tried there. It adopts the paces that those leaders have learned for targets of which this leader
-// has too few samples.
+// targets, and whether the targets have been tried there. It adopts the paces that those leaders have
+// learned for targets of which this leader has too few samples.
 func (lead *Leader) SetOtherCentreLoads(now time.Time, loads map[yuccaid.Target]TargetLoad) Decisions {
 	var dec Decisions
 	for target, load := range loads {
@@ -301,7 +298,18 @@
 	list := make([]TargetStatus, 0, len(lead.targets))
 	for _, tgt := range lead.targets {
 		list = append(list, TargetStatus{
-			Target: tgt.Name, Busy: tgt.busySlots(now), Slots: tgt.Slots, Pace: tgt.pace, LateFraction: tgt.lateFraction, FailureRate: tgt.failureRate, BackingOff: tgt.backingOff(now), Slowness: lead.slowness(now, tgt), Tripped: tgt.tripped(), Cold: tgt.isCold(now), HeldBack: tgt.heldBack(now), Window: tgt.window.Size(now),
+			Target:       tgt.Name,
+			Busy:         tgt.busySlots(now),
+			Slots:        tgt.Slots,
+			Pace:         tgt.pace,
+			LateFraction: tgt.lateFraction,
+			FailureRate:  tgt.failureRate,
+			BackingOff:   tgt.backingOff(now),
+			Slowness:     lead.slowness(now, tgt),
+			Tripped:      tgt.tripped(),
+			Cold:         tgt.isCold(now),
+			HeldBack:     tgt.heldBack(now),
+			Window:       tgt.window.Size(now),
 		})
 	}
 	return list
--- a/core/yuccagrant/learn.go
+++ b/core/yuccagrant/learn.go
@@ -7,10 +7,10 @@
 
 // learnTimeToFirst includes the time to a run's first event in the pool's latency model, as the time
 // for the tokens that the target had to read for this run and before it, and in the target's pace if
-// the answer has a single event or tells the pace by its beginning. The latency model leaves out the times of answers of several events
-// whose class announces wrong prompt lengths, and of runs whose fetch may have saved nothing. The pace
-// isn't learned until the latency model includes two times, because the first time only defines the
-// model.
+// the answer has a single event or tells the pace by its beginning. The latency model leaves out the
+// times of answers of several events whose class announces wrong prompt lengths, and of runs whose fetch
+// may have saved nothing. The pace isn't learned until the latency model includes two times, because the
+// first time only defines the model.
 func (lead *Leader) learnTimeToFirst(now time.Time, run *activeRun, took time.Duration) {
 	targetTime := max(took-run.targetState.RoundTrip, time.Millisecond).Seconds()
 	if run.fetchFrom != "" {
--- a/core/yuccagrant/parts.go
+++ b/core/yuccagrant/parts.go
@@ -46,7 +46,8 @@
 		}
 		tgt.heldGeneration = lead.generation
 		tgt.held = req.tokensOf(parts)
-		if !tgt.backingOff(now) && !tgt.tripped() && req.Regions.Allows(tgt.Region) && (holder == nil || tgt.held > holder.held || tgt.held == holder.held && holder.Remote && !tgt.Remote) {
+		better := holder == nil || tgt.held > holder.held || tgt.held == holder.held && holder.Remote && !tgt.Remote
+		if better && !tgt.backingOff(now) && !tgt.tripped() && req.Regions.Allows(tgt.Region) {
 			holder = tgt
 		}
 		return true
@@ -183,7 +184,10 @@
 			}
 			base := lead.baseline(now, &entry.Request)
 			candidate := lead.estimate(now, tgt, &entry.Request, &base)
-			if lead.heldTokens(tgt, &entry.Request) == 0 || candidate.tooSlow || !candidate.suitable && entry.onTime(now) && lead.worthWaiting(now, &entry.Request) {
+			if lead.heldTokens(tgt, &entry.Request) == 0 || candidate.tooSlow {
+				break
+			}
+			if !candidate.suitable && entry.onTime(now) && lead.worthWaiting(now, &entry.Request) {
 				break
 			}
 			lead.grant(now, entry, candidate, dec)
--- a/core/yuccagrant/presence.go
+++ b/core/yuccagrant/presence.go
@@ -7,15 +7,15 @@
 	"yuccacleat/core/yuccaid"
 )
 
-// group is the properties by which limits allow or exclude targets. All targets of a group are allowed by the same limits.
+// group is what the limits of requests tell targets apart by. Limits allow all targets of a group or none.
 type group struct {
 	region  yuccaid.Region
 	version yuccaid.Version
 }
 
-// presence is which targets there are, and when those of a region left.
+// presence records which groups and regions have targets, and since when a region has none.
 type presence struct {
-	// groups are the groups of the targets, by the index that targetState.group holds.
+	// groups are the groups of the targets, by targetState.groupIndex.
 	groups []group
 	// regions counts the targets of each region.
 	regions map[yuccaid.Region]int
@@ -27,7 +27,9 @@
 }
 
 // update records the targets that there are now, in place of the former ones.
-func (pres *presence) update(now time.Time, former map[yuccaid.Target]*targetState, targets []*targetState, evacuated map[yuccaid.Centre]bool) {
+func (pres *presence) update(now time.Time, former map[yuccaid.Target]*targetState, targets []*targetState,
+	evacuated map[yuccaid.Centre]bool,
+) {
 	before := pres.regions
 	pres.count(targets)
 	expected := len(former) == 0
@@ -62,7 +64,7 @@
 			index[grp] = at
 			pres.groups = append(pres.groups, grp)
 		}
-		tgt.group = at
+		tgt.groupIndex = at
 		pres.regions[tgt.Region]++
 		delete(pres.leftAt, tgt.Region)
 	}
@@ -118,7 +120,7 @@
 func (lead *Leader) refuseMissing(now time.Time, dec *Decisions) {
 	left := make(map[Reason][]*queueEntry)
 	for _, entry := range lead.queue.byID {
-		if reason := lead.present.missing(now, entry.limits()); reason != "" {
+		if reason := lead.presence.missing(now, entry.limits()); reason != "" {
 			left[reason] = append(left[reason], entry)
 		}
 	}
--- a/core/yuccagrant/refuse.go
+++ b/core/yuccagrant/refuse.go
@@ -34,7 +34,11 @@
 // given one is running on a target that the given one may use.
 func (lead *Leader) lessUrgentRunning(request *Request) bool {
 	for _, run := range lead.runs {
-		if cmp.Or(cmp.Compare(run.request.Tier, request.Tier), cmp.Compare(run.request.effectiveRank(), request.effectiveRank())) > 0 && run.targetState.within(request.limits()) {
+		urgency := cmp.Or(
+			cmp.Compare(run.request.Tier, request.Tier),
+			cmp.Compare(run.request.effectiveRank(), request.effectiveRank()),
+		)
+		if urgency > 0 && run.targetState.within(request.limits()) {
 			return true
 		}
 	}
@@ -91,8 +95,12 @@
 	lead.arrivals.remove(now, entry)
 	caps := lead.capacities(now)
 	dec.Refusals = append(dec.Refusals, Refusal{
-		ID: entry.ID, Reason: reason, RetryAfter: lead.retryAfter(now, entry, reason, caps),
-		QueueLength: lead.queue.len(), FreeSlots: lead.freeSlots(now, entry.limits()), EstimatedWait: lead.waitFor(now, entry, caps),
+		ID:            entry.ID,
+		Reason:        reason,
+		RetryAfter:    lead.retryAfter(now, entry, reason, caps),
+		QueueLength:   lead.queue.len(),
+		FreeSlots:     lead.freeSlots(now, entry.limits()),
+		EstimatedWait: lead.waitFor(now, entry, caps),
 	})
 }
 
@@ -105,7 +113,7 @@
 	var own demand
 	own.add(entry.limits(), entry.expectedWork)
 	alone := min(caps.wait(entry.limits(), own), wait)
-	return alone + seconds((wait-alone).Seconds()/caps.left(entry.limits(), lead.arrivals.ahead(now, entry, key)))
+	return alone + seconds((wait-alone).Seconds()/caps.freeShare(entry.limits(), lead.arrivals.ahead(now, entry, key)))
 }
 
 // retryAfter returns the time after which a refused caller should retry: the estimated time to serve
@@ -122,8 +130,8 @@
 	case reason == ReasonNoRegion:
 		wait = max(wait, noTargetGrace)
 	case capacity > minCapacity:
-		left := capacity * caps.left(entry.limits(), lead.arrivals.ahead(now, entry, entry.sortKey))
-		wait = lead.returns.plan(now, urgency{entry.Tier, entry.effectiveRank()}, wait, seconds(entry.expectedWork/left))
+		left := capacity * caps.freeShare(entry.limits(), lead.arrivals.ahead(now, entry, entry.sortKey))
+		wait = lead.retries.plan(now, urgency{entry.Tier, entry.effectiveRank()}, wait, seconds(entry.expectedWork/left))
 	}
 	wait = min(max(wait, minRetryAfter), maxRetryAfter)
 	return wait + time.Duration(lead.rng.Float64()*retryJitter*float64(wait))
--- a/core/yuccagrant/return.go
+++ b/core/yuccagrant/retries.go
@@ -11,30 +11,30 @@
 	retryJitter   = 0.25
 )
 
-// returns plans when refused callers come back, so that they come as fast as they can be served.
+// retries plans when refused callers are to retry, so that they come as fast as they can be served.
 //
 // If each were told how long the queue lasts now, all that are refused in an overload would come back
 // within the same second, and most would be refused again.
-type returns struct {
-	// next holds, by urgency, when the last refused caller has been served that was told to come back.
-	next map[urgency]time.Time
+type retries struct {
+	// servedUntil holds, by urgency, until when the targets are busy with the retries planned so far.
+	servedUntil map[urgency]time.Time
 }
 
 // urgency is a tier and an effective rank within it.
 type urgency struct{ tier, rank int }
 
-func newReturns() returns { return returns{next: make(map[urgency]time.Time)} }
+func newRetries() retries { return retries{servedUntil: make(map[urgency]time.Time)} }
 
-// plan returns the time until a caller should come back whose request takes the given time of all
-// targets. earliest is the time until the requests that wait now are served.
-func (ret *returns) plan(now time.Time, urg urgency, earliest, takes time.Duration) time.Duration {
+// plan returns the time after which a refused caller should retry. takes is how long all targets together
+// need for the request, and earliest is the time until the requests that wait now are served.
+func (ret *retries) plan(now time.Time, urg urgency, earliest, takes time.Duration) time.Duration {
 	at, latest := now.Add(earliest), now.Add(maxRetryAfter)
-	if next := ret.next[urg]; next.After(at) {
-		at = next
+	if until := ret.servedUntil[urg]; until.After(at) {
+		at = until
 	}
 	if at.After(latest) {
 		at = latest
 	}
-	ret.next[urg] = at.Add(takes)
+	ret.servedUntil[urg] = at.Add(takes)
 	return at.Sub(now)
 }
--- a/core/yuccagrant/serve.go
+++ b/core/yuccagrant/serve.go
@@ -76,7 +76,12 @@
 	run := lead.addRun(now, best.targetState, entry.Request)
 	lead.recordGrant(now, best.targetState)
 	dec.Grants = append(dec.Grants, Grant{
-		ID: entry.ID, Target: best.targetState.Name, ExpectedTimeToFirst: best.expectedTimeToFirst, Busy: busySlots, Held: run.held, FetchFrom: run.fetchFrom,
+		ID:                  entry.ID,
+		Target:              best.targetState.Name,
+		FetchFrom:           run.fetchFrom,
+		ExpectedTimeToFirst: best.expectedTimeToFirst,
+		Busy:                busySlots,
+		Held:                run.held,
 	})
 }
 
@@ -107,7 +112,12 @@
 	lead.noteFinishable(now, &req)
 	expectedWork := lead.expectedWork(&req)
 	rankWeight := math.Pow(rankFactor, float64(req.effectiveRank()))
-	return &queueEntry{Request: req, submitted: now, expectedWork: expectedWork, sortKey: rankWeight * lead.sizeStats.orderingWork(req.effectiveRank(), expectedWork)}
+	return &queueEntry{
+		Request:      req,
+		submitted:    now,
+		expectedWork: expectedWork,
+		sortKey:      rankWeight * lead.sizeStats.orderingWork(req.effectiveRank(), expectedWork),
+	}
 }
 
 // expectedWork returns how long a run is expected to occupy a slot of the fastest target, in
@@ -131,11 +141,17 @@
 	base := lead.baseline(now, &request)
 	estimate := lead.estimate(now, tgt, &request, &base)
 	run := &activeRun{
-		request: request, targetState: tgt, sent: now, dueAfter: estimate.expectedTimeToFirst,
-		unread: request.Prompt - estimate.available.tokens, held: lead.heldTokens(tgt, &request), fetchFrom: estimate.available.from, fetchTime: estimate.available.fetchTime,
+		request:     request,
+		targetState: tgt,
+		sent:        now,
+		dueAfter:    estimate.expectedTimeToFirst,
+		unread:      request.Prompt - estimate.available.tokens,
+		held:        lead.heldTokens(tgt, &request),
+		fetchFrom:   estimate.available.from,
+		fetchTime:   estimate.available.fetchTime,
+		speed:       tgt.speed,
+		ahead:       tgt.pendingPrefill(now, base.slope),
 	}
-	run.speed = tgt.speed
-	run.ahead = tgt.pendingPrefill(now, base.slope)
 	run.undelayed = run.ahead == 0 && run.fetchFrom == "" && tgt.busySlots(now) < tgt.Slots
 	lead.recordParts(tgt, &request)
 	lead.runs[request.ID] = run
--- a/core/yuccagrant/share.go
+++ b/core/yuccagrant/share.go
@@ -17,23 +17,41 @@
 	maxShareLoad = 2
 )
 
+// sharing is how this leader shares the targets with the leaders of other data centres, or with other leaders of
+// its own data centre.
+type sharing struct {
+	// leaderCount is the number of leaders among which the slots of each target are divided.
+	leaderCount int
+	// centreCount is the number of data centres whose leaders decide on the same targets.
+	centreCount int
+	// spreadsRuns is set while the runs of other leaders are assumed to be spread over all targets (see
+	// Leader.spreadOtherRuns).
+	spreadsRuns bool
+	// hasOwnTargets reports whether there are targets in this leader's data centre, and ownSlots is the
+	// number of slots of those that can be used.
+	hasOwnTargets bool
+	ownSlots      int
+	// servesLimited reports whether requests that may be served in some regions only have been submitted.
+	servesLimited bool
+}
+
 // shareSlots sets how many slots of each target this leader uses: its share of them. What remains of the
-// division goes to some of the leaders, whom the bias of the target tells. If each leader rounded its
+// division goes to the leaders for which the target has a low bias. If each leader rounded its
 // share up, twenty leaders would use twenty slots of each target that has four.
 func (lead *Leader) shareSlots() {
 	short, sum := lead.shortRuns(), 0
-	lead.hasOwn = false
+	lead.sharing.hasOwnTargets = false
 	for _, tgt := range lead.targets {
-		tgt.Slots = tgt.totalSlots / lead.leaderCount
-		remainder := tgt.totalSlots % lead.leaderCount
-		if tgt.bias*float64(lead.leaderCount) < biasShare*float64(remainder) {
+		tgt.Slots = tgt.totalSlots / lead.sharing.leaderCount
+		remainder := tgt.totalSlots % lead.sharing.leaderCount
+		if tgt.bias*float64(lead.sharing.leaderCount) < biasShare*float64(remainder) {
 			tgt.Slots++
 		}
 		sum += tgt.Slots
-		lead.hasOwn = lead.hasOwn || !tgt.OtherCentre
+		lead.sharing.hasOwnTargets = lead.sharing.hasOwnTargets || !tgt.OtherCentre
 	}
-	if sum > 0 && lead.servesLimited {
-		lead.shareRegions()
+	if sum > 0 && lead.sharing.servesLimited {
+		lead.keepSlotPerRegion()
 	}
 	for _, tgt := range lead.targets {
 		if sum == 0 {
@@ -43,19 +61,20 @@
 	}
 }
 
-// shareRegions sees that this leader uses a slot in each region. A leader with a small share may have no slot of
-// any target in a region, where requests that may be served only there would wait in vain.
-func (lead *Leader) shareRegions() {
-	first := make(map[yuccaid.Region]*targetState)
-	shared := make(map[yuccaid.Region]bool)
+// keepSlotPerRegion gives this leader one slot in each region where it has none. A leader with a small share may
+// have no slot of any target in a region, where requests that may be served only there would wait in vain. The
+// bias decides on which target it is, so that not all leaders use the same one.
+func (lead *Leader) keepSlotPerRegion() {
+	leastBiased := make(map[yuccaid.Region]*targetState)
+	hasSlot := make(map[yuccaid.Region]bool)
 	for _, tgt := range lead.targets {
-		shared[tgt.Region] = shared[tgt.Region] || tgt.Slots > 0
-		if other := first[tgt.Region]; other == nil || tgt.bias < other.bias {
-			first[tgt.Region] = tgt
+		hasSlot[tgt.Region] = hasSlot[tgt.Region] || tgt.Slots > 0
+		if other := leastBiased[tgt.Region]; other == nil || tgt.bias < other.bias {
+			leastBiased[tgt.Region] = tgt
 		}
 	}
-	for region, tgt := range first {
-		if !shared[region] {
+	for region, tgt := range leastBiased {
+		if !hasSlot[region] {
 			tgt.Slots = 1
 		}
 	}
@@ -101,7 +120,8 @@
 func (lead *Leader) chooseWithinShare(now time.Time, req *Request, base *baseline) choice {
 	best := choice{cost: math.MaxInt64}
 	for _, tgt := range lead.targets {
-		if tgt.busySlots(now) < maxShareLoad*tgt.Slots && tgt.heldBack(now) == yuccaallow.Allowed && !tgt.backingOff(now) && tgt.mayServe(req) && lead.mayTry(now, tgt, req) {
+		hasRoom := tgt.busySlots(now) < maxShareLoad*tgt.Slots && tgt.heldBack(now) == yuccaallow.Allowed
+		if hasRoom && !tgt.backingOff(now) && tgt.mayServe(req) && lead.mayTry(now, tgt, req) {
 			best = best.better(lead.estimate(now, tgt, req, base))
 		}
 	}
@@ -116,7 +136,7 @@
 // to the target that had the fewest runs a tenth of a second ago, and overload it.
 func (lead *Leader) spreadOtherRuns() {
 	stale := lead.shortRuns()
-	lead.spreadsRuns = stale
+	lead.sharing.spreadsRuns = stale
 	slots, others := 0, 0
 	for _, tgt := range lead.targets {
 		slots += tgt.Slots
--- a/core/yuccagrant/target.go
+++ b/core/yuccagrant/target.go
@@ -15,8 +15,8 @@
 // of it.
 type targetState struct {
 	Target
-	// group is the index of the target's group among those of the leader.
-	group int
+	// groupIndex is the index of the target's group in presence.groups.
+	groupIndex int
 	// totalSlots is the number of the target's slots. The embedded Slots is set to this leader's
 	// share of them.
 	totalSlots int
@@ -32,9 +32,9 @@
 	// backoffUntil is the time before which the target gets no requests because of a failure.
 	backoffUntil        time.Time
 	consecutiveFailures int
-	// failedAt is when the last such failure was recorded, and provenAt when the last run was sent that
-	// has begun since.
-	failedAt, provenAt time.Time
+	// failedAt is when the last such failure was recorded, and lastGoodSend when the last run was sent of
+	// those that have begun to answer.
+	failedAt, lastGoodSend time.Time
 	// unaccounted is the number of runs that the target reported beyond the runs that the leaders
 	// know of, reduced by unaccountedSlack. These runs count as occupied slots until
 	// unaccountedUntil.
@@ -61,16 +61,15 @@
 	// Otherwise all leaders that have not learned anything yet would send their first requests to
 	// the same target.
 	bias float64
-	// cold is what is known of the target's being cold, and sends when requests were sent to it.
-	// reportedSends is when requests were sent to it as the present leader has reported. tookOverAt is
-	// that of the leader.
+	// cold is what is known of whether the target is cold, and sends when this leader sent it requests.
+	// reportedSends is when another leader did, as that one has reported. tookOverAt is Leader.tookOverAt.
 	cold          yuccacold.State
 	sends         yuccacold.Sends
 	reportedSends yuccacold.Sends
 	tookOverAt    time.Time
-	// window bounds the runs that haven't begun while it isn't known what the target can take. Until
-	// untriedUntil, a new target of another data centre is left to the leader there, unless that one reports
-	// its pace before. tried reports that it does so.
+	// window bounds the runs that haven't begun while it isn't known how many the target can take.
+	// tried reports that the leader of the target's own data centre has learned its pace. Until then, but
+	// no longer than untriedUntil, this leader sends nothing to a new target of another data centre.
 	window       yuccaramp.Window
 	untriedUntil time.Time
 	tried        bool
