--- a/core/yuccacold/evacuations.go
+++ b/core/yuccacold/evacuations.go
@@ -48,9 +48,9 @@
 	}
 }
 
-// Preferred returns the data centres whose leaders get the shares of other data centres, in the order of their names, as
-// the leader of the data centre own has to see it. Since leaders learn of an evacuation at different times, own is listed
-// later and for a shorter time than the others make room for it.
+// Preferred returns the data centres whose leaders get the shares of other leaders, in the order of their names, as it
+// holds for the leader of the data centre own. Leaders learn of an evacuation at different times, so a leader counts its
+// own data centre later, and for a shorter time, than the others leave it their shares.
 func (ev *Evacuations) Preferred(now time.Time, own yuccaid.Centre) []yuccaid.Centre {
 	var list []yuccaid.Centre
 	for centre, at := range ev.since {
--- a/core/yuccacold/shares.go
+++ b/core/yuccacold/shares.go
@@ -33,8 +33,8 @@
 }
 
 // Minority returns how many requests a leader may send a target of its data centre in any second if it sees no more than half
-// of the daemons there: those of the others may have a leader of their own, whom it can't reach. All such leaders together
-// send no more than the daemons that decide alone.
+// of the daemons there: the others may have a leader of their own, which it can't reach. All such leaders together send no
+// more than the daemons that decide alone may.
 func (shares Shares) Minority(live, expected int) int {
 	if expected <= 0 || 2*live > expected {
 		return shares.Alone
--- a/core/yuccacold/shares_test.go
+++ b/core/yuccacold/shares_test.go
@@ -38,7 +38,8 @@
 		Expect(yuccacold.Divide(12, 0)).To(Equal(yuccacold.Shares{Leader: 9, Alone: 3}))
 	})
 
-	// Guards against the failure that the sides of a split data centre exceed the share of daemons that decide alone, or that a side left with few daemons uses none of it.
+	// Guards against the failure that the sides of a split data centre exceed the share of daemons that decide alone, or that
+	// a side left with few daemons uses none of it.
 	It("is used in part by the smaller sides of a data centre that has split", func() {
 		shares := yuccacold.Divide(12, 5)
 		Expect(shares.Minority(5, 15)).To(Equal(2))
--- a/core/yuccacold/state.go
+++ b/core/yuccacold/state.go
@@ -2,6 +2,9 @@
 
 import "time"
 
+// maxRemaining bounds the time that a registration may state.
+const maxRemaining = time.Minute
+
 // Statement is what a target's registration says about its being cold.
 type Statement struct {
 	// Revision is the revision of the registration.
@@ -13,9 +16,6 @@
 	StartMillis int64
 }
 
-// maxRemaining bounds the time that a registration may state.
-const maxRemaining = time.Minute
-
 // State is what is known of one target: until when it is cold. The zero value is a target that isn't.
 type State struct {
 	revision    uint64
