core/yuccagrant: a leader keeps when the first run of a target is overdue, and asks once what holds a target back

Cause: for each placement a leader went over the runs of every target to find an overdue one, several times in each tick of each waiting request, and asked budget and window of every target twice (exclusion, then grantableSlots). Change: targetState.overdueAt is set when a run is added, starts, is taken over or ends; exclusion asks slotsLeft after heldBack.

--- a/core/yuccagrant/centre.go
+++ b/core/yuccagrant/centre.go
@@ -24,6 +24,11 @@
 	if tgt.heldBack(now) != yuccaallow.Allowed {
 		return 0
 	}
+	return lead.slotsLeft(now, tgt)
+}
+
+// slotsLeft returns how many more requests the slots of a target allow.
+func (lead *Leader) slotsLeft(now time.Time, tgt *targetState) int {
 	if tgt.OtherCentre && !lead.sharing.spreadsRuns && !lead.lacksTargets() {
 		return tgt.spareShare(now, lead.sharing.centreCount)
 	}
--- a/core/yuccagrant/exclusion.go
+++ b/core/yuccagrant/exclusion.go
@@ -43,7 +43,7 @@
 		return why
 	}
 	switch {
-	case lead.grantableSlots(now, tgt) == 0:
+	case lead.slotsLeft(now, tgt) == 0:
 		return Full
 	case tgt.backingOff(now) || !lead.mayTry(now, tgt, req):
 		return BackingOff
--- a/core/yuccagrant/leader.go
+++ b/core/yuccagrant/leader.go
@@ -119,6 +119,7 @@
 		return dec
 	}
 	run.started = true
+	run.targetState.updateOverdue()
 	run.targetState.recordAnswer(now, run, took)
 	lead.recordBegun(run)
 	run.targetState.recordReport(now, load)
@@ -169,6 +170,7 @@
 	}
 	run.sent = running.Sent
 	run.started = running.Started
+	tgt.updateOverdue()
 }
 
 // DropOwner removes the waiting and running requests of a daemon that is no longer a peer. Targets
--- a/core/yuccagrant/serve.go
+++ b/core/yuccagrant/serve.go
@@ -156,10 +156,12 @@
 	lead.recordParts(tgt, &request)
 	lead.runs[request.ID] = run
 	tgt.runs[request.ID] = run
+	tgt.updateOverdue()
 	return run
 }
 
 func (lead *Leader) removeRun(run *activeRun) {
 	delete(lead.runs, run.request.ID)
 	delete(run.targetState.runs, run.request.ID)
+	run.targetState.updateOverdue()
 }
--- a/core/yuccagrant/target.go
+++ b/core/yuccagrant/target.go
@@ -21,6 +21,8 @@
 	// share of them.
 	totalSlots int
 	runs       map[ID]*activeRun
+	// overdueAt is when the first of the runs that haven't started becomes overdue, zero if all have started.
+	overdueAt time.Time
 	// pace is how many times longer the target takes than the fastest one, learned from
 	// paceSamples answers.
 	pace        float64
@@ -102,6 +104,11 @@
 	ahead yuccaid.Tokens
 }
 
+// overdueAt returns when the run becomes overdue unless it starts before.
+func (run *activeRun) overdueAt() time.Time {
+	return run.sent.Add(time.Duration(overdueRatio*float64(run.dueAfter)) + overdueSlack)
+}
+
 func newTargetState(target Target, bias, pace float64) *targetState {
 	return &targetState{
 		Target: target,
@@ -207,16 +214,17 @@
 // longer ones. While a run is overdue, its target gets no other requests until the first event of
 // the run or until the run finishes.
 func (tgt *targetState) backingOff(now time.Time) bool {
-	return now.Before(tgt.backoffUntil) || tgt.hasOverdueRun(now)
+	return now.Before(tgt.backoffUntil) || !tgt.overdueAt.IsZero() && now.After(tgt.overdueAt)
 }
 
-func (tgt *targetState) hasOverdueRun(now time.Time) bool {
+// updateOverdue sets overdueAt after one of the target's runs has been added, changed or removed.
+func (tgt *targetState) updateOverdue() {
+	tgt.overdueAt = time.Time{}
 	for _, run := range tgt.runs {
-		if !run.started && now.Sub(run.sent) > time.Duration(overdueRatio*float64(run.dueAfter))+overdueSlack {
-			return true
+		if at := run.overdueAt(); !run.started && (tgt.overdueAt.IsZero() || at.Before(tgt.overdueAt)) {
+			tgt.overdueAt = at
 		}
 	}
-	return false
 }
 
 // backOff records a failure after which the target gets no requests for a while.
