--- a/cmd/yuccacleat/outlook.go
+++ b/cmd/yuccacleat/outlook.go
@@ -44,8 +44,8 @@
 	}
 }
 
-// writePools writes, for each pool, what the daemon decides that leads it, or the first one of the data centre if that one
-// didn't answer.
+// writePools writes, for each pool, what its leader would decide, or what the first daemon of the data centre would if the
+// leader didn't answer.
 func writePools(out io.Writer, list []yuccagate.Outlook) {
 	deciders := make(map[yuccaid.Pool]yuccagate.Outlook)
 	pools := make(map[yuccaid.Pool]yuccagate.PoolOutlook)
@@ -61,14 +61,14 @@
 	}
 }
 
-// writePool writes what the daemon that decides on a pool's request tells.
+// writePool writes what the decider, a pool's leader or another daemon, answers about the pool.
 func writePool(out io.Writer, decider yuccagate.Outlook, pool yuccagate.PoolOutlook) {
 	role := "which leads the pool"
 	if !pool.Leads {
 		role = fmt.Sprintf("which knows only its own runs; %s leads the pool", cmp.Or(string(pool.Leader), "nobody known"))
 	}
 	fmt.Fprintf(out, "  pool %s, decided by %s, %s\n", pool.Pool, decider.VM, role)
-	fmt.Fprintf(out, "    route %s, configuration %d, platform heard %s\n", decider.Route, decider.Number, heard(decider.PlatformAgeMillis))
+	fmt.Fprintf(out, "    route %s, configuration %d, platform heard %s\n", decider.Route, decider.Number, lastHeard(decider.PlatformAgeMillis))
 	if decider.Account != "" {
 		fmt.Fprintf(out, "    account %s%s\n", decider.Account, quotaText(decider.Quota))
 	}
@@ -77,8 +77,8 @@
 	writeExcluded(out, pool)
 }
 
-// heard tells when a daemon last heard from the platform.
-func heard(ageMillis int64) string {
+// lastHeard tells when a daemon last heard from the platform.
+func lastHeard(ageMillis int64) string {
 	if ageMillis < 0 {
 		return "never"
 	}
--- a/cmd/yuccacleat/where.go
+++ b/cmd/yuccacleat/where.go
@@ -16,7 +16,7 @@
 // maxOutlookBytes bounds the answer of one daemon, which has a few hundred bytes for each target of a pool.
 const maxOutlookBytes = 4 << 20
 
-// requestHead is a request's head as its caller would send it.
+// requestHead is a request as its caller would send it, without its body.
 type requestHead struct {
 	path, host string
 	// fields are header fields, each a name and a value with a colon between.
@@ -105,7 +105,8 @@
 	}
 	defer reply.Body.Close()
 	if reply.StatusCode != http.StatusOK {
-		return out, fmt.Errorf("daemon at %s answered HTTP %d: check that it is an operator address of a daemon that knows this question", address, reply.StatusCode)
+		return out, fmt.Errorf("daemon at %s answered HTTP %d: check that it is an operator address of a daemon that knows this question",
+			address, reply.StatusCode)
 	}
 	return out, json.NewDecoder(io.LimitReader(reply.Body, maxOutlookBytes)).Decode(&out)
 }
--- a/cmd/yuccameasure/fleet.go
+++ b/cmd/yuccameasure/fleet.go
@@ -13,12 +13,8 @@
 	var plan yuccameasure.MembersPlan
 	var answer int64
 	var decode float64
-	cmd := &cobra.Command{
-		Use:     "members",
-		Short:   "Measure control traffic, processor time and memory against the number of daemons",
-		Example: "  yuccameasure members --sizes 3,7,14",
-		Args:    cobra.NoArgs,
-	}
+	cmd := measureCommand("members", "Measure control traffic, processor time and memory against the number of daemons",
+		"  yuccameasure members --sizes 3,7,14")
 	cmd.Flags().IntVar(&plan.Centres, "centres", 1, "data centres")
 	cmd.Flags().IntSliceVar(&plan.Sizes, "sizes", []int{3, 7, 14, 28, 56}, "daemons of each data centre, one fleet after the other")
 	cmd.Flags().DurationVar(&plan.Quiet, "quiet", 20*time.Second, "time without requests")
@@ -36,12 +32,8 @@
 func relayCommand(flags *common) *cobra.Command {
 	var plan yuccameasure.RelayPlan
 	var answer, tokens int64
-	cmd := &cobra.Command{
-		Use:     "relay",
-		Short:   "Measure added time, processor time for relayed tokens and memory with streams open",
-		Example: "  yuccameasure relay --requests 100",
-		Args:    cobra.NoArgs,
-	}
+	cmd := measureCommand("relay", "Measure added time, processor time for relayed tokens and memory with streams open",
+		"  yuccameasure relay --requests 100")
 	cmd.Flags().IntVar(&plan.Requests, "requests", 400, "requests timed on each way")
 	cmd.Flags().Int64Var(&answer, "answer", 64, "tokens of a timed answer")
 	cmd.Flags().IntSliceVar(&plan.Streams, "streams", []int{0, 125, 250, 375, 500}, "streams held open at once")
@@ -56,12 +48,8 @@
 
 func pollsCommand(flags *common) *cobra.Command {
 	var plan yuccameasure.PollsPlan
-	cmd := &cobra.Command{
-		Use:     "polls",
-		Short:   "Measure a pool leader's processor time against the targets that it reads",
-		Example: "  yuccameasure polls --targets 1,8",
-		Args:    cobra.NoArgs,
-	}
+	cmd := measureCommand("polls", "Measure a pool leader's processor time against the targets that it reads",
+		"  yuccameasure polls --targets 1,8")
 	cmd.Flags().IntSliceVar(&plan.Targets, "targets", []int{1, 8, 32, 64, 128}, "targets of the pool, one fleet after the other")
 	cmd.Flags().DurationVar(&plan.Quiet, "quiet", 15*time.Second, "time without requests")
 	cmd.RunE = measuring(flags, &plan, yuccameasure.Polls)
@@ -70,12 +58,8 @@
 
 func configCommand(flags *common) *cobra.Command {
 	var plan yuccameasure.ConfigPlan
-	cmd := &cobra.Command{
-		Use:     "config",
-		Short:   "Measure how fast release notes take hold and what daemons read of the platform",
-		Example: "  yuccameasure config --sizes 7 --notes 20",
-		Args:    cobra.NoArgs,
-	}
+	cmd := measureCommand("config", "Measure how fast release notes take hold and what daemons read of the platform",
+		"  yuccameasure config --sizes 7 --notes 20")
 	cmd.Flags().IntSliceVar(&plan.Sizes, "sizes", []int{7, 28}, "daemons, one fleet after the other")
 	cmd.Flags().IntVar(&plan.Notes, "notes", 100, "release notes published one by one")
 	cmd.Flags().DurationVar(&plan.Quiet, "quiet", 70*time.Second, "time without notes; watches last up to a minute")
@@ -86,12 +70,8 @@
 
 func fullCommand(flags *common) *cobra.Command {
 	var plan yuccameasure.FullPlan
-	cmd := &cobra.Command{
-		Use:     "full",
-		Short:   "Measure a fleet whose configuration has the aimed size, and daemons that join it",
-		Example: "  yuccameasure full --daemons 3 --notes 5",
-		Args:    cobra.NoArgs,
-	}
+	cmd := measureCommand("full", "Measure a fleet whose configuration has the aimed size, and daemons that join it",
+		"  yuccameasure full --daemons 3 --notes 5")
 	cmd.Flags().IntVar(&plan.Daemons, "daemons", 7, "daemons of the fleet")
 	cmd.Flags().IntVar(&plan.Notes, "notes", 10, "release notes published one by one")
 	cmd.Flags().IntVar(&plan.Newcomers, "newcomers", 3, "daemons that join, one after the other")
--- a/cmd/yuccameasure/main.go
+++ b/cmd/yuccameasure/main.go
@@ -52,6 +52,11 @@
 	return root
 }
 
+// measureCommand returns a command that takes no arguments.
+func measureCommand(use, short, example string) *cobra.Command {
+	return &cobra.Command{Use: use, Short: short, Example: example, Args: cobra.NoArgs}
+}
+
 // measurement runs with the programs' paths and writes its tables.
 type measurement func(ctx context.Context, programs yuccameasure.Programs, text, lines io.Writer) error
 
