A request that is passed on to a leader no longer waits at its own daemon too

The leader refused one; half a second later the daemon's own scheduler granted it. Nobody ran it, so the run was never finished, was overdue and held the target back for a minute: when this daemon came to lead, the target got nothing.

Change: submit takes the request from the daemon's own queue before it asks the leader, as the tick did already for requests whose leader is trusted again.

--- a/io/yuccagate/scheduler.go
+++ b/io/yuccagate/scheduler.go
@@ -206,7 +206,8 @@
 
 // submit passes a waiting request to the daemon that decides on it. That is the pool's leader, or
 // this daemon itself if no leader is known, or if the leader is suspected or the request can't be
-// sent to it.
+// sent to it. A request that is passed to the leader no longer waits here: if it were granted here
+// after the leader has decided, its run would never end.
 func (gate *Gate) submit(now time.Time, sched *scheduler, plc *placement) {
 	plc.submittedAt = now
 	plc.waitConfirmedAt = time.Time{}
@@ -216,6 +217,7 @@
 		return
 	}
 	plc.decidedLocally = false
+	gate.apply(now, sched, sched.local.Withdraw(now, plc.request.ID))
 	if err := gate.ask(now, sched.leader, plc); err != nil {
 		gate.suspectLeader(now, sched, plc)
 	}
@@ -260,7 +262,6 @@
 		case plc.decidedLocally && (sched.leads || sched.leader.IsZero() || now.Before(sched.suspectUntil)):
 			// This daemon still has to decide on the request, so nothing changes.
 		case plc.decidedLocally:
-			gate.withdraw(now, sched, plc)
 			gate.submit(now, sched, plc)
 		case plc.waitConfirmedAt.IsZero() && now.Sub(plc.submittedAt) > leaderTimeout:
 			gate.suspectLeader(now, sched, plc)
