A leader reports its sends to targets of other data centres too

Cause: a leader has a share of one or two requests a second at some targets of other data centres, and its successor has the same. The reports left these sends out, so that both used the share in the second in which one was killed.

Change: reports hold all sends to targets that may be cold. The simulated fleet of the core spec now marks targets of other data centres as the daemons do.

--- a/core/yuccagrant/cold.go
+++ b/core/yuccagrant/cold.go
@@ -54,20 +54,17 @@
 	}
 }
 
-// TakeNewSends returns the sends to targets of this data centre since the last call, for the daemon that would lead next.
+// TakeNewSends returns the sends since the last call, for the daemon that would lead next.
 func (lead *Leader) TakeNewSends() []Send {
 	taken := lead.newSends
 	lead.newSends = nil
 	return taken
 }
 
-// RecentSends returns all sends to targets of this data centre in the last second that this leader knows of.
+// RecentSends returns all sends in the last second that this leader knows of.
 func (lead *Leader) RecentSends(now time.Time) []Send {
 	var list []Send
 	for _, tgt := range lead.targets {
-		if tgt.OtherCentre {
-			continue
-		}
 		for _, at := range tgt.sends.Recent(now) {
 			list = append(list, Send{Target: tgt.Name, At: at})
 		}
@@ -119,7 +116,7 @@
 // recordGrant counts a request that this leader sends to the target.
 func (lead *Leader) recordGrant(now time.Time, tgt *targetState) {
 	tgt.recordSend(now, now)
-	if tgt.Budget.Limit.Applies() && !tgt.OtherCentre && len(lead.newSends) < maxNewSends {
+	if tgt.Budget.Limit.Applies() && len(lead.newSends) < maxNewSends {
 		lead.newSends = append(lead.newSends, Send{Target: tgt.Name, At: now})
 	}
 }
--- a/core/yuccagrant/cold_test.go
+++ b/core/yuccagrant/cold_test.go
@@ -93,7 +93,7 @@
 func (flt *coldFleet) configure(dec *coldDecider) {
 	var list []yuccagrant.Target
 	for _, tgt := range flt.targets {
-		target := yuccagrant.Target{Name: tgt.name, Slots: 4, Remote: tgt.centre != dec.centre}
+		target := yuccagrant.Target{Name: tgt.name, Slots: 4, Remote: tgt.centre != dec.centre, OtherCentre: tgt.centre != dec.centre}
 		target.Cold = yuccacold.Statement{Revision: tgt.revision, Known: true, Remaining: tgt.stated}
 		target.Budget = flt.budget(dec, tgt)
 		list = append(list, target)
