--- a/core/yuccagrant/target.go
+++ b/core/yuccagrant/target.go
@@ -15,12 +15,14 @@
 // of it.
 type targetState struct {
 	Target
-	// group is the index of the target's group among those of the leader.
-	group int
+	// groupIndex is the index of the target's group in presence.groups.
+	groupIndex int
 	// totalSlots is the number of the target's slots. The embedded Slots is set to this leader's
 	// share of them.
 	totalSlots int
 	runs       map[ID]*activeRun
+	// overdueAt is when the first of the runs that haven't started becomes overdue, zero if all have started.
+	overdueAt time.Time
 	// pace is how many times longer the target takes than the fastest one, learned from
 	// paceSamples answers.
 	pace        float64
@@ -32,9 +34,9 @@
 	// backoffUntil is the time before which the target gets no requests because of a failure.
 	backoffUntil        time.Time
 	consecutiveFailures int
-	// failedAt is when the last such failure was recorded, and provenAt when the last run was sent that
-	// has begun since.
-	failedAt, provenAt time.Time
+	// failedAt is when the last such failure was recorded, and lastGoodSend when the last run was sent of
+	// those that have begun to answer.
+	failedAt, lastGoodSend time.Time
 	// unaccounted is the number of runs that the target reported beyond the runs that the leaders
 	// know of, reduced by unaccountedSlack. These runs count as occupied slots until
 	// unaccountedUntil.
@@ -61,16 +63,15 @@
 	// Otherwise all leaders that have not learned anything yet would send their first requests to
 	// the same target.
 	bias float64
-	// cold is what is known of the target's being cold, and sends when requests were sent to it.
-	// reportedSends is when requests were sent to it as the present leader has reported. tookOverAt is
-	// that of the leader.
+	// cold is what is known of whether the target is cold, and sends when this leader sent it requests.
+	// reportedSends is when another leader did, as that one has reported. tookOverAt is Leader.tookOverAt.
 	cold          yuccacold.State
 	sends         yuccacold.Sends
 	reportedSends yuccacold.Sends
 	tookOverAt    time.Time
-	// window bounds the runs that haven't begun while it isn't known what the target can take. Until
-	// untriedUntil, a new target of another data centre is left to the leader there, unless that one reports
-	// its pace before. tried reports that it does so.
+	// window bounds the runs that haven't begun while it isn't known how many the target can take.
+	// tried reports that the leader of the target's own data centre has learned its pace. Until then, but
+	// no longer than untriedUntil, this leader sends nothing to a new target of another data centre.
 	window       yuccaramp.Window
 	untriedUntil time.Time
 	tried        bool
@@ -103,8 +104,34 @@
 	ahead yuccaid.Tokens
 }
 
-func newTargetState(target Target, bias float64) *targetState {
-	return &targetState{Target: target, runs: make(map[ID]*activeRun), pace: 1, bias: bias, cache: yuccacache.New(0, 0)}
+// overdueAt returns when the run becomes overdue unless it starts before.
+func (run *activeRun) overdueAt() time.Time {
+	return run.sent.Add(time.Duration(overdueRatio*float64(run.dueAfter)) + overdueSlack)
+}
+
+func newTargetState(target Target, bias, pace float64) *targetState {
+	return &targetState{
+		Target: target,
+		runs:   make(map[ID]*activeRun),
+		pace:   pace,
+		bias:   bias,
+		cache:  yuccacache.New(0, 0),
+	}
+}
+
+// keepSends takes over what is known of the target's former process, nil if there was none, that holds for the new one:
+// the requests sent to the target, and whether it is cold until it registers.
+func (tgt *targetState) keepSends(former *targetState) {
+	if former != nil {
+		tgt.cold, tgt.sends, tgt.reportedSends = former.cold, former.sends, former.reportedSends
+	}
+}
+
+// configure sets the target as configured now. addedLater reports whether the leader has had targets before.
+func (tgt *targetState) configure(now time.Time, target Target, addedLater bool) {
+	tgt.cold.Register(now, target.Budget.Limit, target.Cold, addedLater)
+	tgt.Target = target
+	tgt.totalSlots = target.Slots
 }
 
 // load returns what is reported to other leaders about the target.
@@ -187,16 +214,17 @@
 // longer ones. While a run is overdue, its target gets no other requests until the first event of
 // the run or until the run finishes.
 func (tgt *targetState) backingOff(now time.Time) bool {
-	return now.Before(tgt.backoffUntil) || tgt.hasOverdueRun(now)
+	return now.Before(tgt.backoffUntil) || !tgt.overdueAt.IsZero() && now.After(tgt.overdueAt)
 }
 
-func (tgt *targetState) hasOverdueRun(now time.Time) bool {
+// updateOverdue sets overdueAt after one of the target's runs has been added, changed or removed.
+func (tgt *targetState) updateOverdue() {
+	tgt.overdueAt = time.Time{}
 	for _, run := range tgt.runs {
-		if !run.started && now.Sub(run.sent) > time.Duration(overdueRatio*float64(run.dueAfter))+overdueSlack {
-			return true
+		if at := run.overdueAt(); !run.started && (tgt.overdueAt.IsZero() || at.Before(tgt.overdueAt)) {
+			tgt.overdueAt = at
 		}
 	}
-	return false
 }
 
 // backOff records a failure after which the target gets no requests for a while.
