A stream whose route has moved goes on only where its pool is known

Cause: a daemon that has restarted has no history of routes, and took the first configuration that it got for what had always been so (RouteIsOld). Another daemon's view of the versions is by pool. So after a route had moved from one pool to another, a take-up at the restarted daemon asked for the new pool; one other daemon that knew a single version there was enough, and the stream went on in a pool that hadn't begun it. No kill of the whole fleet is needed, and no prompt of two versions.

Change: the query names the route as the asker knows it, and answers tell whether it has led to the same pools since the answerer's history began, or may have led to others. One complete history has to say the first, and none the second (AgreeOnRoute); else targets are asked, as where two versions are known. Older builds ignore the new fields of a query and don't send those of an answer; beside them, targets are asked.

Ruled out: treating a restarted daemon's routes as new for as long as streams last. Streams of a pool with one version would then depend on targets that still keep their prompts each time that one daemon is killed.

--- a/core/yuccastream/history.go
+++ b/core/yuccastream/history.go
@@ -50,6 +50,9 @@
 	// Complete reports whether the daemon's history reaches back that far, and Fresh whether the daemon
 	// has current news of the platform. Only with both can the pool have had no other version.
 	Complete, Fresh bool
+	// Kept reports whether the route of the stream has led to its present pools since the history began, and Moved whether it may
+	// have led to others. Both are false if the daemon knows no routes.
+	Kept, Moved bool
 }
 
 // Certain reports whether the daemon knows that the pool has had one version only.
@@ -99,7 +102,9 @@
 
 // Route is which requests a route selects, and the pools that serve them as a text.
 type Route struct {
-	Host, Prefix, Pools string
+	Host   string `msgpack:"host"`
+	Prefix string `msgpack:"prefix"`
+	Pools  string `msgpack:"pools"`
 }
 
 // serves reports whether the route may serve requests of another one if that is removed.
@@ -133,6 +138,29 @@
 	maps.DeleteFunc(hist.changedAt, func(name string, _ time.Time) bool { _, found := routes[name]; return !found })
 }
 
+// RouteView returns whether a route, as another daemon knows it, has led to the same pools since the history began, and whether it
+// may have led to others within MaxRetention.
+func (hist *History) RouteView(now time.Time, name string, route Route) (kept, moved bool) {
+	if len(hist.routes) == 0 {
+		return false, false
+	}
+	kept = hist.routes[name] == route && hist.RouteIsOld(now, name)
+	return kept, !kept
+}
+
+// AgreeOnRoute reports whether the views of several daemons leave no other pools possible than the present ones of the stream's
+// route. A daemon that has just started doesn't know to which pools the route led before.
+func AgreeOnRoute(views []View) bool {
+	kept := false
+	for _, view := range views {
+		if view.Moved {
+			return false
+		}
+		kept = kept || view.Complete && view.Kept
+	}
+	return kept
+}
+
 // RouteIsOld reports whether a route's pools have been the same for MaxRetention, so that no stream on it
 // began in another pool.
 func (hist *History) RouteIsOld(now time.Time, name string) bool {
--- a/core/yuccastream/history_test.go
+++ b/core/yuccastream/history_test.go
@@ -1,6 +1,7 @@
 package yuccastream_test
 
 import (
+	"fmt"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -72,8 +73,38 @@
 		Expect(hist.RouteIsOld(start.Add(time.Hour), "all")).To(BeFalse())
 		Expect(hist.RouteIsOld(start.Add(time.Hour), "other")).To(BeTrue())
 	})
+
+	It("compares a route with that of another daemon", func() {
+		hist := yuccastream.NewHistory(time.Time{})
+		view := func(now time.Time, route yuccastream.Route) string {
+			kept, moved := hist.RouteView(now, "long", route)
+			return fmt.Sprint(kept, moved)
+		}
+		long := yuccastream.Route{Host: "desk", Prefix: "/notes/long/", Pools: "notes"}
+		moved := long
+		moved.Pools = "archive"
+		Expect(view(start, long)).To(Equal("false false"))
+		hist.SetRoutes(start, map[string]yuccastream.Route{"long": long})
+		Expect(view(start, long)).To(Equal("true false"))
+		Expect(view(start, moved)).To(Equal("false true"))
+		hist.SetRoutes(start, map[string]yuccastream.Route{"long": moved})
+		Expect(view(start, moved)).To(Equal("false true"))
+		Expect(view(start.Add(yuccastream.MaxRetention+time.Second), moved)).To(Equal("true false"))
+	})
 })
 
+// Guards against the failure that a daemon which has just started takes a route's present pools for its only ones.
+var _ = DescribeTable("the pools of a route, as several daemons know them",
+	func(agreed bool, views ...yuccastream.View) {
+		Expect(yuccastream.AgreeOnRoute(views)).To(Equal(agreed))
+	},
+	Entry("are told by one whose history is complete", true, yuccastream.View{Kept: true}, yuccastream.View{Complete: true, Kept: true}),
+	Entry("aren't told by one that has just started", false, yuccastream.View{Kept: true}),
+	Entry("aren't told by one that knows no routes", false, yuccastream.View{Complete: true}),
+	Entry("aren't told if another knows that the route has moved", false, yuccastream.View{Complete: true, Kept: true}, yuccastream.View{Moved: true}),
+	Entry("aren't told by nobody", false),
+)
+
 // A view of a daemon with current news and a complete history is certain.
 var _ = DescribeTable("the only version of a pool, as several daemons know it",
 	func(version yuccaid.Version, views ...yuccastream.View) {
--- a/io/yuccagate/origin.go
+++ b/io/yuccagate/origin.go
@@ -87,6 +87,13 @@
 	return gate.origins.history.View(now, pool, age >= 0 && age < originNewsAge)
 }
 
+// streamView returns what this daemon knows of the versions of a pool, and of a route that leads there.
+func (gate *Gate) streamView(now time.Time, pool yuccaid.Pool, name string, route yuccastream.Route) yuccastream.View {
+	view := gate.poolView(now, pool)
+	view.Kept, view.Moved = gate.origins.history.RouteView(now, name, route)
+	return view
+}
+
 // tickOrigins passes on origins that have become due, and ends lookups that have taken too long. Others go on if they waited
 // for targets.
 func (gate *Gate) tickOrigins(now time.Time) {
@@ -228,8 +235,13 @@
 	routes := make(map[string]yuccastream.Route)
 	for _, route := range table.Config().Routes {
 		if route.Kind == yuccaroute.Stream {
-			routes[route.Name] = yuccastream.Route{Host: route.Host, Prefix: route.Prefix, Pools: fmt.Sprint(route.Pools)}
+			routes[route.Name] = historicRoute(&route)
 		}
 	}
 	gate.origins.history.SetRoutes(now, routes)
 }
+
+// historicRoute returns what the history keeps of a route.
+func historicRoute(route *yuccaroute.Route) yuccastream.Route {
+	return yuccastream.Route{Host: route.Host, Prefix: route.Prefix, Pools: fmt.Sprint(route.Pools)}
+}
--- a/io/yuccagate/survey_test.go
+++ b/io/yuccagate/survey_test.go
@@ -144,4 +144,30 @@
 		Eventually(gt.lines.all, 5*time.Second).Should(ContainSubstring("peer gone"))
 		Expect(takeUp.do(gt).status).To(Equal(http.StatusServiceUnavailable))
 	})
+
+	// Guards against the failure that a stream goes on in the pool to which its route has moved since it began, because a daemon that
+	// has restarted knows no former route and another one knows a single version of the new pool.
+	DescribeTable("where another daemon knows the only version of the route's pool",
+		func(moved bool, status int) {
+			eng := newEngines("v1")[0]
+			before, after := config(), config()
+			if moved {
+				before.Pools = append(before.Pools, yuccaroute.Pool{Name: "hall"})
+				after.Pools = before.Pools
+				for index := range before.Routes {
+					before.Routes[index].Pools = []yuccaroute.PoolWeight{{Pool: "hall", Weight: 1}}
+				}
+			}
+			witness := newGateOf(listen(), "odessa", "entry-1", nil)
+			witness.configure(1, before, 4, eng)
+			witness.configure(2, after, 4, eng)
+			gt := newGateOf(listen(), "odessa", "entry-2", restarted, witness.Status().Address)
+			gt.configure(2, after, 4, eng)
+			Eventually(func() int { return len(gt.Status().Peers) }, 5*time.Second).Should(Equal(1))
+			time.Sleep(settled)
+			Expect(takeUp.do(gt).status).To(Equal(status))
+		},
+		Entry("is refused if the route led to another pool", true, http.StatusServiceUnavailable),
+		Entry("goes on if the route led to no other", false, http.StatusOK),
+	)
 })
--- a/io/yuccagate/takeup.go
+++ b/io/yuccagate/takeup.go
@@ -34,8 +34,11 @@
 	number uint64
 	key    yuccastream.Key
 	pool   yuccaid.Pool
-	// onlyPool reports whether the stream can't have begun in another pool.
-	onlyPool bool
+	// routeName and route are the route of the stream. onlyPool reports whether, as far as this daemon knows, the stream can't have
+	// begun in another pool than the route's.
+	routeName string
+	route     yuccastream.Route
+	onlyPool  bool
 	// ownPart is the last part of the stream's prompt, zero if it isn't known. surveyed reports whether the targets are asked
 	// what they keep of it, and holdings is what they have answered.
 	ownPart  KeptPart
@@ -66,7 +69,10 @@
 // Targets don't check which version began a stream. If any target could continue it, the caller would
 // get events that don't fit together.
 func (req *callerRequest) bindToOrigin(ctx context.Context) *Problem {
-	lookup := &originLookup{key: req.streamKey(), pool: req.pool, ownPart: req.info.OwnPart, result: make(chan originResult, 1)}
+	lookup := &originLookup{
+		key: req.streamKey(), pool: req.pool, routeName: req.route.Name, route: historicRoute(req.route), ownPart: req.info.OwnPart,
+		result: make(chan originResult, 1),
+	}
 	began := time.Now()
 	req.gate.control.Post(func(now time.Time) {
 		lookup.onlyPool = len(req.route.Pools) == 1 && req.gate.origins.history.RouteIsOld(now, req.route.Name)
@@ -120,7 +126,7 @@
 	}
 	gate.origins.lastLookup++
 	lookup.number = gate.origins.lastLookup
-	query := yuccawire.OriginQuery{Number: lookup.number, Key: lookup.key, Pool: lookup.pool}
+	query := yuccawire.OriginQuery{Number: lookup.number, Key: lookup.key, Pool: lookup.pool, RouteName: lookup.routeName, Route: lookup.route}
 	for _, holder := range holders {
 		if gate.send(holder, yuccawire.KindOriginQuery, query) {
 			lookup.awaiting++
@@ -147,10 +153,10 @@
 // onOriginQuery answers another daemon's lookup.
 func (gate *Gate) onOriginQuery(now time.Time, from yuccaid.Incarnation, query yuccawire.OriginQuery) {
 	origin, found := gate.origins.memory.Find(now, query.Key)
-	view := gate.poolView(now, query.Pool)
+	view := gate.streamView(now, query.Pool, query.RouteName, query.Route)
 	gate.send(from, yuccawire.KindOriginAnswer, yuccawire.OriginAnswer{
 		Number: query.Number, Found: found, Pool: origin.Pool, Version: origin.Version,
-		Sole: view.Version, Several: view.Several, Complete: view.Complete, Fresh: view.Fresh,
+		Sole: view.Version, Several: view.Several, Complete: view.Complete, Fresh: view.Fresh, Kept: view.Kept, Moved: view.Moved,
 	})
 }
 
@@ -169,7 +175,10 @@
 		return
 	}
 	lookup.awaiting--
-	lookup.views = append(lookup.views, yuccastream.View{Version: answer.Sole, Several: answer.Several, Complete: answer.Complete, Fresh: answer.Fresh})
+	lookup.views = append(lookup.views, yuccastream.View{
+		Version: answer.Sole, Several: answer.Several, Complete: answer.Complete, Fresh: answer.Fresh, Kept: answer.Kept, Moved: answer.Moved,
+	})
+	lookup.onlyPool = lookup.onlyPool && !answer.Moved
 	if lookup.awaiting == 0 {
 		delete(gate.origins.lookups, answer.Number)
 		gate.conclude(now, lookup)
@@ -187,9 +196,10 @@
 // conclude ends a lookup of a stream that nobody remembers. The stream can only go on if its pool has had
 // one version, or if what targets keep of its prompt tells the version that began it.
 func (gate *Gate) conclude(now time.Time, lookup *originLookup) {
-	version, agreed := yuccastream.Agree(append(lookup.views, gate.poolView(now, lookup.pool)))
+	views := append(lookup.views, gate.streamView(now, lookup.pool, lookup.routeName, lookup.route))
+	version, agreed := yuccastream.Agree(views)
 	switch {
-	case agreed && lookup.onlyPool:
+	case agreed && lookup.onlyPool && yuccastream.AgreeOnRoute(views):
 		lookup.deliver(yuccastream.Origin{Pool: lookup.pool, Version: version}, originSole)
 	case lookup.surveyed:
 		lookup.concludeSurvey()
--- a/io/yuccawire/origin.go
+++ b/io/yuccawire/origin.go
@@ -14,12 +14,15 @@
 	Seconds int
 }
 
-// OriginQuery asks where a stream began, and what the receiver knows of a pool's versions. The sender
-// identifies the query by a number.
+// OriginQuery asks where a stream began, and what the receiver knows of a pool's versions and of the stream's
+// route. The sender identifies the query by a number.
 type OriginQuery struct {
 	Number uint64          `msgpack:"number"`
 	Key    yuccastream.Key `msgpack:"key"`
 	Pool   yuccaid.Pool    `msgpack:"pool"`
+	// RouteName and Route are the route as the sender knows it.
+	RouteName string            `msgpack:"routeName"`
+	Route     yuccastream.Route `msgpack:"route"`
 }
 
 // OriginAnswer tells where a stream began, if the sender remembers it, and the sender's view of the pool
@@ -29,11 +32,13 @@
 	Found   bool            `msgpack:"found"`
 	Pool    yuccaid.Pool    `msgpack:"pool"`
 	Version yuccaid.Version `msgpack:"version"`
-	// Sole, Several, Complete and Fresh are the view.
+	// Sole, Several, Complete, Fresh, Kept and Moved are the view. Older builds don't tell the last two.
 	Sole     yuccaid.Version `msgpack:"sole"`
 	Several  bool            `msgpack:"several"`
 	Complete bool            `msgpack:"complete"`
 	Fresh    bool            `msgpack:"fresh"`
+	Kept     bool            `msgpack:"kept"`
+	Moved    bool            `msgpack:"moved"`
 }
 
 // HoldingQuery asks what a share of the targets keeps of a part of a prompt. The sender identifies the query by
