Targets aren't asked what they keep before all of them are known

Cause: a query for what targets keep counted targets as gone that the daemon which asks them didn't know yet. It was taken to know all as soon as it knew one: a change of a single target that a peer passed on before the first list was enough. And a daemon with targets but no configuration knows no pool that runs a model, asked none, and answered that nothing is kept. Where two versions had read a prompt and the one that began the stream was among those not asked, the stream went on at the other.

Change: queries wait until the daemon has read a whole list of targets and has a configuration (knowsTargets), as they waited for the first target.

Ruled out: the pages of a list, which are joined before they are used; and a peer's list, which isn't sent before that peer has a whole one.

--- a/io/yuccagate/survey.go
+++ b/io/yuccagate/survey.go
@@ -151,9 +151,9 @@
 	}
 }
 
-// knowsTargets reports whether this daemon has learned of targets since it started. Callers that take streams up come as
-// soon as it accepts connections.
-func (gate *Gate) knowsTargets() bool { return gate.roster.Version() > 0 }
+// knowsTargets reports whether this daemon has learned of all targets since it started, and which pools run models. Callers that
+// take streams up come as soon as a daemon accepts connections, and changes of single targets may arrive before the list.
+func (gate *Gate) knowsTargets() bool { return gate.platformRevision > 0 && gate.tables.Load() != nil }
 
 // tickSurveys forgets old surveys, and goes on with the queries that came before any target was known.
 func (gate *Gate) tickSurveys(now time.Time) {
--- a/io/yuccagate/survey_test.go
+++ b/io/yuccagate/survey_test.go
@@ -9,9 +9,11 @@
 	. "github.com/onsi/gomega"
 
 	"yuccacleat/core/yuccaid"
+	"yuccacleat/core/yuccaregion"
 	"yuccacleat/core/yuccaroster"
 	"yuccacleat/core/yuccaroute"
 	"yuccacleat/io/yuccagate"
+	"yuccacleat/io/yuccawire"
 )
 
 var _ = Describe("a stream that is taken up at a daemon without memory", func() {
@@ -93,6 +95,47 @@
 		Expect(takeUp.do(gt).status).To(Equal(http.StatusOK))
 	})
 
+	// Guards against the failure that a stream goes on at one of two versions that have read its prompt, because the daemon has only
+	// been told of a change of that one's targets yet.
+	It("is refused as long as the daemon knows only a part of the targets", func() {
+		engines := newEngines("v1", "v2")
+		engines[0].keeps, engines[1].keeps = []string{"p1"}, []string{"p1"}
+		gt := newGateOf(listen(), "odessa", "entry-1", restarted)
+		Expect(gt.OfferConfiguration(encode(1, modelConfig()), "test")).To(Succeed())
+		Eventually(gt.Ready).Should(BeTrue())
+		peer := newPuller(gt, listen())
+		changed := yuccaroster.Entry{Target: "e0", Pool: "desk", Address: engines[0].listener.Addr().String(), Centre: "odessa", Slots: 4, Revision: 2, Version: "v1"}
+		Expect(peer.Send(peer.Linked()[0].Incarnation, yuccawire.KindTargets, yuccawire.TargetsUpdate{
+			Targets: yuccawire.Targets{Entries: []yuccaroster.Entry{changed}, At: 2}, After: 1,
+		})).To(Succeed())
+		Eventually(func() int { return len(gt.Status().Targets) }).Should(Equal(1))
+		Expect(takeUp.do(gt).status).To(Equal(http.StatusServiceUnavailable))
+	})
+
+	// Guards against the failure that a stream goes on at one of two versions that have read its prompt, because the daemon that asks
+	// the targets of the other one has no configuration and asks none.
+	It("is refused where the daemon that asks a share of the targets has no configuration", func() {
+		engines := newEngines("v1", "v1", "v1", "v2")
+		// The targets e0 and e3 are in the shares of different daemons.
+		engines[0].keeps, engines[3].keeps = []string{"p1"}, []string{"p1"}
+		cfg := modelConfig()
+		// The settings of the other daemon lack this region, so it refuses the configuration.
+		cfg.Routes[0].Regions = yuccaregion.Only("hills")
+		other := newGateOf(listen(), "odessa", "entry-9", restarted)
+		gt := newGateOf(listen(), "odessa", "odessa-1", restarted, other.Status().Address)
+		gt.configure(1, cfg, 4, engines...)
+		var entries []yuccaroster.Entry
+		for _, eng := range engines {
+			entries = append(entries, yuccaroster.Entry{
+				Target: yuccaid.Target(eng.name), Pool: "desk", Address: eng.listener.Addr().String(), Centre: "odessa", Slots: 4, Revision: 1, Version: eng.version,
+			})
+		}
+		other.OfferTargets(entries, nil, true, 1, true)
+		Eventually(func() int { return len(gt.Status().Peers) }, 5*time.Second).Should(Equal(1))
+		time.Sleep(settled)
+		Expect(takeUp.do(gt).status).To(Equal(http.StatusServiceUnavailable))
+	})
+
 	// Guards against the failure that targets of plain services are asked for what only engines keep.
 	It("is refused where no pool runs a model", func() {
 		engines := newEngines("v1")
