--- a/core/yuccagrant/leader.go
+++ b/core/yuccagrant/leader.go
@@ -1,10 +1,8 @@
 package yuccagrant
 
 import (
-	"cmp"
 	"iter"
 	"math/rand/v2"
-	"slices"
 	"time"
 
 	"yuccacleat/core/yuccacache"
@@ -18,25 +16,11 @@
 	// targets lists the targets of this region before those of other regions.
 	targets       []*targetState
 	targetsByName map[yuccaid.Target]*targetState
-	// present is which targets there are, and evacuated the data centres whose targets have left because of
-	// an evacuation.
-	present   presence
-	evacuated map[yuccaid.Centre]bool
-	// servesLimited reports whether requests that may be served in some regions only have been submitted.
-	servesLimited bool
-	// evacuatedBefore are those that were evacuated when the targets were last set.
-	evacuatedBefore map[yuccaid.Centre]bool
-	// leaderCount is the number of leaders among which the slots of each target are divided.
-	leaderCount int
-	// centreCount is the number of data centres whose leaders decide on the same targets. spreadsRuns
-	// is set while the runs of other leaders are assumed to be spread over all targets (see
-	// Leader.spreadOtherRuns).
-	centreCount int
-	spreadsRuns bool
-	// hasOwn reports whether there are targets in this leader's data centre, and ownSlots is the number of
-	// slots of those that can be used.
-	hasOwn   bool
-	ownSlots int
+	presence      presence
+	// evacuated are the data centres whose targets have left because of an evacuation, and evacuatedBefore
+	// those that were evacuated when the targets were last set.
+	evacuated, evacuatedBefore map[yuccaid.Centre]bool
+	sharing                    sharing
 	// remoteBound is a lower bound on the cost of targets in other regions.
 	remoteBound remoteBound
 	// pacesChanged reports that a pace has changed since paces were last normalised.
@@ -47,7 +31,7 @@
 	lengthModel  lengthModel
 	sizeStats    sizeStats
 	arrivals     arrivals
-	returns      returns
+	retries      retries
 	// speeds estimates from what targets state how long work takes there at the moment.
 	speeds yuccaspeed.Model
 	// parts finds the targets that hold the parts of a prompt. generation counts the requests for
@@ -69,110 +53,18 @@
 
 // New returns a leader without targets. SetTargets sets them.
 func New(rng *rand.Rand) *Leader {
-	return &Leader{rng: rng, leaderCount: 1, centreCount: 1, runs: make(map[ID]*activeRun), queue: newQueue(), lengthModel: newLengthModel(), sizeStats: newSizeStats(), arrivals: newArrivals(), returns: newReturns(), parts: yuccacache.NewIndex[*targetState](), fetches: fetches{success: 1}}
-}
-
-// SetTargets sets the targets. What was learned of a target is kept until its process is
-// restarted. Runs on targets that are no longer listed continue.
-func (lead *Leader) SetTargets(now time.Time, configured []Target) Decisions {
-	old := lead.targetsByName
-	lead.targetsByName = make(map[yuccaid.Target]*targetState, len(configured))
-	lead.targets = make([]*targetState, 0, len(configured))
-	newPace := medianPace(old)
-	hadTargets := len(old) > 0
-	for _, target := range configured {
-		tgt := old[target.Name]
-		isNew := hadTargets && (tgt == nil || tgt.StartMillis != target.StartMillis)
-		if tgt == nil || tgt.StartMillis != target.StartMillis {
-			tgt = newTargetState(target, biasShare*lead.rng.Float64())
-			tgt.pace = newPace
-			if former := old[target.Name]; former != nil {
-				tgt.cold, tgt.sends, tgt.reportedSends = former.cold, former.sends, former.reportedSends
-			}
-		}
-		tgt.cold.Register(now, target.Budget.Limit, target.Cold, hadTargets)
-		if lead.returned(target.Centre) {
-			tgt.cold.Assume(now, target.Budget.Limit)
-		}
-		tgt.tookOverAt = lead.tookOverAt
-		if tgt.cache.Limit() != int64(target.CacheTokens) {
-			lead.parts.Clear(tgt, &tgt.cache)
-			tgt.cache = yuccacache.New(int64(target.CacheTokens), maxPartsPerTarget(len(configured)))
-		}
-		tgt.Target = target
-		if isNew {
-			tgt.beginRamp(now)
-		}
-		tgt.totalSlots = target.Slots
-		lead.targets = append(lead.targets, tgt)
-		lead.targetsByName[target.Name] = tgt
-	}
-	for name, tgt := range old {
-		if lead.targetsByName[name] != tgt {
-			lead.parts.Clear(tgt, &tgt.cache)
-		}
-	}
-	slices.SortFunc(lead.targets, func(a, b *targetState) int { return cmp.Or(compareRemote(a, b), cmp.Compare(a.Name, b.Name)) })
-	lead.shareSlots()
-	lead.countOwnSlots(now)
-	lead.remoteBound.configure(lead.targets)
-	lead.pacesChanged = true
-	lead.present.update(now, old, lead.targets, lead.evacuated)
-	var dec Decisions
-	lead.grantSlots(now, &dec)
-	return dec
-}
-
-// SetEvacuated sets the data centres that are evacuated, before SetTargets is called with the targets of the
-// others. Requests don't wait for the targets of an evacuated data centre as for targets that are expected to
-// register again. Once it isn't evacuated any more, they count as cold.
-func (lead *Leader) SetEvacuated(centres map[yuccaid.Centre]bool) {
-	lead.evacuatedBefore, lead.evacuated = lead.evacuated, centres
-}
-
-// returned reports whether the data centre has ceased to be evacuated since the targets were last set.
-func (lead *Leader) returned(centre yuccaid.Centre) bool {
-	return lead.evacuatedBefore[centre] && !lead.evacuated[centre]
-}
-
-// compareRemote orders targets of this region before targets of other regions.
-func compareRemote(a, b *targetState) int {
-	switch {
-	case a.Remote == b.Remote:
-		return 0
-	case b.Remote:
-		return -1
-	}
-	return 1
-}
-
-// SetLeaderCount sets the number of leaders, at least 1, that decide on the same targets without
-// knowing of one another's runs. Each leader uses an equal share of each target's slots.
-func (lead *Leader) SetLeaderCount(now time.Time, leaderCount int) Decisions {
-	var dec Decisions
-	if leaderCount == lead.leaderCount {
-		return dec
-	}
-	lead.leaderCount = leaderCount
-	lead.shareSlots()
-	lead.grantSlots(now, &dec)
-	return dec
-}
-
-// medianPace returns the pace assumed for a target that has not answered yet: the median of the
-// paces learned so far, or 1.
-func medianPace(targets map[yuccaid.Target]*targetState) float64 {
-	var known []float64
-	for _, tgt := range targets {
-		if tgt.paceSamples > 0 {
-			known = append(known, tgt.pace)
-		}
-	}
-	if len(known) == 0 {
-		return 1
+	return &Leader{
+		rng:         rng,
+		sharing:     sharing{leaderCount: 1, centreCount: 1},
+		runs:        make(map[ID]*activeRun),
+		queue:       newQueue(),
+		lengthModel: newLengthModel(),
+		sizeStats:   newSizeStats(),
+		arrivals:    newArrivals(),
+		retries:     newRetries(),
+		parts:       yuccacache.NewIndex[*targetState](),
+		fetches:     fetches{success: 1},
 	}
-	slices.Sort(known)
-	return known[len(known)/2]
 }
 
 // Submit adds a request, which is granted, refused or queued. It does nothing if the request is
@@ -185,7 +77,7 @@
 	if _, found := lead.queue.byID[req.ID]; found {
 		return dec
 	}
-	if reason := lead.present.missing(now, req.limits()); reason != "" {
+	if reason := lead.presence.missing(now, req.limits()); reason != "" {
 		lead.refuse(now, lead.newEntry(now, req), reason, &dec)
 		return dec
 	}
@@ -193,8 +85,8 @@
 		lead.refuse(now, lead.newEntry(now, req), ReasonQueueFull, &dec)
 		return dec
 	}
-	if req.Regions.Limited() && !lead.servesLimited {
-		lead.servesLimited = true
+	if req.Regions.Limited() && !lead.sharing.servesLimited {
+		lead.sharing.servesLimited = true
 		lead.shareSlots()
 	}
 	entry := lead.newEntry(now, req)
@@ -313,8 +205,8 @@
 }
 
 // SetOtherCentreLoads sets how many runs the leaders of other data centres have on the given
-// targets, and whether the targets have been tried there. It adopts the paces that those leaders have learned for targets of which this leader
-// has too few samples.
+// targets, and whether the targets have been tried there. It adopts the paces that those leaders have
+// learned for targets of which this leader has too few samples.
 func (lead *Leader) SetOtherCentreLoads(now time.Time, loads map[yuccaid.Target]TargetLoad) Decisions {
 	var dec Decisions
 	for target, load := range loads {
@@ -406,7 +298,18 @@
 	list := make([]TargetStatus, 0, len(lead.targets))
 	for _, tgt := range lead.targets {
 		list = append(list, TargetStatus{
-			Target: tgt.Name, Busy: tgt.busySlots(now), Slots: tgt.Slots, Pace: tgt.pace, LateFraction: tgt.lateFraction, FailureRate: tgt.failureRate, BackingOff: tgt.backingOff(now), Slowness: lead.slowness(now, tgt), Tripped: tgt.tripped(), Cold: tgt.isCold(now), HeldBack: tgt.heldBack(now), Window: tgt.window.Size(now),
+			Target:       tgt.Name,
+			Busy:         tgt.busySlots(now),
+			Slots:        tgt.Slots,
+			Pace:         tgt.pace,
+			LateFraction: tgt.lateFraction,
+			FailureRate:  tgt.failureRate,
+			BackingOff:   tgt.backingOff(now),
+			Slowness:     lead.slowness(now, tgt),
+			Tripped:      tgt.tripped(),
+			Cold:         tgt.isCold(now),
+			HeldBack:     tgt.heldBack(now),
+			Window:       tgt.window.Size(now),
 		})
 	}
 	return list
