Streams that are taken up may use the rest of a held account's reserve

Cause: after all daemons were killed, no usage of before is known, and an account that demands more than its quota gets half of the reserve until that usage leaves the window.

Change: a take-up that is refused for that reason is admitted as far as the rest of the reserve covers it (AdmitTakeUp). The daemon that holds it decides, as if each other daemon admitted as much until its reports arrive, so that all keep within the reserve, which the limit leaves of the tolerance.

Ruled out: charging only what remains of a stream. A request counts by its own tokens.

Measured: the specs 'admits streams that are taken up when all daemons restart without usage history' (0 of 7 before) and 'goes on where new requests of its account are refused' (429 before) pass. So do those on the tolerance after a restart, now with requests that all take up streams.

--- a/core/yuccaquota/history.go
+++ b/core/yuccaquota/history.go
@@ -1,6 +1,10 @@
 package yuccaquota
 
-import "time"
+import (
+	"time"
+
+	"yuccacleat/core/yuccaid"
+)
 
 const (
 	// demandRateFactor, demandHeadStart and demandBurstShare define the largest demand that is
@@ -43,6 +47,28 @@
 	return HeldAfterRestart, clampRetryAfter(holdTime - sinceLoss)
 }
 
+// AdmitTakeUp decides on a request that takes up a stream and was refused with HeldAfterRestart, and counts its cost if it is
+// admitted. Its caller has a part of the answer, which is lost otherwise. There are no more such streams than ran when the
+// daemons were lost, and new requests leave them a part of the reserve.
+//
+// Each daemon decides by itself, also if another one leads the account. It assumes that all of them admit as much as this one
+// until their reports arrive, so that together they keep within the reserve.
+func (led *Ledger) AdmitTakeUp(now time.Time, account yuccaid.Account, cost float64) bool {
+	win := led.windows[account]
+	if win == nil || !led.WithoutHistory(now) {
+		return false
+	}
+	led.advance(now, win)
+	recent := float64(win.recent[alone].Total())
+	reported := float64(win.admitted.all.Total()) - recent
+	if reported+float64(led.daemons)*(recent+cost) > led.share*led.reserve(win) {
+		return false
+	}
+	win.admitted.addLocalDaemon(int64(cost))
+	win.recent[alone].Add(int64(cost))
+	return true
+}
+
 // demandLimit returns this daemon's share of the largest demand that is expected, since the daemons
 // lost their usage history, from an account within its quota.
 func (led *Ledger) demandLimit(now time.Time, win *accountWindow) float64 {
--- a/core/yuccaquota/ledger_test.go
+++ b/core/yuccaquota/ledger_test.go
@@ -188,6 +188,50 @@
 		Entry("to a fifth", 6*time.Second, 1800.0, 360.0),
 	)
 
+	// Guards against the failure that streams which ran when all daemons were killed are lost, because new requests of their account
+	// have used what it gets until its usage is known again.
+	It("admits streams that are taken up when all daemons restart without usage history", func() {
+		flt := newFleet(7, 100*time.Millisecond, tolerant)
+		flt.send(4*time.Second, 400)
+		flt.restartAll(tolerant)
+		flt.send(2*time.Second, 400)
+		before := len(flt.admitted)
+		flt.send(70*time.Millisecond, 400)
+		Expect(flt.admitted).To(HaveLen(before))
+		Expect(flt.takeUp(70*time.Millisecond, 400)).To(Equal(7))
+	})
+
+	// Guards against the failure that an account uses its quota twice within one window with requests that all take up streams.
+	DescribeTable("isn't granted a second time to streams that are taken up",
+		func(overload time.Duration, cost float64) {
+			flt := newFleet(7, 100*time.Millisecond, tolerant)
+			flt.send(overload, cost)
+			flt.restartAll(tolerant)
+			flt.takeUp(15*time.Second, cost)
+			Expect(flt.maxUsage()).To(BeNumerically("<=", toleratedLimit))
+		},
+		Entry("at four times the rate", 4*time.Second, 400.0),
+		Entry("at six times the rate", 4*time.Second, 600.0),
+		Entry("at six times the rate, later", 9*time.Second, 600.0),
+		Entry("at three times the rate", 6*time.Second, 300.0),
+	)
+
+	// Guards against the same failure where the demand falls with the restart.
+	DescribeTable("isn't granted a second time to streams that are taken up by fewer callers",
+		func(overload time.Duration, before, after float64) {
+			generous := yuccaquota.Tolerance{Window: windowSpan, Overshoot: 0.25, Allowance: 10 * quotaLimit}
+			flt := newFleet(7, 100*time.Millisecond, generous)
+			flt.send(overload, before)
+			flt.restartAll(generous)
+			flt.takeUp(15*time.Second, after)
+			Expect(flt.maxUsage()).To(BeNumerically("<=", quotaLimit*1.25+generous.Allowance))
+		},
+		Entry("to nine tenths", 6*time.Second, 1800.0, 1600.0),
+		Entry("to two fifths", 6*time.Second, 1800.0, 750.0),
+		Entry("to two fifths, after a short overload", 2600*time.Millisecond, 4000.0, 1600.0),
+		Entry("to a fifth", 6*time.Second, 1800.0, 360.0),
+	)
+
 	It("admits the usage within the quota when all daemons restart without usage history", func() {
 		flt := newFleet(7, 100*time.Millisecond, tolerant)
 		for _, led := range flt.ledgers {
--- a/core/yuccaquota/world_test.go
+++ b/core/yuccaquota/world_test.go
@@ -148,6 +148,20 @@
 	}
 }
 
+// takeUp does the same as send with requests that take up streams, and returns how many of them were admitted.
+func (flt *fleet) takeUp(duration time.Duration, cost float64) int {
+	before := len(flt.admitted)
+	for turn := range int(duration / step) {
+		led := flt.ledgers[turn%len(flt.ledgers)]
+		verdict := led.Admit(flt.now, "rally", cost, 0).Verdict
+		if verdict == yuccaquota.Admitted || verdict == yuccaquota.HeldAfterRestart && led.AdmitTakeUp(flt.now, "rally", cost) {
+			flt.admitted = append(flt.admitted, admission{at: flt.now, cost: cost})
+		}
+		flt.tick()
+	}
+	return len(flt.admitted) - before
+}
+
 // maxUsage returns the largest admitted usage in any window.
 func (flt *fleet) maxUsage() float64 {
 	maxUsage, sum, first := 0.0, 0.0, 0
--- a/io/yuccagate/admission.go
+++ b/io/yuccagate/admission.go
@@ -83,6 +83,9 @@
 // finishAdmission delivers the decision of a daemon on a request.
 func (gate *Gate) finishAdmission(now time.Time, plc *placement, decider yuccaid.Incarnation, answer yuccaquota.Answer) {
 	req := plc.req
+	if answer.Verdict == yuccaquota.HeldAfterRestart && req.takesUp() && gate.ledger.AdmitTakeUp(now, req.account.Name, req.quotaCost()) {
+		answer.Verdict, decider = yuccaquota.Admitted, gate.incarnation
+	}
 	if answer.Verdict != yuccaquota.Admitted {
 		gate.metrics.quotaRefused(answer.Verdict)
 		req.logDecision("quota", "verdict", answer.Verdict, "cost", int64(req.quotaCost()), "used", answer.Used, "limit", answer.Limit, "mine", answer.UsedByDaemon, "asked", answer.Demand, "rush", answer.DemandLimit, "part", gate.ledger.QuotaShare(), "daemons", gate.ledger.Daemons(), "leader", decider.VM)
--- a/io/yuccagate/survey_test.go
+++ b/io/yuccagate/survey_test.go
@@ -136,6 +136,24 @@
 		Expect(takeUp.do(gt).status).To(Equal(http.StatusServiceUnavailable))
 	})
 
+	// Guards against the failure that a stream is lost because new requests of its account have used what that gets as long as its
+	// usage before the restart isn't known.
+	It("goes on where new requests of its account are refused", func() {
+		engines := newEngines("v1")
+		engines[0].keeps = []string{"p1"}
+		gt := newGateOf(listen(), "odessa", "entry-1", restarted)
+		gt.configure(1, modelConfig(), 4, engines...)
+		ticket := func(turn int) int { return call{path: "/ticket/", id: fmt.Sprint("r", turn), key: "k2"}.do(gt).status }
+		for turn := range 3 {
+			Expect(ticket(turn)).To(Equal(http.StatusOK))
+		}
+		Expect(ticket(3)).To(Equal(http.StatusTooManyRequests))
+		charged := takeUp
+		charged.key = "k2"
+		Expect(charged.do(gt).status).To(Equal(http.StatusOK))
+		Expect(ticket(4)).To(Equal(http.StatusTooManyRequests))
+	})
+
 	// Guards against the failure that targets of plain services are asked for what only engines keep.
 	It("is refused where no pool runs a model", func() {
 		engines := newEngines("v1")
