--- a/io/yuccagate/gate.go
+++ b/io/yuccagate/gate.go
@@ -33,8 +33,7 @@
 type Gate struct {
 	settings Settings
 	dialect  Dialect
-	// decode parses the text of a configuration.
-	decode func([]byte) (*yuccaroute.Table, error)
+	decode   Decoder
 	// incarnation identifies this run of the daemon.
 	incarnation yuccaid.Incarnation
 	log         logger
@@ -158,7 +157,7 @@
 
 	// origins is what this daemon knows of where streams began, and surveys what it has learned of it from targets.
 	origins origins
-	surveys [surveyShares]*targetSurvey
+	surveys [surveyShards]*targetSurvey
 	// quarantine is what it knows of parts of prompts on which targets crash.
 	quarantine *quarantine
 
@@ -175,6 +174,9 @@
 	idleSweptAt time.Time
 }
 
+// Decoder parses the text of a configuration.
+type Decoder func(raw []byte) (*yuccaroute.Table, error)
+
 // Option configures a gateway.
 type Option func(*Gate)
 
@@ -190,18 +192,51 @@
 }
 
 // New starts a gateway. It accepts connections from other daemons on the listener peers, and uses
-// the function decode to parse the text of a configuration.
-func New(settings Settings, dialect Dialect, decode func([]byte) (*yuccaroute.Table, error), peers net.Listener, options ...Option) (*Gate, error) {
+// decode to parse the text of a configuration.
+func New(settings Settings, dialect Dialect, decode Decoder, peers net.Listener, options ...Option) (*Gate, error) {
 	var nonce [16]byte
 	if _, err := rand.Read(nonce[:]); err != nil {
 		return nil, err
 	}
+	gate := newGate(settings, dialect, decode, yuccaid.NewIncarnation(settings.VM, nonce))
+	for _, option := range options {
+		option(gate)
+	}
+	gate.traffic, gate.stopTraffic = context.WithCancel(context.Background())
+	gate.leaving, gate.leave = context.WithCancel(context.Background())
+	self := yuccapeer.Member{VM: settings.VM, Centre: settings.Centre, Address: settings.Address, Incarnation: gate.incarnation}
+	gate.peers = yuccapeer.New(self, yuccapeer.WithSeeds(settings.Seeds...), yuccapeer.WithTiming(peerTiming()))
+	if !settings.FirstStart {
+		gate.ledger.MarkWithoutHistory(gate.startedAt)
+		gate.resendBudget.MarkCountsLost(gate.startedAt)
+	}
+	gate.resendBudget.SetFleet(gate.startedAt, gate.resendFleet(gate.startedAt))
+	gate.origins = newOrigins(settings.FirstStart, gate.startedAt)
+	gate.surveys = newTargetSurveys(gate.startedAt)
+	gate.quarantine = newQuarantine(settings)
+	gate.skipsPlatformReads.Store(settings.FirstStart)
+	ready := make(chan struct{})
+	gate.control = yuccaloop.New(ready, tickInterval, gate.tick)
+	gate.hub = yuccalink.New(self, settings.Key, peers,
+		yuccalink.WithLimits(linkLimits()),
+		yuccalink.OnFrame(gate.onFrame),
+		yuccalink.OnUp(gate.onUp),
+		yuccalink.OnDown(gate.onDown),
+		yuccalink.OnFault(gate.onFault),
+	)
+	close(ready)
+	gate.control.Post(func(time.Time) { gate.hub.Connect(gate.peers.WantedConnections()) })
+	return gate, nil
+}
+
+// newGate returns a gateway that isn't connected to other daemons.
+func newGate(settings Settings, dialect Dialect, decode Decoder, incarnation yuccaid.Incarnation) *Gate {
 	bounds := yuccaspace.BoundsOf(settings.ProcessLimits)
-	gate := &Gate{
+	return &Gate{
 		settings:      settings,
 		dialect:       dialect,
 		decode:        decode,
-		incarnation:   yuccaid.NewIncarnation(settings.VM, nonce),
+		incarnation:   incarnation,
 		suspensions:   yuccaclock.NewSuspensions(yuccaclock.SinceBoot),
 		log:           logger{inner: log.NewNopLogger()},
 		metrics:       newMetrics(),
@@ -231,36 +266,6 @@
 		admissions:              make(map[uint64]admission),
 		accountLeadersSuspected: make(map[yuccaid.Incarnation]time.Time),
 	}
-	for _, option := range options {
-		option(gate)
-	}
-	gate.traffic, gate.stopTraffic = context.WithCancel(context.Background())
-	gate.leaving, gate.leave = context.WithCancel(context.Background())
-	self := yuccapeer.Member{VM: settings.VM, Centre: settings.Centre, Address: settings.Address, Incarnation: gate.incarnation}
-	gate.peers = yuccapeer.New(self, yuccapeer.WithSeeds(settings.Seeds...), yuccapeer.WithTiming(peerTiming()))
-	if !settings.FirstStart {
-		gate.ledger.MarkWithoutHistory(gate.startedAt)
-	}
-	if !settings.FirstStart {
-		gate.resendBudget.MarkCountsLost(gate.startedAt)
-	}
-	gate.resendBudget.SetFleet(gate.startedAt, gate.resendFleet(gate.startedAt))
-	gate.origins = newOrigins(settings.FirstStart, gate.startedAt)
-	gate.surveys = newTargetSurveys(gate.startedAt)
-	gate.quarantine = newQuarantine(settings)
-	gate.skipsPlatformReads.Store(settings.FirstStart)
-	ready := make(chan struct{})
-	gate.control = yuccaloop.New(ready, tickInterval, gate.tick)
-	gate.hub = yuccalink.New(self, settings.Key, peers,
-		yuccalink.WithLimits(linkLimits()),
-		yuccalink.OnFrame(gate.onFrame),
-		yuccalink.OnUp(gate.onUp),
-		yuccalink.OnDown(gate.onDown),
-		yuccalink.OnFault(gate.onFault),
-	)
-	close(ready)
-	gate.control.Post(func(time.Time) { gate.hub.Connect(gate.peers.WantedConnections()) })
-	return gate, nil
 }
 
 func newTargetClient(bounds yuccaspace.Bounds) *yuccahop.Client {
--- a/io/yuccagate/peers.go
+++ b/io/yuccagate/peers.go
@@ -144,7 +144,8 @@
 	for _, removed := range change.Removed {
 		gate.log.stateChange("peer gone", "peer", removed.VM, "centre", removed.Centre)
 		gate.dropOwner(now, removed.Incarnation)
-		if !slices.ContainsFunc(change.Joined, func(member yuccapeer.Member) bool { return member.Incarnation == removed.Incarnation }) {
+		joinedAgain := slices.ContainsFunc(change.Joined, func(member yuccapeer.Member) bool { return member.Incarnation == removed.Incarnation })
+		if !joinedAgain {
 			gate.forgetHoldings(now)
 		}
 	}
@@ -233,8 +234,24 @@
 		return decodeThen(frame, func(message yuccawire.Use) { gate.onUse(now, from, message) })
 	case yuccawire.KindCast:
 		return decodeThen(frame, func(message yuccawire.Cast) { gate.onCast(now, from, message) })
+	case yuccawire.KindSeeds:
+		return decodeThen(frame, func(message yuccawire.Seeds) { gate.onSeeds(now, from, message) })
+	case yuccawire.KindQuarantine:
+		return decodeThen(frame, func(message yuccawire.Quarantine) { gate.onQuarantine(now, from, message) })
+	default:
+		return gate.handleOnRequests(now, from, frame)
+	}
+}
+
+// handleOnRequests handles a message on requests and their quotas.
+func (gate *Gate) handleOnRequests(now time.Time, from yuccaid.Incarnation, frame yuccawire.Frame) error {
+	switch frame.Kind {
 	case yuccawire.KindAsk:
 		return decodeThen(frame, func(message yuccawire.Ask) { gate.onAsk(now, from, message) })
+	case yuccawire.KindVersionAsk:
+		return decodeThen(frame, func(message yuccawire.VersionAsk) { gate.onVersionAsk(now, from, message) })
+	case yuccawire.KindRegionAsk:
+		return decodeThen(frame, func(message yuccawire.RegionAsk) { gate.onRegionAsk(now, from, message) })
 	case yuccawire.KindWithdrawn:
 		return decodeThen(frame, func(message yuccawire.Withdrawn) { gate.onWithdrawn(now, from, message) })
 	case yuccawire.KindPlaced:
@@ -243,12 +260,24 @@
 		return decodeThen(frame, func(message yuccawire.Begun) { gate.onBegun(now, from, message) })
 	case yuccawire.KindEnded:
 		return decodeThen(frame, func(message yuccawire.Ended) { gate.onEnded(now, from, message) })
+	case yuccawire.KindHolding:
+		return decodeThen(frame, func(message yuccawire.Holding) { gate.onHolding(now, from, message) })
+	case yuccawire.KindSends:
+		return decodeThen(frame, func(message yuccawire.Sends) { gate.onSends(now, from, message) })
 	case yuccawire.KindQuotaRequest:
 		return decodeThen(frame, func(message yuccawire.QuotaRequest) { gate.onQuotaRequest(now, from, message) })
 	case yuccawire.KindQuotaAnswer:
 		return decodeThen(frame, func(message yuccawire.QuotaAnswer) { gate.onQuotaAnswer(now, from, message) })
 	case yuccawire.KindQuotaReturn:
 		return decodeThen(frame, func(message yuccawire.QuotaReturn) { gate.onQuotaReturn(now, message) })
+	default:
+		return gate.handleOnStreams(now, from, frame)
+	}
+}
+
+// handleOnStreams handles a message on where streams began.
+func (gate *Gate) handleOnStreams(now time.Time, from yuccaid.Incarnation, frame yuccawire.Frame) error {
+	switch frame.Kind {
 	case yuccawire.KindOrigins:
 		return decodeThen(frame, func(message yuccawire.Origins) { gate.onOrigins(now, from, message) })
 	case yuccawire.KindOriginQuery:
@@ -259,18 +288,6 @@
 		return decodeThen(frame, func(message yuccawire.HoldingQuery) { gate.onHoldingQuery(now, from, message) })
 	case yuccawire.KindHoldingAnswer:
 		return decodeThen(frame, func(message yuccawire.HoldingAnswer) { gate.onHoldingAnswer(now, message) })
-	case yuccawire.KindVersionAsk:
-		return decodeThen(frame, func(message yuccawire.VersionAsk) { gate.onVersionAsk(now, from, message) })
-	case yuccawire.KindRegionAsk:
-		return decodeThen(frame, func(message yuccawire.RegionAsk) { gate.onRegionAsk(now, from, message) })
-	case yuccawire.KindSeeds:
-		return decodeThen(frame, func(message yuccawire.Seeds) { gate.onSeeds(now, from, message) })
-	case yuccawire.KindQuarantine:
-		return decodeThen(frame, func(message yuccawire.Quarantine) { gate.onQuarantine(now, from, message) })
-	case yuccawire.KindSends:
-		return decodeThen(frame, func(message yuccawire.Sends) { gate.onSends(now, from, message) })
-	case yuccawire.KindHolding:
-		return decodeThen(frame, func(message yuccawire.Holding) { gate.onHolding(now, from, message) })
 	}
 	return nil
 }
--- a/io/yuccawire/origin.go
+++ b/io/yuccawire/origin.go
@@ -36,15 +36,15 @@
 	Fresh    bool            `msgpack:"fresh"`
 }
 
-// HoldingQuery asks what a share of the targets keeps of a part of a prompt. The sender identifies the query by
+// HoldingQuery asks what a shard of the targets keeps of a part of a prompt. The sender identifies the query by
 // a number.
 type HoldingQuery struct {
 	Number uint64              `msgpack:"number"`
-	Share  int                 `msgpack:"share"`
+	Shard  int                 `msgpack:"share"`
 	Part   yuccastream.PartKey `msgpack:"part"`
 }
 
-// HoldingAnswer tells what the targets of the HoldingQuery's share keep of its part.
+// HoldingAnswer tells what the targets of the HoldingQuery's shard keep of its part.
 type HoldingAnswer struct {
 	Number   uint64        `msgpack:"number"`
 	Holdings []PartHolding `msgpack:"holdings"`
