--- /dev/null
+++ b/io/yuccagate/evacuations.go
@@ -0,0 +1,27 @@
+package yuccagate
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"yuccacleat/core/yuccaid"
+)
+
+// noteEvacuations passes on which data centres are evacuated, and logs them if they have changed since the last call.
+func (gate *Gate) noteEvacuations(now time.Time) {
+	evacuated := gate.roster.EvacuatedCentres()
+	gate.evacuations.Update(now, evacuated)
+	if maps.Equal(evacuated, gate.loggedEvacuated) {
+		return
+	}
+	gate.loggedEvacuated = evacuated
+	var unknown []yuccaid.Centre
+	for centre := range evacuated {
+		if gate.region(centre) == "" {
+			unknown = append(unknown, centre)
+		}
+	}
+	all := slices.Sorted(maps.Keys(evacuated))
+	gate.log.stateChange("evacuations", "evacuated", all, "unknown", unknown, "revision", gate.platformRevision)
+}
--- a/io/yuccagate/metrics.go
+++ b/io/yuccagate/metrics.go
@@ -179,7 +179,8 @@
 func writeExcluded(w io.Writer, status Status) {
 	counts := make(map[string]uint64)
 	for _, target := range status.Targets {
-		why := yuccaallow.Check(yuccaallow.Limits{}, nil, yuccaallow.Target{Leaving: target.Leaving, Evacuated: slices.Contains(status.Evacuated, target.Centre)})
+		evacuated := slices.Contains(status.Evacuated, target.Centre)
+		why := yuccaallow.Check(yuccaallow.Limits{}, nil, yuccaallow.Target{Leaving: target.Leaving, Evacuated: evacuated})
 		if why != yuccaallow.Allowed {
 			counts[fmt.Sprintf("{pool=%q,reason=%q}", target.Pool, why)]++
 		}
--- a/io/yuccagate/placement.go
+++ b/io/yuccagate/placement.go
@@ -87,7 +87,13 @@
 // newPlacement returns a placement of a request. LastEventAt is when the caller got the last event, zero if it got none.
 // If replaces is set, the placement is for a target that is to replace one which still has the request.
 func (gate *Gate) newPlacement(req *callerRequest, lastEventAt time.Time, replaces bool) *placement {
-	plc := &placement{req: req, pool: req.pool, request: req.schedulerRequest(time.Now(), lastEventAt), replaces: replaces, decision: make(chan decision, 1)}
+	plc := &placement{
+		req:      req,
+		pool:     req.pool,
+		request:  req.schedulerRequest(time.Now(), lastEventAt),
+		replaces: replaces,
+		decision: make(chan decision, 1),
+	}
 	plc.request.ID = yuccagrant.ID{Owner: gate.incarnation, Number: gate.lastPlacement.Add(1)}
 	return plc
 }
@@ -143,7 +149,8 @@
 	}
 	last := tried[len(tried)-1:]
 	for _, entry := range gate.roster.Usable(plc.pool) {
-		if limitsOf(&plc.request).Exclusion(gate.region(entry.Centre), entry.StreamVersion()) == yuccaallow.Allowed && entry.Target != last[0] {
+		why := limitsOf(&plc.request).Exclusion(gate.region(entry.Centre), entry.StreamVersion())
+		if why == yuccaallow.Allowed && entry.Target != last[0] {
 			return last
 		}
 	}
--- a/io/yuccagate/placingwire.go
+++ b/io/yuccagate/placingwire.go
@@ -38,7 +38,9 @@
 // wireRegionRequest returns the message for a request that may be served in some regions only.
 func wireRegionRequest(now time.Time, plc *placement) yuccawire.RegionAsk {
 	message := wireVersionRequest(now, plc)
-	return yuccawire.RegionAsk{Ask: message.Ask, Version: message.Version, EndMillis: message.EndMillis, Regions: plc.request.Regions.Regions()}
+	return yuccawire.RegionAsk{
+		Ask: message.Ask, Version: message.Version, EndMillis: message.EndMillis, Regions: plc.request.Regions.Regions(),
+	}
 }
 
 func wireParts(parts []yuccacache.Part) []yuccawire.PromptPart {
@@ -141,7 +143,8 @@
 
 // onRegionAsk does what onAsk does for a request that may be served in some regions only.
 func (gate *Gate) onRegionAsk(now time.Time, from yuccaid.Incarnation, ask yuccawire.RegionAsk) {
-	gate.submitForOwner(now, from, ask.Ask, yuccaallow.Limits{Regions: yuccaregion.Only(ask.Regions...), Version: ask.Version}, ask.EndMillis)
+	limits := yuccaallow.Limits{Regions: yuccaregion.Only(ask.Regions...), Version: ask.Version}
+	gate.submitForOwner(now, from, ask.Ask, limits, ask.EndMillis)
 }
 
 // submitForOwner submits another daemon's request, with what it requires of its targets. If endMillis isn't
@@ -232,7 +235,8 @@
 // onBegun handles another daemon's report of a run's first event.
 func (gate *Gate) onBegun(now time.Time, from yuccaid.Incarnation, message yuccawire.Begun) {
 	sched := gate.scheduler(now, message.Pool)
-	gate.apply(now, sched, sched.local.RunStarted(now, yuccagrant.ID{Owner: from, Number: message.Number}, micros(message.TookMicro), loadFromWire(message.Load)))
+	id, load := yuccagrant.ID{Owner: from, Number: message.Number}, loadFromWire(message.Load)
+	gate.apply(now, sched, sched.local.RunStarted(now, id, micros(message.TookMicro), load))
 }
 
 // onEnded handles another daemon's report that a run finished or a grant isn't used.
--- a/io/yuccagate/regions.go
+++ b/io/yuccagate/regions.go
@@ -1,8 +1,6 @@
 package yuccagate
 
 import (
-	"maps"
-	"slices"
 	"time"
 
 	"yuccacleat/core/yuccaid"
@@ -40,24 +38,6 @@
 	}
 }
 
-// noteEvacuations passes on which data centres are evacuated, and logs them if they have changed since the last call.
-func (gate *Gate) noteEvacuations(now time.Time) {
-	evacuated := gate.roster.EvacuatedCentres()
-	gate.evacuations.Update(now, evacuated)
-	if maps.Equal(evacuated, gate.loggedEvacuated) {
-		return
-	}
-	gate.loggedEvacuated = evacuated
-	var unknown []yuccaid.Centre
-	for centre := range evacuated {
-		if gate.region(centre) == "" {
-			unknown = append(unknown, centre)
-		}
-	}
-	all := slices.Sorted(maps.Keys(evacuated))
-	gate.log.stateChange("evacuations", "evacuated", all, "unknown", unknown, "revision", gate.platformRevision)
-}
-
 // region returns the region of a data centre, empty if the settings don't name the data centre.
 func (gate *Gate) region(centre yuccaid.Centre) yuccaid.Region {
 	return gate.settings.Regions[centre]
--- a/io/yuccagate/request.go
+++ b/io/yuccagate/request.go
@@ -306,8 +306,10 @@
 // lastEventAt is when the last one arrived, and the stream is to go on soon after now.
 func (req *callerRequest) schedulerRequest(now, lastEventAt time.Time) yuccagrant.Request {
 	request := yuccagrant.Request{
-		Class: req.class(), Tier: req.tier(), Rank: req.route.Rank, OverQuota: req.overQuota, Prompt: req.info.Prompt, Answer: req.info.Answer, Parts: req.info.Parts,
-		SoftDeadline: req.arrivedAt.Add(req.route.LatencyTarget), Deadline: req.deadline, FailedTargets: slices.Clip(req.tried), Version: req.version,
+		Class: req.class(), Tier: req.tier(), Rank: req.route.Rank, OverQuota: req.overQuota,
+		Prompt: req.info.Prompt, Answer: req.info.Answer, Parts: req.info.Parts,
+		SoftDeadline: req.arrivedAt.Add(req.route.LatencyTarget), Deadline: req.deadline,
+		FailedTargets: slices.Clip(req.tried), Version: req.version,
 		Regions: req.allowedRegions(),
 	}
 	if req.route.LatencyTarget <= 0 {
--- a/io/yuccagate/scheduler.go
+++ b/io/yuccagate/scheduler.go
@@ -238,7 +238,8 @@
 func (gate *Gate) suspectLeader(now time.Time, sched *scheduler, plc *placement) {
 	if now.After(sched.suspectUntil) {
 		silence := now.Sub(plc.submittedAt)
-		gate.log.stateChange("leader doubted", "pool", sched.pool, "leader", sched.leader.VM, "request", plc.req.info.ID, "silentMillis", silence.Milliseconds())
+		gate.log.stateChange("leader doubted", "pool", sched.pool, "leader", sched.leader.VM,
+			"request", plc.req.info.ID, "silentMillis", silence.Milliseconds())
 	}
 	sched.suspectUntil = now.Add(suspectFor)
 	gate.send(sched.leader, yuccawire.KindWithdrawn, yuccawire.Withdrawn{Pool: sched.pool, Number: plc.request.ID.Number})
@@ -307,7 +308,8 @@
 	}
 	entry, _ := gate.roster.Find(target)
 	if why := gate.grantExclusion(plc, target); why != yuccaallow.Allowed {
-		plc.req.logDecision("declined", "target", target, "why", why, "regions", plc.request.Regions.String(), "leader", sched.leader.VM, "revision", gate.platformRevision)
+		plc.req.logDecision("declined", "target", target, "why", why, "regions", plc.request.Regions.String(),
+			"leader", sched.leader.VM, "revision", gate.platformRevision)
 		gate.metrics.grantDeclined(why)
 		plc.request.FailedTargets = append(plc.request.FailedTargets, target)
 		if why == yuccaallow.Unregistered {
--- a/io/yuccagate/status.go
+++ b/io/yuccagate/status.go
@@ -102,7 +102,11 @@
 	}
 	for _, sched := range gate.schedulers {
 		status.Pools = append(status.Pools, PoolStatus{
-			Pool: sched.pool, Leader: sched.leader.VM, Waiting: sched.local.QueueLength(), SpeedTrust: sched.local.SpeedTrust(), Targets: sched.local.Targets(now),
+			Pool:       sched.pool,
+			Leader:     sched.leader.VM,
+			Waiting:    sched.local.QueueLength(),
+			SpeedTrust: sched.local.SpeedTrust(),
+			Targets:    sched.local.Targets(now),
 		})
 	}
 	slices.SortFunc(status.Pools, func(a, b PoolStatus) int { return cmp.Compare(a.Pool, b.Pool) })
--- a/io/yuccagate/targets.go
+++ b/io/yuccagate/targets.go
@@ -220,7 +220,8 @@
 // been removed, and restarted daemons would have no targets.
 func (gate *Gate) pullFromAnyPeer(now time.Time) {
 	platformSilent := gate.platformRespondedAt.IsZero() || now.Sub(gate.platformRespondedAt) > yuccaroster.StaleAfter
-	if !platformSilent || gate.hasFreshReport(now) || now.Sub(gate.startedAt) < startupReadTime || now.Sub(gate.targetsPulledAt) < anyPeerPullInterval {
+	if !platformSilent || gate.hasFreshReport(now) ||
+		now.Sub(gate.startedAt) < startupReadTime || now.Sub(gate.targetsPulledAt) < anyPeerPullInterval {
 		return
 	}
 	if linked := gate.hub.Linked(); len(linked) > 0 {
@@ -236,7 +237,9 @@
 // daemon did, because this daemon has never known that target.
 func (gate *Gate) onTargetsPull(now time.Time, from yuccaid.Incarnation, pull yuccawire.TargetsPull) {
 	reads := !gate.skipsPlatformReads.Load() && gate.platformFresh(now)
-	message := yuccawire.TargetsUpdate{Targets: yuccawire.Targets{Entries: gate.roster.Entries(), Removals: gate.roster.Removals(), At: gate.platformRevision, Sure: true}}
+	message := yuccawire.TargetsUpdate{Targets: yuccawire.Targets{
+		Entries: gate.roster.Entries(), Removals: gate.roster.Removals(), At: gate.platformRevision, Sure: true,
+	}}
 	if reads {
 		message.At, message.Whole = gate.readRevision, true
 	}
