--- a/core/yuccaroute/table.go
+++ b/core/yuccaroute/table.go
@@ -133,7 +133,8 @@
 // checkPool returns an error if what is configured of a pool can't be true.
 func checkPool(pool *Pool) error {
 	if pool.Cold.Duration < 0 || pool.Cold.Rate < 0 {
-		problem := fmt.Sprintf("targets are cold for %v and then bear %g requests a second: neither may be negative", pool.Cold.Duration, pool.Cold.Rate)
+		problem := fmt.Sprintf("targets are cold for %v and then bear %g requests a second: neither may be negative",
+			pool.Cold.Duration, pool.Cold.Rate)
 		return &ConfigError{Pool: pool.Name, Problem: problem}
 	}
 	return nil
--- a/core/yuccastory/sentence.go
+++ b/core/yuccastory/sentence.go
@@ -19,9 +19,11 @@
 		text += heldParts(line) + softwareVersion(line)
 		return text + fmt.Sprintf("; configuration %s, last response of the platform %s ms ago", line.text("number"), line.text("newsAgeMillis"))
 	case "declined":
-		return fmt.Sprintf("leader %s chose %s, which it may not use (%s)", line.text("leader"), line.text("target"), exclusion(line.text("why"), line))
+		return fmt.Sprintf("leader %s chose %s, which it may not use (%s)",
+			line.text("leader"), line.text("target"), exclusion(line.text("why"), line))
 	case "regions":
-		return fmt.Sprintf("configuration %s came while it waited: it may be served in %s now, before in %s", line.text("number"), line.text("now"), line.text("before"))
+		return fmt.Sprintf("configuration %s came while it waited: it may be served in %s now, before in %s",
+			line.text("number"), line.text("now"), line.text("before"))
 	case "unanswered":
 		return fmt.Sprintf("%s gave no answer (attempt %s): %s", line.text("target"), line.text("send"), line.text("error"))
 	case "again":
--- a/core/yuccastream/holding.go
+++ b/core/yuccastream/holding.go
@@ -10,16 +10,15 @@
 // block isn't kept.
 const maxBlockTokens = 64
 
-// Holding is what a target keeps of a part of a prompt. It has no tokens if the target didn't tell. The zero value is of a target
-// of which nothing is known.
+// Holding is what a target keeps of a part of a prompt. It has no tokens if the target didn't tell. The zero value stands for a
+// target of which nothing is known.
 type Holding struct {
 	// Origin is the target's pool and version; the version is empty if it isn't certain which process answered.
 	Origin Origin
 	Tokens yuccaid.Tokens
 }
 
-// InPool returns the holdings without those of targets that didn't tell and are of other pools than the one in which the stream
-// began.
+// InPool leaves out the targets that didn't tell and are of another pool than the one in which the stream began.
 func InPool(holdings []Holding, pool yuccaid.Pool) []Holding {
 	return slices.DeleteFunc(slices.Clone(holdings), func(one Holding) bool {
 		return one.Tokens == 0 && one.Origin.Pool != "" && one.Origin.Pool != pool
--- a/core/yuccastream/survey.go
+++ b/core/yuccastream/survey.go
@@ -94,8 +94,8 @@
 	return true
 }
 
-// End ends the survey with what was found. Too many holdings are dropped, because of some of them it wouldn't be
-// known that others keep the same part.
+// End ends the survey with what was found. If there are more than maxSurveyed holdings, all are dropped: those that are left
+// wouldn't show whether other targets keep the same parts.
 func (sv *Survey) End(found Findings) {
 	count := 0
 	for _, list := range found.Held {
--- a/io/yuccawire/kind.go
+++ b/io/yuccawire/kind.go
@@ -102,7 +102,7 @@
 	KindQuarantine
 	// KindRegionAsk carries a RegionAsk from the daemon that holds a request to its pool's leader.
 	KindRegionAsk
-	// KindHoldingQuery carries a HoldingQuery to the daemon that asks the targets of a share. Older builds ignore it.
+	// KindHoldingQuery carries a HoldingQuery to the daemon that asks the targets of a shard. Older builds ignore it.
 	KindHoldingQuery
 	// KindHoldingAnswer carries a HoldingAnswer.
 	KindHoldingAnswer
--- a/io/yuccawire/placing.go
+++ b/io/yuccawire/placing.go
@@ -12,7 +12,11 @@
 // frequent reports whether messages of the kind go several times for each request or
 // second, so that they are written as arrays.
 func (kind Kind) frequent() bool {
-	return kind >= firstPlacing && kind <= lastPlacing || kind >= firstGate && kind <= lastGate || kind == KindOrigins || kind == KindRegionAsk || kind == KindSends
+	switch kind {
+	case KindOrigins, KindRegionAsk, KindSends:
+		return true
+	}
+	return kind >= firstPlacing && kind <= lastPlacing || kind >= firstGate && kind <= lastGate
 }
 
 // Ref names a request between its owner and a leader. Each message between them is
