--- a/io/yuccagate/takeup.go
+++ b/io/yuccagate/takeup.go
@@ -19,10 +19,12 @@
 // get events that don't fit together.
 func (req *callerRequest) bindToOrigin(ctx context.Context) *Problem {
 	lookup := &originLookup{
-		key:     req.streamKey(),
-		pool:    req.pool,
-		ownPart: req.info.OwnPart,
-		result:  make(chan originResult, 1),
+		key:       req.streamKey(),
+		pool:      req.pool,
+		routeName: req.route.Name,
+		route:     historicRoute(req.route),
+		ownPart:   req.info.OwnPart,
+		result:    make(chan originResult, 1),
 	}
 	began := time.Now()
 	req.gate.control.Post(func(now time.Time) {
