A daemon that is short of processor time doesn't take sound targets for unreachable

Cause: a dial to a target had 400 ms of wall time, and the runtime lets a deadline win over a connection that stands already. In a daemon whose goroutines wait for long, dials to sound targets failed; the pool's leader counted each as a failure of the target and kept requests of all daemons from it, which were refused as late.

Now the limit is counted in eight parts, and after each all other goroutines that can run do so; a process that stood still loses two parts at most. An idle process gives up after 400 ms as before.

The same class remains in the watch for silent streams: its searches began 36 times at one daemon while the targets answered, and ended by themselves.

--- a/io/yuccahop/client.go
+++ b/io/yuccahop/client.go
@@ -64,7 +64,6 @@
 // path has forgotten for a quarter of an hour.
 func (cl *Client) dialer() func(context.Context, string) (net.Conn, error) {
 	dialer := &net.Dialer{
-		Timeout: cl.limits.Dial,
 		KeepAliveConfig: net.KeepAliveConfig{
 			Enable: true, Idle: cl.limits.KeepAlive, Interval: cl.limits.KeepAlive, Count: keepAliveProbes,
 		},
@@ -80,7 +79,7 @@
 		},
 	}
 	return func(ctx context.Context, address string) (net.Conn, error) {
-		return dialer.DialContext(ctx, "tcp", address)
+		return dialWithin(ctx, cl.limits.Dial, dialer, address)
 	}
 }
 
