io/yuccagate: comments that said other than the code, or left a newcomer to guess

Terms: cache for texts that were made, blocked read for a reader that is interrupted, former leader for the one before this one. Ruled out: renames; no identifier changes.

--- a/io/yuccagate/callerconn.go
+++ b/io/yuccagate/callerconn.go
@@ -10,7 +10,7 @@
 	"golang.org/x/sys/unix"
 )
 
-// longAgo is a read deadline that interrupts a reader.
+// longAgo is a read deadline in the past, which interrupts a blocked read.
 var longAgo = time.Unix(0, 0)
 
 // callerConn is one connection of a caller.
@@ -51,8 +51,8 @@
 	}
 }
 
-// reject closes the connection with its request unread. The kernel resets the connection of a caller whose request has
-// arrived, so that the caller can't take the end for a response.
+// reject closes the connection with its request unread. If bytes of the request have arrived, the kernel resets the
+// connection, so that the caller can't take its end for the end of a response.
 func (conn *callerConn) reject() {
 	conn.listener.onRejected(time.Now(), rejectedMemory)
 	_ = conn.Close()
@@ -131,8 +131,8 @@
 	_ = conn.Conn.SetReadDeadline(longAgo)
 }
 
-// closeUnused has the connection closed if no request, or part of one, has arrived whose response has not
-// ended.
+// closeUnused has the connection closed unless a request, or part of one, has arrived whose response has
+// not ended. Unlike closeIdle, it also closes a connection on which nothing has arrived yet.
 func (conn *callerConn) closeUnused(now time.Time) {
 	conn.mu.Lock()
 	if !conn.busy && conn.idleSince.IsZero() {
@@ -142,7 +142,7 @@
 	conn.closeIdle(now)
 }
 
-// hasUnread reports whether bytes have arrived on a connection that nobody has read. It doesn't wait for
+// hasUnread reports whether a connection has received bytes that haven't been read yet. It doesn't wait for
 // a read that is under way.
 func hasUnread(conn net.Conn) bool {
 	sys, ok := conn.(syscall.Conn)
--- a/io/yuccagate/cast.go
+++ b/io/yuccagate/cast.go
@@ -59,10 +59,10 @@
 // forward it over their connections to other data centres.
 //
 // Only the leaders of other data centres need the loads and failures of a pool's targets. Loads are
-// sent ten times a second. If every daemon received them, they would be nine tenths of the messages
-// between daemons, and grow with the square of the number of daemons in a data centre. So within this
-// data centre, both are sent only to the daemons that hold connections to other data centres. While
-// no such daemon is known, they are sent to all daemons of this data centre.
+// sent often, and if every daemon received them, the number of messages would grow with the square of
+// the number of daemons in a data centre. So within this data centre, both are sent only to the daemons
+// that hold connections to other data centres. While no such daemon is known, they are sent to all
+// daemons of this data centre.
 func (gate *Gate) cast(message yuccawire.Cast) {
 	if message.Topic.ForLeaders() {
 		gate.castRemote(message)
--- a/io/yuccagate/cold.go
+++ b/io/yuccagate/cold.go
@@ -11,8 +11,8 @@
 	"yuccacleat/core/yuccaroster"
 )
 
-// budgetsCheckInterval is the time between two looks at what budgets depend on besides the leader, and at which targets are
-// cold.
+// budgetsCheckInterval is the time between two checks of what budgets depend on besides the leader, and of which targets
+// are cold.
 const budgetsCheckInterval = 200 * time.Millisecond
 
 // budgetRole is what this daemon's budgets for the targets of a pool depend on. It is the zero value for a pool whose
@@ -24,7 +24,7 @@
 	// minority is how many requests a second this daemon may send each target of its data centre if it leads the pool
 	// and sees no more than half of the daemons.
 	minority int
-	// candidates identifies the daemons that the data centre may have.
+	// candidates is a hash of the VMs of the data centre that may run a daemon.
 	candidates uint64
 	// evacuated lists the data centres whose leaders get the shares of other data centres.
 	evacuated []yuccaid.Centre
--- a/io/yuccagate/evacuations.go
+++ b/io/yuccagate/evacuations.go
@@ -8,7 +8,8 @@
 	"yuccacleat/core/yuccaid"
 )
 
-// noteEvacuations passes on which data centres are evacuated, and logs them if they have changed since the last call.
+// noteEvacuations updates gate.evacuations from the roster, and logs the evacuated data centres if they have changed
+// since the last call.
 func (gate *Gate) noteEvacuations(now time.Time) {
 	evacuated := gate.roster.EvacuatedCentres()
 	gate.evacuations.Update(now, evacuated)
--- a/io/yuccagate/excludedtexts.go
+++ b/io/yuccagate/excludedtexts.go
@@ -10,8 +10,8 @@
 	"yuccacleat/core/yuccaid"
 )
 
-// excludedTexts are texts for the log on how many targets of a pool requests may not use. Many requests may be
-// refused at once for the same reasons.
+// excludedTexts caches the log texts of excludedTargets for one version of the roster, because many requests may
+// be refused at once for the same reasons.
 type excludedTexts struct {
 	rosterVersion uint64
 	texts         map[excludedKey]string
@@ -37,7 +37,7 @@
 	return text
 }
 
-// describeExcluded returns the result of excludedTargets without the texts that have been made.
+// describeExcluded computes the result of excludedTargets without the cache.
 func (gate *Gate) describeExcluded(key excludedKey) string {
 	counts := make(map[yuccaallow.Exclusion]int)
 	for _, entry := range gate.roster.Targets() {
--- a/io/yuccagate/gate.go
+++ b/io/yuccagate/gate.go
@@ -112,7 +112,7 @@
 	roster *yuccaroster.Roster
 	// loggedTargets are the targets as the log last reported them.
 	loggedTargets map[yuccaid.Target]yuccaroster.Entry
-	// exclusions are the texts on excluded targets that have been made since the roster changed.
+	// exclusions caches the log texts on excluded targets since the roster last changed.
 	exclusions excludedTexts
 	// evacuations are the data centres whose leaders come first in budgets of targets that may be cold.
 	evacuations yuccacold.Evacuations
--- a/io/yuccagate/memoryshortage.go
+++ b/io/yuccagate/memoryshortage.go
@@ -15,8 +15,8 @@
 	memoryShortFor = 5 * time.Second
 )
 
-// memoryShortage finds out whether many requests are refused for want of memory. The methods requestRefused and isShort are
-// safe for concurrent use; the other fields belong to the control goroutine.
+// memoryShortage tells whether many requests are refused for want of memory. The methods requestRefused and isShort are
+// safe for concurrent use; tick and the fields that aren't atomic belong to the control goroutine.
 type memoryShortage struct {
 	// refused counts the requests that were refused since the last tick.
 	refused atomic.Int64
--- a/io/yuccagate/sends.go
+++ b/io/yuccagate/sends.go
@@ -26,7 +26,7 @@
 	former yuccaid.Incarnation
 	// number is that of the last report.
 	number uint64
-	// at is when the last report was sent, and wholeAt when the last one of all sends of a second was.
+	// at is when the last report was sent, and wholeAt when the last report of all sends of a second was sent.
 	at      time.Time
 	wholeAt time.Time
 }
@@ -70,7 +70,8 @@
 	gate.sendSends(now, sched, next, whole, sends)
 }
 
-// sendSends sends one report.
+// sendSends reports sends to a daemon. If whole is true, they are all sends of the last second; otherwise, those since the
+// last report.
 func (gate *Gate) sendSends(now time.Time, sched *scheduler, to yuccaid.Incarnation, whole bool, sends []yuccagrant.Send) {
 	report := &sched.sendsReport
 	report.number++
@@ -111,7 +112,7 @@
 	}
 	sched.local.RecordReported(now, sends, message.Whole)
 	if sched.leads && message.Whole && from == sched.sendsReport.former {
-		// The leader before this one has noticed the change later.
+		// The former leader noticed the change of leader later than this daemon, and has reported its last sends only now.
 		sched.local.TakeOver(now, true)
 	}
 }
--- a/io/yuccagate/survey.go
+++ b/io/yuccagate/survey.go
@@ -17,8 +17,7 @@
 	// surveyShards is the number of shards into which the targets are divided. Each shard is asked by a daemon of its own,
 	// so that the lists of a large pool don't delay what a slow VM serves.
 	surveyShards = 4
-	// surveyTimeout bounds the wait for what targets keep. It is short beside the time for which callers wait for the
-	// next event.
+	// surveyTimeout bounds the wait for what targets keep. It is much shorter than callers wait for the next event.
 	surveyTimeout = 700 * time.Millisecond
 	// surveyTargetTimeout bounds the time in which a target tells what it keeps and when it started.
 	surveyTargetTimeout = 550 * time.Millisecond
@@ -54,12 +53,13 @@
 	return yuccaid.Pool("survey of targets\x00" + strconv.Itoa(shard))
 }
 
-// shareOf returns the shard of a target.
+// shardOf returns the shard of a target.
 func shardOf(target yuccaid.Target) int {
 	return int(xxhash.Sum64String(string(target)) % surveyShards)
 }
 
-// queryHoldings has the lookup go on with what targets keep of the stream's prompt.
+// queryHoldings continues a lookup by asking the daemon responsible for each shard what targets keep of
+// the stream's prompt.
 func (gate *Gate) queryHoldings(now time.Time, lookup *originLookup) {
 	lookup.surveyed = true
 	lookup.until, lookup.awaiting = now.Add(surveyTimeout), surveyShards
@@ -184,8 +184,8 @@
 	})
 }
 
-// entriesToSurvey returns the targets of a shard that run a model. Those that are leaving belong to them: they began
-// streams. Nothing is sent to the targets of a data centre that is evacuated; these stay silent.
+// entriesToSurvey returns the targets of a shard that run a model, including those that are leaving, since they may
+// have begun streams. Targets of an evacuated data centre aren't asked; silent holds their pools and versions.
 func (gate *Gate) entriesToSurvey(shard int) (list []yuccaroster.Entry, silent map[yuccastream.Origin]bool) {
 	table := gate.tables.Load()
 	if table == nil {
