The line `sent` names the request's content, which repeats of it under new ids share

Cause: lines named the parts of a prompt that requests may share, and nothing of what a plain request or a whole prompt is. Change: yuccaquarantine.Content is what a request has its target do, apart from its id, the time left and the events that its caller has; its digest is a trait. The dialect says which fields belong to it. Ruled out: the own part of the prompt alone, since plain requests have none; the body alone, since the lookups of the users' callers have none. No decision changes.

--- a/io/yuccagate/attempt.go
+++ b/io/yuccagate/attempt.go
@@ -253,6 +253,6 @@
 		"leader", inputs.leader, "alone", dec.withoutLeader, "expectMillis", inputs.expectedFirst.Milliseconds(), "busy", inputs.busy,
 		"number", req.table.Number(), "revision", inputs.platformRevision, "newsAgeMillis", inputs.platformAge.Milliseconds(),
 		"charged", info.Charged, "over", req.overQuota, "prompt", info.Prompt, "answer", info.Answer,
-		"parts", len(info.Parts), "shared", info.SharedParts, "held", inputs.held, "fetchFrom", inputs.fetchFrom,
+		"parts", len(info.Parts), "shared", info.SharedParts, "content", req.content, "held", inputs.held, "fetchFrom", inputs.fetchFrom,
 	)
 }
--- a/io/yuccagate/dialect.go
+++ b/io/yuccagate/dialect.go
@@ -63,6 +63,9 @@
 	Parts []yuccacache.Part
 	// SharedParts are the ids of the parts of the prompt that other requests may share, whatever comes before them.
 	SharedParts []yuccaid.PromptPart
+	// Description is what the request's header says of the work that its target has to do. It is the same for all repeats of a
+	// request.
+	Description string
 	// LastEventID is the id of the last event of this stream that the caller received in an
 	// earlier response, empty if it received none.
 	LastEventID string
--- a/io/yuccagate/fleet_test.go
+++ b/io/yuccagate/fleet_test.go
@@ -34,7 +34,8 @@
 		if info.ID == "" {
 			return info, errors.New("no id")
 		}
-		for part := range strings.SplitSeq(r.Header.Get("X-Parts"), ",") {
+		info.Description = r.Header.Get("X-Parts")
+		for part := range strings.SplitSeq(info.Description, ",") {
 			if part != "" {
 				info.SharedParts = append(info.SharedParts, yuccaid.PromptPart(part))
 			}
--- a/io/yuccagate/request.go
+++ b/io/yuccagate/request.go
@@ -16,6 +16,7 @@
 
 	"yuccacleat/core/yuccagrant"
 	"yuccacleat/core/yuccaid"
+	"yuccacleat/core/yuccaquarantine"
 	"yuccacleat/core/yuccaroute"
 	"yuccacleat/core/yuccaspace"
 	"yuccacleat/io/yuccahop"
@@ -58,6 +59,8 @@
 	// the caller's header without fields that concern only one connection.
 	outgoing      yuccahop.Outgoing
 	forwardHeader http.Header
+	// content is the trait of the request's content, which repeats of it have as well.
+	content yuccaquarantine.Trait
 	// reserved is the memory that is reserved for the request, in bytes. Attempts that go on side by side
 	// reserve some for themselves.
 	reserved atomic.Int64
@@ -279,6 +282,9 @@
 	if r.ContentLength == 0 && len(r.TransferEncoding) == 0 && r.Header.Get("Content-Length") == "" {
 		req.outgoing.Body = nil
 	}
+	req.content = yuccaquarantine.Content{
+		Account: req.accountName(), Method: r.Method, Host: r.Host, URI: r.RequestURI, Description: req.info.Description, Body: raw,
+	}.Trait()
 	return nil
 }
 
