--- a/core/yuccaquarantine/doc.go
+++ b/core/yuccaquarantine/doc.go
@@ -1,13 +1,13 @@
-// Package yuccaquarantine finds the parts of prompts on which targets crash, and decides which requests are held back
-// because of them.
+// Package yuccaquarantine finds the traits of requests on which targets crash, and decides which requests are held back
+// because of them. A trait is a part of prompts or a whole content.
 //
-// A target that crashes loses all its runs, and only one of them caused it. So each crash is evidence against the parts
+// A target that crashes loses all its runs, and only one of them caused it. So each crash is evidence against the traits
 // of all runs that may have caused it: those that hadn't come far in their answer. A run that comes far, at any target,
-// clears its parts. A part that is left with several crashes, which no other part explains, is held. Requests with a
-// held part are tried again rarely, one at a time, so that a part that was held by mistake, or that has become harmless,
+// clears its traits. A trait that is left with several crashes, which no other trait explains, is held. Requests with a
+// held trait are tried again rarely, one at a time, so that a trait that was held by mistake, or that has become harmless,
 // is found.
 //
-// Daemons tell one another of crashes, of parts that were cleared and of trials (News). Each decides from what it knows.
+// Daemons tell one another of crashes, of traits that were cleared and of trials (News). Each decides from what it knows.
 //
 // The package uses no clock, no sockets and no goroutines.
 package yuccaquarantine
--- a/core/yuccaquarantine/news.go
+++ b/core/yuccaquarantine/news.go
@@ -12,22 +12,22 @@
 	StartMillis int64
 }
 
-// Crash is the unexpected end of a process. Parts are those of the runs that may have caused it.
+// Crash is the unexpected end of a process. Traits are those of the runs that may have caused it.
 type Crash struct {
 	Process Process
 	At      time.Time
-	Parts   []yuccaid.PromptPart
+	Traits  []Trait
 }
 
-// Cleared is a part with which a run came far in its answer.
+// Cleared is a trait with which a run came far in its answer.
 type Cleared struct {
-	Part yuccaid.PromptPart
-	At   time.Time
+	Trait Trait
+	At    time.Time
 }
 
-// Trial is the sending of a request with held parts. Number counts the trials of each of the parts.
+// Trial is the sending of a request with held traits. Number counts the trials of each of the traits.
 type Trial struct {
-	Parts  []yuccaid.PromptPart
+	Traits []Trait
 	At     time.Time
 	Number int
 }
--- a/core/yuccaquarantine/quarantine.go
+++ b/core/yuccaquarantine/quarantine.go
@@ -12,15 +12,15 @@
 )
 
 const (
-	// crashesToHold is the number of crashes, each explained by nothing else, for which a part is held. Daemons that see only
+	// crashesToHold is the number of crashes, each explained by nothing else, for which a trait is held. Daemons that see only
 	// a part of the fleet, or have lost what they knew, hold it for fewerCrashesToHold: each such part of the fleet learns for itself.
 	crashesToHold      = 3
 	fewerCrashesToHold = 2
-	// announceSpread is the time over which daemons spread what they tell of a part that all of them have cleared.
+	// announceSpread is the time over which daemons spread what they tell of a trait that all of them have cleared.
 	announceSpread = 80 * time.Millisecond
-	// soundFor is how long a part counts as sound after a run came far with it.
+	// soundFor is how long a trait counts as sound after a run came far with it.
 	soundFor = 10 * time.Second
-	// maxSound bounds the parts whose last good run is remembered.
+	// maxSound bounds the traits whose last good run is remembered.
 	maxSound = 1 << 13
 )
 
@@ -31,13 +31,13 @@
 	Whole, Experienced bool
 }
 
-// Quarantine is what one daemon knows of the parts on which targets crash. It isn't safe for concurrent use.
+// Quarantine is what one daemon knows of the traits on which targets crash. It isn't safe for concurrent use.
 type Quarantine struct {
 	vm       yuccaid.VM
 	crashes  []*crash
-	suspects map[yuccaid.PromptPart]*suspect
-	// sound and soundBefore have when a run last came far with a part, in the present and the former span of soundFor.
-	sound, soundBefore map[yuccaid.PromptPart]time.Time
+	suspects map[Trait]*suspect
+	// sound and soundBefore have when a run last came far with a trait, in the present and the former span of soundFor.
+	sound, soundBefore map[Trait]time.Time
 	soundSince         time.Time
 	// held is what is held, and explained are the crashes that it explains. If stale is set, suspects have been cleared or forgotten
 	// since that was decided. News is what other daemons are to be told.
@@ -49,37 +49,37 @@
 
 // New returns what the daemon on a VM knows at first.
 func New(vm yuccaid.VM) *Quarantine {
-	return &Quarantine{vm: vm, suspects: make(map[yuccaid.PromptPart]*suspect), sound: make(map[yuccaid.PromptPart]time.Time)}
+	return &Quarantine{vm: vm, suspects: make(map[Trait]*suspect), sound: make(map[Trait]time.Time)}
 }
 
 // RecordCrash records a crash that this daemon has noticed, and has other daemons told.
 func (qua *Quarantine) RecordCrash(now time.Time, report Crash) {
-	report.Parts = slices.DeleteFunc(slices.Clone(report.Parts), func(part yuccaid.PromptPart) bool { return qua.clearedOf(part, report.At) })
+	report.Traits = slices.DeleteFunc(slices.Clone(report.Traits), func(trait Trait) bool { return qua.clearedOf(trait, report.At) })
 	qua.addCrash(now, report)
 	qua.news.Crashes = append(qua.news.Crashes, report)
 }
 
-// clearedOf reports whether a run here has cleared the part of a crash at a time.
-func (qua *Quarantine) clearedOf(part yuccaid.PromptPart, at time.Time) bool {
-	last := qua.lastSound(part)
+// clearedOf reports whether a run here has cleared the trait of a crash at a time.
+func (qua *Quarantine) clearedOf(trait Trait, at time.Time) bool {
+	last := qua.lastSound(trait)
 	return !last.IsZero() && !at.After(last.Add(clearedGrace))
 }
 
-func (qua *Quarantine) lastSound(part yuccaid.PromptPart) time.Time {
-	if at, found := qua.sound[part]; found {
+func (qua *Quarantine) lastSound(trait Trait) time.Time {
+	if at, found := qua.sound[trait]; found {
 		return at
 	}
-	return qua.soundBefore[part]
+	return qua.soundBefore[trait]
 }
 
-// RecordSound records that a run with the parts came far in its answer at this daemon.
-func (qua *Quarantine) RecordSound(now time.Time, parts []yuccaid.PromptPart) {
+// RecordSound records that a run with the traits came far in its answer at this daemon.
+func (qua *Quarantine) RecordSound(now time.Time, traits []Trait) {
 	if now.Sub(qua.soundSince) >= soundFor || len(qua.sound) >= maxSound {
-		qua.sound, qua.soundBefore, qua.soundSince = make(map[yuccaid.PromptPart]time.Time), qua.sound, now
+		qua.sound, qua.soundBefore, qua.soundSince = make(map[Trait]time.Time), qua.sound, now
 	}
-	for _, part := range parts {
-		qua.sound[part] = now
-		sus := qua.suspects[part]
+	for _, trait := range traits {
+		qua.sound[trait] = now
+		sus := qua.suspects[trait]
 		if sus == nil {
 			continue
 		}
@@ -88,15 +88,15 @@
 			sus.unannounced, qua.stale = true, true
 		}
 		if several || held {
-			qua.announce(sus, part)
+			qua.announce(sus, trait)
 		}
 	}
 }
 
-// announce has other daemons told that a part is cleared.
-func (qua *Quarantine) announce(sus *suspect, part yuccaid.PromptPart) {
+// announce has other daemons told that a trait is cleared.
+func (qua *Quarantine) announce(sus *suspect, trait Trait) {
 	sus.unannounced, sus.announceAt = false, time.Time{}
-	qua.news.Cleared = append(qua.news.Cleared, Cleared{Part: part, At: sus.clearedAt})
+	qua.news.Cleared = append(qua.news.Cleared, Cleared{Trait: trait, At: sus.clearedAt})
 }
 
 // Merge records what another daemon tells. It reports whether anything of it wasn't known.
@@ -105,7 +105,7 @@
 		isNew = qua.addCrash(now, report) || isNew
 	}
 	for _, cleared := range news.Cleared {
-		if sus := qua.suspects[cleared.Part]; sus != nil {
+		if sus := qua.suspects[cleared.Trait]; sus != nil {
 			if sus.clear(cleared.At) {
 				isNew, qua.stale = true, true
 			}
@@ -118,7 +118,7 @@
 	return isNew
 }
 
-// addCrash records a crash, and reports whether it or one of its parts wasn't known.
+// addCrash records a crash, and reports whether it or one of its traits wasn't known.
 func (qua *Quarantine) addCrash(now time.Time, report Crash) (isNew bool) {
 	index := slices.IndexFunc(qua.crashes, func(cr *crash) bool { return cr.isSame(report) })
 	var known *crash
@@ -132,32 +132,32 @@
 		}
 		isNew = true
 	}
-	for _, part := range report.Parts {
-		if slices.Contains(known.Parts, part) || len(known.Parts) >= maxPartsPerCrash {
+	for _, trait := range report.Traits {
+		if slices.Contains(known.Traits, trait) || len(known.Traits) >= maxTraitsPerCrash {
 			continue
 		}
 		isNew = true
-		known.Parts = append(known.Parts, part)
-		qua.addEvidence(now, part, known)
+		known.Traits = append(known.Traits, trait)
+		qua.addEvidence(now, trait, known)
 	}
 	return isNew
 }
 
-// addEvidence records that a part may have caused a crash, unless a run here has cleared it.
-func (qua *Quarantine) addEvidence(now time.Time, part yuccaid.PromptPart, cr *crash) {
-	sus := qua.suspects[part]
+// addEvidence records that a trait may have caused a crash, unless a run here has cleared it.
+func (qua *Quarantine) addEvidence(now time.Time, trait Trait, cr *crash) {
+	sus := qua.suspects[trait]
 	if sus == nil {
 		qua.makeRoom()
 		sus = &suspect{}
-		qua.suspects[part] = sus
+		qua.suspects[trait] = sus
 	}
 	sus.lastCrash = now
-	if last := qua.lastSound(part); last.After(sus.clearedAt) {
+	if last := qua.lastSound(trait); last.After(sus.clearedAt) {
 		sus.clearedAt = last
 	}
-	// Others don't know that the part was cleared. At its second crash they have to.
+	// Others don't know that the trait was cleared. At its second crash they have to.
 	if sus.unannounced && sus.announceAt.IsZero() {
-		sus.announceAt = now.Add(qua.stagger(part, announceSpread))
+		sus.announceAt = now.Add(qua.stagger(trait, announceSpread))
 	}
 	if sus.disproved(cr) {
 		sus.unannounced = true
@@ -177,11 +177,11 @@
 	if len(qua.suspects) < maxSuspects {
 		return
 	}
-	var least yuccaid.PromptPart
+	var least Trait
 	var found *suspect
-	for part, sus := range qua.suspects {
+	for trait, sus := range qua.suspects {
 		if found == nil || cmp.Or(cmp.Compare(len(sus.evidence), len(found.evidence)), sus.lastCrash.Compare(found.lastCrash)) < 0 {
-			least, found = part, sus
+			least, found = trait, sus
 		}
 	}
 	delete(qua.suspects, least)
@@ -190,8 +190,8 @@
 
 // addTrial records a trial, and reports whether it wasn't known.
 func (qua *Quarantine) addTrial(trial Trial) (isNew bool) {
-	for _, part := range trial.Parts {
-		sus := qua.suspects[part]
+	for _, trait := range trial.Traits {
+		sus := qua.suspects[trait]
 		if sus == nil {
 			continue
 		}
@@ -207,16 +207,16 @@
 }
 
 // stagger returns a time between zero and the spread that differs between daemons.
-func (qua *Quarantine) stagger(part yuccaid.PromptPart, spread time.Duration) time.Duration {
-	return time.Duration(xxhash.Sum64String(string(part)+"\x00"+string(qua.vm)) % uint64(spread))
+func (qua *Quarantine) stagger(trait Trait, spread time.Duration) time.Duration {
+	return time.Duration(xxhash.Sum64String(string(trait)+"\x00"+string(qua.vm)) % uint64(spread))
 }
 
 // Tick decides anew what is held, and returns what other daemons are to be told.
 func (qua *Quarantine) Tick(now time.Time, view View) News {
 	qua.expire(now)
-	for part, sus := range qua.suspects {
+	for trait, sus := range qua.suspects {
 		if !sus.announceAt.IsZero() && !now.Before(sus.announceAt) {
-			qua.announce(sus, part)
+			qua.announce(sus, trait)
 		}
 	}
 	qua.decide(now, view)
@@ -226,7 +226,7 @@
 }
 
 func (qua *Quarantine) expire(now time.Time) {
-	maps.DeleteFunc(qua.suspects, func(_ yuccaid.PromptPart, sus *suspect) bool { return now.Sub(sus.lastCrash) >= suspectFor })
+	maps.DeleteFunc(qua.suspects, func(_ Trait, sus *suspect) bool { return now.Sub(sus.lastCrash) >= suspectFor })
 	qua.crashes = slices.DeleteFunc(qua.crashes, func(cr *crash) bool { return now.Sub(cr.recordedAt) >= suspectFor })
 }
 
@@ -235,7 +235,7 @@
 func (qua *Quarantine) State() News {
 	var news News
 	told := make(map[*crash]bool)
-	for part, sus := range qua.suspects {
+	for trait, sus := range qua.suspects {
 		if len(sus.evidence) < strongSuspicion {
 			continue
 		}
@@ -246,21 +246,21 @@
 			}
 		}
 		if sus.trials > 0 {
-			news.Trials = append(news.Trials, Trial{Parts: []yuccaid.PromptPart{part}, At: sus.triedAt, Number: sus.trials})
+			news.Trials = append(news.Trials, Trial{Traits: []Trait{trait}, At: sus.triedAt, Number: sus.trials})
 		}
 	}
 	return news
 }
 
-// suspected returns a crash without the parts that have been cleared of it.
+// suspected returns a crash without the traits that have been cleared of it.
 func (qua *Quarantine) suspected(cr *crash) Crash {
 	report := cr.Crash
-	report.Parts = slices.DeleteFunc(slices.Clone(cr.Parts), func(part yuccaid.PromptPart) bool {
-		sus := qua.suspects[part]
+	report.Traits = slices.DeleteFunc(slices.Clone(cr.Traits), func(trait Trait) bool {
+		sus := qua.suspects[trait]
 		return sus == nil || !sus.has(cr)
 	})
 	return report
 }
 
-// Suspects returns how many parts are remembered as suspects.
+// Suspects returns how many traits are remembered as suspects.
 func (qua *Quarantine) Suspects() int { return len(qua.suspects) }
--- a/core/yuccaquarantine/quarantine_test.go
+++ b/core/yuccaquarantine/quarantine_test.go
@@ -46,56 +46,56 @@
 	}
 }
 
-// crash has another target crash, on which runs with the parts were under way at one daemon.
-func (flt *fleet) crash(daemon int, parts ...yuccaid.PromptPart) {
+// crash has another target crash, on which runs with the traits were under way at one daemon.
+func (flt *fleet) crash(daemon int, traits ...yuccaquarantine.Trait) {
 	flt.crashes++
 	process := yuccaquarantine.Process{Target: yuccaid.Target(fmt.Sprint("t-", flt.crashes)), StartMillis: 1}
-	flt.daemons[daemon].RecordCrash(flt.now, yuccaquarantine.Crash{Process: process, At: flt.now, Parts: parts})
+	flt.daemons[daemon].RecordCrash(flt.now, yuccaquarantine.Crash{Process: process, At: flt.now, Traits: traits})
 }
 
-func (flt *fleet) sound(daemon int, parts ...yuccaid.PromptPart) {
-	flt.daemons[daemon].RecordSound(flt.now, parts)
+func (flt *fleet) sound(daemon int, traits ...yuccaquarantine.Trait) {
+	flt.daemons[daemon].RecordSound(flt.now, traits)
 }
 
-func (flt *fleet) decide(daemon int, parts ...yuccaid.PromptPart) yuccaquarantine.Decision {
-	return flt.daemons[daemon].Decide(flt.now, flt.view, parts)
+func (flt *fleet) decide(daemon int, traits ...yuccaquarantine.Trait) yuccaquarantine.Decision {
+	return flt.daemons[daemon].Decide(flt.now, flt.view, traits)
 }
 
-// send sends a request with the parts at any daemon that lets it through. It reports false if all hold it back. A request with
-// the bad part crashes its target, the other one clears its parts.
-func (flt *fleet) send(bad yuccaid.PromptPart, parts ...yuccaid.PromptPart) bool {
+// send sends a request with the traits at any daemon that lets it through. It reports false if all hold it back. A request with
+// the bad trait crashes its target, the other one clears its traits.
+func (flt *fleet) send(bad yuccaquarantine.Trait, traits ...yuccaquarantine.Trait) bool {
 	for daemon := range flt.daemons {
-		dec := flt.decide(daemon, parts...)
+		dec := flt.decide(daemon, traits...)
 		if dec.Held {
 			continue
 		}
 		if dec.Trial {
-			flt.daemons[daemon].StartTrial(flt.now, dec.Parts)
+			flt.daemons[daemon].StartTrial(flt.now, dec.Traits)
 		}
-		for _, part := range parts {
-			if part == bad {
-				flt.crash(daemon, parts...)
+		for _, trait := range traits {
+			if trait == bad {
+				flt.crash(daemon, traits...)
 				return true
 			}
 		}
-		flt.sound(daemon, parts...)
+		flt.sound(daemon, traits...)
 		return true
 	}
 	return false
 }
 
-var _ = Describe("a part on which targets crash", func() {
+var _ = Describe("a trait on which targets crash", func() {
 	It("is held at all daemons after the third crash", func() {
 		flt := newFleet(4)
 		for turn := range 3 {
 			Expect(flt.decide(3, "bad").Held).To(BeFalse(), "turn %d", turn)
-			flt.crash(turn, "bad", yuccaid.PromptPart(fmt.Sprint("own-", turn)))
+			flt.crash(turn, "bad", yuccaquarantine.Trait(fmt.Sprint("own-", turn)))
 			flt.pass(time.Second)
 		}
 		for daemon := range flt.daemons {
 			dec := flt.decide(daemon, "other", "bad")
 			Expect(dec.Held).To(BeTrue())
-			Expect(dec.Parts).To(Equal([]yuccaid.PromptPart{"bad"}))
+			Expect(dec.Traits).To(Equal([]yuccaquarantine.Trait{"bad"}))
 			Expect(dec.Crashes).To(Equal(3))
 			Expect(dec.RetryAfter).To(BeNumerically(">", 0))
 		}
@@ -161,7 +161,7 @@
 		}).Should(BeTrue())
 		for daemon, qua := range flt.daemons {
 			if daemon > 0 {
-				qua.Merge(flt.now, yuccaquarantine.News{Cleared: []yuccaquarantine.Cleared{{Part: "bad", At: flt.now}}})
+				qua.Merge(flt.now, yuccaquarantine.News{Cleared: []yuccaquarantine.Cleared{{Trait: "bad", At: flt.now}}})
 			}
 			flt.sound(0, "bad")
 			Expect(flt.decide(daemon, "bad")).To(Equal(yuccaquarantine.Decision{}), "before the next tick")
@@ -180,7 +180,7 @@
 		}
 		state := flt.daemons[0].State()
 		for turn := range 600 {
-			flt.crash(1, yuccaid.PromptPart(fmt.Sprint("other-", turn)))
+			flt.crash(1, yuccaquarantine.Trait(fmt.Sprint("other-", turn)))
 			flt.pass(20 * time.Millisecond)
 		}
 		flt.daemons[1].Merge(flt.now, state)
@@ -200,26 +200,26 @@
 		joined := yuccaquarantine.New("entry-new")
 		joined.Merge(flt.now, flt.daemons[1].State())
 		joined.Tick(flt.now.Add(time.Second), whole)
-		dec := joined.Decide(flt.now.Add(time.Second), whole, []yuccaid.PromptPart{"bad"})
+		dec := joined.Decide(flt.now.Add(time.Second), whole, []yuccaquarantine.Trait{"bad"})
 		Expect(dec.Held).To(BeTrue())
 		Expect(dec.RetryAfter).To(BeNumerically(">", 50*time.Second))
 	})
 })
 
-var _ = Describe("parts that aren't the reason", func() {
+var _ = Describe("traits that aren't the reason", func() {
 	It("aren't held if they were on the same targets by chance", func() {
 		flt := newFleet(3)
 		for turn := range 4 {
-			flt.crash(0, "bad", yuccaid.PromptPart(fmt.Sprint("mate-", turn%3)))
+			flt.crash(0, "bad", yuccaquarantine.Trait(fmt.Sprint("mate-", turn%3)))
 			flt.pass(500 * time.Millisecond)
 		}
 		Expect(flt.decide(1, "bad").Held).To(BeTrue())
 		for turn := range 3 {
-			Expect(flt.decide(1, yuccaid.PromptPart(fmt.Sprint("mate-", turn))).Held).To(BeFalse())
+			Expect(flt.decide(1, yuccaquarantine.Trait(fmt.Sprint("mate-", turn))).Held).To(BeFalse())
 		}
 	})
 
-	It("neither wait nor lose a second attempt for crashes that another part explains", func() {
+	It("neither wait nor lose a second attempt for crashes that another trait explains", func() {
 		flt := newFleet(3)
 		for range 5 {
 			flt.crash(0, "bad", "mate")
@@ -227,9 +227,9 @@
 		}
 		flt.crash(0, "bad")
 		flt.pass(400 * time.Millisecond)
-		Expect(flt.daemons[1].Held()).To(Equal([]yuccaid.PromptPart{"bad"}))
+		Expect(flt.daemons[1].Held()).To(Equal([]yuccaquarantine.Trait{"bad"}))
 		Expect(flt.decide(1, "mate")).To(Equal(yuccaquarantine.Decision{}))
-		Expect(flt.daemons[1].MayRepeat(flt.now, []yuccaid.PromptPart{"mate"})).To(BeTrue())
+		Expect(flt.daemons[1].MayRepeat(flt.now, []yuccaquarantine.Trait{"mate"})).To(BeTrue())
 	})
 
 	It("are told apart by one request of theirs if they have the same crashes", func() {
@@ -250,13 +250,13 @@
 
 	It("are served within seconds if requests have several of them, each held for other crashes", func() {
 		flt := newFleet(3)
-		for _, part := range []yuccaid.PromptPart{"one", "two", "three"} {
+		for _, trait := range []yuccaquarantine.Trait{"one", "two", "three"} {
 			for range 3 {
-				flt.crash(0, part)
+				flt.crash(0, trait)
 				flt.pass(400 * time.Millisecond)
 			}
 		}
-		Expect(flt.daemons[1].Held()).To(ConsistOf(yuccaid.PromptPart("one"), yuccaid.PromptPart("two"), yuccaid.PromptPart("three")))
+		Expect(flt.daemons[1].Held()).To(ConsistOf(yuccaquarantine.Trait("one"), yuccaquarantine.Trait("two"), yuccaquarantine.Trait("three")))
 		began := flt.now
 		Eventually(func() bool {
 			flt.pass(100 * time.Millisecond)
@@ -267,11 +267,11 @@
 		Expect(flt.daemons[2].Held()).To(BeEmpty())
 	})
 
-	It("are tried on their own, not with a bad part that isn't due", func() {
+	It("are tried on their own, not with a bad trait that isn't due", func() {
 		flt := newFleet(3)
-		for _, part := range []yuccaid.PromptPart{"sound", "bad"} {
+		for _, trait := range []yuccaquarantine.Trait{"sound", "bad"} {
 			for range 3 {
-				flt.crash(0, part)
+				flt.crash(0, trait)
 				flt.pass(400 * time.Millisecond)
 			}
 		}
@@ -281,7 +281,7 @@
 		Expect(flt.send("bad", "sound", "bad")).To(BeFalse())
 		Expect(flt.send("bad", "sound")).To(BeTrue())
 		flt.pass(400 * time.Millisecond)
-		Expect(flt.daemons[1].Held()).To(Equal([]yuccaid.PromptPart{"bad"}))
+		Expect(flt.daemons[1].Held()).To(Equal([]yuccaquarantine.Trait{"bad"}))
 	})
 
 	It("are tried once more soon if the first trial told nothing", func() {
@@ -296,7 +296,7 @@
 			for daemon, qua := range flt.daemons {
 				if dec := flt.decide(daemon, "sound"); dec.Trial {
 					trials++
-					qua.StartTrial(flt.now, dec.Parts)
+					qua.StartTrial(flt.now, dec.Traits)
 					break
 				}
 			}
@@ -324,14 +324,14 @@
 		Expect(flt.decide(1, "bad").Held).To(BeTrue())
 	})
 
-	It("aren't held if many targets crash at once, and few of these with the part", func() {
+	It("aren't held if many targets crash at once, and few of these with the trait", func() {
 		flt := newFleet(3)
 		for turn := range 9 {
-			parts := []yuccaid.PromptPart{yuccaid.PromptPart(fmt.Sprint("own-", turn))}
+			traits := []yuccaquarantine.Trait{yuccaquarantine.Trait(fmt.Sprint("own-", turn))}
 			if turn%2 == 0 {
-				parts = append(parts, "shared")
+				traits = append(traits, "shared")
 			}
-			flt.crash(turn%3, parts...)
+			flt.crash(turn%3, traits...)
 		}
 		flt.pass(5 * time.Second)
 		Expect(flt.decide(0, "shared").Held).To(BeFalse())
@@ -340,7 +340,7 @@
 	It("aren't held later for many targets that crashed at once, however many crash meanwhile", func() {
 		flt := newFleet(2)
 		for turn := range 12 {
-			flt.crash(0, yuccaid.PromptPart(fmt.Sprint("own-", turn)))
+			flt.crash(0, yuccaquarantine.Trait(fmt.Sprint("own-", turn)))
 		}
 		for range 4 {
 			flt.crash(1, "shared")
@@ -348,7 +348,7 @@
 		flt.pass(time.Second)
 		Expect(flt.decide(0, "shared").Held).To(BeFalse())
 		for turn := range 600 {
-			flt.crash(0, yuccaid.PromptPart(fmt.Sprint("later-", turn)))
+			flt.crash(0, yuccaquarantine.Trait(fmt.Sprint("later-", turn)))
 			flt.pass(40 * time.Millisecond)
 		}
 		flt.pass(time.Second)
@@ -378,40 +378,40 @@
 	})
 })
 
-// Guards against the failure that many different parts use up a daemon's memory.
-var _ = It("remembers a bounded number of parts", func() {
+// Guards against the failure that many different traits use up a daemon's memory.
+var _ = It("remembers a bounded number of traits", func() {
 	flt := newFleet(1)
 	for turn := range 400 {
-		var parts []yuccaid.PromptPart
+		var traits []yuccaquarantine.Trait
 		for index := range 100 {
-			parts = append(parts, yuccaid.PromptPart(fmt.Sprint(turn, "-", index)))
+			traits = append(traits, yuccaquarantine.Trait(fmt.Sprint(turn, "-", index)))
 		}
-		flt.crash(0, append(parts[:10], "bad")...)
+		flt.crash(0, append(traits[:10], "bad")...)
 		flt.pass(400 * time.Millisecond)
 	}
 	Expect(flt.daemons[0].Suspects()).To(BeNumerically("<=", 2048))
-	Expect(flt.daemons[0].Held()).To(ContainElement(yuccaid.PromptPart("bad")))
+	Expect(flt.daemons[0].Held()).To(ContainElement(yuccaquarantine.Trait("bad")))
 })
 
-// Guards against the failure that requests with a bad part end more than five targets, whatever they share with sound ones.
-var _ = It("holds any bad part after few crashes, and no other part for long", func() {
+// Guards against the failure that requests with a bad trait end more than five targets, whatever they share with sound ones.
+var _ = It("holds any bad trait after few crashes, and no other trait for long", func() {
 	rapid.Check(GinkgoT(), func(t *rapid.T) {
 		flt := newFleet(rapid.IntRange(1, 6).Draw(t, "daemons"))
-		parts := []yuccaid.PromptPart{"p0", "p1", "p2", "p3", "p4"}
+		traits := []yuccaquarantine.Trait{"p0", "p1", "p2", "p3", "p4"}
 		pause := time.Duration(rapid.IntRange(2, 30).Draw(t, "pause")) * 100 * time.Millisecond
 		bad := 0
 		for turn := range 100 {
-			request := []yuccaid.PromptPart{rapid.SampledFrom(parts).Draw(t, "part"), "bad"}
+			request := []yuccaquarantine.Trait{rapid.SampledFrom(traits).Draw(t, "trait"), "bad"}
 			if flt.send("bad", request...) {
 				bad++
 			}
-			flt.send("bad", parts[turn%len(parts)])
+			flt.send("bad", traits[turn%len(traits)])
 			flt.pass(pause)
 		}
 		flt.pass(5 * time.Second)
-		for _, part := range parts {
-			if !flt.send("bad", part) {
-				t.Fatalf("%s is still held back", part)
+		for _, trait := range traits {
+			if !flt.send("bad", trait) {
+				t.Fatalf("%s is still held back", trait)
 			}
 		}
 		trials := 3
--- a/core/yuccaquarantine/runs.go
+++ b/core/yuccaquarantine/runs.go
@@ -4,17 +4,15 @@
 	"maps"
 	"slices"
 	"time"
-
-	"yuccacleat/core/yuccaid"
 )
 
 const (
 	// brokenFor is how long after a run broke off its process may turn out to have crashed. A registration takes most of
 	// it to expire.
 	brokenFor = 6 * time.Second
-	// maxBroken bounds the runs that are remembered, and maxPartsPerCrash the parts of one report.
-	maxBroken        = 4096
-	maxPartsPerCrash = 64
+	// maxBroken bounds the runs that are remembered, and maxTraitsPerCrash the traits of one report.
+	maxBroken         = 4096
+	maxTraitsPerCrash = 64
 )
 
 // Runs is what one daemon knows of the runs that have broken off. It isn't safe for concurrent use. The zero value is empty.
@@ -25,23 +23,23 @@
 	crashed map[Process]time.Time
 }
 
-// brokenRun is a run that broke off. It has no parts if it had come far in its answer.
+// brokenRun is a run that broke off. It has no traits if it had come far in its answer.
 type brokenRun struct {
-	at    time.Time
-	parts []yuccaid.PromptPart
+	at     time.Time
+	traits []Trait
 }
 
-// Break records that a run of a process broke off. The parts are empty if the run had come far in its answer. If the process is
-// known to have crashed, it returns the crash with the run's parts.
-func (runs *Runs) Break(now time.Time, process Process, parts []yuccaid.PromptPart) (Crash, bool) {
+// Break records that a run of a process broke off. The traits are empty if the run had come far in its answer. If the process is
+// known to have crashed, it returns the crash with the run's traits.
+func (runs *Runs) Break(now time.Time, process Process, traits []Trait) (Crash, bool) {
 	if at, found := runs.crashed[process]; found && now.Sub(at) < brokenFor {
-		return Crash{Process: process, At: at, Parts: parts}, len(parts) > 0
+		return Crash{Process: process, At: at, Traits: traits}, len(traits) > 0
 	}
 	if runs.broken == nil {
 		runs.broken = make(map[Process][]brokenRun)
 	}
 	if runs.count < maxBroken {
-		runs.broken[process] = append(runs.broken[process], brokenRun{at: now, parts: parts})
+		runs.broken[process] = append(runs.broken[process], brokenRun{at: now, traits: traits})
 		runs.count++
 	}
 	return Crash{}, false
@@ -68,9 +66,9 @@
 		if crash.At.Sub(run.at) > sameCrash {
 			continue
 		}
-		for _, part := range run.parts {
-			if !slices.Contains(crash.Parts, part) && len(crash.Parts) < maxPartsPerCrash {
-				crash.Parts = append(crash.Parts, part)
+		for _, trait := range run.traits {
+			if !slices.Contains(crash.Traits, trait) && len(crash.Traits) < maxTraitsPerCrash {
+				crash.Traits = append(crash.Traits, trait)
 			}
 		}
 	}
--- a/core/yuccaquarantine/suspect.go
+++ b/core/yuccaquarantine/suspect.go
@@ -10,17 +10,17 @@
 	sameCrash = time.Second
 	// collective is the time within which processes that crash are taken to crash for one reason.
 	collective = 300 * time.Millisecond
-	// settleTime is how long a crash is known before a part is held for it, so that other daemons can tell of other
-	// crashes at the same time and of runs that clear the part.
+	// settleTime is how long a crash is known before a trait is held for it, so that other daemons can tell of other
+	// crashes at the same time and of runs that clear the trait.
 	settleTime = 250 * time.Millisecond
 	// weighedFor is how long after a crash other crashes at the same time are counted. Later some may be forgotten.
 	weighedFor = 10 * time.Second
-	// clearedGrace is how long a run that came far clears its parts of later crashes. Runs that begin with a bad part never
-	// come far, so it delays only the finding of a part that turns bad.
+	// clearedGrace is how long a run that came far clears its traits of later crashes. Runs that begin with a bad trait never
+	// come far, so it delays only the finding of a trait that turns bad.
 	clearedGrace = 2 * time.Second
 	// suspectFor is how long a suspect is remembered after its last crash.
 	suspectFor = time.Hour
-	// maxCrashes bounds the crashes that are remembered, maxSuspects the parts, and maxEvidence the crashes of one part.
+	// maxCrashes bounds the crashes that are remembered, maxSuspects the traits, and maxEvidence the crashes of one trait.
 	maxCrashes  = 512
 	maxSuspects = 2048
 	maxEvidence = 8
@@ -38,26 +38,26 @@
 	return cr.Process == report.Process && cr.At.Sub(report.At).Abs() < sameCrash
 }
 
-// evidence is a crash that a part may have caused.
+// evidence is a crash that a trait may have caused.
 type evidence struct {
 	crash *crash
-	// weight is how much it counts: less if other processes crashed at the same time without the part.
+	// weight is how much it counts: less if other processes crashed at the same time without the trait.
 	weight float64
 }
 
-// suspect is a part that may have caused crashes.
+// suspect is a trait that may have caused crashes.
 type suspect struct {
 	evidence []evidence
-	// lastCrash is when the part was last reported, and clearedAt when a run last cleared it.
+	// lastCrash is when the trait was last reported, and clearedAt when a run last cleared it.
 	lastCrash, clearedAt time.Time
-	// unannounced reports whether the part was cleared here, which other daemons weren't told. announceAt is when they are
+	// unannounced reports whether the trait was cleared here, which other daemons weren't told. announceAt is when they are
 	// going to be, zero if not.
 	unannounced bool
 	announceAt  time.Time
 	// trials counts the trials, and triedAt is when the last one began.
 	trials  int
 	triedAt time.Time
-	// heldSince is when the part was first held, zero if it isn't held.
+	// heldSince is when the trait was first held, zero if it isn't held.
 	heldSince time.Time
 }
 
@@ -79,7 +79,7 @@
 	return len(sus.evidence) < before
 }
 
-// disproved reports whether a run has cleared the part of a crash.
+// disproved reports whether a run has cleared the trait of a crash.
 func (sus *suspect) disproved(cr *crash) bool {
 	return !sus.clearedAt.IsZero() && !cr.At.After(sus.clearedAt.Add(clearedGrace))
 }
--- a/core/yuccaquarantine/trait.go
+++ b/core/yuccaquarantine/trait.go
@@ -18,8 +18,14 @@
 // contentDigestBytes is the length of the digest in the trait of a content.
 const contentDigestBytes = 8
 
-// PartTrait returns the trait of the requests that have a part in their prompts.
-func PartTrait(part yuccaid.PromptPart) Trait { return Trait(part) }
+// PartTraits returns the traits of the requests that have the parts in their prompts.
+func PartTraits(parts []yuccaid.PromptPart) []Trait {
+	var traits []Trait
+	for _, part := range parts {
+		traits = append(traits, Trait(part))
+	}
+	return traits
+}
 
 // Content is what a request has its target do. It is the same for all repeats of a request, whatever their ids, their deadlines and
 // the events that their callers already have.
--- a/core/yuccaquarantine/trait_test.go
+++ b/core/yuccaquarantine/trait_test.go
@@ -4,6 +4,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"yuccacleat/core/yuccaid"
 	"yuccacleat/core/yuccaquarantine"
 )
 
@@ -26,5 +27,5 @@
 		Expect(changed.Trait()).NotTo(Equal(content.Trait()), name)
 	}
 	Expect(content.Trait().IsContent()).To(BeTrue())
-	Expect(yuccaquarantine.PartTrait("content").IsContent()).To(BeFalse())
+	Expect(yuccaquarantine.PartTraits([]yuccaid.PromptPart{"content"})[0].IsContent()).To(BeFalse())
 })
--- a/core/yuccaquarantine/verdict.go
+++ b/core/yuccaquarantine/verdict.go
@@ -4,36 +4,34 @@
 	"maps"
 	"slices"
 	"time"
-
-	"yuccacleat/core/yuccaid"
 )
 
 const (
-	// firstTrialAfter is how long after a part was held it is tried for the first time, in case that it is held by
+	// firstTrialAfter is how long after a trait was held it is tried for the first time, in case that it is held by
 	// mistake. The next trial is secondTrialAfter after that, and each further one after twice the time, up to maxTrialInterval.
 	firstTrialAfter  = 2 * time.Second
 	secondTrialAfter = time.Minute
 	maxTrialInterval = 30 * time.Minute
 	// trialSpread is the share of the time between trials over which daemons spread them, so that two don't try at once.
 	trialSpread = 0.3
-	// separatingInterval is the time between two trials that separate parts which have the same crashes.
+	// separatingInterval is the time between two trials that separate traits which have the same crashes.
 	separatingInterval = time.Second
 	// repeatedTrialAfter is how long after the first trial another one begins if no target has crashed and no run has cleared the
-	// part: the trial's request may not have run.
+	// trait: the trial's request may not have run.
 	repeatedTrialAfter = 5 * time.Second
-	// strongSuspicion is the fewest crashes for which a part is held.
+	// strongSuspicion is the fewest crashes for which a trait is held.
 	strongSuspicion = 2
 	// roundingError is what sums of weights may be off by.
 	roundingError = 1e-9
 )
 
-// group is parts that explain the same crashes, so that each of them may have caused them.
+// group is traits that explain the same crashes, so that each of them may have caused them.
 type group struct {
-	parts   []yuccaid.PromptPart
+	traits  []Trait
 	crashes int
 }
 
-// decide determines what is held: the fewest parts that explain the crashes, those with most crashes first.
+// decide determines what is held: the fewest traits that explain the crashes, those with most crashes first.
 func (qua *Quarantine) decide(now time.Time, view View) {
 	threshold := float64(crashesToHold)
 	if !view.Whole || !view.Experienced {
@@ -47,9 +45,9 @@
 		if score < threshold-roundingError {
 			break
 		}
-		found := group{parts: qua.inseparable(best, strong, explained), crashes: len(qua.suspects[best].evidence)}
-		for _, part := range found.parts {
-			if sus := qua.suspects[part]; sus.heldSince.IsZero() {
+		found := group{traits: qua.inseparable(best, strong, explained), crashes: len(qua.suspects[best].evidence)}
+		for _, trait := range found.traits {
+			if sus := qua.suspects[trait]; sus.heldSince.IsZero() {
 				sus.heldSince = now
 			}
 		}
@@ -59,8 +57,8 @@
 		held = append(held, found)
 	}
 	for _, grp := range qua.held {
-		for _, part := range grp.parts {
-			if sus := qua.suspects[part]; sus != nil && !isHeld(held, part) {
+		for _, trait := range grp.traits {
+			if sus := qua.suspects[trait]; sus != nil && !isHeld(held, trait) {
 				sus.heldSince = time.Time{}
 			}
 		}
@@ -68,35 +66,35 @@
 	qua.held, qua.explained, qua.stale = held, explained, false
 }
 
-func isHeld(held []group, part yuccaid.PromptPart) bool {
-	return slices.ContainsFunc(held, func(grp group) bool { return slices.Contains(grp.parts, part) })
+func isHeld(held []group, trait Trait) bool {
+	return slices.ContainsFunc(held, func(grp group) bool { return slices.Contains(grp.traits, trait) })
 }
 
-// strongSuspects returns the parts that several crashes speak against, in order.
-func (qua *Quarantine) strongSuspects() []yuccaid.PromptPart {
-	var list []yuccaid.PromptPart
-	for part, sus := range qua.suspects {
+// strongSuspects returns the traits that several crashes speak against, in order.
+func (qua *Quarantine) strongSuspects() []Trait {
+	var list []Trait
+	for trait, sus := range qua.suspects {
 		if len(sus.evidence) >= strongSuspicion {
-			list = append(list, part)
+			list = append(list, trait)
 		}
 	}
 	slices.Sort(list)
 	return list
 }
 
-// strongest returns the one of the parts that most of the crashes speak against which aren't explained yet.
-func (qua *Quarantine) strongest(now time.Time, parts []yuccaid.PromptPart, explained map[*crash]bool) (best yuccaid.PromptPart, score float64) {
-	for _, part := range parts {
-		if sum := qua.score(now, part, settleTime, explained); sum > score+roundingError {
-			best, score = part, sum
+// strongest returns the one of the traits that most of the crashes speak against which aren't explained yet.
+func (qua *Quarantine) strongest(now time.Time, traits []Trait, explained map[*crash]bool) (best Trait, score float64) {
+	for _, trait := range traits {
+		if sum := qua.score(now, trait, settleTime, explained); sum > score+roundingError {
+			best, score = trait, sum
 		}
 	}
 	return best, score
 }
 
-// score returns the sum of the weights of a part's crashes that aren't explained yet and have been known for some time.
-func (qua *Quarantine) score(now time.Time, part yuccaid.PromptPart, known time.Duration, explained map[*crash]bool) float64 {
-	sus := qua.suspects[part]
+// score returns the sum of the weights of a trait's crashes that aren't explained yet and have been known for some time.
+func (qua *Quarantine) score(now time.Time, trait Trait, known time.Duration, explained map[*crash]bool) float64 {
+	sus := qua.suspects[trait]
 	if len(sus.evidence) < strongSuspicion {
 		return 0
 	}
@@ -107,28 +105,28 @@
 			continue
 		}
 		if now.Sub(ev.crash.recordedAt) < weighedFor {
-			ev.weight = 1 / float64(1+qua.crashesWithout(part, ev.crash))
+			ev.weight = 1 / float64(1+qua.crashesWithout(trait, ev.crash))
 		}
 		sum += ev.weight
 	}
 	return sum
 }
 
-// crashesWithout returns how many other processes crashed at the same time without the part. Those have another reason, and
+// crashesWithout returns how many other processes crashed at the same time without the trait. Those have another reason, and
 // this process may have it too.
-func (qua *Quarantine) crashesWithout(part yuccaid.PromptPart, cr *crash) int {
+func (qua *Quarantine) crashesWithout(trait Trait, cr *crash) int {
 	count := 0
 	for _, other := range qua.crashes {
-		if other != cr && other.At.Sub(cr.At).Abs() <= collective && !slices.Contains(other.Parts, part) {
+		if other != cr && other.At.Sub(cr.At).Abs() <= collective && !slices.Contains(other.Traits, trait) {
 			count++
 		}
 	}
 	return count
 }
 
-// inseparable returns those of the parts that have the same crashes as the given one, which is among them.
-func (qua *Quarantine) inseparable(part yuccaid.PromptPart, parts []yuccaid.PromptPart, explained map[*crash]bool) []yuccaid.PromptPart {
-	unexplained := func(of yuccaid.PromptPart) map[*crash]bool {
+// inseparable returns those of the traits that have the same crashes as the given one, which is among them.
+func (qua *Quarantine) inseparable(trait Trait, traits []Trait, explained map[*crash]bool) []Trait {
+	unexplained := func(of Trait) map[*crash]bool {
 		set := make(map[*crash]bool)
 		for _, ev := range qua.suspects[of].evidence {
 			if !explained[ev.crash] {
@@ -137,9 +135,9 @@
 		}
 		return set
 	}
-	own := unexplained(part)
-	var list []yuccaid.PromptPart
-	for _, other := range parts {
+	own := unexplained(trait)
+	var list []Trait
+	for _, other := range traits {
 		if maps.Equal(own, unexplained(other)) {
 			list = append(list, other)
 		}
@@ -149,38 +147,38 @@
 
 // Decision is what happens to a request.
 type Decision struct {
-	// Held reports whether the request is held back. Parts are its held parts, and Crashes the crashes that speak against them.
+	// Held reports whether the request is held back. Traits are its held traits, and Crashes the crashes that speak against them.
 	Held    bool
-	Parts   []yuccaid.PromptPart
+	Traits  []Trait
 	Crashes int
-	// RetryAfter is the time until the parts are going to be tried again.
+	// RetryAfter is the time until the traits are going to be tried again.
 	RetryAfter time.Duration
 	// Pending reports whether it is about to be decided that the request is held back. That takes settleTime at most.
 	Pending bool
-	// Trial reports whether the request tries held parts. It may be sent to one target only, once StartTrial was called.
+	// Trial reports whether the request tries held traits. It may be sent to one target only, once StartTrial was called.
 	Trial bool
 }
 
-// Decide decides on a request with the parts, of which none is the last one of its prompt. If it has parts that are held for different
-// crashes, those that may be tried last decide.
-func (qua *Quarantine) Decide(now time.Time, view View, parts []yuccaid.PromptPart) Decision {
+// Decide decides on a request with the traits. If it has traits that are held for different crashes, those that may be tried last
+// decide.
+func (qua *Quarantine) Decide(now time.Time, view View, traits []Trait) Decision {
 	if qua.stale {
 		qua.decide(now, view)
 	}
 	var dec Decision
 	var last time.Time
 	for _, grp := range qua.held {
-		common := slices.DeleteFunc(slices.Clone(grp.parts), func(part yuccaid.PromptPart) bool { return !slices.Contains(parts, part) })
+		common := slices.DeleteFunc(slices.Clone(grp.traits), func(trait Trait) bool { return !slices.Contains(traits, trait) })
 		if len(common) == 0 {
 			continue
 		}
 		if next := qua.nextTrial(view, grp, common); next.After(last) {
 			last = next
-			dec = Decision{Parts: common, Crashes: grp.crashes}
+			dec = Decision{Traits: common, Crashes: grp.crashes}
 		}
 	}
 	if last.IsZero() {
-		return Decision{Pending: !qua.MayRepeat(now, parts)}
+		return Decision{Pending: !qua.MayRepeat(now, traits)}
 	}
 	dec.Held = now.Before(last)
 	dec.Trial = !dec.Held
@@ -188,12 +186,12 @@
 	return dec
 }
 
-// nextTrial returns when the parts of a request that are in a group may be tried next.
-func (qua *Quarantine) nextTrial(view View, grp group, common []yuccaid.PromptPart) time.Time {
+// nextTrial returns when the traits of a request that are in a group may be tried next.
+func (qua *Quarantine) nextTrial(view View, grp group, common []Trait) time.Time {
 	var triedAt, heldSince, crashedAt time.Time
 	trials := 0
-	for _, part := range grp.parts {
-		sus := qua.suspects[part]
+	for _, trait := range grp.traits {
+		sus := qua.suspects[trait]
 		trials = max(trials, sus.trials)
 		triedAt = later(triedAt, sus.triedAt)
 		heldSince = later(heldSince, sus.heldSince)
@@ -202,7 +200,7 @@
 	toldNothing := trials == 1 && crashedAt.Before(triedAt)
 	interval := firstTrialAfter
 	switch {
-	case len(common) < len(grp.parts):
+	case len(common) < len(grp.traits):
 		interval = separatingInterval
 	case toldNothing:
 		interval = repeatedTrialAfter
@@ -220,11 +218,11 @@
 	return one
 }
 
-// StartTrial records that a request is sent that tries the parts, and has other daemons told.
-func (qua *Quarantine) StartTrial(now time.Time, parts []yuccaid.PromptPart) {
-	trial := Trial{Parts: parts, At: now}
-	for _, part := range parts {
-		if sus := qua.suspects[part]; sus != nil {
+// StartTrial records that a request is sent that tries the traits, and has other daemons told.
+func (qua *Quarantine) StartTrial(now time.Time, traits []Trait) {
+	trial := Trial{Traits: traits, At: now}
+	for _, trait := range traits {
+		if sus := qua.suspects[trait]; sus != nil {
 			trial.Number = max(trial.Number, sus.trials+1)
 		}
 	}
@@ -232,30 +230,30 @@
 	qua.news.Trials = append(qua.news.Trials, trial)
 }
 
-// MayRepeat reports whether a request with the parts may be sent to another target after a run of it has ended with its
-// target. It may not if a part is about to be held.
-func (qua *Quarantine) MayRepeat(now time.Time, parts []yuccaid.PromptPart) bool {
-	return !slices.ContainsFunc(parts, func(part yuccaid.PromptPart) bool {
-		sus := qua.suspects[part]
-		return sus != nil && (!sus.heldSince.IsZero() || qua.score(now, part, 0, qua.explained) >= crashesToHold-roundingError)
+// MayRepeat reports whether a request with the traits may be sent to another target after a run of it has ended with its
+// target. It may not if a trait is about to be held.
+func (qua *Quarantine) MayRepeat(now time.Time, traits []Trait) bool {
+	return !slices.ContainsFunc(traits, func(trait Trait) bool {
+		sus := qua.suspects[trait]
+		return sus != nil && (!sus.heldSince.IsZero() || qua.score(now, trait, 0, qua.explained) >= crashesToHold-roundingError)
 	})
 }
 
-// IsActive reports whether any part is held or about to be.
+// IsActive reports whether any trait is held or about to be.
 func (qua *Quarantine) IsActive(now time.Time) bool {
-	for part := range qua.suspects {
-		if !qua.MayRepeat(now, []yuccaid.PromptPart{part}) {
+	for trait := range qua.suspects {
+		if !qua.MayRepeat(now, []Trait{trait}) {
 			return true
 		}
 	}
 	return len(qua.held) > 0
 }
 
-// Held returns the parts that are held.
-func (qua *Quarantine) Held() []yuccaid.PromptPart {
-	var list []yuccaid.PromptPart
+// Held returns the traits that are held.
+func (qua *Quarantine) Held() []Trait {
+	var list []Trait
 	for _, grp := range qua.held {
-		list = append(list, grp.parts...)
+		list = append(list, grp.traits...)
 	}
 	return list
 }
--- a/io/yuccagate/attempt.go
+++ b/io/yuccagate/attempt.go
@@ -60,7 +60,7 @@
 	comments []byte
 	// broke is why the response broke off before its first event or within what was to be held.
 	broke error
-	// soundAt is when it was last recorded that the run goes on and the parts of its prompt can't be why targets crash, zero if it
+	// soundAt is when it was last recorded that the run goes on and its shared parts can't be why targets crash, zero if it
 	// hasn't come so far. endRecorded reports whether its end has been recorded.
 	soundAt     time.Time
 	endRecorded bool
--- a/io/yuccagate/gate.go
+++ b/io/yuccagate/gate.go
@@ -158,7 +158,7 @@
 	// origins is what this daemon knows of where streams began, and surveys what it has learned of it from targets.
 	origins origins
 	surveys [surveyShards]*targetSurvey
-	// quarantine is what it knows of parts of prompts on which targets crash.
+	// quarantine is what it knows of traits of requests on which targets crash.
 	quarantine *quarantine
 
 	schedulers map[yuccaid.Pool]*scheduler
--- a/io/yuccagate/heldrequest.go
+++ b/io/yuccagate/heldrequest.go
@@ -8,19 +8,19 @@
 )
 
 const (
-	// verdictPoll is the time between two looks whether a part is held that is about to be, and maxVerdictWait the longest wait.
+	// verdictPoll is the time between two looks whether a trait is held that is about to be, and maxVerdictWait the longest wait.
 	verdictPoll    = 40 * time.Millisecond
 	maxVerdictWait = 320 * time.Millisecond
 )
 
-// refuseHeld refuses the requests that wait for a target and have held parts.
+// refuseHeld refuses the requests that wait for a target and have held traits.
 func (gate *Gate) refuseHeld(now time.Time) {
 	view := gate.quarantineView(now)
 	for number, plc := range gate.placements {
 		if plc.running {
 			continue
 		}
-		held := gate.quarantine.known.Decide(now, view, plc.req.info.SharedParts)
+		held := gate.quarantine.known.Decide(now, view, plc.req.traits)
 		if !held.Held {
 			continue
 		}
@@ -33,19 +33,19 @@
 // heldProblem returns the problem of a request that is held back.
 func heldProblem(held yuccaquarantine.Decision) *Problem {
 	return &Problem{
-		Kind: KindHeld, Detail: fmt.Sprintf("parts %q, on which %d targets crashed", held.Parts, held.Crashes), RetryAfter: held.RetryAfter,
-		logFields: []any{"parts", held.Parts, "crashes", held.Crashes},
+		Kind: KindHeld, Detail: fmt.Sprintf("parts %q, on which %d targets crashed", held.Traits, held.Crashes), RetryAfter: held.RetryAfter,
+		logFields: []any{"parts", held.Traits, "crashes", held.Crashes},
 	}
 }
 
-// checkHeld returns a problem if the request is held back because of the parts of its prompt.
+// checkHeld returns a problem if the request is held back because of its traits.
 func (req *callerRequest) checkHeld() *Problem {
 	_, prob := req.decideHeld(false)
 	return prob
 }
 
-// beginTrial returns a problem if the request may not be sent now because of the parts of its prompt. If it tries held
-// parts, that is recorded, and the request isn't sent to a second target.
+// beginTrial returns a problem if the request may not be sent now because of its traits. If it tries held
+// traits, that is recorded, and the request isn't sent to a second target.
 func (req *callerRequest) beginTrial() *Problem {
 	trial, prob := req.decideHeld(true)
 	if trial {
@@ -55,19 +55,19 @@
 	return prob
 }
 
-// decideHeld decides on the request, once it is known whether its parts are held. Starts says whether it is sent now, so that
+// decideHeld decides on the request, once it is known whether its traits are held. Starts says whether it is sent now, so that
 // a trial begins.
 func (req *callerRequest) decideHeld(starts bool) (trial bool, prob *Problem) {
 	gate := req.gate
 	for waited := time.Duration(0); ; waited += verdictPoll {
-		if len(req.info.SharedParts) == 0 || !gate.quarantine.active.Load() {
+		if len(req.traits) == 0 || !gate.quarantine.active.Load() {
 			return false, nil
 		}
 		var held yuccaquarantine.Decision
 		gate.control.Call(func(now time.Time) {
-			held = gate.quarantine.known.Decide(now, gate.quarantineView(now), req.info.SharedParts)
+			held = gate.quarantine.known.Decide(now, gate.quarantineView(now), req.traits)
 			if held.Trial && starts {
-				gate.quarantine.known.StartTrial(now, held.Parts)
+				gate.quarantine.known.StartTrial(now, held.Traits)
 			}
 		})
 		switch {
@@ -80,16 +80,16 @@
 	}
 }
 
-// mayRunAgain reports whether the parts of its prompt allow a request that has reached a target to be sent to another.
+// mayRunAgain reports whether its traits allow a request that has reached a target to be sent to another.
 func (req *callerRequest) mayRunAgain() bool {
 	if req.trial {
 		return false
 	}
 	gate := req.gate
-	if len(req.info.SharedParts) == 0 || !gate.quarantine.active.Load() {
+	if len(req.traits) == 0 || !gate.quarantine.active.Load() {
 		return true
 	}
 	allowed := true
-	gate.control.Call(func(now time.Time) { allowed = gate.quarantine.known.MayRepeat(now, req.info.SharedParts) })
+	gate.control.Call(func(now time.Time) { allowed = gate.quarantine.known.MayRepeat(now, req.traits) })
 	return allowed
 }
--- a/io/yuccagate/quarantine.go
+++ b/io/yuccagate/quarantine.go
@@ -14,13 +14,13 @@
 const (
 	// experiencedAfter is the time since its start after which a daemon counts as knowing of earlier crashes.
 	experiencedAfter = 2 * time.Minute
-	// quarantineSyncInterval is the time between two messages in which a daemon with held parts tells one peer of all of them.
+	// quarantineSyncInterval is the time between two messages in which a daemon with held traits tells one peer of all of them.
 	quarantineSyncInterval = 2 * time.Second
 	// quarantineExpiryInterval is the time between two searches for runs and checks that are too old to matter.
 	quarantineExpiryInterval = time.Second
 )
 
-// quarantine is what this daemon knows of targets that crash and of the parts of prompts that are held back for it. Apart
+// quarantine is what this daemon knows of targets that crash and of the traits of requests that are held back for it. Apart
 // from active, it belongs to the control goroutine.
 type quarantine struct {
 	known *yuccaquarantine.Quarantine
@@ -29,10 +29,10 @@
 	checkedAt map[yuccaquarantine.Process]time.Time
 	// experienced reports whether this daemon knows of earlier crashes, or a daemon that does has told it.
 	experienced bool
-	// held are the parts that are held.
-	held                []yuccaid.PromptPart
+	// held are the traits that are held.
+	held                []yuccaquarantine.Trait
 	syncedAt, expiredAt time.Time
-	// active reports whether requests have to be checked, because parts are held or about to be.
+	// active reports whether requests have to be checked, because traits are held or about to be.
 	active atomic.Bool
 }
 
--- a/io/yuccagate/request.go
+++ b/io/yuccagate/request.go
@@ -59,7 +59,8 @@
 	// the caller's header without fields that concern only one connection.
 	outgoing      yuccahop.Outgoing
 	forwardHeader http.Header
-	// content is the trait of the request's content, which repeats of it have as well.
+	// traits are the traits of the request on which targets may crash, and content is that of its whole content.
+	traits  []yuccaquarantine.Trait
 	content yuccaquarantine.Trait
 	// reserved is the memory that is reserved for the request, in bytes. Attempts that go on side by side
 	// reserve some for themselves.
@@ -79,7 +80,7 @@
 	// attempts that a target ran or may have run.
 	arrivals int
 	runs     int
-	// trial reports whether the request tries parts that are held back, so that it is sent to one target only.
+	// trial reports whether the request tries traits that are held back, so that it is sent to one target only.
 	trial bool
 	// start decides whether the response begins before the daemon leaves.
 	start *responseStart
@@ -204,6 +205,7 @@
 		return &Problem{Kind: KindMalformed, Detail: err.Error()}
 	}
 	req.info = info
+	req.traits = yuccaquarantine.PartTraits(info.SharedParts)
 	return req.identifyAccount()
 }
 
--- a/io/yuccagate/targetcrash.go
+++ b/io/yuccagate/targetcrash.go
@@ -8,13 +8,12 @@
 	"time"
 
 	"yuccacleat/core/yuccagrant"
-	"yuccacleat/core/yuccaid"
 	"yuccacleat/core/yuccaquarantine"
 	"yuccacleat/io/yuccahop"
 )
 
 const (
-	// soundAfter is how long after its first event a run has to go on to clear the parts of its prompt.
+	// soundAfter is how long after its first event a run has to go on to clear its traits.
 	soundAfter = 250 * time.Millisecond
 	// soundInterval is the time after which a run that goes on clears them again.
 	soundInterval = time.Second
@@ -31,9 +30,9 @@
 	return yuccaquarantine.Process{Target: att.dec.target, StartMillis: att.dec.startMillis}
 }
 
-// recordRunEnd records what the end of an attempt tells about its target and the parts of its prompt.
+// recordRunEnd records what the end of an attempt tells about its target and its traits.
 func (req *callerRequest) recordRunEnd(att *attempt, outcome yuccagrant.Outcome, events int) {
-	if att.endRecorded || len(req.info.SharedParts) == 0 {
+	if att.endRecorded || len(req.traits) == 0 {
 		return
 	}
 	att.endRecorded = true
@@ -58,38 +57,38 @@
 // recordBroken records that a run has broken off. If that isn't certain, the run may also be whole.
 func (req *callerRequest) recordBroken(att *attempt, mayBeWhole bool) {
 	gate, process, address := req.gate, att.process(), att.dec.address
-	parts := req.info.SharedParts
+	traits := req.traits
 	if !att.soundAt.IsZero() {
 		// It was going well until now.
 		req.postSound()
-		parts = nil
+		traits = nil
 	}
-	gate.control.Post(func(now time.Time) { gate.runBroke(now, process, address, parts, mayBeWhole) })
+	gate.control.Post(func(now time.Time) { gate.runBroke(now, process, address, traits, mayBeWhole) })
 }
 
-// recordSound records that a run that came so far that the parts of its prompt can't be why targets crash still goes on.
+// recordSound records that a run that came so far that its traits can't be why targets crash still goes on.
 func (req *callerRequest) recordSound(now time.Time, att *attempt) {
-	if now.Sub(att.soundAt) < soundInterval || len(req.info.SharedParts) == 0 {
+	if now.Sub(att.soundAt) < soundInterval || len(req.traits) == 0 {
 		return
 	}
 	att.soundAt = now
 	req.postSound()
 }
 
-// postSound has the control goroutine record that the parts of the request's prompt are sound.
+// postSound has the control goroutine record that the request's traits are sound.
 func (req *callerRequest) postSound() {
-	gate, parts := req.gate, req.info.SharedParts
-	gate.control.Post(func(now time.Time) { gate.quarantine.known.RecordSound(now, parts) })
+	gate, traits := req.gate, req.traits
+	gate.control.Post(func(now time.Time) { gate.quarantine.known.RecordSound(now, traits) })
 }
 
 // runBroke records that a run of a process broke off, and finds out whether the process has crashed. A target that leaves
 // may end its runs. If the run may be whole, it is if its process goes on.
-func (gate *Gate) runBroke(now time.Time, process yuccaquarantine.Process, address string, parts []yuccaid.PromptPart, mayBeWhole bool) {
+func (gate *Gate) runBroke(now time.Time, process yuccaquarantine.Process, address string, traits []yuccaquarantine.Trait, mayBeWhole bool) {
 	entry, found := gate.roster.Find(process.Target)
 	if !found || entry.Leaving {
 		return
 	}
-	if crash, late := gate.quarantine.runs.Break(now, process, parts); late {
+	if crash, late := gate.quarantine.runs.Break(now, process, traits); late {
 		gate.quarantine.known.RecordCrash(now, crash)
 		return
 	}
@@ -111,7 +110,7 @@
 			case refuses:
 				gate.targetCrashed(now, process)
 			case accepts && mayBeWhole:
-				gate.quarantine.known.RecordSound(now, parts)
+				gate.quarantine.known.RecordSound(now, traits)
 			}
 		})
 	})
@@ -134,7 +133,7 @@
 		return
 	}
 	gate.metrics.targetCrashed()
-	gate.log.stateChange("target crashed", "target", process.Target, "started", process.StartMillis, "suspects", crash.Parts)
+	gate.log.stateChange("target crashed", "target", process.Target, "started", process.StartMillis, "suspects", crash.Traits)
 	gate.quarantine.known.RecordCrash(now, crash)
 }
 
--- a/io/yuccagate/where.go
+++ b/io/yuccagate/where.go
@@ -57,7 +57,7 @@
 	if !gate.memory.hasRoom(req.memoryRank(), yuccaspace.RequestOverhead) {
 		return &Problem{Kind: KindBusy, Detail: detailMemory}
 	}
-	if held := gate.quarantine.known.Decide(now, gate.quarantineView(now), req.info.SharedParts); held.Held {
+	if held := gate.quarantine.known.Decide(now, gate.quarantineView(now), req.traits); held.Held {
 		return heldProblem(held)
 	}
 	return nil
--- a/io/yuccawire/gate_test.go
+++ b/io/yuccawire/gate_test.go
@@ -12,6 +12,7 @@
 	. "github.com/onsi/gomega"
 
 	"yuccacleat/core/yuccaid"
+	"yuccacleat/core/yuccaquarantine"
 	"yuccacleat/core/yuccaquota"
 	"yuccacleat/core/yuccaroster"
 	"yuccacleat/io/yuccawire"
@@ -133,8 +134,8 @@
 var _ = Describe("news of crashes", func() {
 	It("are read as they were written, also if there are none", func() {
 		full := yuccawire.Quarantine{
-			Crashes: []yuccawire.TargetCrash{{Target: "t-1", StartMillis: 5, AgeMillis: 40, Parts: []yuccaid.PromptPart{"5c1e07a2"}}},
-			Cleared: []yuccawire.ClearedPart{{Part: "91bd3f06", AgeMillis: 3}}, Trials: []yuccawire.PartTrial{{Parts: []yuccaid.PromptPart{"5c1e07a2"}, AgeMillis: 9, Number: 2}},
+			Crashes: []yuccawire.TargetCrash{{Target: "t-1", StartMillis: 5, AgeMillis: 40, Traits: []yuccaquarantine.Trait{"5c1e07a2"}}},
+			Cleared: []yuccawire.ClearedTrait{{Trait: "91bd3f06", AgeMillis: 3}}, Trials: []yuccawire.TraitTrial{{Traits: []yuccaquarantine.Trait{"5c1e07a2"}, AgeMillis: 9, Number: 2}},
 			Experienced: true,
 		}
 		for _, message := range []yuccawire.Quarantine{full, {}} {
