A content on which three targets ended is held whatever else explains these crashes

Cause: what is held was the fewest traits that explain all crashes. Each crash also counted half, as others came within 0.3 s. Change: a content with enough crashes of its own is held by itself, until a run of it is whole; at the same time as others a crash counts three quarters for it. Parts are found as before. Ruled out: holding on to parts in the same way, since a part that was on bad targets by chance is shared with sound requests; a content held by chance costs the repeats of one request two seconds, until its first trial. Specs failed before (one of them new), and pass.

--- a/core/yuccaquarantine/quarantine_test.go
+++ b/core/yuccaquarantine/quarantine_test.go
@@ -236,6 +236,21 @@
 	}
 })
 
+// Guards against the failure that a content which is held is let through again, because others ran on the targets that it crashed.
+var _ = It("holds a content on which targets crashed, whatever else explains its crashes", func() {
+	flt := newFleet(3)
+	for range 3 {
+		flt.crash(0, "content:one", "content:two")
+		flt.pass(400 * time.Millisecond)
+	}
+	for range 3 {
+		flt.crash(1, "content:two")
+		flt.pass(400 * time.Millisecond)
+	}
+	Expect(flt.decide(2, "content:one").Held).To(BeTrue())
+	Expect(flt.decide(2, "content:two").Held).To(BeTrue())
+})
+
 var _ = Describe("traits that aren't the reason", func() {
 	It("aren't held if they were on the same targets by chance", func() {
 		flt := newFleet(3)
--- a/core/yuccaquarantine/verdict.go
+++ b/core/yuccaquarantine/verdict.go
@@ -23,7 +23,7 @@
 	strongSuspicion = 2
 	// leastContentWeight is how much a crash speaks at least against a content. Unlike a part of prompts, a content is on several
 	// targets that crash only where it has been sent again.
-	leastContentWeight = 0.5
+	leastContentWeight = 0.75
 	// roundingError is what sums of weights may be off by.
 	roundingError = 1e-9
 )
@@ -34,7 +34,8 @@
 	crashes int
 }
 
-// decide determines what is held: the fewest traits that explain the crashes, those with most crashes first.
+// decide determines what is held: the fewest traits that explain the crashes, those with most crashes first, and the contents with
+// as many crashes whatever explains them.
 func (qua *Quarantine) decide(now time.Time, view View) {
 	threshold := float64(crashesToHold)
 	if !view.Whole || !view.Experienced {
@@ -49,16 +50,29 @@
 			break
 		}
 		found := group{traits: qua.inseparable(best, strong, explained), crashes: len(qua.suspects[best].evidence)}
-		for _, trait := range found.traits {
-			if sus := qua.suspects[trait]; sus.heldSince.IsZero() {
-				sus.heldSince = now
-			}
-		}
 		for _, ev := range qua.suspects[best].evidence {
 			explained[ev.crash] = true
 		}
 		held = append(held, found)
 	}
+	for _, trait := range strong {
+		if trait.IsContent() && !isHeld(held, trait) && qua.score(now, trait, settleTime, nil) >= threshold-roundingError {
+			held = append(held, group{traits: []Trait{trait}, crashes: len(qua.suspects[trait].evidence)})
+		}
+	}
+	qua.setHeld(now, held)
+	qua.explained, qua.stale = explained, false
+}
+
+// setHeld sets what is held, and since when.
+func (qua *Quarantine) setHeld(now time.Time, held []group) {
+	for _, grp := range held {
+		for _, trait := range grp.traits {
+			if sus := qua.suspects[trait]; sus.heldSince.IsZero() {
+				sus.heldSince = now
+			}
+		}
+	}
 	for _, grp := range qua.held {
 		for _, trait := range grp.traits {
 			if sus := qua.suspects[trait]; sus != nil && !isHeld(held, trait) {
@@ -66,7 +80,7 @@
 			}
 		}
 	}
-	qua.held, qua.explained, qua.stale = held, explained, false
+	qua.held = held
 }
 
 func isHeld(held []group, trait Trait) bool {
@@ -247,7 +261,11 @@
 func (qua *Quarantine) MayRepeat(now time.Time, traits []Trait) bool {
 	return !slices.ContainsFunc(traits, func(trait Trait) bool {
 		sus := qua.suspects[trait]
-		return sus != nil && (!sus.heldSince.IsZero() || qua.score(now, trait, 0, qua.explained) >= crashesToHold-roundingError)
+		explained := qua.explained
+		if trait.IsContent() {
+			explained = nil
+		}
+		return sus != nil && (!sus.heldSince.IsZero() || qua.score(now, trait, 0, explained) >= crashesToHold-roundingError)
 	})
 }
 
