--- a/core/yuccaroster/evacuation.go
+++ b/core/yuccaroster/evacuation.go
@@ -8,7 +8,7 @@
 )
 
 // evacuationPool stands for the pool in the entries of evacuations, and evacuationPrefix begins their names.
-// Neither can collide with a pool or a target, whose names have no spaces. Evacuations are entries so that
+// No target may have them. Evacuations are entries so that
 // they reach all daemons in the same ways as targets do, with the same revisions, also by way of daemons of
 // older builds, which take them for targets of a pool that no route leads to.
 const (
@@ -16,6 +16,9 @@
 	evacuationPrefix = "evacuation of "
 )
 
+// IsReserved reports whether a name is that of an evacuation's entry, which no target may have.
+func IsReserved(name yuccaid.Target) bool { return strings.HasPrefix(string(name), evacuationPrefix) }
+
 // Evacuation returns the entry that states, from a revision on, that a data centre is evacuated.
 func Evacuation(centre yuccaid.Centre, revision Revision) Entry {
 	return Entry{Target: yuccaid.Target(evacuationPrefix + string(centre)), Pool: evacuationPool, Centre: centre, Revision: revision}
@@ -31,7 +34,7 @@
 
 // IsEvacuation reports whether the removal is the end of an evacuation.
 func (removal Removal) IsEvacuation() bool {
-	return strings.HasPrefix(string(removal.Target), evacuationPrefix)
+	return IsReserved(removal.Target)
 }
 
 // Evacuated reports whether the targets of a data centre get no requests because it is evacuated.
