io/yuccaplat: an odd entry of the platform's list of VMs hides no other

Change: entries are decoded one by one. The spec failed before (garbled), and passes. A list that is no JSON at all, or nests beyond 10,000, still is garbled.

--- a/io/yuccaplat/message.go
+++ b/io/yuccaplat/message.go
@@ -1,6 +1,10 @@
 package yuccaplat
 
-import "yuccacleat/core/yuccaid"
+import (
+	"encoding/json"
+
+	"yuccacleat/core/yuccaid"
+)
 
 // Revision counts the service's changes; a stale service shows a lower one.
 type Revision uint64
@@ -64,6 +68,19 @@
 	State   VMState        `json:"state"`
 }
 
+// vmList is the platform's answer, of which each entry is decoded by itself.
 type vmList struct {
-	VMs []VM `json:"vms"`
+	VMs []json.RawMessage `json:"vms"`
+}
+
+// decode returns the entries that can be decoded. An odd one hides no other.
+func (list *vmList) decode() []VM {
+	var vms []VM
+	for _, raw := range list.VMs {
+		var vm VM
+		if err := json.Unmarshal(raw, &vm); err == nil && vm.Name != "" {
+			vms = append(vms, vm)
+		}
+	}
+	return vms
 }
--- a/io/yuccaplat/reader.go
+++ b/io/yuccaplat/reader.go
@@ -137,7 +137,7 @@
 	reader.counts.lists.Add(1)
 	var list vmList
 	err := reader.object(ctx, 0, "/v1/vms", &list)
-	return list.VMs, err
+	return list.decode(), err
 }
 
 func (reader *Reader) object(ctx context.Context, wait time.Duration, path string, into any) error {
--- a/io/yuccaplat/reader_test.go
+++ b/io/yuccaplat/reader_test.go
@@ -208,6 +208,16 @@
 		Expect(reader.Counts()).To(Equal(yuccaplat.Counts{Watches: 1, Gets: 1, Lists: 1, Entries: 1}))
 	})
 
+	// Guards against the failure that one odd entry of the platform's list hides all VMs.
+	It("pass over odd entries of a list", func() {
+		svc, url := newService()
+		svc.answers = []int{http.StatusOK}
+		svc.raw = `{"vms":[{"vm":"entry-1","address":"10.0.0.11:7000"},7,[[[]]],{"vm":1e400},{"vm":"entry-2","centre":{}},{},{"vm":"entry-3"}]}`
+		vms, err := yuccaplat.New(url).VMs(ctx)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(vms).To(Equal([]yuccaplat.VM{{Name: "entry-1", Address: "10.0.0.11:7000"}, {Name: "entry-3"}}))
+	})
+
 	DescribeTable("fail by kind, with a remedy",
 		func(status int, raw string, want error) {
 			svc, url := newService()
