A daemon that is out of step doesn't take its pool's only version for that of a stream that nobody remembers

Cause: a daemon counted as certain of a pool's versions while its news of the platform was younger than 3 s, though the stream can have begun after that news; that none of the daemons that it asked answered didn't matter. Change: the only version counts if all daemons that were asked have answered, which they did after the take-up came, or once the daemon has itself read the platform's changes since (one call for all take-ups that wait, 0.5 s at most); else targets are asked, or the stream is refused. A version that came and left within one batch of changes counts, too. Ruled out: a shorter bound on the age of news (any age above none leaves the gap); holding new versions back for 3.5 s; passing all origins on at once (a daemon that is cut off gets none).

--- a/core/yuccastream/history.go
+++ b/core/yuccastream/history.go
@@ -42,6 +42,13 @@
 	maps.DeleteFunc(hist.lastSeen, func(_ Origin, seen time.Time) bool { return now.Sub(seen) > MaxRetention })
 }
 
+// Seen records that a version was registered at some time since the last call of SetRegistered, perhaps no longer now.
+func (hist *History) Seen(now time.Time, origin Origin) {
+	if !hist.registered[origin] {
+		hist.lastSeen[origin] = now
+	}
+}
+
 // View is what a daemon knows of the versions that a pool's targets have had within MaxRetention.
 type View struct {
 	// Version is the only version that the daemon knows, empty if it knows none or several.
--- a/io/yuccagate/fleet_test.go
+++ b/io/yuccagate/fleet_test.go
@@ -215,6 +215,8 @@
 	lines *lines
 	// control is locked to make the gateway's control goroutine hang.
 	control *sync.Mutex
+	// platform is what the platform answers this gateway's checks.
+	platform *platformChanges
 }
 
 // hang makes the gateway's control goroutine hang until the end of the test. The gateway's
@@ -278,6 +280,35 @@
 	return listener
 }
 
+// platformChanges is what the platform answers gateways that check whether they have missed changes. It is safe for concurrent use.
+type platformChanges struct {
+	mu      sync.Mutex
+	changes yuccagate.TargetChanges
+	err     error
+	checks  int
+}
+
+func (pc *platformChanges) set(changes yuccagate.TargetChanges, err error) {
+	pc.mu.Lock()
+	defer pc.mu.Unlock()
+	pc.changes, pc.err = changes, err
+}
+
+func (pc *platformChanges) count() int {
+	pc.mu.Lock()
+	defer pc.mu.Unlock()
+	return pc.checks
+}
+
+func (pc *platformChanges) check(_ context.Context, after yuccaroster.Revision) (yuccagate.TargetChanges, error) {
+	pc.mu.Lock()
+	defer pc.mu.Unlock()
+	pc.checks++
+	changes := pc.changes
+	changes.At = max(changes.At, after)
+	return changes, pc.err
+}
+
 // newGateOf starts a gateway that accepts connections of peers on the given listener. If the
 // function change isn't nil, it is called to change the gateway's settings before the start.
 func newGateOf(peers net.Listener, centre yuccaid.Centre, vm string, change func(*yuccagate.Settings), seeds ...string) *gate {
@@ -292,11 +323,13 @@
 		defer hang.Unlock()
 		return yuccaclock.SinceBoot()
 	}
-	inner, err := yuccagate.New(set, dialect, decode, peers, yuccagate.WithLog(logged), yuccagate.WithBootClock(clock))
+	changes := &platformChanges{}
+	inner, err := yuccagate.New(set, dialect, decode, peers, yuccagate.WithLog(logged), yuccagate.WithBootClock(clock),
+		yuccagate.WithPlatformCheck(changes.check))
 	Expect(err).NotTo(HaveOccurred())
 	callers, err := net.Listen("tcp", "127.0.0.1:0")
 	Expect(err).NotTo(HaveOccurred())
-	gt := &gate{Gate: inner, address: callers.Addr().String(), server: inner.Serve(callers), lines: logged, control: hang}
+	gt := &gate{Gate: inner, address: callers.Addr().String(), server: inner.Serve(callers), lines: logged, control: hang, platform: changes}
 	gt.crash = sync.OnceFunc(func() {
 		// Drain gets a context that has already ended, so that it cuts off open requests at once
 		// instead of waiting for them.
--- a/io/yuccagate/gate.go
+++ b/io/yuccagate/gate.go
@@ -158,6 +158,9 @@
 	// origins is what this daemon knows of where streams began, and surveys what it has learned of it from targets.
 	origins origins
 	surveys [surveyShards]*targetSurvey
+	// platformCheck reads the platform where that can't wait for the next news, and checks has who waits for it.
+	platformCheck PlatformCheck
+	checks        platformChecks
 	// quarantine is what it knows of traits of requests on which targets crash.
 	quarantine *quarantine
 
--- a/io/yuccagate/metrics.go
+++ b/io/yuccagate/metrics.go
@@ -83,6 +83,11 @@
 	met.set.GetOrCreateCounter(fmt.Sprintf("yuccacleat_gate_streams_taken_up_total{origin=%q}", origin)).Inc()
 }
 
+// platformChecked counts a read of the platform for which callers waited.
+func (met *metrics) platformChecked(succeeded bool) {
+	met.set.GetOrCreateCounter(fmt.Sprintf("yuccacleat_gate_platform_checks_total{succeeded=\"%t\"}", succeeded)).Inc()
+}
+
 // targetCrashed counts a target that has crashed while it had runs of this daemon.
 func (met *metrics) targetCrashed() {
 	met.set.GetOrCreateCounter("yuccacleat_gate_target_crashes_total").Inc()
--- a/io/yuccagate/originlookup.go
+++ b/io/yuccagate/originlookup.go
@@ -48,6 +48,9 @@
 	views    []yuccastream.View
 	until    time.Time
 	result   chan originResult
+	// answered reports whether daemons were asked and all of them have answered. Otherwise this daemon may be out of step with
+	// them. Checked reports whether the platform has been read since, and confirmed whether this daemon knows all changes since then.
+	answered, checked, confirmed bool
 }
 
 // originResult is the result of a lookup; the version is empty if the stream can't go on.
@@ -79,7 +82,7 @@
 		}
 	}
 	if lookup.awaiting == 0 {
-		gate.conclude(now, lookup)
+		gate.checkPlatform(now, lookup)
 		return
 	}
 	gate.origins.lookups[lookup.number] = lookup
@@ -127,6 +130,7 @@
 	})
 	lookup.onlyPool = lookup.onlyPool && !answer.Moved
 	if lookup.awaiting == 0 {
+		lookup.answered = true
 		delete(gate.origins.lookups, answer.Number)
 		gate.conclude(now, lookup)
 	}
@@ -141,12 +145,17 @@
 }
 
 // conclude ends a lookup of a stream that nobody remembers. The stream can only go on if its pool has had
-// one version, or if what targets keep of its prompt tells the version that began it.
+// one version, or if what targets keep of its prompt tells the version that began it. A version that has come while this daemon was cut off
+// or stood still may have begun the stream, too, so this daemon has to be in step with others or to know the platform's changes up to now.
 func (gate *Gate) conclude(now time.Time, lookup *originLookup) {
-	views := append(lookup.views, gate.streamView(now, lookup.pool, lookup.routeName, lookup.route))
+	own := gate.streamView(now, lookup.pool, lookup.routeName, lookup.route)
+	own.Fresh = own.Fresh || lookup.confirmed
+	views := append(lookup.views, own)
 	version, agreed := yuccastream.Agree(views)
 	switch {
-	case agreed && lookup.onlyPool && yuccastream.AgreeOnRoute(views):
+	case !lookup.answered && !lookup.checked:
+		gate.checkPlatform(now, lookup)
+	case (lookup.answered || lookup.confirmed) && agreed && lookup.onlyPool && yuccastream.AgreeOnRoute(views):
 		lookup.deliver(yuccastream.Origin{Pool: lookup.pool, Version: version}, originSole)
 	case lookup.surveyed:
 		lookup.concludeSurvey()
--- a/io/yuccagate/takeup.go
+++ b/io/yuccagate/takeup.go
@@ -42,7 +42,7 @@
 	}
 	req.gate.metrics.takenUp(res.source)
 	req.logDecision("taken up", "resumes", req.info.Resumes, "from", req.info.LastEventID,
-		"origin", res.source, "version", res.origin.Version, "lookupMillis", time.Since(began).Milliseconds())
+		"origin", res.source, "version", res.origin.Version, "answered", lookup.answered, "confirmed", lookup.confirmed, "lookupMillis", time.Since(began).Milliseconds())
 	if res.origin.Version == "" {
 		return &Problem{Kind: KindUnresumable, Detail: "the version that began the stream: " + res.source}
 	}
--- a/io/yuccagate/targets.go
+++ b/io/yuccagate/targets.go
@@ -12,6 +12,7 @@
 	"yuccacleat/core/yuccaid"
 	"yuccacleat/core/yuccaroster"
 	"yuccacleat/core/yuccaroute"
+	"yuccacleat/core/yuccastream"
 	"yuccacleat/io/yuccawire"
 )
 
@@ -264,7 +265,9 @@
 		gate.roster.ReplaceAll(now, message.Entries, message.At, message.Sure)
 	}
 	for _, entry := range message.Entries {
-		gate.roster.Put(now, entry)
+		if gate.roster.Put(now, entry) && !entry.IsEvacuation() {
+			gate.origins.history.Seen(now, yuccastream.Origin{Pool: entry.Pool, Version: entry.StreamVersion()})
+		}
 	}
 	for _, removal := range message.Removals {
 		gate.roster.Remove(now, removal, message.Sure)
