--- a/core/yuccaquarantine/quarantine.go
+++ b/core/yuccaquarantine/quarantine.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"maps"
 	"slices"
 	"time"
 
@@ -31,6 +30,14 @@
 	Whole, Experienced bool
 }
 
+// threshold is the sum of the weights of crashes for which a trait is held.
+func (view View) threshold() float64 {
+	if view.Whole && view.Experienced {
+		return crashesToHold
+	}
+	return fewerCrashesToHold
+}
+
 // Quarantine is what one daemon knows of the traits on which targets crash. It isn't safe for concurrent use.
 type Quarantine struct {
 	vm       yuccaid.VM
@@ -39,12 +46,15 @@
 	// sound and soundBefore have when a run last came far with a trait, in the present and the former span of soundFor.
 	sound, soundBefore map[Trait]time.Time
 	soundSince         time.Time
-	// held is what is held, and explained are the crashes that it explains. If stale is set, suspects have been cleared or forgotten
-	// since that was decided. News is what other daemons are to be told.
-	held      []group
-	explained map[*crash]bool
-	stale     bool
-	news      News
+	// held is what is held, and explained are the crashes that it explains, decided at decidedAt with a threshold. If stale is set,
+	// suspects that count have been cleared or forgotten since. ChangedAt is when something of a crash last became known. News is
+	// what other daemons are to be told.
+	held                 []group
+	explained            map[*crash]bool
+	threshold            float64
+	decidedAt, changedAt time.Time
+	stale                bool
+	news                 News
 }
 
 // New returns what the daemon on a VM knows at first.
@@ -83,11 +93,12 @@
 		if sus == nil {
 			continue
 		}
-		several, held := len(sus.evidence) > 1, !sus.heldSince.IsZero()
+		counts := sus.counts()
 		if sus.clear(now) {
-			sus.unannounced, qua.stale = true, true
+			sus.unannounced = true
+			qua.stale = qua.stale || counts
 		}
-		if several || held {
+		if counts {
 			qua.announce(sus, trait)
 		}
 	}
@@ -106,8 +117,10 @@
 	}
 	for _, cleared := range news.Cleared {
 		if sus := qua.suspects[cleared.Trait]; sus != nil {
+			counts := sus.counts()
 			if sus.clear(cleared.At) {
-				isNew, qua.stale = true, true
+				isNew = true
+				qua.stale = qua.stale || counts
 			}
 			sus.unannounced, sus.announceAt = false, time.Time{}
 		}
@@ -126,8 +139,10 @@
 		known = qua.crashes[index]
 	} else {
 		known = &crash{Crash: Crash{Process: report.Process, At: report.At}, recordedAt: now}
+		qua.addNear(known)
 		qua.crashes = append(qua.crashes, known)
 		if len(qua.crashes) > maxCrashes {
+			qua.crashes[0].near = nil
 			qua.crashes = slices.Delete(qua.crashes, 0, 1)
 		}
 		isNew = true
@@ -140,9 +155,22 @@
 		known.Traits = append(known.Traits, trait)
 		qua.addEvidence(now, trait, known)
 	}
+	if isNew {
+		qua.changedAt = now
+	}
 	return isNew
 }
 
+// addNear records which of the other crashes were at the same time as a new one.
+func (qua *Quarantine) addNear(cr *crash) {
+	for _, other := range qua.crashes {
+		if other.At.Sub(cr.At).Abs() <= collective && cr.recordedAt.Sub(other.recordedAt) < weighedFor {
+			cr.near = append(cr.near, other)
+			other.near = append(other.near, cr)
+		}
+	}
+}
+
 // addEvidence records that a trait may have caused a crash, unless a run here has cleared it.
 func (qua *Quarantine) addEvidence(now time.Time, trait Trait, cr *crash) {
 	sus := qua.suspects[trait]
@@ -185,7 +213,7 @@
 		}
 	}
 	delete(qua.suspects, least)
-	qua.stale = true
+	qua.stale = qua.stale || found.counts()
 }
 
 // addTrial records a trial, and reports whether it wasn't known.
@@ -219,15 +247,28 @@
 			qua.announce(sus, trait)
 		}
 	}
-	qua.decide(now, view)
+	settled := !qua.decidedAt.Before(qua.changedAt.Add(settleTime))
+	if qua.stale || !settled || view.threshold() != qua.threshold {
+		qua.decide(now, view)
+	}
 	news := qua.news
 	qua.news = News{}
 	return news
 }
 
 func (qua *Quarantine) expire(now time.Time) {
-	maps.DeleteFunc(qua.suspects, func(_ Trait, sus *suspect) bool { return now.Sub(sus.lastCrash) >= suspectFor })
+	for trait, sus := range qua.suspects {
+		if now.Sub(sus.lastCrash) >= suspectFor {
+			qua.stale = qua.stale || sus.counts()
+			delete(qua.suspects, trait)
+		}
+	}
 	qua.crashes = slices.DeleteFunc(qua.crashes, func(cr *crash) bool { return now.Sub(cr.recordedAt) >= suspectFor })
+	for _, cr := range qua.crashes {
+		if now.Sub(cr.recordedAt) >= weighedFor {
+			cr.near = nil
+		}
+	}
 }
 
 // State returns all that a daemon needs to know which has just been reached: the crashes of the suspects that have several,
--- a/core/yuccaquarantine/suspect.go
+++ b/core/yuccaquarantine/suspect.go
@@ -29,8 +29,9 @@
 // crash is a crash that is remembered.
 type crash struct {
 	Crash
-	// recordedAt is when it became known here.
+	// recordedAt is when it became known here, and near are the other crashes at the same time, as long as they may change weights.
 	recordedAt time.Time
+	near       []*crash
 }
 
 // isSame reports whether a report means this crash.
@@ -61,6 +62,11 @@
 	heldSince time.Time
 }
 
+// counts reports whether the suspect may have been decided on.
+func (sus *suspect) counts() bool {
+	return len(sus.evidence) >= strongSuspicion || !sus.heldSince.IsZero()
+}
+
 // has reports whether the crash is evidence already.
 func (sus *suspect) has(cr *crash) bool {
 	return slices.ContainsFunc(sus.evidence, func(ev evidence) bool { return ev.crash.isSame(cr.Crash) })
--- a/core/yuccaquarantine/verdict.go
+++ b/core/yuccaquarantine/verdict.go
@@ -19,6 +19,9 @@
 	// repeatedTrialAfter is how long after the first trial another one begins if no target has crashed and no run has cleared the
 	// trait: the trial's request may not have run.
 	repeatedTrialAfter = 5 * time.Second
+	// suspectedSoon is how long after a crash became known one of its traits may be about to be held: what daemons tell of it later
+	// comes within sameCrash.
+	suspectedSoon = sameCrash + settleTime
 	// strongSuspicion is the fewest crashes for which a trait is held.
 	strongSuspicion = 2
 	// leastContentWeight is how much a crash speaks at least against a content. Unlike a part of prompts, a content is on several
@@ -37,31 +40,54 @@
 // decide determines what is held: the fewest traits that explain the crashes, those with most crashes first, and the contents with
 // as many crashes whatever explains them.
 func (qua *Quarantine) decide(now time.Time, view View) {
-	threshold := float64(crashesToHold)
-	if !view.Whole || !view.Experienced {
-		threshold = fewerCrashesToHold
-	}
+	threshold := view.threshold()
 	explained := make(map[*crash]bool)
-	strong := qua.strongSuspects()
+	strong := qua.strongSuspects(threshold)
+	scores := qua.scores(now, strong)
+	own := maps.Clone(scores)
 	var held []group
 	for {
-		best, score := qua.strongest(now, strong, explained)
+		best, score := strongest(strong, scores)
 		if score < threshold-roundingError {
 			break
 		}
-		found := group{traits: qua.inseparable(best, strong, explained), crashes: len(qua.suspects[best].evidence)}
-		for _, ev := range qua.suspects[best].evidence {
-			explained[ev.crash] = true
-		}
+		found := group{traits: qua.inseparable(best, scores, explained), crashes: len(qua.suspects[best].evidence)}
+		qua.explain(now, best, explained, scores)
 		held = append(held, found)
 	}
+	isHeld := heldSet(held)
 	for _, trait := range strong {
-		if trait.IsContent() && !isHeld(held, trait) && qua.score(now, trait, settleTime, nil) >= threshold-roundingError {
+		if trait.IsContent() && own[trait] >= threshold-roundingError && !isHeld[trait] {
 			held = append(held, group{traits: []Trait{trait}, crashes: len(qua.suspects[trait].evidence)})
 		}
 	}
 	qua.setHeld(now, held)
-	qua.explained, qua.stale = explained, false
+	qua.explained, qua.stale, qua.threshold, qua.decidedAt = explained, false, threshold, now
+}
+
+// scores returns the scores of the traits while no crash is explained.
+func (qua *Quarantine) scores(now time.Time, traits []Trait) map[Trait]float64 {
+	scores := make(map[Trait]float64, len(traits))
+	for _, trait := range traits {
+		scores[trait] = qua.score(now, trait, settleTime, nil)
+	}
+	return scores
+}
+
+// explain records that a trait explains its crashes, and changes the scores of the others that were in them.
+func (qua *Quarantine) explain(now time.Time, trait Trait, explained map[*crash]bool, scores map[Trait]float64) {
+	changed := make(map[Trait]bool)
+	for _, ev := range qua.suspects[trait].evidence {
+		explained[ev.crash] = true
+		for _, other := range ev.crash.Traits {
+			changed[other] = true
+		}
+	}
+	for other := range changed {
+		if _, counted := scores[other]; counted {
+			scores[other] = qua.score(now, other, settleTime, explained)
+		}
+	}
 }
 
 // setHeld sets what is held, and since when.
@@ -73,9 +99,10 @@
 			}
 		}
 	}
+	isHeld := heldSet(held)
 	for _, grp := range qua.held {
 		for _, trait := range grp.traits {
-			if sus := qua.suspects[trait]; sus != nil && !isHeld(held, trait) {
+			if sus := qua.suspects[trait]; sus != nil && !isHeld[trait] {
 				sus.heldSince = time.Time{}
 			}
 		}
@@ -83,15 +110,22 @@
 	qua.held = held
 }
 
-func isHeld(held []group, trait Trait) bool {
-	return slices.ContainsFunc(held, func(grp group) bool { return slices.Contains(grp.traits, trait) })
+// heldSet returns the traits of groups.
+func heldSet(groups []group) map[Trait]bool {
+	set := make(map[Trait]bool)
+	for _, grp := range groups {
+		for _, trait := range grp.traits {
+			set[trait] = true
+		}
+	}
+	return set
 }
 
-// strongSuspects returns the traits that several crashes speak against, in order.
-func (qua *Quarantine) strongSuspects() []Trait {
+// strongSuspects returns the traits that may have a score of the threshold, in order.
+func (qua *Quarantine) strongSuspects(threshold float64) []Trait {
 	var list []Trait
 	for trait, sus := range qua.suspects {
-		if len(sus.evidence) >= strongSuspicion {
+		if float64(len(sus.evidence)) >= threshold {
 			list = append(list, trait)
 		}
 	}
@@ -99,10 +133,10 @@
 	return list
 }
 
-// strongest returns the one of the traits that most of the crashes speak against which aren't explained yet.
-func (qua *Quarantine) strongest(now time.Time, traits []Trait, explained map[*crash]bool) (best Trait, score float64) {
+// strongest returns the one of the traits with the highest score, the first one of several.
+func strongest(traits []Trait, scores map[Trait]float64) (best Trait, score float64) {
 	for _, trait := range traits {
-		if sum := qua.score(now, trait, settleTime, explained); sum > score+roundingError {
+		if sum := scores[trait]; sum > score+roundingError {
 			best, score = trait, sum
 		}
 	}
@@ -142,33 +176,40 @@
 // this process may have it too.
 func (qua *Quarantine) crashesWithout(trait Trait, cr *crash) int {
 	count := 0
-	for _, other := range qua.crashes {
-		if other != cr && other.At.Sub(cr.At).Abs() <= collective && !slices.Contains(other.Traits, trait) {
+	for _, other := range cr.near {
+		if !slices.Contains(other.Traits, trait) {
 			count++
 		}
 	}
 	return count
 }
 
-// inseparable returns those of the traits that have the same crashes as the given one, which is among them.
-func (qua *Quarantine) inseparable(trait Trait, traits []Trait, explained map[*crash]bool) []Trait {
-	unexplained := func(of Trait) map[*crash]bool {
-		set := make(map[*crash]bool)
-		for _, ev := range qua.suspects[of].evidence {
-			if !explained[ev.crash] {
-				set[ev.crash] = true
+// inseparable returns those of the traits that have the same unexplained crashes as the given one, which is among them.
+func (qua *Quarantine) inseparable(trait Trait, scores map[Trait]float64, explained map[*crash]bool) []Trait {
+	own := qua.unexplained(trait, explained)
+	var list []Trait
+	for cr := range own {
+		// Such a trait is in each of the crashes.
+		for _, other := range cr.Traits {
+			if _, counted := scores[other]; counted && maps.Equal(own, qua.unexplained(other, explained)) {
+				list = append(list, other)
 			}
 		}
-		return set
+		break
 	}
-	own := unexplained(trait)
-	var list []Trait
-	for _, other := range traits {
-		if maps.Equal(own, unexplained(other)) {
-			list = append(list, other)
+	slices.Sort(list)
+	return list
+}
+
+// unexplained returns the crashes that speak against a trait and aren't explained.
+func (qua *Quarantine) unexplained(trait Trait, explained map[*crash]bool) map[*crash]bool {
+	set := make(map[*crash]bool)
+	for _, ev := range qua.suspects[trait].evidence {
+		if !explained[ev.crash] {
+			set[ev.crash] = true
 		}
 	}
-	return list
+	return set
 }
 
 // Decision is what happens to a request.
@@ -265,18 +306,27 @@
 		if trait.IsContent() {
 			explained = nil
 		}
-		return sus != nil && (!sus.heldSince.IsZero() || qua.score(now, trait, 0, explained) >= crashesToHold-roundingError)
+		if sus == nil || sus.heldSince.IsZero() && len(sus.evidence) < crashesToHold {
+			return false
+		}
+		return !sus.heldSince.IsZero() || qua.score(now, trait, 0, explained) >= crashesToHold-roundingError
 	})
 }
 
-// IsActive reports whether any trait is held or about to be.
+// IsActive reports whether any trait is held or about to be. The latter are traits of crashes that have just become known.
 func (qua *Quarantine) IsActive(now time.Time) bool {
-	for trait := range qua.suspects {
-		if !qua.MayRepeat(now, []Trait{trait}) {
+	if len(qua.held) > 0 {
+		return true
+	}
+	for _, cr := range slices.Backward(qua.crashes) {
+		if now.Sub(cr.recordedAt) > suspectedSoon {
+			break
+		}
+		if !qua.MayRepeat(now, cr.Traits) {
 			return true
 		}
 	}
-	return len(qua.held) > 0
+	return false
 }
 
 // Held returns the traits that are held.
