--- a/review/stand/replica.go
+++ b/review/stand/replica.go
@@ -39,10 +39,9 @@
 	// withdrawn reports whether the replica has removed its entry before its exit.
 	withdrawn bool
 	// slots has an entry for each request that runs.
-	slots      chan struct{}
-	state      string
-	kept       map[string]int
-	heartbeats *time.Ticker
+	slots chan struct{}
+	state string
+	kept  map[string]int
 }
 
 // startReplica starts a replica and registers it.
--- a/review/stand/versions.go
+++ b/review/stand/versions.go
@@ -21,14 +21,14 @@
 	drainTime = 3400 * time.Millisecond
 	// shortTurns is how many questions of a session get short answers. The last one gets a long answer, which takes longer than
 	// a replica drains. Both are in tokens.
-	shortTurns              = 3
+	shortTurns              = 6
 	shortAnswer, longAnswer = 40, 240
 	// betweenSessions is the time between the requests of two sessions.
 	betweenSessions = 30 * time.Millisecond
 )
 
 // turnStride is the order in which the sessions ask, by their turns.
-var turnStride = [...]int{1, 5, 7, 11}
+var turnStride = [...]int{1, 5, 7, 11, 5, 1, 7}
 
 // playVersions replaces the replicas of a service one after the other by those of a newer version, while sessions ask several times.
 // A session's last answer is cut off when its replica exits, and its client takes it up.
