--- a/review/stand/fleet.go
+++ b/review/stand/fleet.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -37,8 +38,6 @@
 	server   *http.Server
 	daemons  []*daemon
 	replicas []*replica
-	// onRun is called with the id of each request that a replica begins to run, unless it is nil.
-	onRun func(id string)
 }
 
 // startFleet starts the store, with a configuration, and a number of daemons.
@@ -141,14 +140,25 @@
 	}
 }
 
-// freeAddress returns a loopback address whose port nobody uses.
+// firstPort and lastPort bound the ports that daemons and stand-ins listen on. The system takes the ports of outgoing connections from
+// beyond them.
+const firstPort, lastPort = 12000, 30000
+
+// taken are the addresses that freeAddress has returned.
+var taken = make(map[string]bool)
+
+// freeAddress returns a loopback address whose port nobody uses. It isn't safe for concurrent use.
 func freeAddress() string {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "127.0.0.1:1"
+	for {
+		address := fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(lastPort-firstPort))
+		listener, err := net.Listen("tcp", address)
+		if err != nil || taken[address] {
+			continue
+		}
+		listener.Close()
+		taken[address] = true
+		return address
 	}
-	defer listener.Close()
-	return listener.Addr().String()
 }
 
 // settings returns the daemon's settings file, with the bounds of the users' small deployments.
--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -21,7 +21,6 @@
 
 var plays = map[string]play{
 	"versions": playVersions,
-	"quota":    playQuota,
 	"leaving":  playLeaving,
 }
 
--- a/review/stand/replica.go
+++ b/review/stand/replica.go
@@ -46,7 +46,7 @@
 
 // startReplica starts a replica and registers it.
 func (flt *fleet) startReplica(id, service, version, zone string) (*replica, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	listener, err := net.Listen("tcp", freeAddress())
 	if err != nil {
 		return nil, err
 	}
@@ -151,9 +151,6 @@
 	if rep.onArrival != nil {
 		rep.onArrival(id)
 	}
-	if rep.fleet.onRun != nil {
-		rep.fleet.onRun(id)
-	}
 	w.Header().Set("Yuccacleat-Response-Signature", rep.id+"."+id)
 	if rep.service == "scribe" {
 		rep.stream(w, r)
