--- a/review/stand/fleet.go
+++ b/review/stand/fleet.go
@@ -38,6 +38,8 @@
 	server   *http.Server
 	daemons  []*daemon
 	replicas []*replica
+	// onRun is called with the id of each request that a replica begins to run, unless it is nil.
+	onRun func(id string)
 }
 
 // startFleet starts the store, with a configuration, and a number of daemons.
--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -22,6 +22,7 @@
 var plays = map[string]play{
 	"versions": playVersions,
 	"leaving":  playLeaving,
+	"quota":    playQuota,
 }
 
 func main() { os.Exit(run()) }
--- a/review/stand/replica.go
+++ b/review/stand/replica.go
@@ -16,7 +16,7 @@
 	// replicaSlots is the number of requests that a replica runs at once.
 	replicaSlots = 6
 	// replicaQueue is how many more requests it queues.
-	replicaQueue = 6
+	replicaQueue = 2
 	// eventTokens is how many tokens an event holds, eventPause the time between two events.
 	eventTokens = 2
 	eventPause  = 50 * time.Millisecond
@@ -151,6 +151,9 @@
 	if rep.onArrival != nil {
 		rep.onArrival(id)
 	}
+	if rep.fleet.onRun != nil {
+		rep.fleet.onRun(id)
+	}
 	w.Header().Set("Yuccacleat-Response-Signature", rep.id+"."+id)
 	if rep.service == "scribe" {
 		rep.stream(w, r)
