--- a/review/stand/quota.go
+++ b/review/stand/quota.go
@@ -108,7 +108,10 @@
 	if trouble {
 		briefs, pause = burstBriefs, hotPause
 	}
-	other.run(time.Duration(briefs)*betweenBriefs, betweenBriefs)
+	for range briefs {
+		other.send()
+		time.Sleep(betweenBriefs)
+	}
 	tenant.run(quotaTime, pause)
 	group.Wait()
 	tokens, from := use.most()
@@ -134,23 +137,28 @@
 	count          int
 }
 
-// run has clients send requests for a time, with a pause between them. A client that is refused tries once more, when it was told to.
+// run has clients send requests for a time, with a pause between them.
 func (flw *flows) run(span, pause time.Duration) {
 	for end := time.Now().Add(span); time.Now().Before(end); time.Sleep(pause) {
-		flw.count++
-		number := flw.count
-		flw.group.Go(func() {
-			for attempt := range 2 {
-				status, back := flw.ask(flw.flt.daemons[(number+attempt)%3], fmt.Sprintf("%s%04d%d", flw.name, number, attempt))
-				if status != http.StatusTooManyRequests && status != http.StatusServiceUnavailable {
-					return
-				}
-				time.Sleep(min(back, requestTimeout/3))
-			}
-		})
+		flw.send()
 	}
 }
 
+// send has a client send a request. If it is refused it tries once more, when it was told to.
+func (flw *flows) send() {
+	flw.count++
+	number := flw.count
+	flw.group.Go(func() {
+		for attempt := range 2 {
+			status, back := flw.ask(flw.flt.daemons[(number+attempt)%3], fmt.Sprintf("%s%04d%d", flw.name, number, attempt))
+			if status != http.StatusTooManyRequests && status != http.StatusServiceUnavailable {
+				return
+			}
+			time.Sleep(min(back, requestTimeout/3))
+		}
+	})
+}
+
 // ask sends a request and reads its answer.
 func (flw *flows) ask(dmn *daemon, id string) (status int, back time.Duration) {
 	flt, use := flw.flt, flw.use
