--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -44,7 +44,7 @@
 		return exitCannotRun
 	}
 	defer rec.close()
-	rg := &rig{rec: rec, trouble: os.Getenv("TROUBLE") != "0", startedAt: time.Now(), ran: make(map[string]int)}
+	rg := &rig{rec: rec, trouble: os.Getenv("TROUBLE") != "0", startedAt: time.Now(), ran: make(map[string]int), lastRun: make(map[string]run)}
 	defer rg.stop()
 	result, err := script(rg)
 	if err != nil {
--- a/review/rig/replica.go
+++ b/review/rig/replica.go
@@ -28,8 +28,6 @@
 	EventPause, WorkTime time.Duration
 	// FailShare is the share of plain requests that the server fails with 503 after it has run them.
 	FailShare float64
-	// FirstBeat is how long after its start the server writes its entry.
-	FirstBeat time.Duration
 }
 
 // prefillPerMilli is how many prompt tokens an engine reads in a millisecond, and tokensPerEvent how many an event holds.
@@ -70,29 +68,41 @@
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(exitCannotRun)
 	}
-	go eng.beat()
+	leaves := make(chan os.Signal, 1)
+	signal.Notify(leaves, syscall.SIGUSR1)
 	stops := make(chan os.Signal, 1)
 	signal.Notify(stops, syscall.SIGTERM)
+	drains := make(chan struct{})
 	go func() {
 		<-stops
 		eng.mu.Lock()
 		eng.draining = true
 		eng.mu.Unlock()
+		close(drains)
 	}()
+	go eng.beat(leaves, drains)
 	_ = http.Serve(listener, eng)
 }
 
-// beat writes the server's entry to the store.
-func (eng *engine) beat() {
-	time.Sleep(eng.spec.FirstBeat)
-	for ; ; time.Sleep(beatEvery) {
+// beat writes the server's entry to the store until the server leaves without notice.
+func (eng *engine) beat(leaves <-chan os.Signal, drains <-chan struct{}) {
+	ticker := time.NewTicker(beatEvery)
+	defer ticker.Stop()
+	for {
 		req, err := http.NewRequest(http.MethodPut, "http://"+eng.spec.Store+"/stand/servers/"+eng.spec.ID, strings.NewReader(eng.entry()))
 		if err != nil {
-			continue
+			return
 		}
 		if resp, err := http.DefaultClient.Do(req); err == nil {
 			_ = resp.Body.Close()
 		}
+		select {
+		case <-ticker.C:
+		case <-drains:
+			drains = nil
+		case <-leaves:
+			return
+		}
 	}
 }
 
--- a/review/rig/rig.go
+++ b/review/rig/rig.go
@@ -41,6 +41,8 @@
 	ports    []net.Listener
 	// ran counts the runs of each attempt.
 	ran map[string]int
+	// lastRun is where and when each attempt began to run last.
+	lastRun map[string]run
 }
 
 // machine says where an edge machine stands.
@@ -58,10 +60,11 @@
 	ip                                 string
 	frontend, ready, control, operator string
 	// callers is where clients connect: the frontend, or a proxy before it.
-	callers      string
-	proxy        *proxy
+	callers string
+	proxy   *proxy
+	// door is where the machine reaches the store.
+	door         *door
 	settingsPath string
-	storeAddress string
 	cmd          *exec.Cmd
 	done         chan error
 }
@@ -80,7 +83,7 @@
 		return err
 	}
 	for index, one := range machines {
-		edg := &edge{rg: rg, at: one, ip: fmt.Sprintf("127.0.1.%d", index+1), storeAddress: rg.store.address}
+		edg := &edge{rg: rg, at: one, ip: fmt.Sprintf("127.0.1.%d", index+1), door: rg.store.newDoor(one.name)}
 		for _, address := range []*string{&edg.frontend, &edg.ready, &edg.control, &edg.operator} {
 			if *address, err = rg.freeAddress(edg.ip); err != nil {
 				return err
@@ -227,7 +230,7 @@
 max_value_bytes = 1048576
 ttl_min_ms = 1000
 `, edg.at.name, edg.ip, edg.at.zone, zones[edg.at.zone], operatorPort, operatorPort, strings.Join(seeds, ","), first,
-		beatEvery.Milliseconds(), edg.frontend, edg.ready, edg.control, edg.storeAddress)
+		beatEvery.Milliseconds(), edg.frontend, edg.ready, edg.control, edg.rg.store.address)
 }
 
 // isReady asks the machine whether it is ready, as the platform does.
@@ -250,6 +253,15 @@
 	return fmt.Errorf("machine %s is not ready", edg.at.name)
 }
 
+// freeze stops the machine's process for a while.
+func (edg *edge) freeze(duration time.Duration) {
+	edg.rg.rec.line("machine %s freezes", edg.at.name)
+	_ = edg.cmd.Process.Signal(syscall.SIGSTOP)
+	time.Sleep(duration)
+	_ = edg.cmd.Process.Signal(syscall.SIGCONT)
+	edg.rg.rec.line("machine %s wakes", edg.at.name)
+}
+
 // replica is one server's process.
 type replica struct {
 	spec replicaSpec
@@ -292,6 +304,12 @@
 	return rep, rg.awaitListening(spec.Address)
 }
 
+// run is the beginning of a run.
+type run struct {
+	server string
+	at     time.Time
+}
+
 // runs returns how often an attempt has begun to run.
 func (rg *rig) runs(attempt string) int {
 	rg.mu.Lock()
@@ -307,6 +325,7 @@
 		if words := strings.Fields(lines.Text()); len(words) > 1 && words[0] == "runs" {
 			rg.mu.Lock()
 			rg.ran[words[1]]++
+			rg.lastRun[words[1]] = run{server: id, at: time.Now()}
 			rg.mu.Unlock()
 		}
 	}
@@ -328,6 +347,14 @@
 	_ = rep.cmd.Process.Kill()
 }
 
+// leave has a server leave without notice: its entry is removed, and it serves on. It returns when the store had accepted
+// the removal.
+func (rg *rig) leave(rep *replica) time.Time {
+	_ = rep.cmd.Process.Signal(syscall.SIGUSR1)
+	time.Sleep(pollPause)
+	return rg.store.remove("servers/" + rep.spec.ID)
+}
+
 // stop ends all processes and removes what the script wrote.
 func (rg *rig) stop() {
 	for _, edg := range rg.edges {
