--- a/review/rig/store.go
+++ b/review/rig/store.go
@@ -33,6 +33,8 @@
 	doors []*door
 
 	mu sync.Mutex
+	// downUntil is until when the store is down for servers.
+	downUntil time.Time
 	// beats is when each server has last written, and values what it has written, without its number of writes.
 	beats  map[string]time.Time
 	values map[string]string
@@ -141,6 +143,8 @@
 func (stand *storeStand) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	key, isStand := strings.CutPrefix(r.URL.Path, "/stand/")
 	switch {
+	case isStand && stand.isDown():
+		w.WriteHeader(http.StatusServiceUnavailable)
 	case isStand && r.Method == http.MethodPut:
 		value, _ := io.ReadAll(r.Body)
 		stand.beat(key, string(value))
@@ -157,6 +161,22 @@
 	}
 }
 
+// setDown has the store be down for servers for a while. Nothing expires meanwhile.
+func (stand *storeStand) setDown(duration time.Duration) {
+	stand.mu.Lock()
+	defer stand.mu.Unlock()
+	stand.downUntil = time.Now().Add(duration)
+	for key := range stand.beats {
+		stand.beats[key] = stand.downUntil
+	}
+}
+
+func (stand *storeStand) isDown() bool {
+	stand.mu.Lock()
+	defer stand.mu.Unlock()
+	return time.Now().Before(stand.downUntil)
+}
+
 // put writes as the operator.
 func (stand *storeStand) put(key, value string) {
 	stand.inner.Put(key, value)
