A target whose removal the reader holds as tentative ends at daemons that take its list, too

Cause: within four seconds of a failed call a missing registration is a tentative removal, which takes effect two seconds later, at the daemon that has read it. Until then that daemon's whole list holds the target like all others, with a revision past that of the removal. A daemon that takes this list has nothing more to ask for, and nothing tells it when the removal takes effect, so it keeps the target until the next change of that registration, which never comes. Every way to an unsure reading and a list leads there: a reader that is turned away, cut, restarted with its store, or that reads a list on its return. Change: an answer to a daemon that asks for the targets carries the pending removals with the time that is left of each; the daemon that takes it holds them likewise. A target that registers again is kept, as before. The field is in the message's map, which older builds pass over. Evidence: the new spec of yuccagate has a reader with an unsure list and a peer that takes it. Ruled out: telling all daemons once the removal takes effect (the message may be lost, and the daemon may end within the two seconds); a lower revision of lists with pending removals (each of 400 daemons would ask for the whole list again and again for two seconds); taking such targets out of the list (a daemon that has just started would have no targets after a long trouble of the store).

--- a/core/yuccaroster/entry.go
+++ b/core/yuccaroster/entry.go
@@ -111,3 +111,9 @@
 	Target   yuccaid.Target `msgpack:"target"`
 	Revision Revision       `msgpack:"revision"`
 }
+
+// PendingRemoval is a tentative removal that hasn't taken effect, and the time until it does.
+type PendingRemoval struct {
+	Removal
+	Remaining time.Duration `msgpack:"remaining"`
+}
--- a/core/yuccaroster/roster.go
+++ b/core/yuccaroster/roster.go
@@ -80,17 +80,31 @@
 // sure if the platform's service was down a moment ago, because then the registration may
 // have expired although the target works.
 func (ros *Roster) Remove(now time.Time, removal Removal, sure bool) bool {
+	if sure {
+		return ros.remove(now, removal, 0)
+	}
+	return ros.remove(now, removal, removalGrace)
+}
+
+// RemovePending ends a registration once a tentative removal that another daemon has read takes effect there.
+// It reports false if it changed nothing, as Remove does.
+func (ros *Roster) RemovePending(now time.Time, pending PendingRemoval) bool {
+	return ros.remove(now, pending.Removal, min(pending.Remaining, removalGrace))
+}
+
+// remove ends a registration after a grace period, at once if there is none.
+func (ros *Roster) remove(now time.Time, removal Removal, grace time.Duration) bool {
 	rec, known := ros.records[removal.Target]
-	if !known || rec.removed || rec.revision > removal.Revision || rec.tentative && !sure {
+	if !known || rec.removed || rec.revision > removal.Revision || rec.tentative && grace > 0 {
 		return false
 	}
 	rec.revision = removal.Revision
-	if sure {
+	if grace <= 0 {
 		ros.confirmRemoval(now, rec)
 		return true
 	}
 	rec.tentative = true
-	ros.schedule(rec, now.Add(removalGrace))
+	ros.schedule(rec, now.Add(grace))
 	return true
 }
 
@@ -196,6 +210,19 @@
 	return list
 }
 
+// PendingRemovals returns the tentative removals that haven't taken effect, in the order of the targets' names. They
+// are sent along with Entries, which has their targets too.
+func (ros *Roster) PendingRemovals(now time.Time) []PendingRemoval {
+	var list []PendingRemoval
+	for name, rec := range ros.records {
+		if rec.tentative {
+			list = append(list, PendingRemoval{Removal: Removal{Target: name, Revision: rec.revision}, Remaining: rec.due.Sub(now)})
+		}
+	}
+	slices.SortFunc(list, func(a, b PendingRemoval) int { return cmp.Compare(a.Target, b.Target) })
+	return list
+}
+
 // Usable returns the pool's targets that accept new requests and whose data centre isn't evacuated, in the
 // order of their names.
 // The slice is shared between callers and must not be modified.
--- a/core/yuccaroster/roster_test.go
+++ b/core/yuccaroster/roster_test.go
@@ -88,6 +88,30 @@
 		Expect(ros.Tick(start.Add(2 * time.Second))).To(Equal([]yuccaid.Target{"a"}))
 	})
 
+	// Guards against the failure that daemons which take another one's list keep a target that this one removes a moment later.
+	It("hands a tentative removal on with the time that is left of it", func() {
+		ros, peer := yuccaroster.New(), yuccaroster.New()
+		ros.Put(start, entry("a", 1))
+		ros.Put(start, entry("b", 2))
+		ros.ReplaceAll(start, nil, 9, false)
+		later := start.Add(500 * time.Millisecond)
+		pending := ros.PendingRemovals(later)
+		Expect(pending).To(Equal([]yuccaroster.PendingRemoval{
+			{Removal: yuccaroster.Removal{Target: "a", Revision: 9}, Remaining: 1500 * time.Millisecond},
+			{Removal: yuccaroster.Removal{Target: "b", Revision: 9}, Remaining: 1500 * time.Millisecond},
+		}))
+		peer.ReplaceAll(later, ros.Entries(), 9, true)
+		for _, removal := range pending {
+			Expect(peer.RemovePending(later, removal)).To(BeTrue())
+		}
+		Expect(names(peer.Usable("draft"))).To(Equal([]yuccaid.Target{"a", "b"}))
+		Expect(peer.Put(later, entry("b", 10))).To(BeTrue())
+		Expect(peer.Tick(start.Add(1900 * time.Millisecond))).To(BeEmpty())
+		Expect(peer.Tick(start.Add(2 * time.Second))).To(Equal([]yuccaid.Target{"a"}))
+		Expect(names(peer.Usable("draft"))).To(Equal([]yuccaid.Target{"b"}))
+		Expect(peer.PendingRemovals(start.Add(2 * time.Second))).To(BeEmpty())
+	})
+
 	It("removes at once the targets that a sure list lacks", func() {
 		ros := yuccaroster.New()
 		ros.Put(start, entry("a", 1))
--- a/io/yuccagate/reader_test.go
+++ b/io/yuccagate/reader_test.go
@@ -41,6 +41,27 @@
 	})
 })
 
+var _ = Describe("a removal that the reader holds as tentative", func() {
+	// Guards against the failure that a daemon which takes the reader's list sends requests to a target that has left
+	// for as long as the target answers.
+	It("takes effect also at a daemon that gets the reader's whole list meanwhile", func() {
+		first, second := startTwo(4, newEngine("a", nil), newEngine("b", nil))
+		reader, other := first, second
+		if first.MaySkipPlatformReads() {
+			reader, other = second, first
+		}
+		reader.OfferTargets([]yuccaroster.Entry{registration("a", 9, false)}, nil, true, 9, false)
+		targets := func(gt *gate) func() int {
+			return func() int {
+				reader.RecordPlatformRevision(9)
+				return len(gt.Status().Targets)
+			}
+		}
+		Eventually(targets(reader), 3*time.Second, 50*time.Millisecond).Should(Equal(1))
+		Eventually(targets(other), time.Second, 50*time.Millisecond).Should(Equal(1))
+	})
+})
+
 // registration returns the registration of a target of the pool desk.
 func registration(name yuccaid.Target, revision yuccaroster.Revision, leaving bool) yuccaroster.Entry {
 	return yuccaroster.Entry{Target: name, Pool: "desk", Address: "127.0.0.1:1", Centre: "odessa", Slots: 4, Revision: revision, Leaving: leaving}
--- a/io/yuccagate/targets.go
+++ b/io/yuccagate/targets.go
@@ -240,7 +240,7 @@
 	reads := !gate.skipsPlatformReads.Load() && gate.platformFresh(now)
 	message := yuccawire.TargetsUpdate{Targets: yuccawire.Targets{
 		Entries: gate.roster.Entries(), Removals: gate.roster.Removals(), At: gate.platformRevision, Sure: true,
-	}}
+	}, Pending: gate.roster.PendingRemovals(now)}
 	if reads {
 		message.At, message.Whole = gate.readRevision, true
 	}
@@ -272,6 +272,9 @@
 	for _, removal := range message.Removals {
 		gate.roster.Remove(now, removal, message.Sure)
 	}
+	for _, pending := range message.Pending {
+		gate.roster.RemovePending(now, pending)
+	}
 	gate.refreshTargets(now)
 }
 
--- a/io/yuccawire/gate.go
+++ b/io/yuccawire/gate.go
@@ -31,11 +31,13 @@
 
 // TargetsUpdate is the body of KindTargets: Targets, and the revision after which changes were read.
 // After is zero if the message holds all registrations and removals up to At, and in messages of older
-// builds. It isn't a field of Targets because a Cast carries these in an array, whose length older builds
-// compare.
+// builds. Pending are the removals up to At that the sender holds as tentative: entries among Targets that
+// end unless they are renewed. These aren't fields of Targets because a Cast carries those in an array, whose
+// length older builds compare.
 type TargetsUpdate struct {
 	Targets
-	After yuccaroster.Revision `msgpack:"after"`
+	After   yuccaroster.Revision         `msgpack:"after"`
+	Pending []yuccaroster.PendingRemoval `msgpack:"pending"`
 }
 
 // Fresh says how old a daemon's news of the platform is, and up to which revision it has
