--- a/io/yuccagate/gate.go
+++ b/io/yuccagate/gate.go
@@ -77,6 +77,8 @@
 	// skipsPlatformReads reports whether this daemon doesn't read the platform's registrations of
 	// targets, because another daemon of the data centre reads them for it.
 	skipsPlatformReads atomic.Bool
+	// platformAnsweredAt is when the platform last answered this daemon or one whose report has come, nil if it never did.
+	platformAnsweredAt atomic.Pointer[time.Time]
 
 	// The fields below belong to the control goroutine.
 	peers *yuccapeer.Peers
--- a/io/yuccagate/targets.go
+++ b/io/yuccagate/targets.go
@@ -84,10 +84,26 @@
 
 func (gate *Gate) recordRead(now time.Time, at yuccaroster.Revision) {
 	gate.platformRespondedAt = now
+	gate.recordAnswer(now)
 	gate.readRevision = max(gate.readRevision, at)
 	gate.platformRevision = max(gate.platformRevision, at)
 }
 
+// PlatformAnsweredAt returns when the platform last answered this daemon or another one that has reported it, zero if it
+// never did.
+func (gate *Gate) PlatformAnsweredAt() time.Time {
+	if at := gate.platformAnsweredAt.Load(); at != nil {
+		return *at
+	}
+	return time.Time{}
+}
+
+func (gate *Gate) recordAnswer(at time.Time) {
+	if at.After(gate.PlatformAnsweredAt()) {
+		gate.platformAnsweredAt.Store(&at)
+	}
+}
+
 // platformAge returns how long ago the platform last responded to this daemon or to a peer that
 // reported it, or -1 if it never did.
 func (gate *Gate) platformAge(now time.Time) time.Duration {
@@ -200,7 +216,9 @@
 	if len(gate.platformReports) >= maxPlatformReports {
 		maps.DeleteFunc(gate.platformReports, func(_ yuccaroster.Reader, report platformReport) bool { return !report.fresh(now) })
 	}
-	gate.platformReports[reader] = platformReport{reader: reader, age: time.Duration(message.AgeMillis) * time.Millisecond, receivedAt: now}
+	report := platformReport{reader: reader, age: time.Duration(message.AgeMillis) * time.Millisecond, receivedAt: now}
+	gate.platformReports[reader] = report
+	gate.recordAnswer(now.Add(-report.age))
 	if message.At > gate.platformRevision && now.Sub(gate.targetsPulledAt) > pullInterval {
 		gate.pullTargets(now, from)
 	}
