A target that has come and left within the same changes isn't added

Cause: entries and removals of one update were applied one after the other; the registration of a target that the daemon didn't know counted, and its removal was then doubted like those of targets in use. Change: Roster.Update takes both. A registration of an unknown target that a later removal in the same update ends adds nothing; of known targets nothing changes (a later state of one that drains still counts). Ruled out: taking out of account every registration below the revision up to which the daemon knows all changes (a gap in what it knows would then never heal).

--- a/core/yuccaroster/roster.go
+++ b/core/yuccaroster/roster.go
@@ -108,6 +108,29 @@
 	return true
 }
 
+// Update applies changes of registrations, which may hold more than one of a target. It returns the entries that were new
+// to the roster.
+//
+// A target that the roster doesn't know and that the changes end as well isn't added. Otherwise a tentative removal would have it
+// used from now on, though it has left: a daemon that reads on after an outage gets the changes of all that time at once.
+func (ros *Roster) Update(now time.Time, entries []Entry, removals []Removal, sure bool) []Entry {
+	ended := make(map[yuccaid.Target]Revision, len(removals))
+	for _, removal := range removals {
+		ended[removal.Target] = max(ended[removal.Target], removal.Revision)
+	}
+	var fresh []Entry
+	for _, entry := range entries {
+		hasEnded := ros.records[entry.Target] == nil && ended[entry.Target] > entry.Revision
+		if hasEnded || ros.Put(now, entry) {
+			fresh = append(fresh, entry)
+		}
+	}
+	for _, removal := range removals {
+		ros.Remove(now, removal, sure)
+	}
+	return fresh
+}
+
 // ReplaceAll applies a complete list of the registrations, read at a revision: it adds or
 // updates the listed targets and removes all other targets, tentatively unless sure is set.
 func (ros *Roster) ReplaceAll(now time.Time, entries []Entry, revision Revision, sure bool) {
--- a/core/yuccaroster/roster_test.go
+++ b/core/yuccaroster/roster_test.go
@@ -119,6 +119,24 @@
 		Expect(names(ros.Entries())).To(Equal([]yuccaid.Target{"b"}))
 	})
 
+	// Guards against the failure that a target which has come and left while a daemon read nothing gets requests from all
+	// daemons once that one reads on.
+	It("doesn't add a target that the same changes end", func() {
+		ros := yuccaroster.New()
+		ros.Put(start, entry("b", 1))
+		fresh := ros.Update(start, []yuccaroster.Entry{entry("a", 5), leaving(entry("b", 6))},
+			[]yuccaroster.Removal{{Target: "a", Revision: 7}, {Target: "b", Revision: 8}}, false)
+		Expect(names(ros.Entries())).To(Equal([]yuccaid.Target{"b"}))
+		Expect(ros.Usable("draft")).To(BeEmpty())
+		Expect(names(fresh)).To(Equal([]yuccaid.Target{"a", "b"}))
+	})
+
+	It("adds a target that has come back under its name within the same changes", func() {
+		ros := yuccaroster.New()
+		ros.Update(start, []yuccaroster.Entry{entry("a", 5), entry("a", 9)}, []yuccaroster.Removal{{Target: "a", Revision: 7}}, false)
+		Expect(names(ros.Usable("draft"))).To(Equal([]yuccaid.Target{"a"}))
+	})
+
 	It("deletes the record of a removal after a minute", func() {
 		ros := yuccaroster.New()
 		ros.Put(start, entry("a", 1))
--- a/io/yuccagate/reader_test.go
+++ b/io/yuccagate/reader_test.go
@@ -62,6 +62,16 @@
 	})
 })
 
+var _ = Describe("changes that a reader gets at once after an outage", func() {
+	// Guards against the failure that daemons send requests to a target of which they learn only now and that has left.
+	It("bring no target that has come and left meanwhile", func() {
+		gt := newGate("entry-1")
+		gt.configure(1, config(), 4, newEngine("a", nil))
+		gt.OfferTargets([]yuccaroster.Entry{registration("late", 20, false)}, []yuccaroster.Removal{{Target: "late", Revision: 21}}, false, 21, false)
+		Consistently(func() int { return len(gt.Status().Targets) }, 500*time.Millisecond, 20*time.Millisecond).Should(Equal(1))
+	})
+})
+
 // registration returns the registration of a target of the pool desk.
 func registration(name yuccaid.Target, revision yuccaroster.Revision, leaving bool) yuccaroster.Entry {
 	return yuccaroster.Entry{Target: name, Pool: "desk", Address: "127.0.0.1:1", Centre: "odessa", Slots: 4, Revision: revision, Leaving: leaving}
--- a/io/yuccagate/targets.go
+++ b/io/yuccagate/targets.go
@@ -282,14 +282,11 @@
 	if message.Whole {
 		gate.roster.ReplaceAll(now, message.Entries, message.At, message.Sure)
 	}
-	for _, entry := range message.Entries {
-		if gate.roster.Put(now, entry) && !entry.IsEvacuation() {
+	for _, entry := range gate.roster.Update(now, message.Entries, message.Removals, message.Sure) {
+		if !entry.IsEvacuation() {
 			gate.origins.history.Seen(now, yuccastream.Origin{Pool: entry.Pool, Version: entry.StreamVersion()})
 		}
 	}
-	for _, removal := range message.Removals {
-		gate.roster.Remove(now, removal, message.Sure)
-	}
 	for _, pending := range message.Pending {
 		gate.roster.RemovePending(now, pending)
 	}
