A list of targets is whole, whichever daemon sends it

A daemon that had been cut off or had stood still, and asked one that had never known a target (it came later) or had forgotten its removal (more than a minute), kept that target for good, with a revision past its removal. Cause: the list of such a daemon counted as changes, though it raises the revision like a whole one. Daemons of other data centres ask the one that forwards reports, which is hardly ever the reader. Change: each list says that it is whole. A daemon knows all registrations up to its revision: the revision rises only by a whole list, by changes that follow on it without a gap (Revision.Extend), or by reading. No test of real processes shows the fault; it is found by reading. Ruled out: keeping removals longer than a minute (a restarted daemon doesn't know them at all).

--- a/io/yuccagate/pulls_test.go
+++ b/io/yuccagate/pulls_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -15,10 +16,11 @@
 	"yuccacleat/io/yuccawire"
 )
 
-// puller is a peer that counts the lists of targets and the configurations that it gets.
+// puller is a peer that counts the lists of targets and the configurations that it gets, and keeps the last list.
 type puller struct {
 	*yuccalink.Hub
 	lists, tables atomic.Int64
+	list          atomic.Pointer[yuccawire.TargetsUpdate]
 }
 
 // newPuller connects a peer to a gateway.
@@ -28,6 +30,10 @@
 	pull.Hub = yuccalink.New(self, yuccaid.Key("tests only"), listener, yuccalink.OnFrame(func(_ yuccaid.Incarnation, frame yuccawire.Frame) {
 		switch frame.Kind {
 		case yuccawire.KindTargets:
+			var list yuccawire.TargetsUpdate
+			if frame.Decode(&list) == nil {
+				pull.list.Store(&list)
+			}
 			pull.lists.Add(1)
 		case yuccawire.KindTable:
 			pull.tables.Add(1)
@@ -81,3 +87,26 @@
 		Expect(first.lists.Load()).To(BeEquivalentTo(2))
 	})
 })
+
+var _ = Describe("the list of a daemon that doesn't read the platform", func() {
+	// Guards against the failure that a daemon which was cut off goes on sending requests to targets that left meanwhile, because the
+	// one that it asks has never known them or remembers their removals no more.
+	It("says that it is whole", func() {
+		first, second := startTwo(4, newEngine("a", nil), newEngine("b", nil))
+		reader, other := first, second
+		if first.MaySkipPlatformReads() {
+			reader, other = second, first
+		}
+		reader.OfferTargets([]yuccaroster.Entry{registration("c", 9, false)}, nil, false, 9, true)
+		Eventually(func() int { return len(other.Status().Targets) }, 2*time.Second).Should(Equal(3))
+		Expect(other.MaySkipPlatformReads()).To(BeTrue())
+		pull := newPuller(other, listen())
+		asked := slices.IndexFunc(pull.Linked(), func(member yuccapeer.Member) bool { return member.VM == other.Status().VM })
+		Expect(pull.Send(pull.Linked()[asked].Incarnation, yuccawire.KindTargetsPull, yuccawire.TargetsPull{Have: 3})).To(Succeed())
+		Eventually(pull.list.Load, time.Second).ShouldNot(BeNil())
+		list := pull.list.Load()
+		Expect(list.Whole).To(BeTrue())
+		Expect(list.At).To(Equal(yuccaroster.Revision(9)))
+		Expect(list.Entries).To(HaveLen(3))
+	})
+})
--- a/io/yuccagate/targets.go
+++ b/io/yuccagate/targets.go
@@ -251,17 +251,16 @@
 // onTargetsPull sends the targets to a peer that has read up to a lower revision, if they aren't under
 // way to the peer.
 //
-// If this daemon reads the platform, it sends its targets as a whole list. Otherwise the peer would
-// keep a target whose registration was removed after the peer had read the platform and before this
-// daemon did, because this daemon has never known that target.
+// It sends them as a whole list, also if it doesn't read the platform itself: it knows all of them up to its revision. Otherwise the peer
+// would keep a target whose removal this daemon doesn't know, because it has never known the target, or because it has forgotten
+// the removal.
+//
+// The list has a target whose removal is tentative, and the pending removal too. Without it, the peer, whose
+// revision then is past that of the removal, would never learn that the target has ended.
 func (gate *Gate) onTargetsPull(now time.Time, from yuccaid.Incarnation, pull yuccawire.TargetsPull) {
-	reads := !gate.skipsPlatformReads.Load() && gate.platformFresh(now)
 	message := yuccawire.TargetsUpdate{Targets: yuccawire.Targets{
-		Entries: gate.roster.Entries(), Removals: gate.roster.Removals(), At: gate.platformRevision, Sure: true,
+		Entries: gate.roster.Entries(), Removals: gate.roster.Removals(), Whole: true, At: gate.platformRevision, Sure: true,
 	}, Pending: gate.roster.PendingRemovals(now)}
-	if reads {
-		message.At, message.Whole = gate.readRevision, true
-	}
 	if message.At <= pull.Have || gate.listsSent.underWay(now, from, uint64(pull.Have)) {
 		return
 	}
