A refund never lets more through later than its charge did

Cause: a refund was a negative amount at the time of the refund, its charge a positive one at the time of admission. Once the charge had left the window, the refund stayed alone for as long as the request had waited, and the sum was too low by it. It went on to the account's leader and to the reports of others as well, which tell differences and no times. A refund of a charge that had left the window already took back the charges of others. Change: yuccawindow.Sum subtracts from its oldest amounts. Whatever is left in each later part of the window then is at least what wasn't taken back, whichever amount it was, so that no time has to be told to leaders and peers, and all that use a Sum have it. Nothing is refunded that may have left the window (MayRefund), which the daemon that asked for the quota decides, since it knows when. Cost: where an older charge is taken back instead of a later one, the later one counts on for as long as it is younger, so a refused account gets its quota back somewhat later, at most a window. Ruled out: the charge's time in the messages of refunds and reports (two formats, and reports carry sums, whose parts have many times).

--- a/core/yuccaquota/admit.go
+++ b/core/yuccaquota/admit.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"yuccacleat/core/yuccaid"
+	"yuccacleat/core/yuccawindow"
 )
 
 // Verdict is the outcome of Admit: that a request is admitted, or why it is refused.
@@ -131,7 +132,14 @@
 	return min(max(retryAfter, minRetryAfter), maxRetryAfter)
 }
 
-// Refund takes back the cost of an admitted request that has not run.
+// MayRefund reports whether the cost of a request that was admitted at a time, by this daemon or another one, can be taken
+// back: whether it is still counted everywhere. Otherwise the refund would take back the cost of others.
+func (led *Ledger) MayRefund(now, admittedAt time.Time) bool {
+	// One bucket leaves the window as a whole, and another one is the time until all daemons know of the refund.
+	return now.Sub(admittedAt) < led.span()-2*led.span()/yuccawindow.Buckets
+}
+
+// Refund takes back the cost of an admitted request that has not run. MayRefund must have reported true.
 func (led *Ledger) Refund(now time.Time, account yuccaid.Account, cost float64) {
 	if win := led.windows[account]; win != nil {
 		led.advance(now, win)
--- a/core/yuccawindow/window.go
+++ b/core/yuccawindow/window.go
@@ -47,12 +47,29 @@
 
 // Add adds an amount at the time of the last call of Advance. A negative amount is subtracted, but
 // the total doesn't drop below zero.
+//
+// It is subtracted from the oldest amounts. It takes back one that was added before, at a time that isn't known. If it were
+// counted now, the total would be too low once that amount has left the window.
 func (sum *Sum) Add(amount int64) {
-	amount = max(amount, -sum.total)
+	if amount < 0 {
+		sum.subtract(min(-amount, sum.total))
+		return
+	}
 	sum.amounts[sum.current%buckets] += amount
 	sum.total += amount
 }
 
+// subtract takes an amount from the oldest buckets.
+func (sum *Sum) subtract(amount int64) {
+	for bucketsAgo := int64(buckets - 1); bucketsAgo >= 0 && amount > 0; bucketsAgo-- {
+		bucket := &sum.amounts[(sum.current-bucketsAgo+buckets)%buckets]
+		taken := min(amount, max(*bucket, 0))
+		*bucket -= taken
+		sum.total -= taken
+		amount -= taken
+	}
+}
+
 // AddHalfWindowAgo adds an amount as if it had been added half a window before the last call of
 // Advance.
 func (sum *Sum) AddHalfWindowAgo(amount int64) {
--- a/core/yuccawindow/window_test.go
+++ b/core/yuccawindow/window_test.go
@@ -52,6 +52,45 @@
 	})
 }
 
+// TestNothingIsForgottenThatWasNotTakenBack guards against the failure that a sum is too low because an amount was taken back later
+// than it was added.
+func TestNothingIsForgottenThatWasNotTakenBack(t *testing.T) {
+	const span = 3200 * time.Millisecond
+	rapid.Check(t, func(t *rapid.T) {
+		type entry struct {
+			at        time.Time
+			amount    int64
+			takenBack bool
+		}
+		var sum yuccawindow.Sum
+		var all []*entry
+		now := time.Unix(1_700_000_000, 0)
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 700).Draw(t, "pause")) * time.Millisecond)
+			sum.Advance(now, span)
+			if back := rapid.IntRange(0, 2*len(all)).Draw(t, "back"); back < len(all) && !all[back].takenBack {
+				all[back].takenBack = true
+				// An amount that has left the window isn't in the sum any more.
+				if now.Sub(all[back].at) < span-span/32 {
+					sum.Add(-all[back].amount)
+				}
+			} else {
+				all = append(all, &entry{at: now, amount: int64(rapid.IntRange(1, 50).Draw(t, "amount"))})
+				sum.Add(all[len(all)-1].amount)
+			}
+			least := int64(0)
+			for _, each := range all {
+				if !each.takenBack && now.Sub(each.at) < span-span/32 {
+					least += each.amount
+				}
+			}
+			if sum.Total() < least {
+				t.Fatalf("sum %d, want at least %d", sum.Total(), least)
+			}
+		}
+	})
+}
+
 var _ = Describe("a sum over a window", func() {
 	now := time.Unix(1_700_000_000, 0)
 
--- a/io/yuccagate/admission.go
+++ b/io/yuccagate/admission.go
@@ -41,6 +41,7 @@
 		gate.admitted(now, plc)
 		return
 	}
+	plc.req.quotaAskedAt = now
 	leader, found := gate.accountLeader(account.Name)
 	switch {
 	case !found || now.Before(gate.accountLeadersSuspected[leader]):
@@ -129,7 +130,7 @@
 	delete(gate.accountLeadersSuspected, from)
 	switch {
 	case waiting.over && message.Verdict == yuccaquota.Admitted:
-		gate.returnQuota(from, waiting.plc.req)
+		gate.returnQuota(now, from, waiting.plc.req)
 	case waiting.over:
 	case message.Verdict == "":
 		gate.admitAlone(now, waiting.plc)
@@ -184,18 +185,21 @@
 		return
 	}
 	gate.control.Post(func(now time.Time) {
-		switch req.chargedBy {
-		case yuccaid.Incarnation{}:
-		case gate.incarnation:
+		switch {
+		case req.chargedBy == yuccaid.Incarnation{}:
+		case req.chargedBy != gate.incarnation:
+			gate.returnQuota(now, req.chargedBy, req)
+		case gate.ledger.MayRefund(now, req.quotaAskedAt):
 			gate.ledger.Refund(now, req.account.Name, req.quotaCost())
-		default:
-			gate.returnQuota(req.chargedBy, req)
 		}
 	})
 }
 
 // returnQuota tells an account's leader that a request which it admitted didn't run.
-func (gate *Gate) returnQuota(leader yuccaid.Incarnation, req *callerRequest) {
+func (gate *Gate) returnQuota(now time.Time, leader yuccaid.Incarnation, req *callerRequest) {
+	if !gate.ledger.MayRefund(now, req.quotaAskedAt) {
+		return
+	}
 	gate.send(leader, yuccawire.KindQuotaReturn, yuccawire.QuotaReturn{Account: req.account.Name, Cost: int64(req.quotaCost())})
 }
 
--- a/io/yuccagate/request.go
+++ b/io/yuccagate/request.go
@@ -89,11 +89,12 @@
 	resend resendCharge
 	// quotaChecked reports whether the quota has been checked. chargedBy is the daemon that admitted
 	// the request and counted it against the quota of its account. It is zero if the request isn't
-	// counted. overQuota reports whether the request was admitted beyond the account's quota, within
-	// the tolerance. All three fields belong to the control goroutine until the first decision on the
-	// request.
+	// counted. quotaAskedAt is when the quota was asked for, so it was charged no earlier. overQuota
+	// reports whether the request was admitted beyond the account's quota, within the tolerance. All
+	// four fields belong to the control goroutine until the first decision on the request.
 	quotaChecked bool
 	chargedBy    yuccaid.Incarnation
+	quotaAskedAt time.Time
 	overQuota    bool
 }
 
