A stream that its caller takes up is scheduled as work that goes on

Cause: quotas know take-ups (AdmitTakeUp), the queue didn't. A take-up waited like a new request of its route: due within the route's latency target, ordered by its least urgent rank, as long as the whole answer takes. In an overload all requests of that kind are refused, new ones of other kinds are served. Change: one place (scheduleAsTakeUp) says what the schedulers are told of a take-up: it goes before the others of its tier, its work is the rest of its answer, by the number of the last event, and it isn't refused as late while it can go on before its caller gives up. It goes to leaders in the fields that they know.

--- a/io/yuccagate/request.go
+++ b/io/yuccagate/request.go
@@ -342,6 +342,9 @@
 	if req.info.EventTimeout > 0 && waitsSince.Add(req.info.EventTimeout).Before(request.Deadline) {
 		request.Deadline = waitsSince.Add(req.info.EventTimeout)
 	}
+	if lastEventAt.IsZero() && req.takesUp() {
+		req.scheduleAsTakeUp(&request)
+	}
 	return request
 }
 
--- a/io/yuccagate/takeup.go
+++ b/io/yuccagate/takeup.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"strconv"
 	"time"
 
+	"yuccacleat/core/yuccagrant"
+	"yuccacleat/core/yuccaid"
 	"yuccacleat/core/yuccaroute"
 )
 
@@ -12,6 +15,18 @@
 	return req.route.Kind == yuccaroute.Stream && req.info.LastEventID != ""
 }
 
+// scheduleAsTakeUp changes what the scheduler is told of a request that takes a stream up. Its caller has a part of the answer, which
+// is lost if the rest doesn't come. So among the requests of its tier it counts as work that goes on: it goes first, as long
+// as the rest of its answer takes, and isn't refused as late while it can go on before its caller gives up.
+func (req *callerRequest) scheduleAsTakeUp(request *yuccagrant.Request) {
+	request.Rank = 0
+	request.SoftDeadline = request.Deadline
+	if delivered, err := strconv.ParseInt(req.info.LastEventID, 10, 64); err == nil && delivered > 0 && request.Answer > 0 {
+		// An event has one token at least.
+		request.Answer = max(request.Answer-yuccaid.Tokens(delivered), 1)
+	}
+}
+
 // bindToOrigin binds a request that takes a stream up to the pool and the version that began it. It
 // returns a problem if these can't be told, or if the route no longer leads to that pool.
 //
