Daemons remember streams by the last part of their prompts, too, for callers that don't name the request that began them

Cause: evidence that several streams share, or that is older than the stream, counted as proof, though the daemons knew where it began. Change: a daemon remembers a stream that begins, and tells others of it, under the last part of its prompt as well. Such a take-up finds it there; where streams of one part began at two versions, it isn't certain and the caller is told to start over. For a minute after a daemon was lost, which may have begun a later stream of the session without having told, memory alone doesn't suffice, and what targets keep has to agree with it. Keys are hashes as before, so that older builds pass them on. The memory's bound now is ten times what a daemon of the largest fleet holds. Not changed: where no daemon remembers the part (all were killed), what targets keep still tells alone.

--- a/core/yuccastream/memory.go
+++ b/core/yuccastream/memory.go
@@ -1,6 +1,7 @@
 package yuccastream
 
 import (
+	"strconv"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -12,7 +13,7 @@
 	// MaxRetention is the longest time for which an origin is remembered. A stream that takes longer
 	// can't be taken up.
 	MaxRetention = 10 * time.Minute
-	// maxRecords bounds the memory. It is twenty times what a daemon of the largest fleet holds.
+	// maxRecords bounds the memory. It is ten times what a daemon of the largest fleet holds.
 	maxRecords = 1 << 16
 	// expiryInterval is the time between two searches for origins that have expired.
 	expiryInterval = time.Second
@@ -35,6 +36,16 @@
 	return Key(xxhash.Sum64String(string(account) + "\x00" + request))
 }
 
+// NewPartKey returns the key of the streams of an account whose prompts end with the part, for callers that don't tell which
+// request began the stream that they take up. If the part belongs to a session, its streams share the key. It returns UnknownKey if
+// there is no part.
+func NewPartKey(account yuccaid.Account, part PartKey) Key {
+	if part == 0 {
+		return UnknownKey
+	}
+	return Key(xxhash.Sum64String(string(account) + "\x00part\x00" + strconv.FormatUint(uint64(part), 16)))
+}
+
 // Origin is where a stream began. The version is empty if it isn't certain; then no target can
 // continue the stream.
 type Origin struct {
--- a/io/yuccagate/dialect.go
+++ b/io/yuccagate/dialect.go
@@ -75,6 +75,8 @@
 	// OwnPart is the last part of the prompt, which belongs to the request itself or to its session. It is zero unless
 	// the request names its parts and takes a stream up.
 	OwnPart KeptPart
+	// LastPart is the last part of the prompt of a request for a stream, zero if the request doesn't name its parts.
+	LastPart yuccastream.PartKey
 }
 
 // ForwardInfo is what a forwarded request tells its target.
--- a/io/yuccagate/fleet_test.go
+++ b/io/yuccagate/fleet_test.go
@@ -42,6 +42,7 @@
 		}
 		if own := r.Header.Get("X-Own"); own != "" {
 			info.OwnPart = yuccagate.KeptPart{Part: partKey(own), Tokens: ownTokens}
+			info.LastPart = partKey(own)
 		}
 		if millis, err := strconv.Atoi(r.Header.Get("X-Remaining")); err == nil {
 			info.Remaining = time.Duration(millis) * time.Millisecond
--- a/io/yuccagate/origin.go
+++ b/io/yuccagate/origin.go
@@ -31,6 +31,9 @@
 	// registrationLag is how long a restarted target may have served before its new registration arrives,
 	// also after an outage of the platform.
 	registrationLag = 30 * time.Second
+	// partDoubtTime is how long after the loss of a daemon the last parts of prompts don't tell where streams began. It is
+	// longer than callers of streams wait.
+	partDoubtTime = time.Minute
 )
 
 // origins is what this daemon knows of where streams began. It belongs to the control goroutine.
@@ -42,6 +45,8 @@
 	// lookups holds the lookups that wait for answers, by their numbers.
 	lookups    map[uint64]*originLookup
 	lastLookup uint64
+	// daemonLostAt is when this daemon started, or last lost another one.
+	daemonLostAt time.Time
 }
 
 func newOrigins(firstStart bool, startedAt time.Time) origins {
@@ -49,15 +54,29 @@
 		// No stream can have begun before the fleet did.
 		startedAt = time.Time{}
 	}
-	return origins{history: yuccastream.NewHistory(startedAt), lookups: make(map[uint64]*originLookup)}
+	return origins{history: yuccastream.NewHistory(startedAt), lookups: make(map[uint64]*originLookup), daemonLostAt: startedAt}
 }
 
-// streamKey returns the key of the stream that the request begins or takes up.
+// partsTell reports whether what daemons remember of the last parts of prompts tells by itself where a stream began. A daemon that
+// was lost may have begun a later one of the same session without having told.
+func (org *origins) partsTell(now time.Time) bool {
+	return org.daemonLostAt.IsZero() || now.Sub(org.daemonLostAt) > partDoubtTime
+}
+
+// streamKey returns the key of the stream that the request begins or takes up. If its caller doesn't tell which request began the stream,
+// that is the key of the last part of its prompt.
 func (req *callerRequest) streamKey() yuccastream.Key {
-	if req.takesUp() {
-		return yuccastream.NewKey(req.accountName(), req.info.Resumes)
+	switch {
+	case !req.takesUp():
+		return yuccastream.NewKey(req.accountName(), req.info.ID)
+	case req.info.Resumes == "":
+		return req.partKey()
 	}
-	return yuccastream.NewKey(req.accountName(), req.info.ID)
+	return yuccastream.NewKey(req.accountName(), req.info.Resumes)
+}
+
+func (req *callerRequest) partKey() yuccastream.Key {
+	return yuccastream.NewPartKey(req.accountName(), req.info.LastPart)
 }
 
 // postBegun has the control goroutine remember where a stream began, or that it goes on there.
@@ -73,9 +92,14 @@
 	if entry, found := gate.roster.Find(target); found && entry.StreamVersion() != version {
 		version = ""
 	}
-	gate.origins.memory.Begin(now, yuccastream.Record{
+	rec := yuccastream.Record{
 		Key: req.streamKey(), Origin: yuccastream.Origin{Pool: req.pool, Version: version}, For: req.deadline.Sub(now) + originGrace,
-	}, target)
+	}
+	gate.origins.memory.Begin(now, rec, target)
+	if !req.takesUp() {
+		rec.Key = req.partKey()
+		gate.origins.memory.Begin(now, rec, target)
+	}
 	if !gate.poolView(now, req.pool).Certain() {
 		gate.passOrigins(now)
 	}
--- a/io/yuccagate/originlookup.go
+++ b/io/yuccagate/originlookup.go
@@ -1,6 +1,7 @@
 package yuccagate
 
 import (
+	"slices"
 	"time"
 
 	"yuccacleat/core/yuccaid"
@@ -48,6 +49,9 @@
 	views    []yuccastream.View
 	until    time.Time
 	result   chan originResult
+	// doubted reports whether what daemons remember doesn't suffice, and remembered is what they do: the targets have to agree.
+	doubted    bool
+	remembered []yuccastream.Origin
 	// answered reports whether daemons were asked and all of them have answered. Otherwise this daemon may be out of step with
 	// them. Checked reports whether the platform has been read since, and confirmed whether this daemon knows all changes since then.
 	answered, checked, confirmed bool
@@ -62,8 +66,11 @@
 // startLookup looks an origin up in this daemon's memory, and asks other daemons if it isn't there.
 func (gate *Gate) startLookup(now time.Time, lookup *originLookup) {
 	if origin, found := gate.origins.memory.Find(now, lookup.key); found {
-		lookup.deliver(origin, originRemembered)
-		return
+		if !lookup.doubted {
+			lookup.deliver(origin, originRemembered)
+			return
+		}
+		lookup.remembered = append(lookup.remembered, origin)
 	}
 	holders := gate.originHolders(now, lookup.key)
 	lookup.until = now.Add(remoteLookupTimeout)
@@ -116,11 +123,14 @@
 	switch {
 	case lookup == nil:
 		return
+	case answer.Found && lookup.doubted:
+		lookup.remembered = append(lookup.remembered, yuccastream.Origin{Pool: answer.Pool, Version: answer.Version})
 	case answer.Found:
 		delete(gate.origins.lookups, answer.Number)
 		lookup.deliver(yuccastream.Origin{Pool: answer.Pool, Version: answer.Version}, originTold)
 		return
-	case lookup.surveyed:
+	}
+	if lookup.surveyed {
 		return
 	}
 	lookup.awaiting--
@@ -174,7 +184,8 @@
 		holdings = yuccastream.InPool(holdings, lookup.pool)
 	}
 	origin, found := yuccastream.OriginOf(holdings, lookup.ownPart.Tokens)
-	if !found || lookup.awaiting > 0 {
+	disagrees := func(remembered yuccastream.Origin) bool { return remembered != origin }
+	if !found || lookup.awaiting > 0 || slices.ContainsFunc(lookup.remembered, disagrees) {
 		lookup.result <- originResult{source: originUnknown}
 		return
 	}
--- a/io/yuccagate/survey.go
+++ b/io/yuccagate/survey.go
@@ -140,6 +140,7 @@
 
 // forgetHoldings forgets what targets kept before another daemon was lost.
 func (gate *Gate) forgetHoldings(now time.Time) {
+	gate.origins.daemonLostAt = now
 	for _, survey := range gate.surveys {
 		survey.LoseDaemon(now)
 	}
--- a/io/yuccagate/survey_test.go
+++ b/io/yuccagate/survey_test.go
@@ -206,6 +206,31 @@
 		Expect(takeUp.do(gt).status).To(Equal(http.StatusServiceUnavailable))
 	})
 
+	// Guards against the failure that a stream goes on at the version that answered an earlier request of its session, because its caller
+	// doesn't tell which request began it and the version that did has left.
+	It("is refused where only the version of an earlier request of its session keeps its prompt", func() {
+		engines := newEngines("v1", "v2")
+		engines[1].keeps = []string{"p1"}
+		first := newGate("entry-1")
+		second := newGate("entry-2", first.Status().Address)
+		for _, each := range []*gate{first, second} {
+			each.configure(1, modelConfig(), 4, engines[0])
+			Eventually(func() int { return len(each.Status().Peers) }, 5*time.Second).Should(Equal(1))
+		}
+		time.Sleep(settled)
+		begin := call{path: "/resumed/", id: "began", header: map[string]string{"X-Own": "p1"}}
+		Expect(begin.do(first).status).To(Equal(http.StatusOK))
+		newer := yuccaroster.Entry{Target: "e1", Pool: "desk", Address: engines[1].listener.Addr().String(), Centre: "odessa", Slots: 4, Revision: 8, Version: "v2"}
+		for _, each := range []*gate{first, second} {
+			each.OfferTargets([]yuccaroster.Entry{newer}, []yuccaroster.Removal{{Target: "e0", Revision: 9}}, false, 9, true)
+		}
+		time.Sleep(settled)
+		for _, each := range []*gate{first, second} {
+			Expect(takeUp.do(each).status).To(Equal(http.StatusServiceUnavailable))
+		}
+		Expect(engines[1].requests()).To(BeEmpty())
+	})
+
 	// Guards against the failure that a stream goes on in the pool to which its route has moved since it began, because a daemon that
 	// has restarted knows no former route and another one knows a single version of the new pool.
 	DescribeTable("where another daemon knows the only version of the route's pool",
--- a/io/yuccagate/takeup.go
+++ b/io/yuccagate/takeup.go
@@ -43,6 +43,7 @@
 	}
 	began := time.Now()
 	req.gate.control.Post(func(now time.Time) {
+		lookup.doubted = req.info.Resumes == "" && !req.gate.origins.partsTell(now)
 		lookup.onlyPool = len(req.route.Pools) == 1 && req.gate.origins.history.RouteIsOld(now, req.route.Name)
 		req.gate.startLookup(now, lookup)
 	})
