A hub tells faults of a replaced daemon's connections only once it isn't locked

Change: supersede returns the connections, which install closes after the lock is let go; the order of the calls on peers that come and go is as before. Evidence: a new spec takes the fault and asks the hub for its peers. Ruled out: a longer queue (it only puts the hang off); posting without waiting (faults, and with them news of peers, would be lost).

--- a/io/yuccalink/hub_test.go
+++ b/io/yuccalink/hub_test.go
@@ -7,6 +7,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -245,6 +246,32 @@
 		Entry("that comes only after its successor", false),
 	)
 
+	// Guards against the failure that a daemon stands still for good once another one has been replaced, because the fault is
+	// told while the hub is locked.
+	It("of a replaced daemon end while faults are taken by someone who uses the hub", func() {
+		var hub atomic.Pointer[yuccalink.Hub]
+		told := make(chan struct{})
+		tell := sync.OnceFunc(func() { close(told) })
+		first, heard := open(one, key, yuccalink.WithLimits(quick()), yuccalink.OnFault(func(_ string, err error) {
+			if eris.As(err, new(*yuccalink.ReplacedError)) {
+				hub.Load().Linked()
+				tell()
+			}
+		}))
+		hub.Store(first)
+		successor := member("vm-2", listen())
+		rel := newRelay(two.listener.Addr().String())
+		two.Address, successor.Address = rel.address(), rel.address()
+		old, _ := open(two, key, yuccalink.WithLimits(quick()))
+		fresh, _ := open(successor, key, yuccalink.WithLimits(quick()))
+		old.Connect([]string{one.Address})
+		Eventually(heard.all, soon).Should(HaveLen(1))
+		rel.turnTo(successor.listener.Addr().String())
+		fresh.Connect([]string{one.Address})
+		Eventually(told, 5*time.Second).Should(BeClosed())
+		Eventually(first.Linked, soon).Should(Equal([]yuccapeer.Member{successor.Member}))
+	})
+
 	It("that were dialled close when they are no longer wished for", func() {
 		first, heardFirst := open(one, key)
 		_, heardSecond := open(two, key)
--- a/io/yuccalink/peer.go
+++ b/io/yuccalink/peer.go
@@ -90,7 +90,7 @@
 		raw.Close()
 		return err
 	}
-	hub.supersede(old)
+	superseded := hub.supersede(old)
 	other := hub.peers[member.Incarnation]
 	fresh := other == nil
 	if fresh {
@@ -105,6 +105,10 @@
 	}
 	hub.notifyChange()
 	hub.mu.Unlock()
+	// Closing reports the fault, and whoever takes it may wait for a goroutine that uses the hub.
+	for _, lk := range superseded {
+		lk.close(&ReplacedError{Incarnation: old.member.Incarnation})
+	}
 	if old != nil {
 		old.end(hub)
 	}
@@ -163,18 +167,16 @@
 	return nil
 }
 
-// supersede removes the old incarnation at an address and refuses it from then on. The caller must hold
-// mu.
-func (hub *Hub) supersede(old *peer) {
+// supersede removes the old incarnation at an address and refuses it from then on. It returns the connections that the
+// caller, who must hold mu, has to close once it holds mu no more.
+func (hub *Hub) supersede(old *peer) []*link {
 	if old == nil {
-		return
+		return nil
 	}
 	inc := old.member.Incarnation
 	delete(hub.peers, inc)
 	hub.replaced.add(inc)
-	for _, lk := range old.links {
-		lk.close(&ReplacedError{Incarnation: inc})
-	}
+	return slices.Clone(old.links)
 }
 
 // unlink removes a connection that has ended, and the peer if it was its last one.
