Heads of callers' requests are bounded by the configuration's limit, and by the memory that all of them hold

Cause: a connection read up to 128 KB of a head, whatever the configuration's max_header_bytes said, and only a request whose head had been parsed was compared with that limit. Parsed, fields of a few bytes take a hundred times their bytes, and nothing counted heads that are still being read: 1,560 connections of 128 KB are more than the machine has. The time for a head was 10 s, not the configuration's header_timeout_ms.

Change: a caller's connection counts what arrives until a handler begins. Beyond max_header_bytes (128 KB without one) and the 4 KB that may belong to the body, it answers 431 and is closed; what it holds is reserved, by bytes and lines, from 5 % of the process's memory, and a head that finds none is closed unanswered (connections_turned_away_total, reason "heads"); a head that is read alone always finds some. The time is the configuration's, from the head's first byte.

Why this works: the count is taken below the parser's buffers and by lines, so it bounds what parsing makes of the bytes, on all connections together.

Ruled out: a bound on lines (a client inside max_header_bytes may send 4,096 of them), and MaxHeaderBytes of net/http (one value for the life of the server).

--- a/core/yuccaspace/space.go
+++ b/core/yuccaspace/space.go
@@ -14,6 +14,8 @@
 	// is for the program, the configuration, idle connections and garbage: the collector lets the
 	// heap grow to about twice the memory in use.
 	requestMemoryShare = 0.4
+	// headMemoryShare is the share that heads of requests may use while they are read, beyond that of ordinary ones.
+	headMemoryShare = 0.05
 	// rankReserve is the share of the request memory that each rank leaves to the more urgent
 	// ranks, counted for at most maxReservedRanks ranks. It ensures that less urgent requests
 	// with long prompts never block an urgent one.
@@ -43,6 +45,8 @@
 type Bounds struct {
 	// RequestMemory is the memory of all running requests.
 	RequestMemory yuccaid.Bytes
+	// HeadMemory is the memory of all heads that are being read, beyond that of ordinary ones (see HeadMemory).
+	HeadMemory yuccaid.Bytes
 	// CallerConnections is the number of open connections of callers.
 	CallerConnections int
 	// IdleConnections is the number of idle connections to targets that are kept open.
@@ -51,7 +55,10 @@
 
 // BoundsOf divides the memory and the descriptors of a process among their uses.
 func BoundsOf(limits ProcessLimits) Bounds {
-	bounds := Bounds{RequestMemory: yuccaid.Bytes(requestMemoryShare * float64(limits.Memory))}
+	bounds := Bounds{
+		RequestMemory: yuccaid.Bytes(requestMemoryShare * float64(limits.Memory)),
+		HeadMemory:    yuccaid.Bytes(headMemoryShare * float64(limits.Memory)),
+	}
 	if limits.Descriptors > 0 {
 		socketDescriptors := float64(limits.Descriptors - nonSocketDescriptors)
 		bounds.CallerConnections = max(int(callerConnectionShare*socketDescriptors), minConnections)
--- a/io/yuccagate/callerconn.go
+++ b/io/yuccagate/callerconn.go
@@ -30,6 +30,16 @@
 	// closing reports whether closeIdle has interrupted the reader, which closes the connection
 	// unless bytes have arrived.
 	closing bool
+	// head is the head that is being read.
+	head callerHead
+}
+
+// newCallerConn wraps a connection that was accepted now.
+func newCallerConn(now time.Time, raw net.Conn, lis *Listener) *callerConn {
+	conn := &callerConn{Conn: raw, listener: lis}
+	conn.head.bounds = lis.heads
+	conn.head.await(now)
+	return conn
 }
 
 // Read reads from the connection, and marks it as in use once a byte has arrived. If closeIdle has
@@ -45,9 +55,13 @@
 	}
 	for {
 		n, err := conn.Conn.Read(buf)
-		if again := conn.afterRead(n); !again {
-			return n, err
+		if again := conn.afterRead(n); again {
+			continue
+		}
+		if refused := conn.countHead(buf[:n]); refused != nil {
+			return 0, refused
 		}
+		return n, err
 	}
 }
 
@@ -66,23 +80,36 @@
 	if n > 0 {
 		conn.idleSince = time.Time{}
 		conn.busy = true
+		conn.head.begin(time.Now)
 	}
 	if !conn.closing || n == 0 && !hasUnread(conn.Conn) {
 		return false
 	}
+	conn.keepOpen()
+	return n == 0
+}
+
+// keepOpen takes it back if the connection is being closed for being idle.
+func (conn *callerConn) keepOpen() {
+	if !conn.closing {
+		return
+	}
 	conn.closing = false
 	conn.listener.markClosing(conn, false)
 	_ = conn.Conn.SetReadDeadline(time.Time{})
-	return n == 0
 }
 
-// SetReadDeadline sets the read deadline, unless the reader has been interrupted.
+// SetReadDeadline sets the read deadline, unless the reader has been interrupted. While a head is read, the deadline is that
+// of the configuration.
 func (conn *callerConn) SetReadDeadline(deadline time.Time) error {
 	conn.mu.Lock()
 	defer conn.mu.Unlock()
 	if conn.closing {
 		return nil
 	}
+	if conn.head.reading && !conn.head.since.IsZero() && !deadline.IsZero() {
+		deadline = conn.head.deadline()
+	}
 	return conn.Conn.SetReadDeadline(deadline)
 }
 
@@ -95,6 +122,7 @@
 // Close closes the connection and removes it from the listener's open connections.
 func (conn *callerConn) Close() error {
 	conn.listener.remove(conn)
+	conn.releaseHead()
 	return conn.Conn.Close()
 }
 
@@ -108,6 +136,7 @@
 	defer conn.mu.Unlock()
 	conn.idleSince = now
 	conn.busy = false
+	conn.head.await(time.Time{})
 }
 
 // idleStart returns when the connection became idle, or zero if the connection isn't idle.
--- a/io/yuccagate/gate.go
+++ b/io/yuccagate/gate.go
@@ -43,6 +43,8 @@
 	// memory is the memory that open requests may use, and pressure shows whether processor time is short.
 	memory   *memory
 	pressure pressure
+	// heads bounds the heads of requests that are being read.
+	heads *headBounds
 	// memoryShortage shows whether many requests find no memory.
 	memoryShortage memoryShortage
 	// processBounds are the bounds that follow from the process's limits on memory and file
@@ -237,7 +239,7 @@
 // newGate returns a gateway that isn't connected to other daemons.
 func newGate(settings Settings, dialect Dialect, decode Decoder, incarnation yuccaid.Incarnation) *Gate {
 	bounds := yuccaspace.BoundsOf(settings.ProcessLimits)
-	return &Gate{
+	gate := &Gate{
 		settings:      settings,
 		dialect:       dialect,
 		decode:        decode,
@@ -271,6 +273,8 @@
 		admissions:              make(map[uint64]admission),
 		accountLeadersSuspected: make(map[yuccaid.Incarnation]time.Time),
 	}
+	gate.heads = gate.newHeadBounds()
+	return gate
 }
 
 func newTargetClient(bounds yuccaspace.Bounds) *yuccahop.Client {
--- a/io/yuccagate/listener.go
+++ b/io/yuccagate/listener.go
@@ -28,6 +28,8 @@
 	admits func() bool
 	// reads reports whether the first request on a connection may be read.
 	reads func(net.Conn) bool
+	// heads bounds the heads that are being read.
+	heads *headBounds
 
 	mu sync.Mutex
 	// conns holds the open connections, and whether each is being closed for being idle. closing
@@ -46,6 +48,7 @@
 	lis := &Listener{Listener: inner, maxConns: maxConns, onRejected: onRejected, conns: make(map[*callerConn]bool)}
 	lis.admits = func() bool { return true }
 	lis.reads = func(net.Conn) bool { return true }
+	lis.heads = newHeadBounds(0)
 	for _, option := range options {
 		option(lis)
 	}
@@ -89,7 +92,7 @@
 	if lis.maxConns > 0 && len(lis.conns)-lis.closing >= lis.maxConns {
 		return nil
 	}
-	conn := &callerConn{Conn: raw, listener: lis}
+	conn := newCallerConn(time.Now(), raw, lis)
 	lis.conns[conn] = false
 	return conn
 }
--- a/io/yuccagate/listeneroption.go
+++ b/io/yuccagate/listeneroption.go
@@ -12,6 +12,8 @@
 	rejectedProcessor Rejection = "processor"
 	// rejectedMemory means that there is no memory for the connection's first request.
 	rejectedMemory Rejection = "memory"
+	// rejectedHeads means that there is no memory for the heads of all requests that are being read.
+	rejectedHeads Rejection = "heads"
 )
 
 // ListenerOption configures a listener.
@@ -27,3 +29,8 @@
 func ReadIf(reads func(net.Conn) bool) ListenerOption {
 	return func(lis *Listener) { lis.reads = reads }
 }
+
+// withHeadBounds has the listener bound the heads that are being read.
+func withHeadBounds(heads *headBounds) ListenerOption {
+	return func(lis *Listener) { lis.heads = heads }
+}
--- a/io/yuccagate/memory.go
+++ b/io/yuccagate/memory.go
@@ -69,6 +69,10 @@
 // other connection was rejected within rejectedNotReadyFor before it.
 func (gate *Gate) connRejected(now time.Time, reason Rejection) {
 	gate.metrics.connRejected(reason)
+	if reason == rejectedHeads {
+		// Heads that find no room are those of few clients; the daemon serves others as before.
+		return
+	}
 	if previous := gate.callerRejectedAt.Swap(&now); previous == nil || now.Sub(*previous) > rejectedNotReadyFor {
 		gate.log.stateChange("callers turned away", "reason", reason, "connections", gate.processBounds.CallerConnections)
 	}
--- a/io/yuccagate/problem.go
+++ b/io/yuccagate/problem.go
@@ -108,6 +108,13 @@
 	return false
 }
 
+// response returns the problem as a whole response, after which the connection is closed.
+func (prob *Problem) response() []byte {
+	text := prob.Error() + "\n"
+	return fmt.Appendf(nil, "HTTP/1.1 %d %s\r\nContent-Type: text/plain; charset=utf-8\r\nConnection: close\r\nContent-Length: %d\r\n\r\n%s",
+		prob.Status(), http.StatusText(prob.Status()), len(text), text)
+}
+
 // write sends the problem as the response; no part of a response may have been sent before.
 func (prob *Problem) write(w http.ResponseWriter) {
 	header := w.Header()
--- a/io/yuccagate/request.go
+++ b/io/yuccagate/request.go
@@ -42,10 +42,12 @@
 type callerRequest struct {
 	gate *Gate
 	w    http.ResponseWriter
-	// unframed is the connection on which the response can only end by a close, nil if the response
-	// can come in chunks.
-	unframed *callerConn
-	info     RequestInfo
+	// conn is the caller's connection, nil if the request didn't come through a Listener. unframed is the same if the response
+	// can only end by a close, nil if it can come in chunks.
+	conn, unframed *callerConn
+	// headMemory is what the request's head takes beyond an ordinary one.
+	headMemory yuccaid.Bytes
+	info       RequestInfo
 	// table is the configuration that applies to the request, even if it changes meanwhile.
 	table   *yuccaroute.Table
 	route   *yuccaroute.Route
@@ -105,7 +107,8 @@
 
 // ServeHTTP serves one request of a caller.
 func (gate *Gate) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	req := &callerRequest{gate: gate, w: w, unframed: resettable(r), arrivedAt: time.Now(), resend: resendCharge{gate: gate}}
+	req := &callerRequest{gate: gate, w: w, conn: connOf(r), arrivedAt: time.Now(), resend: resendCharge{gate: gate}}
+	req.beginOnConn(r)
 	req.setWriteDeadline(req.arrivedAt.Add(refusalWriteTimeout))
 	// The request counts as open before the check, so that the drain can't end between the check
 	// and the count.
@@ -189,6 +192,9 @@
 	if !req.reserve(yuccaspace.RequestOverhead) {
 		return &Problem{Kind: KindBusy, Detail: detailMemory, RetryAfter: memoryRetryAfter}
 	}
+	if req.conn != nil {
+		req.conn.releaseHead()
+	}
 	return req.readBody(r)
 }
 
@@ -348,10 +354,13 @@
 	return request
 }
 
-// metricRank returns the route's rank for the labels of metrics, or -1 if there is no route.
+// noRank stands in metrics for the rank of requests without a route.
+const noRank = -1
+
+// metricRank returns the route's rank for the labels of metrics, or noRank if there is no route.
 func (req *callerRequest) metricRank() int {
 	if req.route == nil {
-		return -1
+		return noRank
 	}
 	return min(max(req.route.Rank, 0), maxMetricRank)
 }
--- a/io/yuccagate/serve.go
+++ b/io/yuccagate/serve.go
@@ -11,11 +11,8 @@
 )
 
 const (
-	// headTimeout bounds the time for reading a request's head, and maxHeadBytes its size. They
-	// apply even if the configuration allows more, because otherwise a caller that sends nothing
-	// could keep its connection open for ever.
-	headTimeout  = 10 * time.Second
-	maxHeadBytes = 128 << 10
+	// maxHeadBytes bounds the size of a request's head even if the configuration allows more.
+	maxHeadBytes = 1 << 20
 	// lastResponseWait bounds the wait at the end of the drain for requests that have arrived but
 	// are not served yet, and for the responses to refused requests. It also is the least time for
 	// these if the process stood still until the drain's end.
@@ -43,13 +40,15 @@
 func (gate *Gate) Serve(inner net.Listener) *Server {
 	admits := func() bool { return !gate.pressure.turnsAway(mathrand.Float64()) }
 	srv := &Server{
-		gate:     gate,
-		listener: NewListener(inner, gate.processBounds.CallerConnections, gate.connRejected, AdmitIf(admits), ReadIf(gate.hasRoomFor)),
-		errs:     make(chan error, 1),
-		stop:     make(chan struct{}),
+		gate: gate,
+		listener: NewListener(inner, gate.processBounds.CallerConnections, gate.connRejected,
+			AdmitIf(admits), ReadIf(gate.hasRoomFor), withHeadBounds(gate.heads)),
+		errs: make(chan error, 1),
+		stop: make(chan struct{}),
 	}
 	srv.http = &http.Server{
-		Handler:           gate,
+		Handler: gate,
+		// A connection puts the limit of the configuration in its place.
 		ReadHeaderTimeout: headTimeout,
 		MaxHeaderBytes:    maxHeadBytes,
 		ConnState:         srv.listener.ConnState,
--- a/io/yuccagate/status.go
+++ b/io/yuccagate/status.go
@@ -29,7 +29,7 @@
 	// QuotaShare is the share of the accounts' quotas that this daemon may use.
 	QuotaShare   float64 `json:"quotaPart"`
 	OpenRequests int64   `json:"open"`
-	// ReservedBytes is the memory reserved for open requests, in bytes.
+	// ReservedBytes is the memory reserved for open requests and for heads that are being read.
 	ReservedBytes yuccaid.Bytes  `json:"heldBytes"`
 	Pools         []PoolStatus   `json:"pools"`
 	Targets       []TargetStatus `json:"targets"`
@@ -91,7 +91,7 @@
 	status := Status{
 		VM: gate.settings.VM, Centre: gate.settings.Centre, Address: gate.settings.Address, Ready: gate.Ready(), Leaving: gate.draining(),
 		Number: gate.configurationNumber(), SkipsPlatformReads: gate.skipsPlatformReads.Load(), PlatformAgeMillis: -1,
-		QuotaShare: gate.ledger.QuotaShare(), OpenRequests: gate.openRequests.Load(), ReservedBytes: gate.memory.reserved(),
+		QuotaShare: gate.ledger.QuotaShare(), OpenRequests: gate.openRequests.Load(), ReservedBytes: gate.memory.reserved() + gate.heads.reserved(),
 		Streams: gate.origins.memory.Len(),
 	}
 	if age := gate.platformAge(now); age >= 0 {
--- a/io/yuccagate/truncation.go
+++ b/io/yuccagate/truncation.go
@@ -17,16 +17,24 @@
 	return context.WithValue(ctx, connKey{}, conn)
 }
 
-// resettable returns the caller's connection if the caller's version of HTTP has no chunks, else nil. A
-// response without a length to such a caller ends with its connection.
-func resettable(r *http.Request) *callerConn {
-	if r.ProtoAtLeast(1, 1) {
-		return nil
-	}
+// connOf returns the caller's connection that a request came on, nil if it didn't come through a Listener.
+func connOf(r *http.Request) *callerConn {
 	conn, _ := r.Context().Value(connKey{}).(*callerConn)
 	return conn
 }
 
+// beginOnConn records on the caller's connection that its request is served from now on. A response without a length to a
+// caller whose version of HTTP has no chunks ends with its connection.
+func (req *callerRequest) beginOnConn(r *http.Request) {
+	if req.conn == nil {
+		return
+	}
+	req.headMemory = req.conn.beginRequest()
+	if !r.ProtoAtLeast(1, 1) {
+		req.unframed = req.conn
+	}
+}
+
 // setTruncated sets whether the response to a caller without chunks is still incomplete. If it is, the
 // connection ends with a reset when it is closed, whether by this daemon or because its process ends.
 // Otherwise the caller would take what it has received for the complete response.
