A request whose head has many fields reserves the memory that they take

Cause: each request reserves 64 KB. A head of 16 KB in 2,800 fields takes 600 KB, in the header that was read, in its copy without the fields of one connection, and in the copy for the target.

Change: the request reserves what its head takes beyond an ordinary one, by its rank, and is refused (503, memory) like others if there is none; only then the head's own reservation ends. A head of many fields isn't looked at before it is read, since that would parse it without a reservation.

--- a/io/yuccagate/callerhead_test.go
+++ b/io/yuccagate/callerhead_test.go
@@ -70,6 +70,21 @@
 		Expect(time.Since(start)).To(BeNumerically("<", 5*time.Second))
 	})
 
+	// Guards against the failure that a request whose head has many fields counts like any other while it is served.
+	It("counts the fields of a request that is served", func() {
+		gt.configure(2, longConfig(), 2, newEngine("b", func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() }))
+		var fields strings.Builder
+		for number := range 1000 {
+			fmt.Fprintf(&fields, "x%d:\r\n", number)
+		}
+		conn, _ := connect()
+		fmt.Fprintf(conn, "GET /note/ HTTP/1.1\r\nHost: desk.example\r\nX-Id: a\r\nX-Key: k1\r\n%s\r\n", fields.String())
+		Eventually(func() int64 { return gt.Status().OpenRequests }).Should(Equal(int64(1)))
+		Eventually(func() yuccaid.Bytes { return gt.Status().ReservedBytes }).Should(BeNumerically(">", 256<<10))
+		conn.Close()
+		Eventually(func() yuccaid.Bytes { return gt.Status().ReservedBytes }).Should(BeZero())
+	})
+
 	// Guards against the failure that the memory of heads that were read is never free again.
 	It("has no memory reserved once heads of many fields have been served", func() {
 		var fields strings.Builder
--- a/io/yuccagate/peek.go
+++ b/io/yuccagate/peek.go
@@ -17,10 +17,11 @@
 const maxPeekBytes = 8 << 10
 
 // peekHead waits for the first bytes on a connection and returns the request head that they begin with, without taking
-// them from the socket. It returns nil if they hold no whole head.
+// them from the socket. It returns nil if they hold no whole head, or one that takes more memory than an ordinary one.
 func peekHead(conn net.Conn) *http.Request {
 	arrived := peek(conn)
-	if !bytes.Contains(arrived, []byte("\r\n\r\n")) {
+	text, _, whole := bytes.Cut(arrived, []byte("\r\n\r\n"))
+	if !whole || yuccaspace.HeadMemory(yuccaid.Bytes(len(text)), bytes.Count(text, []byte("\n"))) > 0 {
 		return nil
 	}
 	head, err := http.ReadRequest(bufio.NewReader(bytes.NewReader(arrived)))
--- a/io/yuccagate/request.go
+++ b/io/yuccagate/request.go
@@ -189,7 +189,7 @@
 	req.pool = req.route.Pick(mathrand.Float64())
 	req.deadline = req.arrivedAt.Add(req.timeout())
 	req.setWriteDeadline(req.deadline.Add(writeGrace))
-	if !req.reserve(yuccaspace.RequestOverhead) {
+	if !req.reserve(yuccaspace.RequestOverhead + req.headMemory) {
 		return &Problem{Kind: KindBusy, Detail: detailMemory, RetryAfter: memoryRetryAfter}
 	}
 	if req.conn != nil {
