The time for a head counts from its first byte, also on a connection that was used before

Cause: after a response net/http waits for four bytes without a deadline, and counts the time for the head only from then on; the byte that came ends the time for which the connection counts as idle. An empty line after a POST is passed over in the same way.

Change: the connection sets the deadline itself when the first byte arrives.

Ruled out: IdleTimeout of net/http, which closes connections on which a request has just arrived (see Listener).

--- a/io/yuccagate/callerconn.go
+++ b/io/yuccagate/callerconn.go
@@ -80,7 +80,7 @@
 	if n > 0 {
 		conn.idleSince = time.Time{}
 		conn.busy = true
-		conn.head.begin(time.Now)
+		conn.beginHead()
 	}
 	if !conn.closing || n == 0 && !hasUnread(conn.Conn) {
 		return false
@@ -89,6 +89,18 @@
 	return n == 0
 }
 
+// beginHead bounds the time for a head whose first byte has arrived. The server itself bounds it from the fourth byte on
+// only, and passes over empty lines first.
+func (conn *callerConn) beginHead() {
+	if !conn.head.reading || !conn.head.since.IsZero() {
+		return
+	}
+	conn.head.since = time.Now()
+	if !conn.closing {
+		_ = conn.Conn.SetReadDeadline(conn.head.deadline())
+	}
+}
+
 // keepOpen takes it back if the connection is being closed for being idle.
 func (conn *callerConn) keepOpen() {
 	if !conn.closing {
@@ -96,7 +108,11 @@
 	}
 	conn.closing = false
 	conn.listener.markClosing(conn, false)
-	_ = conn.Conn.SetReadDeadline(time.Time{})
+	deadline := time.Time{}
+	if conn.head.reading && !conn.head.since.IsZero() {
+		deadline = conn.head.deadline()
+	}
+	_ = conn.Conn.SetReadDeadline(deadline)
 }
 
 // SetReadDeadline sets the read deadline, unless the reader has been interrupted. While a head is read, the deadline is that
--- a/io/yuccagate/callerhead.go
+++ b/io/yuccagate/callerhead.go
@@ -111,13 +111,6 @@
 	head.reading, head.since, head.size, head.lines = true, since, 0, 0
 }
 
-// begin records that the head's first byte has arrived, if it hadn't before.
-func (head *callerHead) begin(now func() time.Time) {
-	if head.reading && head.since.IsZero() {
-		head.since = now()
-	}
-}
-
 // deadline returns until when the head has to be read.
 func (head *callerHead) deadline() time.Time { return head.since.Add(head.bounds.limits().timeout) }
 
--- a/io/yuccagate/callerhead_test.go
+++ b/io/yuccagate/callerhead_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"time"
 
@@ -70,6 +71,25 @@
 		Expect(time.Since(start)).To(BeNumerically("<", 5*time.Second))
 	})
 
+	// Guards against the failure that a few bytes of a next request keep a connection open for good.
+	DescribeTable("closes a connection on which the next request has begun and doesn't go on",
+		func(beginning string) {
+			conn, in := connect()
+			fmt.Fprint(conn, requestHead("/note/", "a", 0))
+			resp, err := http.ReadResponse(in, nil)
+			Expect(err).NotTo(HaveOccurred())
+			_, _ = io.Copy(io.Discard, resp.Body)
+			fmt.Fprint(conn, beginning)
+			start := time.Now()
+			_, err = io.ReadAll(in)
+			Expect(os.IsTimeout(err)).To(BeFalse())
+			Expect(time.Since(start)).To(BeNumerically("<", 5*time.Second))
+		},
+		Entry("one byte", "P"),
+		Entry("an empty line", "\r\n"),
+		Entry("four bytes", "POST"),
+	)
+
 	// Guards against the failure that a request whose head has many fields counts like any other while it is served.
 	It("counts the fields of a request that is served", func() {
 		gt.configure(2, longConfig(), 2, newEngine("b", func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() }))
