A refusal waits a second at most for a body that doesn't come

Cause: before net/http sends a response it reads up to 256 KB of the rest of the body, without a deadline unless the handler has set one; only the reading of bodies set one. Requests for "*" (OPTIONS) were answered by the library itself, which reads their bodies without a deadline too.

Change: a refusal sets a deadline of one second, of the request's own if that is sooner, of none once the daemon leaves; what hasn't come then is left, and the connection is closed after the response. OPTIONS * is a request without a route.

Ruled out: "Connection: close" on each such refusal, which costs callers whose body has come their connection.

--- a/io/yuccagate/callerhead_test.go
+++ b/io/yuccagate/callerhead_test.go
@@ -124,4 +124,20 @@
 		}
 		Eventually(func() yuccaid.Bytes { return gt.Status().ReservedBytes }).Should(BeZero())
 	})
+
+	// Guards against the failure that a refusal waits for a body that never comes, and its connection is held for good.
+	DescribeTable("refuses a request whose body never comes",
+		func(head string, status int) {
+			conn, in := connect()
+			fmt.Fprint(conn, head)
+			resp, err := http.ReadResponse(in, nil)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(resp.StatusCode).To(Equal(status))
+			_, err = io.ReadAll(in)
+			Expect(os.IsTimeout(err)).To(BeFalse())
+		},
+		Entry("no route", "POST /nowhere HTTP/1.1\r\nHost: desk.example\r\nX-Id: a\r\nContent-Length: 10\r\n\r\n", http.StatusNotFound),
+		Entry("an unknown key", "POST /note/ HTTP/1.1\r\nHost: desk.example\r\nX-Id: a\r\nX-Key: none\r\nTransfer-Encoding: chunked\r\n\r\n", http.StatusUnauthorized),
+		Entry("about the server", "OPTIONS * HTTP/1.1\r\nHost: desk.example\r\nX-Id: a\r\nX-Key: k1\r\nContent-Length: 10\r\n\r\n", http.StatusNotFound),
+	)
 })
--- a/io/yuccagate/request.go
+++ b/io/yuccagate/request.go
@@ -33,7 +33,10 @@
 	// refusalWriteTimeout bounds the writing of a refusal, and of a response while the request's
 	// deadline isn't known yet. writeGrace is how long after the deadline a response may still be written.
 	refusalWriteTimeout = 5 * time.Second
-	writeGrace          = 500 * time.Millisecond
+	// unreadBodyTimeout bounds the wait for a body of a refused request, which the server reads to its end before it sends
+	// the refusal if it isn't long.
+	unreadBodyTimeout = time.Second
+	writeGrace        = 500 * time.Millisecond
 )
 
 var errTimeout = errors.New("the request's time is up")
@@ -61,6 +64,8 @@
 	// the caller's header without fields that concern only one connection.
 	outgoing      yuccahop.Outgoing
 	forwardHeader http.Header
+	// bodyRead reports whether the request's body has been read to its end.
+	bodyRead bool
 	// traits are the traits of the request on which targets may crash, its shared parts first. Content is that of its whole
 	// content, which the request has once its body has been read.
 	traits  []yuccaquarantine.Trait
@@ -172,10 +177,26 @@
 	}
 	req.closeIfDraining()
 	// If the process stood still past the request's deadline, the time for writing is over too.
-	req.setWriteDeadline(time.Now().Add(refusalWriteTimeout))
+	now := time.Now()
+	req.setWriteDeadline(now.Add(refusalWriteTimeout))
+	if !req.bodyRead {
+		_ = http.NewResponseController(req.w).SetReadDeadline(req.unreadBodyDeadline(now))
+	}
 	prob.write(req.w)
 }
 
+// unreadBodyDeadline returns until when a refusal waits for the rest of the request's body.
+func (req *callerRequest) unreadBodyDeadline(now time.Time) time.Time {
+	deadline := now.Add(unreadBodyTimeout)
+	switch {
+	case req.gate.leaving.Err() != nil:
+		return now
+	case !req.deadline.IsZero() && req.deadline.Before(deadline):
+		return req.deadline
+	}
+	return deadline
+}
+
 // prepare checks the request against the configuration, finds its route and account, and reads
 // its body.
 func (req *callerRequest) prepare(r *http.Request) *Problem {
@@ -284,9 +305,9 @@
 		return &Problem{Kind: KindTooLarge}
 	}
 	// If the read deadline stayed set and passed while the request is served, the server would
-	// conclude that the caller has left. After a failure the read deadline stays set, because
-	// otherwise the server would wait for the rest of the body before it responds.
+	// conclude that the caller has left.
 	_ = control.SetReadDeadline(time.Time{})
+	req.bodyRead = true
 	req.forwardHeader = forwardableHeader(r.Header)
 	req.outgoing = yuccahop.Outgoing{Method: r.Method, URI: r.RequestURI, Host: r.Host, Body: raw}
 	if r.ContentLength == 0 && len(r.TransferEncoding) == 0 && r.Header.Get("Content-Length") == "" {
--- a/io/yuccagate/serve.go
+++ b/io/yuccagate/serve.go
@@ -53,6 +53,8 @@
 		MaxHeaderBytes:    maxHeadBytes,
 		ConnState:         srv.listener.ConnState,
 		ConnContext:       withConn,
+		// The general handler of such requests waits for their bodies without a limit on time.
+		DisableGeneralOptionsHandler: true,
 	}
 	go func() {
 		if err := srv.http.Serve(srv.listener); !errors.Is(err, http.ErrServerClosed) {
