What the system holds of a caller's bytes that nobody reads is bounded

Cause: the system holds 128 KB and more for each connection, and up to 32 MB once a long body has been read from it; while a request is served nobody reads.

Ruled out: reading on while a request is served, which would need a bound of its own and cost processor time; a buffer of the system's size for bodies, which the system grows by itself.

--- a/io/yuccagate/request.go
+++ b/io/yuccagate/request.go
@@ -291,6 +291,10 @@
 	if r.ContentLength != 0 {
 		_ = control.SetReadDeadline(req.deadline)
 	}
+	if req.conn != nil && r.ContentLength > callerBufferBytes {
+		req.conn.setReadBuffer(longBodyBufferBytes)
+		defer req.conn.setReadBuffer(callerBufferBytes)
+	}
 	raw, err := readAll(body, r.ContentLength, req.reserve)
 	if errors.Is(err, errNoMemory) {
 		return &Problem{Kind: KindBusy, Detail: detailMemory, RetryAfter: memoryRetryAfter}
