What the system holds of a target's bytes that nobody reads is bounded

Cause: as long as its caller doesn't read, a daemon doesn't read the target's answer either, and the system holds what the target has sent: up to 32 MB a connection, which it grows while an answer is read.

Change: connections to targets have a receive buffer of 32 KB.

--- a/io/yuccahop/client.go
+++ b/io/yuccahop/client.go
@@ -71,6 +71,10 @@
 			var failed error
 			err := raw.Control(func(fd uintptr) {
 				failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(cl.limits.Unacknowledged.Milliseconds()))
+				if cl.limits.ReceiveBuffer > 0 {
+					// Where the system refuses, its own size stays.
+					_ = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, cl.limits.ReceiveBuffer)
+				}
 			})
 			if err != nil {
 				return err
--- a/io/yuccahop/limits.go
+++ b/io/yuccahop/limits.go
@@ -27,6 +27,9 @@
 	// IdleTotal bounds the unused connections that are kept to all targets together, so that
 	// a large fleet of targets leaves descriptors for connections in use; zero for no bound.
 	IdleTotal int
+	// ReceiveBuffer is how many bytes the system holds, about, of what a target has sent and nobody has read, where the
+	// caller doesn't read its answer; zero for the system's own size.
+	ReceiveBuffer int
 	// Foreign is how many answers to other requests are skipped on one connection.
 	Foreign int
 }
@@ -40,6 +43,7 @@
 		Idle:           2400 * time.Millisecond,
 		IdleMargin:     2600 * time.Millisecond,
 		IdlePerTarget:  8,
+		ReceiveBuffer:  32 << 10,
 		Foreign:        2,
 	}
 }
