A head that is none in the protocol isn't an answer: statuses outside 100 to 599, 101, names and values with forbidden bytes

Callers saw (MIXED, on other systems of the kind): an answer with status 000, or one with a line whose field name held a blank, and with a body that wasn't the target's. Here: status 000, and any below 200, was taken for an interim answer, so that the body was parsed as the next head and could itself become the answer; "Content-Length : 5" was no length, so that the body ended with the connection; 600 to 999 were passed on.

Cause: net/http's parser lets these through, and what reads answers trusted it.

Change: io/yuccahead checks a parsed head; connections to targets treat one that fails as a lost answer (502, or another target where that may be), also where it answers another request. 101 isn't skipped as interim any more.

Ruled out: passing 600 to 999 on (the protocol has clients treat them as 5xx, and a gateway that gets them has no valid answer); rejecting all bytes above 0x7f in values, which sound targets may send.

--- a/io/yuccahop/conn.go
+++ b/io/yuccahop/conn.go
@@ -15,6 +15,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"yuccacleat/io/yuccahead"
 )
 
 var (
@@ -194,16 +196,22 @@
 		return nil, cn.skipHead()
 	}
 	resp, err := http.ReadResponse(cn.in, &http.Request{Method: method})
-	if err == nil && resp.StatusCode < http.StatusOK {
+	if err != nil {
+		return nil, err
+	}
+	if err := yuccahead.Check(resp); err != nil {
+		return nil, err
+	}
+	if resp.StatusCode < http.StatusOK {
 		return nil, nil
 	}
-	return resp, err
+	return resp, nil
 }
 
 // startsInterim reports whether what has come of a head shows an interim answer.
 func startsInterim(head []byte) bool {
 	status, isHTTP := bytes.CutPrefix(head, []byte("HTTP/1.1 "))
-	if !isHTTP || len(status) < len("100 ") {
+	if !isHTTP || len(status) < len("100 ") || bytes.HasPrefix(status, []byte("101")) {
 		return false
 	}
 	return status[0] == '1' && isDigit(status[1]) && isDigit(status[2]) && bytes.IndexByte([]byte(" \r\n"), status[3]) >= 0
