An answer that only its connection ends isn't whole if the connection was reset while the request's body was sent

Cause: the system tells of a reset once. A long body is written beside the reading of the answer; if the writer is told, the reader then sees the end of the connection, which is how an answer without a length ends.

Change: if such an answer ends and the body hasn't been written whole, the state of the connection tells: the target has ended it for its part and it wasn't reset (CLOSE_WAIT), or the answer is broken off. Streams are read the same way.

Why this works: a body that was written whole has no writer that could take the error; and the state is the system's own, which a reset changes for good. Where the system doesn't tell the state the answer counts as broken off.

Ruled out: waiting for the writer (a target that has ended its answer in order and reads nothing more would hold the caller until its deadline); refusing every early answer without a length (a ready answer is delivered).

--- a/io/yuccahop/answer.go
+++ b/io/yuccahop/answer.go
@@ -32,10 +32,14 @@
 // that is cut short ends with another error.
 func (ans *Answer) Read(into []byte) (int, error) {
 	got, err := ans.resp.Body.Read(into)
-	if err == io.EOF {
-		ans.whole = true
+	if err != io.EOF || ans.whole {
+		return got, err
 	}
-	return got, err
+	if ans.Framing() == FramedByClose && !ans.upload.whole() && !ans.conn.endedByTarget() {
+		return got, errUploadFailed
+	}
+	ans.whole = true
+	return got, io.EOF
 }
 
 // Whole reports whether the body was read to its end.
--- a/io/yuccahop/conn.go
+++ b/io/yuccahop/conn.go
@@ -22,8 +22,13 @@
 var (
 	errForeign = errors.New("the connection brings answers to other requests")
 	errNoHead  = errors.New("the connection ended before an answer")
+	// errUploadFailed is the error of an answer that nothing but its connection ends, if that may have been a reset.
+	errUploadFailed = errors.New("the connection broke off while the request's body was sent")
 )
 
+// closeWait is the system's state of a connection whose other end has sent all that it will send, and that wasn't reset.
+const closeWait = 8
+
 // conn is one connection to a target. It serves one request at a time.
 type conn struct {
 	client  *Client
@@ -105,6 +110,27 @@
 	return newAnswer(cn, resp, up, stop), nil
 }
 
+// endedByTarget reports whether the target has ended the connection for its part, and it hasn't been reset.
+//
+// The system tells of a reset once only. If a request's body is still being written then, its writer may be told, and the
+// reader sees what looks like the end of the answer.
+func (cn *conn) endedByTarget() bool {
+	sys, ok := cn.raw.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := sys.SyscallConn()
+	if err != nil {
+		return false
+	}
+	ended := false
+	err = raw.Control(func(fd uintptr) {
+		info, failed := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+		ended = failed == nil && info.State == closeWait
+	})
+	return err == nil && ended
+}
+
 // resetOnClose sets whether the connection is reset when it is closed, by this client or because its process
 // ends. Until an answer has come, a cut link may hold up the request. A connection that was closed in order
 // would deliver the request when the link heals, though nobody waits for it any more.
