--- a/io/yuccahead/check.go
+++ b/io/yuccahead/check.go
@@ -31,12 +31,17 @@
 	return "the head of an answer has " + err.What + " " + strconv.Quote(text) + ": mend what sent it"
 }
 
-// Check returns a *GarbledError if the head isn't one of an answer in the protocol. A head that switches to another protocol is
-// none either, since nobody asks for that.
-func Check(resp *http.Response) error {
+// CheckHTTP1 is Check for a head that was read from a connection of HTTP/1, and checks its version as well.
+func CheckHTTP1(resp *http.Response) error {
 	if resp.ProtoMajor != 1 {
 		return &GarbledError{What: "the version", Text: resp.Proto}
 	}
+	return Check(resp)
+}
+
+// Check returns a *GarbledError if the head isn't one of an answer in the protocol. A head that switches to another protocol is
+// none either, since nobody asks for that.
+func Check(resp *http.Response) error {
 	if !IsStatus(resp.StatusCode) || resp.StatusCode == http.StatusSwitchingProtocols {
 		return &GarbledError{What: "the status", Text: resp.Status}
 	}
--- a/io/yuccahead/check_test.go
+++ b/io/yuccahead/check_test.go
@@ -34,7 +34,7 @@
 	} {
 		resp, err := http.ReadResponse(bufio.NewReader(strings.NewReader(test.head+"\r\n")), nil)
 		if err == nil {
-			err = yuccahead.Check(resp)
+			err = yuccahead.CheckHTTP1(resp)
 		}
 		if sound := err == nil; sound != test.sound {
 			t.Errorf("%s: got %v, want it to be sound: %v", test.name, err, test.sound)
--- a/io/yuccahop/conn.go
+++ b/io/yuccahop/conn.go
@@ -225,7 +225,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := yuccahead.Check(resp); err != nil {
+	if err := yuccahead.CheckHTTP1(resp); err != nil {
 		return nil, err
 	}
 	if resp.StatusCode < http.StatusOK {
--- a/io/yuccaplat/reader.go
+++ b/io/yuccaplat/reader.go
@@ -15,6 +15,7 @@
 	"github.com/rotisserie/eris"
 
 	"yuccacleat/core/yuccaid"
+	"yuccacleat/io/yuccahead"
 )
 
 const (
@@ -165,6 +166,9 @@
 		return nil, nil, reader.failed(newFault(ErrUnreachable, path, 0, err.Error()))
 	}
 	defer answer.Body.Close()
+	if err := yuccahead.Check(answer); err != nil {
+		return nil, nil, reader.failed(newFault(ErrGarbled, path, answer.StatusCode, err.Error()))
+	}
 	raw, err := io.ReadAll(io.LimitReader(answer.Body, int64(answerLimit)+1))
 	switch {
 	case answer.StatusCode != http.StatusOK:
--- a/io/yuccatarget/once_test.go
+++ b/io/yuccatarget/once_test.go
@@ -102,6 +102,10 @@
 	Entry("503 that says nothing of the run", false, true, "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n"),
 	Entry("503 about another request", false, true,
 		"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 47\r\n\r\n"+`{"id":"zz","kind":"refused","ran":"notRun"}    `),
+	Entry("a refusal behind status 000", false, true,
+		"HTTP/1.1 000 \r\n\r\nHTTP/1.1 503 Service Unavailable\r\nContent-Length: 33\r\n\r\n"+`{"kind":"refused","ran":"notRun"}`),
+	Entry("a refusal with a blank in a field's name", false, true,
+		"HTTP/1.1 503 Service Unavailable\r\nX Other: 1\r\nContent-Length: 33\r\n\r\n"+`{"kind":"refused","ran":"notRun"}`),
 	Entry("503 cut short", false, true, "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 90\r\n\r\n"+`{"kind":"refused","ran":"notRun"}`),
 )
 
--- a/io/yuccatarget/report.go
+++ b/io/yuccatarget/report.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"yuccacleat/io/yuccahead"
 )
 
 // newReports returns a client for reports. It keeps one connection to each target; a
@@ -67,6 +69,9 @@
 		return said, eris.Wrapf(err, "report of %s did not come: keep the last one and ask again", address)
 	}
 	defer func() { _ = resp.Body.Close() }()
+	if err := yuccahead.Check(resp); err != nil {
+		return said, eris.Wrapf(err, "report of %s can't be read: keep the last one and ask again", address)
+	}
 	if resp.StatusCode != http.StatusOK {
 		return said, &StatusError{Status: resp.StatusCode}
 	}
--- a/io/yuccatarget/wire.go
+++ b/io/yuccatarget/wire.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"yuccacleat/io/yuccahead"
 )
 
 // writeChunk bounds what one write deadline covers.
@@ -104,12 +106,18 @@
 	}
 	sendErr := req.Write(w)
 	resp, err := w.head(req)
-	if err != nil && sendErr != nil {
+	if sendErr != nil && (err != nil || !statesEnd(resp)) {
 		return nil, sendErr
 	}
 	return resp, err
 }
 
+// statesEnd reports whether an answer says where its body ends. The system tells of a reset once; if that was while the
+// request was sent, the end of a body that ends with its connection shows nothing.
+func statesEnd(resp *http.Response) bool {
+	return resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
+}
+
 // head reads the head of the answer, past interim ones.
 func (w *wire) head(req *http.Request) (*http.Response, error) {
 	for {
@@ -117,6 +125,9 @@
 		if err != nil {
 			return nil, err
 		}
+		if err := yuccahead.CheckHTTP1(resp); err != nil {
+			return nil, err
+		}
 		if resp.StatusCode >= http.StatusOK {
 			w.readable = math.MaxInt64
 			return resp, nil
