A connection with an unfinished head makes room for a new one when all are in use

Cause: at the bound on connections only idle ones made room.

Change: if none is idle, the one whose head has been unfinished for longest is closed, if that is over a second and none of its bytes are unread. A request that has begun meanwhile is kept.

Ruled out: a shorter time for heads, which the configuration gives; closing the oldest connection whatever it does.

--- a/io/yuccagate/callerconn.go
+++ b/io/yuccagate/callerconn.go
@@ -171,6 +171,11 @@
 	if conn.closing || conn.idleSince.IsZero() || conn.idleSince.After(since) || hasUnread(conn.Conn) {
 		return
 	}
+	conn.interrupt()
+}
+
+// interrupt interrupts the reader, which closes the connection unless bytes have arrived.
+func (conn *callerConn) interrupt() {
 	conn.closing = true
 	conn.listener.markClosing(conn, true)
 	_ = conn.Conn.SetReadDeadline(longAgo)
--- a/io/yuccagate/callerhead.go
+++ b/io/yuccagate/callerhead.go
@@ -23,6 +23,10 @@
 	lingerBytes = 64 << 10
 )
 
+// unfinishedHeadTime is how long a head may be unfinished while another connection needs its place. Callers send a head at
+// once; a lost packet takes a part of that time.
+const unfinishedHeadTime = time.Second
+
 // errHeadRefused ends the reading of a head. The server writes no response after an error of reading.
 var errHeadRefused = &net.OpError{Op: "read", Err: errors.New("the head is refused")}
 
@@ -191,3 +195,23 @@
 	defer conn.mu.Unlock()
 	conn.head.release()
 }
+
+// headStart returns when the unfinished head on the connection began, or zero if there is none.
+func (conn *callerConn) headStart() time.Time {
+	conn.mu.Lock()
+	defer conn.mu.Unlock()
+	if !conn.head.reading || conn.closing {
+		return time.Time{}
+	}
+	return conn.head.since
+}
+
+// closeUnfinished has the connection closed unless more of its head has arrived.
+func (conn *callerConn) closeUnfinished() {
+	conn.mu.Lock()
+	defer conn.mu.Unlock()
+	if !conn.head.reading || conn.head.since.IsZero() || conn.closing || hasUnread(conn.Conn) {
+		return
+	}
+	conn.interrupt()
+}
--- a/io/yuccagate/listener.go
+++ b/io/yuccagate/listener.go
@@ -69,8 +69,8 @@
 		if err != nil {
 			return nil, err
 		}
-		if lis.maxConns > 0 && lis.Count() >= lis.maxConns {
-			lis.closeLongestIdle()
+		if lis.maxConns > 0 && lis.Count() >= lis.maxConns && !lis.closeLongestIdle() {
+			lis.closeLongestUnfinished(time.Now())
 		}
 		reason := rejectedProcessor
 		if lis.admits() {
@@ -121,9 +121,9 @@
 	delete(lis.conns, conn)
 }
 
-// closeLongestIdle closes the connection that has been idle for longest, if any is idle and has no
+// closeLongestIdle closes the connection that has been idle for longest, and reports whether any is idle and has no
 // unread request.
-func (lis *Listener) closeLongestIdle() {
+func (lis *Listener) closeLongestIdle() bool {
 	var longest *callerConn
 	var since time.Time
 	for _, conn := range lis.openConns() {
@@ -135,6 +135,23 @@
 	if longest != nil {
 		longest.closeIdle(since)
 	}
+	return longest != nil
+}
+
+// closeLongestUnfinished closes the connection whose head has been unfinished for longest, if any has been for longer than
+// unfinishedHeadTime and nothing of it is unread. Otherwise clients that leave heads unfinished would keep all others out.
+func (lis *Listener) closeLongestUnfinished(now time.Time) {
+	var longest *callerConn
+	since := now.Add(-unfinishedHeadTime)
+	for _, conn := range lis.openConns() {
+		began := conn.headStart()
+		if !began.IsZero() && began.Before(since) && !hasUnread(conn.Conn) {
+			longest, since = conn, began
+		}
+	}
+	if longest != nil {
+		longest.closeUnfinished()
+	}
 }
 
 // openConns returns the open connections.
