What is remembered of logged connection failures is bounded

Change: at most 1,024 addresses; those older than the interval go first, and beyond that a failure isn't logged.

--- a/io/yuccagate/peers.go
+++ b/io/yuccagate/peers.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"maps"
 	"slices"
 	"syscall"
 	"time"
@@ -55,6 +56,9 @@
 // address.
 const connFailureLogInterval = 5 * time.Second
 
+// maxLoggedAddresses bounds the addresses for which it is known when a failed connection was last logged.
+const maxLoggedAddresses = 1024
+
 // peerListings is the message that sends a peer the addresses of the known daemons.
 type peerListings struct {
 	Listings []yuccapeer.Listing `msgpack:"listings"`
@@ -94,13 +98,30 @@
 		if errors.Is(err, syscall.ECONNREFUSED) {
 			gate.peerRefusedAt[address] = now
 		}
-		if now.Sub(gate.connFailureLoggedAt[address]) >= connFailureLogInterval {
-			gate.connFailureLoggedAt[address] = now
+		if gate.logsConnFailure(now, address) {
 			gate.log.stateChange("connection to peer failed", "address", address, "error", err)
 		}
 	})
 }
 
+// logsConnFailure reports whether a failed connection to or from the address is logged, and records that it is.
+//
+// Anybody may connect to the address for daemons, each time from another port. If what was logged were kept for each of
+// them, it would take the process's memory in the end.
+func (gate *Gate) logsConnFailure(now time.Time, address string) bool {
+	if now.Sub(gate.connFailureLoggedAt[address]) < connFailureLogInterval {
+		return false
+	}
+	if len(gate.connFailureLoggedAt) >= maxLoggedAddresses {
+		maps.DeleteFunc(gate.connFailureLoggedAt, func(_ string, at time.Time) bool { return now.Sub(at) >= connFailureLogInterval })
+	}
+	if len(gate.connFailureLoggedAt) >= maxLoggedAddresses {
+		return false
+	}
+	gate.connFailureLoggedAt[address] = now
+	return true
+}
+
 // tickPeers checks heartbeats and whether this process was paused, and dials daemons to which
 // there should be a connection.
 func (gate *Gate) tickPeers(now time.Time) {
