--- a/io/yuccalog/log_test.go
+++ b/io/yuccalog/log_test.go
@@ -157,6 +157,22 @@
 		Expect(kept(950, 1000)).To(Equal(50))
 	})
 
+	// Guards against the failure that a client which sends many requests under one id has as much returned for each request for
+	// their lines as the log keeps.
+	It("returns the newest lines only about a request that has many", func() {
+		var seconds atomic.Int64
+		lg := yuccalog.New(newReader(), yuccalog.WithRecent(4<<20), yuccalog.WithClock(func() time.Time { return time.Unix(seconds.Load(), 0) }))
+		defer lg.Close()
+		for at := range 4000 {
+			seconds.Add(1)
+			_ = level.Info(lg).Log("event", "sent", "request", "same", "number", at, "filler", strings.Repeat("x", 200))
+		}
+		found := string(lg.Recent("same"))
+		Expect(len(found)).To(BeNumerically("<=", 256<<10))
+		Expect(found).To(ContainSubstring(`"number":3999,`))
+		Expect(found).To(HavePrefix("{"))
+	})
+
 	It("accepts lines from several goroutines", func() {
 		out := newReader()
 		lg := yuccalog.New(out)
--- a/io/yuccalog/recent.go
+++ b/io/yuccalog/recent.go
@@ -46,15 +46,30 @@
 	}
 }
 
+// maxFoundBytes bounds the lines that are returned about one request: clients may send any number of requests under one id,
+// and ask for their lines on many connections without reading them.
+const maxFoundBytes = 256 << 10
+
 // recentLineOverhead is the memory in bytes that a line takes besides its text and its request.
 const recentLineOverhead = 64
 
 func lineSize(request string, line []byte) int { return len(request) + len(line) + recentLineOverhead }
 
-// of returns the lines about one request, the oldest first.
+// of returns the newest lines about one request, up to maxFoundBytes of them, the oldest first.
 func (rec *recentLines) of(request string) []byte {
+	from, size := len(rec.lines), 0
+	for at := len(rec.lines) - 1; at >= 0; at-- {
+		if rec.lines[at].request != request {
+			continue
+		}
+		size += len(rec.lines[at].line)
+		if size > maxFoundBytes {
+			break
+		}
+		from = at
+	}
 	var found bytes.Buffer
-	for _, each := range rec.lines {
+	for _, each := range rec.lines[from:] {
 		if each.request == request {
 			found.Write(each.line)
 		}
