--- a/io/yuccaserve/serve.go
+++ b/io/yuccaserve/serve.go
@@ -17,8 +17,13 @@
 	"yuccacleat/io/yuccaweb"
 )
 
-// headerTimeout keeps a caller that sends nothing from holding a connection.
-const headerTimeout = 10 * time.Second
+const (
+	// headerTimeout keeps a caller that sends nothing from holding a connection, and idleTimeout one that sends nothing more.
+	headerTimeout = 10 * time.Second
+	idleTimeout   = 2 * time.Minute
+	// headerBytes bounds a request's head; those of this interface have some hundred bytes.
+	headerBytes = 16 << 10
+)
 
 // Addresses are where a started daemon listens.
 type Addresses struct {
@@ -90,7 +95,14 @@
 }
 
 func newServer(handler http.Handler) *http.Server {
-	return &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout}
+	return &http.Server{
+		Handler:           handler,
+		ReadHeaderTimeout: headerTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    headerBytes,
+		// The general handler of such requests waits for their bodies without a limit on time.
+		DisableGeneralOptionsHandler: true,
+	}
 }
 
 // listeners are the three addresses of a daemon.
--- a/io/yuccaserve/serve_test.go
+++ b/io/yuccaserve/serve_test.go
@@ -1,6 +1,7 @@
 package yuccaserve_test
 
 import (
+	"bufio"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -73,6 +74,25 @@
 	valid := `{"pool":"draft","operation":"generate","tier":"urgent","deadlineMillis":30000,"prompt":"x","answerTokens":5}`
 	with := func(old, replacement string) string { return strings.Replace(valid, old, replacement, 1) }
 
+	// Guards against the failure that heads of the library's size take the daemon's memory, and that a request about the server
+	// waits for a body that never comes.
+	DescribeTable("refuses what its callers and operators never send",
+		func(request string, status int) {
+			for _, address := range []string{proc.Addresses.Caller, proc.Addresses.Operator} {
+				conn, err := net.Dial("tcp", address)
+				Expect(err).NotTo(HaveOccurred())
+				Expect(conn.SetDeadline(time.Now().Add(patience))).To(Succeed())
+				_, _ = fmt.Fprint(conn, request)
+				resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+				Expect(err).NotTo(HaveOccurred())
+				Expect(resp.StatusCode).To(Equal(status))
+				conn.Close()
+			}
+		},
+		Entry("a long head", "GET /v1/requests/a HTTP/1.1\r\nHost: x\r\nX: "+strings.Repeat("x", 24<<10), http.StatusRequestHeaderFieldsTooLarge),
+		Entry("a request about the server", "OPTIONS * HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n", http.StatusNotFound),
+	)
+
 	// Callers send what a broken script sends. Each must hear what to mend and that
 	// nothing ran, and the daemon must serve the next caller as if nothing had been.
 	DescribeTable("refuses bad input with a remedy, runs nothing and goes on",
