The refusal of a head is written within a limit on time

A client that reads nothing of its responses, and then sends a head that is refused, holds its connection for good: net/http writes such a refusal without a deadline, and what was set for the last response is cleared before.

Change: what is written while no handler runs has five seconds.

Why here: the reader of such a connection isn't reading, so that closing it for being idle, or to make room, doesn't reach it either.

Test: TestRefusalOfAHeadIsWrittenWithinALimit; on the parent the refusal is still being written after 20 s.

--- a/io/yuccagate/callerconn.go
+++ b/io/yuccagate/callerconn.go
@@ -65,6 +65,17 @@
 	}
 }
 
+// Write writes to the connection. What the server writes while no handler runs is a refusal of a head, for which it sets no
+// deadline: a caller that reads nothing would hold the connection for good.
+func (conn *callerConn) Write(buf []byte) (int, error) {
+	conn.mu.Lock()
+	if conn.head.reading {
+		_ = conn.Conn.SetWriteDeadline(time.Now().Add(refusalWriteTimeout))
+	}
+	conn.mu.Unlock()
+	return conn.Conn.Write(buf)
+}
+
 // reject closes the connection with its request unread. If bytes of the request have arrived, the kernel resets the
 // connection, so that the caller can't take its end for the end of a response.
 func (conn *callerConn) reject() {
--- a/io/yuccagate/unfinished_test.go
+++ b/io/yuccagate/unfinished_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"net"
+	"net/http"
+	"os"
 	"testing"
 	"time"
 )
@@ -64,3 +66,26 @@
 		})
 	}
 }
+
+// Guards against the failure that a caller which reads nothing holds a connection for good, because its next head is refused
+// and the refusal can't be written.
+func TestRefusalOfAHeadIsWrittenWithinALimit(t *testing.T) {
+	lis := NewListener(nil, 0, nil)
+	caller, accepted := net.Pipe()
+	defer caller.Close()
+	conn := lis.track(accepted)
+	lis.ConnState(conn, http.StateIdle)
+	written := make(chan error, 1)
+	go func() {
+		_, err := conn.Write([]byte("HTTP/1.1 400 Bad Request\r\n\r\n"))
+		written <- err
+	}()
+	select {
+	case err := <-written:
+		if !os.IsTimeout(err) {
+			t.Errorf("got %v, want a timeout", err)
+		}
+	case <-time.After(4 * refusalWriteTimeout):
+		t.Error("the refusal is still being written")
+	}
+}
