The receive buffer of connections to targets is 16 KB

Price: a long answer from another region comes at some 16 KB a round trip; those of the deployments have 800 bytes, or are streams.

Ruled out: another bound or a smaller crowd for the test.

--- a/io/yuccahop/limits.go
+++ b/io/yuccahop/limits.go
@@ -43,7 +43,7 @@
 		Idle:           2400 * time.Millisecond,
 		IdleMargin:     2600 * time.Millisecond,
 		IdlePerTarget:  8,
-		ReceiveBuffer:  32 << 10,
+		ReceiveBuffer:  16 << 10,
 		Foreign:        2,
 	}
 }
